--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -0,0 +1,168 @@
+/*
+ * The program control-plane. `found` prepares the data folder of one of the three founders of a new
+ * fleet; `run` serves, from a folder that was founded or has joined.
+ */
+package gladelug.control;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import gladelug.control.core.CoreNode;
+import gladelug.control.core.CoreService;
+import gladelug.control.core.Members;
+import gladelug.control.door.OperatorDoor;
+import gladelug.control.duty.PlatformWatch;
+import gladelug.kernel.Address;
+import gladelug.kernel.Finding;
+import gladelug.kernel.Kernel;
+import gladelug.kernel.Log;
+import gladelug.kernel.Program;
+import gladelug.kernel.Result;
+import gladelug.kernel.Settings;
+import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.disk.Folder;
+import gladelug.kernel.disk.Ring;
+import gladelug.kernel.message.Shuffle;
+import gladelug.kernel.view.ViewService;
+import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+public final class ControlPlane {
+    private static final String[] FLAGS = {"name", "domain", "records", "operator", "platform", "seeds", "founders", "data", "log", "cutoffMs", "ringFileMb"};
+
+    record Place(String name, String domain, Address records, Address operator, Address platform, List<Address> seeds,
+                 List<Members.Member> founders, String data, String log, int cutoff, int ringFile) {}
+
+    private ControlPlane() {}
+
+    static Result<Place> place(String file, Map<String, String> flags) {
+        return Settings.open(file, flags).then(s -> {
+            List<Members.Member> fs = new ArrayList<>();
+            for (String t : s.texts("founders")) {
+                String[] ps = t.split("[=/]");
+                if (ps.length != 3) s.findings.add("founders", "must be NAME=RECORDS/OPERATOR with two addresses, not " + t);
+                else fs.add(new Members.Member(ps[0], "", Address.read(ps[1], "founders", s.findings), Address.read(ps[2], "founders", s.findings)));
+            }
+            Place p = new Place(s.name("name"), s.text("domain", ""), s.address("records"), s.address("operator"), s.address("platform"),
+                s.addresses("seeds"), fs, s.text("data"), s.text("log", "info"), (int) s.whole("cutoffMs", 15_000, 1000, 20_000),
+                (int) s.whole("ringFileMb", 16, 16, 1024));
+            return s.done(() -> p);
+        });
+    }
+
+    public static void main(String[] args) {
+        ArgumentParser ap = ArgumentParsers.newFor("control-plane").build().defaultHelp(true)
+            .description("Knows which servers and nodes exist and keeps the state they share.");
+        var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
+        for (String c : new String[] {"found", "run"}) {
+            Subparser p = subs.addParser(c).help(c.equals("found") ? "prepare the data folder of a founder of a new fleet" : "serve");
+            p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
+            for (String f : FLAGS) p.addArgument(flag(f)).dest(f).metavar("VALUE").help(help(f));
+        }
+        Namespace n = Program.parse(ap, args);
+        Map<String, String> flags = new HashMap<>();
+        for (String f : FLAGS) flags.put(f, n.getString(f));
+        Place p = Program.orExit("control-plane", place(n.getString("settings"), flags));
+        Log.setUp(p.name, Program.level(p.log), System.out);
+        try {
+            if (n.getString("command").equals("found")) found(p);
+            else run(p);
+        } catch (Kernel.CannotStart e) {
+            System.err.println("control-plane: " + e.getMessage());
+            System.exit(Program.CANNOT);
+        }
+    }
+
+    private static String flag(String f) {
+        return "--" + f.replaceAll("([A-Z])", "-$1").toLowerCase(java.util.Locale.ROOT);
+    }
+
+    private static String help(String f) {
+        return switch (f) {
+            case "name" -> "this machine's name in the core";
+            case "domain" -> "the domain (zone) it stands in";
+            case "records" -> "IP:PORT for circuits between processes";
+            case "operator" -> "IP:PORT for operators and the platform";
+            case "platform" -> "IP:PORT where the platform lists replicas";
+            case "seeds" -> "IP:PORT,... of other processes' records addresses";
+            case "founders" -> "NAME=RECORDS/OPERATOR,... of the three founders";
+            case "data" -> "the data folder";
+            case "log" -> "fine, info or warning";
+            case "cutoffMs" -> "after new weights, how long orders may begin on old ones";
+            default -> "size of each of the four ring files, in MiB";
+        };
+    }
+
+    static void found(Place p) {
+        if (p.founders.size() != 3 || p.founders.stream().noneMatch(m -> m.name().equals(p.name)))
+            throw new Kernel.CannotStart("a new fleet is founded by exactly three, of which this is one; give --founders");
+        try (Folder f = new Folder(Path.of(p.data), p.ringFile << 20)) {
+            if (f.identity() != null) throw new Kernel.CannotStart("data folder " + p.data + " is already that of " + f.identity().getString("name", "?"));
+            f.prepare();
+            var a = Json.array();
+            for (Members.Member m : p.founders)
+                a.add(Json.object().add("name", m.name()).add("records", m.records().toString()).add("operator", m.operator().toString()));
+            f.identity(Json.object().add("name", p.name).add("disk", newDisk()).add("ringFile", p.ringFile << 20).add("founders", a));
+        }
+        Log.event("founded", "name", p.name, "data", p.data);
+    }
+
+    private static String newDisk() {
+        byte[] b = new byte[12];
+        new java.security.SecureRandom().nextBytes(b);
+        return java.util.HexFormat.of().formatHex(b);
+    }
+
+    static void run(Place p) {
+        Folder folder = new Folder(Path.of(p.data), p.ringFile << 20);
+        JsonObject id = folder.identity();
+        if (id == null) throw new Kernel.CannotStart("data folder " + p.data + " is empty; a new fleet is prepared with `control-plane found`");
+        if (!id.getString("name", "").equals(p.name))
+            throw new Kernel.CannotStart("data folder " + p.data + " belongs to " + id.getString("name", "?") + ", not to " + p.name);
+        folder.prepare();
+        Ring ring;
+        try {
+            ring = Ring.open(folder);
+        } catch (IOException e) {
+            throw new Kernel.CannotStart("data folder " + p.data + " is damaged: " + e.getMessage() + "; empty it and this machine joins anew", e);
+        }
+        List<Members.Member> founders = new ArrayList<>();
+        for (JsonValue v : id.get("founders").asArray()) {
+            JsonObject o = v.asObject();
+            founders.add(new Members.Member(o.getString("name", ""), "", Address.of(o.getString("records", "")), Address.of(o.getString("operator", ""))));
+        }
+        Vertx vertx = Vertx.vertx();
+        Kernel k = new Kernel();
+        CoreNode.Duties duties = (key, body) -> {};
+        k.add("doors", new Doors(vertx, p.records, p.name))
+            .add("views", new ViewService(vertx, new Shuffle.Descriptor(p.name, "control", p.records.toString(), p.operator.toString(), p.domain, 0, 0), p.seeds))
+            .add("core", new CoreService(vertx, ring, p.name, id.getString("disk", ""), p.cutoff, new CoreNode.Founding(founders), duties, what -> {
+                System.err.println("control-plane: the disk failed and this member stops: " + what);
+                Runtime.getRuntime().halt(Program.CANNOT);
+            }))
+            .add("platform-watch", new PlatformWatch(vertx, p.platform))
+            .add("operator-door", new OperatorDoor(vertx, p.operator));
+        Program.run("control-plane", k, 3000);
+    }
+
+    static final class Tests {
+        @org.junit.jupiter.api.Test void allFindingsOfTheSettingsAreReportedTogether() {
+            Map<String, String> f = new HashMap<>();
+            f.put("name", "Bad Name");
+            f.put("records", "host:1");
+            f.put("cutoffMs", "99999");
+            String s = place(null, f).toString();
+            for (String w : new String[] {"--name: must be small letters", "--records: must be an IP number", "--operator: is needed", "--data: is needed", "--cutoff-ms: must be a whole number from 1000 to 20000"})
+                org.junit.jupiter.api.Assertions.assertTrue(s.contains(w), w + " in " + s);
+        }
+    }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/Cell.java
@@ -0,0 +1,80 @@
+/*
+ * What a member keeps on disk for one key: the highest epoch it promised, and the value it last
+ * accepted with the epoch and number it came under. The value's history lets the fate of an
+ * earlier number be told. Numbers only rise; a number whose write reached a majority never means
+ * anything else.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.message.Wire;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+record Cell(long promised, long epoch, Value value) {
+    record Mark(long number, String digest) {}
+
+    /** body is what is pushed; number 0 is "never written". */
+    record Value(long number, String digest, List<Mark> history, byte[] body) {
+        static final Value NONE = new Value(0, "", List.of(), new byte[0]);
+        private static final int REMEMBERED = 32;
+
+        Value next(String d, byte[] b) {
+            List<Mark> h = new ArrayList<>(history);
+            h.add(new Mark(number + 1, d));
+            while (h.size() > REMEMBERED) h.remove(0);
+            return new Value(number + 1, d, List.copyOf(h), b);
+        }
+
+        void write(DataOutputStream o) throws IOException {
+            o.writeLong(number);
+            o.writeUTF(digest);
+            Wire.list(o, history, (p, m) -> {
+                p.writeLong(m.number);
+                p.writeUTF(m.digest);
+            });
+            Wire.blob(o, body);
+        }
+
+        static Value read(DataInputStream i) throws IOException {
+            return new Value(i.readLong(), i.readUTF(), Wire.list(i, j -> new Mark(j.readLong(), j.readUTF())), Wire.blob(i));
+        }
+
+        @Override public String toString() {
+            return number + ":" + (digest.length() > 8 ? digest.substring(0, 8) : digest);
+        }
+    }
+
+    static final Cell EMPTY = new Cell(0, 0, Value.NONE);
+
+    /** Whether a write under this epoch and number is at least as new as what is kept. */
+    boolean takes(long e, long n) {
+        return e > epoch || e == epoch && n >= value.number;
+    }
+
+    byte[] bytes() {
+        ByteArrayOutputStream b = new ByteArrayOutputStream();
+        try (DataOutputStream o = new DataOutputStream(b)) {
+            o.writeLong(promised);
+            o.writeLong(epoch);
+            value.write(o);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return b.toByteArray();
+    }
+
+    static Cell of(byte[] b) {
+        try {
+            DataInputStream i = new DataInputStream(new ByteArrayInputStream(b));
+            return new Cell(i.readLong(), i.readLong(), Value.read(i));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/CoreHost.java
@@ -0,0 +1,31 @@
+/*
+ * The seam between the core's protocol and the world: time, chance, disk, circuits. The protocol
+ * is pure: it is told of events one at a time and answers by these calls. The simulator is another
+ * host.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.message.News;
+
+public interface CoreHost {
+    long now();
+
+    long random(long below);
+
+    /** To a member by name; to oneself as well. May be lost. */
+    void send(String member, CoreMessage.Envelope m);
+
+    /** While founding or joining there are only addresses. */
+    void sendTo(gladelug.kernel.Address to, CoreMessage.Envelope m);
+
+    /** Makes the state of a key durable, then runs done on the protocol's thread; in order; never if it failed. */
+    void sync(String key, byte[] state, Runnable done);
+
+    /** To a data-plane process by name. May be lost. */
+    void news(String node, News m);
+
+    /** The members changed or became known: circuits follow. */
+    void members(Members m);
+
+    void event(String name, Object... pairs);
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -0,0 +1,190 @@
+/*
+ * What core members say to each other. Every message carries the generation it was said in and
+ * the sender's name and disk; a member answers none of another generation but tells the newer
+ * members where it knows them.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.message.Wire;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.List;
+
+public sealed interface CoreMessage {
+    record Envelope(long generation, String from, String disk, CoreMessage said) implements Wire {
+        @Override public int type() {
+            return said.tag();
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeLong(generation);
+            o.writeUTF(from);
+            o.writeUTF(disk);
+            said.put(o);
+        }
+
+        static Envelope read(int type, DataInputStream i) throws IOException {
+            return new Envelope(i.readLong(), i.readUTF(), i.readUTF(), CoreMessage.read(type, i));
+        }
+    }
+
+    int tag();
+
+    void put(DataOutputStream o) throws IOException;
+
+    /** What an owner says of a key of its own, so that the others know it and the value's age. */
+    record Owned(String key, long epoch, long number, long age) {}
+
+    /** boot counts up within one run; settled says how long the sender has been up. */
+    record Alive(boolean healthy, long up, List<Owned> owned) implements CoreMessage {
+        @Override public int tag() { return 1; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeBoolean(healthy);
+            o.writeLong(up);
+            Wire.list(o, owned, (p, w) -> {
+                p.writeUTF(w.key);
+                p.writeLong(w.epoch);
+                p.writeLong(w.number);
+                p.writeLong(w.age);
+            });
+        }
+    }
+
+    record Promise(String key, long epoch) implements CoreMessage {
+        @Override public int tag() { return 2; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeUTF(key);
+            o.writeLong(epoch);
+        }
+    }
+
+    /** ok false: promised is higher than what was asked. */
+    record Promised(String key, long epoch, boolean ok, long promised, long accepted, Cell.Value value) implements CoreMessage {
+        @Override public int tag() { return 3; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeUTF(key);
+            o.writeLong(epoch);
+            o.writeBoolean(ok);
+            o.writeLong(promised);
+            o.writeLong(accepted);
+            value.write(o);
+        }
+    }
+
+    record Accept(String key, long epoch, Cell.Value value) implements CoreMessage {
+        @Override public int tag() { return 4; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeUTF(key);
+            o.writeLong(epoch);
+            value.write(o);
+        }
+    }
+
+    record Accepted(String key, long epoch, long number, boolean ok, long promised) implements CoreMessage {
+        @Override public int tag() { return 5; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeUTF(key);
+            o.writeLong(epoch);
+            o.writeLong(number);
+            o.writeBoolean(ok);
+            o.writeLong(promised);
+        }
+    }
+
+    record Claim(String key, long epoch) {}
+
+    /** One round for all keys the sender owns. */
+    record Confirm(long round, List<Claim> claims) implements CoreMessage {
+        @Override public int tag() { return 6; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeLong(round);
+            Wire.list(o, claims, (p, c) -> {
+                p.writeUTF(c.key);
+                p.writeLong(c.epoch);
+            });
+        }
+    }
+
+    record Standing(String key, long epoch, boolean ok, long promised, long accepted, long number) {}
+
+    record Confirmed(long round, List<Standing> standings) implements CoreMessage {
+        @Override public int tag() { return 7; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeLong(round);
+            Wire.list(o, standings, (p, s) -> {
+                p.writeUTF(s.key);
+                p.writeLong(s.epoch);
+                p.writeBoolean(s.ok);
+                p.writeLong(s.promised);
+                p.writeLong(s.accepted);
+                p.writeLong(s.number);
+            });
+        }
+    }
+
+    /** A change taken at one member's door for the key's owner elsewhere. match -1: whatever is there. */
+    record Change(long nr, String key, long match, byte[] body) implements CoreMessage {
+        @Override public int tag() { return 8; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeLong(nr);
+            o.writeUTF(key);
+            o.writeLong(match);
+            Wire.blob(o, body);
+        }
+    }
+
+    record Changed(long nr, ChangeAnswer answer) implements CoreMessage {
+        @Override public int tag() { return 9; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeLong(nr);
+            answer.write(o);
+        }
+    }
+
+    /** A founder looks for the others; members tells the settled ones. */
+    record Meet(String records, String operator) implements CoreMessage {
+        @Override public int tag() { return 10; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeUTF(records);
+            o.writeUTF(operator);
+        }
+    }
+
+    record Settled(Members members) implements CoreMessage {
+        @Override public int tag() { return 11; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            members.write(o);
+        }
+    }
+
+    static CoreMessage read(int tag, DataInputStream i) throws IOException {
+        return switch (tag) {
+            case 1 -> new Alive(i.readBoolean(), i.readLong(), Wire.list(i,
+                j -> new Owned(j.readUTF(), j.readLong(), j.readLong(), j.readLong())));
+            case 2 -> new Promise(i.readUTF(), i.readLong());
+            case 3 -> new Promised(i.readUTF(), i.readLong(), i.readBoolean(), i.readLong(), i.readLong(), Cell.Value.read(i));
+            case 4 -> new Accept(i.readUTF(), i.readLong(), Cell.Value.read(i));
+            case 5 -> new Accepted(i.readUTF(), i.readLong(), i.readLong(), i.readBoolean(), i.readLong());
+            case 6 -> new Confirm(i.readLong(), Wire.list(i, j -> new Claim(j.readUTF(), j.readLong())));
+            case 7 -> new Confirmed(i.readLong(), Wire.list(i,
+                j -> new Standing(j.readUTF(), j.readLong(), j.readBoolean(), j.readLong(), j.readLong(), j.readLong())));
+            case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
+            case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
+            case 10 -> new Meet(i.readUTF(), i.readUTF());
+            case 11 -> new Settled(Members.read(i));
+            default -> throw Wire.unknown(tag);
+        };
+    }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -0,0 +1,536 @@
+/*
+ * One core member as a pure state machine: the member's side (promises, writes, confirmations,
+ * all durable before they are answered), the owners of its keys, who is alive, and the data-plane
+ * processes that ask it. Liveness only chooses who tries to own a key; what is safe rests on epochs
+ * and majorities alone. One thread calls it; everything it does goes through its host.
+ */
+package gladelug.control.core;
+
+import gladelug.control.core.CoreMessage.Accept;
+import gladelug.control.core.CoreMessage.Accepted;
+import gladelug.control.core.CoreMessage.Alive;
+import gladelug.control.core.CoreMessage.Change;
+import gladelug.control.core.CoreMessage.Changed;
+import gladelug.control.core.CoreMessage.Claim;
+import gladelug.control.core.CoreMessage.Confirm;
+import gladelug.control.core.CoreMessage.Confirmed;
+import gladelug.control.core.CoreMessage.Envelope;
+import gladelug.control.core.CoreMessage.Meet;
+import gladelug.control.core.CoreMessage.Owned;
+import gladelug.control.core.CoreMessage.Promise;
+import gladelug.control.core.CoreMessage.Promised;
+import gladelug.control.core.CoreMessage.Settled;
+import gladelug.control.core.CoreMessage.Standing;
+import gladelug.kernel.message.Keys;
+import gladelug.kernel.message.News;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+public final class CoreNode {
+    static final int LARGEST = 6 << 20;
+    private static final String CELL = "cell/", MEMBERS = "members";
+
+    /** Told of each value this member serves as owner, so that duties can follow. */
+    public interface Duties {
+        void served(String key, byte[] body);
+    }
+
+    public record Seen(String name, long run, String role, String records, String operator, String domain, long asked, List<News.Held> held) {}
+
+    private static final class Fellow {
+        long heard = Long.MIN_VALUE / 2;
+        long since;
+        boolean healthy;
+        List<Owned> owned = List.of();
+    }
+
+    private record Age(long number, long at, long age) {}
+
+    private static final class Round {
+        long nr;
+        long start;
+        final Map<String, Set<String>> by = new HashMap<>();
+        final Map<String, Long> epochs = new HashMap<>();
+    }
+
+    final CoreHost host;
+    final Tunables tunables;
+    final String self;
+    final String disk;
+    private final long booted;
+    private final int cutoff;
+    private Members members = Members.NONE;
+    private Founding founding;
+    private final Duties duties;
+    private final Map<String, Cell> cells = new HashMap<>();
+    private final Map<String, KeyOwner> owners = new TreeMap<>();
+    private final Map<String, Fellow> fellows = new HashMap<>();
+    private final Map<String, Age> ages = new HashMap<>();
+    private final Map<String, Long> ownerless = new HashMap<>();
+    private final Map<String, Seen> nodes = new LinkedHashMap<>();
+    private final Map<String, Long> pushed = new HashMap<>();
+    private final Map<Long, Consumer<ChangeAnswer>> forwarded = new HashMap<>();
+    private final Map<Long, Long> forwardedAt = new HashMap<>();
+    private final List<Round> rounds = new ArrayList<>();
+    private final Map<String, Members.Member> met = new TreeMap<>();
+    private boolean healthy = true;
+    private long lastAlive = Long.MIN_VALUE / 2;
+    private long lastConfirm = Long.MIN_VALUE / 2;
+    private long lastMeet = Long.MIN_VALUE / 2;
+    private long nr;
+
+    public CoreNode(CoreHost host, Tunables t, String self, String disk, int cutoff, Map<String, byte[]> durable, Founding founding, Duties duties) {
+        this.host = host;
+        this.tunables = t;
+        this.self = self;
+        this.disk = disk;
+        this.cutoff = cutoff;
+        this.founding = founding;
+        this.duties = duties;
+        this.booted = host.now();
+        this.nr = host.random(1L << 40) << 20;
+        durable.forEach((k, b) -> {
+            if (k.startsWith(CELL)) cells.put(k.substring(CELL.length()), Cell.of(b));
+        });
+        for (String k : Keys.NEWS) owner(k);
+        byte[] m = durable.get(MEMBERS);
+        if (m != null) take(Members.of(m));
+    }
+
+    public Members members() {
+        return members;
+    }
+
+    public boolean settled() {
+        return members.generation() > 0;
+    }
+
+    int cutoff() {
+        return cutoff;
+    }
+
+    Cell cell(String key) {
+        return cells.getOrDefault(key, Cell.EMPTY);
+    }
+
+    private KeyOwner owner(String key) {
+        return owners.computeIfAbsent(key, k -> new KeyOwner(this, k));
+    }
+
+    void to(String member, CoreMessage m) {
+        host.send(member, new Envelope(members.generation(), self, disk, m));
+    }
+
+    void toAll(CoreMessage m) {
+        for (Members.Member x : members.all()) to(x.name(), m);
+    }
+
+    private void take(Members m) {
+        members = m;
+        for (Members.Member x : m.all()) fellows.computeIfAbsent(x.name(), n -> new Fellow());
+        host.members(m);
+        host.event("members", "generation", m.generation(), "names", m.all().stream().map(Members.Member::name).toList());
+    }
+
+    /** Keys come to be when a replica is listed: one commander each. */
+    public void know(String key) {
+        owner(key);
+    }
+
+    public void healthy(boolean h) {
+        if (healthy == h) return;
+        healthy = h;
+        host.event(h ? "disk-well" : "disk-ill");
+        if (!h) for (KeyOwner o : owners.values()) o.depose("disk", host.now());
+    }
+
+    public boolean owns(String key) {
+        KeyOwner o = owners.get(key);
+        return o != null && o.serving();
+    }
+
+    public boolean mayCommand(String key) {
+        KeyOwner o = owners.get(key);
+        return o != null && o.mayCommand(host.now());
+    }
+
+    public long epochOf(String key) {
+        return owners.get(key).epoch;
+    }
+
+    public long ageOf(String key) {
+        return owners.get(key).age(host.now());
+    }
+
+    /** The value this member serves, or null where it isn't the owner. */
+    public byte[] serves(String key) {
+        KeyOwner o = owners.get(key);
+        return o != null && o.serving() ? o.value().body() : null;
+    }
+
+    // ---- events
+
+    public void tick() {
+        long now = host.now();
+        if (!settled()) {
+            meet(now);
+            return;
+        }
+        if (now - lastAlive >= tunables.alive()) {
+            lastAlive = now;
+            List<Owned> l = new ArrayList<>();
+            for (KeyOwner o : owners.values())
+                if (o.inHand(now)) l.add(new Owned(o.key, o.epoch, o.value().number(), o.age(now)));
+            toAll(new Alive(healthy, now - booted, l));
+        }
+        if (now - lastConfirm >= tunables.confirm()) confirm(now);
+        for (KeyOwner o : owners.values()) o.tick(now);
+        if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
+        forwardedAt.entrySet().removeIf(e -> {
+            if (now - e.getValue() < tunables.fate() + 1000) return false;
+            Consumer<ChangeAnswer> c = forwarded.remove(e.getKey());
+            if (c != null) c.accept(new ChangeAnswer.Unknown(-1));
+            return true;
+        });
+        nodes.values().removeIf(s -> now - s.asked > 60_000);
+    }
+
+    private boolean live(String m, long now) {
+        if (m.equals(self)) return healthy;
+        Fellow f = fellows.get(m);
+        return f != null && f.healthy && now - f.heard < tunables.dead();
+    }
+
+    private String liveOwner(String key, long now) {
+        for (Members.Member m : members.all()) {
+            if (m.name().equals(self) || !live(m.name(), now)) continue;
+            for (Owned w : fellows.get(m.name()).owned) if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
+        }
+        return null;
+    }
+
+    private void perhapsTry(KeyOwner o, long now) {
+        if (o.serving()) return;
+        String other = liveOwner(o.key, now);
+        List<String> order = members.order(o.key);
+        int rank = 0;
+        for (String m : order) {
+            if (m.equals(self)) break;
+            if (live(m, now)) rank++;
+        }
+        if (other != null) {
+            ownerless.remove(o.key);
+            boolean before = order.indexOf(self) < order.indexOf(other);
+            if (rank == 0 && before && now - booted >= tunables.settled() && now - sinceBothLive(other, now) >= tunables.settled()) o.attempt(now);
+            return;
+        }
+        long since = ownerless.computeIfAbsent(o.key, k -> now);
+        long pause = now - booted < tunables.dead() && rank == 0 && order.indexOf(self) > 0 ? tunables.dead() : 0;
+        if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(now);
+    }
+
+    private long sinceBothLive(String other, long now) {
+        return fellows.get(other).since;
+    }
+
+    private void confirm(long now) {
+        lastConfirm = now;
+        List<Claim> cs = new ArrayList<>();
+        Round r = new Round();
+        for (KeyOwner o : owners.values())
+            if (o.serving()) {
+                cs.add(new Claim(o.key, o.epoch));
+                r.epochs.put(o.key, o.epoch);
+            }
+        if (cs.isEmpty()) return;
+        r.nr = ++nr;
+        r.start = now;
+        rounds.add(r);
+        if (rounds.size() > 16) rounds.remove(0);
+        toAll(new Confirm(r.nr, cs));
+    }
+
+    void confirmSoon() {
+        lastConfirm = Long.MIN_VALUE / 2;
+    }
+
+    public void message(Envelope e) {
+        long now = host.now();
+        if (!settled() || e.said() instanceof Meet || e.said() instanceof Settled) {
+            unsettled(e);
+            return;
+        }
+        if (e.generation() != members.generation()) {
+            if (e.generation() < members.generation()) to(e.from(), new Settled(members));
+            return;
+        }
+        Members.Member m = members.find(e.from());
+        if (m == null || !m.disk().equals(e.disk())) return;
+        CoreMessage s = e.said();
+        if (s instanceof Alive a) alive(e.from(), a, now);
+        else if (s instanceof Promise p) onPromise(e.from(), p);
+        else if (s instanceof Promised p) owner(p.key()).promised(e.from(), p, now);
+        else if (s instanceof Accept a) onAccept(e.from(), a);
+        else if (s instanceof Accepted a) owner(a.key()).accepted(e.from(), a, now);
+        else if (s instanceof Confirm c) onConfirm(e.from(), c);
+        else if (s instanceof Confirmed c) onConfirmed(e.from(), c, now);
+        else if (s instanceof Change c) owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
+        else if (s instanceof Changed c) {
+            Consumer<ChangeAnswer> k = forwarded.remove(c.nr());
+            forwardedAt.remove(c.nr());
+            if (k != null) k.accept(c.answer());
+        }
+    }
+
+    private void alive(String from, Alive a, long now) {
+        Fellow f = fellows.computeIfAbsent(from, n -> new Fellow());
+        if (now - f.heard >= tunables.dead() || !f.healthy) f.since = now;
+        f.heard = now;
+        f.healthy = a.healthy();
+        f.owned = a.owned();
+        for (Owned w : a.owned()) {
+            owner(w.key()).highest = Math.max(owner(w.key()).highest, w.epoch());
+            Age g = ages.get(w.key());
+            if (g == null || w.number() >= g.number) ages.put(w.key(), new Age(w.number(), now, w.age()));
+        }
+    }
+
+    /** The most the value of this number may be old by what its owners told; a number never told of began after the last telling. */
+    long knownAge(String key, long number, long now) {
+        Age g = ages.get(key);
+        if (g == null) return Integer.MAX_VALUE;
+        return g.number == number ? g.age + now - g.at : now - g.at;
+    }
+
+    // ---- the member's side: durable before answered
+
+    private void keep(String key, Cell c, Runnable done) {
+        cells.put(key, c);
+        host.sync(CELL + key, c.bytes(), done);
+    }
+
+    private void onPromise(String from, Promise p) {
+        owner(p.key()).highest = Math.max(owner(p.key()).highest, p.epoch());
+        Cell c = cell(p.key());
+        if (p.epoch() <= c.promised()) {
+            to(from, new Promised(p.key(), p.epoch(), false, c.promised(), 0, Cell.Value.NONE));
+            return;
+        }
+        keep(p.key(), new Cell(p.epoch(), c.epoch(), c.value()),
+            () -> to(from, new Promised(p.key(), p.epoch(), true, p.epoch(), c.epoch(), c.value())));
+    }
+
+    private void onAccept(String from, Accept a) {
+        Cell c = cell(a.key());
+        if (a.epoch() < c.promised()) {
+            to(from, new Accepted(a.key(), a.epoch(), a.value().number(), false, c.promised()));
+            return;
+        }
+        Cell n = c.takes(a.epoch(), a.value().number()) ? new Cell(a.epoch(), a.epoch(), a.value()) : c;
+        keep(a.key(), n, () -> to(from, new Accepted(a.key(), a.epoch(), a.value().number(), true, a.epoch())));
+    }
+
+    private void onConfirm(String from, Confirm c) {
+        List<Standing> out = new ArrayList<>();
+        boolean raised = false;
+        for (Claim k : c.claims()) {
+            Cell x = cell(k.key());
+            boolean ok = k.epoch() >= x.promised();
+            if (k.epoch() > x.promised()) {
+                x = new Cell(k.epoch(), x.epoch(), x.value());
+                keep(k.key(), x, () -> {});
+                raised = true;
+            }
+            out.add(new Standing(k.key(), k.epoch(), ok, x.promised(), x.epoch(), x.value().number()));
+        }
+        Confirmed answer = new Confirmed(c.round(), out);
+        if (raised) host.sync("", new byte[0], () -> to(from, answer));
+        else to(from, answer);
+    }
+
+    private void onConfirmed(String from, Confirmed c, long now) {
+        Round r = null;
+        for (Round x : rounds) if (x.nr == c.round()) r = x;
+        for (Standing s : c.standings()) {
+            KeyOwner o = owner(s.key());
+            o.confirmed(from, s, now);
+            if (r == null || !s.ok() || o.epoch != s.epoch() || !o.serving()) continue;
+            Set<String> by = r.by.computeIfAbsent(s.key(), k -> new HashSet<>());
+            by.add(from);
+            if (by.size() >= members.majority()) o.confirmedRound(r.start);
+        }
+    }
+
+    // ---- changes from operators and duties
+
+    public void change(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
+        KeyOwner o = owner(key);
+        long now = host.now();
+        if (o.serving()) {
+            o.propose(match, body, answer, now);
+            return;
+        }
+        String other = settled() ? liveOwner(key, now) : null;
+        if (other == null) {
+            answer.accept(new ChangeAnswer.NoOwner());
+            return;
+        }
+        long n = ++nr;
+        forwarded.put(n, answer);
+        forwardedAt.put(n, now);
+        to(other, new Change(n, key, match, body));
+    }
+
+    void served(String key, Cell.Value v) {
+        duties.served(key, v.body());
+    }
+
+    // ---- data-plane processes
+
+    public void ask(News.Ask a) {
+        long now = host.now();
+        nodes.put(a.name(), new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held()));
+        boolean relay = a.role().equals("relay");
+        List<News.Grant> gs = new ArrayList<>();
+        for (News.Held h : a.held()) {
+            if (h.key().equals(Keys.CORE)) {
+                if (settled() && h.number() < members.generation())
+                    host.news(a.name(), new News.Push(Keys.CORE, members.generation(), members.generation(), -1, "", members.news()));
+                continue;
+            }
+            KeyOwner o = owners.get(h.key());
+            if (o == null || !o.serving()) continue;
+            News.Grant g = o.ask(a.name() + "#" + a.run(), relay, h, now);
+            if (g != null) gs.add(g);
+            else if (h.number() < o.value().number()) pushWhole(a.name(), o, now, false);
+        }
+        if (!gs.isEmpty()) host.news(a.name(), new News.Grants(a.ask(), gs));
+    }
+
+    public void wants(String name, String key) {
+        KeyOwner o = owners.get(key);
+        if (o != null && o.serving()) pushWhole(name, o, host.now(), true);
+    }
+
+    private void pushWhole(String name, KeyOwner o, long now, boolean asked) {
+        String k = name + " " + o.key + " " + o.value().number();
+        Long last = pushed.get(k);
+        if (!asked && last != null && now - last < 300) return;
+        if (pushed.size() > 4096) pushed.clear();
+        pushed.put(k, now);
+        host.news(name, new News.Push(o.key, o.epoch, o.value().number(), -1, o.value().digest(), o.value().body()));
+    }
+
+    void pushAll(String key, long epoch, Cell.Value old, Cell.Value now, long age) {
+        for (Seen s : nodes.values())
+            host.news(s.name, new News.Push(key, epoch, now.number(), -1, now.digest(), now.body()));
+    }
+
+    // ---- founding
+
+    /** The three who found a fleet, by name; settled only once all have met. */
+    public record Founding(List<Members.Member> founders) {}
+
+    private void meet(long now) {
+        if (founding == null || now - lastMeet < 200) return;
+        lastMeet = now;
+        for (Members.Member m : founding.founders) {
+            if (m.name().equals(self)) met.put(self, new Members.Member(self, disk, m.records(), m.operator()));
+            else host.sendTo(m.records(), new Envelope(0, self, disk, new Meet(m.records().toString(), m.operator().toString())));
+        }
+        settleFounding();
+    }
+
+    private void settleFounding() {
+        if (settled() || founding == null || met.size() < founding.founders.size()) return;
+        Members m = new Members(1, new ArrayList<>(met.values()));
+        founding = null;
+        host.sync(MEMBERS, m.bytes(), () -> {
+            if (!settled()) take(m);
+        });
+    }
+
+    private void unsettled(Envelope e) {
+        if (e.said() instanceof Meet && settled()) {
+            Members.Member m = members.find(e.from());
+            if (m != null && m.disk().equals(e.disk()))
+                host.sendTo(m.records(), new Envelope(members.generation(), self, disk, new Settled(members)));
+            else host.event("stranger-at-founding", "name", e.from());
+            return;
+        }
+        if (e.said() instanceof Meet && founding != null) {
+            for (Members.Member m : founding.founders) {
+                if (!m.name().equals(e.from()) || m.name().equals(self)) continue;
+                Members.Member old = met.get(m.name());
+                if (old != null && !old.disk().equals(e.disk())) host.event("founder-changed-disk", "name", m.name());
+                met.put(m.name(), new Members.Member(m.name(), e.disk(), m.records(), m.operator()));
+            }
+            settleFounding();
+            return;
+        }
+        if (e.said() instanceof Settled s && s.members().generation() > members.generation()) {
+            Members.Member me = s.members().find(self);
+            if (me == null || !me.disk().equals(disk)) {
+                host.event("not-a-member", "generation", s.members().generation());
+                return;
+            }
+            Members m = s.members();
+            founding = null;
+            host.sync(MEMBERS, m.bytes(), () -> {
+                if (m.generation() > members.generation()) take(m);
+            });
+        }
+    }
+
+    // ---- what operators ask
+
+    public record KeyState(String key, String owner, long epoch, long number, String digest, int licensed, long confirmedAgo) {}
+
+    public List<KeyState> keys() {
+        long now = host.now();
+        List<KeyState> out = new ArrayList<>();
+        for (KeyOwner o : owners.values()) {
+            if (o.serving()) out.add(new KeyState(o.key, self, o.epoch, o.value().number(), o.value().digest(), o.licensed(now), o.confirmedAge(now)));
+            else {
+                String other = settled() ? liveOwner(o.key, now) : null;
+                Cell c = cell(o.key);
+                out.add(new KeyState(o.key, other == null ? "" : other, c.epoch(), c.value().number(), c.value().digest(), -1, -1));
+            }
+        }
+        return out;
+    }
+
+    public List<Seen> nodes() {
+        return new ArrayList<>(nodes.values());
+    }
+
+    public Map<String, Boolean> alive() {
+        long now = host.now();
+        Map<String, Boolean> m = new TreeMap<>();
+        for (Members.Member x : members.all()) m.put(x.name(), live(x.name(), now));
+        return m;
+    }
+
+    /** The value as last kept here and its number; for reading only, never for deciding. */
+    public Map.Entry<Long, byte[]> kept(String key) {
+        KeyOwner o = owners.get(key);
+        Cell.Value v = o != null && o.serving() ? o.value() : cell(key).value();
+        return Map.entry(v.number(), v.body());
+    }
+
+    /** taken, other, not yet or forgotten: what became of a number, for a sender who got unknown. */
+    public String fate(String key, long number, String digest) {
+        Cell.Value v = owners.get(key) != null && owners.get(key).serving() ? owners.get(key).value() : null;
+        if (v == null) return "unknown";
+        if (number > v.number()) return "not-yet";
+        for (Cell.Mark m : v.history()) if (m.number() == number) return m.digest().equals(digest) ? "taken" : "other";
+        return "forgotten";
+    }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -0,0 +1,175 @@
+/*
+ * Hosts the core's protocol in a process: one duty runs it, the disk's thread syncs for it, held
+ * circuits carry its messages to the other members and news to data-plane processes.
+ */
+package gladelug.control.core;
+
+import gladelug.control.core.CoreMessage.Envelope;
+import gladelug.kernel.Address;
+import gladelug.kernel.Clock;
+import gladelug.kernel.Duty;
+import gladelug.kernel.Kernel;
+import gladelug.kernel.Log;
+import gladelug.kernel.circuit.Circuit;
+import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.circuit.Held;
+import gladelug.kernel.disk.Ring;
+import gladelug.kernel.message.Hello;
+import gladelug.kernel.message.News;
+import gladelug.kernel.message.Wire;
+import gladelug.kernel.view.ViewService;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+public final class CoreService implements Kernel.Service, CoreHost {
+    private static final long TICK = 25, STALL = 400, PROBE = 1000;
+
+    private final Vertx vertx;
+    private final Clock clock = Clock.monotonic();
+    private final Duty duty = new Duty("core", 16384, clock);
+    private final Ring ring;
+    private final String self;
+    private final String diskId;
+    private final int cutoff;
+    private final CoreNode.Founding founding;
+    private final CoreNode.Duties duties;
+    private final Consumer<String> fatal;
+    private final Map<String, Held> fellows = new HashMap<>();
+    private final Map<Address, Held> strangers = new HashMap<>();
+    private final Map<String, Circuit> nodes = new ConcurrentHashMap<>();
+    private Doors doors;
+    private ViewService views;
+    private DiskDuty disk;
+    private CoreNode node;
+
+    public CoreService(Vertx vertx, Ring ring, String self, String diskId, int cutoff, CoreNode.Founding founding, CoreNode.Duties duties, Consumer<String> fatal) {
+        this.vertx = vertx;
+        this.ring = ring;
+        this.self = self;
+        this.diskId = diskId;
+        this.cutoff = cutoff;
+        this.founding = founding;
+        this.duties = duties;
+        this.fatal = fatal;
+    }
+
+    @Override public void start(Kernel k) {
+        doors = k.find("doors", Doors.class);
+        views = k.find("views", ViewService.class);
+        disk = new DiskDuty(ring, clock, r -> duty.offer(r), fatal);
+        node = new CoreNode(this, Tunables.USUAL, self, diskId, cutoff, ring.live(), founding, duties);
+        doors.take(Hello.CORE, (h, c) -> r -> {
+            Envelope e = Wire.read(r, Envelope::read);
+            duty.offer(() -> node.message(e));
+        });
+        doors.take(Hello.NEWS, (h, c) -> new Circuit.Receiver() {
+            private String name;
+
+            @Override public void record(byte[] r) throws IOException {
+                News n = Wire.read(r, News::read);
+                if (n instanceof News.Ask a) {
+                    name = a.name();
+                    nodes.put(name, c);
+                    duty.offer(() -> node.ask(a));
+                } else if (n instanceof News.Whole w && name != null) {
+                    duty.offer(() -> node.wants(name, w.key()));
+                } else throw new IOException("only control tells this");
+            }
+
+            @Override public void closed() {
+                if (name != null) nodes.remove(name, c);
+            }
+        });
+        duty.every(TICK, () -> {
+            node.healthy(disk.stalled() < STALL);
+            node.tick();
+        });
+        duty.every(PROBE, () -> disk.want("", new byte[0], () -> {}));
+    }
+
+    /** Asks the protocol something on its own thread. */
+    public <T> Uni<T> ask(Function<CoreNode, T> f) {
+        return Uni.createFrom().emitter(e -> {
+            boolean ok = duty.offer(() -> {
+                try {
+                    e.complete(f.apply(node));
+                } catch (RuntimeException x) {
+                    e.fail(x);
+                }
+            });
+            if (!ok) e.fail(new IllegalStateException("the core's ring is full"));
+        });
+    }
+
+    public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
+        return Uni.createFrom().emitter(e -> {
+            if (!duty.offer(() -> node.change(key, match, body, e::complete))) e.complete(new ChangeAnswer.Busy());
+        });
+    }
+
+    @Override public void stop() {
+        duty.close();
+        if (disk != null) disk.close();
+    }
+
+    // ---- the protocol's host
+
+    @Override public long now() {
+        return clock.now();
+    }
+
+    @Override public long random(long below) {
+        return ThreadLocalRandom.current().nextLong(below);
+    }
+
+    @Override public void send(String member, Envelope m) {
+        if (member.equals(self)) {
+            duty.offer(() -> node.message(m));
+            return;
+        }
+        Held h = fellows.get(member);
+        if (h != null) h.send(m);
+    }
+
+    @Override public void sendTo(Address to, Envelope m) {
+        strangers.computeIfAbsent(to, this::hold).send(m);
+    }
+
+    private Held hold(Address to) {
+        return new Held(vertx, doors, to, Hello.CORE, (h, r) -> {
+            throw new IOException("core circuits carry one way");
+        }, h -> {});
+    }
+
+    @Override public void sync(String key, byte[] state, Runnable done) {
+        disk.want(key, state, done);
+    }
+
+    @Override public void news(String to, News m) {
+        Circuit c = nodes.get(to);
+        if (c != null) c.send(m);
+    }
+
+    @Override public void members(Members m) {
+        views.generation(m.generation());
+        fellows.entrySet().removeIf(e -> {
+            Members.Member x = m.find(e.getKey());
+            if (x != null && x.records().equals(e.getValue().to)) return false;
+            e.getValue().letGo();
+            return true;
+        });
+        for (Members.Member x : m.all())
+            if (!x.name().equals(self)) fellows.computeIfAbsent(x.name(), n -> hold(x.records()));
+    }
+
+    @Override public void event(String name, Object... pairs) {
+        Log.event(name, pairs);
+    }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/DiskDuty.java
@@ -0,0 +1,81 @@
+/*
+ * The disk's own thread: takes what waits, writes it as one frame, syncs once, and tells all who
+ * waited. A sync that fails is never tried again; the member stops. Oldest() lets the protocol see
+ * a disk that stalls.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.Clock;
+import gladelug.kernel.Log;
+import gladelug.kernel.disk.Ring;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.function.Consumer;
+
+public final class DiskDuty implements AutoCloseable {
+    private record Want(Ring.Entry entry, Runnable done, long since) {}
+
+    private final Ring ring;
+    private final Clock clock;
+    private final Consumer<Runnable> back;
+    private final Consumer<String> failed;
+    private final ArrayBlockingQueue<Want> wants = new ArrayBlockingQueue<>(4096);
+    private final Thread thread;
+    private volatile long busySince = -1;
+    private volatile boolean broken;
+
+    public DiskDuty(Ring ring, Clock clock, Consumer<Runnable> back, Consumer<String> failed) {
+        this.ring = ring;
+        this.clock = clock;
+        this.back = back;
+        this.failed = failed;
+        thread = new Thread(this::work, "disk");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** False where the ring of waiting writes is full: then nothing will be answered, as if lost. */
+    public boolean want(String key, byte[] state, Runnable done) {
+        return !broken && wants.offer(new Want(new Ring.Entry(key, state), done, clock.now()));
+    }
+
+    /** How long the disk has been at the present sync, in ms; 0 when idle. */
+    public long stalled() {
+        long b = busySince;
+        return b < 0 ? 0 : clock.now() - b;
+    }
+
+    private void work() {
+        List<Want> batch = new ArrayList<>();
+        while (!broken) {
+            batch.clear();
+            try {
+                batch.add(wants.take());
+            } catch (InterruptedException e) {
+                return;
+            }
+            wants.drainTo(batch);
+            busySince = clock.now();
+            Map<String, Ring.Entry> last = new LinkedHashMap<>();
+            for (Want w : batch) last.put(w.entry.key(), w.entry);
+            try {
+                ring.write(new ArrayList<>(last.values()));
+            } catch (IOException | RuntimeException e) {
+                broken = true;
+                Log.warn("disk-failed", "what", e.toString());
+                failed.accept(e.toString());
+                return;
+            }
+            busySince = -1;
+            for (Want w : batch) back.accept(w.done);
+        }
+    }
+
+    @Override public void close() {
+        thread.interrupt();
+    }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -0,0 +1,300 @@
+/*
+ * The owner's side of one key, at one member. It becomes owner by having a majority promise a
+ * higher epoch, writes the newest value it heard of again under that epoch, and only then serves.
+ * A change is on a majority before anybody is told of it. Licences go out only off a round in
+ * which a majority confirmed the epoch, and count from that round's start; so a grant of this
+ * owner has run out one licence after any later majority of promises, which is why a new owner
+ * waits that long before its first acknowledgement.
+ */
+package gladelug.control.core;
+
+import gladelug.control.core.CoreMessage.Accept;
+import gladelug.control.core.CoreMessage.Accepted;
+import gladelug.control.core.CoreMessage.Promise;
+import gladelug.control.core.CoreMessage.Promised;
+import gladelug.control.core.CoreMessage.Standing;
+import gladelug.kernel.Digest;
+import gladelug.kernel.message.Keys;
+import gladelug.kernel.message.News;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+final class KeyOwner {
+    enum Phase { IDLE, ASKING, WRITING, SERVING }
+
+    private static final class Change {
+        final long match;
+        final byte[] body;
+        final long since;
+        final Consumer<ChangeAnswer> answer;
+        Cell.Value value;
+        boolean committed;
+        boolean answered;
+        long committedAt;
+        int lapsed;
+        final Set<String> wrote = new HashSet<>();
+        long sent;
+
+        Change(long match, byte[] body, long since, Consumer<ChangeAnswer> answer) {
+            this.match = match;
+            this.body = body;
+            this.since = since;
+            this.answer = answer;
+        }
+    }
+
+    private static final class Licensed {
+        long expiry;
+        long acked;
+    }
+
+    private final CoreNode node;
+    final String key;
+    Phase phase = Phase.IDLE;
+    long epoch;
+    long highest;
+    private long attempted = Long.MIN_VALUE / 2;
+    private long promisedAt;
+    private long confirmedAt = Long.MIN_VALUE / 2;
+    private long changedAt;
+    private long mayAck;
+    private long servedAt;
+    private Cell.Value value = Cell.Value.NONE;
+    private final Map<String, Promised> promises = new HashMap<>();
+    private final Set<String> wrote = new HashSet<>();
+    private final Map<String, Licensed> licences = new HashMap<>();
+    private final ArrayDeque<Change> waiting = new ArrayDeque<>();
+    private Change current;
+
+    KeyOwner(CoreNode node, String key) {
+        this.node = node;
+        this.key = key;
+    }
+
+    boolean serving() {
+        return phase == Phase.SERVING;
+    }
+
+    Cell.Value value() {
+        return value;
+    }
+
+    long age(long now) {
+        return Math.max(0, now - changedAt);
+    }
+
+    long confirmedAge(long now) {
+        return now - confirmedAt;
+    }
+
+    /** Whether others may take it that the key is in good hands: a majority confirmed it lately. */
+    boolean inHand(long now) {
+        return serving() && now - Math.max(confirmedAt, servedAt) < 2L * node.tunables.dead();
+    }
+
+    int licensed(long now) {
+        int n = 0;
+        for (Licensed l : licences.values()) if (l.expiry >= now) n++;
+        return n;
+    }
+
+    /** Whether orders may go out in this owner's name: it holds the key and every earlier one's time is over. */
+    boolean mayCommand(long now) {
+        return serving() && now >= mayAck && now < confirmedAt + node.tunables.licence();
+    }
+
+    void attempt(long now) {
+        if (phase != Phase.IDLE && now - attempted < node.tunables.attempt()) return;
+        if (now - attempted < node.tunables.attempt() / 2 + node.host.random(node.tunables.attempt())) return;
+        epoch = node.members().epoch(Math.max(highest, node.cell(key).promised()), node.self);
+        highest = epoch;
+        attempted = now;
+        phase = Phase.ASKING;
+        promises.clear();
+        wrote.clear();
+        node.host.event("owner-attempt", "key", key, "epoch", epoch);
+        node.toAll(new Promise(key, epoch));
+    }
+
+    void promised(String from, Promised p, long now) {
+        highest = Math.max(highest, p.promised());
+        if (phase != Phase.ASKING || p.epoch() != epoch) return;
+        if (!p.ok()) {
+            depose("promise-refused", now);
+            return;
+        }
+        promises.put(from, p);
+        if (promises.size() < node.members().majority()) return;
+        Promised best = null;
+        for (Promised q : promises.values())
+            if (best == null || q.accepted() > best.accepted()
+                || q.accepted() == best.accepted() && q.value().number() > best.value().number()) best = q;
+        promisedAt = now;
+        value = best.value();
+        phase = Phase.WRITING;
+        node.toAll(new Accept(key, epoch, value));
+    }
+
+    void accepted(String from, Accepted a, long now) {
+        highest = Math.max(highest, a.promised());
+        if (phase == Phase.IDLE || a.epoch() != epoch) return;
+        if (!a.ok()) {
+            depose("write-refused", now);
+            return;
+        }
+        if (phase == Phase.WRITING && a.number() == value.number()) {
+            wrote.add(from);
+            if (wrote.size() >= node.members().majority()) serve(now);
+        } else if (phase == Phase.SERVING && current != null && current.value != null && a.number() == current.value.number()) {
+            current.wrote.add(from);
+            if (!current.committed && current.wrote.size() >= node.members().majority()) commit(now);
+        }
+    }
+
+    private void serve(long now) {
+        phase = Phase.SERVING;
+        mayAck = promisedAt + node.tunables.licence() + 1;
+        servedAt = now;
+        confirmedAt = Long.MIN_VALUE / 2;
+        licences.clear();
+        changedAt = now - node.knownAge(key, value.number(), now);
+        node.host.event("owner-serves", "key", key, "epoch", epoch, "number", value.number(), "after", now - attempted);
+        node.served(key, value);
+        node.confirmSoon();
+    }
+
+    void depose(String why, long now) {
+        if (phase == Phase.IDLE) return;
+        boolean served = phase == Phase.SERVING;
+        phase = Phase.IDLE;
+        attempted = now;
+        licences.clear();
+        if (served) node.host.event("owner-ends", "key", key, "epoch", epoch, "why", why);
+        if (current != null) finish(current.value == null ? new ChangeAnswer.NoOwner() : new ChangeAnswer.Unknown(current.value.number()));
+        current = null;
+        for (Change c : waiting) c.answer.accept(new ChangeAnswer.NoOwner());
+        waiting.clear();
+    }
+
+    void confirmed(String from, Standing s, long now) {
+        highest = Math.max(highest, s.promised());
+        if (phase != Phase.SERVING || s.epoch() != epoch) return;
+        if (!s.ok()) {
+            depose("confirm-refused", now);
+            return;
+        }
+        if (s.accepted() < epoch || s.number() < value.number()) node.to(from, new Accept(key, epoch, value));
+    }
+
+    /** A majority confirmed the epoch in a round begun at this time. */
+    void confirmedRound(long start) {
+        confirmedAt = Math.max(confirmedAt, start);
+    }
+
+    void propose(long match, byte[] body, Consumer<ChangeAnswer> answer, long now) {
+        if (phase != Phase.SERVING) answer.accept(new ChangeAnswer.NoOwner());
+        else if (waiting.size() >= node.tunables.backlog()) answer.accept(new ChangeAnswer.Busy());
+        else {
+            waiting.add(new Change(match, body, now, answer));
+            next(now);
+        }
+    }
+
+    private void next(long now) {
+        while (current == null && !waiting.isEmpty()) {
+            Change c = waiting.poll();
+            String d = Digest.hex(c.body);
+            if (d.equals(value.digest()) && value.number() > 0) {
+                current = c;
+                c.value = value;
+                c.committed = true;
+                c.committedAt = now;
+                settle(now);
+            } else if (c.match >= 0 && c.match != value.number()) {
+                c.answer.accept(new ChangeAnswer.Stale(value.number()));
+            } else if (c.body.length > CoreNode.LARGEST) {
+                c.answer.accept(new ChangeAnswer.TooLarge(c.body.length, CoreNode.LARGEST));
+            } else {
+                current = c;
+                c.value = value.next(d, c.body);
+                c.sent = now;
+                node.toAll(new Accept(key, epoch, c.value));
+            }
+        }
+    }
+
+    private void commit(long now) {
+        Cell.Value old = value;
+        value = current.value;
+        changedAt = now;
+        current.committed = true;
+        current.committedAt = now;
+        node.served(key, value);
+        if (Keys.NEWS.contains(key)) node.pushAll(key, epoch, old, value, age(now));
+        settle(now);
+    }
+
+    private void settle(long now) {
+        Change c = current;
+        if (c == null || !c.committed || now < mayAck && !licenceless()) return;
+        int acks = 0;
+        for (Iterator<Licensed> i = licences.values().iterator(); i.hasNext();) {
+            Licensed l = i.next();
+            if (l.acked >= c.value.number()) acks++;
+            else if (l.expiry < now) {
+                i.remove();
+                c.lapsed++;
+            } else return;
+        }
+        boolean again = c.value.digest().equals(value.digest()) && c.wrote.isEmpty();
+        finish(new ChangeAnswer.Done(c.value.number(), again, acks, c.lapsed, now - c.since));
+        current = null;
+        next(now);
+    }
+
+    private boolean licenceless() {
+        return !Keys.LICENSED.contains(key);
+    }
+
+    private void finish(ChangeAnswer a) {
+        if (!current.answered) current.answer.accept(a);
+        current.answered = true;
+    }
+
+    void tick(long now) {
+        if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > node.tunables.attempt()) depose("no-majority-in-time", now);
+        if (phase == Phase.SERVING && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.licence()) depose("unconfirmed", now);
+        if (phase != Phase.SERVING || current == null) return;
+        if (!current.committed && now - current.sent > node.tunables.confirm()) {
+            current.sent = now;
+            for (Members.Member m : node.members().all())
+                if (!current.wrote.contains(m.name())) node.to(m.name(), new Accept(key, epoch, current.value));
+        }
+        if (now - current.since > node.tunables.fate()) finish(new ChangeAnswer.Unknown(current.value.number()));
+        settle(now);
+    }
+
+    /** A data-plane process asked. A grant where it holds the newest number, else null and a push is due. */
+    News.Grant ask(String who, boolean licensed, News.Held held, long now) {
+        Licensed l = licences.get(who);
+        if (l != null) l.acked = Math.max(l.acked, held.number());
+        News.Grant g = null;
+        long left = confirmedAt + node.tunables.licence() - now;
+        if (held.number() == value.number() && left > 0) {
+            int cutoff = key.equals(Keys.WEIGHTS) ? (int) Math.max(0, node.cutoff() - age(now)) : 0;
+            g = new News.Grant(key, epoch, value.number(), (int) left, cutoff);
+            if (licensed && Keys.LICENSED.contains(key)) {
+                if (l == null) licences.put(who, l = new Licensed());
+                l.expiry = Math.max(l.expiry, now + left);
+                l.acked = held.number();
+            }
+        }
+        settle(now);
+        return g;
+    }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/Members.java
@@ -0,0 +1,109 @@
+/*
+ * The core's members of one generation: for each name the id of its disk and its address. The
+ * generation rises with every replacement and every message between members carries it. Epochs
+ * hold the generation, a counter and the member's slot, so no two members ever try with the same.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.message.Wire;
+import gladelug.kernel.policy.CoreList;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+public record Members(long generation, List<Member> all) {
+    public record Member(String name, String disk, Address records, Address operator) {}
+
+    public static final Members NONE = new Members(0, List.of());
+
+    public Members {
+        List<Member> l = new ArrayList<>(all);
+        l.sort(Comparator.comparing(Member::name));
+        all = List.copyOf(l);
+    }
+
+    public Member find(String name) {
+        for (Member m : all) if (m.name.equals(name)) return m;
+        return null;
+    }
+
+    int slot(String name) {
+        for (int i = 0; i < all.size(); i++) if (all.get(i).name.equals(name)) return i;
+        return -1;
+    }
+
+    int majority() {
+        return all.size() / 2 + 1;
+    }
+
+    /** The agreed order for a key: by name, rotated by the key so that duties spread. */
+    List<String> order(String key) {
+        List<String> out = new ArrayList<>();
+        int n = all.size(), from = Math.floorMod(key.hashCode() * 0x9E3779B1 >>> 7, Math.max(1, n));
+        for (int i = 0; i < n; i++) out.add(all.get((from + i) % n).name);
+        return out;
+    }
+
+    long epoch(long above, String name) {
+        long g = generation << 40;
+        long counter = above >= g ? (above - g >> 8) + 1 : 1;
+        return g | counter << 8 | slot(name);
+    }
+
+    void write(DataOutputStream o) throws IOException {
+        o.writeLong(generation);
+        Wire.list(o, all, (p, m) -> {
+            p.writeUTF(m.name);
+            p.writeUTF(m.disk);
+            p.writeUTF(m.records.toString());
+            p.writeUTF(m.operator.toString());
+        });
+    }
+
+    static Members read(DataInputStream i) throws IOException {
+        return new Members(i.readLong(), Wire.list(i,
+            j -> new Member(j.readUTF(), j.readUTF(), Address.of(j.readUTF()), Address.of(j.readUTF()))));
+    }
+
+    byte[] bytes() {
+        ByteArrayOutputStream b = new ByteArrayOutputStream();
+        try (DataOutputStream o = new DataOutputStream(b)) {
+            write(o);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return b.toByteArray();
+    }
+
+    /** As data-plane processes are told. */
+    byte[] news() {
+        return new CoreList(all.stream().map(m -> new CoreList.Member(m.name, m.records, m.operator)).toList()).json()
+            .getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    static Members of(byte[] b) {
+        try {
+            return read(new DataInputStream(new ByteArrayInputStream(b)));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    static final class Tests {
+        @org.junit.jupiter.api.Test void epochsRiseAndNeverMeet() {
+            Address a = Address.of("1.1.1.1:1");
+            Members m = new Members(2, List.of(new Member("b", "", a, a), new Member("a", "", a, a), new Member("c", "", a, a)));
+            long e1 = m.epoch(0, "a"), e2 = m.epoch(e1, "b"), e3 = m.epoch(e2, "a");
+            org.junit.jupiter.api.Assertions.assertTrue(e1 < e2 && e2 < e3);
+            org.junit.jupiter.api.Assertions.assertTrue(m.epoch(0, "a") != m.epoch(0, "b"));
+            org.junit.jupiter.api.Assertions.assertTrue(new Members(3, m.all).epoch(e3, "a") > e3);
+        }
+    }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/Tunables.java
@@ -0,0 +1,9 @@
+/*
+ * The core's times, all in monotonic milliseconds. The licence bounds how long a cut-off relay may
+ * act on old news; takeover has to be well inside it. Measured values stand in docs/measurements.md.
+ */
+package gladelug.control.core;
+
+public record Tunables(int licence, int alive, int dead, int confirm, int settled, int rank, int attempt, int fate, int backlog) {
+    public static final Tunables USUAL = new Tunables(2000, 100, 500, 150, 3000, 700, 400, 8000, 64);
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
@@ -0,0 +1,241 @@
+/*
+ * Towards operators and the platform, HTTP with JSON: policies sent whole under If-Match, weights
+ * named, the state shown, readiness told. Every answer says plainly whether a change was taken,
+ * not taken, or of unknown fate; unknown is never called failed.
+ */
+package gladelug.control.door;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.CoreNode;
+import gladelug.control.core.CoreService;
+import gladelug.control.core.Members;
+import gladelug.kernel.Address;
+import gladelug.kernel.Doc;
+import gladelug.kernel.Finding;
+import gladelug.kernel.Findings;
+import gladelug.kernel.Kernel;
+import gladelug.kernel.Log;
+import gladelug.kernel.Result;
+import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.message.Keys;
+import gladelug.kernel.message.News;
+import gladelug.kernel.policy.Policy;
+import gladelug.kernel.policy.Weights;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.http.HttpServer;
+import io.vertx.mutiny.ext.web.Router;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import io.vertx.mutiny.ext.web.handler.BodyHandler;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+
+public final class OperatorDoor implements Kernel.Service {
+    private static final long LARGEST = 5 << 20;
+    private static final long ANY = -1, NONE = -2, BAD = -3;
+    private static final Duration PATIENCE = Duration.ofSeconds(15);
+
+    private final Vertx vertx;
+    private final Address address;
+    private CoreService core;
+    private HttpServer server;
+    private volatile boolean stopping;
+
+    public OperatorDoor(Vertx vertx, Address address) {
+        this.vertx = vertx;
+        this.address = address;
+    }
+
+    @Override public void start(Kernel k) {
+        core = k.find("core", CoreService.class);
+        Router r = Router.router(vertx);
+        r.route().handler(BodyHandler.create(false).setBodyLimit(LARGEST));
+        r.get("/ready").handler(this::ready);
+        r.post("/v1/policy").handler(this::policy);
+        r.get("/v1/policy").handler(c -> show(c, Keys.POLICY));
+        r.get("/v1/policy/numbers/:number").handler(c -> fate(c, Keys.POLICY));
+        r.post("/v1/weights").handler(this::weights);
+        r.get("/v1/weights").handler(c -> show(c, Keys.WEIGHTS));
+        r.get("/v1/replicas").handler(c -> show(c, Keys.REPLICAS));
+        r.get("/v1/status").handler(this::status);
+        r.errorHandler(413, c -> say(c, 413, Json.object().add("outcome", "not-taken").add("reason", "the body is larger than " + LARGEST + " bytes")));
+        r.errorHandler(404, c -> say(c, 404, Json.object().add("reason", "nothing is here")));
+        r.errorHandler(500, c -> {
+            Log.thrown("operator-door-problem", c.failure(), "path", c.request().path());
+            say(c, 500, Json.object().add("outcome", "unknown").add("reason", "an internal problem"));
+        });
+        server = vertx.createHttpServer(new HttpServerOptions().setMaxHeaderSize(16384)).requestHandler(r::handle);
+        try {
+            server.listen(address.port(), address.host()).await().atMost(Duration.ofSeconds(10));
+        } catch (RuntimeException e) {
+            throw new Kernel.CannotStart("cannot listen for operators on " + address + ": " + Doors.reason(e), e);
+        }
+    }
+
+    private static void say(RoutingContext c, int status, JsonObject o) {
+        if (c.response().ended() || c.response().closed()) return;
+        c.response().setStatusCode(status).putHeader("Content-Type", "application/json").endAndForget(o + "\n");
+    }
+
+    private static void findings(RoutingContext c, List<Finding> fs) {
+        JsonArray a = new JsonArray();
+        for (Finding f : fs) a.add(Json.object().add("place", f.place()).add("what", f.what()));
+        say(c, 400, Json.object().add("outcome", "not-taken").add("findings", a));
+    }
+
+    private void ready(RoutingContext c) {
+        core.ask(n -> n.settled() && n.alive().values().stream().filter(x -> x).count() > n.members().all().size() / 2)
+            .subscribe().with(ok -> say(c, ok && !stopping ? 200 : 503, Json.object().add("ready", ok && !stopping)
+                .add("reason", stopping ? "stopping" : ok ? "" : "no majority of the core is in reach")), t -> c.fail(500, t));
+    }
+
+    /** The number a change was based on, from If-Match; * is whatever is there. */
+    private static long match(RoutingContext c) {
+        String s = c.request().getHeader("If-Match");
+        if (s == null) return NONE;
+        s = s.trim().replace("\"", "");
+        if (s.equals("*")) return ANY;
+        try {
+            long n = Long.parseLong(s);
+            return n < 0 ? BAD : n;
+        } catch (NumberFormatException e) {
+            return BAD;
+        }
+    }
+
+    private void policy(RoutingContext c) {
+        long m = match(c);
+        if (m == NONE) {
+            say(c, 428, Json.object().add("outcome", "not-taken")
+                .add("reason", "say with If-Match which number this policy is based on, or * to replace whatever is there"));
+            return;
+        }
+        String s = c.body().asString();
+        Result<Policy> p = m == BAD ? Result.bad("If-Match", "must be a number or *") : Policy.parse(s == null ? "" : s);
+        if (p instanceof Result.Bad<Policy> b) {
+            findings(c, b.findings());
+            return;
+        }
+        core.change(Keys.POLICY, m, s.getBytes(StandardCharsets.UTF_8)).ifNoItem().after(PATIENCE).recoverWithItem(new ChangeAnswer.Unknown(m < 0 ? -1 : m + 1))
+            .subscribe().with(a -> answered(c, a), t -> c.fail(500, t));
+    }
+
+    private static void answered(RoutingContext c, ChangeAnswer a) {
+        Log.event("change-answered", "path", c.request().path(), "answer", a);
+        if (a instanceof ChangeAnswer.Done d) {
+            c.response().putHeader("ETag", "\"" + d.number() + "\"");
+            say(c, 200, Json.object().add("outcome", "taken").add("number", d.number()).add("repeated", d.repeated())
+                .add("acknowledgedBy", d.acks()).add("licencesRunOut", d.lapsed()).add("waitedMs", d.waited()));
+        } else if (a instanceof ChangeAnswer.Stale s)
+            say(c, 412, Json.object().add("outcome", "not-taken").add("reason", "it was based on another number").add("current", s.current()));
+        else if (a instanceof ChangeAnswer.Unknown u)
+            say(c, 504, Json.object().add("outcome", "unknown").add("number", u.number())
+                .add("reason", "it may have been taken; ask what became of the number, or send the same again"));
+        else if (a instanceof ChangeAnswer.TooLarge l)
+            say(c, 413, Json.object().add("outcome", "not-taken").add("reason", l.bytes() + " bytes; at most " + l.most()));
+        else {
+            c.response().putHeader("Retry-After", "1");
+            say(c, 503, Json.object().add("outcome", "not-taken").add("reason",
+                a instanceof ChangeAnswer.Busy ? "too many changes wait" : "no majority owns this at the moment"));
+        }
+    }
+
+    private void weights(RoutingContext c) {
+        String s = c.body().asString();
+        record Naming(String service, String weights) {}
+        Result<Naming> r = Doc.parse(s == null ? "" : s).then(d -> {
+            Findings fs = new Findings();
+            Doc.Fields f = d.fields(fs);
+            Naming n = new Naming(f.text("service"), f.text("weights"));
+            f.done();
+            return Result.of(fs, () -> n);
+        });
+        if (r instanceof Result.Bad<Naming> b) {
+            findings(c, b.findings());
+            return;
+        }
+        Naming n = ((Result.Good<Naming>) r).value();
+        long m = match(c);
+        if (m == BAD) findings(c, List.of(new Finding("If-Match", "must be a number or *")));
+        else core.ask(x -> x.kept(Keys.POLICY)).flatMap(kept -> {
+            Policy p = Policy.parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g ? g.value() : Policy.EMPTY;
+            Policy.Service sv = p.service(n.service);
+            if (sv == null || sv.kind() != Policy.Kind.MODEL) {
+                findings(c, List.of(new Finding("service", "is no model service of the policy: " + n.service)));
+                return Uni.createFrom().nullItem();
+            }
+            return name(n.service, n.weights, m, 5).invoke(a -> answered(c, a));
+        }).subscribe().with(a -> {}, t -> c.fail(500, t));
+    }
+
+    private Uni<ChangeAnswer> name(String service, String weights, long match, int tries) {
+        return core.ask(x -> x.kept(Keys.WEIGHTS)).flatMap(k -> {
+            Weights w = Weights.parse(new String(k.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Weights> g ? g.value() : Weights.NONE;
+            Weights.Named old = w.of(service);
+            long base = match >= 0 ? match : k.getKey();
+            Weights next = old != null && old.now().equals(weights) ? w : w.naming(service, weights, base + 1);
+            return core.change(Keys.WEIGHTS, base, next.json().getBytes(StandardCharsets.UTF_8));
+        }).flatMap(a -> a instanceof ChangeAnswer.Stale && match < 0 && tries > 0 ? name(service, weights, match, tries - 1) : Uni.createFrom().item(a));
+    }
+
+    private void show(RoutingContext c, String key) {
+        core.ask(n -> n.kept(key)).subscribe().with(k -> {
+            c.response().putHeader("ETag", "\"" + k.getKey() + "\"");
+            JsonObject o = Json.object().add("number", k.getKey());
+            if (k.getKey() > 0) o.add("value", Json.parse(new String(k.getValue(), StandardCharsets.UTF_8)));
+            say(c, 200, o);
+        }, t -> c.fail(500, t));
+    }
+
+    private void fate(RoutingContext c, String key) {
+        String d = c.request().getParam("digest");
+        long n;
+        try {
+            n = Long.parseLong(c.pathParam("number"));
+        } catch (NumberFormatException e) {
+            n = 0;
+        }
+        if (n < 1 || d == null) {
+            findings(c, List.of(new Finding("number and digest", "needs a number from 1 and ?digest=, the SHA-256 of what was sent")));
+            return;
+        }
+        long nr = n;
+        core.ask(x -> x.fate(key, nr, d)).subscribe()
+            .with(f -> say(c, 200, Json.object().add("number", nr).add("fate", f)), t -> c.fail(500, t));
+    }
+
+    private void status(RoutingContext c) {
+        core.ask(n -> {
+            JsonObject o = Json.object();
+            JsonArray ms = new JsonArray();
+            var alive = n.alive();
+            for (Members.Member m : n.members().all())
+                ms.add(Json.object().add("name", m.name()).add("records", m.records().toString()).add("operator", m.operator().toString())
+                    .add("alive", alive.getOrDefault(m.name(), false)));
+            o.add("generation", n.members().generation()).add("members", ms);
+            JsonArray ks = new JsonArray();
+            for (CoreNode.KeyState s : n.keys())
+                ks.add(Json.object().add("key", s.key()).add("owner", s.owner()).add("epoch", s.epoch()).add("number", s.number())
+                    .add("digest", s.digest()).add("licensed", s.licensed()).add("confirmedMsAgo", s.confirmedAgo()));
+            o.add("keys", ks);
+            JsonArray ns = new JsonArray();
+            for (CoreNode.Seen s : n.nodes()) {
+                JsonObject held = Json.object();
+                for (News.Held h : s.held()) held.add(h.key(), h.number());
+                ns.add(Json.object().add("name", s.name()).add("role", s.role()).add("domain", s.domain()).add("operator", s.operator())
+                    .add("askedMsAgo", core.now() - s.asked()).add("holds", held));
+            }
+            return o.add("nodes", ns);
+        }).subscribe().with(o -> say(c, 200, o), t -> c.fail(500, t));
+    }
+
+    @Override public void stop() {
+        stopping = true;
+        server.closeAndForget();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/Clock.java
@@ -0,0 +1,15 @@
+/*
+ * The seam for time. Protocol code sees only monotonic milliseconds, so a wall clock that jumps
+ * can't reach it; a simulator hands in its own.
+ */
+package gladelug.kernel;
+
+@FunctionalInterface
+public interface Clock {
+    long now();
+
+    static Clock monotonic() {
+        long base = System.nanoTime();
+        return () -> (System.nanoTime() - base) / 1_000_000L + 1_000_000L;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/Digest.java
@@ -0,0 +1,30 @@
+/*
+ * SHA-256 where the project needs it: keys kept as hashes, digests of what operators send, ids of
+ * prompt blocks.
+ */
+package gladelug.kernel;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+public final class Digest {
+    private Digest() {}
+
+    public static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public static String hex(byte[] b) {
+        return HexFormat.of().formatHex(sha256().digest(b));
+    }
+
+    public static String hex(String s) {
+        return hex(s.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/Findings.java
@@ -0,0 +1,30 @@
+/*
+ * Collects findings so that a reader can go on after the first and report all of them together.
+ * Whoever asked for the reading then looks at clean() once, and changes nothing unless it holds.
+ */
+package gladelug.kernel;
+
+import java.util.ArrayList;
+import java.util.List;
+
+public final class Findings {
+    private final List<Finding> all = new ArrayList<>();
+
+    public void add(String place, String what) {
+        all.add(new Finding(place, what));
+    }
+
+    public boolean clean() {
+        return all.isEmpty();
+    }
+
+    public List<Finding> list() {
+        return List.copyOf(all);
+    }
+
+    @Override public String toString() {
+        StringBuilder sb = new StringBuilder();
+        for (Finding f : all) sb.append(f).append('\n');
+        return sb.toString();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/Kernel.java
@@ -0,0 +1,98 @@
+/*
+ * The micro-kernel: services with names, started in the order they were added and stopped in the
+ * reverse, that find each other by name when they start. It knows nothing of what they do. A
+ * program is a list of services; a service that can't start ends the program with one clear line.
+ */
+package gladelug.kernel;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+public final class Kernel {
+    public interface Service {
+        /** Throws CannotStart when the machine or the settings don't allow it. */
+        void start(Kernel k);
+
+        /** Polite: what was begun may end; called once. */
+        default void stop() {}
+    }
+
+    public static final class CannotStart extends RuntimeException {
+        public CannotStart(String what) {
+            super(what);
+        }
+
+        public CannotStart(String what, Throwable cause) {
+            super(what, cause);
+        }
+    }
+
+    private final Map<String, Service> services = new LinkedHashMap<>();
+    private final ArrayDeque<String> started = new ArrayDeque<>();
+
+    public Kernel add(String name, Service s) {
+        if (services.putIfAbsent(name, s) != null) throw new IllegalStateException("two services named " + name);
+        return this;
+    }
+
+    public <T> T find(String name, Class<T> type) {
+        Service s = services.get(name);
+        if (s == null) throw new CannotStart("no service named " + name);
+        return type.cast(s);
+    }
+
+    public List<String> names() {
+        return new ArrayList<>(services.keySet());
+    }
+
+    public void start() {
+        for (Map.Entry<String, Service> e : services.entrySet()) {
+            try {
+                e.getValue().start(this);
+            } catch (RuntimeException x) {
+                stop();
+                throw x;
+            }
+            started.push(e.getKey());
+        }
+    }
+
+    public synchronized void stop() {
+        while (!started.isEmpty()) {
+            String n = started.pop();
+            try {
+                services.get(n).stop();
+            } catch (RuntimeException e) {
+                Log.thrown("service-stop-problem", e, "service", n);
+            }
+        }
+    }
+
+    static final class Tests {
+        @org.junit.jupiter.api.Test void stopsWhatStartedInReverseWhenOneCannotStart() {
+            List<String> seen = new ArrayList<>();
+            class S implements Service {
+                final String n;
+
+                S(String n) {
+                    this.n = n;
+                }
+
+                @Override public void start(Kernel k) {
+                    if (n.equals("c")) throw new CannotStart("port in use");
+                    seen.add("+" + n);
+                }
+
+                @Override public void stop() {
+                    seen.add("-" + n);
+                }
+            }
+            Kernel k = new Kernel().add("a", new S("a")).add("b", new S("b")).add("c", new S("c"));
+            org.junit.jupiter.api.Assertions.assertThrows(CannotStart.class, k::start);
+            org.junit.jupiter.api.Assertions.assertEquals(List.of("+a", "+b", "-b", "-a"), seen);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/circuit/Circuit.java
@@ -0,0 +1,85 @@
+/*
+ * One side of a TCP circuit carrying length-prefixed records. send() says whether the record was
+ * taken: a circuit whose other side doesn't read fills up and takes no more, and every protocol
+ * above copes with loss by asking again. A record that can't be read closes this circuit only.
+ */
+package gladelug.kernel.circuit;
+
+import gladelug.kernel.Log;
+import gladelug.kernel.message.Wire;
+import io.vertx.mutiny.core.net.NetSocket;
+import java.io.IOException;
+
+public final class Circuit {
+    /** Told of each record, in order, and once of the end, all on the circuit's event loop. */
+    public interface Receiver {
+        void record(byte[] r) throws IOException;
+
+        default void closed() {}
+    }
+
+    private static final int FULL = 64 << 20;
+    private final NetSocket socket;
+    public final String fellow;
+    private Receiver receiver;
+    private io.vertx.core.buffer.Buffer held = io.vertx.core.buffer.Buffer.buffer();
+    private volatile boolean closed;
+
+    Circuit(NetSocket s, String fellow) {
+        this.socket = s;
+        this.fellow = fellow;
+        s.getDelegate().setWriteQueueMaxSize(FULL);
+        s.getDelegate().handler(this::bytes);
+        s.getDelegate().closeHandler(v -> end());
+        s.getDelegate().exceptionHandler(t -> Log.fine("circuit-problem", "fellow", fellow, "what", t.toString()));
+    }
+
+    void receiver(Receiver r) {
+        receiver = r;
+    }
+
+    public boolean send(Wire m) {
+        return send(Wire.bytes(m));
+    }
+
+    public boolean send(byte[] r) {
+        if (closed || socket.getDelegate().writeQueueFull()) return false;
+        socket.getDelegate().write(io.vertx.core.buffer.Buffer.buffer(r.length + 4).appendInt(r.length).appendBytes(r));
+        return true;
+    }
+
+    public boolean open() {
+        return !closed;
+    }
+
+    public void close() {
+        socket.getDelegate().close();
+    }
+
+    private void bytes(io.vertx.core.buffer.Buffer b) {
+        held = held.length() == 0 ? b : held.appendBuffer(b);
+        int at = 0;
+        try {
+            while (held.length() - at >= 4) {
+                int n = held.getInt(at);
+                if (n < 1 || n > Wire.MAX) throw new IOException("record of impossible length " + n);
+                if (held.length() - at - 4 < n) break;
+                byte[] r = held.getBytes(at + 4, at + 4 + n);
+                at += 4 + n;
+                receiver.record(r);
+            }
+            if (at > 0) held = held.length() == at ? io.vertx.core.buffer.Buffer.buffer() : held.getBuffer(at, held.length());
+        } catch (IOException e) {
+            Log.warn("malformed-record", "fellow", fellow, "what", e.getMessage());
+            held = io.vertx.core.buffer.Buffer.buffer();
+            close();
+        }
+    }
+
+    private void end() {
+        if (closed) return;
+        closed = true;
+        if (receiver != null) receiver.closed();
+    }
+
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/circuit/Doors.java
@@ -0,0 +1,113 @@
+/*
+ * The door of a process for circuits from others, on its one records address: reads the Hello and
+ * hands the circuit to whichever service took that protocol. Unknown protocols are closed. Also
+ * where circuits to others begin.
+ */
+package gladelug.kernel.circuit;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.Kernel;
+import gladelug.kernel.Log;
+import gladelug.kernel.message.Hello;
+import gladelug.kernel.message.Wire;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.net.NetClient;
+import io.vertx.mutiny.core.net.NetServer;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+
+public final class Doors implements Kernel.Service {
+    private final Vertx vertx;
+    private final Address address;
+    private final String name;
+    private final Map<String, BiFunction<Hello, Circuit, Circuit.Receiver>> takers = new ConcurrentHashMap<>();
+    private final Set<Circuit> open = ConcurrentHashMap.newKeySet();
+    private NetServer server;
+    private NetClient client;
+
+    public Doors(Vertx vertx, Address address, String name) {
+        this.vertx = vertx;
+        this.address = address;
+        this.name = name;
+    }
+
+    public void take(String protocol, BiFunction<Hello, Circuit, Circuit.Receiver> taker) {
+        takers.put(protocol, taker);
+    }
+
+    @Override public void start(Kernel k) {
+        client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(1000).setTcpNoDelay(true));
+        server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true));
+        server.getDelegate().connectHandler(s -> accept(new Circuit(new io.vertx.mutiny.core.net.NetSocket(s), s.remoteAddress().toString())));
+        try {
+            server.listen(address.port(), address.host()).await().atMost(Duration.ofSeconds(10));
+        } catch (RuntimeException e) {
+            throw new Kernel.CannotStart("cannot listen for records on " + address + ": " + reason(e), e);
+        }
+        Log.event("records-door-open", "address", address);
+    }
+
+    public static String reason(Throwable e) {
+        Throwable t = e;
+        while (t.getCause() != null) t = t.getCause();
+        return t.getMessage() == null ? t.getClass().getSimpleName() : t.getMessage();
+    }
+
+    private void accept(Circuit c) {
+        open.add(c);
+        c.receiver(new Circuit.Receiver() {
+            private Circuit.Receiver inner;
+
+            @Override public void record(byte[] r) throws IOException {
+                if (inner != null) {
+                    inner.record(r);
+                    return;
+                }
+                Hello h = Wire.read(r, Hello::read);
+                var t = takers.get(h.protocol());
+                if (t == null) throw new IOException("unknown protocol " + h.protocol());
+                inner = t.apply(h, c);
+            }
+
+            @Override public void closed() {
+                open.remove(c);
+                if (inner != null) inner.closed();
+            }
+        });
+    }
+
+    /** A new circuit to another process, its Hello already sent. Fails where nobody answers. */
+    public Uni<Circuit> call(Address to, String protocol, Function<Circuit, Circuit.Receiver> receiver) {
+        return client.connect(to.port(), to.host()).map(s -> {
+            Circuit c = new Circuit(s, to.toString());
+            open.add(c);
+            Circuit.Receiver r = receiver.apply(c);
+            c.receiver(new Circuit.Receiver() {
+                @Override public void record(byte[] b) throws IOException {
+                    r.record(b);
+                }
+
+                @Override public void closed() {
+                    open.remove(c);
+                    r.closed();
+                }
+            });
+            c.send(new Hello(protocol, name));
+            return c;
+        });
+    }
+
+    @Override public void stop() {
+        for (Circuit c : open) c.close();
+        if (server != null) server.closeAndForget();
+        if (client != null) client.closeAndForget();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/disk/Ring.java
@@ -0,0 +1,221 @@
+/*
+ * A ring of preallocated files that keeps the newest state of each key. A write is one frame with
+ * length, checksum and sequence, padded to 512 bytes, and is synced before the next begins; so at
+ * most the last frame can be torn, and that tail is cut. A bad frame with a good one behind it is
+ * damage: open() then says so and the member must not go on. Each file begins with a snapshot of
+ * all live values, so when the ring comes round nothing alive is in the file that is reused.
+ */
+package gladelug.kernel.disk;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32C;
+
+public final class Ring {
+    public record Entry(String key, byte[] state) {}
+
+    public static final class Damaged extends IOException {
+        Damaged(String what) {
+            super(what);
+        }
+    }
+
+    private static final int MAGIC = 0x676c6164, HEAD = 21, STEP = 512;
+    private static final byte SNAPSHOT = 1, MORE = 2;
+
+    private final Medium medium;
+    private final Map<String, byte[]> live = new HashMap<>();
+    private int file;
+    private int at;
+    private long seq;
+
+    private Ring(Medium m) {
+        medium = m;
+    }
+
+    public Map<String, byte[]> live() {
+        return Map.copyOf(live);
+    }
+
+    private record Frame(long seq, byte type, List<Entry> entries, int end) {}
+
+    public static Ring open(Medium m) throws IOException {
+        Ring r = new Ring(m);
+        int newest = -1;
+        long best = 0;
+        byte[][] all = new byte[m.files()][];
+        for (int i = 0; i < m.files(); i++) {
+            all[i] = m.read(i);
+            Frame f = frame(all[i], 0);
+            if (f != null && f.type == SNAPSHOT && f.seq > best) {
+                best = f.seq;
+                newest = i;
+            }
+        }
+        if (newest < 0) {
+            for (int i = 0; i < m.files(); i++) if (behind(all[i], 0, 0)) throw new Damaged("no snapshot in any file but frames behind one");
+            r.file = m.files() - 1;
+            r.at = m.size();
+            return r;
+        }
+        r.file = newest;
+        byte[] b = all[newest];
+        Frame f;
+        while (r.at < b.length && (f = frame(b, r.at)) != null && f.seq > r.seq && (r.seq == 0 || f.seq == r.seq + 1)) {
+            for (Entry e : f.entries) r.live.put(e.key, e.state);
+            r.seq = f.seq;
+            r.at = f.end;
+        }
+        if (behind(b, r.at, r.seq)) throw new Damaged("bad frame " + (r.seq + 1) + " with later ones behind it in file " + newest);
+        int next = (newest + 1) % m.files();
+        if (behind(all[next], 0, r.seq)) throw new Damaged("bad snapshot in file " + next + " with later frames behind it");
+        return r;
+    }
+
+    private static boolean behind(byte[] b, int from, long seq) {
+        for (int i = from; i < b.length; i += STEP) {
+            Frame f = frame(b, i);
+            if (f != null && f.seq > seq) return true;
+        }
+        return false;
+    }
+
+    private static Frame frame(byte[] b, int at) {
+        if (at + HEAD > b.length) return null;
+        ByteBuffer x = ByteBuffer.wrap(b, at, b.length - at);
+        if (x.getInt() != MAGIC) return null;
+        int crc = x.getInt(), len = x.getInt();
+        if (len < 0 || len > b.length - at - HEAD) return null;
+        CRC32C c = new CRC32C();
+        c.update(b, at + 8, HEAD - 8 + len);
+        if ((int) c.getValue() != crc) return null;
+        long seq = x.getLong();
+        byte type = x.get();
+        try {
+            DataInputStream in = new DataInputStream(new ByteArrayInputStream(b, at + HEAD, len));
+            int n = in.readInt();
+            List<Entry> l = new ArrayList<>();
+            for (int i = 0; i < n; i++) l.add(new Entry(in.readUTF(), in.readNBytes(in.readInt())));
+            return new Frame(seq, type, l, at + padded(HEAD + len));
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private static int padded(int n) {
+        return (n + STEP - 1) / STEP * STEP;
+    }
+
+    private byte[] frameBytes(byte type, List<Entry> es) throws IOException {
+        ByteArrayOutputStream p = new ByteArrayOutputStream();
+        DataOutputStream o = new DataOutputStream(p);
+        o.writeInt(es.size());
+        for (Entry e : es) {
+            o.writeUTF(e.key);
+            o.writeInt(e.state.length);
+            o.write(e.state);
+        }
+        byte[] q = p.toByteArray(), b = new byte[padded(HEAD + q.length)];
+        ByteBuffer x = ByteBuffer.wrap(b).putInt(MAGIC).putInt(0).putInt(q.length).putLong(seq + 1).put(type).put(q);
+        CRC32C c = new CRC32C();
+        c.update(b, 8, HEAD - 8 + q.length);
+        x.putInt(4, (int) c.getValue());
+        return b;
+    }
+
+    /** Writes and syncs; when this returns the entries last. After an IOException the ring must not be used again. */
+    public void write(List<Entry> es) throws IOException {
+        for (Entry e : es) if (!e.key.isEmpty()) live.put(e.key, e.state);
+        byte[] b = frameBytes(MORE, es);
+        if (at + b.length > medium.size()) {
+            List<Entry> all = new ArrayList<>();
+            live.forEach((k, v) -> all.add(new Entry(k, v)));
+            b = frameBytes(SNAPSHOT, all);
+            if (b.length > medium.size()) throw new IOException("the live state of " + b.length + " bytes is larger than a ring file");
+            file = (file + 1) % medium.files();
+            at = 0;
+        }
+        medium.write(file, at, b);
+        medium.sync(file);
+        at += b.length;
+        seq++;
+    }
+
+    static final class Tests {
+        private static final class Paper implements Medium {
+            final byte[][] f = new byte[4][4096];
+
+            @Override public int files() {
+                return 4;
+            }
+
+            @Override public int size() {
+                return 4096;
+            }
+
+            @Override public byte[] read(int i) {
+                return f[i].clone();
+            }
+
+            @Override public void write(int i, int at, byte[] b) {
+                System.arraycopy(b, 0, f[i], at, b.length);
+            }
+
+            @Override public void sync(int i) {}
+        }
+
+        private static Entry e(String k, int v) {
+            return new Entry(k, ("v" + v).getBytes());
+        }
+
+        private static String get(Ring r, String k) {
+            return new String(r.live().get(k));
+        }
+
+        @org.junit.jupiter.api.Test void comesRoundManyTimesAndKeepsWhatIsAlive() throws IOException {
+            Paper p = new Paper();
+            Ring r = Ring.open(p);
+            r.write(List.of(e("old", 7)));
+            for (int i = 0; i < 200; i++) {
+                r.write(List.of(e("k" + i % 3, i)));
+                Ring s = Ring.open(p);
+                org.junit.jupiter.api.Assertions.assertEquals("v" + i, get(s, "k" + i % 3));
+                org.junit.jupiter.api.Assertions.assertEquals("v7", get(s, "old"));
+            }
+        }
+
+        @org.junit.jupiter.api.Test void everyTornTailIsCutAndEveryEarlierFrameKept() throws IOException {
+            for (int n = 1; n < 40; n++) {
+                Paper p = new Paper();
+                Ring r = Ring.open(p);
+                for (int i = 0; i < n; i++) r.write(List.of(e("a", i)));
+                byte[][] before = new byte[4][];
+                for (int i = 0; i < 4; i++) before[i] = p.f[i].clone();
+                r.write(List.of(e("a", 1000)));
+                for (int i = 0; i < 4; i++)
+                    for (int j = 0; j < 4096; j += 512)
+                        if (!Arrays.equals(before[i], j, j + 512, p.f[i], j, j + 512)) p.f[i][j + 25] ^= 0x55;
+                org.junit.jupiter.api.Assertions.assertEquals("v" + (n - 1), get(Ring.open(p), "a"), "after " + n);
+            }
+        }
+
+        @org.junit.jupiter.api.Test void damageBeforeTheTailIsNeverTakenForATornTail() throws IOException {
+            for (int bad = 0; bad < 5; bad++) {
+                Paper p = new Paper();
+                Ring r = Ring.open(p);
+                for (int i = 0; i < 6; i++) r.write(List.of(e("a", i)));
+                p.f[0][bad * 512 + 30] ^= 1;
+                org.junit.jupiter.api.Assertions.assertThrows(Damaged.class, () -> Ring.open(p), "frame " + bad);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/message/Lookup.java
@@ -0,0 +1,59 @@
+/*
+ * What a relay asks an index process and what that answers. The blocks are the prompt's prefix
+ * chain, so the answer per holder is how many leading blocks its entries match; a warming or
+ * silent index says so and the relay goes on without a hint.
+ */
+package gladelug.kernel.message;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.List;
+
+public sealed interface Lookup extends Wire {
+    record Match(String holder, int blocks) {}
+
+    record Question(long nr, long[] blocks) implements Lookup {
+        @Override public int type() {
+            return 1;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeLong(nr);
+            o.writeInt(blocks.length);
+            for (long b : blocks) o.writeLong(b);
+        }
+    }
+
+    record Answer(long nr, boolean warm, List<Match> matches) implements Lookup {
+        @Override public int type() {
+            return 2;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeLong(nr);
+            o.writeBoolean(warm);
+            Wire.list(o, matches, (p, m) -> {
+                p.writeUTF(m.holder);
+                p.writeInt(m.blocks);
+            });
+        }
+    }
+
+    static Lookup read(int type, DataInputStream in) throws IOException {
+        switch (type) {
+            case 1 -> {
+                long nr = in.readLong();
+                int n = in.readInt();
+                if (n < 0 || n > in.available() / 8) throw new IOException("impossible number of blocks " + n);
+                long[] b = new long[n];
+                for (int i = 0; i < n; i++) b[i] = in.readLong();
+                return new Question(nr, b);
+            }
+            case 2 -> {
+                return new Answer(in.readLong(), in.readBoolean(), Wire.list(in, i -> new Match(i.readUTF(), i.readInt())));
+            }
+            default -> throw Wire.unknown(type);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/message/News.java
@@ -0,0 +1,111 @@
+/*
+ * What control-plane and data-plane processes say to each other on a held circuit. A data-plane
+ * process asks, telling what it holds; the owner of a key answers with a grant where that is the
+ * newest number and pushes the newest otherwise. An Ask after a push is its acknowledgement.
+ */
+package gladelug.kernel.message;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.List;
+
+public sealed interface News extends Wire {
+    record Held(String key, long epoch, long number) {}
+
+    /** left is what remains of the licence in ms; cutoffLeft, for weights, until nothing starts on old ones. */
+    record Grant(String key, long epoch, long number, int left, int cutoffLeft) {}
+
+    /** ask is the asker's own monotonic time; it comes back so that a licence counts from the asking. */
+    record Ask(long ask, String name, long run, String role, String records, String operator, String domain, List<Held> held)
+        implements News {
+        @Override public int type() {
+            return 1;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeLong(ask);
+            o.writeUTF(name);
+            o.writeLong(run);
+            o.writeUTF(role);
+            o.writeUTF(records);
+            o.writeUTF(operator);
+            o.writeUTF(domain);
+            Wire.list(o, held, (p, h) -> {
+                p.writeUTF(h.key);
+                p.writeLong(h.epoch);
+                p.writeLong(h.number);
+            });
+        }
+    }
+
+    record Grants(long ask, List<Grant> grants) implements News {
+        @Override public int type() {
+            return 2;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeLong(ask);
+            Wire.list(o, grants, (p, g) -> {
+                p.writeUTF(g.key);
+                p.writeLong(g.epoch);
+                p.writeLong(g.number);
+                p.writeInt(g.left);
+                p.writeInt(g.cutoffLeft);
+            });
+        }
+    }
+
+    /** A value whole, or where base is not -1 the changes from the number base, see Delta. */
+    record Push(String key, long epoch, long number, long base, String digest, byte[] value) implements News {
+        @Override public int type() {
+            return 3;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeUTF(key);
+            o.writeLong(epoch);
+            o.writeLong(number);
+            o.writeLong(base);
+            o.writeUTF(digest);
+            Wire.blob(o, value);
+        }
+    }
+
+    /** The receiver could not use a delta and wants the value whole. */
+    record Whole(String key) implements News {
+        @Override public int type() {
+            return 4;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeUTF(key);
+        }
+    }
+
+    static News read(int type, DataInputStream in) throws IOException {
+        return switch (type) {
+            case 1 -> new Ask(in.readLong(), in.readUTF(), in.readLong(), in.readUTF(), in.readUTF(), in.readUTF(), in.readUTF(),
+                Wire.list(in, i -> new Held(i.readUTF(), i.readLong(), i.readLong())));
+            case 2 -> new Grants(in.readLong(), Wire.list(in,
+                i -> new Grant(i.readUTF(), i.readLong(), i.readLong(), i.readInt(), i.readInt())));
+            case 3 -> new Push(in.readUTF(), in.readLong(), in.readLong(), in.readLong(), in.readUTF(), Wire.blob(in));
+            case 4 -> new Whole(in.readUTF());
+            default -> throw Wire.unknown(type);
+        };
+    }
+
+    static final class Tests {
+        @org.junit.jupiter.api.Test void whatIsWrittenIsReadAndAnythingElseIsRefused() throws IOException {
+            Ask a = new Ask(5, "r1", 77, "relay", "127.0.0.1:1", "127.0.0.1:2", "z", List.of(new Held("policy", 1, 2)));
+            byte[] b = Wire.bytes(a);
+            org.junit.jupiter.api.Assertions.assertEquals(a, Wire.read(b, News::read));
+            for (int n = 0; n < b.length; n++) {
+                byte[] cut = java.util.Arrays.copyOf(b, n);
+                org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> Wire.read(cut, News::read));
+            }
+            byte[] more = java.util.Arrays.copyOf(b, b.length + 1);
+            org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> Wire.read(more, News::read));
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/policy/Policy.java
@@ -0,0 +1,185 @@
+/*
+ * What operators send, whole: services with the places they may be called at, mappings from paths
+ * to services, tenants with their keys as hashes and the shares below them. Read by hand from JSON;
+ * every finding has its place and a policy with any finding is not made. Immutable; names become
+ * dense indices here, at the door, and the snapshot is swapped whole.
+ */
+package gladelug.kernel.policy;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.Digest;
+import gladelug.kernel.Doc;
+import gladelug.kernel.Finding;
+import gladelug.kernel.Findings;
+import gladelug.kernel.Result;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+public final class Policy {
+    public enum Kind { MODEL, APPLICATION, STORE }
+
+    public record Service(int index, String name, Kind kind, List<Allow> allow) {
+        public boolean allows(Address a) {
+            for (Allow w : allow) if (w.allows(a)) return true;
+            return false;
+        }
+    }
+
+    public record Mapping(int index, String name, String path, int service, int expiryMs, boolean repeatable, int maxBodyBytes) {}
+
+    public record Tenant(int index, String name, List<String> keys, boolean isolated, Share share) {}
+
+    public final List<Service> services;
+    public final List<Mapping> mappings;
+    public final List<Tenant> tenants;
+    private final Map<String, Mapping> byPath = new HashMap<>();
+    private final Map<String, Tenant> byKey = new HashMap<>();
+    private final Map<String, Service> byName = new HashMap<>();
+
+    private Policy(List<Service> services, List<Mapping> mappings, List<Tenant> tenants) {
+        this.services = List.copyOf(services);
+        this.mappings = List.copyOf(mappings);
+        this.tenants = List.copyOf(tenants);
+        for (Service s : services) byName.put(s.name, s);
+        for (Mapping m : mappings) byPath.put(m.path, m);
+        for (Tenant t : tenants) for (String k : t.keys) byKey.put(k, t);
+    }
+
+    public static final Policy EMPTY = new Policy(List.of(), List.of(), List.of());
+
+    public Mapping mapping(String path) {
+        return byPath.get(path);
+    }
+
+    public Service service(String name) {
+        return byName.get(name);
+    }
+
+    public Tenant tenantOfHash(String hash) {
+        return byKey.get(hash);
+    }
+
+    public static String hashOf(String key) {
+        return Digest.hex(key);
+    }
+
+    /** Where in the tree an order of this tenant by this mapping stands: the leaf's path. */
+    public static String leaf(Tenant t, Mapping m) {
+        Share l = t.share.leaf(m.name);
+        return l == null ? t.share.path() : l.path();
+    }
+
+    public static Result<Policy> parse(String json) {
+        return Doc.parse(json).then(Policy::read);
+    }
+
+    public static Result<Policy> read(Doc d) {
+        Findings fs = new Findings();
+        Doc.Fields f = d.fields(fs);
+        Map<String, Service> sn = new HashMap<>();
+        List<Service> ss = new ArrayList<>();
+        for (Doc x : f.list("services", true)) ss.add(service(x, ss.size(), sn, fs));
+        List<Mapping> ms = new ArrayList<>();
+        Set<String> mn = new HashSet<>(), mp = new HashSet<>();
+        for (Doc x : f.list("mappings", true)) ms.add(mapping(x, ms.size(), sn, mn, mp, fs));
+        List<Tenant> ts = new ArrayList<>();
+        Set<String> tn = new HashSet<>();
+        Map<String, String> keys = new HashMap<>();
+        for (Doc x : f.list("tenants", true)) ts.add(tenant(x, ts.size(), tn, keys, mn, fs));
+        f.done();
+        return Result.of(fs, () -> new Policy(ss, ms, ts));
+    }
+
+    private static Service service(Doc x, int i, Map<String, Service> names, Findings fs) {
+        Doc.Fields f = x.fields(fs);
+        String name = f.text("name");
+        String k = f.text("kind", "model");
+        Kind kind = Kind.MODEL;
+        switch (k) {
+            case "model" -> kind = Kind.MODEL;
+            case "application" -> kind = Kind.APPLICATION;
+            case "store" -> kind = Kind.STORE;
+            default -> fs.add(f.place("kind"), "must be model, application or store, not " + k);
+        }
+        List<Allow> as = new ArrayList<>();
+        for (String a : f.texts("allow", true)) {
+            Result<Allow> r = Allow.parse(a, f.place("allow"));
+            if (r instanceof Result.Good<Allow> g) as.add(g.value());
+            else for (Finding y : ((Result.Bad<Allow>) r).findings()) fs.add(y.place(), y.what());
+        }
+        f.done();
+        Service s = new Service(i, name, kind, List.copyOf(as));
+        if (names.putIfAbsent(name, s) != null) fs.add(f.place("name"), "two services are named " + name);
+        return s;
+    }
+
+    private static Mapping mapping(Doc x, int i, Map<String, Service> sn, Set<String> names, Set<String> paths, Findings fs) {
+        Doc.Fields f = x.fields(fs);
+        String name = f.text("name"), path = f.text("path"), sv = f.text("service");
+        Service s = sn.get(sv);
+        if (s == null && !sv.isEmpty()) fs.add(f.place("service"), "names no service of this policy: " + sv);
+        if (s != null && s.kind == Kind.STORE) fs.add(f.place("service"), "a store takes no orders: " + sv);
+        if (!path.isEmpty() && !path.startsWith("/")) fs.add(f.place("path"), "must begin with a slash");
+        if (path.startsWith("/operator/")) fs.add(f.place("path"), "must not begin with /operator/");
+        if (!names.add(name)) fs.add(f.place("name"), "two mappings are named " + name);
+        if (!paths.add(path)) fs.add(f.place("path"), "two mappings have the path " + path);
+        Mapping m = new Mapping(i, name, path, s == null ? -1 : s.index, (int) f.whole("expiryMs", 10_000, 50, 600_000),
+            f.yes("repeatable", false), (int) f.whole("maxBodyBytes", 262_144, 64, 16_777_216));
+        f.done();
+        return m;
+    }
+
+    private static Tenant tenant(Doc x, int i, Set<String> names, Map<String, String> keys, Set<String> mappings, Findings fs) {
+        Doc.Fields f = x.fields(fs);
+        String name = f.text("name");
+        List<String> ks = new ArrayList<>();
+        for (Doc k : f.list("keys", true)) {
+            if (k.kind != Doc.Kind.STRING || !k.text.matches("sha256:[0-9a-f]{64}"))
+                fs.add(k.place(), "must be sha256: and 64 small hex digits, the hash of a key, never the key itself");
+            else {
+                String h = k.text.substring(7), old = keys.putIfAbsent(h, name);
+                if (old != null) fs.add(k.place(), "is already a key of tenant " + old);
+                ks.add(h);
+            }
+        }
+        Set<String> taken = new HashSet<>();
+        List<Share> below = Share.readAll(f.list("shares", false), name, 1, taken, fs);
+        for (String m : taken) if (!mappings.contains(m)) fs.add(f.place("shares"), "a share names no mapping of this policy: " + m);
+        Share root = new Share(name, name, (int) f.whole("weight", 1, 1, 1_000_000), (int) f.whole("tier", 0, 0, 9),
+            (int) f.whole("limit", 0, 0, 1_000_000), List.of(), below);
+        Tenant t = new Tenant(i, name, List.copyOf(ks), f.yes("isolated", false), root);
+        f.done();
+        if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
+        if (!names.add(name)) fs.add(f.place("name"), "two tenants are named " + name);
+        return t;
+    }
+
+    static final class Tests {
+        @org.junit.jupiter.api.Test void aGoodPolicyIsIndexed() {
+            String h = hashOf("k1");
+            Policy p = ((Result.Good<Policy>) parse("""
+                {"services": [{"name": "m", "allow": ["127.0.0.0/8"]}],
+                 "mappings": [{"name": "a", "path": "/a", "service": "m"}, {"name": "b", "path": "/b", "service": "m", "repeatable": true}],
+                 "tenants": [{"name": "t", "keys": ["sha256:%s"], "shares": [{"name": "x", "mappings": ["a"]}]}]}""".formatted(h))).value();
+            Tenant t = p.tenantOfHash(h);
+            org.junit.jupiter.api.Assertions.assertEquals("t/x", leaf(t, p.mapping("/a")));
+            org.junit.jupiter.api.Assertions.assertEquals("t", leaf(t, p.mapping("/b")));
+            org.junit.jupiter.api.Assertions.assertTrue(p.mapping("/b").repeatable());
+        }
+
+        @org.junit.jupiter.api.Test void allMistakesAreReportedTogether() {
+            String s = parse("""
+                {"services": [{"name": "m", "allow": ["somewhere"]}, {"name": "m", "allow": []}],
+                 "mappings": [{"name": "a", "path": "a", "service": "none", "expiryMs": 1}],
+                 "tenants": [{"name": "t", "keys": ["secret"], "shares": [{"name": "x", "mappings": ["zz"], "wait": 1}]}],
+                 "extra": 1}""").toString();
+            for (String w : new String[] {"must be IP", "two services are named m", "names no service", "must begin with a slash",
+                "from 50 to 600000", "never the key itself", "no mapping of this policy: zz", "tenants[0].shares[0].wait", "(extra): is not a known field"})
+                org.junit.jupiter.api.Assertions.assertTrue(s.contains(w), w + " in " + s);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/policy/Replicas.java
@@ -0,0 +1,59 @@
+/*
+ * The platform's list of back ends as the control plane last took it: immutable, in the platform's
+ * order. An entry that is leaving gets no new orders; one that is absent is gone.
+ */
+package gladelug.kernel.policy;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.Doc;
+import gladelug.kernel.Findings;
+import gladelug.kernel.Result;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+public final class Replicas {
+    public record Replica(String service, String instance, Address address, String domain, boolean ready) {}
+
+    public final List<Replica> all;
+    private final Map<String, Replica> byInstance = new HashMap<>();
+
+    public static final Replicas NONE = new Replicas(List.of());
+
+    public Replicas(List<Replica> all) {
+        this.all = List.copyOf(all);
+        for (Replica r : all) byInstance.put(r.instance, r);
+    }
+
+    public Replica find(String instance) {
+        return byInstance.get(instance);
+    }
+
+    public static Result<Replicas> parse(String json) {
+        return Doc.parse(json).then(d -> {
+            Findings fs = new Findings();
+            Doc.Fields f = d.fields(fs);
+            List<Replica> out = new ArrayList<>();
+            for (Doc x : f.list("replicas", true)) {
+                Doc.Fields g = x.fields(fs);
+                String st = g.text("state");
+                if (!st.equals("ready") && !st.equals("leaving")) fs.add(g.place("state"), "must be ready or leaving");
+                out.add(new Replica(g.text("service"), g.text("instance"), Address.read(g, "address", fs), g.text("domain", ""), st.equals("ready")));
+                g.done();
+            }
+            f.done();
+            return Result.of(fs, () -> new Replicas(out));
+        });
+    }
+
+    public String json() {
+        StringBuilder sb = new StringBuilder("{\"replicas\":[");
+        for (Replica r : all) {
+            if (sb.charAt(sb.length() - 1) == '}') sb.append(',');
+            sb.append(com.eclipsesource.json.Json.object().add("service", r.service).add("instance", r.instance)
+                .add("address", r.address.toString()).add("domain", r.domain).add("state", r.ready ? "ready" : "leaving"));
+        }
+        return sb.append("]}").toString();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/policy/Share.java
@@ -0,0 +1,57 @@
+/*
+ * A node of the share tree. The children of the root are the tenants; below a tenant stand its
+ * shares. A weight counts against the siblings' weights, a lower tier waits for the higher ones, a
+ * limit of 0 is none. Which leaf an order belongs to is decided by its mapping's name.
+ */
+package gladelug.kernel.policy;
+
+import gladelug.kernel.Doc;
+import gladelug.kernel.Findings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+public record Share(String name, String path, int weight, int tier, int limit, List<String> mappings, List<Share> shares) {
+    static final int DEEPEST = 6;
+
+    static Share read(Doc d, String under, int depth, Set<String> taken, Findings fs) {
+        Doc.Fields f = d.fields(fs);
+        String name = f.text("name");
+        String path = under + "/" + name;
+        Share s = new Share(name, path, (int) f.whole("weight", 1, 1, 1_000_000), (int) f.whole("tier", 0, 0, 9),
+            (int) f.whole("limit", 0, 0, 1_000_000), List.copyOf(f.texts("mappings", false)),
+            readAll(f.list("shares", false), path, depth + 1, taken, fs));
+        f.done();
+        if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
+        if (!s.shares.isEmpty() && !s.mappings.isEmpty())
+            fs.add(f.place("mappings"), "belong to shares at the leaves; this one has shares below it");
+        for (String m : s.mappings)
+            if (!taken.add(m)) fs.add(f.place("mappings"), "mapping " + m + " is in two shares of this tenant");
+        return s;
+    }
+
+    static List<Share> readAll(List<Doc> ds, String under, int depth, Set<String> taken, Findings fs) {
+        if (depth > DEEPEST && !ds.isEmpty()) {
+            fs.add(ds.get(0).place(), "shares are nested deeper than " + DEEPEST);
+            return List.of();
+        }
+        List<Share> out = new ArrayList<>();
+        Set<String> names = new java.util.HashSet<>();
+        for (Doc d : ds) {
+            Share s = read(d, under, depth, taken, fs);
+            if (!names.add(s.name)) fs.add(d.place(), "two shares are named " + s.name + " here");
+            out.add(s);
+        }
+        return List.copyOf(out);
+    }
+
+    /** The leaf below here that takes the mapping, or null. */
+    Share leaf(String mapping) {
+        if (mappings.contains(mapping)) return this;
+        for (Share s : shares) {
+            Share l = s.leaf(mapping);
+            if (l != null) return l;
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/view/ViewService.java
@@ -0,0 +1,90 @@
+/*
+ * Runs the shuffling of views on one duty: a round a second over short circuits, begun from the
+ * seed addresses while the view is small.
+ */
+package gladelug.kernel.view;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.Clock;
+import gladelug.kernel.Duty;
+import gladelug.kernel.Kernel;
+import gladelug.kernel.circuit.Circuit;
+import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.message.Hello;
+import gladelug.kernel.message.Shuffle;
+import gladelug.kernel.message.Wire;
+import io.vertx.mutiny.core.Vertx;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+
+public final class ViewService implements Kernel.Service {
+    private static final long ROUND = 1000, ANSWER = 900;
+    private final Vertx vertx;
+    private final Address self;
+    private final List<Address> seeds;
+    private final Views views;
+    private final Duty duty;
+    private volatile List<Shuffle.Descriptor> snapshot = List.of();
+    private Doors doors;
+    private int next;
+
+    public ViewService(Vertx vertx, Shuffle.Descriptor self, List<Address> seeds) {
+        this.vertx = vertx;
+        this.self = Address.of(self.records());
+        this.seeds = seeds;
+        this.views = new Views(self, b -> ThreadLocalRandom.current().nextLong(b));
+        this.duty = new Duty("views", 1024, Clock.monotonic());
+    }
+
+    public List<Shuffle.Descriptor> all() {
+        return snapshot;
+    }
+
+    public void generation(long g) {
+        duty.offer(() -> views.generation(g));
+    }
+
+    @Override public void start(Kernel k) {
+        doors = k.find("doors", Doors.class);
+        doors.take(Hello.SHUFFLE, (h, c) -> r -> {
+            if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Request q)) throw new java.io.IOException("an answer nobody asked for");
+            duty.offer(() -> {
+                c.send(views.asked(q));
+                snapshot = views.all();
+            });
+        });
+        duty.every(ROUND, this::round);
+    }
+
+    private void round() {
+        Map.Entry<Shuffle.Descriptor, Shuffle.Request> r = views.round();
+        snapshot = views.all();
+        if (r != null) shuffle(Address.of(r.getKey().records()), r.getValue());
+        if (r == null || snapshot.size() < 3) {
+            if (seeds.isEmpty()) return;
+            Address a = seeds.get(next++ % seeds.size());
+            if (!a.equals(self)) shuffle(a, views.begin());
+        }
+    }
+
+    private void shuffle(Address to, Shuffle.Request q) {
+        doors.call(to, Hello.SHUFFLE, c -> new Circuit.Receiver() {
+            @Override public void record(byte[] r) throws java.io.IOException {
+                if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Answer a)) throw new java.io.IOException("a request where an answer was due");
+                duty.offer(() -> {
+                    views.answered(a);
+                    snapshot = views.all();
+                });
+                c.close();
+            }
+        }).subscribe().with(c -> {
+            c.send(q);
+            vertx.setTimer(ANSWER, i -> c.close());
+        }, t -> {});
+    }
+
+    @Override public void stop() {
+        duty.close();
+    }
+}
