--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -0,0 +1,106 @@
+/*
+ * The program data-plane: `relay` carries orders, `index` keeps the Cuckoo Summary of all holders.
+ * Neither has a disk.
+ */
+package gladelug.data;
+
+import gladelug.data.index.CuckooSummary;
+import gladelug.data.index.IndexService;
+import gladelug.data.news.NewsService;
+import gladelug.data.relay.RelayService;
+import gladelug.kernel.Address;
+import gladelug.kernel.Clock;
+import gladelug.kernel.Kernel;
+import gladelug.kernel.Log;
+import gladelug.kernel.Program;
+import gladelug.kernel.Result;
+import gladelug.kernel.Settings;
+import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.message.Shuffle;
+import gladelug.kernel.view.ViewService;
+import io.vertx.mutiny.core.Vertx;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+public final class DataPlane {
+    private static final String[] BOTH = {"name", "domain", "records", "operator", "seeds", "log"};
+    private static final String[] RELAY = {"callers", "index", "backlog", "choice"};
+    private static final String[] INDEX = {"fingerprintBits"};
+
+    record Place(String name, String domain, Address records, Address operator, List<Address> seeds, String log,
+                 Address callers, Address index, int backlog, String choice, int fingerprintBits) {}
+
+    private DataPlane() {}
+
+    static Result<Place> place(boolean relay, String file, Map<String, String> flags) {
+        return Settings.open(file, flags).then(s -> {
+            Place p = new Place(s.name("name"), s.text("domain", ""), s.address("records"), s.address("operator"), s.addresses("seeds"), s.text("log", "info"),
+                relay ? s.address("callers") : null, relay ? s.address("index", null) : null, relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
+                relay ? s.text("choice", "summary") : "", relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS));
+            if (p.seeds.isEmpty()) s.findings.add("--seeds", "at least one records address of another process is needed");
+            if (relay && !p.choice.equals("summary") && !p.choice.equals("least-occupancy"))
+                s.findings.add("--choice", "must be summary or least-occupancy, not " + p.choice);
+            return s.done(() -> p);
+        });
+    }
+
+    public static void main(String[] args) {
+        ArgumentParser ap = ArgumentParsers.newFor("data-plane").build().defaultHelp(true).description("Carries orders to replicas, and indexes which of them keep what.");
+        var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
+        Map<String, String[]> flags = Map.of("relay", RELAY, "index", INDEX);
+        for (String c : List.of("relay", "index")) {
+            Subparser p = subs.addParser(c).help(c.equals("relay") ? "carry orders" : "index kept prefix blocks");
+            p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
+            for (String f : BOTH) p.addArgument(flag(f)).dest(f).metavar("VALUE").help(help(f));
+            for (String f : flags.get(c)) p.addArgument(flag(f)).dest(f).metavar("VALUE").help(help(f));
+        }
+        Namespace n = Program.parse(ap, args);
+        boolean relay = n.getString("command").equals("relay");
+        Map<String, String> given = new HashMap<>();
+        for (String f : BOTH) given.put(f, n.getString(f));
+        for (String f : relay ? RELAY : INDEX) given.put(f, n.getString(f));
+        run(relay, Program.orExit("data-plane", place(relay, n.getString("settings"), given)));
+    }
+
+    private static String flag(String f) {
+        return "--" + f.replaceAll("([A-Z])", "-$1").toLowerCase(java.util.Locale.ROOT);
+    }
+
+    private static String help(String f) {
+        return switch (f) {
+            case "name" -> "this process's name in the fleet";
+            case "domain" -> "the domain (zone) it stands in";
+            case "records" -> "IP:PORT for circuits between processes";
+            case "operator" -> "IP:PORT for operators and the platform";
+            case "seeds" -> "IP:PORT,... of other processes' records addresses";
+            case "log" -> "fine, info or warning";
+            case "callers" -> "IP:PORT for callers";
+            case "index" -> "IP:PORT of this machine's index process, where it has one";
+            case "backlog" -> "how many orders of a service may wait here";
+            case "choice" -> "summary, or least-occupancy to leave the index unused";
+            default -> "width f of a fingerprint in the Cuckoo Summary";
+        };
+    }
+
+    static void run(boolean relay, Place p) {
+        Log.setUp(p.name, Program.level(p.log), System.out);
+        Vertx vertx = Vertx.vertx();
+        Clock clock = Clock.monotonic();
+        Shuffle.Descriptor self = new Shuffle.Descriptor(p.name, relay ? "relay" : "index", p.records.toString(), p.operator.toString(), p.domain, 0, 0);
+        Kernel k = new Kernel().add("doors", new Doors(vertx, p.records, p.name)).add("views", new ViewService(vertx, self, p.seeds))
+            .add("news", new NewsService(vertx, clock, self, p.seeds));
+        if (relay) {
+            RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog, p.choice.equals("summary"));
+            k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, r::routes)).add("relay", r);
+        } else {
+            IndexService x = new IndexService(vertx, clock, p.fingerprintBits);
+            k.add("status-door", new StatusDoor(vertx, p.operator, () -> "", x::status, t -> {})).add("index", x);
+        }
+        Program.run("data-plane", k, RelayService.DRAIN + 2000);
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/StatusDoor.java
@@ -0,0 +1,69 @@
+/*
+ * Towards operators and the platform, the same in both subcommands: readiness, and the state of
+ * what runs here as JSON. Others add paths of their own before it starts.
+ */
+package gladelug.data;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import gladelug.kernel.Address;
+import gladelug.kernel.Kernel;
+import gladelug.kernel.Log;
+import gladelug.kernel.circuit.Doors;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.http.HttpServer;
+import io.vertx.mutiny.ext.web.Router;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+public final class StatusDoor implements Kernel.Service {
+    private final Vertx vertx;
+    private final Address address;
+    private final Supplier<String> unready;
+    private final Supplier<Uni<JsonObject>> status;
+    private final Consumer<Router> more;
+    private HttpServer server;
+
+    /** unready gives the reason, or an empty text when this node is ready. */
+    public StatusDoor(Vertx vertx, Address address, Supplier<String> unready, Supplier<Uni<JsonObject>> status, Consumer<Router> more) {
+        this.vertx = vertx;
+        this.address = address;
+        this.unready = unready;
+        this.status = status;
+        this.more = more;
+    }
+
+    @Override public void start(Kernel k) {
+        Router r = Router.router(vertx);
+        r.get("/ready").handler(c -> {
+            String why = unready.get();
+            say(c, why.isEmpty() ? 200 : 503, Json.object().add("ready", why.isEmpty()).add("reason", why));
+        });
+        r.get("/operator/status").handler(c -> status.get().subscribe().with(o -> say(c, 200, o), t -> c.fail(500, t)));
+        more.accept(r);
+        r.errorHandler(500, c -> {
+            Log.thrown("status-door-problem", c.failure(), "path", c.request().path());
+            say(c, 500, Json.object().add("reason", "an internal problem"));
+        });
+        r.errorHandler(404, c -> say(c, 404, Json.object().add("reason", "nothing is here")));
+        server = vertx.createHttpServer(new HttpServerOptions()).requestHandler(r::handle);
+        try {
+            server.listen(address.port(), address.host()).await().atMost(Duration.ofSeconds(10));
+        } catch (RuntimeException e) {
+            throw new Kernel.CannotStart("cannot listen for operators on " + address + ": " + Doors.reason(e), e);
+        }
+    }
+
+    public static void say(RoutingContext c, int status, JsonObject o) {
+        if (c.response().ended() || c.response().closed()) return;
+        c.response().setStatusCode(status).putHeader("Content-Type", "application/json").endAndForget(o + "\n");
+    }
+
+    @Override public void stop() {
+        server.closeAndForget();
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/order/Blocks.java
@@ -0,0 +1,44 @@
+/*
+ * The ids of a prompt's prefix blocks, as the back ends' protocol defines them: a chain of
+ * SHA-256, begun from service, weights and wall, over blocks of so many bytes; an id is the first
+ * 8 bytes of its link. So equal text under other weights or behind another wall has unrelated
+ * ids. Only whole blocks count, and the last byte of a prompt is never part of a reusable block.
+ */
+package gladelug.data.order;
+
+import gladelug.kernel.Digest;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
+public final class Blocks {
+    private Blocks() {}
+
+    public static long[] ids(String service, String weights, String wall, byte[] prompt, int blockBytes) {
+        int n = Math.max(0, prompt.length - 1) / blockBytes;
+        long[] out = new long[n];
+        MessageDigest d = Digest.sha256();
+        byte[] link = d.digest((service + "\n" + weights + "\n" + wall).getBytes(StandardCharsets.UTF_8));
+        for (int i = 0; i < n; i++) {
+            d.update(link);
+            d.update(prompt, i * blockBytes, blockBytes);
+            link = d.digest();
+            out[i] = ByteBuffer.wrap(link).getLong();
+        }
+        return out;
+    }
+
+    static final class Tests {
+        private static long[] of(String w, String wall, String p) {
+            return ids("s", w, wall, p.getBytes(StandardCharsets.UTF_8), 4);
+        }
+
+        @org.junit.jupiter.api.Test void aPrefixIsSharedOnlyUnderTheSameWeightsAndWall() {
+            long[] a = of("w1", "", "aaaabbbbcccc"), b = of("w1", "", "aaaabbbbXccc");
+            org.junit.jupiter.api.Assertions.assertEquals(2, a.length);
+            org.junit.jupiter.api.Assertions.assertArrayEquals(a, b);
+            for (long[] o : new long[][] {of("w2", "", "aaaabbbbcccc"), of("w1", "t", "aaaabbbbcccc")})
+                for (long x : o) for (long y : a) org.junit.jupiter.api.Assertions.assertNotEquals(x, y);
+        }
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/order/Decisions.java
@@ -0,0 +1,71 @@
+/*
+ * The bounded ring of decisions a relay remembers, by the order's number. An older one is
+ * overwritten and then said to be.
+ */
+package gladelug.data.order;
+
+import java.util.concurrent.atomic.AtomicReferenceArray;
+
+public final class Decisions {
+    public sealed interface Found {
+        record Yes(Decision decision) implements Found {}
+
+        record Overwritten() implements Found {}
+
+        record Unknown() implements Found {}
+
+        record OtherRun() implements Found {}
+
+        record Malformed() implements Found {}
+    }
+
+    private final AtomicReferenceArray<Decision> ring;
+    private final String relay;
+    private final String run;
+    private volatile long next;
+
+    public Decisions(int size, String relay, long run) {
+        this.ring = new AtomicReferenceArray<>(size);
+        this.relay = relay;
+        this.run = String.format("%04x", run & 0xffff);
+    }
+
+    /** From the order thread only. */
+    public Decision begin(long came) {
+        long n = next;
+        Decision d = new Decision(relay + "." + run + "." + n, n, came);
+        ring.set((int) (n % ring.length()), d);
+        next = n + 1;
+        return d;
+    }
+
+    public Found find(String id) {
+        String[] ps = id.split("\\.", -1);
+        long n;
+        try {
+            n = ps.length == 3 ? Long.parseLong(ps[2]) : -1;
+        } catch (NumberFormatException e) {
+            n = -1;
+        }
+        if (n < 0 || ps[0].isEmpty() || !ps[1].matches("[0-9a-f]{4}")) return new Found.Malformed();
+        if (!ps[0].equals(relay)) return new Found.Unknown();
+        if (!ps[1].equals(run)) return new Found.OtherRun();
+        if (n >= next) return new Found.Unknown();
+        Decision d = ring.get((int) (n % ring.length()));
+        return d != null && d.nr == n ? new Found.Yes(d) : new Found.Overwritten();
+    }
+
+    static final class Tests {
+        @org.junit.jupiter.api.Test void remembersTheLastAndSaysWhatBecameOfOthers() {
+            Decisions ds = new Decisions(4, "r1", 0xabcdL);
+            for (int i = 0; i < 6; i++) ds.begin(0);
+            org.junit.jupiter.api.Assertions.assertTrue(ds.find("r1.abcd.5") instanceof Found.Yes);
+            org.junit.jupiter.api.Assertions.assertTrue(ds.find("r1.abcd.2") instanceof Found.Yes);
+            org.junit.jupiter.api.Assertions.assertTrue(ds.find("r1.abcd.1") instanceof Found.Overwritten);
+            org.junit.jupiter.api.Assertions.assertTrue(ds.find("r1.abcd.6") instanceof Found.Unknown);
+            org.junit.jupiter.api.Assertions.assertTrue(ds.find("r1.abce.5") instanceof Found.OtherRun);
+            for (String s : new String[] {"", "r1", "r1.abcd.x", "r1.zz.1", "r1.abcd.-1", "a.b.c.d"})
+                org.junit.jupiter.api.Assertions.assertTrue(ds.find(s) instanceof Found.Malformed, s);
+        }
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/order/Verdict.java
@@ -0,0 +1,26 @@
+/*
+ * What a stage says of an order: go on, go back to the choice, it is ended here, or turn it away.
+ */
+package gladelug.data.order;
+
+public sealed interface Verdict {
+    record Go() implements Verdict {}
+
+    /** To the choice of a replica once more; why goes into the decision. */
+    record Again(String why) implements Verdict {}
+
+    record Ended() implements Verdict {}
+
+    /** outcome is not-run or unknown; retryMs 0 is no advice. */
+    record TurnAway(int status, String outcome, String reason, long retryMs) implements Verdict {}
+
+    Verdict GO = new Go(), ENDED = new Ended();
+
+    static Verdict notRun(int status, String reason, long retryMs) {
+        return new TurnAway(status, "not-run", reason, retryMs);
+    }
+
+    static Verdict unknown(int status, String reason) {
+        return new TurnAway(status, "unknown", reason, 0);
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/order/Way.java
@@ -0,0 +1,62 @@
+/*
+ * Leads an order through the stages in turn until one ends it or turns it away. A stage may send
+ * it back to the choice; that it does so no more than a few times is seen to here.
+ */
+package gladelug.data.order;
+
+import com.eclipsesource.json.Json;
+import gladelug.kernel.Clock;
+import gladelug.kernel.Log;
+import java.util.List;
+import java.util.function.Consumer;
+
+public final class Way {
+    private static final int CHOICES = 6;
+    private final List<Stage> stages;
+    private final int choice;
+    private final Clock clock;
+    private final Consumer<Order> ended;
+
+    public Way(List<Stage> stages, String choiceStage, Clock clock, Consumer<Order> ended) {
+        this.stages = List.copyOf(stages);
+        int c = 0;
+        for (int i = 0; i < stages.size(); i++) if (stages.get(i).name().equals(choiceStage)) c = i;
+        this.choice = c;
+        this.clock = clock;
+        this.ended = ended;
+    }
+
+    public void go(Order o) {
+        step(o, 0);
+    }
+
+    private void step(Order o, int i) {
+        Stage s = stages.get(i);
+        s.pass(o).subscribe().with(v -> next(o, i, v), t -> {
+            Log.thrown("stage-problem", t, "stage", s.name(), "order", o.id());
+            boolean handed = o.state.at() != State.At.WAITING;
+            next(o, i, handed ? Verdict.unknown(502, "an internal problem") : Verdict.notRun(503, "an internal problem", 1000));
+        });
+    }
+
+    private void next(Order o, int i, Verdict v) {
+        if (v instanceof Verdict.Go) step(o, i + 1);
+        else if (v instanceof Verdict.Again a) {
+            o.decision.add("again", clock.now(), Json.object().add("why", a.why()));
+            if (++o.choices > CHOICES) turnAway(o, (Verdict.TurnAway) Verdict.notRun(503, "no replica took it", 500));
+            else step(o, choice);
+        } else if (v instanceof Verdict.TurnAway t) turnAway(o, t);
+        else ended.accept(o);
+    }
+
+    private void turnAway(Order o, Verdict.TurnAway t) {
+        if (!o.state.end()) {
+            ended.accept(o);
+            return;
+        }
+        o.decision.add("turned-away", clock.now(), Json.object().add("status", t.status()).add("reason", t.reason()));
+        o.decision.outcome(t.outcome());
+        if (!o.gone) o.caller.turnAway(o, t);
+        ended.accept(o);
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -0,0 +1,51 @@
+/*
+ * One replica as a relay sees it: what the platform lists, what it last told of itself, and what
+ * this relay has handed it since. Touched by the order thread alone.
+ */
+package gladelug.data.relay;
+
+import gladelug.kernel.policy.Replicas.Replica;
+import java.util.HashMap;
+import java.util.Map;
+
+public final class Backend {
+    public Replica replica;
+    public boolean known;
+    public String weights = "";
+    public int slots = 1;
+    public int blockBytes = 256;
+    public double msPerBlock = 1;
+    public double waitMs;
+    public int reported;
+    public int mine;
+    public int mineAtReport;
+    public double addedMs;
+    public long reportedAt = Long.MIN_VALUE / 2;
+    public long badUntil = Long.MIN_VALUE / 2;
+    public Map<String, Double> links = new HashMap<>();
+
+    public Backend(Replica r) {
+        this.replica = r;
+    }
+
+    /** Orders it has, by its last report and what this relay did since. */
+    public int load() {
+        return mine + Math.max(0, reported - mineAtReport);
+    }
+
+    public int free() {
+        return Math.max(0, slots + 1 - load());
+    }
+
+    public boolean usable(long now) {
+        return known && now >= badUntil && now - reportedAt < 2000;
+    }
+
+    public double backlogMs(long now) {
+        return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
+    }
+
+    public void bad(long now, long ms) {
+        badUntil = Math.max(badUntil, now + ms);
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/Backends.java
@@ -0,0 +1,119 @@
+/*
+ * The back ends of this relay's snapshot, and what they tell of themselves: each is asked for its
+ * identity and occupancy a few times a second. Only services the policy lists at addresses it
+ * allows are ever called, this asking included. Lives on the order thread.
+ */
+package gladelug.data.relay;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import gladelug.data.news.Tables;
+import gladelug.kernel.Clock;
+import gladelug.kernel.Log;
+import gladelug.kernel.policy.Policy;
+import gladelug.kernel.policy.Replicas.Replica;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.ext.web.client.WebClient;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+public final class Backends {
+    private static final long PERIOD = 250;
+    private final Clock clock;
+    private final WebClient web;
+    private final Runnable changed;
+    private final Map<String, Backend> all = new HashMap<>();
+    private Map<String, List<Backend>> byService = Map.of();
+
+    public Backends(Vertx vertx, Clock clock, Runnable changed) {
+        this.clock = clock;
+        this.changed = changed;
+        this.web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(500).setFollowRedirects(false).setMaxPoolSize(2).setKeepAlive(true));
+        vertx.setPeriodic(PERIOD, i -> {
+            for (Backend b : all.values()) ask(b);
+        });
+    }
+
+    public void tables(Tables t) {
+        Set<String> listed = new HashSet<>();
+        Map<String, List<Backend>> by = new HashMap<>();
+        for (Replica r : t.replicas().all) {
+            Policy.Service s = t.policy().service(r.service());
+            if (s == null || s.kind() == Policy.Kind.STORE || !s.allows(r.address())) continue;
+            listed.add(r.instance());
+            Backend b = all.get(r.instance());
+            if (b == null || !b.replica.address().equals(r.address()) || !b.replica.service().equals(r.service())) {
+                all.put(r.instance(), b = new Backend(r));
+                ask(b);
+            }
+            b.replica = r;
+            if (r.ready()) by.computeIfAbsent(r.service(), x -> new ArrayList<>()).add(b);
+        }
+        all.keySet().retainAll(listed);
+        byService = by;
+        changed.run();
+    }
+
+    public List<Backend> of(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** Places free at replicas running any of these weights. */
+    public int free(String service, String now, String before) {
+        long t = clock.now();
+        int n = 0;
+        for (Backend b : of(service))
+            if (b.usable(t) && (now.isEmpty() || b.weights.equals(now) || b.weights.equals(before))) n += b.free();
+        return n;
+    }
+
+    private void ask(Backend b) {
+        int mine = b.mine;
+        web.get(b.replica.address().port(), b.replica.address().host(), "/occupancy").timeout(1000).send().subscribe().with(r -> {
+            if (all.get(b.replica.instance()) != b) return;
+            try {
+                io.vertx.core.json.JsonObject o = r.bodyAsJsonObject();
+                if (r.statusCode() != 200 || !b.replica.instance().equals(o.getString("instance")) || !b.replica.service().equals(o.getString("service"))) {
+                    b.known = false;
+                    return;
+                }
+                b.weights = o.getString("weights", "");
+                b.slots = within(o.getInteger("slots", 1), 1, 4096);
+                b.blockBytes = within(o.getInteger("blockBytes", 256), 16, 65536);
+                b.msPerBlock = Math.max(0.001, Math.min(10_000, o.getDouble("msPerBlock", 1.0)));
+                b.waitMs = Math.max(0, Math.min(600_000, o.getDouble("waitMs", 0.0)));
+                b.reported = within(o.getInteger("running", 0) + o.getInteger("waiting", 0), 0, 100_000);
+                b.mineAtReport = mine;
+                b.addedMs = 0;
+                Map<String, Double> l = new HashMap<>();
+                io.vertx.core.json.JsonObject links = o.getJsonObject("links");
+                if (links != null) for (String k : links.fieldNames()) l.put(k, Math.max(0.001, links.getDouble(k)));
+                b.links = l;
+                b.known = true;
+                b.reportedAt = clock.now();
+                changed.run();
+            } catch (RuntimeException e) {
+                b.known = false;
+                Log.fine("occupancy-malformed", "instance", b.replica.instance());
+            }
+        }, t -> Log.fine("occupancy-silent", "instance", b.replica.instance(), "what", t.toString()));
+    }
+
+    private static int within(int v, int lo, int hi) {
+        return Math.max(lo, Math.min(hi, v));
+    }
+
+    public JsonObject json() {
+        long t = clock.now();
+        JsonObject o = Json.object();
+        for (Backend b : all.values())
+            o.add(b.replica.instance(), Json.object().add("service", b.replica.service()).add("weights", b.weights).add("ready", b.replica.ready())
+                .add("usable", b.usable(t)).add("mine", b.mine).add("load", b.load()).add("slots", b.slots).add("toldMsAgo", Math.min(1 << 30, t - b.reportedAt)));
+        return o;
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/HandOver.java
@@ -0,0 +1,312 @@
+/*
+ * The last stage: the order goes to its replica, once, and the answer's pieces come back. The
+ * circuit is checked to be that very replica's before it carries anything; licence, key, mapping,
+ * replica and weights are looked at again in the same breath in which the order leaves. From then
+ * on only the replica's own "not run" makes it not run; anything else before the first piece is
+ * unknown. Pieces are numbered and checked, the end is explicit, and a replica's bytes after it go
+ * nowhere.
+ */
+package gladelug.data.relay;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import gladelug.data.news.Tables;
+import gladelug.data.order.Order;
+import gladelug.data.order.Stage;
+import gladelug.data.order.State;
+import gladelug.data.order.Verdict;
+import gladelug.kernel.Log;
+import gladelug.kernel.policy.Policy;
+import gladelug.kernel.policy.Replicas;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.parsetools.RecordParser;
+import io.vertx.mutiny.core.Vertx;
+import java.util.Map;
+import java.util.WeakHashMap;
+
+public final class HandOver implements Stage {
+    private static final int CHECKS = 4;
+    private final Relay r;
+    private final HttpClient http;
+    private final Map<HttpConnection, String> checked = new WeakHashMap<>();
+
+    public HandOver(Relay r, Vertx vertx) {
+        this.r = r;
+        this.http = vertx.getDelegate().createHttpClient(new HttpClientOptions().setConnectTimeout(500).setKeepAlive(true).setKeepAliveTimeout(20)
+            .setPipelining(false).setMaxPoolSize(256).setMaxWaitQueueSize(64).setDecompressionSupported(false).setMaxRedirects(0));
+    }
+
+    @Override public String name() {
+        return "hand-over";
+    }
+
+    @Override public Uni<Verdict> pass(Order o) {
+        return Uni.createFrom().emitter(e -> circuit(o, o.backend, CHECKS, e));
+    }
+
+    private RequestOptions to(Backend b, HttpMethod m, String uri) {
+        return new RequestOptions().setMethod(m).setHost(b.replica.address().host()).setPort(b.replica.address().port()).setURI(uri).setFollowRedirects(false);
+    }
+
+    private void circuit(Order o, Backend b, int checks, UniEmitter<? super Verdict> e) {
+        http.request(to(b, HttpMethod.POST, "/orders")).onComplete(a -> {
+            if (a.failed()) {
+                b.bad(r.clock.now(), 1000);
+                e.complete(new Verdict.Again("no circuit to " + b.replica.instance()));
+                return;
+            }
+            HttpClientRequest q = a.result();
+            String is = checked.get(q.connection());
+            if (who(b).equals(is)) hand(o, b, q, e);
+            else if (checks == 0) {
+                q.reset();
+                e.complete(new Verdict.Again("circuits to " + b.replica.instance() + " could not be checked"));
+            } else check(o, b, q, checks, e);
+        });
+    }
+
+    private static String who(Backend b) {
+        return b.replica.service() + "/" + b.replica.instance();
+    }
+
+    /** The first use of a new circuit asks who is there; only the right answer lets orders on it. */
+    private void check(Order o, Backend b, HttpClientRequest q, int checks, UniEmitter<? super Verdict> e) {
+        HttpConnection c = q.connection();
+        q.setMethod(HttpMethod.GET).setURI("/identity");
+        q.setTimeout(1000);
+        q.send().compose(p -> p.statusCode() == 200 ? p.body() : io.vertx.core.Future.failedFuture("status " + p.statusCode())).onComplete(a -> {
+            String is = "";
+            if (a.succeeded()) {
+                try {
+                    io.vertx.core.json.JsonObject j = a.result().toJsonObject();
+                    is = j.getString("service") + "/" + j.getString("instance");
+                } catch (RuntimeException x) {
+                    is = "";
+                }
+            }
+            if (is.equals(who(b))) {
+                checked.put(c, is);
+                circuit(o, b, checks - 1, e);
+                return;
+            }
+            c.close();
+            b.bad(r.clock.now(), 2000);
+            Log.warn("circuit-to-another", "wanted", who(b), "found", a.succeeded() ? is : a.cause().toString(), "address", b.replica.address());
+            e.complete(new Verdict.Again("the address of " + b.replica.instance() + " is not that replica's"));
+        });
+    }
+
+    /** Everything that may have changed since it was looked at first; empty where all still holds. */
+    private Verdict last(Order o, Backend b) {
+        long now = r.clock.now();
+        if (r.stopping && o.tries > 0) return Verdict.notRun(503, "stopping", 1000);
+        if (!r.news.licences.valid(now)) return Verdict.notRun(503, "no licence", 1000);
+        if (now >= o.expiry) return Verdict.notRun(503, "expired before it was handed over", 1000);
+        Tables t = r.tables();
+        Policy.Tenant n = t.policy().tenantOfHash(o.keyHash);
+        if (n == null || !n.name().equals(o.tenant.name())) return Verdict.notRun(401, "key revoked", 0);
+        if (n.isolated() != o.tenant.isolated()) return Verdict.notRun(503, "the tenant's isolation changed", 200);
+        Policy.Mapping m = t.policy().mapping(o.path);
+        Policy.Service s = t.policy().service(o.service.name());
+        if (m == null || s == null || m.service() != s.index()) return Verdict.notRun(503, "the mapping changed", 200);
+        Replicas.Replica p = t.replicas().find(b.replica.instance());
+        if (p == null || !p.ready() || !p.address().equals(b.replica.address()) || !p.service().equals(s.name()) || !s.allows(p.address()))
+            return new Verdict.Again(b.replica.instance() + " is not ready any more");
+        if (s.kind() == Policy.Kind.MODEL) {
+            String[] w = r.weights(s.name());
+            if (w == null || !o.weights.equals(w[0]) && (w[1].isEmpty() || !o.weights.equals(w[1]))) return new Verdict.Again("other weights are named");
+        }
+        return null;
+    }
+
+    private void hand(Order o, Backend b, HttpClientRequest q, UniEmitter<? super Verdict> e) {
+        Verdict v = last(o, b);
+        if (v != null || o.gone || !o.state.step(State.At.WAITING, State.At.HANDED)) {
+            q.reset();
+            if (o.gone) {
+                o.decision.outcome("caller-gone");
+                e.complete(Verdict.ENDED);
+            } else e.complete(v == null ? Verdict.ENDED : v);
+            return;
+        }
+        o.tries++;
+        if (o.tries == 1) r.budget.firstTry(o.service.name());
+        o.decision.add("hand-over", r.clock.now(), Json.object().add("replica", b.replica.instance()).add("try", o.tries));
+        o.cancel = q::reset;
+        q.putHeader("Content-Type", "application/json");
+        q.send(body(o, b)).onComplete(a -> {
+            if (a.failed()) problem(o, b, "the circuit to " + b.replica.instance() + " broke", e);
+            else answer(o, b, q, a.result(), e);
+        });
+    }
+
+    private Buffer body(Order o, Backend b) {
+        JsonObject j = Json.object().add("order", o.id()).add("try", o.tries).add("service", o.service.name()).add("instance", b.replica.instance())
+            .add("weights", o.weights).add("wall", o.wall).add("prompt", o.prompt).add("maxPieces", o.maxPieces);
+        if (o.fetchBlocks > 0) {
+            JsonArray bs = new JsonArray();
+            for (int i = o.matched; i < o.matched + o.fetchBlocks; i++) bs.add(String.format("%016x", o.blocks[i]));
+            Replicas.Replica h = r.tables().replicas().find(o.fetchFrom);
+            if (h != null) j.add("fetch", Json.object().add("from", o.fetchFrom).add("address", h.address().toString()).add("blocks", bs));
+        }
+        return Buffer.buffer(j.toString());
+    }
+
+    /** Before the first piece went out: once more where that is allowed, else of unknown fate. */
+    private void problem(Order o, Backend b, String what, UniEmitter<? super Verdict> e) {
+        if (o.state.at() == State.At.ENDED) {
+            e.complete(Verdict.ENDED);
+            return;
+        }
+        if (o.state.at() == State.At.STREAMING) {
+            b.bad(r.clock.now(), 300);
+            r.cutOff(o, what);
+            e.complete(Verdict.ENDED);
+            return;
+        }
+        b.bad(r.clock.now(), 1000);
+        o.cancel.run();
+        if (o.repeatable && again(o)) e.complete(new Verdict.Again(what));
+        else e.complete(Verdict.unknown(502, what));
+    }
+
+    private boolean again(Order o) {
+        if (r.clock.now() >= o.expiry || r.stopping || !r.budget.secondTry(o.service.name())) return false;
+        return o.state.step(State.At.HANDED, State.At.WAITING);
+    }
+
+    private void answer(Order o, Backend b, HttpClientRequest q, HttpClientResponse p, UniEmitter<? super Verdict> e) {
+        if (p.statusCode() == 409) {
+            p.body().onComplete(a -> {
+                String why = "";
+                try {
+                    io.vertx.core.json.JsonObject j = a.result().toJsonObject();
+                    if (o.id().equals(j.getString("order")) && "not-run".equals(j.getString("outcome"))) why = j.getString("reason", "none given");
+                } catch (RuntimeException x) {
+                    why = "";
+                }
+                if (why.isEmpty()) problem(o, b, b.replica.instance() + " answered 409 without saying not-run of this order", e);
+                else if (o.state.at() != State.At.HANDED) e.complete(Verdict.ENDED);
+                else if (again(o)) {
+                    if (why.startsWith("weights")) b.weights = "";
+                    b.bad(r.clock.now(), 100);
+                    e.complete(new Verdict.Again(b.replica.instance() + " did not run it: " + why));
+                } else e.complete(Verdict.notRun(503, "the replica did not run it: " + why, 1000));
+            });
+            return;
+        }
+        if (p.statusCode() != 200) {
+            q.reset();
+            problem(o, b, b.replica.instance() + " answered " + p.statusCode(), e);
+            return;
+        }
+        new Stream(o, b, q, p, e).begin();
+    }
+
+    private final class Stream {
+        private final Order o;
+        private final Backend b;
+        private final HttpClientRequest q;
+        private final HttpClientResponse p;
+        private final UniEmitter<? super Verdict> e;
+        private boolean head;
+        private boolean over;
+
+        Stream(Order o, Backend b, HttpClientRequest q, HttpClientResponse p, UniEmitter<? super Verdict> e) {
+            this.o = o;
+            this.b = b;
+            this.q = q;
+            this.p = p;
+            this.e = e;
+        }
+
+        void begin() {
+            RecordParser lines = RecordParser.newDelimited("\n", this::line);
+            lines.maxRecordSize(1 << 20);
+            lines.exceptionHandler(t -> broken("an endless piece"));
+            p.handler(x -> {
+                if (!over) lines.handle(x);
+                else q.reset();
+            });
+            p.exceptionHandler(t -> broken("the answer broke off"));
+            p.endHandler(v -> broken("the answer ended without saying so"));
+        }
+
+        private void broken(String what) {
+            if (over) return;
+            over = true;
+            q.reset();
+            problem(o, b, b.replica.instance() + ": " + what, e);
+        }
+
+        private void line(Buffer x) {
+            if (over) return;
+            JsonObject j;
+            try {
+                j = Json.parse(x.toString()).asObject();
+            } catch (RuntimeException t) {
+                broken("a line that is no piece");
+                return;
+            }
+            if (o.state.at() == State.At.ENDED) {
+                over = true;
+                q.reset();
+                e.complete(Verdict.ENDED);
+                return;
+            }
+            if (!head) {
+                if (!o.id().equals(j.getString("order", "")) || !b.replica.instance().equals(j.getString("instance", ""))
+                    || !o.weights.equals(j.getString("weights", ""))) {
+                    broken("the answer is not to this order, from this replica, under these weights");
+                    return;
+                }
+                head = true;
+                JsonValue u = j.get("used");
+                if (u != null && u.isObject()) o.decision.add("replica", r.clock.now(), (JsonObject) u);
+                return;
+            }
+            if (j.getBoolean("end", false)) end(j);
+            else piece(j);
+        }
+
+        private void piece(JsonObject j) {
+            JsonValue n = j.get("piece"), t = j.get("text");
+            if (n == null || !n.isNumber() || t == null || !t.isString() || !n.toString().equals(Integer.toString(o.piecesOut))) {
+                broken("piece " + n + " where " + o.piecesOut + " was due");
+                return;
+            }
+            if (o.piecesOut == 0) {
+                if (!o.state.step(State.At.HANDED, State.At.STREAMING)) return;
+                o.decision.add("stream", r.clock.now(), Json.object().add("firstPieceMs", r.clock.now() - o.came));
+            }
+            o.piecesOut++;
+            if (!o.caller.piece(o, Json.object().add("piece", n).add("text", t).toString(), p::resume)) p.pause();
+        }
+
+        private void end(JsonObject j) {
+            JsonValue n = j.get("pieces");
+            if (n == null || !n.isNumber() || !n.toString().equals(Integer.toString(o.piecesOut))) {
+                broken("the end speaks of " + n + " pieces after " + o.piecesOut);
+                return;
+            }
+            over = true;
+            o.cancel = () -> {};
+            if (o.state.end()) {
+                o.decision.outcome("complete");
+                if (!o.gone) o.caller.complete(o, o.piecesOut);
+            }
+            e.complete(Verdict.ENDED);
+        }
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -0,0 +1,102 @@
+/*
+ * Asks an index process where a prompt's blocks are: this machine's own, else one of the same
+ * domain, else any the view knows. An answer later than a few milliseconds is no answer; the order
+ * goes on without a hint. Lives on the order thread.
+ */
+package gladelug.data.relay;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.circuit.Held;
+import gladelug.kernel.message.Hello;
+import gladelug.kernel.message.Lookup;
+import gladelug.kernel.message.Shuffle;
+import gladelug.kernel.message.Wire;
+import gladelug.kernel.view.ViewService;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Context;
+import io.vertx.mutiny.core.Vertx;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+public final class LookupClient {
+    public record Found(String how, List<Lookup.Match> matches) {}
+
+    private static final long WAIT = 8;
+    private final Vertx vertx;
+    private final Context context;
+    private final Doors doors;
+    private final ViewService views;
+    private final String domain;
+    private final Address own;
+    private final Map<Address, Held> held = new HashMap<>();
+    private final Map<Address, Integer> late = new HashMap<>();
+    private final Map<Long, Consumer<Found>> asked = new HashMap<>();
+    private List<Address> order = new ArrayList<>();
+    private long nr;
+
+    /** own may be null: no index on this machine. */
+    public LookupClient(Vertx vertx, Context context, Doors doors, ViewService views, String domain, Address own) {
+        this.vertx = vertx;
+        this.context = context;
+        this.doors = doors;
+        this.views = views;
+        this.domain = domain;
+        this.own = own;
+        vertx.setPeriodic(500, i -> look());
+        look();
+    }
+
+    private void look() {
+        List<Address> l = new ArrayList<>();
+        if (own != null) l.add(own);
+        views.all().stream().filter(d -> d.role().equals("index"))
+            .sorted(Comparator.comparing((Shuffle.Descriptor d) -> !d.domain().equals(domain)).thenComparing(Shuffle.Descriptor::name))
+            .map(d -> Address.of(d.records())).filter(a -> !l.contains(a)).forEach(l::add);
+        order = l;
+        held.entrySet().removeIf(e -> {
+            if (l.contains(e.getKey())) return false;
+            e.getValue().letGo();
+            return true;
+        });
+        for (Address a : l)
+            held.computeIfAbsent(a, x -> new Held(vertx, doors, x, Hello.LOOKUP, (h, r) -> {
+                if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer s)) throw new java.io.IOException("a question where an answer was due");
+                context.runOnContext(() -> {
+                    late.remove(x);
+                    Consumer<Found> c = asked.remove(s.nr());
+                    if (c != null) c.accept(new Found(s.warm() ? "answered" : "warming", s.matches()));
+                });
+            }, h -> {}));
+        late.replaceAll((a, n) -> n - 1);
+        late.values().removeIf(n -> n <= 0);
+    }
+
+    public Uni<Found> ask(long[] blocks) {
+        if (blocks.length == 0) return Uni.createFrom().item(new Found("no-block", List.of()));
+        return Uni.createFrom().emitter(e -> {
+            long n = ++nr;
+            for (Address a : order) {
+                Held h = held.get(a);
+                if (h == null || !h.open() || late.getOrDefault(a, 0) > 3) continue;
+                asked.put(n, e::complete);
+                if (!h.send(new Lookup.Question(n, blocks))) {
+                    asked.remove(n);
+                    continue;
+                }
+                vertx.setTimer(WAIT, i -> {
+                    Consumer<Found> c = asked.remove(n);
+                    if (c == null) return;
+                    late.merge(a, 2, Integer::sum);
+                    c.accept(new Found("late", List.of()));
+                });
+                return;
+            }
+            e.complete(new Found("no-index", List.of()));
+        });
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -0,0 +1,210 @@
+/*
+ * What the stages of one relay share: snapshot and licences, back ends, backlogs, budget, the
+ * orders under way. All on the order thread, one event loop; what other threads bring (a new
+ * snapshot, a lookup's answer) is handed over to it.
+ */
+package gladelug.data.relay;
+
+import gladelug.data.news.NewsService;
+import gladelug.data.news.Tables;
+import gladelug.data.order.Order;
+import gladelug.data.order.State;
+import gladelug.data.order.Verdict;
+import gladelug.kernel.Clock;
+import gladelug.kernel.Log;
+import gladelug.kernel.message.Keys;
+import gladelug.kernel.policy.Policy;
+import gladelug.kernel.policy.Weights;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+public final class Relay {
+    /** How long after its licence for policies or replicas ran out a relay lets streams go on; then it can't know that a key still holds. */
+    public static final long GRACE = 2000;
+
+    public final Clock clock;
+    public final NewsService news;
+    public final Backends backends;
+    public final Budget budget = new Budget();
+    public final String domain;
+    private final int backlogMost;
+    private final Map<String, Backlog> backlogs = new HashMap<>();
+    private final Map<String, Integer> admitted = new HashMap<>();
+    private final Map<Long, Order> live = new LinkedHashMap<>();
+    private final Map<String, double[]> served = new HashMap<>();
+    private Tables shaped = Tables.NONE;
+    private boolean pumping;
+    private boolean pumpAgain;
+    public boolean stopping;
+
+    public Relay(Clock clock, NewsService news, java.util.function.Function<Relay, Backends> backends, String domain, int backlogMost) {
+        this.clock = clock;
+        this.news = news;
+        this.domain = domain;
+        this.backlogMost = backlogMost;
+        this.backends = backends.apply(this);
+    }
+
+    public Tables tables() {
+        return news.tables();
+    }
+
+    /** Empty where orders may start now, else the reason why not. */
+    public String unready() {
+        Tables t = tables();
+        if (stopping) return "stopping";
+        if (t.policyNumber() == 0) return "no policy yet";
+        if (t.replicasNumber() == 0) return "no list of replicas yet";
+        if (!news.licences.valid(clock.now())) return "no licence";
+        return "";
+    }
+
+    /** The weights an order may run on now: the newest, and until the cutoff those before. */
+    public String[] weights(String service) {
+        Weights.Named n = tables().weights().of(service);
+        if (n == null) return null;
+        return new String[] {n.now(), clock.now() < news.licences.cutoffAt() ? n.before() : ""};
+    }
+
+    public Backlog backlog(String service) {
+        return backlogs.computeIfAbsent(service, s -> {
+            Backlog b = new Backlog(backlogMost);
+            b.shape(tables().policy());
+            return b;
+        });
+    }
+
+    public void begin(Order o) {
+        live.put(o.decision.nr, o);
+    }
+
+    public List<Order> live() {
+        return new ArrayList<>(live.values());
+    }
+
+    /** The order's end: its place is free. */
+    public void ended(Order o) {
+        if (live.remove(o.decision.nr) == null) return;
+        o.state.end();
+        if (o.admitted) {
+            o.admitted = false;
+            backlog(o.service.name()).release(o);
+            if (o.backend == null) admitted.merge(o.service.name(), -1, Integer::sum);
+            double[] s = served.computeIfAbsent(o.service.name(), x -> new double[] {500});
+            if (o.decision.outcome().equals("complete")) s[0] += (clock.now() - o.came - s[0]) / 20;
+        }
+        drop(o);
+        pump();
+        Log.event("order-ended", "order", o.id(), "tenant", o.tenant == null ? "-" : o.tenant.name(), "mapping", o.mapping == null ? "-" : o.mapping.name(),
+            "outcome", o.decision.outcome(), "tries", o.tries, "pieces", o.piecesOut, "ms", clock.now() - o.came);
+    }
+
+    /** The order holds no replica any more. */
+    public void drop(Order o) {
+        if (o.backend == null) return;
+        o.backend.mine = Math.max(0, o.backend.mine - 1);
+        o.backend = null;
+        if (o.admitted) admitted.merge(o.service.name(), 1, Integer::sum);
+    }
+
+    public void choose(Order o, Backend b, double ms) {
+        drop(o);
+        o.backend = b;
+        b.mine++;
+        b.addedMs += ms;
+        admitted.merge(o.service.name(), -1, Integer::sum);
+    }
+
+    public int free(String service) {
+        Policy.Service s = tables().policy().service(service);
+        String[] w = s != null && s.kind() == Policy.Kind.APPLICATION ? new String[] {"", ""} : weights(service);
+        return w == null ? 0 : backends.free(service, w[0], w[1]) - admitted.getOrDefault(service, 0);
+    }
+
+    /** How long an order that joins the backlog now would wait for a place. */
+    public double waitMs(String service) {
+        int slots = 0;
+        for (Backend b : backends.of(service)) if (b.usable(clock.now())) slots += b.slots;
+        double[] s = served.get(service);
+        return slots == 0 ? 0 : backlog(service).size() * (s == null ? 500 : s[0]) / slots;
+    }
+
+    /** Gives free places to those that wait, as the share tree says. */
+    public void pump() {
+        if (pumping) {
+            pumpAgain = true;
+            return;
+        }
+        pumping = true;
+        do {
+            pumpAgain = false;
+            for (Map.Entry<String, Backlog> e : new ArrayList<>(backlogs.entrySet())) {
+                while (free(e.getKey()) > 0) {
+                    Order o = e.getValue().next();
+                    if (o == null) break;
+                    o.admitted = true;
+                    admitted.merge(e.getKey(), 1, Integer::sum);
+                    o.leaveBacklog.accept(Verdict.GO);
+                }
+            }
+        } while (pumpAgain);
+        pumping = false;
+    }
+
+    /** A new snapshot: back ends, shares, and what it forbids of orders under way. */
+    public void tables(Tables t) {
+        backends.tables(t);
+        if (t.policyNumber() != shaped.policyNumber()) {
+            for (Backlog b : backlogs.values()) b.shape(t.policy());
+            for (Order o : live()) {
+                if (o.tenant == null) continue;
+                Policy.Tenant n = t.policy().tenantOfHash(o.keyHash);
+                if (n == null || !n.name().equals(o.tenant.name())) stop(o, "key revoked", 401);
+            }
+        }
+        shaped = t;
+        pump();
+    }
+
+    /** Ends an order wherever it is: turned away from the backlog, or cut off at the replica. */
+    public void stop(Order o, String why, int status) {
+        State.At at = o.state.at();
+        if (at == State.At.WAITING && !o.admitted && o.leaveBacklog != null) {
+            for (Order x : backlog(o.service.name()).leave(y -> y == o)) x.leaveBacklog.accept(Verdict.notRun(status, why, status == 401 ? 0 : 1000));
+        } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, why);
+        // an admitted order still waiting meets the same check at the hand-over
+    }
+
+    public void cutOff(Order o, String why) {
+        boolean streaming = o.state.at() == State.At.STREAMING;
+        if (!o.state.end()) return;
+        o.cancel.run();
+        o.decision.add("cut-off", clock.now(), com.eclipsesource.json.Json.object().add("why", why).add("pieces", o.piecesOut));
+        o.decision.outcome(streaming ? "cut-off" : "unknown");
+        if (!o.gone) {
+            if (streaming) o.caller.cutOff(o, why);
+            else o.caller.turnAway(o, (Verdict.TurnAway) Verdict.unknown(o.expiry <= clock.now() ? 504 : 502, why));
+        }
+        ended(o);
+    }
+
+    /** Called a few times a second: expiries, and streams whose right to go on can't be known any more. */
+    public void tick() {
+        long now = clock.now();
+        for (Order o : live()) {
+            if (o.expiry > 0 && now >= o.expiry) {
+                State.At at = o.state.at();
+                if (at == State.At.WAITING && !o.admitted && o.leaveBacklog != null) {
+                    for (Order x : backlog(o.service.name()).leave(y -> y == o))
+                        x.leaveBacklog.accept(Verdict.notRun(503, "expired in the backlog", 1000));
+                } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, "expired");
+            }
+        }
+        if (now - news.licences.until(Keys.POLICY) > GRACE)
+            for (Order o : live()) if (o.tenant != null) stop(o, "no licence for so long that keys can't be known", 503);
+        pump();
+    }
+}
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -0,0 +1,216 @@
+/*
+ * The stages of an order's way before it is handed over, in order: key, mapping, admission,
+ * prefix lookup, choice of replica, fetch plan. Each is small; the hand-over with its stream has a
+ * file of its own.
+ */
+package gladelug.data.relay;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import gladelug.data.news.Tables;
+import gladelug.data.order.Blocks;
+import gladelug.data.order.Order;
+import gladelug.data.order.Stage;
+import gladelug.data.order.Verdict;
+import gladelug.kernel.message.Lookup;
+import gladelug.kernel.policy.Policy;
+import io.smallrye.mutiny.Uni;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+public final class Stages {
+    public static final double OTHER_DOMAIN_MS = 2;
+
+    private Stages() {}
+
+    /** Who calls: by the key's hash; the key itself went no further than the door. */
+    public record Key(Relay r) implements Stage.AtOnce {
+        @Override public String name() {
+            return "key";
+        }
+
+        @Override public Verdict decide(Order o) {
+            String why = r.unready();
+            if (!why.isEmpty()) return Verdict.notRun(503, why, 1000);
+            Tables t = r.tables();
+            o.tenant = t.policy().tenantOfHash(o.keyHash);
+            if (o.tenant == null) return Verdict.notRun(401, "the key is not known", 0);
+            o.wall = o.tenant.isolated() ? o.tenant.name() : "";
+            o.decision.add("key", r.clock.now(), Json.object().add("tenant", o.tenant.name()).add("isolated", o.tenant.isolated()).add("policy", t.policyNumber()));
+            return Verdict.GO;
+        }
+    }
+
+    /** Which service: by the path. */
+    public record Mapping(Relay r) implements Stage.AtOnce {
+        @Override public String name() {
+            return "mapping";
+        }
+
+        @Override public Verdict decide(Order o) {
+            Tables t = r.tables();
+            o.mapping = t.policy().mapping(o.path);
+            if (o.mapping == null) return Verdict.notRun(404, "no mapping for this path", 0);
+            o.service = t.policy().services.get(o.mapping.service());
+            o.leaf = Policy.leaf(o.tenant, o.mapping);
+            o.repeatable = o.askedRepeatable == null ? o.mapping.repeatable() : o.askedRepeatable;
+            o.expiry = o.came + o.mapping.expiryMs();
+            o.decision.add("mapping", r.clock.now(), Json.object().add("mapping", o.mapping.name()).add("service", o.service.name())
+                .add("share", o.leaf).add("expiryMs", o.mapping.expiryMs()).add("repeatable", o.repeatable));
+            return Verdict.GO;
+        }
+    }
+
+    /** When: a place at once, or the backlog by the share tree, or turned away at once where waiting can't help. */
+    public record Admission(Relay r) implements Stage {
+        @Override public String name() {
+            return "admission";
+        }
+
+        @Override public Uni<Verdict> pass(Order o) {
+            if (o.service.kind() == Policy.Kind.MODEL && r.weights(o.service.name()) == null)
+                return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
+            if (r.backends.of(o.service.name()).isEmpty())
+                return Uni.createFrom().item(Verdict.notRun(503, "no replica of " + o.service.name() + " is listed as ready", 1000));
+            Backlog b = r.backlog(o.service.name());
+            double wait = r.waitMs(o.service.name());
+            long now = r.clock.now();
+            if (b.size() > 0 && now + wait > o.expiry)
+                return Uni.createFrom().item(Verdict.notRun(503, "the backlog is longer than the order may wait", (long) Math.min(10_000, wait)));
+            return Uni.createFrom().emitter(e -> {
+                o.leaveBacklog = v -> {
+                    o.leaveBacklog = null;
+                    JsonObject j = Json.object().add("waitedMs", r.clock.now() - now).add("backlogThen", b.size());
+                    o.decision.add("admission", r.clock.now(), j);
+                    e.complete(v);
+                };
+                if (!b.enter(o)) {
+                    o.leaveBacklog = null;
+                    e.complete(Verdict.notRun(503, "the backlog is full", (long) Math.max(500, Math.min(10_000, wait))));
+                } else r.pump();
+            });
+        }
+    }
+
+    /** Where the prompt's prefix already is: a hint from the Cuckoo Summary, for milliseconds only. */
+    public record Prefix(Relay r, LookupClient lookups) implements Stage {
+        @Override public String name() {
+            return "lookup";
+        }
+
+        @Override public Uni<Verdict> pass(Order o) {
+            if (o.service.kind() != Policy.Kind.MODEL) return Uni.createFrom().item(Verdict.GO);
+            String[] w = r.weights(o.service.name());
+            if (w == null) return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
+            long t = r.clock.now();
+            int blockBytes = 256;
+            boolean newest = false, older = false;
+            for (Backend b : r.backends.of(o.service.name())) {
+                if (!b.usable(t)) continue;
+                blockBytes = b.blockBytes;
+                newest |= b.weights.equals(w[0]);
+                older |= !w[1].isEmpty() && b.weights.equals(w[1]);
+            }
+            o.weights = newest || !older ? w[0] : w[1];
+            o.blocks = Blocks.ids(o.service.name(), o.weights, o.wall, o.prompt.getBytes(StandardCharsets.UTF_8), blockBytes);
+            return lookups.ask(o.blocks).map(f -> {
+                o.matches = f.matches();
+                JsonArray a = new JsonArray();
+                for (Lookup.Match m : f.matches()) a.add(Json.object().add("holder", m.holder()).add("blocks", m.blocks()));
+                o.decision.add("lookup", r.clock.now(), Json.object().add("weights", o.weights).add("blocks", o.blocks.length).add("index", f.how()).add("matches", a));
+                return Verdict.GO;
+            });
+        }
+    }
+
+    /** Which replica: the least estimated milliseconds of backlog, prefill or fetch, and distance. */
+    public record Choice(Relay r, boolean useMatches) implements Stage.AtOnce {
+        @Override public String name() {
+            return "choice";
+        }
+
+        private record Option(Backend b, int matched, String from, int fetch, double backlog, double prefill, double ms) {}
+
+        @Override public Verdict decide(Order o) {
+            long t = r.clock.now();
+            if (t >= o.expiry) return Verdict.notRun(503, "expired before a replica was chosen", 1000);
+            boolean model = o.service.kind() == Policy.Kind.MODEL;
+            String[] w = model ? r.weights(o.service.name()) : new String[] {"", ""};
+            if (w == null) return Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000);
+            List<Option> os = new ArrayList<>();
+            boolean newest = false;
+            for (Backend b : r.backends.of(o.service.name())) {
+                if (!b.usable(t) || b.free() == 0 && b != o.backend) continue;
+                if (model && !b.weights.equals(w[0]) && (w[1].isEmpty() || !b.weights.equals(w[1]))) continue;
+                newest |= model && b.weights.equals(w[0]);
+                os.add(option(o, b, t));
+            }
+            if (newest) os.removeIf(x -> !x.b.weights.equals(w[0]));
+            if (os.isEmpty()) {
+                boolean any = r.backends.of(o.service.name()).stream().anyMatch(b -> b.usable(t));
+                return Verdict.notRun(503, any ? "no replica with the right weights has a place" : "no replica answers", 500);
+            }
+            os.sort(Comparator.comparingDouble(Option::ms).thenComparing(x -> x.b.load()).thenComparing(x -> (x.b.replica.instance().hashCode() ^ (int) o.decision.nr) * 0x9E3779B1));
+            Option c = os.get(0);
+            if (model) {
+                boolean same = c.b.weights.equals(o.weights);
+                o.weights = c.b.weights;
+                o.matched = same ? c.matched : 0;
+                o.fetchFrom = same ? c.from : "";
+                o.fetchBlocks = same ? c.fetch : 0;
+            }
+            o.cost = c.ms;
+            r.choose(o, c.b, c.prefill);
+            JsonArray a = new JsonArray();
+            for (Option x : os.subList(0, Math.min(4, os.size())))
+                a.add(Json.object().add("replica", x.b.replica.instance()).add("matched", x.matched).add("fetchFrom", x.from).add("fetchBlocks", x.fetch)
+                    .add("load", x.b.load() - (x == c ? 1 : 0)).add("backlogMs", round(x.backlog)).add("workMs", round(x.prefill)).add("totalMs", round(x.ms)));
+            o.decision.add("choice", t, Json.object().add("replica", c.b.replica.instance()).add("weights", o.weights).add("options", a).add("of", os.size()));
+            return Verdict.GO;
+        }
+
+        private static double round(double d) {
+            return Math.round(d * 10) / 10.0;
+        }
+
+        private Option option(Order o, Backend b, long t) {
+            int n = o.blocks.length, have = 0;
+            boolean same = b.weights.equals(o.weights) && useMatches;
+            if (same) for (Lookup.Match m : o.matches) if (m.holder().equals(b.replica.instance())) have = Math.max(have, Math.min(n, m.blocks()));
+            double work = (n - have) * b.msPerBlock;
+            String from = "";
+            int fetch = 0;
+            if (same)
+                for (Lookup.Match m : o.matches) {
+                    Double link = b.links.get(m.holder());
+                    int more = Math.min(n, m.blocks()) - have;
+                    if (link == null || more <= 0) continue;
+                    double f = more * link + (n - have - more) * b.msPerBlock;
+                    if (f < work) {
+                        work = f;
+                        from = m.holder();
+                        fetch = more;
+                    }
+                }
+            double backlog = b.backlogMs(t) + Math.max(0, b.load() - b.slots + 1) * 20.0;
+            return new Option(b, have, from, fetch, backlog, work, backlog + work + (b.replica.domain().equals(r.domain) ? 0 : OTHER_DOMAIN_MS));
+        }
+    }
+
+    /** What to pull instead of computing: named blocks from one holder, where its link is cheaper. */
+    public record Fetch(Relay r) implements Stage.AtOnce {
+        @Override public String name() {
+            return "fetch";
+        }
+
+        @Override public Verdict decide(Order o) {
+            if (o.service.kind() == Policy.Kind.MODEL)
+                o.decision.add("fetch", r.clock.now(), Json.object().add("kept", o.matched).add("from", o.fetchFrom).add("pull", o.fetchBlocks)
+                    .add("compute", o.blocks.length - o.matched - o.fetchBlocks));
+            return Verdict.GO;
+        }
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Child.java
@@ -0,0 +1,80 @@
+/*
+ * One of gladelug's own programs as a process of its own, started by a rehearsal and ended by its
+ * own id. Its lines go to a file; the last few can be shown when something went wrong.
+ */
+package gladelug.rehearsal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+public final class Child {
+    public final String name;
+    private final String main;
+    private final List<String> args;
+    private final Path log;
+    private final int heapMb;
+    private Process process;
+
+    public Child(String name, String main, List<String> args, Path log, int heapMb) {
+        this.name = name;
+        this.main = main;
+        this.args = args;
+        this.log = log;
+        this.heapMb = heapMb;
+    }
+
+    public Child start() throws IOException {
+        List<String> l = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx" + heapMb + "m", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Dvertx.disableDnsResolver=true", "-cp", System.getProperty("java.class.path"), main));
+        l.addAll(args);
+        process = new ProcessBuilder(l).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        return this;
+    }
+
+    public boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    public long pid() {
+        return process.pid();
+    }
+
+    /** At once, as when the machine loses power. */
+    public void kill() {
+        if (process == null) return;
+        process.destroyForcibly();
+        waitFor(20_000);
+    }
+
+    /** Politely, as the platform does first. */
+    public boolean stop(long ms) {
+        process.destroy();
+        return waitFor(ms);
+    }
+
+    public boolean waitFor(long ms) {
+        try {
+            return process.waitFor(ms, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    public int exit() {
+        return process.exitValue();
+    }
+
+    public String lines() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
@@ -0,0 +1,76 @@
+/*
+ * The two deployments at the brief's sizes: machines and domains, replicas, kinds of orders and
+ * their rates, tenants of whom a few are large.
+ */
+package gladelug.rehearsal;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import gladelug.kernel.policy.Policy;
+import java.util.ArrayList;
+import java.util.List;
+
+public record Deployment(String name, int net, String service, int replicas, int relays, int indexes, List<StandInCallers.Kind> kinds,
+                         List<StandInCallers.Tenant> tenants, String isolated) {
+    private static StandInCallers.Kind kind(String n, double rate, int blocks, int own, boolean repeatable) {
+        return new StandInCallers.Kind(n, "/" + n, rate, blocks, own, repeatable);
+    }
+
+    private static List<StandInCallers.Tenant> tenants(String... names) {
+        int[] sizes = {10, 8, 5, 1, 1, 1, 1, 1};
+        List<StandInCallers.Tenant> l = new ArrayList<>();
+        for (int i = 0; i < names.length; i++) l.add(new StandInCallers.Tenant(names[i], "key-of-" + names[i], sizes[i]));
+        return List.copyOf(l);
+    }
+
+    public static Deployment safariNjia() {
+        return new Deployment("safari-njia", 11, "planner-model", 12, 4, 2,
+            List.of(kind("timetable-summary", 25, 24, 900, true), kind("stage-match", 20, 12, 300, false), kind("journey-reply", 30, 8, 200, false)),
+            tenants("planner-app", "ussd-gateway", "county-nairobi", "county-kiambu", "county-machakos", "county-kajiado", "county-muranga", "county-nakuru"), "county-nakuru");
+    }
+
+    public static Deployment mokaRidge() {
+        return new Deployment("moka-ridge", 12, "desk-model", 8, 4, 2,
+            List.of(kind("archive-check", 15, 40, 1500, false), kind("headline-tag", 12, 6, 200, true), kind("caption-draft", 20, 10, 300, false)),
+            tenants("web-desk", "photo-desk", "legal-read", "sports-desk", "farm-weekly", "coast-daily", "hill-herald", "rift-news"), "legal-read");
+    }
+
+    public static Deployment named(String n) {
+        return switch (n) {
+            case "safari-njia" -> safariNjia();
+            case "moka-ridge" -> mokaRidge();
+            default -> throw new IllegalArgumentException("no deployment " + n);
+        };
+    }
+
+    public String domain(int i) {
+        return "zone-" + (char) ('a' + i % 3);
+    }
+
+    public StandInCallers.Kind application() {
+        return kind("lookup-stop", 2, 0, 100, false);
+    }
+
+    /** The policy an operator of this deployment sends; keys as hashes, marker in the last mapping's expiry. */
+    public JsonObject policy(int marker, List<String> without) {
+        JsonArray ms = new JsonArray();
+        for (StandInCallers.Kind k : kinds)
+            ms.add(Json.object().add("name", k.name()).add("path", k.path()).add("service", service).add("expiryMs", 8000).add("repeatable", k.repeatable()));
+        ms.add(Json.object().add("name", "lookup-stop").add("path", "/lookup-stop").add("service", "application").add("expiryMs", 5000 + marker));
+        JsonArray ts = new JsonArray();
+        for (StandInCallers.Tenant t : tenants) {
+            JsonArray keys = new JsonArray();
+            if (!without.contains(t.name())) keys.add("sha256:" + Policy.hashOf(t.key()));
+            ts.add(Json.object().add("name", t.name()).add("keys", keys).add("weight", t.size()).add("isolated", t.name().equals(isolated))
+                .add("shares", Json.array().add((com.eclipsesource.json.JsonValue) Json.object().add("name", "first").add("weight", 3)
+                    .add("mappings", Json.array(kinds.get(0).name(), kinds.get(1).name())))
+                    .add((com.eclipsesource.json.JsonValue) Json.object().add("name", "rest").add("weight", 1).add("mappings", Json.array(kinds.get(2).name())))));
+        }
+        return Json.object().add("services", Json.array()
+                .add((com.eclipsesource.json.JsonValue) Json.object().add("name", service).add("allow", Json.array("127." + net + ".0.0/16")))
+                .add((com.eclipsesource.json.JsonValue) Json.object().add("name", "prefix-store").add("kind", "store").add("allow", Json.array("127." + net + ".0.0/16")))
+                .add((com.eclipsesource.json.JsonValue) Json.object().add("name", "application").add("kind", "application").add("allow", Json.array("127." + net + ".0.0/16"))))
+            .add("mappings", ms).add("tenants", ts);
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Judge.java
@@ -0,0 +1,116 @@
+/*
+ * A judgement per must-never from the stand-ins' ledgers alone, naming the offending orders.
+ */
+package gladelug.rehearsal;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+public final class Judge {
+    public record Finding(String rule, List<String> offenders) {
+        public boolean clean() {
+            return offenders.isEmpty();
+        }
+    }
+
+    private Judge() {}
+
+    public static List<Finding> all(Ledger l) {
+        Map<String, List<String>> m = new LinkedHashMap<>();
+        for (String r : new String[] {"unrepeatable-ran-twice", "stream-lost-repeated-spliced", "cut-off-looks-complete", "bytes-of-another", "not-run-but-ran",
+            "service-never-allowed", "cache-of-other-weights-or-wall", "two-commanders", "second-tries-over-a-fifth"}) m.put(r, new ArrayList<>());
+        int first = 0, second = 0;
+        for (Ledger.Call c : l.calls.values()) {
+            List<Ledger.Run> rs = l.runs.getOrDefault(c.tag, List.of());
+            long ran = rs.stream().filter(r -> r.ran).count();
+            if (!rs.isEmpty()) first++;
+            second += Math.max(0, rs.size() - 1);
+            if (!c.repeatable && ran > 1) m.get("unrepeatable-ran-twice").add(c.tag + " ran " + ran + " times");
+            if (c.misordered > 0) m.get("stream-lost-repeated-spliced").add(c.tag + " (" + c.order + ")");
+            if (c.foreign > 0) m.get("bytes-of-another").add(c.tag + " (" + c.order + ")");
+            boolean whole = rs.stream().anyMatch(r -> r.ended && r.pieces == c.pieces);
+            if (c.outcome.equals("complete") && !whole) m.get("cut-off-looks-complete").add(c.tag + " with " + c.pieces + " pieces");
+            if (c.status == 200 && c.bodyTerminated && !c.explicitEnd) m.get("cut-off-looks-complete").add(c.tag + " ended its body without an end");
+            if (c.outcome.equals("not-run") && ran > 0) m.get("not-run-but-ran").add(c.tag + " (" + c.order + "): " + c.reason);
+        }
+        m.get("service-never-allowed").addAll(l.trapped);
+        m.get("cache-of-other-weights-or-wall").addAll(l.wrongReuse);
+        m.get("two-commanders").addAll(l.doubleCommand);
+        if (second > first * 0.2 + 12) m.get("second-tries-over-a-fifth").add(second + " of " + first);
+        List<Finding> out = new ArrayList<>();
+        m.forEach((k, v) -> out.add(new Finding(k, v)));
+        return out;
+    }
+
+    static final class Tests {
+        private static Ledger.Call call(Ledger l, String tag, boolean repeatable, String outcome, int pieces) {
+            Ledger.Call c = new Ledger.Call(tag, "k", "t", "r", repeatable, 0);
+            c.outcome = outcome;
+            c.status = outcome.equals("complete") ? 200 : 503;
+            c.pieces = pieces;
+            c.explicitEnd = c.bodyTerminated = outcome.equals("complete");
+            l.calls.put(tag, c);
+            return c;
+        }
+
+        private static void run(Ledger l, String tag, boolean ran, int pieces, boolean ended) {
+            Ledger.Run r = new Ledger.Run(tag, "o", "s", "i", "w", "", 1, 0);
+            r.ran = ran;
+            r.pieces = pieces;
+            r.ended = ended;
+            l.run(r);
+        }
+
+        private static String verdicts(Ledger l) {
+            StringBuilder sb = new StringBuilder();
+            for (Finding f : all(l)) if (!f.clean()) sb.append(f.rule).append(' ');
+            return sb.toString().trim();
+        }
+
+        @org.junit.jupiter.api.Test void aCleanDayIsClean() {
+            Ledger l = new Ledger();
+            call(l, "a", false, "complete", 5);
+            run(l, "a", false, 0, false);
+            run(l, "a", true, 5, true);
+            call(l, "b", false, "not-run", 0);
+            org.junit.jupiter.api.Assertions.assertEquals("", verdicts(l));
+        }
+
+        @org.junit.jupiter.api.Test void eachPlantedViolationIsCaught() {
+            Ledger l = new Ledger();
+            call(l, "a", false, "complete", 5);
+            run(l, "a", true, 1, false);
+            run(l, "a", true, 5, true);
+            org.junit.jupiter.api.Assertions.assertEquals("unrepeatable-ran-twice", verdicts(l));
+            l = new Ledger();
+            call(l, "a", false, "not-run", 0);
+            run(l, "a", true, 0, false);
+            org.junit.jupiter.api.Assertions.assertEquals("not-run-but-ran", verdicts(l));
+            l = new Ledger();
+            call(l, "a", false, "complete", 3);
+            run(l, "a", true, 5, true);
+            org.junit.jupiter.api.Assertions.assertEquals("cut-off-looks-complete", verdicts(l));
+            l = new Ledger();
+            Ledger.Call c = call(l, "a", false, "none", 2);
+            c.status = 200;
+            c.bodyTerminated = true;
+            run(l, "a", true, 2, false);
+            org.junit.jupiter.api.Assertions.assertEquals("cut-off-looks-complete", verdicts(l));
+            l = new Ledger();
+            call(l, "a", false, "cut-off", 2).misordered = 1;
+            call(l, "b", false, "cut-off", 2).foreign = 1;
+            l.trapped.add("x");
+            l.wrongReuse.add("x");
+            l.doubleCommand.add("x");
+            org.junit.jupiter.api.Assertions.assertEquals("stream-lost-repeated-spliced bytes-of-another service-never-allowed cache-of-other-weights-or-wall two-commanders", verdicts(l));
+            l = new Ledger();
+            for (int i = 0; i < 100; i++) {
+                call(l, "r" + i, true, "complete", 1);
+                for (int j = 0; j < (i < 40 ? 2 : 1); j++) run(l, "r" + i, true, 1, true);
+            }
+            org.junit.jupiter.api.Assertions.assertEquals("second-tries-over-a-fifth", verdicts(l));
+        }
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -0,0 +1,227 @@
+/*
+ * The tool rehearse-fleet: starts a whole fleet on this machine, loads it at a deployment's rates,
+ * breaks things on the way, and prints what the stand-ins' ledgers say. Never deployed.
+ */
+package gladelug.rehearsal;
+
+import gladelug.kernel.Program;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+public final class RehearseFleet {
+    private RehearseFleet() {}
+
+    public static void main(String[] args) throws Exception {
+        ArgumentParser ap = ArgumentParsers.newFor("rehearse-fleet").build().defaultHelp(true).description("Runs a whole fleet on one machine with stand-ins around it.");
+        var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
+        Subparser p = subs.addParser("run").help("load a fleet, kill parts of it, judge from the ledgers");
+        p.addArgument("--deployment").choices("safari-njia", "moka-ridge").setDefault("safari-njia");
+        p.addArgument("--seconds").type(Integer.class).setDefault(60);
+        p.addArgument("--seed").type(Long.class).setDefault(1L);
+        p.addArgument("--kills").choices("yes", "no").setDefault("yes");
+        p.addArgument("--choice").choices("summary", "least-occupancy").setDefault("summary");
+        p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
+        p.addArgument("--out").setDefault("rehearsal-out");
+        Namespace n = Program.parse(ap, args);
+        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.WARNING);
+        Deployment d = Deployment.named(n.getString("deployment"));
+        Path out = Path.of(n.getString("out")).toAbsolutePath().resolve(d.name() + "-" + n.getLong("seed") + "-" + System.currentTimeMillis());
+        Files.createDirectories(out);
+        boolean clean;
+        try (Fleet f = new Fleet(d, out, n.getLong("seed"), n.getString("choice"))) {
+            clean = run(f, n.getInt("seconds"), n.getLong("seed"), n.getString("kills").equals("yes"), n.getDouble("rate"));
+        }
+        System.out.println("logs: " + out);
+        System.exit(clean ? 0 : 1);
+    }
+
+    private static boolean run(Fleet f, int seconds, long seed, boolean kills, double rate) throws Exception {
+        long t0 = System.nanoTime();
+        f.start();
+        System.out.printf(Locale.ROOT, "%s: fleet ready after %d ms%n", f.deployment.name(), (System.nanoTime() - t0) / 1_000_000);
+        List<StandInCallers.Kind> kinds = new ArrayList<>(f.deployment.kinds());
+        kinds.add(f.deployment.application());
+        StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, f.deployment.tenants(), kinds, seed);
+        callers.faster = rate;
+        callers.start();
+        Added added = new Added(f);
+        List<Long> acks = new ArrayList<>();
+        long begin = System.nanoTime();
+        String[] plan = kills ? new String[] {"control", "index", "relay", "replica"} : new String[0];
+        int done = 0, policies = 0;
+        Runnable mend = () -> {};
+        while (true) {
+            long at = (System.nanoTime() - begin) / 1_000_000;
+            if (at >= seconds * 1000L) break;
+            if (done < plan.length && at >= seconds * 1000L * (done + 1) / (plan.length + 1)) {
+                mend.run();
+                mend = kill(f, plan[done++]);
+            }
+            if (at / 3000 > policies) {
+                policies++;
+                Fleet.Answer a = f.policy(List.of(), "*");
+                if (a.status() == 200) acks.add(a.body().getLong("waitedMs", -1));
+                else System.out.println("policy answered " + a.status() + " " + a.body());
+            }
+            added.pair();
+            Fleet.pause(40);
+        }
+        mend.run();
+        callers.stop();
+        Fleet.until("the last orders ended", 30_000, () -> callers.open() == 0);
+        return report(f, acks, added);
+    }
+
+    private static Runnable kill(Fleet f, String what) {
+        String victim = what;
+        if (what.equals("control")) {
+            victim = "control-1";
+            var keys = f.call("GET", "/v1/status", null, Map.of()).body().get("keys");
+            if (keys != null) for (var k : keys.asArray()) if (k.asObject().getString("key", "").equals("policy")) victim = k.asObject().getString("owner", victim);
+        }
+        if (what.equals("replica")) {
+            StandInReplica r = f.replicas.get("replica-2");
+            r.kill();
+            System.out.println("killed " + r.instance);
+            return () -> {
+                r.start();
+                System.out.println("back " + r.instance);
+            };
+        }
+        Child c = f.children.get(victim.contains("-") ? victim : victim + "-1");
+        long wall = System.currentTimeMillis();
+        c.kill();
+        System.out.println("killed " + c.name + (what.equals("control") ? ", owner of policy" : ""));
+        return () -> {
+            if (what.equals("control")) System.out.println("takeover gap of its keys, ms: " + takeovers(f, c.name, wall));
+            try {
+                c.start();
+            } catch (java.io.IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+            Fleet.until(c.name + " ready again", 30_000, () -> f.ready(c.name));
+            System.out.println("back " + c.name);
+        };
+    }
+
+    /** From the other members' logs: when each first served a key after the kill. */
+    private static List<Long> takeovers(Fleet f, String dead, long wall) {
+        List<Long> out = new ArrayList<>();
+        for (Child c : f.children.values()) {
+            if (!c.name.startsWith("control") || c.name.equals(dead)) continue;
+            for (String line : c.lines().split("\n")) {
+                if (!line.contains("event=owner-serves")) continue;
+                long t = java.time.Instant.parse(line.substring(5, line.indexOf(' '))).toEpochMilli();
+                if (t >= wall && t < wall + 10_000) out.add(t - wall);
+            }
+        }
+        return out;
+    }
+
+    /** A direct call and one through a relay, turn about, to the application replica: what the relay adds. */
+    private static final class Added {
+        private final Fleet f;
+        private final List<Double> direct = new ArrayList<>();
+        private final List<Double> relayed = new ArrayList<>();
+        private int n;
+
+        Added(Fleet f) {
+            this.f = f;
+        }
+
+        void pair() {
+            StandInReplica a = f.replicas.get("application-1");
+            String tag = "added-" + n++;
+            var in = com.eclipsesource.json.Json.object().add("order", tag).add("try", 1).add("service", a.service).add("instance", a.instance).add("weights", "")
+                .add("wall", "").add("prompt", "x#" + tag + "-direct").add("maxPieces", 1);
+            long t = System.nanoTime();
+            if (f.http(a.address(), "POST", "/orders", in.toString(), Map.of()).status() == 200) direct.add((System.nanoTime() - t) / 1e6);
+            String relay = f.callers.get(1 + n % (f.callers.size() - 1));
+            t = System.nanoTime();
+            int s = f.http(relay, "POST", "/lookup-stop", com.eclipsesource.json.Json.object().add("prompt", "x#" + tag).add("maxPieces", 1).toString(),
+                Map.of("Authorization", "Bearer " + f.deployment.tenants().get(0).key())).status();
+            if (s == 200) relayed.add((System.nanoTime() - t) / 1e6);
+        }
+
+        @Override public String toString() {
+            return String.format(Locale.ROOT, "direct median %.2f p99 %.2f, relayed median %.2f p99 %.2f, added median %.2f ms over %d pairs",
+                at(direct, 0.5), at(direct, 0.99), at(relayed, 0.5), at(relayed, 0.99), at(relayed, 0.5) - at(direct, 0.5), direct.size());
+        }
+    }
+
+    static double at(List<? extends Number> l, double q) {
+        if (l.isEmpty()) return Double.NaN;
+        double[] a = l.stream().mapToDouble(Number::doubleValue).sorted().toArray();
+        return a[(int) Math.min(a.length - 1, Math.floor(q * a.length))];
+    }
+
+    private static boolean report(Fleet f, List<Long> acks, Added added) {
+        Ledger l = f.ledger;
+        Map<String, Map<String, Integer>> outcomes = new TreeMap<>();
+        Map<String, List<Long>> first = new TreeMap<>();
+        Map<String, Integer> reasons = new TreeMap<>();
+        for (Ledger.Call c : l.calls.values()) {
+            outcomes.computeIfAbsent(c.kind, k -> new TreeMap<>()).merge(c.outcome, 1, Integer::sum);
+            if (c.firstPiece >= 0) first.computeIfAbsent(c.kind, k -> new ArrayList<>()).add(c.firstPiece - c.sent);
+            if (!c.outcome.equals("complete")) reasons.merge(c.outcome + ": " + c.reason.replaceAll("replica-\\d+", "a replica"), 1, Integer::sum);
+        }
+        outcomes.forEach((k, v) -> System.out.printf(Locale.ROOT, "outcomes %-18s %s first piece ms median %.0f p95 %.0f%n", k, v,
+            at(first.getOrDefault(k, List.of()), 0.5), at(first.getOrDefault(k, List.of()), 0.95)));
+        reasons.forEach((k, v) -> System.out.println("  " + v + " x " + k));
+        long orders = 0, tries = 0, blocks = 0, reused = 0, fetched = 0, computed = 0, wrong = 0;
+        Map<String, Integer> per = new TreeMap<>();
+        for (List<Ledger.Run> rs : l.runs.values()) {
+            orders++;
+            tries += rs.size() - 1;
+            for (Ledger.Run r : rs) {
+                if (!r.ran) continue;
+                blocks += r.blocks;
+                reused += r.reused;
+                fetched += r.fetched;
+                computed += r.computed;
+                wrong += r.wrongHints;
+                if (r.blocks > 0) per.merge(r.instance, 1, Integer::sum);
+            }
+        }
+        System.out.printf(Locale.ROOT, "orders that reached a replica %d, second tries %d (%.2f%%)%n", orders, tries, 100.0 * tries / Math.max(1, orders));
+        System.out.printf(Locale.ROOT, "prefix blocks %d: reused %.1f%%, fetched %.1f%%, computed %.1f%%; wrong fetch hints %d%n", blocks,
+            100.0 * reused / Math.max(1, blocks), 100.0 * fetched / Math.max(1, blocks), 100.0 * computed / Math.max(1, blocks), wrong);
+        System.out.println("orders per replica " + per.values());
+        System.out.printf(Locale.ROOT, "policy push to acknowledgement ms: median %.0f, longest %.0f, of %d%n", at(acks, 0.5), at(acks, 1), acks.size());
+        System.out.println("relay: " + added);
+        for (String x : f.operator.keySet())
+            if (x.startsWith("index")) {
+                var s = f.http(f.operator.get(x), "GET", "/operator/status", null, Map.of()).body();
+                System.out.println(x + ": warm " + s.get("warm") + " entries " + s.get("entries") + " occupancy " + s.get("occupancy") + " overflow " + s.get("overflow")
+                    + " strays " + s.get("overflowStrays") + " questions " + s.get("questions") + " hits " + s.get("hits"));
+            }
+        boolean clean = true;
+        for (Judge.Finding j : Judge.all(l)) {
+            clean &= j.clean();
+            System.out.println("must never: " + j.rule() + ": " + (j.clean() ? "clean" : j.offenders().size() + " offenders " + j.offenders().subList(0, Math.min(5, j.offenders().size()))));
+        }
+        return clean;
+    }
+
+    static final class Tests {
+        /** The real programs, kills included, for a short while: the same run an operator can make. */
+        @org.junit.jupiter.api.Test void aShortRunOfRealProcessesWithKillsIsClean() throws Exception {
+            Path out = Files.createTempDirectory("gladelug-rehearsal");
+            try (Fleet f = new Fleet(Deployment.safariNjia(), out, 7, "summary")) {
+                boolean clean = run(f, 20, 7, true, 0.5);
+                org.junit.jupiter.api.Assertions.assertTrue(clean, "see the judgements above; logs in " + out);
+                long complete = f.ledger.calls.values().stream().filter(c -> c.outcome.equals("complete")).count();
+                org.junit.jupiter.api.Assertions.assertTrue(complete > f.ledger.calls.size() / 2, complete + " of " + f.ledger.calls.size());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInPlatform.java
@@ -0,0 +1,51 @@
+/*
+ * A stand-in for the platform: lists replicas as ready or leaving over HTTP, as told.
+ */
+package gladelug.rehearsal;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+public final class StandInPlatform {
+    private record Line(String service, String instance, String address, String domain, String state) {}
+
+    private final Map<String, Line> lines = new LinkedHashMap<>();
+    private final HttpServer server;
+    public final int port;
+    public final String host;
+    public volatile boolean silent;
+
+    public StandInPlatform(Vertx vertx, String host) throws Exception {
+        this.host = host;
+        server = vertx.createHttpServer().requestHandler(q -> {
+            if (silent) return;
+            if (!q.path().equals("/replicas")) q.response().setStatusCode(404).end();
+            else q.response().putHeader("Content-Type", "application/json").end(json().toBuffer());
+        });
+        port = server.listen(0, host).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
+    }
+
+    private synchronized JsonObject json() {
+        JsonArray a = new JsonArray();
+        for (Line l : lines.values())
+            a.add(new JsonObject().put("service", l.service).put("instance", l.instance).put("address", l.address).put("domain", l.domain).put("state", l.state));
+        return new JsonObject().put("replicas", a);
+    }
+
+    public synchronized void list(String service, String instance, String address, String domain, boolean ready) {
+        lines.put(instance, new Line(service, instance, address, domain, ready ? "ready" : "leaving"));
+    }
+
+    public synchronized void unlist(String instance) {
+        lines.remove(instance);
+    }
+
+    public String address() {
+        return host + ":" + port;
+    }
+}
