--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -125,7 +125,13 @@
     static void run(Place p) {
         Folder folder = new Folder(Path.of(p.data), p.ringFile << 20);
         JsonObject id = folder.identity();
-        if (id == null) throw new Kernel.CannotStart("data folder " + p.data + " is empty; a new fleet is prepared with `control-plane found`");
+        if (id == null) {
+            // an empty disk only ever joins: without founders in its identity it votes on nothing until it is let in
+            folder.prepare();
+            id = Json.object().add("name", p.name).add("disk", newDisk()).add("ringFile", p.ringFile << 20);
+            folder.identity(id);
+            Log.event("empty-disk-joins", "name", p.name, "data", p.data);
+        }
         if (!id.getString("name", "").equals(p.name))
             throw new Kernel.CannotStart("data folder " + p.data + " belongs to " + id.getString("name", "?") + ", not to " + p.name);
         folder.prepare();
@@ -136,7 +142,7 @@
             throw new Kernel.CannotStart("data folder " + p.data + " is damaged: " + e.getMessage() + "; empty it and this machine joins anew", e);
         }
         List<Members.Member> founders = new ArrayList<>();
-        for (JsonValue v : id.get("founders").asArray()) {
+        if (id.get("founders") != null) for (JsonValue v : id.get("founders").asArray()) {
             JsonObject o = v.asObject();
             founders.add(new Members.Member(o.getString("name", ""), "", Address.of(o.getString("records", "")), Address.of(o.getString("operator", ""))));
         }
@@ -145,7 +151,8 @@
         CoreNode.Duties duties = (key, body) -> {};
         k.add("doors", new Doors(vertx, p.records, p.name))
             .add("views", new ViewService(vertx, new Shuffle.Descriptor(p.name, "control", p.records.toString(), p.operator.toString(), p.domain, 0, 0), p.seeds))
-            .add("core", new CoreService(vertx, ring, p.name, id.getString("disk", ""), p.cutoff, new CoreNode.Founding(founders), duties, what -> {
+            .add("core", new CoreService(vertx, ring, new Members.Member(p.name, id.getString("disk", ""), p.records, p.operator), p.seeds, p.cutoff,
+                founders.isEmpty() ? null : new CoreNode.Founding(founders), duties, what -> {
                 System.err.println("control-plane: the disk failed and this member stops: " + what);
                 Runtime.getRuntime().halt(Program.CANNOT);
             }))
--- a/control-plane/src/main/java/gladelug/control/core/Cell.java
+++ b/control-plane/src/main/java/gladelug/control/core/Cell.java
@@ -57,6 +57,12 @@
         return e > epoch || e == epoch && n >= value.number;
     }
 
+    /** The newer value and the higher promise of two members' cells for one key. */
+    static Cell merge(Cell a, Cell b) {
+        Cell n = a.takes(b.epoch, b.value.number) ? b : a;
+        return new Cell(Math.max(a.promised, b.promised), n.epoch, n.value);
+    }
+
     byte[] bytes() {
         ByteArrayOutputStream b = new ByteArrayOutputStream();
         try (DataOutputStream o = new DataOutputStream(b)) {
--- a/control-plane/src/main/java/gladelug/control/core/CoreHost.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreHost.java
@@ -18,6 +18,9 @@
     /** While founding or joining there are only addresses. */
     void sendTo(gladelug.kernel.Address to, CoreMessage.Envelope m);
 
+    /** Where other processes may be found by one that knows no members yet. */
+    java.util.List<gladelug.kernel.Address> contacts();
+
     /** Makes the state of a key durable, then runs done on the protocol's thread; in order; never if it failed. */
     void sync(String key, byte[] state, Runnable done);
 
--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -151,7 +151,7 @@
         }
     }
 
-    /** A founder looks for the others; members tells the settled ones. */
+    /** A founder looks for the others. */
     record Meet(String records, String operator) implements CoreMessage {
         @Override public int tag() { return 10; }
 
@@ -161,11 +161,56 @@
         }
     }
 
-    record Settled(Members members) implements CoreMessage {
+    /** One key as a member keeps it. */
+    record Kept(String key, byte[] cell) {}
+
+    private static void put(DataOutputStream o, List<Kept> l) throws IOException {
+        Wire.list(o, l, (p, k) -> {
+            p.writeUTF(k.key);
+            Wire.blob(p, k.cell);
+        });
+    }
+
+    private static List<Kept> kept(DataInputStream i) throws IOException {
+        return Wire.list(i, j -> new Kept(j.readUTF(), Wire.blob(j)));
+    }
+
+    /** A generation is in force; cells hold at least all that was ever acknowledged before it. */
+    record Settled(Members members, List<Kept> cells) implements CoreMessage {
         @Override public int tag() { return 11; }
 
         @Override public void put(DataOutputStream o) throws IOException {
             members.write(o);
+            CoreMessage.put(o, cells);
+        }
+    }
+
+    /** A machine with an empty disk would like to be a member. */
+    record Join(String records, String operator) implements CoreMessage {
+        @Override public int tag() { return 12; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeUTF(records);
+            o.writeUTF(operator);
+        }
+    }
+
+    /** Refuse the present generation from now on; next is to follow it. */
+    record Seal(Members next) implements CoreMessage {
+        @Override public int tag() { return 13; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            next.write(o);
+        }
+    }
+
+    /** It is refused, durably, and this is all that was kept under it. */
+    record Sealed(long next, List<Kept> cells) implements CoreMessage {
+        @Override public int tag() { return 14; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeLong(next);
+            CoreMessage.put(o, cells);
         }
     }
 
@@ -183,7 +228,10 @@
             case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
             case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
             case 10 -> new Meet(i.readUTF(), i.readUTF());
-            case 11 -> new Settled(Members.read(i));
+            case 11 -> new Settled(Members.read(i), kept(i));
+            case 12 -> new Join(i.readUTF(), i.readUTF());
+            case 13 -> new Seal(Members.read(i));
+            case 14 -> new Sealed(i.readLong(), kept(i));
             default -> throw Wire.unknown(tag);
         };
     }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -21,7 +21,9 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -35,8 +37,9 @@
     private final Clock clock = Clock.monotonic();
     private final Duty duty = new Duty("core", 16384, clock);
     private final Ring ring;
+    private final Members.Member me;
     private final String self;
-    private final String diskId;
+    private final List<Address> seeds;
     private final int cutoff;
     private final CoreNode.Founding founding;
     private final CoreNode.Duties duties;
@@ -49,11 +52,12 @@
     private DiskDuty disk;
     private CoreNode node;
 
-    public CoreService(Vertx vertx, Ring ring, String self, String diskId, int cutoff, CoreNode.Founding founding, CoreNode.Duties duties, Consumer<String> fatal) {
+    public CoreService(Vertx vertx, Ring ring, Members.Member me, List<Address> seeds, int cutoff, CoreNode.Founding founding, CoreNode.Duties duties, Consumer<String> fatal) {
         this.vertx = vertx;
         this.ring = ring;
-        this.self = self;
-        this.diskId = diskId;
+        this.me = me;
+        this.self = me.name();
+        this.seeds = seeds;
         this.cutoff = cutoff;
         this.founding = founding;
         this.duties = duties;
@@ -64,7 +68,7 @@
         doors = k.find("doors", Doors.class);
         views = k.find("views", ViewService.class);
         disk = new DiskDuty(ring, clock, r -> duty.offer(r), fatal);
-        node = new CoreNode(this, Tunables.USUAL, self, diskId, cutoff, ring.live(), founding, duties);
+        node = new CoreNode(this, Tunables.USUAL, me, cutoff, ring.live(), founding, duties);
         doors.take(Hello.CORE, (h, c) -> r -> {
             Envelope e = Wire.read(r, Envelope::read);
             duty.offer(() -> node.message(e));
@@ -148,6 +152,12 @@
         }, h -> {});
     }
 
+    @Override public List<Address> contacts() {
+        List<Address> l = new ArrayList<>(seeds);
+        views.all().stream().filter(d -> d.role().equals("control")).forEach(d -> l.add(Address.of(d.records())));
+        return l;
+    }
+
     @Override public void sync(String key, byte[] state, Runnable done) {
         disk.want(key, state, done);
     }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -105,6 +105,19 @@
         return addresses.get(name);
     }
 
+    List<Address> allAddresses() {
+        return new ArrayList<>(addresses.values());
+    }
+
+    /** A new control machine, up, with an empty disk. */
+    public SimControl machine(String name) {
+        addresses.put(name, new Address("10.0.1." + addresses.size(), 100));
+        SimControl c = new SimControl(this, name, "disk-of-" + name, List.of(), false);
+        controls.put(name, c);
+        c.start();
+        return c;
+    }
+
     String nameOf(Address a) {
         for (Map.Entry<String, Address> e : addresses.entrySet()) if (e.getValue().equals(a)) return e.getKey();
         return null;
@@ -125,6 +138,11 @@
         }
     }
 
+    /** Two sides that hear nothing of each other. */
+    public void split(Set<String> side) {
+        for (String a : everybody()) for (String b : everybody()) if (side.contains(a) != side.contains(b)) cut(a, b);
+    }
+
     public void heal(String who) {
         cut.removeIf(s -> s.startsWith(who + ">") || s.endsWith(">" + who));
     }
@@ -247,6 +265,42 @@
         return n;
     }
 
+    public long generation() {
+        long g = 0;
+        for (SimControl c : controls.values()) if (c.up && c.node.settled()) g = Math.max(g, c.node.members().generation());
+        return g;
+    }
+
+    /** All members of the newest generation are up and know it. */
+    public boolean whole() {
+        long g = generation();
+        Members m = null;
+        for (SimControl c : controls.values()) if (c.up && c.node.settled() && c.node.members().generation() == g) m = c.node.members();
+        if (m == null) return false;
+        for (Members.Member x : m.all()) {
+            SimControl c = controls.get(x.name());
+            if (!c.up || c.paused || !c.disk.equals(x.disk()) || c.node.members().generation() != g || c.node.sealed()) return false;
+        }
+        return true;
+    }
+
+    /** An operator brings a new machine and has it swapped in. */
+    public void swap(String out, String in) {
+        machine(in);
+        for (int i = 0; i < 40; i++) {
+            run(100);
+            boolean[] begun = {false};
+            for (SimControl c : controls.values())
+                if (c.up && !c.paused && c.node.settled() && c.node.owns(Keys.CORE) && c.node.swap(out, in, a -> {}).isEmpty()) begun[0] = true;
+            if (begun[0]) return;
+        }
+    }
+
+    String anyUp() {
+        for (SimControl c : controls.values()) if (c.up && !c.paused) return c.name;
+        return "c1";
+    }
+
     public String owner(String key) {
         String o = "";
         for (SimControl c : controls.values()) if (c.up && c.node.settled() && c.node.owns(key)) o = o + c.name;
@@ -267,7 +321,7 @@
                 List<String> cs = s.controlNames();
                 String c = cs.get(r.nextInt(cs.size()));
                 SimControl x = s.controls.get(c);
-                switch (r.nextInt(16)) {
+                switch (r.nextInt(22)) {
                     case 0 -> x.kill();
                     case 1 -> x.power();
                     case 2 -> s.cutOff(c);
@@ -283,6 +337,28 @@
                     case 8 -> {
                         if (all) for (SimControl y : s.controls.values()) y.power();
                     }
+                    case 10 -> s.split(Set.of(c, "r" + (1 + r.nextInt(3))));
+                    case 11 -> {
+                        String d = cs.get(r.nextInt(cs.size()));
+                        s.split(new HashSet<>(List.of(c, d, "r" + (1 + r.nextInt(3)))));
+                    }
+                    case 12 -> {
+                        // a disk is lost only while the others hold everything
+                        if (s.whole()) {
+                            x.empty("disk-" + seed + "-" + i);
+                            x.start();
+                        }
+                    }
+                    case 13 -> {
+                        if (s.whole()) s.swap(c, "c" + (s.controls.size() + 1));
+                    }
+                    case 14, 15 -> {
+                        // power goes just after an acknowledgement, on one machine, two or all
+                        Sent x1 = s.send(c, Keys.POLICY, -1);
+                        for (int j = 0; j < 3000 && x1.answer[0] == null; j++) s.run(1);
+                        int most = 1 + r.nextInt(3);
+                        for (SimControl y : s.controls.values()) if (most-- > 0) y.power();
+                    }
                     case 9 -> s.cut("r" + (1 + r.nextInt(3)), c);
                     default -> {
                         s.send(c, r.nextInt(3) == 0 ? Keys.REPLICAS : Keys.POLICY, -1);
@@ -296,6 +372,7 @@
             mend(s);
             s.loss = 0;
             s.settle(12_000);
+            if (!s.whole()) s.violation("the core is not whole: " + s.generation());
             return s;
         }
 
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -63,8 +63,15 @@
             sim.say(name, "will not start: " + died);
             return;
         }
-        node = new CoreNode(this, Tunables.USUAL, name, disk, 15_000, live, founded ? new CoreNode.Founding(founders) : null, (k, b) -> {});
+        node = new CoreNode(this, Tunables.USUAL, new Members.Member(name, disk, address(), address()), 15_000, live, founded ? new CoreNode.Founding(founders) : null, (k, b) -> {});
         tick(life);
+        probe(life);
+    }
+
+    private void probe(int l) {
+        if (l != life) return;
+        run(() -> medium.want("", new byte[0], () -> {}, sim, this));
+        sim.after(1000, () -> probe(l));
     }
 
     private void tick(int l) {
@@ -143,6 +150,18 @@
         if (n != null) sim.core(name, n, m);
     }
 
+    @Override public List<Address> contacts() {
+        return sim.allAddresses();
+    }
+
+    /** The machine comes back with an empty disk: it can only join. */
+    void empty(String newDisk) {
+        kill();
+        medium.wipe();
+        disk = newDisk;
+        founded = false;
+    }
+
     @Override public void sync(String key, byte[] state, Runnable done) {
         int l = life;
         medium.want(key, state, () -> {
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimDisk.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimDisk.java
@@ -59,6 +59,7 @@
     void want(String key, byte[] state, Runnable done, Sim sim, SimControl owner) {
         entries.add(new Ring.Entry(key, state));
         dones.add(done);
+        if (stalled && busySince < 0) busySince = sim.now();
         go(sim, owner);
     }
 
@@ -88,7 +89,7 @@
     }
 
     private void done(Sim sim, SimControl owner, int l, List<Runnable> ds) {
-        sim.after(1 + random.nextInt(8), () -> {
+        sim.after(1 + random.nextInt(random.nextInt(6) == 0 ? 80 : 8), () -> {
             if (life != l) return;
             if (stalled) {
                 done(sim, owner, l, ds);
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
@@ -0,0 +1,275 @@
+/*
+ * Plays a story drawn as text, a column a node: the first line names the columns, each further
+ * line is a time in milliseconds and what happens to each node then ("." is nothing). The column
+ * op is the operator and the onlooker: it sends values and says what must be seen by then.
+ */
+package gladelug.rehearsal.sim;
+
+import gladelug.control.core.ChangeAnswer;
+import gladelug.kernel.message.Keys;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+final class Timeline {
+    private Timeline() {}
+
+    static Sim play(Sim s, String text) {
+        List<String> head = null;
+        long base = s.now();
+        for (String raw : text.split("\n")) {
+            if (raw.isBlank()) continue;
+            List<String> cells = cells(raw);
+            if (head == null) {
+                head = cells;
+                continue;
+            }
+            long at = base + Long.parseLong(cells.get(0));
+            if (at < s.now()) throw new IllegalArgumentException("goes back in time: " + raw);
+            s.run(at - s.now());
+            Set<String> side = new HashSet<>();
+            for (int i = 1; i < cells.size(); i++) if (cells.get(i).equals("side")) side.add(head.get(i));
+            if (!side.isEmpty()) s.split(side);
+            for (int i = 1; i < cells.size(); i++) {
+                String what = cells.get(i);
+                if (what.equals(".") || what.equals("side")) continue;
+                if (head.get(i).equals("op")) operator(s, what, raw);
+                else if (head.get(i).startsWith("c")) control(s, head.get(i), what);
+                else relay(s, head.get(i), what);
+            }
+        }
+        return s;
+    }
+
+    private static List<String> cells(String raw) {
+        List<String> l = new ArrayList<>();
+        for (String c : raw.split("\\|")) l.add(c.trim());
+        return l;
+    }
+
+    private static void control(Sim s, String n, String what) {
+        SimControl c = s.controls.get(n);
+        switch (what) {
+            case "kill" -> c.kill();
+            case "power" -> c.power();
+            case "up" -> c.start();
+            case "pause" -> c.pause();
+            case "wake" -> c.wake();
+            case "cut" -> s.cutOff(n);
+            case "heal" -> s.heal(n);
+            case "stall" -> c.medium.stalled = true;
+            case "free" -> {
+                c.medium.stalled = false;
+                c.medium.go(s, c);
+            }
+            case "fail" -> c.medium.failing = true;
+            case "empty" -> {
+                c.empty(c.disk + "x");
+                c.start();
+            }
+            case "new" -> s.machine(n);
+            default -> throw new IllegalArgumentException(what);
+        }
+    }
+
+    private static void relay(Sim s, String n, String what) {
+        SimRelay r = s.relays.get(n);
+        switch (what) {
+            case "kill" -> r.kill();
+            case "up" -> r.start();
+            case "pause" -> r.paused = true;
+            case "wake" -> r.paused = false;
+            case "cut" -> s.cutOff(n);
+            case "heal" -> s.heal(n);
+            default -> throw new IllegalArgumentException(what);
+        }
+    }
+
+    private static void operator(Sim s, String what, String line) {
+        for (String w : what.split(",")) {
+            String[] ps = w.trim().split(" ");
+            String why = "at " + line + "\n" + s.story();
+            switch (ps[0]) {
+                case "send" -> s.send(ps[1].equals("up") ? s.anyUp() : ps[1], Keys.POLICY, ps.length > 2 ? Long.parseLong(ps[2]) : -1);
+                case "swap" -> {
+                    boolean ok = false;
+                    for (SimControl c : s.controls.values())
+                        if (c.up && c.node.settled() && c.node.owns(Keys.CORE)) ok |= c.node.swap(ps[1], ps[2], a -> {}).isEmpty();
+                    if (!ok) throw new AssertionError("no swap begun " + why);
+                }
+                case "owner" -> must(s.owner(Keys.POLICY).equals(ps[1]), "owner is " + s.owner(Keys.POLICY) + " " + why);
+                case "generation" -> must(s.generation() == Long.parseLong(ps[1]), "generation " + s.generation() + " " + why);
+                case "last" -> {
+                    ChangeAnswer a = s.sent.get(s.sent.size() - 1).answer()[0];
+                    must((a == null ? "none" : a.getClass().getSimpleName()).equalsIgnoreCase(ps[1]), "last answer " + a + " " + why);
+                }
+                case "oneOfTwo" -> {
+                    ChangeAnswer a = s.sent.get(s.sent.size() - 1).answer()[0], b = s.sent.get(s.sent.size() - 2).answer()[0];
+                    must(a instanceof ChangeAnswer.Done != b instanceof ChangeAnswer.Done && a instanceof ChangeAnswer.Stale != b instanceof ChangeAnswer.Stale,
+                        "answers " + a + " and " + b + " " + why);
+                }
+                case "serve" -> {
+                    for (SimRelay r : s.relays.values()) if (r.up) must(s.now() - r.lastStart < 30, r.name + " does not serve " + why);
+                }
+                case "still" -> must(s.now() - s.relays.get(ps[1]).lastStart > 30, ps[1] + " serves " + why);
+                case "gap" -> {
+                    for (SimRelay r : s.relays.values()) must(r.longestGap <= Long.parseLong(ps[1]), r.name + " had a gap of " + r.longestGap + " " + why);
+                }
+                case "forget" -> {
+                    for (SimRelay r : s.relays.values()) r.longestGap = 0;
+                }
+                case "well" -> must(s.violations.isEmpty(), s.violations + " " + why);
+                default -> throw new IllegalArgumentException(w);
+            }
+        }
+    }
+
+    private static void must(boolean ok, String what) {
+        if (!ok) throw new AssertionError(what);
+    }
+
+    static final class Tests {
+        private static void play(String text) {
+            for (long seed = 1; seed <= 12; seed++) {
+                Sim s = new Sim(seed, 2);
+                Timeline.play(s, text);
+                if (!s.violations.isEmpty()) throw new AssertionError("seed " + seed + " " + s.violations + "\n" + s.story());
+            }
+        }
+
+        @org.junit.jupiter.api.Test void losingAnyOneMachineCostsNoRelayItsLicence() {
+            for (String c : new String[] {"c1", "c2", "c3"})
+                play("""
+                    t     | %s    | op
+                    3000  | .     | send c1
+                    3500  | .     | last done, serve, forget
+                    4000  | power | .
+                    6500  | .     | serve, gap 30, send up
+                    11000 | .     | last done, serve, gap 30
+                    11000 | up    | .
+                    20000 | .     | serve, gap 30, well""".formatted(c));
+        }
+
+        @org.junit.jupiter.api.Test void aCutOffOwnerStopsBeingOneAndItsRelayStopsBeforeTheNextAcknowledgement() {
+            play("""
+                t     | c1 | c2   | c3   | r1   | r2 | op
+                3000  | .  | .    | .    | .    | .  | send c1
+                3500  | .  | .    | .    | .    | .  | last done, owner c3, serve
+                4000  | .  | .    | side | side | .  | .
+                4100  | .  | .    | .    | .    | .  | send c1
+                6300  | .  | .    | .    | .    | .  | still r1
+                9000  | .  | .    | .    | .    | .  | send c1
+                9500  | .  | .    | .    | .    | .  | last done
+                10000 | heal | heal | heal | heal | heal | .
+                16000 | .  | .    | .    | .    | .  | serve, well, send c2
+                17000 | .  | .    | .    | .    | .  | last done""");
+        }
+
+        @org.junit.jupiter.api.Test void aPausedOwnerThatWakesActsOnNothingOld() {
+            play("""
+                t     | c1 | c2 | c3    | op
+                3000  | .  | .  | .     | send c3
+                3500  | .  | .  | .     | last done, owner c3
+                3600  | .  | .  | .     | send c3
+                3604  | .  | .  | pause | .
+                7000  | .  | .  | .     | owner c1c3, send c2
+                8000  | .  | .  | .     | last done, serve
+                8001  | .  | .  | wake  | send c3
+                16000 | .  | .  | .     | serve, well""");
+        }
+
+        @org.junit.jupiter.api.Test void allKilledAtOnceJustAfterAnAcknowledgementServeAgainWithinTwelveSeconds() {
+            play("""
+                t     | c1    | c2    | c3    | r1   | op
+                3000  | .     | .     | .     | .    | send c1
+                3500  | .     | .     | .     | .    | last done
+                3501  | power | power | power | kill | .
+                9000  | .     | .     | .     | .    | still r2
+                10000 | up    | up    | up    | up   | .
+                14000 | .     | .     | .     | .    | serve, well, send c2
+                16000 | .     | .     | .     | .    | last done, serve""");
+        }
+
+        @org.junit.jupiter.api.Test void ofTwoOperatorsOnOneNumberOneIsToldTheCurrentNumber() {
+            play("""
+                t     | op
+                3000  | send c1 0
+                3400  | last done, send c1 1, send c2 1
+                3800  | oneOfTwo
+                4000  | send c3 1
+                4400  | last stale, well""");
+        }
+
+        @org.junit.jupiter.api.Test void withTwoMachinesGoneNobodyServesAndWithTwoBackAllDo() {
+            play("""
+                t     | c1   | c2   | c3    | op
+                3000  | .    | .    | .     | send c1
+                3500  | .    | .    | .     | last done
+                4000  | kill | .    | power | .
+                6500  | .    | .    | .     | still r1, still r2, send c2
+                8000  | .    | .    | .     | last noOwner
+                9000  | up   | .    | .     | .
+                12000 | .    | .    | .     | serve, send c1
+                13500 | .    | .    | .     | last done, well""");
+        }
+
+        @org.junit.jupiter.api.Test void aStalledDiskHandsItsKeysOnAndAFailedOneStopsItsMachine() {
+            play("""
+                t     | c1   | c2 | c3    | op
+                3000  | .    | .  | .     | send c1
+                3500  | .    | .  | stall | last done, owner c3, forget
+                3600  | .    | .  | .     | send c2
+                8000  | .    | .  | .     | owner c1, serve, send c2
+                9500  | .    | .  | .     | last done, gap 30
+                10000 | .    | .  | free  | .
+                18000 | .    | .  | .     | serve, owner c3
+                18001 | fail | .  | .     | send c2
+                20000 | .    | .  | .     | last done, serve, well""");
+        }
+
+        @org.junit.jupiter.api.Test void aMachineBackEmptyIsLetInByItselfAndThenCountsForAnotherLoss() {
+            play("""
+                t     | c1    | c2    | c3    | op
+                3000  | .     | .     | .     | send c1
+                3500  | .     | .     | .     | last done, generation 1
+                4000  | .     | empty | .     | forget
+                8000  | .     | .     | .     | generation 2, serve, gap 700, send c1
+                12000 | .     | .     | .     | last done
+                12500 | power | .     | .     | .
+                18000 | .     | .     | .     | serve, send c2
+                20500 | .     | .     | .     | last done, well""");
+        }
+
+        @org.junit.jupiter.api.Test void allThreeAreSwappedInTurnWhileRelaysServe() {
+            play("""
+                t     | c1   | c2   | c3   | c4  | c5  | c6  | op
+                3000  | .    | .    | .    | .   | .   | .   | send c1
+                3500  | .    | .    | .    | new | .   | .   | last done, forget
+                4500  | .    | .    | .    | .   | .   | .   | swap c1 c4
+                7000  | kill | .    | .    | .   | new | .   | generation 2, serve
+                8500  | .    | .    | .    | .   | .   | .   | swap c2 c5
+                12000 | .    | kill | .    | .   | .   | new | generation 3, serve
+                13500 | .    | .    | .    | .   | .   | .   | swap c3 c6
+                17000 | .    | .    | kill | .   | .   | .   | generation 4, serve
+                22000 | .    | .    | .    | .   | .   | .   | serve, gap 700, send c4
+                24500 | .    | .    | .    | .   | .   | .   | last done
+                25000 | up   | up   | up   | .   | .   | .   | .
+                30000 | .    | .    | .    | .   | .   | .   | serve, generation 4, send c5
+                31500 | .    | .    | .    | .   | .   | .   | last done, well""");
+        }
+
+        @org.junit.jupiter.api.Test void aReplacementCutOffHalfWayIsFinishedByAnother() {
+            for (int ms : new int[] {1, 4, 8, 15, 30, 60})
+                play("""
+                    t     | c1 | c2 | c3    | c4  | op
+                    3000  | .  | .  | .     | new | send c1
+                    4500  | .  | .  | .     | .   | last done, swap c1 c4
+                    %d    | .  | .  | power | .   | .
+                    10000 | .  | .  | .     | .   | serve
+                    10001 | .  | .  | up    | .   | .
+                    19000 | .  | .  | .     | .   | serve, send c2
+                    22500 | .  | .  | .     | .   | last done, well""".formatted(4500 + ms));
+        }
+    }
+}
