--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -11,6 +11,7 @@
 import gladelug.control.core.CoreService;
 import gladelug.control.core.Members;
 import gladelug.control.door.OperatorDoor;
+import gladelug.control.duty.Commander;
 import gladelug.control.duty.PlatformWatch;
 import gladelug.kernel.Address;
 import gladelug.kernel.Finding;
@@ -157,6 +158,7 @@
                 Runtime.getRuntime().halt(Program.CANNOT);
             }))
             .add("platform-watch", new PlatformWatch(vertx, p.platform))
+            .add("commander", new Commander(vertx, p.name, p.cutoff))
             .add("operator-door", new OperatorDoor(vertx, p.operator));
         Program.run("control-plane", k, 3000);
     }
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -347,6 +347,12 @@
         return g.number == number ? g.age + now - g.at : now - g.at;
     }
 
+    /** How long ago the value now kept was acknowledged, at the most; for duties whose key this is not. */
+    public long knownAge(String key) {
+        KeyOwner o = owners.get(key);
+        return o != null && o.serving() ? o.age(host.now()) : knownAge(key, cell(key).value().number(), host.now());
+    }
+
     // ---- the member's side: durable before answered
 
     private void keep(String key, Cell c, Runnable done) {
--- a/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
+++ b/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
@@ -23,11 +23,14 @@
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import gladelug.kernel.policy.Policy;
+import gladelug.kernel.policy.Replicas;
 import gladelug.kernel.policy.Weights;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.http.HttpServer;
+import io.vertx.mutiny.ext.web.client.WebClient;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
 import io.vertx.mutiny.ext.web.handler.BodyHandler;
@@ -36,6 +39,7 @@
 import java.util.List;
 
 public final class OperatorDoor implements Kernel.Service {
+    private static final String FORWARDED = "Gladelug-Forwarded";
     private static final long LARGEST = 5 << 20;
     private static final long ANY = -1, NONE = -2, BAD = -3;
     private static final Duration PATIENCE = Duration.ofSeconds(15);
@@ -44,6 +48,7 @@
     private final Address address;
     private CoreService core;
     private HttpServer server;
+    private WebClient web;
     private volatile boolean stopping;
 
     public OperatorDoor(Vertx vertx, Address address) {
@@ -53,15 +58,17 @@
 
     @Override public void start(Kernel k) {
         core = k.find("core", CoreService.class);
+        web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(700).setFollowRedirects(false));
         Router r = Router.router(vertx);
         r.route().handler(BodyHandler.create(false).setBodyLimit(LARGEST));
         r.get("/ready").handler(this::ready);
         r.post("/v1/policy").handler(this::policy);
-        r.get("/v1/policy").handler(c -> show(c, Keys.POLICY));
-        r.get("/v1/policy/numbers/:number").handler(c -> fate(c, Keys.POLICY));
+        r.get("/v1/policy").handler(c -> atOwner(c, Keys.POLICY, x -> show(x, Keys.POLICY)));
+        r.get("/v1/policy/numbers/:number").handler(c -> atOwner(c, Keys.POLICY, x -> fate(x, Keys.POLICY)));
         r.post("/v1/weights").handler(this::weights);
-        r.get("/v1/weights").handler(c -> show(c, Keys.WEIGHTS));
-        r.get("/v1/replicas").handler(c -> show(c, Keys.REPLICAS));
+        r.post("/v1/core/swap").handler(c -> atOwner(c, Keys.CORE, this::swap));
+        r.get("/v1/weights").handler(c -> atOwner(c, Keys.WEIGHTS, x -> show(x, Keys.WEIGHTS)));
+        r.get("/v1/replicas").handler(c -> atOwner(c, Keys.REPLICAS, x -> show(x, Keys.REPLICAS)));
         r.get("/v1/status").handler(this::status);
         r.errorHandler(413, c -> say(c, 413, Json.object().add("outcome", "not-taken").add("reason", "the body is larger than " + LARGEST + " bytes")));
         r.errorHandler(404, c -> say(c, 404, Json.object().add("reason", "nothing is here")));
@@ -82,6 +89,29 @@
         c.response().setStatusCode(status).putHeader("Content-Type", "application/json").endAndForget(o + "\n");
     }
 
+    /** What only a key's owner can tell is asked of it, whichever machine the operator came to. */
+    private void atOwner(RoutingContext c, String key, java.util.function.Consumer<RoutingContext> here) {
+        core.ask(n -> {
+            if (n.owns(key)) return "";
+            String o = n.keys().stream().filter(k -> k.key().equals(key)).map(CoreNode.KeyState::owner).findFirst().orElse("");
+            Members.Member m = n.members().find(o);
+            return m == null ? "none" : m.operator().toString();
+        }).subscribe().with(at -> {
+            if (at.isEmpty()) here.accept(c);
+            else if (at.equals("none") || c.request().getHeader(FORWARDED) != null) {
+                c.response().putHeader("Retry-After", "1");
+                say(c, 503, Json.object().add("outcome", "not-taken").add("reason", "no majority owns this at the moment"));
+            } else {
+                Address a = Address.of(at);
+                var q = web.request(c.request().method(), a.port(), a.host(), c.request().uri()).timeout(5000).putHeader(FORWARDED, "yes");
+                (c.body().buffer() == null ? q.send() : q.sendBuffer(c.body().buffer())).subscribe().with(x -> {
+                    if (x.getHeader("ETag") != null) c.response().putHeader("ETag", x.getHeader("ETag"));
+                    c.response().setStatusCode(x.statusCode()).putHeader("Content-Type", "application/json").endAndForget(x.bodyAsString() == null ? "" : x.bodyAsString());
+                }, t -> say(c, 504, Json.object().add("outcome", "unknown").add("reason", "the owner at " + at + " did not answer")));
+            }
+        }, t -> c.fail(500, t));
+    }
+
     private static void findings(RoutingContext c, List<Finding> fs) {
         JsonArray a = new JsonArray();
         for (Finding f : fs) a.add(Json.object().add("place", f.place()).add("what", f.what()));
@@ -169,10 +199,53 @@
                 findings(c, List.of(new Finding("service", "is no model service of the policy: " + n.service)));
                 return Uni.createFrom().nullItem();
             }
-            return name(n.service, n.weights, m, 5).invoke(a -> answered(c, a));
+            return offered(n.service, n.weights, sv).flatMap(yes -> {
+                if (!yes) {
+                    findings(c, List.of(new Finding("weights", "no replica of " + n.service + " that answers offers " + n.weights)));
+                    return Uni.createFrom().nullItem();
+                }
+                return name(n.service, n.weights, m, 5).invoke(a -> answered(c, a));
+            });
         }).subscribe().with(a -> {}, t -> c.fail(500, t));
     }
 
+    /** Whether any listed replica says it could run these weights. */
+    private Uni<Boolean> offered(String service, String weights, Policy.Service sv) {
+        return core.ask(x -> x.kept(Keys.REPLICAS)).flatMap(kept -> {
+            Replicas l = Replicas.parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Replicas> g ? g.value() : Replicas.NONE;
+            List<Uni<Boolean>> asked = new java.util.ArrayList<>();
+            for (Replicas.Replica r : l.all)
+                if (r.service().equals(service) && sv.allows(r.address()))
+                    asked.add(web.get(r.address().port(), r.address().host(), "/identity").timeout(1000).send().map(a -> {
+                        var o = a.bodyAsJsonObject();
+                        return o != null && r.instance().equals(o.getString("instance")) && o.getJsonArray("offers") != null && o.getJsonArray("offers").contains(weights);
+                    }).onFailure().recoverWithItem(false));
+            if (asked.isEmpty()) return Uni.createFrom().item(false);
+            return Uni.join().all(asked).andCollectFailures().map(x -> x.contains(true));
+        });
+    }
+
+    private void swap(RoutingContext c) {
+        record Swap(String out, String in) {}
+        String s = c.body().asString();
+        Result<Swap> r = Doc.parse(s == null ? "" : s).then(d -> {
+            Findings fs = new Findings();
+            Doc.Fields f = d.fields(fs);
+            Swap w = new Swap(f.text("out"), f.text("in"));
+            f.done();
+            return Result.of(fs, () -> w);
+        });
+        if (r instanceof Result.Bad<Swap> b) {
+            findings(c, b.findings());
+            return;
+        }
+        Swap w = ((Result.Good<Swap>) r).value();
+        core.ask(n -> n.swap(w.out, w.in, a -> Log.event("swap-written", "answer", a))).subscribe().with(why -> {
+            if (why.isEmpty()) say(c, 202, Json.object().add("outcome", "begun").add("out", w.out).add("in", w.in));
+            else say(c, 409, Json.object().add("outcome", "not-taken").add("reason", why));
+        }, t -> c.fail(500, t));
+    }
+
     private Uni<ChangeAnswer> name(String service, String weights, long match, int tries) {
         return core.ask(x -> x.kept(Keys.WEIGHTS)).flatMap(k -> {
             Weights w = Weights.parse(new String(k.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Weights> g ? g.value() : Weights.NONE;
@@ -223,6 +296,9 @@
                 ks.add(Json.object().add("key", s.key()).add("owner", s.owner()).add("epoch", s.epoch()).add("number", s.number())
                     .add("digest", s.digest()).add("licensed", s.licensed()).add("confirmedMsAgo", s.confirmedAgo()));
             o.add("keys", ks);
+            JsonArray js = new JsonArray();
+            for (Members.Member m : n.joiners()) js.add(Json.object().add("name", m.name()).add("records", m.records().toString()));
+            o.add("wouldJoin", js).add("sealed", n.sealed()).add("retired", n.retired());
             JsonArray ns = new JsonArray();
             for (CoreNode.Seen s : n.nodes()) {
                 JsonObject held = Json.object();
--- a/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
@@ -36,6 +36,12 @@
             tenants("web-desk", "photo-desk", "legal-read", "sports-desk", "farm-weekly", "coast-daily", "hill-herald", "rift-news"), "legal-read");
     }
 
+    /** Two replicas, a relay and an index, for tests that set a fault and look at one order. */
+    public static Deployment small(int net) {
+        return new Deployment("small", net, "m", 2, 1, 1, List.of(kind("ask", 5, 8, 200, false), kind("again", 5, 8, 200, true), kind("wide", 5, 4, 100, false)),
+            tenants("one", "two", "three", "four", "five", "six", "seven", "eight"), "eight");
+    }
+
     public static Deployment named(String n) {
         return switch (n) {
             case "safari-njia" -> safariNjia();
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
@@ -50,6 +50,15 @@
         public volatile double notRun;
         public volatile double cutBeforeFirst;
         public volatile double linkFactor = 1;
+        /** Extra ms between pieces. */
+        public volatile long slowPieces;
+
+        public void none() {
+            hang = cutStreams = lateBytes = halfPieces = skipPiece = lieAboutWeights = lieAboutService = absurdLoad = false;
+            loseEvents = delayEvents = notRun = cutBeforeFirst = 0;
+            linkFactor = 1;
+            slowPieces = 0;
+        }
     }
 
     private record Kept(String weights, String wall) {}
@@ -91,6 +100,11 @@
     private String incarnation;
     private long seq;
     private volatile String weights;
+    private String loading = "";
+    private final String bootWeights;
+    public volatile List<String> offers = List.of("w1", "w2", "w3", "w4");
+    public volatile long loadMs = 1500;
+    public volatile boolean neverLoads;
     private int running;
     private double busyUntil;
     private long commanderEpoch;
@@ -107,6 +121,7 @@
         this.instance = instance;
         this.host = host;
         this.weights = weights;
+        this.bootWeights = weights;
         this.random = new Random(seed);
         this.slots = slots;
         this.capacity = capacity;
@@ -159,6 +174,10 @@
         followers.clear();
         waiting.clear();
         links.clear();
+        loading = "";
+        weights = bootWeights;
+        commanderEpoch = 0;
+        commander = "";
         seq = 0;
         running = 0;
         busyUntil = 0;
@@ -190,11 +209,12 @@
         String p = q.path();
         switch (p) {
             case "/identity" -> answer(q, new JsonObject().put("service", faults.lieAboutService ? "somebody-else" : service).put("instance", instance).put("weights", weights)
-                .put("blockBytes", BLOCK).put("capacityBlocks", capacity).put("slots", slots).put("incarnation", incarnation));
+                .put("blockBytes", BLOCK).put("capacityBlocks", capacity).put("slots", slots).put("incarnation", incarnation)
+                .put("loading", !loading.isEmpty()).put("offers", new JsonArray(offers)));
             case "/occupancy" -> {
                 JsonObject l = new JsonObject();
                 links.forEach(l::put);
-                answer(q, new JsonObject().put("service", service).put("instance", instance).put("weights", weights).put("blockBytes", BLOCK)
+                answer(q, new JsonObject().put("service", service).put("instance", instance).put("weights", loading.isEmpty() ? weights : "").put("blockBytes", BLOCK)
                     .put("running", faults.absurdLoad ? -2_000_000_000 : running).put("waiting", waiting.size()).put("slots", slots)
                     .put("waitMs", faults.absurdLoad ? 1e30 : Math.max(0, busyUntil - now())).put("msPerBlock", msPerBlock).put("links", l));
             }
@@ -329,6 +349,10 @@
             notRun(q, in, "this is " + service + "/" + instance);
             return;
         }
+        if (!loading.isEmpty()) {
+            notRun(q, in, "weights " + loading + " are being loaded");
+            return;
+        }
         if (kind == Kind.MODEL && !weights.equals(in.getString("weights"))) {
             notRun(q, in, "weights " + weights + " run here");
             return;
@@ -438,7 +462,7 @@
             int nr = faults.skipPiece && j.pieces == 2 ? 3 : j.pieces;
             j.out.write("{\"piece\":" + nr + ",\"text\":\"" + textOf(j.run.tag, j.pieces) + "\"}\n");
             j.run.pieces = ++j.pieces;
-            vertx.setTimer(Math.max(1, (long) msPerPiece), i -> piece(j));
+            vertx.setTimer(Math.max(1, (long) msPerPiece) + faults.slowPieces, i -> piece(j));
             return;
         }
         j.run.ended = true;
@@ -462,10 +486,27 @@
         commanderEpoch = e;
         commander = who;
         String w = o.getString("weights", "");
-        if (!w.isEmpty() && !w.equals(weights)) {
+        if (!w.isEmpty() && !w.equals(weights) && !w.equals(loading) && offers.contains(w)) {
             ledger.note("weights " + instance + " " + weights + "->" + w);
-            weights = w;
+            loading = w;
+            if (!neverLoads) vertx.setTimer(loadMs, i -> loaded(w));
         }
         answer(q, new JsonObject().put("epoch", commanderEpoch).put("weights", weights));
     }
+
+    /** New weights are in: what was kept under the old ones is gone, told as a new incarnation. */
+    private synchronized void loaded(String w) {
+        if (!up || !loading.equals(w)) return;
+        if (running > 0 || !waiting.isEmpty()) {
+            vertx.setTimer(20, i -> loaded(w));
+            return;
+        }
+        weights = w;
+        loading = "";
+        kept.clear();
+        events.clear();
+        seq = 0;
+        incarnation = Long.toHexString(random.nextLong());
+        for (HttpServerResponse f : new ArrayList<>(followers)) if (!f.closed()) f.write(pulse());
+    }
 }
