--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -756,4 +756,133 @@
         for (Cell.Mark m : v.history()) if (m.number() == number) return m.digest().equals(digest) ? "taken" : "other";
         return "forgotten";
     }
+
+    static final class Tests {
+        /** A host that keeps what is said and what is to be synced until the test lets it go. */
+        private static final class Paper implements CoreHost {
+            long now = 1_000_000;
+            final List<String> said = new ArrayList<>();
+            final List<Envelope> messages = new ArrayList<>();
+            final List<Runnable> syncs = new ArrayList<>();
+
+            @Override public long now() {
+                return now;
+            }
+
+            @Override public long random(long below) {
+                return 0;
+            }
+
+            @Override public void send(String member, Envelope m) {
+                said.add(member + " " + m.said().getClass().getSimpleName());
+                messages.add(m);
+            }
+
+            @Override public void sendTo(gladelug.kernel.Address to, Envelope m) {}
+
+            @Override public List<gladelug.kernel.Address> contacts() {
+                return List.of();
+            }
+
+            @Override public void sync(String key, byte[] state, Runnable done) {
+                syncs.add(done);
+            }
+
+            @Override public void news(String node, News m) {}
+
+            @Override public void members(Members m) {}
+
+            @Override public void event(String name, Object... pairs) {}
+
+            void synced() {
+                List<Runnable> l = new ArrayList<>(syncs);
+                syncs.clear();
+                l.forEach(Runnable::run);
+            }
+
+            long count(String what) {
+                return said.stream().filter(s -> s.equals(what)).count();
+            }
+        }
+
+        private static final gladelug.kernel.Address A = gladelug.kernel.Address.of("1.1.1.1:1");
+        private static final Members THREE = new Members(1, List.of(new Members.Member("a", "da", A, A), new Members.Member("b", "db", A, A), new Members.Member("c", "dc", A, A)));
+
+        private static CoreNode node(Paper p) {
+            return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(MEMBERS, THREE.bytes()), null, (k, b) -> {});
+        }
+
+        private static void from(CoreNode n, String who, CoreMessage m) {
+            n.message(new Envelope(1, who, "d" + who, m));
+        }
+
+        @org.junit.jupiter.api.Test void nothingIsAnsweredBeforeItIsOnDisk() {
+            Paper p = new Paper();
+            CoreNode n = node(p);
+            long e = THREE.epoch(0, "b");
+            from(n, "b", new Promise("k", e));
+            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("b Promised"));
+            p.synced();
+            org.junit.jupiter.api.Assertions.assertEquals(1, p.count("b Promised"));
+            from(n, "b", new Accept("k", e, Cell.Value.NONE.next("d", new byte[1])));
+            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("b Accepted"));
+            p.synced();
+            org.junit.jupiter.api.Assertions.assertEquals(1, p.count("b Accepted"));
+            from(n, "c", new Confirm(1, List.of(new Claim("k", THREE.epoch(e, "c")))));
+            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("c Confirmed"), "a confirmation that raises the promise");
+            p.synced();
+            org.junit.jupiter.api.Assertions.assertEquals(1, p.count("c Confirmed"));
+        }
+
+        @org.junit.jupiter.api.Test void servesOnlyOnceTheValueItReadStandsAtAMajorityUnderItsOwnEpoch() {
+            Paper p = new Paper();
+            CoreNode n = node(p);
+            p.now += 10_000;
+            for (int i = 0; i < 3; i++) {
+                n.tick();
+                p.now += 800;
+            }
+            long e = n.epochOf(Keys.POLICY);
+            org.junit.jupiter.api.Assertions.assertTrue(e > 0, "never tried");
+            Cell.Value x = Cell.Value.NONE.next("x", new byte[] {1});
+            p.now -= 700;
+            from(n, "a", new Promised(Keys.POLICY, e, true, e, 0, Cell.Value.NONE));
+            from(n, "b", new Promised(Keys.POLICY, e, true, e, 5, x));
+            org.junit.jupiter.api.Assertions.assertFalse(n.owns(Keys.POLICY));
+            Accept w = p.messages.stream().map(Envelope::said).filter(m -> m instanceof Accept).map(m -> (Accept) m).findFirst().orElseThrow();
+            org.junit.jupiter.api.Assertions.assertTrue(w.epoch() == e && w.value().digest().equals("x"), "the newest value heard of, under the new epoch");
+            from(n, "a", new Accepted(Keys.POLICY, e, 1, true, e));
+            org.junit.jupiter.api.Assertions.assertFalse(n.owns(Keys.POLICY));
+            from(n, "b", new Accepted(Keys.POLICY, e, 1, true, e));
+            org.junit.jupiter.api.Assertions.assertTrue(n.owns(Keys.POLICY));
+            org.junit.jupiter.api.Assertions.assertFalse(n.mayCommand(Keys.POLICY), "before the last owner's licence is over");
+        }
+
+        @org.junit.jupiter.api.Test void aSealedMemberTakesNoPartInTheOldGenerationEvenAfterARestart() {
+            Members next = new Members(2, List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
+            Paper p = new Paper();
+            CoreNode n = node(p);
+            from(n, "b", new Seal(next));
+            p.synced();
+            from(n, "c", new Promise("k", THREE.epoch(0, "c")));
+            p.synced();
+            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("c Promised"));
+            Paper q = new Paper();
+            CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(MEMBERS, THREE.bytes(), SEALED, next.bytes()), null, (k, b) -> {});
+            from(again, "c", new Promise("k", THREE.epoch(0, "c")));
+            q.synced();
+            org.junit.jupiter.api.Assertions.assertEquals(0, q.count("c Promised"));
+        }
+
+        @org.junit.jupiter.api.Test void aChangeThatComesTwiceIsAnsweredOnceAndAStrangersDiskNever() {
+            Paper p = new Paper();
+            CoreNode n = node(p);
+            for (int i = 0; i < 2; i++) from(n, "b", new Change(7, Keys.POLICY, -1, new byte[1]));
+            org.junit.jupiter.api.Assertions.assertEquals(1, p.count("b Changed"));
+            n.message(new Envelope(1, "b", "another disk", new Promise("k", THREE.epoch(0, "b"))));
+            n.message(new Envelope(2, "b", "db", new Promise("k", THREE.epoch(0, "b"))));
+            p.synced();
+            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("b Promised"));
+        }
+    }
 }
