--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -47,7 +47,7 @@
         void served(String key, byte[] body);
     }
 
-    public record Seen(String name, long run, String role, String records, String operator, String domain, long asked, List<News.Held> held) {}
+    public record Seen(String name, long run, String role, String records, String operator, String domain, long asked, List<News.Held> held, Map<String, Long> since) {}
 
     private static final class Fellow {
         long heard = Long.MIN_VALUE / 2;
@@ -444,7 +444,13 @@
 
     public void ask(News.Ask a) {
         long now = host.now();
-        nodes.put(a.name(), new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held()));
+        Seen old = nodes.get(a.name());
+        Map<String, Long> since = new HashMap<>();
+        for (News.Held h : a.held()) {
+            boolean same = old != null && old.run == a.run() && old.held.stream().anyMatch(x -> x.key().equals(h.key()) && x.number() == h.number());
+            since.put(h.key(), same ? old.since.getOrDefault(h.key(), now) : now);
+        }
+        nodes.put(a.name(), new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held(), since));
         boolean relay = a.role().equals("relay");
         List<News.Grant> gs = new ArrayList<>();
         for (News.Held h : a.held()) {
--- a/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
+++ b/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
@@ -302,7 +302,8 @@
             JsonArray ns = new JsonArray();
             for (CoreNode.Seen s : n.nodes()) {
                 JsonObject held = Json.object();
-                for (News.Held h : s.held()) held.add(h.key(), h.number());
+                for (News.Held h : s.held())
+                    held.add(h.key(), Json.object().add("number", h.number()).add("forMs", core.now() - s.since().getOrDefault(h.key(), core.now())));
                 ns.add(Json.object().add("name", s.name()).add("role", s.role()).add("domain", s.domain()).add("operator", s.operator())
                     .add("askedMsAgo", core.now() - s.asked()).add("holds", held));
             }
--- /dev/null
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -0,0 +1,185 @@
+/*
+ * The operators' commands, one program with a command each. explain-order is the first: why an
+ * order went where it went, or who has which number of the control state. Every command ends with
+ * 0 when it was done, 1 when it was answered with a refusal or unknown, 2 when it was used wrongly,
+ * 3 when nobody answered.
+ */
+package gladelug.tools;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import com.eclipsesource.json.WriterConfig;
+import gladelug.kernel.Address;
+import gladelug.kernel.Finding;
+import gladelug.kernel.Findings;
+import gladelug.kernel.Program;
+import gladelug.kernel.Result;
+import gladelug.kernel.policy.Policy;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+public final class OperatorTools {
+    private OperatorTools() {}
+
+    private static Subparser command(net.sourceforge.argparse4j.inf.Subparsers subs, String name, String help) {
+        Subparser p = subs.addParser(name).help(help).description(help).defaultHelp(true);
+        p.addArgument("--control").required(true).metavar("IP:PORT,...").help("operator addresses of control machines");
+        p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+        return p;
+    }
+
+    public static void main(String[] args) {
+        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.SEVERE);
+        ArgumentParser ap = ArgumentParsers.newFor("operator-tools").build().defaultHelp(true).description("The operators' commands of a gladelug fleet.");
+        var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
+        Subparser p = command(subs, "explain-order", "why an order went where it went; or what became of a number of the control state");
+        p.addArgument("what").nargs("+").metavar("ORDER | policy N | weights N").help("an order id from the header Gladelug-Order, or a key and its number");
+        p = command(subs, "send-policy", "send a whole policy");
+        p.addArgument("file");
+        p.addArgument("--based-on").required(true).metavar("NUMBER|*").help("the number it was based on, or * to replace whatever is there");
+        command(subs, "show-policy", "print the policy and its number");
+        p = command(subs, "name-weights", "name the weights a model service is to run");
+        p.addArgument("service");
+        p.addArgument("weights");
+        command(subs, "show-status", "who owns what, which nodes hold which numbers, who is behind");
+        p = command(subs, "swap-core-machine", "put a machine that asks to join in the place of a member of the core");
+        p.addArgument("out");
+        p.addArgument("in");
+        p = subs.addParser("hash-key").help("print the hash of a caller's key, read from standard input, as a policy wants it");
+        Namespace n = Program.parse(ap, args);
+        System.exit(run(n));
+    }
+
+    private static int run(Namespace n) {
+        String c = n.getString("command");
+        if (c.equals("hash-key")) return hashKey();
+        Findings fs = new Findings();
+        List<Address> control = new ArrayList<>();
+        for (String s : n.getString("control").split(",")) control.add(Address.read(s.trim(), "--control", fs));
+        if (!fs.clean()) {
+            System.err.print(fs);
+            return Program.BAD_USE;
+        }
+        boolean json = n.getBoolean("json");
+        try (Asking a = new Asking()) {
+            return switch (c) {
+                case "explain-order" -> explain(a, control, n.getList("what"), json);
+                case "send-policy" -> sendPolicy(a, control, n.getString("file"), n.getString("based_on"), json);
+                case "show-policy" -> print(a.get(control, "/v1/policy"), true);
+                case "name-weights" -> print(a.call(HttpMethod.POST, control, "/v1/weights",
+                    Json.object().add("service", n.getString("service")).add("weights", n.getString("weights")).toString(), Map.of()), json);
+                case "show-status" -> status(a, control, json);
+                default -> print(a.call(HttpMethod.POST, control, "/v1/core/swap", Json.object().add("out", n.getString("out")).add("in", n.getString("in")).toString(), Map.of()), json);
+            };
+        }
+    }
+
+    private static int hashKey() {
+        try {
+            String s = new String(System.in.readAllBytes(), java.nio.charset.StandardCharsets.UTF_8).strip();
+            if (s.isEmpty()) {
+                System.err.println("operator-tools: no key on standard input");
+                return Program.BAD_USE;
+            }
+            System.out.println("sha256:" + Policy.hashOf(s));
+            return 0;
+        } catch (IOException e) {
+            System.err.println("operator-tools: standard input cannot be read");
+            return Program.BAD_USE;
+        }
+    }
+
+    private static int end(Asking.Answer a) {
+        return a.status() == 0 ? Program.CANNOT : a.ok() ? 0 : 1;
+    }
+
+    private static int print(Asking.Answer a, boolean json) {
+        if (json) System.out.println(a.body().toString(WriterConfig.PRETTY_PRINT));
+        else {
+            StringBuilder sb = new StringBuilder();
+            for (JsonObject.Member m : a.body()) {
+                if (m.getName().equals("findings"))
+                    for (JsonValue v : m.getValue().asArray()) sb.append("  ").append(v.asObject().getString("place", "")).append(": ").append(v.asObject().getString("what", "")).append('\n');
+                else sb.append(m.getName()).append(": ").append(m.getValue().isString() ? m.getValue().asString() : m.getValue().toString()).append('\n');
+            }
+            (a.ok() ? System.out : System.err).print(sb);
+        }
+        return end(a);
+    }
+
+    private static int sendPolicy(Asking a, List<Address> control, String file, String basedOn, boolean json) {
+        String s;
+        try {
+            s = Files.readString(Path.of(file));
+        } catch (IOException e) {
+            System.err.println("operator-tools: " + file + " cannot be read");
+            return Program.BAD_USE;
+        }
+        if (Policy.parse(s) instanceof Result.Bad<Policy> b) {
+            System.err.println(file + " was not sent; found:");
+            for (Finding f : b.findings()) System.err.println("  " + f);
+            return 1;
+        }
+        return print(a.call(HttpMethod.POST, control, "/v1/policy", s, Map.of("If-Match", basedOn)), json);
+    }
+
+    private static int status(Asking a, List<Address> control, boolean json) {
+        Asking.Answer s = a.get(control, "/v1/status");
+        if (!s.ok() || json) return print(s, json);
+        System.out.print(Explanation.ofStatus(s.body()));
+        return 0;
+    }
+
+    private static int explain(Asking a, List<Address> control, List<String> what, boolean json) {
+        Asking.Answer s = a.get(control, "/v1/status");
+        if (!s.ok()) return print(s, json);
+        if (what.size() == 2 && (what.get(0).equals("policy") || what.get(0).equals("weights")) && what.get(1).matches("[0-9]{1,18}"))
+            return number(a, s.body(), what.get(0), Long.parseLong(what.get(1)), json);
+        String id = what.get(0), relay = id.contains(".") ? id.substring(0, id.indexOf('.')) : "";
+        if (what.size() > 1 || relay.isEmpty()) {
+            System.err.println("operator-tools: an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order; or give: policy N, weights N");
+            return Program.BAD_USE;
+        }
+        for (JsonValue v : s.body().get("nodes").asArray()) {
+            JsonObject n = v.asObject();
+            if (!n.getString("name", "").equals(relay)) continue;
+            Asking.Answer d = a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/orders/" + id);
+            if (!d.ok() || json) return print(d, json);
+            System.out.print(Explanation.ofOrder(d.body()));
+            return 0;
+        }
+        System.err.println("operator-tools: no relay " + relay + " has asked this control machine within the last minute");
+        return 1;
+    }
+
+    /** Beside the numbers held, what the replicas run, as the relays see it. */
+    private static int number(Asking a, JsonObject status, String key, long number, boolean json) {
+        JsonObject runs = Json.object();
+        if (key.equals("weights"))
+            for (JsonValue v : status.get("nodes").asArray()) {
+                if (!v.asObject().getString("role", "").equals("relay")) continue;
+                Asking.Answer r = a.get(List.of(Address.of(v.asObject().getString("operator", ""))), "/operator/status");
+                if (!r.ok()) continue;
+                for (JsonObject.Member m : r.body().get("backends").asObject()) runs.set(m.getName(), m.getValue().asObject().getString("weights", ""));
+                break;
+            }
+        if (json) {
+            System.out.println(Json.object().add("key", key).add("number", number).add("status", status).add("replicasRun", runs).toString(WriterConfig.PRETTY_PRINT));
+            return 0;
+        }
+        System.out.print(Explanation.ofNumber(key, number, status));
+        for (JsonObject.Member m : runs) if (!m.getValue().asString().isEmpty()) System.out.println("  " + m.getName() + " runs " + m.getValue().asString());
+        return 0;
+    }
+}
