--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -784,7 +784,9 @@
                 messages.add(m);
             }
 
-            @Override public void sendTo(gladelug.kernel.Address to, Envelope m) {}
+            @Override public void sendTo(gladelug.kernel.Address to, Envelope m) {
+                said.add("address " + m.said().getClass().getSimpleName());
+            }
 
             @Override public List<gladelug.kernel.Address> contacts() {
                 return List.of();
@@ -880,6 +882,37 @@
             org.junit.jupiter.api.Assertions.assertEquals(0, q.count("c Promised"));
         }
 
+        @org.junit.jupiter.api.Test void theNextGenerationIsNotToldBeforeAMajorityOfTheOldIsSealed() {
+            Members next = new Members(2, List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
+            Paper p = new Paper();
+            CoreNode n = node(p);
+            from(n, "b", new Seal(next));
+            p.synced();
+            from(n, "a", new Sealed(2, List.of()));
+            for (int i = 0; i < 20; i++) {
+                p.now += 200;
+                n.tick();
+            }
+            org.junit.jupiter.api.Assertions.assertTrue(p.count("address Seal") > 0, "whoever is sealed drives it on");
+            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("address Settled"));
+            from(n, "c", new Sealed(2, List.of()));
+            p.now += 200;
+            n.tick();
+            org.junit.jupiter.api.Assertions.assertEquals(3, p.count("address Settled"));
+        }
+
+        @org.junit.jupiter.api.Test void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
+            Paper p = new Paper();
+            CoreNode n = new CoreNode(p, Tunables.USUAL, new Members.Member("a", "new disk", A, A), 15_000, Map.of(), null, (k, b) -> {});
+            from(n, "b", new Promise("k", THREE.epoch(0, "b")));
+            from(n, "b", new Accept("k", THREE.epoch(0, "b"), Cell.Value.NONE));
+            from(n, "b", new Confirm(1, List.of(new Claim("k", 1))));
+            from(n, "b", new Settled(THREE, List.of()));
+            p.synced();
+            org.junit.jupiter.api.Assertions.assertEquals(List.of(), p.said);
+            org.junit.jupiter.api.Assertions.assertFalse(n.settled(), "members with the old disk in its name don't let it in");
+        }
+
         @org.junit.jupiter.api.Test void aChangeThatComesTwiceIsAnsweredOnceAndAStrangersDiskNever() {
             Paper p = new Paper();
             CoreNode n = node(p);
