--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -82,8 +82,9 @@
     private final Map<String, Long> ownerless = new HashMap<>();
     private final Map<String, Seen> nodes = new LinkedHashMap<>();
     private final Map<String, Long> pushed = new HashMap<>();
-    private final Map<Long, Consumer<ChangeAnswer>> forwarded = new HashMap<>();
-    private final Map<Long, Long> forwardedAt = new HashMap<>();
+    private record Forwarded(String owner, long number, long at, Consumer<ChangeAnswer> answer) {}
+
+    private final Map<Long, Forwarded> forwarded = new HashMap<>();
     private final Set<Long> seen = new LinkedHashSet<>();
     private final List<Round> rounds = new ArrayList<>();
     private final Map<String, Members.Member> met = new TreeMap<>();
@@ -226,12 +227,13 @@
         if (now - lastConfirm >= tunables.confirm()) confirm(now);
         for (KeyOwner o : owners.values()) o.tick(now);
         if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
-        forwardedAt.entrySet().removeIf(e -> {
-            if (now - e.getValue() < tunables.fate() + 1000) return false;
-            Consumer<ChangeAnswer> c = forwarded.remove(e.getKey());
-            if (c != null) c.accept(new ChangeAnswer.Unknown(-1));
-            return true;
-        });
+        for (Map.Entry<Long, Forwarded> e : new ArrayList<>(forwarded.entrySet())) {
+            Forwarded f = e.getValue();
+            // nobody will answer any more, so the sender is told so at once, with the number to ask about
+            if (now - f.at < tunables.fate() + 1000 && live(f.owner, now)) continue;
+            forwarded.remove(e.getKey());
+            f.answer.accept(new ChangeAnswer.Unknown(f.number));
+        }
         nodes.values().removeIf(s -> now - s.asked > 60_000);
     }
 
@@ -314,9 +316,8 @@
         else if (s instanceof Confirmed c) onConfirmed(e.from(), c, now);
         else if (s instanceof Change c && firstTime(c.nr())) owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
         else if (s instanceof Changed c) {
-            Consumer<ChangeAnswer> k = forwarded.remove(c.nr());
-            forwardedAt.remove(c.nr());
-            if (k != null) k.accept(c.answer());
+            Forwarded f = forwarded.remove(c.nr());
+            if (f != null) f.answer.accept(c.answer());
         }
     }
 
@@ -427,8 +428,7 @@
             return;
         }
         long n = ++nr;
-        forwarded.put(n, answer);
-        forwardedAt.put(n, now);
+        forwarded.put(n, new Forwarded(other, (match >= 0 ? match : cell(key).value().number()) + 1, now, answer));
         to(other, new Change(n, key, match, body));
     }
 
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -21,6 +21,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -31,7 +32,8 @@
 import java.util.function.Function;
 
 public final class CoreService implements Kernel.Service, CoreHost {
-    private static final long TICK = 25, STALL = 400, PROBE = 1000;
+    private static final long TICK = 25, STALL = 400, PROBE = 1000, OWNERLESS = 2500;
+    private static final Duration BETWEEN = Duration.ofMillis(100);
 
     private final Vertx vertx;
     private final Clock clock = Clock.monotonic();
@@ -112,7 +114,21 @@
         });
     }
 
+    /** While a key is between two owners nothing was taken, so the change is offered again for a moment. */
     public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
+        return changeOnce(key, match, body).flatMap(a -> a instanceof ChangeAnswer.NoOwner
+            ? Uni.createFrom().<ChangeAnswer>failure(new Ownerless()) : Uni.createFrom().item(a))
+            .onFailure(Ownerless.class).retry().withBackOff(BETWEEN, BETWEEN).withJitter(0).expireIn(OWNERLESS)
+            .onFailure().recoverWithItem(t -> new ChangeAnswer.NoOwner());
+    }
+
+    private static final class Ownerless extends RuntimeException {
+        Ownerless() {
+            super("no owner", null, false, false);
+        }
+    }
+
+    private Uni<ChangeAnswer> changeOnce(String key, long match, byte[] body) {
         return Uni.createFrom().emitter(e -> {
             if (!duty.offer(() -> node.change(key, match, body, e::complete))) e.complete(new ChangeAnswer.Busy());
         });
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -8,6 +8,7 @@
 import gladelug.data.index.IndexService;
 import gladelug.data.news.NewsService;
 import gladelug.data.relay.RelayService;
+import gladelug.data.relay.Stages;
 import gladelug.kernel.Address;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Kernel;
@@ -28,6 +29,8 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 
 public final class DataPlane {
+    private static final Map<String, Stages.Mode> MODES = new java.util.TreeMap<>(Map.of("summary", Stages.Mode.SUMMARY,
+        "least-occupancy", Stages.Mode.LEAST_OCCUPANCY, "holder-always", Stages.Mode.HOLDER_ALWAYS));
     private static final String[] BOTH = {"name", "domain", "records", "operator", "seeds", "log"};
     private static final String[] RELAY = {"callers", "index", "backlog", "choice"};
     private static final String[] INDEX = {"fingerprintBits"};
@@ -43,8 +46,7 @@
                 relay ? s.address("callers") : null, relay ? s.address("index", null) : null, relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
                 relay ? s.text("choice", "summary") : "", relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS));
             if (p.seeds.isEmpty()) s.findings.add("--seeds", "at least one records address of another process is needed");
-            if (relay && !p.choice.equals("summary") && !p.choice.equals("least-occupancy"))
-                s.findings.add("--choice", "must be summary or least-occupancy, not " + p.choice);
+            if (relay && !MODES.containsKey(p.choice)) s.findings.add("--choice", "must be one of " + MODES.keySet() + ", not " + p.choice);
             return s.done(() -> p);
         });
     }
@@ -82,7 +84,7 @@
             case "callers" -> "IP:PORT for callers";
             case "index" -> "IP:PORT of this machine's index process, where it has one";
             case "backlog" -> "how many orders of a service may wait here";
-            case "choice" -> "summary, or least-occupancy to leave the index unused";
+            case "choice" -> "how a replica is chosen: summary; least-occupancy and holder-always are for comparisons";
             default -> "width f of a fingerprint in the Cuckoo Summary";
         };
     }
@@ -95,7 +97,7 @@
         Kernel k = new Kernel().add("doors", new Doors(vertx, p.records, p.name)).add("views", new ViewService(vertx, self, p.seeds))
             .add("news", new NewsService(vertx, clock, self, p.seeds));
         if (relay) {
-            RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog, p.choice.equals("summary"));
+            RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog, MODES.get(p.choice));
             k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, r::routes)).add("relay", r);
         } else {
             IndexService x = new IndexService(vertx, clock, p.fingerprintBits);
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 
 public final class Backend {
+    private static final long PROBE = 20_000;
     public Replica replica;
     public boolean known;
     public String weights = "";
@@ -23,6 +24,7 @@
     public long reportedAt = Long.MIN_VALUE / 2;
     public long badUntil = Long.MIN_VALUE / 2;
     public Map<String, Double> links = new HashMap<>();
+    private final Map<String, Long> pulledAt = new HashMap<>();
 
     public Backend(Replica r) {
         this.replica = r;
@@ -45,6 +47,22 @@
         return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
     }
 
+    /**
+     * Estimated ms to pull a block from a holder: as this replica measured it; where it never did,
+     * hopefully a quarter of what computing costs, so that it comes to be measured; and a link found
+     * slow is hoped for again once in a while, because only a pull shows that it has recovered.
+     */
+    public double linkMs(String holder, long now) {
+        double hoped = msPerBlock / 4;
+        Double m = links.get(holder);
+        if (m == null || m > hoped && now - pulledAt.getOrDefault(holder, now - 1) > PROBE) return hoped;
+        return m;
+    }
+
+    public void pulls(String holder, long now) {
+        pulledAt.put(holder, now);
+    }
+
     public void bad(long now, long ms) {
         badUntil = Math.max(badUntil, now + ms);
     }
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -42,13 +42,13 @@
     private final Address callers;
     private final Address index;
     private final int backlog;
-    private final boolean useMatches;
+    private final Stages.Mode mode;
     private Context context;
     private volatile Relay relay;
     private Decisions decisions;
     private io.vertx.core.http.HttpServer server;
 
-    public RelayService(Vertx vertx, Clock clock, String name, String domain, Address callers, Address index, int backlog, boolean useMatches) {
+    public RelayService(Vertx vertx, Clock clock, String name, String domain, Address callers, Address index, int backlog, Stages.Mode mode) {
         this.vertx = vertx;
         this.clock = clock;
         this.name = name;
@@ -56,7 +56,7 @@
         this.callers = callers;
         this.index = index;
         this.backlog = backlog;
-        this.useMatches = useMatches;
+        this.mode = mode;
     }
 
     @Override public void start(Kernel k) {
@@ -69,7 +69,7 @@
         context.runOnContext(() -> {
             Relay r = new Relay(clock, news, x -> new Backends(vertx, clock, x::pump), domain, backlog);
             List<Stage> stages = List.of(new Stages.Key(r), new Stages.Mapping(r), new Stages.Admission(r),
-                new Stages.Prefix(r, new LookupClient(vertx, context, doors, views, domain, index)), new Stages.Choice(r, useMatches), new Stages.Fetch(r),
+                new Stages.Prefix(r, new LookupClient(vertx, context, doors, views, domain, index)), new Stages.Choice(r, mode), new Stages.Fetch(r),
                 new HandOver(r, vertx));
             CallerDoor door = new CallerDoor(r, decisions, new Way(stages, "choice", clock, r::ended));
             io.vertx.ext.web.Router t = io.vertx.ext.web.Router.router(vertx.getDelegate());
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -22,7 +22,7 @@
 import java.util.List;
 
 public final class Stages {
-    public static final double OTHER_DOMAIN_MS = 2;
+    public static final double OTHER_DOMAIN_MS = 2, FETCH_MS = 2;
 
     private Stages() {}
 
@@ -126,8 +126,11 @@
         }
     }
 
+    /** How replicas are compared. All but SUMMARY are there to be measured against it. */
+    public enum Mode { SUMMARY, LEAST_OCCUPANCY, HOLDER_ALWAYS }
+
     /** Which replica: the least estimated milliseconds of backlog, prefill or fetch, and distance. */
-    public record Choice(Relay r, boolean useMatches) implements Stage.AtOnce {
+    public record Choice(Relay r, Mode mode) implements Stage.AtOnce {
         @Override public String name() {
             return "choice";
         }
@@ -153,7 +156,12 @@
                 boolean any = r.backends.of(o.service.name()).stream().anyMatch(b -> b.usable(t));
                 return Verdict.notRun(503, any ? "no replica with the right weights has a place" : "no replica answers", 500);
             }
-            os.sort(Comparator.comparingDouble(Option::ms).thenComparing(x -> x.b.load()).thenComparing(x -> (x.b.replica.instance().hashCode() ^ (int) o.decision.nr) * 0x9E3779B1));
+            Comparator<Option> first = switch (mode) {
+                case SUMMARY -> Comparator.comparingDouble(Option::ms);
+                case LEAST_OCCUPANCY -> Comparator.comparingInt(x -> x.b.load());
+                case HOLDER_ALWAYS -> Comparator.comparingInt(x -> -x.matched);
+            };
+            os.sort(first.thenComparing(x -> x.b.load()).thenComparing(x -> (x.b.replica.instance().hashCode() ^ (int) o.decision.nr) * 0x9E3779B1));
             Option c = os.get(0);
             if (model) {
                 boolean same = c.b.weights.equals(o.weights);
@@ -163,6 +171,7 @@
                 o.fetchBlocks = same ? c.fetch : 0;
             }
             o.cost = c.ms;
+            if (o.fetchBlocks > 0) c.b.pulls(o.fetchFrom, t);
             r.choose(o, c.b, c.prefill);
             JsonArray a = new JsonArray();
             for (Option x : os.subList(0, Math.min(4, os.size())))
@@ -178,17 +187,16 @@
 
         private Option option(Order o, Backend b, long t) {
             int n = o.blocks.length, have = 0;
-            boolean same = b.weights.equals(o.weights) && useMatches;
+            boolean same = b.weights.equals(o.weights) && mode != Mode.LEAST_OCCUPANCY;
             if (same) for (Lookup.Match m : o.matches) if (m.holder().equals(b.replica.instance())) have = Math.max(have, Math.min(n, m.blocks()));
             double work = (n - have) * b.msPerBlock;
             String from = "";
             int fetch = 0;
-            if (same)
+            if (same && mode == Mode.SUMMARY)
                 for (Lookup.Match m : o.matches) {
-                    Double link = b.links.get(m.holder());
                     int more = Math.min(n, m.blocks()) - have;
-                    if (link == null || more <= 0) continue;
-                    double f = more * link + (n - have - more) * b.msPerBlock;
+                    if (more <= 0 || r.tables().replicas().find(m.holder()) == null) continue;
+                    double f = FETCH_MS + more * b.linkMs(m.holder(), t) + (n - have - more) * b.msPerBlock;
                     if (f < work) {
                         work = f;
                         from = m.holder();
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -18,6 +18,8 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 
 public final class RehearseFleet {
+    private static final String[] CHOICES = {"summary", "least-occupancy", "holder-always"};
+
     private RehearseFleet() {}
 
     public static void main(String[] args) throws Exception {
@@ -28,10 +30,20 @@
         p.addArgument("--seconds").type(Integer.class).setDefault(60);
         p.addArgument("--seed").type(Long.class).setDefault(1L);
         p.addArgument("--kills").choices("yes", "no").setDefault("yes");
-        p.addArgument("--choice").choices("summary", "least-occupancy").setDefault("summary");
+        p.addArgument("--choice").choices(CHOICES).setDefault("summary");
+        p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
+        p.addArgument("--out").setDefault("rehearsal-out");
+        p = subs.addParser("compare").help("the three ways of choosing a replica, turn about, several rounds, from the same seeds");
+        p.addArgument("--deployment").choices("safari-njia", "moka-ridge").setDefault("safari-njia");
+        p.addArgument("--seconds").type(Integer.class).setDefault(15);
+        p.addArgument("--rounds").type(Integer.class).setDefault(3);
         p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
         p.addArgument("--out").setDefault("rehearsal-out");
         Namespace n = Program.parse(ap, args);
+        if (n.getString("command").equals("compare")) {
+            compare(n);
+            System.exit(0);
+        }
         java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.WARNING);
         Deployment d = Deployment.named(n.getString("deployment"));
         Path out = Path.of(n.getString("out")).toAbsolutePath().resolve(d.name() + "-" + n.getLong("seed") + "-" + System.currentTimeMillis());
@@ -44,6 +56,44 @@
         System.exit(clean ? 0 : 1);
     }
 
+    private static void compare(Namespace n) throws Exception {
+        Map<String, List<double[]>> got = new TreeMap<>();
+        for (int round = 1; round <= n.getInt("rounds"); round++)
+            for (String c : CHOICES) {
+                Deployment d = Deployment.named(n.getString("deployment"));
+                Path out = Path.of(n.getString("out")).toAbsolutePath().resolve("compare-" + d.name() + "-" + c + "-" + System.currentTimeMillis());
+                try (Fleet f = new Fleet(d, out, round, c)) {
+                    f.start();
+                    StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, d.tenants(), d.kinds(), round);
+                    callers.faster = n.getDouble("rate");
+                    callers.start();
+                    Fleet.pause(n.getInt("seconds") * 1000L);
+                    callers.stop();
+                    Fleet.until("the last orders ended", 30_000, () -> callers.open() == 0);
+                    long blocks = 0, computed = 0, fetched = 0;
+                    for (List<Ledger.Run> rs : f.ledger.runs.values())
+                        for (Ledger.Run r : rs) {
+                            blocks += r.blocks;
+                            computed += r.computed;
+                            fetched += r.fetched;
+                        }
+                    List<Long> first = f.ledger.calls.values().stream().filter(x -> x.firstPiece >= 0).map(x -> x.firstPiece - x.sent).toList();
+                    double complete = f.ledger.calls.values().stream().filter(x -> x.outcome.equals("complete")).count() / (double) f.ledger.calls.size();
+                    double[] v = {100.0 * computed / blocks, 100.0 * fetched / blocks, at(first, 0.5), at(first, 0.95), 100 * complete};
+                    got.computeIfAbsent(c, x -> new ArrayList<>()).add(v);
+                    System.out.printf(Locale.ROOT, "round %d %-16s computed %.1f%% fetched %.1f%% of blocks, first piece median %.0f p95 %.0f ms, complete %.2f%%%n", round, c, v[0], v[1], v[2], v[3], v[4]);
+                }
+            }
+        List<double[]> base = got.get("summary");
+        for (String c : CHOICES)
+            for (int k : new int[] {0, 2, 3}) {
+                List<Double> ratio = new ArrayList<>();
+                for (int i = 0; i < base.size(); i++) ratio.add(got.get(c).get(i)[k] / base.get(i)[k]);
+                System.out.printf(Locale.ROOT, "%-16s %s, ratio to summary: median %.2f, from %.2f to %.2f%n", c,
+                    k == 0 ? "computed blocks" : k == 2 ? "median first piece" : "p95 first piece", at(ratio, 0.5), at(ratio, 0), at(ratio, 1));
+            }
+    }
+
     private static boolean run(Fleet f, int seconds, long seed, boolean kills, double rate) throws Exception {
         long t0 = System.nanoTime();
         f.start();
