--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -12,6 +12,7 @@
 import gladelug.control.core.Members;
 import gladelug.control.door.OperatorDoor;
 import gladelug.control.duty.Commander;
+import gladelug.control.duty.Division;
 import gladelug.control.duty.PlatformWatch;
 import gladelug.kernel.Address;
 import gladelug.kernel.Finding;
@@ -23,7 +24,9 @@
 import gladelug.kernel.circuit.Doors;
 import gladelug.kernel.disk.Folder;
 import gladelug.kernel.disk.Ring;
+import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
+import gladelug.kernel.policy.Policy;
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
@@ -149,7 +152,20 @@
         }
         Vertx vertx = Vertx.vertx();
         Kernel k = new Kernel();
-        CoreNode.Duties duties = (key, body) -> {};
+        CoreNode.Duties duties = new CoreNode.Duties() {
+            private byte[] read = new byte[0];
+            private Policy policy = Policy.EMPTY;
+
+            @Override public void served(String key, byte[] body) {}
+
+            @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, byte[] body) {
+                if (body != read) {
+                    policy = Policy.parse(new String(body, java.nio.charset.StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g ? g.value() : Policy.EMPTY;
+                    read = body;
+                }
+                return Division.divide(epoch, relays, policy);
+            }
+        };
         k.add("doors", new Doors(vertx, p.records, p.name))
             .add("views", new ViewService(vertx, new Shuffle.Descriptor(p.name, "control", p.records.toString(), p.operator.toString(), p.domain, 0, 0), p.seeds))
             .add("core", new CoreService(vertx, ring, new Members.Member(p.name, id.getString("disk", ""), p.records, p.operator), p.seeds, p.cutoff,
--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -34,7 +34,7 @@
     void put(DataOutputStream o) throws IOException;
 
     /** What an owner says of a key of its own, so that the others know it and the value's age. */
-    record Owned(String key, long epoch, long number, long age) {}
+    record Owned(String key, long epoch, long number, long age, boolean busy) {}
 
     /** boot counts up within one run; settled says how long the sender has been up. */
     record Alive(boolean healthy, long up, List<Owned> owned) implements CoreMessage {
@@ -48,6 +48,7 @@
                 p.writeLong(w.epoch);
                 p.writeLong(w.number);
                 p.writeLong(w.age);
+                p.writeBoolean(w.busy);
             });
         }
     }
@@ -217,7 +218,7 @@
     static CoreMessage read(int tag, DataInputStream i) throws IOException {
         return switch (tag) {
             case 1 -> new Alive(i.readBoolean(), i.readLong(), Wire.list(i,
-                j -> new Owned(j.readUTF(), j.readLong(), j.readLong(), j.readLong())));
+                j -> new Owned(j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())));
             case 2 -> new Promise(i.readUTF(), i.readLong());
             case 3 -> new Promised(i.readUTF(), i.readLong(), i.readBoolean(), i.readLong(), i.readLong(), Cell.Value.read(i));
             case 4 -> new Accept(i.readUTF(), i.readLong(), Cell.Value.read(i));
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -25,6 +25,7 @@
 import gladelug.control.core.CoreMessage.Sealed;
 import gladelug.control.core.CoreMessage.Settled;
 import gladelug.control.core.CoreMessage.Standing;
+import gladelug.kernel.message.Delta;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import java.util.ArrayList;
@@ -40,14 +41,21 @@
 
 public final class CoreNode {
     static final int LARGEST = 6 << 20;
+    private static final long DIVIDE = 200, GONE = 1200;
     private static final String CELL = "cell/", MEMBERS = "members", SEALED = "sealed";
 
     /** Told of each value this member serves as owner, so that duties can follow. */
     public interface Duties {
         void served(String key, byte[] body);
+
+        /** What each relay may use of each service's places; asked of the owner of the key shares a few times a second. */
+        default Map<String, List<News.Allot>> divide(long epoch, List<Seen> relays, byte[] policy) {
+            return Map.of();
+        }
     }
 
-    public record Seen(String name, long run, String role, String records, String operator, String domain, long asked, List<News.Held> held, Map<String, Long> since) {}
+    public record Seen(String name, long run, String role, String records, String operator, String domain, long asked, List<News.Held> held,
+                       Map<String, Long> since, List<News.Demand> demands, List<News.Places> places) {}
 
     private static final class Fellow {
         long heard = Long.MIN_VALUE / 2;
@@ -100,6 +108,7 @@
     private long lastAlive = Long.MIN_VALUE / 2;
     private long lastConfirm = Long.MIN_VALUE / 2;
     private long lastMeet = Long.MIN_VALUE / 2;
+    private long lastDivided = Long.MIN_VALUE / 2;
     private long nr;
 
     public CoreNode(CoreHost host, Tunables t, Members.Member me, int cutoff, Map<String, byte[]> durable, Founding founding, Duties duties) {
@@ -117,6 +126,7 @@
             if (k.startsWith(CELL)) cells.put(k.substring(CELL.length()), Cell.of(b));
         });
         for (String k : Keys.NEWS) owner(k);
+        owner(Keys.SHARES);
         byte[] m = durable.get(MEMBERS), x = durable.get(SEALED);
         if (m != null) take(Members.of(m));
         if (x != null && Members.of(x).generation() > members.generation()) {
@@ -221,7 +231,7 @@
             lastAlive = now;
             List<Owned> l = new ArrayList<>();
             for (KeyOwner o : owners.values())
-                if (o.inHand(now)) l.add(new Owned(o.key, o.epoch, o.value().number(), o.age(now)));
+                if (o.inHand(now)) l.add(new Owned(o.key, o.epoch, o.value().number(), o.age(now), o.busy()));
             toAll(new Alive(healthy, now - booted, l));
         }
         if (now - lastConfirm >= tunables.confirm()) confirm(now);
@@ -234,6 +244,12 @@
             forwarded.remove(e.getKey());
             f.answer.accept(new ChangeAnswer.Unknown(f.number));
         }
+        if (owns(Keys.SHARES) && now - lastDivided >= DIVIDE) {
+            lastDivided = now;
+            List<Seen> relays = new ArrayList<>();
+            for (Seen s : nodes.values()) if (s.role.equals("relay") && now - s.asked < GONE) relays.add(s);
+            duties.divide(epochOf(Keys.SHARES), relays, kept(Keys.POLICY).getValue()).forEach((r, l) -> l.forEach(x -> host.news(r, x)));
+        }
         nodes.values().removeIf(s -> now - s.asked > 60_000);
     }
 
@@ -263,7 +279,9 @@
         if (other != null) {
             ownerless.remove(o.key);
             boolean before = order.indexOf(self) < order.indexOf(other);
-            if (rank == 0 && before && now - booted >= tunables.settled() && now - sinceBothLive(other, now) >= tunables.settled()) o.attempt(now);
+            boolean settled = now - booted >= tunables.settled() && now - fellows.get(other).since >= tunables.settled();
+            // taken back without churn: not while the owner is at a change, whose fate would then be unknown to its sender
+            if (rank == 0 && before && settled && !busy(other, o.key)) o.attempt(now);
             return;
         }
         long since = ownerless.computeIfAbsent(o.key, k -> now);
@@ -271,8 +289,9 @@
         if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(now);
     }
 
-    private long sinceBothLive(String other, long now) {
-        return fellows.get(other).since;
+    private boolean busy(String owner, String key) {
+        for (Owned w : fellows.get(owner).owned) if (w.key().equals(key)) return w.busy();
+        return false;
     }
 
     private void confirm(long now) {
@@ -450,7 +469,7 @@
             boolean same = old != null && old.run == a.run() && old.held.stream().anyMatch(x -> x.key().equals(h.key()) && x.number() == h.number());
             since.put(h.key(), same ? old.since.getOrDefault(h.key(), now) : now);
         }
-        nodes.put(a.name(), new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held(), since));
+        nodes.put(a.name(), new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held(), since, a.demands(), a.places()));
         boolean relay = a.role().equals("relay");
         List<News.Grant> gs = new ArrayList<>();
         for (News.Held h : a.held()) {
@@ -482,9 +501,16 @@
         host.news(name, new News.Push(o.key, o.epoch, o.value().number(), -1, o.value().digest(), o.value().body()));
     }
 
-    void pushAll(String key, long epoch, Cell.Value old, Cell.Value now, long age) {
-        for (Seen s : nodes.values())
-            host.news(s.name, new News.Push(key, epoch, now.number(), -1, now.digest(), now.body()));
+    /** The change alone to those who hold the number before it, else the value whole. */
+    void pushAll(String key, long epoch, Cell.Value old, Cell.Value now) {
+        byte[] delta = Delta.between(old.body(), now.body());
+        News.Push whole = new News.Push(key, epoch, now.number(), -1, now.digest(), now.body());
+        News.Push change = delta == null ? whole : new News.Push(key, epoch, now.number(), old.number(), now.digest(), delta);
+        for (Seen s : nodes.values()) {
+            boolean before = s.held.stream().anyMatch(h -> h.key().equals(key) && h.number() == old.number());
+            pushed.put(s.name + " " + key + " " + now.number(), host.now());
+            host.news(s.name, before ? change : whole);
+        }
     }
 
     // ---- founding, joining and replacing members
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -97,6 +97,10 @@
         return serving() && now - Math.max(confirmedAt, servedAt) < 2L * node.tunables.dead();
     }
 
+    boolean busy() {
+        return current != null || !waiting.isEmpty();
+    }
+
     int licensed(long now) {
         int n = 0;
         for (Licensed l : licences.values()) if (l.expiry >= now) n++;
@@ -235,7 +239,7 @@
         current.committed = true;
         current.committedAt = now;
         node.served(key, value);
-        if (Keys.NEWS.contains(key)) node.pushAll(key, epoch, old, value, age(now));
+        if (Keys.NEWS.contains(key)) node.pushAll(key, epoch, old, value);
         settle(now);
     }
 
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/duty/Division.java
@@ -0,0 +1,195 @@
+/*
+ * Divides the places of each service over tenants, shares and relays, fleet-wide, from what relays
+ * report. While the demand fits the places nothing is bounded. When it doesn't, each level of the
+ * tree deals its places to the lowest tier first and within it by weight, never more than a node
+ * asks for or its limit allows, what one leaves going to the others; a leaf's places then go to
+ * relays as they asked. Pure.
+ */
+package gladelug.control.duty;
+
+import gladelug.control.core.CoreNode;
+import gladelug.kernel.message.News;
+import gladelug.kernel.policy.Policy;
+import gladelug.kernel.policy.Share;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+public final class Division {
+    private static final class Node {
+        final String path;
+        final int weight;
+        final int tier;
+        final int limit;
+        final List<Node> children = new ArrayList<>();
+        double demand;
+        double places;
+
+        Node(String path, int weight, int tier, int limit) {
+            this.path = path;
+            this.weight = weight;
+            this.tier = tier;
+            this.limit = limit;
+        }
+    }
+
+    private Division() {}
+
+    public static Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, Policy policy) {
+        Map<String, Integer> places = new TreeMap<>();
+        for (CoreNode.Seen r : relays) for (News.Places p : r.places()) places.merge(p.service(), p.places(), Math::max);
+        Map<String, List<News.Allot>> out = new HashMap<>();
+        places.forEach((service, n) -> {
+            Map<String, Double> demand = new HashMap<>();
+            for (CoreNode.Seen r : relays)
+                for (News.Demand d : r.demands())
+                    if (d.service().equals(service)) demand.merge(d.leaf(), (double) d.waiting() + d.using(), Double::sum);
+            double all = demand.values().stream().mapToDouble(x -> x).sum();
+            Map<String, Double> leaf = new HashMap<>();
+            Node root = tree(policy, demand);
+            boolean limited = over(root);
+            boolean full = all > n || limited;
+            if (full) {
+                deal(root, Math.min(n, all));
+                collect(root, leaf);
+            }
+            for (CoreNode.Seen r : relays) {
+                List<News.Part> parts = new ArrayList<>();
+                if (full)
+                    for (News.Demand d : r.demands()) {
+                        if (!d.service().equals(service)) continue;
+                        double total = demand.get(d.leaf()), mine = d.waiting() + d.using();
+                        parts.add(new News.Part(d.leaf(), (int) Math.round(1000 * leaf.getOrDefault(d.leaf(), 0.0) * (total == 0 ? 0 : mine / total))));
+                    }
+                out.computeIfAbsent(r.name(), x -> new ArrayList<>()).add(new News.Allot(epoch, service, full, parts));
+            }
+        });
+        return out;
+    }
+
+    private static Node tree(Policy p, Map<String, Double> demand) {
+        Node root = new Node("", 1, 0, 0);
+        Map<String, Double> left = new HashMap<>(demand);
+        for (Policy.Tenant t : p.tenants) root.children.add(node(t.share(), left));
+        // leaves of an older policy still have orders somewhere
+        for (String l : new TreeSet<>(left.keySet())) {
+            Node n = new Node(l, 1, 0, 0);
+            n.demand = left.get(l);
+            root.children.add(n);
+        }
+        sum(root);
+        return root;
+    }
+
+    private static Node node(Share s, Map<String, Double> left) {
+        Node n = new Node(s.path(), s.weight(), s.tier(), s.limit());
+        Double own = left.remove(s.path());
+        if (s.shares().isEmpty()) {
+            n.demand = own == null ? 0 : own;
+            return n;
+        }
+        for (Share c : s.shares()) n.children.add(node(c, left));
+        if (own != null) {
+            Node rest = new Node(s.path(), 1, 0, 0);
+            rest.demand = own;
+            n.children.add(rest);
+        }
+        return n;
+    }
+
+    private static double sum(Node n) {
+        if (!n.children.isEmpty()) {
+            n.demand = 0;
+            for (Node c : n.children) n.demand += sum(c);
+        }
+        return n.limit > 0 ? Math.min(n.limit, n.demand) : n.demand;
+    }
+
+    private static boolean over(Node n) {
+        if (n.limit > 0 && n.demand > n.limit) return true;
+        for (Node c : n.children) if (over(c)) return true;
+        return false;
+    }
+
+    private static double wants(Node n) {
+        return n.limit > 0 ? Math.min(n.limit, n.demand) : n.demand;
+    }
+
+    private static void deal(Node n, double places) {
+        n.places = Math.min(places, wants(n));
+        if (n.children.isEmpty()) return;
+        TreeSet<Integer> tiers = new TreeSet<>();
+        for (Node c : n.children) tiers.add(c.tier);
+        double left = n.places;
+        for (int t : tiers) {
+            List<Node> open = new ArrayList<>();
+            for (Node c : n.children) if (c.tier == t && wants(c) > 0) open.add(c);
+            double given = 0;
+            Map<Node, Double> share = new HashMap<>();
+            while (!open.isEmpty() && left - given > 1e-9) {
+                double w = 0, pool = left - given;
+                for (Node c : open) w += c.weight;
+                List<Node> done = new ArrayList<>();
+                for (Node c : open) {
+                    double due = pool * c.weight / w, need = wants(c) - share.getOrDefault(c, 0.0), get = Math.min(due, need);
+                    share.merge(c, get, Double::sum);
+                    given += get;
+                    if (need <= due + 1e-9) done.add(c);
+                }
+                if (done.isEmpty()) break;
+                open.removeAll(done);
+            }
+            for (Map.Entry<Node, Double> e : share.entrySet()) deal(e.getKey(), e.getValue());
+            left -= given;
+        }
+    }
+
+    private static void collect(Node n, Map<String, Double> leaf) {
+        if (n.children.isEmpty()) leaf.merge(n.path, n.places, Double::sum);
+        for (Node c : n.children) collect(c, leaf);
+    }
+
+    static final class Tests {
+        private static Policy policy(String tenants) {
+            return ((gladelug.kernel.Result.Good<Policy>) Policy.parse("{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],\"mappings\":["
+                + "{\"name\":\"a\",\"path\":\"/a\",\"service\":\"m\"},{\"name\":\"b\",\"path\":\"/b\",\"service\":\"m\"}],\"tenants\":" + tenants + "}")).value();
+        }
+
+        private static CoreNode.Seen relay(String name, int places, Object... leafWaiting) {
+            List<News.Demand> d = new ArrayList<>();
+            for (int i = 0; i < leafWaiting.length; i += 2) d.add(new News.Demand("m", (String) leafWaiting[i], (Integer) leafWaiting[i + 1], 0));
+            return new CoreNode.Seen(name, 1, "relay", "", "", "", 0, List.of(), Map.of(), d, List.of(new News.Places("m", places)));
+        }
+
+        private static String show(Map<String, List<News.Allot>> m) {
+            StringBuilder sb = new StringBuilder();
+            for (String r : new TreeSet<>(m.keySet())) {
+                News.Allot a = m.get(r).get(0);
+                sb.append(r).append(a.full() ? ":" : ": free");
+                for (News.Part p : a.parts()) sb.append(' ').append(p.leaf()).append('=').append(p.milli());
+                sb.append('\n');
+            }
+            return sb.toString();
+        }
+
+        @org.junit.jupiter.api.Test void whatFitsIsNotBoundedAndWhatDoesNotIsDealtByWeightOverTheFleet() {
+            Policy p = policy("[{\"name\":\"t\",\"keys\":[],\"weight\":3},{\"name\":\"u\",\"keys\":[]},{\"name\":\"v\",\"keys\":[]}]");
+            org.junit.jupiter.api.Assertions.assertEquals("r1: free\nr2: free\n", show(divide(1, List.of(relay("r1", 40, "t", 20), relay("r2", 40, "u", 20)), p)));
+            // t comes by one relay, u by both, v asks for less than its due: the rest of that goes to the others
+            org.junit.jupiter.api.Assertions.assertEquals("r1: t=28500 u=4750 v=2000\nr2: u=4750\n",
+                show(divide(1, List.of(relay("r1", 40, "t", 100, "u", 50, "v", 2), relay("r2", 40, "u", 50)), p)));
+        }
+
+        @org.junit.jupiter.api.Test void tiersLimitsAndLevels() {
+            Policy p = policy("[{\"name\":\"t\",\"keys\":[],\"shares\":[{\"name\":\"x\",\"weight\":3,\"mappings\":[\"a\"]},{\"name\":\"y\",\"mappings\":[\"b\"]}]},"
+                + "{\"name\":\"u\",\"keys\":[],\"limit\":6},{\"name\":\"z\",\"keys\":[],\"tier\":1}]");
+            org.junit.jupiter.api.Assertions.assertEquals("r1: t/x=10500 t/y=3500 u=6000 z=0\n",
+                show(divide(1, List.of(relay("r1", 20, "t/x", 90, "t/y", 90, "u", 90, "z", 90)), p)));
+            org.junit.jupiter.api.Assertions.assertEquals("r1: t/y=4000 u=6000 z=10000\n", show(divide(1, List.of(relay("r1", 20, "t/y", 4, "u", 90, "z", 90)), p)));
+            org.junit.jupiter.api.Assertions.assertEquals("r1: u=6000\n", show(divide(1, List.of(relay("r1", 20, "u", 9)), p)), "a limit holds though there is room");
+        }
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -32,11 +32,11 @@
     private static final Map<String, Stages.Mode> MODES = new java.util.TreeMap<>(Map.of("summary", Stages.Mode.SUMMARY,
         "least-occupancy", Stages.Mode.LEAST_OCCUPANCY, "holder-always", Stages.Mode.HOLDER_ALWAYS));
     private static final String[] BOTH = {"name", "domain", "records", "operator", "seeds", "log"};
-    private static final String[] RELAY = {"callers", "index", "backlog", "choice"};
+    private static final String[] RELAY = {"callers", "index", "backlog", "choice", "division"};
     private static final String[] INDEX = {"fingerprintBits"};
 
     record Place(String name, String domain, Address records, Address operator, List<Address> seeds, String log,
-                 Address callers, Address index, int backlog, String choice, int fingerprintBits) {}
+                 Address callers, Address index, int backlog, String choice, String division, int fingerprintBits) {}
 
     private DataPlane() {}
 
@@ -44,9 +44,10 @@
         return Settings.open(file, flags).then(s -> {
             Place p = new Place(s.name("name"), s.text("domain", ""), s.address("records"), s.address("operator"), s.addresses("seeds"), s.text("log", "info"),
                 relay ? s.address("callers") : null, relay ? s.address("index", null) : null, relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
-                relay ? s.text("choice", "summary") : "", relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS));
+                relay ? s.text("choice", "summary") : "", relay ? s.text("division", "fleet") : "", relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS));
             if (p.seeds.isEmpty()) s.findings.add("--seeds", "at least one records address of another process is needed");
             if (relay && !MODES.containsKey(p.choice)) s.findings.add("--choice", "must be one of " + MODES.keySet() + ", not " + p.choice);
+            if (relay && !p.division.equals("fleet") && !p.division.equals("alone")) s.findings.add("--division", "must be fleet or alone, not " + p.division);
             return s.done(() -> p);
         });
     }
@@ -84,6 +85,7 @@
             case "callers" -> "IP:PORT for callers";
             case "index" -> "IP:PORT of this machine's index process, where it has one";
             case "backlog" -> "how many orders of a service may wait here";
+            case "division" -> "who divides a full fleet: fleet, or alone for comparisons";
             case "choice" -> "how a replica is chosen: summary; least-occupancy and holder-always are for comparisons";
             default -> "width f of a fingerprint in the Cuckoo Summary";
         };
@@ -97,7 +99,7 @@
         Kernel k = new Kernel().add("doors", new Doors(vertx, p.records, p.name)).add("views", new ViewService(vertx, self, p.seeds))
             .add("news", new NewsService(vertx, clock, self, p.seeds));
         if (relay) {
-            RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog, MODES.get(p.choice));
+            RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog, MODES.get(p.choice), p.division.equals("alone"));
             k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, r::routes)).add("relay", r);
         } else {
             IndexService x = new IndexService(vertx, clock, p.fingerprintBits);
--- a/data-plane/src/main/java/gladelug/data/index/IndexService.java
+++ b/data-plane/src/main/java/gladelug/data/index/IndexService.java
@@ -37,7 +37,7 @@
 import java.util.Set;
 
 public final class IndexService implements Kernel.Service, Holder.Owner {
-    private static final long START = 1 << 15, SEED = 0x5eed;
+    private static final long START = 1 << 12, SEED = 0x5eed;
     private final Vertx vertx;
     private final Clock clock;
     private final int fingerprintBits;
--- a/data-plane/src/main/java/gladelug/data/news/NewsBook.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsBook.java
@@ -1,10 +1,13 @@
 /*
  * A data-plane process's side of the news, pure: which number it holds of each key, under which
- * licences, what it asks and what it takes. A lower number is never taken, and nothing under an
- * epoch below the highest seen.
+ * licences, what it asks and what it takes. A lower number is never taken, nothing under an epoch
+ * below the highest seen, and a change only on exactly the number it is based on and only if what
+ * comes out has the digest that was told.
  */
 package gladelug.data.news;
 
+import gladelug.kernel.Digest;
+import gladelug.kernel.message.Delta;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
@@ -14,16 +17,21 @@
 import java.util.Map;
 
 public final class NewsBook {
-    /** Makes use of a push; false where it can't be read. */
+    /** Makes use of a push, always whole; false where it can't be read. */
     public interface Taker {
         boolean take(News.Push p);
     }
 
+    public enum Told { NOTHING, TAKEN, ALLOTTED, WANTS_WHOLE }
+
+    private static final List<News.Demand> NO_DEMAND = List.of();
     public final Licences licences = new Licences();
     private final Shuffle.Descriptor self;
     private final long run;
     private final Taker taker;
     private final Map<String, Long> numbers = new HashMap<>();
+    private final Map<String, byte[]> values = new HashMap<>();
+    private long allotEpoch;
 
     public NewsBook(Shuffle.Descriptor self, long run, Taker taker) {
         this.self = self;
@@ -36,20 +44,64 @@
     }
 
     public News.Ask ask(long now) {
+        return ask(now, NO_DEMAND, List.of());
+    }
+
+    public News.Ask ask(long now, List<News.Demand> demands, List<News.Places> places) {
         List<News.Held> l = new ArrayList<>();
         for (String k : Keys.NEWS) l.add(new News.Held(k, licences.epoch(k), number(k)));
-        return new News.Ask(now, self.name(), run, self.role(), self.records(), self.operator(), self.domain(), l);
+        return new News.Ask(now, self.name(), run, self.role(), self.records(), self.operator(), self.domain(), l, demands, places);
     }
 
-    /** True where a push was taken. */
-    public boolean told(News n) {
+    public Told told(News n) {
         if (n instanceof News.Grants g) {
             for (News.Grant x : g.grants()) licences.granted(x, g.ask(), number(x.key()));
-        } else if (n instanceof News.Push p && p.number() > number(p.key()) && p.epoch() >= licences.epoch(p.key()) && taker.take(p)) {
+        } else if (n instanceof News.Allot a) {
+            if (a.epoch() < allotEpoch) return Told.NOTHING;
+            allotEpoch = a.epoch();
+            return Told.ALLOTTED;
+        } else if (n instanceof News.Push p && p.number() > number(p.key()) && p.epoch() >= licences.epoch(p.key())) {
+            byte[] v = p.value();
+            if (p.base() >= 0) {
+                v = p.base() == number(p.key()) ? Delta.apply(values.getOrDefault(p.key(), new byte[0]), p.value()) : null;
+                if (v == null || !Digest.hex(v).equals(p.digest())) return Told.WANTS_WHOLE;
+            }
+            if (!taker.take(new News.Push(p.key(), p.epoch(), p.number(), -1, p.digest(), v))) return Told.NOTHING;
             numbers.put(p.key(), p.number());
+            values.put(p.key(), v);
             licences.seen(p.key(), p.epoch());
-            return true;
+            return Told.TAKEN;
+        }
+        return Told.NOTHING;
+    }
+
+    static final class Tests {
+        private static byte[] bytes(String s) {
+            return s.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        }
+
+        private static News.Push push(long epoch, long nr, long base, String digestOf, byte[] v) {
+            return new News.Push(Keys.POLICY, epoch, nr, base, Digest.hex(digestOf), v);
+        }
+
+        @org.junit.jupiter.api.Test void aChangeIsTakenOnlyOnItsBaseAndOnlyIfTheDigestAgrees() {
+            List<String> taken = new ArrayList<>();
+            NewsBook b = new NewsBook(new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0), 1, p -> taken.add(new String(p.value())));
+            String one = "so it begins and goes on. ".repeat(20) + "a policy that is long enough for a change of it to be worth while, twice over, as policies are, and then some more",
+                two = one.replace("twice", "three times"), three = two + "!";
+            org.junit.jupiter.api.Assertions.assertEquals(Told.WANTS_WHOLE, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))), "a gap");
+            org.junit.jupiter.api.Assertions.assertEquals(Told.TAKEN, b.told(push(1, 1, -1, one, bytes(one))));
+            org.junit.jupiter.api.Assertions.assertEquals(Told.TAKEN, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))));
+            org.junit.jupiter.api.Assertions.assertEquals(Told.WANTS_WHOLE, b.told(push(1, 3, 2, one, Delta.between(bytes(two), bytes(three)))), "another digest");
+            org.junit.jupiter.api.Assertions.assertEquals(Told.NOTHING, b.told(push(1, 1, -1, one, bytes(one))), "a lower number");
+            org.junit.jupiter.api.Assertions.assertEquals(Told.NOTHING, b.told(push(0, 9, -1, three, bytes(three))), "a lower epoch");
+            org.junit.jupiter.api.Assertions.assertEquals(List.of(one, two), taken);
+        }
+
+        @org.junit.jupiter.api.Test void aDivisionUnderALowerEpochIsNotTaken() {
+            NewsBook b = new NewsBook(new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0), 1, p -> true);
+            org.junit.jupiter.api.Assertions.assertEquals(Told.ALLOTTED, b.told(new News.Allot(5, "m", true, List.of())));
+            org.junit.jupiter.api.Assertions.assertEquals(Told.NOTHING, b.told(new News.Allot(4, "m", true, List.of())));
         }
-        return false;
     }
 }
--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -32,11 +32,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
 public final class NewsService implements Kernel.Service {
+    /** milli: thousandths of a place by leaf; empty and not full where nothing is bounded. */
+    public record Allotment(long at, boolean full, Map<String, Integer> milli) {}
+
     private static final long ASK = 400, CIRCLE = 1000;
     private final Vertx vertx;
     private final Clock clock;
@@ -49,6 +53,9 @@
     private final NewsBook book;
     public final Licences licences;
     private volatile Tables tables = Tables.NONE;
+    private volatile List<News.Demand> demands = List.of();
+    private volatile List<News.Places> places = List.of();
+    private final Map<String, Allotment> allotments = new ConcurrentHashMap<>();
     private Doors doors;
     private ViewService views;
 
@@ -104,8 +111,19 @@
                 h -> duty.offer(() -> h.send(ask()))));
     }
 
+    /** Where a relay puts what it has waiting and sees free, for whoever divides. */
+    public void demand(List<News.Demand> d, List<News.Places> p) {
+        demands = d;
+        places = p;
+    }
+
+    /** The newest division for this process, or null. */
+    public Allotment allotment(String service) {
+        return allotments.get(service);
+    }
+
     private News.Ask ask() {
-        return book.ask(clock.now());
+        return book.ask(clock.now(), demands, places);
     }
 
     private void askAll() {
@@ -114,10 +132,22 @@
     }
 
     private void told(Held from, News n) {
-        if (book.told(n)) {
-            News.Push p = (News.Push) n;
-            Log.event("news-taken", "key", p.key(), "number", p.number(), "epoch", p.epoch());
-            for (Consumer<Tables> l : listeners) l.accept(tables);
+        switch (book.told(n)) {
+            case TAKEN -> {
+                News.Push p = (News.Push) n;
+                Log.event("news-taken", "key", p.key(), "number", p.number(), "epoch", p.epoch(), "bytes", p.value().length, "whole", p.base() < 0);
+                for (Consumer<Tables> l : listeners) l.accept(tables);
+            }
+            case ALLOTTED -> {
+                News.Allot a = (News.Allot) n;
+                Map<String, Integer> m = new HashMap<>();
+                for (News.Part x : a.parts()) m.put(x.leaf(), x.milli());
+                allotments.put(a.service(), new Allotment(clock.now(), a.full(), m));
+            }
+            case WANTS_WHOLE -> from.send(new News.Whole(((News.Push) n).key()));
+            case NOTHING -> {
+                // nothing to do
+            }
         }
         if (n instanceof News.Push) from.send(ask());
     }
--- a/data-plane/src/main/java/gladelug/data/relay/Backlog.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backlog.java
@@ -28,6 +28,9 @@
         int waiting;
         int used;
         double pass;
+        /** Places this leaf may use here, by the fleet's division; negative is no bound. */
+        double part = -1;
+        double credit;
 
         Node(String path, Node parent) {
             this.path = path;
@@ -109,19 +112,51 @@
         }
     }
 
+    /** No bounds on leaves: the fleet is not full, or nobody divides. */
+    public void unbound() {
+        for (Node n : nodes.values()) n.part = -1;
+    }
+
+    /**
+     * The fleet's division: thousandths of a place by leaf. A part of a place is used in time: it
+     * earns credit, one order's worth for each of that part of an order's usual duration.
+     */
+    public void bound(Map<String, Integer> milli, double passed, double orderMs) {
+        for (Node n : nodes.values()) {
+            if (!n.children.isEmpty()) continue;
+            Integer m = milli.get(leafName(n));
+            n.part = m == null ? 1 : m / 1000.0;
+            n.credit = Math.min(1, n.credit + (n.part - Math.floor(n.part)) * passed / Math.max(1, orderMs));
+        }
+    }
+
+    private static String leafName(Node n) {
+        return n.path.endsWith("/") ? n.path.substring(0, n.path.length() - 1) : n.path;
+    }
+
+    private static boolean may(Node n) {
+        if (n.waiting == 0 || n.limit > 0 && n.used >= n.limit) return false;
+        if (!n.children.isEmpty()) {
+            for (Node c : n.children) if (may(c)) return true;
+            return false;
+        }
+        return n.part < 0 || n.used < (int) n.part || n.credit >= 1 && n.used < (int) n.part + 1;
+    }
+
     /** The next order to have a place, taken out and counted as using it; null where none may. */
     public Order next() {
         Node n = root;
-        if (n.waiting == 0) return null;
+        if (!may(n)) return null;
         while (!n.children.isEmpty()) {
             Node best = null;
             for (Node c : n.children) {
-                if (c.waiting == 0 || c.limit > 0 && c.used >= c.limit) continue;
+                if (!may(c)) continue;
                 if (best == null || c.tier < best.tier || c.tier == best.tier && c.pass < best.pass) best = c;
             }
             if (best == null) return null;
             n = best;
         }
+        if (n.part >= 0 && n.used >= (int) n.part) n.credit = 0;
         Order o = n.queue.poll();
         for (Node m = n; m != null; m = m.parent) m.waiting--;
         use(o.leaf, 1);
@@ -153,12 +188,18 @@
         return out;
     }
 
+    /** By leaf: waiting, and using a place. */
     public Map<String, int[]> waitingAndUsed() {
         Map<String, int[]> m = new java.util.TreeMap<>();
-        for (Node n : nodes.values()) if (n.waiting > 0 || n.used > 0) m.put(n.path, new int[] {n.waiting, n.used});
+        for (Node n : nodes.values())
+            if (n.children.isEmpty() && (n.waiting > 0 || n.used > 0)) m.put(leafName(n), new int[] {n.waiting, n.used});
         return m;
     }
 
+    public int used() {
+        return root.used;
+    }
+
     static final class Tests {
         private static Policy policy(String tenants) {
             var r = Policy.parse("{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],\"mappings\":[{\"name\":\"a\",\"path\":\"/a\",\"service\":\"m\"},"
@@ -205,6 +246,28 @@
             org.junit.jupiter.api.Assertions.assertEquals(50, got.get("u"), 1.0, "not all 100 at once: " + got);
         }
 
+        @org.junit.jupiter.api.Test void theFleetsDivisionBoundsLeavesAndPartsOfAPlaceAreUsedInTime() {
+            Backlog b = new Backlog(1000);
+            b.shape(policy("[{\"name\":\"t\",\"keys\":[]},{\"name\":\"u\",\"keys\":[]}]"));
+            for (int i = 0; i < 50; i++) for (String l : new String[] {"t", "u"}) b.enter(order(l));
+            b.bound(Map.of("t", 2000, "u", 250), 0, 100);
+            StringBuilder s = new StringBuilder();
+            java.util.List<Order> out = new ArrayList<>();
+            for (int ms = 0; ms < 4000; ms += 100) {
+                for (Order o : out) b.release(o);
+                out.clear();
+                b.bound(Map.of("t", 2000, "u", 250), 100, 100);
+                for (Order o; (o = b.next()) != null;) {
+                    out.add(o);
+                    s.append(o.leaf);
+                }
+            }
+            org.junit.jupiter.api.Assertions.assertEquals(50, s.chars().filter(c -> c == 't').count());
+            org.junit.jupiter.api.Assertions.assertEquals(10, s.chars().filter(c -> c == 'u').count(), "a quarter of a place for forty orders' time");
+            b.unbound();
+            org.junit.jupiter.api.Assertions.assertNotNull(b.next());
+        }
+
         @org.junit.jupiter.api.Test void lowerTiersWaitLimitsHoldAndTheBoundHolds() {
             Backlog b = new Backlog(5);
             b.shape(policy("[{\"name\":\"t\",\"keys\":[],\"tier\":1},{\"name\":\"u\",\"keys\":[],\"limit\":2}]"));
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -13,6 +13,7 @@
 import gladelug.kernel.Clock;
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Keys;
+import gladelug.kernel.message.News;
 import gladelug.kernel.policy.Policy;
 import gladelug.kernel.policy.Weights;
 import java.util.ArrayList;
@@ -24,6 +25,7 @@
 public final class Relay {
     /** How long after its licence for policies or replicas ran out a relay lets streams go on; then it can't know that a key still holds. */
     public static final long GRACE = 2000;
+    private static final long STALE = 2000;
 
     public final Clock clock;
     public final NewsService news;
@@ -36,11 +38,19 @@
     private final Map<Long, Order> live = new LinkedHashMap<>();
     private final Map<String, double[]> served = new HashMap<>();
     private Tables shaped = Tables.NONE;
+    private final java.util.function.IntSupplier relays;
+    /** Shares kept by this relay alone, to be measured against the fleet's division. */
+    private final boolean alone;
+    private long ticked;
     private boolean pumping;
     private boolean pumpAgain;
     public boolean stopping;
 
-    public Relay(Clock clock, NewsService news, java.util.function.Function<Relay, Backends> backends, String domain, int backlogMost) {
+    public Relay(Clock clock, NewsService news, java.util.function.Function<Relay, Backends> backends, String domain, int backlogMost,
+                 java.util.function.IntSupplier relays, boolean alone) {
+        this.relays = relays;
+        this.alone = alone;
+        this.ticked = clock.now();
         this.clock = clock;
         this.news = news;
         this.domain = domain;
@@ -118,18 +128,52 @@
         admitted.merge(o.service.name(), -1, Integer::sum);
     }
 
+    private double orderMs(String service) {
+        double[] s = served.get(service);
+        return s == null ? 500 : s[0];
+    }
+
+    private int places(String service) {
+        int n = 0;
+        for (Backend b : backends.of(service)) if (b.usable(clock.now())) n += b.slots;
+        return n;
+    }
+
+    /** Tells what waits and is seen here, and takes the fleet's division; with none fresh, an equal part. */
+    private void divide(long now, long passed) {
+        List<News.Demand> ds = new ArrayList<>();
+        List<News.Places> ps = new ArrayList<>();
+        for (Map.Entry<String, Backlog> e : backlogs.entrySet()) {
+            String s = e.getKey();
+            e.getValue().waitingAndUsed().forEach((leaf, n) -> ds.add(new News.Demand(s, leaf, n[0], n[1])));
+            ps.add(new News.Places(s, places(s)));
+            NewsService.Allotment a = news.allotment(s);
+            if (alone || a == null || now - a.at() > STALE || !a.full()) e.getValue().unbound();
+            else e.getValue().bound(a.milli(), passed, orderMs(s));
+        }
+        news.demand(List.copyOf(ds), List.copyOf(ps));
+    }
+
+    /** With nobody dividing, as much of the places as if all relays asked alike. */
+    private int equalPart(String service) {
+        NewsService.Allotment a = news.allotment(service);
+        if (alone) return Integer.MAX_VALUE;
+        if (a != null && clock.now() - a.at() <= STALE) return Integer.MAX_VALUE;
+        int n = Math.max(1, relays.getAsInt());
+        return (places(service) + n - 1) / n;
+    }
+
     public int free(String service) {
         Policy.Service s = tables().policy().service(service);
         String[] w = s != null && s.kind() == Policy.Kind.APPLICATION ? new String[] {"", ""} : weights(service);
-        return w == null ? 0 : backends.free(service, w[0], w[1]) - admitted.getOrDefault(service, 0);
+        if (w == null) return 0;
+        return Math.min(backends.free(service, w[0], w[1]) - admitted.getOrDefault(service, 0), equalPart(service) - backlog(service).used());
     }
 
     /** How long an order that joins the backlog now would wait for a place. */
     public double waitMs(String service) {
-        int slots = 0;
-        for (Backend b : backends.of(service)) if (b.usable(clock.now())) slots += b.slots;
-        double[] s = served.get(service);
-        return slots == 0 ? 0 : backlog(service).size() * (s == null ? 500 : s[0]) / slots;
+        int slots = places(service);
+        return slots == 0 ? 0 : backlog(service).size() * orderMs(service) / slots;
     }
 
     /** Gives free places to those that wait, as the share tree says. */
@@ -194,6 +238,8 @@
     /** Called a few times a second: expiries, and streams whose right to go on can't be known any more. */
     public void tick() {
         long now = clock.now();
+        divide(now, now - ticked);
+        ticked = now;
         for (Order o : live()) {
             if (o.expiry > 0 && now >= o.expiry) {
                 State.At at = o.state.at();
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -43,12 +43,13 @@
     private final Address index;
     private final int backlog;
     private final Stages.Mode mode;
+    private final boolean alone;
     private Context context;
     private volatile Relay relay;
     private Decisions decisions;
     private io.vertx.core.http.HttpServer server;
 
-    public RelayService(Vertx vertx, Clock clock, String name, String domain, Address callers, Address index, int backlog, Stages.Mode mode) {
+    public RelayService(Vertx vertx, Clock clock, String name, String domain, Address callers, Address index, int backlog, Stages.Mode mode, boolean alone) {
         this.vertx = vertx;
         this.clock = clock;
         this.name = name;
@@ -57,6 +58,7 @@
         this.index = index;
         this.backlog = backlog;
         this.mode = mode;
+        this.alone = alone;
     }
 
     @Override public void start(Kernel k) {
@@ -67,7 +69,8 @@
         context = vertx.getOrCreateContext();
         CompletableFuture<Void> up = new CompletableFuture<>();
         context.runOnContext(() -> {
-            Relay r = new Relay(clock, news, x -> new Backends(vertx, clock, x::pump), domain, backlog);
+            Relay r = new Relay(clock, news, x -> new Backends(vertx, clock, x::pump), domain, backlog,
+                () -> 1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count(), alone);
             List<Stage> stages = List.of(new Stages.Key(r), new Stages.Mapping(r), new Stages.Admission(r),
                 new Stages.Prefix(r, new LookupClient(vertx, context, doors, views, domain, index)), new Stages.Choice(r, mode), new Stages.Fetch(r),
                 new HandOver(r, vertx));
--- a/kernel/src/main/java/gladelug/kernel/message/News.java
+++ b/kernel/src/main/java/gladelug/kernel/message/News.java
@@ -16,9 +16,18 @@
     /** left is what remains of the licence in ms; cutoffLeft, for weights, until nothing starts on old ones. */
     record Grant(String key, long epoch, long number, int left, int cutoffLeft) {}
 
+    /** What one relay has of a leaf of a service's share tree: orders waiting and orders using a place. */
+    record Demand(String service, String leaf, int waiting, int using) {}
+
+    /** Places a relay sees at the replicas of a service. */
+    record Places(String service, int places) {}
+
+    /** What a relay may use of a leaf, in thousandths of a place. */
+    record Part(String leaf, int milli) {}
+
     /** ask is the asker's own monotonic time; it comes back so that a licence counts from the asking. */
-    record Ask(long ask, String name, long run, String role, String records, String operator, String domain, List<Held> held)
-        implements News {
+    record Ask(long ask, String name, long run, String role, String records, String operator, String domain, List<Held> held,
+               List<Demand> demands, List<Places> places) implements News {
         @Override public int type() {
             return 1;
         }
@@ -36,6 +45,16 @@
                 p.writeLong(h.epoch);
                 p.writeLong(h.number);
             });
+            Wire.list(o, demands, (p, d) -> {
+                p.writeUTF(d.service);
+                p.writeUTF(d.leaf);
+                p.writeInt(d.waiting);
+                p.writeInt(d.using);
+            });
+            Wire.list(o, places, (p, x) -> {
+                p.writeUTF(x.service);
+                p.writeInt(x.places);
+            });
         }
     }
 
@@ -83,21 +102,41 @@
         }
     }
 
+    /** The fleet-wide division of one service's places for one relay, under the epoch of who divides. Not full: no bounds. */
+    record Allot(long epoch, String service, boolean full, List<Part> parts) implements News {
+        @Override public int type() {
+            return 5;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeLong(epoch);
+            o.writeUTF(service);
+            o.writeBoolean(full);
+            Wire.list(o, parts, (p, x) -> {
+                p.writeUTF(x.leaf);
+                p.writeInt(x.milli);
+            });
+        }
+    }
+
     static News read(int type, DataInputStream in) throws IOException {
         return switch (type) {
             case 1 -> new Ask(in.readLong(), in.readUTF(), in.readLong(), in.readUTF(), in.readUTF(), in.readUTF(), in.readUTF(),
-                Wire.list(in, i -> new Held(i.readUTF(), i.readLong(), i.readLong())));
+                Wire.list(in, i -> new Held(i.readUTF(), i.readLong(), i.readLong())),
+                Wire.list(in, i -> new Demand(i.readUTF(), i.readUTF(), i.readInt(), i.readInt())), Wire.list(in, i -> new Places(i.readUTF(), i.readInt())));
             case 2 -> new Grants(in.readLong(), Wire.list(in,
                 i -> new Grant(i.readUTF(), i.readLong(), i.readLong(), i.readInt(), i.readInt())));
             case 3 -> new Push(in.readUTF(), in.readLong(), in.readLong(), in.readLong(), in.readUTF(), Wire.blob(in));
             case 4 -> new Whole(in.readUTF());
+            case 5 -> new Allot(in.readLong(), in.readUTF(), in.readBoolean(), Wire.list(in, i -> new Part(i.readUTF(), i.readInt())));
             default -> throw Wire.unknown(type);
         };
     }
 
     static final class Tests {
         @org.junit.jupiter.api.Test void whatIsWrittenIsReadAndAnythingElseIsRefused() throws IOException {
-            Ask a = new Ask(5, "r1", 77, "relay", "127.0.0.1:1", "127.0.0.1:2", "z", List.of(new Held("policy", 1, 2)));
+            Ask a = new Ask(5, "r1", 77, "relay", "127.0.0.1:1", "127.0.0.1:2", "z", List.of(new Held("policy", 1, 2)),
+                List.of(new Demand("s", "t/x", 1, 2)), List.of(new Places("s", 9)));
             byte[] b = Wire.bytes(a);
             org.junit.jupiter.api.Assertions.assertEquals(a, Wire.read(b, News::read));
             for (int n = 0; n < b.length; n++) {
--- a/rehearsal/src/main/java/gladelug/rehearsal/Child.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Child.java
@@ -56,6 +56,15 @@
         return waitFor(ms);
     }
 
+    /** Stops or continues the process where it is, as a machine that freezes does. */
+    public void freeze(boolean on) throws IOException {
+        try {
+            new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(pid())).start().waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     public boolean waitFor(long ms) {
         try {
             return process.waitFor(ms, TimeUnit.MILLISECONDS);
--- a/rehearsal/src/main/java/gladelug/rehearsal/OrderRehearsal.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/OrderRehearsal.java
@@ -331,5 +331,102 @@
             Assertions.assertEquals(200, f.weights("w1").status());
             until("both run w1 again", () -> f.replicas.get("replica-1").weights().equals("w1") && f.replicas.get("replica-2").weights().equals("w1"));
         }
+
+        private static Child program(String main, String... args) throws Exception {
+            Child c = new Child("try", main, List.of(args), f.dir.resolve("try-" + System.nanoTime() + ".log"), 64).start();
+            Assertions.assertTrue(c.waitFor(60_000), "did not end");
+            return c;
+        }
+
+        private static void ends(Child c, int code, String... words) {
+            Assertions.assertEquals(code, c.exit(), c.lines());
+            for (String w : words) Assertions.assertTrue(c.lines().contains(w), w + " in " + c.lines());
+        }
+
+        private static String settings(String n) {
+            return f.dir.resolve(n + ".json").toString();
+        }
+
+        @Test void wrongFlagsAndSettingsEndWithTwoAndSayAllThatIsWrong() throws Exception {
+            ends(program("gladelug.data.DataPlane", "relay", "--nope"), 2, "usage:");
+            ends(program("gladelug.data.DataPlane"), 2, "usage:");
+            ends(program("gladelug.control.ControlPlane", "run", "--settings", "/nowhere/at.all"), 2, "cannot be read");
+            java.nio.file.Path p = f.dir.resolve("bad.json");
+            Files.writeString(p, "{\"name\": \"Bad One\",\n \"records\": \"somewhere:1\",\n \"backlog\": 0, \"colour\": \"red\"}");
+            ends(program("gladelug.data.DataPlane", "relay", "--settings", p.toString(), "--choice", "dice"), 2, "line 1, column 10 (name)", "line 2, column 13 (records)",
+                "(backlog): must be a whole number", "(colour): is not a known field", "--operator: is needed", "--seeds: at least one", "--choice: must be one of");
+        }
+
+        @Test void aMachineThatWillNotDoEndsWithOneClearLine() throws Exception {
+            ends(program("gladelug.data.DataPlane", "relay", "--settings", settings("relay-1")), 3, "data-plane: cannot listen for records on " + f.records.get("relay-1"));
+            ends(program("gladelug.control.ControlPlane", "run", "--settings", settings("control-1")), 3, "is in use by another process");
+            ends(program("gladelug.control.ControlPlane", "run", "--settings", settings("control-1"), "--data", settings("control-1") + "/under-a-file"), 3, "cannot be used");
+            ends(program("gladelug.control.ControlPlane", "found", "--settings", settings("control-1"), "--name", "control-9"), 3, "exactly three");
+        }
+
+        @Test void malformedRecordsCloseTheirCircuitOnly() throws Exception {
+            for (String n : new String[] {"relay-1", "control-1", "index-1"}) {
+                String a = f.records.get(n);
+                int c = a.lastIndexOf(':');
+                for (byte[] b : new byte[][] {{-1, -1, -1, -1, 9}, {0, 0, 0, 3, 1, 0, 9}, "GET / HTTP/1.1\r\n\r\n".getBytes(), {0, 0, 0, 1, 77}})
+                    try (java.net.Socket s = new java.net.Socket(a.substring(0, c), Integer.parseInt(a.substring(c + 1)))) {
+                        s.setSoTimeout(10_000);
+                        s.getOutputStream().write(b);
+                        s.getOutputStream().flush();
+                        Assertions.assertEquals(-1, s.getInputStream().read(), n + " kept a malformed circuit");
+                    } catch (java.net.SocketException e) {
+                        // reset is an end too
+                    }
+            }
+            Assertions.assertEquals("complete", order(ask).outcome);
+        }
+
+        private static JsonObject index() {
+            return f.http(f.operator.get("index-1"), "GET", "/operator/status", null, Map.of()).body();
+        }
+
+        @Test void lostAndLateCacheEventsAndRestartsEndInTheHoldersTruth() throws Exception {
+            for (StandInReplica r : f.replicas.values()) {
+                r.faults.loseEvents = 0.2;
+                r.faults.delayEvents = 0.3;
+            }
+            for (int i = 0; i < 40; i++) done(callers.send(i % 2 == 0 ? ask : wide, f.deployment.tenants().get(i % 8), relay));
+            StandInReplica store = f.replicas.get("store"), one = f.replicas.get("replica-1");
+            store.kill();
+            store.start();
+            one.kill();
+            one.start();
+            for (StandInReplica r : f.replicas.values()) r.faults.none();
+            until("usable", () -> usable() == 2);
+            for (int i = 0; i < 10; i++) done(callers.send(ask, f.deployment.tenants().get(i % 8), relay));
+            until("the index has exactly what holders keep", () -> index().getInt("entries", -1) == f.replicas.values().stream().mapToInt(StandInReplica::keeps).sum());
+            long resyncs = 0;
+            for (var h : index().get("holders").asArray()) resyncs += h.asObject().getLong("resyncs", 0);
+            Assertions.assertTrue(resyncs > 4, "no feed ever had to load a list");
+            f.children.get("index-1").kill();
+            Assertions.assertEquals("complete", order(ask).outcome, "without any index");
+            f.children.get("index-1").start();
+            until("a new index has it too", () -> index().get("holders") != null && index().getInt("entries", -1) == f.replicas.values().stream().mapToInt(StandInReplica::keeps).sum());
+        }
+
+        @Test void isolatedTenantsShareNoPrefixAndOthersDo() {
+            StandInCallers.Tenant eight = f.deployment.tenants().get(7);
+            for (int i = 0; i < 6; i++) order(wide);
+            Ledger.Call c = done(callers.send(wide, eight, relay));
+            Assertions.assertEquals(0, runs(c).get(0).reused, "the isolated tenant's first");
+            Assertions.assertEquals("eight", runs(c).get(0).wall);
+            until("its second reuses its own", () -> runs(done(callers.send(wide, eight, relay))).get(0).reused > 0);
+        }
+
+        @Test void aPolicyThatGrowsByThousandsIsPushedAsItsChange() {
+            JsonObject big = f.deployment.policy(1, List.of(), "application", 3000), bigger = f.deployment.policy(1, List.of(), "application", 3010);
+            Assertions.assertEquals(200, f.send(big, "*").status());
+            Assertions.assertEquals(200, f.send(bigger, "*").status());
+            Assertions.assertEquals("complete", order(wide).outcome);
+            String l = f.children.get("relay-1").lines();
+            String last = l.substring(l.lastIndexOf("event=news-taken key=policy"));
+            Assertions.assertTrue(last.substring(0, last.indexOf('\n')).contains("whole=false"), last.substring(0, last.indexOf('\n')));
+            Assertions.assertEquals(200, f.policy(List.of(), "*").status());
+        }
     }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -184,6 +184,10 @@
         });
     }
 
+    void whole(String relay, String key) {
+        for (SimControl c : controls.values()) carry(relay, c.name, () -> c.run(() -> c.node.wants(relay, key)));
+    }
+
     void news(String control, String relay, News m) {
         carry(control, relay, () -> {
             SimRelay r = relays.get(relay);
@@ -196,7 +200,7 @@
     /** Sends a value nobody sent before, through the door of one machine. match -1: whatever is there. */
     public Sent send(String door, String key, long match) {
         int n = ++sends;
-        byte[] body = ("value " + n).getBytes(StandardCharsets.UTF_8);
+        byte[] body = ("value " + n + " of what an operator may send, long enough that only the change of it is pushed to whoever has the number before, and the rest stays".repeat(3)).getBytes(StandardCharsets.UTF_8);
         ChangeAnswer[] answer = {null};
         Sent s = new Sent(n, key, match, Digest.hex(body), time, answer);
         sent.add(s);
