--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -5,6 +5,7 @@
  */
 package gladelug.control.core;
 
+import gladelug.kernel.message.News;
 import gladelug.kernel.message.Wire;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -215,6 +216,30 @@
         }
     }
 
+    /** What a data-plane process asked of a member that isn't the key's owner, handed on. */
+    record Carry(News.Ask ask) implements CoreMessage {
+        @Override public int tag() { return 15; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            Wire.blob(o, Wire.bytes(ask));
+        }
+    }
+
+    /** And the owner's answer on the way back. */
+    record Carried(String node, News news) implements CoreMessage {
+        @Override public int tag() { return 16; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeUTF(node);
+            Wire.blob(o, Wire.bytes(news));
+        }
+    }
+
+    private static Carry carry(DataInputStream i) throws IOException {
+        if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
+        throw new IOException("only questions are handed on");
+    }
+
     static CoreMessage read(int tag, DataInputStream i) throws IOException {
         return switch (tag) {
             case 1 -> new Alive(i.readBoolean(), i.readLong(), Wire.list(i,
@@ -232,6 +257,8 @@
             case 11 -> new Settled(Members.read(i), kept(i));
             case 12 -> new Join(i.readUTF(), i.readUTF());
             case 13 -> new Seal(Members.read(i));
+            case 15 -> carry(i);
+            case 16 -> new Carried(i.readUTF(), Wire.read(Wire.blob(i), News::read));
             case 14 -> new Sealed(i.readLong(), kept(i));
             default -> throw Wire.unknown(tag);
         };
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -9,6 +9,8 @@
 import gladelug.control.core.CoreMessage.Accept;
 import gladelug.control.core.CoreMessage.Accepted;
 import gladelug.control.core.CoreMessage.Alive;
+import gladelug.control.core.CoreMessage.Carried;
+import gladelug.control.core.CoreMessage.Carry;
 import gladelug.control.core.CoreMessage.Change;
 import gladelug.control.core.CoreMessage.Changed;
 import gladelug.control.core.CoreMessage.Claim;
@@ -41,7 +43,7 @@
 
 public final class CoreNode {
     static final int LARGEST = 6 << 20;
-    private static final long DIVIDE = 200, GONE = 1200;
+    private static final long DIVIDE = 200, GONE = 1200, DIRECT = 900;
     private static final String CELL = "cell/", MEMBERS = "members", SEALED = "sealed";
 
     /** Told of each value this member serves as owner, so that duties can follow. */
@@ -55,7 +57,7 @@
     }
 
     public record Seen(String name, long run, String role, String records, String operator, String domain, long asked, List<News.Held> held,
-                       Map<String, Long> since, List<News.Demand> demands, List<News.Places> places) {}
+                       Map<String, Long> since, List<News.Demand> demands, List<News.Places> places, String via) {}
 
     private static final class Fellow {
         long heard = Long.MIN_VALUE / 2;
@@ -248,7 +250,7 @@
             lastDivided = now;
             List<Seen> relays = new ArrayList<>();
             for (Seen s : nodes.values()) if (s.role.equals("relay") && now - s.asked < GONE) relays.add(s);
-            duties.divide(epochOf(Keys.SHARES), relays, kept(Keys.POLICY).getValue()).forEach((r, l) -> l.forEach(x -> host.news(r, x)));
+            duties.divide(epochOf(Keys.SHARES), relays, kept(Keys.POLICY).getValue()).forEach((r, l) -> l.forEach(x -> tell(nodes.get(r), x)));
         }
         nodes.values().removeIf(s -> now - s.asked > 60_000);
     }
@@ -333,6 +335,8 @@
         else if (s instanceof Accepted a) owner(a.key()).accepted(e.from(), a, now);
         else if (s instanceof Confirm c) onConfirm(e.from(), c);
         else if (s instanceof Confirmed c) onConfirmed(e.from(), c, now);
+        else if (s instanceof Carry c) ask(c.ask(), e.from(), now);
+        else if (s instanceof Carried c) host.news(c.node(), c.news());
         else if (s instanceof Change c && firstTime(c.nr())) owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
         else if (s instanceof Changed c) {
             Forwarded f = forwarded.remove(c.nr());
@@ -461,44 +465,66 @@
 
     // ---- data-plane processes
 
+    /**
+     * A data-plane process asks here. What this member doesn't own it hands on to the owner, so that
+     * a process cut off from the owner alone still has its licence, through the others.
+     */
     public void ask(News.Ask a) {
         long now = host.now();
+        ask(a, "", now);
+        if (!settled() || sealed != null || retired) return;
+        Set<String> to = new HashSet<>();
+        for (News.Held h : a.held()) {
+            String o = h.key().equals(Keys.CORE) || owns(h.key()) ? null : liveOwner(h.key(), now);
+            if (o != null && to.add(o)) to(o, new Carry(a));
+        }
+    }
+
+    /** On the way the process last asked by; directly where it did so lately. */
+    private void tell(Seen s, News m) {
+        if (s.via.isEmpty()) host.news(s.name, m);
+        else to(s.via, new Carried(s.name, m));
+    }
+
+    private void ask(News.Ask a, String via, long now) {
         Seen old = nodes.get(a.name());
+        if (!via.isEmpty() && old != null && old.via.isEmpty() && now - old.asked < DIRECT) return;
         Map<String, Long> since = new HashMap<>();
         for (News.Held h : a.held()) {
             boolean same = old != null && old.run == a.run() && old.held.stream().anyMatch(x -> x.key().equals(h.key()) && x.number() == h.number());
             since.put(h.key(), same ? old.since.getOrDefault(h.key(), now) : now);
         }
-        nodes.put(a.name(), new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held(), since, a.demands(), a.places()));
+        Seen seen = new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held(), since, a.demands(), a.places(), via);
+        nodes.put(a.name(), seen);
         boolean relay = a.role().equals("relay");
         List<News.Grant> gs = new ArrayList<>();
         for (News.Held h : a.held()) {
             if (h.key().equals(Keys.CORE)) {
                 if (settled() && h.number() < members.generation())
-                    host.news(a.name(), new News.Push(Keys.CORE, members.generation(), members.generation(), -1, "", members.news()));
+                    tell(seen, new News.Push(Keys.CORE, members.generation(), members.generation(), -1, "", members.news()));
                 continue;
             }
             KeyOwner o = owners.get(h.key());
             if (o == null || !o.serving()) continue;
             News.Grant g = o.ask(a.name() + "#" + a.run(), relay, h, now);
             if (g != null) gs.add(g);
-            else if (h.number() < o.value().number()) pushWhole(a.name(), o, now, false);
+            else if (h.number() < o.value().number()) pushWhole(seen, o, now, false);
         }
-        if (!gs.isEmpty()) host.news(a.name(), new News.Grants(a.ask(), gs));
+        if (!gs.isEmpty()) tell(seen, new News.Grants(a.ask(), gs));
     }
 
     public void wants(String name, String key) {
         KeyOwner o = owners.get(key);
-        if (o != null && o.serving()) pushWhole(name, o, host.now(), true);
+        if (o != null && o.serving() && nodes.containsKey(name)) pushWhole(nodes.get(name), o, host.now(), true);
     }
 
-    private void pushWhole(String name, KeyOwner o, long now, boolean asked) {
-        String k = name + " " + o.key + " " + o.value().number();
+    private void pushWhole(Seen s, KeyOwner o, long now, boolean asked) {
+        String k = s.name + " " + o.key + " " + o.value().number();
         Long last = pushed.get(k);
         if (!asked && last != null && now - last < 300) return;
         if (pushed.size() > 4096) pushed.clear();
         pushed.put(k, now);
-        host.news(name, new News.Push(o.key, o.epoch, o.value().number(), -1, o.value().digest(), o.value().body()));
+        tell(s, new News.Push(o.key, o.epoch, o.value().number(), -1, o.value().digest(), o.value().body()));
     }
 
     /** The change alone to those who hold the number before it, else the value whole. */
@@ -509,7 +535,7 @@
         for (Seen s : nodes.values()) {
             boolean before = s.held.stream().anyMatch(h -> h.key().equals(key) && h.number() == old.number());
             pushed.put(s.name + " " + key + " " + now.number(), host.now());
-            host.news(s.name, before ? change : whole);
+            tell(s, before ? change : whole);
         }
     }
 
--- a/control-plane/src/main/java/gladelug/control/duty/Division.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Division.java
@@ -161,7 +161,7 @@
         private static CoreNode.Seen relay(String name, int places, Object... leafWaiting) {
             List<News.Demand> d = new ArrayList<>();
             for (int i = 0; i < leafWaiting.length; i += 2) d.add(new News.Demand("m", (String) leafWaiting[i], (Integer) leafWaiting[i + 1], 0));
-            return new CoreNode.Seen(name, 1, "relay", "", "", "", 0, List.of(), Map.of(), d, List.of(new News.Places("m", places)));
+            return new CoreNode.Seen(name, 1, "relay", "", "", "", 0, List.of(), Map.of(), d, List.of(new News.Places("m", places)), "");
         }
 
         private static String show(Map<String, List<News.Allot>> m) {
--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -56,6 +56,9 @@
         p = command(subs, "swap-core-machine", "put a machine that asks to join in the place of a member of the core");
         p.addArgument("out");
         p.addArgument("in");
+        p = subs.addParser("import-openapi").help("print the mappings that an OpenAPI file's operations make, to be looked through and put into a policy");
+        p.addArgument("file");
+        p.addArgument("--service").required(true).help("the service the mappings lead to");
         p = subs.addParser("hash-key").help("print the hash of a caller's key, read from standard input, as a policy wants it");
         Namespace n = Program.parse(ap, args);
         System.exit(run(n));
@@ -64,6 +67,7 @@
     private static int run(Namespace n) {
         String c = n.getString("command");
         if (c.equals("hash-key")) return hashKey();
+        if (c.equals("import-openapi")) return importOpenApi(n.getString("file"), n.getString("service"));
         Findings fs = new Findings();
         List<Address> control = new ArrayList<>();
         for (String s : n.getString("control").split(",")) control.add(Address.read(s.trim(), "--control", fs));
@@ -85,6 +89,21 @@
         }
     }
 
+    private static int importOpenApi(String file, String service) {
+        String s;
+        try {
+            s = Files.readString(Path.of(file));
+        } catch (IOException e) {
+            System.err.println("operator-tools: " + file + " cannot be read");
+            return Program.BAD_USE;
+        }
+        Findings fs = new Findings();
+        JsonObject o = OpenApiImport.read(s, service, fs);
+        System.out.println(o.toString(WriterConfig.PRETTY_PRINT));
+        System.err.print(fs);
+        return o.get("mappings").asArray().isEmpty() ? 1 : 0;
+    }
+
     private static int hashKey() {
         try {
             String s = new String(System.in.readAllBytes(), java.nio.charset.StandardCharsets.UTF_8).strip();
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
@@ -75,6 +75,11 @@
 
     private static void relay(Sim s, String n, String what) {
         SimRelay r = s.relays.get(n);
+        if (what.startsWith("cutby ")) {
+            s.cut(n, what.substring(6));
+            s.cut(what.substring(6), n);
+            return;
+        }
         switch (what) {
             case "kill" -> r.kill();
             case "up" -> r.start();
@@ -166,6 +171,18 @@
                 17000 | .  | .    | .    | .    | .  | last done""");
         }
 
+        @org.junit.jupiter.api.Test void aRelayCutFromTheOwnerAloneGoesOnThroughTheOthers() {
+            play("""
+                t     | c1 | c2 | c3 | r1       | op
+                3000  | .  | .  | .  | .        | send c1
+                3500  | .  | .  | .  | .        | last done, owner c3, forget
+                4000  | .  | .  | .  | cutby c3 | .
+                9000  | .  | .  | .  | .        | owner c3, serve, gap 600, send c1
+                9600  | .  | .  | .  | .        | last done, serve
+                9700  | .  | .  | .  | heal     | .
+                15000 | .  | .  | .  | .        | serve, well""");
+        }
+
         @org.junit.jupiter.api.Test void aPausedOwnerThatWakesActsOnNothingOld() {
             play("""
                 t     | c1 | c2 | c3    | op
