--- a/data-plane/src/main/java/gladelug/data/order/Decision.java
+++ b/data-plane/src/main/java/gladelug/data/order/Decision.java
@@ -1,13 +1,15 @@
 /*
  * Why an order went where it went: what each stage found and chose, in order, with the time since
  * the order came. Written by the order's own thread; read whole by whoever asks. Holds names,
- * numbers and reasons, never a key or a prompt.
+ * numbers and reasons, never a key or a prompt. Once the order has ended the record is kept as its
+ * JSON in bytes, a quarter of the objects' size, because a relay remembers thousands.
  */
 package gladelug.data.order;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -18,7 +20,8 @@
     public final long nr;
     private final long came;
     private final String wall = java.time.Instant.now().toString();
-    private final List<Reason> reasons = new ArrayList<>(10);
+    private List<Reason> reasons = new ArrayList<>(10);
+    private byte[] ended;
     private String outcome = "";
 
     public Decision(String id, long nr, long came) {
@@ -28,7 +31,7 @@
     }
 
     public synchronized void add(String stage, long now, JsonObject what) {
-        reasons.add(new Reason(stage, now - came, what));
+        if (ended == null) reasons.add(new Reason(stage, now - came, what));
     }
 
     public synchronized void outcome(String o) {
@@ -39,7 +42,15 @@
         return outcome;
     }
 
+    /** Nothing is added from now on. */
+    public synchronized void end() {
+        if (ended != null) return;
+        ended = json().toString().getBytes(StandardCharsets.UTF_8);
+        reasons = null;
+    }
+
     public synchronized JsonObject json() {
+        if (ended != null) return Json.parse(new String(ended, StandardCharsets.UTF_8)).asObject();
         JsonArray a = new JsonArray();
         for (Reason r : reasons) {
             JsonObject o = Json.object().add("stage", r.stage).add("atMs", r.at);
@@ -48,4 +59,17 @@
         }
         return Json.object().add("order", id).add("came", wall).add("outcome", outcome.isEmpty() ? "live" : outcome).add("stages", a);
     }
+
+    static final class Tests {
+        @org.junit.jupiter.api.Test void readsTheSameBeforeAndAfterItsEnd() {
+            Decision d = new Decision("r.0000.0", 0, 10);
+            d.add("key", 12, Json.object().add("tenant", "t"));
+            d.outcome("complete");
+            String before = d.json().toString();
+            d.end();
+            d.add("late", 13, Json.object());
+            org.junit.jupiter.api.Assertions.assertEquals(before, d.json().toString());
+            org.junit.jupiter.api.Assertions.assertTrue(before.contains("{\"stage\":\"key\",\"atMs\":2,\"tenant\":\"t\"}"), before);
+        }
+    }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -52,16 +52,18 @@
         return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
     }
 
+    /** Estimated ms to pull a block from a holder: as this replica measured it, else hopefully a quarter of computing it. */
+    public double linkMs(String holder, long now) {
+        return unsure(holder, now) ? msPerBlock / 4 : links.get(holder);
+    }
+
     /**
-     * Estimated ms to pull a block from a holder: as this replica measured it; where it never did,
-     * hopefully a quarter of what computing costs, so that it comes to be measured; and a link found
-     * slow is hoped for again once in a while, because only a pull shows that it has recovered.
+     * A link never measured, or found slow a while ago: only a pull shows what it is now. Such a pull
+     * takes a block or two and no more, so that a slow link costs little each time.
      */
-    public double linkMs(String holder, long now) {
-        double hoped = msPerBlock / 4;
+    public boolean unsure(String holder, long now) {
         Double m = links.get(holder);
-        if (m == null || m > hoped && now - pulledAt.getOrDefault(holder, now - 1) > PROBE) return hoped;
-        return m;
+        return m == null || m > msPerBlock / 4 && now - pulledAt.getOrDefault(holder, now - 1) > PROBE;
     }
 
     public void pulls(String holder, long now) {
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -108,6 +108,7 @@
             if (o.decision.outcome().equals("complete")) s[0] += (clock.now() - o.handedAt - s[0]) / 20;
         }
         drop(o);
+        o.decision.end();
         pump();
         Log.event("order-ended", "order", o.id(), "tenant", o.tenant == null ? "-" : o.tenant.name(), "mapping", o.mapping == null ? "-" : o.mapping.name(),
             "outcome", o.decision.outcome(), "tries", o.tries, "pieces", o.piecesOut, "ms", clock.now() - o.came);
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -23,6 +23,8 @@
 
 public final class Stages {
     public static final double OTHER_DOMAIN_MS = 2, FETCH_MS = 2;
+    /** How many blocks are pulled over a link whose speed is not known. */
+    static final int FEW = 2;
 
     private Stages() {}
 
@@ -197,6 +199,7 @@
                 for (Lookup.Match m : o.matches) {
                     int more = Math.min(n, m.blocks()) - have;
                     if (more <= 0 || r.tables().replicas().find(m.holder()) == null) continue;
+                    if (b.unsure(m.holder(), t)) more = Math.min(more, FEW);
                     double f = FETCH_MS + more * b.linkMs(m.holder(), t) + (n - have - more) * b.msPerBlock;
                     if (f < work) {
                         work = f;
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -44,6 +44,7 @@
         p.addArgument("--seconds").type(Integer.class).setDefault(15);
         p.addArgument("--rounds").type(Integer.class).setDefault(3);
         p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
+        p.addArgument("--link-factor").type(Double.class).setDefault(1.0).help("how much slower links between replicas are");
         p.addArgument("--out").setDefault("rehearsal-out");
         p = subs.addParser("shares").help("what tenants get of a full fleet, with and without the fleet-wide division, turn about");
         p.addArgument("--seconds").type(Integer.class).setDefault(15);
@@ -79,6 +80,7 @@
                 Path out = Path.of(n.getString("out")).toAbsolutePath().resolve("compare-" + d.name() + "-" + c + "-" + System.currentTimeMillis());
                 try (Fleet f = new Fleet(d, out, round, c)) {
                     f.start();
+                    for (StandInReplica r : f.replicas.values()) r.faults.linkFactor = n.getDouble("link_factor");
                     StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, d.tenants(), d.kinds(), round);
                     callers.faster = n.getDouble("rate");
                     callers.start();
