--- a/control-plane/src/main/java/gladelug/control/core/Cell.java
+++ b/control-plane/src/main/java/gladelug/control/core/Cell.java
@@ -13,22 +13,20 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
-import java.util.List;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
 
 record Cell(long promised, long epoch, Value value) {
     record Mark(long number, String digest) {}
 
     /** body is what is pushed; number 0 is "never written". */
-    record Value(long number, String digest, List<Mark> history, byte[] body) {
-        static final Value NONE = new Value(0, "", List.of(), new byte[0]);
+    record Value(long number, String digest, PVector<Mark> history, byte[] body) {
+        static final Value NONE = new Value(0, "", TreePVector.empty(), new byte[0]);
         private static final int REMEMBERED = 32;
 
         Value next(String d, byte[] b) {
-            List<Mark> h = new ArrayList<>(history);
-            h.add(new Mark(number + 1, d));
-            while (h.size() > REMEMBERED) h.remove(0);
-            return new Value(number + 1, d, List.copyOf(h), b);
+            PVector<Mark> h = history.plus(new Mark(number + 1, d));
+            return new Value(number + 1, d, h.size() > REMEMBERED ? h.minus(0) : h, b);
         }
 
         void write(DataOutputStream o) throws IOException {
@@ -42,7 +40,7 @@
         }
 
         static Value read(DataInputStream i) throws IOException {
-            return new Value(i.readLong(), i.readUTF(), Wire.list(i, j -> new Mark(j.readLong(), j.readUTF())), Wire.blob(i));
+            return new Value(i.readLong(), i.readUTF(), TreePVector.from(Wire.list(i, j -> new Mark(j.readLong(), j.readUTF()))), Wire.blob(i));
         }
 
         @Override public String toString() {
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -17,9 +17,7 @@
 import gladelug.control.core.CoreMessage.Confirm;
 import gladelug.control.core.CoreMessage.Confirmed;
 import gladelug.control.core.CoreMessage.Envelope;
-import gladelug.control.core.CoreMessage.Join;
 import gladelug.control.core.CoreMessage.Kept;
-import gladelug.control.core.CoreMessage.Meet;
 import gladelug.control.core.CoreMessage.Owned;
 import gladelug.control.core.CoreMessage.Promise;
 import gladelug.control.core.CoreMessage.Promised;
@@ -44,7 +42,7 @@
 public final class CoreNode {
     static final int LARGEST = 6 << 20;
     private static final long DIVIDE = 200, GONE = 1200, DIRECT = 900;
-    private static final String CELL = "cell/", MEMBERS = "members", SEALED = "sealed";
+    private static final String CELL = "cell/";
 
     /** Told of each value this member serves as owner, so that duties can follow. */
     public interface Duties {
@@ -75,15 +73,13 @@
         final Map<String, Long> epochs = new HashMap<>();
     }
 
+    private final Membership membership;
     final CoreHost host;
     final Tunables tunables;
-    private final Members.Member me;
     final String self;
     final String disk;
-    private final long booted;
+    final long booted;
     private final int cutoff;
-    private Members members = Members.NONE;
-    private Founding founding;
     private final Duties duties;
     private final Map<String, Cell> cells = new HashMap<>();
     private final Map<String, KeyOwner> owners = new TreeMap<>();
@@ -97,30 +93,19 @@
     private final Map<Long, Forwarded> forwarded = new HashMap<>();
     private final Set<Long> seen = new LinkedHashSet<>();
     private final List<Round> rounds = new ArrayList<>();
-    private final Map<String, Members.Member> met = new TreeMap<>();
-    private final Map<String, Members.Member> joiners = new TreeMap<>();
-    private final Map<String, Long> joinersHeard = new HashMap<>();
-    private final Map<String, Long> told = new HashMap<>();
-    private final Map<String, List<Kept>> sealedBy = new HashMap<>();
-    private Members sealed;
-    private long sealedAt;
-    private boolean retired;
-    private Members known = Members.NONE;
     private boolean healthy = true;
     private long lastAlive = Long.MIN_VALUE / 2;
     private long lastConfirm = Long.MIN_VALUE / 2;
-    private long lastMeet = Long.MIN_VALUE / 2;
     private long lastDivided = Long.MIN_VALUE / 2;
     private long nr;
 
     public CoreNode(CoreHost host, Tunables t, Members.Member me, int cutoff, Map<String, byte[]> durable, Founding founding, Duties duties) {
         this.host = host;
         this.tunables = t;
-        this.me = me;
+        this.membership = new Membership(this, me, founding);
         this.self = me.name();
         this.disk = me.disk();
         this.cutoff = cutoff;
-        this.founding = founding;
         this.duties = duties;
         this.booted = host.now();
         this.nr = host.random(1L << 40) << 20;
@@ -129,20 +114,15 @@
         });
         for (String k : Keys.NEWS) owner(k);
         owner(Keys.SHARES);
-        byte[] m = durable.get(MEMBERS), x = durable.get(SEALED);
-        if (m != null) take(Members.of(m));
-        if (x != null && Members.of(x).generation() > members.generation()) {
-            sealed = Members.of(x);
-            sealedAt = host.now();
-        }
+        membership.open(durable.get(Membership.MEMBERS), durable.get(Membership.SEALED));
     }
 
     public Members members() {
-        return members;
+        return membership.members();
     }
 
     public boolean settled() {
-        return members.generation() > 0;
+        return membership.settled();
     }
 
     int cutoff() {
@@ -153,24 +133,25 @@
         return cells.getOrDefault(key, Cell.EMPTY);
     }
 
-    private KeyOwner owner(String key) {
+    KeyOwner owner(String key) {
         return owners.computeIfAbsent(key, k -> new KeyOwner(this, k));
     }
 
     void to(String member, CoreMessage m) {
-        host.send(member, new Envelope(members.generation(), self, disk, m));
+        host.send(member, new Envelope(members().generation(), self, disk, m));
     }
 
     void toAll(CoreMessage m) {
-        for (Members.Member x : members.all()) to(x.name(), m);
+        for (Members.Member x : members().all()) to(x.name(), m);
+    }
+
+    void deposeAll(String why) {
+        for (KeyOwner o : owners.values()) o.depose(why, host.now());
     }
 
-    private void take(Members m) {
-        for (KeyOwner o : owners.values()) o.depose("generation", host.now());
-        members = m;
-        sealed = null;
-        sealedBy.clear();
-        retired = false;
+    /** A generation begins here: nothing of the one before it counts. */
+    void began(Members m) {
+        deposeAll("generation");
         fellows.clear();
         ownerless.clear();
         rounds.clear();
@@ -179,6 +160,17 @@
         host.event("members", "generation", m.generation(), "names", m.all().stream().map(Members.Member::name).toList());
     }
 
+    List<Kept> all() {
+        List<Kept> cs = new ArrayList<>();
+        cells.forEach((k, c) -> cs.add(new Kept(k, c.bytes())));
+        return cs;
+    }
+
+    long heard(String name) {
+        Fellow f = fellows.get(name);
+        return f == null ? Long.MIN_VALUE / 2 : f.heard;
+    }
+
     /** Keys come to be when a replica is listed: one commander each. */
     public void know(String key) {
         owner(key);
@@ -220,15 +212,12 @@
     public void tick() {
         long now = host.now();
         if (!settled()) {
-            meet(now);
-            join(now);
+            membership.meet(now);
+            membership.join(now);
             return;
         }
-        if (sealed != null) {
-            drive(now);
-            return;
-        }
-        if (retired) return;
+        if (membership.sealed()) membership.drive(now);
+        if (!membership.active()) return;
         if (now - lastAlive >= tunables.alive()) {
             lastAlive = now;
             List<Owned> l = new ArrayList<>();
@@ -255,14 +244,14 @@
         nodes.values().removeIf(s -> now - s.asked > 60_000);
     }
 
-    private boolean live(String m, long now) {
+    boolean live(String m, long now) {
         if (m.equals(self)) return healthy;
         Fellow f = fellows.get(m);
         return f != null && f.healthy && now - f.heard < tunables.dead();
     }
 
     private String liveOwner(String key, long now) {
-        for (Members.Member m : members.all()) {
+        for (Members.Member m : members().all()) {
             if (m.name().equals(self) || !live(m.name(), now)) continue;
             for (Owned w : fellows.get(m.name()).owned) if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
         }
@@ -272,7 +261,7 @@
     private void perhapsTry(KeyOwner o, long now) {
         if (o.serving()) return;
         String other = liveOwner(o.key, now);
-        List<String> order = members.order(o.key);
+        List<String> order = members().order(o.key);
         int rank = 0;
         for (String m : order) {
             if (m.equals(self)) break;
@@ -319,13 +308,12 @@
 
     public void message(Envelope e) {
         long now = host.now();
-        if (generations(e, now)) return;
-        if (!settled() || sealed != null || retired) return;
-        if (e.generation() != members.generation()) {
-            if (e.generation() < members.generation()) tell(e.from(), now);
+        if (membership.generations(e, now) || !membership.active()) return;
+        if (e.generation() != members().generation()) {
+            if (e.generation() < members().generation()) membership.tell(e.from(), now);
             return;
         }
-        Members.Member m = members.find(e.from());
+        Members.Member m = members().find(e.from());
         if (m == null || !m.disk().equals(e.disk())) return;
         CoreMessage s = e.said();
         if (s instanceof Alive a) alive(e.from(), a, now);
@@ -379,7 +367,7 @@
 
     // ---- the member's side: durable before answered
 
-    private void keep(String key, Cell c, Runnable done) {
+    void keep(String key, Cell c, Runnable done) {
         cells.put(key, c);
         host.sync(CELL + key, c.bytes(), done);
     }
@@ -432,7 +420,7 @@
             if (r == null || !s.ok() || o.epoch != s.epoch() || !o.serving()) continue;
             Set<String> by = r.by.computeIfAbsent(s.key(), k -> new HashSet<>());
             by.add(from);
-            if (by.size() >= members.majority()) o.confirmedRound(r.start);
+            if (by.size() >= members().majority()) o.confirmedRound(r.start);
         }
     }
 
@@ -456,8 +444,8 @@
     }
 
     void served(String key, Cell.Value v) {
-        if (key.equals(Keys.CORE) && pending(v.body()) != null) {
-            seal(pending(v.body()), host.now());
+        if (key.equals(Keys.CORE) && membership.pending(v.body()) != null) {
+            membership.seal(membership.pending(v.body()), host.now());
             return;
         }
         duties.served(key, v.body());
@@ -472,7 +460,7 @@
     public void ask(News.Ask a) {
         long now = host.now();
         ask(a, "", now);
-        if (!settled() || sealed != null || retired) return;
+        if (!membership.active()) return;
         Set<String> to = new HashSet<>();
         for (News.Held h : a.held()) {
             String o = h.key().equals(Keys.CORE) || owns(h.key()) ? null : liveOwner(h.key(), now);
@@ -500,8 +488,8 @@
         List<News.Grant> gs = new ArrayList<>();
         for (News.Held h : a.held()) {
             if (h.key().equals(Keys.CORE)) {
-                if (settled() && h.number() < members.generation())
-                    tell(seen, new News.Push(Keys.CORE, members.generation(), members.generation(), -1, "", members.news()));
+                if (settled() && h.number() < members().generation())
+                    tell(seen, new News.Push(Keys.CORE, members().generation(), members().generation(), -1, "", members().news()));
                 continue;
             }
             KeyOwner o = owners.get(h.key());
@@ -539,239 +527,29 @@
         }
     }
 
-    // ---- founding, joining and replacing members
+    // ---- what operators ask
 
     /** The three who found a fleet, by name; settled only once all have met. */
     public record Founding(List<Members.Member> founders) {}
 
-    private Envelope say(CoreMessage m) {
-        return new Envelope(members.generation(), self, disk, m);
-    }
-
-    private void meet(long now) {
-        if (founding == null || now - lastMeet < 200) return;
-        lastMeet = now;
-        for (Members.Member m : founding.founders) {
-            if (m.name().equals(self)) met.put(self, new Members.Member(self, disk, m.records(), m.operator()));
-            else host.sendTo(m.records(), say(new Meet(m.records().toString(), m.operator().toString())));
-        }
-        settleFounding();
-    }
-
-    private void settleFounding() {
-        if (settled() || founding == null || met.size() < founding.founders.size()) return;
-        adopt(new Members(1, new ArrayList<>(met.values())), List.of());
-    }
-
-    /** A machine without members and without founding asks to be let in; it votes on nothing meanwhile. */
-    private void join(long now) {
-        if (founding != null || now - lastMeet < 300) return;
-        lastMeet = now;
-        Set<gladelug.kernel.Address> to = new HashSet<>(host.contacts());
-        for (Members.Member m : known.all()) to.add(m.records());
-        to.remove(me.records());
-        for (gladelug.kernel.Address a : to) host.sendTo(a, say(new Join(me.records().toString(), me.operator().toString())));
-    }
-
-    /** What is said across generations; true where that was all. */
-    private boolean generations(Envelope e, long now) {
-        CoreMessage s = e.said();
-        if (s instanceof Meet) onMeet(e, now);
-        else if (s instanceof Settled x) onSettled(x);
-        else if (s instanceof Join j) onJoin(e, j, now);
-        else if (s instanceof Seal x) onSeal(e, x.next(), now);
-        else if (s instanceof Sealed x) onSealed(e.from(), x);
-        else return false;
-        return true;
-    }
-
-    private void onMeet(Envelope e, long now) {
-        if (settled()) {
-            Members.Member m = members.find(e.from());
-            if (m != null && m.disk().equals(e.disk())) tell(e.from(), now);
-            else host.event("stranger-at-founding", "name", e.from());
-            return;
-        }
-        if (founding == null) return;
-        for (Members.Member m : founding.founders) {
-            if (!m.name().equals(e.from()) || m.name().equals(self)) continue;
-            Members.Member old = met.put(m.name(), new Members.Member(m.name(), e.disk(), m.records(), m.operator()));
-            if (old != null && !old.disk().equals(e.disk())) host.event("founder-changed-disk", "name", m.name());
-        }
-        settleFounding();
-    }
-
-    /** To a member of this generation that seems not to know it: the members, and all that is kept here. */
-    private void tell(String name, long now) {
-        Members.Member m = members.find(name);
-        Long last = told.get(name);
-        if (sealed != null || last != null && now - last < 500) return;
-        told.put(name, now);
-        if (m != null) host.sendTo(m.records(), say(new Settled(members, all())));
-        else host.send(name, say(new Settled(members, List.of())));
-    }
-
-    private void onSettled(Settled s) {
-        Members m = s.members();
-        if (m.generation() > known.generation()) known = m;
-        if (m.generation() <= members.generation()) return;
-        Members.Member x = m.find(self);
-        if (x == null || !x.disk().equals(disk)) {
-            if (settled() && !retired) {
-                retired = true;
-                for (KeyOwner o : owners.values()) o.depose("not a member any more", host.now());
-                host.event("not-a-member", "generation", m.generation());
-            }
-            return;
-        }
-        adopt(m, s.cells());
-    }
-
-    /** The cells first, the members last: only with these on disk does the generation count here. */
-    private void adopt(Members m, List<Kept> cs) {
-        for (Kept k : cs) keep(k.key(), Cell.merge(cell(k.key()), Cell.of(k.cell())), () -> {});
-        host.sync(MEMBERS, m.bytes(), () -> {
-            if (m.generation() > members.generation()) {
-                founding = null;
-                take(m);
-            }
-        });
-    }
-
-    private void onJoin(Envelope e, Join j, long now) {
-        if (!settled() || sealed != null || retired) return;
-        Members.Member m = members.find(e.from());
-        if (m != null && m.disk().equals(e.disk())) {
-            tell(e.from(), now);
-            return;
-        }
-        Members.Member n = new Members.Member(e.from(), e.disk(), gladelug.kernel.Address.of(j.records()), gladelug.kernel.Address.of(j.operator()));
-        if (joiners.put(n.name(), n) == null) host.event("would-join", "name", n.name(), "records", n.records());
-        joinersHeard.put(n.name(), now);
-        host.sendTo(n.records(), say(new Settled(members, List.of())));
-        if (m != null && owns(Keys.CORE) && !live(m.name(), now) && now - booted > 2L * tunables.dead() && now - fellowHeard(m.name()) > 2L * tunables.dead())
-            replace(m.name(), n, a -> {});
-    }
-
-    private long fellowHeard(String name) {
-        Fellow f = fellows.get(name);
-        return f == null ? Long.MIN_VALUE / 2 : f.heard;
-    }
-
     /** What may be swapped in: machines that ask to join, lately heard. */
     public List<Members.Member> joiners() {
-        long now = host.now();
-        List<Members.Member> l = new ArrayList<>();
-        for (Members.Member m : joiners.values())
-            if (now - joinersHeard.get(m.name()) < 3000 && members.all().stream().noneMatch(x -> x.disk().equals(m.disk()))) l.add(m);
-        return l;
-    }
-
-    /** One at a time: the next members are written like any value of the key core, then the old generation is sealed. */
-    private void replace(String out, Members.Member in, Consumer<ChangeAnswer> answer) {
-        List<Members.Member> l = new ArrayList<>(members.all());
-        l.removeIf(m -> m.name().equals(out));
-        l.add(in);
-        Members next = new Members(members.generation() + 1, l);
-        KeyOwner o = owner(Keys.CORE);
-        if (pending(o.value().body()) != null) {
-            answer.accept(new ChangeAnswer.Busy());
-            return;
-        }
-        host.event("replace-begins", "out", out, "in", in.name(), "disk", in.disk(), "generation", next.generation());
-        o.propose(o.value().number(), next.bytes(), answer, host.now());
+        return membership.joiners();
     }
 
-    /** An operator's swap; findings are plain words and nothing changed. */
+    /** An operator's swap; an empty text, or why it can't be, and then nothing changed. */
     public String swap(String out, String in, Consumer<ChangeAnswer> answer) {
-        if (members.find(out) == null) return out + " is not a member of the core";
-        if (members.find(in) != null && !in.equals(out)) return in + " is already a member of the core";
-        Members.Member n = joiners().stream().filter(m -> m.name().equals(in)).findFirst().orElse(null);
-        if (n == null) return in + " is not asking to join; start `control-plane run` there with an empty data folder first";
-        if (!owns(Keys.CORE)) return "ask " + keys().stream().filter(k -> k.key().equals(Keys.CORE)).map(KeyState::owner).findFirst().orElse("another machine")
-            + ", which owns the core's members at the moment";
-        replace(out, n, answer);
-        return "";
-    }
-
-    private Members pending(byte[] body) {
-        if (body.length == 0) return null;
-        Members m = Members.of(body);
-        return m.generation() > members.generation() ? m : null;
-    }
-
-    private void onSeal(Envelope e, Members next, long now) {
-        if (!settled()) return;
-        if (next.generation() <= members.generation()) {
-            tell(e.from(), now);
-            return;
-        }
-        if (next.generation() != members.generation() + 1 || sealed != null && !sealed.equals(next)) return;
-        if (sealed == null) seal(next, now);
-        host.sync(SEALED, next.bytes(), () -> {
-            if (sealed != null) host.sendTo(e.from().equals(self) ? me.records() : address(e.from()), say(new Sealed(next.generation(), all())));
-        });
-    }
-
-    private gladelug.kernel.Address address(String name) {
-        Members.Member m = members.find(name);
-        return m == null ? me.records() : m.records();
-    }
-
-    private List<Kept> all() {
-        List<Kept> cs = new ArrayList<>();
-        cells.forEach((k, c) -> cs.add(new Kept(k, c.bytes())));
-        return cs;
-    }
-
-    private void seal(Members next, long now) {
-        sealed = next;
-        sealedAt = now;
-        sealedBy.clear();
-        for (KeyOwner o : owners.values()) o.depose("sealed", now);
-        host.event("sealed", "generation", members.generation(), "next", next.generation());
-        host.sync(SEALED, next.bytes(), () -> {});
-    }
-
-    /** Whoever is sealed brings it to an end, the first in the order of the key core at once, the others if that takes long. */
-    private void drive(long now) {
-        int rank = members.order(Keys.CORE).indexOf(self);
-        if (now - sealedAt < (long) rank * tunables.rank() || now - lastConfirm < tunables.confirm()) return;
-        lastConfirm = now;
-        if (sealedBy.size() < members.majority()) {
-            for (Members.Member m : members.all()) host.sendTo(m.records(), say(new Seal(sealed)));
-            return;
-        }
-        List<Kept> merged = merged();
-        for (Members.Member m : sealed.all()) host.sendTo(m.records(), say(new Settled(sealed, merged)));
-    }
-
-    private void onSealed(String from, Sealed s) {
-        if (sealed == null || s.next() != sealed.generation() || members.find(from) == null) return;
-        sealedBy.put(from, s.cells());
-        if (sealedBy.size() >= members.majority()) lastConfirm = Long.MIN_VALUE / 2;
-    }
-
-    /** Of every key the highest value and the highest promise among a sealed majority. */
-    private List<Kept> merged() {
-        Map<String, Cell> m = new TreeMap<>();
-        for (List<Kept> l : sealedBy.values())
-            for (Kept k : l) m.merge(k.key(), Cell.of(k.cell()), Cell::merge);
-        List<Kept> out = new ArrayList<>();
-        m.forEach((k, c) -> out.add(new Kept(k, c.bytes())));
-        return out;
+        return membership.swap(out, in, answer);
     }
 
     public boolean sealed() {
-        return sealed != null;
+        return membership.sealed();
     }
 
     public boolean retired() {
-        return retired;
+        return membership.retired();
     }
 
-    // ---- what operators ask
-
     public record KeyState(String key, String owner, long epoch, long number, String digest, int licensed, long confirmedAgo) {}
 
     public List<KeyState> keys() {
@@ -795,7 +573,7 @@
     public Map<String, Boolean> alive() {
         long now = host.now();
         Map<String, Boolean> m = new TreeMap<>();
-        for (Members.Member x : members.all()) m.put(x.name(), live(x.name(), now));
+        for (Members.Member x : members().all()) m.put(x.name(), live(x.name(), now));
         return m;
     }
 
@@ -869,7 +647,7 @@
         private static final Members THREE = new Members(1, List.of(new Members.Member("a", "da", A, A), new Members.Member("b", "db", A, A), new Members.Member("c", "dc", A, A)));
 
         private static CoreNode node(Paper p) {
-            return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(MEMBERS, THREE.bytes()), null, (k, b) -> {});
+            return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()), null, (k, b) -> {});
         }
 
         private static void from(CoreNode n, String who, CoreMessage m) {
@@ -928,7 +706,7 @@
             p.synced();
             org.junit.jupiter.api.Assertions.assertEquals(0, p.count("c Promised"));
             Paper q = new Paper();
-            CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(MEMBERS, THREE.bytes(), SEALED, next.bytes()), null, (k, b) -> {});
+            CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes(), Membership.SEALED, next.bytes()), null, (k, b) -> {});
             from(again, "c", new Promise("k", THREE.epoch(0, "c")));
             q.synced();
             org.junit.jupiter.api.Assertions.assertEquals(0, q.count("c Promised"));
--- a/kernel/src/main/java/gladelug/kernel/policy/Weights.java
+++ b/kernel/src/main/java/gladelug/kernel/policy/Weights.java
@@ -10,17 +10,17 @@
 import gladelug.kernel.Doc;
 import gladelug.kernel.Findings;
 import gladelug.kernel.Result;
-import java.util.Map;
-import java.util.TreeMap;
+import org.pcollections.PSortedMap;
+import org.pcollections.TreePMap;
 
 public final class Weights {
     public record Named(String now, String before, long nr) {}
 
-    public static final Weights NONE = new Weights(Map.of());
-    public final Map<String, Named> byService;
+    public static final Weights NONE = new Weights(TreePMap.empty());
+    private final PSortedMap<String, Named> byService;
 
-    public Weights(Map<String, Named> m) {
-        byService = java.util.Collections.unmodifiableMap(new TreeMap<>(m));
+    private Weights(PSortedMap<String, Named> m) {
+        byService = m;
     }
 
     public Named of(String service) {
@@ -29,23 +29,22 @@
 
     public Weights naming(String service, String weights, long nr) {
         Named old = byService.get(service);
-        Map<String, Named> m = new TreeMap<>(byService);
-        m.put(service, new Named(weights, old == null ? "" : old.now, nr));
-        return new Weights(m);
+        return new Weights(byService.plus(service, new Named(weights, old == null ? "" : old.now, nr)));
     }
 
     public static Result<Weights> parse(String json) {
         return Doc.parse(json).then(d -> {
             Findings fs = new Findings();
-            Map<String, Named> m = new TreeMap<>();
+            PSortedMap<String, Named> m = TreePMap.empty();
             Doc.Fields f = d.fields(fs);
             for (String s : d.members.keySet()) {
                 Doc o = f.object(s, true);
                 if (o == null) continue;
                 Doc.Fields g = o.fields(fs);
-                m.put(s, new Named(g.text("now"), g.text("before", ""), g.whole("nr", 0, Long.MAX_VALUE)));
+                m = m.plus(s, new Named(g.text("now"), g.text("before", ""), g.whole("nr", 0, Long.MAX_VALUE)));
             }
-            return Result.of(fs, () -> new Weights(m));
+            Weights w = new Weights(m);
+            return Result.of(fs, () -> w);
         });
     }
 
