--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -76,7 +76,7 @@
             View v = new View(or(Replicas.parse(text(n.kept(Keys.REPLICAS).getValue())), Replicas.NONE),
                 or(Weights.parse(text(n.kept(Keys.WEIGHTS).getValue())), Weights.NONE),
                 or(Policy.parse(text(n.kept(Keys.POLICY).getValue())), Policy.EMPTY), n.knownAge(Keys.WEIGHTS));
-            for (Replicas.Replica r : v.replicas.all) if (v.weights.of(r.service()) != null) n.know(Keys.COMMANDER + r.instance());
+            for (Replicas.Replica r : v.replicas.all) if (steerable(v, r)) n.know(Keys.COMMANDER + r.instance());
             return v;
         }).subscribe().with(v -> {
             busy = false;
@@ -84,11 +84,16 @@
         }, t -> busy = false);
     }
 
+    /** Only replicas of a model service, where the policy allows them, with weights named. */
+    private static boolean steerable(View v, Replicas.Replica r) {
+        Policy.Service s = v.policy.service(r.service());
+        return s != null && s.kind() == Policy.Kind.MODEL && s.allows(r.address()) && v.weights.of(r.service()) != null;
+    }
+
     private void look(View v) {
         Set<String> listed = new HashSet<>();
         for (Replicas.Replica r : v.replicas.all) {
-            Policy.Service s = v.policy.service(r.service());
-            if (s == null || s.kind() != Policy.Kind.MODEL || !s.allows(r.address()) || v.weights.of(r.service()) == null) continue;
+            if (!steerable(v, r)) continue;
             listed.add(r.instance());
             Seen x = seen.computeIfAbsent(r.instance(), i -> new Seen());
             web.get(r.address().port(), r.address().host(), "/identity").timeout(1000).send().subscribe().with(a -> {
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -46,11 +46,20 @@
         p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
         p.addArgument("--link-factor").type(Double.class).setDefault(1.0).help("how much slower links between replicas are");
         p.addArgument("--out").setDefault("rehearsal-out");
+        p = subs.addParser("stand-ins").help("only the stand-ins: a platform with two replicas, a store and an application, to try the programs by hand");
+        p.addArgument("--out").setDefault("rehearsal-out");
         p = subs.addParser("shares").help("what tenants get of a full fleet, with and without the fleet-wide division, turn about");
         p.addArgument("--seconds").type(Integer.class).setDefault(15);
         p.addArgument("--rounds").type(Integer.class).setDefault(3);
         p.addArgument("--out").setDefault("rehearsal-out");
         Namespace n = Program.parse(ap, args);
+        if (n.getString("command").equals("stand-ins")) {
+            Fleet f = new Fleet(Deployment.small(14), Path.of(n.getString("out")).toAbsolutePath().resolve("stand-ins"), 1, "summary");
+            Path policy = f.dir.resolve("policy.json");
+            Files.writeString(policy, f.deployment.policy(0, List.of()).toString(com.eclipsesource.json.WriterConfig.PRETTY_PRINT));
+            System.out.println("platform " + f.platform.address() + "\npolicy " + policy + "\nkey of tenant one: " + f.deployment.tenants().get(0).key() + "\nends with this process");
+            Thread.currentThread().join();
+        }
         if (n.getString("command").equals("shares")) {
             Shares.measure(n.getString("out"), n.getInt("rounds"), n.getInt("seconds"));
             System.exit(0);
