--- a/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
@@ -9,6 +9,7 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
+import gladelug.data.order.Decision;
 import gladelug.data.order.Decisions;
 import gladelug.data.order.Order;
 import gladelug.data.order.State;
@@ -125,8 +126,8 @@
         o.decision.add("caller-gone", r.clock.now(), Json.object().add("pieces", o.piecesOut));
         if (at == State.At.WAITING) r.stop(o, "the caller went away", 499);
         else if (o.state.end()) {
-            o.cancel.run();
             o.decision.outcome("caller-gone");
+            o.cancel.run();
             r.ended(o);
         }
     }
@@ -134,6 +135,15 @@
     private void refuse(RoutingContext c, int status, String reason, List<Finding> fs, long retryMs) {
         if (c.response().ended() || c.response().closed()) return;
         JsonObject o = Json.object().add("outcome", "not-run").add("reason", reason);
+        if (status != 401) {
+            // whoever has no key leaves no record, so that strangers can't push out those of orders
+            Decision d = decisions.begin(r.clock.now());
+            d.add("turned-away", r.clock.now(), Json.object().add("status", status).add("reason", reason));
+            d.outcome("not-run");
+            d.end();
+            o.add("order", d.id);
+            c.response().putHeader("Gladelug-Order", d.id);
+        }
         if (fs != null) {
             JsonArray a = new JsonArray();
             for (Finding f : fs) a.add(Json.object().add("place", f.place()).add("what", f.what()));
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -5,6 +5,8 @@
  */
 package gladelug.data.relay;
 
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.NewsService;
 import gladelug.data.news.Tables;
 import gladelug.data.order.Order;
@@ -157,6 +159,24 @@
         news.demand(List.copyOf(ds), List.copyOf(ps));
     }
 
+    /** By service and leaf: waiting and using here, and the part of places the fleet's division leaves this relay, if it bounds. */
+    public JsonObject shares() {
+        JsonObject o = Json.object();
+        long now = clock.now();
+        for (Map.Entry<String, Backlog> e : backlogs.entrySet()) {
+            NewsService.Allotment a = news.allotment(e.getKey());
+            boolean fresh = a != null && now - a.at() <= STALE;
+            JsonObject l = Json.object();
+            e.getValue().waitingAndUsed().forEach((leaf, n) -> {
+                JsonObject x = Json.object().add("waiting", n[0]).add("using", n[1]);
+                if (fresh && a.full()) x.add("part", a.milli().getOrDefault(leaf, 1000) / 1000.0);
+                l.add(leaf, x);
+            });
+            o.add(e.getKey(), Json.object().add("divided", !fresh ? "by nobody" : a.full() ? "full" : "not full").add("leaves", l));
+        }
+        return o;
+    }
+
     /** With nobody dividing, as much of the places as if all relays asked alike. */
     private int equalPart(String service) {
         NewsService.Allotment a = news.allotment(service);
@@ -227,9 +247,10 @@
     public void cutOff(Order o, String why) {
         boolean streaming = o.state.at() == State.At.STREAMING;
         if (!o.state.end()) return;
-        o.cancel.run();
-        o.decision.add("cut-off", clock.now(), com.eclipsesource.json.Json.object().add("why", why).add("pieces", o.piecesOut));
+        // the reason first: letting the replica go may end the order's record on the spot
+        o.decision.add("cut-off", clock.now(), Json.object().add("why", why).add("pieces", o.piecesOut));
         o.decision.outcome(streaming ? "cut-off" : "unknown");
+        o.cancel.run();
         if (!o.gone) {
             if (streaming) o.caller.cutOff(o, why);
             else o.caller.turnAway(o, (Verdict.TurnAway) Verdict.unknown(o.expiry <= clock.now() ? 504 : 502, why));
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -108,7 +108,7 @@
             JsonObject ls = Json.object();
             for (String key : Keys.LICENSED) ls.add(key, Math.max(-1, r.news.licences.until(key) - now));
             e.complete(Json.object().add("name", name).add("domain", domain).add("unready", r.unready()).add("policy", t.policyNumber()).add("weights", t.weightsNumber())
-                .add("replicas", t.replicasNumber()).add("generation", t.generation()).add("licenceLeftMs", ls).add("ordersUnderWay", r.live().size())
+                .add("replicas", t.replicasNumber()).add("generation", t.generation()).add("licenceLeftMs", ls).add("ordersUnderWay", r.live().size()).add("shares", r.shares())
                 .add("backends", r.backends.json()));
         }));
     }
--- a/operator-tools/src/main/java/gladelug/tools/Explanation.java
+++ b/operator-tools/src/main/java/gladelug/tools/Explanation.java
@@ -103,6 +103,26 @@
         return sb.toString();
     }
 
+    /** One node's own state, a line for each thing it tells. */
+    static String ofNode(String name, JsonObject o) {
+        StringBuilder sb = new StringBuilder(name).append('\n');
+        for (JsonObject.Member m : o) {
+            if (m.getValue().isObject())
+                for (JsonObject.Member x : m.getValue().asObject()) sb.append("  ").append(m.getName()).append(' ').append(x.getName()).append(' ').append(flat(x.getValue())).append('\n');
+            else if (m.getValue().isArray()) for (JsonValue v : m.getValue().asArray()) sb.append("  ").append(m.getName()).append(' ').append(flat(v)).append('\n');
+            else sb.append("  ").append(m.getName()).append(' ').append(flat(m.getValue())).append('\n');
+        }
+        return sb.toString();
+    }
+
+    private static String flat(JsonValue v) {
+        if (v.isString()) return v.asString().isEmpty() ? "-" : v.asString();
+        if (!v.isObject()) return v.toString();
+        List<String> l = new ArrayList<>();
+        for (JsonObject.Member m : v.asObject()) l.add(m.getName() + "=" + flat(m.getValue()));
+        return String.join(" ", l);
+    }
+
     static final class Tests {
         @org.junit.jupiter.api.Test void theWordsSayWhatTheRecordSays() {
             JsonObject d = com.eclipsesource.json.Json.parse("""
--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -52,7 +52,8 @@
         p = command(subs, "name-weights", "name the weights a model service is to run");
         p.addArgument("service");
         p.addArgument("weights");
-        command(subs, "show-status", "who owns what, which nodes hold which numbers, who is behind");
+        p = command(subs, "show-status", "who owns what, which nodes hold which numbers, who is behind");
+        p.addArgument("--nodes").action(Arguments.storeTrue()).help("ask each node too: licences, shares, replicas, the summary's health");
         p = command(subs, "swap-core-machine", "put a machine that asks to join in the place of a member of the core");
         p.addArgument("out");
         p.addArgument("in");
@@ -83,7 +84,7 @@
                 case "show-policy" -> print(a.get(control, "/v1/policy"), true);
                 case "name-weights" -> print(a.call(HttpMethod.POST, control, "/v1/weights",
                     Json.object().add("service", n.getString("service")).add("weights", n.getString("weights")).toString(), Map.of()), json);
-                case "show-status" -> status(a, control, json);
+                case "show-status" -> status(a, control, n.getBoolean("nodes"), json);
                 default -> print(a.call(HttpMethod.POST, control, "/v1/core/swap", Json.object().add("out", n.getString("out")).add("in", n.getString("in")).toString(), Map.of()), json);
             };
         }
@@ -153,10 +154,21 @@
         return print(a.call(HttpMethod.POST, control, "/v1/policy", s, Map.of("If-Match", basedOn)), json);
     }
 
-    private static int status(Asking a, List<Address> control, boolean json) {
+    private static int status(Asking a, List<Address> control, boolean nodes, boolean json) {
         Asking.Answer s = a.get(control, "/v1/status");
-        if (!s.ok() || json) return print(s, json);
+        if (!s.ok()) return print(s, json);
+        JsonObject each = Json.object();
+        if (nodes)
+            for (JsonValue v : s.body().get("nodes").asArray()) {
+                JsonObject n = v.asObject();
+                each.set(n.getString("name", ""), a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/status").body());
+            }
+        if (json) {
+            System.out.println((nodes ? s.body().add("each", each) : s.body()).toString(WriterConfig.PRETTY_PRINT));
+            return 0;
+        }
         System.out.print(Explanation.ofStatus(s.body()));
+        for (JsonObject.Member m : each) System.out.print(Explanation.ofNode(m.getName(), m.getValue().asObject()));
         return 0;
     }
 
--- a/rehearsal/src/main/java/gladelug/rehearsal/OrderRehearsal.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/OrderRehearsal.java
@@ -105,6 +105,31 @@
             Assertions.assertFalse(e.toString().contains(one.key()) || e.toString().contains("Instructions"), "a key or a prompt in a decision");
         }
 
+        private static String explain(String id, int code) throws Exception {
+            Child c = program("gladelug.tools.OperatorTools", "explain-order", "--control", f.operator.get("control-1") + "," + f.operator.get("control-2"), id);
+            Assertions.assertEquals(code, c.exit(), c.lines());
+            return c.lines();
+        }
+
+        @Test void anOrderIsExplainedLiveEndedAndTurnedAway() throws Exception {
+            both(x -> x.slowPieces = 3000);
+            Ledger.Call c = callers.send(wide, one, relay);
+            until("it streams", () -> c.pieces > 0);
+            String live = explain(c.order, 0);
+            Assertions.assertTrue(live.contains(": live") && live.contains("first piece after") && live.contains("replica replica-"), live);
+            done(c);
+            String cut = explain(c.order, 0);
+            Assertions.assertTrue(cut.contains("cut off after") && cut.contains("expired"), cut);
+            both(x -> x.none());
+            both(x -> x.notRun = 1);
+            String away = explain(order(ask).order, 0);
+            Assertions.assertTrue(away.contains("turned away with 503: the replica did not run it: not now"), away);
+            Fleet.Answer n = raw("/nothing", one.key(), "{}");
+            Assertions.assertTrue(explain(n.body().getString("order", ""), 0).contains("turned away with 404: no mapping for this path"));
+            Assertions.assertTrue(explain(c.order.replaceAll("[0-9]+$", "999999"), 1).contains("never took such an order"));
+            ends(program("gladelug.tools.OperatorTools", "show-status", "--nodes", "--control", f.operator.get("control-1")), 0, "owner control-", "shares m divided=", "overflow 0", "licenceLeftMs policy");
+        }
+
         @Test void badInputGetsAPlainAnswerAndReachesNoReplica() {
             int before = f.replicas.get("replica-1").orders + f.replicas.get("replica-2").orders;
             Assertions.assertEquals(401, raw("/ask", null, "{\"prompt\":\"x\"}").status());
