--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -156,8 +156,9 @@
             }
             if (newest) os.removeIf(x -> !x.b.weights.equals(w[0]));
             if (os.isEmpty()) {
-                boolean any = r.backends.of(o.service.name()).stream().anyMatch(b -> b.usable(t));
-                return Verdict.notRun(503, any ? "no replica with the right weights has a place" : "no replica answers", 500);
+                List<Backend> all = r.backends.of(o.service.name());
+                return Verdict.notRun(503, all.stream().anyMatch(b -> b.usable(t)) ? "no replica with the right weights has a place"
+                    : all.stream().anyMatch(b -> b.known && t < b.badUntil) ? "every replica has just failed or turned an order away" : "no replica answers", 500);
             }
             Comparator<Option> first = switch (mode) {
                 case SUMMARY -> Comparator.comparingDouble(Option::ms);
