--- a/kernel/src/main/java/gladelug/kernel/policy/Policy.java
+++ b/kernel/src/main/java/gladelug/kernel/policy/Policy.java
@@ -151,6 +151,7 @@
         for (String m : taken) if (!mappings.contains(m)) fs.add(f.place("shares"), "a share names no mapping of this policy: " + m);
         Share root = new Share(name, name, (int) f.whole("weight", 1, 1, 1_000_000), (int) f.whole("tier", 0, 0, 9),
             (int) f.whole("limit", 0, 0, 1_000_000), List.of(), below);
+        for (Share c : below) Share.above(c, root.limit(), f.place("shares"), fs);
         Tenant t = new Tenant(i, name, List.copyOf(ks), f.yes("isolated", false), root);
         f.done();
         if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
@@ -171,6 +172,15 @@
             org.junit.jupiter.api.Assertions.assertTrue(p.mapping("/b").repeatable());
         }
 
+        @org.junit.jupiter.api.Test void aShareTreeThatCannotBeMetIsTold() {
+            String s = parse("""
+                {"services": [{"name": "m", "allow": ["1.1.1.1"]}], "mappings": [{"name": "a", "path": "/a", "service": "m"}, {"name": "b", "path": "/b", "service": "m"}],
+                 "tenants": [{"name": "t", "keys": [], "limit": 4, "shares": [{"name": "x", "limit": 9, "mappings": ["a"]}, {"name": "x", "mappings": ["a"]},
+                  {"name": "y", "limit": 2, "mappings": ["b"], "shares": [{"name": "z", "limit": 3}]}]}]}""").toString();
+            for (String w : new String[] {"the limit 9 of t/x is above", "two shares are named x", "mapping a is in two shares", "belong to shares at the leaves", "the limit 3 of t/y/z is above"})
+                org.junit.jupiter.api.Assertions.assertTrue(s.contains(w), w + " in " + s);
+        }
+
         @org.junit.jupiter.api.Test void allMistakesAreReportedTogether() {
             String s = parse("""
                 {"services": [{"name": "m", "allow": ["somewhere"]}, {"name": "m", "allow": []}],
--- a/kernel/src/main/java/gladelug/kernel/policy/Share.java
+++ b/kernel/src/main/java/gladelug/kernel/policy/Share.java
@@ -23,6 +23,7 @@
             readAll(f.list("shares", false), path, depth + 1, taken, fs));
         f.done();
         if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
+        for (Share c : s.shares) above(c, s.limit, f.place("shares"), fs);
         if (!s.shares.isEmpty() && !s.mappings.isEmpty())
             fs.add(f.place("mappings"), "belong to shares at the leaves; this one has shares below it");
         for (String m : s.mappings)
@@ -45,6 +46,11 @@
         return List.copyOf(out);
     }
 
+    /** A share can't have more than what it is a share of. */
+    static void above(Share c, int limit, String place, Findings fs) {
+        if (limit > 0 && c.limit > limit) fs.add(place, "the limit " + c.limit + " of " + c.path + " is above that of the share it is in, " + limit);
+    }
+
     /** The leaf below here that takes the mapping, or null. */
     Share leaf(String mapping) {
         if (mappings.contains(mapping)) return this;
