Drop telling those left out twice: members that remember them do it when they speak

With the driver's telling switched off every timeline still passed, since a machine left out keeps asking and is answered by those who remember it.

--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -281,9 +281,6 @@
         }
         List<Kept> merged = merged();
         for (Members.Member m : sealed.all()) n.host.sendTo(m.records(), say(new Settled(sealed, merged)));
-        // whoever is left out learns that it is
-        for (Members.Member m : members.all())
-            if (sealed.all().stream().noneMatch(x -> x.disk().equals(m.disk()))) n.host.sendTo(m.records(), say(new Settled(sealed, List.of())));
     }
 
     private void onSealed(String from, Sealed s) {
