--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -20,12 +20,12 @@
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 public final class Commander implements Kernel.Service {
     private static final long PERIOD = 250, AGAIN = 1000, STALE = 1500;
@@ -113,15 +113,14 @@
         String want = v.weights.of(r.service()).now();
         long now = core.now();
         if (x.weights.equals(want) && !x.loading || x.loading && x.steeredTo.equals(want) || now - x.steered < AGAIN && x.steeredTo.equals(want)) return;
-        List<String> all = new ArrayList<>();
-        Set<String> moved = new HashSet<>();
+        SortedMap<String, Batches.Replica> all = new TreeMap<>();
         for (Replicas.Replica o : v.replicas.all) {
-            if (!o.service().equals(r.service())) continue;
-            all.add(o.instance());
+            if (!o.service().equals(r.service()) || !steerable(v, o)) continue;
             Seen y = seen.get(o.instance());
-            if (y != null && y.weights.equals(want) && !y.loading && now - y.at < STALE) moved.add(o.instance());
+            boolean heard = y != null && now - y.at < STALE;
+            all.put(o.instance(), !heard ? Batches.Replica.SILENT : y.weights.equals(want) && !y.loading ? Batches.Replica.MOVED : Batches.Replica.WAITING);
         }
-        if (!Batches.may(r.instance(), all, moved, v.age, cutoff)) return;
+        if (!Batches.may(r.instance(), all, v.age, cutoff)) return;
         String key = Keys.COMMANDER + r.instance();
         core.ask(n -> n.mayCommand(key) ? n.epochOf(key) : -1L).flatMap(e -> {
             if (e < 0) return Uni.createFrom().nullItem();
--- a/rehearsal/src/main/java/gladelug/rehearsal/Child.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Child.java
@@ -1,6 +1,7 @@
 /*
  * One of gladelug's own programs as a process of its own, started by a rehearsal and ended by its
- * own id. Its lines go to a file; the last few can be shown when something went wrong.
+ * own id. Its lines go to a file. With -Dgladelug.programs=JAR the programs are those of another
+ * build, so that two builds can be measured by the same rehearsal.
  */
 package gladelug.rehearsal;
 
@@ -29,7 +30,7 @@
 
     public Child start() throws IOException {
         List<String> l = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx" + heapMb + "m", "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Dvertx.disableDnsResolver=true", "-cp", System.getProperty("java.class.path"), main));
+            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Dvertx.disableDnsResolver=true", "-cp", System.getProperty("gladelug.programs", System.getProperty("java.class.path")), main));
         l.addAll(args);
         process = new ProcessBuilder(l).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
         return this;
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -48,6 +48,9 @@
         p.addArgument("--out").setDefault("rehearsal-out");
         p = subs.addParser("stand-ins").help("only the stand-ins: a platform with two replicas, a store and an application, to try the programs by hand");
         p.addArgument("--out").setDefault("rehearsal-out");
+        p = subs.addParser("weights").help("how long a roll to new weights takes under load, and what it costs callers");
+        p.addArgument("--deployment").choices("safari-njia", "moka-ridge").setDefault("safari-njia");
+        p.addArgument("--out").setDefault("rehearsal-out");
         p = subs.addParser("table").help("the Cuckoo Summary by itself against wider buckets");
         p.addArgument("--rounds").type(Integer.class).setDefault(7);
         p = subs.addParser("shares").help("what tenants get of a full fleet, with and without the fleet-wide division, turn about");
@@ -62,6 +65,10 @@
             System.out.println("platform " + f.platform.address() + "\npolicy " + policy + "\nkey of tenant one: " + f.deployment.tenants().get(0).key() + "\nends with this process");
             Thread.currentThread().join();
         }
+        if (n.getString("command").equals("weights")) {
+            weights(Deployment.named(n.getString("deployment")), n.getString("out"));
+            System.exit(0);
+        }
         if (n.getString("command").equals("table")) {
             Table.measure(n.getInt("rounds"));
             System.exit(0);
@@ -87,6 +94,34 @@
         System.exit(clean ? 0 : 1);
     }
 
+    private static void weights(Deployment d, String base) throws Exception {
+        Path out = Path.of(base).toAbsolutePath().resolve("weights-" + System.currentTimeMillis());
+        try (Fleet f = new Fleet(d, out, 1, "summary")) {
+            f.start();
+            StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, d.tenants(), d.kinds(), 1);
+            callers.start();
+            Fleet.pause(5000);
+            long named = System.nanoTime() / 1_000_000;
+            Fleet.Answer a = f.weights("w2");
+            List<StandInReplica> models = f.replicas.values().stream().filter(r -> r.kind == StandInReplica.Kind.MODEL).toList();
+            List<Long> moved = new ArrayList<>();
+            while (moved.size() < models.size()) {
+                long n = models.stream().filter(r -> r.weights().equals("w2")).count();
+                while (moved.size() < n) moved.add(System.nanoTime() / 1_000_000 - named);
+                if (System.nanoTime() / 1_000_000 - named > 40_000) break;
+                Fleet.pause(20);
+            }
+            Fleet.pause(2000);
+            callers.stop();
+            Fleet.until("the last orders ended", 30_000, () -> callers.open() == 0);
+            List<Ledger.Call> since = f.ledger.calls.values().stream().filter(c -> c.sent >= named).toList();
+            long away = since.stream().filter(c -> !c.outcome.equals("complete")).count();
+            long last = f.ledger.runs.values().stream().flatMap(List::stream).filter(r -> r.weights.equals("w1")).mapToLong(r -> r.at - named).max().orElse(0);
+            System.out.printf(Locale.ROOT, "naming answered %d; replicas on new weights after ms %s; last order begun on old ones after %d ms; %d of %d orders not complete; p95 first piece %.0f ms%n",
+                a.status(), moved, last, away, since.size(), at(since.stream().filter(c -> c.firstPiece >= 0).map(c -> c.firstPiece - c.sent).toList(), 0.95));
+        }
+    }
+
     private static void compare(Namespace n) throws Exception {
         Map<String, List<double[]>> got = new TreeMap<>();
         for (int round = 1; round <= n.getInt("rounds"); round++)
