--- a/rehearsal/src/main/java/gladelug/rehearsal/OrderRehearsal.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/OrderRehearsal.java
@@ -326,6 +326,7 @@
             Ledger.Call c = order(ask);
             Assertions.assertEquals("not-run", c.outcome);
             Assertions.assertEquals("no licence", c.reason);
+            Assertions.assertTrue(raw("/ask", one.key(), "{}").headers().containsKey("retry-after"), "when to come back");
             for (int i = 1; i <= 3; i++) f.children.get("control-" + i).start();
             Fleet.until("the relay is ready again", 12_000, () -> f.ready("relay-1"));
             Assertions.assertEquals("complete", order(ask).outcome);
