Tell whoever listens to news what came before it listened

Ruled out: feeds and growth, which began at once with the next list. Listeners are now called with what is held, on the news' own thread.

--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -77,9 +77,12 @@
         return run;
     }
 
-    /** Called on the news duty after each swap; hand on to your own thread. */
+    /** Called on the news duty with what is held now, which may have come before anybody listened, and after each swap. */
     public void listen(Consumer<Tables> l) {
-        listeners.add(l);
+        duty.offer(() -> {
+            listeners.add(l);
+            l.accept(tables);
+        });
     }
 
     @Override public void start(Kernel k) {
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -91,8 +91,6 @@
             throw new Kernel.CannotStart("cannot listen for callers on " + callers + ": " + Doors.reason(e), e);
         }
         news.listen(t -> context.runOnContext(() -> relay.tables(t)));
-        Tables t = news.tables();
-        context.runOnContext(() -> relay.tables(t));
         Log.event("callers-door-open", "address", callers);
     }
 
