--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
@@ -145,23 +145,26 @@
 
     /** Starts, on the same port after the first time; memory is empty and the incarnation new. */
     public void start() {
-        CompletableFuture<Void> done = new CompletableFuture<>();
         synchronized (this) {
             empty();
         }
-        HttpServer s = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(120).setTcpNoDelay(true));
-        s.requestHandler(this::request).listen(port, host).onComplete(a -> {
-            if (a.failed()) {
-                done.completeExceptionally(a.cause());
-                return;
+        HttpServer s = null;
+        long end = System.nanoTime() + 20_000_000_000L;
+        // the port of the life before may not be free at once
+        while (s == null) {
+            CompletableFuture<Integer> done = new CompletableFuture<>();
+            HttpServer x = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(120).setTcpNoDelay(true));
+            x.requestHandler(this::request).listen(port, host).onComplete(a -> {
+                if (a.failed()) done.completeExceptionally(a.cause());
+                else done.complete(x.actualPort());
+            });
+            try {
+                port = done.get(20, TimeUnit.SECONDS);
+                s = x;
+            } catch (Exception e) {
+                if (System.nanoTime() > end) throw new IllegalStateException("stand-in " + instance, e);
+                Fleet.pause(100);
             }
-            port = s.actualPort();
-            done.complete(null);
-        });
-        try {
-            done.get(20, TimeUnit.SECONDS);
-        } catch (Exception e) {
-            throw new IllegalStateException("stand-in " + instance, e);
         }
         synchronized (this) {
             server = s;
