Commanders read the policy off the core's thread, and only when it changed; drop dead code

Cause: each commander round, four times a second, parsed policy, weights and replicas on the thread that runs the core's protocol, and its own map was touched from two threads. Both are on its event loop now and unchanged bytes are not read again. Gone: an unused duty callback, accessors and fields nobody read, two copies of the naming of flags.

--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -15,7 +15,6 @@
 import gladelug.control.duty.Division;
 import gladelug.control.duty.PlatformWatch;
 import gladelug.kernel.Address;
-import gladelug.kernel.Finding;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
 import gladelug.kernel.Program;
@@ -70,7 +69,7 @@
         for (String c : new String[] {"found", "run"}) {
             Subparser p = subs.addParser(c).help(c.equals("found") ? "prepare the data folder of a founder of a new fleet" : "serve");
             p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
-            for (String f : FLAGS) p.addArgument(flag(f)).dest(f).metavar("VALUE").help(help(f));
+            for (String f : FLAGS) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
         }
         Namespace n = Program.parse(ap, args);
         Map<String, String> flags = new HashMap<>();
@@ -86,10 +85,6 @@
         }
     }
 
-    private static String flag(String f) {
-        return "--" + f.replaceAll("([A-Z])", "-$1").toLowerCase(java.util.Locale.ROOT);
-    }
-
     private static String help(String f) {
         return switch (f) {
             case "name" -> "this machine's name in the core";
@@ -156,8 +151,6 @@
             private byte[] read = new byte[0];
             private Policy policy = Policy.EMPTY;
 
-            @Override public void served(String key, byte[] body) {}
-
             @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, byte[] body) {
                 if (body != read) {
                     policy = Policy.parse(new String(body, java.nio.charset.StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g ? g.value() : Policy.EMPTY;
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -44,10 +44,8 @@
     private static final long DIVIDE = 200, GONE = 1200, DIRECT = 900;
     private static final String CELL = "cell/";
 
-    /** Told of each value this member serves as owner, so that duties can follow. */
+    /** What this member does beside keeping state, where it owns the key for it. */
     public interface Duties {
-        void served(String key, byte[] body);
-
         /** What each relay may use of each service's places; asked of the owner of the key shares a few times a second. */
         default Map<String, List<News.Allot>> divide(long epoch, List<Seen> relays, byte[] policy) {
             return Map.of();
@@ -197,16 +195,6 @@
         return owners.get(key).epoch;
     }
 
-    public long ageOf(String key) {
-        return owners.get(key).age(host.now());
-    }
-
-    /** The value this member serves, or null where it isn't the owner. */
-    public byte[] serves(String key) {
-        KeyOwner o = owners.get(key);
-        return o != null && o.serving() ? o.value().body() : null;
-    }
-
     // ---- events
 
     public void tick() {
@@ -444,11 +432,7 @@
     }
 
     void served(String key, Cell.Value v) {
-        if (key.equals(Keys.CORE) && membership.pending(v.body()) != null) {
-            membership.seal(membership.pending(v.body()), host.now());
-            return;
-        }
-        duties.served(key, v.body());
+        if (key.equals(Keys.CORE) && membership.pending(v.body()) != null) membership.seal(membership.pending(v.body()), host.now());
     }
 
     // ---- data-plane processes
@@ -652,7 +636,7 @@
         private static final Members THREE = new Members(1, List.of(new Members.Member("a", "da", A, A), new Members.Member("b", "db", A, A), new Members.Member("c", "dc", A, A)));
 
         private static CoreNode node(Paper p) {
-            return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()), null, (k, b) -> {});
+            return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()), null, new Duties() {});
         }
 
         private static void from(CoreNode n, String who, CoreMessage m) {
@@ -711,7 +695,7 @@
             p.synced();
             org.junit.jupiter.api.Assertions.assertEquals(0, p.count("c Promised"));
             Paper q = new Paper();
-            CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes(), Membership.SEALED, next.bytes()), null, (k, b) -> {});
+            CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes(), Membership.SEALED, next.bytes()), null, new Duties() {});
             from(again, "c", new Promise("k", THREE.epoch(0, "c")));
             q.synced();
             org.junit.jupiter.api.Assertions.assertEquals(0, q.count("c Promised"));
@@ -738,7 +722,7 @@
 
         @org.junit.jupiter.api.Test void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
             Paper p = new Paper();
-            CoreNode n = new CoreNode(p, Tunables.USUAL, new Members.Member("a", "new disk", A, A), 15_000, Map.of(), null, (k, b) -> {});
+            CoreNode n = new CoreNode(p, Tunables.USUAL, new Members.Member("a", "new disk", A, A), 15_000, Map.of(), null, new Duties() {});
             from(n, "b", new Promise("k", THREE.epoch(0, "b")));
             from(n, "b", new Accept("k", THREE.epoch(0, "b"), Cell.Value.NONE));
             from(n, "b", new Confirm(1, List.of(new Claim("k", 1))));
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -35,7 +35,6 @@
         Cell.Value value;
         boolean committed;
         boolean answered;
-        long committedAt;
         int lapsed;
         final Set<String> wrote = new HashSet<>();
         long sent;
@@ -217,7 +216,6 @@
                 current = c;
                 c.value = value;
                 c.committed = true;
-                c.committedAt = now;
                 settle(now);
             } else if (c.match >= 0 && c.match != value.number()) {
                 c.answer.accept(new ChangeAnswer.Stale(value.number()));
@@ -237,7 +235,6 @@
         value = current.value;
         changedAt = now;
         current.committed = true;
-        current.committedAt = now;
         node.served(key, value);
         if (Keys.NEWS.contains(key)) node.pushAll(key, epoch, old, value);
         settle(now);
--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -17,6 +17,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.Context;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.nio.charset.StandardCharsets;
@@ -30,6 +31,8 @@
 public final class Commander implements Kernel.Service {
     private static final long PERIOD = 250, AGAIN = 1000, STALE = 1500;
 
+    private record Kept(byte[] replicas, byte[] weights, byte[] policy, long age) {}
+
     private record View(Replicas replicas, Weights weights, Policy policy, long age) {}
 
     private static final class Seen {
@@ -48,6 +51,9 @@
     private WebClient web;
     private long timer;
     private boolean busy;
+    private Context context;
+    private Kept read;
+    private View last;
 
     public Commander(Vertx vertx, String self, int cutoff) {
         this.vertx = vertx;
@@ -58,7 +64,8 @@
     @Override public void start(Kernel k) {
         core = k.find("core", CoreService.class);
         web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(700).setFollowRedirects(false).setMaxPoolSize(2));
-        vertx.getOrCreateContext().runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> round()));
+        context = vertx.getOrCreateContext();
+        context.runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> round()));
     }
 
     private static <T> T or(Result<T> r, T none) {
@@ -72,16 +79,26 @@
     private void round() {
         if (busy) return;
         busy = true;
-        core.ask(n -> {
-            View v = new View(or(Replicas.parse(text(n.kept(Keys.REPLICAS).getValue())), Replicas.NONE),
-                or(Weights.parse(text(n.kept(Keys.WEIGHTS).getValue())), Weights.NONE),
-                or(Policy.parse(text(n.kept(Keys.POLICY).getValue())), Policy.EMPTY), n.knownAge(Keys.WEIGHTS));
-            for (Replicas.Replica r : v.replicas.all) if (steerable(v, r)) n.know(Keys.COMMANDER + r.instance());
-            return v;
-        }).subscribe().with(v -> {
-            busy = false;
-            look(v);
-        }, t -> busy = false);
+        core.ask(n -> new Kept(n.kept(Keys.REPLICAS).getValue(), n.kept(Keys.WEIGHTS).getValue(), n.kept(Keys.POLICY).getValue(), n.knownAge(Keys.WEIGHTS)))
+            .emitOn(r -> context.runOnContext(r)).map(this::view)
+            .call(v -> core.ask(n -> {
+                for (Replicas.Replica r : v.replicas.all) if (steerable(v, r)) n.know(Keys.COMMANDER + r.instance());
+                return true;
+            })).emitOn(r -> context.runOnContext(r))
+            .subscribe().with(v -> {
+                busy = false;
+                look(v);
+            }, t -> busy = false);
+    }
+
+    /** Read here and not on the core's thread, and only what is not the same as last time. */
+    private View view(Kept k) {
+        View old = last;
+        last = new View(read != null && read.replicas == k.replicas ? old.replicas : or(Replicas.parse(text(k.replicas)), Replicas.NONE),
+            read != null && read.weights == k.weights ? old.weights : or(Weights.parse(text(k.weights)), Weights.NONE),
+            read != null && read.policy == k.policy ? old.policy : or(Policy.parse(text(k.policy)), Policy.EMPTY), k.age);
+        read = k;
+        return last;
     }
 
     /** Only replicas of a model service, where the policy allows them, with weights named. */
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -59,8 +59,8 @@
         for (String c : List.of("relay", "index")) {
             Subparser p = subs.addParser(c).help(c.equals("relay") ? "carry orders" : "index kept prefix blocks");
             p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
-            for (String f : BOTH) p.addArgument(flag(f)).dest(f).metavar("VALUE").help(help(f));
-            for (String f : flags.get(c)) p.addArgument(flag(f)).dest(f).metavar("VALUE").help(help(f));
+            for (String f : BOTH) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
+            for (String f : flags.get(c)) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
         }
         Namespace n = Program.parse(ap, args);
         boolean relay = n.getString("command").equals("relay");
@@ -70,10 +70,6 @@
         run(relay, Program.orExit("data-plane", place(relay, n.getString("settings"), given)));
     }
 
-    private static String flag(String f) {
-        return "--" + f.replaceAll("([A-Z])", "-$1").toLowerCase(java.util.Locale.ROOT);
-    }
-
     private static String help(String f) {
         return switch (f) {
             case "name" -> "this process's name in the fleet";
--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -26,7 +26,6 @@
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
--- a/data-plane/src/main/java/gladelug/data/order/Order.java
+++ b/data-plane/src/main/java/gladelug/data/order/Order.java
@@ -35,7 +35,6 @@
     public int matched;
     public String fetchFrom = "";
     public int fetchBlocks;
-    public double cost;
     public int tries;
     public int choices;
     public boolean admitted;
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -174,7 +174,6 @@
                 o.fetchFrom = same ? c.from : "";
                 o.fetchBlocks = same ? c.fetch : 0;
             }
-            o.cost = c.ms;
             if (o.fetchBlocks > 0) c.b.pulls(o.fetchFrom, t);
             r.choose(o, c.b, c.prefill);
             JsonArray a = new JsonArray();
--- a/kernel/src/main/java/gladelug/kernel/Settings.java
+++ b/kernel/src/main/java/gladelug/kernel/Settings.java
@@ -37,7 +37,8 @@
         return Doc.parse(s).then(d -> Result.good(new Settings(d, fl, new Findings())));
     }
 
-    private static String flag(String name) {
+    /** A setting's name as a flag. */
+    public static String flag(String name) {
         return "--" + name.replaceAll("([A-Z])", "-$1").toLowerCase(java.util.Locale.ROOT);
     }
 
