--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -29,21 +29,27 @@
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class ControlPlane {
-    private static final String[] FLAGS = {"name", "domain", "records", "operator", "platform", "seeds", "founders", "data", "log", "cutoffMs", "ringFileMb"};
+    private static final String[] FLAGS = {"name", "domain", "records", "operator", "platform", "seeds", "founders",
+        "data", "log", "cutoffMs", "ringFileMb"};
 
     record Place(String name, String domain, Address records, Address operator, Address platform, List<Address> seeds,
-                 List<Members.Member> founders, String data, String log, int cutoff, int ringFile) {}
+        List<Members.Member> founders, String data, String log, int cutoff, int ringFile) {}
 
     private ControlPlane() {}
 
@@ -52,11 +58,15 @@
             List<Members.Member> fs = new ArrayList<>();
             for (String t : s.texts("founders")) {
                 String[] ps = t.split("[=/]");
-                if (ps.length != 3) s.findings.add("founders", "must be NAME=RECORDS/OPERATOR with two addresses, not " + t);
-                else fs.add(new Members.Member(ps[0], "", Address.read(ps[1], "founders", s.findings), Address.read(ps[2], "founders", s.findings)));
+                if (ps.length != 3)
+                    s.findings.add("founders", "must be NAME=RECORDS/OPERATOR with two addresses, not " + t);
+                else fs.add(new Members.Member(ps[0], "", Address.read(ps[1], "founders", s.findings),
+                    Address.read(ps[2], "founders", s.findings)));
             }
-            Place p = new Place(s.name("name"), s.text("domain", ""), s.address("records"), s.address("operator"), s.address("platform"),
-                s.addresses("seeds"), fs, s.text("data"), s.text("log", "info"), (int) s.whole("cutoffMs", 15_000, 1000, 20_000),
+            Place p = new Place(s.name("name"), s.text("domain", ""), s.address("records"), s.address("operator"),
+                s.address("platform"),
+                s.addresses("seeds"), fs, s.text("data"), s.text("log", "info"),
+                (int) s.whole("cutoffMs", 15_000, 1000, 20_000),
                 (int) s.whole("ringFileMb", 16, 16, 1024));
             return s.done(() -> p);
         });
@@ -66,8 +76,9 @@
         ArgumentParser ap = ArgumentParsers.newFor("control-plane").build().defaultHelp(true)
             .description("Knows which servers and nodes exist and keeps the state they share.");
         var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
-        for (String c : new String[] {"found", "run"}) {
-            Subparser p = subs.addParser(c).help(c.equals("found") ? "prepare the data folder of a founder of a new fleet" : "serve");
+        for (String c : new String[]{"found", "run"}) {
+            Subparser p = subs.addParser(c)
+                .help(c.equals("found") ? "prepare the data folder of a founder of a new fleet" : "serve");
             p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
             for (String f : FLAGS) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
         }
@@ -103,22 +114,26 @@
 
     static void found(Place p) {
         if (p.founders.size() != 3 || p.founders.stream().noneMatch(m -> m.name().equals(p.name)))
-            throw new Kernel.CannotStart("a new fleet is founded by exactly three, of which this is one; give --founders");
+            throw new Kernel.CannotStart(
+                "a new fleet is founded by exactly three, of which this is one; give --founders");
         try (Folder f = new Folder(Path.of(p.data), p.ringFile << 20)) {
-            if (f.identity() != null) throw new Kernel.CannotStart("data folder " + p.data + " is already that of " + f.identity().getString("name", "?"));
+            if (f.identity() != null) throw new Kernel.CannotStart(
+                "data folder " + p.data + " is already that of " + f.identity().getString("name", "?"));
             f.prepare();
             var a = Json.array();
             for (Members.Member m : p.founders)
-                a.add(Json.object().add("name", m.name()).add("records", m.records().toString()).add("operator", m.operator().toString()));
-            f.identity(Json.object().add("name", p.name).add("disk", newDisk()).add("ringFile", p.ringFile << 20).add("founders", a));
+                a.add(Json.object().add("name", m.name()).add("records", m.records().toString()).add("operator",
+                    m.operator().toString()));
+            f.identity(Json.object().add("name", p.name).add("disk", newDisk()).add("ringFile", p.ringFile << 20)
+                .add("founders", a));
         }
         Log.event("founded", "name", p.name, "data", p.data);
     }
 
     private static String newDisk() {
         byte[] b = new byte[12];
-        new java.security.SecureRandom().nextBytes(b);
-        return java.util.HexFormat.of().formatHex(b);
+        new SecureRandom().nextBytes(b);
+        return HexFormat.of().formatHex(b);
     }
 
     static void run(Place p) {
@@ -132,18 +147,22 @@
             Log.event("empty-disk-joins", "name", p.name, "data", p.data);
         }
         if (!id.getString("name", "").equals(p.name))
-            throw new Kernel.CannotStart("data folder " + p.data + " belongs to " + id.getString("name", "?") + ", not to " + p.name);
+            throw new Kernel.CannotStart(
+                "data folder " + p.data + " belongs to " + id.getString("name", "?") + ", not to " + p.name);
         folder.prepare();
         Ring ring;
         try {
             ring = Ring.open(folder);
         } catch (IOException e) {
-            throw new Kernel.CannotStart("data folder " + p.data + " is damaged: " + e.getMessage() + "; empty it and this machine joins anew", e);
+            throw new Kernel.CannotStart(
+                "data folder " + p.data + " is damaged: " + e.getMessage() + "; empty it and this machine joins anew",
+                e);
         }
         List<Members.Member> founders = new ArrayList<>();
         if (id.get("founders") != null) for (JsonValue v : id.get("founders").asArray()) {
             JsonObject o = v.asObject();
-            founders.add(new Members.Member(o.getString("name", ""), "", Address.of(o.getString("records", "")), Address.of(o.getString("operator", ""))));
+            founders.add(new Members.Member(o.getString("name", ""), "", Address.of(o.getString("records", "")),
+                Address.of(o.getString("operator", ""))));
         }
         Vertx vertx = Vertx.vertx();
         Kernel k = new Kernel();
@@ -153,19 +172,27 @@
 
             @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, byte[] body) {
                 if (body != read) {
-                    policy = Policy.parse(new String(body, java.nio.charset.StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g ? g.value() : Policy.EMPTY;
+                    policy = Policy.parse(new String(body, StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g
+                        ? g.value()
+                        : Policy.EMPTY;
                     read = body;
                 }
                 return Division.divide(epoch, relays, policy);
             }
         };
         k.add("doors", new Doors(vertx, p.records, p.name))
-            .add("views", new ViewService(vertx, new Shuffle.Descriptor(p.name, "control", p.records.toString(), p.operator.toString(), p.domain, 0, 0), p.seeds))
-            .add("core", new CoreService(vertx, ring, new Members.Member(p.name, id.getString("disk", ""), p.records, p.operator), p.seeds, p.cutoff,
-                founders.isEmpty() ? null : new CoreNode.Founding(founders), duties, what -> {
-                System.err.println("control-plane: the disk failed and this member stops: " + what);
-                Runtime.getRuntime().halt(Program.CANNOT);
-            }))
+            .add("views",
+                new ViewService(vertx,
+                    new Shuffle.Descriptor(p.name, "control", p.records.toString(), p.operator.toString(), p.domain, 0,
+                        0),
+                    p.seeds))
+            .add("core",
+                new CoreService(vertx, ring,
+                    new Members.Member(p.name, id.getString("disk", ""), p.records, p.operator), p.seeds, p.cutoff,
+                    founders.isEmpty() ? null : new CoreNode.Founding(founders), duties, what -> {
+                        System.err.println("control-plane: the disk failed and this member stops: " + what);
+                        Runtime.getRuntime().halt(Program.CANNOT);
+                    }))
             .add("platform-watch", new PlatformWatch(vertx, p.platform))
             .add("commander", new Commander(vertx, p.name, p.cutoff))
             .add("operator-door", new OperatorDoor(vertx, p.operator));
@@ -173,14 +200,15 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void allFindingsOfTheSettingsAreReportedTogether() {
+        @Test void allFindingsOfTheSettingsAreReportedTogether() {
             Map<String, String> f = new HashMap<>();
             f.put("name", "Bad Name");
             f.put("records", "host:1");
             f.put("cutoffMs", "99999");
             String s = place(null, f).toString();
-            for (String w : new String[] {"--name: must be small letters", "--records: must be an IP number", "--operator: is needed", "--data: is needed", "--cutoff-ms: must be a whole number from 1000 to 20000"})
-                org.junit.jupiter.api.Assertions.assertTrue(s.contains(w), w + " in " + s);
+            for (String w : new String[]{"--name: must be small letters", "--records: must be an IP number",
+                "--operator: is needed", "--data: is needed", "--cutoff-ms: must be a whole number from 1000 to 20000"})
+                Assertions.assertTrue(s.contains(w), w + " in " + s);
         }
     }
 }
--- a/control-plane/src/main/java/gladelug/control/core/Cell.java
+++ b/control-plane/src/main/java/gladelug/control/core/Cell.java
@@ -40,7 +40,8 @@
         }
 
         static Value read(DataInputStream i) throws IOException {
-            return new Value(i.readLong(), i.readUTF(), TreePVector.from(Wire.list(i, j -> new Mark(j.readLong(), j.readUTF()))), Wire.blob(i));
+            return new Value(i.readLong(), i.readUTF(),
+                TreePVector.from(Wire.list(i, j -> new Mark(j.readLong(), j.readUTF()))), Wire.blob(i));
         }
 
         @Override public String toString() {
--- a/control-plane/src/main/java/gladelug/control/core/CoreHost.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreHost.java
@@ -5,7 +5,9 @@
  */
 package gladelug.control.core;
 
+import gladelug.kernel.Address;
 import gladelug.kernel.message.News;
+import java.util.List;
 
 public interface CoreHost {
     long now();
@@ -16,10 +18,10 @@
     void send(String member, CoreMessage.Envelope m);
 
     /** While founding or joining there are only addresses. */
-    void sendTo(gladelug.kernel.Address to, CoreMessage.Envelope m);
+    void sendTo(Address to, CoreMessage.Envelope m);
 
     /** Where other processes may be found by one that knows no members yet. */
-    java.util.List<gladelug.kernel.Address> contacts();
+    List<Address> contacts();
 
     /** Makes the state of a key durable, then runs done on the protocol's thread; in order; never if it failed. */
     void sync(String key, byte[] state, Runnable done);
--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -64,7 +64,8 @@
     }
 
     /** ok false: promised is higher than what was asked. */
-    record Promised(String key, long epoch, boolean ok, long promised, long accepted, Cell.Value value) implements CoreMessage {
+    record Promised(String key, long epoch, boolean ok, long promised, long accepted,
+        Cell.Value value) implements CoreMessage {
         @Override public int tag() { return 3; }
 
         @Override public void put(DataOutputStream o) throws IOException {
@@ -245,12 +246,14 @@
             case 1 -> new Alive(i.readBoolean(), i.readLong(), Wire.list(i,
                 j -> new Owned(j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())));
             case 2 -> new Promise(i.readUTF(), i.readLong());
-            case 3 -> new Promised(i.readUTF(), i.readLong(), i.readBoolean(), i.readLong(), i.readLong(), Cell.Value.read(i));
+            case 3 -> new Promised(i.readUTF(), i.readLong(), i.readBoolean(), i.readLong(), i.readLong(),
+                Cell.Value.read(i));
             case 4 -> new Accept(i.readUTF(), i.readLong(), Cell.Value.read(i));
             case 5 -> new Accepted(i.readUTF(), i.readLong(), i.readLong(), i.readBoolean(), i.readLong());
             case 6 -> new Confirm(i.readLong(), Wire.list(i, j -> new Claim(j.readUTF(), j.readLong())));
             case 7 -> new Confirmed(i.readLong(), Wire.list(i,
-                j -> new Standing(j.readUTF(), j.readLong(), j.readBoolean(), j.readLong(), j.readLong(), j.readLong())));
+                j -> new Standing(j.readUTF(), j.readLong(), j.readBoolean(), j.readLong(), j.readLong(),
+                    j.readLong())));
             case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
             case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
             case 10 -> new Meet(i.readUTF(), i.readUTF());
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -25,6 +25,7 @@
 import gladelug.control.core.CoreMessage.Sealed;
 import gladelug.control.core.CoreMessage.Settled;
 import gladelug.control.core.CoreMessage.Standing;
+import gladelug.kernel.Address;
 import gladelug.kernel.message.Delta;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
@@ -38,6 +39,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class CoreNode {
     static final int LARGEST = 6 << 20;
@@ -46,14 +49,18 @@
 
     /** What this member does beside keeping state, where it owns the key for it. */
     public interface Duties {
-        /** What each relay may use of each service's places; asked of the owner of the key shares a few times a second. */
+        /**
+         * What each relay may use of each service's places; asked of the owner of the key shares a few times a
+         * second.
+         */
         default Map<String, List<News.Allot>> divide(long epoch, List<Seen> relays, byte[] policy) {
             return Map.of();
         }
     }
 
-    public record Seen(String name, long run, String role, String records, String operator, String domain, long asked, List<News.Held> held,
-                       Map<String, Long> since, List<News.Demand> demands, List<News.Places> places, String via) {}
+    public record Seen(String name, long run, String role, String records, String operator, String domain, long asked,
+        List<News.Held> held,
+        Map<String, Long> since, List<News.Demand> demands, List<News.Places> places, String via) {}
 
     private static final class Fellow {
         long heard = Long.MIN_VALUE / 2;
@@ -97,7 +104,8 @@
     private long lastDivided = Long.MIN_VALUE / 2;
     private long nr;
 
-    public CoreNode(CoreHost host, Tunables t, Members.Member me, int cutoff, Map<String, byte[]> durable, Founding founding, Duties duties) {
+    public CoreNode(CoreHost host, Tunables t, Members.Member me, int cutoff, Map<String, byte[]> durable,
+        Founding founding, Duties duties) {
         this.host = host;
         this.tunables = t;
         this.membership = new Membership(this, me, founding);
@@ -155,7 +163,8 @@
         rounds.clear();
         for (Members.Member x : m.all()) fellows.computeIfAbsent(x.name(), n -> new Fellow());
         host.members(m);
-        host.event("members", "generation", m.generation(), "names", m.all().stream().map(Members.Member::name).toList());
+        host.event("members", "generation", m.generation(), "names",
+            m.all().stream().map(Members.Member::name).toList());
     }
 
     List<Kept> all() {
@@ -227,7 +236,8 @@
             lastDivided = now;
             List<Seen> relays = new ArrayList<>();
             for (Seen s : nodes.values()) if (s.role.equals("relay") && now - s.asked < GONE) relays.add(s);
-            duties.divide(epochOf(Keys.SHARES), relays, kept(Keys.POLICY).getValue()).forEach((r, l) -> l.forEach(x -> tell(nodes.get(r), x)));
+            duties.divide(epochOf(Keys.SHARES), relays, kept(Keys.POLICY).getValue())
+                .forEach((r, l) -> l.forEach(x -> tell(nodes.get(r), x)));
         }
         nodes.values().removeIf(s -> now - s.asked > 60_000);
     }
@@ -241,7 +251,8 @@
     private String liveOwner(String key, long now) {
         for (Members.Member m : members().all()) {
             if (m.name().equals(self) || !live(m.name(), now)) continue;
-            for (Owned w : fellows.get(m.name()).owned) if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
+            for (Owned w : fellows.get(m.name()).owned)
+                if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
         }
         return null;
     }
@@ -258,8 +269,10 @@
         if (other != null) {
             ownerless.remove(o.key);
             boolean before = order.indexOf(self) < order.indexOf(other);
-            boolean settled = now - booted >= tunables.settled() && now - fellows.get(other).since >= tunables.settled();
-            // taken back without churn: not while the owner is at a change, whose fate would then be unknown to its sender
+            boolean settled = now - booted >= tunables.settled()
+                && now - fellows.get(other).since >= tunables.settled();
+            // taken back without churn: not while the owner is at a change, whose fate would then be unknown to its
+            // sender
             if (rank == 0 && before && settled && !busy(other, o.key)) o.attempt(now);
             return;
         }
@@ -313,7 +326,8 @@
         else if (s instanceof Confirmed c) onConfirmed(e.from(), c, now);
         else if (s instanceof Carry c) ask(c.ask(), e.from(), now);
         else if (s instanceof Carried c) host.news(c.node(), c.news());
-        else if (s instanceof Change c && firstTime(c.nr())) owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
+        else if (s instanceof Change c && firstTime(c.nr()))
+            owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
         else if (s instanceof Changed c) {
             Forwarded f = forwarded.remove(c.nr());
             if (f != null) f.answer.accept(c.answer());
@@ -340,7 +354,10 @@
         }
     }
 
-    /** The most the value of this number may be old by what its owners told; a number never told of began after the last telling. */
+    /**
+     * The most the value of this number may be old by what its owners told; a number never told of began after the
+     * last telling.
+     */
     long knownAge(String key, long number, long now) {
         Age g = ages.get(key);
         if (g == null) return Integer.MAX_VALUE;
@@ -432,7 +449,8 @@
     }
 
     void served(String key, Cell.Value v) {
-        if (key.equals(Keys.CORE) && membership.pending(v.body()) != null) membership.seal(membership.pending(v.body()), host.now());
+        if (key.equals(Keys.CORE) && membership.pending(v.body()) != null)
+            membership.seal(membership.pending(v.body()), host.now());
     }
 
     // ---- data-plane processes
@@ -463,17 +481,20 @@
         if (!via.isEmpty() && old != null && old.via.isEmpty() && now - old.asked < DIRECT) return;
         Map<String, Long> since = new HashMap<>();
         for (News.Held h : a.held()) {
-            boolean same = old != null && old.run == a.run() && old.held.stream().anyMatch(x -> x.key().equals(h.key()) && x.number() == h.number());
+            boolean same = old != null && old.run == a.run()
+                && old.held.stream().anyMatch(x -> x.key().equals(h.key()) && x.number() == h.number());
             since.put(h.key(), same ? old.since.getOrDefault(h.key(), now) : now);
         }
-        Seen seen = new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held(), since, a.demands(), a.places(), via);
+        Seen seen = new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held(), since,
+            a.demands(), a.places(), via);
         nodes.put(a.name(), seen);
         boolean relay = a.role().equals("relay");
         List<News.Grant> gs = new ArrayList<>();
         for (News.Held h : a.held()) {
             if (h.key().equals(Keys.CORE)) {
                 if (settled() && h.number() < members().generation())
-                    tell(seen, new News.Push(Keys.CORE, members().generation(), members().generation(), -1, "", members().news()));
+                    tell(seen, new News.Push(Keys.CORE, members().generation(), members().generation(), -1, "",
+                        members().news()));
                 continue;
             }
             KeyOwner o = owners.get(h.key());
@@ -503,7 +524,9 @@
     void pushAll(String key, long epoch, Cell.Value old, Cell.Value now) {
         byte[] delta = Delta.between(old.body(), now.body());
         News.Push whole = new News.Push(key, epoch, now.number(), -1, now.digest(), now.body());
-        News.Push change = delta == null ? whole : new News.Push(key, epoch, now.number(), old.number(), now.digest(), delta);
+        News.Push change = delta == null
+            ? whole
+            : new News.Push(key, epoch, now.number(), old.number(), now.digest(), delta);
         for (Seen s : nodes.values()) {
             boolean before = s.held.stream().anyMatch(h -> h.key().equals(key) && h.number() == old.number());
             pushed.put(s.name + " " + key + " " + now.number(), host.now());
@@ -539,17 +562,20 @@
         return membership.retired();
     }
 
-    public record KeyState(String key, String owner, long epoch, long number, String digest, int licensed, long confirmedAgo) {}
+    public record KeyState(String key, String owner, long epoch, long number, String digest, int licensed,
+        long confirmedAgo) {}
 
     public List<KeyState> keys() {
         long now = host.now();
         List<KeyState> out = new ArrayList<>();
         for (KeyOwner o : owners.values()) {
-            if (o.serving()) out.add(new KeyState(o.key, self, o.epoch, o.value().number(), o.value().digest(), o.licensed(now), o.confirmedAge(now)));
+            if (o.serving()) out.add(new KeyState(o.key, self, o.epoch, o.value().number(), o.value().digest(),
+                o.licensed(now), o.confirmedAge(now)));
             else {
                 String other = settled() ? liveOwner(o.key, now) : null;
                 Cell c = cell(o.key);
-                out.add(new KeyState(o.key, other == null ? "" : other, c.epoch(), c.value().number(), c.value().digest(), -1, -1));
+                out.add(new KeyState(o.key, other == null ? "" : other, c.epoch(), c.value().number(),
+                    c.value().digest(), -1, -1));
             }
         }
         return out;
@@ -603,11 +629,11 @@
                 messages.add(m);
             }
 
-            @Override public void sendTo(gladelug.kernel.Address to, Envelope m) {
+            @Override public void sendTo(Address to, Envelope m) {
                 said.add("address " + m.said().getClass().getSimpleName());
             }
 
-            @Override public List<gladelug.kernel.Address> contacts() {
+            @Override public List<Address> contacts() {
                 return List.of();
             }
 
@@ -632,36 +658,38 @@
             }
         }
 
-        private static final gladelug.kernel.Address A = gladelug.kernel.Address.of("1.1.1.1:1");
-        private static final Members THREE = new Members(1, List.of(new Members.Member("a", "da", A, A), new Members.Member("b", "db", A, A), new Members.Member("c", "dc", A, A)));
+        private static final Address A = Address.of("1.1.1.1:1");
+        private static final Members THREE = new Members(1, List.of(new Members.Member("a", "da", A, A),
+            new Members.Member("b", "db", A, A), new Members.Member("c", "dc", A, A)));
 
         private static CoreNode node(Paper p) {
-            return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()), null, new Duties() {});
+            return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()),
+                null, new Duties() {});
         }
 
         private static void from(CoreNode n, String who, CoreMessage m) {
             n.message(new Envelope(1, who, "d" + who, m));
         }
 
-        @org.junit.jupiter.api.Test void nothingIsAnsweredBeforeItIsOnDisk() {
+        @Test void nothingIsAnsweredBeforeItIsOnDisk() {
             Paper p = new Paper();
             CoreNode n = node(p);
             long e = THREE.epoch(0, "b");
             from(n, "b", new Promise("k", e));
-            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("b Promised"));
+            Assertions.assertEquals(0, p.count("b Promised"));
             p.synced();
-            org.junit.jupiter.api.Assertions.assertEquals(1, p.count("b Promised"));
+            Assertions.assertEquals(1, p.count("b Promised"));
             from(n, "b", new Accept("k", e, Cell.Value.NONE.next("d", new byte[1])));
-            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("b Accepted"));
+            Assertions.assertEquals(0, p.count("b Accepted"));
             p.synced();
-            org.junit.jupiter.api.Assertions.assertEquals(1, p.count("b Accepted"));
+            Assertions.assertEquals(1, p.count("b Accepted"));
             from(n, "c", new Confirm(1, List.of(new Claim("k", THREE.epoch(e, "c")))));
-            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("c Confirmed"), "a confirmation that raises the promise");
+            Assertions.assertEquals(0, p.count("c Confirmed"), "a confirmation that raises the promise");
             p.synced();
-            org.junit.jupiter.api.Assertions.assertEquals(1, p.count("c Confirmed"));
+            Assertions.assertEquals(1, p.count("c Confirmed"));
         }
 
-        @org.junit.jupiter.api.Test void servesOnlyOnceTheValueItReadStandsAtAMajorityUnderItsOwnEpoch() {
+        @Test void servesOnlyOnceTheValueItReadStandsAtAMajorityUnderItsOwnEpoch() {
             Paper p = new Paper();
             CoreNode n = node(p);
             p.now += 10_000;
@@ -670,39 +698,44 @@
                 p.now += 800;
             }
             long e = n.epochOf(Keys.POLICY);
-            org.junit.jupiter.api.Assertions.assertTrue(e > 0, "never tried");
-            Cell.Value x = Cell.Value.NONE.next("x", new byte[] {1});
+            Assertions.assertTrue(e > 0, "never tried");
+            Cell.Value x = Cell.Value.NONE.next("x", new byte[]{1});
             p.now -= 700;
             from(n, "a", new Promised(Keys.POLICY, e, true, e, 0, Cell.Value.NONE));
             from(n, "b", new Promised(Keys.POLICY, e, true, e, 5, x));
-            org.junit.jupiter.api.Assertions.assertFalse(n.owns(Keys.POLICY));
-            Accept w = p.messages.stream().map(Envelope::said).filter(m -> m instanceof Accept).map(m -> (Accept) m).findFirst().orElseThrow();
-            org.junit.jupiter.api.Assertions.assertTrue(w.epoch() == e && w.value().digest().equals("x"), "the newest value heard of, under the new epoch");
+            Assertions.assertFalse(n.owns(Keys.POLICY));
+            Accept w = p.messages.stream().map(Envelope::said).filter(m -> m instanceof Accept).map(m -> (Accept) m)
+                .findFirst().orElseThrow();
+            Assertions.assertTrue(w.epoch() == e && w.value().digest().equals("x"),
+                "the newest value heard of, under the new epoch");
             from(n, "a", new Accepted(Keys.POLICY, e, 1, true, e));
-            org.junit.jupiter.api.Assertions.assertFalse(n.owns(Keys.POLICY));
+            Assertions.assertFalse(n.owns(Keys.POLICY));
             from(n, "b", new Accepted(Keys.POLICY, e, 1, true, e));
-            org.junit.jupiter.api.Assertions.assertTrue(n.owns(Keys.POLICY));
-            org.junit.jupiter.api.Assertions.assertFalse(n.mayCommand(Keys.POLICY), "before the last owner's licence is over");
+            Assertions.assertTrue(n.owns(Keys.POLICY));
+            Assertions.assertFalse(n.mayCommand(Keys.POLICY), "before the last owner's licence is over");
         }
 
-        @org.junit.jupiter.api.Test void aSealedMemberTakesNoPartInTheOldGenerationEvenAfterARestart() {
-            Members next = new Members(2, List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
+        @Test void aSealedMemberTakesNoPartInTheOldGenerationEvenAfterARestart() {
+            Members next = new Members(2,
+                List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
             Paper p = new Paper();
             CoreNode n = node(p);
             from(n, "b", new Seal(next));
             p.synced();
             from(n, "c", new Promise("k", THREE.epoch(0, "c")));
             p.synced();
-            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("c Promised"));
+            Assertions.assertEquals(0, p.count("c Promised"));
             Paper q = new Paper();
-            CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes(), Membership.SEALED, next.bytes()), null, new Duties() {});
+            CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000,
+                Map.of(Membership.MEMBERS, THREE.bytes(), Membership.SEALED, next.bytes()), null, new Duties() {});
             from(again, "c", new Promise("k", THREE.epoch(0, "c")));
             q.synced();
-            org.junit.jupiter.api.Assertions.assertEquals(0, q.count("c Promised"));
+            Assertions.assertEquals(0, q.count("c Promised"));
         }
 
-        @org.junit.jupiter.api.Test void theNextGenerationIsNotToldBeforeAMajorityOfTheOldIsSealed() {
-            Members next = new Members(2, List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
+        @Test void theNextGenerationIsNotToldBeforeAMajorityOfTheOldIsSealed() {
+            Members next = new Members(2,
+                List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
             Paper p = new Paper();
             CoreNode n = node(p);
             from(n, "b", new Seal(next));
@@ -712,35 +745,36 @@
                 p.now += 200;
                 n.tick();
             }
-            org.junit.jupiter.api.Assertions.assertTrue(p.count("address Seal") > 0, "whoever is sealed drives it on");
-            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("address Settled"));
+            Assertions.assertTrue(p.count("address Seal") > 0, "whoever is sealed drives it on");
+            Assertions.assertEquals(0, p.count("address Settled"));
             from(n, "c", new Sealed(2, List.of()));
             p.now += 200;
             n.tick();
-            org.junit.jupiter.api.Assertions.assertEquals(3, p.count("address Settled"));
+            Assertions.assertEquals(3, p.count("address Settled"));
         }
 
-        @org.junit.jupiter.api.Test void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
+        @Test void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
             Paper p = new Paper();
-            CoreNode n = new CoreNode(p, Tunables.USUAL, new Members.Member("a", "new disk", A, A), 15_000, Map.of(), null, new Duties() {});
+            CoreNode n = new CoreNode(p, Tunables.USUAL, new Members.Member("a", "new disk", A, A), 15_000, Map.of(),
+                null, new Duties() {});
             from(n, "b", new Promise("k", THREE.epoch(0, "b")));
             from(n, "b", new Accept("k", THREE.epoch(0, "b"), Cell.Value.NONE));
             from(n, "b", new Confirm(1, List.of(new Claim("k", 1))));
             from(n, "b", new Settled(THREE, List.of()));
             p.synced();
-            org.junit.jupiter.api.Assertions.assertEquals(List.of(), p.said);
-            org.junit.jupiter.api.Assertions.assertFalse(n.settled(), "members with the old disk in its name don't let it in");
+            Assertions.assertEquals(List.of(), p.said);
+            Assertions.assertFalse(n.settled(), "members with the old disk in its name don't let it in");
         }
 
-        @org.junit.jupiter.api.Test void aChangeThatComesTwiceIsAnsweredOnceAndAStrangersDiskNever() {
+        @Test void aChangeThatComesTwiceIsAnsweredOnceAndAStrangersDiskNever() {
             Paper p = new Paper();
             CoreNode n = node(p);
             for (int i = 0; i < 2; i++) from(n, "b", new Change(7, Keys.POLICY, -1, new byte[1]));
-            org.junit.jupiter.api.Assertions.assertEquals(1, p.count("b Changed"));
+            Assertions.assertEquals(1, p.count("b Changed"));
             n.message(new Envelope(1, "b", "another disk", new Promise("k", THREE.epoch(0, "b"))));
             n.message(new Envelope(2, "b", "db", new Promise("k", THREE.epoch(0, "b"))));
             p.synced();
-            org.junit.jupiter.api.Assertions.assertEquals(0, p.count("b Promised"));
+            Assertions.assertEquals(0, p.count("b Promised"));
         }
     }
 }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -54,7 +54,8 @@
     private DiskDuty disk;
     private CoreNode node;
 
-    public CoreService(Vertx vertx, Ring ring, Members.Member me, List<Address> seeds, int cutoff, CoreNode.Founding founding, CoreNode.Duties duties, Consumer<String> fatal) {
+    public CoreService(Vertx vertx, Ring ring, Members.Member me, List<Address> seeds, int cutoff,
+        CoreNode.Founding founding, CoreNode.Duties duties, Consumer<String> fatal) {
         this.vertx = vertx;
         this.ring = ring;
         this.me = me;
@@ -117,7 +118,8 @@
     /** While a key is between two owners nothing was taken, so the change is offered again for a moment. */
     public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
         return changeOnce(key, match, body).flatMap(a -> a instanceof ChangeAnswer.NoOwner
-            ? Uni.createFrom().<ChangeAnswer>failure(new Ownerless()) : Uni.createFrom().item(a))
+            ? Uni.createFrom().<ChangeAnswer>failure(new Ownerless())
+            : Uni.createFrom().item(a))
             .onFailure(Ownerless.class).retry().withBackOff(BETWEEN, BETWEEN).withJitter(0).expireIn(OWNERLESS)
             .onFailure().recoverWithItem(t -> new ChangeAnswer.NoOwner());
     }
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -153,10 +153,11 @@
         if (phase == Phase.WRITING && a.number() == value.number()) {
             wrote.add(from);
             if (wrote.size() >= node.members().majority()) serve(now);
-        } else if (phase == Phase.SERVING && current != null && current.value != null && a.number() == current.value.number()) {
-            current.wrote.add(from);
-            if (!current.committed && current.wrote.size() >= node.members().majority()) commit(now);
-        }
+        } else if (phase == Phase.SERVING && current != null && current.value != null
+            && a.number() == current.value.number()) {
+                current.wrote.add(from);
+                if (!current.committed && current.wrote.size() >= node.members().majority()) commit(now);
+            }
     }
 
     private void serve(long now) {
@@ -178,7 +179,8 @@
         attempted = now;
         licences.clear();
         if (served) node.host.event("owner-ends", "key", key, "epoch", epoch, "why", why);
-        if (current != null) finish(current.value == null ? new ChangeAnswer.NoOwner() : new ChangeAnswer.Unknown(current.value.number()));
+        if (current != null) finish(
+            current.value == null ? new ChangeAnswer.NoOwner() : new ChangeAnswer.Unknown(current.value.number()));
         current = null;
         for (Change c : waiting) c.answer.accept(new ChangeAnswer.NoOwner());
         waiting.clear();
@@ -268,8 +270,10 @@
     }
 
     void tick(long now) {
-        if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > node.tunables.attempt()) depose("no-majority-in-time", now);
-        if (phase == Phase.SERVING && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.licence()) depose("unconfirmed", now);
+        if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > node.tunables.attempt())
+            depose("no-majority-in-time", now);
+        if (phase == Phase.SERVING && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.licence())
+            depose("unconfirmed", now);
         if (phase != Phase.SERVING || current == null) return;
         if (!current.committed && now - current.sent > node.tunables.confirm()) {
             current.sent = now;
--- a/control-plane/src/main/java/gladelug/control/core/Members.java
+++ b/control-plane/src/main/java/gladelug/control/core/Members.java
@@ -14,9 +14,12 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public record Members(long generation, List<Member> all) {
     public record Member(String name, String disk, Address records, Address operator) {}
@@ -85,7 +88,7 @@
     /** As data-plane processes are told. */
     byte[] news() {
         return new CoreList(all.stream().map(m -> new CoreList.Member(m.name, m.records, m.operator)).toList()).json()
-            .getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            .getBytes(StandardCharsets.UTF_8);
     }
 
     static Members of(byte[] b) {
@@ -97,13 +100,14 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void epochsRiseAndNeverMeet() {
+        @Test void epochsRiseAndNeverMeet() {
             Address a = Address.of("1.1.1.1:1");
-            Members m = new Members(2, List.of(new Member("b", "", a, a), new Member("a", "", a, a), new Member("c", "", a, a)));
+            Members m = new Members(2,
+                List.of(new Member("b", "", a, a), new Member("a", "", a, a), new Member("c", "", a, a)));
             long e1 = m.epoch(0, "a"), e2 = m.epoch(e1, "b"), e3 = m.epoch(e2, "a");
-            org.junit.jupiter.api.Assertions.assertTrue(e1 < e2 && e2 < e3);
-            org.junit.jupiter.api.Assertions.assertTrue(m.epoch(0, "a") != m.epoch(0, "b"));
-            org.junit.jupiter.api.Assertions.assertTrue(new Members(3, m.all).epoch(e3, "a") > e3);
+            Assertions.assertTrue(e1 < e2 && e2 < e3);
+            Assertions.assertTrue(m.epoch(0, "a") != m.epoch(0, "b"));
+            Assertions.assertTrue(new Members(3, m.all).epoch(e3, "a") > e3);
         }
     }
 }
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -155,7 +155,8 @@
         if (sealed != null || last != null && now - last < 500) return;
         told.put(name, now);
         if (m != null) n.host.sendTo(m.records(), say(new Settled(members, n.all())));
-        else if (former.containsKey(name)) n.host.sendTo(former.get(name).records(), say(new Settled(members, List.of())));
+        else if (former.containsKey(name))
+            n.host.sendTo(former.get(name).records(), say(new Settled(members, List.of())));
     }
 
     private void onSettled(Settled s) {
@@ -196,7 +197,8 @@
         if (joiners.put(in.name(), in) == null) n.host.event("would-join", "name", in.name(), "records", in.records());
         joinersHeard.put(in.name(), now);
         n.host.sendTo(in.records(), say(new Settled(members, List.of())));
-        if (m != null && n.owns(Keys.CORE) && !n.live(m.name(), now) && now - n.booted > 2L * n.tunables.dead() && now - n.heard(m.name()) > 2L * n.tunables.dead())
+        if (m != null && n.owns(Keys.CORE) && !n.live(m.name(), now) && now - n.booted > 2L * n.tunables.dead()
+            && now - n.heard(m.name()) > 2L * n.tunables.dead())
             replace(m.name(), in, a -> {});
     }
 
@@ -205,11 +207,14 @@
         long now = n.host.now();
         List<Members.Member> l = new ArrayList<>();
         for (Members.Member m : joiners.values())
-            if (now - joinersHeard.get(m.name()) < 3000 && members.all().stream().noneMatch(x -> x.disk().equals(m.disk()))) l.add(m);
+            if (now - joinersHeard.get(m.name()) < 3000
+                && members.all().stream().noneMatch(x -> x.disk().equals(m.disk()))) l.add(m);
         return l;
     }
 
-    /** One at a time: the next members are written like any value of the key core, then the old generation is sealed. */
+    /**
+     * One at a time: the next members are written like any value of the key core, then the old generation is sealed.
+     */
     private void replace(String out, Members.Member in, Consumer<ChangeAnswer> answer) {
         List<Members.Member> l = new ArrayList<>(members.all());
         l.removeIf(m -> m.name().equals(out));
@@ -229,8 +234,11 @@
         if (members.find(out) == null) return out + " is not a member of the core";
         if (members.find(in) != null && !in.equals(out)) return in + " is already a member of the core";
         Members.Member x = joiners().stream().filter(m -> m.name().equals(in)).findFirst().orElse(null);
-        if (x == null) return in + " is not asking to join; start `control-plane run` there with an empty data folder first";
-        if (!n.owns(Keys.CORE)) return "ask " + n.keys().stream().filter(k -> k.key().equals(Keys.CORE)).map(CoreNode.KeyState::owner).findFirst().orElse("another machine")
+        if (x == null)
+            return in + " is not asking to join; start `control-plane run` there with an empty data folder first";
+        if (!n.owns(Keys.CORE)) return "ask "
+            + n.keys().stream().filter(k -> k.key().equals(Keys.CORE)).map(CoreNode.KeyState::owner).findFirst()
+                .orElse("another machine")
             + ", which owns the core's members at the moment";
         if (pending(n.owner(Keys.CORE).value().body()) != null) return "another replacement is under way";
         replace(out, x, answer);
@@ -252,7 +260,8 @@
         if (next.generation() != members.generation() + 1 || sealed != null && !sealed.equals(next)) return;
         if (sealed == null) seal(next, now);
         n.host.sync(SEALED, next.bytes(), () -> {
-            if (sealed != null) n.host.sendTo(e.from().equals(n.self) ? me.records() : address(e.from()), say(new Sealed(next.generation(), n.all())));
+            if (sealed != null) n.host.sendTo(e.from().equals(n.self) ? me.records() : address(e.from()),
+                say(new Sealed(next.generation(), n.all())));
         });
     }
 
@@ -270,7 +279,10 @@
         n.host.sync(SEALED, next.bytes(), () -> {});
     }
 
-    /** Whoever is sealed brings it to an end, the first in the order of the key core at once, the others if that takes long. */
+    /**
+     * Whoever is sealed brings it to an end, the first in the order of the key core at once, the others if that takes
+     * long.
+     */
     void drive(long now) {
         int rank = members.order(Keys.CORE).indexOf(n.self);
         if (now - sealedAt < (long) rank * n.tunables.rank() || now - lastDrive < n.tunables.confirm()) return;
--- a/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
+++ b/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
@@ -36,7 +36,9 @@
 import io.vertx.mutiny.ext.web.handler.BodyHandler;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 public final class OperatorDoor implements Kernel.Service {
     private static final String FORWARDED = "Gladelug-Forwarded";
@@ -70,7 +72,8 @@
         r.get("/v1/weights").handler(c -> atOwner(c, Keys.WEIGHTS, x -> show(x, Keys.WEIGHTS)));
         r.get("/v1/replicas").handler(c -> atOwner(c, Keys.REPLICAS, x -> show(x, Keys.REPLICAS)));
         r.get("/v1/status").handler(this::status);
-        r.errorHandler(413, c -> say(c, 413, Json.object().add("outcome", "not-taken").add("reason", "the body is larger than " + LARGEST + " bytes")));
+        r.errorHandler(413, c -> say(c, 413,
+            Json.object().add("outcome", "not-taken").add("reason", "the body is larger than " + LARGEST + " bytes")));
         r.errorHandler(404, c -> say(c, 404, Json.object().add("reason", "nothing is here")));
         r.errorHandler(500, c -> {
             Log.thrown("operator-door-problem", c.failure(), "path", c.request().path());
@@ -90,24 +93,29 @@
     }
 
     /** What only a key's owner can tell is asked of it, whichever machine the operator came to. */
-    private void atOwner(RoutingContext c, String key, java.util.function.Consumer<RoutingContext> here) {
+    private void atOwner(RoutingContext c, String key, Consumer<RoutingContext> here) {
         core.ask(n -> {
             if (n.owns(key)) return "";
-            String o = n.keys().stream().filter(k -> k.key().equals(key)).map(CoreNode.KeyState::owner).findFirst().orElse("");
+            String o = n.keys().stream().filter(k -> k.key().equals(key)).map(CoreNode.KeyState::owner).findFirst()
+                .orElse("");
             Members.Member m = n.members().find(o);
             return m == null ? "none" : m.operator().toString();
         }).subscribe().with(at -> {
             if (at.isEmpty()) here.accept(c);
             else if (at.equals("none") || c.request().getHeader(FORWARDED) != null) {
                 c.response().putHeader("Retry-After", "1");
-                say(c, 503, Json.object().add("outcome", "not-taken").add("reason", "no majority owns this at the moment"));
+                say(c, 503,
+                    Json.object().add("outcome", "not-taken").add("reason", "no majority owns this at the moment"));
             } else {
                 Address a = Address.of(at);
-                var q = web.request(c.request().method(), a.port(), a.host(), c.request().uri()).timeout(5000).putHeader(FORWARDED, "yes");
+                var q = web.request(c.request().method(), a.port(), a.host(), c.request().uri()).timeout(5000)
+                    .putHeader(FORWARDED, "yes");
                 (c.body().buffer() == null ? q.send() : q.sendBuffer(c.body().buffer())).subscribe().with(x -> {
                     if (x.getHeader("ETag") != null) c.response().putHeader("ETag", x.getHeader("ETag"));
-                    c.response().setStatusCode(x.statusCode()).putHeader("Content-Type", "application/json").endAndForget(x.bodyAsString() == null ? "" : x.bodyAsString());
-                }, t -> say(c, 504, Json.object().add("outcome", "unknown").add("reason", "the owner at " + at + " did not answer")));
+                    c.response().setStatusCode(x.statusCode()).putHeader("Content-Type", "application/json")
+                        .endAndForget(x.bodyAsString() == null ? "" : x.bodyAsString());
+                }, t -> say(c, 504,
+                    Json.object().add("outcome", "unknown").add("reason", "the owner at " + at + " did not answer")));
             }
         }, t -> c.fail(500, t));
     }
@@ -121,7 +129,8 @@
     private void ready(RoutingContext c) {
         core.ask(n -> n.settled() && n.alive().values().stream().filter(x -> x).count() > n.members().all().size() / 2)
             .subscribe().with(ok -> say(c, ok && !stopping ? 200 : 503, Json.object().add("ready", ok && !stopping)
-                .add("reason", stopping ? "stopping" : ok ? "" : "no majority of the core is in reach")), t -> c.fail(500, t));
+                .add("reason", stopping ? "stopping" : ok ? "" : "no majority of the core is in reach")),
+                t -> c.fail(500, t));
     }
 
     /** The number a change was based on, from If-Match; * is whatever is there. */
@@ -142,16 +151,20 @@
         long m = match(c);
         if (m == NONE) {
             say(c, 428, Json.object().add("outcome", "not-taken")
-                .add("reason", "say with If-Match which number this policy is based on, or * to replace whatever is there"));
+                .add("reason",
+                    "say with If-Match which number this policy is based on, or * to replace whatever is there"));
             return;
         }
         String s = c.body().asString();
-        Result<Policy> p = m == BAD ? Result.bad("If-Match", "must be a number or *") : Policy.parse(s == null ? "" : s);
+        Result<Policy> p = m == BAD
+            ? Result.bad("If-Match", "must be a number or *")
+            : Policy.parse(s == null ? "" : s);
         if (p instanceof Result.Bad<Policy> b) {
             findings(c, b.findings());
             return;
         }
-        core.change(Keys.POLICY, m, s.getBytes(StandardCharsets.UTF_8)).ifNoItem().after(PATIENCE).recoverWithItem(new ChangeAnswer.Unknown(m < 0 ? -1 : m + 1))
+        core.change(Keys.POLICY, m, s.getBytes(StandardCharsets.UTF_8)).ifNoItem().after(PATIENCE)
+            .recoverWithItem(new ChangeAnswer.Unknown(m < 0 ? -1 : m + 1))
             .subscribe().with(a -> answered(c, a), t -> c.fail(500, t));
     }
 
@@ -162,12 +175,14 @@
             say(c, 200, Json.object().add("outcome", "taken").add("number", d.number()).add("repeated", d.repeated())
                 .add("acknowledgedBy", d.acks()).add("licencesRunOut", d.lapsed()).add("waitedMs", d.waited()));
         } else if (a instanceof ChangeAnswer.Stale s)
-            say(c, 412, Json.object().add("outcome", "not-taken").add("reason", "it was based on another number").add("current", s.current()));
+            say(c, 412, Json.object().add("outcome", "not-taken").add("reason", "it was based on another number")
+                .add("current", s.current()));
         else if (a instanceof ChangeAnswer.Unknown u)
             say(c, 504, Json.object().add("outcome", "unknown").add("number", u.number())
                 .add("reason", "it may have been taken; ask what became of the number, or send the same again"));
         else if (a instanceof ChangeAnswer.TooLarge l)
-            say(c, 413, Json.object().add("outcome", "not-taken").add("reason", l.bytes() + " bytes; at most " + l.most()));
+            say(c, 413,
+                Json.object().add("outcome", "not-taken").add("reason", l.bytes() + " bytes; at most " + l.most()));
         else {
             c.response().putHeader("Retry-After", "1");
             say(c, 503, Json.object().add("outcome", "not-taken").add("reason",
@@ -193,7 +208,10 @@
         long m = match(c);
         if (m == BAD) findings(c, List.of(new Finding("If-Match", "must be a number or *")));
         else core.ask(x -> x.kept(Keys.POLICY)).flatMap(kept -> {
-            Policy p = Policy.parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g ? g.value() : Policy.EMPTY;
+            Policy p = Policy
+                .parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g
+                    ? g.value()
+                    : Policy.EMPTY;
             Policy.Service sv = p.service(n.service);
             if (sv == null || sv.kind() != Policy.Kind.MODEL) {
                 findings(c, List.of(new Finding("service", "is no model service of the policy: " + n.service)));
@@ -201,7 +219,8 @@
             }
             return offered(n.service, n.weights, sv).flatMap(yes -> {
                 if (!yes) {
-                    findings(c, List.of(new Finding("weights", "no replica of " + n.service + " that answers offers " + n.weights)));
+                    findings(c, List.of(
+                        new Finding("weights", "no replica of " + n.service + " that answers offers " + n.weights)));
                     return Uni.createFrom().nullItem();
                 }
                 return name(n.service, n.weights, m, 5).invoke(a -> answered(c, a));
@@ -212,14 +231,19 @@
     /** Whether any listed replica says it could run these weights. */
     private Uni<Boolean> offered(String service, String weights, Policy.Service sv) {
         return core.ask(x -> x.kept(Keys.REPLICAS)).flatMap(kept -> {
-            Replicas l = Replicas.parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Replicas> g ? g.value() : Replicas.NONE;
-            List<Uni<Boolean>> asked = new java.util.ArrayList<>();
+            Replicas l = Replicas
+                .parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Replicas> g
+                    ? g.value()
+                    : Replicas.NONE;
+            List<Uni<Boolean>> asked = new ArrayList<>();
             for (Replicas.Replica r : l.all)
                 if (r.service().equals(service) && sv.allows(r.address()))
-                    asked.add(web.get(r.address().port(), r.address().host(), "/identity").timeout(1000).send().map(a -> {
-                        var o = a.bodyAsJsonObject();
-                        return o != null && r.instance().equals(o.getString("instance")) && o.getJsonArray("offers") != null && o.getJsonArray("offers").contains(weights);
-                    }).onFailure().recoverWithItem(false));
+                    asked.add(
+                        web.get(r.address().port(), r.address().host(), "/identity").timeout(1000).send().map(a -> {
+                            var o = a.bodyAsJsonObject();
+                            return o != null && r.instance().equals(o.getString("instance"))
+                                && o.getJsonArray("offers") != null && o.getJsonArray("offers").contains(weights);
+                        }).onFailure().recoverWithItem(false));
             if (asked.isEmpty()) return Uni.createFrom().item(false);
             return Uni.join().all(asked).andCollectFailures().map(x -> x.contains(true));
         });
@@ -248,12 +272,17 @@
 
     private Uni<ChangeAnswer> name(String service, String weights, long match, int tries) {
         return core.ask(x -> x.kept(Keys.WEIGHTS)).flatMap(k -> {
-            Weights w = Weights.parse(new String(k.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Weights> g ? g.value() : Weights.NONE;
+            Weights w = Weights
+                .parse(new String(k.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Weights> g
+                    ? g.value()
+                    : Weights.NONE;
             Weights.Named old = w.of(service);
             long base = match >= 0 ? match : k.getKey();
             Weights next = old != null && old.now().equals(weights) ? w : w.naming(service, weights, base + 1);
             return core.change(Keys.WEIGHTS, base, next.json().getBytes(StandardCharsets.UTF_8));
-        }).flatMap(a -> a instanceof ChangeAnswer.Stale && match < 0 && tries > 0 ? name(service, weights, match, tries - 1) : Uni.createFrom().item(a));
+        }).flatMap(a -> a instanceof ChangeAnswer.Stale && match < 0 && tries > 0
+            ? name(service, weights, match, tries - 1)
+            : Uni.createFrom().item(a));
     }
 
     private void show(RoutingContext c, String key) {
@@ -274,7 +303,8 @@
             n = 0;
         }
         if (n < 1 || d == null) {
-            findings(c, List.of(new Finding("number and digest", "needs a number from 1 and ?digest=, the SHA-256 of what was sent")));
+            findings(c, List.of(
+                new Finding("number and digest", "needs a number from 1 and ?digest=, the SHA-256 of what was sent")));
             return;
         }
         long nr = n;
@@ -288,23 +318,28 @@
             JsonArray ms = new JsonArray();
             var alive = n.alive();
             for (Members.Member m : n.members().all())
-                ms.add(Json.object().add("name", m.name()).add("records", m.records().toString()).add("operator", m.operator().toString())
+                ms.add(Json.object().add("name", m.name()).add("records", m.records().toString())
+                    .add("operator", m.operator().toString())
                     .add("alive", alive.getOrDefault(m.name(), false)));
             o.add("generation", n.members().generation()).add("members", ms);
             JsonArray ks = new JsonArray();
             for (CoreNode.KeyState s : n.keys())
-                ks.add(Json.object().add("key", s.key()).add("owner", s.owner()).add("epoch", s.epoch()).add("number", s.number())
+                ks.add(Json.object().add("key", s.key()).add("owner", s.owner()).add("epoch", s.epoch())
+                    .add("number", s.number())
                     .add("digest", s.digest()).add("licensed", s.licensed()).add("confirmedMsAgo", s.confirmedAgo()));
             o.add("keys", ks);
             JsonArray js = new JsonArray();
-            for (Members.Member m : n.joiners()) js.add(Json.object().add("name", m.name()).add("records", m.records().toString()));
+            for (Members.Member m : n.joiners())
+                js.add(Json.object().add("name", m.name()).add("records", m.records().toString()));
             o.add("wouldJoin", js).add("sealed", n.sealed()).add("retired", n.retired()).add("active", n.active());
             JsonArray ns = new JsonArray();
             for (CoreNode.Seen s : n.nodes()) {
                 JsonObject held = Json.object();
                 for (News.Held h : s.held())
-                    held.add(h.key(), Json.object().add("number", h.number()).add("forMs", core.now() - s.since().getOrDefault(h.key(), core.now())));
-                ns.add(Json.object().add("name", s.name()).add("role", s.role()).add("domain", s.domain()).add("operator", s.operator())
+                    held.add(h.key(), Json.object().add("number", h.number()).add("forMs",
+                        core.now() - s.since().getOrDefault(h.key(), core.now())));
+                ns.add(Json.object().add("name", s.name()).add("role", s.role()).add("domain", s.domain())
+                    .add("operator", s.operator())
                     .add("askedMsAgo", core.now() - s.asked()).add("holds", held));
             }
             return o.add("nodes", ns);
--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -63,7 +63,8 @@
 
     @Override public void start(Kernel k) {
         core = k.find("core", CoreService.class);
-        web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(700).setFollowRedirects(false).setMaxPoolSize(2));
+        web = WebClient.create(vertx,
+            new WebClientOptions().setConnectTimeout(700).setFollowRedirects(false).setMaxPoolSize(2));
         context = vertx.getOrCreateContext();
         context.runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> round()));
     }
@@ -79,7 +80,8 @@
     private void round() {
         if (busy) return;
         busy = true;
-        core.ask(n -> new Kept(n.kept(Keys.REPLICAS).getValue(), n.kept(Keys.WEIGHTS).getValue(), n.kept(Keys.POLICY).getValue(), n.knownAge(Keys.WEIGHTS)))
+        core.ask(n -> new Kept(n.kept(Keys.REPLICAS).getValue(), n.kept(Keys.WEIGHTS).getValue(),
+            n.kept(Keys.POLICY).getValue(), n.knownAge(Keys.WEIGHTS)))
             .emitOn(r -> context.runOnContext(r)).map(this::view)
             .call(v -> core.ask(n -> {
                 for (Replicas.Replica r : v.replicas.all) if (steerable(v, r)) n.know(Keys.COMMANDER + r.instance());
@@ -94,9 +96,13 @@
     /** Read here and not on the core's thread, and only what is not the same as last time. */
     private View view(Kept k) {
         View old = last;
-        last = new View(read != null && read.replicas == k.replicas ? old.replicas : or(Replicas.parse(text(k.replicas)), Replicas.NONE),
+        last = new View(
+            read != null && read.replicas == k.replicas
+                ? old.replicas
+                : or(Replicas.parse(text(k.replicas)), Replicas.NONE),
             read != null && read.weights == k.weights ? old.weights : or(Weights.parse(text(k.weights)), Weights.NONE),
-            read != null && read.policy == k.policy ? old.policy : or(Policy.parse(text(k.policy)), Policy.EMPTY), k.age);
+            read != null && read.policy == k.policy ? old.policy : or(Policy.parse(text(k.policy)), Policy.EMPTY),
+            k.age);
         read = k;
         return last;
     }
@@ -116,7 +122,8 @@
             web.get(r.address().port(), r.address().host(), "/identity").timeout(1000).send().subscribe().with(a -> {
                 if (a.statusCode() != 200) return;
                 JsonObject o = a.bodyAsJsonObject();
-                if (o == null || !r.instance().equals(o.getString("instance")) || !r.service().equals(o.getString("service"))) return;
+                if (o == null || !r.instance().equals(o.getString("instance"))
+                    || !r.service().equals(o.getString("service"))) return;
                 x.weights = o.getString("weights", "");
                 x.loading = o.getBoolean("loading", false);
                 x.at = core.now();
@@ -129,13 +136,17 @@
     private void steer(View v, Replicas.Replica r, Seen x) {
         String want = v.weights.of(r.service()).now();
         long now = core.now();
-        if (x.weights.equals(want) && !x.loading || x.loading && x.steeredTo.equals(want) || now - x.steered < AGAIN && x.steeredTo.equals(want)) return;
+        if (x.weights.equals(want) && !x.loading || x.loading && x.steeredTo.equals(want)
+            || now - x.steered < AGAIN && x.steeredTo.equals(want)) return;
         SortedMap<String, Batches.Replica> all = new TreeMap<>();
         for (Replicas.Replica o : v.replicas.all) {
             if (!o.service().equals(r.service()) || !steerable(v, o)) continue;
             Seen y = seen.get(o.instance());
             boolean heard = y != null && now - y.at < STALE;
-            all.put(o.instance(), !heard ? Batches.Replica.SILENT : y.weights.equals(want) && !y.loading ? Batches.Replica.MOVED : Batches.Replica.WAITING);
+            all.put(o.instance(),
+                !heard
+                    ? Batches.Replica.SILENT
+                    : y.weights.equals(want) && !y.loading ? Batches.Replica.MOVED : Batches.Replica.WAITING);
         }
         if (!Batches.may(r.instance(), all, v.age, cutoff)) return;
         String key = Keys.COMMANDER + r.instance();
@@ -145,9 +156,11 @@
             x.steeredTo = want;
             Log.event("steer", "replica", r.instance(), "from", x.weights, "to", want, "epoch", e);
             return web.post(r.address().port(), r.address().host(), "/steer").timeout(1000)
-                .sendJsonObject(new JsonObject().put("commander", self).put("epoch", e).put("instance", r.instance()).put("weights", want));
+                .sendJsonObject(new JsonObject().put("commander", self).put("epoch", e).put("instance", r.instance())
+                    .put("weights", want));
         }).subscribe().with(a -> {
-            if (a != null && a.statusCode() != 200) Log.warn("steer-refused", "replica", r.instance(), "status", a.statusCode());
+            if (a != null && a.statusCode() != 200)
+                Log.warn("steer-refused", "replica", r.instance(), "status", a.statusCode());
         }, t -> Log.warn("steer-problem", "replica", r.instance(), "what", t.toString()));
     }
 
--- a/control-plane/src/main/java/gladelug/control/duty/Division.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Division.java
@@ -8,6 +8,7 @@
 package gladelug.control.duty;
 
 import gladelug.control.core.CoreNode;
+import gladelug.kernel.Result;
 import gladelug.kernel.message.News;
 import gladelug.kernel.policy.Policy;
 import gladelug.kernel.policy.Share;
@@ -17,6 +18,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Division {
     private static final class Node {
@@ -40,13 +43,15 @@
 
     public static Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, Policy policy) {
         Map<String, Integer> places = new TreeMap<>();
-        for (CoreNode.Seen r : relays) for (News.Places p : r.places()) places.merge(p.service(), p.places(), Math::max);
+        for (CoreNode.Seen r : relays)
+            for (News.Places p : r.places()) places.merge(p.service(), p.places(), Math::max);
         Map<String, List<News.Allot>> out = new HashMap<>();
         places.forEach((service, n) -> {
             Map<String, Double> demand = new HashMap<>();
             for (CoreNode.Seen r : relays)
                 for (News.Demand d : r.demands())
-                    if (d.service().equals(service)) demand.merge(d.leaf(), (double) d.waiting() + d.using(), Double::sum);
+                    if (d.service().equals(service))
+                        demand.merge(d.leaf(), (double) d.waiting() + d.using(), Double::sum);
             double all = demand.values().stream().mapToDouble(x -> x).sum();
             Map<String, Double> leaf = new HashMap<>();
             Node root = tree(policy, demand);
@@ -62,7 +67,8 @@
                     for (News.Demand d : r.demands()) {
                         if (!d.service().equals(service)) continue;
                         double total = demand.get(d.leaf()), mine = d.waiting() + d.using();
-                        parts.add(new News.Part(d.leaf(), (int) Math.round(1000 * leaf.getOrDefault(d.leaf(), 0.0) * (total == 0 ? 0 : mine / total))));
+                        parts.add(new News.Part(d.leaf(), (int) Math
+                            .round(1000 * leaf.getOrDefault(d.leaf(), 0.0) * (total == 0 ? 0 : mine / total))));
                     }
                 out.computeIfAbsent(r.name(), x -> new ArrayList<>()).add(new News.Allot(epoch, service, full, parts));
             }
@@ -134,7 +140,8 @@
                 for (Node c : open) w += c.weight;
                 List<Node> done = new ArrayList<>();
                 for (Node c : open) {
-                    double due = pool * c.weight / w, need = wants(c) - share.getOrDefault(c, 0.0), get = Math.min(due, need);
+                    double due = pool * c.weight / w, need = wants(c) - share.getOrDefault(c, 0.0),
+                        get = Math.min(due, need);
                     share.merge(c, get, Double::sum);
                     given += get;
                     if (need <= due + 1e-9) done.add(c);
@@ -154,14 +161,20 @@
 
     static final class Tests {
         private static Policy policy(String tenants) {
-            return ((gladelug.kernel.Result.Good<Policy>) Policy.parse("{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],\"mappings\":["
-                + "{\"name\":\"a\",\"path\":\"/a\",\"service\":\"m\"},{\"name\":\"b\",\"path\":\"/b\",\"service\":\"m\"}],\"tenants\":" + tenants + "}")).value();
+            return ((Result.Good<Policy>) Policy
+                .parse("{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],\"mappings\":["
+                    + "{\"name\":\"a\",\"path\":\"/a\",\"service\":\"m\"},{\"name\":\"b\",\"path\":\"/b\","
+                    + "\"service\":\"m\"}],\"tenants\":"
+                    + tenants + "}"))
+                .value();
         }
 
         private static CoreNode.Seen relay(String name, int places, Object... leafWaiting) {
             List<News.Demand> d = new ArrayList<>();
-            for (int i = 0; i < leafWaiting.length; i += 2) d.add(new News.Demand("m", (String) leafWaiting[i], (Integer) leafWaiting[i + 1], 0));
-            return new CoreNode.Seen(name, 1, "relay", "", "", "", 0, List.of(), Map.of(), d, List.of(new News.Places("m", places)), "");
+            for (int i = 0; i < leafWaiting.length; i += 2)
+                d.add(new News.Demand("m", (String) leafWaiting[i], (Integer) leafWaiting[i + 1], 0));
+            return new CoreNode.Seen(name, 1, "relay", "", "", "", 0, List.of(), Map.of(), d,
+                List.of(new News.Places("m", places)), "");
         }
 
         private static String show(Map<String, List<News.Allot>> m) {
@@ -175,21 +188,28 @@
             return sb.toString();
         }
 
-        @org.junit.jupiter.api.Test void whatFitsIsNotBoundedAndWhatDoesNotIsDealtByWeightOverTheFleet() {
-            Policy p = policy("[{\"name\":\"t\",\"keys\":[],\"weight\":3},{\"name\":\"u\",\"keys\":[]},{\"name\":\"v\",\"keys\":[]}]");
-            org.junit.jupiter.api.Assertions.assertEquals("r1: free\nr2: free\n", show(divide(1, List.of(relay("r1", 40, "t", 20), relay("r2", 40, "u", 20)), p)));
+        @Test void whatFitsIsNotBoundedAndWhatDoesNotIsDealtByWeightOverTheFleet() {
+            Policy p = policy(
+                "[{\"name\":\"t\",\"keys\":[],\"weight\":3},{\"name\":\"u\",\"keys\":[]},{\"name\":\"v\","
+                    + "\"keys\":[]}]");
+            Assertions.assertEquals("r1: free\nr2: free\n",
+                show(divide(1, List.of(relay("r1", 40, "t", 20), relay("r2", 40, "u", 20)), p)));
             // t comes by one relay, u by both, v asks for less than its due: the rest of that goes to the others
-            org.junit.jupiter.api.Assertions.assertEquals("r1: t=28500 u=4750 v=2000\nr2: u=4750\n",
+            Assertions.assertEquals("r1: t=28500 u=4750 v=2000\nr2: u=4750\n",
                 show(divide(1, List.of(relay("r1", 40, "t", 100, "u", 50, "v", 2), relay("r2", 40, "u", 50)), p)));
         }
 
-        @org.junit.jupiter.api.Test void tiersLimitsAndLevels() {
-            Policy p = policy("[{\"name\":\"t\",\"keys\":[],\"shares\":[{\"name\":\"x\",\"weight\":3,\"mappings\":[\"a\"]},{\"name\":\"y\",\"mappings\":[\"b\"]}]},"
-                + "{\"name\":\"u\",\"keys\":[],\"limit\":6},{\"name\":\"z\",\"keys\":[],\"tier\":1}]");
-            org.junit.jupiter.api.Assertions.assertEquals("r1: t/x=10500 t/y=3500 u=6000 z=0\n",
+        @Test void tiersLimitsAndLevels() {
+            Policy p = policy(
+                "[{\"name\":\"t\",\"keys\":[],\"shares\":[{\"name\":\"x\",\"weight\":3,\"mappings\":[\"a\"]},"
+                    + "{\"name\":\"y\",\"mappings\":[\"b\"]}]},"
+                    + "{\"name\":\"u\",\"keys\":[],\"limit\":6},{\"name\":\"z\",\"keys\":[],\"tier\":1}]");
+            Assertions.assertEquals("r1: t/x=10500 t/y=3500 u=6000 z=0\n",
                 show(divide(1, List.of(relay("r1", 20, "t/x", 90, "t/y", 90, "u", 90, "z", 90)), p)));
-            org.junit.jupiter.api.Assertions.assertEquals("r1: t/y=4000 u=6000 z=10000\n", show(divide(1, List.of(relay("r1", 20, "t/y", 4, "u", 90, "z", 90)), p)));
-            org.junit.jupiter.api.Assertions.assertEquals("r1: u=6000\n", show(divide(1, List.of(relay("r1", 20, "u", 9)), p)), "a limit holds though there is room");
+            Assertions.assertEquals("r1: t/y=4000 u=6000 z=10000\n",
+                show(divide(1, List.of(relay("r1", 20, "t/y", 4, "u", 90, "z", 90)), p)));
+            Assertions.assertEquals("r1: u=6000\n", show(divide(1, List.of(relay("r1", 20, "u", 9)), p)),
+                "a limit holds though there is room");
         }
     }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
+++ b/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
@@ -13,11 +13,13 @@
 import gladelug.kernel.Result;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.policy.Replicas;
+import io.smallrye.mutiny.Uni;
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 
 public final class PlatformWatch implements Kernel.Service {
     private static final long PERIOD = 250;
@@ -45,8 +47,9 @@
         busy = true;
         core.ask(n -> n.owns(Keys.REPLICAS))
             .flatMap(owns -> owns
-                ? web.get(platform.port(), platform.host(), "/replicas").timeout(1500).send().flatMap(r -> took(r.statusCode(), r.bodyAsString()))
-                : io.smallrye.mutiny.Uni.createFrom().nullItem())
+                ? web.get(platform.port(), platform.host(), "/replicas").timeout(1500).send()
+                    .flatMap(r -> took(r.statusCode(), r.bodyAsString()))
+                : Uni.createFrom().nullItem())
             .ifNoItem().after(Duration.ofSeconds(12)).fail()
             .subscribe().with(x -> busy = false, t -> {
                 busy = false;
@@ -55,21 +58,22 @@
             });
     }
 
-    private io.smallrye.mutiny.Uni<?> took(int status, String body) {
+    private Uni<?> took(int status, String body) {
         Result<Replicas> r = status == 200 ? Replicas.parse(body) : Result.bad("status", String.valueOf(status));
         if (!(r instanceof Result.Good<Replicas> g)) {
             if (!silent) Log.warn("platform-list-refused", "findings", r.toString());
             silent = true;
-            return io.smallrye.mutiny.Uni.createFrom().nullItem();
+            return Uni.createFrom().nullItem();
         }
         if (silent) Log.event("platform-back", "address", platform);
         silent = false;
         byte[] now = g.value().json().getBytes(StandardCharsets.UTF_8);
         return core.ask(n -> n.kept(Keys.REPLICAS)).flatMap(kept -> {
-            if (kept.getKey() > 0 && java.util.Arrays.equals(kept.getValue(), now)) return io.smallrye.mutiny.Uni.createFrom().nullItem();
+            if (kept.getKey() > 0 && Arrays.equals(kept.getValue(), now)) return Uni.createFrom().nullItem();
             return core.change(Keys.REPLICAS, kept.getKey(), now).invoke(a -> {
                 if (a instanceof ChangeAnswer.Done d)
-                    Log.event("replicas-listed", "number", d.number(), "count", g.value().all.size(), "acks", d.acks(), "lapsed", d.lapsed(), "waited", d.waited());
+                    Log.event("replicas-listed", "number", d.number(), "count", g.value().all.size(), "acks", d.acks(),
+                        "lapsed", d.lapsed(), "waited", d.waited());
                 else Log.event("replicas-not-listed", "answer", a);
             });
         });
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -23,37 +23,45 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 
 public final class DataPlane {
-    private static final Map<String, Stages.Mode> MODES = new java.util.TreeMap<>(Map.of("summary", Stages.Mode.SUMMARY,
+    private static final Map<String, Stages.Mode> MODES = new TreeMap<>(Map.of("summary", Stages.Mode.SUMMARY,
         "least-occupancy", Stages.Mode.LEAST_OCCUPANCY, "holder-always", Stages.Mode.HOLDER_ALWAYS));
     private static final String[] BOTH = {"name", "domain", "records", "operator", "seeds", "log"};
     private static final String[] RELAY = {"callers", "index", "backlog", "choice", "division"};
     private static final String[] INDEX = {"fingerprintBits"};
 
     record Place(String name, String domain, Address records, Address operator, List<Address> seeds, String log,
-                 Address callers, Address index, int backlog, String choice, String division, int fingerprintBits) {}
+        Address callers, Address index, int backlog, String choice, String division, int fingerprintBits) {}
 
     private DataPlane() {}
 
     static Result<Place> place(boolean relay, String file, Map<String, String> flags) {
         return Settings.open(file, flags).then(s -> {
-            Place p = new Place(s.name("name"), s.text("domain", ""), s.address("records"), s.address("operator"), s.addresses("seeds"), s.text("log", "info"),
-                relay ? s.address("callers") : null, relay ? s.address("index", null) : null, relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
-                relay ? s.text("choice", "summary") : "", relay ? s.text("division", "fleet") : "", relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS));
-            if (p.seeds.isEmpty()) s.findings.add("--seeds", "at least one records address of another process is needed");
-            if (relay && !MODES.containsKey(p.choice)) s.findings.add("--choice", "must be one of " + MODES.keySet() + ", not " + p.choice);
-            if (relay && !p.division.equals("fleet") && !p.division.equals("alone")) s.findings.add("--division", "must be fleet or alone, not " + p.division);
+            Place p = new Place(s.name("name"), s.text("domain", ""), s.address("records"), s.address("operator"),
+                s.addresses("seeds"), s.text("log", "info"),
+                relay ? s.address("callers") : null, relay ? s.address("index", null) : null,
+                relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
+                relay ? s.text("choice", "summary") : "", relay ? s.text("division", "fleet") : "",
+                relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS));
+            if (p.seeds.isEmpty())
+                s.findings.add("--seeds", "at least one records address of another process is needed");
+            if (relay && !MODES.containsKey(p.choice))
+                s.findings.add("--choice", "must be one of " + MODES.keySet() + ", not " + p.choice);
+            if (relay && !p.division.equals("fleet") && !p.division.equals("alone"))
+                s.findings.add("--division", "must be fleet or alone, not " + p.division);
             return s.done(() -> p);
         });
     }
 
     public static void main(String[] args) {
-        ArgumentParser ap = ArgumentParsers.newFor("data-plane").build().defaultHelp(true).description("Carries orders to replicas, and indexes which of them keep what.");
+        ArgumentParser ap = ArgumentParsers.newFor("data-plane").build().defaultHelp(true)
+            .description("Carries orders to replicas, and indexes which of them keep what.");
         var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
         Map<String, String[]> flags = Map.of("relay", RELAY, "index", INDEX);
         for (String c : List.of("relay", "index")) {
@@ -91,11 +99,14 @@
         Log.setUp(p.name, Program.level(p.log), System.out);
         Vertx vertx = Vertx.vertx();
         Clock clock = Clock.monotonic();
-        Shuffle.Descriptor self = new Shuffle.Descriptor(p.name, relay ? "relay" : "index", p.records.toString(), p.operator.toString(), p.domain, 0, 0);
-        Kernel k = new Kernel().add("doors", new Doors(vertx, p.records, p.name)).add("views", new ViewService(vertx, self, p.seeds))
+        Shuffle.Descriptor self = new Shuffle.Descriptor(p.name, relay ? "relay" : "index", p.records.toString(),
+            p.operator.toString(), p.domain, 0, 0);
+        Kernel k = new Kernel().add("doors", new Doors(vertx, p.records, p.name))
+            .add("views", new ViewService(vertx, self, p.seeds))
             .add("news", new NewsService(vertx, clock, self, p.seeds));
         if (relay) {
-            RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog, MODES.get(p.choice), p.division.equals("alone"));
+            RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog,
+                MODES.get(p.choice), p.division.equals("alone"));
             k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, r::routes)).add("relay", r);
         } else {
             IndexService x = new IndexService(vertx, clock, p.fingerprintBits);
--- a/data-plane/src/main/java/gladelug/data/StatusDoor.java
+++ b/data-plane/src/main/java/gladelug/data/StatusDoor.java
@@ -29,7 +29,8 @@
     private HttpServer server;
 
     /** unready gives the reason, or an empty text when this node is ready. */
-    public StatusDoor(Vertx vertx, Address address, Supplier<String> unready, Supplier<Uni<JsonObject>> status, Consumer<Router> more) {
+    public StatusDoor(Vertx vertx, Address address, Supplier<String> unready, Supplier<Uni<JsonObject>> status,
+        Consumer<Router> more) {
         this.vertx = vertx;
         this.address = address;
         this.unready = unready;
--- a/data-plane/src/main/java/gladelug/data/index/CuckooSummary.java
+++ b/data-plane/src/main/java/gladelug/data/index/CuckooSummary.java
@@ -12,6 +12,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class CuckooSummary {
     public static final int SLOTS = 4, DISPLACEMENTS = 300, HOLDER_BITS = 6, HOLDERS = 1 << HOLDER_BITS;
@@ -37,7 +39,8 @@
     }
 
     public CuckooSummary(long entries, int fingerprintBits, int bucketSlots, long seed) {
-        if (fingerprintBits < 4 || fingerprintBits > 31 - HOLDER_BITS) throw new IllegalArgumentException("fingerprint of " + fingerprintBits + " bits");
+        if (fingerprintBits < 4 || fingerprintBits > 31 - HOLDER_BITS)
+            throw new IllegalArgumentException("fingerprint of " + fingerprintBits + " bits");
         b = bucketSlots;
         long want = Math.max(4, (long) Math.ceil(entries * 1.1 / b));
         int buckets = 2;
@@ -232,7 +235,10 @@
         return overflowed;
     }
 
-    /** Of what ever went to the overflow: further copies of one fingerprint, and entries given up after 300 displacements. */
+    /**
+     * Of what ever went to the overflow: further copies of one fingerprint, and entries given up after 300
+     * displacements.
+     */
     public int copies() {
         return copies;
     }
@@ -285,11 +291,11 @@
         }
 
         private static void noFalseNegative(CuckooSummary s, Model m, String when) {
-            m.m.forEach((b, hs) -> hs.keySet().forEach(h ->
-                org.junit.jupiter.api.Assertions.assertTrue((s.lookup(b) & 1L << h) != 0, () -> when + ": block " + b + " holder " + h)));
+            m.m.forEach((b, hs) -> hs.keySet().forEach(h -> Assertions.assertTrue((s.lookup(b) & 1L << h) != 0,
+                () -> when + ": block " + b + " holder " + h)));
         }
 
-        @org.junit.jupiter.api.Test void longHistoriesHaveNoFalseNegativeAgainstAnExactModel() {
+        @Test void longHistoriesHaveNoFalseNegativeAgainstAnExactModel() {
             for (int seed = 1; seed <= 12; seed++) {
                 SplittableRandom r = new SplittableRandom(seed);
                 CuckooSummary s = new CuckooSummary(2000, seed % 2 == 0 ? 10 : 16, seed);
@@ -302,8 +308,8 @@
                         m.insert(b, h);
                         s.insert(b, h);
                     } else if (has && r.nextInt(3) > 0) {
-                        org.junit.jupiter.api.Assertions.assertTrue(m.remove(b, h));
-                        org.junit.jupiter.api.Assertions.assertTrue(s.remove(b, h));
+                        Assertions.assertTrue(m.remove(b, h));
+                        Assertions.assertTrue(s.remove(b, h));
                     }
                     if (i % 5000 == 4999) {
                         int out = r.nextInt(13);
@@ -314,56 +320,57 @@
                 }
                 noFalseNegative(s, m, "seed " + seed);
                 int n = m.m.values().stream().mapToInt(x -> x.values().stream().mapToInt(v -> v).sum()).sum();
-                org.junit.jupiter.api.Assertions.assertEquals(n, s.size(), "entries, seed " + seed);
+                Assertions.assertEquals(n, s.size(), "entries, seed " + seed);
                 m.m.forEach((b, hs) -> hs.forEach((h, c) -> {
-                    for (int j = 0; j < c; j++) org.junit.jupiter.api.Assertions.assertTrue(s.remove(b, h));
+                    for (int j = 0; j < c; j++) Assertions.assertTrue(s.remove(b, h));
                 }));
-                org.junit.jupiter.api.Assertions.assertEquals(0, s.size());
-                org.junit.jupiter.api.Assertions.assertEquals(0, s.overflowed());
+                Assertions.assertEquals(0, s.size());
+                Assertions.assertEquals(0, s.overflowed());
             }
         }
 
-        @org.junit.jupiter.api.Test void thirteenHoldersOfOnePrefixAreAllFoundWithoutChurn() {
+        @Test void thirteenHoldersOfOnePrefixAreAllFoundWithoutChurn() {
             CuckooSummary s = new CuckooSummary(20_000, 16, 1);
             for (long b = 0; b < 100; b++) for (int h = 0; h < 13; h++) s.insert(mix(b + 77), h);
-            for (long b = 0; b < 100; b++) org.junit.jupiter.api.Assertions.assertEquals((1L << 13) - 1, s.lookup(mix(b + 77)) & (1L << 13) - 1);
+            for (long b = 0; b < 100; b++)
+                Assertions.assertEquals((1L << 13) - 1, s.lookup(mix(b + 77)) & (1L << 13) - 1);
             // five of each go over; two blocks that happen to share a bucket send a few more
-            org.junit.jupiter.api.Assertions.assertTrue(s.overflowed() >= 500 && s.overflowed() <= 520, "overflow " + s.overflowed());
-            org.junit.jupiter.api.Assertions.assertTrue(s.strays() <= 60, "strays " + s.strays());
-            org.junit.jupiter.api.Assertions.assertTrue(s.displacements() <= 20 * DISPLACEMENTS, "churned " + s.displacements());
-            org.junit.jupiter.api.Assertions.assertFalse(s.full());
+            Assertions.assertTrue(s.overflowed() >= 500 && s.overflowed() <= 520, "overflow " + s.overflowed());
+            Assertions.assertTrue(s.strays() <= 60, "strays " + s.strays());
+            Assertions.assertTrue(s.displacements() <= 20 * DISPLACEMENTS, "churned " + s.displacements());
+            Assertions.assertFalse(s.full());
             for (long b = 0; b < 100; b++) for (int h = 0; h < 9; h++) s.remove(mix(b + 77), h);
-            org.junit.jupiter.api.Assertions.assertEquals(0, s.overflowed(), "moved back into the table");
+            Assertions.assertEquals(0, s.overflowed(), "moved back into the table");
         }
 
-        @org.junit.jupiter.api.Test void atNinetyPercentEveryEntryIsPlacedAndFalsePositivesKeepToTheBound() {
-            for (int f : new int[] {10, 12, 16}) {
+        @Test void atNinetyPercentEveryEntryIsPlacedAndFalsePositivesKeepToTheBound() {
+            for (int f : new int[]{10, 12, 16}) {
                 CuckooSummary s = new CuckooSummary(1, f, 3);
                 s = new CuckooSummary(58_000, f, 3);
                 int n = s.capacity() * 9 / 10;
                 for (int i = 0; i < n; i++) s.insert(mix(i), i % 13);
-                for (int i = 0; i < n; i++) org.junit.jupiter.api.Assertions.assertTrue((s.lookup(mix(i)) & 1L << i % 13) != 0);
-                org.junit.jupiter.api.Assertions.assertEquals(0, s.gaveUp());
+                for (int i = 0; i < n; i++) Assertions.assertTrue((s.lookup(mix(i)) & 1L << i % 13) != 0);
+                Assertions.assertEquals(0, s.gaveUp());
                 int wrong = 0, tries = 400_000;
                 for (int i = 0; i < tries; i++) if (s.lookup(mix(i + 10_000_000L)) != 0) wrong++;
                 double rate = (double) wrong / tries, bound = 2.0 * SLOTS / (1 << f);
                 double slack = 4 * Math.sqrt(bound / tries);
-                org.junit.jupiter.api.Assertions.assertTrue(rate <= bound + slack, "f " + f + " rate " + rate + " bound " + bound);
-                org.junit.jupiter.api.Assertions.assertTrue(rate >= bound / 2, "f " + f + " suspiciously few: " + rate);
+                Assertions.assertTrue(rate <= bound + slack, "f " + f + " rate " + rate + " bound " + bound);
+                Assertions.assertTrue(rate >= bound / 2, "f " + f + " suspiciously few: " + rate);
             }
         }
 
-        @org.junit.jupiter.api.Test void aRemovalTakesNobodyElsesEntry() {
+        @Test void aRemovalTakesNobodyElsesEntry() {
             CuckooSummary s = new CuckooSummary(1000, 10, 9);
             for (int i = 0; i < 800; i++) s.insert(mix(i), i % 2);
             int before = s.size(), wrongly = 0;
             for (int i = 0; i < 800; i++) if (s.remove(mix(i), 2)) wrongly++;
-            org.junit.jupiter.api.Assertions.assertEquals(0, wrongly, "holder 2 never had anything");
-            org.junit.jupiter.api.Assertions.assertEquals(before, s.size());
+            Assertions.assertEquals(0, wrongly, "holder 2 never had anything");
+            Assertions.assertEquals(before, s.size());
         }
 
-        @org.junit.jupiter.api.Test void thePapersWidthForOnePercent() {
-            org.junit.jupiter.api.Assertions.assertEquals(10, fingerprintBits(0.01));
+        @Test void thePapersWidthForOnePercent() {
+            Assertions.assertEquals(10, fingerprintBits(0.01));
         }
     }
 }
--- a/data-plane/src/main/java/gladelug/data/index/Feed.java
+++ b/data-plane/src/main/java/gladelug/data/index/Feed.java
@@ -6,7 +6,16 @@
  */
 package gladelug.data.index;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Feed {
     public static final int WINDOW = 64;
@@ -133,11 +142,11 @@
 
     static final class Tests {
         /** A holder with a true set of blocks, and a line that loses, repeats and reorders its events. */
-        @org.junit.jupiter.api.Test void whateverTheLineDoesTheSummaryComesToTheHoldersTruth() {
+        @Test void whateverTheLineDoesTheSummaryComesToTheHoldersTruth() {
             for (int seed = 1; seed <= 40; seed++) {
-                java.util.Random r = new java.util.Random(seed);
-                java.util.Set<Long> truth = new java.util.HashSet<>();
-                java.util.Map<Long, Integer> seen = new java.util.HashMap<>();
+                Random r = new Random(seed);
+                Set<Long> truth = new HashSet<>();
+                Map<Long, Integer> seen = new HashMap<>();
                 long[] asked = {0, 0};
                 boolean[] never = {false};
                 Feed f = new Feed(new Effects() {
@@ -161,7 +170,7 @@
                 });
                 String inc = "i0";
                 long seq = 0, now = 0;
-                java.util.List<Runnable> line = new java.util.ArrayList<>();
+                List<Runnable> line = new ArrayList<>();
                 f.resync();
                 for (int step = 0; step < 4000; step++) {
                     now += 5;
@@ -187,17 +196,18 @@
                         String i = inc;
                         line.add(() -> f.pulse(i, s, t));
                     }
-                    while (line.size() > 4 || step > 3500 && !line.isEmpty()) line.remove(r.nextInt(Math.min(line.size(), 4))).run();
+                    while (line.size() > 4 || step > 3500 && !line.isEmpty())
+                        line.remove(r.nextInt(Math.min(line.size(), 4))).run();
                     f.tick(now);
                     if (asked[0] != asked[1] && r.nextInt(10) == 0) {
                         asked[1] = asked[0];
                         f.listed(asked[0], inc, seq, truth.stream().mapToLong(x -> x).toArray());
                     }
                 }
-                org.junit.jupiter.api.Assertions.assertTrue(f.following(), "seed " + seed);
-                org.junit.jupiter.api.Assertions.assertEquals(truth, seen.keySet(), "seed " + seed);
-                org.junit.jupiter.api.Assertions.assertFalse(never[0], "removed what was never inserted, seed " + seed);
-                org.junit.jupiter.api.Assertions.assertTrue(f.resyncs() > 1 && f.repeats() > 0, "the line did nothing, seed " + seed);
+                Assertions.assertTrue(f.following(), "seed " + seed);
+                Assertions.assertEquals(truth, seen.keySet(), "seed " + seed);
+                Assertions.assertFalse(never[0], "removed what was never inserted, seed " + seed);
+                Assertions.assertTrue(f.resyncs() > 1 && f.repeats() > 0, "the line did nothing, seed " + seed);
             }
         }
     }
--- a/data-plane/src/main/java/gladelug/data/index/Holder.java
+++ b/data-plane/src/main/java/gladelug/data/index/Holder.java
@@ -90,34 +90,40 @@
     }
 
     private void identify() {
-        web.get(replica.address().port(), replica.address().host(), "/identity").timeout(1000).send().subscribe().with(r -> duty.offer(() -> {
-            if (gone) return;
-            tried = true;
-            JsonObject o;
-            try {
-                o = r.bodyAsJsonObject() == null ? new JsonObject() : r.bodyAsJsonObject();
-            } catch (RuntimeException e) {
-                o = new JsonObject();
-            }
-            if (!replica.instance().equals(o.getString("instance")) || !replica.service().equals(o.getString("service"))) {
-                Log.warn("holder-is-another", "instance", replica.instance(), "address", replica.address());
-                again(this::identify);
-                return;
-            }
-            capacity = o.getLong("capacityBlocks", 0L);
-            owner.capacity(this, capacity);
-            feed.resync();
-            follow();
-        }), t -> duty.offer(() -> {
-            tried = true;
-            if (!gone) again(this::identify);
-        }));
+        web.get(replica.address().port(), replica.address().host(), "/identity").timeout(1000).send().subscribe()
+            .with(r -> duty.offer(() -> {
+                if (gone) return;
+                tried = true;
+                JsonObject o;
+                try {
+                    o = r.bodyAsJsonObject() == null ? new JsonObject() : r.bodyAsJsonObject();
+                } catch (RuntimeException e) {
+                    o = new JsonObject();
+                }
+                if (!replica.instance().equals(o.getString("instance"))
+                    || !replica.service().equals(o.getString("service"))) {
+                    Log.warn("holder-is-another", "instance", replica.instance(), "address", replica.address());
+                    again(this::identify);
+                    return;
+                }
+                capacity = o.getLong("capacityBlocks", 0L);
+                owner.capacity(this, capacity);
+                feed.resync();
+                follow();
+            }), t -> duty.offer(() -> {
+                tried = true;
+                if (!gone) again(this::identify);
+            }));
     }
 
     private void follow() {
         if (gone) return;
-        http.getDelegate().request(new RequestOptions().setMethod(HttpMethod.GET).setHost(replica.address().host()).setPort(replica.address().port())
-            .setURI("/cache/events?instance=" + replica.instance() + "&incarnation=" + feed.incarnation() + "&after=" + feed.applied()).setTimeout(2000))
+        http.getDelegate()
+            .request(new RequestOptions().setMethod(HttpMethod.GET).setHost(replica.address().host())
+                .setPort(replica.address().port())
+                .setURI("/cache/events?instance=" + replica.instance() + "&incarnation=" + feed.incarnation()
+                    + "&after=" + feed.applied())
+                .setTimeout(2000))
             .compose(q -> {
                 duty.offer(() -> {
                     stream = q;
@@ -173,22 +179,23 @@
     }
 
     private void list(long nr) {
-        web.get(replica.address().port(), replica.address().host(), "/cache/list?instance=" + replica.instance()).timeout(3000).send().subscribe().with(r -> {
-            try {
-                JsonObject o = r.bodyAsJsonObject();
-                JsonArray a = o.getJsonArray("blocks");
-                long[] bs = new long[a.size()];
-                for (int i = 0; i < bs.length; i++) bs[i] = Long.parseUnsignedLong(a.getString(i), 16);
-                String inc = o.getString("incarnation");
-                long seq = o.getLong("seq");
-                duty.offer(() -> {
-                    if (gone) return;
-                    heard = owner.now();
-                    feed.listed(nr, inc, seq, bs);
-                });
-            } catch (RuntimeException e) {
-                duty.offer(() -> again(feed::resync));
-            }
-        }, t -> duty.offer(() -> again(feed::resync)));
+        web.get(replica.address().port(), replica.address().host(), "/cache/list?instance=" + replica.instance())
+            .timeout(3000).send().subscribe().with(r -> {
+                try {
+                    JsonObject o = r.bodyAsJsonObject();
+                    JsonArray a = o.getJsonArray("blocks");
+                    long[] bs = new long[a.size()];
+                    for (int i = 0; i < bs.length; i++) bs[i] = Long.parseUnsignedLong(a.getString(i), 16);
+                    String inc = o.getString("incarnation");
+                    long seq = o.getLong("seq");
+                    duty.offer(() -> {
+                        if (gone) return;
+                        heard = owner.now();
+                        feed.listed(nr, inc, seq, bs);
+                    });
+                } catch (RuntimeException e) {
+                    duty.offer(() -> again(feed::resync));
+                }
+            }, t -> duty.offer(() -> again(feed::resync)));
     }
 }
--- a/data-plane/src/main/java/gladelug/data/index/IndexService.java
+++ b/data-plane/src/main/java/gladelug/data/index/IndexService.java
@@ -28,6 +28,7 @@
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.http.HttpClient;
 import io.vertx.mutiny.ext.web.client.WebClient;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -66,13 +67,16 @@
 
     @Override public void start(Kernel k) {
         news = k.find("news", NewsService.class);
-        http = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false).setMaxPoolSize(4).setIdleTimeout(10));
-        web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(1000).setKeepAlive(false).setFollowRedirects(false).setMaxPoolSize(4));
+        http = vertx.createHttpClient(
+            new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false).setMaxPoolSize(4).setIdleTimeout(10));
+        web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(1000).setKeepAlive(false)
+            .setFollowRedirects(false).setMaxPoolSize(4));
         news.listen(t -> duty.offer(() -> tables(t)));
         duty.every(100, this::tick);
         k.find("doors", Doors.class).take(Hello.LOOKUP, (h, c) -> new Circuit.Receiver() {
-            @Override public void record(byte[] r) throws java.io.IOException {
-                if (!(Wire.read(r, Lookup::read) instanceof Lookup.Question q)) throw new java.io.IOException("an answer nobody asked for");
+            @Override public void record(byte[] r) throws IOException {
+                if (!(Wire.read(r, Lookup::read) instanceof Lookup.Question q))
+                    throw new IOException("an answer nobody asked for");
                 if (!duty.offer(() -> c.send(answer(q)))) c.send(new Lookup.Answer(q.nr(), false, List.of()));
             }
         });
@@ -145,7 +149,8 @@
     private void grow(long entries) {
         next = new CuckooSummary(entries, fingerprintBits, SEED);
         nextSince = clock.now();
-        Log.event("summary-grows", "from", now.capacity(), "to", next.capacity(), "entries", now.size(), "overflow", now.overflowed());
+        Log.event("summary-grows", "from", now.capacity(), "to", next.capacity(), "entries", now.size(), "overflow",
+            now.overflowed());
         for (Holder h : holders.values()) {
             h.inNext = false;
             if (h.feed.following()) h.feed.resync();
@@ -204,10 +209,13 @@
             long t = clock.now();
             JsonArray hs = new JsonArray();
             for (Holder h : holders.values())
-                hs.add(Json.object().add("instance", h.replica.instance()).add("following", h.feed.following()).add("applied", h.feed.applied())
+                hs.add(Json.object().add("instance", h.replica.instance()).add("following", h.feed.following())
+                    .add("applied", h.feed.applied())
                     .add("resyncs", h.feed.resyncs()).add("repeats", h.feed.repeats()).add("heardMsAgo", t - h.heard));
-            e.complete(Json.object().add("warm", warm()).add("slots", now.capacity()).add("entries", now.size()).add("occupancy", now.occupancy())
-                .add("overflow", now.overflowed()).add("overflowStrays", now.strays()).add("copiesEver", now.copies()).add("displacements", now.displacements())
+            e.complete(Json.object().add("warm", warm()).add("slots", now.capacity()).add("entries", now.size())
+                .add("occupancy", now.occupancy())
+                .add("overflow", now.overflowed()).add("overflowStrays", now.strays()).add("copiesEver", now.copies())
+                .add("displacements", now.displacements())
                 .add("rebuilt", rebuilt).add("questions", questions).add("hits", hits).add("holders", hs));
         }));
     }
--- a/data-plane/src/main/java/gladelug/data/news/Licences.java
+++ b/data-plane/src/main/java/gladelug/data/news/Licences.java
@@ -8,6 +8,8 @@
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import java.util.concurrent.atomic.AtomicLongArray;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Licences {
     private static final long NEVER = Long.MIN_VALUE / 2;
@@ -64,17 +66,17 @@
             return new News.Grant(key, epoch, number, left, 0);
         }
 
-        @org.junit.jupiter.api.Test void countsFromTheAskingAndOnlyForTheNumberHeld() {
+        @Test void countsFromTheAskingAndOnlyForTheNumberHeld() {
             Licences l = new Licences();
-            org.junit.jupiter.api.Assertions.assertFalse(l.valid(0));
+            Assertions.assertFalse(l.valid(0));
             for (String k : Keys.LICENSED) l.granted(g(k, 5, 3, 1000), 100, 3);
-            org.junit.jupiter.api.Assertions.assertEquals(100 + 1000 - 30, l.until());
+            Assertions.assertEquals(100 + 1000 - 30, l.until());
             l.granted(g("policy", 6, 4, 5000), 200, 3);
             l.granted(g("policy", 4, 3, 5000), 200, 3);
-            org.junit.jupiter.api.Assertions.assertEquals(1070, l.until("policy"));
+            Assertions.assertEquals(1070, l.until("policy"));
             l.granted(g("policy", 7, 3, 1000), 900, 3);
-            org.junit.jupiter.api.Assertions.assertEquals(1870, l.until("policy"));
-            org.junit.jupiter.api.Assertions.assertFalse(l.valid(1070));
+            Assertions.assertEquals(1870, l.until("policy"));
+            Assertions.assertFalse(l.valid(1070));
         }
     }
 }
--- a/data-plane/src/main/java/gladelug/data/news/NewsBook.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsBook.java
@@ -11,10 +11,13 @@
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class NewsBook {
     /** Makes use of a push, always whole; false where it can't be read. */
@@ -50,7 +53,8 @@
     public News.Ask ask(long now, List<News.Demand> demands, List<News.Places> places) {
         List<News.Held> l = new ArrayList<>();
         for (String k : Keys.NEWS) l.add(new News.Held(k, licences.epoch(k), number(k)));
-        return new News.Ask(now, self.name(), run, self.role(), self.records(), self.operator(), self.domain(), l, demands, places);
+        return new News.Ask(now, self.name(), run, self.role(), self.records(), self.operator(), self.domain(), l,
+            demands, places);
     }
 
     public Told told(News n) {
@@ -63,7 +67,9 @@
         } else if (n instanceof News.Push p && p.number() > number(p.key()) && p.epoch() >= licences.epoch(p.key())) {
             byte[] v = p.value();
             if (p.base() >= 0) {
-                v = p.base() == number(p.key()) ? Delta.apply(values.getOrDefault(p.key(), new byte[0]), p.value()) : null;
+                v = p.base() == number(p.key())
+                    ? Delta.apply(values.getOrDefault(p.key(), new byte[0]), p.value())
+                    : null;
                 if (v == null || !Digest.hex(v).equals(p.digest())) return Told.WANTS_WHOLE;
             }
             if (!taker.take(new News.Push(p.key(), p.epoch(), p.number(), -1, p.digest(), v))) return Told.NOTHING;
@@ -77,31 +83,36 @@
 
     static final class Tests {
         private static byte[] bytes(String s) {
-            return s.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            return s.getBytes(StandardCharsets.UTF_8);
         }
 
         private static News.Push push(long epoch, long nr, long base, String digestOf, byte[] v) {
             return new News.Push(Keys.POLICY, epoch, nr, base, Digest.hex(digestOf), v);
         }
 
-        @org.junit.jupiter.api.Test void aChangeIsTakenOnlyOnItsBaseAndOnlyIfTheDigestAgrees() {
+        @Test void aChangeIsTakenOnlyOnItsBaseAndOnlyIfTheDigestAgrees() {
             List<String> taken = new ArrayList<>();
-            NewsBook b = new NewsBook(new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0), 1, p -> taken.add(new String(p.value())));
-            String one = "so it begins and goes on. ".repeat(20) + "a policy that is long enough for a change of it to be worth while, twice over, as policies are, and then some more",
+            NewsBook b = new NewsBook(new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0), 1,
+                p -> taken.add(new String(p.value())));
+            String one = "so it begins and goes on. ".repeat(20)
+                + "a policy that is long enough for a change of it to be worth while, twice over, as policies "
+                + "are, and then some more",
                 two = one.replace("twice", "three times"), three = two + "!";
-            org.junit.jupiter.api.Assertions.assertEquals(Told.WANTS_WHOLE, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))), "a gap");
-            org.junit.jupiter.api.Assertions.assertEquals(Told.TAKEN, b.told(push(1, 1, -1, one, bytes(one))));
-            org.junit.jupiter.api.Assertions.assertEquals(Told.TAKEN, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))));
-            org.junit.jupiter.api.Assertions.assertEquals(Told.WANTS_WHOLE, b.told(push(1, 3, 2, one, Delta.between(bytes(two), bytes(three)))), "another digest");
-            org.junit.jupiter.api.Assertions.assertEquals(Told.NOTHING, b.told(push(1, 1, -1, one, bytes(one))), "a lower number");
-            org.junit.jupiter.api.Assertions.assertEquals(Told.NOTHING, b.told(push(0, 9, -1, three, bytes(three))), "a lower epoch");
-            org.junit.jupiter.api.Assertions.assertEquals(List.of(one, two), taken);
+            Assertions.assertEquals(Told.WANTS_WHOLE, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))),
+                "a gap");
+            Assertions.assertEquals(Told.TAKEN, b.told(push(1, 1, -1, one, bytes(one))));
+            Assertions.assertEquals(Told.TAKEN, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))));
+            Assertions.assertEquals(Told.WANTS_WHOLE,
+                b.told(push(1, 3, 2, one, Delta.between(bytes(two), bytes(three)))), "another digest");
+            Assertions.assertEquals(Told.NOTHING, b.told(push(1, 1, -1, one, bytes(one))), "a lower number");
+            Assertions.assertEquals(Told.NOTHING, b.told(push(0, 9, -1, three, bytes(three))), "a lower epoch");
+            Assertions.assertEquals(List.of(one, two), taken);
         }
 
-        @org.junit.jupiter.api.Test void aDivisionUnderALowerEpochIsNotTaken() {
+        @Test void aDivisionUnderALowerEpochIsNotTaken() {
             NewsBook b = new NewsBook(new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0), 1, p -> true);
-            org.junit.jupiter.api.Assertions.assertEquals(Told.ALLOTTED, b.told(new News.Allot(5, "m", true, List.of())));
-            org.junit.jupiter.api.Assertions.assertEquals(Told.NOTHING, b.told(new News.Allot(4, "m", true, List.of())));
+            Assertions.assertEquals(Told.ALLOTTED, b.told(new News.Allot(5, "m", true, List.of())));
+            Assertions.assertEquals(Told.NOTHING, b.told(new News.Allot(4, "m", true, List.of())));
         }
     }
 }
--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -76,7 +76,10 @@
         return run;
     }
 
-    /** Called on the news duty with what is held now, which may have come before anybody listened, and after each swap. */
+    /**
+     * Called on the news duty with what is held now, which may have come before anybody listened, and after each
+     * swap.
+     */
     public void listen(Consumer<Tables> l) {
         duty.offer(() -> {
             listeners.add(l);
@@ -137,7 +140,8 @@
         switch (book.told(n)) {
             case TAKEN -> {
                 News.Push p = (News.Push) n;
-                Log.event("news-taken", "key", p.key(), "number", p.number(), "epoch", p.epoch(), "bytes", p.value().length, "whole", p.base() < 0);
+                Log.event("news-taken", "key", p.key(), "number", p.number(), "epoch", p.epoch(), "bytes",
+                    p.value().length, "whole", p.base() < 0);
                 for (Consumer<Tables> l : listeners) l.accept(tables);
             }
             case ALLOTTED -> {
--- a/data-plane/src/main/java/gladelug/data/news/Tables.java
+++ b/data-plane/src/main/java/gladelug/data/news/Tables.java
@@ -10,8 +10,9 @@
 import gladelug.kernel.policy.Weights;
 
 public record Tables(long policyNumber, String policyDigest, Policy policy, long weightsNumber, Weights weights,
-                     long replicasNumber, Replicas replicas, long generation, CoreList core) {
-    public static final Tables NONE = new Tables(0, "", Policy.EMPTY, 0, Weights.NONE, 0, Replicas.NONE, 0, CoreList.NONE);
+    long replicasNumber, Replicas replicas, long generation, CoreList core) {
+    public static final Tables NONE = new Tables(0, "", Policy.EMPTY, 0, Weights.NONE, 0, Replicas.NONE, 0,
+        CoreList.NONE);
 
     Tables policy(long n, String digest, Policy p) {
         return new Tables(n, digest, p, weightsNumber, weights, replicasNumber, replicas, generation, core);
--- a/data-plane/src/main/java/gladelug/data/order/Blocks.java
+++ b/data-plane/src/main/java/gladelug/data/order/Blocks.java
@@ -10,6 +10,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Blocks {
     private Blocks() {}
@@ -33,12 +35,12 @@
             return ids("s", w, wall, p.getBytes(StandardCharsets.UTF_8), 4);
         }
 
-        @org.junit.jupiter.api.Test void aPrefixIsSharedOnlyUnderTheSameWeightsAndWall() {
+        @Test void aPrefixIsSharedOnlyUnderTheSameWeightsAndWall() {
             long[] a = of("w1", "", "aaaabbbbcccc"), b = of("w1", "", "aaaabbbbXccc");
-            org.junit.jupiter.api.Assertions.assertEquals(2, a.length);
-            org.junit.jupiter.api.Assertions.assertArrayEquals(a, b);
-            for (long[] o : new long[][] {of("w2", "", "aaaabbbbcccc"), of("w1", "t", "aaaabbbbcccc")})
-                for (long x : o) for (long y : a) org.junit.jupiter.api.Assertions.assertNotEquals(x, y);
+            Assertions.assertEquals(2, a.length);
+            Assertions.assertArrayEquals(a, b);
+            for (long[] o : new long[][]{of("w2", "", "aaaabbbbcccc"), of("w1", "t", "aaaabbbbcccc")})
+                for (long x : o) for (long y : a) Assertions.assertNotEquals(x, y);
         }
     }
 }
--- a/data-plane/src/main/java/gladelug/data/order/Decision.java
+++ b/data-plane/src/main/java/gladelug/data/order/Decision.java
@@ -10,8 +10,11 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Decision {
     private record Reason(String stage, long at, JsonObject what) {}
@@ -19,7 +22,7 @@
     public final String id;
     public final long nr;
     private final long came;
-    private final String wall = java.time.Instant.now().toString();
+    private final String wall = Instant.now().toString();
     private List<Reason> reasons = new ArrayList<>(10);
     private byte[] ended;
     private String outcome = "";
@@ -57,19 +60,20 @@
             r.what.forEach(m -> o.add(m.getName(), m.getValue()));
             a.add(o);
         }
-        return Json.object().add("order", id).add("came", wall).add("outcome", outcome.isEmpty() ? "live" : outcome).add("stages", a);
+        return Json.object().add("order", id).add("came", wall).add("outcome", outcome.isEmpty() ? "live" : outcome)
+            .add("stages", a);
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void readsTheSameBeforeAndAfterItsEnd() {
+        @Test void readsTheSameBeforeAndAfterItsEnd() {
             Decision d = new Decision("r.0000.0", 0, 10);
             d.add("key", 12, Json.object().add("tenant", "t"));
             d.outcome("complete");
             String before = d.json().toString();
             d.end();
             d.add("late", 13, Json.object());
-            org.junit.jupiter.api.Assertions.assertEquals(before, d.json().toString());
-            org.junit.jupiter.api.Assertions.assertTrue(before.contains("{\"stage\":\"key\",\"atMs\":2,\"tenant\":\"t\"}"), before);
+            Assertions.assertEquals(before, d.json().toString());
+            Assertions.assertTrue(before.contains("{\"stage\":\"key\",\"atMs\":2,\"tenant\":\"t\"}"), before);
         }
     }
 }
--- a/data-plane/src/main/java/gladelug/data/order/Order.java
+++ b/data-plane/src/main/java/gladelug/data/order/Order.java
@@ -8,6 +8,7 @@
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.policy.Policy;
 import java.util.List;
+import java.util.function.Consumer;
 
 public final class Order {
     public final State state = new State();
@@ -41,7 +42,7 @@
     public int piecesOut;
     public boolean gone;
     public Runnable cancel = () -> {};
-    public java.util.function.Consumer<Verdict> leaveBacklog;
+    public Consumer<Verdict> leaveBacklog;
 
     /** The caller's side of an order. */
     public interface Caller {
--- a/data-plane/src/main/java/gladelug/data/order/State.java
+++ b/data-plane/src/main/java/gladelug/data/order/State.java
@@ -6,6 +6,9 @@
 package gladelug.data.order;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.junit.jupiter.api.Test;
 
 public final class State {
     public enum At { WAITING, HANDED, STREAMING, ENDED }
@@ -30,33 +33,34 @@
         public static final class Fates {
             private final State s = new State();
 
-            @org.jetbrains.lincheck.datastructures.Operation public boolean handOver() {
+            @Operation public boolean handOver() {
                 return s.step(At.WAITING, At.HANDED);
             }
 
-            @org.jetbrains.lincheck.datastructures.Operation public boolean turnAway() {
+            @Operation public boolean turnAway() {
                 return s.step(At.WAITING, At.ENDED);
             }
 
-            @org.jetbrains.lincheck.datastructures.Operation public boolean firstPiece() {
+            @Operation public boolean firstPiece() {
                 return s.step(At.HANDED, At.STREAMING);
             }
 
-            @org.jetbrains.lincheck.datastructures.Operation public boolean notRunThere() {
+            @Operation public boolean notRunThere() {
                 return s.step(At.HANDED, At.WAITING);
             }
 
-            @org.jetbrains.lincheck.datastructures.Operation public boolean end() {
+            @Operation public boolean end() {
                 return s.end();
             }
 
-            @org.jetbrains.lincheck.datastructures.Operation public At at() {
+            @Operation public At at() {
                 return s.at();
             }
         }
 
-        @org.junit.jupiter.api.Test void everyInterleavingIsAsIfOneAfterTheOther() {
-            new org.jetbrains.lincheck.datastructures.ModelCheckingOptions().iterations(5).invocationsPerIteration(100).threads(3).actorsPerThread(3).check(Fates.class);
+        @Test void everyInterleavingIsAsIfOneAfterTheOther() {
+            new ModelCheckingOptions().iterations(5).invocationsPerIteration(100).threads(3).actorsPerThread(3)
+                .check(Fates.class);
         }
     }
 }
--- a/data-plane/src/main/java/gladelug/data/order/Way.java
+++ b/data-plane/src/main/java/gladelug/data/order/Way.java
@@ -35,7 +35,10 @@
         s.pass(o).subscribe().with(v -> next(o, i, v), t -> {
             Log.thrown("stage-problem", t, "stage", s.name(), "order", o.id());
             boolean handed = o.state.at() != State.At.WAITING;
-            next(o, i, handed ? Verdict.unknown(502, "an internal problem") : Verdict.notRun(503, "an internal problem", 1000));
+            next(o, i,
+                handed
+                    ? Verdict.unknown(502, "an internal problem")
+                    : Verdict.notRun(503, "an internal problem", 1000));
         });
     }
 
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -52,7 +52,10 @@
         return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
     }
 
-    /** Estimated ms to pull a block from a holder: as this replica measured it, else hopefully a quarter of computing it. */
+    /**
+     * Estimated ms to pull a block from a holder: as this replica measured it, else hopefully a quarter of computing
+     * it.
+     */
     public double linkMs(String holder, long now) {
         return unsure(holder, now) ? msPerBlock / 4 : links.get(holder);
     }
--- a/data-plane/src/main/java/gladelug/data/relay/Backends.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backends.java
@@ -33,7 +33,8 @@
     public Backends(Vertx vertx, Clock clock, Runnable changed) {
         this.clock = clock;
         this.changed = changed;
-        this.web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(500).setFollowRedirects(false).setMaxPoolSize(2).setKeepAlive(true));
+        this.web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(500).setFollowRedirects(false)
+            .setMaxPoolSize(2).setKeepAlive(true));
         vertx.setPeriodic(PERIOD, i -> {
             for (Backend b : all.values()) ask(b);
         });
@@ -74,34 +75,37 @@
 
     private void ask(Backend b) {
         int mine = b.mine;
-        web.get(b.replica.address().port(), b.replica.address().host(), "/occupancy").timeout(1000).send().subscribe().with(r -> {
-            if (all.get(b.replica.instance()) != b) return;
-            try {
-                io.vertx.core.json.JsonObject o = r.bodyAsJsonObject();
-                if (r.statusCode() != 200 || !b.replica.instance().equals(o.getString("instance")) || !b.replica.service().equals(o.getString("service"))) {
+        web.get(b.replica.address().port(), b.replica.address().host(), "/occupancy").timeout(1000).send().subscribe()
+            .with(r -> {
+                if (all.get(b.replica.instance()) != b) return;
+                try {
+                    io.vertx.core.json.JsonObject o = r.bodyAsJsonObject();
+                    if (r.statusCode() != 200 || !b.replica.instance().equals(o.getString("instance"))
+                        || !b.replica.service().equals(o.getString("service"))) {
+                        b.known = false;
+                        return;
+                    }
+                    b.weights = o.getString("weights", "");
+                    b.slots = within(o.getInteger("slots", 1), 1, 4096);
+                    b.blockBytes = within(o.getInteger("blockBytes", 256), 16, 65536);
+                    b.msPerBlock = Math.max(0.001, Math.min(10_000, o.getDouble("msPerBlock", 1.0)));
+                    b.waitMs = Math.max(0, Math.min(600_000, o.getDouble("waitMs", 0.0)));
+                    b.reported = within(o.getInteger("running", 0) + o.getInteger("waiting", 0), 0, 100_000);
+                    b.mineAtReport = mine;
+                    b.addedMs = 0;
+                    Map<String, Double> l = new HashMap<>();
+                    io.vertx.core.json.JsonObject links = o.getJsonObject("links");
+                    if (links != null)
+                        for (String k : links.fieldNames()) l.put(k, Math.max(0.001, links.getDouble(k)));
+                    b.links = l;
+                    b.known = true;
+                    b.reportedAt = clock.now();
+                    changed.run();
+                } catch (RuntimeException e) {
                     b.known = false;
-                    return;
+                    Log.fine("occupancy-malformed", "instance", b.replica.instance());
                 }
-                b.weights = o.getString("weights", "");
-                b.slots = within(o.getInteger("slots", 1), 1, 4096);
-                b.blockBytes = within(o.getInteger("blockBytes", 256), 16, 65536);
-                b.msPerBlock = Math.max(0.001, Math.min(10_000, o.getDouble("msPerBlock", 1.0)));
-                b.waitMs = Math.max(0, Math.min(600_000, o.getDouble("waitMs", 0.0)));
-                b.reported = within(o.getInteger("running", 0) + o.getInteger("waiting", 0), 0, 100_000);
-                b.mineAtReport = mine;
-                b.addedMs = 0;
-                Map<String, Double> l = new HashMap<>();
-                io.vertx.core.json.JsonObject links = o.getJsonObject("links");
-                if (links != null) for (String k : links.fieldNames()) l.put(k, Math.max(0.001, links.getDouble(k)));
-                b.links = l;
-                b.known = true;
-                b.reportedAt = clock.now();
-                changed.run();
-            } catch (RuntimeException e) {
-                b.known = false;
-                Log.fine("occupancy-malformed", "instance", b.replica.instance());
-            }
-        }, t -> Log.fine("occupancy-silent", "instance", b.replica.instance(), "what", t.toString()));
+            }, t -> Log.fine("occupancy-silent", "instance", b.replica.instance(), "what", t.toString()));
     }
 
     private static int within(int v, int lo, int hi) {
@@ -112,8 +116,11 @@
         long t = clock.now();
         JsonObject o = Json.object();
         for (Backend b : all.values())
-            o.add(b.replica.instance(), Json.object().add("service", b.replica.service()).add("weights", b.weights).add("ready", b.replica.ready())
-                .add("usable", b.usable(t)).add("mine", b.mine).add("load", b.load()).add("slots", b.slots).add("toldMsAgo", Math.min(1 << 30, t - b.reportedAt)));
+            o.add(b.replica.instance(),
+                Json.object().add("service", b.replica.service()).add("weights", b.weights)
+                    .add("ready", b.replica.ready())
+                    .add("usable", b.usable(t)).add("mine", b.mine).add("load", b.load()).add("slots", b.slots)
+                    .add("toldMsAgo", Math.min(1 << 30, t - b.reportedAt)));
         return o;
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Backlog.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backlog.java
@@ -6,7 +6,9 @@
  */
 package gladelug.data.relay;
 
+import gladelug.data.order.Decision;
 import gladelug.data.order.Order;
+import gladelug.kernel.Result;
 import gladelug.kernel.policy.Policy;
 import gladelug.kernel.policy.Share;
 import java.util.ArrayDeque;
@@ -14,7 +16,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Backlog {
     private static final class Node {
@@ -105,7 +110,8 @@
         for (Node n = l; n != null; n = n.parent) {
             if (n.waiting == 0 && n.parent != null) {
                 double least = Double.MAX_VALUE;
-                for (Node s : n.parent.children) if (s != n && (s.waiting > 0 || s.used > 0)) least = Math.min(least, s.pass);
+                for (Node s : n.parent.children)
+                    if (s != n && (s.waiting > 0 || s.used > 0)) least = Math.min(least, s.pass);
                 if (least != Double.MAX_VALUE) n.pass = Math.max(n.pass, least);
             }
             n.waiting++;
@@ -190,9 +196,9 @@
 
     /** By leaf: waiting, and using a place. */
     public Map<String, int[]> waitingAndUsed() {
-        Map<String, int[]> m = new java.util.TreeMap<>();
+        Map<String, int[]> m = new TreeMap<>();
         for (Node n : nodes.values())
-            if (n.children.isEmpty() && (n.waiting > 0 || n.used > 0)) m.put(leafName(n), new int[] {n.waiting, n.used});
+            if (n.children.isEmpty() && (n.waiting > 0 || n.used > 0)) m.put(leafName(n), new int[]{n.waiting, n.used});
         return m;
     }
 
@@ -210,21 +216,23 @@
 
     static final class Tests {
         private static Policy policy(String tenants) {
-            var r = Policy.parse("{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],\"mappings\":[{\"name\":\"a\",\"path\":\"/a\",\"service\":\"m\"},"
-                + "{\"name\":\"b\",\"path\":\"/b\",\"service\":\"m\"}],\"tenants\":" + tenants + "}");
-            return ((gladelug.kernel.Result.Good<Policy>) r).value();
+            var r = Policy.parse(
+                "{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],\"mappings\":[{\"name\":\"a\","
+                    + "\"path\":\"/a\",\"service\":\"m\"},"
+                    + "{\"name\":\"b\",\"path\":\"/b\",\"service\":\"m\"}],\"tenants\":" + tenants + "}");
+            return ((Result.Good<Policy>) r).value();
         }
 
         private static int nr;
 
         private static Order order(String leaf) {
-            Order o = new Order(new gladelug.data.order.Decision("x", nr++, 0), 0, "", "", null);
+            Order o = new Order(new Decision("x", nr++, 0), 0, "", "", null);
             o.leaf = leaf;
             return o;
         }
 
         private static Map<String, Integer> deal(Backlog b, int places) {
-            Map<String, Integer> got = new java.util.TreeMap<>();
+            Map<String, Integer> got = new TreeMap<>();
             for (int i = 0; i < places; i++) {
                 Order o = b.next();
                 if (o == null) break;
@@ -234,33 +242,35 @@
             return got;
         }
 
-        @org.junit.jupiter.api.Test void whenFullPlacesGoByWeightAtEachLevel() {
+        @Test void whenFullPlacesGoByWeightAtEachLevel() {
             Backlog b = new Backlog(1000);
-            b.shape(policy("[{\"name\":\"t\",\"keys\":[],\"weight\":3,\"shares\":[{\"name\":\"x\",\"weight\":2,\"mappings\":[\"a\"]},{\"name\":\"y\",\"mappings\":[\"b\"]}]},{\"name\":\"u\",\"keys\":[]}]"));
-            for (int i = 0; i < 200; i++) for (String l : new String[] {"t/x", "t/y", "u"}) b.enter(order(l));
+            b.shape(policy(
+                "[{\"name\":\"t\",\"keys\":[],\"weight\":3,\"shares\":[{\"name\":\"x\",\"weight\":2,"
+                    + "\"mappings\":[\"a\"]},{\"name\":\"y\",\"mappings\":[\"b\"]}]},{\"name\":\"u\",\"keys\":[]}]"));
+            for (int i = 0; i < 200; i++) for (String l : new String[]{"t/x", "t/y", "u"}) b.enter(order(l));
             Map<String, Integer> got = deal(b, 120);
-            org.junit.jupiter.api.Assertions.assertEquals(30, got.get("u"), 1.0, got.toString());
-            org.junit.jupiter.api.Assertions.assertEquals(60, got.get("t/x"), 1.0, got.toString());
-            org.junit.jupiter.api.Assertions.assertEquals(30, got.get("t/y"), 1.0, got.toString());
+            Assertions.assertEquals(30, got.get("u"), 1.0, got.toString());
+            Assertions.assertEquals(60, got.get("t/x"), 1.0, got.toString());
+            Assertions.assertEquals(30, got.get("t/y"), 1.0, got.toString());
         }
 
-        @org.junit.jupiter.api.Test void aLightOneThatComesLateIsNextAndNobodySavesUp() {
+        @Test void aLightOneThatComesLateIsNextAndNobodySavesUp() {
             Backlog b = new Backlog(1000);
             b.shape(policy("[{\"name\":\"t\",\"keys\":[]},{\"name\":\"u\",\"keys\":[]}]"));
             for (int i = 0; i < 300; i++) b.enter(order("t"));
             deal(b, 200);
             for (int i = 0; i < 100; i++) b.enter(order("u"));
             Map<String, Integer> got = deal(b, 100);
-            org.junit.jupiter.api.Assertions.assertEquals(50, got.get("u"), 1.0, "not all 100 at once: " + got);
+            Assertions.assertEquals(50, got.get("u"), 1.0, "not all 100 at once: " + got);
         }
 
-        @org.junit.jupiter.api.Test void theFleetsDivisionBoundsLeavesAndPartsOfAPlaceAreUsedInTime() {
+        @Test void theFleetsDivisionBoundsLeavesAndPartsOfAPlaceAreUsedInTime() {
             Backlog b = new Backlog(1000);
             b.shape(policy("[{\"name\":\"t\",\"keys\":[]},{\"name\":\"u\",\"keys\":[]}]"));
-            for (int i = 0; i < 50; i++) for (String l : new String[] {"t", "u"}) b.enter(order(l));
+            for (int i = 0; i < 50; i++) for (String l : new String[]{"t", "u"}) b.enter(order(l));
             b.bound(Map.of("t", 2000, "u", 250), 0, 100);
             StringBuilder s = new StringBuilder();
-            java.util.List<Order> out = new ArrayList<>();
+            List<Order> out = new ArrayList<>();
             for (int ms = 0; ms < 4000; ms += 100) {
                 for (Order o : out) b.release(o);
                 out.clear();
@@ -270,22 +280,23 @@
                     s.append(o.leaf);
                 }
             }
-            org.junit.jupiter.api.Assertions.assertEquals(50, s.chars().filter(c -> c == 't').count());
-            org.junit.jupiter.api.Assertions.assertEquals(10, s.chars().filter(c -> c == 'u').count(), "a quarter of a place for forty orders' time");
+            Assertions.assertEquals(50, s.chars().filter(c -> c == 't').count());
+            Assertions.assertEquals(10, s.chars().filter(c -> c == 'u').count(),
+                "a quarter of a place for forty orders' time");
             b.unbound();
-            org.junit.jupiter.api.Assertions.assertNotNull(b.next());
+            Assertions.assertNotNull(b.next());
         }
 
-        @org.junit.jupiter.api.Test void lowerTiersWaitLimitsHoldAndTheBoundHolds() {
+        @Test void lowerTiersWaitLimitsHoldAndTheBoundHolds() {
             Backlog b = new Backlog(5);
             b.shape(policy("[{\"name\":\"t\",\"keys\":[],\"tier\":1},{\"name\":\"u\",\"keys\":[],\"limit\":2}]"));
-            for (String l : new String[] {"t", "u", "u", "u", "t"}) org.junit.jupiter.api.Assertions.assertTrue(b.enter(order(l)));
-            org.junit.jupiter.api.Assertions.assertFalse(b.enter(order("u")));
+            for (String l : new String[]{"t", "u", "u", "u", "t"}) Assertions.assertTrue(b.enter(order(l)));
+            Assertions.assertFalse(b.enter(order("u")));
             StringBuilder s = new StringBuilder();
             for (Order o; (o = b.next()) != null;) s.append(o.leaf);
-            org.junit.jupiter.api.Assertions.assertEquals("uutt", s.toString());
-            org.junit.jupiter.api.Assertions.assertEquals(1, b.leave(o -> o.leaf.equals("u")).size());
-            org.junit.jupiter.api.Assertions.assertEquals(0, b.size());
+            Assertions.assertEquals("uutt", s.toString());
+            Assertions.assertEquals(1, b.leave(o -> o.leaf.equals("u")).size());
+            Assertions.assertEquals(0, b.size());
         }
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Budget.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Budget.java
@@ -6,13 +6,16 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Budget {
     private static final double EARN = 0.15, ALLOWANCE = 2, MOST = 10;
     private final Map<String, double[]> tokens = new HashMap<>();
 
     private double[] of(String service) {
-        return tokens.computeIfAbsent(service, s -> new double[] {ALLOWANCE});
+        return tokens.computeIfAbsent(service, s -> new double[]{ALLOWANCE});
     }
 
     public void firstTry(String service) {
@@ -28,8 +31,8 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void neverAboveAFifthAndTheAllowanceWhateverIsAsked() {
-            java.util.Random r = new java.util.Random(3);
+        @Test void neverAboveAFifthAndTheAllowanceWhateverIsAsked() {
+            Random r = new Random(3);
             Budget b = new Budget();
             int first = 0, second = 0;
             for (int i = 0; i < 10_000; i++) {
@@ -38,9 +41,9 @@
                     first++;
                 }
                 for (int j = 0; j < 3; j++) if (b.secondTry("s")) second++;
-                org.junit.jupiter.api.Assertions.assertTrue(second <= first * 0.2 + ALLOWANCE);
+                Assertions.assertTrue(second <= first * 0.2 + ALLOWANCE);
             }
-            org.junit.jupiter.api.Assertions.assertTrue(second > first / 10);
+            Assertions.assertTrue(second > first / 10);
         }
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
@@ -27,6 +27,7 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -36,7 +37,7 @@
     private final Decisions decisions;
     private final Way way;
     private final Map<Integer, BodyHandler> bodies = new HashMap<>();
-    private final Map<Order, RoutingContext> calls = new java.util.IdentityHashMap<>();
+    private final Map<Order, RoutingContext> calls = new IdentityHashMap<>();
 
     public CallerDoor(Relay r, Decisions decisions, Way way) {
         this.r = r;
@@ -92,7 +93,8 @@
         return Doc.parse(s).then(d -> {
             Findings fs = new Findings();
             Doc.Fields f = d.fields(fs);
-            Asked a = new Asked(f.text("prompt"), (int) f.whole("maxPieces", 256, 1, MOST_PIECES), f.has("repeatable") ? f.yes("repeatable", false) : null);
+            Asked a = new Asked(f.text("prompt"), (int) f.whole("maxPieces", 256, 1, MOST_PIECES),
+                f.has("repeatable") ? f.yes("repeatable", false) : null);
             f.done();
             return Result.of(fs, () -> a);
         });
@@ -187,13 +189,17 @@
     @Override public void complete(Order o, int pieces) {
         RoutingContext c = calls.remove(o);
         if (c != null && !c.response().closed())
-            begun(c).end(Json.object().add("end", true).add("outcome", "complete").add("order", o.id()).add("pieces", pieces) + "\n");
+            begun(c).end(
+                Json.object().add("end", true).add("outcome", "complete").add("order", o.id()).add("pieces", pieces)
+                    + "\n");
     }
 
     @Override public void cutOff(Order o, String why) {
         RoutingContext c = calls.remove(o);
         if (c == null || c.response().closed()) return;
-        begun(c).write(Json.object().add("error", "cut-off").add("outcome", "cut-off").add("order", o.id()).add("pieces", o.piecesOut).add("reason", why) + "\n")
+        begun(c)
+            .write(Json.object().add("error", "cut-off").add("outcome", "cut-off").add("order", o.id())
+                .add("pieces", o.piecesOut).add("reason", why) + "\n")
             .onComplete(x -> c.request().connection().close());
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/HandOver.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HandOver.java
@@ -22,6 +22,7 @@
 import gladelug.kernel.policy.Replicas;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -43,8 +44,10 @@
 
     public HandOver(Relay r, Vertx vertx) {
         this.r = r;
-        this.http = vertx.getDelegate().createHttpClient(new HttpClientOptions().setConnectTimeout(500).setKeepAlive(true).setKeepAliveTimeout(20)
-            .setPipelining(false).setMaxPoolSize(256).setMaxWaitQueueSize(64).setDecompressionSupported(false).setMaxRedirects(0));
+        this.http = vertx.getDelegate()
+            .createHttpClient(new HttpClientOptions().setConnectTimeout(500).setKeepAlive(true).setKeepAliveTimeout(20)
+                .setPipelining(false).setMaxPoolSize(256).setMaxWaitQueueSize(64).setDecompressionSupported(false)
+                .setMaxRedirects(0));
     }
 
     @Override public String name() {
@@ -56,7 +59,8 @@
     }
 
     private RequestOptions to(Backend b, HttpMethod m, String uri) {
-        return new RequestOptions().setMethod(m).setHost(b.replica.address().host()).setPort(b.replica.address().port()).setURI(uri).setFollowRedirects(false);
+        return new RequestOptions().setMethod(m).setHost(b.replica.address().host()).setPort(b.replica.address().port())
+            .setURI(uri).setFollowRedirects(false);
     }
 
     private void circuit(Order o, Backend b, int checks, UniEmitter<? super Verdict> e) {
@@ -85,26 +89,28 @@
         HttpConnection c = q.connection();
         q.setMethod(HttpMethod.GET).setURI("/identity");
         q.setTimeout(1000);
-        q.send().compose(p -> p.statusCode() == 200 ? p.body() : io.vertx.core.Future.failedFuture("status " + p.statusCode())).onComplete(a -> {
-            String is = "";
-            if (a.succeeded()) {
-                try {
-                    io.vertx.core.json.JsonObject j = a.result().toJsonObject();
-                    is = j.getString("service") + "/" + j.getString("instance");
-                } catch (RuntimeException x) {
-                    is = "";
+        q.send().compose(p -> p.statusCode() == 200 ? p.body() : Future.failedFuture("status " + p.statusCode()))
+            .onComplete(a -> {
+                String is = "";
+                if (a.succeeded()) {
+                    try {
+                        io.vertx.core.json.JsonObject j = a.result().toJsonObject();
+                        is = j.getString("service") + "/" + j.getString("instance");
+                    } catch (RuntimeException x) {
+                        is = "";
+                    }
                 }
-            }
-            if (is.equals(who(b))) {
-                checked.put(c, is);
-                circuit(o, b, checks - 1, e);
-                return;
-            }
-            c.close();
-            b.bad(r.clock.now(), 2000);
-            Log.warn("circuit-to-another", "wanted", who(b), "found", a.succeeded() ? is : a.cause().toString(), "address", b.replica.address());
-            e.complete(new Verdict.Again("the address of " + b.replica.instance() + " is not that replica's"));
-        });
+                if (is.equals(who(b))) {
+                    checked.put(c, is);
+                    circuit(o, b, checks - 1, e);
+                    return;
+                }
+                c.close();
+                b.bad(r.clock.now(), 2000);
+                Log.warn("circuit-to-another", "wanted", who(b), "found", a.succeeded() ? is : a.cause().toString(),
+                    "address", b.replica.address());
+                e.complete(new Verdict.Again("the address of " + b.replica.instance() + " is not that replica's"));
+            });
     }
 
     /** Everything that may have changed since it was looked at first; empty where all still holds. */
@@ -121,11 +127,13 @@
         Policy.Service s = t.policy().service(o.service.name());
         if (m == null || s == null || m.service() != s.index()) return Verdict.notRun(503, "the mapping changed", 200);
         Replicas.Replica p = t.replicas().find(b.replica.instance());
-        if (p == null || !p.ready() || !p.address().equals(b.replica.address()) || !p.service().equals(s.name()) || !s.allows(p.address()))
+        if (p == null || !p.ready() || !p.address().equals(b.replica.address()) || !p.service().equals(s.name())
+            || !s.allows(p.address()))
             return new Verdict.Again(b.replica.instance() + " is not ready any more");
         if (s.kind() == Policy.Kind.MODEL) {
             String[] w = r.weights(s.name());
-            if (w == null || !o.weights.equals(w[0]) && (w[1].isEmpty() || !o.weights.equals(w[1]))) return new Verdict.Again("other weights are named");
+            if (w == null || !o.weights.equals(w[0]) && (w[1].isEmpty() || !o.weights.equals(w[1])))
+                return new Verdict.Again("other weights are named");
         }
         return null;
     }
@@ -143,7 +151,8 @@
         o.tries++;
         o.handedAt = r.clock.now();
         if (o.tries == 1) r.budget.firstTry(o.service.name());
-        o.decision.add("hand-over", r.clock.now(), Json.object().add("replica", b.replica.instance()).add("try", o.tries));
+        o.decision.add("hand-over", r.clock.now(),
+            Json.object().add("replica", b.replica.instance()).add("try", o.tries));
         o.cancel = q::reset;
         q.putHeader("Content-Type", "application/json");
         q.send(body(o, b)).onComplete(a -> {
@@ -153,13 +162,15 @@
     }
 
     private Buffer body(Order o, Backend b) {
-        JsonObject j = Json.object().add("order", o.id()).add("try", o.tries).add("service", o.service.name()).add("instance", b.replica.instance())
+        JsonObject j = Json.object().add("order", o.id()).add("try", o.tries).add("service", o.service.name())
+            .add("instance", b.replica.instance())
             .add("weights", o.weights).add("wall", o.wall).add("prompt", o.prompt).add("maxPieces", o.maxPieces);
         if (o.fetchBlocks > 0) {
             JsonArray bs = new JsonArray();
             for (int i = o.matched; i < o.matched + o.fetchBlocks; i++) bs.add(String.format("%016x", o.blocks[i]));
             Replicas.Replica h = r.tables().replicas().find(o.fetchFrom);
-            if (h != null) j.add("fetch", Json.object().add("from", o.fetchFrom).add("address", h.address().toString()).add("blocks", bs));
+            if (h != null) j.add("fetch",
+                Json.object().add("from", o.fetchFrom).add("address", h.address().toString()).add("blocks", bs));
         }
         return Buffer.buffer(j.toString());
     }
@@ -193,11 +204,13 @@
                 String why = "";
                 try {
                     io.vertx.core.json.JsonObject j = a.result().toJsonObject();
-                    if (o.id().equals(j.getString("order")) && "not-run".equals(j.getString("outcome"))) why = j.getString("reason", "none given");
+                    if (o.id().equals(j.getString("order")) && "not-run".equals(j.getString("outcome")))
+                        why = j.getString("reason", "none given");
                 } catch (RuntimeException x) {
                     why = "";
                 }
-                if (why.isEmpty()) problem(o, b, b.replica.instance() + " answered 409 without saying not-run of this order", e);
+                if (why.isEmpty())
+                    problem(o, b, b.replica.instance() + " answered 409 without saying not-run of this order", e);
                 else if (o.state.at() != State.At.HANDED) e.complete(Verdict.ENDED);
                 else if (again(o)) {
                     if (why.startsWith("weights")) b.weights = "";
@@ -267,7 +280,8 @@
                 return;
             }
             if (!head) {
-                if (!o.id().equals(j.getString("order", "")) || !b.replica.instance().equals(j.getString("instance", ""))
+                if (!o.id().equals(j.getString("order", ""))
+                    || !b.replica.instance().equals(j.getString("instance", ""))
                     || !o.weights.equals(j.getString("weights", ""))) {
                     broken("the answer is not to this order, from this replica, under these weights");
                     return;
@@ -283,7 +297,8 @@
 
         private void piece(JsonObject j) {
             JsonValue n = j.get("piece"), t = j.get("text");
-            if (n == null || !n.isNumber() || t == null || !t.isString() || !n.toString().equals(Integer.toString(o.piecesOut))) {
+            if (n == null || !n.isNumber() || t == null || !t.isString()
+                || !n.toString().equals(Integer.toString(o.piecesOut))) {
                 broken("piece " + n + " where " + o.piecesOut + " was due");
                 return;
             }
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -16,6 +16,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Context;
 import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -55,7 +56,8 @@
         List<Address> l = new ArrayList<>();
         if (own != null) l.add(own);
         views.all().stream().filter(d -> d.role().equals("index"))
-            .sorted(Comparator.comparing((Shuffle.Descriptor d) -> !d.domain().equals(domain)).thenComparing(Shuffle.Descriptor::name))
+            .sorted(Comparator.comparing((Shuffle.Descriptor d) -> !d.domain().equals(domain))
+                .thenComparing(Shuffle.Descriptor::name))
             .map(d -> Address.of(d.records())).filter(a -> !l.contains(a)).forEach(l::add);
         order = l;
         held.entrySet().removeIf(e -> {
@@ -65,7 +67,8 @@
         });
         for (Address a : l)
             held.computeIfAbsent(a, x -> new Held(vertx, doors, x, Hello.LOOKUP, (h, r) -> {
-                if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer s)) throw new java.io.IOException("a question where an answer was due");
+                if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer s))
+                    throw new IOException("a question where an answer was due");
                 context.runOnContext(() -> {
                     late.remove(x);
                     Consumer<Found> c = asked.remove(s.nr());
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -23,9 +23,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
 
 public final class Relay {
-    /** How long after its licence for policies or replicas ran out a relay lets streams go on; then it can't know that a key still holds. */
+    /**
+     * How long after its licence for policies or replicas ran out a relay lets streams go on; then it can't know that
+     * a key still holds.
+     */
     public static final long GRACE = 2000;
     private static final long STALE = 2000;
     private static final double START = 250;
@@ -41,7 +46,7 @@
     private final Map<Long, Order> live = new LinkedHashMap<>();
     private final Map<String, double[]> served = new HashMap<>();
     private Tables shaped = Tables.NONE;
-    private final java.util.function.IntSupplier relays;
+    private final IntSupplier relays;
     /** Shares kept by this relay alone, to be measured against the fleet's division. */
     private final boolean alone;
     private long ticked;
@@ -49,8 +54,8 @@
     private boolean pumpAgain;
     public boolean stopping;
 
-    public Relay(Clock clock, NewsService news, java.util.function.Function<Relay, Backends> backends, String domain, int backlogMost,
-                 java.util.function.IntSupplier relays, boolean alone) {
+    public Relay(Clock clock, NewsService news, Function<Relay, Backends> backends, String domain, int backlogMost,
+        IntSupplier relays, boolean alone) {
         this.relays = relays;
         this.alone = alone;
         this.ticked = clock.now();
@@ -79,7 +84,7 @@
     public String[] weights(String service) {
         Weights.Named n = tables().weights().of(service);
         if (n == null) return null;
-        return new String[] {n.now(), clock.now() < news.licences.cutoffAt() ? n.before() : ""};
+        return new String[]{n.now(), clock.now() < news.licences.cutoffAt() ? n.before() : ""};
     }
 
     public Backlog backlog(String service) {
@@ -106,13 +111,14 @@
             o.admitted = false;
             backlog(o.service.name()).release(o);
             if (o.backend == null) admitted.merge(o.service.name(), -1, Integer::sum);
-            double[] s = served.computeIfAbsent(o.service.name(), x -> new double[] {START});
+            double[] s = served.computeIfAbsent(o.service.name(), x -> new double[]{START});
             if (o.decision.outcome().equals("complete")) s[0] += (clock.now() - o.handedAt - s[0]) / 20;
         }
         drop(o);
         o.decision.end();
         pump();
-        Log.event("order-ended", "order", o.id(), "tenant", o.tenant == null ? "-" : o.tenant.name(), "mapping", o.mapping == null ? "-" : o.mapping.name(),
+        Log.event("order-ended", "order", o.id(), "tenant", o.tenant == null ? "-" : o.tenant.name(), "mapping",
+            o.mapping == null ? "-" : o.mapping.name(),
             "outcome", o.decision.outcome(), "tries", o.tries, "pieces", o.piecesOut, "ms", clock.now() - o.came);
     }
 
@@ -159,7 +165,10 @@
         news.demand(List.copyOf(ds), List.copyOf(ps));
     }
 
-    /** By service and leaf: waiting and using here, and the part of places the fleet's division leaves this relay, if it bounds. */
+    /**
+     * By service and leaf: waiting and using here, and the part of places the fleet's division leaves this relay, if
+     * it bounds.
+     */
     public JsonObject shares() {
         JsonObject o = Json.object();
         long now = clock.now();
@@ -172,7 +181,8 @@
                 if (fresh && a.full()) x.add("part", a.milli().getOrDefault(leaf, 1000) / 1000.0);
                 l.add(leaf, x);
             });
-            o.add(e.getKey(), Json.object().add("divided", !fresh ? "by nobody" : a.full() ? "full" : "not full").add("leaves", l));
+            o.add(e.getKey(),
+                Json.object().add("divided", !fresh ? "by nobody" : a.full() ? "full" : "not full").add("leaves", l));
         }
         return o;
     }
@@ -188,9 +198,10 @@
 
     public int free(String service) {
         Policy.Service s = tables().policy().service(service);
-        String[] w = s != null && s.kind() == Policy.Kind.APPLICATION ? new String[] {"", ""} : weights(service);
+        String[] w = s != null && s.kind() == Policy.Kind.APPLICATION ? new String[]{"", ""} : weights(service);
         if (w == null) return 0;
-        return Math.min(backends.free(service, w[0], w[1]) - admitted.getOrDefault(service, 0), equalPart(service) - backlog(service).used());
+        return Math.min(backends.free(service, w[0], w[1]) - admitted.getOrDefault(service, 0),
+            equalPart(service) - backlog(service).used());
     }
 
     /** How long an order of this leaf that joins the backlog now would wait for a place. */
@@ -239,7 +250,8 @@
     public void stop(Order o, String why, int status) {
         State.At at = o.state.at();
         if (at == State.At.WAITING && !o.admitted && o.leaveBacklog != null) {
-            for (Order x : backlog(o.service.name()).leave(y -> y == o)) x.leaveBacklog.accept(Verdict.notRun(status, why, status == 401 ? 0 : 1000));
+            for (Order x : backlog(o.service.name()).leave(y -> y == o))
+                x.leaveBacklog.accept(Verdict.notRun(status, why, status == 401 ? 0 : 1000));
         } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, why);
         // an admitted order still waiting meets the same check at the hand-over
     }
@@ -273,7 +285,8 @@
             }
         }
         if (now - news.licences.until(Keys.POLICY) > GRACE)
-            for (Order o : live()) if (o.tenant != null) stop(o, "no licence for so long that keys can't be known", 503);
+            for (Order o : live())
+                if (o.tenant != null) stop(o, "no licence for so long that keys can't be known", 503);
         pump();
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -20,6 +20,7 @@
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.view.ViewService;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.mutiny.core.Context;
 import io.vertx.mutiny.core.Vertx;
@@ -47,9 +48,10 @@
     private Context context;
     private volatile Relay relay;
     private Decisions decisions;
-    private io.vertx.core.http.HttpServer server;
+    private HttpServer server;
 
-    public RelayService(Vertx vertx, Clock clock, String name, String domain, Address callers, Address index, int backlog, Stages.Mode mode, boolean alone) {
+    public RelayService(Vertx vertx, Clock clock, String name, String domain, Address callers, Address index,
+        int backlog, Stages.Mode mode, boolean alone) {
         this.vertx = vertx;
         this.clock = clock;
         this.name = name;
@@ -72,14 +74,16 @@
             Relay r = new Relay(clock, news, x -> new Backends(vertx, clock, x::pump), domain, backlog,
                 () -> 1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count(), alone);
             List<Stage> stages = List.of(new Stages.Key(r), new Stages.Mapping(r), new Stages.Admission(r),
-                new Stages.Prefix(r, new LookupClient(vertx, context, doors, views, domain, index)), new Stages.Choice(r, mode), new Stages.Fetch(r),
+                new Stages.Prefix(r, new LookupClient(vertx, context, doors, views, domain, index)),
+                new Stages.Choice(r, mode), new Stages.Fetch(r),
                 new HandOver(r, vertx));
             CallerDoor door = new CallerDoor(r, decisions, new Way(stages, "choice", clock, r::ended));
             io.vertx.ext.web.Router t = io.vertx.ext.web.Router.router(vertx.getDelegate());
             door.routes(t);
             vertx.setPeriodic(50, i -> r.tick());
             relay = r;
-            server = vertx.getDelegate().createHttpServer(new HttpServerOptions().setMaxHeaderSize(16384).setIdleTimeout(120).setTcpNoDelay(true));
+            server = vertx.getDelegate().createHttpServer(
+                new HttpServerOptions().setMaxHeaderSize(16384).setIdleTimeout(120).setTcpNoDelay(true));
             server.requestHandler(t).listen(callers.port(), callers.host()).onComplete(a -> {
                 if (a.succeeded()) up.complete(null);
                 else up.completeExceptionally(a.cause());
@@ -105,8 +109,10 @@
             long now = clock.now();
             JsonObject ls = Json.object();
             for (String key : Keys.LICENSED) ls.add(key, Math.max(-1, r.news.licences.until(key) - now));
-            e.complete(Json.object().add("name", name).add("domain", domain).add("unready", r.unready()).add("policy", t.policyNumber()).add("weights", t.weightsNumber())
-                .add("replicas", t.replicasNumber()).add("generation", t.generation()).add("licenceLeftMs", ls).add("ordersUnderWay", r.live().size()).add("shares", r.shares())
+            e.complete(Json.object().add("name", name).add("domain", domain).add("unready", r.unready())
+                .add("policy", t.policyNumber()).add("weights", t.weightsNumber())
+                .add("replicas", t.replicasNumber()).add("generation", t.generation()).add("licenceLeftMs", ls)
+                .add("ordersUnderWay", r.live().size()).add("shares", r.shares())
                 .add("backends", r.backends.json()));
         }));
     }
@@ -118,11 +124,14 @@
     private void explain(RoutingContext c) {
         Decisions.Found f = decisions.find(c.pathParam("id"));
         if (f instanceof Decisions.Found.Yes y) StatusDoor.say(c, 200, y.decision().json());
-        else if (f instanceof Decisions.Found.Malformed) StatusDoor.say(c, 400, Json.object().add("reason", "an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order"));
+        else if (f instanceof Decisions.Found.Malformed) StatusDoor.say(c, 400,
+            Json.object().add("reason", "an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order"));
         else if (f instanceof Decisions.Found.Overwritten)
-            StatusDoor.say(c, 410, Json.object().add("reason", "this relay took the order but has overwritten its record; it remembers the last " + REMEMBERED));
+            StatusDoor.say(c, 410, Json.object().add("reason",
+                "this relay took the order but has overwritten its record; it remembers the last " + REMEMBERED));
         else if (f instanceof Decisions.Found.OtherRun)
-            StatusDoor.say(c, 410, Json.object().add("reason", "the order was taken by an earlier run of this relay, whose records are gone"));
+            StatusDoor.say(c, 410, Json.object().add("reason",
+                "the order was taken by an earlier run of this relay, whose records are gone"));
         else StatusDoor.say(c, 404, Json.object().add("reason", "this relay never took such an order"));
     }
 
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -41,7 +41,8 @@
             o.tenant = t.policy().tenantOfHash(o.keyHash);
             if (o.tenant == null) return Verdict.notRun(401, "the key is not known", 0);
             o.wall = o.tenant.isolated() ? o.tenant.name() : "";
-            o.decision.add("key", r.clock.now(), Json.object().add("tenant", o.tenant.name()).add("isolated", o.tenant.isolated()).add("policy", t.policyNumber()));
+            o.decision.add("key", r.clock.now(), Json.object().add("tenant", o.tenant.name())
+                .add("isolated", o.tenant.isolated()).add("policy", t.policyNumber()));
             return Verdict.GO;
         }
     }
@@ -60,8 +61,9 @@
             o.leaf = Policy.leaf(o.tenant, o.mapping);
             o.repeatable = o.askedRepeatable == null ? o.mapping.repeatable() : o.askedRepeatable;
             o.expiry = o.came + o.mapping.expiryMs();
-            o.decision.add("mapping", r.clock.now(), Json.object().add("mapping", o.mapping.name()).add("service", o.service.name())
-                .add("share", o.leaf).add("expiryMs", o.mapping.expiryMs()).add("repeatable", o.repeatable));
+            o.decision.add("mapping", r.clock.now(),
+                Json.object().add("mapping", o.mapping.name()).add("service", o.service.name())
+                    .add("share", o.leaf).add("expiryMs", o.mapping.expiryMs()).add("repeatable", o.repeatable));
             return Verdict.GO;
         }
     }
@@ -76,13 +78,15 @@
             if (o.service.kind() == Policy.Kind.MODEL && r.weights(o.service.name()) == null)
                 return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
             if (r.backends.of(o.service.name()).isEmpty())
-                return Uni.createFrom().item(Verdict.notRun(503, "no replica of " + o.service.name() + " is listed as ready", 1000));
+                return Uni.createFrom()
+                    .item(Verdict.notRun(503, "no replica of " + o.service.name() + " is listed as ready", 1000));
             Backlog b = r.backlog(o.service.name());
             double wait = r.waitMs(o.service.name(), o.leaf);
             long now = r.clock.now();
             // an order that would begin too late to end in time only takes a place from others
             if (wait > 0 && now + wait + r.orderMs(o.service.name()) > o.expiry)
-                return Uni.createFrom().item(Verdict.notRun(503, "the backlog is longer than the order may wait", (long) Math.min(10_000, wait)));
+                return Uni.createFrom().item(Verdict.notRun(503, "the backlog is longer than the order may wait",
+                    (long) Math.min(10_000, wait)));
             return Uni.createFrom().emitter(e -> {
                 o.leaveBacklog = v -> {
                     o.leaveBacklog = null;
@@ -92,7 +96,8 @@
                 };
                 if (!b.enter(o)) {
                     o.leaveBacklog = null;
-                    e.complete(Verdict.notRun(503, "the backlog is full", (long) Math.max(500, Math.min(10_000, wait))));
+                    e.complete(
+                        Verdict.notRun(503, "the backlog is full", (long) Math.max(500, Math.min(10_000, wait))));
                 } else r.pump();
             });
         }
@@ -107,7 +112,8 @@
         @Override public Uni<Verdict> pass(Order o) {
             if (o.service.kind() != Policy.Kind.MODEL) return Uni.createFrom().item(Verdict.GO);
             String[] w = r.weights(o.service.name());
-            if (w == null) return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
+            if (w == null)
+                return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
             long t = r.clock.now();
             int blockBytes = 256;
             boolean newest = false, older = false;
@@ -118,19 +124,24 @@
                 older |= !w[1].isEmpty() && b.weights.equals(w[1]);
             }
             o.weights = newest || !older ? w[0] : w[1];
-            o.blocks = Blocks.ids(o.service.name(), o.weights, o.wall, o.prompt.getBytes(StandardCharsets.UTF_8), blockBytes);
+            o.blocks = Blocks.ids(o.service.name(), o.weights, o.wall, o.prompt.getBytes(StandardCharsets.UTF_8),
+                blockBytes);
             return lookups.ask(o.blocks).map(f -> {
                 o.matches = f.matches();
                 JsonArray a = new JsonArray();
-                for (Lookup.Match m : f.matches()) a.add(Json.object().add("holder", m.holder()).add("blocks", m.blocks()));
-                o.decision.add("lookup", r.clock.now(), Json.object().add("weights", o.weights).add("blocks", o.blocks.length).add("index", f.how()).add("matches", a));
+                for (Lookup.Match m : f.matches())
+                    a.add(Json.object().add("holder", m.holder()).add("blocks", m.blocks()));
+                o.decision.add("lookup", r.clock.now(), Json.object().add("weights", o.weights)
+                    .add("blocks", o.blocks.length).add("index", f.how()).add("matches", a));
                 return Verdict.GO;
             });
         }
     }
 
     /** How replicas are compared. All but SUMMARY are there to be measured against it. */
-    public enum Mode { SUMMARY, LEAST_OCCUPANCY, HOLDER_ALWAYS }
+    public enum Mode {
+        SUMMARY, LEAST_OCCUPANCY, HOLDER_ALWAYS
+    }
 
     /** Which replica: the least estimated milliseconds of backlog, prefill or fetch, and distance. */
     public record Choice(Relay r, Mode mode) implements Stage.AtOnce {
@@ -138,13 +149,14 @@
             return "choice";
         }
 
-        private record Option(Backend b, int matched, String from, int fetch, double backlog, double prefill, double ms) {}
+        private record Option(Backend b, int matched, String from, int fetch, double backlog, double prefill,
+            double ms) {}
 
         @Override public Verdict decide(Order o) {
             long t = r.clock.now();
             if (t >= o.expiry) return Verdict.notRun(503, "expired before a replica was chosen", 1000);
             boolean model = o.service.kind() == Policy.Kind.MODEL;
-            String[] w = model ? r.weights(o.service.name()) : new String[] {"", ""};
+            String[] w = model ? r.weights(o.service.name()) : new String[]{"", ""};
             if (w == null) return Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000);
             List<Option> os = new ArrayList<>();
             boolean newest = false;
@@ -157,15 +169,21 @@
             if (newest) os.removeIf(x -> !x.b.weights.equals(w[0]));
             if (os.isEmpty()) {
                 List<Backend> all = r.backends.of(o.service.name());
-                return Verdict.notRun(503, all.stream().anyMatch(b -> b.usable(t)) ? "no replica with the right weights has a place"
-                    : all.stream().anyMatch(b -> b.known && t < b.badUntil) ? "every replica has just failed or turned an order away" : "no replica answers", 500);
+                return Verdict.notRun(503,
+                    all.stream().anyMatch(b -> b.usable(t))
+                        ? "no replica with the right weights has a place"
+                        : all.stream().anyMatch(b -> b.known && t < b.badUntil)
+                            ? "every replica has just failed or turned an order away"
+                            : "no replica answers",
+                    500);
             }
             Comparator<Option> first = switch (mode) {
                 case SUMMARY -> Comparator.comparingDouble(Option::ms);
                 case LEAST_OCCUPANCY -> Comparator.comparingInt(x -> x.b.load());
                 case HOLDER_ALWAYS -> Comparator.comparingInt(x -> -x.matched);
             };
-            os.sort(first.thenComparing(x -> x.b.load()).thenComparing(x -> (x.b.replica.instance().hashCode() ^ (int) o.decision.nr) * 0x9E3779B1));
+            os.sort(first.thenComparing(x -> x.b.load())
+                .thenComparing(x -> (x.b.replica.instance().hashCode() ^ (int) o.decision.nr) * 0x9E3779B1));
             Option c = os.get(0);
             if (model) {
                 boolean same = c.b.weights.equals(o.weights);
@@ -178,9 +196,12 @@
             r.choose(o, c.b, c.prefill);
             JsonArray a = new JsonArray();
             for (Option x : os.subList(0, Math.min(4, os.size())))
-                a.add(Json.object().add("replica", x.b.replica.instance()).add("matched", x.matched).add("fetchFrom", x.from).add("fetchBlocks", x.fetch)
-                    .add("load", x.b.load() - (x == c ? 1 : 0)).add("backlogMs", round(x.backlog)).add("workMs", round(x.prefill)).add("totalMs", round(x.ms)));
-            o.decision.add("choice", t, Json.object().add("replica", c.b.replica.instance()).add("weights", o.weights).add("options", a).add("of", os.size()));
+                a.add(Json.object().add("replica", x.b.replica.instance()).add("matched", x.matched)
+                    .add("fetchFrom", x.from).add("fetchBlocks", x.fetch)
+                    .add("load", x.b.load() - (x == c ? 1 : 0)).add("backlogMs", round(x.backlog))
+                    .add("workMs", round(x.prefill)).add("totalMs", round(x.ms)));
+            o.decision.add("choice", t, Json.object().add("replica", c.b.replica.instance()).add("weights", o.weights)
+                .add("options", a).add("of", os.size()));
             return Verdict.GO;
         }
 
@@ -191,7 +212,8 @@
         private Option option(Order o, Backend b, long t) {
             int n = o.blocks.length, have = 0;
             boolean same = b.weights.equals(o.weights) && mode != Mode.LEAST_OCCUPANCY;
-            if (same) for (Lookup.Match m : o.matches) if (m.holder().equals(b.replica.instance())) have = Math.max(have, Math.min(n, m.blocks()));
+            if (same) for (Lookup.Match m : o.matches)
+                if (m.holder().equals(b.replica.instance())) have = Math.max(have, Math.min(n, m.blocks()));
             double work = (n - have) * b.msPerBlock;
             String from = "";
             int fetch = 0;
@@ -208,7 +230,8 @@
                     }
                 }
             double backlog = b.backlogMs(t) + Math.max(0, b.load() - b.slots + 1) * 20.0;
-            return new Option(b, have, from, fetch, backlog, work, backlog + work + (b.replica.domain().equals(r.domain) ? 0 : OTHER_DOMAIN_MS));
+            return new Option(b, have, from, fetch, backlog, work,
+                backlog + work + (b.replica.domain().equals(r.domain) ? 0 : OTHER_DOMAIN_MS));
         }
     }
 
@@ -220,8 +243,9 @@
 
         @Override public Verdict decide(Order o) {
             if (o.service.kind() == Policy.Kind.MODEL)
-                o.decision.add("fetch", r.clock.now(), Json.object().add("kept", o.matched).add("from", o.fetchFrom).add("pull", o.fetchBlocks)
-                    .add("compute", o.blocks.length - o.matched - o.fetchBlocks));
+                o.decision.add("fetch", r.clock.now(),
+                    Json.object().add("kept", o.matched).add("from", o.fetchFrom).add("pull", o.fetchBlocks)
+                        .add("compute", o.blocks.length - o.matched - o.fetchBlocks));
             return Verdict.GO;
         }
     }
--- a/kernel/src/main/java/gladelug/kernel/Doc.java
+++ b/kernel/src/main/java/gladelug/kernel/Doc.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Doc {
     public enum Kind { OBJECT, ARRAY, STRING, NUMBER, BOOLEAN, NULL }
@@ -236,7 +238,7 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void everyFindingHasItsPlace() {
+        @Test void everyFindingHasItsPlace() {
             Findings fs = new Findings();
             Doc d = ((Result.Good<Doc>) parse("{\"a\": 1,\n \"b\": [\"x\", 3],\n \"zz\": true}")).value();
             Fields f = d.fields(fs);
@@ -244,7 +246,7 @@
             f.texts("b", true);
             f.whole("c", 1, 5);
             f.done();
-            org.junit.jupiter.api.Assertions.assertEquals("""
+            Assertions.assertEquals("""
                 line 1, column 7 (a): must be a text
                 line 2, column 13 (b[1]): must be a text that is not empty
                 line 1, column 1 (top): misses the field c
@@ -252,9 +254,9 @@
                 """, fs.toString());
         }
 
-        @org.junit.jupiter.api.Test void brokenTextAndDoubledFieldsAreFindings() {
-            org.junit.jupiter.api.Assertions.assertTrue(parse("{\"a\": }").toString().startsWith("line 1, column 7: not JSON"));
-            org.junit.jupiter.api.Assertions.assertTrue(parse("{\"a\": 1, \"a\": 2}").toString().contains("given twice"));
+        @Test void brokenTextAndDoubledFieldsAreFindings() {
+            Assertions.assertTrue(parse("{\"a\": }").toString().startsWith("line 1, column 7: not JSON"));
+            Assertions.assertTrue(parse("{\"a\": 1, \"a\": 2}").toString().contains("given twice"));
         }
     }
 }
--- a/kernel/src/main/java/gladelug/kernel/Duty.java
+++ b/kernel/src/main/java/gladelug/kernel/Duty.java
@@ -69,7 +69,8 @@
         try {
             r.run();
         } catch (RuntimeException e) {
-            Log.thrown("duty-problem", e, "duty", name, "at", e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "-");
+            Log.thrown("duty-problem", e, "duty", name, "at",
+                e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "-");
         }
     }
 
--- a/kernel/src/main/java/gladelug/kernel/Kernel.java
+++ b/kernel/src/main/java/gladelug/kernel/Kernel.java
@@ -10,6 +10,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Kernel {
     public interface Service {
@@ -72,7 +74,7 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void stopsWhatStartedInReverseWhenOneCannotStart() {
+        @Test void stopsWhatStartedInReverseWhenOneCannotStart() {
             List<String> seen = new ArrayList<>();
             class S implements Service {
                 final String n;
@@ -91,8 +93,8 @@
                 }
             }
             Kernel k = new Kernel().add("a", new S("a")).add("b", new S("b")).add("c", new S("c"));
-            org.junit.jupiter.api.Assertions.assertThrows(CannotStart.class, k::start);
-            org.junit.jupiter.api.Assertions.assertEquals(List.of("+a", "+b", "-b", "-a"), seen);
+            Assertions.assertThrows(CannotStart.class, k::start);
+            Assertions.assertEquals(List.of("+a", "+b", "-b", "-a"), seen);
         }
     }
 }
--- a/kernel/src/main/java/gladelug/kernel/Log.java
+++ b/kernel/src/main/java/gladelug/kernel/Log.java
@@ -8,11 +8,14 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.PrintStream;
 import java.time.Instant;
+import java.util.Locale;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Log {
     private static final FluentLogger FLOGGER = FluentLogger.forEnclosingClass();
@@ -31,7 +34,7 @@
                 String m = r.getMessage();
                 boolean ours = m != null && m.startsWith("event=");
                 StringBuilder sb = new StringBuilder(160).append("time=").append(Instant.ofEpochMilli(r.getMillis()))
-                    .append(" level=").append(r.getLevel().getName().toLowerCase(java.util.Locale.ROOT))
+                    .append(" level=").append(r.getLevel().getName().toLowerCase(Locale.ROOT))
                     .append(" node=").append(node).append(' ');
                 if (ours) sb.append(m);
                 else sb.append("event=library logger=").append(r.getLoggerName()).append(" message=").append(quote(m));
@@ -92,8 +95,8 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void oneLineWhateverIsInAValue() {
-            org.junit.jupiter.api.Assertions.assertEquals(
+        @Test void oneLineWhateverIsInAValue() {
+            Assertions.assertEquals(
                 "event=x a=1 b=\"two words\\u000aand \\\"more\\\"\" c=\"\"",
                 line("x", "a", 1, "b", "two words\nand \"more\"", "c", ""));
         }
--- a/kernel/src/main/java/gladelug/kernel/Result.java
+++ b/kernel/src/main/java/gladelug/kernel/Result.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 public sealed interface Result<T> {
     record Good<T>(T value) implements Result<T> {}
@@ -26,7 +27,7 @@
         return new Bad<>(List.of(new Finding(place, what)));
     }
 
-    static <T> Result<T> of(Findings fs, java.util.function.Supplier<T> v) {
+    static <T> Result<T> of(Findings fs, Supplier<T> v) {
         return fs.clean() ? new Good<>(v.get()) : new Bad<>(fs.list());
     }
 
--- a/kernel/src/main/java/gladelug/kernel/Settings.java
+++ b/kernel/src/main/java/gladelug/kernel/Settings.java
@@ -10,7 +10,9 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.Supplier;
 
 public final class Settings {
     private static final Doc NOTHING = ((Result.Good<Doc>) Doc.parse("{}")).value();
@@ -39,7 +41,7 @@
 
     /** A setting's name as a flag. */
     public static String flag(String name) {
-        return "--" + name.replaceAll("([A-Z])", "-$1").toLowerCase(java.util.Locale.ROOT);
+        return "--" + name.replaceAll("([A-Z])", "-$1").toLowerCase(Locale.ROOT);
     }
 
     public boolean has(String name) {
@@ -107,7 +109,7 @@
     }
 
     /** The last call: fields nobody asked for are findings too. */
-    public <T> Result<T> done(java.util.function.Supplier<T> made) {
+    public <T> Result<T> done(Supplier<T> made) {
         file.done();
         return Result.of(findings, made);
     }
--- a/kernel/src/main/java/gladelug/kernel/circuit/Circuit.java
+++ b/kernel/src/main/java/gladelug/kernel/circuit/Circuit.java
@@ -7,6 +7,7 @@
 
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Wire;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.mutiny.core.net.NetSocket;
 import java.io.IOException;
 
@@ -22,7 +23,7 @@
     private final NetSocket socket;
     public final String fellow;
     private Receiver receiver;
-    private io.vertx.core.buffer.Buffer held = io.vertx.core.buffer.Buffer.buffer();
+    private Buffer held = Buffer.buffer();
     private volatile boolean closed;
 
     Circuit(NetSocket s, String fellow) {
@@ -44,7 +45,7 @@
 
     public boolean send(byte[] r) {
         if (closed || socket.getDelegate().writeQueueFull()) return false;
-        socket.getDelegate().write(io.vertx.core.buffer.Buffer.buffer(r.length + 4).appendInt(r.length).appendBytes(r));
+        socket.getDelegate().write(Buffer.buffer(r.length + 4).appendInt(r.length).appendBytes(r));
         return true;
     }
 
@@ -56,7 +57,7 @@
         socket.getDelegate().close();
     }
 
-    private void bytes(io.vertx.core.buffer.Buffer b) {
+    private void bytes(Buffer b) {
         held = held.length() == 0 ? b : held.appendBuffer(b);
         int at = 0;
         try {
@@ -68,10 +69,10 @@
                 at += 4 + n;
                 receiver.record(r);
             }
-            if (at > 0) held = held.length() == at ? io.vertx.core.buffer.Buffer.buffer() : held.getBuffer(at, held.length());
+            if (at > 0) held = held.length() == at ? Buffer.buffer() : held.getBuffer(at, held.length());
         } catch (IOException e) {
             Log.warn("malformed-record", "fellow", fellow, "what", e.getMessage());
-            held = io.vertx.core.buffer.Buffer.buffer();
+            held = Buffer.buffer();
             close();
         }
     }
--- a/kernel/src/main/java/gladelug/kernel/circuit/Doors.java
+++ b/kernel/src/main/java/gladelug/kernel/circuit/Doors.java
@@ -16,6 +16,7 @@
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.net.NetClient;
 import io.vertx.mutiny.core.net.NetServer;
+import io.vertx.mutiny.core.net.NetSocket;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
@@ -46,7 +47,7 @@
     @Override public void start(Kernel k) {
         client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(1000).setTcpNoDelay(true));
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true));
-        server.getDelegate().connectHandler(s -> accept(new Circuit(new io.vertx.mutiny.core.net.NetSocket(s), s.remoteAddress().toString())));
+        server.getDelegate().connectHandler(s -> accept(new Circuit(new NetSocket(s), s.remoteAddress().toString())));
         try {
             server.listen(address.port(), address.host()).await().atMost(Duration.ofSeconds(10));
         } catch (RuntimeException e) {
--- a/kernel/src/main/java/gladelug/kernel/disk/Folder.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Folder.java
@@ -9,9 +9,11 @@
 import gladelug.kernel.Kernel;
 import java.io.IOException;
 import java.io.RandomAccessFile;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -35,7 +37,7 @@
             FileLock l = null;
             try {
                 l = lockFile.tryLock();
-            } catch (java.nio.channels.OverlappingFileLockException e) {
+            } catch (OverlappingFileLockException e) {
                 // held by this very process: the same answer
             }
             lock = l;
@@ -63,7 +65,8 @@
     public void identity(JsonObject o) {
         try {
             Path t = dir.resolve("identity.json.new");
-            try (FileChannel c = FileChannel.open(t, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+            try (FileChannel c = FileChannel.open(t, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
                 c.write(ByteBuffer.wrap(o.toString().getBytes(StandardCharsets.UTF_8)));
                 c.force(true);
             }
@@ -88,9 +91,11 @@
                 Path p = dir.resolve("ring-" + i);
                 boolean fresh = !Files.exists(p) || Files.size(p) < size && identity() == null;
                 if (!fresh && Files.size(p) != size)
-                    throw new Kernel.CannotStart("ring file " + p + " has " + Files.size(p) + " bytes and should have " + size);
+                    throw new Kernel.CannotStart(
+                        "ring file " + p + " has " + Files.size(p) + " bytes and should have " + size);
                 try (RandomAccessFile f = new RandomAccessFile(p.toFile(), "rw")) {
-                    for (long at = 0; fresh && at < size; at += zero.length) f.write(zero, 0, (int) Math.min(zero.length, size - at));
+                    for (long at = 0; fresh && at < size; at += zero.length)
+                        f.write(zero, 0, (int) Math.min(zero.length, size - at));
                     if (fresh) f.getFD().sync();
                 }
                 files[i] = FileChannel.open(p, StandardOpenOption.READ, StandardOpenOption.WRITE);
@@ -133,7 +138,7 @@
             lock.release();
             lockFile.close();
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         }
     }
 }
--- a/kernel/src/main/java/gladelug/kernel/disk/Ring.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Ring.java
@@ -19,6 +19,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32C;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Ring {
     public record Entry(String key, byte[] state) {}
@@ -62,7 +64,8 @@
             }
         }
         if (newest < 0) {
-            for (int i = 0; i < m.files(); i++) if (behind(all[i], 0, 0)) throw new Damaged("no snapshot in any file but frames behind one");
+            for (int i = 0; i < m.files(); i++)
+                if (behind(all[i], 0, 0)) throw new Damaged("no snapshot in any file but frames behind one");
             r.file = m.files() - 1;
             r.at = m.size();
             return r;
@@ -75,9 +78,11 @@
             r.seq = f.seq;
             r.at = f.end;
         }
-        if (behind(b, r.at, r.seq)) throw new Damaged("bad frame " + (r.seq + 1) + " with later ones behind it in file " + newest);
+        if (behind(b, r.at, r.seq))
+            throw new Damaged("bad frame " + (r.seq + 1) + " with later ones behind it in file " + newest);
         int next = (newest + 1) % m.files();
-        if (behind(all[next], 0, r.seq)) throw new Damaged("bad snapshot in file " + next + " with later frames behind it");
+        if (behind(all[next], 0, r.seq))
+            throw new Damaged("bad snapshot in file " + next + " with later frames behind it");
         return r;
     }
 
@@ -140,7 +145,8 @@
             List<Entry> all = new ArrayList<>();
             live.forEach((k, v) -> all.add(new Entry(k, v)));
             b = frameBytes(SNAPSHOT, all);
-            if (b.length > medium.size()) throw new IOException("the live state of " + b.length + " bytes is larger than a ring file");
+            if (b.length > medium.size())
+                throw new IOException("the live state of " + b.length + " bytes is larger than a ring file");
             file = (file + 1) % medium.files();
             at = 0;
         }
@@ -181,19 +187,19 @@
             return new String(r.live().get(k));
         }
 
-        @org.junit.jupiter.api.Test void comesRoundManyTimesAndKeepsWhatIsAlive() throws IOException {
+        @Test void comesRoundManyTimesAndKeepsWhatIsAlive() throws IOException {
             Paper p = new Paper();
             Ring r = Ring.open(p);
             r.write(List.of(e("old", 7)));
             for (int i = 0; i < 200; i++) {
                 r.write(List.of(e("k" + i % 3, i)));
                 Ring s = Ring.open(p);
-                org.junit.jupiter.api.Assertions.assertEquals("v" + i, get(s, "k" + i % 3));
-                org.junit.jupiter.api.Assertions.assertEquals("v7", get(s, "old"));
+                Assertions.assertEquals("v" + i, get(s, "k" + i % 3));
+                Assertions.assertEquals("v7", get(s, "old"));
             }
         }
 
-        @org.junit.jupiter.api.Test void everyTornTailIsCutAndEveryEarlierFrameKept() throws IOException {
+        @Test void everyTornTailIsCutAndEveryEarlierFrameKept() throws IOException {
             for (int n = 1; n < 40; n++) {
                 Paper p = new Paper();
                 Ring r = Ring.open(p);
@@ -204,17 +210,17 @@
                 for (int i = 0; i < 4; i++)
                     for (int j = 0; j < 4096; j += 512)
                         if (!Arrays.equals(before[i], j, j + 512, p.f[i], j, j + 512)) p.f[i][j + 25] ^= 0x55;
-                org.junit.jupiter.api.Assertions.assertEquals("v" + (n - 1), get(Ring.open(p), "a"), "after " + n);
+                Assertions.assertEquals("v" + (n - 1), get(Ring.open(p), "a"), "after " + n);
             }
         }
 
-        @org.junit.jupiter.api.Test void damageBeforeTheTailIsNeverTakenForATornTail() throws IOException {
+        @Test void damageBeforeTheTailIsNeverTakenForATornTail() throws IOException {
             for (int bad = 0; bad < 5; bad++) {
                 Paper p = new Paper();
                 Ring r = Ring.open(p);
                 for (int i = 0; i < 6; i++) r.write(List.of(e("a", i)));
                 p.f[0][bad * 512 + 30] ^= 1;
-                org.junit.jupiter.api.Assertions.assertThrows(Damaged.class, () -> Ring.open(p), "frame " + bad);
+                Assertions.assertThrows(Damaged.class, () -> Ring.open(p), "frame " + bad);
             }
         }
     }
--- a/kernel/src/main/java/gladelug/kernel/message/Delta.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Delta.java
@@ -7,6 +7,9 @@
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.Random;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Delta {
     private Delta() {}
@@ -34,8 +37,8 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void whatIsAppliedIsWhatWasMeant() {
-            java.util.Random r = new java.util.Random(1);
+        @Test void whatIsAppliedIsWhatWasMeant() {
+            Random r = new Random(1);
             int small = 0;
             for (int i = 0; i < 2000; i++) {
                 byte[] a = new byte[500 + r.nextInt(500)];
@@ -48,11 +51,11 @@
                 byte[] d = between(a, b);
                 if (d == null) continue;
                 small++;
-                org.junit.jupiter.api.Assertions.assertArrayEquals(b, apply(a, d));
+                Assertions.assertArrayEquals(b, apply(a, d));
             }
-            org.junit.jupiter.api.Assertions.assertTrue(small > 1500);
-            org.junit.jupiter.api.Assertions.assertNull(apply(new byte[3], new byte[] {0, 0, 0, 9, 0, 0, 0, 0}));
-            org.junit.jupiter.api.Assertions.assertNull(apply(new byte[3], new byte[2]));
+            Assertions.assertTrue(small > 1500);
+            Assertions.assertNull(apply(new byte[3], new byte[]{0, 0, 0, 9, 0, 0, 0, 0}));
+            Assertions.assertNull(apply(new byte[3], new byte[2]));
         }
     }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Lookup.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Lookup.java
@@ -51,7 +51,8 @@
                 return new Question(nr, b);
             }
             case 2 -> {
-                return new Answer(in.readLong(), in.readBoolean(), Wire.list(in, i -> new Match(i.readUTF(), i.readInt())));
+                return new Answer(in.readLong(), in.readBoolean(),
+                    Wire.list(in, i -> new Match(i.readUTF(), i.readInt())));
             }
             default -> throw Wire.unknown(type);
         }
--- a/kernel/src/main/java/gladelug/kernel/message/News.java
+++ b/kernel/src/main/java/gladelug/kernel/message/News.java
@@ -8,7 +8,10 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public sealed interface News extends Wire {
     record Held(String key, long epoch, long number) {}
@@ -26,8 +29,9 @@
     record Part(String leaf, int milli) {}
 
     /** ask is the asker's own monotonic time; it comes back so that a licence counts from the asking. */
-    record Ask(long ask, String name, long run, String role, String records, String operator, String domain, List<Held> held,
-               List<Demand> demands, List<Places> places) implements News {
+    record Ask(long ask, String name, long run, String role, String records, String operator, String domain,
+        List<Held> held,
+        List<Demand> demands, List<Places> places) implements News {
         @Override public int type() {
             return 1;
         }
@@ -102,7 +106,10 @@
         }
     }
 
-    /** The fleet-wide division of one service's places for one relay, under the epoch of who divides. Not full: no bounds. */
+    /**
+     * The fleet-wide division of one service's places for one relay, under the epoch of who divides. Not full: no
+     * bounds.
+     */
     record Allot(long epoch, String service, boolean full, List<Part> parts) implements News {
         @Override public int type() {
             return 5;
@@ -121,30 +128,33 @@
 
     static News read(int type, DataInputStream in) throws IOException {
         return switch (type) {
-            case 1 -> new Ask(in.readLong(), in.readUTF(), in.readLong(), in.readUTF(), in.readUTF(), in.readUTF(), in.readUTF(),
+            case 1 -> new Ask(in.readLong(), in.readUTF(), in.readLong(), in.readUTF(), in.readUTF(), in.readUTF(),
+                in.readUTF(),
                 Wire.list(in, i -> new Held(i.readUTF(), i.readLong(), i.readLong())),
-                Wire.list(in, i -> new Demand(i.readUTF(), i.readUTF(), i.readInt(), i.readInt())), Wire.list(in, i -> new Places(i.readUTF(), i.readInt())));
+                Wire.list(in, i -> new Demand(i.readUTF(), i.readUTF(), i.readInt(), i.readInt())),
+                Wire.list(in, i -> new Places(i.readUTF(), i.readInt())));
             case 2 -> new Grants(in.readLong(), Wire.list(in,
                 i -> new Grant(i.readUTF(), i.readLong(), i.readLong(), i.readInt(), i.readInt())));
             case 3 -> new Push(in.readUTF(), in.readLong(), in.readLong(), in.readLong(), in.readUTF(), Wire.blob(in));
             case 4 -> new Whole(in.readUTF());
-            case 5 -> new Allot(in.readLong(), in.readUTF(), in.readBoolean(), Wire.list(in, i -> new Part(i.readUTF(), i.readInt())));
+            case 5 -> new Allot(in.readLong(), in.readUTF(), in.readBoolean(),
+                Wire.list(in, i -> new Part(i.readUTF(), i.readInt())));
             default -> throw Wire.unknown(type);
         };
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void whatIsWrittenIsReadAndAnythingElseIsRefused() throws IOException {
+        @Test void whatIsWrittenIsReadAndAnythingElseIsRefused() throws IOException {
             Ask a = new Ask(5, "r1", 77, "relay", "127.0.0.1:1", "127.0.0.1:2", "z", List.of(new Held("policy", 1, 2)),
                 List.of(new Demand("s", "t/x", 1, 2)), List.of(new Places("s", 9)));
             byte[] b = Wire.bytes(a);
-            org.junit.jupiter.api.Assertions.assertEquals(a, Wire.read(b, News::read));
+            Assertions.assertEquals(a, Wire.read(b, News::read));
             for (int n = 0; n < b.length; n++) {
-                byte[] cut = java.util.Arrays.copyOf(b, n);
-                org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> Wire.read(cut, News::read));
+                byte[] cut = Arrays.copyOf(b, n);
+                Assertions.assertThrows(IOException.class, () -> Wire.read(cut, News::read));
             }
-            byte[] more = java.util.Arrays.copyOf(b, b.length + 1);
-            org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> Wire.read(more, News::read));
+            byte[] more = Arrays.copyOf(b, b.length + 1);
+            Assertions.assertThrows(IOException.class, () -> Wire.read(more, News::read));
         }
     }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Shuffle.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Shuffle.java
@@ -10,7 +10,8 @@
 import java.util.List;
 
 public sealed interface Shuffle extends Wire {
-    record Descriptor(String name, String role, String records, String operator, String domain, long generation, int age) {
+    record Descriptor(String name, String role, String records, String operator, String domain, long generation,
+        int age) {
         public Descriptor older() {
             return new Descriptor(name, role, records, operator, domain, generation, age + 1);
         }
@@ -47,7 +48,8 @@
     }
 
     private static Descriptor get(DataInputStream i) throws IOException {
-        return new Descriptor(i.readUTF(), i.readUTF(), i.readUTF(), i.readUTF(), i.readUTF(), i.readLong(), i.readInt());
+        return new Descriptor(i.readUTF(), i.readUTF(), i.readUTF(), i.readUTF(), i.readUTF(), i.readLong(),
+            i.readInt());
     }
 
     static Shuffle read(int type, DataInputStream in) throws IOException {
--- a/kernel/src/main/java/gladelug/kernel/message/Wire.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Wire.java
@@ -10,6 +10,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -81,11 +82,11 @@
 
     /** A text of any length; writeUTF stops at 65535 bytes. */
     static void text(DataOutputStream o, String s) throws IOException {
-        blob(o, s.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        blob(o, s.getBytes(StandardCharsets.UTF_8));
     }
 
     static String text(DataInputStream in) throws IOException {
-        return new String(blob(in), java.nio.charset.StandardCharsets.UTF_8);
+        return new String(blob(in), StandardCharsets.UTF_8);
     }
 
     static IOException unknown(int type) {
--- a/kernel/src/main/java/gladelug/kernel/policy/CoreList.java
+++ b/kernel/src/main/java/gladelug/kernel/policy/CoreList.java
@@ -21,7 +21,8 @@
     public String json() {
         JsonArray a = new JsonArray();
         for (Member m : all)
-            a.add(Json.object().add("name", m.name).add("records", m.records.toString()).add("operator", m.operator.toString()));
+            a.add(Json.object().add("name", m.name).add("records", m.records.toString()).add("operator",
+                m.operator.toString()));
         return Json.object().add("members", a).toString();
     }
 
