--- a/kernel/src/main/java/gladelug/kernel/policy/Policy.java
+++ b/kernel/src/main/java/gladelug/kernel/policy/Policy.java
@@ -18,6 +18,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Policy {
     public enum Kind { MODEL, APPLICATION, STORE }
@@ -29,7 +31,8 @@
         }
     }
 
-    public record Mapping(int index, String name, String path, int service, int expiryMs, boolean repeatable, int maxBodyBytes) {}
+    public record Mapping(int index, String name, String path, int service, int expiryMs, boolean repeatable,
+        int maxBodyBytes) {}
 
     public record Tenant(int index, String name, List<String> keys, boolean isolated, Share share) {}
 
@@ -117,7 +120,8 @@
         return s;
     }
 
-    private static Mapping mapping(Doc x, int i, Map<String, Service> sn, Set<String> names, Set<String> paths, Findings fs) {
+    private static Mapping mapping(Doc x, int i, Map<String, Service> sn, Set<String> names, Set<String> paths,
+        Findings fs) {
         Doc.Fields f = x.fields(fs);
         String name = f.text("name"), path = f.text("path"), sv = f.text("service");
         Service s = sn.get(sv);
@@ -133,7 +137,8 @@
         return m;
     }
 
-    private static Tenant tenant(Doc x, int i, Set<String> names, Map<String, String> keys, Set<String> mappings, Findings fs) {
+    private static Tenant tenant(Doc x, int i, Set<String> names, Map<String, String> keys, Set<String> mappings,
+        Findings fs) {
         Doc.Fields f = x.fields(fs);
         String name = f.text("name");
         List<String> ks = new ArrayList<>();
@@ -148,7 +153,8 @@
         }
         Set<String> taken = new HashSet<>();
         List<Share> below = Share.readAll(f.list("shares", false), name, 1, taken, fs);
-        for (String m : taken) if (!mappings.contains(m)) fs.add(f.place("shares"), "a share names no mapping of this policy: " + m);
+        for (String m : taken)
+            if (!mappings.contains(m)) fs.add(f.place("shares"), "a share names no mapping of this policy: " + m);
         Share root = new Share(name, name, (int) f.whole("weight", 1, 1, 1_000_000), (int) f.whole("tier", 0, 0, 9),
             (int) f.whole("limit", 0, 0, 1_000_000), List.of(), below);
         for (Share c : below) Share.above(c, root.limit(), f.place("shares"), fs);
@@ -160,36 +166,50 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void aGoodPolicyIsIndexed() {
+        @Test void aGoodPolicyIsIndexed() {
             String h = hashOf("k1");
-            Policy p = ((Result.Good<Policy>) parse("""
-                {"services": [{"name": "m", "allow": ["127.0.0.0/8"]}],
-                 "mappings": [{"name": "a", "path": "/a", "service": "m"}, {"name": "b", "path": "/b", "service": "m", "repeatable": true}],
-                 "tenants": [{"name": "t", "keys": ["sha256:%s"], "shares": [{"name": "x", "mappings": ["a"]}]}]}""".formatted(h))).value();
+            Policy p = ((Result.Good<Policy>) parse(
+                """
+                    {"services": [{"name": "m", "allow": ["127.0.0.0/8"]}],
+                     "mappings": [{"name": "a", "path": "/a", "service": "m"}, {"name": "b", "path": "/b",
+                       "service": "m", "repeatable": true}],
+                     "tenants": [{"name": "t", "keys": ["sha256:%s"], "shares": [{"name": "x", "mappings": ["a"]}]}]}"""
+                    .formatted(h)))
+                .value();
             Tenant t = p.tenantOfHash(h);
-            org.junit.jupiter.api.Assertions.assertEquals("t/x", leaf(t, p.mapping("/a")));
-            org.junit.jupiter.api.Assertions.assertEquals("t", leaf(t, p.mapping("/b")));
-            org.junit.jupiter.api.Assertions.assertTrue(p.mapping("/b").repeatable());
+            Assertions.assertEquals("t/x", leaf(t, p.mapping("/a")));
+            Assertions.assertEquals("t", leaf(t, p.mapping("/b")));
+            Assertions.assertTrue(p.mapping("/b").repeatable());
         }
 
-        @org.junit.jupiter.api.Test void aShareTreeThatCannotBeMetIsTold() {
-            String s = parse("""
-                {"services": [{"name": "m", "allow": ["1.1.1.1"]}], "mappings": [{"name": "a", "path": "/a", "service": "m"}, {"name": "b", "path": "/b", "service": "m"}],
-                 "tenants": [{"name": "t", "keys": [], "limit": 4, "shares": [{"name": "x", "limit": 9, "mappings": ["a"]}, {"name": "x", "mappings": ["a"]},
-                  {"name": "y", "limit": 2, "mappings": ["b"], "shares": [{"name": "z", "limit": 3}]}]}]}""").toString();
-            for (String w : new String[] {"the limit 9 of t/x is above", "two shares are named x", "mapping a is in two shares", "belong to shares at the leaves", "the limit 3 of t/y/z is above"})
-                org.junit.jupiter.api.Assertions.assertTrue(s.contains(w), w + " in " + s);
+        @Test void aShareTreeThatCannotBeMetIsTold() {
+            String s = parse(
+                """
+                    {"services": [{"name": "m", "allow": ["1.1.1.1"]}], "mappings": [{"name": "a", "path": "/a",
+                      "service": "m"}, {"name": "b", "path": "/b", "service": "m"}],
+                     "tenants": [{"name": "t", "keys": [], "limit": 4, "shares": [{"name": "x", "limit": 9,
+                       "mappings": ["a"]}, {"name": "x", "mappings": ["a"]},
+                      {"name": "y", "limit": 2, "mappings": ["b"], "shares": [{"name": "z", "limit": 3}]}]}]}""")
+                .toString();
+            for (String w : new String[]{"the limit 9 of t/x is above", "two shares are named x",
+                "mapping a is in two shares", "belong to shares at the leaves", "the limit 3 of t/y/z is above"})
+                Assertions.assertTrue(s.contains(w), w + " in " + s);
         }
 
-        @org.junit.jupiter.api.Test void allMistakesAreReportedTogether() {
-            String s = parse("""
-                {"services": [{"name": "m", "allow": ["somewhere"]}, {"name": "m", "allow": []}],
-                 "mappings": [{"name": "a", "path": "a", "service": "none", "expiryMs": 1}],
-                 "tenants": [{"name": "t", "keys": ["secret"], "shares": [{"name": "x", "mappings": ["zz"], "wait": 1}]}],
-                 "extra": 1}""").toString();
-            for (String w : new String[] {"must be IP", "two services are named m", "names no service", "must begin with a slash",
-                "from 50 to 600000", "never the key itself", "no mapping of this policy: zz", "tenants[0].shares[0].wait", "(extra): is not a known field"})
-                org.junit.jupiter.api.Assertions.assertTrue(s.contains(w), w + " in " + s);
+        @Test void allMistakesAreReportedTogether() {
+            String s = parse(
+                """
+                    {"services": [{"name": "m", "allow": ["somewhere"]}, {"name": "m", "allow": []}],
+                     "mappings": [{"name": "a", "path": "a", "service": "none", "expiryMs": 1}],
+                     "tenants": [{"name": "t", "keys": ["secret"], "shares": [{"name": "x", "mappings": ["zz"],
+                       "wait": 1}]}],
+                     "extra": 1}""")
+                .toString();
+            for (String w : new String[]{"must be IP", "two services are named m", "names no service",
+                "must begin with a slash",
+                "from 50 to 600000", "never the key itself", "no mapping of this policy: zz",
+                "tenants[0].shares[0].wait", "(extra): is not a known field"})
+                Assertions.assertTrue(s.contains(w), w + " in " + s);
         }
     }
 }
--- a/kernel/src/main/java/gladelug/kernel/policy/Replicas.java
+++ b/kernel/src/main/java/gladelug/kernel/policy/Replicas.java
@@ -4,6 +4,7 @@
  */
 package gladelug.kernel.policy;
 
+import com.eclipsesource.json.Json;
 import gladelug.kernel.Address;
 import gladelug.kernel.Doc;
 import gladelug.kernel.Findings;
@@ -39,7 +40,8 @@
                 Doc.Fields g = x.fields(fs);
                 String st = g.text("state");
                 if (!st.equals("ready") && !st.equals("leaving")) fs.add(g.place("state"), "must be ready or leaving");
-                out.add(new Replica(g.text("service"), g.text("instance"), Address.read(g, "address", fs), g.text("domain", ""), st.equals("ready")));
+                out.add(new Replica(g.text("service"), g.text("instance"), Address.read(g, "address", fs),
+                    g.text("domain", ""), st.equals("ready")));
                 g.done();
             }
             f.done();
@@ -51,8 +53,9 @@
         StringBuilder sb = new StringBuilder("{\"replicas\":[");
         for (Replica r : all) {
             if (sb.charAt(sb.length() - 1) == '}') sb.append(',');
-            sb.append(com.eclipsesource.json.Json.object().add("service", r.service).add("instance", r.instance)
-                .add("address", r.address.toString()).add("domain", r.domain).add("state", r.ready ? "ready" : "leaving"));
+            sb.append(Json.object().add("service", r.service).add("instance", r.instance)
+                .add("address", r.address.toString()).add("domain", r.domain)
+                .add("state", r.ready ? "ready" : "leaving"));
         }
         return sb.append("]}").toString();
     }
--- a/kernel/src/main/java/gladelug/kernel/policy/Share.java
+++ b/kernel/src/main/java/gladelug/kernel/policy/Share.java
@@ -8,10 +8,12 @@
 import gladelug.kernel.Doc;
 import gladelug.kernel.Findings;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
-public record Share(String name, String path, int weight, int tier, int limit, List<String> mappings, List<Share> shares) {
+public record Share(String name, String path, int weight, int tier, int limit, List<String> mappings,
+    List<Share> shares) {
     static final int DEEPEST = 6;
 
     static Share read(Doc d, String under, int depth, Set<String> taken, Findings fs) {
@@ -37,7 +39,7 @@
             return List.of();
         }
         List<Share> out = new ArrayList<>();
-        Set<String> names = new java.util.HashSet<>();
+        Set<String> names = new HashSet<>();
         for (Doc d : ds) {
             Share s = read(d, under, depth, taken, fs);
             if (!names.add(s.name)) fs.add(d.place(), "two shares are named " + s.name + " here");
@@ -48,7 +50,8 @@
 
     /** A share can't have more than what it is a share of. */
     static void above(Share c, int limit, String place, Findings fs) {
-        if (limit > 0 && c.limit > limit) fs.add(place, "the limit " + c.limit + " of " + c.path + " is above that of the share it is in, " + limit);
+        if (limit > 0 && c.limit > limit)
+            fs.add(place, "the limit " + c.limit + " of " + c.path + " is above that of the share it is in, " + limit);
     }
 
     /** The leaf below here that takes the mapping, or null. */
--- a/kernel/src/main/java/gladelug/kernel/view/ViewService.java
+++ b/kernel/src/main/java/gladelug/kernel/view/ViewService.java
@@ -14,6 +14,7 @@
 import gladelug.kernel.message.Shuffle;
 import gladelug.kernel.message.Wire;
 import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
@@ -48,7 +49,8 @@
     @Override public void start(Kernel k) {
         doors = k.find("doors", Doors.class);
         doors.take(Hello.SHUFFLE, (h, c) -> r -> {
-            if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Request q)) throw new java.io.IOException("an answer nobody asked for");
+            if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Request q))
+                throw new IOException("an answer nobody asked for");
             duty.offer(() -> {
                 c.send(views.asked(q));
                 snapshot = views.all();
@@ -70,8 +72,9 @@
 
     private void shuffle(Address to, Shuffle.Request q) {
         doors.call(to, Hello.SHUFFLE, c -> new Circuit.Receiver() {
-            @Override public void record(byte[] r) throws java.io.IOException {
-                if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Answer a)) throw new java.io.IOException("a request where an answer was due");
+            @Override public void record(byte[] r) throws IOException {
+                if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Answer a))
+                    throw new IOException("a request where an answer was due");
                 duty.offer(() -> {
                     views.answered(a);
                     snapshot = views.all();
--- a/kernel/src/main/java/gladelug/kernel/view/Views.java
+++ b/kernel/src/main/java/gladelug/kernel/view/Views.java
@@ -10,10 +10,15 @@
 import gladelug.kernel.message.Shuffle.Descriptor;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.function.LongUnaryOperator;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Views {
     public static final int SIZE = 16, SOME = 6, FORGET = 120;
@@ -93,14 +98,14 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void fortyNodesFromOneSeedStayConnectedAndForgetTheDead() {
-            java.util.Random rnd = new java.util.Random(5);
+        @Test void fortyNodesFromOneSeedStayConnectedAndForgetTheDead() {
+            Random rnd = new Random(5);
             Map<String, Views> all = new LinkedHashMap<>();
             for (int i = 0; i < 40; i++) {
                 Descriptor d = new Descriptor("n" + i, i < 3 ? "control" : "relay", "1.1.1.1:" + i, "", "", 1, 0);
                 all.put("n" + i, new Views(d, b -> (long) (rnd.nextDouble() * b)));
             }
-            java.util.Set<String> dead = new java.util.HashSet<>();
+            Set<String> dead = new HashSet<>();
             for (int round = 0; round < 400; round++) {
                 if (round == 100) for (int i = 0; i < 20; i++) dead.add("n" + i);
                 for (Map.Entry<String, Views> e : all.entrySet()) {
@@ -111,12 +116,13 @@
                         e.getValue().answered(all.get(r.getKey().name()).asked(r.getValue()));
                 }
             }
-            java.util.Set<String> reach = new java.util.HashSet<>(List.of("n39"));
+            Set<String> reach = new HashSet<>(List.of("n39"));
             for (int i = 0; i < 20; i++)
-                for (String n : List.copyOf(reach)) for (Descriptor d : all.get(n).all()) if (!dead.contains(d.name())) reach.add(d.name());
-            org.junit.jupiter.api.Assertions.assertEquals(20, reach.size());
+                for (String n : List.copyOf(reach))
+                    for (Descriptor d : all.get(n).all()) if (!dead.contains(d.name())) reach.add(d.name());
+            Assertions.assertEquals(20, reach.size());
             for (int i = 20; i < 40; i++)
-                for (Descriptor d : all.get("n" + i).all()) org.junit.jupiter.api.Assertions.assertFalse(dead.contains(d.name()), d.name());
+                for (Descriptor d : all.get("n" + i).all()) Assertions.assertFalse(dead.contains(d.name()), d.name());
         }
     }
 }
--- a/operator-tools/src/main/java/gladelug/tools/Asking.java
+++ b/operator-tools/src/main/java/gladelug/tools/Asking.java
@@ -25,7 +25,8 @@
     }
 
     private final Vertx vertx = Vertx.vertx();
-    private final WebClient web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(1000).setFollowRedirects(false));
+    private final WebClient web = WebClient.create(vertx,
+        new WebClientOptions().setConnectTimeout(1000).setFollowRedirects(false));
 
     Answer get(List<Address> at, String path) {
         return call(HttpMethod.GET, at, path, null, Map.of());
@@ -34,10 +35,13 @@
     Answer call(HttpMethod m, List<Address> at, String path, String body, Map<String, String> headers) {
         Answer last = new Answer(0, Json.object().add("reason", "no address was given"));
         for (Address a : at) {
-            var q = web.request(m, new io.vertx.core.http.RequestOptions(new RequestOptions().setHost(a.host()).setPort(a.port()).setURI(path))).timeout(20_000);
+            var q = web
+                .request(m, new RequestOptions(new RequestOptions().setHost(a.host()).setPort(a.port()).setURI(path)))
+                .timeout(20_000);
             headers.forEach(q::putHeader);
             try {
-                var r = (body == null ? q.send() : q.sendBuffer(Buffer.buffer(body))).await().atMost(Duration.ofSeconds(25));
+                var r = (body == null ? q.send() : q.sendBuffer(Buffer.buffer(body))).await()
+                    .atMost(Duration.ofSeconds(25));
                 JsonObject o;
                 try {
                     o = Json.parse(r.bodyAsString()).asObject();
--- a/operator-tools/src/main/java/gladelug/tools/Explanation.java
+++ b/operator-tools/src/main/java/gladelug/tools/Explanation.java
@@ -4,17 +4,21 @@
  */
 package gladelug.tools;
 
+import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 final class Explanation {
     private Explanation() {}
 
     static String ofOrder(JsonObject d) {
         StringBuilder sb = new StringBuilder();
-        sb.append("order ").append(d.getString("order", "?")).append(", came ").append(d.getString("came", "?")).append(": ").append(d.getString("outcome", "?")).append('\n');
+        sb.append("order ").append(d.getString("order", "?")).append(", came ").append(d.getString("came", "?"))
+            .append(": ").append(d.getString("outcome", "?")).append('\n');
         for (JsonValue v : d.get("stages").asArray()) {
             JsonObject s = v.asObject();
             sb.append(String.format("%8d ms  %-12s ", s.getLong("atMs", 0), s.getString("stage", "")));
@@ -25,16 +29,26 @@
 
     private static String words(JsonObject s) {
         return switch (s.getString("stage", "")) {
-            case "key" -> "the key is one of tenant " + s.getString("tenant", "") + (s.getBoolean("isolated", false) ? ", which shares no prefix" : "") + "; policy " + s.get("policy");
-            case "mapping" -> "mapping " + s.getString("mapping", "") + " leads to service " + s.getString("service", "") + "; share " + s.getString("share", "") + ", expiry "
-                + s.get("expiryMs") + " ms, " + (s.getBoolean("repeatable", false) ? "may be repeated" : "must not be repeated");
-            case "admission" -> "waited " + s.get("waitedMs") + " ms for a place, " + s.get("backlogThen") + " still waiting then";
-            case "lookup" -> s.get("blocks") + " whole blocks under weights " + s.getString("weights", "") + "; the index " + s.getString("index", "") + ": " + matches(s);
-            case "choice" -> "replica " + s.getString("replica", "") + " of " + s.get("of") + " with a place:" + options(s);
-            case "fetch" -> s.get("kept") + " blocks should be there" + (s.getInt("pull", 0) > 0 ? ", " + s.get("pull") + " to be pulled from " + s.getString("from", "") : "")
+            case "key" -> "the key is one of tenant " + s.getString("tenant", "")
+                + (s.getBoolean("isolated", false) ? ", which shares no prefix" : "") + "; policy " + s.get("policy");
+            case "mapping" -> "mapping " + s.getString("mapping", "") + " leads to service "
+                + s.getString("service", "") + "; share " + s.getString("share", "") + ", expiry "
+                + s.get("expiryMs") + " ms, "
+                + (s.getBoolean("repeatable", false) ? "may be repeated" : "must not be repeated");
+            case "admission" ->
+                "waited " + s.get("waitedMs") + " ms for a place, " + s.get("backlogThen") + " still waiting then";
+            case "lookup" -> s.get("blocks") + " whole blocks under weights " + s.getString("weights", "")
+                + "; the index " + s.getString("index", "") + ": " + matches(s);
+            case "choice" ->
+                "replica " + s.getString("replica", "") + " of " + s.get("of") + " with a place:" + options(s);
+            case "fetch" -> s.get("kept") + " blocks should be there"
+                + (s.getInt("pull", 0) > 0
+                    ? ", " + s.get("pull") + " to be pulled from " + s.getString("from", "")
+                    : "")
                 + ", " + s.get("compute") + " to be computed";
             case "hand-over" -> "try " + s.get("try") + " went to " + s.getString("replica", "");
-            case "replica" -> "the replica says: reused " + s.get("reused") + ", fetched " + s.get("fetched") + ", computed " + s.get("computed");
+            case "replica" -> "the replica says: reused " + s.get("reused") + ", fetched " + s.get("fetched")
+                + ", computed " + s.get("computed");
             case "stream" -> "first piece after " + s.get("firstPieceMs") + " ms";
             case "again" -> "back to the choice: " + s.getString("why", "");
             case "turned-away" -> "turned away with " + s.get("status") + ": " + s.getString("reason", "");
@@ -46,7 +60,8 @@
 
     private static String matches(JsonObject s) {
         List<String> l = new ArrayList<>();
-        for (JsonValue v : s.get("matches").asArray()) l.add(v.asObject().getString("holder", "") + " may hold " + v.asObject().get("blocks"));
+        for (JsonValue v : s.get("matches").asArray())
+            l.add(v.asObject().getString("holder", "") + " may hold " + v.asObject().get("blocks"));
         return l.isEmpty() ? "no holder known" : String.join(", ", l);
     }
 
@@ -54,9 +69,11 @@
         StringBuilder sb = new StringBuilder();
         for (JsonValue v : s.get("options").asArray()) {
             JsonObject o = v.asObject();
-            sb.append(String.format("%n%26s%-14s %8s ms = backlog %s + work %s; %s blocks matched, %s orders there", "", o.getString("replica", ""), o.get("totalMs"),
+            sb.append(String.format("%n%26s%-14s %8s ms = backlog %s + work %s; %s blocks matched, %s orders there", "",
+                o.getString("replica", ""), o.get("totalMs"),
                 o.get("backlogMs"), o.get("workMs"), o.get("matched"), o.get("load")));
-            if (o.getInt("fetchBlocks", 0) > 0) sb.append(", ").append(o.get("fetchBlocks")).append(" from ").append(o.getString("fetchFrom", ""));
+            if (o.getInt("fetchBlocks", 0) > 0)
+                sb.append(", ").append(o.get("fetchBlocks")).append(" from ").append(o.getString("fetchFrom", ""));
         }
         return sb.toString();
     }
@@ -67,15 +84,21 @@
         for (JsonValue v : status.get("keys").asArray()) {
             JsonObject k = v.asObject();
             if (k.getString("key", "").equals(key))
-                sb.append(key).append(' ').append(k.get("number")).append(" is the newest, owned by ").append(k.getString("owner", "").isEmpty() ? "nobody" : k.getString("owner", ""))
-                    .append(number > k.getLong("number", 0) ? "; " + number + " was not taken so far" : "").append('\n');
+                sb.append(key).append(' ').append(k.get("number")).append(" is the newest, owned by ")
+                    .append(k.getString("owner", "").isEmpty() ? "nobody" : k.getString("owner", ""))
+                    .append(number > k.getLong("number", 0) ? "; " + number + " was not taken so far" : "")
+                    .append('\n');
         }
         for (JsonValue v : status.get("nodes").asArray()) {
             JsonObject n = v.asObject();
-            JsonObject h = n.get("holds").asObject().get(key) == null ? null : n.get("holds").asObject().get(key).asObject();
+            JsonObject h = n.get("holds").asObject().get(key) == null
+                ? null
+                : n.get("holds").asObject().get(key).asObject();
             long has = h == null ? 0 : h.getLong("number", 0);
             sb.append(String.format("  %-12s %-6s %s%n", n.getString("name", ""), n.getString("role", ""),
-                has >= number ? "has " + has + " for " + h.get("forMs") + " ms" : "is behind with " + has + ", last heard " + n.get("askedMsAgo") + " ms ago"));
+                has >= number
+                    ? "has " + has + " for " + h.get("forMs") + " ms"
+                    : "is behind with " + has + ", last heard " + n.get("askedMsAgo") + " ms ago"));
         }
         return sb.toString();
     }
@@ -84,20 +107,26 @@
         StringBuilder sb = new StringBuilder("core generation " + s.get("generation") + "\n");
         for (JsonValue v : s.get("members").asArray()) {
             JsonObject m = v.asObject();
-            sb.append(String.format("  %-12s %-6s %s%n", m.getString("name", ""), m.getBoolean("alive", false) ? "alive" : "silent", m.getString("operator", "")));
+            sb.append(String.format("  %-12s %-6s %s%n", m.getString("name", ""),
+                m.getBoolean("alive", false) ? "alive" : "silent", m.getString("operator", "")));
         }
-        for (JsonValue v : s.get("wouldJoin").asArray()) sb.append("  ").append(v.asObject().getString("name", "")).append(" asks to join\n");
+        for (JsonValue v : s.get("wouldJoin").asArray())
+            sb.append("  ").append(v.asObject().getString("name", "")).append(" asks to join\n");
         sb.append("keys\n");
         for (JsonValue v : s.get("keys").asArray()) {
             JsonObject k = v.asObject();
-            sb.append(String.format("  %-24s number %-6s owner %-12s epoch %s%s%n", k.getString("key", ""), k.get("number"),
-                k.getString("owner", "").isEmpty() ? "none" : k.getString("owner", ""), k.get("epoch"), k.getInt("licensed", -1) >= 0 ? ", licences out " + k.get("licensed") : ""));
+            sb.append(
+                String.format("  %-24s number %-6s owner %-12s epoch %s%s%n", k.getString("key", ""), k.get("number"),
+                    k.getString("owner", "").isEmpty() ? "none" : k.getString("owner", ""), k.get("epoch"),
+                    k.getInt("licensed", -1) >= 0 ? ", licences out " + k.get("licensed") : ""));
         }
         sb.append("nodes\n");
         for (JsonValue v : s.get("nodes").asArray()) {
             JsonObject n = v.asObject();
-            sb.append(String.format("  %-12s %-6s %-8s asked %s ms ago, holds", n.getString("name", ""), n.getString("role", ""), n.getString("domain", ""), n.get("askedMsAgo")));
-            for (var h : n.get("holds").asObject()) sb.append(' ').append(h.getName()).append(' ').append(h.getValue().asObject().get("number"));
+            sb.append(String.format("  %-12s %-6s %-8s asked %s ms ago, holds", n.getString("name", ""),
+                n.getString("role", ""), n.getString("domain", ""), n.get("askedMsAgo")));
+            for (var h : n.get("holds").asObject())
+                sb.append(' ').append(h.getName()).append(' ').append(h.getValue().asObject().get("number"));
             sb.append('\n');
         }
         return sb.toString();
@@ -108,8 +137,10 @@
         StringBuilder sb = new StringBuilder(name).append('\n');
         for (JsonObject.Member m : o) {
             if (m.getValue().isObject())
-                for (JsonObject.Member x : m.getValue().asObject()) sb.append("  ").append(m.getName()).append(' ').append(x.getName()).append(' ').append(flat(x.getValue())).append('\n');
-            else if (m.getValue().isArray()) for (JsonValue v : m.getValue().asArray()) sb.append("  ").append(m.getName()).append(' ').append(flat(v)).append('\n');
+                for (JsonObject.Member x : m.getValue().asObject()) sb.append("  ").append(m.getName()).append(' ')
+                    .append(x.getName()).append(' ').append(flat(x.getValue())).append('\n');
+            else if (m.getValue().isArray()) for (JsonValue v : m.getValue().asArray())
+                sb.append("  ").append(m.getName()).append(' ').append(flat(v)).append('\n');
             else sb.append("  ").append(m.getName()).append(' ').append(flat(m.getValue())).append('\n');
         }
         return sb.toString();
@@ -124,15 +155,21 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void theWordsSayWhatTheRecordSays() {
-            JsonObject d = com.eclipsesource.json.Json.parse("""
-                {"order":"r.ab12.1","came":"now","outcome":"complete","stages":[
-                 {"stage":"lookup","atMs":1,"weights":"w1","blocks":8,"index":"answered","matches":[{"holder":"x","blocks":8}]},
-                 {"stage":"choice","atMs":2,"replica":"x","of":2,"options":[{"replica":"x","matched":8,"fetchFrom":"","fetchBlocks":0,"load":0,"backlogMs":0,"workMs":0,"totalMs":0}]},
-                 {"stage":"again","atMs":3,"why":"x did not run it"}]}""").asObject();
+        @Test void theWordsSayWhatTheRecordSays() {
+            JsonObject d = Json
+                .parse(
+                    """
+                        {"order":"r.ab12.1","came":"now","outcome":"complete","stages":[
+                         {"stage":"lookup","atMs":1,"weights":"w1","blocks":8,"index":"answered",
+                           "matches":[{"holder":"x","blocks":8}]},
+                         {"stage":"choice","atMs":2,"replica":"x","of":2,"options":[{"replica":"x","matched":8,
+                           "fetchFrom":"","fetchBlocks":0,"load":0,"backlogMs":0,"workMs":0,"totalMs":0}]},
+                         {"stage":"again","atMs":3,"why":"x did not run it"}]}""")
+                .asObject();
             String s = ofOrder(d);
-            for (String w : new String[] {"order r.ab12.1, came now: complete", "x may hold 8", "replica x of 2", "back to the choice: x did not run it"})
-                org.junit.jupiter.api.Assertions.assertTrue(s.contains(w), s);
+            for (String w : new String[]{"order r.ab12.1, came now: complete", "x may hold 8", "replica x of 2",
+                "back to the choice: x did not run it"})
+                Assertions.assertTrue(s.contains(w), s);
         }
     }
 }
--- a/operator-tools/src/main/java/gladelug/tools/OpenApiImport.java
+++ b/operator-tools/src/main/java/gladelug/tools/OpenApiImport.java
@@ -16,8 +16,11 @@
 import io.swagger.v3.parser.core.models.ParseOptions;
 import io.swagger.v3.parser.core.models.SwaggerParseResult;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 final class OpenApiImport {
     private OpenApiImport() {}
@@ -43,8 +46,9 @@
         return Json.object().add("mappings", out);
     }
 
-    private static JsonObject mapping(String path, PathItem.HttpMethod method, Operation op, String service, Set<String> names, Findings fs) {
-        String place = "paths." + path + "." + method.name().toLowerCase(java.util.Locale.ROOT);
+    private static JsonObject mapping(String path, PathItem.HttpMethod method, Operation op, String service,
+        Set<String> names, Findings fs) {
+        String place = "paths." + path + "." + method.name().toLowerCase(Locale.ROOT);
         if (method != PathItem.HttpMethod.POST) {
             fs.add(place, "is left out: orders are sent with POST only");
             return null;
@@ -53,14 +57,18 @@
             fs.add(place, "is left out: a mapping's path has no variables");
             return null;
         }
-        String name = op.getOperationId() == null ? path.replaceAll("[^A-Za-z0-9]+", "-").replaceAll("^-|-$", "") : op.getOperationId();
+        String name = op.getOperationId() == null
+            ? path.replaceAll("[^A-Za-z0-9]+", "-").replaceAll("^-|-$", "")
+            : op.getOperationId();
         if (op.getOperationId() == null) fs.add(place, "has no operationId; named " + name + " after its path");
         if (name.isEmpty() || !names.add(name)) {
             fs.add(place, "is left out: the name '" + name + "' is empty or taken");
             return null;
         }
-        if (op.getParameters() != null && !op.getParameters().isEmpty()) fs.add(place + ".parameters", "are not looked at: an order has a body only");
-        if (op.getSecurity() != null && !op.getSecurity().isEmpty()) fs.add(place + ".security", "is not looked at: who may call is a matter of tenants' keys");
+        if (op.getParameters() != null && !op.getParameters().isEmpty())
+            fs.add(place + ".parameters", "are not looked at: an order has a body only");
+        if (op.getSecurity() != null && !op.getSecurity().isEmpty())
+            fs.add(place + ".security", "is not looked at: who may call is a matter of tenants' keys");
         JsonObject m = Json.object().add("name", name).add("path", path).add("service", service);
         Map<String, Object> x = op.getExtensions() == null ? Map.of() : op.getExtensions();
         if (x.get("x-expiry-ms") instanceof Number n) m.add("expiryMs", n.longValue());
@@ -69,32 +77,38 @@
     }
 
     static final class Tests {
-        @org.junit.jupiter.api.Test void operationsBecomeMappingsAndWhatCannotIsSaid() {
+        @Test void operationsBecomeMappingsAndWhatCannotIsSaid() {
             Findings fs = new Findings();
-            JsonObject o = read("""
-                openapi: 3.0.1
-                info: {title: t, version: '1'}
-                paths:
-                  /headline:
-                    post: {operationId: headline, x-repeatable: true, x-expiry-ms: 4000, responses: {'200': {description: ok}}}
-                    get: {operationId: look, responses: {'200': {description: ok}}}
-                  /stop/{id}:
-                    post: {operationId: stop, parameters: [{name: id, in: path, required: true, schema: {type: string}}], responses: {'200': {description: ok}}}
-                  /caption/draft:
-                    post: {responses: {'200': {description: ok}}}
-                """, "desk-model", fs);
-            org.junit.jupiter.api.Assertions.assertEquals("""
+            JsonObject o = read(
+                """
+                    openapi: 3.0.1
+                    info: {title: t, version: '1'}
+                    paths:
+                      /headline:
+                        post: {operationId: headline, x-repeatable: true, x-expiry-ms: 4000,
+                          responses: {'200': {description: ok}}}
+                        get: {operationId: look, responses: {'200': {description: ok}}}
+                      /stop/{id}:
+                        post: {operationId: stop, parameters: [{name: id, in: path, required: true,
+                          schema: {type: string}}], responses: {'200': {description: ok}}}
+                      /caption/draft:
+                        post: {responses: {'200': {description: ok}}}
+                    """,
+                "desk-model", fs);
+            Assertions.assertEquals("""
                 [{"name":"headline","path":"/headline","service":"desk-model","expiryMs":4000,"repeatable":true},\
-                {"name":"caption-draft","path":"/caption/draft","service":"desk-model"}]""", o.get("mappings").toString());
+                {"name":"caption-draft","path":"/caption/draft","service":"desk-model"}]""",
+                o.get("mappings").toString());
             String s = fs.toString();
-            for (String w : new String[] {"paths./headline.get: is left out: orders are sent with POST only", "paths./stop/{id}.post: is left out", "paths./caption/draft.post: has no operationId"})
-                org.junit.jupiter.api.Assertions.assertTrue(s.contains(w), s);
+            for (String w : new String[]{"paths./headline.get: is left out: orders are sent with POST only",
+                "paths./stop/{id}.post: is left out", "paths./caption/draft.post: has no operationId"})
+                Assertions.assertTrue(s.contains(w), s);
         }
 
-        @org.junit.jupiter.api.Test void whatIsNoDocumentIsAFinding() {
+        @Test void whatIsNoDocumentIsAFinding() {
             Findings fs = new Findings();
-            org.junit.jupiter.api.Assertions.assertEquals("[]", read("not: [an, api", "m", fs).get("mappings").toString());
-            org.junit.jupiter.api.Assertions.assertFalse(fs.clean());
+            Assertions.assertEquals("[]", read("not: [an, api", "m", fs).get("mappings").toString());
+            Assertions.assertFalse(fs.clean());
         }
     }
 }
--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -18,21 +18,25 @@
 import gladelug.kernel.policy.Policy;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
 
 public final class OperatorTools {
     private OperatorTools() {}
 
-    private static Subparser command(net.sourceforge.argparse4j.inf.Subparsers subs, String name, String help) {
+    private static Subparser command(Subparsers subs, String name, String help) {
         Subparser p = subs.addParser(name).help(help).description(help).defaultHelp(true);
         p.addArgument("--control").required(true).metavar("IP:PORT,...").help("operator addresses of control machines");
         p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
@@ -40,27 +44,34 @@
     }
 
     public static void main(String[] args) {
-        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.SEVERE);
-        ArgumentParser ap = ArgumentParsers.newFor("operator-tools").build().defaultHelp(true).description("The operators' commands of a gladelug fleet.");
+        Logger.getLogger("").setLevel(Level.SEVERE);
+        ArgumentParser ap = ArgumentParsers.newFor("operator-tools").build().defaultHelp(true)
+            .description("The operators' commands of a gladelug fleet.");
         var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
-        Subparser p = command(subs, "explain-order", "why an order went where it went; or what became of a number of the control state");
-        p.addArgument("what").nargs("+").metavar("ORDER | policy N | weights N").help("an order id from the header Gladelug-Order, or a key and its number");
+        Subparser p = command(subs, "explain-order",
+            "why an order went where it went; or what became of a number of the control state");
+        p.addArgument("what").nargs("+").metavar("ORDER | policy N | weights N")
+            .help("an order id from the header Gladelug-Order, or a key and its number");
         p = command(subs, "send-policy", "send a whole policy");
         p.addArgument("file");
-        p.addArgument("--based-on").required(true).metavar("NUMBER|*").help("the number it was based on, or * to replace whatever is there");
+        p.addArgument("--based-on").required(true).metavar("NUMBER|*")
+            .help("the number it was based on, or * to replace whatever is there");
         command(subs, "show-policy", "print the policy and its number");
         p = command(subs, "name-weights", "name the weights a model service is to run");
         p.addArgument("service");
         p.addArgument("weights");
         p = command(subs, "show-status", "who owns what, which nodes hold which numbers, who is behind");
-        p.addArgument("--nodes").action(Arguments.storeTrue()).help("ask each node too: licences, shares, replicas, the summary's health");
+        p.addArgument("--nodes").action(Arguments.storeTrue())
+            .help("ask each node too: licences, shares, replicas, the summary's health");
         p = command(subs, "swap-core-machine", "put a machine that asks to join in the place of a member of the core");
         p.addArgument("out");
         p.addArgument("in");
-        p = subs.addParser("import-openapi").help("print the mappings that an OpenAPI file's operations make, to be looked through and put into a policy");
+        p = subs.addParser("import-openapi").help(
+            "print the mappings that an OpenAPI file's operations make, to be looked through and put into a policy");
         p.addArgument("file");
         p.addArgument("--service").required(true).help("the service the mappings lead to");
-        p = subs.addParser("hash-key").help("print the hash of a caller's key, read from standard input, as a policy wants it");
+        p = subs.addParser("hash-key")
+            .help("print the hash of a caller's key, read from standard input, as a policy wants it");
         Namespace n = Program.parse(ap, args);
         System.exit(run(n));
     }
@@ -83,9 +94,14 @@
                 case "send-policy" -> sendPolicy(a, control, n.getString("file"), n.getString("based_on"), json);
                 case "show-policy" -> print(a.get(control, "/v1/policy"), true);
                 case "name-weights" -> print(a.call(HttpMethod.POST, control, "/v1/weights",
-                    Json.object().add("service", n.getString("service")).add("weights", n.getString("weights")).toString(), Map.of()), json);
+                    Json.object().add("service", n.getString("service")).add("weights", n.getString("weights"))
+                        .toString(),
+                    Map.of()), json);
                 case "show-status" -> status(a, control, n.getBoolean("nodes"), json);
-                default -> print(a.call(HttpMethod.POST, control, "/v1/core/swap", Json.object().add("out", n.getString("out")).add("in", n.getString("in")).toString(), Map.of()), json);
+                default -> print(
+                    a.call(HttpMethod.POST, control, "/v1/core/swap",
+                        Json.object().add("out", n.getString("out")).add("in", n.getString("in")).toString(), Map.of()),
+                    json);
             };
         }
     }
@@ -107,7 +123,7 @@
 
     private static int hashKey() {
         try {
-            String s = new String(System.in.readAllBytes(), java.nio.charset.StandardCharsets.UTF_8).strip();
+            String s = new String(System.in.readAllBytes(), StandardCharsets.UTF_8).strip();
             if (s.isEmpty()) {
                 System.err.println("operator-tools: no key on standard input");
                 return Program.BAD_USE;
@@ -130,8 +146,11 @@
             StringBuilder sb = new StringBuilder();
             for (JsonObject.Member m : a.body()) {
                 if (m.getName().equals("findings"))
-                    for (JsonValue v : m.getValue().asArray()) sb.append("  ").append(v.asObject().getString("place", "")).append(": ").append(v.asObject().getString("what", "")).append('\n');
-                else sb.append(m.getName()).append(": ").append(m.getValue().isString() ? m.getValue().asString() : m.getValue().toString()).append('\n');
+                    for (JsonValue v : m.getValue().asArray())
+                        sb.append("  ").append(v.asObject().getString("place", "")).append(": ")
+                            .append(v.asObject().getString("what", "")).append('\n');
+                else sb.append(m.getName()).append(": ")
+                    .append(m.getValue().isString() ? m.getValue().asString() : m.getValue().toString()).append('\n');
             }
             (a.ok() ? System.out : System.err).print(sb);
         }
@@ -161,7 +180,8 @@
         if (nodes)
             for (JsonValue v : s.body().get("nodes").asArray()) {
                 JsonObject n = v.asObject();
-                each.set(n.getString("name", ""), a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/status").body());
+                each.set(n.getString("name", ""),
+                    a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/status").body());
             }
         if (json) {
             System.out.println((nodes ? s.body().add("each", each) : s.body()).toString(WriterConfig.PRETTY_PRINT));
@@ -175,11 +195,14 @@
     private static int explain(Asking a, List<Address> control, List<String> what, boolean json) {
         Asking.Answer s = a.get(control, "/v1/status");
         if (!s.ok()) return print(s, json);
-        if (what.size() == 2 && (what.get(0).equals("policy") || what.get(0).equals("weights")) && what.get(1).matches("[0-9]{1,18}"))
+        if (what.size() == 2 && (what.get(0).equals("policy") || what.get(0).equals("weights"))
+            && what.get(1).matches("[0-9]{1,18}"))
             return number(a, s.body(), what.get(0), Long.parseLong(what.get(1)), json);
         String id = what.get(0), relay = id.contains(".") ? id.substring(0, id.indexOf('.')) : "";
         if (what.size() > 1 || relay.isEmpty()) {
-            System.err.println("operator-tools: an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order; or give: policy N, weights N");
+            System.err.println(
+                "operator-tools: an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order; or give: "
+                    + "policy N, weights N");
             return Program.BAD_USE;
         }
         for (JsonValue v : s.body().get("nodes").asArray()) {
@@ -190,7 +213,8 @@
             System.out.print(Explanation.ofOrder(d.body()));
             return 0;
         }
-        System.err.println("operator-tools: no relay " + relay + " has asked this control machine within the last minute");
+        System.err
+            .println("operator-tools: no relay " + relay + " has asked this control machine within the last minute");
         return 1;
     }
 
@@ -200,17 +224,21 @@
         if (key.equals("weights"))
             for (JsonValue v : status.get("nodes").asArray()) {
                 if (!v.asObject().getString("role", "").equals("relay")) continue;
-                Asking.Answer r = a.get(List.of(Address.of(v.asObject().getString("operator", ""))), "/operator/status");
+                Asking.Answer r = a.get(List.of(Address.of(v.asObject().getString("operator", ""))),
+                    "/operator/status");
                 if (!r.ok()) continue;
-                for (JsonObject.Member m : r.body().get("backends").asObject()) runs.set(m.getName(), m.getValue().asObject().getString("weights", ""));
+                for (JsonObject.Member m : r.body().get("backends").asObject())
+                    runs.set(m.getName(), m.getValue().asObject().getString("weights", ""));
                 break;
             }
         if (json) {
-            System.out.println(Json.object().add("key", key).add("number", number).add("status", status).add("replicasRun", runs).toString(WriterConfig.PRETTY_PRINT));
+            System.out.println(Json.object().add("key", key).add("number", number).add("status", status)
+                .add("replicasRun", runs).toString(WriterConfig.PRETTY_PRINT));
             return 0;
         }
         System.out.print(Explanation.ofNumber(key, number, status));
-        for (JsonObject.Member m : runs) if (!m.getValue().asString().isEmpty()) System.out.println("  " + m.getName() + " runs " + m.getValue().asString());
+        for (JsonObject.Member m : runs) if (!m.getValue().asString().isEmpty())
+            System.out.println("  " + m.getName() + " runs " + m.getValue().asString());
         return 0;
     }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Child.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Child.java
@@ -29,10 +29,13 @@
     }
 
     public Child start() throws IOException {
-        List<String> l = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx" + heapMb + "m", "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Dvertx.disableDnsResolver=true", "-cp", System.getProperty("gladelug.programs", System.getProperty("java.class.path")), main));
+        List<String> l = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx" + heapMb + "m", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Dvertx.disableDnsResolver=true", "-cp",
+            System.getProperty("gladelug.programs", System.getProperty("java.class.path")), main));
         l.addAll(args);
-        process = new ProcessBuilder(l).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        process = new ProcessBuilder(l).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
         return this;
     }
 
--- a/rehearsal/src/main/java/gladelug/rehearsal/Day.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Day.java
@@ -7,14 +7,19 @@
  */
 package gladelug.rehearsal;
 
+import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Day {
     /** A change an operator sent: what it meant, when it went out, when it was acknowledged (or -1). */
@@ -59,13 +64,16 @@
 
     private List<String> controls() {
         List<String> l = new ArrayList<>();
-        for (var v : f.call("GET", "/v1/status", null, Map.of()).body().get("members").asArray()) l.add(v.asObject().getString("name", ""));
+        for (var v : f.call("GET", "/v1/status", null, Map.of()).body().get("members").asArray())
+            l.add(v.asObject().getString("name", ""));
         return l;
     }
 
     private String ownerOf(String key) {
         var keys = f.call("GET", "/v1/status", null, Map.of()).body().get("keys");
-        if (keys != null) for (var k : keys.asArray()) if (k.asObject().getString("key", "").equals(key) && !k.asObject().getString("owner", "").isEmpty()) return k.asObject().getString("owner", "");
+        if (keys != null) for (var k : keys.asArray())
+            if (k.asObject().getString("key", "").equals(key) && !k.asObject().getString("owner", "").isEmpty())
+                return k.asObject().getString("owner", "");
         return controls().get(0);
     }
 
@@ -76,7 +84,8 @@
         long acked = a.status() == 200 ? now() : -1;
         long nr = a.body().getLong("number", -1);
         told.add(new Told("application", application, sent, acked, nr));
-        for (StandInCallers.Tenant t : f.deployment.tenants()) told.add(new Told("key " + t.name(), revoked.contains(t.name()) ? "revoked" : "good", sent, acked, nr));
+        for (StandInCallers.Tenant t : f.deployment.tenants())
+            told.add(new Told("key " + t.name(), revoked.contains(t.name()) ? "revoked" : "good", sent, acked, nr));
         if (acked >= 0) lastPolicy = p.toString();
         if (a.status() != 200) say("policy answered " + a.status() + " " + a.body());
     }
@@ -85,7 +94,8 @@
         long sent = now();
         Fleet.Answer a = f.weights(w);
         told.add(new Told("weights", w, sent, a.status() == 200 ? now() : -1, a.body().getLong("number", -1)));
-        say("weights " + w + " answered " + a.status() + (a.status() == 200 ? " after " + a.body().get("waitedMs") + " ms" : " " + a.body()));
+        say("weights " + w + " answered " + a.status()
+            + (a.status() == 200 ? " after " + a.body().get("waitedMs") + " ms" : " " + a.body()));
     }
 
     private void kill(String... names) {
@@ -104,14 +114,17 @@
     }
 
     private List<String> models() {
-        return f.replicas.values().stream().filter(r -> r.kind == StandInReplica.Kind.MODEL).map(r -> r.instance).toList();
+        return f.replicas.values().stream().filter(r -> r.kind == StandInReplica.Kind.MODEL).map(r -> r.instance)
+            .toList();
     }
 
     private List<Episode> episodes() {
         List<Episode> l = new ArrayList<>();
         String[] held = new String[8];
-        l.add(new Episode("the owner of the policy is killed", () -> kill(held[0] = ownerOf("policy")), () -> back(held[0])));
-        l.add(new Episode("the owner of the list of replicas freezes for 5 s", () -> freeze(held[1] = ownerOf("replicas"), true), () -> freeze(held[1], false)));
+        l.add(new Episode("the owner of the policy is killed", () -> kill(held[0] = ownerOf("policy")),
+            () -> back(held[0])));
+        l.add(new Episode("the owner of the list of replicas freezes for 5 s",
+            () -> freeze(held[1] = ownerOf("replicas"), true), () -> freeze(held[1], false)));
         l.add(new Episode("a core machine returns empty at a new address", () -> {
             held[2] = controls().get(random.nextInt(3));
             kill(held[2]);
@@ -124,15 +137,18 @@
             kill(held[3], held[4]);
         }, () -> back(held[3], held[4])));
         l.add(new Episode("a relay freezes for 4 s", () -> freeze("relay-2", true), () -> freeze("relay-2", false)));
-        l.add(new Episode("a relay and an index are killed at once", () -> kill("relay-1", "index-1"), () -> back("relay-1", "index-1")));
-        l.add(new Episode("a replica crashes and returns", () -> f.replicas.get("replica-3").kill(), () -> f.replicas.get("replica-3").start()));
-        l.add(new Episode("a replica hangs", () -> f.replicas.get("replica-4").faults.hang = true, () -> f.replicas.get("replica-4").faults.hang = false));
+        l.add(new Episode("a relay and an index are killed at once", () -> kill("relay-1", "index-1"),
+            () -> back("relay-1", "index-1")));
+        l.add(new Episode("a replica crashes and returns", () -> f.replicas.get("replica-3").kill(),
+            () -> f.replicas.get("replica-3").start()));
+        l.add(new Episode("a replica hangs", () -> f.replicas.get("replica-4").faults.hang = true,
+            () -> f.replicas.get("replica-4").faults.hang = false));
         l.add(new Episode("a replica vanishes for good", () -> f.replicas.get("replica-5").kill(), () -> {
             f.platform.unlist("replica-5");
             f.replicas.remove("replica-5");
         }));
         l.add(new Episode("two replicas are released one by one", () -> {
-            for (String n : new String[] {"replica-6", "replica-7"}) {
+            for (String n : new String[]{"replica-6", "replica-7"}) {
                 StandInReplica r = f.replicas.get(n);
                 f.platform.list(r.service, n, r.address(), "zone-a", false);
                 leaving.put(n, now());
@@ -140,11 +156,13 @@
                 r.kill();
                 f.platform.unlist(n);
                 f.replicas.remove(n);
-                StandInReplica x = f.addReplica(StandInReplica.Kind.MODEL, r.service, n + "-next", f.ip(hosts++), "zone-a", random.nextLong());
+                StandInReplica x = f.addReplica(StandInReplica.Kind.MODEL, r.service, n + "-next", f.ip(hosts++),
+                    "zone-a", random.nextLong());
                 say(n + " became " + x.instance);
             }
         }, () -> {}));
-        l.add(new Episode("the store goes down and comes back empty", () -> f.replicas.get("store").kill(), () -> f.replicas.get("store").start()));
+        l.add(new Episode("the store goes down and comes back empty", () -> f.replicas.get("store").kill(),
+            () -> f.replicas.get("store").start()));
         l.add(new Episode("links slow down and cache events are late or lost", () -> {
             for (StandInReplica r : f.replicas.values()) {
                 r.faults.linkFactor = 60;
@@ -170,7 +188,8 @@
         }, () -> {
             if (!held[5].isEmpty()) back(held[5]);
             String w = "w" + weights;
-            Fleet.until("every replica runs " + w, 30_000, () -> f.replicas.values().stream().allMatch(r -> r.kind != StandInReplica.Kind.MODEL || r.weights().equals(w)));
+            Fleet.until("every replica runs " + w, 30_000, () -> f.replicas.values().stream()
+                .allMatch(r -> r.kind != StandInReplica.Kind.MODEL || r.weights().equals(w)));
         }));
         l.add(new Episode("a key is revoked from connected callers", () -> {
             revoked = List.of(f.deployment.tenants().get(1).name());
@@ -207,8 +226,10 @@
                 held[6] = "control-" + hosts;
                 f.control(held[6], hosts++).start();
                 String out = controls().get(random.nextInt(3));
-                Fleet.until("the swap begun", 20_000, () ->
-                    f.call("POST", "/v1/core/swap", "{\"out\":\"" + out + "\",\"in\":\"" + held[6] + "\"}", Map.of()).status() == 202);
+                Fleet.until("the swap begun", 20_000,
+                    () -> f
+                        .call("POST", "/v1/core/swap", "{\"out\":\"" + out + "\",\"in\":\"" + held[6] + "\"}", Map.of())
+                        .status() == 202);
                 held[7] = out;
             }, () -> {
                 Fleet.until(held[6] + " let in", 30_000, () -> f.ready(held[6]) && controls().contains(held[6]));
@@ -255,7 +276,8 @@
         Fleet.pause(3000);
         for (String c : all) f.children.get(c).start();
         long begin = now();
-        Fleet.until("relays serve again", 60_000, () -> f.children.keySet().stream().filter(n -> n.startsWith("relay")).allMatch(f::ready));
+        Fleet.until("relays serve again", 60_000,
+            () -> f.children.keySet().stream().filter(n -> n.startsWith("relay")).allMatch(f::ready));
         long took = now() - begin;
         say("relays ready again " + took + " ms after the machines were started");
         if (took > 12_000) slowReturn.add(took + " ms");
@@ -265,14 +287,17 @@
     /** Promises with a time in them. Meanings told later than the promise allows for may be seen too. */
     static Map<String, List<String>> judge(Ledger l, List<Told> told, Map<String, Long> leaving) {
         Map<String, List<String>> out = new LinkedHashMap<>();
-        for (String r : new String[] {"old-policy-after-2s", "revoked-key-after-5s", "old-weights-after-25s", "leaving-replica-after-3s"}) out.put(r, new ArrayList<>());
+        for (String r : new String[]{"old-policy-after-2s", "revoked-key-after-5s", "old-weights-after-25s",
+            "leaving-replica-after-3s"}) out.put(r, new ArrayList<>());
         for (Map.Entry<String, List<Ledger.Run>> e : l.runs.entrySet()) {
             Ledger.Call c = l.calls.get(e.getKey());
             if (c == null) continue;
             for (Ledger.Run r : e.getValue()) {
-                if (c.kind.equals("lookup-stop") && !may(told, "application", r.service, r.at, 2000)) out.get("old-policy-after-2s").add(c.tag + " ran at " + r.service);
+                if (c.kind.equals("lookup-stop") && !may(told, "application", r.service, r.at, 2000))
+                    out.get("old-policy-after-2s").add(c.tag + " ran at " + r.service);
                 if (!may(told, "key " + c.tenant, "good", r.at, 5000)) out.get("revoked-key-after-5s").add(c.tag);
-                if (!r.weights.isEmpty() && !may(told, "weights", r.weights, r.at, 25_000)) out.get("old-weights-after-25s").add(c.tag + " on " + r.weights);
+                if (!r.weights.isEmpty() && !may(told, "weights", r.weights, r.at, 25_000))
+                    out.get("old-weights-after-25s").add(c.tag + " on " + r.weights);
                 Long t = leaving.get(r.instance);
                 if (t != null && r.at > t + 3500) out.get("leaving-replica-after-3s").add(c.tag + " at " + r.instance);
             }
@@ -280,7 +305,10 @@
         return out;
     }
 
-    /** Whether something may be acted on: it is the last meaning whose acknowledgement is older than the grace, or one sent since. */
+    /**
+     * Whether something may be acted on: it is the last meaning whose acknowledgement is older than the grace, or one
+     * sent since.
+     */
     static boolean may(List<Told> told, String key, String meaning, long at, long grace) {
         int from = 0;
         List<Told> l = new ArrayList<>();
@@ -297,43 +325,55 @@
         Map<String, List<String>> more = judge(f.ledger, told, leaving);
         List<String> lost = new ArrayList<>();
         Fleet.Answer a = f.call("GET", "/v1/policy", null, Map.of());
-        if (!a.body().get("value").equals(com.eclipsesource.json.Json.parse(lastPolicy))) lost.add("number " + a.body().get("number") + " is not what was acknowledged last");
+        if (!a.body().get("value").equals(Json.parse(lastPolicy)))
+            lost.add("number " + a.body().get("number") + " is not what was acknowledged last");
         more.put("acknowledged-policy-lost", lost);
         more.put("back-later-than-12s", slowReturn);
         more.put("both-of-two-racing-taken", problem.isEmpty() ? List.of() : List.of(problem));
         for (Map.Entry<String, List<String>> e : more.entrySet()) {
             clean &= e.getValue().isEmpty();
-            System.out.println("must never: " + e.getKey() + ": " + (e.getValue().isEmpty() ? "clean" : e.getValue().size() + " offenders " + e.getValue().subList(0, Math.min(5, e.getValue().size()))));
+            System.out.println("must never: " + e.getKey() + ": "
+                + (e.getValue().isEmpty()
+                    ? "clean"
+                    : e.getValue().size() + " offenders " + e.getValue().subList(0, Math.min(5, e.getValue().size()))));
         }
         return clean;
     }
 
     static final class Tests {
         /** A fixed, short part of a day with the real programs. */
-        @org.junit.jupiter.api.Test void theFirstHoursOfAFixedDayAreClean() throws Exception {
-            java.nio.file.Path out = java.nio.file.Files.createTempDirectory("gladelug-day");
+        @Test void theFirstHoursOfAFixedDayAreClean() throws Exception {
+            Path out = Files.createTempDirectory("gladelug-day");
             try (Fleet f = new Fleet(Deployment.mokaRidge(), out, 21, "summary")) {
-                org.junit.jupiter.api.Assertions.assertTrue(new Day(f, 21, 0.5).play(2, 8), "see the judgements above; logs in " + out);
+                Assertions.assertTrue(new Day(f, 21, 0.5).play(2, 8), "see the judgements above; logs in " + out);
             }
         }
 
-        @org.junit.jupiter.api.Test void eachTimedJudgeCatchesAPlantedViolationAndNothingElse() {
-            List<Told> told = List.of(new Told("application", "a", 0, 0, 1), new Told("application", "b", 10_000, 10_500, 2), new Told("weights", "w1", 0, 0, 1),
-                new Told("weights", "w2", 10_000, 10_100, 2), new Told("key t", "good", 0, 0, 1), new Told("key t", "revoked", 10_000, 10_200, 2), new Told("key u", "good", 0, 0, 1));
+        @Test void eachTimedJudgeCatchesAPlantedViolationAndNothingElse() {
+            List<Told> told = List.of(new Told("application", "a", 0, 0, 1),
+                new Told("application", "b", 10_000, 10_500, 2), new Told("weights", "w1", 0, 0, 1),
+                new Told("weights", "w2", 10_000, 10_100, 2), new Told("key t", "good", 0, 0, 1),
+                new Told("key t", "revoked", 10_000, 10_200, 2), new Told("key u", "good", 0, 0, 1));
             Object[][] runs = {
                 // tag, kind, tenant, service, weights, instance, at, the rule it breaks
-                {"1", "lookup-stop", "u", "a", "", "x", 12_400L, ""}, {"2", "lookup-stop", "u", "a", "", "x", 12_600L, "old-policy-after-2s"},
-                {"3", "lookup-stop", "u", "b", "", "x", 10_100L, ""}, {"4", "lookup-stop", "u", "b", "", "x", 9_000L, "old-policy-after-2s"},
-                {"5", "k", "t", "m", "w1", "x", 15_100L, ""}, {"6", "k", "t", "m", "w1", "x", 15_300L, "revoked-key-after-5s"},
-                {"7", "k", "u", "m", "w1", "x", 35_000L, ""}, {"8", "k", "u", "m", "w1", "x", 35_200L, "old-weights-after-25s"},
-                {"9", "k", "u", "m", "w2", "y", 11_000L, ""}, {"10", "k", "u", "m", "w2", "y", 14_000L, "leaving-replica-after-3s"}};
+                {"1", "lookup-stop", "u", "a", "", "x", 12_400L, ""},
+                {"2", "lookup-stop", "u", "a", "", "x", 12_600L, "old-policy-after-2s"},
+                {"3", "lookup-stop", "u", "b", "", "x", 10_100L, ""},
+                {"4", "lookup-stop", "u", "b", "", "x", 9_000L, "old-policy-after-2s"},
+                {"5", "k", "t", "m", "w1", "x", 15_100L, ""},
+                {"6", "k", "t", "m", "w1", "x", 15_300L, "revoked-key-after-5s"},
+                {"7", "k", "u", "m", "w1", "x", 35_000L, ""},
+                {"8", "k", "u", "m", "w1", "x", 35_200L, "old-weights-after-25s"},
+                {"9", "k", "u", "m", "w2", "y", 11_000L, ""},
+                {"10", "k", "u", "m", "w2", "y", 14_000L, "leaving-replica-after-3s"}};
             for (Object[] o : runs) {
                 Ledger l = new Ledger();
                 l.calls.put((String) o[0], new Ledger.Call((String) o[0], (String) o[1], (String) o[2], "r", false, 0));
-                l.run(new Ledger.Run((String) o[0], "id", (String) o[3], (String) o[5], (String) o[4], "", 1, (Long) o[6]));
+                l.run(new Ledger.Run((String) o[0], "id", (String) o[3], (String) o[5], (String) o[4], "", 1,
+                    (Long) o[6]));
                 StringBuilder sb = new StringBuilder();
                 judge(l, told, Map.of("y", 10_000L)).forEach((k, v) -> sb.append(v.isEmpty() ? "" : k));
-                org.junit.jupiter.api.Assertions.assertEquals(o[7], sb.toString(), "run " + o[0]);
+                Assertions.assertEquals(o[7], sb.toString(), "run " + o[0]);
             }
         }
     }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
@@ -7,12 +7,14 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
 import gladelug.kernel.policy.Policy;
 import java.util.ArrayList;
 import java.util.List;
 
-public record Deployment(String name, int net, String service, int replicas, int relays, int indexes, List<StandInCallers.Kind> kinds,
-                         List<StandInCallers.Tenant> tenants, String isolated) {
+public record Deployment(String name, int net, String service, int replicas, int relays, int indexes,
+    List<StandInCallers.Kind> kinds,
+    List<StandInCallers.Tenant> tenants, String isolated) {
     private static StandInCallers.Kind kind(String n, double rate, int blocks, int own, boolean repeatable) {
         return new StandInCallers.Kind(n, "/" + n, rate, blocks, own, repeatable);
     }
@@ -20,25 +22,33 @@
     private static List<StandInCallers.Tenant> tenants(String... names) {
         int[] sizes = {10, 8, 5, 1, 1, 1, 1, 1};
         List<StandInCallers.Tenant> l = new ArrayList<>();
-        for (int i = 0; i < names.length; i++) l.add(new StandInCallers.Tenant(names[i], "key-of-" + names[i], sizes[i]));
+        for (int i = 0; i < names.length; i++)
+            l.add(new StandInCallers.Tenant(names[i], "key-of-" + names[i], sizes[i]));
         return List.copyOf(l);
     }
 
     public static Deployment safariNjia() {
         return new Deployment("safari-njia", 11, "planner-model", 12, 4, 2,
-            List.of(kind("timetable-summary", 25, 24, 900, true), kind("stage-match", 20, 12, 300, false), kind("journey-reply", 30, 8, 200, false)),
-            tenants("planner-app", "ussd-gateway", "county-nairobi", "county-kiambu", "county-machakos", "county-kajiado", "county-muranga", "county-nakuru"), "county-nakuru");
+            List.of(kind("timetable-summary", 25, 24, 900, true), kind("stage-match", 20, 12, 300, false),
+                kind("journey-reply", 30, 8, 200, false)),
+            tenants("planner-app", "ussd-gateway", "county-nairobi", "county-kiambu", "county-machakos",
+                "county-kajiado", "county-muranga", "county-nakuru"),
+            "county-nakuru");
     }
 
     public static Deployment mokaRidge() {
         return new Deployment("moka-ridge", 12, "desk-model", 8, 4, 2,
-            List.of(kind("archive-check", 15, 40, 1500, false), kind("headline-tag", 12, 6, 200, true), kind("caption-draft", 20, 10, 300, false)),
-            tenants("web-desk", "photo-desk", "legal-read", "sports-desk", "farm-weekly", "coast-daily", "hill-herald", "rift-news"), "legal-read");
+            List.of(kind("archive-check", 15, 40, 1500, false), kind("headline-tag", 12, 6, 200, true),
+                kind("caption-draft", 20, 10, 300, false)),
+            tenants("web-desk", "photo-desk", "legal-read", "sports-desk", "farm-weekly", "coast-daily", "hill-herald",
+                "rift-news"),
+            "legal-read");
     }
 
     /** Two replicas, a relay and an index, for tests that set a fault and look at one order. */
     public static Deployment small(int net) {
-        return new Deployment("small", net, "m", 2, 1, 1, List.of(kind("ask", 5, 8, 200, false), kind("again", 5, 8, 200, true), kind("wide", 5, 4, 100, false)),
+        return new Deployment("small", net, "m", 2, 1, 1,
+            List.of(kind("ask", 5, 8, 200, false), kind("again", 5, 8, 200, true), kind("wide", 5, 4, 100, false)),
             tenants("one", "two", "three", "four", "five", "six", "seven", "eight"), "eight");
     }
 
@@ -63,28 +73,39 @@
         return policy(marker, without, "application", 0);
     }
 
-    /** application: which of the two application services takes lookup-stop; more: further mappings, as a policy that grows has. */
+    /**
+     * application: which of the two application services takes lookup-stop; more: further mappings, as a policy that
+     * grows has.
+     */
     public JsonObject policy(int marker, List<String> without, String application, int more) {
         JsonArray ms = new JsonArray();
         for (StandInCallers.Kind k : kinds)
-            ms.add(Json.object().add("name", k.name()).add("path", k.path()).add("service", service).add("expiryMs", 8000).add("repeatable", k.repeatable()));
-        ms.add(Json.object().add("name", "lookup-stop").add("path", "/lookup-stop").add("service", application).add("expiryMs", 5000 + marker % 1000));
+            ms.add(Json.object().add("name", k.name()).add("path", k.path()).add("service", service)
+                .add("expiryMs", 8000).add("repeatable", k.repeatable()));
+        ms.add(Json.object().add("name", "lookup-stop").add("path", "/lookup-stop").add("service", application)
+            .add("expiryMs", 5000 + marker % 1000));
         for (int i = 0; i < more; i++)
-            ms.add(Json.object().add("name", "more-" + i).add("path", "/more/" + i).add("service", service).add("expiryMs", 8000).add("repeatable", i % 2 == 0));
+            ms.add(Json.object().add("name", "more-" + i).add("path", "/more/" + i).add("service", service)
+                .add("expiryMs", 8000).add("repeatable", i % 2 == 0));
         JsonArray ts = new JsonArray();
         for (StandInCallers.Tenant t : tenants) {
             JsonArray keys = new JsonArray();
             if (!without.contains(t.name())) keys.add("sha256:" + Policy.hashOf(t.key()));
-            ts.add(Json.object().add("name", t.name()).add("keys", keys).add("weight", t.size()).add("isolated", t.name().equals(isolated))
-                .add("shares", Json.array().add((com.eclipsesource.json.JsonValue) Json.object().add("name", "first").add("weight", 3)
+            ts.add(Json.object().add("name", t.name()).add("keys", keys).add("weight", t.size())
+                .add("isolated", t.name().equals(isolated))
+                .add("shares", Json.array().add((JsonValue) Json.object().add("name", "first").add("weight", 3)
                     .add("mappings", Json.array(kinds.get(0).name(), kinds.get(1).name())))
-                    .add((com.eclipsesource.json.JsonValue) Json.object().add("name", "rest").add("weight", 1).add("mappings", Json.array(kinds.get(2).name())))));
+                    .add((JsonValue) Json.object().add("name", "rest").add("weight", 1).add("mappings",
+                        Json.array(kinds.get(2).name())))));
         }
         return Json.object().add("services", Json.array()
-                .add((com.eclipsesource.json.JsonValue) Json.object().add("name", service).add("allow", Json.array("127." + net + ".0.0/16")))
-                .add((com.eclipsesource.json.JsonValue) Json.object().add("name", "prefix-store").add("kind", "store").add("allow", Json.array("127." + net + ".0.0/16")))
-                .add((com.eclipsesource.json.JsonValue) Json.object().add("name", "application").add("kind", "application").add("allow", Json.array("127." + net + ".0.0/16")))
-                .add((com.eclipsesource.json.JsonValue) Json.object().add("name", "application-two").add("kind", "application").add("allow", Json.array("127." + net + ".0.0/16"))))
+            .add((JsonValue) Json.object().add("name", service).add("allow", Json.array("127." + net + ".0.0/16")))
+            .add((JsonValue) Json.object().add("name", "prefix-store").add("kind", "store").add("allow",
+                Json.array("127." + net + ".0.0/16")))
+            .add((JsonValue) Json.object().add("name", "application").add("kind", "application").add("allow",
+                Json.array("127." + net + ".0.0/16")))
+            .add((JsonValue) Json.object().add("name", "application-two").add("kind", "application").add("allow",
+                Json.array("127." + net + ".0.0/16"))))
             .add("mappings", ms).add("tenants", ts);
     }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
@@ -24,6 +24,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -40,9 +42,10 @@
     public final Map<String, String> records = new LinkedHashMap<>();
     public final List<String> callers = new ArrayList<>();
     public StandInPlatform platform;
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2))
+        .version(HttpClient.Version.HTTP_1_1).build();
     private HttpServer trap;
-    public final java.util.Set<String> frozen = java.util.concurrent.ConcurrentHashMap.newKeySet();
+    public final Set<String> frozen = ConcurrentHashMap.newKeySet();
     private int marker;
 
     public Fleet(Deployment d, Path dir, long seed, String choice) throws Exception {
@@ -54,16 +57,20 @@
         this.dir = dir;
         Files.createDirectories(dir);
         platform = new StandInPlatform(vertx, ip(100));
-        for (int i = 1; i <= d.replicas(); i++) addReplica(StandInReplica.Kind.MODEL, d.service(), "replica-" + i, ip(20 + i), d.domain(i), seed * 1000 + i);
+        for (int i = 1; i <= d.replicas(); i++) addReplica(StandInReplica.Kind.MODEL, d.service(), "replica-" + i,
+            ip(20 + i), d.domain(i), seed * 1000 + i);
         addReplica(StandInReplica.Kind.STORE, "prefix-store", "store", ip(60), "zone-a", seed * 1000 + 900);
-        addReplica(StandInReplica.Kind.APPLICATION, "application", "application-1", ip(61), "zone-b", seed * 1000 + 901);
-        addReplica(StandInReplica.Kind.APPLICATION, "application-two", "application-2", ip(62), "zone-c", seed * 1000 + 902);
+        addReplica(StandInReplica.Kind.APPLICATION, "application", "application-1", ip(61), "zone-b",
+            seed * 1000 + 901);
+        addReplica(StandInReplica.Kind.APPLICATION, "application-two", "application-2", ip(62), "zone-c",
+            seed * 1000 + 902);
         trap = vertx.createHttpServer().requestHandler(q -> {
             ledger.trapped.add(q.method() + " " + q.path());
             q.response().setStatusCode(404).end();
         });
         String trapHost = "127." + (d.net() + 50) + ".0.9";
-        int port = trap.listen(0, trapHost).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
+        int port = trap.listen(0, trapHost).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
+            .actualPort();
         platform.list(d.service(), "not-allowed-1", trapHost + ":" + port, "zone-a", true);
         platform.list("ghost", "ghost-1", trapHost + ":" + port, "zone-a", true);
         programs(choice, division);
@@ -73,10 +80,13 @@
         return "127." + deployment.net() + ".0." + host;
     }
 
-    public StandInReplica addReplica(StandInReplica.Kind kind, String service, String instance, String host, String domain, long seed) {
+    public StandInReplica addReplica(StandInReplica.Kind kind, String service, String instance, String host,
+        String domain, long seed) {
         int slots = kind == StandInReplica.Kind.APPLICATION ? 64 : 6;
-        StandInReplica r = new StandInReplica(vertx, ledger, kind, service, instance, host, kind == StandInReplica.Kind.MODEL ? "w1" : "", seed, slots,
-            kind == StandInReplica.Kind.STORE ? 6000 : kind == StandInReplica.Kind.MODEL ? 1500 : 0, kind == StandInReplica.Kind.APPLICATION ? 1 : 4, 6, 0.3, replicas::get);
+        StandInReplica r = new StandInReplica(vertx, ledger, kind, service, instance, host,
+            kind == StandInReplica.Kind.MODEL ? "w1" : "", seed, slots,
+            kind == StandInReplica.Kind.STORE ? 6000 : kind == StandInReplica.Kind.MODEL ? 1500 : 0,
+            kind == StandInReplica.Kind.APPLICATION ? 1 : 4, 6, 0.3, replicas::get);
         r.start();
         replicas.put(instance, r);
         platform.list(service, instance, r.address(), domain, true);
@@ -102,9 +112,13 @@
         }
         for (int i = 0; i < 3; i++) {
             String c = controls.get(i);
-            Path f = settings(c, Json.object().add("name", c).add("domain", deployment.domain(i)).add("records", records.get(c)).add("operator", operator.get(c))
-                .add("platform", platform.address()).add("founders", founders).add("seeds", seeds).add("data", dir.resolve(c + "-data").toString()));
-            children.put(c, new Child(c, "gladelug.control.ControlPlane", List.of("run", "--settings", f.toString()), dir.resolve(c + ".log"), 160));
+            Path f = settings(c,
+                Json.object().add("name", c).add("domain", deployment.domain(i)).add("records", records.get(c))
+                    .add("operator", operator.get(c))
+                    .add("platform", platform.address()).add("founders", founders).add("seeds", seeds)
+                    .add("data", dir.resolve(c + "-data").toString()));
+            children.put(c, new Child(c, "gladelug.control.ControlPlane", List.of("run", "--settings", f.toString()),
+                dir.resolve(c + ".log"), 160));
         }
         List<String> indexes = new ArrayList<>();
         for (int i = 1; i <= deployment.indexes(); i++) {
@@ -112,8 +126,10 @@
             operator.put(n, free(ip(3 + i)));
             records.put(n, free(ip(3 + i)));
             indexes.add(records.get(n));
-            Path f = settings(n, Json.object().add("name", n).add("domain", deployment.domain(i)).add("records", records.get(n)).add("operator", operator.get(n)).add("seeds", seeds));
-            children.put(n, new Child(n, "gladelug.data.DataPlane", List.of("index", "--settings", f.toString()), dir.resolve(n + ".log"), 128));
+            Path f = settings(n, Json.object().add("name", n).add("domain", deployment.domain(i))
+                .add("records", records.get(n)).add("operator", operator.get(n)).add("seeds", seeds));
+            children.put(n, new Child(n, "gladelug.data.DataPlane", List.of("index", "--settings", f.toString()),
+                dir.resolve(n + ".log"), 128));
         }
         for (int i = 1; i <= deployment.relays(); i++) {
             String n = "relay-" + i;
@@ -121,11 +137,13 @@
             records.put(n, free(ip(3 + i)));
             String c = free(ip(3 + i));
             callers.add(c);
-            JsonObject o = Json.object().add("name", n).add("domain", deployment.domain(i)).add("records", records.get(n)).add("operator", operator.get(n)).add("callers", c)
+            JsonObject o = Json.object().add("name", n).add("domain", deployment.domain(i))
+                .add("records", records.get(n)).add("operator", operator.get(n)).add("callers", c)
                 .add("seeds", seeds).add("choice", choice).add("division", division);
             if (i <= indexes.size()) o.add("index", indexes.get(i - 1));
             Path f = settings(n, o);
-            children.put(n, new Child(n, "gladelug.data.DataPlane", List.of("relay", "--settings", f.toString()), dir.resolve(n + ".log"), 160));
+            children.put(n, new Child(n, "gladelug.data.DataPlane", List.of("relay", "--settings", f.toString()),
+                dir.resolve(n + ".log"), 160));
         }
     }
 
@@ -134,10 +152,15 @@
         operator.put(name, free(ip(host)));
         records.put(name, free(ip(host)));
         JsonArray seeds = new JsonArray();
-        for (String c : records.keySet()) if (!c.equals(name) && (c.startsWith("relay") || c.startsWith("control"))) seeds.add(records.get(c));
-        Path f = settings(name, Json.object().add("name", name).add("domain", "zone-a").add("records", records.get(name)).add("operator", operator.get(name))
-            .add("platform", platform.address()).add("seeds", seeds).add("data", dir.resolve(name + "-data-" + host).toString()));
-        Child c = new Child(name, "gladelug.control.ControlPlane", List.of("run", "--settings", f.toString()), dir.resolve(name + ".log"), 160);
+        for (String c : records.keySet())
+            if (!c.equals(name) && (c.startsWith("relay") || c.startsWith("control"))) seeds.add(records.get(c));
+        Path f = settings(name,
+            Json.object().add("name", name).add("domain", "zone-a").add("records", records.get(name))
+                .add("operator", operator.get(name))
+                .add("platform", platform.address()).add("seeds", seeds)
+                .add("data", dir.resolve(name + "-data-" + host).toString()));
+        Child c = new Child(name, "gladelug.control.ControlPlane", List.of("run", "--settings", f.toString()),
+            dir.resolve(name + ".log"), 160);
         children.put(name, c);
         return c;
     }
@@ -152,17 +175,22 @@
     public void start() throws Exception {
         for (int i = 1; i <= 3; i++) {
             String c = "control-" + i;
-            Child found = new Child(c, "gladelug.control.ControlPlane", List.of("found", "--settings", dir.resolve(c + ".json").toString()), dir.resolve(c + ".log"), 64).start();
-            if (!found.waitFor(60_000) || found.exit() != 0) throw new IllegalStateException("found failed: " + found.lines());
+            Child found = new Child(c, "gladelug.control.ControlPlane",
+                List.of("found", "--settings", dir.resolve(c + ".json").toString()), dir.resolve(c + ".log"), 64)
+                .start();
+            if (!found.waitFor(60_000) || found.exit() != 0)
+                throw new IllegalStateException("found failed: " + found.lines());
         }
         for (Child c : children.values()) c.start();
-        until("a majority of control machines ready", 60_000, () -> ready("control-1") && ready("control-2") && ready("control-3"));
+        until("a majority of control machines ready", 60_000,
+            () -> ready("control-1") && ready("control-2") && ready("control-3"));
         until("the first policy taken", 30_000, () -> {
             Answer a = policy(List.of(), "*");
             return a.status == 200;
         });
         until("weights named", 30_000, () -> weights("w1").status == 200);
-        until("every relay ready", 60_000, () -> children.keySet().stream().filter(n -> n.startsWith("relay")).allMatch(this::ready));
+        until("every relay ready", 60_000,
+            () -> children.keySet().stream().filter(n -> n.startsWith("relay")).allMatch(this::ready));
     }
 
     public Answer policy(List<String> without, String match) {
@@ -179,7 +207,8 @@
     }
 
     public Answer weights(String w) {
-        return call("POST", "/v1/weights", Json.object().add("service", deployment.service()).add("weights", w).toString(), Map.of());
+        return call("POST", "/v1/weights",
+            Json.object().add("service", deployment.service()).add("weights", w).toString(), Map.of());
     }
 
     /** On whichever control machine answers first. */
@@ -195,9 +224,13 @@
 
     public Answer http(String address, String method, String path, String body, Map<String, String> headers) {
         try {
-            HttpRequest.Builder b = HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(Duration.ofSeconds(20));
+            HttpRequest.Builder b = HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .timeout(Duration.ofSeconds(20));
             headers.forEach(b::header);
-            HttpResponse<String> r = http.send(b.method(method, body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body)).build(),
+            HttpResponse<String> r = http.send(
+                b.method(method,
+                    body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body))
+                    .build(),
                 HttpResponse.BodyHandlers.ofString());
             JsonObject o;
             try {
--- a/rehearsal/src/main/java/gladelug/rehearsal/Judge.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Judge.java
@@ -7,6 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Judge {
     public record Finding(String rule, List<String> offenders) {
@@ -19,8 +21,10 @@
 
     public static List<Finding> all(Ledger l) {
         Map<String, List<String>> m = new LinkedHashMap<>();
-        for (String r : new String[] {"unrepeatable-ran-twice", "stream-lost-repeated-spliced", "cut-off-looks-complete", "bytes-of-another", "not-run-but-ran",
-            "service-never-allowed", "cache-of-other-weights-or-wall", "two-commanders", "second-tries-over-a-fifth"}) m.put(r, new ArrayList<>());
+        for (String r : new String[]{"unrepeatable-ran-twice", "stream-lost-repeated-spliced", "cut-off-looks-complete",
+            "bytes-of-another", "not-run-but-ran",
+            "service-never-allowed", "cache-of-other-weights-or-wall", "two-commanders", "second-tries-over-a-fifth"})
+            m.put(r, new ArrayList<>());
         int first = 0, second = 0;
         for (Ledger.Call c : l.calls.values()) {
             List<Ledger.Run> rs = l.runs.getOrDefault(c.tag, List.of());
@@ -31,9 +35,12 @@
             if (c.misordered > 0) m.get("stream-lost-repeated-spliced").add(c.tag + " (" + c.order + ")");
             if (c.foreign > 0) m.get("bytes-of-another").add(c.tag + " (" + c.order + ")");
             boolean whole = rs.stream().anyMatch(r -> r.ended && r.pieces == c.pieces);
-            if (c.outcome.equals("complete") && !whole) m.get("cut-off-looks-complete").add(c.tag + " with " + c.pieces + " pieces");
-            if (c.status == 200 && c.bodyTerminated && !c.explicitEnd) m.get("cut-off-looks-complete").add(c.tag + " ended its body without an end");
-            if (c.outcome.equals("not-run") && ran > 0) m.get("not-run-but-ran").add(c.tag + " (" + c.order + "): " + c.reason);
+            if (c.outcome.equals("complete") && !whole)
+                m.get("cut-off-looks-complete").add(c.tag + " with " + c.pieces + " pieces");
+            if (c.status == 200 && c.bodyTerminated && !c.explicitEnd)
+                m.get("cut-off-looks-complete").add(c.tag + " ended its body without an end");
+            if (c.outcome.equals("not-run") && ran > 0)
+                m.get("not-run-but-ran").add(c.tag + " (" + c.order + "): " + c.reason);
         }
         m.get("service-never-allowed").addAll(l.trapped);
         m.get("cache-of-other-weights-or-wall").addAll(l.wrongReuse);
@@ -69,48 +76,51 @@
             return sb.toString().trim();
         }
 
-        @org.junit.jupiter.api.Test void aCleanDayIsClean() {
+        @Test void aCleanDayIsClean() {
             Ledger l = new Ledger();
             call(l, "a", false, "complete", 5);
             run(l, "a", false, 0, false);
             run(l, "a", true, 5, true);
             call(l, "b", false, "not-run", 0);
-            org.junit.jupiter.api.Assertions.assertEquals("", verdicts(l));
+            Assertions.assertEquals("", verdicts(l));
         }
 
-        @org.junit.jupiter.api.Test void eachPlantedViolationIsCaught() {
+        @Test void eachPlantedViolationIsCaught() {
             Ledger l = new Ledger();
             call(l, "a", false, "complete", 5);
             run(l, "a", true, 1, false);
             run(l, "a", true, 5, true);
-            org.junit.jupiter.api.Assertions.assertEquals("unrepeatable-ran-twice", verdicts(l));
+            Assertions.assertEquals("unrepeatable-ran-twice", verdicts(l));
             l = new Ledger();
             call(l, "a", false, "not-run", 0);
             run(l, "a", true, 0, false);
-            org.junit.jupiter.api.Assertions.assertEquals("not-run-but-ran", verdicts(l));
+            Assertions.assertEquals("not-run-but-ran", verdicts(l));
             l = new Ledger();
             call(l, "a", false, "complete", 3);
             run(l, "a", true, 5, true);
-            org.junit.jupiter.api.Assertions.assertEquals("cut-off-looks-complete", verdicts(l));
+            Assertions.assertEquals("cut-off-looks-complete", verdicts(l));
             l = new Ledger();
             Ledger.Call c = call(l, "a", false, "none", 2);
             c.status = 200;
             c.bodyTerminated = true;
             run(l, "a", true, 2, false);
-            org.junit.jupiter.api.Assertions.assertEquals("cut-off-looks-complete", verdicts(l));
+            Assertions.assertEquals("cut-off-looks-complete", verdicts(l));
             l = new Ledger();
             call(l, "a", false, "cut-off", 2).misordered = 1;
             call(l, "b", false, "cut-off", 2).foreign = 1;
             l.trapped.add("x");
             l.wrongReuse.add("x");
             l.doubleCommand.add("x");
-            org.junit.jupiter.api.Assertions.assertEquals("stream-lost-repeated-spliced bytes-of-another service-never-allowed cache-of-other-weights-or-wall two-commanders", verdicts(l));
+            Assertions.assertEquals(
+                "stream-lost-repeated-spliced bytes-of-another service-never-allowed "
+                    + "cache-of-other-weights-or-wall two-commanders",
+                verdicts(l));
             l = new Ledger();
             for (int i = 0; i < 100; i++) {
                 call(l, "r" + i, true, "complete", 1);
                 for (int j = 0; j < (i < 40 ? 2 : 1); j++) run(l, "r" + i, true, 1, true);
             }
-            org.junit.jupiter.api.Assertions.assertEquals("second-tries-over-a-fifth", verdicts(l));
+            Assertions.assertEquals("second-tries-over-a-fifth", verdicts(l));
         }
     }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Ledger.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Ledger.java
@@ -5,6 +5,7 @@
 package gladelug.rehearsal;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,7 +33,8 @@
         public int computed;
         public int wrongHints;
 
-        Run(String tag, String order, String service, String instance, String weights, String wall, int attempt, long at) {
+        Run(String tag, String order, String service, String instance, String weights, String wall, int attempt,
+            long at) {
             this.tag = tag;
             this.order = order;
             this.service = service;
@@ -86,7 +88,7 @@
     public final ConcurrentLinkedQueue<String> doubleCommand = new ConcurrentLinkedQueue<>();
 
     public void run(Run r) {
-        runs.computeIfAbsent(r.tag, t -> java.util.Collections.synchronizedList(new ArrayList<>())).add(r);
+        runs.computeIfAbsent(r.tag, t -> Collections.synchronizedList(new ArrayList<>())).add(r);
     }
 
     public void note(String what) {
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -4,18 +4,27 @@
  */
 package gladelug.rehearsal;
 
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.WriterConfig;
 import gladelug.kernel.Program;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class RehearseFleet {
     private static final String[] CHOICES = {"summary", "least-occupancy", "holder-always"};
@@ -23,7 +32,8 @@
     private RehearseFleet() {}
 
     public static void main(String[] args) throws Exception {
-        ArgumentParser ap = ArgumentParsers.newFor("rehearse-fleet").build().defaultHelp(true).description("Runs a whole fleet on one machine with stand-ins around it.");
+        ArgumentParser ap = ArgumentParsers.newFor("rehearse-fleet").build().defaultHelp(true)
+            .description("Runs a whole fleet on one machine with stand-ins around it.");
         var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
         Subparser p = subs.addParser("run").help("load a fleet, kill parts of it, judge from the ledgers");
         p.addArgument("--deployment").choices("safari-njia", "moka-ridge").setDefault("safari-njia");
@@ -33,36 +43,45 @@
         p.addArgument("--choice").choices(CHOICES).setDefault("summary");
         p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
         p.addArgument("--out").setDefault("rehearsal-out");
-        p = subs.addParser("day").help("a seeded day: everything that may fail, one after the other, and a judgement per must-never");
+        p = subs.addParser("day")
+            .help("a seeded day: everything that may fail, one after the other, and a judgement per must-never");
         p.addArgument("--deployment").choices("safari-njia", "moka-ridge").setDefault("safari-njia");
         p.addArgument("--seed").type(Long.class).setDefault(1L);
         p.addArgument("--each").type(Integer.class).setDefault(5).help("seconds an episode lasts");
         p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
         p.addArgument("--out").setDefault("rehearsal-out");
-        p = subs.addParser("compare").help("the three ways of choosing a replica, turn about, several rounds, from the same seeds");
+        p = subs.addParser("compare")
+            .help("the three ways of choosing a replica, turn about, several rounds, from the same seeds");
         p.addArgument("--deployment").choices("safari-njia", "moka-ridge").setDefault("safari-njia");
         p.addArgument("--seconds").type(Integer.class).setDefault(15);
         p.addArgument("--rounds").type(Integer.class).setDefault(3);
         p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
-        p.addArgument("--link-factor").type(Double.class).setDefault(1.0).help("how much slower links between replicas are");
+        p.addArgument("--link-factor").type(Double.class).setDefault(1.0)
+            .help("how much slower links between replicas are");
         p.addArgument("--out").setDefault("rehearsal-out");
-        p = subs.addParser("stand-ins").help("only the stand-ins: a platform with two replicas, a store and an application, to try the programs by hand");
+        p = subs.addParser("stand-ins").help(
+            "only the stand-ins: a platform with two replicas, a store and an application, to try the programs "
+                + "by hand");
         p.addArgument("--out").setDefault("rehearsal-out");
-        p = subs.addParser("weights").help("how long a roll to new weights takes under load, and what it costs callers");
+        p = subs.addParser("weights")
+            .help("how long a roll to new weights takes under load, and what it costs callers");
         p.addArgument("--deployment").choices("safari-njia", "moka-ridge").setDefault("safari-njia");
         p.addArgument("--out").setDefault("rehearsal-out");
         p = subs.addParser("table").help("the Cuckoo Summary by itself against wider buckets");
         p.addArgument("--rounds").type(Integer.class).setDefault(7);
-        p = subs.addParser("shares").help("what tenants get of a full fleet, with and without the fleet-wide division, turn about");
+        p = subs.addParser("shares")
+            .help("what tenants get of a full fleet, with and without the fleet-wide division, turn about");
         p.addArgument("--seconds").type(Integer.class).setDefault(15);
         p.addArgument("--rounds").type(Integer.class).setDefault(3);
         p.addArgument("--out").setDefault("rehearsal-out");
         Namespace n = Program.parse(ap, args);
         if (n.getString("command").equals("stand-ins")) {
-            Fleet f = new Fleet(Deployment.small(14), Path.of(n.getString("out")).toAbsolutePath().resolve("stand-ins"), 1, "summary");
+            Fleet f = new Fleet(Deployment.small(14), Path.of(n.getString("out")).toAbsolutePath().resolve("stand-ins"),
+                1, "summary");
             Path policy = f.dir.resolve("policy.json");
-            Files.writeString(policy, f.deployment.policy(0, List.of()).toString(com.eclipsesource.json.WriterConfig.PRETTY_PRINT));
-            System.out.println("platform " + f.platform.address() + "\npolicy " + policy + "\nkey of tenant one: " + f.deployment.tenants().get(0).key() + "\nends with this process");
+            Files.writeString(policy, f.deployment.policy(0, List.of()).toString(WriterConfig.PRETTY_PRINT));
+            System.out.println("platform " + f.platform.address() + "\npolicy " + policy + "\nkey of tenant one: "
+                + f.deployment.tenants().get(0).key() + "\nends with this process");
             Thread.currentThread().join();
         }
         if (n.getString("command").equals("weights")) {
@@ -81,14 +100,17 @@
             compare(n);
             System.exit(0);
         }
-        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.WARNING);
+        Logger.getLogger("").setLevel(Level.WARNING);
         Deployment d = Deployment.named(n.getString("deployment"));
-        Path out = Path.of(n.getString("out")).toAbsolutePath().resolve(d.name() + "-" + n.getLong("seed") + "-" + System.currentTimeMillis());
+        Path out = Path.of(n.getString("out")).toAbsolutePath()
+            .resolve(d.name() + "-" + n.getLong("seed") + "-" + System.currentTimeMillis());
         Files.createDirectories(out);
         boolean clean, day = n.getString("command").equals("day");
         try (Fleet f = new Fleet(d, out, n.getLong("seed"), day ? "summary" : n.getString("choice"))) {
-            if (day) clean = new Day(f, n.getLong("seed"), n.getDouble("rate")).play(n.getInt("each"), Integer.MAX_VALUE);
-            else clean = run(f, n.getInt("seconds"), n.getLong("seed"), n.getString("kills").equals("yes"), n.getDouble("rate"));
+            if (day)
+                clean = new Day(f, n.getLong("seed"), n.getDouble("rate")).play(n.getInt("each"), Integer.MAX_VALUE);
+            else clean = run(f, n.getInt("seconds"), n.getLong("seed"), n.getString("kills").equals("yes"),
+                n.getDouble("rate"));
         }
         System.out.println("logs: " + out);
         System.exit(clean ? 0 : 1);
@@ -103,7 +125,8 @@
             Fleet.pause(5000);
             long named = System.nanoTime() / 1_000_000;
             Fleet.Answer a = f.weights("w2");
-            List<StandInReplica> models = f.replicas.values().stream().filter(r -> r.kind == StandInReplica.Kind.MODEL).toList();
+            List<StandInReplica> models = f.replicas.values().stream().filter(r -> r.kind == StandInReplica.Kind.MODEL)
+                .toList();
             List<Long> moved = new ArrayList<>();
             while (moved.size() < models.size()) {
                 long n = models.stream().filter(r -> r.weights().equals("w2")).count();
@@ -116,9 +139,13 @@
             Fleet.until("the last orders ended", 30_000, () -> callers.open() == 0);
             List<Ledger.Call> since = f.ledger.calls.values().stream().filter(c -> c.sent >= named).toList();
             long away = since.stream().filter(c -> !c.outcome.equals("complete")).count();
-            long last = f.ledger.runs.values().stream().flatMap(List::stream).filter(r -> r.weights.equals("w1")).mapToLong(r -> r.at - named).max().orElse(0);
-            System.out.printf(Locale.ROOT, "naming answered %d; replicas on new weights after ms %s; last order begun on old ones after %d ms; %d of %d orders not complete; p95 first piece %.0f ms%n",
-                a.status(), moved, last, away, since.size(), at(since.stream().filter(c -> c.firstPiece >= 0).map(c -> c.firstPiece - c.sent).toList(), 0.95));
+            long last = f.ledger.runs.values().stream().flatMap(List::stream).filter(r -> r.weights.equals("w1"))
+                .mapToLong(r -> r.at - named).max().orElse(0);
+            System.out.printf(Locale.ROOT,
+                "naming answered %d; replicas on new weights after ms %s; last order begun on old ones after %d "
+                    + "ms; %d of %d orders not complete; p95 first piece %.0f ms%n",
+                a.status(), moved, last, away, since.size(),
+                at(since.stream().filter(c -> c.firstPiece >= 0).map(c -> c.firstPiece - c.sent).toList(), 0.95));
         }
     }
 
@@ -127,11 +154,13 @@
         for (int round = 1; round <= n.getInt("rounds"); round++)
             for (String c : CHOICES) {
                 Deployment d = Deployment.named(n.getString("deployment"));
-                Path out = Path.of(n.getString("out")).toAbsolutePath().resolve("compare-" + d.name() + "-" + c + "-" + System.currentTimeMillis());
+                Path out = Path.of(n.getString("out")).toAbsolutePath()
+                    .resolve("compare-" + d.name() + "-" + c + "-" + System.currentTimeMillis());
                 try (Fleet f = new Fleet(d, out, round, c)) {
                     f.start();
                     for (StandInReplica r : f.replicas.values()) r.faults.linkFactor = n.getDouble("link_factor");
-                    StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, d.tenants(), d.kinds(), round);
+                    StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, d.tenants(), d.kinds(),
+                        round);
                     callers.faster = n.getDouble("rate");
                     callers.start();
                     Fleet.pause(n.getInt("seconds") * 1000L);
@@ -144,27 +173,35 @@
                             computed += r.computed;
                             fetched += r.fetched;
                         }
-                    List<Long> first = f.ledger.calls.values().stream().filter(x -> x.firstPiece >= 0).map(x -> x.firstPiece - x.sent).toList();
-                    double complete = f.ledger.calls.values().stream().filter(x -> x.outcome.equals("complete")).count() / (double) f.ledger.calls.size();
-                    double[] v = {100.0 * computed / blocks, 100.0 * fetched / blocks, at(first, 0.5), at(first, 0.95), 100 * complete};
+                    List<Long> first = f.ledger.calls.values().stream().filter(x -> x.firstPiece >= 0)
+                        .map(x -> x.firstPiece - x.sent).toList();
+                    double complete = f.ledger.calls.values().stream().filter(x -> x.outcome.equals("complete")).count()
+                        / (double) f.ledger.calls.size();
+                    double[] v = {100.0 * computed / blocks, 100.0 * fetched / blocks, at(first, 0.5), at(first, 0.95),
+                        100 * complete};
                     got.computeIfAbsent(c, x -> new ArrayList<>()).add(v);
-                    System.out.printf(Locale.ROOT, "round %d %-16s computed %.1f%% fetched %.1f%% of blocks, first piece median %.0f p95 %.0f ms, complete %.2f%%%n", round, c, v[0], v[1], v[2], v[3], v[4]);
+                    System.out.printf(Locale.ROOT,
+                        "round %d %-16s computed %.1f%% fetched %.1f%% of blocks, first piece median %.0f p95 "
+                            + "%.0f ms, complete %.2f%%%n",
+                        round, c, v[0], v[1], v[2], v[3], v[4]);
                 }
             }
         List<double[]> base = got.get("summary");
         for (String c : CHOICES)
-            for (int k : new int[] {0, 2, 3}) {
+            for (int k : new int[]{0, 2, 3}) {
                 List<Double> ratio = new ArrayList<>();
                 for (int i = 0; i < base.size(); i++) ratio.add(got.get(c).get(i)[k] / base.get(i)[k]);
                 System.out.printf(Locale.ROOT, "%-16s %s, ratio to summary: median %.2f, from %.2f to %.2f%n", c,
-                    k == 0 ? "computed blocks" : k == 2 ? "median first piece" : "p95 first piece", at(ratio, 0.5), at(ratio, 0), at(ratio, 1));
+                    k == 0 ? "computed blocks" : k == 2 ? "median first piece" : "p95 first piece", at(ratio, 0.5),
+                    at(ratio, 0), at(ratio, 1));
             }
     }
 
     private static boolean run(Fleet f, int seconds, long seed, boolean kills, double rate) throws Exception {
         long t0 = System.nanoTime();
         f.start();
-        System.out.printf(Locale.ROOT, "%s: fleet ready after %d ms%n", f.deployment.name(), (System.nanoTime() - t0) / 1_000_000);
+        System.out.printf(Locale.ROOT, "%s: fleet ready after %d ms%n", f.deployment.name(),
+            (System.nanoTime() - t0) / 1_000_000);
         List<StandInCallers.Kind> kinds = new ArrayList<>(f.deployment.kinds());
         kinds.add(f.deployment.application());
         StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, f.deployment.tenants(), kinds, seed);
@@ -173,7 +210,7 @@
         Added added = new Added(f);
         List<Long> acks = new ArrayList<>();
         long begin = System.nanoTime();
-        String[] plan = kills ? new String[] {"control", "index", "relay", "replica"} : new String[0];
+        String[] plan = kills ? new String[]{"control", "index", "relay", "replica"} : new String[0];
         int done = 0, policies = 0;
         Runnable mend = () -> {};
         while (true) {
@@ -203,7 +240,8 @@
         if (what.equals("control")) {
             victim = "control-1";
             var keys = f.call("GET", "/v1/status", null, Map.of()).body().get("keys");
-            if (keys != null) for (var k : keys.asArray()) if (k.asObject().getString("key", "").equals("policy")) victim = k.asObject().getString("owner", victim);
+            if (keys != null) for (var k : keys.asArray()) if (k.asObject().getString("key", "").equals("policy"))
+                victim = k.asObject().getString("owner", victim);
         }
         if (what.equals("replica")) {
             StandInReplica r = f.replicas.get("replica-2");
@@ -219,11 +257,12 @@
         c.kill();
         System.out.println("killed " + c.name + (what.equals("control") ? ", owner of policy" : ""));
         return () -> {
-            if (what.equals("control")) System.out.println("takeover gap of its keys, ms: " + takeovers(f, c.name, wall));
+            if (what.equals("control"))
+                System.out.println("takeover gap of its keys, ms: " + takeovers(f, c.name, wall));
             try {
                 c.start();
-            } catch (java.io.IOException e) {
-                throw new java.io.UncheckedIOException(e);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
             }
             Fleet.until(c.name + " ready again", 30_000, () -> f.ready(c.name));
             System.out.println("back " + c.name);
@@ -237,7 +276,7 @@
             if (!c.name.startsWith("control") || c.name.equals(dead)) continue;
             for (String line : c.lines().split("\n")) {
                 if (!line.contains("event=owner-serves")) continue;
-                long t = java.time.Instant.parse(line.substring(5, line.indexOf(' '))).toEpochMilli();
+                long t = Instant.parse(line.substring(5, line.indexOf(' '))).toEpochMilli();
                 if (t >= wall && t < wall + 10_000) out.add(t - wall);
             }
         }
@@ -258,20 +297,25 @@
         void pair() {
             StandInReplica a = f.replicas.get("application-1");
             String tag = "added-" + n++;
-            var in = com.eclipsesource.json.Json.object().add("order", tag).add("try", 1).add("service", a.service).add("instance", a.instance).add("weights", "")
+            var in = Json.object().add("order", tag).add("try", 1).add("service", a.service).add("instance", a.instance)
+                .add("weights", "")
                 .add("wall", "").add("prompt", "x#" + tag + "-direct").add("maxPieces", 1);
             long t = System.nanoTime();
-            if (f.http(a.address(), "POST", "/orders", in.toString(), Map.of()).status() == 200) direct.add((System.nanoTime() - t) / 1e6);
+            if (f.http(a.address(), "POST", "/orders", in.toString(), Map.of()).status() == 200)
+                direct.add((System.nanoTime() - t) / 1e6);
             String relay = f.callers.get(1 + n % (f.callers.size() - 1));
             t = System.nanoTime();
-            int s = f.http(relay, "POST", "/lookup-stop", com.eclipsesource.json.Json.object().add("prompt", "x#" + tag).add("maxPieces", 1).toString(),
+            int s = f.http(relay, "POST", "/lookup-stop",
+                Json.object().add("prompt", "x#" + tag).add("maxPieces", 1).toString(),
                 Map.of("Authorization", "Bearer " + f.deployment.tenants().get(0).key())).status();
             if (s == 200) relayed.add((System.nanoTime() - t) / 1e6);
         }
 
         @Override public String toString() {
-            return String.format(Locale.ROOT, "direct median %.2f p99 %.2f, relayed median %.2f p99 %.2f, added median %.2f ms over %d pairs",
-                at(direct, 0.5), at(direct, 0.99), at(relayed, 0.5), at(relayed, 0.99), at(relayed, 0.5) - at(direct, 0.5), direct.size());
+            return String.format(Locale.ROOT,
+                "direct median %.2f p99 %.2f, relayed median %.2f p99 %.2f, added median %.2f ms over %d pairs",
+                at(direct, 0.5), at(direct, 0.99), at(relayed, 0.5), at(relayed, 0.99),
+                at(relayed, 0.5) - at(direct, 0.5), direct.size());
         }
     }
 
@@ -289,10 +333,12 @@
         for (Ledger.Call c : l.calls.values()) {
             outcomes.computeIfAbsent(c.kind, k -> new TreeMap<>()).merge(c.outcome, 1, Integer::sum);
             if (c.firstPiece >= 0) first.computeIfAbsent(c.kind, k -> new ArrayList<>()).add(c.firstPiece - c.sent);
-            if (!c.outcome.equals("complete")) reasons.merge(c.outcome + ": " + c.reason.replaceAll("replica-\\d+", "a replica"), 1, Integer::sum);
+            if (!c.outcome.equals("complete"))
+                reasons.merge(c.outcome + ": " + c.reason.replaceAll("replica-\\d+", "a replica"), 1, Integer::sum);
         }
-        outcomes.forEach((k, v) -> System.out.printf(Locale.ROOT, "outcomes %-18s %s first piece ms median %.0f p95 %.0f%n", k, v,
-            at(first.getOrDefault(k, List.of()), 0.5), at(first.getOrDefault(k, List.of()), 0.95)));
+        outcomes.forEach(
+            (k, v) -> System.out.printf(Locale.ROOT, "outcomes %-18s %s first piece ms median %.0f p95 %.0f%n", k, v,
+                at(first.getOrDefault(k, List.of()), 0.5), at(first.getOrDefault(k, List.of()), 0.95)));
         reasons.forEach((k, v) -> System.out.println("  " + v + " x " + k));
         long orders = 0, tries = 0, blocks = 0, reused = 0, fetched = 0, computed = 0, wrong = 0;
         Map<String, Integer> per = new TreeMap<>();
@@ -309,35 +355,44 @@
                 if (r.blocks > 0) per.merge(r.instance, 1, Integer::sum);
             }
         }
-        System.out.printf(Locale.ROOT, "orders that reached a replica %d, second tries %d (%.2f%%)%n", orders, tries, 100.0 * tries / Math.max(1, orders));
-        System.out.printf(Locale.ROOT, "prefix blocks %d: reused %.1f%%, fetched %.1f%%, computed %.1f%%; wrong fetch hints %d%n", blocks,
-            100.0 * reused / Math.max(1, blocks), 100.0 * fetched / Math.max(1, blocks), 100.0 * computed / Math.max(1, blocks), wrong);
+        System.out.printf(Locale.ROOT, "orders that reached a replica %d, second tries %d (%.2f%%)%n", orders, tries,
+            100.0 * tries / Math.max(1, orders));
+        System.out.printf(Locale.ROOT,
+            "prefix blocks %d: reused %.1f%%, fetched %.1f%%, computed %.1f%%; wrong fetch hints %d%n", blocks,
+            100.0 * reused / Math.max(1, blocks), 100.0 * fetched / Math.max(1, blocks),
+            100.0 * computed / Math.max(1, blocks), wrong);
         System.out.println("orders per replica " + per.values());
-        if (!acks.isEmpty()) System.out.printf(Locale.ROOT, "policy push to acknowledgement ms: median %.0f, longest %.0f, of %d%n", at(acks, 0.5), at(acks, 1), acks.size());
+        if (!acks.isEmpty())
+            System.out.printf(Locale.ROOT, "policy push to acknowledgement ms: median %.0f, longest %.0f, of %d%n",
+                at(acks, 0.5), at(acks, 1), acks.size());
         if (added != null) System.out.println("relay: " + added);
         for (String x : f.operator.keySet())
             if (x.startsWith("index")) {
                 var s = f.http(f.operator.get(x), "GET", "/operator/status", null, Map.of()).body();
-                System.out.println(x + ": warm " + s.get("warm") + " entries " + s.get("entries") + " occupancy " + s.get("occupancy") + " overflow " + s.get("overflow")
-                    + " strays " + s.get("overflowStrays") + " questions " + s.get("questions") + " hits " + s.get("hits"));
+                System.out.println(x + ": warm " + s.get("warm") + " entries " + s.get("entries") + " occupancy "
+                    + s.get("occupancy") + " overflow " + s.get("overflow")
+                    + " strays " + s.get("overflowStrays") + " questions " + s.get("questions") + " hits "
+                    + s.get("hits"));
             }
         boolean clean = true;
         for (Judge.Finding j : Judge.all(l)) {
             clean &= j.clean();
-            System.out.println("must never: " + j.rule() + ": " + (j.clean() ? "clean" : j.offenders().size() + " offenders " + j.offenders().subList(0, Math.min(5, j.offenders().size()))));
+            System.out.println("must never: " + j.rule() + ": " + (j.clean()
+                ? "clean"
+                : j.offenders().size() + " offenders " + j.offenders().subList(0, Math.min(5, j.offenders().size()))));
         }
         return clean;
     }
 
     static final class Tests {
         /** The real programs, kills included, for a short while: the same run an operator can make. */
-        @org.junit.jupiter.api.Test void aShortRunOfRealProcessesWithKillsIsClean() throws Exception {
+        @Test void aShortRunOfRealProcessesWithKillsIsClean() throws Exception {
             Path out = Files.createTempDirectory("gladelug-rehearsal");
             try (Fleet f = new Fleet(Deployment.safariNjia(), out, 7, "summary")) {
                 boolean clean = run(f, 20, 7, true, 0.5);
-                org.junit.jupiter.api.Assertions.assertTrue(clean, "see the judgements above; logs in " + out);
+                Assertions.assertTrue(clean, "see the judgements above; logs in " + out);
                 long complete = f.ledger.calls.values().stream().filter(c -> c.outcome.equals("complete")).count();
-                org.junit.jupiter.api.Assertions.assertTrue(complete > f.ledger.calls.size() / 2, complete + " of " + f.ledger.calls.size());
+                Assertions.assertTrue(complete > f.ledger.calls.size() / 2, complete + " of " + f.ledger.calls.size());
             }
         }
     }
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInCallers.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInCallers.java
@@ -18,7 +18,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 public final class StandInCallers {
-    public record Kind(String name, String path, double perSecond, int prefixBlocks, int ownBytes, boolean repeatable) {}
+    public record Kind(String name, String path, double perSecond, int prefixBlocks, int ownBytes,
+        boolean repeatable) {}
 
     public record Tenant(String name, String key, int size) {}
 
@@ -35,7 +36,8 @@
     private int nr;
     public volatile double faster = 1;
 
-    public StandInCallers(Vertx vertx, Ledger ledger, List<String> relays, List<Tenant> tenants, List<Kind> kinds, long seed) {
+    public StandInCallers(Vertx vertx, Ledger ledger, List<String> relays, List<Tenant> tenants, List<Kind> kinds,
+        long seed) {
         this.vertx = vertx;
         this.ledger = ledger;
         this.relays = relays;
@@ -43,7 +45,8 @@
         this.kinds = kinds;
         this.random = new Random(seed);
         this.tenantWeight = tenants.stream().mapToInt(Tenant::size).sum();
-        this.http = vertx.createHttpClient(new HttpClientOptions().setMaxPoolSize(400).setKeepAlive(true).setConnectTimeout(1000).setIdleTimeout(60));
+        this.http = vertx.createHttpClient(
+            new HttpClientOptions().setMaxPoolSize(400).setKeepAlive(true).setConnectTimeout(1000).setIdleTimeout(60));
     }
 
     public void start() {
@@ -77,8 +80,10 @@
 
     static String prefix(Kind k, Tenant t) {
         StringBuilder sb = new StringBuilder();
-        String line = "Instructions for " + k.name + " written for " + (k.prefixBlocks > 20 ? t.name : "everybody") + ", line ";
-        for (int i = 0; sb.length() < k.prefixBlocks * StandInReplica.BLOCK; i++) sb.append(line).append(i).append(".\n");
+        String line = "Instructions for " + k.name + " written for " + (k.prefixBlocks > 20 ? t.name : "everybody")
+            + ", line ";
+        for (int i = 0; sb.length() < k.prefixBlocks * StandInReplica.BLOCK; i++)
+            sb.append(line).append(i).append(".\n");
         sb.setLength(k.prefixBlocks * StandInReplica.BLOCK);
         return sb.toString();
     }
@@ -92,7 +97,8 @@
         String body = new JsonObject().put("prompt", prefix(k, t) + own + "#" + tag).put("maxPieces", 64).encode();
         int colon = relay.lastIndexOf(':');
         open.incrementAndGet();
-        http.request(new RequestOptions().setMethod(HttpMethod.POST).setHost(relay.substring(0, colon)).setPort(Integer.parseInt(relay.substring(colon + 1)))
+        http.request(new RequestOptions().setMethod(HttpMethod.POST).setHost(relay.substring(0, colon))
+            .setPort(Integer.parseInt(relay.substring(colon + 1)))
             .setURI(k.path).setTimeout(30_000)).onComplete(a -> {
                 if (a.failed()) {
                     end(c, "no-circuit");
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInPlatform.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInPlatform.java
@@ -33,7 +33,8 @@
     private synchronized JsonObject json() {
         JsonArray a = new JsonArray();
         for (Line l : lines.values())
-            a.add(new JsonObject().put("service", l.service).put("instance", l.instance).put("address", l.address).put("domain", l.domain).put("state", l.state));
+            a.add(new JsonObject().put("service", l.service).put("instance", l.instance).put("address", l.address)
+                .put("domain", l.domain).put("state", l.state));
         return new JsonObject().put("replicas", a);
     }
 
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
@@ -17,6 +17,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -54,7 +55,8 @@
         public volatile long slowPieces;
 
         public void none() {
-            hang = cutStreams = lateBytes = halfPieces = skipPiece = lieAboutWeights = lieAboutService = absurdLoad = false;
+            hang = cutStreams = lateBytes = halfPieces = skipPiece
+                = lieAboutWeights = lieAboutService = absurdLoad = false;
             loseEvents = delayEvents = notRun = cutBeforeFirst = 0;
             linkFactor = 1;
             slowPieces = 0;
@@ -112,8 +114,10 @@
     private boolean up;
     public volatile int orders;
 
-    public StandInReplica(Vertx vertx, Ledger ledger, Kind kind, String service, String instance, String host, String weights, long seed,
-                          int slots, int capacity, double msPerBlock, double msPerPiece, double linkMs, Function<String, StandInReplica> others) {
+    public StandInReplica(Vertx vertx, Ledger ledger, Kind kind, String service, String instance, String host,
+        String weights, long seed,
+        int slots, int capacity, double msPerBlock, double msPerPiece, double linkMs,
+        Function<String, StandInReplica> others) {
         this.vertx = vertx;
         this.ledger = ledger;
         this.kind = kind;
@@ -211,15 +215,22 @@
         if (faults.hang) return;
         String p = q.path();
         switch (p) {
-            case "/identity" -> answer(q, new JsonObject().put("service", faults.lieAboutService ? "somebody-else" : service).put("instance", instance).put("weights", weights)
-                .put("blockBytes", BLOCK).put("capacityBlocks", capacity).put("slots", slots).put("incarnation", incarnation)
-                .put("loading", !loading.isEmpty()).put("offers", new JsonArray(offers)));
+            case "/identity" -> answer(q,
+                new JsonObject().put("service", faults.lieAboutService ? "somebody-else" : service)
+                    .put("instance", instance).put("weights", weights)
+                    .put("blockBytes", BLOCK).put("capacityBlocks", capacity).put("slots", slots)
+                    .put("incarnation", incarnation)
+                    .put("loading", !loading.isEmpty()).put("offers", new JsonArray(offers)));
             case "/occupancy" -> {
                 JsonObject l = new JsonObject();
                 links.forEach(l::put);
-                answer(q, new JsonObject().put("service", service).put("instance", instance).put("weights", loading.isEmpty() ? weights : "").put("blockBytes", BLOCK)
-                    .put("running", faults.absurdLoad ? -2_000_000_000 : running).put("waiting", waiting.size()).put("slots", slots)
-                    .put("waitMs", faults.absurdLoad ? 1e30 : Math.max(0, busyUntil - now())).put("msPerBlock", msPerBlock).put("links", l));
+                answer(q,
+                    new JsonObject().put("service", service).put("instance", instance)
+                        .put("weights", loading.isEmpty() ? weights : "").put("blockBytes", BLOCK)
+                        .put("running", faults.absurdLoad ? -2_000_000_000 : running).put("waiting", waiting.size())
+                        .put("slots", slots)
+                        .put("waitMs", faults.absurdLoad ? 1e30 : Math.max(0, busyUntil - now()))
+                        .put("msPerBlock", msPerBlock).put("links", l));
             }
             case "/cache/list" -> {
                 JsonArray a = new JsonArray();
@@ -268,7 +279,8 @@
     }
 
     private Buffer line(Event e) {
-        return Buffer.buffer("{\"incarnation\":\"" + incarnation + "\",\"seq\":" + e.seq + ",\"op\":\"" + (e.store ? "store" : "evict") + "\",\"block\":\""
+        return Buffer.buffer("{\"incarnation\":\"" + incarnation + "\",\"seq\":" + e.seq + ",\"op\":\""
+            + (e.store ? "store" : "evict") + "\",\"block\":\""
             + String.format("%016x", e.block) + "\"}\n");
     }
 
@@ -321,7 +333,7 @@
                 out[i] = ByteBuffer.wrap(link).getLong();
             }
             return out;
-        } catch (java.security.NoSuchAlgorithmException e) {
+        } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
         }
     }
@@ -345,7 +357,8 @@
         if (!up) return;
         JsonObject in = body.toJsonObject();
         String tag = tagOf(in.getString("prompt"));
-        Ledger.Run run = new Ledger.Run(tag, in.getString("order"), service, instance, in.getString("weights"), in.getString("wall"), in.getInteger("try"), System.nanoTime() / 1_000_000);
+        Ledger.Run run = new Ledger.Run(tag, in.getString("order"), service, instance, in.getString("weights"),
+            in.getString("wall"), in.getInteger("try"), System.nanoTime() / 1_000_000);
         ledger.run(run);
         orders++;
         if (!instance.equals(in.getString("instance")) || !service.equals(in.getString("service"))) {
@@ -373,7 +386,9 @@
         j.out = q.response();
         j.in = in;
         j.run = run;
-        j.blocks = kind == Kind.MODEL ? ids(service, in.getString("weights"), in.getString("wall"), in.getString("prompt")) : new long[0];
+        j.blocks = kind == Kind.MODEL
+            ? ids(service, in.getString("weights"), in.getString("wall"), in.getString("prompt"))
+            : new long[0];
         j.want = piecesOf(tag, in.getInteger("maxPieces"));
         j.out.closeHandler(v -> leave(j));
         j.out.exceptionHandler(t -> leave(j));
@@ -388,7 +403,8 @@
 
     private void notRun(HttpServerRequest q, JsonObject in, String why) {
         q.response().setStatusCode(409).putHeader("Content-Type", "application/json")
-            .end(new JsonObject().put("order", in.getString("order")).put("outcome", "not-run").put("reason", why).toBuffer());
+            .end(new JsonObject().put("order", in.getString("order")).put("outcome", "not-run").put("reason", why)
+                .toBuffer());
     }
 
     private synchronized void leave(Job j) {
@@ -416,7 +432,8 @@
         String w = j.run.weights, wall = j.run.wall;
         while (have < n && kept.containsKey(j.blocks[have])) {
             Kept k = kept.get(j.blocks[have]);
-            if (!k.weights.equals(w) || !k.wall.equals(wall)) ledger.wrongReuse.add(j.run.tag + " at " + instance + ": made under " + k + ", reused under " + w + "/" + wall);
+            if (!k.weights.equals(w) || !k.wall.equals(wall)) ledger.wrongReuse
+                .add(j.run.tag + " at " + instance + ": made under " + k + ", reused under " + w + "/" + wall);
             have++;
         }
         int pulled = 0;
@@ -427,8 +444,11 @@
             JsonArray bs = f.getJsonArray("blocks");
             Set<Long> named = new HashSet<>();
             for (int i = 0; i < bs.size(); i++) named.add(Long.parseUnsignedLong(bs.getString(i), 16));
-            double per = from == null ? 0 : (linkMs + from.linkMs) * Math.max(faults.linkFactor, from.faults.linkFactor);
-            while (from != null && have + pulled < n && named.contains(j.blocks[have + pulled]) && from.has(j.blocks[have + pulled])) pulled++;
+            double per = from == null
+                ? 0
+                : (linkMs + from.linkMs) * Math.max(faults.linkFactor, from.faults.linkFactor);
+            while (from != null && have + pulled < n && named.contains(j.blocks[have + pulled])
+                && from.has(j.blocks[have + pulled])) pulled++;
             if (pulled == 0) j.run.wrongHints++;
             fetchMs = pulled * per;
             if (from != null) links.merge(f.getString("from"), per, (a, b) -> a * 0.7 + b * 0.3);
@@ -452,7 +472,8 @@
         j.out.setChunked(true).putHeader("Content-Type", "application/x-ndjson");
         j.out.write(new JsonObject().put("order", j.in.getString("order")).put("instance", instance)
             .put("weights", faults.lieAboutWeights ? "made-up" : kind == Kind.MODEL ? weights : "")
-            .put("used", new JsonObject().put("reused", have).put("fetched", pulled).put("computed", compute)).encode() + "\n");
+            .put("used", new JsonObject().put("reused", have).put("fetched", pulled).put("computed", compute)).encode()
+            + "\n");
         piece(j);
     }
 
@@ -494,7 +515,8 @@
             q.response().setStatusCode(409).end(new JsonObject().put("epoch", commanderEpoch).toBuffer());
             return;
         }
-        if (e == commanderEpoch && !who.equals(commander)) ledger.doubleCommand.add(instance + ": epoch " + e + " used by " + commander + " and " + who);
+        if (e == commanderEpoch && !who.equals(commander))
+            ledger.doubleCommand.add(instance + ": epoch " + e + " used by " + commander + " and " + who);
         commanderEpoch = e;
         commander = who;
         String w = o.getString("weights", "");
--- a/rehearsal/src/main/java/gladelug/rehearsal/Table.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Table.java
@@ -19,7 +19,8 @@
     private Table() {}
 
     static void measure(int rounds) {
-        Shape[] shapes = {new Shape("b=4 f=16, overflow", 4, 16), new Shape("b=8 f=16", 8, 16), new Shape("b=8 f=17", 8, 17)};
+        Shape[] shapes = {new Shape("b=4 f=16, overflow", 4, 16), new Shape("b=8 f=16", 8, 16),
+            new Shape("b=8 f=17", 8, 17)};
         int holders = 13, shared = 300, own = 1500, probes = 2_000_000;
         Map<String, List<Double>> lookup = new TreeMap<>(), update = new TreeMap<>();
         for (int round = 0; round <= rounds; round++)
@@ -42,8 +43,11 @@
                 if (round == 0) continue;
                 lookup.computeIfAbsent(x.name, k -> new ArrayList<>()).add(look);
                 update.computeIfAbsent(x.name, k -> new ArrayList<>()).add(insert);
-                System.out.printf(Locale.ROOT, "round %d %-20s slots %d occupancy %.2f overflow %d displacements %d wrong %d of %d (bound %.0f)%n", round, x.name, s.capacity(),
-                    s.occupancy(), s.overflowed(), s.displacements(), wrong, probes, probes * 2.0 * x.slots / (1 << x.bits));
+                System.out.printf(Locale.ROOT,
+                    "round %d %-20s slots %d occupancy %.2f overflow %d displacements %d wrong %d of %d (bound %.0f)%n",
+                    round, x.name, s.capacity(),
+                    s.occupancy(), s.overflowed(), s.displacements(), wrong, probes,
+                    probes * 2.0 * x.slots / (1 << x.bits));
             }
         String base = shapes[0].name;
         for (Shape x : shapes) {
@@ -52,8 +56,12 @@
                 a.add(lookup.get(x.name).get(i) / lookup.get(base).get(i));
                 b.add(update.get(x.name).get(i) / update.get(base).get(i));
             }
-            System.out.printf(Locale.ROOT, "%-20s lookup time, ratio: median %.2f (%.2f to %.2f); insert time, ratio: median %.2f (%.2f to %.2f)%n", x.name,
-                RehearseFleet.at(a, 0.5), RehearseFleet.at(a, 0), RehearseFleet.at(a, 1), RehearseFleet.at(b, 0.5), RehearseFleet.at(b, 0), RehearseFleet.at(b, 1));
+            System.out.printf(Locale.ROOT,
+                "%-20s lookup time, ratio: median %.2f (%.2f to %.2f); insert time, ratio: median %.2f (%.2f to "
+                    + "%.2f)%n",
+                x.name,
+                RehearseFleet.at(a, 0.5), RehearseFleet.at(a, 0), RehearseFleet.at(a, 1), RehearseFleet.at(b, 0.5),
+                RehearseFleet.at(b, 0), RehearseFleet.at(b, 1));
         }
     }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -27,6 +27,8 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 
 public final class Sim {
     private record Event(long at, long nr, Runnable run) implements Comparable<Event> {
@@ -200,7 +202,11 @@
     /** Sends a value nobody sent before, through the door of one machine. match -1: whatever is there. */
     public Sent send(String door, String key, long match) {
         int n = ++sends;
-        byte[] body = ("value " + n + " of what an operator may send, long enough that only the change of it is pushed to whoever has the number before, and the rest stays".repeat(3)).getBytes(StandardCharsets.UTF_8);
+        byte[] body = ("value " + n
+            + " of what an operator may send, long enough that only the change of it is pushed to whoever has "
+            + "the number before, and the rest stays"
+                .repeat(3))
+            .getBytes(StandardCharsets.UTF_8);
         ChangeAnswer[] answer = {null};
         Sent s = new Sent(n, key, match, Digest.hex(body), time, answer);
         sent.add(s);
@@ -219,7 +225,8 @@
 
     private void mean(String key, long number, String digest, String where) {
         String old = meaning.computeIfAbsent(key, k -> new HashMap<>()).putIfAbsent(number, digest);
-        if (old != null && !old.equals(digest)) violation(key + " " + number + " means two things, the second by " + where);
+        if (old != null && !old.equals(digest))
+            violation(key + " " + number + " means two things, the second by " + where);
     }
 
     void pushed(String relay, News.Push p) {
@@ -229,9 +236,10 @@
     void started(SimRelay r, NewsBook b) {
         for (String k : Keys.LICENSED) {
             long a = acked.getOrDefault(k, 0L);
-            if (b.number(k) < a) violation(r.name + " starts an order under " + k + " " + b.number(k) + " after " + a + " was acknowledged");
+            if (b.number(k) < a) violation(
+                r.name + " starts an order under " + k + " " + b.number(k) + " after " + a + " was acknowledged");
         }
-        for (String key : new String[] {Keys.POLICY, Keys.REPLICAS}) {
+        for (String key : new String[]{Keys.POLICY, Keys.REPLICAS}) {
             String owner = null;
             for (SimControl c : controls.values()) {
                 if (!c.up || c.paused || !c.node.settled() || !c.node.mayCommand(key)) continue;
@@ -241,23 +249,29 @@
         }
     }
 
-    /** At the end of a story, with everything healed: nothing acknowledged lost, nothing refused taken, all serve again. */
+    /**
+     * At the end of a story, with everything healed: nothing acknowledged lost, nothing refused taken, all serve
+     * again.
+     */
     public void settle(long within) {
         Map<String, Long> before = new HashMap<>();
         run(within);
         for (SimRelay r : relays.values()) if (r.up) before.put(r.name, r.starts);
         run(1000);
         for (SimRelay r : relays.values())
-            if (r.up && r.starts - before.get(r.name) < 100) violation(r.name + " does not serve " + within + " ms after all was well");
-        for (String key : new String[] {Keys.POLICY, Keys.WEIGHTS, Keys.REPLICAS}) {
+            if (r.up && r.starts - before.get(r.name) < 100)
+                violation(r.name + " does not serve " + within + " ms after all was well");
+        for (String key : new String[]{Keys.POLICY, Keys.WEIGHTS, Keys.REPLICAS}) {
             Map<Long, String> m = meaning.getOrDefault(key, Map.of());
             for (SimRelay r : relays.values())
-                if (r.up && acked.getOrDefault(key, 0L) > r.number(key)) violation(r.name + " is behind what was acknowledged of " + key);
+                if (r.up && acked.getOrDefault(key, 0L) > r.number(key))
+                    violation(r.name + " is behind what was acknowledged of " + key);
             for (Sent s : sent) {
                 if (!s.key.equals(key)) continue;
                 boolean taken = m.containsValue(s.digest);
                 ChangeAnswer a = s.answer[0];
-                if (taken && (a instanceof ChangeAnswer.Stale || a instanceof ChangeAnswer.Busy || a instanceof ChangeAnswer.NoOwner))
+                if (taken && (a instanceof ChangeAnswer.Stale || a instanceof ChangeAnswer.Busy
+                    || a instanceof ChangeAnswer.NoOwner))
                     violation("value " + s.nr + " was answered " + a + " and was taken");
             }
         }
@@ -271,7 +285,8 @@
 
     public long generation() {
         long g = 0;
-        for (SimControl c : controls.values()) if (c.up && c.node.settled()) g = Math.max(g, c.node.members().generation());
+        for (SimControl c : controls.values())
+            if (c.up && c.node.settled()) g = Math.max(g, c.node.members().generation());
         return g;
     }
 
@@ -279,11 +294,13 @@
     public boolean whole() {
         long g = generation();
         Members m = null;
-        for (SimControl c : controls.values()) if (c.up && c.node.settled() && c.node.members().generation() == g) m = c.node.members();
+        for (SimControl c : controls.values())
+            if (c.up && c.node.settled() && c.node.members().generation() == g) m = c.node.members();
         if (m == null) return false;
         for (Members.Member x : m.all()) {
             SimControl c = controls.get(x.name());
-            if (!c.up || c.paused || !c.disk.equals(x.disk()) || c.node.members().generation() != g || c.node.sealed()) return false;
+            if (!c.up || c.paused || !c.disk.equals(x.disk()) || c.node.members().generation() != g || c.node.sealed())
+                return false;
         }
         return true;
     }
@@ -295,7 +312,8 @@
             run(100);
             boolean[] begun = {false};
             for (SimControl c : controls.values())
-                if (c.up && !c.paused && c.node.settled() && c.node.owns(Keys.CORE) && c.node.swap(out, in, a -> {}).isEmpty()) begun[0] = true;
+                if (c.up && !c.paused && c.node.settled() && c.node.owns(Keys.CORE)
+                    && c.node.swap(out, in, a -> {}).isEmpty()) begun[0] = true;
             if (begun[0]) return;
         }
     }
@@ -383,7 +401,7 @@
         private static void check(long seed, Sim s) {
             if (s.violations.isEmpty()) return;
             List<String> l = s.story;
-            org.junit.jupiter.api.Assertions.fail("seed " + seed + ": " + s.violations.subList(0, Math.min(4, s.violations.size())) + "\n"
+            Assertions.fail("seed " + seed + ": " + s.violations.subList(0, Math.min(4, s.violations.size())) + "\n"
                 + String.join("\n", l.subList(Math.max(0, l.size() - 60), l.size())));
         }
 
@@ -399,14 +417,15 @@
             }
         }
 
-        @org.junit.jupiter.api.Test void whateverTheSeedBringsTheRulesHold() {
+        @Test void whateverTheSeedBringsTheRulesHold() {
             int done = 0;
             for (long seed = 1; seed <= 150; seed++) {
                 Sim s = chaos(seed, 40, true);
                 check(seed, s);
                 done += s.done();
             }
-            org.junit.jupiter.api.Assertions.assertTrue(done > 1000, "only " + done + " changes were acknowledged; the seeds prove too little");
+            Assertions.assertTrue(done > 1000,
+                "only " + done + " changes were acknowledged; the seeds prove too little");
         }
     }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimRelay.java
@@ -82,7 +82,8 @@
         long before = book.number(n instanceof News.Push p ? p.key() : Keys.POLICY);
         if (book.told(n) == NewsBook.Told.WANTS_WHOLE) sim.whole(name, ((News.Push) n).key());
         if (n instanceof News.Push p) {
-            if (book.number(p.key()) < before) sim.violation(name + " went back from " + before + " to " + book.number(p.key()));
+            if (book.number(p.key()) < before)
+                sim.violation(name + " went back from " + before + " to " + book.number(p.key()));
             askNow();
         }
     }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 
 final class Timeline {
     private Timeline() {}
@@ -96,31 +97,42 @@
             String[] ps = w.trim().split(" ");
             String why = "at " + line + "\n" + s.story();
             switch (ps[0]) {
-                case "send" -> s.send(ps[1].equals("up") ? s.anyUp() : ps[1], Keys.POLICY, ps.length > 2 ? Long.parseLong(ps[2]) : -1);
+                case "send" -> s.send(ps[1].equals("up") ? s.anyUp() : ps[1], Keys.POLICY,
+                    ps.length > 2 ? Long.parseLong(ps[2]) : -1);
                 case "swap" -> {
                     boolean ok = false;
                     for (SimControl c : s.controls.values())
-                        if (c.up && c.node.settled() && c.node.owns(Keys.CORE)) ok |= c.node.swap(ps[1], ps[2], a -> {}).isEmpty();
+                        if (c.up && c.node.settled() && c.node.owns(Keys.CORE))
+                            ok |= c.node.swap(ps[1], ps[2], a -> {}).isEmpty();
                     if (!ok) throw new AssertionError("no swap begun " + why);
                 }
-                case "owner" -> must(s.owner(Keys.POLICY).equals(ps[1]), "owner is " + s.owner(Keys.POLICY) + " " + why);
-                case "retired" -> must(s.controls.get(ps[1]).node.retired(), ps[1] + " doesn't know that it is out " + why);
-                case "generation" -> must(s.generation() == Long.parseLong(ps[1]), "generation " + s.generation() + " " + why);
+                case "owner" ->
+                    must(s.owner(Keys.POLICY).equals(ps[1]), "owner is " + s.owner(Keys.POLICY) + " " + why);
+                case "retired" ->
+                    must(s.controls.get(ps[1]).node.retired(), ps[1] + " doesn't know that it is out " + why);
+                case "generation" ->
+                    must(s.generation() == Long.parseLong(ps[1]), "generation " + s.generation() + " " + why);
                 case "last" -> {
                     ChangeAnswer a = s.sent.get(s.sent.size() - 1).answer()[0];
-                    must((a == null ? "none" : a.getClass().getSimpleName()).equalsIgnoreCase(ps[1]), "last answer " + a + " " + why);
+                    must((a == null ? "none" : a.getClass().getSimpleName()).equalsIgnoreCase(ps[1]),
+                        "last answer " + a + " " + why);
                 }
                 case "oneOfTwo" -> {
-                    ChangeAnswer a = s.sent.get(s.sent.size() - 1).answer()[0], b = s.sent.get(s.sent.size() - 2).answer()[0];
-                    must(a instanceof ChangeAnswer.Done != b instanceof ChangeAnswer.Done && a instanceof ChangeAnswer.Stale != b instanceof ChangeAnswer.Stale,
+                    ChangeAnswer a = s.sent.get(s.sent.size() - 1).answer()[0],
+                        b = s.sent.get(s.sent.size() - 2).answer()[0];
+                    must(
+                        a instanceof ChangeAnswer.Done != b instanceof ChangeAnswer.Done
+                            && a instanceof ChangeAnswer.Stale != b instanceof ChangeAnswer.Stale,
                         "answers " + a + " and " + b + " " + why);
                 }
                 case "serve" -> {
-                    for (SimRelay r : s.relays.values()) if (r.up) must(s.now() - r.lastStart < 30, r.name + " does not serve " + why);
+                    for (SimRelay r : s.relays.values())
+                        if (r.up) must(s.now() - r.lastStart < 30, r.name + " does not serve " + why);
                 }
                 case "still" -> must(s.now() - s.relays.get(ps[1]).lastStart > 30, ps[1] + " serves " + why);
                 case "gap" -> {
-                    for (SimRelay r : s.relays.values()) must(r.longestGap <= Long.parseLong(ps[1]), r.name + " had a gap of " + r.longestGap + " " + why);
+                    for (SimRelay r : s.relays.values()) must(r.longestGap <= Long.parseLong(ps[1]),
+                        r.name + " had a gap of " + r.longestGap + " " + why);
                 }
                 case "forget" -> {
                     for (SimRelay r : s.relays.values()) r.longestGap = 0;
@@ -140,12 +152,13 @@
             for (long seed = 1; seed <= 12; seed++) {
                 Sim s = new Sim(seed, 2);
                 Timeline.play(s, text);
-                if (!s.violations.isEmpty()) throw new AssertionError("seed " + seed + " " + s.violations + "\n" + s.story());
+                if (!s.violations.isEmpty())
+                    throw new AssertionError("seed " + seed + " " + s.violations + "\n" + s.story());
             }
         }
 
-        @org.junit.jupiter.api.Test void losingAnyOneMachineCostsNoRelayItsLicence() {
-            for (String c : new String[] {"c1", "c2", "c3"})
+        @Test void losingAnyOneMachineCostsNoRelayItsLicence() {
+            for (String c : new String[]{"c1", "c2", "c3"})
                 play("""
                     t     | %s    | op
                     3000  | .     | send c1
@@ -157,7 +170,7 @@
                     20000 | .     | serve, gap 30, well""".formatted(c));
         }
 
-        @org.junit.jupiter.api.Test void aCutOffOwnerStopsBeingOneAndItsRelayStopsBeforeTheNextAcknowledgement() {
+        @Test void aCutOffOwnerStopsBeingOneAndItsRelayStopsBeforeTheNextAcknowledgement() {
             play("""
                 t     | c1 | c2   | c3   | r1   | r2 | op
                 3000  | .  | .    | .    | .    | .  | send c1
@@ -172,7 +185,7 @@
                 17000 | .  | .    | .    | .    | .  | last done""");
         }
 
-        @org.junit.jupiter.api.Test void aRelayCutFromTheOwnerAloneGoesOnThroughTheOthers() {
+        @Test void aRelayCutFromTheOwnerAloneGoesOnThroughTheOthers() {
             play("""
                 t     | c1 | c2 | c3 | r1       | op
                 3000  | .  | .  | .  | .        | send c1
@@ -184,7 +197,7 @@
                 15000 | .  | .  | .  | .        | serve, well""");
         }
 
-        @org.junit.jupiter.api.Test void aPausedOwnerThatWakesActsOnNothingOld() {
+        @Test void aPausedOwnerThatWakesActsOnNothingOld() {
             play("""
                 t     | c1 | c2 | c3    | op
                 3000  | .  | .  | .     | send c3
@@ -197,7 +210,7 @@
                 16000 | .  | .  | .     | serve, well""");
         }
 
-        @org.junit.jupiter.api.Test void allKilledAtOnceJustAfterAnAcknowledgementServeAgainWithinTwelveSeconds() {
+        @Test void allKilledAtOnceJustAfterAnAcknowledgementServeAgainWithinTwelveSeconds() {
             play("""
                 t     | c1    | c2    | c3    | r1   | op
                 3000  | .     | .     | .     | .    | send c1
@@ -209,7 +222,7 @@
                 16000 | .     | .     | .     | .    | last done, serve""");
         }
 
-        @org.junit.jupiter.api.Test void ofTwoOperatorsOnOneNumberOneIsToldTheCurrentNumber() {
+        @Test void ofTwoOperatorsOnOneNumberOneIsToldTheCurrentNumber() {
             play("""
                 t     | op
                 3000  | send c1 0
@@ -219,7 +232,7 @@
                 4400  | last stale, well""");
         }
 
-        @org.junit.jupiter.api.Test void withTwoMachinesGoneNobodyServesAndWithTwoBackAllDo() {
+        @Test void withTwoMachinesGoneNobodyServesAndWithTwoBackAllDo() {
             play("""
                 t     | c1   | c2   | c3    | op
                 3000  | .    | .    | .     | send c1
@@ -232,7 +245,7 @@
                 16500 | .    | .    | .     | last done, well""");
         }
 
-        @org.junit.jupiter.api.Test void aStalledDiskHandsItsKeysOnAndAFailedOneStopsItsMachine() {
+        @Test void aStalledDiskHandsItsKeysOnAndAFailedOneStopsItsMachine() {
             play("""
                 t     | c1   | c2 | c3    | op
                 3000  | .    | .  | .     | send c1
@@ -246,7 +259,7 @@
                 20000 | .    | .  | .     | last done, serve, well""");
         }
 
-        @org.junit.jupiter.api.Test void aMachineBackEmptyIsLetInByItselfAndThenCountsForAnotherLoss() {
+        @Test void aMachineBackEmptyIsLetInByItselfAndThenCountsForAnotherLoss() {
             play("""
                 t     | c1    | c2    | c3    | op
                 3000  | .     | .     | .     | send c1
@@ -259,7 +272,7 @@
                 20500 | .     | .     | .     | last done, well""");
         }
 
-        @org.junit.jupiter.api.Test void allThreeAreSwappedInTurnWhileRelaysServe() {
+        @Test void allThreeAreSwappedInTurnWhileRelaysServe() {
             play("""
                 t     | c1   | c2   | c3   | c4  | c5  | c6  | op
                 3000  | .    | .    | .    | .   | .   | .   | send c1
@@ -278,8 +291,8 @@
                 31500 | .    | .    | .    | .   | .   | .   | last done, well""");
         }
 
-        @org.junit.jupiter.api.Test void aReplacementCutOffHalfWayIsFinishedByAnother() {
-            for (int ms : new int[] {1, 4, 8, 15, 30, 60})
+        @Test void aReplacementCutOffHalfWayIsFinishedByAnother() {
+            for (int ms : new int[]{1, 4, 8, 15, 30, 60})
                 play("""
                     t     | c1 | c2 | c3    | c4  | op
                     3000  | .  | .  | .     | new | send c1
