--- a/data-plane/src/main/java/gladelug/data/index/Holder.java
+++ b/data-plane/src/main/java/gladelug/data/index/Holder.java
@@ -1,201 +1,54 @@
 /*
- * One holder as the index process follows it over HTTP: identity first, then the stream of cache
- * events, and the block list whenever its feed asks. Everything is handed to the summary's duty;
- * an address that turns out to be somebody else's gets nothing more.
+ * One holder as the summary knows it: its dense id, its feed, when it was last heard. Pure; who
+ * asks it for its list is set by whoever has the circuits.
  */
 package gladelug.data.index;
 
-import gladelug.kernel.Duty;
-import gladelug.kernel.Log;
 import gladelug.kernel.policy.Replicas.Replica;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
-import io.vertx.core.parsetools.RecordParser;
-import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.core.http.HttpClient;
-import io.vertx.mutiny.ext.web.client.WebClient;
+import java.util.function.LongConsumer;
 
-final class Holder {
-    private static final long AGAIN = 300, SILENT = 3000;
-
-    interface Owner {
-        void capacity(Holder h, long blocks);
-
-        Feed.Effects effects(Holder h);
-
-        long now();
-    }
-
-    final Replica replica;
+public final class Holder {
+    private static final long SILENT = 3000;
+    public final Replica replica;
+    public final Feed feed;
     final int id;
-    final Feed feed;
-    private final Vertx vertx;
-    private final HttpClient http;
-    private final WebClient web;
-    private final Duty duty;
-    private final Owner owner;
-    private HttpClientRequest stream;
-    volatile long capacity;
-    boolean tried;
+    long capacity;
     boolean inNext;
-    long heard;
-    private boolean gone;
-
-    Holder(Vertx vertx, HttpClient http, WebClient web, Duty duty, Owner owner, Replica r, int id) {
-        this.vertx = vertx;
-        this.http = http;
-        this.web = web;
-        this.duty = duty;
-        this.owner = owner;
+    /** Listed no more: what still arrives must not touch the entries of whoever has its id next. */
+    boolean dropped;
+    /** Has answered or failed to at least once. */
+    public boolean tried;
+    public long heard;
+    private LongConsumer lists = nr -> {};
+
+    Holder(Replica r, int id, long now, Feed.Effects fx) {
         this.replica = r;
         this.id = id;
-        Feed.Effects fx = owner.effects(this);
+        this.heard = now;
         this.feed = new Feed(new Feed.Effects() {
             @Override public void insert(long b) {
-                fx.insert(b);
+                if (!dropped) fx.insert(b);
             }
 
             @Override public void remove(long b) {
-                fx.remove(b);
+                if (!dropped) fx.remove(b);
             }
 
             @Override public void load(long[] bs) {
-                fx.load(bs);
+                if (!dropped) fx.load(bs);
             }
 
             @Override public void list(long nr) {
-                Holder.this.list(nr);
+                if (!dropped) lists.accept(nr);
             }
         });
-        this.heard = owner.now();
-        identify();
     }
 
-    void letGo() {
-        gone = true;
-        if (stream != null) stream.reset();
+    public void lists(LongConsumer asks) {
+        lists = asks;
     }
 
     boolean silent(long now) {
         return now - heard > SILENT;
     }
-
-    private void again(Runnable r) {
-        duty.after(AGAIN, () -> {
-            if (!gone) r.run();
-        });
-    }
-
-    private void identify() {
-        web.get(replica.address().port(), replica.address().host(), "/identity").timeout(1000).send().subscribe()
-            .with(r -> duty.offer(() -> {
-                if (gone) return;
-                tried = true;
-                JsonObject o;
-                try {
-                    o = r.bodyAsJsonObject() == null ? new JsonObject() : r.bodyAsJsonObject();
-                } catch (RuntimeException e) {
-                    o = new JsonObject();
-                }
-                if (!replica.instance().equals(o.getString("instance"))
-                    || !replica.service().equals(o.getString("service"))) {
-                    Log.warn("holder-is-another", "instance", replica.instance(), "address", replica.address());
-                    again(this::identify);
-                    return;
-                }
-                capacity = o.getLong("capacityBlocks", 0L);
-                owner.capacity(this, capacity);
-                feed.resync();
-                follow();
-            }), t -> duty.offer(() -> {
-                tried = true;
-                if (!gone) again(this::identify);
-            }));
-    }
-
-    private void follow() {
-        if (gone) return;
-        http.getDelegate()
-            .request(new RequestOptions().setMethod(HttpMethod.GET).setHost(replica.address().host())
-                .setPort(replica.address().port())
-                .setURI("/cache/events?instance=" + replica.instance() + "&incarnation=" + feed.incarnation()
-                    + "&after=" + feed.applied())
-                .setTimeout(2000))
-            .compose(q -> {
-                duty.offer(() -> {
-                    stream = q;
-                    if (gone) q.reset();
-                });
-                return q.send();
-            })
-            .onSuccess(resp -> {
-                if (resp.statusCode() != 200) {
-                    resp.request().reset();
-                    duty.offer(() -> again(this::identify));
-                    return;
-                }
-                RecordParser p = RecordParser.newDelimited("\n", b -> {
-                    JsonObject o;
-                    try {
-                        o = b.toJsonObject();
-                        line(o);
-                    } catch (RuntimeException e) {
-                        Log.warn("malformed-cache-event", "instance", replica.instance());
-                        resp.request().reset();
-                    }
-                });
-                p.maxRecordSize(1 << 16);
-                p.exceptionHandler(t -> resp.request().reset());
-                resp.handler(p);
-                resp.exceptionHandler(t -> broke());
-                resp.endHandler(v -> broke());
-            })
-            .onFailure(t -> broke());
-    }
-
-    private void broke() {
-        duty.offer(() -> again(() -> {
-            if (silent(owner.now())) identify();
-            else follow();
-        }));
-    }
-
-    private void line(JsonObject o) {
-        String inc = o.getString("incarnation"), op = o.getString("op");
-        long seq = o.getLong("seq");
-        long block = op.equals("pulse") ? 0 : Long.parseUnsignedLong(o.getString("block"), 16);
-        duty.offer(() -> {
-            if (gone) return;
-            heard = owner.now();
-            switch (op) {
-                case "store" -> feed.event(inc, seq, true, block, heard);
-                case "evict" -> feed.event(inc, seq, false, block, heard);
-                default -> feed.pulse(inc, seq, heard);
-            }
-        });
-    }
-
-    private void list(long nr) {
-        web.get(replica.address().port(), replica.address().host(), "/cache/list?instance=" + replica.instance())
-            .timeout(3000).send().subscribe().with(r -> {
-                try {
-                    JsonObject o = r.bodyAsJsonObject();
-                    JsonArray a = o.getJsonArray("blocks");
-                    long[] bs = new long[a.size()];
-                    for (int i = 0; i < bs.length; i++) bs[i] = Long.parseUnsignedLong(a.getString(i), 16);
-                    String inc = o.getString("incarnation");
-                    long seq = o.getLong("seq");
-                    duty.offer(() -> {
-                        if (gone) return;
-                        heard = owner.now();
-                        feed.listed(nr, inc, seq, bs);
-                    });
-                } catch (RuntimeException e) {
-                    duty.offer(() -> again(feed::resync));
-                }
-            }, t -> duty.offer(() -> again(feed::resync)));
-    }
 }
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/index/HolderCircuit.java
@@ -0,0 +1,170 @@
+/*
+ * The circuits to one holder that the index process follows: identity first, then the stream of cache
+ * events, and the block list whenever its feed asks. Everything is handed to the summary's duty;
+ * an address that turns out to be somebody else's gets nothing more.
+ */
+package gladelug.data.index;
+
+import gladelug.kernel.Clock;
+import gladelug.kernel.Duty;
+import gladelug.kernel.Log;
+import gladelug.kernel.policy.Replicas.Replica;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.parsetools.RecordParser;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.http.HttpClient;
+import io.vertx.mutiny.ext.web.client.WebClient;
+
+final class HolderCircuit {
+    private static final long AGAIN = 300;
+
+    private final Holder h;
+    private final Replica replica;
+    private final Feed feed;
+    private final Vertx vertx;
+    private final HttpClient http;
+    private final WebClient web;
+    private final Duty duty;
+    private final Clock clock;
+    private final FleetSummary summary;
+    private HttpClientRequest stream;
+    private boolean gone;
+
+    HolderCircuit(Vertx vertx, HttpClient http, WebClient web, Duty duty, Clock clock, FleetSummary summary, Holder h) {
+        this.vertx = vertx;
+        this.http = http;
+        this.web = web;
+        this.duty = duty;
+        this.clock = clock;
+        this.summary = summary;
+        this.h = h;
+        this.replica = h.replica;
+        this.feed = h.feed;
+        h.lists(this::list);
+        identify();
+    }
+
+    void letGo() {
+        gone = true;
+        if (stream != null) stream.reset();
+    }
+
+    private void again(Runnable r) {
+        duty.after(AGAIN, () -> {
+            if (!gone) r.run();
+        });
+    }
+
+    private void identify() {
+        web.get(replica.address().port(), replica.address().host(), "/identity").timeout(1000).send().subscribe()
+            .with(r -> duty.offer(() -> {
+                if (gone) return;
+                h.tried = true;
+                JsonObject o;
+                try {
+                    o = r.bodyAsJsonObject() == null ? new JsonObject() : r.bodyAsJsonObject();
+                } catch (RuntimeException e) {
+                    o = new JsonObject();
+                }
+                if (!replica.instance().equals(o.getString("instance"))
+                    || !replica.service().equals(o.getString("service"))) {
+                    Log.warn("holder-is-another", "instance", replica.instance(), "address", replica.address());
+                    again(this::identify);
+                    return;
+                }
+                summary.capacity(h, o.getLong("capacityBlocks", 0L), clock.now());
+                feed.resync();
+                follow();
+            }), t -> duty.offer(() -> {
+                h.tried = true;
+                if (!gone) again(this::identify);
+            }));
+    }
+
+    private void follow() {
+        if (gone) return;
+        http.getDelegate()
+            .request(new RequestOptions().setMethod(HttpMethod.GET).setHost(replica.address().host())
+                .setPort(replica.address().port())
+                .setURI("/cache/events?instance=" + replica.instance() + "&incarnation=" + feed.incarnation()
+                    + "&after=" + feed.applied())
+                .setTimeout(2000))
+            .compose(q -> {
+                duty.offer(() -> {
+                    stream = q;
+                    if (gone) q.reset();
+                });
+                return q.send();
+            })
+            .onSuccess(resp -> {
+                if (resp.statusCode() != 200) {
+                    resp.request().reset();
+                    duty.offer(() -> again(this::identify));
+                    return;
+                }
+                RecordParser p = RecordParser.newDelimited("\n", b -> {
+                    JsonObject o;
+                    try {
+                        o = b.toJsonObject();
+                        line(o);
+                    } catch (RuntimeException e) {
+                        Log.warn("malformed-cache-event", "instance", replica.instance());
+                        resp.request().reset();
+                    }
+                });
+                p.maxRecordSize(1 << 16);
+                p.exceptionHandler(t -> resp.request().reset());
+                resp.handler(p);
+                resp.exceptionHandler(t -> broke());
+                resp.endHandler(v -> broke());
+            })
+            .onFailure(t -> broke());
+    }
+
+    private void broke() {
+        duty.offer(() -> again(() -> {
+            if (h.silent(clock.now())) identify();
+            else follow();
+        }));
+    }
+
+    private void line(JsonObject o) {
+        String inc = o.getString("incarnation"), op = o.getString("op");
+        long seq = o.getLong("seq");
+        long block = op.equals("pulse") ? 0 : Long.parseUnsignedLong(o.getString("block"), 16);
+        duty.offer(() -> {
+            if (gone) return;
+            h.heard = clock.now();
+            switch (op) {
+                case "store" -> feed.event(inc, seq, true, block, h.heard);
+                case "evict" -> feed.event(inc, seq, false, block, h.heard);
+                default -> feed.pulse(inc, seq, h.heard);
+            }
+        });
+    }
+
+    private void list(long nr) {
+        web.get(replica.address().port(), replica.address().host(), "/cache/list?instance=" + replica.instance())
+            .timeout(3000).send().subscribe().with(r -> {
+                try {
+                    JsonObject o = r.bodyAsJsonObject();
+                    JsonArray a = o.getJsonArray("blocks");
+                    long[] bs = new long[a.size()];
+                    for (int i = 0; i < bs.length; i++) bs[i] = Long.parseUnsignedLong(a.getString(i), 16);
+                    String inc = o.getString("incarnation");
+                    long seq = o.getLong("seq");
+                    duty.offer(() -> {
+                        if (gone) return;
+                        h.heard = clock.now();
+                        feed.listed(nr, inc, seq, bs);
+                    });
+                } catch (RuntimeException e) {
+                    duty.offer(() -> again(feed::resync));
+                }
+            }, t -> duty.offer(() -> again(feed::resync)));
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/index/IndexService.java
+++ b/data-plane/src/main/java/gladelug/data/index/IndexService.java
@@ -1,27 +1,20 @@
 /*
  * The index process's one duty: the Cuckoo Summary of all holders, fed by one feed a holder and
- * asked by relays. Holder ids are dense, local to this process, and given again only after the
- * holder's entries were cleared. When holders can keep more than the table holds, or its overflow
- * says it is full, a larger one is filled from fresh lists beside it and swapped in.
+ * asked by relays.
  */
 package gladelug.data.index;
 
-import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.NewsService;
 import gladelug.data.news.Tables;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Duty;
 import gladelug.kernel.Kernel;
-import gladelug.kernel.Log;
 import gladelug.kernel.circuit.Circuit;
 import gladelug.kernel.circuit.Doors;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.message.Wire;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Replicas.Replica;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.ext.web.client.WebClientOptions;
@@ -29,199 +22,57 @@
 import io.vertx.mutiny.core.http.HttpClient;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
-public final class IndexService implements Kernel.Service, Holder.Owner {
-    private static final long START = 1 << 12, SEED = 0x5eed;
+public final class IndexService implements Kernel.Service {
     private final Vertx vertx;
     private final Clock clock;
-    private final int fingerprintBits;
     private final Duty duty;
-    private final Map<String, Holder> holders = new HashMap<>();
-    private final Holder[] byId = new Holder[CuckooSummary.HOLDERS];
-    private final BitSet taken = new BitSet();
-    private CuckooSummary now;
-    private CuckooSummary next;
-    private long nextSince;
+    private final FleetSummary summary;
+    private final Map<Holder, HolderCircuit> circuits = new HashMap<>();
     private HttpClient http;
     private WebClient web;
-    private NewsService news;
-    private long questions;
-    private long hits;
-    private int rebuilt;
-    private boolean turnedAway;
 
     public IndexService(Vertx vertx, Clock clock, int fingerprintBits) {
         this.vertx = vertx;
         this.clock = clock;
-        this.fingerprintBits = fingerprintBits;
         this.duty = new Duty("summary", 65536, clock);
-        this.now = new CuckooSummary(START, fingerprintBits, SEED);
+        this.summary = new FleetSummary(fingerprintBits);
     }
 
     @Override public void start(Kernel k) {
-        news = k.find("news", NewsService.class);
+        NewsService news = k.find("news", NewsService.class);
         http = vertx.createHttpClient(
             new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false).setMaxPoolSize(4).setIdleTimeout(10));
         web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(1000).setKeepAlive(false)
             .setFollowRedirects(false).setMaxPoolSize(4));
         news.listen(t -> duty.offer(() -> tables(t)));
-        duty.every(100, this::tick);
+        duty.every(100, () -> summary.tick(clock.now()));
         k.find("doors", Doors.class).take(Hello.LOOKUP, (h, c) -> new Circuit.Receiver() {
             @Override public void record(byte[] r) throws IOException {
                 if (!(Wire.read(r, Lookup::read) instanceof Lookup.Question q))
                     throw new IOException("an answer nobody asked for");
-                if (!duty.offer(() -> c.send(answer(q)))) c.send(new Lookup.Answer(q.nr(), false, List.of()));
+                if (!duty.offer(() -> c.send(summary.answer(q)))) c.send(new Lookup.Answer(q.nr(), false, List.of()));
             }
         });
     }
 
     private void tables(Tables t) {
-        Set<String> listed = new HashSet<>();
-        for (Replica r : t.replicas().all) {
-            Policy.Service s = t.policy().service(r.service());
-            if (s == null || s.kind() == Policy.Kind.APPLICATION || !s.allows(r.address())) continue;
-            Holder old = holders.get(r.instance());
-            if (old != null && !old.replica.address().equals(r.address())) drop(old);
-            if (!holders.containsKey(r.instance())) {
-                int id = taken.nextClearBit(0);
-                if (id >= CuckooSummary.HOLDERS) {
-                    if (!turnedAway) Log.warn("too-many-holders", "most", CuckooSummary.HOLDERS);
-                    turnedAway = true;
-                    continue;
-                }
-                taken.set(id);
-                byId[id] = new Holder(vertx, http, web, duty, this, r, id);
-                holders.put(r.instance(), byId[id]);
-            }
-            listed.add(r.instance());
-        }
-        for (Holder h : new ArrayList<>(holders.values())) if (!listed.contains(h.replica.instance())) drop(h);
-    }
-
-    private void drop(Holder h) {
-        h.letGo();
-        now.clear(h.id);
-        if (next != null) next.clear(h.id);
-        holders.remove(h.replica.instance());
-        byId[h.id] = null;
-        taken.clear(h.id);
-    }
-
-    @Override public Feed.Effects effects(Holder h) {
-        return new Feed.Effects() {
-            @Override public void insert(long b) {
-                now.insert(b, h.id);
-                if (h.inNext) next.insert(b, h.id);
-            }
-
-            @Override public void remove(long b) {
-                now.remove(b, h.id);
-                if (h.inNext) next.remove(b, h.id);
-            }
-
-            @Override public void load(long[] bs) {
-                now.clear(h.id);
-                if (next != null) {
-                    next.clear(h.id);
-                    h.inNext = true;
-                }
-                for (long b : bs) insert(b);
-            }
-
-            @Override public void list(long nr) {}
-        };
-    }
-
-    @Override public void capacity(Holder h, long blocks) {
-        long all = 0;
-        for (Holder x : holders.values()) all += x.capacity;
-        CuckooSummary t = next != null ? next : now;
-        if (all > t.capacity() * 9L / 10) grow(all);
-    }
-
-    private void grow(long entries) {
-        next = new CuckooSummary(entries, fingerprintBits, SEED);
-        nextSince = clock.now();
-        Log.event("summary-grows", "from", now.capacity(), "to", next.capacity(), "entries", now.size(), "overflow",
-            now.overflowed());
-        for (Holder h : holders.values()) {
-            h.inNext = false;
-            if (h.feed.following()) h.feed.resync();
-        }
-    }
-
-    private void tick() {
-        long t = clock.now();
-        for (Holder h : holders.values()) h.feed.tick(t);
-        if (next == null && now.full()) grow(now.capacity());
-        if (next == null) return;
-        for (Holder h : holders.values()) if (!h.inNext && !h.silent(t) && t - nextSince < 5000) return;
-        now = next;
-        next = null;
-        rebuilt++;
-        for (Holder h : holders.values()) h.inNext = false;
-        Log.event("summary-grown", "slots", now.capacity(), "entries", now.size(), "took", t - nextSince);
-    }
-
-    private boolean warm() {
-        int following = 0;
-        for (Holder h : holders.values()) {
-            if (h.feed.following()) following++;
-            else if (!h.tried) return false;
-        }
-        return following > 0;
-    }
-
-    private Lookup.Answer answer(Lookup.Question q) {
-        questions++;
-        if (!warm()) return new Lookup.Answer(q.nr(), false, List.of());
-        List<Lookup.Match> out = new ArrayList<>();
-        long left = -1L;
-        int n = 0;
-        for (; n < q.blocks().length && left != 0; n++) {
-            long m = left & now.lookup(q.blocks()[n]);
-            out(out, left & ~m, n);
-            left = m;
-        }
-        out(out, left, n);
-        if (!out.isEmpty()) hits++;
-        return new Lookup.Answer(q.nr(), true, out);
-    }
-
-    private void out(List<Lookup.Match> out, long ids, int blocks) {
-        if (blocks == 0) return;
-        for (; ids != 0; ids &= ids - 1) {
-            Holder h = byId[Long.numberOfTrailingZeros(ids)];
-            if (h != null) out.add(new Lookup.Match(h.replica.instance(), blocks));
-        }
+        summary.holders(t, clock.now());
+        circuits.entrySet().removeIf(e -> {
+            if (summary.has(e.getKey())) return false;
+            e.getValue().letGo();
+            return true;
+        });
+        for (Holder h : summary.all())
+            circuits.computeIfAbsent(h, x -> new HolderCircuit(vertx, http, web, duty, clock, summary, x));
     }
 
     /** For operators, from the duty's own thread. */
     public Uni<JsonObject> status() {
-        return Uni.createFrom().emitter(e -> duty.offer(() -> {
-            long t = clock.now();
-            JsonArray hs = new JsonArray();
-            for (Holder h : holders.values())
-                hs.add(Json.object().add("instance", h.replica.instance()).add("following", h.feed.following())
-                    .add("applied", h.feed.applied())
-                    .add("resyncs", h.feed.resyncs()).add("repeats", h.feed.repeats()).add("heardMsAgo", t - h.heard));
-            e.complete(Json.object().add("warm", warm()).add("slots", now.capacity()).add("entries", now.size())
-                .add("occupancy", now.occupancy())
-                .add("overflow", now.overflowed()).add("overflowStrays", now.strays()).add("copiesEver", now.copies())
-                .add("displacements", now.displacements())
-                .add("rebuilt", rebuilt).add("questions", questions).add("hits", hits).add("holders", hs));
-        }));
-    }
-
-    @Override public long now() {
-        return clock.now();
+        return Uni.createFrom().emitter(e -> duty.offer(() -> e.complete(summary.json(clock.now()))));
     }
 
     @Override public void stop() {
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/news/HeldNews.java
@@ -0,0 +1,102 @@
+/*
+ * What a data-plane process holds of the news: its book of numbers and licences, the snapshot of
+ * the control state made of it, and the newest division of places. No circuits and no clock of its
+ * own: the news service feeds it, and so does the simulator. Told on one thread, read on any.
+ */
+package gladelug.data.news;
+
+import gladelug.kernel.Clock;
+import gladelug.kernel.Log;
+import gladelug.kernel.Result;
+import gladelug.kernel.message.Keys;
+import gladelug.kernel.message.News;
+import gladelug.kernel.message.Shuffle;
+import gladelug.kernel.policy.CoreList;
+import gladelug.kernel.policy.Policy;
+import gladelug.kernel.policy.Replicas;
+import gladelug.kernel.policy.Weights;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+public final class HeldNews {
+    /** milli: thousandths of a place by leaf; empty and not full where nothing is bounded. */
+    public record Allotment(long at, boolean full, Map<String, Integer> milli) {}
+
+    public final Licences licences;
+    private final Clock clock;
+    private final NewsBook book;
+    private final Consumer<Tables> swapped;
+    private final Map<String, Allotment> allotments = new ConcurrentHashMap<>();
+    private volatile Tables tables = Tables.NONE;
+    private volatile List<News.Demand> demands = List.of();
+    private volatile List<News.Places> places = List.of();
+
+    /** swapped is told of each new snapshot. */
+    public HeldNews(Clock clock, Shuffle.Descriptor self, long run, Consumer<Tables> swapped) {
+        this.clock = clock;
+        this.swapped = swapped;
+        this.book = new NewsBook(self, run, this::take);
+        this.licences = book.licences;
+    }
+
+    public Tables tables() {
+        return tables;
+    }
+
+    /** Where a relay puts what it has waiting and sees free, for whoever divides. */
+    public void demand(List<News.Demand> d, List<News.Places> p) {
+        demands = d;
+        places = p;
+    }
+
+    /** The newest division for this process, or null. */
+    public Allotment allotment(String service) {
+        return allotments.get(service);
+    }
+
+    public News.Ask ask() {
+        return book.ask(clock.now(), demands, places);
+    }
+
+    public long number(String key) {
+        return book.number(key);
+    }
+
+    public NewsBook.Told told(News n) {
+        NewsBook.Told t = book.told(n);
+        if (t == NewsBook.Told.TAKEN) {
+            News.Push p = (News.Push) n;
+            Log.event("news-taken", "key", p.key(), "number", p.number(), "epoch", p.epoch(), "bytes",
+                p.value().length, "whole", p.base() < 0);
+            swapped.accept(tables);
+        } else if (t == NewsBook.Told.ALLOTTED) {
+            News.Allot a = (News.Allot) n;
+            Map<String, Integer> m = new HashMap<>();
+            for (News.Part x : a.parts()) m.put(x.leaf(), x.milli());
+            allotments.put(a.service(), new Allotment(clock.now(), a.full(), m));
+        }
+        return t;
+    }
+
+    private boolean take(News.Push p) {
+        String s = new String(p.value(), StandardCharsets.UTF_8);
+        Tables t = tables;
+        Result<Tables> r = switch (p.key()) {
+            case Keys.POLICY -> Policy.parse(s).then(x -> Result.good(t.policy(p.number(), p.digest(), x)));
+            case Keys.WEIGHTS -> Weights.parse(s).then(x -> Result.good(t.weights(p.number(), x)));
+            case Keys.REPLICAS -> Replicas.parse(s).then(x -> Result.good(t.replicas(p.number(), x)));
+            case Keys.CORE -> CoreList.parse(s).then(x -> Result.good(t.core(p.number(), x)));
+            default -> Result.bad(p.key(), "is no key");
+        };
+        if (!(r instanceof Result.Good<Tables> g)) {
+            Log.warn("news-refused", "key", p.key(), "number", p.number(), "findings", r.toString());
+            return false;
+        }
+        tables = g.value();
+        return true;
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/order/Order.java
+++ b/data-plane/src/main/java/gladelug/data/order/Order.java
@@ -42,6 +42,8 @@
     public int piecesOut;
     public boolean gone;
     public Runnable cancel = () -> {};
+    /** Told why, where its replica is known to be silent; nothing more of it counts then. */
+    public Consumer<String> lost = why -> {};
     public Consumer<Verdict> leaveBacklog;
 
     /** The caller's side of an order. */
--- a/data-plane/src/main/java/gladelug/data/order/Verdict.java
+++ b/data-plane/src/main/java/gladelug/data/order/Verdict.java
@@ -21,6 +21,6 @@
     }
 
     static Verdict unknown(int status, String reason) {
-        return new TurnAway(status, "unknown", reason, 0);
+        return new TurnAway(status, "unknown", reason, 1000);
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 public final class Backend {
-    private static final long PROBE = 20_000;
+    private static final long PROBE = 20_000, SILENT = 2000;
     public Replica replica;
     public boolean known;
     public String weights = "";
@@ -45,7 +45,12 @@
     }
 
     public boolean usable(long now) {
-        return known && now >= badUntil && now - reportedAt < 2000;
+        return known && now >= badUntil && now - reportedAt < SILENT;
+    }
+
+    /** Has told nothing of itself for so long that what it was given is given up; not by a relay just awake. */
+    public boolean silent(long now, long awake) {
+        return now - Math.max(reportedAt, awake) > SILENT;
     }
 
     public double backlogMs(long now) {
--- a/data-plane/src/main/java/gladelug/data/relay/Backends.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backends.java
@@ -12,6 +12,7 @@
 import gladelug.kernel.Log;
 import gladelug.kernel.policy.Policy;
 import gladelug.kernel.policy.Replicas.Replica;
+import io.vertx.core.json.DecodeException;
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.client.WebClient;
@@ -21,23 +22,44 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 public final class Backends {
-    private static final long PERIOD = 250;
+    /** Asks a replica for its occupancy; told is given the answer, or null where none came. */
+    public interface Asker {
+        void occupancy(Replica of, Consumer<io.vertx.core.json.JsonObject> told);
+    }
+
+    public static final long PERIOD = 250;
     private final Clock clock;
-    private final WebClient web;
+    private final Asker asker;
     private final Runnable changed;
     private final Map<String, Backend> all = new HashMap<>();
     private Map<String, List<Backend>> byService = Map.of();
 
-    public Backends(Vertx vertx, Clock clock, Runnable changed) {
+    public Backends(Clock clock, Asker asker, Runnable changed) {
         this.clock = clock;
         this.changed = changed;
-        this.web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(500).setFollowRedirects(false)
+        this.asker = asker;
+    }
+
+    static Backends overHttp(Vertx vertx, Clock clock, Runnable changed) {
+        WebClient web = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(500).setFollowRedirects(false)
             .setMaxPoolSize(2).setKeepAlive(true));
-        vertx.setPeriodic(PERIOD, i -> {
-            for (Backend b : all.values()) ask(b);
-        });
+        Backends b = new Backends(clock, (r, told) -> web.get(r.address().port(), r.address().host(), "/occupancy")
+            .timeout(1000).send().subscribe().with(a -> {
+                try {
+                    told.accept(a.statusCode() == 200 ? a.bodyAsJsonObject() : new io.vertx.core.json.JsonObject());
+                } catch (DecodeException e) {
+                    told.accept(new io.vertx.core.json.JsonObject());
+                }
+            }, t -> told.accept(null)), changed);
+        vertx.setPeriodic(PERIOD, i -> b.askAll());
+        return b;
+    }
+
+    public void askAll() {
+        for (Backend b : all.values()) ask(b);
     }
 
     public void tables(Tables t) {
@@ -75,37 +97,39 @@
 
     private void ask(Backend b) {
         int mine = b.mine;
-        web.get(b.replica.address().port(), b.replica.address().host(), "/occupancy").timeout(1000).send().subscribe()
-            .with(r -> {
-                if (all.get(b.replica.instance()) != b) return;
-                try {
-                    io.vertx.core.json.JsonObject o = r.bodyAsJsonObject();
-                    if (r.statusCode() != 200 || !b.replica.instance().equals(o.getString("instance"))
-                        || !b.replica.service().equals(o.getString("service"))) {
-                        b.known = false;
-                        return;
-                    }
-                    b.weights = o.getString("weights", "");
-                    b.slots = within(o.getInteger("slots", 1), 1, 4096);
-                    b.blockBytes = within(o.getInteger("blockBytes", 256), 16, 65536);
-                    b.msPerBlock = Math.max(0.001, Math.min(10_000, o.getDouble("msPerBlock", 1.0)));
-                    b.waitMs = Math.max(0, Math.min(600_000, o.getDouble("waitMs", 0.0)));
-                    b.reported = within(o.getInteger("running", 0) + o.getInteger("waiting", 0), 0, 100_000);
-                    b.mineAtReport = mine;
-                    b.addedMs = 0;
-                    Map<String, Double> l = new HashMap<>();
-                    io.vertx.core.json.JsonObject links = o.getJsonObject("links");
-                    if (links != null)
-                        for (String k : links.fieldNames()) l.put(k, Math.max(0.001, links.getDouble(k)));
-                    b.links = l;
-                    b.known = true;
-                    b.reportedAt = clock.now();
-                    changed.run();
-                } catch (RuntimeException e) {
-                    b.known = false;
-                    Log.fine("occupancy-malformed", "instance", b.replica.instance());
-                }
-            }, t -> Log.fine("occupancy-silent", "instance", b.replica.instance(), "what", t.toString()));
+        asker.occupancy(b.replica, o -> {
+            if (all.get(b.replica.instance()) != b) return;
+            if (o == null) Log.fine("occupancy-silent", "instance", b.replica.instance());
+            else told(b, o, mine);
+        });
+    }
+
+    private void told(Backend b, io.vertx.core.json.JsonObject o, int mine) {
+        try {
+            if (!b.replica.instance().equals(o.getString("instance"))
+                || !b.replica.service().equals(o.getString("service"))) {
+                b.known = false;
+                return;
+            }
+            b.weights = o.getString("weights", "");
+            b.slots = within(o.getInteger("slots", 1), 1, 4096);
+            b.blockBytes = within(o.getInteger("blockBytes", 256), 16, 65536);
+            b.msPerBlock = Math.max(0.001, Math.min(10_000, o.getDouble("msPerBlock", 1.0)));
+            b.waitMs = Math.max(0, Math.min(600_000, o.getDouble("waitMs", 0.0)));
+            b.reported = within(o.getInteger("running", 0) + o.getInteger("waiting", 0), 0, 100_000);
+            b.mineAtReport = mine;
+            b.addedMs = 0;
+            Map<String, Double> l = new HashMap<>();
+            io.vertx.core.json.JsonObject links = o.getJsonObject("links");
+            if (links != null) for (String k : links.fieldNames()) l.put(k, Math.max(0.001, links.getDouble(k)));
+            b.links = l;
+            b.known = true;
+            b.reportedAt = clock.now();
+            changed.run();
+        } catch (RuntimeException e) {
+            b.known = false;
+            Log.fine("occupancy-malformed", "instance", b.replica.instance());
+        }
     }
 
     private static int within(int v, int lo, int hi) {
--- a/data-plane/src/main/java/gladelug/data/relay/Budget.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Budget.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 public final class Budget {
-    private static final double EARN = 0.15, ALLOWANCE = 2, MOST = 10;
+    private static final double EARN = 0.15, ALLOWANCE = 1, MOST = 3;
     private final Map<String, double[]> tokens = new HashMap<>();
 
     private double[] of(String service) {
--- a/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
@@ -12,7 +12,6 @@
 import gladelug.data.order.Decision;
 import gladelug.data.order.Decisions;
 import gladelug.data.order.Order;
-import gladelug.data.order.State;
 import gladelug.data.order.Verdict;
 import gladelug.data.order.Way;
 import gladelug.kernel.Doc;
@@ -121,17 +120,7 @@
     }
 
     private void gone(Order o) {
-        if (calls.remove(o) == null) return;
-        o.gone = true;
-        State.At at = o.state.at();
-        if (at == State.At.ENDED) return;
-        o.decision.add("caller-gone", r.clock.now(), Json.object().add("pieces", o.piecesOut));
-        if (at == State.At.WAITING) r.stop(o, "the caller went away", 499);
-        else if (o.state.end()) {
-            o.decision.outcome("caller-gone");
-            o.cancel.run();
-            r.ended(o);
-        }
+        if (calls.remove(o) != null) r.gone(o);
     }
 
     private void refuse(RoutingContext c, int status, String reason, List<Finding> fs, long retryMs) {
--- a/data-plane/src/main/java/gladelug/data/relay/HandOver.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HandOver.java
@@ -22,32 +22,15 @@
 import gladelug.kernel.policy.Replicas;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
-import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpConnection;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
-import io.vertx.core.parsetools.RecordParser;
-import io.vertx.mutiny.core.Vertx;
-import java.util.Map;
-import java.util.WeakHashMap;
 
 public final class HandOver implements Stage {
     private static final int CHECKS = 4;
     private final Relay r;
-    private final HttpClient http;
-    private final Map<HttpConnection, String> checked = new WeakHashMap<>();
+    private final Circuits circuits;
 
-    public HandOver(Relay r, Vertx vertx) {
+    public HandOver(Relay r, Circuits circuits) {
         this.r = r;
-        this.http = vertx.getDelegate()
-            .createHttpClient(new HttpClientOptions().setConnectTimeout(500).setKeepAlive(true).setKeepAliveTimeout(20)
-                .setPipelining(false).setMaxPoolSize(256).setMaxWaitQueueSize(64).setDecompressionSupported(false)
-                .setMaxRedirects(0));
+        this.circuits = circuits;
     }
 
     @Override public String name() {
@@ -58,25 +41,17 @@
         return Uni.createFrom().emitter(e -> circuit(o, o.backend, CHECKS, e));
     }
 
-    private RequestOptions to(Backend b, HttpMethod m, String uri) {
-        return new RequestOptions().setMethod(m).setHost(b.replica.address().host()).setPort(b.replica.address().port())
-            .setURI(uri).setFollowRedirects(false);
-    }
-
     private void circuit(Order o, Backend b, int checks, UniEmitter<? super Verdict> e) {
-        http.request(to(b, HttpMethod.POST, "/orders")).onComplete(a -> {
-            if (a.failed()) {
-                b.bad(r.clock.now(), 1000);
-                e.complete(new Verdict.Again("no circuit to " + b.replica.instance()));
-                return;
-            }
-            HttpClientRequest q = a.result();
-            String is = checked.get(q.connection());
+        circuits.open(b.replica, q -> {
+            String is = q.who();
             if (who(b).equals(is)) hand(o, b, q, e);
             else if (checks == 0) {
                 q.reset();
                 e.complete(new Verdict.Again("circuits to " + b.replica.instance() + " could not be checked"));
             } else check(o, b, q, checks, e);
+        }, why -> {
+            b.bad(r.clock.now(), 1000);
+            e.complete(new Verdict.Again("no circuit to " + b.replica.instance()));
         });
     }
 
@@ -85,32 +60,18 @@
     }
 
     /** The first use of a new circuit asks who is there; only the right answer lets orders on it. */
-    private void check(Order o, Backend b, HttpClientRequest q, int checks, UniEmitter<? super Verdict> e) {
-        HttpConnection c = q.connection();
-        q.setMethod(HttpMethod.GET).setURI("/identity");
-        q.setTimeout(1000);
-        q.send().compose(p -> p.statusCode() == 200 ? p.body() : Future.failedFuture("status " + p.statusCode()))
-            .onComplete(a -> {
-                String is = "";
-                if (a.succeeded()) {
-                    try {
-                        io.vertx.core.json.JsonObject j = a.result().toJsonObject();
-                        is = j.getString("service") + "/" + j.getString("instance");
-                    } catch (RuntimeException x) {
-                        is = "";
-                    }
-                }
-                if (is.equals(who(b))) {
-                    checked.put(c, is);
-                    circuit(o, b, checks - 1, e);
-                    return;
-                }
-                c.close();
-                b.bad(r.clock.now(), 2000);
-                Log.warn("circuit-to-another", "wanted", who(b), "found", a.succeeded() ? is : a.cause().toString(),
-                    "address", b.replica.address());
-                e.complete(new Verdict.Again("the address of " + b.replica.instance() + " is not that replica's"));
-            });
+    private void check(Order o, Backend b, Circuits.Circuit q, int checks, UniEmitter<? super Verdict> e) {
+        q.identify(is -> {
+            if (is.equals(who(b))) {
+                circuit(o, b, checks - 1, e);
+                return;
+            }
+            q.close();
+            b.bad(r.clock.now(), 2000);
+            Log.warn("circuit-to-another", "wanted", who(b), "found", is.isEmpty() ? "nobody" : is, "address",
+                b.replica.address());
+            e.complete(new Verdict.Again("the address of " + b.replica.instance() + " is not that replica's"));
+        });
     }
 
     /** Everything that may have changed since it was looked at first; empty where all still holds. */
@@ -138,7 +99,7 @@
         return null;
     }
 
-    private void hand(Order o, Backend b, HttpClientRequest q, UniEmitter<? super Verdict> e) {
+    private void hand(Order o, Backend b, Circuits.Circuit q, UniEmitter<? super Verdict> e) {
         Verdict v = last(o, b);
         if (v != null || o.gone || !o.state.step(State.At.WAITING, State.At.HANDED)) {
             q.reset();
@@ -154,14 +115,12 @@
         o.decision.add("hand-over", r.clock.now(),
             Json.object().add("replica", b.replica.instance()).add("try", o.tries));
         o.cancel = q::reset;
-        q.putHeader("Content-Type", "application/json");
-        q.send(body(o, b)).onComplete(a -> {
-            if (a.failed()) problem(o, b, "the circuit to " + b.replica.instance() + " broke", e);
-            else answer(o, b, q, a.result(), e);
-        });
+        Stream x = new Stream(o, b, q, e);
+        o.lost = x::over;
+        q.order(body(o, b), x);
     }
 
-    private Buffer body(Order o, Backend b) {
+    private String body(Order o, Backend b) {
         JsonObject j = Json.object().add("order", o.id()).add("try", o.tries).add("service", o.service.name())
             .add("instance", b.replica.instance())
             .add("weights", o.weights).add("wall", o.wall).add("prompt", o.prompt).add("maxPieces", o.maxPieces);
@@ -172,7 +131,7 @@
             if (h != null) j.add("fetch",
                 Json.object().add("from", o.fetchFrom).add("address", h.address().toString()).add("blocks", bs));
         }
-        return Buffer.buffer(j.toString());
+        return j.toString();
     }
 
     /** Before the first piece went out: once more where that is allowed, else of unknown fate. */
@@ -198,63 +157,50 @@
         return o.state.step(State.At.HANDED, State.At.WAITING);
     }
 
-    private void answer(Order o, Backend b, HttpClientRequest q, HttpClientResponse p, UniEmitter<? super Verdict> e) {
-        if (p.statusCode() == 409) {
-            p.body().onComplete(a -> {
-                String why = "";
-                try {
-                    io.vertx.core.json.JsonObject j = a.result().toJsonObject();
-                    if (o.id().equals(j.getString("order")) && "not-run".equals(j.getString("outcome")))
-                        why = j.getString("reason", "none given");
-                } catch (RuntimeException x) {
-                    why = "";
-                }
-                if (why.isEmpty())
-                    problem(o, b, b.replica.instance() + " answered 409 without saying not-run of this order", e);
-                else if (o.state.at() != State.At.HANDED) e.complete(Verdict.ENDED);
-                else if (again(o)) {
-                    if (why.startsWith("weights")) b.weights = "";
-                    b.bad(r.clock.now(), 100);
-                    e.complete(new Verdict.Again(b.replica.instance() + " did not run it: " + why));
-                } else e.complete(Verdict.notRun(503, "the replica did not run it: " + why, 1000));
-            });
-            return;
-        }
-        if (p.statusCode() != 200) {
-            q.reset();
-            problem(o, b, b.replica.instance() + " answered " + p.statusCode(), e);
-            return;
-        }
-        new Stream(o, b, q, p, e).begin();
-    }
-
-    private final class Stream {
+    private final class Stream implements Circuits.Answer {
         private final Order o;
         private final Backend b;
-        private final HttpClientRequest q;
-        private final HttpClientResponse p;
+        private final Circuits.Circuit q;
         private final UniEmitter<? super Verdict> e;
         private boolean head;
         private boolean over;
 
-        Stream(Order o, Backend b, HttpClientRequest q, HttpClientResponse p, UniEmitter<? super Verdict> e) {
+        Stream(Order o, Backend b, Circuits.Circuit q, UniEmitter<? super Verdict> e) {
             this.o = o;
             this.b = b;
             this.q = q;
-            this.p = p;
             this.e = e;
         }
 
-        void begin() {
-            RecordParser lines = RecordParser.newDelimited("\n", this::line);
-            lines.maxRecordSize(1 << 20);
-            lines.exceptionHandler(t -> broken("an endless piece"));
-            p.handler(x -> {
-                if (!over) lines.handle(x);
-                else q.reset();
-            });
-            p.exceptionHandler(t -> broken("the answer broke off"));
-            p.endHandler(v -> broken("the answer ended without saying so"));
+        @Override public void refused(int status, String body) {
+            if (over) return;
+            if (status != 409) {
+                broken("answered " + status);
+                return;
+            }
+            String why = "";
+            try {
+                JsonObject j = Json.parse(body).asObject();
+                if (o.id().equals(j.getString("order", "")) && "not-run".equals(j.getString("outcome", "")))
+                    why = j.getString("reason", "none given");
+            } catch (RuntimeException x) {
+                why = "";
+            }
+            if (why.isEmpty()) {
+                broken("answered 409 without saying not-run of this order");
+                return;
+            }
+            over = true;
+            if (o.state.at() != State.At.HANDED) e.complete(Verdict.ENDED);
+            else if (again(o)) {
+                if (why.startsWith("weights")) b.weights = "";
+                b.bad(r.clock.now(), 100);
+                e.complete(new Verdict.Again(b.replica.instance() + " did not run it: " + why));
+            } else e.complete(Verdict.notRun(503, "the replica did not run it: " + why, 1000));
+        }
+
+        @Override public void over(String why) {
+            broken(why);
         }
 
         private void broken(String what) {
@@ -264,11 +210,11 @@
             problem(o, b, b.replica.instance() + ": " + what, e);
         }
 
-        private void line(Buffer x) {
+        @Override public void line(String x) {
             if (over) return;
             JsonObject j;
             try {
-                j = Json.parse(x.toString()).asObject();
+                j = Json.parse(x).asObject();
             } catch (RuntimeException t) {
                 broken("a line that is no piece");
                 return;
@@ -307,7 +253,7 @@
                 o.decision.add("stream", r.clock.now(), Json.object().add("firstPieceMs", r.clock.now() - o.came));
             }
             o.piecesOut++;
-            if (!o.caller.piece(o, Json.object().add("piece", n).add("text", t).toString(), p::resume)) p.pause();
+            if (!o.caller.piece(o, Json.object().add("piece", n).add("text", t).toString(), q::resume)) q.pause();
         }
 
         private void end(JsonObject j) {
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -24,9 +24,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-public final class LookupClient {
-    public record Found(String how, List<Lookup.Match> matches) {}
-
+public final class LookupClient implements Lookups {
     private static final long WAIT = 8;
     private final Vertx vertx;
     private final Context context;
@@ -79,7 +77,7 @@
         late.values().removeIf(n -> n <= 0);
     }
 
-    public Uni<Found> ask(long[] blocks) {
+    @Override public Uni<Found> ask(long[] blocks) {
         if (blocks.length == 0) return Uni.createFrom().item(new Found("no-block", List.of()));
         return Uni.createFrom().emitter(e -> {
             long n = ++nr;
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/Lookups.java
@@ -0,0 +1,15 @@
+/*
+ * Where a prompt's blocks are, as a relay asks: an answer within milliseconds, or none.
+ */
+package gladelug.data.relay;
+
+import gladelug.kernel.message.Lookup;
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+
+public interface Lookups {
+    /** how: answered, warming, late, no-index or no-block. */
+    record Found(String how, List<Lookup.Match> matches) {}
+
+    Uni<Found> ask(long[] blocks);
+}
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -7,11 +7,12 @@
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
-import gladelug.data.news.NewsService;
+import gladelug.data.news.HeldNews;
 import gladelug.data.news.Tables;
 import gladelug.data.order.Order;
 import gladelug.data.order.State;
 import gladelug.data.order.Verdict;
+import gladelug.data.order.Way;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Keys;
@@ -34,9 +35,10 @@
     public static final long GRACE = 2000;
     private static final long STALE = 2000;
     private static final double START = 250;
+    private static final long ASLEEP = 500;
 
     public final Clock clock;
-    public final NewsService news;
+    public final HeldNews news;
     public final Backends backends;
     public final Budget budget = new Budget();
     public final String domain;
@@ -50,15 +52,17 @@
     /** Shares kept by this relay alone, to be measured against the fleet's division. */
     private final boolean alone;
     private long ticked;
+    private long awake;
     private boolean pumping;
     private boolean pumpAgain;
     public boolean stopping;
 
-    public Relay(Clock clock, NewsService news, Function<Relay, Backends> backends, String domain, int backlogMost,
+    public Relay(Clock clock, HeldNews news, Function<Relay, Backends> backends, String domain, int backlogMost,
         IntSupplier relays, boolean alone) {
         this.relays = relays;
         this.alone = alone;
         this.ticked = clock.now();
+        this.awake = ticked;
         this.clock = clock;
         this.news = news;
         this.domain = domain;
@@ -158,7 +162,7 @@
             String s = e.getKey();
             e.getValue().waitingAndUsed().forEach((leaf, n) -> ds.add(new News.Demand(s, leaf, n[0], n[1])));
             ps.add(new News.Places(s, places(s)));
-            NewsService.Allotment a = news.allotment(s);
+            HeldNews.Allotment a = news.allotment(s);
             if (alone || a == null || now - a.at() > STALE || !a.full()) e.getValue().unbound();
             else e.getValue().bound(a.milli(), passed, orderMs(s));
         }
@@ -173,7 +177,7 @@
         JsonObject o = Json.object();
         long now = clock.now();
         for (Map.Entry<String, Backlog> e : backlogs.entrySet()) {
-            NewsService.Allotment a = news.allotment(e.getKey());
+            HeldNews.Allotment a = news.allotment(e.getKey());
             boolean fresh = a != null && now - a.at() <= STALE;
             JsonObject l = Json.object();
             e.getValue().waitingAndUsed().forEach((leaf, n) -> {
@@ -189,7 +193,7 @@
 
     /** With nobody dividing, as much of the places as if all relays asked alike. */
     private int equalPart(String service) {
-        NewsService.Allotment a = news.allotment(service);
+        HeldNews.Allotment a = news.allotment(service);
         if (alone) return Integer.MAX_VALUE;
         if (a != null && clock.now() - a.at() <= STALE) return Integer.MAX_VALUE;
         int n = Math.max(1, relays.getAsInt());
@@ -231,6 +235,27 @@
         pumping = false;
     }
 
+    /** The caller went away: nothing is left to be done for its order. */
+    public void gone(Order o) {
+        o.gone = true;
+        State.At at = o.state.at();
+        if (at == State.At.ENDED) return;
+        o.decision.add("caller-gone", clock.now(), Json.object().add("pieces", o.piecesOut));
+        if (at == State.At.WAITING) stop(o, "the caller went away", 499);
+        else if (o.state.end()) {
+            o.decision.outcome("caller-gone");
+            o.cancel.run();
+            ended(o);
+        }
+    }
+
+    /** The way of an order through this relay. */
+    public Way way(Lookups lookups, Stages.Mode mode, Circuits circuits) {
+        return new Way(List.of(new Stages.Key(this), new Stages.Mapping(this), new Stages.Admission(this),
+            new Stages.Prefix(this, lookups), new Stages.Choice(this, mode), new Stages.Fetch(this),
+            new HandOver(this, circuits)), "choice", clock, this::ended);
+    }
+
     /** A new snapshot: back ends, shares, and what it forbids of orders under way. */
     public void tables(Tables t) {
         backends.tables(t);
@@ -274,6 +299,8 @@
     public void tick() {
         long now = clock.now();
         divide(now, now - ticked);
+        // after a pause of its own, replicas are given the time to say that they are there
+        if (now - ticked > ASLEEP) awake = now;
         ticked = now;
         for (Order o : live()) {
             if (o.expiry > 0 && now >= o.expiry) {
@@ -282,7 +309,8 @@
                     for (Order x : backlog(o.service.name()).leave(y -> y == o))
                         x.leaveBacklog.accept(Verdict.notRun(503, "expired in the backlog", 1000));
                 } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, "expired");
-            }
+            } else if (o.backend != null && o.backend.silent(now, awake) && o.state.at() != State.At.WAITING)
+                o.lost.accept("has fallen silent");
         }
         if (now - news.licences.until(Keys.POLICY) > GRACE)
             for (Order o : live())
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -10,8 +10,6 @@
 import gladelug.data.news.NewsService;
 import gladelug.data.news.Tables;
 import gladelug.data.order.Decisions;
-import gladelug.data.order.Stage;
-import gladelug.data.order.Way;
 import gladelug.kernel.Address;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Kernel;
@@ -26,7 +24,6 @@
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -71,13 +68,10 @@
         context = vertx.getOrCreateContext();
         CompletableFuture<Void> up = new CompletableFuture<>();
         context.runOnContext(() -> {
-            Relay r = new Relay(clock, news, x -> new Backends(vertx, clock, x::pump), domain, backlog,
+            Relay r = new Relay(clock, news.held, x -> Backends.overHttp(vertx, clock, x::pump), domain, backlog,
                 () -> 1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count(), alone);
-            List<Stage> stages = List.of(new Stages.Key(r), new Stages.Mapping(r), new Stages.Admission(r),
-                new Stages.Prefix(r, new LookupClient(vertx, context, doors, views, domain, index)),
-                new Stages.Choice(r, mode), new Stages.Fetch(r),
-                new HandOver(r, vertx));
-            CallerDoor door = new CallerDoor(r, decisions, new Way(stages, "choice", clock, r::ended));
+            LookupClient lookups = new LookupClient(vertx, context, doors, views, domain, index);
+            CallerDoor door = new CallerDoor(r, decisions, r.way(lookups, mode, new HttpCircuits(vertx)));
             io.vertx.ext.web.Router t = io.vertx.ext.web.Router.router(vertx.getDelegate());
             door.routes(t);
             vertx.setPeriodic(50, i -> r.tick());
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -104,7 +104,7 @@
     }
 
     /** Where the prompt's prefix already is: a hint from the Cuckoo Summary, for milliseconds only. */
-    public record Prefix(Relay r, LookupClient lookups) implements Stage {
+    public record Prefix(Relay r, Lookups lookups) implements Stage {
         @Override public String name() {
             return "lookup";
         }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Ledger.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Ledger.java
@@ -33,7 +33,7 @@
         public int computed;
         public int wrongHints;
 
-        Run(String tag, String order, String service, String instance, String weights, String wall, int attempt,
+        public Run(String tag, String order, String service, String instance, String weights, String wall, int attempt,
             long at) {
             this.tag = tag;
             this.order = order;
@@ -66,7 +66,7 @@
         public volatile long firstPiece = -1;
         public volatile long done = -1;
 
-        Call(String tag, String kind, String tenant, String relay, boolean repeatable, long sent) {
+        public Call(String tag, String kind, String tenant, String relay, boolean repeatable, long sent) {
             this.tag = tag;
             this.kind = kind;
             this.tenant = tenant;
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
@@ -55,7 +55,8 @@
         public volatile long slowPieces;
 
         public void none() {
-            hang = cutStreams = lateBytes = halfPieces = skipPiece = lieAboutWeights = lieAboutService = absurdLoad = false;
+            hang = cutStreams = lateBytes = halfPieces = false;
+            skipPiece = lieAboutWeights = lieAboutService = absurdLoad = false;
             loseEvents = delayEvents = notRun = cutBeforeFirst = 0;
             linkFactor = 1;
             slowPieces = 0;
@@ -321,13 +322,17 @@
 
     /** This stand-in's own reckoning of block ids, written from the protocol's page and not from the product's code. */
     static long[] ids(String service, String weights, String wall, String prompt) {
+        return ids(service, weights, wall, prompt, BLOCK);
+    }
+
+    public static long[] ids(String service, String weights, String wall, String prompt, int block) {
         byte[] p = prompt.getBytes(StandardCharsets.UTF_8);
         try {
             MessageDigest d = MessageDigest.getInstance("SHA-256");
             byte[] link = d.digest((service + "\n" + weights + "\n" + wall).getBytes(StandardCharsets.UTF_8));
-            long[] out = new long[Math.max(0, p.length - 1) / BLOCK];
+            long[] out = new long[Math.max(0, p.length - 1) / block];
             for (int i = 0; i < out.length; i++) {
-                ByteBuffer b = ByteBuffer.allocate(link.length + BLOCK).put(link).put(p, i * BLOCK, BLOCK);
+                ByteBuffer b = ByteBuffer.allocate(link.length + block).put(link).put(p, i * block, block);
                 link = d.digest(b.array());
                 out[i] = ByteBuffer.wrap(link).getLong();
             }
@@ -337,16 +342,16 @@
         }
     }
 
-    static String tagOf(String prompt) {
+    public static String tagOf(String prompt) {
         int i = prompt.lastIndexOf('#');
         return i < 0 ? "untagged" : prompt.substring(i + 1);
     }
 
-    static int piecesOf(String tag, int most) {
+    public static int piecesOf(String tag, int most) {
         return Math.min(most, 4 + Math.floorMod(tag.hashCode(), 13));
     }
 
-    static String textOf(String tag, int piece) {
+    public static String textOf(String tag, int piece) {
         return tag + "/" + piece + " ";
     }
 
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/OrderRelay.java
@@ -0,0 +1,208 @@
+/*
+ * A whole relay in the simulated world: the product's news, stages, backlog, budget and hand-over
+ * over simulated circuits, with its callers. It can be killed, paused, and run on a clock that drifts. What
+ * its callers see goes into the ledger.
+ */
+package gladelug.rehearsal.sim;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import gladelug.data.news.HeldNews;
+import gladelug.data.news.NewsBook;
+import gladelug.data.order.Decisions;
+import gladelug.data.order.Order;
+import gladelug.data.order.Verdict;
+import gladelug.data.order.Way;
+import gladelug.data.relay.Backends;
+import gladelug.data.relay.Relay;
+import gladelug.data.relay.Stages;
+import gladelug.kernel.message.News;
+import gladelug.kernel.message.Shuffle;
+import gladelug.kernel.policy.Policy;
+import gladelug.rehearsal.Ledger;
+import gladelug.rehearsal.StandInReplica;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+final class OrderRelay {
+    private static final long LATE = 1700;
+    private final OrderSim sim;
+    final String name;
+    int life;
+    boolean up;
+    boolean paused;
+    double rate = 1;
+    private final ArrayDeque<Runnable> held = new ArrayDeque<>();
+    private HeldNews news;
+    private Relay relay;
+    private Decisions decisions;
+    private Way way;
+    private SimCircuits circuits;
+    private final Map<Order, Ledger.Call> calls = new HashMap<>();
+    private final Set<Ledger.Call> open = new LinkedHashSet<>();
+    int restarts;
+    long complete;
+
+    OrderRelay(OrderSim sim, String name) {
+        this.sim = sim;
+        this.name = name;
+    }
+
+    private long now() {
+        return (long) (sim.now() * rate);
+    }
+
+    void start() {
+        if (up) return;
+        up = true;
+        paused = false;
+        held.clear();
+        int l = ++life;
+        news = new HeldNews(this::now, new Shuffle.Descriptor(name, "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0), l,
+            t -> relay.tables(t));
+        circuits = new SimCircuits(sim, this);
+        decisions = new Decisions(512, name, l);
+        relay = new Relay(this::now, news, x -> new Backends(this::now, (r, told) -> sim.occupancy(this, r, told),
+            x::pump), "z", 64, () -> sim.fronts.size(), false);
+        way = relay.way(blocks -> Uni.createFrom().emitter(e -> sim.lookup(this, blocks, e::complete)),
+            Stages.Mode.SUMMARY, circuits);
+        every(l, 50, () -> relay.tick());
+        every(l, Backends.PERIOD, () -> relay.backends.askAll());
+        every(l, 400, this::ask);
+    }
+
+    private void every(int l, long ms, Runnable r) {
+        if (l != life) return;
+        run(l, r);
+        sim.after(ms, () -> every(l, ms, r));
+    }
+
+    private void ask() {
+        News.Ask a = news.ask();
+        for (String c : sim.controlNames()) sim.ask(name, c, a);
+    }
+
+    /** On the order thread of this life, or when its pause is over. */
+    void run(int l, Runnable r) {
+        if (!up || l != life) return;
+        if (paused) held.add(r);
+        else r.run();
+    }
+
+    void wake() {
+        paused = false;
+        while (!held.isEmpty() && !paused) held.poll().run();
+    }
+
+    void kill() {
+        if (!up) return;
+        up = false;
+        life++;
+        restarts++;
+        circuits.die();
+        for (Ledger.Call c : new ArrayList<>(open)) end(c, "broken");
+        calls.clear();
+    }
+
+    void told(News n) {
+        run(life, () -> {
+            if (news.told(n) == NewsBook.Told.WANTS_WHOLE) sim.whole(name, ((News.Push) n).key());
+            if (n instanceof News.Push) ask();
+        });
+    }
+
+    void broke(SimReplica r) {
+        if (up) circuits.broke(r);
+    }
+
+    long number(String key) {
+        return news.number(key);
+    }
+
+    private void end(Ledger.Call c, String outcome) {
+        open.remove(c);
+        c.outcome = outcome;
+        c.done = sim.now();
+    }
+
+    /** A caller sends an order, and perhaps goes away before its end. */
+    void send(String kind, String path, String tenant, boolean repeatable, String prompt, String tag) {
+        Ledger.Call c = new Ledger.Call(tag, kind, tenant, name, repeatable, sim.now());
+        sim.ledger.calls.put(tag, c);
+        if (!up) {
+            end(c, "no-circuit");
+            return;
+        }
+        open.add(c);
+        run(life, () -> {
+            Order o = new Order(decisions.begin(now()), now(), Policy.hashOf("key-of-" + tenant), path, new Side());
+            o.prompt = prompt + "#" + tag;
+            o.maxPieces = 16;
+            c.order = o.id();
+            calls.put(o, c);
+            relay.begin(o);
+            way.go(o);
+            if (sim.random.nextInt(25) == 0) sim.after(sim.random.nextInt(200), () -> run(o.id(), () -> gone(o)));
+        });
+    }
+
+    private void run(String id, Runnable r) {
+        if (id.contains(String.format(".%04x.", life & 0xffff))) run(life, r);
+    }
+
+    private void gone(Order o) {
+        Ledger.Call c = calls.remove(o);
+        if (c == null) return;
+        end(c, "gone");
+        relay.gone(o);
+    }
+
+    /** What a caller is told, checked as a caller would. */
+    private final class Side implements Order.Caller {
+        @Override public void turnAway(Order o, Verdict.TurnAway v) {
+            Ledger.Call c = calls.remove(o);
+            if (c == null) return;
+            c.status = v.status();
+            c.reason = v.reason();
+            if (c.pieces > 0) sim.violation(o.id() + " was turned away after pieces went out");
+            if (v.status() >= 500 && v.retryMs() <= 0) sim.violation(o.id() + " is not told when to come back");
+            if (o.expiry > 0 && now() > o.expiry + LATE && !sim.paused)
+                sim.violation(o.id() + " was answered " + (now() - o.expiry) + " ms after its expiry");
+            end(c, v.outcome());
+        }
+
+        @Override public boolean piece(Order o, String json, Runnable ready) {
+            Ledger.Call c = calls.get(o);
+            if (c == null) return true;
+            JsonObject j = Json.parse(json).asObject();
+            if (c.explicitEnd || j.getInt("piece", -1) != c.pieces) c.misordered++;
+            if (!StandInReplica.textOf(c.tag, c.pieces).equals(j.getString("text", ""))) c.foreign++;
+            if (c.firstPiece < 0) c.firstPiece = sim.now();
+            c.pieces++;
+            return true;
+        }
+
+        @Override public void complete(Order o, int pieces) {
+            Ledger.Call c = calls.remove(o);
+            if (c == null) return;
+            c.status = 200;
+            c.explicitEnd = c.bodyTerminated = true;
+            if (pieces != c.pieces) c.misordered++;
+            complete++;
+            end(c, "complete");
+        }
+
+        @Override public void cutOff(Order o, String why) {
+            Ledger.Call c = calls.remove(o);
+            if (c == null) return;
+            c.status = 200;
+            c.reason = why;
+            end(c, "cut-off");
+        }
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/OrderSim.java
@@ -0,0 +1,641 @@
+/*
+ * The simulated world with orders in it: the core's machines, platform, policies, weights and
+ * commanders of Sim, and whole relays, an index and replicas around them, all the product's own
+ * code but for links, disks and clocks. Each promise is judged in its strict form: from the instant
+ * of the acknowledgement nothing leaves for a replica under what was before. A window that chance
+ * seldom meets is held open by name: something happens between two steps of one order.
+ */
+package gladelug.rehearsal.sim;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.CoreNode;
+import gladelug.control.duty.Division;
+import gladelug.control.duty.Steering;
+import gladelug.data.index.FleetSummary;
+import gladelug.data.index.Holder;
+import gladelug.data.news.HeldNews;
+import gladelug.data.news.NewsBook;
+import gladelug.data.relay.Lookups;
+import gladelug.kernel.Address;
+import gladelug.kernel.Result;
+import gladelug.kernel.message.Keys;
+import gladelug.kernel.message.Lookup;
+import gladelug.kernel.message.News;
+import gladelug.kernel.message.Shuffle;
+import gladelug.kernel.policy.Policy;
+import gladelug.kernel.policy.Replicas;
+import gladelug.kernel.policy.Weights;
+import gladelug.rehearsal.Judge;
+import gladelug.rehearsal.Ledger;
+import gladelug.rehearsal.Promises;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+public final class OrderSim extends Sim {
+    /** Where an order is: asking the index, opening a circuit, on the wire to its replica, between pieces. */
+    enum Point {
+        LOOKUP, OPEN, HANDED, STREAM
+    }
+
+    /** What may happen there. */
+    enum Happening {
+        POLICY_MOVES, KEY_REVOKED, WALL_RAISED, REPLICA_LEAVES, WEIGHTS_NAMED, OWNER_DIES, REPLICA_CRASHES, REPLICA_VANISHES, RELAY_CUT_FROM_CORE, ADDRESS_REUSED
+    }
+
+    static final Promises.Graces STRICT = new Promises.Graces(0, 0, 15_400, 0, 0);
+    private static final String[] TENANTS = {"one", "two", "walled"};
+    private static final int CUTOFF = 15_000;
+
+    final Ledger ledger = new Ledger();
+    final Promises promises = new Promises();
+    final Map<String, SimReplica> replicas = new LinkedHashMap<>();
+    private final Map<String, SimReplica> byAddress = new HashMap<>();
+    final Map<String, OrderRelay> fronts = new LinkedHashMap<>();
+    private final Map<String, String> listed = new LinkedHashMap<>();
+    private final Map<String, Steering> steering = new HashMap<>();
+    private final Map<String, Policy> divided = new HashMap<>();
+    private boolean platformSilent;
+    boolean paused;
+    // what the operator means at present
+    private String application = "app";
+    private String again = "m";
+    private final Set<String> revoked = new HashSet<>();
+    private final Set<String> walls = new HashSet<>(Set.of("walled"));
+    private boolean narrow;
+    private int weights;
+    private int marker;
+    // the window that is to be held open
+    Happening happening;
+    Point point;
+    private String heldOrder;
+    private long armedAt = Long.MAX_VALUE;
+    long met = -1;
+    // the index, a data-plane process of its own
+    private final FleetSummary summary = new FleetSummary(16);
+    private final HeldNews indexNews;
+    double loseEvents;
+    double delayEvents;
+    private int sent;
+    double perSecond = 40;
+
+    OrderSim(long seed) {
+        super(seed, 0);
+        for (int i = 1; i <= 3; i++) fronts.put("r" + i, new OrderRelay(this, "r" + i));
+        replica("m", "m1", "10.1.0.1", true);
+        replica("m", "m2", "10.1.0.2", true);
+        replica("m", "m3", "10.1.0.3", true);
+        replica("m", "m9", "10.1.9.9", true);
+        replica("n", "n1", "10.1.0.4", true);
+        replica("app", "a1", "10.1.0.5", false);
+        replica("app-two", "b1", "10.1.0.6", false);
+        indexNews = new HeldNews(this::now,
+            new Shuffle.Descriptor("index", "index", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
+            1, t -> summary.holders(t, now()));
+        for (OrderRelay r : fronts.values()) r.start();
+        after(100, this::index);
+        run(2500);
+        operator(Keys.POLICY, policy(), x -> {});
+        run(500);
+        nameWeights();
+        run(1500);
+        for (String k : new String[]{"ask", "again", "stop"}) callers(k);
+    }
+
+    private SimReplica replica(String service, String name, String host, boolean model) {
+        SimReplica r = new SimReplica(this, service, name, new Address(host, 9), model, model ? "w0" : "");
+        replicas.put(name, r);
+        byAddress.put(r.address.toString(), r);
+        list(name, "ready");
+        return r;
+    }
+
+    SimReplica at(String address) {
+        return byAddress.get(address);
+    }
+
+    // ---- platform
+
+    /** The platform's word is learned when its next answer is given; here, strictly, when the core acknowledges it. */
+    void list(String instance, String state) {
+        if (state.isEmpty()) listed.remove(instance);
+        else listed.put(instance, state);
+    }
+
+    private String platform() {
+        JsonArray a = new JsonArray();
+        listed.forEach((n, s) -> {
+            SimReplica r = replicas.get(n);
+            a.add(Json.object().add("service", r.service).add("instance", n).add("address", r.address.toString())
+                .add("domain", "z").add("state", s));
+        });
+        return Json.object().add("replicas", a).toString();
+    }
+
+    @Override void duty(SimControl c) {
+        if (c.node == null || !c.node.settled()) return;
+        if (c.node.owns(Keys.REPLICAS) && !platformSilent) {
+            Map<String, String> told = new LinkedHashMap<>(listed);
+            if (Replicas.parse(platform()) instanceof Result.Good<Replicas> g) {
+                byte[] now = g.value().json().getBytes(StandardCharsets.UTF_8);
+                var kept = c.node.kept(Keys.REPLICAS);
+                if (kept.getKey() == 0 || !Arrays.equals(kept.getValue(), now)) {
+                    long at = now();
+                    c.node.change(Keys.REPLICAS, kept.getKey(), now, x -> {
+                        if (!(x instanceof ChangeAnswer.Done)) return;
+                        for (String r : replicas.keySet())
+                            promises.told("replica " + r, told.getOrDefault(r, "gone"), at, now());
+                    });
+                }
+            }
+        }
+        Steering s = steering.computeIfAbsent(c.name, n -> new Steering(CUTOFF));
+        s.view(new Steering.Kept(c.node.kept(Keys.REPLICAS).getValue(), c.node.kept(Keys.WEIGHTS).getValue(),
+            c.node.kept(Keys.POLICY).getValue(), c.node.knownAge(Keys.WEIGHTS)));
+        for (Replicas.Replica r : s.steerable()) {
+            String key = Keys.COMMANDER + r.instance();
+            c.node.know(key);
+            SimReplica x = at(r.address().toString());
+            if (x == null || !x.answers() || !x.instance.equals(r.instance())) continue;
+            int l = c.life;
+            carry(x.instance, c.name, () -> c.run(() -> {
+                if (l != c.life) return;
+                s.said(r, x.runs(), x.isLoading(), now());
+                String want = s.wanted(r, now());
+                if (want.isEmpty() || !c.node.mayCommand(key)) return;
+                s.told(r, want, now());
+                long e = c.node.epochOf(key);
+                carry(c.name, x.instance, () -> x.steer(c.name, e, want));
+            }));
+        }
+    }
+
+    @Override CoreNode.Duties duties() {
+        return new CoreNode.Duties() {
+            @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> rs, byte[] policy) {
+                return Division.divide(epoch, rs, divided.computeIfAbsent(new String(policy, StandardCharsets.UTF_8),
+                    s -> Policy.parse(s) instanceof Result.Good<Policy> g ? g.value() : Policy.EMPTY));
+            }
+        };
+    }
+
+    // ---- operators
+
+    String policy() {
+        JsonArray ts = new JsonArray();
+        for (String t : TENANTS) {
+            JsonArray ks = new JsonArray();
+            if (!revoked.contains(t)) ks.add("sha256:" + Policy.hashOf("key-of-" + t));
+            ts.add(Json.object().add("name", t).add("keys", ks).add("weight", t.length()).add("isolated",
+                walls.contains(t)));
+        }
+        JsonArray ss = new JsonArray();
+        for (String s : new String[]{"m", "n"})
+            ss.add(Json.object().add("name", s).add("allow", Json.array(narrow ? "10.1.0.0/24" : "10.1.0.0/16")));
+        for (String s : new String[]{"app", "app-two"})
+            ss.add(Json.object().add("name", s).add("kind", "application").add("allow", Json.array("10.1.0.0/24")));
+        JsonArray ms = new JsonArray();
+        ms.add(Json.object().add("name", "ask").add("path", "/ask").add("service", "m").add("expiryMs", 3000));
+        ms.add(Json.object().add("name", "again").add("path", "/again").add("service", again).add("expiryMs", 3000)
+            .add("repeatable", true));
+        ms.add(Json.object().add("name", "stop").add("path", "/stop").add("service", application)
+            .add("expiryMs", 2000 + ++marker % 500));
+        return Json.object().add("services", ss).add("mappings", ms).add("tenants", ts).toString();
+    }
+
+    private void operator(String key, String body, Consumer<Boolean> done) {
+        operator(key, -1, body, done);
+    }
+
+    private void operator(String key, long match, String body, Consumer<Boolean> done) {
+        List<SimControl> ready = controls.values().stream().filter(c -> c.up && !c.paused && c.node.settled()).toList();
+        if (ready.isEmpty()) {
+            done.accept(false);
+            return;
+        }
+        Map<String, String> means = new TreeMap<>();
+        if (key.equals(Keys.POLICY)) {
+            means.put("mapping stop", application);
+            means.put("mapping again", again);
+            for (String t : TENANTS) {
+                means.put("tenant " + t, revoked.contains(t) ? "revoked" : "good");
+                means.put("wall " + t, walls.contains(t) ? t : "");
+            }
+            means.put("allowed m9", narrow ? "no" : "yes");
+        } else means.put("weights", "w" + weights);
+        long at = now();
+        boolean[] once = {false};
+        ready.get(random.nextInt(ready.size())).propose(key, match, body.getBytes(StandardCharsets.UTF_8), a -> {
+            if (once[0]) return;
+            once[0] = true;
+            boolean taken = a instanceof ChangeAnswer.Done;
+            say("op", key + " " + means + ": " + a);
+            boolean may = taken || a instanceof ChangeAnswer.Unknown;
+            if (may) means.forEach((k, m) -> promises.told(k, m, at, taken ? now() : -1));
+            done.accept(taken);
+        });
+    }
+
+    /** Sends a policy that was changed somehow; if it was not taken, the operator's wish stays and goes out with the next. */
+    private void change(Runnable how, Consumer<Boolean> done) {
+        how.run();
+        operator(Keys.POLICY, policy(), done);
+    }
+
+    private void nameWeights() {
+        nameWeights(x -> {});
+    }
+
+    private void nameWeights(Consumer<Boolean> done) {
+        SimControl c = controls.get(anyUp());
+        if (c.node == null || !c.node.settled()) {
+            done.accept(false);
+            return;
+        }
+        var kept = c.node.kept(Keys.WEIGHTS);
+        Weights w = kept.getKey() == 0
+            ? Weights.NONE
+            : Weights.parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Weights> g
+                ? g.value()
+                : Weights.NONE;
+        weights++;
+        for (String s : new String[]{"m", "n"}) w = w.naming(s, "w" + weights, kept.getKey() + 1);
+        operator(Keys.WEIGHTS, kept.getKey(), w.json(), done);
+    }
+
+    // ---- callers
+
+    private void callers(String kind) {
+        after(1 + (long) (-Math.log(1 - random.nextDouble()) * 3000 / perSecond), () -> {
+            String t = TENANTS[random.nextInt(TENANTS.length)];
+            String tag = kind + "-" + t + "-" + sent++;
+            String prompt = ("Told of " + kind + " to all and at length " + random.nextInt(3)).repeat(3) + tag;
+            List<OrderRelay> rs = new ArrayList<>(fronts.values());
+            rs.get(random.nextInt(rs.size())).send(kind, "/" + kind, t, kind.equals("again"), prompt, tag);
+            callers(kind);
+        });
+    }
+
+    // ---- what relays ask
+
+    void occupancy(OrderRelay by, Replicas.Replica r, Consumer<io.vertx.core.json.JsonObject> told) {
+        int l = by.life;
+        SimReplica x = at(r.address().toString());
+        if (x == null || !x.answers()) after(x == null || !x.up ? 3 : 1000, () -> by.run(l, () -> told.accept(null)));
+        else carry(by.name, x.instance, () -> {
+            if (x.answers()) {
+                io.vertx.core.json.JsonObject o = x.occupancy();
+                carry(x.instance, by.name, () -> by.run(l, () -> told.accept(o)));
+            }
+        });
+    }
+
+    void lookup(OrderRelay by, long[] blocks, Consumer<Lookups.Found> found) {
+        int l = by.life;
+        Lookup.Answer a = summary.answer(new Lookup.Question(1, blocks));
+        passes(Point.LOOKUP, by.name, () -> after(random.nextInt(8), () -> by.run(l,
+            () -> found.accept(new Lookups.Found(a.warm() ? "answered" : "warming", a.matches())))));
+    }
+
+    /** The strict moment of every promise: the order leaves for its replica. */
+    void handed(OrderRelay by, String json) {
+        JsonObject o = Json.parse(json).asObject();
+        if (by.paused) violation(by.name + " handed " + o.getString("order", "") + " over while paused");
+    }
+
+    // ---- the index and its feeds
+
+    private void index() {
+        News.Ask a = indexNews.ask();
+        for (String c : controlNames()) ask("index", c, a);
+        summary.tick(now());
+        for (Holder h : summary.all()) {
+            SimReplica r = at(h.replica.address().toString());
+            if (r == null || !r.answers() || !r.instance.equals(h.replica.instance())) continue;
+            h.lists(nr -> list(h, r, nr));
+            if (!h.tried) {
+                h.tried = true;
+                summary.capacity(h, r.capacity(), now());
+                h.feed.resync();
+            }
+            h.heard = now();
+            String inc = r.incarnation;
+            long seq = r.seq;
+            after(1 + random.nextInt(20), () -> h.feed.pulse(inc, seq, now()));
+        }
+        after(400, this::index);
+    }
+
+    private void list(Holder h, SimReplica r, long nr) {
+        after(1 + random.nextInt(30), () -> {
+            if (!r.answers() || random.nextInt(10) == 0) {
+                after(300, () -> h.feed.resync());
+                return;
+            }
+            String inc = r.incarnation;
+            long seq = r.seq;
+            long[] blocks = r.list();
+            after(1 + random.nextInt(30), () -> h.feed.listed(nr, inc, seq, blocks));
+        });
+    }
+
+    void cacheEvent(SimReplica r, String inc, long seq, boolean store, long block) {
+        for (Holder h : summary.all()) {
+            if (!h.replica.instance().equals(r.instance) || random.nextDouble() < loseEvents) continue;
+            int n = random.nextDouble() < loseEvents ? 2 : 1;
+            for (int i = 0; i < n; i++)
+                after(1 + (random.nextDouble() < delayEvents ? random.nextInt(400) : random.nextInt(2)),
+                    () -> h.feed.event(inc, seq, store, block, now()));
+        }
+    }
+
+    @Override void told(String relay, News m) {
+        if (relay.equals("index")) {
+            if (indexNews.told(m) == NewsBook.Told.WANTS_WHOLE) whole("index", ((News.Push) m).key());
+        } else if (fronts.containsKey(relay)) fronts.get(relay).told(m);
+    }
+
+    @Override List<String> others() {
+        List<String> l = new ArrayList<>();
+        if (fronts != null) {
+            l.addAll(fronts.keySet());
+            l.addAll(replicas.keySet());
+            l.add("index");
+        }
+        return l;
+    }
+
+    // ---- windows held open
+
+    /** From now on, the first order that passes the point is held there until the happening has been acknowledged. */
+    void arm(Happening h, Point p) {
+        happening = h;
+        point = p;
+        armedAt = now();
+        met = -1;
+    }
+
+    /** An order passes a point: it goes on at once, or is held there. */
+    void passes(Point p, String who, Runnable goOn) {
+        if (p != point || met >= 0 || now() < armedAt) {
+            goOn.run();
+            return;
+        }
+        met = now();
+        say("order", who + " is held at " + p + " while " + happening);
+        boolean[] gone = {false};
+        Consumer<Boolean> then = ok -> after(random.nextInt(20), () -> {
+            if (gone[0]) return;
+            gone[0] = true;
+            goOn.run();
+        });
+        after(2600, () -> then.accept(false));
+        happen(happening, then);
+    }
+
+    private SimReplica someModel() {
+        List<SimReplica> l = replicas.values().stream()
+            .filter(r -> r.model && r.up && "ready".equals(listed.get(r.instance)))
+            .toList();
+        return l.isEmpty() ? replicas.get("m1") : l.get(random.nextInt(l.size()));
+    }
+
+    void crash(SimReplica r) {
+        r.crash();
+        for (OrderRelay f : fronts.values()) f.broke(r);
+    }
+
+    void happen(Happening h, Consumer<Boolean> then) {
+        switch (h) {
+            case POLICY_MOVES -> change(() -> {
+                application = application.equals("app") ? "app-two" : "app";
+                again = again.equals("m") ? "n" : "m";
+                narrow = random.nextBoolean();
+            }, then);
+            case KEY_REVOKED -> change(() -> {
+                revoked.clear();
+                revoked.add(TENANTS[random.nextInt(TENANTS.length)]);
+            }, then);
+            case WALL_RAISED -> change(() -> {
+                if (!walls.remove("one")) walls.add("one");
+            }, then);
+            case REPLICA_LEAVES -> {
+                list(someModel().instance, random.nextBoolean() ? "leaving" : "");
+                after(1200, () -> then.accept(true));
+            }
+            case WEIGHTS_NAMED -> nameWeights(then);
+            case OWNER_DIES -> {
+                for (SimControl c : controls.values())
+                    if (c.up && c.node.settled() && c.node.owns(Keys.POLICY)) c.power();
+                change(() -> application = application.equals("app") ? "app-two" : "app", then);
+            }
+            case REPLICA_CRASHES -> {
+                crash(someModel());
+                then.accept(true);
+            }
+            case REPLICA_VANISHES -> {
+                someModel().vanished = true;
+                then.accept(true);
+            }
+            case RELAY_CUT_FROM_CORE -> {
+                for (String f : fronts.keySet()) for (String c : controlNames()) {
+                    cut(f, c);
+                    cut(c, f);
+                }
+                change(() -> application = application.equals("app") ? "app-two" : "app", then);
+            }
+            default -> {
+                // the machine dies and its address is given to a replica of another service
+                SimReplica old = replicas.get("m2");
+                crash(old);
+                SimReplica x = new SimReplica(this, "ghost", "g" + now(), old.address, true, old.weights);
+                byAddress.put(old.address.toString(), x);
+                after(100, () -> then.accept(true));
+            }
+        }
+    }
+
+    /** All is well again. */
+    void mend() {
+        healAll();
+        paused = platformSilent = false;
+        for (SimControl c : controls.values()) {
+            c.medium.stalled = false;
+            if (!c.up) c.start();
+            else {
+                c.medium.go(this, c);
+                if (c.paused) c.wake();
+            }
+        }
+        for (OrderRelay r : fronts.values()) {
+            if (!r.up) r.start();
+            if (r.paused) r.wake();
+        }
+        loseEvents = delayEvents = 0;
+        for (SimReplica r : replicas.values()) {
+            r.hung = r.vanished = r.lateBytes = r.neverLoads = false;
+            r.notRun = r.cutStreams = 0;
+            byAddress.put(r.address.toString(), r);
+            r.start("w" + (random.nextBoolean() ? weights : Math.max(1, weights - 1)));
+            list(r.instance, "ready");
+        }
+    }
+
+    // ---- what must never be
+
+    void judge() {
+        for (Judge.Finding f : Judge.all(ledger)) for (String o : f.offenders()) violation(f.rule() + ": " + o);
+        promises.judge(ledger, STRICT).forEach((k, v) -> v.forEach(o -> violation(k + ": " + o)));
+        int restarts = fronts.values().stream().mapToInt(r -> r.restarts).sum();
+        Judge.secondTries(ledger, 0.2, 3 * fronts.size() + restarts).forEach(o -> violation("second tries: " + o));
+        for (Ledger.Call c : ledger.calls.values())
+            if (c.done < 0) violation(c.tag + " was never answered");
+        summaryAgrees();
+    }
+
+    /** Once quiet, whatever a holder keeps is found, and next to nothing else. */
+    private void summaryAgrees() {
+        if (!summary.warm()) {
+            violation("the index is not warm");
+            return;
+        }
+        int kept = 0, entries = summary.json(now()).getInt("entries", -1);
+        for (SimReplica r : replicas.values()) {
+            boolean known = summary.all().stream().anyMatch(h -> h.replica.instance().equals(r.instance));
+            if (r.model && !known && !r.instance.equals("m9")) violation("the index doesn't know " + r.instance);
+            if (!known) continue;
+            for (long b : r.list()) {
+                kept++;
+                boolean found = summary.answer(new Lookup.Question(1, new long[]{b})).matches().stream()
+                    .anyMatch(m -> m.holder().equals(r.instance));
+                if (!found) violation("the index doesn't know a block of " + r.instance);
+            }
+        }
+        if (entries != kept) violation("the index holds " + entries + " entries where holders keep " + kept);
+    }
+
+    int complete() {
+        return (int) fronts.values().stream().mapToLong(f -> f.complete).sum();
+    }
+
+    /** A story: a window held open, then whatever the seed brings, then all is well and everything is judged. */
+    static OrderSim story(long seed, int steps) {
+        OrderSim s = new OrderSim(seed);
+        Happening[] hs = Happening.values();
+        Point[] ps = Point.values();
+        s.arm(hs[(int) (seed % hs.length)], ps[(int) (seed / hs.length % ps.length)]);
+        for (SimControl c : s.controls.values()) c.rate(1 + (s.random.nextDouble() - 0.5) * 0.01);
+        for (OrderRelay r : s.fronts.values()) r.rate = 1 + (s.random.nextDouble() - 0.5) * 0.01;
+        s.run(3500);
+        s.mend();
+        s.run(1500);
+        for (int i = 0; i < steps; i++) {
+            s.step();
+            s.run(300 + s.random.nextInt(1500));
+            if (s.random.nextInt(2) == 0) s.mend();
+            s.run(s.random.nextInt(700));
+        }
+        s.mend();
+        s.run(12_000);
+        int before = s.complete();
+        s.run(3000);
+        if (s.complete() - before < 40)
+            s.violation("only " + (s.complete() - before) + " orders complete when all is well");
+        s.perSecond = 0.001;
+        s.run(6000);
+        s.judge();
+        return s;
+    }
+
+    private void step() {
+        List<String> cs = controlNames();
+        SimControl c = controls.get(cs.get(random.nextInt(cs.size())));
+        OrderRelay f = fronts.get("r" + (1 + random.nextInt(fronts.size())));
+        SimReplica r = someModel();
+        switch (random.nextInt(18)) {
+            case 0 -> c.power();
+            case 1 -> cutOff(c.name);
+            case 2 -> {
+                paused = true;
+                c.pause();
+            }
+            case 3 -> {
+                f.kill();
+                f.start();
+            }
+            case 4 -> {
+                paused = true;
+                f.paused = true;
+            }
+            case 5 -> cutOff(f.name);
+            case 6 -> {
+                cut(f.name, r.instance);
+                if (random.nextBoolean()) cut(r.instance, f.name);
+            }
+            case 7 -> r.hung = true;
+            case 8 -> r.notRun = random.nextBoolean() ? 1 : 0.4;
+            case 9 -> r.cutStreams = 0.2;
+            case 10 -> r.lateBytes = true;
+            case 11 -> {
+                loseEvents = 0.1;
+                delayEvents = 0.3;
+            }
+            case 12 -> platformSilent = true;
+            case 13 -> r.neverLoads = true;
+            case 14 -> {
+                for (SimControl x : controls.values()) x.power();
+            }
+            case 15 -> split(Set.of(c.name, f.name));
+            default -> {
+                Happening[] hs = Happening.values();
+                happen(hs[random.nextInt(hs.length)], x -> {});
+            }
+        }
+    }
+
+    static final class Tests {
+        private static final int SEEDS = Integer.getInteger("gladelug.seeds", 80);
+
+        private static String tell(OrderSim s, long seed) {
+            String[] l = s.story().lines().filter(x -> !x.contains(" owner-")).toArray(String[]::new);
+            return "seed " + seed + ": " + s.violations.subList(0, Math.min(5, s.violations.size())) + "\n"
+                + String.join("\n", Arrays.asList(l).subList(Math.max(0, l.length - 30), l.length));
+        }
+
+        @Test void whateverHappensBetweenTheStepsOfAnOrderTheRulesHold() {
+            Logger.getLogger("").setLevel(Level.OFF);
+            long from = Long.getLong("gladelug.from", 0);
+            Map<String, Integer> met = new TreeMap<>();
+            long complete = 0, orders = 0;
+            for (long seed = from; seed < from + SEEDS; seed++) {
+                OrderSim s = story(seed, 8);
+                long at = seed;
+                Assertions.assertTrue(s.violations.isEmpty(), () -> tell(s, at));
+                met.merge(s.happening + "@" + s.point, s.met >= 0 ? 1 : 0, Integer::sum);
+                complete += s.complete();
+                orders += s.ledger.calls.size();
+            }
+            System.out.println("orders " + orders + ", complete " + complete + ", windows met " + met);
+            Assertions.assertTrue(complete > orders / 2, complete + " of " + orders + " prove too little");
+            met.forEach((k, n) -> Assertions.assertTrue(n > 0, k + " was never met"));
+            Assertions.assertTrue(SEEDS < 40 || met.size() == Happening.values().length * Point.values().length,
+                met.toString());
+        }
+    }
+}
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -9,6 +9,7 @@
 
 import gladelug.control.core.ChangeAnswer;
 import gladelug.control.core.CoreMessage;
+import gladelug.control.core.CoreNode;
 import gladelug.control.core.Members;
 import gladelug.data.news.NewsBook;
 import gladelug.kernel.Address;
@@ -30,7 +31,7 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
-public final class Sim {
+public class Sim {
     private record Event(long at, long nr, Runnable run) implements Comparable<Event> {
         @Override public int compareTo(Event o) {
             return at != o.at ? Long.compare(at, o.at) : Long.compare(nr, o.nr);
@@ -159,11 +160,11 @@
 
     private List<String> everybody() {
         List<String> l = controlNames();
-        l.addAll(relays.keySet());
+        l.addAll(others());
         return l;
     }
 
-    private void carry(String from, String to, Runnable r) {
+    void carry(String from, String to, Runnable r) {
         if (cut.contains(from + ">" + to) || random.nextDouble() < loss) return;
         after(1 + random.nextInt(random.nextInt(20) == 0 ? 60 : 4), r);
         if (random.nextDouble() < repeat) after(1 + random.nextInt(100), r);
@@ -196,11 +197,32 @@
 
     void news(String control, String relay, News m) {
         carry(control, relay, () -> {
-            SimRelay r = relays.get(relay);
-            if (r != null) r.told(m);
+            told(relay, m);
         });
     }
 
+    /** News has reached a data-plane process. */
+    void told(String relay, News m) {
+        SimRelay r = relays.get(relay);
+        if (r != null) r.told(m);
+    }
+
+    /** Everybody who has links, beside control machines. */
+    List<String> others() {
+        return new ArrayList<>(relays.keySet());
+    }
+
+    /** What a control machine does beside keeping state, each 250 ms while it runs. */
+    void duty(SimControl c) {}
+
+    CoreNode.Duties duties() {
+        return new CoreNode.Duties() {};
+    }
+
+    boolean isCut(String from, String to) {
+        return cut.contains(from + ">" + to);
+    }
+
     // ---- operators
 
     /** Sends a value nobody sent before, through the door of one machine. match -1: whatever is there. */
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -64,9 +64,11 @@
             return;
         }
         node = new CoreNode(this, Tunables.USUAL, new Members.Member(name, disk, address(), address()), 15_000, live,
-            founded ? new CoreNode.Founding(founders) : null, new CoreNode.Duties() {});
+            founded ? new CoreNode.Founding(founders) : null, sim.duties());
         tick(life);
         probe(life);
+        int l = life;
+        sim.after(250, () -> duty(l));
     }
 
     private void probe(int l) {
@@ -75,6 +77,12 @@
         sim.after(1000, () -> probe(l));
     }
 
+    private void duty(int l) {
+        if (l != life) return;
+        run(() -> sim.duty(this));
+        sim.after(250, () -> duty(l));
+    }
+
     private void tick(int l) {
         if (l != life) return;
         run(() -> {
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
@@ -0,0 +1,282 @@
+/*
+ * A model or application replica in the simulated world: prefills one order at a time, decodes up
+ * to its slots, keeps prefix blocks under the weights and wall they were made with, tells cache
+ * events, loads weights when steered, and writes all it does into the ledger. It can crash, vanish
+ * (nobody is told), hang, turn orders away, break streams, send bytes after its end.
+ */
+package gladelug.rehearsal.sim;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import gladelug.kernel.Address;
+import gladelug.rehearsal.Ledger;
+import gladelug.rehearsal.StandInReplica;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+
+final class SimReplica {
+    static final int BLOCK = 16;
+    private static final int SLOTS = 4, CAPACITY = 48, MS_BLOCK = 4, MS_PIECE = 6, LOAD_MS = 1200;
+
+    private record Kept(String weights, String wall) {}
+
+    /** One order as it has it. */
+    final class Job {
+        final SimCircuits.Line line;
+        final JsonObject in;
+        final Ledger.Run run;
+        int pieces;
+        boolean gone;
+
+        Job(SimCircuits.Line line, JsonObject in, Ledger.Run run) {
+            this.line = line;
+            this.in = in;
+            this.run = run;
+        }
+    }
+
+    private final OrderSim sim;
+    final String service;
+    final String instance;
+    final Address address;
+    final boolean model;
+    String weights;
+    private String loading = "";
+    boolean up = true;
+    boolean hung;
+    /** A machine that vanished: nothing is answered and no circuit is told. */
+    boolean vanished;
+    int life;
+    double notRun;
+    double cutStreams;
+    boolean lateBytes;
+    boolean neverLoads;
+    private final LinkedHashMap<Long, Kept> kept = new LinkedHashMap<>(64, 0.75f, true);
+    private final List<Job> running = new ArrayList<>();
+    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+    private long busyUntil;
+    private long epoch;
+    private String commander = "";
+    int refusedSteers;
+    String incarnation;
+    long seq;
+    private int lives;
+
+    SimReplica(OrderSim sim, String service, String instance, Address address, boolean model, String weights) {
+        this.sim = sim;
+        this.service = service;
+        this.instance = instance;
+        this.address = address;
+        this.model = model;
+        this.weights = weights;
+        this.incarnation = instance + "/0";
+    }
+
+    boolean answers() {
+        return up && !hung && !vanished;
+    }
+
+    void crash() {
+        up = false;
+        life++;
+        for (Job j : new ArrayList<>(running)) j.gone = true;
+        for (Job j : waiting) j.gone = true;
+        running.clear();
+        waiting.clear();
+    }
+
+    /** Empty, and on the weights it boots with, which may be old ones. */
+    void start(String bootWeights) {
+        if (up) return;
+        up = true;
+        vanished = hung = false;
+        weights = model ? bootWeights : "";
+        loading = "";
+        epoch = 0;
+        commander = "";
+        busyUntil = 0;
+        fresh();
+    }
+
+    private void fresh() {
+        kept.clear();
+        seq = 0;
+        incarnation = instance + "/" + ++lives;
+    }
+
+    io.vertx.core.json.JsonObject occupancy() {
+        return new io.vertx.core.json.JsonObject().put("service", service).put("instance", instance)
+            .put("weights", loading.isEmpty() ? weights : "").put("blockBytes", BLOCK).put("running", running.size())
+            .put("waiting", waiting.size()).put("slots", SLOTS).put("waitMs", Math.max(0, busyUntil - sim.now()))
+            .put("msPerBlock", MS_BLOCK).put("links", new io.vertx.core.json.JsonObject());
+    }
+
+    String runs() {
+        return weights;
+    }
+
+    boolean isLoading() {
+        return !loading.isEmpty();
+    }
+
+    int capacity() {
+        return CAPACITY;
+    }
+
+    long[] list() {
+        return kept.keySet().stream().mapToLong(x -> x).toArray();
+    }
+
+    boolean has(long block) {
+        return up && kept.containsKey(block);
+    }
+
+    // ---- orders
+
+    Job order(SimCircuits.Line line, JsonObject in, long handed) {
+        String tag = StandInReplica.tagOf(in.getString("prompt", ""));
+        Ledger.Run run = new Ledger.Run(tag, in.getString("order", ""), service, instance, in.getString("weights", ""),
+            in.getString("wall", ""), in.getInt("try", 0), handed);
+        sim.ledger.run(run);
+        String why = !instance.equals(in.getString("instance", "")) || !service.equals(in.getString("service", ""))
+            ? "this is " + service + "/" + instance
+            : !loading.isEmpty()
+                ? "weights are being loaded"
+                : model && !weights.equals(in.getString("weights", ""))
+                    ? "weights " + weights + " run here"
+                    : running.size() >= SLOTS && waiting.size() >= 2 * SLOTS
+                        ? "full"
+                        : sim.random.nextDouble() < notRun ? "not now" : "";
+        if (!why.isEmpty()) {
+            String body = Json.object().add("order", run.order).add("outcome", "not-run").add("reason", why).toString();
+            line.toRelay(a -> a.refused(409, body));
+            line.done();
+            return null;
+        }
+        run.ran = true;
+        Job j = new Job(line, in, run);
+        if (running.size() < SLOTS) begin(j);
+        else waiting.add(j);
+        return j;
+    }
+
+    void left(Job j) {
+        if (j.gone) return;
+        j.gone = true;
+        j.run.left = !j.run.ended;
+        if (!waiting.remove(j) && running.remove(j)) next();
+    }
+
+    private void next() {
+        while (up && running.size() < SLOTS && !waiting.isEmpty()) begin(waiting.poll());
+    }
+
+    private void begin(Job j) {
+        running.add(j);
+        long[] blocks = model
+            ? StandInReplica.ids(service, j.run.weights, j.run.wall, j.in.getString("prompt", ""),
+                BLOCK)
+            : new long[0];
+        int have = 0;
+        while (have < blocks.length && kept.containsKey(blocks[have])) {
+            Kept k = kept.get(blocks[have]);
+            if (!k.weights.equals(j.run.weights) || !k.wall.equals(j.run.wall))
+                sim.ledger.wrongReuse.add(j.run.tag + " at " + instance + " reused what was made under " + k);
+            have++;
+        }
+        j.run.blocks = blocks.length;
+        j.run.reused = have;
+        busyUntil = Math.max(sim.now(), busyUntil) + (blocks.length - have + 1L) * MS_BLOCK;
+        step(j, busyUntil - sim.now(), () -> {
+            for (long b : blocks) keep(b, j.run.weights, j.run.wall);
+            String head = Json.object().add("order", j.run.order).add("instance", instance)
+                .add("weights", j.run.weights).toString();
+            j.line.toRelay(a -> a.line(head));
+            piece(j);
+        });
+    }
+
+    /** Later, if both are still there then; one that hangs goes on when it wakes. */
+    private void step(Job j, long ms, Runnable r) {
+        int l = life;
+        sim.after(Math.max(1, ms), () -> {
+            if (l != life || j.gone) return;
+            if (hung) step(j, 50, r);
+            else r.run();
+        });
+    }
+
+    private void piece(Job j) {
+        int want = Math.min(j.in.getInt("maxPieces", 1), StandInReplica.piecesOf(j.run.tag, 12));
+        if (j.pieces > 1 && sim.random.nextDouble() < cutStreams) {
+            left(j);
+            j.line.toRelay(a -> a.over("the answer broke off"));
+            j.line.broken();
+            return;
+        }
+        if (j.pieces < want) {
+            int n = j.pieces++;
+            String p = Json.object().add("piece", n).add("text", StandInReplica.textOf(j.run.tag, n)).toString();
+            j.run.pieces = j.pieces;
+            j.line.toRelay(a -> a.line(p));
+            sim.passes(OrderSim.Point.STREAM, j.run.tag, () -> step(j, MS_PIECE, () -> piece(j)));
+            return;
+        }
+        j.run.ended = true;
+        j.gone = true;
+        running.remove(j);
+        String end = Json.object().add("end", true).add("pieces", want).toString();
+        j.line.toRelay(a -> a.line(end));
+        if (lateBytes) j.line.toRelay(a -> a.line("{\"piece\":" + want + ",\"text\":\"after the end\"}"));
+        j.line.toRelay(a -> a.over("the answer ended without saying so"));
+        j.line.done();
+        next();
+    }
+
+    private void keep(long block, String w, String wall) {
+        if (kept.put(block, new Kept(w, wall)) == null) tell(true, block);
+        while (kept.size() > CAPACITY) {
+            long old = kept.keySet().iterator().next();
+            kept.remove(old);
+            tell(false, old);
+        }
+    }
+
+    private void tell(boolean store, long block) {
+        long s = ++seq;
+        String inc = incarnation;
+        sim.cacheEvent(this, inc, s, store, block);
+    }
+
+    // ---- its commander
+
+    void steer(String who, long e, String w) {
+        if (!answers()) return;
+        if (e < epoch) {
+            refusedSteers++;
+            sim.violation(instance + " had to refuse " + who + " under " + e + ", below " + epoch);
+            return;
+        }
+        if (e == epoch && !who.equals(commander) && !commander.isEmpty())
+            sim.ledger.doubleCommand.add(instance + ": epoch " + e + " used by " + commander + " and " + who);
+        epoch = e;
+        commander = who;
+        if (w.equals(weights) || w.equals(loading)) return;
+        loading = w;
+        int l = life;
+        if (!neverLoads) sim.after(LOAD_MS, () -> loaded(l, w));
+    }
+
+    private void loaded(int l, String w) {
+        if (l != life || !loading.equals(w)) return;
+        if (!running.isEmpty() || !waiting.isEmpty() || hung) {
+            sim.after(20, () -> loaded(l, w));
+            return;
+        }
+        weights = w;
+        loading = "";
+        fresh();
+    }
+}
