An order whose earlier try may have run is never called not-run

Cause: a repeatable order whose first try ended in a problem went back to the choice; where no replica was left it was turned away as not-run, though the first replica had run it. Ruled out: the replica's own not-run, which is still that. Now such an order is remembered as perhaps run, and every later refusal of it says unknown, in the one place that tells callers.

--- a/data-plane/src/main/java/gladelug/data/order/Order.java
+++ b/data-plane/src/main/java/gladelug/data/order/Order.java
@@ -37,6 +37,8 @@
     public String fetchFrom = "";
     public int fetchBlocks;
     public int tries;
+    /** A replica had it and didn't say that it did not run it, so nothing may be called not-run any more. */
+    public boolean mayHaveRun;
     public int choices;
     public boolean admitted;
     public int piecesOut;
--- a/data-plane/src/main/java/gladelug/data/order/Way.java
+++ b/data-plane/src/main/java/gladelug/data/order/Way.java
@@ -52,7 +52,10 @@
         else ended.accept(o);
     }
 
-    private void turnAway(Order o, Verdict.TurnAway t) {
+    private void turnAway(Order o, Verdict.TurnAway v) {
+        Verdict.TurnAway t = !o.mayHaveRun || v.outcome().equals("unknown")
+            ? v
+            : new Verdict.TurnAway(502, "unknown", v.reason() + ", and an earlier try may have run", v.retryMs());
         if (!o.state.end()) {
             ended.accept(o);
             return;
--- a/data-plane/src/main/java/gladelug/data/relay/HandOver.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HandOver.java
@@ -147,6 +147,7 @@
             return;
         }
         b.bad(r.clock.now(), 1000);
+        o.mayHaveRun = true;
         o.cancel.run();
         if (o.repeatable && again(o)) e.complete(new Verdict.Again(what));
         else e.complete(Verdict.unknown(502, what));
