Reasons outlive their relay: two fellows on other machines keep its records

Cause: a relay's decisions lived in its memory alone; killed or restarted, it could say nothing, though operators are promised that any order can be explained at any moment. Twice a second it hands what has ended and what it has at replicas, deflated, to two fellows on other machines, the first with open circuits in an order that names decide; they keep 16 MiB each (reasonsMb). explain-order asks the relay, then whoever keeps its records, and says from whom and that a live order's fate is not known there. Off the order's path: a duty of its own behind a bounded ring, with what was left out counted. Torn and mislabelled batches are turned away. Weighed: asking all nodes (no copies: nothing left after a kill); a disk on control machines (more to sync, and the core would carry traffic that grows with orders). Found by its test: the first records went to nobody, because circuits opened only when first needed; now they are open before. After: an ended and a live order of a killed relay are explained with one of its two fellows killed as well.

--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -7,6 +7,7 @@
 import gladelug.data.index.CuckooSummary;
 import gladelug.data.index.IndexService;
 import gladelug.data.news.NewsService;
+import gladelug.data.reasons.ReasonsService;
 import gladelug.data.relay.RelayService;
 import gladelug.data.relay.Stages;
 import gladelug.kernel.Address;
@@ -33,13 +34,14 @@
 public final class DataPlane {
     private static final Map<String, Stages.Mode> MODES = new TreeMap<>(Map.of("summary", Stages.Mode.SUMMARY,
         "least-occupancy", Stages.Mode.LEAST_OCCUPANCY, "holder-always", Stages.Mode.HOLDER_ALWAYS));
-    private static final String[] BOTH = {"name", "domain", "records", "operator", "bind", "seeds", "log"};
+    private static final String[] BOTH = {"name", "domain", "records", "operator", "bind", "seeds", "reasonsMb", "log"};
     private static final String[] RELAY = {"callers", "index", "backlog", "choice", "division"};
     private static final String[] INDEX = {"fingerprintBits"};
 
     record Place(String name, String domain, Address records, Address operator, Local local, List<Address> seeds,
         String log,
-        Address callers, Address index, int backlog, String choice, String division, int fingerprintBits) {}
+        Address callers, Address index, int backlog, String choice, String division, int fingerprintBits,
+        int reasonsMb) {}
 
     private DataPlane() {}
 
@@ -51,7 +53,8 @@
                 relay ? s.address("callers") : null, relay ? s.address("index", null) : null,
                 relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
                 relay ? s.text("choice", "summary") : "", relay ? s.text("division", "fleet") : "",
-                relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS));
+                relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS),
+                (int) s.whole("reasonsMb", 16, 1, 4096));
             if (p.seeds.isEmpty())
                 s.findings.add("--seeds", "at least one records address of another process is needed");
             if (p.seeds.contains(p.records))
@@ -91,6 +94,7 @@
             case "bind" -> "IP number to listen on and call from, where it isn't the advertised one";
             case "operator" -> "IP:PORT for operators and the platform";
             case "seeds" -> "IP:PORT,... of other processes' records addresses";
+            case "reasonsMb" -> "MiB of other relays' decision records kept here";
             case "log" -> "fine, info or warning";
             case "callers" -> "IP:PORT for callers";
             case "index" -> "IP:PORT of this machine's index process, where it has one";
@@ -107,16 +111,21 @@
         Clock clock = Clock.monotonic();
         Shuffle.Descriptor self = new Shuffle.Descriptor(p.name, relay ? "relay" : "index", p.records.toString(),
             p.operator.toString(), p.domain, 0, 0);
+        ReasonsService reasons = new ReasonsService(vertx, clock, p.name, p.records.host(), (long) p.reasonsMb << 20);
         Kernel k = new Kernel().add("doors", new Doors(vertx, p.records, p.local, p.name))
             .add("views", new ViewService(vertx, self, p.seeds))
-            .add("news", new NewsService(vertx, clock, self, p.seeds));
+            .add("news", new NewsService(vertx, clock, self, p.seeds)).add("reasons", reasons);
         if (relay) {
             RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog,
                 MODES.get(p.choice), p.division.equals("alone"));
-            k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, r::routes)).add("relay", r);
+            k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, t -> {
+                r.routes(t);
+                reasons.routes(t);
+            })).add("relay", r);
         } else {
             IndexService x = new IndexService(vertx, clock, p.fingerprintBits);
-            k.add("status-door", new StatusDoor(vertx, p.operator, () -> "", x::status, t -> {})).add("index", x);
+            k.add("status-door", new StatusDoor(vertx, p.operator, () -> "", x::status, reasons::routes)).add("index",
+                x);
         }
         Program.run("data-plane", k, RelayService.DRAIN + 2000);
     }
--- a/data-plane/src/main/java/gladelug/data/order/Decision.java
+++ b/data-plane/src/main/java/gladelug/data/order/Decision.java
@@ -52,6 +52,11 @@
         reasons = null;
     }
 
+    /** The record as text, whole or so far. */
+    public synchronized byte[] bytes() {
+        return ended != null ? ended : json().toString().getBytes(StandardCharsets.UTF_8);
+    }
+
     public synchronized JsonObject json() {
         if (ended != null) return Json.parse(new String(ended, StandardCharsets.UTF_8)).asObject();
         JsonArray a = new JsonArray();
--- a/data-plane/src/main/java/gladelug/data/order/Decisions.java
+++ b/data-plane/src/main/java/gladelug/data/order/Decisions.java
@@ -36,6 +36,10 @@
         this.run = String.format("%04x", run & 0xffff);
     }
 
+    public String run() {
+        return run;
+    }
+
     /** From the order thread only. */
     public Decision begin(long came) {
         long n = next;
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/reasons/KeptReasons.java
@@ -0,0 +1,147 @@
+/*
+ * Decision records of other machines' relays, as they handed them over, oldest out first under a
+ * bound in bytes. A batch that is torn, too large or says it is something else is turned away. Pure.
+ */
+package gladelug.data.reasons;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import gladelug.kernel.message.Reasons.Batch;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.List;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+public final class KeptReasons {
+    static final int LARGEST = 1 << 20;
+    private static final int LARGEST_PLAIN = 8 << 20;
+    private final long most;
+    private final ArrayDeque<Batch> batches = new ArrayDeque<>();
+    private long bytes;
+    private long refused;
+    private long dropped;
+
+    public KeptReasons(long mostBytes) {
+        most = mostBytes;
+    }
+
+    /** False where it makes no sense; then nothing is changed. */
+    public synchronized boolean add(Batch b) {
+        boolean good = b.relay().matches("[a-z0-9][a-z0-9-]{0,30}") && b.run().matches("[0-9a-f]{4}")
+            && b.low() >= 0 && b.high() >= b.low() && b.packed().length <= LARGEST && plain(b.packed()) != null;
+        if (!good) {
+            refused++;
+            return false;
+        }
+        batches.addLast(b);
+        bytes += b.packed().length;
+        while (bytes > most) {
+            bytes -= batches.removeFirst().packed().length;
+            dropped++;
+        }
+        return true;
+    }
+
+    /** The newest record of an order, or null. */
+    public synchronized JsonObject find(String id) {
+        String[] ps = id.split("\\.", -1);
+        long n;
+        try {
+            n = ps.length == 3 ? Long.parseLong(ps[2]) : -1;
+        } catch (NumberFormatException e) {
+            return null;
+        }
+        if (n < 0) return null;
+        String begins = "{\"order\":\"" + id + "\"";
+        for (Iterator<Batch> i = batches.descendingIterator(); i.hasNext();) {
+            Batch b = i.next();
+            if (!b.relay().equals(ps[0]) || !b.run().equals(ps[1]) || n < b.low() || n > b.high()) continue;
+            for (String line : plain(b.packed()).split("\n"))
+                if (line.startsWith(begins)) return Json.parse(line).asObject().add("skippedAtRelay", b.skipped());
+        }
+        return null;
+    }
+
+    public synchronized JsonObject json() {
+        return Json.object().add("batches", batches.size()).add("bytes", bytes).add("most", most)
+            .add("dropped", dropped).add("turnedAway", refused);
+    }
+
+    static byte[] packed(List<byte[]> lines) {
+        Deflater d = new Deflater(Deflater.BEST_SPEED);
+        ByteArrayOutputStream plain = new ByteArrayOutputStream();
+        for (byte[] l : lines) {
+            plain.writeBytes(l);
+            plain.write('\n');
+        }
+        d.setInput(plain.toByteArray());
+        d.finish();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        byte[] buf = new byte[8192];
+        while (!d.finished()) out.write(buf, 0, d.deflate(buf));
+        d.end();
+        return out.toByteArray();
+    }
+
+    /** The lines of a batch, or null where they can't be read. */
+    private static String plain(byte[] packed) {
+        Inflater i = new Inflater();
+        i.setInput(packed);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        byte[] buf = new byte[8192];
+        try {
+            while (!i.finished()) {
+                int n = i.inflate(buf);
+                if (n == 0 && (i.needsInput() || i.needsDictionary()) || out.size() > LARGEST_PLAIN) return null;
+                out.write(buf, 0, n);
+            }
+        } catch (DataFormatException e) {
+            return null;
+        } finally {
+            i.end();
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    static final class Tests {
+        private static Batch batch(String run, long low, String... lines) {
+            return new Batch("relay-1", run, 1, low, low + lines.length - 1, 0,
+                packed(List.of(lines).stream().map(s -> s.getBytes(StandardCharsets.UTF_8)).toList()));
+        }
+
+        private static String line(long n, String outcome) {
+            return "{\"order\":\"relay-1.00aa." + n + "\",\"outcome\":\"" + outcome + "\"}";
+        }
+
+        @Test void theNewestOfAnOrderIsFoundAndNothingElse() {
+            KeptReasons k = new KeptReasons(1 << 20);
+            Assertions.assertTrue(k.add(batch("00aa", 5, line(5, "live"), line(6, "complete"))));
+            Assertions.assertEquals("live", k.find("relay-1.00aa.5").getString("outcome", ""));
+            Assertions.assertTrue(k.add(batch("00aa", 5, line(5, "complete"))));
+            Assertions.assertEquals("complete", k.find("relay-1.00aa.5").getString("outcome", ""));
+            for (String id : new String[]{"relay-1.00aa.7", "relay-1.00ab.5", "relay-2.00aa.5", "relay-1.00aa", "",
+                "x.y.z"})
+                Assertions.assertNull(k.find(id), id);
+        }
+
+        @Test void tornBatchesAreTurnedAwayAndTheBoundHolds() {
+            KeptReasons k = new KeptReasons(200);
+            Batch b = batch("00aa", 5, line(5, "complete"));
+            byte[] half = Arrays.copyOf(b.packed(), b.packed().length / 2);
+            Assertions.assertFalse(k.add(new Batch("relay-1", "00aa", 1, 5, 5, 0, half)));
+            Assertions.assertFalse(k.add(new Batch("no such name", "00aa", 1, 5, 5, 0, b.packed())));
+            Assertions.assertFalse(k.add(new Batch("relay-1", "00aa", 1, 5, 4, 0, b.packed())));
+            for (int i = 0; i < 50; i++) k.add(batch("00aa", i, line(i, "complete")));
+            Assertions.assertTrue(k.json().getLong("bytes", 0) <= 200);
+            Assertions.assertNull(k.find("relay-1.00aa.0"), "the oldest went first");
+            Assertions.assertNotNull(k.find("relay-1.00aa.49"));
+        }
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
@@ -132,6 +132,7 @@
             d.add("turned-away", r.clock.now(), Json.object().add("status", status).add("reason", reason));
             d.outcome("not-run");
             d.end();
+            r.reasons.accept(d);
             o.add("order", d.id);
             c.response().putHeader("Gladelug-Order", d.id);
         }
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -9,6 +9,7 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.HeldNews;
 import gladelug.data.news.Tables;
+import gladelug.data.order.Decision;
 import gladelug.data.order.Order;
 import gladelug.data.order.State;
 import gladelug.data.order.Verdict;
@@ -24,6 +25,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 
@@ -56,6 +58,8 @@
     private boolean pumping;
     private boolean pumpAgain;
     public boolean stopping;
+    /** Records that have ended, for whoever hands them on. */
+    public Consumer<Decision> reasons = d -> {};
 
     public Relay(Clock clock, HeldNews news, Function<Relay, Backends> backends, String domain, int backlogMost,
         IntSupplier relays, boolean alone) {
@@ -120,6 +124,7 @@
         }
         drop(o);
         o.decision.end();
+        reasons.accept(o.decision);
         pump();
         Log.event("order-ended", "order", o.id(), "tenant", o.tenant == null ? "-" : o.tenant.name(), "mapping",
             o.mapping == null ? "-" : o.mapping.name(),
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -9,7 +9,11 @@
 import gladelug.data.StatusDoor;
 import gladelug.data.news.NewsService;
 import gladelug.data.news.Tables;
+import gladelug.data.order.Decision;
 import gladelug.data.order.Decisions;
+import gladelug.data.order.Order;
+import gladelug.data.order.State;
+import gladelug.data.reasons.ReasonsService;
 import gladelug.kernel.Address;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Kernel;
@@ -24,6 +28,8 @@
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -64,6 +70,8 @@
         NewsService news = k.find("news", NewsService.class);
         Doors doors = k.find("doors", Doors.class);
         ViewService views = k.find("views", ViewService.class);
+        ReasonsService reasons = k.find("reasons", ReasonsService.class);
+        reasons.prepare();
         decisions = new Decisions(REMEMBERED, name, news.run());
         context = vertx.getOrCreateContext();
         CompletableFuture<Void> up = new CompletableFuture<>();
@@ -76,6 +84,13 @@
             io.vertx.ext.web.Router t = io.vertx.ext.web.Router.router(vertx.getDelegate());
             door.routes(t);
             vertx.setPeriodic(50, i -> r.tick());
+            List<Decision> ended = new ArrayList<>();
+            r.reasons = ended::add;
+            vertx.setPeriodic(ReasonsService.PERIOD, i -> {
+                for (Order o : r.live()) if (o.state.at() != State.At.WAITING) ended.add(o.decision);
+                reasons.hand(List.copyOf(ended), decisions.run());
+                ended.clear();
+            });
             relay = r;
             server = vertx.getDelegate().createHttpServer(
                 new HttpServerOptions().setMaxHeaderSize(16384).setIdleTimeout(120).setTcpNoDelay(true));
--- a/kernel/src/main/java/gladelug/kernel/message/Hello.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Hello.java
@@ -8,7 +8,8 @@
 import java.io.IOException;
 
 public record Hello(String protocol, String name) implements Wire {
-    public static final String CORE = "core/1", NEWS = "news/1", SHUFFLE = "shuffle/1", LOOKUP = "lookup/1";
+    public static final String CORE = "core/1", NEWS = "news/1", SHUFFLE = "shuffle/1", LOOKUP = "lookup/1",
+        REASONS = "reasons/1";
 
     @Override public int type() {
         return 1;
--- /dev/null
+++ b/kernel/src/main/java/gladelug/kernel/message/Reasons.java
@@ -0,0 +1,35 @@
+/*
+ * What a relay hands to fellows on other machines so that its orders can be explained after it: a
+ * numbered batch of decision records, a JSON text a line, deflated. Best effort; never answered.
+ */
+package gladelug.kernel.message;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+
+public sealed interface Reasons extends Wire {
+    /** low and high: the numbers of the orders in it; skipped: records left out so far for want of room. */
+    record Batch(String relay, String run, long nr, long low, long high, long skipped,
+        byte[] packed) implements Reasons {
+        @Override public int type() {
+            return 1;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeUTF(relay);
+            o.writeUTF(run);
+            o.writeLong(nr);
+            o.writeLong(low);
+            o.writeLong(high);
+            o.writeLong(skipped);
+            Wire.blob(o, packed);
+        }
+    }
+
+    static Reasons read(int type, DataInputStream i) throws IOException {
+        if (type != 1) throw Wire.unknown(type);
+        return new Batch(i.readUTF(), i.readUTF(), i.readLong(), i.readLong(), i.readLong(), i.readLong(),
+            Wire.blob(i));
+    }
+}
--- a/operator-tools/src/main/java/gladelug/tools/Explanation.java
+++ b/operator-tools/src/main/java/gladelug/tools/Explanation.java
@@ -27,6 +27,17 @@
         return sb.toString();
     }
 
+    /** From whom it is, where that isn't the relay, and what it can't know. */
+    static String ofKeeper(JsonObject d, String keeper) {
+        String replica = "";
+        for (JsonValue v : d.get("stages").asArray())
+            if (v.asObject().getString("stage", "").equals("hand-over"))
+                replica = v.asObject().getString("replica", "");
+        return "as its relay told " + keeper + (d.getString("outcome", "").equals("live")
+            ? "; handed to " + (replica.isEmpty() ? "no replica" : "replica " + replica) + ", fate not known here\n"
+            : "\n");
+    }
+
     private static String words(JsonObject s) {
         return switch (s.getString("stage", "")) {
             case "key" -> "the key is one of tenant " + s.getString("tenant", "")
--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -209,13 +209,38 @@
             JsonObject n = v.asObject();
             if (!n.getString("name", "").equals(relay)) continue;
             Asking.Answer d = a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/orders/" + id);
-            if (!d.ok() || json) return print(d, json);
-            System.out.print(Explanation.ofOrder(d.body()));
-            return 0;
+            if (d.status() == 400 || d.ok() && json) return print(d, json);
+            if (d.ok()) {
+                System.out.print(Explanation.ofOrder(d.body()));
+                return 0;
+            }
+            System.err.println("operator-tools: " + relay + ": " + d.body().getString("reason", "no answer"));
+        }
+        return fromFellows(a, s.body(), id, json);
+    }
+
+    /** What the relay no longer tells: from whoever was handed its records, the newest of them. */
+    private static int fromFellows(Asking a, JsonObject status, String id, boolean json) {
+        JsonObject best = null;
+        String whose = "";
+        for (JsonValue v : status.get("nodes").asArray()) {
+            JsonObject n = v.asObject();
+            Asking.Answer d = a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/reasons/" + id);
+            if (!d.ok()) continue;
+            if (best == null || best.getString("outcome", "").equals("live")) {
+                best = d.body();
+                whose = n.getString("name", "");
+            }
         }
-        System.err
-            .println("operator-tools: no relay " + relay + " has asked this control machine within the last minute");
-        return 1;
+        if (best == null) {
+            System.err.println("operator-tools: nobody that answers keeps a record of order " + id
+                + "; its relay has not asked for a minute, or its records were too old to be kept");
+            return 1;
+        }
+        if (json) return print(new Asking.Answer(200, best.add("keptBy", whose)), true);
+        System.out.print(Explanation.ofOrder(best));
+        System.out.print(Explanation.ofKeeper(best, whose));
+        return 0;
     }
 
     /** Beside the numbers held, what the replicas run, as the relays see it. */
--- a/rehearsal/src/main/java/gladelug/rehearsal/CoreRehearsal.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/CoreRehearsal.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +22,56 @@
             return false;
         }
 
+        private static boolean kept(Fleet f, String node, String id) {
+            return f.http(f.operator.get(node), "GET", "/operator/reasons/" + id, null, Map.of()).status() == 200;
+        }
+
+        private static Child explained(Fleet f, String id) throws Exception {
+            Child c = new Child("explain", "gladelug.tools.OperatorTools", List.of("explain-order", "--control",
+                f.operator.get("control-1") + "," + f.operator.get("control-2"), id),
+                f.dir.resolve("explain-" + id + ".log"), 64).start();
+            Assertions.assertTrue(c.waitFor(60_000));
+            return c;
+        }
+
+        @Test void anOrderIsExplainedWhenItsRelayIsNoMore() throws Exception {
+            Deployment s = Deployment.small(17);
+            Deployment d = new Deployment(s.name(), s.net(), s.service(), s.replicas(), 3, 1, s.kinds(), s.tenants(),
+                s.isolated());
+            try (Fleet f = new Fleet(d, Files.createTempDirectory("gladelug-reasons"), 9, "summary")) {
+                f.start();
+                StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, d.tenants(), d.kinds(), 9);
+                Ledger.Call[] last = {null};
+                Fleet.until("two fellows keep an order's record", 30_000, () -> {
+                    Ledger.Call c = callers.send(d.kinds().get(0), d.tenants().get(0), f.callers.get(0));
+                    Fleet.until("it ended", 30_000, () -> c.done >= 0);
+                    last[0] = c;
+                    return IntStream.range(0, 20).anyMatch(i -> {
+                        Fleet.pause(50);
+                        return kept(f, "relay-2", c.order) && kept(f, "relay-3", c.order);
+                    });
+                });
+                Ledger.Call ended = last[0];
+                for (StandInReplica r : f.replicas.values()) r.faults.slowPieces = 5000;
+                Ledger.Call live = callers.send(d.kinds().get(0), d.tenants().get(0), f.callers.get(0));
+                Fleet.until("it streams", 30_000, () -> live.pieces > 0);
+                Fleet.until("a fellow keeps the live one's too", 30_000, () -> kept(f, "relay-3", live.order));
+                f.children.get("relay-1").kill();
+                f.children.get("relay-2").kill();
+                Child c = explained(f, ended.order);
+                Assertions.assertEquals(0, c.exit(), c.lines());
+                Assertions.assertTrue(
+                    c.lines().contains(": complete") && c.lines().contains("as its relay told relay-3"),
+                    c.lines());
+                c = explained(f, live.order);
+                Assertions.assertTrue(c.lines().contains("handed to replica replica-") && c.lines()
+                    .contains("fate not known here"), c.lines());
+                c = explained(f, ended.order.substring(0, ended.order.lastIndexOf('.')) + ".999");
+                Assertions.assertEquals(1, c.exit());
+                Assertions.assertTrue(c.lines().contains("keeps a record"), c.lines());
+            }
+        }
+
         @Test void allThreeAreSwappedAndASleeperFindsTheNewOnesThroughItsNeighbours() throws Exception {
             Deployment s = Deployment.small(16);
             Deployment d = new Deployment(s.name(), s.net(), s.service(), s.replicas(), 2, 1, s.kinds(), s.tenants(),
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/OrderSim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/OrderSim.java
@@ -10,7 +10,6 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.JsonValue;
 import gladelug.control.core.ChangeAnswer;
 import gladelug.control.core.CoreNode;
 import gladelug.control.duty.Division;
@@ -60,7 +59,8 @@
 
     /** What may happen there. */
     enum Happening {
-        POLICY_MOVES, KEY_REVOKED, WALL_RAISED, REPLICA_LEAVES, WEIGHTS_NAMED, OWNER_DIES, REPLICA_CRASHES, REPLICA_VANISHES, RELAY_CUT_FROM_CORE, ADDRESS_REUSED
+        POLICY_MOVES, KEY_REVOKED, WALL_RAISED, REPLICA_LEAVES, WEIGHTS_NAMED, OWNER_DIES, REPLICA_CRASHES,
+        REPLICA_VANISHES, RELAY_CUT_FROM_CORE, ADDRESS_REUSED
     }
 
     static final Promises.Graces STRICT = new Promises.Graces(0, 0, 15_400, 0, 0);
@@ -265,7 +265,10 @@
         for (Promises.Told t : ts) promises.answered(t, a instanceof ChangeAnswer.Done ? now() : -1);
     }
 
-    /** Sends a policy that was changed somehow; if it was not taken, the operator's wish stays and goes out with the next. */
+    /**
+     * Sends a policy that was changed somehow; if it was not taken, the operator's wish stays and goes out with the
+     * next.
+     */
     private void change(Runnable how, Consumer<Boolean> done) {
         how.run();
         operator(Keys.POLICY, policy(), done);
