--- a/control-plane/src/main/java/gladelug/control/duty/Describing.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Describing.java
@@ -79,8 +79,10 @@
         }
 
         @Test void namesWhatCameWentAndChangedAndNeverAKey() {
-            String a = "{'mappings':[{'name':'x','path':'/x'},{'name':'y','path':'/y'}],'tenants':[{'name':'t','keys':['sha256:1']}]}";
-            String b = "{'mappings':[{'name':'x','path':'/z'},{'name':'v','path':'/v'}],'tenants':[{'name':'t','keys':[]}]}";
+            String a = "{'mappings':[{'name':'x','path':'/x'},{'name':'y','path':'/y'}],"
+                + "'tenants':[{'name':'t','keys':['sha256:1']}]}";
+            String b = "{'mappings':[{'name':'x','path':'/z'},{'name':'v','path':'/v'}],"
+                + "'tenants':[{'name':'t','keys':[]}]}";
             Assertions.assertEquals("mappings new: v; mappings gone: y; mappings changed: x; tenants changed: t",
                 change(Keys.POLICY, bytes(a.replace('\'', '"')), bytes(b.replace('\'', '"'))));
             Assertions.assertEquals("m from w1 to w2", change(Keys.WEIGHTS, bytes("{\"m\":{\"now\":\"w1\"}}"),
