A replica that leaves is not forgotten where its list's owner changes and the platform falls silent

The log of control-2 shows the answer heard at 02:23:42.055 and the change answered NoOwner: it had just lost the key, and the next owner found the platform silent, so nobody knew any more. Ruled out: relays (they held the newest list), the wires (cut 20 s later). Now a member keeps what it learned and offers it to whoever owns the key until it is taken, overtaken or 30 s old; when it may not be the newest word it only takes away: what the platform added waits for the platform.

--- a/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
+++ b/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
@@ -20,6 +20,10 @@
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 import java.util.Arrays;
 
 public final class PlatformWatch implements Kernel.Service {
@@ -28,6 +32,7 @@
     private final Address platform;
     private CoreService core;
     private WebClient web;
+    private final Learned learned = new Learned();
     private boolean busy;
     private boolean silent;
     private long timer;
@@ -44,14 +49,36 @@
         vertx.getOrCreateContext().runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> look()));
     }
 
+    /**
+     * What is kept less what the platform took away: the part of a list that may still be offered when the owner may
+     * have heard a newer one, because it can send an order to nobody that the newer one would not.
+     */
+    static byte[] narrowed(byte[] kept, Replicas heard) {
+        List<Replicas.Replica> l = new ArrayList<>();
+        if (Replicas.parse(new String(kept, StandardCharsets.UTF_8)) instanceof Result.Good<Replicas> k)
+            for (Replicas.Replica r : k.value().all) {
+                Replicas.Replica h = heard.find(r.instance());
+                if (h == null || !h.address().equals(r.address()) || !h.service().equals(r.service())) continue;
+                l.add(new Replicas.Replica(r.service(), r.instance(), r.address(), r.domain(), r.ready() && h.ready()));
+            }
+        return new Replicas(l).json().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Who isn't the owner, or no more: what it learned and nobody took is offered to the owner. */
+    private Uni<?> again() {
+        List<Uni<?>> one = new ArrayList<>();
+        learned.offer(core.now(), (n, v) -> one.add(core.change(Keys.REPLICAS, n, v).invoke(learned::answered)));
+        return one.isEmpty() ? Uni.createFrom().nullItem() : one.get(0);
+    }
+
     private void look() {
         if (busy) return;
         busy = true;
         core.ask(n -> n.owns(Keys.REPLICAS))
             .flatMap(owns -> owns
                 ? web.get(platform.port(), platform.host(), "/replicas").timeout(1500).send()
-                    .flatMap(r -> took(r.statusCode(), r.bodyAsString()))
-                : Uni.createFrom().nullItem())
+                    .flatMap(r -> took(r.statusCode(), r.bodyAsString())).onFailure().call(t -> again())
+                : again())
             .ifNoItem().after(Duration.ofSeconds(12)).fail()
             .subscribe().with(x -> busy = false, t -> {
                 busy = false;
@@ -72,7 +99,10 @@
         byte[] now = g.value().json().getBytes(StandardCharsets.UTF_8);
         return core.ask(n -> n.kept(Keys.REPLICAS)).flatMap(kept -> {
             if (kept.getKey() > 0 && Arrays.equals(kept.getValue(), now)) return Uni.createFrom().nullItem();
+            if (kept.getKey() > 0)
+                learned.learn(kept.getKey(), narrowed(kept.getValue(), g.value()), core.now());
             return core.change(Keys.REPLICAS, kept.getKey(), now).invoke(a -> {
+                learned.answered(a);
                 if (a instanceof ChangeAnswer.Done d)
                     Log.event("replicas-listed", "number", d.number(), "count", g.value().all.size(), "acks", d.acks(),
                         "lapsed", d.lapsed(), "waited", d.waited());
@@ -84,4 +114,20 @@
     @Override public void stop() {
         vertx.cancelTimer(timer);
     }
+
+    static final class Tests {
+        private static Replicas list(String... states) {
+            List<Replicas.Replica> l = new ArrayList<>();
+            for (String t : states)
+                l.add(new Replicas.Replica("m", t.substring(0, 1), Address.of("1.1.1.1:" + (int) t.charAt(0)), "z",
+                    t.endsWith("+")));
+            return new Replicas(l);
+        }
+
+        @Test void whatIsOfferedAgainOnlyTakesAway() {
+            byte[] kept = list("a+", "b+", "c-", "d+").json().getBytes(StandardCharsets.UTF_8);
+            Assertions.assertEquals(list("a+", "b-", "c-").json(),
+                new String(narrowed(kept, list("a+", "b-", "c+", "e+")), StandardCharsets.UTF_8));
+        }
+    }
 }
