--- a/data-plane/src/main/java/gladelug/data/relay/Backends.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backends.java
@@ -79,6 +79,11 @@
             b.replica = r;
             if (r.ready()) by.computeIfAbsent(r.service(), x -> new ArrayList<>()).add(b);
         }
+        // who is listed no more gets nothing new, but is asked on while orders of ours run there
+        for (Backend b : all.values()) {
+            Policy.Service s = t.policy().service(b.replica.service());
+            if (b.mine > 0 && s != null && s.allows(b.replica.address())) listed.add(b.replica.instance());
+        }
         all.keySet().retainAll(listed);
         byService = by;
         changed.run();
