--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -107,14 +107,19 @@
         }
     }
 
-    private static int importOpenApi(String file, String service) {
-        String s;
+    /** A file's text, or null and said so. */
+    private static String read(String file) {
         try {
-            s = Files.readString(Path.of(file));
+            return Files.readString(Path.of(file));
         } catch (IOException e) {
             System.err.println("operator-tools: " + file + " cannot be read");
-            return Program.BAD_USE;
+            return null;
         }
+    }
+
+    private static int importOpenApi(String file, String service) {
+        String s = read(file);
+        if (s == null) return Program.BAD_USE;
         Findings fs = new Findings();
         JsonObject o = OpenApiImport.read(s, service, fs);
         System.out.println(o.toString(WriterConfig.PRETTY_PRINT));
@@ -159,13 +164,8 @@
     }
 
     private static int sendPolicy(Asking a, List<Address> control, String file, String basedOn, boolean json) {
-        String s;
-        try {
-            s = Files.readString(Path.of(file));
-        } catch (IOException e) {
-            System.err.println("operator-tools: " + file + " cannot be read");
-            return Program.BAD_USE;
-        }
+        String s = read(file);
+        if (s == null) return Program.BAD_USE;
         if (Policy.parse(s) instanceof Result.Bad<Policy> b) {
             System.err.println(file + " was not sent; found:");
             for (Finding f : b.findings()) System.err.println("  " + f);
--- a/rehearsal/src/main/java/gladelug/rehearsal/Day.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Day.java
@@ -20,7 +20,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +34,6 @@
     private final Random random;
     private final StandInCallers callers;
     private final Promises promises = new Promises();
-    private final Map<String, String> counted = new TreeMap<>();
     private final List<String> slowReturn = new ArrayList<>();
     private String lastPolicy = "";
     private String application = "application";
