--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -21,13 +21,13 @@
 import gladelug.kernel.Program;
 import gladelug.kernel.Result;
 import gladelug.kernel.Settings;
-import gladelug.kernel.circuit.Doors;
-import gladelug.kernel.circuit.Local;
+import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Local;
 import gladelug.kernel.disk.Folder;
 import gladelug.kernel.disk.Ring;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
-import gladelug.kernel.policy.Policy;
+import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
@@ -43,15 +43,13 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class ControlPlane {
     private static final String[] FLAGS = {"name", "domain", "records", "operator", "bind", "platform", "seeds",
         "founders",
         "data", "log", "cutoffMs", "ringFileMb"};
 
-    record Place(String name, String domain, Address records, Address operator, Local local, Address platform,
+    record Place(String name, String zone, Address records, Address operator, Local local, Address platform,
         List<Address> seeds,
         List<Members.Member> founders, String data, String log, int cutoff, int ringFile) {}
 
@@ -175,16 +173,17 @@
         Kernel k = new Kernel();
         CoreNode.Duties duties = new CoreNode.Duties() {
             private byte[] read = new byte[0];
-            private Policy policy = Policy.EMPTY;
+            private Configuration configuration = Configuration.EMPTY;
 
             @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, byte[] body) {
                 if (body != read) {
-                    policy = Policy.parse(new String(body, StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g
-                        ? g.value()
-                        : Policy.EMPTY;
+                    configuration = Configuration
+                        .parse(new String(body, StandardCharsets.UTF_8)) instanceof Result.Good<Configuration> g
+                            ? g.value()
+                            : Configuration.EMPTY;
                     read = body;
                 }
-                return Division.divide(epoch, relays, policy);
+                return Division.divide(epoch, relays, configuration);
             }
 
             @Override public String describe(String key, byte[] old, byte[] now) {
@@ -194,7 +193,7 @@
         k.add("doors", new Doors(vertx, p.records, p.local, p.name))
             .add("views",
                 new ViewService(vertx,
-                    new Shuffle.Descriptor(p.name, "control", p.records.toString(), p.operator.toString(), p.domain, 0,
+                    new Shuffle.Descriptor(p.name, "control", p.records.toString(), p.operator.toString(), p.zone, 0,
                         0),
                     p.seeds))
             .add("core",
@@ -209,17 +208,4 @@
             .add("operator-door", new OperatorDoor(vertx, p.operator));
         Program.run("control-plane", k, 3000);
     }
-
-    static final class Tests {
-        @Test void allFindingsOfTheSettingsAreReportedTogether() {
-            Map<String, String> f = new HashMap<>();
-            f.put("name", "Bad Name");
-            f.put("records", "host:1");
-            f.put("cutoffMs", "99999");
-            String s = place(null, f).toString();
-            for (String w : new String[]{"--name: must be small letters", "--records: must be an IP number",
-                "--operator: is needed", "--data: is needed", "--cutoff-ms: must be a whole number from 1000 to 20000"})
-                Assertions.assertTrue(s.contains(w), w + " in " + s);
-        }
-    }
 }
--- a/control-plane/src/main/java/gladelug/control/core/ChangeAnswer.java
+++ b/control-plane/src/main/java/gladelug/control/core/ChangeAnswer.java
@@ -10,7 +10,7 @@
 import java.io.IOException;
 
 public sealed interface ChangeAnswer {
-    /** acks: licensed nodes that acknowledged; lapsed: those whose licence ran out first; waited in ms. */
+    /** acks: leased nodes that acknowledged; lapsed: those whose lease ran out first; waited in ms. */
     record Done(long number, boolean repeated, int acks, int lapsed, long waited) implements ChangeAnswer {}
 
     record Stale(long current) implements ChangeAnswer {}
--- a/control-plane/src/main/java/gladelug/control/core/CoreHost.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreHost.java
@@ -1,5 +1,5 @@
 /*
- * The seam between the core's protocol and the world: time, chance, disk, circuits. The protocol
+ * The seam between the core's protocol and the world: time, chance, disk, connections. The protocol
  * is pure: it is told of events one at a time and answers by these calls. The simulator is another
  * host.
  */
@@ -32,7 +32,7 @@
     /** To a data-plane process by name. May be lost. */
     void news(String node, News m);
 
-    /** The members changed or became known: circuits follow. */
+    /** The members changed or became known: connections follow. */
     void members(Members m);
 
     void event(String name, Object... pairs);
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -21,11 +21,7 @@
 import gladelug.control.core.CoreMessage.Owned;
 import gladelug.control.core.CoreMessage.Promise;
 import gladelug.control.core.CoreMessage.Promised;
-import gladelug.control.core.CoreMessage.Seal;
-import gladelug.control.core.CoreMessage.Sealed;
-import gladelug.control.core.CoreMessage.Settled;
 import gladelug.control.core.CoreMessage.Standing;
-import gladelug.kernel.Address;
 import gladelug.kernel.message.Delta;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
@@ -39,8 +35,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class CoreNode {
     static final int LARGEST = 6 << 20;
@@ -54,7 +48,7 @@
          * What each relay may use of each service's places; asked of the owner of the key shares a few times a
          * second.
          */
-        default Map<String, List<News.Allot>> divide(long epoch, List<Seen> relays, byte[] policy) {
+        default Map<String, List<News.Allot>> divide(long epoch, List<Seen> relays, byte[] configuration) {
             return Map.of();
         }
 
@@ -64,11 +58,11 @@
         }
     }
 
-    public record Seen(String name, long run, String role, String records, String operator, String domain, long asked,
+    public record Seen(String name, long run, String role, String records, String operator, String zone, long asked,
         List<News.Held> held,
         Map<String, Long> since, List<News.Demand> demands, List<News.Places> places, String via) {}
 
-    private static final class Fellow {
+    private static final class Peer {
         long heard = Long.MIN_VALUE / 2;
         long since;
         boolean healthy;
@@ -94,7 +88,7 @@
     private final Duties duties;
     private final Map<String, Cell> cells = new HashMap<>();
     private final Map<String, KeyOwner> owners = new TreeMap<>();
-    private final Map<String, Fellow> fellows = new HashMap<>();
+    private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Age> ages = new HashMap<>();
     /** By key: when another was last promised it. */
     private final Map<String, Long> yielded = new HashMap<>();
@@ -175,11 +169,11 @@
         newcomer = !m.stays(before, self);
         began = host.now();
         // who was alive a moment ago still is, so that only the first live one takes a key
-        fellows.keySet().removeIf(x -> newcomer || !m.stays(before, x));
-        for (Fellow f : fellows.values()) f.owned = List.of();
+        peers.keySet().removeIf(x -> newcomer || !m.stays(before, x));
+        for (Peer f : peers.values()) f.owned = List.of();
         ownerless.clear();
         rounds.clear();
-        for (Members.Member x : m.all()) fellows.computeIfAbsent(x.name(), n -> new Fellow());
+        for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer());
         host.members(m);
         host.event("members", "generation", m.generation(), "names",
             m.all().stream().map(Members.Member::name).toList());
@@ -192,7 +186,7 @@
     }
 
     long heard(String name) {
-        Fellow f = fellows.get(name);
+        Peer f = peers.get(name);
         return f == null ? Long.MIN_VALUE / 2 : f.heard;
     }
 
@@ -254,7 +248,7 @@
             lastDivided = now;
             List<Seen> relays = new ArrayList<>();
             for (Seen s : nodes.values()) if (s.role.equals("relay") && now - s.asked < GONE) relays.add(s);
-            duties.divide(epochOf(Keys.SHARES), relays, kept(Keys.POLICY).getValue())
+            duties.divide(epochOf(Keys.SHARES), relays, kept(Keys.CONFIGURATION).getValue())
                 .forEach((r, l) -> l.forEach(x -> tell(nodes.get(r), x)));
         }
         nodes.values().removeIf(s -> now - s.asked > 60_000);
@@ -262,14 +256,14 @@
 
     boolean live(String m, long now) {
         if (m.equals(self)) return healthy;
-        Fellow f = fellows.get(m);
+        Peer f = peers.get(m);
         return f != null && f.healthy && now - f.heard < tunables.dead();
     }
 
     private String liveOwner(String key, long now) {
         for (Members.Member m : members().all()) {
             if (m.name().equals(self) || !live(m.name(), now)) continue;
-            for (Owned w : fellows.get(m.name()).owned)
+            for (Owned w : peers.get(m.name()).owned)
                 if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
         }
         return null;
@@ -288,7 +282,7 @@
             ownerless.remove(o.key);
             boolean before = order.indexOf(self) < order.indexOf(other);
             boolean settled = now - booted >= tunables.settled()
-                && now - fellows.get(other).since >= tunables.settled();
+                && now - peers.get(other).since >= tunables.settled();
             // taken back without churn: not while the owner is at a change, whose fate would then be unknown to its
             // sender
             if (rank == 0 && before && settled && !busy(other, o.key)) o.attempt(now);
@@ -302,7 +296,7 @@
     }
 
     private boolean busy(String owner, String key) {
-        for (Owned w : fellows.get(owner).owned) if (w.key().equals(key)) return w.busy();
+        for (Owned w : peers.get(owner).owned) if (w.key().equals(key)) return w.busy();
         return false;
     }
 
@@ -362,7 +356,7 @@
     }
 
     private void alive(String from, Alive a, long now) {
-        Fellow f = fellows.computeIfAbsent(from, n -> new Fellow());
+        Peer f = peers.computeIfAbsent(from, n -> new Peer());
         if (now - f.heard >= tunables.dead() || !f.healthy) f.since = now;
         f.heard = now;
         f.healthy = a.healthy();
@@ -478,7 +472,7 @@
 
     /**
      * A data-plane process asks here. What this member doesn't own it hands on to the owner, so that
-     * a process cut off from the owner alone still has its licence, through the others.
+     * a process cut off from the owner alone still has its lease, through the others.
      */
     public void ask(News.Ask a) {
         long now = host.now();
@@ -507,7 +501,7 @@
             if (!same && h.number() > 0) reached(h.key(), h.number(), a.name());
             since.put(h.key(), same ? old.since.getOrDefault(h.key(), now) : now);
         }
-        Seen seen = new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.domain(), now, a.held(), since,
+        Seen seen = new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.zone(), now, a.held(), since,
             a.demands(), a.places(), via);
         nodes.put(a.name(), seen);
         boolean relay = a.role().equals("relay");
@@ -619,7 +613,7 @@
         return membership.retired();
     }
 
-    public record KeyState(String key, String owner, long epoch, long number, String digest, int licensed,
+    public record KeyState(String key, String owner, long epoch, long number, String digest, int leased,
         long confirmedAgo) {}
 
     public List<KeyState> keys() {
@@ -627,7 +621,7 @@
         List<KeyState> out = new ArrayList<>();
         for (KeyOwner o : owners.values()) {
             if (o.serving()) out.add(new KeyState(o.key, self, o.epoch, o.value().number(), o.value().digest(),
-                o.licensed(now), o.confirmedAge(now)));
+                o.leased(now), o.confirmedAge(now)));
             else {
                 String other = settled() ? liveOwner(o.key, now) : null;
                 Cell c = cell(o.key);
@@ -664,178 +658,4 @@
         for (Cell.Mark m : v.history()) if (m.number() == number) return m.digest().equals(digest) ? "taken" : "other";
         return "forgotten";
     }
-
-    static final class Tests {
-        /** A host that keeps what is said and what is to be synced until the test lets it go. */
-        private static final class Paper implements CoreHost {
-            long now = 1_000_000;
-            final List<String> said = new ArrayList<>();
-            final List<Envelope> messages = new ArrayList<>();
-            final List<Runnable> syncs = new ArrayList<>();
-
-            @Override public long now() {
-                return now;
-            }
-
-            @Override public long wall() {
-                return 0;
-            }
-
-            @Override public long random(long below) {
-                return 0;
-            }
-
-            @Override public void send(String member, Envelope m) {
-                said.add(member + " " + m.said().getClass().getSimpleName());
-                messages.add(m);
-            }
-
-            @Override public void sendTo(Address to, Envelope m) {
-                said.add("address " + m.said().getClass().getSimpleName());
-            }
-
-            @Override public List<Address> contacts() {
-                return List.of();
-            }
-
-            @Override public void sync(String key, byte[] state, Runnable done) {
-                syncs.add(done);
-            }
-
-            @Override public void news(String node, News m) {}
-
-            @Override public void members(Members m) {}
-
-            @Override public void event(String name, Object... pairs) {}
-
-            void synced() {
-                List<Runnable> l = new ArrayList<>(syncs);
-                syncs.clear();
-                l.forEach(Runnable::run);
-            }
-
-            long count(String what) {
-                return said.stream().filter(s -> s.equals(what)).count();
-            }
-        }
-
-        private static final Address A = Address.of("1.1.1.1:1");
-        private static final Members THREE = new Members(1, List.of(new Members.Member("a", "da", A, A),
-            new Members.Member("b", "db", A, A), new Members.Member("c", "dc", A, A)));
-
-        private static CoreNode node(Paper p) {
-            return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()),
-                null, new Duties() {});
-        }
-
-        private static void from(CoreNode n, String who, CoreMessage m) {
-            n.message(new Envelope(1, who, "d" + who, m));
-        }
-
-        @Test void nothingIsAnsweredBeforeItIsOnDisk() {
-            Paper p = new Paper();
-            CoreNode n = node(p);
-            long e = THREE.epoch(0, "b");
-            from(n, "b", new Promise("k", e));
-            Assertions.assertEquals(0, p.count("b Promised"));
-            p.synced();
-            Assertions.assertEquals(1, p.count("b Promised"));
-            from(n, "b", new Accept("k", e, Cell.Value.NONE.next("d", new byte[1])));
-            Assertions.assertEquals(0, p.count("b Accepted"));
-            p.synced();
-            Assertions.assertEquals(1, p.count("b Accepted"));
-            from(n, "c", new Confirm(1, List.of(new Claim("k", THREE.epoch(e, "c")))));
-            Assertions.assertEquals(0, p.count("c Confirmed"), "a confirmation that raises the promise");
-            p.synced();
-            Assertions.assertEquals(1, p.count("c Confirmed"));
-        }
-
-        @Test void servesOnlyOnceTheValueItReadStandsAtAMajorityUnderItsOwnEpoch() {
-            Paper p = new Paper();
-            CoreNode n = node(p);
-            p.now += 10_000;
-            for (int i = 0; i < 3; i++) {
-                n.tick();
-                p.now += 800;
-            }
-            long e = n.epochOf(Keys.POLICY);
-            Assertions.assertTrue(e > 0, "never tried");
-            Cell.Value x = Cell.Value.NONE.next("x", new byte[]{1});
-            p.now -= 700;
-            from(n, "a", new Promised(Keys.POLICY, e, true, e, 0, Cell.Value.NONE));
-            from(n, "b", new Promised(Keys.POLICY, e, true, e, 5, x));
-            Assertions.assertFalse(n.owns(Keys.POLICY));
-            Accept w = p.messages.stream().map(Envelope::said).filter(m -> m instanceof Accept).map(m -> (Accept) m)
-                .findFirst().orElseThrow();
-            Assertions.assertTrue(w.epoch() == e && w.value().digest().equals("x"),
-                "the newest value heard of, under the new epoch");
-            from(n, "a", new Accepted(Keys.POLICY, e, 1, true, e));
-            Assertions.assertFalse(n.owns(Keys.POLICY));
-            from(n, "b", new Accepted(Keys.POLICY, e, 1, true, e));
-            Assertions.assertTrue(n.owns(Keys.POLICY));
-            Assertions.assertFalse(n.mayCommand(Keys.POLICY), "before the last owner's licence is over");
-        }
-
-        @Test void aSealedMemberTakesNoPartInTheOldGenerationEvenAfterARestart() {
-            Members next = new Members(2,
-                List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
-            Paper p = new Paper();
-            CoreNode n = node(p);
-            from(n, "b", new Seal(next));
-            p.synced();
-            from(n, "c", new Promise("k", THREE.epoch(0, "c")));
-            p.synced();
-            Assertions.assertEquals(0, p.count("c Promised"));
-            Paper q = new Paper();
-            CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000,
-                Map.of(Membership.MEMBERS, THREE.bytes(), Membership.SEALED, next.bytes()), null, new Duties() {});
-            from(again, "c", new Promise("k", THREE.epoch(0, "c")));
-            q.synced();
-            Assertions.assertEquals(0, q.count("c Promised"));
-        }
-
-        @Test void theNextGenerationIsNotToldBeforeAMajorityOfTheOldIsSealed() {
-            Members next = new Members(2,
-                List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
-            Paper p = new Paper();
-            CoreNode n = node(p);
-            from(n, "b", new Seal(next));
-            p.synced();
-            from(n, "a", new Sealed(2, List.of()));
-            for (int i = 0; i < 20; i++) {
-                p.now += 200;
-                n.tick();
-            }
-            Assertions.assertTrue(p.count("address Seal") > 0, "whoever is sealed drives it on");
-            Assertions.assertEquals(0, p.count("address Settled"));
-            from(n, "c", new Sealed(2, List.of()));
-            p.now += 200;
-            n.tick();
-            Assertions.assertEquals(3, p.count("address Settled"));
-        }
-
-        @Test void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
-            Paper p = new Paper();
-            CoreNode n = new CoreNode(p, Tunables.USUAL, new Members.Member("a", "new disk", A, A), 15_000, Map.of(),
-                null, new Duties() {});
-            from(n, "b", new Promise("k", THREE.epoch(0, "b")));
-            from(n, "b", new Accept("k", THREE.epoch(0, "b"), Cell.Value.NONE));
-            from(n, "b", new Confirm(1, List.of(new Claim("k", 1))));
-            from(n, "b", new Settled(THREE, List.of()));
-            p.synced();
-            Assertions.assertEquals(List.of(), p.said);
-            Assertions.assertFalse(n.settled(), "members with the old disk in its name don't let it in");
-        }
-
-        @Test void aChangeThatComesTwiceIsAnsweredOnceAndAStrangersDiskNever() {
-            Paper p = new Paper();
-            CoreNode n = node(p);
-            for (int i = 0; i < 2; i++) from(n, "b", new Change(7, Keys.POLICY, -1, new byte[1]));
-            Assertions.assertEquals(1, p.count("b Changed"));
-            n.message(new Envelope(1, "b", "another disk", new Promise("k", THREE.epoch(0, "b"))));
-            n.message(new Envelope(2, "b", "db", new Promise("k", THREE.epoch(0, "b"))));
-            p.synced();
-            Assertions.assertEquals(0, p.count("b Promised"));
-        }
-    }
 }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -1,6 +1,6 @@
 /*
  * Hosts the core's protocol in a process: one duty runs it, the disk's thread syncs for it, held
- * circuits carry its messages to the other members and news to data-plane processes.
+ * connections carry its messages to the other members and news to data-plane processes.
  */
 package gladelug.control.core;
 
@@ -10,9 +10,9 @@
 import gladelug.kernel.Duty;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
-import gladelug.kernel.circuit.Circuit;
-import gladelug.kernel.circuit.Doors;
-import gladelug.kernel.circuit.Held;
+import gladelug.kernel.connection.Connection;
+import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Held;
 import gladelug.kernel.disk.Ring;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.News;
@@ -49,9 +49,9 @@
     private final CoreNode.Founding founding;
     private final CoreNode.Duties duties;
     private final Consumer<String> fatal;
-    private final Map<String, Held> fellows = new HashMap<>();
+    private final Map<String, Held> peers = new HashMap<>();
     private final Map<Address, Held> strangers = new HashMap<>();
-    private final Map<String, Circuit> nodes = new ConcurrentHashMap<>();
+    private final Map<String, Connection> nodes = new ConcurrentHashMap<>();
     private Doors doors;
     private ViewService views;
     private DiskDuty disk;
@@ -79,7 +79,7 @@
             Envelope e = Wire.read(r, Envelope::read);
             duty.offer(() -> node.message(e));
         });
-        doors.take(Hello.NEWS, (h, c) -> new Circuit.Receiver() {
+        doors.take(Hello.NEWS, (h, c) -> new Connection.Receiver() {
             private String name;
 
             @Override public void record(byte[] r) throws IOException {
@@ -159,7 +159,7 @@
             duty.offer(() -> node.message(m));
             return;
         }
-        Held h = fellows.get(member);
+        Held h = peers.get(member);
         if (h != null) h.send(m);
     }
 
@@ -191,20 +191,20 @@
     }
 
     @Override public void news(String to, News m) {
-        Circuit c = nodes.get(to);
+        Connection c = nodes.get(to);
         if (c != null) c.send(m);
     }
 
     @Override public void members(Members m) {
         views.generation(m.generation());
-        fellows.entrySet().removeIf(e -> {
+        peers.entrySet().removeIf(e -> {
             Members.Member x = m.find(e.getKey());
             if (x != null && x.records().equals(e.getValue().to)) return false;
             e.getValue().letGo();
             return true;
         });
         for (Members.Member x : m.all())
-            if (!x.name().equals(self)) fellows.computeIfAbsent(x.name(), n -> hold(x.records()));
+            if (!x.name().equals(self)) peers.computeIfAbsent(x.name(), n -> hold(x.records()));
     }
 
     @Override public void event(String name, Object... pairs) {
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -1,9 +1,9 @@
 /*
  * The owner's side of one key, at one member. It becomes owner by having a majority promise a
  * higher epoch, writes the newest value it heard of again under that epoch, and only then serves.
- * A change is on a majority before anybody is told of it. Licences go out only off a round in
+ * A change is on a majority before anybody is told of it. Leases go out only off a round in
  * which a majority confirmed the epoch, and count from that round's start; so a grant of this
- * owner has run out one licence after any later majority of promises, which is why a new owner
+ * owner has run out one lease after any later majority of promises, which is why a new owner
  * waits that long before its first acknowledgement.
  */
 package gladelug.control.core;
@@ -47,8 +47,8 @@
         }
     }
 
-    private static final class Licensed {
-        long expiry;
+    private static final class Leased {
+        long deadline;
         long acked;
     }
 
@@ -67,7 +67,7 @@
     private Cell.Value value = Cell.Value.NONE;
     private final Map<String, Promised> promises = new HashMap<>();
     private final Set<String> wrote = new HashSet<>();
-    private final Map<String, Licensed> licences = new HashMap<>();
+    private final Map<String, Leased> leases = new HashMap<>();
     private final ArrayDeque<Change> waiting = new ArrayDeque<>();
     private Change current;
 
@@ -101,15 +101,15 @@
         return current != null || !waiting.isEmpty();
     }
 
-    int licensed(long now) {
+    int leased(long now) {
         int n = 0;
-        for (Licensed l : licences.values()) if (l.expiry >= now) n++;
+        for (Leased l : leases.values()) if (l.deadline >= now) n++;
         return n;
     }
 
-    /** Whether orders may go out in this owner's name: it holds the key and every earlier one's time is over. */
+    /** Whether requests may go out in this owner's name: it holds the key and every earlier one's time is over. */
     boolean mayCommand(long now) {
-        return serving() && now >= mayAck && now < confirmedAt + node.tunables.licence();
+        return serving() && now >= mayAck && now < confirmedAt + node.tunables.lease();
     }
 
     /** How long an attempt may take: longer after each that failed, as disks may be slower than it allows for. */
@@ -169,10 +169,10 @@
     private void serve(long now) {
         phase = Phase.SERVING;
         failed = 0;
-        mayAck = promisedAt + node.tunables.licence() + 1;
+        mayAck = promisedAt + node.tunables.lease() + 1;
         servedAt = now;
         confirmedAt = Long.MIN_VALUE / 2;
-        licences.clear();
+        leases.clear();
         changedAt = now - node.knownAge(key, value.number(), now);
         node.host.event("owner-serves", "key", key, "epoch", epoch, "number", value.number(), "after", now - attempted);
         node.served(key, value);
@@ -185,7 +185,7 @@
         if (!served) failed++;
         phase = Phase.IDLE;
         attempted = now;
-        licences.clear();
+        leases.clear();
         if (served) node.host.event("owner-ends", "key", key, "epoch", epoch, "why", why);
         if (current != null) finish(
             current.value == null ? new ChangeAnswer.NoOwner() : new ChangeAnswer.Unknown(current.value.number()));
@@ -211,7 +211,7 @@
 
     void propose(long match, byte[] body, Consumer<ChangeAnswer> answer, long now) {
         if (phase != Phase.SERVING) answer.accept(new ChangeAnswer.NoOwner());
-        else if (waiting.size() >= node.tunables.backlog()) answer.accept(new ChangeAnswer.Busy());
+        else if (waiting.size() >= node.tunables.queue()) answer.accept(new ChangeAnswer.Busy());
         else {
             waiting.add(new Change(match, body, now, answer));
             next(now);
@@ -253,12 +253,12 @@
 
     private void settle(long now) {
         Change c = current;
-        if (c == null || !c.committed || now < mayAck && !licenceless()) return;
+        if (c == null || !c.committed || now < mayAck && !leaseless()) return;
         int acks = 0;
-        for (Iterator<Licensed> i = licences.values().iterator(); i.hasNext();) {
-            Licensed l = i.next();
+        for (Iterator<Leased> i = leases.values().iterator(); i.hasNext();) {
+            Leased l = i.next();
             if (l.acked >= c.value.number()) acks++;
-            else if (l.expiry < now) {
+            else if (l.deadline < now) {
                 i.remove();
                 c.lapsed++;
             } else return;
@@ -270,8 +270,8 @@
         next(now);
     }
 
-    private boolean licenceless() {
-        return !Keys.LICENSED.contains(key);
+    private boolean leaseless() {
+        return !Keys.LEASED.contains(key);
     }
 
     private void finish(ChangeAnswer a) {
@@ -282,7 +282,7 @@
     void tick(long now) {
         if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > patience())
             depose("no-majority-in-time", now);
-        if (phase == Phase.SERVING && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.licence())
+        if (phase == Phase.SERVING && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.lease())
             depose("unconfirmed", now);
         if (phase != Phase.SERVING || current == null) return;
         if (!current.committed && now - current.sent > node.tunables.confirm()) {
@@ -295,17 +295,17 @@
     }
 
     /** A data-plane process asked. A grant where it holds the newest number, else null and a push is due. */
-    News.Grant ask(String who, boolean licensed, News.Held held, long now) {
-        Licensed l = licences.get(who);
+    News.Grant ask(String who, boolean leased, News.Held held, long now) {
+        Leased l = leases.get(who);
         if (l != null) l.acked = Math.max(l.acked, held.number());
         News.Grant g = null;
-        long left = confirmedAt + node.tunables.licence() - now;
+        long left = confirmedAt + node.tunables.lease() - now;
         if (held.number() == value.number() && left > 0) {
             int cutoff = key.equals(Keys.WEIGHTS) ? (int) Math.max(0, node.cutoff() - age(now)) : 0;
             g = new News.Grant(key, epoch, value.number(), (int) left, cutoff);
-            if (licensed && Keys.LICENSED.contains(key)) {
-                if (l == null) licences.put(who, l = new Licensed());
-                l.expiry = Math.max(l.expiry, now + left);
+            if (leased && Keys.LEASED.contains(key)) {
+                if (l == null) leases.put(who, l = new Leased());
+                l.deadline = Math.max(l.deadline, now + left);
                 l.acked = held.number();
             }
         }
--- a/control-plane/src/main/java/gladelug/control/core/Members.java
+++ b/control-plane/src/main/java/gladelug/control/core/Members.java
@@ -7,7 +7,7 @@
 
 import gladelug.kernel.Address;
 import gladelug.kernel.message.Wire;
-import gladelug.kernel.policy.CoreList;
+import gladelug.kernel.configuration.CoreList;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -18,8 +18,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public record Members(long generation, List<Member> all) {
     public record Member(String name, String disk, Address records, Address operator) {}
@@ -104,16 +102,4 @@
             throw new UncheckedIOException(e);
         }
     }
-
-    static final class Tests {
-        @Test void epochsRiseAndNeverMeet() {
-            Address a = Address.of("1.1.1.1:1");
-            Members m = new Members(2,
-                List.of(new Member("b", "", a, a), new Member("a", "", a, a), new Member("c", "", a, a)));
-            long e1 = m.epoch(0, "a"), e2 = m.epoch(e1, "b"), e3 = m.epoch(e2, "a");
-            Assertions.assertTrue(e1 < e2 && e2 < e3);
-            Assertions.assertTrue(m.epoch(0, "a") != m.epoch(0, "b"));
-            Assertions.assertTrue(new Members(3, m.all).epoch(e3, "a") > e3);
-        }
-    }
 }
--- a/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
+++ b/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
@@ -1,5 +1,5 @@
 /*
- * Towards operators and the platform, HTTP with JSON: policies sent whole under If-Match, weights
+ * Towards operators and the platform, HTTP with JSON: configurations sent whole under If-Match, weights
  * named, the state shown, readiness told. Every answer says plainly whether a change was taken,
  * not taken, or of unknown fate; unknown is never called failed.
  */
@@ -19,13 +19,13 @@
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
 import gladelug.kernel.Result;
-import gladelug.kernel.circuit.Doors;
-import gladelug.kernel.circuit.Local;
+import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Local;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Replicas;
-import gladelug.kernel.policy.Weights;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas;
+import gladelug.kernel.configuration.Weights;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.client.WebClientOptions;
@@ -68,10 +68,11 @@
         Router r = Router.router(vertx);
         r.route().handler(BodyHandler.create(false).setBodyLimit(LARGEST));
         r.get("/ready").handler(this::ready);
-        r.post("/v1/policy").handler(this::policy);
-        r.get("/v1/policy").handler(c -> atOwner(c, Keys.POLICY, x -> show(x, Keys.POLICY)));
-        r.get("/v1/policy/numbers/:number").handler(c -> atOwner(c, Keys.POLICY, x -> fate(x, Keys.POLICY)));
-        for (String key : new String[]{Keys.POLICY, Keys.WEIGHTS})
+        r.post("/v1/policy").handler(this::configuration);
+        r.get("/v1/policy").handler(c -> atOwner(c, Keys.CONFIGURATION, x -> show(x, Keys.CONFIGURATION)));
+        r.get("/v1/policy/numbers/:number")
+            .handler(c -> atOwner(c, Keys.CONFIGURATION, x -> fate(x, Keys.CONFIGURATION)));
+        for (String key : new String[]{Keys.CONFIGURATION, Keys.WEIGHTS})
             r.get("/v1/" + key + "/numbers").handler(c -> atOwner(c, key, x -> numbers(x, key)));
         r.post("/v1/weights").handler(this::weights);
         r.post("/v1/core/swap").handler(c -> atOwner(c, Keys.CORE, this::swap));
@@ -153,7 +154,7 @@
         }
     }
 
-    private void policy(RoutingContext c) {
+    private void configuration(RoutingContext c) {
         long m = match(c);
         if (m == NONE) {
             say(c, 428, Json.object().add("outcome", "not-taken")
@@ -162,14 +163,14 @@
             return;
         }
         String s = c.body().asString();
-        Result<Policy> p = m == BAD
+        Result<Configuration> p = m == BAD
             ? Result.bad("If-Match", "must be a number or *")
-            : Policy.parse(s == null ? "" : s);
-        if (p instanceof Result.Bad<Policy> b) {
+            : Configuration.parse(s == null ? "" : s);
+        if (p instanceof Result.Bad<Configuration> b) {
             findings(c, b.findings());
             return;
         }
-        core.change(Keys.POLICY, m, s.getBytes(StandardCharsets.UTF_8)).ifNoItem().after(PATIENCE)
+        core.change(Keys.CONFIGURATION, m, s.getBytes(StandardCharsets.UTF_8)).ifNoItem().after(PATIENCE)
             .recoverWithItem(new ChangeAnswer.Unknown(m < 0 ? -1 : m + 1))
             .subscribe().with(a -> answered(c, a), t -> c.fail(500, t));
     }
@@ -213,13 +214,13 @@
         Naming n = ((Result.Good<Naming>) r).value();
         long m = match(c);
         if (m == BAD) findings(c, List.of(new Finding("If-Match", "must be a number or *")));
-        else core.ask(x -> x.kept(Keys.POLICY)).flatMap(kept -> {
-            Policy p = Policy
-                .parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Policy> g
+        else core.ask(x -> x.kept(Keys.CONFIGURATION)).flatMap(kept -> {
+            Configuration p = Configuration
+                .parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Configuration> g
                     ? g.value()
-                    : Policy.EMPTY;
-            Policy.Service sv = p.service(n.service);
-            if (sv == null || sv.kind() != Policy.Kind.MODEL) {
+                    : Configuration.EMPTY;
+            Configuration.Service sv = p.service(n.service);
+            if (sv == null || sv.kind() != Configuration.Kind.MODEL) {
                 findings(c, List.of(new Finding("service", "is no model service of the policy: " + n.service)));
                 return Uni.createFrom().nullItem();
             }
@@ -235,7 +236,7 @@
     }
 
     /** Whether any listed replica says it could run these weights. */
-    private Uni<Boolean> offered(String service, String weights, Policy.Service sv) {
+    private Uni<Boolean> offered(String service, String weights, Configuration.Service sv) {
         return core.ask(x -> x.kept(Keys.REPLICAS)).flatMap(kept -> {
             Replicas l = Replicas
                 .parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Replicas> g
@@ -351,7 +352,7 @@
             for (CoreNode.KeyState s : n.keys())
                 ks.add(Json.object().add("key", s.key()).add("owner", s.owner()).add("epoch", s.epoch())
                     .add("number", s.number())
-                    .add("digest", s.digest()).add("licensed", s.licensed()).add("confirmedMsAgo", s.confirmedAgo()));
+                    .add("digest", s.digest()).add("licensed", s.leased()).add("confirmedMsAgo", s.confirmedAgo()));
             o.add("keys", ks);
             JsonArray js = new JsonArray();
             for (Members.Member m : n.joiners())
@@ -363,7 +364,7 @@
                 for (News.Held h : s.held())
                     held.add(h.key(), Json.object().add("number", h.number()).add("forMs",
                         core.now() - s.since().getOrDefault(h.key(), core.now())));
-                ns.add(Json.object().add("name", s.name()).add("role", s.role()).add("domain", s.domain())
+                ns.add(Json.object().add("name", s.name()).add("role", s.role()).add("domain", s.zone())
                     .add("operator", s.operator())
                     .add("askedMsAgo", core.now() - s.asked()).add("holds", held));
             }
--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -9,9 +9,9 @@
 import gladelug.control.core.CoreService;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
-import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.connection.Doors;
 import gladelug.kernel.message.Keys;
-import gladelug.kernel.policy.Replicas;
+import gladelug.kernel.configuration.Replicas;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.WebClientOptions;
@@ -48,7 +48,7 @@
         if (busy) return;
         busy = true;
         core.ask(n -> new Steering.Kept(n.kept(Keys.REPLICAS).getValue(), n.kept(Keys.WEIGHTS).getValue(),
-            n.kept(Keys.POLICY).getValue(), n.knownAge(Keys.WEIGHTS)))
+            n.kept(Keys.CONFIGURATION).getValue(), n.knownAge(Keys.WEIGHTS)))
             .emitOn(r -> context.runOnContext(r)).map(k -> {
                 steering.view(k);
                 return steering.steerable();
--- a/control-plane/src/main/java/gladelug/control/duty/Describing.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Describing.java
@@ -13,8 +13,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Describing {
     private static final int FEW = 6;
@@ -25,7 +23,7 @@
         try {
             JsonObject a = object(old), b = object(now);
             List<String> out = new ArrayList<>();
-            if (key.equals(Keys.POLICY))
+            if (key.equals(Keys.CONFIGURATION))
                 for (String k : new String[]{"services", "mappings", "tenants"})
                     differences(k, named(a, k), named(b, k), out);
             else if (key.equals(Keys.WEIGHTS)) {
@@ -72,22 +70,4 @@
         String few = String.join(", ", names.subList(0, Math.min(FEW, names.size())));
         out.add(what + ": " + few + (names.size() > FEW ? " and " + (names.size() - FEW) + " more" : ""));
     }
-
-    static final class Tests {
-        private static byte[] bytes(String s) {
-            return s.getBytes(StandardCharsets.UTF_8);
-        }
-
-        @Test void namesWhatCameWentAndChangedAndNeverAKey() {
-            String a = "{'mappings':[{'name':'x','path':'/x'},{'name':'y','path':'/y'}],"
-                + "'tenants':[{'name':'t','keys':['sha256:1']}]}";
-            String b = "{'mappings':[{'name':'x','path':'/z'},{'name':'v','path':'/v'}],"
-                + "'tenants':[{'name':'t','keys':[]}]}";
-            Assertions.assertEquals("mappings new: v; mappings gone: y; mappings changed: x; tenants changed: t",
-                change(Keys.POLICY, bytes(a.replace('\'', '"')), bytes(b.replace('\'', '"'))));
-            Assertions.assertEquals("m from w1 to w2", change(Keys.WEIGHTS, bytes("{\"m\":{\"now\":\"w1\"}}"),
-                bytes("{\"m\":{\"now\":\"w2\",\"before\":\"w1\"}}")));
-            Assertions.assertEquals("", change(Keys.POLICY, bytes("no JSON"), bytes("{}")));
-        }
-    }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/Division.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Division.java
@@ -8,18 +8,15 @@
 package gladelug.control.duty;
 
 import gladelug.control.core.CoreNode;
-import gladelug.kernel.Result;
 import gladelug.kernel.message.News;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Share;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Share;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Division {
     private static final class Node {
@@ -41,7 +38,8 @@
 
     private Division() {}
 
-    public static Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, Policy policy) {
+    public static Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays,
+        Configuration configuration) {
         Map<String, Integer> places = new TreeMap<>();
         for (CoreNode.Seen r : relays)
             for (News.Places p : r.places()) places.merge(p.service(), p.places(), Math::max);
@@ -54,7 +52,7 @@
                         demand.merge(d.leaf(), (double) d.waiting() + d.using(), Double::sum);
             double all = demand.values().stream().mapToDouble(x -> x).sum();
             Map<String, Double> leaf = new HashMap<>();
-            Node root = tree(policy, demand);
+            Node root = tree(configuration, demand);
             boolean limited = over(root);
             boolean full = all > n || limited;
             if (full) {
@@ -76,11 +74,11 @@
         return out;
     }
 
-    private static Node tree(Policy p, Map<String, Double> demand) {
+    private static Node tree(Configuration p, Map<String, Double> demand) {
         Node root = new Node("", 1, 0, 0);
         Map<String, Double> left = new HashMap<>(demand);
-        for (Policy.Tenant t : p.tenants) root.children.add(node(t.share(), left));
-        // leaves of an older policy still have orders somewhere
+        for (Configuration.Tenant t : p.tenants) root.children.add(node(t.share(), left));
+        // leaves of an older configuration still have requests somewhere
         for (String l : new TreeSet<>(left.keySet())) {
             Node n = new Node(l, 1, 0, 0);
             n.demand = left.get(l);
@@ -158,58 +156,4 @@
         if (n.children.isEmpty()) leaf.merge(n.path, n.places, Double::sum);
         for (Node c : n.children) collect(c, leaf);
     }
-
-    static final class Tests {
-        private static Policy policy(String tenants) {
-            return ((Result.Good<Policy>) Policy
-                .parse("{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],\"mappings\":["
-                    + "{\"name\":\"a\",\"path\":\"/a\",\"service\":\"m\"},{\"name\":\"b\",\"path\":\"/b\","
-                    + "\"service\":\"m\"}],\"tenants\":"
-                    + tenants + "}"))
-                .value();
-        }
-
-        private static CoreNode.Seen relay(String name, int places, Object... leafWaiting) {
-            List<News.Demand> d = new ArrayList<>();
-            for (int i = 0; i < leafWaiting.length; i += 2)
-                d.add(new News.Demand("m", (String) leafWaiting[i], (Integer) leafWaiting[i + 1], 0));
-            return new CoreNode.Seen(name, 1, "relay", "", "", "", 0, List.of(), Map.of(), d,
-                List.of(new News.Places("m", places)), "");
-        }
-
-        private static String show(Map<String, List<News.Allot>> m) {
-            StringBuilder sb = new StringBuilder();
-            for (String r : new TreeSet<>(m.keySet())) {
-                News.Allot a = m.get(r).get(0);
-                sb.append(r).append(a.full() ? ":" : ": free");
-                for (News.Part p : a.parts()) sb.append(' ').append(p.leaf()).append('=').append(p.milli());
-                sb.append('\n');
-            }
-            return sb.toString();
-        }
-
-        @Test void whatFitsIsNotBoundedAndWhatDoesNotIsDealtByWeightOverTheFleet() {
-            Policy p = policy(
-                "[{\"name\":\"t\",\"keys\":[],\"weight\":3},{\"name\":\"u\",\"keys\":[]},{\"name\":\"v\","
-                    + "\"keys\":[]}]");
-            Assertions.assertEquals("r1: free\nr2: free\n",
-                show(divide(1, List.of(relay("r1", 40, "t", 20), relay("r2", 40, "u", 20)), p)));
-            // t comes by one relay, u by both, v asks for less than its due: the rest of that goes to the others
-            Assertions.assertEquals("r1: t=28500 u=4750 v=2000\nr2: u=4750\n",
-                show(divide(1, List.of(relay("r1", 40, "t", 100, "u", 50, "v", 2), relay("r2", 40, "u", 50)), p)));
-        }
-
-        @Test void tiersLimitsAndLevels() {
-            Policy p = policy(
-                "[{\"name\":\"t\",\"keys\":[],\"shares\":[{\"name\":\"x\",\"weight\":3,\"mappings\":[\"a\"]},"
-                    + "{\"name\":\"y\",\"mappings\":[\"b\"]}]},"
-                    + "{\"name\":\"u\",\"keys\":[],\"limit\":6},{\"name\":\"z\",\"keys\":[],\"tier\":1}]");
-            Assertions.assertEquals("r1: t/x=10500 t/y=3500 u=6000 z=0\n",
-                show(divide(1, List.of(relay("r1", 20, "t/x", 90, "t/y", 90, "u", 90, "z", 90)), p)));
-            Assertions.assertEquals("r1: t/y=4000 u=6000 z=10000\n",
-                show(divide(1, List.of(relay("r1", 20, "t/y", 4, "u", 90, "z", 90)), p)));
-            Assertions.assertEquals("r1: u=6000\n", show(divide(1, List.of(relay("r1", 20, "u", 9)), p)),
-                "a limit holds though there is room");
-        }
-    }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
+++ b/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
@@ -11,9 +11,9 @@
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
 import gladelug.kernel.Result;
-import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.connection.Doors;
 import gladelug.kernel.message.Keys;
-import gladelug.kernel.policy.Replicas;
+import gladelug.kernel.configuration.Replicas;
 import io.smallrye.mutiny.Uni;
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
@@ -22,8 +22,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 import java.util.Arrays;
 
 public final class PlatformWatch implements Kernel.Service {
@@ -51,7 +49,7 @@
 
     /**
      * What is kept less what the platform took away: the part of a list that may still be offered when the owner may
-     * have heard a newer one, because it can send an order to nobody that the newer one would not.
+     * have heard a newer one, because it can send a request to nobody that the newer one would not.
      */
     static byte[] narrowed(byte[] kept, Replicas heard) {
         List<Replicas.Replica> l = new ArrayList<>();
@@ -59,7 +57,7 @@
             for (Replicas.Replica r : k.value().all) {
                 Replicas.Replica h = heard.find(r.instance());
                 if (h == null || !h.address().equals(r.address()) || !h.service().equals(r.service())) continue;
-                l.add(new Replicas.Replica(r.service(), r.instance(), r.address(), r.domain(), r.ready() && h.ready()));
+                l.add(new Replicas.Replica(r.service(), r.instance(), r.address(), r.zone(), r.ready() && h.ready()));
             }
         return new Replicas(l).json().getBytes(StandardCharsets.UTF_8);
     }
@@ -114,20 +112,4 @@
     @Override public void stop() {
         vertx.cancelTimer(timer);
     }
-
-    static final class Tests {
-        private static Replicas list(String... states) {
-            List<Replicas.Replica> l = new ArrayList<>();
-            for (String t : states)
-                l.add(new Replicas.Replica("m", t.substring(0, 1), Address.of("1.1.1.1:" + (int) t.charAt(0)), "z",
-                    t.endsWith("+")));
-            return new Replicas(l);
-        }
-
-        @Test void whatIsOfferedAgainOnlyTakesAway() {
-            byte[] kept = list("a+", "b+", "c-", "d+").json().getBytes(StandardCharsets.UTF_8);
-            Assertions.assertEquals(list("a+", "b-", "c-").json(),
-                new String(narrowed(kept, list("a+", "b-", "c+", "e+")), StandardCharsets.UTF_8));
-        }
-    }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/Steering.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Steering.java
@@ -6,9 +6,9 @@
 package gladelug.control.duty;
 
 import gladelug.kernel.Result;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Replicas;
-import gladelug.kernel.policy.Weights;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas;
+import gladelug.kernel.configuration.Weights;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,7 +21,7 @@
     private static final long AGAIN = 1000, STALE = 1500;
 
     /** What is kept of the three keys, as it came, and how old the naming is. */
-    public record Kept(byte[] replicas, byte[] weights, byte[] policy, long age) {}
+    public record Kept(byte[] replicas, byte[] weights, byte[] configuration, long age) {}
 
     private static final class Seen {
         String weights = "";
@@ -36,7 +36,7 @@
     private Kept kept = new Kept(new byte[0], new byte[0], new byte[0], 0);
     private Replicas replicas = Replicas.NONE;
     private Weights weights = Weights.NONE;
-    private Policy policy = Policy.EMPTY;
+    private Configuration configuration = Configuration.EMPTY;
 
     public Steering(int cutoff) {
         this.cutoff = cutoff;
@@ -46,7 +46,8 @@
     public void view(Kept k) {
         if (k.replicas != kept.replicas) replicas = or(Replicas.parse(text(k.replicas)), Replicas.NONE);
         if (k.weights != kept.weights) weights = or(Weights.parse(text(k.weights)), Weights.NONE);
-        if (k.policy != kept.policy) policy = or(Policy.parse(text(k.policy)), Policy.EMPTY);
+        if (k.configuration != kept.configuration)
+            configuration = or(Configuration.parse(text(k.configuration)), Configuration.EMPTY);
         kept = k;
         seen.keySet().retainAll(steerable().stream().map(Replicas.Replica::instance).toList());
     }
@@ -59,7 +60,7 @@
         return r instanceof Result.Good<T> g ? g.value() : none;
     }
 
-    /** Only replicas of a model service, where the policy allows them, with weights named. */
+    /** Only replicas of a model service, where the configuration allows them, with weights named. */
     public List<Replicas.Replica> steerable() {
         List<Replicas.Replica> l = new ArrayList<>();
         for (Replicas.Replica r : replicas.all) if (steerable(r)) l.add(r);
@@ -67,8 +68,9 @@
     }
 
     private boolean steerable(Replicas.Replica r) {
-        Policy.Service s = policy.service(r.service());
-        return s != null && s.kind() == Policy.Kind.MODEL && s.allows(r.address()) && weights.of(r.service()) != null;
+        Configuration.Service s = configuration.service(r.service());
+        return s != null && s.kind() == Configuration.Kind.MODEL && s.allows(r.address())
+            && weights.of(r.service()) != null;
     }
 
     /** What a replica said of itself. */
--- /dev/null
+++ b/control-plane/src/test/java/gladelug/control/duty/BatchesTest.java
@@ -0,0 +1,35 @@
+/*
+ * Tests of Batches.
+ */
+package gladelug.control.duty;
+
+import static gladelug.control.duty.Batches.may;
+
+import gladelug.control.duty.Batches.Replica;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class BatchesTest {
+    private static SortedMap<String, Replica> of(String s) {
+        SortedMap<String, Replica> m = new TreeMap<>();
+        for (int i = 0; i < s.length(); i++)
+            m.put(String.valueOf((char) ('a' + i)),
+                s.charAt(i) == 'm' ? Replica.MOVED : s.charAt(i) == '-' ? Replica.SILENT : Replica.WAITING);
+        return m;
+    }
+
+    @Test void aThirdAtATimeAndNobodyHoldsTheRestForEver() {
+        SortedMap<String, Replica> none = of("wwwwwww"), two = of("mmwwwww"), three = of("mmmwwww"),
+            silent = of("mm-wwww");
+        Assertions.assertTrue(may("a", none, 0, 15000) && may("c", none, 0, 15000));
+        Assertions.assertFalse(may("d", two, 4999, 15000));
+        Assertions.assertTrue(may("d", three, 100, 15000));
+        Assertions.assertTrue(may("d", silent, 100, 15000), "one that doesn't answer holds nobody");
+        Assertions.assertFalse(may("g", three, 100, 15000));
+        Assertions.assertTrue(may("d", two, 5000, 15000));
+        Assertions.assertTrue(may("g", none, 10000, 15000));
+        Assertions.assertFalse(may("x", none, 10000, 15000));
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -1,5 +1,5 @@
 /*
- * The program data-plane: `relay` carries orders, `index` keeps the Cuckoo Summary of all holders.
+ * The program data-plane: `relay` carries requests, `index` keeps the Cuckoo Summary of all holders.
  * Neither has a disk.
  */
 package gladelug.data;
@@ -17,8 +17,8 @@
 import gladelug.kernel.Program;
 import gladelug.kernel.Result;
 import gladelug.kernel.Settings;
-import gladelug.kernel.circuit.Doors;
-import gladelug.kernel.circuit.Local;
+import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Local;
 import gladelug.kernel.message.Shuffle;
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
@@ -33,14 +33,14 @@
 
 public final class DataPlane {
     private static final Map<String, Stages.Mode> MODES = new TreeMap<>(Map.of("summary", Stages.Mode.SUMMARY,
-        "least-occupancy", Stages.Mode.LEAST_OCCUPANCY, "holder-always", Stages.Mode.HOLDER_ALWAYS));
+        "least-occupancy", Stages.Mode.LEAST_LOAD, "holder-always", Stages.Mode.HOLDER_ALWAYS));
     private static final String[] BOTH = {"name", "domain", "records", "operator", "bind", "seeds", "reasonsMb", "log"};
     private static final String[] RELAY = {"callers", "index", "backlog", "choice", "division"};
     private static final String[] INDEX = {"fingerprintBits"};
 
-    record Place(String name, String domain, Address records, Address operator, Local local, List<Address> seeds,
+    record Place(String name, String zone, Address records, Address operator, Local local, List<Address> seeds,
         String log,
-        Address callers, Address index, int backlog, String choice, String division, int fingerprintBits,
+        Address callers, Address index, int queue, String choice, String division, int fingerprintBits,
         int reasonsMb) {}
 
     private DataPlane() {}
@@ -110,13 +110,13 @@
         Vertx vertx = Vertx.vertx();
         Clock clock = Clock.monotonic();
         Shuffle.Descriptor self = new Shuffle.Descriptor(p.name, relay ? "relay" : "index", p.records.toString(),
-            p.operator.toString(), p.domain, 0, 0);
+            p.operator.toString(), p.zone, 0, 0);
         ReasonsService reasons = new ReasonsService(vertx, clock, p.name, p.records.host(), (long) p.reasonsMb << 20);
         Kernel k = new Kernel().add("doors", new Doors(vertx, p.records, p.local, p.name))
             .add("views", new ViewService(vertx, self, p.seeds))
             .add("news", new NewsService(vertx, clock, self, p.seeds)).add("reasons", reasons);
         if (relay) {
-            RelayService r = new RelayService(vertx, clock, p.name, p.domain, p.callers, p.index, p.backlog,
+            RelayService r = new RelayService(vertx, clock, p.name, p.zone, p.callers, p.index, p.queue,
                 MODES.get(p.choice), p.division.equals("alone"));
             k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, t -> {
                 r.routes(t);
--- a/data-plane/src/main/java/gladelug/data/StatusDoor.java
+++ b/data-plane/src/main/java/gladelug/data/StatusDoor.java
@@ -9,7 +9,7 @@
 import gladelug.kernel.Address;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
-import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.connection.Doors;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.mutiny.core.Vertx;
--- a/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
+++ b/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
@@ -11,8 +11,8 @@
 import gladelug.data.news.Tables;
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Lookup;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Replicas.Replica;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas.Replica;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -33,7 +33,7 @@
     private long questions;
     private long hits;
     private int rebuilt;
-    private boolean turnedAway;
+    private boolean refused;
 
     public FleetSummary(int fingerprintBits) {
         this.fingerprintBits = fingerprintBits;
@@ -48,19 +48,19 @@
         return holders.get(h.replica.instance()) == h;
     }
 
-    /** Those the policy and the platform name, and no others. */
+    /** Those the configuration and the platform name, and no others. */
     public void holders(Tables t, long at) {
         Set<String> listed = new HashSet<>();
         for (Replica r : t.replicas().all) {
-            Policy.Service s = t.policy().service(r.service());
-            if (s == null || s.kind() == Policy.Kind.APPLICATION || !s.allows(r.address())) continue;
+            Configuration.Service s = t.configuration().service(r.service());
+            if (s == null || s.kind() == Configuration.Kind.APPLICATION || !s.allows(r.address())) continue;
             Holder old = holders.get(r.instance());
             if (old != null && !old.replica.address().equals(r.address())) drop(old);
             if (!holders.containsKey(r.instance())) {
                 int id = taken.nextClearBit(0);
                 if (id >= CuckooSummary.HOLDERS) {
-                    if (!turnedAway) Log.warn("too-many-holders", "most", CuckooSummary.HOLDERS);
-                    turnedAway = true;
+                    if (!refused) Log.warn("too-many-holders", "most", CuckooSummary.HOLDERS);
+                    refused = true;
                     continue;
                 }
                 taken.set(id);
--- a/data-plane/src/main/java/gladelug/data/index/Holder.java
+++ b/data-plane/src/main/java/gladelug/data/index/Holder.java
@@ -1,10 +1,10 @@
 /*
  * One holder as the summary knows it: its dense id, its feed, when it was last heard. Pure; who
- * asks it for its list is set by whoever has the circuits.
+ * asks it for its list is set by whoever has the connections.
  */
 package gladelug.data.index;
 
-import gladelug.kernel.policy.Replicas.Replica;
+import gladelug.kernel.configuration.Replicas.Replica;
 import java.util.function.LongConsumer;
 
 public final class Holder {
--- a/data-plane/src/main/java/gladelug/data/index/HolderCircuit.java
+++ b/data-plane/src/main/java/gladelug/data/index/HolderConnection.java
@@ -1,5 +1,5 @@
 /*
- * The circuits to one holder that the index process follows: identity first, then the stream of cache
+ * The connections to one holder that the index process follows: identity first, then the stream of cache
  * events, and the block list whenever its feed asks. Everything is handed to the summary's duty;
  * an address that turns out to be somebody else's gets nothing more.
  */
@@ -8,7 +8,7 @@
 import gladelug.kernel.Clock;
 import gladelug.kernel.Duty;
 import gladelug.kernel.Log;
-import gladelug.kernel.policy.Replicas.Replica;
+import gladelug.kernel.configuration.Replicas.Replica;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -19,7 +19,7 @@
 import io.vertx.mutiny.core.http.HttpClient;
 import io.vertx.mutiny.ext.web.client.WebClient;
 
-final class HolderCircuit {
+final class HolderConnection {
     private static final long AGAIN = 300;
 
     private final Holder h;
@@ -34,7 +34,8 @@
     private HttpClientRequest stream;
     private boolean gone;
 
-    HolderCircuit(Vertx vertx, HttpClient http, WebClient web, Duty duty, Clock clock, FleetSummary summary, Holder h) {
+    HolderConnection(Vertx vertx, HttpClient http, WebClient web, Duty duty, Clock clock, FleetSummary summary,
+        Holder h) {
         this.vertx = vertx;
         this.http = http;
         this.web = web;
--- a/data-plane/src/main/java/gladelug/data/index/IndexService.java
+++ b/data-plane/src/main/java/gladelug/data/index/IndexService.java
@@ -10,9 +10,9 @@
 import gladelug.kernel.Clock;
 import gladelug.kernel.Duty;
 import gladelug.kernel.Kernel;
-import gladelug.kernel.circuit.Circuit;
-import gladelug.kernel.circuit.Doors;
-import gladelug.kernel.circuit.Local;
+import gladelug.kernel.connection.Connection;
+import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Local;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.message.Wire;
@@ -32,7 +32,7 @@
     private final Clock clock;
     private final Duty duty;
     private final FleetSummary summary;
-    private final Map<Holder, HolderCircuit> circuits = new HashMap<>();
+    private final Map<Holder, HolderConnection> connections = new HashMap<>();
     private HttpClient http;
     private WebClient web;
 
@@ -52,7 +52,7 @@
             .setFollowRedirects(false).setMaxPoolSize(4)));
         news.listen(t -> duty.offer(() -> tables(t)));
         duty.every(100, () -> summary.tick(clock.now()));
-        k.find("doors", Doors.class).take(Hello.LOOKUP, (h, c) -> new Circuit.Receiver() {
+        k.find("doors", Doors.class).take(Hello.LOOKUP, (h, c) -> new Connection.Receiver() {
             @Override public void record(byte[] r) throws IOException {
                 if (!(Wire.read(r, Lookup::read) instanceof Lookup.Question q))
                     throw new IOException("an answer nobody asked for");
@@ -63,13 +63,13 @@
 
     private void tables(Tables t) {
         summary.holders(t, clock.now());
-        circuits.entrySet().removeIf(e -> {
+        connections.entrySet().removeIf(e -> {
             if (summary.has(e.getKey())) return false;
             e.getValue().letGo();
             return true;
         });
         for (Holder h : summary.all())
-            circuits.computeIfAbsent(h, x -> new HolderCircuit(vertx, http, web, duty, clock, summary, x));
+            connections.computeIfAbsent(h, x -> new HolderConnection(vertx, http, web, duty, clock, summary, x));
     }
 
     /** For operators, from the duty's own thread. */
--- a/data-plane/src/main/java/gladelug/data/news/HeldNews.java
+++ b/data-plane/src/main/java/gladelug/data/news/HeldNews.java
@@ -1,6 +1,6 @@
 /*
- * What a data-plane process holds of the news: its book of numbers and licences, the snapshot of
- * the control state made of it, and the newest division of places. No circuits and no clock of its
+ * What a data-plane process holds of the news: its book of numbers and leases, the snapshot of
+ * the control state made of it, and the newest division of places. No connections and no clock of its
  * own: the news service feeds it, and so does the simulator. Told on one thread, read on any.
  */
 package gladelug.data.news;
@@ -11,10 +11,10 @@
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
-import gladelug.kernel.policy.CoreList;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Replicas;
-import gladelug.kernel.policy.Weights;
+import gladelug.kernel.configuration.CoreList;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas;
+import gladelug.kernel.configuration.Weights;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -26,7 +26,7 @@
     /** milli: thousandths of a place by leaf; empty and not full where nothing is bounded. */
     public record Allotment(long at, boolean full, Map<String, Integer> milli) {}
 
-    public final Licences licences;
+    public final Leases leases;
     private final Clock clock;
     private final NewsBook book;
     private final Consumer<Tables> swapped;
@@ -40,7 +40,7 @@
         this.clock = clock;
         this.swapped = swapped;
         this.book = new NewsBook(self, run, this::take);
-        this.licences = book.licences;
+        this.leases = book.leases;
     }
 
     public Tables tables() {
@@ -86,7 +86,8 @@
         String s = new String(p.value(), StandardCharsets.UTF_8);
         Tables t = tables;
         Result<Tables> r = switch (p.key()) {
-            case Keys.POLICY -> Policy.parse(s).then(x -> Result.good(t.policy(p.number(), p.digest(), x)));
+            case Keys.CONFIGURATION ->
+                Configuration.parse(s).then(x -> Result.good(t.configuration(p.number(), p.digest(), x)));
             case Keys.WEIGHTS -> Weights.parse(s).then(x -> Result.good(t.weights(p.number(), x)));
             case Keys.REPLICAS -> Replicas.parse(s).then(x -> Result.good(t.replicas(p.number(), x)));
             case Keys.CORE -> CoreList.parse(s).then(x -> Result.good(t.core(p.number(), x)));
--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -1,5 +1,5 @@
 /*
- * Keeps this process in touch with the core: held circuits to every core member it knows of,
+ * Keeps this process in touch with the core: held connections to every core member it knows of,
  * asking on each every 400 ms what it holds; pushes become a new snapshot, and are acknowledged by
  * asking at once. Whom to call comes from the newest list of the core, else from the shuffled
  * view, else from the seeds, so it goes on when all of the core has moved.
@@ -10,13 +10,13 @@
 import gladelug.kernel.Clock;
 import gladelug.kernel.Duty;
 import gladelug.kernel.Kernel;
-import gladelug.kernel.circuit.Doors;
-import gladelug.kernel.circuit.Held;
+import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Held;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
 import gladelug.kernel.message.Wire;
-import gladelug.kernel.policy.CoreList;
+import gladelug.kernel.configuration.CoreList;
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
 import java.util.HashMap;
@@ -36,7 +36,7 @@
     private final List<Address> seeds;
     private final long run = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
     private final Duty duty;
-    private final Map<Address, Held> circuits = new HashMap<>();
+    private final Map<Address, Held> connections = new HashMap<>();
     private final List<Consumer<Tables>> listeners = new CopyOnWriteArrayList<>();
     public final HeldNews held;
     private long generation;
@@ -86,18 +86,18 @@
     private void circle() {
         Set<Address> want = new HashSet<>();
         for (CoreList.Member m : held.tables().core().all()) want.add(m.records());
-        boolean reached = circuits.values().stream().anyMatch(Held::open);
+        boolean reached = connections.values().stream().anyMatch(Held::open);
         if (want.isEmpty() || !reached) {
             for (Shuffle.Descriptor d : views.all()) if (d.role().equals("control")) want.add(Address.of(d.records()));
             if (held.tables().core().all().isEmpty()) want.addAll(seeds);
         }
-        circuits.entrySet().removeIf(e -> {
+        connections.entrySet().removeIf(e -> {
             if (want.contains(e.getKey())) return false;
             e.getValue().letGo();
             return true;
         });
         for (Address a : want)
-            circuits.computeIfAbsent(a, x -> new Held(vertx, doors, x, Hello.NEWS,
+            connections.computeIfAbsent(a, x -> new Held(vertx, doors, x, Hello.NEWS,
                 (h, r) -> {
                     News n = Wire.read(r, News::read);
                     duty.offer(() -> told(h, n));
@@ -107,7 +107,7 @@
 
     private void askAll() {
         News.Ask a = held.ask();
-        for (Held h : circuits.values()) h.send(a);
+        for (Held h : connections.values()) h.send(a);
     }
 
     private void told(Held from, News n) {
@@ -117,6 +117,6 @@
 
     @Override public void stop() {
         duty.close();
-        for (Held h : circuits.values()) h.letGo();
+        for (Held h : connections.values()) h.letGo();
     }
 }
--- a/data-plane/src/main/java/gladelug/data/reasons/KeptReasons.java
+++ b/data-plane/src/main/java/gladelug/data/reasons/KeptReasons.java
@@ -1,6 +1,6 @@
 /*
  * Decision records of other machines' relays, as they handed them over, oldest out first under a
- * bound in bytes. A batch that is torn, too large or says it is something else is turned away. Pure.
+ * bound in bytes. A batch that is torn, too large or says it is something else is refused. Pure.
  */
 package gladelug.data.reasons;
 
@@ -10,14 +10,11 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.Iterator;
 import java.util.List;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class KeptReasons {
     static final int LARGEST = 1 << 20;
@@ -49,7 +46,7 @@
         return true;
     }
 
-    /** The newest record of an order, or null. */
+    /** The newest record of a request, or null. */
     public synchronized JsonObject find(String id) {
         String[] ps = id.split("\\.", -1);
         long n;
@@ -109,39 +106,4 @@
         }
         return out.toString(StandardCharsets.UTF_8);
     }
-
-    static final class Tests {
-        private static Batch batch(String run, long low, String... lines) {
-            return new Batch("relay-1", run, 1, low, low + lines.length - 1, 0,
-                packed(List.of(lines).stream().map(s -> s.getBytes(StandardCharsets.UTF_8)).toList()));
-        }
-
-        private static String line(long n, String outcome) {
-            return "{\"order\":\"relay-1.00aa." + n + "\",\"outcome\":\"" + outcome + "\"}";
-        }
-
-        @Test void theNewestOfAnOrderIsFoundAndNothingElse() {
-            KeptReasons k = new KeptReasons(1 << 20);
-            Assertions.assertTrue(k.add(batch("00aa", 5, line(5, "live"), line(6, "complete"))));
-            Assertions.assertEquals("live", k.find("relay-1.00aa.5").getString("outcome", ""));
-            Assertions.assertTrue(k.add(batch("00aa", 5, line(5, "complete"))));
-            Assertions.assertEquals("complete", k.find("relay-1.00aa.5").getString("outcome", ""));
-            for (String id : new String[]{"relay-1.00aa.7", "relay-1.00ab.5", "relay-2.00aa.5", "relay-1.00aa", "",
-                "x.y.z"})
-                Assertions.assertNull(k.find(id), id);
-        }
-
-        @Test void tornBatchesAreTurnedAwayAndTheBoundHolds() {
-            KeptReasons k = new KeptReasons(200);
-            Batch b = batch("00aa", 5, line(5, "complete"));
-            byte[] half = Arrays.copyOf(b.packed(), b.packed().length / 2);
-            Assertions.assertFalse(k.add(new Batch("relay-1", "00aa", 1, 5, 5, 0, half)));
-            Assertions.assertFalse(k.add(new Batch("no such name", "00aa", 1, 5, 5, 0, b.packed())));
-            Assertions.assertFalse(k.add(new Batch("relay-1", "00aa", 1, 5, 4, 0, b.packed())));
-            for (int i = 0; i < 50; i++) k.add(batch("00aa", i, line(i, "complete")));
-            Assertions.assertTrue(k.json().getLong("bytes", 0) <= 200);
-            Assertions.assertNull(k.find("relay-1.00aa.0"), "the oldest went first");
-            Assertions.assertNotNull(k.find("relay-1.00aa.49"));
-        }
-    }
 }
--- a/data-plane/src/main/java/gladelug/data/reasons/ReasonsService.java
+++ b/data-plane/src/main/java/gladelug/data/reasons/ReasonsService.java
@@ -1,7 +1,7 @@
 /*
  * Reasons that outlive their relay. Twice a second a relay hands what has ended, and what it has at
- * replicas just now, to two fellows on other machines, the first with an open circuit in an order agreed by
- * name; every data-plane process keeps what it is handed, within a bound. Off the order's path, on
+ * replicas just now, to two peers on other machines, the first with an open connection in an order agreed by
+ * name; every data-plane process keeps what it is handed, within a bound. Off the request's path, on
  * a duty of its own, best effort: a batch that finds nobody, or no room in the ring, is counted and gone.
  */
 package gladelug.data.reasons;
@@ -9,15 +9,15 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.StatusDoor;
-import gladelug.data.order.Decision;
+import gladelug.data.request.Decision;
 import gladelug.kernel.Address;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Duty;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
-import gladelug.kernel.circuit.Circuit;
-import gladelug.kernel.circuit.Doors;
-import gladelug.kernel.circuit.Held;
+import gladelug.kernel.connection.Connection;
+import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Held;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.Reasons;
 import gladelug.kernel.message.Shuffle;
@@ -57,7 +57,7 @@
     @Override public void start(Kernel k) {
         doors = k.find("doors", Doors.class);
         views = k.find("views", ViewService.class);
-        doors.take(Hello.REASONS, (h, c) -> new Circuit.Receiver() {
+        doors.take(Hello.REASONS, (h, c) -> new Connection.Receiver() {
             @Override public void record(byte[] r) throws IOException {
                 Reasons.Batch b = (Reasons.Batch) Wire.read(r, Reasons::read);
                 if (!b.relay().equals(h.name())) throw new IOException("reasons of " + b.relay() + " from " + h.name());
@@ -68,12 +68,12 @@
         });
     }
 
-    /** Whoever will hand records on has its circuits open before it needs them. */
+    /** Whoever will hand records on has its connections open before it needs them. */
     public void prepare() {
-        duty.every(PERIOD, this::fellows);
+        duty.every(PERIOD, this::peers);
     }
 
-    /** From the order thread: what has ended since the last time, and what is at replicas now. */
+    /** From the request thread: what has ended since the last time, and what is at replicas now. */
     public void hand(List<Decision> ds, String run) {
         if (ds.isEmpty()) return;
         if (!duty.offer(() -> send(ds, run))) skipped += ds.size();
@@ -97,12 +97,12 @@
         if (lines.isEmpty()) return;
         Reasons.Batch batch = new Reasons.Batch(name, run, ++nr, low, high, skipped, KeptReasons.packed(lines));
         int sent = 0;
-        for (Address a : fellows()) if (sent < FELLOWS && held.get(a).send(batch)) sent++;
+        for (Address a : peers()) if (sent < FELLOWS && held.get(a).send(batch)) sent++;
         if (sent == 0) skipped += lines.size();
     }
 
-    /** Those of other machines, in an order that only the names decide; one more circuit is held than is used. */
-    private List<Address> fellows() {
+    /** Those of other machines, in an order that only the names decide; one more connection is held than is used. */
+    private List<Address> peers() {
         List<Address> l = views.all().stream().filter(d -> d.role().equals("relay") || d.role().equals("index"))
             .filter(d -> !Address.of(d.records()).host().equals(host))
             .sorted(Comparator.comparingInt((Shuffle.Descriptor d) -> (name + ">" + d.name()).hashCode()))
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -1,10 +1,10 @@
 /*
  * One replica as a relay sees it: what the platform lists, what it last told of itself, and what
- * this relay has handed it since. Touched by the order thread alone.
+ * this relay has handed it since. Touched by the request thread alone.
  */
 package gladelug.data.relay;
 
-import gladelug.kernel.policy.Replicas.Replica;
+import gladelug.kernel.configuration.Replicas.Replica;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -30,12 +30,12 @@
         this.replica = r;
     }
 
-    /** Orders it has, by its last report and what this relay did since. */
+    /** Requests it has, by its last report and what this relay did since. */
     public int load() {
         return mine + Math.max(0, reported - mineAtReport);
     }
 
-    /** Its slots and one more, so that the next order is there when one ends. */
+    /** Its slots and one more, so that the next request is there when one ends. */
     public int places() {
         return slots + 1;
     }
@@ -53,7 +53,7 @@
         return now - Math.max(reportedAt, awake) > SILENT;
     }
 
-    public double backlogMs(long now) {
+    public double queueMs(long now) {
         return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
     }
 
--- a/data-plane/src/main/java/gladelug/data/relay/Backends.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backends.java
@@ -1,7 +1,7 @@
 /*
  * The back ends of this relay's snapshot, and what they tell of themselves: each is asked for its
- * identity and occupancy a few times a second. Only services the policy lists at addresses it
- * allows are ever called, this asking included. Lives on the order thread.
+ * identity and load a few times a second. Only services the configuration lists at addresses it
+ * allows are ever called, this asking included. Lives on the request thread.
  */
 package gladelug.data.relay;
 
@@ -10,9 +10,9 @@
 import gladelug.data.news.Tables;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Log;
-import gladelug.kernel.circuit.Local;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Replicas.Replica;
+import gladelug.kernel.connection.Local;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas.Replica;
 import io.vertx.core.json.DecodeException;
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
@@ -26,9 +26,9 @@
 import java.util.function.Consumer;
 
 public final class Backends {
-    /** Asks a replica for its occupancy; told is given the answer, or null where none came. */
+    /** Asks a replica for its load; told is given the answer, or null where none came. */
     public interface Asker {
-        void occupancy(Replica of, Consumer<io.vertx.core.json.JsonObject> told);
+        void load(Replica of, Consumer<io.vertx.core.json.JsonObject> told);
     }
 
     public static final long PERIOD = 250;
@@ -68,8 +68,8 @@
         Set<String> listed = new HashSet<>();
         Map<String, List<Backend>> by = new HashMap<>();
         for (Replica r : t.replicas().all) {
-            Policy.Service s = t.policy().service(r.service());
-            if (s == null || s.kind() == Policy.Kind.STORE || !s.allows(r.address())) continue;
+            Configuration.Service s = t.configuration().service(r.service());
+            if (s == null || s.kind() == Configuration.Kind.STORE || !s.allows(r.address())) continue;
             listed.add(r.instance());
             Backend b = all.get(r.instance());
             if (b == null || !b.replica.address().equals(r.address()) || !b.replica.service().equals(r.service())) {
@@ -79,9 +79,9 @@
             b.replica = r;
             if (r.ready()) by.computeIfAbsent(r.service(), x -> new ArrayList<>()).add(b);
         }
-        // who is listed no more gets nothing new, but is asked on while orders of ours run there
+        // who is listed no more gets nothing new, but is asked on while requests of ours run there
         for (Backend b : all.values()) {
-            Policy.Service s = t.policy().service(b.replica.service());
+            Configuration.Service s = t.configuration().service(b.replica.service());
             if (b.mine > 0 && s != null && s.allows(b.replica.address())) listed.add(b.replica.instance());
         }
         all.keySet().retainAll(listed);
@@ -104,7 +104,7 @@
 
     private void ask(Backend b) {
         int mine = b.mine;
-        asker.occupancy(b.replica, o -> {
+        asker.load(b.replica, o -> {
             if (all.get(b.replica.instance()) != b) return;
             if (o == null) Log.fine("occupancy-silent", "instance", b.replica.instance());
             else told(b, o, mine);
--- a/data-plane/src/main/java/gladelug/data/relay/Budget.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Budget.java
@@ -6,12 +6,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Random;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Budget {
-    private static final double EARN = 0.15, ALLOWANCE = 1, MOST = 3;
+    static final double EARN = 0.15, ALLOWANCE = 1, MOST = 3;
     private final Map<String, double[]> tokens = new HashMap<>();
 
     private double[] of(String service) {
@@ -29,21 +26,4 @@
         t[0]--;
         return true;
     }
-
-    static final class Tests {
-        @Test void neverAboveAFifthAndTheAllowanceWhateverIsAsked() {
-            Random r = new Random(3);
-            Budget b = new Budget();
-            int first = 0, second = 0;
-            for (int i = 0; i < 10_000; i++) {
-                if (r.nextInt(5) > 0) {
-                    b.firstTry("s");
-                    first++;
-                }
-                for (int j = 0; j < 3; j++) if (b.secondTry("s")) second++;
-                Assertions.assertTrue(second <= first * 0.2 + ALLOWANCE);
-            }
-            Assertions.assertTrue(second > first / 10);
-        }
-    }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
@@ -2,23 +2,23 @@
  * Towards callers: HTTP/1.1, a JSON body in, numbered pieces out as lines of JSON in a chunked
  * body with an explicit last line. An answer that can't be finished ends with an error line and a
  * body that is not terminated, so nothing cut off looks complete. Every refusal says in "outcome"
- * whether the order ran, and Retry-After says when to come back.
+ * whether the request ran, and Retry-After says when to come back.
  */
 package gladelug.data.relay;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
-import gladelug.data.order.Decision;
-import gladelug.data.order.Decisions;
-import gladelug.data.order.Order;
-import gladelug.data.order.Verdict;
-import gladelug.data.order.Way;
+import gladelug.data.request.Decision;
+import gladelug.data.request.Decisions;
+import gladelug.data.request.Request;
+import gladelug.data.request.Verdict;
+import gladelug.data.request.Way;
 import gladelug.kernel.Doc;
 import gladelug.kernel.Finding;
 import gladelug.kernel.Findings;
 import gladelug.kernel.Result;
-import gladelug.kernel.policy.Policy;
+import gladelug.kernel.configuration.Configuration;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
@@ -30,13 +30,13 @@
 import java.util.List;
 import java.util.Map;
 
-public final class CallerDoor implements Order.Caller {
+public final class CallerDoor implements Request.Caller {
     private static final int MOST_PIECES = 100_000;
     private final Relay r;
     private final Decisions decisions;
     private final Way way;
     private final Map<Integer, BodyHandler> bodies = new HashMap<>();
-    private final Map<Order, RoutingContext> calls = new IdentityHashMap<>();
+    private final Map<Request, RoutingContext> calls = new IdentityHashMap<>();
 
     public CallerDoor(Relay r, Decisions decisions, Way way) {
         this.r = r;
@@ -63,12 +63,12 @@
             refuse(c, 503, why, null, 1000);
             return;
         }
-        String hash = Policy.hashOf(key(c.request()));
-        if (r.tables().policy().tenantOfHash(hash) == null) {
+        String hash = Configuration.hashOf(key(c.request()));
+        if (r.tables().configuration().tenantOfHash(hash) == null) {
             refuse(c, 401, "the key is not known", null, 0);
             return;
         }
-        Policy.Mapping m = r.tables().policy().mapping(c.request().path());
+        Configuration.Route m = r.tables().configuration().route(c.request().path());
         if (m == null) {
             refuse(c, 404, "no mapping for this path", null, 0);
             return;
@@ -107,7 +107,7 @@
             return;
         }
         Asked x = ((Result.Good<Asked>) a).value();
-        Order o = new Order(decisions.begin(came), came, hash, c.request().path(), this);
+        Request o = new Request(decisions.begin(came), came, hash, c.request().path(), this);
         o.prompt = x.prompt;
         o.maxPieces = x.maxPieces;
         calls.put(o, c);
@@ -119,7 +119,7 @@
         way.go(o);
     }
 
-    private void gone(Order o) {
+    private void gone(Request o) {
         if (calls.remove(o) != null) r.gone(o);
     }
 
@@ -127,7 +127,7 @@
         if (c.response().ended() || c.response().closed()) return;
         JsonObject o = Json.object().add("outcome", "not-run").add("reason", reason);
         if (status != 401) {
-            // whoever has no key leaves no record, so that strangers can't push out those of orders
+            // whoever has no key leaves no record, so that strangers can't push out those of requests
             Decision d = decisions.begin(r.clock.now());
             d.add("turned-away", r.clock.now(), Json.object().add("status", status).add("reason", reason));
             d.outcome("not-run");
@@ -150,9 +150,9 @@
         return String.valueOf(Math.max(1, (ms + 999) / 1000));
     }
 
-    // ---- the caller's side of an order
+    // ---- the caller's side of a request
 
-    @Override public void turnAway(Order o, Verdict.TurnAway v) {
+    @Override public void refuse(Request o, Verdict.Refuse v) {
         RoutingContext c = calls.remove(o);
         if (c == null || c.response().ended() || c.response().closed()) return;
         if (v.retryMs() > 0) c.response().putHeader("Retry-After", seconds(v.retryMs()));
@@ -166,7 +166,7 @@
         return p;
     }
 
-    @Override public boolean piece(Order o, String json, Runnable ready) {
+    @Override public boolean piece(Request o, String json, Runnable ready) {
         RoutingContext c = calls.get(o);
         if (c == null) return true;
         HttpServerResponse p = begun(c);
@@ -176,7 +176,7 @@
         return false;
     }
 
-    @Override public void complete(Order o, int pieces) {
+    @Override public void complete(Request o, int pieces) {
         RoutingContext c = calls.remove(o);
         if (c != null && !c.response().closed())
             begun(c).end(
@@ -184,7 +184,7 @@
                     + "\n");
     }
 
-    @Override public void cutOff(Order o, String why) {
+    @Override public void cutOff(Request o, String why) {
         RoutingContext c = calls.remove(o);
         if (c == null || c.response().closed()) return;
         begun(c)
--- a/data-plane/src/main/java/gladelug/data/relay/HandOver.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HandOver.java
@@ -1,7 +1,7 @@
 /*
- * The last stage: the order goes to its replica, once, and the answer's pieces come back. The
- * circuit is checked to be that very replica's before it carries anything; licence, key, mapping,
- * replica and weights are looked at again in the same breath in which the order leaves. From then
+ * The last stage: the request goes to its replica, once, and the answer's pieces come back. The
+ * connection is checked to be that very replica's before it carries anything; lease, key, route,
+ * replica and weights are looked at again in the same breath in which the request leaves. From then
  * on only the replica's own "not run" makes it not run; anything else before the first piece is
  * unknown. Pieces are numbered and checked, the end is explicit, and a replica's bytes after it go
  * nowhere.
@@ -13,36 +13,36 @@
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import gladelug.data.news.Tables;
-import gladelug.data.order.Order;
-import gladelug.data.order.Stage;
-import gladelug.data.order.State;
-import gladelug.data.order.Verdict;
+import gladelug.data.request.Request;
+import gladelug.data.request.Stage;
+import gladelug.data.request.State;
+import gladelug.data.request.Verdict;
 import gladelug.kernel.Log;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Replicas;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 
 public final class HandOver implements Stage {
     private static final int CHECKS = 4;
     private final Relay r;
-    private final Circuits circuits;
+    private final ReplicaConnections connections;
 
-    public HandOver(Relay r, Circuits circuits) {
+    public HandOver(Relay r, ReplicaConnections connections) {
         this.r = r;
-        this.circuits = circuits;
+        this.connections = connections;
     }
 
     @Override public String name() {
         return "hand-over";
     }
 
-    @Override public Uni<Verdict> pass(Order o) {
-        return Uni.createFrom().emitter(e -> circuit(o, o.backend, CHECKS, e));
+    @Override public Uni<Verdict> pass(Request o) {
+        return Uni.createFrom().emitter(e -> connection(o, o.backend, CHECKS, e));
     }
 
-    private void circuit(Order o, Backend b, int checks, UniEmitter<? super Verdict> e) {
-        circuits.open(b.replica, q -> {
+    private void connection(Request o, Backend b, int checks, UniEmitter<? super Verdict> e) {
+        connections.open(b.replica, q -> {
             String is = q.who();
             if (who(b).equals(is)) hand(o, b, q, e);
             else if (checks == 0) {
@@ -59,11 +59,12 @@
         return b.replica.service() + "/" + b.replica.instance();
     }
 
-    /** The first use of a new circuit asks who is there; only the right answer lets orders on it. */
-    private void check(Order o, Backend b, Circuits.Circuit q, int checks, UniEmitter<? super Verdict> e) {
+    /** The first use of a new connection asks who is there; only the right answer lets requests on it. */
+    private void check(Request o, Backend b, ReplicaConnections.Connection q, int checks,
+        UniEmitter<? super Verdict> e) {
         q.identify(is -> {
             if (is.equals(who(b))) {
-                circuit(o, b, checks - 1, e);
+                connection(o, b, checks - 1, e);
                 return;
             }
             q.close();
@@ -75,23 +76,23 @@
     }
 
     /** Everything that may have changed since it was looked at first; empty where all still holds. */
-    private Verdict last(Order o, Backend b) {
+    private Verdict last(Request o, Backend b) {
         long now = r.clock.now();
         if (r.stopping && o.tries > 0) return Verdict.notRun(503, "stopping", 1000);
-        if (!r.news.licences.valid(now)) return Verdict.notRun(503, "no licence", 1000);
-        if (now >= o.expiry) return Verdict.notRun(503, "expired before it was handed over", 1000);
+        if (!r.news.leases.valid(now)) return Verdict.notRun(503, "no licence", 1000);
+        if (now >= o.deadline) return Verdict.notRun(503, "expired before it was handed over", 1000);
         Tables t = r.tables();
-        Policy.Tenant n = t.policy().tenantOfHash(o.keyHash);
+        Configuration.Tenant n = t.configuration().tenantOfHash(o.keyHash);
         if (n == null || !n.name().equals(o.tenant.name())) return Verdict.notRun(401, "key revoked", 0);
         if (n.isolated() != o.tenant.isolated()) return Verdict.notRun(503, "the tenant's isolation changed", 200);
-        Policy.Mapping m = t.policy().mapping(o.path);
-        Policy.Service s = t.policy().service(o.service.name());
+        Configuration.Route m = t.configuration().route(o.path);
+        Configuration.Service s = t.configuration().service(o.service.name());
         if (m == null || s == null || m.service() != s.index()) return Verdict.notRun(503, "the mapping changed", 200);
         Replicas.Replica p = t.replicas().find(b.replica.instance());
         if (p == null || !p.ready() || !p.address().equals(b.replica.address()) || !p.service().equals(s.name())
             || !s.allows(p.address()))
             return new Verdict.Again(b.replica.instance() + " is not ready any more");
-        if (s.kind() == Policy.Kind.MODEL) {
+        if (s.kind() == Configuration.Kind.MODEL) {
             String[] w = r.weights(s.name());
             if (w == null || !o.weights.equals(w[0]) && (w[1].isEmpty() || !o.weights.equals(w[1])))
                 return new Verdict.Again("other weights are named");
@@ -99,7 +100,7 @@
         return null;
     }
 
-    private void hand(Order o, Backend b, Circuits.Circuit q, UniEmitter<? super Verdict> e) {
+    private void hand(Request o, Backend b, ReplicaConnections.Connection q, UniEmitter<? super Verdict> e) {
         Verdict v = last(o, b);
         if (v != null || o.gone || !o.state.step(State.At.WAITING, State.At.HANDED)) {
             q.reset();
@@ -120,7 +121,7 @@
         q.order(body(o, b), x);
     }
 
-    private String body(Order o, Backend b) {
+    private String body(Request o, Backend b) {
         JsonObject j = Json.object().add("order", o.id()).add("try", o.tries).add("service", o.service.name())
             .add("instance", b.replica.instance())
             .add("weights", o.weights).add("wall", o.wall).add("prompt", o.prompt).add("maxPieces", o.maxPieces);
@@ -135,7 +136,7 @@
     }
 
     /** Before the first piece went out: once more where that is allowed, else of unknown fate. */
-    private void problem(Order o, Backend b, String what, UniEmitter<? super Verdict> e) {
+    private void failure(Request o, Backend b, String what, UniEmitter<? super Verdict> e) {
         if (o.state.at() == State.At.ENDED) {
             e.complete(Verdict.ENDED);
             return;
@@ -153,20 +154,20 @@
         else e.complete(Verdict.unknown(502, what));
     }
 
-    private boolean again(Order o) {
-        if (r.clock.now() >= o.expiry || r.stopping || !r.budget.secondTry(o.service.name())) return false;
+    private boolean again(Request o) {
+        if (r.clock.now() >= o.deadline || r.stopping || !r.budget.secondTry(o.service.name())) return false;
         return o.state.step(State.At.HANDED, State.At.WAITING);
     }
 
-    private final class Stream implements Circuits.Answer {
-        private final Order o;
+    private final class Stream implements ReplicaConnections.Answer {
+        private final Request o;
         private final Backend b;
-        private final Circuits.Circuit q;
+        private final ReplicaConnections.Connection q;
         private final UniEmitter<? super Verdict> e;
         private boolean head;
         private boolean over;
 
-        Stream(Order o, Backend b, Circuits.Circuit q, UniEmitter<? super Verdict> e) {
+        Stream(Request o, Backend b, ReplicaConnections.Connection q, UniEmitter<? super Verdict> e) {
             this.o = o;
             this.b = b;
             this.q = q;
@@ -208,7 +209,7 @@
             if (over) return;
             over = true;
             q.reset();
-            problem(o, b, b.replica.instance() + ": " + what, e);
+            failure(o, b, b.replica.instance() + ": " + what, e);
         }
 
         @Override public void line(String x) {
--- a/data-plane/src/main/java/gladelug/data/relay/HttpCircuits.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HttpConnections.java
@@ -1,11 +1,11 @@
 /*
- * Circuits to replicas by HTTP/1.1: no pipelining, no redirects, no retries of the library's own.
+ * ReplicaConnections to replicas by HTTP/1.1: no pipelining, no redirects, no retries of the library's own.
  * What was found to be at the other end is remembered with the connection.
  */
 package gladelug.data.relay;
 
-import gladelug.kernel.circuit.Local;
-import gladelug.kernel.policy.Replicas.Replica;
+import gladelug.kernel.connection.Local;
+import gladelug.kernel.configuration.Replicas.Replica;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -22,27 +22,27 @@
 import java.util.WeakHashMap;
 import java.util.function.Consumer;
 
-public final class HttpCircuits implements Circuits {
+public final class HttpConnections implements ReplicaConnections {
     private static final int LONGEST_LINE = 1 << 20;
     private final HttpClient http;
     private final Map<HttpConnection, String> checked = new WeakHashMap<>();
 
-    public HttpCircuits(Vertx vertx, Local local) {
+    public HttpConnections(Vertx vertx, Local local) {
         http = vertx.getDelegate()
             .createHttpClient(local.from(new HttpClientOptions().setConnectTimeout(500).setKeepAlive(true)
                 .setKeepAliveTimeout(20).setPipelining(false).setMaxPoolSize(256).setMaxWaitQueueSize(64)
                 .setDecompressionSupported(false).setMaxRedirects(0)));
     }
 
-    @Override public void open(Replica to, Consumer<Circuit> opened, Consumer<String> problem) {
+    @Override public void open(Replica to, Consumer<Connection> opened, Consumer<String> failure) {
         http.request(new RequestOptions().setMethod(HttpMethod.POST).setHost(to.address().host())
             .setPort(to.address().port()).setURI("/orders").setFollowRedirects(false)).onComplete(a -> {
-                if (a.failed()) problem.accept(a.cause().toString());
+                if (a.failed()) failure.accept(a.cause().toString());
                 else opened.accept(new One(a.result()));
             });
     }
 
-    private final class One implements Circuit {
+    private final class One implements Connection {
         private final HttpClientRequest q;
         private HttpClientResponse p;
         private boolean over;
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -1,13 +1,13 @@
 /*
  * Asks an index process where a prompt's blocks are: this machine's own, else one of the same
- * domain, else any the view knows. An answer later than a few milliseconds is no answer; the order
- * goes on without a hint. Lives on the order thread.
+ * zone, else any the view knows. An answer later than a few milliseconds is no answer; the request
+ * goes on without a hint. Lives on the request thread.
  */
 package gladelug.data.relay;
 
 import gladelug.kernel.Address;
-import gladelug.kernel.circuit.Doors;
-import gladelug.kernel.circuit.Held;
+import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Held;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.message.Shuffle;
@@ -30,7 +30,7 @@
     private final Context context;
     private final Doors doors;
     private final ViewService views;
-    private final String domain;
+    private final String zone;
     private final Address own;
     private final Map<Address, Held> held = new HashMap<>();
     private final Map<Address, Integer> late = new HashMap<>();
@@ -39,12 +39,12 @@
     private long nr;
 
     /** own may be null: no index on this machine. */
-    public LookupClient(Vertx vertx, Context context, Doors doors, ViewService views, String domain, Address own) {
+    public LookupClient(Vertx vertx, Context context, Doors doors, ViewService views, String zone, Address own) {
         this.vertx = vertx;
         this.context = context;
         this.doors = doors;
         this.views = views;
-        this.domain = domain;
+        this.zone = zone;
         this.own = own;
         vertx.setPeriodic(500, i -> look());
         look();
@@ -54,7 +54,7 @@
         List<Address> l = new ArrayList<>();
         if (own != null) l.add(own);
         views.all().stream().filter(d -> d.role().equals("index"))
-            .sorted(Comparator.comparing((Shuffle.Descriptor d) -> !d.domain().equals(domain))
+            .sorted(Comparator.comparing((Shuffle.Descriptor d) -> !d.zone().equals(zone))
                 .thenComparing(Shuffle.Descriptor::name))
             .map(d -> Address.of(d.records())).filter(a -> !l.contains(a)).forEach(l::add);
         order = l;
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -1,6 +1,6 @@
 /*
- * What the stages of one relay share: snapshot and licences, back ends, backlogs, budget, the
- * orders under way. All on the order thread, one event loop; what other threads bring (a new
+ * What the stages of one relay share: snapshot and leases, back ends, queues, budget, the
+ * requests under way. All on the request thread, one event loop; what other threads bring (a new
  * snapshot, a lookup's answer) is handed over to it.
  */
 package gladelug.data.relay;
@@ -9,17 +9,17 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.HeldNews;
 import gladelug.data.news.Tables;
-import gladelug.data.order.Decision;
-import gladelug.data.order.Order;
-import gladelug.data.order.State;
-import gladelug.data.order.Verdict;
-import gladelug.data.order.Way;
+import gladelug.data.request.Decision;
+import gladelug.data.request.Request;
+import gladelug.data.request.State;
+import gladelug.data.request.Verdict;
+import gladelug.data.request.Way;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Weights;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Weights;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -31,8 +31,8 @@
 
 public final class Relay {
     /**
-     * How long after its licence for policies or replicas ran out a relay lets streams go on; then it can't know that
-     * a key still holds.
+     * How long after its lease for configurations or replicas ran out a relay lets streams go on; then it can't
+     * know that a key still holds.
      */
     public static final long GRACE = 2000;
     private static final long STALE = 2000;
@@ -43,11 +43,11 @@
     public final HeldNews news;
     public final Backends backends;
     public final Budget budget = new Budget();
-    public final String domain;
-    private final int backlogMost;
-    private final Map<String, Backlog> backlogs = new HashMap<>();
+    public final String zone;
+    private final int queueMost;
+    private final Map<String, WaitQueue> queues = new HashMap<>();
     private final Map<String, Integer> admitted = new HashMap<>();
-    private final Map<Long, Order> live = new LinkedHashMap<>();
+    private final Map<Long, Request> live = new LinkedHashMap<>();
     private final Map<String, double[]> served = new HashMap<>();
     private Tables shaped = Tables.NONE;
     private final IntSupplier relays;
@@ -61,7 +61,7 @@
     /** Records that have ended, for whoever hands them on. */
     public Consumer<Decision> reasons = d -> {};
 
-    public Relay(Clock clock, HeldNews news, Function<Relay, Backends> backends, String domain, int backlogMost,
+    public Relay(Clock clock, HeldNews news, Function<Relay, Backends> backends, String zone, int queueMost,
         IntSupplier relays, boolean alone) {
         this.relays = relays;
         this.alone = alone;
@@ -69,8 +69,8 @@
         this.awake = ticked;
         this.clock = clock;
         this.news = news;
-        this.domain = domain;
-        this.backlogMost = backlogMost;
+        this.zone = zone;
+        this.queueMost = queueMost;
         this.backends = backends.apply(this);
     }
 
@@ -78,46 +78,46 @@
         return news.tables();
     }
 
-    /** Empty where orders may start now, else the reason why not. */
+    /** Empty where requests may start now, else the reason why not. */
     public String unready() {
         Tables t = tables();
         if (stopping) return "stopping";
-        if (t.policyNumber() == 0) return "no policy yet";
+        if (t.configurationNumber() == 0) return "no policy yet";
         if (t.replicasNumber() == 0) return "no list of replicas yet";
-        if (!news.licences.valid(clock.now())) return "no licence";
+        if (!news.leases.valid(clock.now())) return "no licence";
         return "";
     }
 
-    /** The weights an order may run on now: the newest, and until the cutoff those before. */
+    /** The weights a request may run on now: the newest, and until the cutoff those before. */
     public String[] weights(String service) {
         Weights.Named n = tables().weights().of(service);
         if (n == null) return null;
-        return new String[]{n.now(), clock.now() < news.licences.cutoffAt() ? n.before() : ""};
+        return new String[]{n.now(), clock.now() < news.leases.cutoffAt() ? n.before() : ""};
     }
 
-    public Backlog backlog(String service) {
-        return backlogs.computeIfAbsent(service, s -> {
-            Backlog b = new Backlog(backlogMost);
-            b.shape(tables().policy());
+    public WaitQueue queue(String service) {
+        return queues.computeIfAbsent(service, s -> {
+            WaitQueue b = new WaitQueue(queueMost);
+            b.shape(tables().configuration());
             return b;
         });
     }
 
-    public void begin(Order o) {
+    public void begin(Request o) {
         live.put(o.decision.nr, o);
     }
 
-    public List<Order> live() {
+    public List<Request> live() {
         return new ArrayList<>(live.values());
     }
 
-    /** The order's end: its place is free. */
-    public void ended(Order o) {
+    /** The request's end: its place is free. */
+    public void ended(Request o) {
         if (live.remove(o.decision.nr) == null) return;
         o.state.end();
         if (o.admitted) {
             o.admitted = false;
-            backlog(o.service.name()).release(o);
+            queue(o.service.name()).release(o);
             if (o.backend == null) admitted.merge(o.service.name(), -1, Integer::sum);
             double[] s = served.computeIfAbsent(o.service.name(), x -> new double[]{START});
             if (o.decision.outcome().equals("complete")) s[0] += (clock.now() - o.handedAt - s[0]) / 20;
@@ -127,19 +127,19 @@
         reasons.accept(o.decision);
         pump();
         Log.event("order-ended", "order", o.id(), "tenant", o.tenant == null ? "-" : o.tenant.name(), "mapping",
-            o.mapping == null ? "-" : o.mapping.name(),
+            o.route == null ? "-" : o.route.name(),
             "outcome", o.decision.outcome(), "tries", o.tries, "pieces", o.piecesOut, "ms", clock.now() - o.came);
     }
 
-    /** The order holds no replica any more. */
-    public void drop(Order o) {
+    /** The request holds no replica any more. */
+    public void drop(Request o) {
         if (o.backend == null) return;
         o.backend.mine = Math.max(0, o.backend.mine - 1);
         o.backend = null;
         if (o.admitted) admitted.merge(o.service.name(), 1, Integer::sum);
     }
 
-    public void choose(Order o, Backend b, double ms) {
+    public void choose(Request o, Backend b, double ms) {
         drop(o);
         o.backend = b;
         b.mine++;
@@ -147,8 +147,8 @@
         admitted.merge(o.service.name(), -1, Integer::sum);
     }
 
-    /** What an order of the service usually takes from its hand-over. */
-    public double orderMs(String service) {
+    /** What a request of the service usually takes from its hand-over. */
+    public double requestMs(String service) {
         double[] s = served.get(service);
         return s == null ? START : s[0];
     }
@@ -163,13 +163,13 @@
     private void divide(long now, long passed) {
         List<News.Demand> ds = new ArrayList<>();
         List<News.Places> ps = new ArrayList<>();
-        for (Map.Entry<String, Backlog> e : backlogs.entrySet()) {
+        for (Map.Entry<String, WaitQueue> e : queues.entrySet()) {
             String s = e.getKey();
             e.getValue().waitingAndUsed().forEach((leaf, n) -> ds.add(new News.Demand(s, leaf, n[0], n[1])));
             ps.add(new News.Places(s, places(s)));
             HeldNews.Allotment a = news.allotment(s);
             if (alone || a == null || now - a.at() > STALE || !a.full()) e.getValue().unbound();
-            else e.getValue().bound(a.milli(), passed, orderMs(s));
+            else e.getValue().bound(a.milli(), passed, requestMs(s));
         }
         news.demand(List.copyOf(ds), List.copyOf(ps));
     }
@@ -181,7 +181,7 @@
     public JsonObject shares() {
         JsonObject o = Json.object();
         long now = clock.now();
-        for (Map.Entry<String, Backlog> e : backlogs.entrySet()) {
+        for (Map.Entry<String, WaitQueue> e : queues.entrySet()) {
             HeldNews.Allotment a = news.allotment(e.getKey());
             boolean fresh = a != null && now - a.at() <= STALE;
             JsonObject l = Json.object();
@@ -206,16 +206,16 @@
     }
 
     public int free(String service) {
-        Policy.Service s = tables().policy().service(service);
-        String[] w = s != null && s.kind() == Policy.Kind.APPLICATION ? new String[]{"", ""} : weights(service);
+        Configuration.Service s = tables().configuration().service(service);
+        String[] w = s != null && s.kind() == Configuration.Kind.APPLICATION ? new String[]{"", ""} : weights(service);
         if (w == null) return 0;
         return Math.min(backends.free(service, w[0], w[1]) - admitted.getOrDefault(service, 0),
-            equalPart(service) - backlog(service).used());
+            equalPart(service) - queue(service).used());
     }
 
-    /** How long an order of this leaf that joins the backlog now would wait for a place. */
+    /** How long a request of this leaf that joins the queue now would wait for a place. */
     public double waitMs(String service, String leaf) {
-        return backlog(service).ahead(leaf) * orderMs(service);
+        return queue(service).ahead(leaf) * requestMs(service);
     }
 
     /** Gives free places to those that wait, as the share tree says. */
@@ -227,21 +227,21 @@
         pumping = true;
         do {
             pumpAgain = false;
-            for (Map.Entry<String, Backlog> e : new ArrayList<>(backlogs.entrySet())) {
+            for (Map.Entry<String, WaitQueue> e : new ArrayList<>(queues.entrySet())) {
                 while (free(e.getKey()) > 0) {
-                    Order o = e.getValue().next();
+                    Request o = e.getValue().next();
                     if (o == null) break;
                     o.admitted = true;
                     admitted.merge(e.getKey(), 1, Integer::sum);
-                    o.leaveBacklog.accept(Verdict.GO);
+                    o.leaveQueue.accept(Verdict.GO);
                 }
             }
         } while (pumpAgain);
         pumping = false;
     }
 
-    /** The caller went away: nothing is left to be done for its order. */
-    public void gone(Order o) {
+    /** The caller went away: nothing is left to be done for its request. */
+    public void gone(Request o) {
         o.gone = true;
         State.At at = o.state.at();
         if (at == State.At.ENDED) return;
@@ -254,21 +254,21 @@
         }
     }
 
-    /** The way of an order through this relay. */
-    public Way way(Lookups lookups, Stages.Mode mode, Circuits circuits) {
-        return new Way(List.of(new Stages.Key(this), new Stages.Mapping(this), new Stages.Admission(this),
+    /** The way of a request through this relay. */
+    public Way way(Lookups lookups, Stages.Mode mode, ReplicaConnections connections) {
+        return new Way(List.of(new Stages.Key(this), new Stages.Route(this), new Stages.Admission(this),
             new Stages.Prefix(this, lookups), new Stages.Choice(this, mode), new Stages.Fetch(this),
-            new HandOver(this, circuits)), "choice", clock, this::ended);
+            new HandOver(this, connections)), "choice", clock, this::ended);
     }
 
-    /** A new snapshot: back ends, shares, and what it forbids of orders under way. */
+    /** A new snapshot: back ends, shares, and what it forbids of requests under way. */
     public void tables(Tables t) {
         backends.tables(t);
-        if (t.policyNumber() != shaped.policyNumber()) {
-            for (Backlog b : backlogs.values()) b.shape(t.policy());
-            for (Order o : live()) {
+        if (t.configurationNumber() != shaped.configurationNumber()) {
+            for (WaitQueue b : queues.values()) b.shape(t.configuration());
+            for (Request o : live()) {
                 if (o.tenant == null) continue;
-                Policy.Tenant n = t.policy().tenantOfHash(o.keyHash);
+                Configuration.Tenant n = t.configuration().tenantOfHash(o.keyHash);
                 if (n == null || !n.name().equals(o.tenant.name())) stop(o, "key revoked", 401);
             }
         }
@@ -276,49 +276,49 @@
         pump();
     }
 
-    /** Ends an order wherever it is: turned away from the backlog, or cut off at the replica. */
-    public void stop(Order o, String why, int status) {
+    /** Ends a request wherever it is: refused from the queue, or cut off at the replica. */
+    public void stop(Request o, String why, int status) {
         State.At at = o.state.at();
-        if (at == State.At.WAITING && !o.admitted && o.leaveBacklog != null) {
-            for (Order x : backlog(o.service.name()).leave(y -> y == o))
-                x.leaveBacklog.accept(Verdict.notRun(status, why, status == 401 ? 0 : 1000));
+        if (at == State.At.WAITING && !o.admitted && o.leaveQueue != null) {
+            for (Request x : queue(o.service.name()).leave(y -> y == o))
+                x.leaveQueue.accept(Verdict.notRun(status, why, status == 401 ? 0 : 1000));
         } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, why);
-        // an admitted order still waiting meets the same check at the hand-over
+        // an admitted request still waiting meets the same check at the hand-over
     }
 
-    public void cutOff(Order o, String why) {
+    public void cutOff(Request o, String why) {
         boolean streaming = o.state.at() == State.At.STREAMING;
         if (!o.state.end()) return;
-        // the reason first: letting the replica go may end the order's record on the spot
+        // the reason first: letting the replica go may end the request's record on the spot
         o.decision.add("cut-off", clock.now(), Json.object().add("why", why).add("pieces", o.piecesOut));
         o.decision.outcome(streaming ? "cut-off" : "unknown");
         o.cancel.run();
         if (!o.gone) {
             if (streaming) o.caller.cutOff(o, why);
-            else o.caller.turnAway(o, (Verdict.TurnAway) Verdict.unknown(o.expiry <= clock.now() ? 504 : 502, why));
+            else o.caller.refuse(o, (Verdict.Refuse) Verdict.unknown(o.deadline <= clock.now() ? 504 : 502, why));
         }
         ended(o);
     }
 
-    /** Called a few times a second: expiries, and streams whose right to go on can't be known any more. */
+    /** Called a few times a second: deadlines, and streams whose right to go on can't be known any more. */
     public void tick() {
         long now = clock.now();
         divide(now, now - ticked);
         // after a pause of its own, replicas are given the time to say that they are there
         if (now - ticked > ASLEEP) awake = now;
         ticked = now;
-        for (Order o : live()) {
-            if (o.expiry > 0 && now >= o.expiry) {
+        for (Request o : live()) {
+            if (o.deadline > 0 && now >= o.deadline) {
                 State.At at = o.state.at();
-                if (at == State.At.WAITING && !o.admitted && o.leaveBacklog != null) {
-                    for (Order x : backlog(o.service.name()).leave(y -> y == o))
-                        x.leaveBacklog.accept(Verdict.notRun(503, "expired in the backlog", 1000));
+                if (at == State.At.WAITING && !o.admitted && o.leaveQueue != null) {
+                    for (Request x : queue(o.service.name()).leave(y -> y == o))
+                        x.leaveQueue.accept(Verdict.notRun(503, "expired in the backlog", 1000));
                 } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, "expired");
             } else if (o.backend != null && o.backend.silent(now, awake) && o.state.at() != State.At.WAITING)
                 o.lost.accept("has fallen silent");
         }
-        if (now - news.licences.until(Keys.POLICY) > GRACE)
-            for (Order o : live())
+        if (now - news.leases.until(Keys.CONFIGURATION) > GRACE)
+            for (Request o : live())
                 if (o.tenant != null) stop(o, "no licence for so long that keys can't be known", 503);
         pump();
     }
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -1,5 +1,5 @@
 /*
- * Puts a relay together on one event loop, the order thread, and stops it politely: not ready
+ * Puts a relay together on one event loop, the request thread, and stops it politely: not ready
  * first, then nothing new is taken, then what is under way may end.
  */
 package gladelug.data.relay;
@@ -9,16 +9,16 @@
 import gladelug.data.StatusDoor;
 import gladelug.data.news.NewsService;
 import gladelug.data.news.Tables;
-import gladelug.data.order.Decision;
-import gladelug.data.order.Decisions;
-import gladelug.data.order.Order;
-import gladelug.data.order.State;
+import gladelug.data.request.Decision;
+import gladelug.data.request.Decisions;
+import gladelug.data.request.Request;
+import gladelug.data.request.State;
 import gladelug.data.reasons.ReasonsService;
 import gladelug.kernel.Address;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
-import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.connection.Doors;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.view.ViewService;
 import io.smallrye.mutiny.Uni;
@@ -42,10 +42,10 @@
     private final Vertx vertx;
     private final Clock clock;
     private final String name;
-    private final String domain;
+    private final String zone;
     private final Address callers;
     private final Address index;
-    private final int backlog;
+    private final int queue;
     private final Stages.Mode mode;
     private final boolean alone;
     private Context context;
@@ -53,15 +53,15 @@
     private Decisions decisions;
     private HttpServer server;
 
-    public RelayService(Vertx vertx, Clock clock, String name, String domain, Address callers, Address index,
-        int backlog, Stages.Mode mode, boolean alone) {
+    public RelayService(Vertx vertx, Clock clock, String name, String zone, Address callers, Address index,
+        int queue, Stages.Mode mode, boolean alone) {
         this.vertx = vertx;
         this.clock = clock;
         this.name = name;
-        this.domain = domain;
+        this.zone = zone;
         this.callers = callers;
         this.index = index;
-        this.backlog = backlog;
+        this.queue = queue;
         this.mode = mode;
         this.alone = alone;
     }
@@ -76,18 +76,19 @@
         context = vertx.getOrCreateContext();
         CompletableFuture<Void> up = new CompletableFuture<>();
         context.runOnContext(() -> {
-            Relay r = new Relay(clock, news.held, x -> Backends.overHttp(vertx, doors.local, clock, x::pump), domain,
-                backlog,
+            Relay r = new Relay(clock, news.held, x -> Backends.overHttp(vertx, doors.local, clock, x::pump), zone,
+                queue,
                 () -> 1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count(), alone);
-            LookupClient lookups = new LookupClient(vertx, context, doors, views, domain, index);
-            CallerDoor door = new CallerDoor(r, decisions, r.way(lookups, mode, new HttpCircuits(vertx, doors.local)));
+            LookupClient lookups = new LookupClient(vertx, context, doors, views, zone, index);
+            CallerDoor door = new CallerDoor(r, decisions,
+                r.way(lookups, mode, new HttpConnections(vertx, doors.local)));
             io.vertx.ext.web.Router t = io.vertx.ext.web.Router.router(vertx.getDelegate());
             door.routes(t);
             vertx.setPeriodic(50, i -> r.tick());
             List<Decision> ended = new ArrayList<>();
             r.reasons = ended::add;
             vertx.setPeriodic(ReasonsService.PERIOD, i -> {
-                for (Order o : r.live()) if (o.state.at() != State.At.WAITING) ended.add(o.decision);
+                for (Request o : r.live()) if (o.state.at() != State.At.WAITING) ended.add(o.decision);
                 reasons.hand(List.copyOf(ended), decisions.run());
                 ended.clear();
             });
@@ -118,9 +119,9 @@
             Tables t = r.tables();
             long now = clock.now();
             JsonObject ls = Json.object();
-            for (String key : Keys.LICENSED) ls.add(key, Math.max(-1, r.news.licences.until(key) - now));
-            e.complete(Json.object().add("name", name).add("domain", domain).add("unready", r.unready())
-                .add("policy", t.policyNumber()).add("weights", t.weightsNumber())
+            for (String key : Keys.LEASED) ls.add(key, Math.max(-1, r.news.leases.until(key) - now));
+            e.complete(Json.object().add("name", name).add("domain", zone).add("unready", r.unready())
+                .add("policy", t.configurationNumber()).add("weights", t.weightsNumber())
                 .add("replicas", t.replicasNumber()).add("generation", t.generation()).add("licenceLeftMs", ls)
                 .add("ordersUnderWay", r.live().size()).add("shares", r.shares())
                 .add("backends", r.backends.json()));
--- a/data-plane/src/main/java/gladelug/data/relay/Circuits.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaConnections.java
@@ -1,16 +1,16 @@
 /*
- * The one seam between the hand-over and the world: circuits to replicas, which can be opened,
- * asked who is there, told an order, and reset, and which answer with lines, a status or a break. Vert.x is one
- * side of it, the simulator another. All on the order thread.
+ * The one seam between the hand-over and the world: connections to replicas, which can be opened,
+ * asked who is there, told a request, and reset, and which answer with lines, a status or a break. Vert.x is one
+ * side of it, the simulator another. All on the request thread.
  */
 package gladelug.data.relay;
 
-import gladelug.kernel.policy.Replicas.Replica;
+import gladelug.kernel.configuration.Replicas.Replica;
 import java.util.function.Consumer;
 
-public interface Circuits {
-    /** For one use: one asking who is there, or one order. */
-    interface Circuit {
+public interface ReplicaConnections {
+    /** For one use: one asking who is there, or one request. */
+    interface Connection {
         /** Who the other end of this very connection was found to be, or an empty text. */
         String who();
 
@@ -29,7 +29,7 @@
         void resume();
     }
 
-    /** What comes back for one order. */
+    /** What comes back for one request. */
     interface Answer {
         /** The answer's status, and the body where it is not 200. */
         void refused(int status, String body);
@@ -40,5 +40,5 @@
         void over(String why);
     }
 
-    void open(Replica to, Consumer<Circuit> opened, Consumer<String> problem);
+    void open(Replica to, Consumer<Connection> opened, Consumer<String> failure);
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -1,5 +1,5 @@
 /*
- * The stages of an order's way before it is handed over, in order: key, mapping, admission,
+ * The stages of a request's way before it is handed over, in order: key, route, admission,
  * prefix lookup, choice of replica, fetch plan. Each is small; the hand-over with its stream has a
  * file of its own.
  */
@@ -9,12 +9,12 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.Tables;
-import gladelug.data.order.Blocks;
-import gladelug.data.order.Order;
-import gladelug.data.order.Stage;
-import gladelug.data.order.Verdict;
+import gladelug.data.request.Blocks;
+import gladelug.data.request.Request;
+import gladelug.data.request.Stage;
+import gladelug.data.request.Verdict;
 import gladelug.kernel.message.Lookup;
-import gladelug.kernel.policy.Policy;
+import gladelug.kernel.configuration.Configuration;
 import io.smallrye.mutiny.Uni;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -22,7 +22,7 @@
 import java.util.List;
 
 public final class Stages {
-    public static final double OTHER_DOMAIN_MS = 2, FETCH_MS = 2;
+    public static final double OTHER_ZONE_MS = 2, FETCH_MS = 2;
     /** How many blocks are pulled over a link whose speed is not known. */
     static final int FEW = 2;
 
@@ -34,68 +34,68 @@
             return "key";
         }
 
-        @Override public Verdict decide(Order o) {
+        @Override public Verdict decide(Request o) {
             String why = r.unready();
             if (!why.isEmpty()) return Verdict.notRun(503, why, 1000);
             Tables t = r.tables();
-            o.tenant = t.policy().tenantOfHash(o.keyHash);
+            o.tenant = t.configuration().tenantOfHash(o.keyHash);
             if (o.tenant == null) return Verdict.notRun(401, "the key is not known", 0);
             o.wall = o.tenant.isolated() ? o.tenant.name() : "";
             o.decision.add("key", r.clock.now(), Json.object().add("tenant", o.tenant.name())
-                .add("isolated", o.tenant.isolated()).add("policy", t.policyNumber()));
+                .add("isolated", o.tenant.isolated()).add("policy", t.configurationNumber()));
             return Verdict.GO;
         }
     }
 
     /** Which service: by the path. */
-    public record Mapping(Relay r) implements Stage.AtOnce {
+    public record Route(Relay r) implements Stage.AtOnce {
         @Override public String name() {
             return "mapping";
         }
 
-        @Override public Verdict decide(Order o) {
+        @Override public Verdict decide(Request o) {
             Tables t = r.tables();
-            o.mapping = t.policy().mapping(o.path);
-            if (o.mapping == null) return Verdict.notRun(404, "no mapping for this path", 0);
-            o.service = t.policy().services.get(o.mapping.service());
-            o.leaf = Policy.leaf(o.tenant, o.mapping);
-            o.repeatable = o.askedRepeatable == null ? o.mapping.repeatable() : o.askedRepeatable;
-            o.expiry = o.came + o.mapping.expiryMs();
+            o.route = t.configuration().route(o.path);
+            if (o.route == null) return Verdict.notRun(404, "no mapping for this path", 0);
+            o.service = t.configuration().services.get(o.route.service());
+            o.leaf = Configuration.leaf(o.tenant, o.route);
+            o.repeatable = o.askedRepeatable == null ? o.route.repeatable() : o.askedRepeatable;
+            o.deadline = o.came + o.route.deadlineMs();
             o.decision.add("mapping", r.clock.now(),
-                Json.object().add("mapping", o.mapping.name()).add("service", o.service.name())
-                    .add("share", o.leaf).add("expiryMs", o.mapping.expiryMs()).add("repeatable", o.repeatable));
+                Json.object().add("mapping", o.route.name()).add("service", o.service.name())
+                    .add("share", o.leaf).add("expiryMs", o.route.deadlineMs()).add("repeatable", o.repeatable));
             return Verdict.GO;
         }
     }
 
-    /** When: a place at once, or the backlog by the share tree, or turned away at once where waiting can't help. */
+    /** When: a place at once, or the queue by the share tree, or refused at once where waiting can't help. */
     public record Admission(Relay r) implements Stage {
         @Override public String name() {
             return "admission";
         }
 
-        @Override public Uni<Verdict> pass(Order o) {
-            if (o.service.kind() == Policy.Kind.MODEL && r.weights(o.service.name()) == null)
+        @Override public Uni<Verdict> pass(Request o) {
+            if (o.service.kind() == Configuration.Kind.MODEL && r.weights(o.service.name()) == null)
                 return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
             if (r.backends.of(o.service.name()).isEmpty())
                 return Uni.createFrom()
                     .item(Verdict.notRun(503, "no replica of " + o.service.name() + " is listed as ready", 1000));
-            Backlog b = r.backlog(o.service.name());
+            WaitQueue b = r.queue(o.service.name());
             double wait = r.waitMs(o.service.name(), o.leaf);
             long now = r.clock.now();
-            // an order that would begin too late to end in time only takes a place from others
-            if (wait > 0 && now + wait + r.orderMs(o.service.name()) > o.expiry)
+            // a request that would begin too late to end in time only takes a place from others
+            if (wait > 0 && now + wait + r.requestMs(o.service.name()) > o.deadline)
                 return Uni.createFrom().item(Verdict.notRun(503, "the backlog is longer than the order may wait",
                     (long) Math.min(10_000, wait)));
             return Uni.createFrom().emitter(e -> {
-                o.leaveBacklog = v -> {
-                    o.leaveBacklog = null;
+                o.leaveQueue = v -> {
+                    o.leaveQueue = null;
                     JsonObject j = Json.object().add("waitedMs", r.clock.now() - now).add("backlogThen", b.size());
                     o.decision.add("admission", r.clock.now(), j);
                     e.complete(v);
                 };
                 if (!b.enter(o)) {
-                    o.leaveBacklog = null;
+                    o.leaveQueue = null;
                     e.complete(
                         Verdict.notRun(503, "the backlog is full", (long) Math.max(500, Math.min(10_000, wait))));
                 } else r.pump();
@@ -109,8 +109,8 @@
             return "lookup";
         }
 
-        @Override public Uni<Verdict> pass(Order o) {
-            if (o.service.kind() != Policy.Kind.MODEL) return Uni.createFrom().item(Verdict.GO);
+        @Override public Uni<Verdict> pass(Request o) {
+            if (o.service.kind() != Configuration.Kind.MODEL) return Uni.createFrom().item(Verdict.GO);
             String[] w = r.weights(o.service.name());
             if (w == null)
                 return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
@@ -140,22 +140,22 @@
 
     /** How replicas are compared. All but SUMMARY are there to be measured against it. */
     public enum Mode {
-        SUMMARY, LEAST_OCCUPANCY, HOLDER_ALWAYS
+        SUMMARY, LEAST_LOAD, HOLDER_ALWAYS
     }
 
-    /** Which replica: the least estimated milliseconds of backlog, prefill or fetch, and distance. */
+    /** Which replica: the least estimated milliseconds of queue, prefill or fetch, and distance. */
     public record Choice(Relay r, Mode mode) implements Stage.AtOnce {
         @Override public String name() {
             return "choice";
         }
 
-        private record Option(Backend b, int matched, String from, int fetch, double backlog, double prefill,
+        private record Option(Backend b, int matched, String from, int fetch, double queue, double prefill,
             double ms) {}
 
-        @Override public Verdict decide(Order o) {
+        @Override public Verdict decide(Request o) {
             long t = r.clock.now();
-            if (t >= o.expiry) return Verdict.notRun(503, "expired before a replica was chosen", 1000);
-            boolean model = o.service.kind() == Policy.Kind.MODEL;
+            if (t >= o.deadline) return Verdict.notRun(503, "expired before a replica was chosen", 1000);
+            boolean model = o.service.kind() == Configuration.Kind.MODEL;
             String[] w = model ? r.weights(o.service.name()) : new String[]{"", ""};
             if (w == null) return Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000);
             List<Option> os = new ArrayList<>();
@@ -179,7 +179,7 @@
             }
             Comparator<Option> first = switch (mode) {
                 case SUMMARY -> Comparator.comparingDouble(Option::ms);
-                case LEAST_OCCUPANCY -> Comparator.comparingInt(x -> x.b.load());
+                case LEAST_LOAD -> Comparator.comparingInt(x -> x.b.load());
                 case HOLDER_ALWAYS -> Comparator.comparingInt(x -> -x.matched);
             };
             os.sort(first.thenComparing(x -> x.b.load())
@@ -198,7 +198,7 @@
             for (Option x : os.subList(0, Math.min(4, os.size())))
                 a.add(Json.object().add("replica", x.b.replica.instance()).add("matched", x.matched)
                     .add("fetchFrom", x.from).add("fetchBlocks", x.fetch)
-                    .add("load", x.b.load() - (x == c ? 1 : 0)).add("backlogMs", round(x.backlog))
+                    .add("load", x.b.load() - (x == c ? 1 : 0)).add("backlogMs", round(x.queue))
                     .add("workMs", round(x.prefill)).add("totalMs", round(x.ms)));
             o.decision.add("choice", t, Json.object().add("replica", c.b.replica.instance()).add("weights", o.weights)
                 .add("options", a).add("of", os.size()));
@@ -209,9 +209,9 @@
             return Math.round(d * 10) / 10.0;
         }
 
-        private Option option(Order o, Backend b, long t) {
+        private Option option(Request o, Backend b, long t) {
             int n = o.blocks.length, have = 0;
-            boolean same = b.weights.equals(o.weights) && mode != Mode.LEAST_OCCUPANCY;
+            boolean same = b.weights.equals(o.weights) && mode != Mode.LEAST_LOAD;
             if (same) for (Lookup.Match m : o.matches)
                 if (m.holder().equals(b.replica.instance())) have = Math.max(have, Math.min(n, m.blocks()));
             double work = (n - have) * b.msPerBlock;
@@ -229,9 +229,9 @@
                         fetch = more;
                     }
                 }
-            double backlog = b.backlogMs(t) + Math.max(0, b.load() - b.slots + 1) * 20.0;
-            return new Option(b, have, from, fetch, backlog, work,
-                backlog + work + (b.replica.domain().equals(r.domain) ? 0 : OTHER_DOMAIN_MS));
+            double queue = b.queueMs(t) + Math.max(0, b.load() - b.slots + 1) * 20.0;
+            return new Option(b, have, from, fetch, queue, work,
+                queue + work + (b.replica.zone().equals(r.zone) ? 0 : OTHER_ZONE_MS));
         }
     }
 
@@ -241,8 +241,8 @@
             return "fetch";
         }
 
-        @Override public Verdict decide(Order o) {
-            if (o.service.kind() == Policy.Kind.MODEL)
+        @Override public Verdict decide(Request o) {
+            if (o.service.kind() == Configuration.Kind.MODEL)
                 o.decision.add("fetch", r.clock.now(),
                     Json.object().add("kept", o.matched).add("from", o.fetchFrom).add("pull", o.fetchBlocks)
                         .add("compute", o.blocks.length - o.matched - o.fetchBlocks));
--- a/data-plane/src/main/java/gladelug/data/order/Blocks.java
+++ b/data-plane/src/main/java/gladelug/data/request/Blocks.java
@@ -4,14 +4,12 @@
  * 8 bytes of its link. So equal text under other weights or behind another wall has unrelated
  * ids. Only whole blocks count, and the last byte of a prompt is never part of a reusable block.
  */
-package gladelug.data.order;
+package gladelug.data.request;
 
 import gladelug.kernel.Digest;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Blocks {
     private Blocks() {}
@@ -29,18 +27,4 @@
         }
         return out;
     }
-
-    static final class Tests {
-        private static long[] of(String w, String wall, String p) {
-            return ids("s", w, wall, p.getBytes(StandardCharsets.UTF_8), 4);
-        }
-
-        @Test void aPrefixIsSharedOnlyUnderTheSameWeightsAndWall() {
-            long[] a = of("w1", "", "aaaabbbbcccc"), b = of("w1", "", "aaaabbbbXccc");
-            Assertions.assertEquals(2, a.length);
-            Assertions.assertArrayEquals(a, b);
-            for (long[] o : new long[][]{of("w2", "", "aaaabbbbcccc"), of("w1", "t", "aaaabbbbcccc")})
-                for (long x : o) for (long y : a) Assertions.assertNotEquals(x, y);
-        }
-    }
 }
--- a/data-plane/src/main/java/gladelug/data/order/Decision.java
+++ b/data-plane/src/main/java/gladelug/data/request/Decision.java
@@ -1,10 +1,10 @@
 /*
- * Why an order went where it went: what each stage found and chose, in order, with the time since
- * the order came. Written by the order's own thread; read whole by whoever asks. Holds names,
- * numbers and reasons, never a key or a prompt. Once the order has ended the record is kept as its
+ * Why a request went where it went: what each stage found and chose, in order, with the time since
+ * the request came. Written by the request's own thread; read whole by whoever asks. Holds names,
+ * numbers and reasons, never a key or a prompt. Once the request has ended the record is kept as its
  * JSON in bytes, a quarter of the objects' size, because a relay remembers thousands.
  */
-package gladelug.data.order;
+package gladelug.data.request;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
@@ -13,8 +13,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Decision {
     private record Reason(String stage, long at, JsonObject what) {}
@@ -68,17 +66,4 @@
         return Json.object().add("order", id).add("came", wall).add("outcome", outcome.isEmpty() ? "live" : outcome)
             .add("stages", a);
     }
-
-    static final class Tests {
-        @Test void readsTheSameBeforeAndAfterItsEnd() {
-            Decision d = new Decision("r.0000.0", 0, 10);
-            d.add("key", 12, Json.object().add("tenant", "t"));
-            d.outcome("complete");
-            String before = d.json().toString();
-            d.end();
-            d.add("late", 13, Json.object());
-            Assertions.assertEquals(before, d.json().toString());
-            Assertions.assertTrue(before.contains("{\"stage\":\"key\",\"atMs\":2,\"tenant\":\"t\"}"), before);
-        }
-    }
 }
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/request/Decisions.java
@@ -0,0 +1,62 @@
+/*
+ * The bounded ring of decisions a relay remembers, by the request's number. An older one is
+ * overwritten and then said to be.
+ */
+package gladelug.data.request;
+
+import java.util.concurrent.atomic.AtomicReferenceArray;
+
+public final class Decisions {
+    public sealed interface Found {
+        record Yes(Decision decision) implements Found {}
+
+        record Overwritten() implements Found {}
+
+        record Unknown() implements Found {}
+
+        record OtherRun() implements Found {}
+
+        record Malformed() implements Found {}
+    }
+
+    private final AtomicReferenceArray<Decision> ring;
+    private final String relay;
+    private final String run;
+    private long next;
+
+    public Decisions(int size, String relay, long run) {
+        this.ring = new AtomicReferenceArray<>(size);
+        this.relay = relay;
+        this.run = String.format("%04x", run & 0xffff);
+    }
+
+    public String run() {
+        return run;
+    }
+
+    /** From the request thread only. */
+    public Decision begin(long came) {
+        long n = next;
+        Decision d = new Decision(relay + "." + run + "." + n, n, came);
+        ring.set((int) (n % ring.length()), d);
+        next = n + 1;
+        return d;
+    }
+
+    public Found find(String id) {
+        String[] ps = id.split("\\.", -1);
+        long n;
+        try {
+            n = ps.length == 3 ? Long.parseLong(ps[2]) : -1;
+        } catch (NumberFormatException e) {
+            n = -1;
+        }
+        if (n < 0 || ps[0].isEmpty() || !ps[1].matches("[0-9a-f]{4}")) return new Found.Malformed();
+        if (!ps[0].equals(relay)) return new Found.Unknown();
+        if (!ps[1].equals(run)) return new Found.OtherRun();
+        // the slot alone tells all three, so that no two askers can see different moments
+        Decision d = ring.get((int) (n % ring.length()));
+        if (d == null || d.nr < n) return new Found.Unknown();
+        return d.nr == n ? new Found.Yes(d) : new Found.Overwritten();
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/order/Order.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -1,27 +1,27 @@
 /*
- * One order on its way: what the caller asked for, what was found on the way, and who is to be
- * told of its end. Touched by the order thread alone but for its state.
+ * One request on its way: what the caller asked for, what was found on the way, and who is to be
+ * told of its end. Touched by the request thread alone but for its state.
  */
-package gladelug.data.order;
+package gladelug.data.request;
 
 import gladelug.data.relay.Backend;
 import gladelug.kernel.message.Lookup;
-import gladelug.kernel.policy.Policy;
+import gladelug.kernel.configuration.Configuration;
 import java.util.List;
 import java.util.function.Consumer;
 
-public final class Order {
+public final class Request {
     public final State state = new State();
     public final Decision decision;
     public final long came;
     public final String keyHash;
     public final String path;
     public final Caller caller;
-    public Policy.Tenant tenant;
-    public Policy.Mapping mapping;
-    public Policy.Service service;
+    public Configuration.Tenant tenant;
+    public Configuration.Route route;
+    public Configuration.Service service;
     public String leaf = "";
-    public long expiry;
+    public long deadline;
     public long handedAt;
     public boolean repeatable;
     /** What the caller said of it, or null. */
@@ -46,21 +46,21 @@
     public Runnable cancel = () -> {};
     /** Told why, where its replica is known to be silent; nothing more of it counts then. */
     public Consumer<String> lost = why -> {};
-    public Consumer<Verdict> leaveBacklog;
+    public Consumer<Verdict> leaveQueue;
 
-    /** The caller's side of an order. */
+    /** The caller's side of a request. */
     public interface Caller {
-        void turnAway(Order o, Verdict.TurnAway v);
+        void refuse(Request o, Verdict.Refuse v);
 
         /** False where the caller can't take more for now; ready is then called once. */
-        boolean piece(Order o, String json, Runnable ready);
+        boolean piece(Request o, String json, Runnable ready);
 
-        void complete(Order o, int pieces);
+        void complete(Request o, int pieces);
 
-        void cutOff(Order o, String why);
+        void cutOff(Request o, String why);
     }
 
-    public Order(Decision d, long came, String keyHash, String path, Caller caller) {
+    public Request(Decision d, long came, String keyHash, String path, Caller caller) {
         this.decision = d;
         this.came = came;
         this.keyHash = keyHash;
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/request/Stage.java
@@ -0,0 +1,22 @@
+/*
+ * One step on a request's way through the relay, as a plug-in. It writes its reason into the
+ * request's decision and says how the request goes on, now or later, always on the request thread.
+ */
+package gladelug.data.request;
+
+import io.smallrye.mutiny.Uni;
+
+public interface Stage {
+    String name();
+
+    Uni<Verdict> pass(Request o);
+
+    /** For stages that decide at once. */
+    interface AtOnce extends Stage {
+        Verdict decide(Request o);
+
+        @Override default Uni<Verdict> pass(Request o) {
+            return Uni.createFrom().item(decide(o));
+        }
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/order/Verdict.java
+++ b/data-plane/src/main/java/gladelug/data/request/Verdict.java
@@ -1,7 +1,7 @@
 /*
- * What a stage says of an order: go on, go back to the choice, it is ended here, or turn it away.
+ * What a stage says of a request: go on, go back to the choice, it is ended here, or refuse it.
  */
-package gladelug.data.order;
+package gladelug.data.request;
 
 public sealed interface Verdict {
     record Go() implements Verdict {}
@@ -12,15 +12,15 @@
     record Ended() implements Verdict {}
 
     /** outcome is not-run or unknown; retryMs 0 is no advice. */
-    record TurnAway(int status, String outcome, String reason, long retryMs) implements Verdict {}
+    record Refuse(int status, String outcome, String reason, long retryMs) implements Verdict {}
 
     Verdict GO = new Go(), ENDED = new Ended();
 
     static Verdict notRun(int status, String reason, long retryMs) {
-        return new TurnAway(status, "not-run", reason, retryMs);
+        return new Refuse(status, "not-run", reason, retryMs);
     }
 
     static Verdict unknown(int status, String reason) {
-        return new TurnAway(status, "unknown", reason, 1000);
+        return new Refuse(status, "unknown", reason, 1000);
     }
 }
--- a/data-plane/src/main/java/gladelug/data/order/Way.java
+++ b/data-plane/src/main/java/gladelug/data/request/Way.java
@@ -1,8 +1,8 @@
 /*
- * Leads an order through the stages in turn until one ends it or turns it away. A stage may send
+ * Leads a request through the stages in turn until one ends it or refuses it. A stage may send
  * it back to the choice; that it does so no more than a few times is seen to here.
  */
-package gladelug.data.order;
+package gladelug.data.request;
 
 import com.eclipsesource.json.Json;
 import gladelug.kernel.Clock;
@@ -15,9 +15,9 @@
     private final List<Stage> stages;
     private final int choice;
     private final Clock clock;
-    private final Consumer<Order> ended;
+    private final Consumer<Request> ended;
 
-    public Way(List<Stage> stages, String choiceStage, Clock clock, Consumer<Order> ended) {
+    public Way(List<Stage> stages, String choiceStage, Clock clock, Consumer<Request> ended) {
         this.stages = List.copyOf(stages);
         int c = 0;
         for (int i = 0; i < stages.size(); i++) if (stages.get(i).name().equals(choiceStage)) c = i;
@@ -26,11 +26,11 @@
         this.ended = ended;
     }
 
-    public void go(Order o) {
+    public void go(Request o) {
         step(o, 0);
     }
 
-    private void step(Order o, int i) {
+    private void step(Request o, int i) {
         Stage s = stages.get(i);
         s.pass(o).subscribe().with(v -> next(o, i, v), t -> {
             Log.thrown("stage-problem", t, "stage", s.name(), "order", o.id());
@@ -42,27 +42,27 @@
         });
     }
 
-    private void next(Order o, int i, Verdict v) {
+    private void next(Request o, int i, Verdict v) {
         if (v instanceof Verdict.Go) step(o, i + 1);
         else if (v instanceof Verdict.Again a) {
             o.decision.add("again", clock.now(), Json.object().add("why", a.why()));
-            if (++o.choices > CHOICES) turnAway(o, (Verdict.TurnAway) Verdict.notRun(503, "no replica took it", 500));
+            if (++o.choices > CHOICES) refuse(o, (Verdict.Refuse) Verdict.notRun(503, "no replica took it", 500));
             else step(o, choice);
-        } else if (v instanceof Verdict.TurnAway t) turnAway(o, t);
+        } else if (v instanceof Verdict.Refuse t) refuse(o, t);
         else ended.accept(o);
     }
 
-    private void turnAway(Order o, Verdict.TurnAway v) {
-        Verdict.TurnAway t = !o.mayHaveRun || v.outcome().equals("unknown")
+    private void refuse(Request o, Verdict.Refuse v) {
+        Verdict.Refuse t = !o.mayHaveRun || v.outcome().equals("unknown")
             ? v
-            : new Verdict.TurnAway(502, "unknown", v.reason() + ", and an earlier try may have run", v.retryMs());
+            : new Verdict.Refuse(502, "unknown", v.reason() + ", and an earlier try may have run", v.retryMs());
         if (!o.state.end()) {
             ended.accept(o);
             return;
         }
         o.decision.add("turned-away", clock.now(), Json.object().add("status", t.status()).add("reason", t.reason()));
         o.decision.outcome(t.outcome());
-        if (!o.gone) o.caller.turnAway(o, t);
+        if (!o.gone) o.caller.refuse(o, t);
         ended.accept(o);
     }
 }
--- /dev/null
+++ b/data-plane/src/test/java/gladelug/data/relay/BudgetTest.java
@@ -0,0 +1,26 @@
+/*
+ * Tests of Budget.
+ */
+package gladelug.data.relay;
+
+import static gladelug.data.relay.Budget.ALLOWANCE;
+import java.util.Random;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class BudgetTest {
+    @Test void neverAboveAFifthAndTheAllowanceWhateverIsAsked() {
+        Random r = new Random(3);
+        Budget b = new Budget();
+        int first = 0, second = 0;
+        for (int i = 0; i < 10_000; i++) {
+            if (r.nextInt(5) > 0) {
+                b.firstTry("s");
+                first++;
+            }
+            for (int j = 0; j < 3; j++) if (b.secondTry("s")) second++;
+            Assertions.assertTrue(second <= first * 0.2 + ALLOWANCE);
+        }
+        Assertions.assertTrue(second > first / 10);
+    }
+}
--- a/kernel/src/main/java/gladelug/kernel/Doc.java
+++ b/kernel/src/main/java/gladelug/kernel/Doc.java
@@ -16,8 +16,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Doc {
     public enum Kind { OBJECT, ARRAY, STRING, NUMBER, BOOLEAN, NULL }
@@ -236,27 +234,4 @@
                 if (!asked.contains(e.getKey())) fs.add(e.getValue().place(), "is not a known field");
         }
     }
-
-    static final class Tests {
-        @Test void everyFindingHasItsPlace() {
-            Findings fs = new Findings();
-            Doc d = ((Result.Good<Doc>) parse("{\"a\": 1,\n \"b\": [\"x\", 3],\n \"zz\": true}")).value();
-            Fields f = d.fields(fs);
-            f.text("a");
-            f.texts("b", true);
-            f.whole("c", 1, 5);
-            f.done();
-            Assertions.assertEquals("""
-                line 1, column 7 (a): must be a text
-                line 2, column 13 (b[1]): must be a text that is not empty
-                line 1, column 1 (top): misses the field c
-                line 3, column 8 (zz): is not a known field
-                """, fs.toString());
-        }
-
-        @Test void brokenTextAndDoubledFieldsAreFindings() {
-            Assertions.assertTrue(parse("{\"a\": }").toString().startsWith("line 1, column 7: not JSON"));
-            Assertions.assertTrue(parse("{\"a\": 1, \"a\": 2}").toString().contains("given twice"));
-        }
-    }
 }
--- a/kernel/src/main/java/gladelug/kernel/Kernel.java
+++ b/kernel/src/main/java/gladelug/kernel/Kernel.java
@@ -10,8 +10,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Kernel {
     public interface Service {
@@ -72,29 +70,4 @@
             }
         }
     }
-
-    static final class Tests {
-        @Test void stopsWhatStartedInReverseWhenOneCannotStart() {
-            List<String> seen = new ArrayList<>();
-            class S implements Service {
-                final String n;
-
-                S(String n) {
-                    this.n = n;
-                }
-
-                @Override public void start(Kernel k) {
-                    if (n.equals("c")) throw new CannotStart("port in use");
-                    seen.add("+" + n);
-                }
-
-                @Override public void stop() {
-                    seen.add("-" + n);
-                }
-            }
-            Kernel k = new Kernel().add("a", new S("a")).add("b", new S("b")).add("c", new S("c"));
-            Assertions.assertThrows(CannotStart.class, k::start);
-            Assertions.assertEquals(List.of("+a", "+b", "-b", "-a"), seen);
-        }
-    }
 }
--- a/kernel/src/main/java/gladelug/kernel/Log.java
+++ b/kernel/src/main/java/gladelug/kernel/Log.java
@@ -14,8 +14,6 @@
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Log {
     private static final FluentLogger FLOGGER = FluentLogger.forEnclosingClass();
@@ -93,12 +91,4 @@
         }
         return sb.append('"').toString();
     }
-
-    static final class Tests {
-        @Test void oneLineWhateverIsInAValue() {
-            Assertions.assertEquals(
-                "event=x a=1 b=\"two words\\u000aand \\\"more\\\"\" c=\"\"",
-                line("x", "a", 1, "b", "two words\nand \"more\"", "c", ""));
-        }
-    }
 }
--- a/kernel/src/main/java/gladelug/kernel/policy/Policy.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Configuration.java
@@ -1,10 +1,10 @@
 /*
- * What operators send, whole: services with the places they may be called at, mappings from paths
+ * What operators send, whole: services with the places they may be called at, routes from paths
  * to services, tenants with their keys as hashes and the shares below them. Read by hand from JSON;
- * every finding has its place and a policy with any finding is not made. Immutable; names become
+ * every finding has its place and a configuration with any finding is not made. Immutable; names become
  * dense indices here, at the door, and the snapshot is swapped whole.
  */
-package gladelug.kernel.policy;
+package gladelug.kernel.configuration;
 
 import gladelug.kernel.Address;
 import gladelug.kernel.Digest;
@@ -18,10 +18,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
-public final class Policy {
+public final class Configuration {
     public enum Kind { MODEL, APPLICATION, STORE }
 
     public record Service(int index, String name, Kind kind, List<Allow> allow) {
@@ -31,30 +29,30 @@
         }
     }
 
-    public record Mapping(int index, String name, String path, int service, int expiryMs, boolean repeatable,
+    public record Route(int index, String name, String path, int service, int deadlineMs, boolean repeatable,
         int maxBodyBytes) {}
 
     public record Tenant(int index, String name, List<String> keys, boolean isolated, Share share) {}
 
     public final List<Service> services;
-    public final List<Mapping> mappings;
+    public final List<Route> routes;
     public final List<Tenant> tenants;
-    private final Map<String, Mapping> byPath = new HashMap<>();
+    private final Map<String, Route> byPath = new HashMap<>();
     private final Map<String, Tenant> byKey = new HashMap<>();
     private final Map<String, Service> byName = new HashMap<>();
 
-    private Policy(List<Service> services, List<Mapping> mappings, List<Tenant> tenants) {
+    private Configuration(List<Service> services, List<Route> routes, List<Tenant> tenants) {
         this.services = List.copyOf(services);
-        this.mappings = List.copyOf(mappings);
+        this.routes = List.copyOf(routes);
         this.tenants = List.copyOf(tenants);
         for (Service s : services) byName.put(s.name, s);
-        for (Mapping m : mappings) byPath.put(m.path, m);
+        for (Route m : routes) byPath.put(m.path, m);
         for (Tenant t : tenants) for (String k : t.keys) byKey.put(k, t);
     }
 
-    public static final Policy EMPTY = new Policy(List.of(), List.of(), List.of());
+    public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of());
 
-    public Mapping mapping(String path) {
+    public Route route(String path) {
         return byPath.get(path);
     }
 
@@ -70,31 +68,31 @@
         return Digest.hex(key);
     }
 
-    /** Where in the tree an order of this tenant by this mapping stands: the leaf's path. */
-    public static String leaf(Tenant t, Mapping m) {
+    /** Where in the tree a request of this tenant by this route stands: the leaf's path. */
+    public static String leaf(Tenant t, Route m) {
         Share l = t.share.leaf(m.name);
         return l == null ? t.share.path() : l.path();
     }
 
-    public static Result<Policy> parse(String json) {
-        return Doc.parse(json).then(Policy::read);
+    public static Result<Configuration> parse(String json) {
+        return Doc.parse(json).then(Configuration::read);
     }
 
-    public static Result<Policy> read(Doc d) {
+    public static Result<Configuration> read(Doc d) {
         Findings fs = new Findings();
         Doc.Fields f = d.fields(fs);
         Map<String, Service> sn = new HashMap<>();
         List<Service> ss = new ArrayList<>();
         for (Doc x : f.list("services", true)) ss.add(service(x, ss.size(), sn, fs));
-        List<Mapping> ms = new ArrayList<>();
+        List<Route> ms = new ArrayList<>();
         Set<String> mn = new HashSet<>(), mp = new HashSet<>();
-        for (Doc x : f.list("mappings", true)) ms.add(mapping(x, ms.size(), sn, mn, mp, fs));
+        for (Doc x : f.list("mappings", true)) ms.add(route(x, ms.size(), sn, mn, mp, fs));
         List<Tenant> ts = new ArrayList<>();
         Set<String> tn = new HashSet<>();
         Map<String, String> keys = new HashMap<>();
         for (Doc x : f.list("tenants", true)) ts.add(tenant(x, ts.size(), tn, keys, mn, fs));
         f.done();
-        return Result.of(fs, () -> new Policy(ss, ms, ts));
+        return Result.of(fs, () -> new Configuration(ss, ms, ts));
     }
 
     private static Service service(Doc x, int i, Map<String, Service> names, Findings fs) {
@@ -120,7 +118,7 @@
         return s;
     }
 
-    private static Mapping mapping(Doc x, int i, Map<String, Service> sn, Set<String> names, Set<String> paths,
+    private static Route route(Doc x, int i, Map<String, Service> sn, Set<String> names, Set<String> paths,
         Findings fs) {
         Doc.Fields f = x.fields(fs);
         String name = f.text("name"), path = f.text("path"), sv = f.text("service");
@@ -131,13 +129,13 @@
         if (path.startsWith("/operator/")) fs.add(f.place("path"), "must not begin with /operator/");
         if (!names.add(name)) fs.add(f.place("name"), "two mappings are named " + name);
         if (!paths.add(path)) fs.add(f.place("path"), "two mappings have the path " + path);
-        Mapping m = new Mapping(i, name, path, s == null ? -1 : s.index, (int) f.whole("expiryMs", 10_000, 50, 600_000),
+        Route m = new Route(i, name, path, s == null ? -1 : s.index, (int) f.whole("expiryMs", 10_000, 50, 600_000),
             f.yes("repeatable", false), (int) f.whole("maxBodyBytes", 262_144, 64, 16_777_216));
         f.done();
         return m;
     }
 
-    private static Tenant tenant(Doc x, int i, Set<String> names, Map<String, String> keys, Set<String> mappings,
+    private static Tenant tenant(Doc x, int i, Set<String> names, Map<String, String> keys, Set<String> routes,
         Findings fs) {
         Doc.Fields f = x.fields(fs);
         String name = f.text("name");
@@ -154,7 +152,7 @@
         Set<String> taken = new HashSet<>();
         List<Share> below = Share.readAll(f.list("shares", false), name, 1, taken, fs);
         for (String m : taken)
-            if (!mappings.contains(m)) fs.add(f.place("shares"), "a share names no mapping of this policy: " + m);
+            if (!routes.contains(m)) fs.add(f.place("shares"), "a share names no mapping of this policy: " + m);
         Share root = new Share(name, name, (int) f.whole("weight", 1, 1, 1_000_000), (int) f.whole("tier", 0, 0, 9),
             (int) f.whole("limit", 0, 0, 1_000_000), List.of(), below);
         for (Share c : below) Share.above(c, root.limit(), f.place("shares"), fs);
@@ -164,52 +162,4 @@
         if (!names.add(name)) fs.add(f.place("name"), "two tenants are named " + name);
         return t;
     }
-
-    static final class Tests {
-        @Test void aGoodPolicyIsIndexed() {
-            String h = hashOf("k1");
-            Policy p = ((Result.Good<Policy>) parse(
-                """
-                    {"services": [{"name": "m", "allow": ["127.0.0.0/8"]}],
-                     "mappings": [{"name": "a", "path": "/a", "service": "m"}, {"name": "b", "path": "/b",
-                       "service": "m", "repeatable": true}],
-                     "tenants": [{"name": "t", "keys": ["sha256:%s"], "shares": [{"name": "x", "mappings": ["a"]}]}]}"""
-                    .formatted(h)))
-                .value();
-            Tenant t = p.tenantOfHash(h);
-            Assertions.assertEquals("t/x", leaf(t, p.mapping("/a")));
-            Assertions.assertEquals("t", leaf(t, p.mapping("/b")));
-            Assertions.assertTrue(p.mapping("/b").repeatable());
-        }
-
-        @Test void aShareTreeThatCannotBeMetIsTold() {
-            String s = parse(
-                """
-                    {"services": [{"name": "m", "allow": ["1.1.1.1"]}], "mappings": [{"name": "a", "path": "/a",
-                      "service": "m"}, {"name": "b", "path": "/b", "service": "m"}],
-                     "tenants": [{"name": "t", "keys": [], "limit": 4, "shares": [{"name": "x", "limit": 9,
-                       "mappings": ["a"]}, {"name": "x", "mappings": ["a"]},
-                      {"name": "y", "limit": 2, "mappings": ["b"], "shares": [{"name": "z", "limit": 3}]}]}]}""")
-                .toString();
-            for (String w : new String[]{"the limit 9 of t/x is above", "two shares are named x",
-                "mapping a is in two shares", "belong to shares at the leaves", "the limit 3 of t/y/z is above"})
-                Assertions.assertTrue(s.contains(w), w + " in " + s);
-        }
-
-        @Test void allMistakesAreReportedTogether() {
-            String s = parse(
-                """
-                    {"services": [{"name": "m", "allow": ["somewhere"]}, {"name": "m", "allow": []}],
-                     "mappings": [{"name": "a", "path": "a", "service": "none", "expiryMs": 1}],
-                     "tenants": [{"name": "t", "keys": ["secret"], "shares": [{"name": "x", "mappings": ["zz"],
-                       "wait": 1}]}],
-                     "extra": 1}""")
-                .toString();
-            for (String w : new String[]{"must be IP", "two services are named m", "names no service",
-                "must begin with a slash",
-                "from 50 to 600000", "never the key itself", "no mapping of this policy: zz",
-                "tenants[0].shares[0].wait", "(extra): is not a known field"})
-                Assertions.assertTrue(s.contains(w), w + " in " + s);
-        }
-    }
 }
--- a/kernel/src/main/java/gladelug/kernel/policy/CoreList.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/CoreList.java
@@ -2,7 +2,7 @@
  * The core's members as data-plane processes are told of them: names and addresses, under the
  * generation as number.
  */
-package gladelug.kernel.policy;
+package gladelug.kernel.configuration;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
--- a/kernel/src/main/java/gladelug/kernel/policy/Replicas.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Replicas.java
@@ -1,8 +1,8 @@
 /*
  * The platform's list of back ends as the control plane last took it: immutable, in the platform's
- * order. An entry that is leaving gets no new orders; one that is absent is gone.
+ * request. An entry that is leaving gets no new requests; one that is absent is gone.
  */
-package gladelug.kernel.policy;
+package gladelug.kernel.configuration;
 
 import com.eclipsesource.json.Json;
 import gladelug.kernel.Address;
@@ -15,7 +15,7 @@
 import java.util.Map;
 
 public final class Replicas {
-    public record Replica(String service, String instance, Address address, String domain, boolean ready) {}
+    public record Replica(String service, String instance, Address address, String zone, boolean ready) {}
 
     public final List<Replica> all;
     private final Map<String, Replica> byInstance = new HashMap<>();
@@ -54,7 +54,7 @@
         for (Replica r : all) {
             if (sb.charAt(sb.length() - 1) == '}') sb.append(',');
             sb.append(Json.object().add("service", r.service).add("instance", r.instance)
-                .add("address", r.address.toString()).add("domain", r.domain)
+                .add("address", r.address.toString()).add("domain", r.zone)
                 .add("state", r.ready ? "ready" : "leaving"));
         }
         return sb.append("]}").toString();
--- a/kernel/src/main/java/gladelug/kernel/policy/Share.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Share.java
@@ -1,9 +1,9 @@
 /*
  * A node of the share tree. The children of the root are the tenants; below a tenant stand its
  * shares. A weight counts against the siblings' weights, a lower tier waits for the higher ones, a
- * limit of 0 is none. Which leaf an order belongs to is decided by its mapping's name.
+ * limit of 0 is none. Which leaf a request belongs to is decided by its route's name.
  */
-package gladelug.kernel.policy;
+package gladelug.kernel.configuration;
 
 import gladelug.kernel.Doc;
 import gladelug.kernel.Findings;
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Set;
 
-public record Share(String name, String path, int weight, int tier, int limit, List<String> mappings,
+public record Share(String name, String path, int weight, int tier, int limit, List<String> routes,
     List<Share> shares) {
     static final int DEEPEST = 6;
 
@@ -26,9 +26,9 @@
         f.done();
         if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
         for (Share c : s.shares) above(c, s.limit, f.place("shares"), fs);
-        if (!s.shares.isEmpty() && !s.mappings.isEmpty())
+        if (!s.shares.isEmpty() && !s.routes.isEmpty())
             fs.add(f.place("mappings"), "belong to shares at the leaves; this one has shares below it");
-        for (String m : s.mappings)
+        for (String m : s.routes)
             if (!taken.add(m)) fs.add(f.place("mappings"), "mapping " + m + " is in two shares of this tenant");
         return s;
     }
@@ -54,11 +54,11 @@
             fs.add(place, "the limit " + c.limit + " of " + c.path + " is above that of the share it is in, " + limit);
     }
 
-    /** The leaf below here that takes the mapping, or null. */
-    Share leaf(String mapping) {
-        if (mappings.contains(mapping)) return this;
+    /** The leaf below here that takes the route, or null. */
+    Share leaf(String route) {
+        if (routes.contains(route)) return this;
         for (Share s : shares) {
-            Share l = s.leaf(mapping);
+            Share l = s.leaf(route);
             if (l != null) return l;
         }
         return null;
--- a/kernel/src/main/java/gladelug/kernel/policy/Weights.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Weights.java
@@ -1,9 +1,9 @@
 /*
  * Which weights each model service is meant to run, as operators named them, and which came before.
- * Immutable; naming makes a new one. Until weights are named for a service it has none and orders
- * for it are turned away.
+ * Immutable; naming makes a new one. Until weights are named for a service it has none and requests
+ * for it are refused.
  */
-package gladelug.kernel.policy;
+package gladelug.kernel.configuration;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
--- a/kernel/src/main/java/gladelug/kernel/circuit/Circuit.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Connection.java
@@ -1,9 +1,9 @@
 /*
- * One side of a TCP circuit carrying length-prefixed records. send() says whether the record was
- * taken: a circuit whose other side doesn't read fills up and takes no more, and every protocol
- * above copes with loss by asking again. A record that can't be read closes this circuit only.
+ * One side of a TCP connection carrying length-prefixed records. send() says whether the record was
+ * taken: a connection whose other side doesn't read fills up and takes no more, and every protocol
+ * above copes with loss by asking again. A record that can't be read closes this connection only.
  */
-package gladelug.kernel.circuit;
+package gladelug.kernel.connection;
 
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Wire;
@@ -11,8 +11,8 @@
 import io.vertx.mutiny.core.net.NetSocket;
 import java.io.IOException;
 
-public final class Circuit {
-    /** Told of each record, in order, and once of the end, all on the circuit's event loop. */
+public final class Connection {
+    /** Told of each record, in order, and once of the end, all on the connection's event loop. */
     public interface Receiver {
         void record(byte[] r) throws IOException;
 
@@ -21,18 +21,18 @@
 
     private static final int FULL = 64 << 20;
     private final NetSocket socket;
-    public final String fellow;
+    public final String peer;
     private Receiver receiver;
     private Buffer held = Buffer.buffer();
     private volatile boolean closed;
 
-    Circuit(NetSocket s, String fellow) {
+    Connection(NetSocket s, String peer) {
         this.socket = s;
-        this.fellow = fellow;
+        this.peer = peer;
         s.getDelegate().setWriteQueueMaxSize(FULL);
         s.getDelegate().handler(this::bytes);
         s.getDelegate().closeHandler(v -> end());
-        s.getDelegate().exceptionHandler(t -> Log.fine("circuit-problem", "fellow", fellow, "what", t.toString()));
+        s.getDelegate().exceptionHandler(t -> Log.fine("circuit-problem", "fellow", peer, "what", t.toString()));
     }
 
     void receiver(Receiver r) {
@@ -71,7 +71,7 @@
             }
             if (at > 0) held = held.length() == at ? Buffer.buffer() : held.getBuffer(at, held.length());
         } catch (IOException e) {
-            Log.warn("malformed-record", "fellow", fellow, "what", e.getMessage());
+            Log.warn("malformed-record", "fellow", peer, "what", e.getMessage());
             held = Buffer.buffer();
             close();
         }
--- a/kernel/src/main/java/gladelug/kernel/circuit/Doors.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Doors.java
@@ -1,9 +1,9 @@
 /*
- * The door of a process for circuits from others, on its one records address: reads the Hello and
- * hands the circuit to whichever service took that protocol. Unknown protocols are closed. Also
- * where circuits to others begin.
+ * The door of a process for connections from others, on its one records address: reads the Hello and
+ * hands the connection to whichever service took that protocol. Unknown protocols are closed. Also
+ * where connections to others begin.
  */
-package gladelug.kernel.circuit;
+package gladelug.kernel.connection;
 
 import gladelug.kernel.Address;
 import gladelug.kernel.Kernel;
@@ -30,8 +30,8 @@
     private final Address address;
     public final Local local;
     private final String name;
-    private final Map<String, BiFunction<Hello, Circuit, Circuit.Receiver>> takers = new ConcurrentHashMap<>();
-    private final Set<Circuit> open = ConcurrentHashMap.newKeySet();
+    private final Map<String, BiFunction<Hello, Connection, Connection.Receiver>> takers = new ConcurrentHashMap<>();
+    private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     private NetServer server;
     private NetClient client;
 
@@ -42,14 +42,15 @@
         this.name = name;
     }
 
-    public void take(String protocol, BiFunction<Hello, Circuit, Circuit.Receiver> taker) {
+    public void take(String protocol, BiFunction<Hello, Connection, Connection.Receiver> taker) {
         takers.put(protocol, taker);
     }
 
     @Override public void start(Kernel k) {
         client = vertx.createNetClient(local.from(new NetClientOptions().setConnectTimeout(1000).setTcpNoDelay(true)));
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true));
-        server.getDelegate().connectHandler(s -> accept(new Circuit(new NetSocket(s), s.remoteAddress().toString())));
+        server.getDelegate()
+            .connectHandler(s -> accept(new Connection(new NetSocket(s), s.remoteAddress().toString())));
         try {
             server.listen(address.port(), local.ip()).await().atMost(Duration.ofSeconds(10));
         } catch (RuntimeException e) {
@@ -64,10 +65,10 @@
         return t.getMessage() == null ? t.getClass().getSimpleName() : t.getMessage();
     }
 
-    private void accept(Circuit c) {
+    private void accept(Connection c) {
         open.add(c);
-        c.receiver(new Circuit.Receiver() {
-            private Circuit.Receiver inner;
+        c.receiver(new Connection.Receiver() {
+            private Connection.Receiver inner;
 
             @Override public void record(byte[] r) throws IOException {
                 if (inner != null) {
@@ -87,13 +88,13 @@
         });
     }
 
-    /** A new circuit to another process, its Hello already sent. Fails where nobody answers. */
-    public Uni<Circuit> call(Address to, String protocol, Function<Circuit, Circuit.Receiver> receiver) {
+    /** A new connection to another process, its Hello already sent. Fails where nobody answers. */
+    public Uni<Connection> call(Address to, String protocol, Function<Connection, Connection.Receiver> receiver) {
         return client.connect(to.port(), to.host()).map(s -> {
-            Circuit c = new Circuit(s, to.toString());
+            Connection c = new Connection(s, to.toString());
             open.add(c);
-            Circuit.Receiver r = receiver.apply(c);
-            c.receiver(new Circuit.Receiver() {
+            Connection.Receiver r = receiver.apply(c);
+            c.receiver(new Connection.Receiver() {
                 @Override public void record(byte[] b) throws IOException {
                     r.record(b);
                 }
@@ -109,7 +110,7 @@
     }
 
     @Override public void stop() {
-        for (Circuit c : open) c.close();
+        for (Connection c : open) c.close();
         if (server != null) server.closeAndForget();
         if (client != null) client.closeAndForget();
     }
--- a/kernel/src/main/java/gladelug/kernel/circuit/Held.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Held.java
@@ -1,8 +1,8 @@
 /*
- * A held circuit to one address: begun at once, begun anew after it ends, until let go. What is
- * sent while there is no circuit is lost, as records on any circuit may be.
+ * A held connection to one address: begun at once, begun anew after it ends, until let go. What is
+ * sent while there is no connection is lost, as records on any connection may be.
  */
-package gladelug.kernel.circuit;
+package gladelug.kernel.connection;
 
 import gladelug.kernel.Address;
 import gladelug.kernel.message.Wire;
@@ -22,7 +22,7 @@
     private final String protocol;
     private final Records records;
     private final Consumer<Held> opened;
-    private volatile Circuit circuit;
+    private volatile Connection connection;
     private volatile boolean let;
 
     public Held(Vertx vertx, Doors doors, Address to, String protocol, Records records, Consumer<Held> opened) {
@@ -37,17 +37,17 @@
 
     private void begin() {
         if (let) return;
-        doors.call(to, protocol, c -> new Circuit.Receiver() {
+        doors.call(to, protocol, c -> new Connection.Receiver() {
             @Override public void record(byte[] r) throws IOException {
                 records.record(Held.this, r);
             }
 
             @Override public void closed() {
-                circuit = null;
+                connection = null;
                 again();
             }
         }).subscribe().with(c -> {
-            circuit = c;
+            connection = c;
             if (let || !c.open()) c.close();
             else opened.accept(this);
         }, t -> again());
@@ -58,18 +58,18 @@
     }
 
     public boolean send(Wire m) {
-        Circuit c = circuit;
+        Connection c = connection;
         return c != null && c.send(m);
     }
 
     public boolean open() {
-        Circuit c = circuit;
+        Connection c = connection;
         return c != null && c.open();
     }
 
     public void letGo() {
         let = true;
-        Circuit c = circuit;
+        Connection c = connection;
         if (c != null) c.close();
     }
 
--- a/kernel/src/main/java/gladelug/kernel/circuit/Local.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Local.java
@@ -2,16 +2,12 @@
  * The IP number a process listens on and calls from. It is that of its advertised addresses, or
  * another where a machine has several (the setting bind); others only ever hear the advertised one.
  */
-package gladelug.kernel.circuit;
+package gladelug.kernel.connection;
 
 import gladelug.kernel.Address;
 import gladelug.kernel.Findings;
-import gladelug.kernel.Result;
 import gladelug.kernel.Settings;
 import io.vertx.core.net.ClientOptionsBase;
-import java.util.Map;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public record Local(String ip) {
     /** From the setting bind, else from the records address. */
@@ -37,20 +33,4 @@
         if (!wild(ip)) options.setLocalAddress(ip);
         return options;
     }
-
-    static final class Tests {
-        private static String findings(String bind, String records) {
-            Settings s = ((Result.Good<Settings>) Settings.open(null, Map.of("bind", bind))).value();
-            of(s, Address.of(records));
-            return s.findings.list().toString();
-        }
-
-        @Test void whatCantFitIsAFinding() {
-            Assertions.assertEquals("[]", findings("127.0.0.2", "127.0.0.1:7000"));
-            Assertions.assertEquals("[]", findings("0.0.0.0", "127.0.0.1:7000"));
-            Assertions.assertTrue(findings("here", "127.0.0.1:7000").contains("must be an IP number without a port"));
-            Assertions.assertTrue(findings("127.0.0.2:80", "127.0.0.1:7000").contains("must be an IP number"));
-            Assertions.assertTrue(findings("127.0.0.2", "0.0.0.0:7000").contains("is what others call"));
-        }
-    }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Delta.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Delta.java
@@ -1,15 +1,12 @@
 /*
  * The difference between two values of a key, for a push: how much of the old one's beginning and
- * end stays, and what stands between now. A policy that grows or changes in one place is small that
+ * end stays, and what stands between now. A configuration that grows or changes in one place is small that
  * way, however large it is. Whoever applies it checks the digest of what comes out.
  */
 package gladelug.kernel.message;
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
-import java.util.Random;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Delta {
     private Delta() {}
@@ -35,27 +32,4 @@
         System.arraycopy(old, old.length - tail, out, head + middle, tail);
         return out;
     }
-
-    static final class Tests {
-        @Test void whatIsAppliedIsWhatWasMeant() {
-            Random r = new Random(1);
-            int small = 0;
-            for (int i = 0; i < 2000; i++) {
-                byte[] a = new byte[500 + r.nextInt(500)];
-                for (int j = 0; j < a.length; j++) a[j] = (byte) r.nextInt(3);
-                int from = r.nextInt(a.length), out = r.nextInt(Math.min(60, a.length - from) + 1), in = r.nextInt(60);
-                byte[] b = new byte[a.length - out + in];
-                System.arraycopy(a, 0, b, 0, from);
-                for (int j = 0; j < in; j++) b[from + j] = (byte) r.nextInt(3);
-                System.arraycopy(a, from + out, b, from + in, a.length - from - out);
-                byte[] d = between(a, b);
-                if (d == null) continue;
-                small++;
-                Assertions.assertArrayEquals(b, apply(a, d));
-            }
-            Assertions.assertTrue(small > 1500);
-            Assertions.assertNull(apply(new byte[3], new byte[]{0, 0, 0, 9, 0, 0, 0, 0}));
-            Assertions.assertNull(apply(new byte[3], new byte[2]));
-        }
-    }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Hello.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Hello.java
@@ -1,5 +1,5 @@
 /*
- * The first record on every circuit: which protocol follows and who is calling.
+ * The first record on every connection: which protocol follows and who is calling.
  */
 package gladelug.kernel.message;
 
--- a/kernel/src/main/java/gladelug/kernel/message/News.java
+++ b/kernel/src/main/java/gladelug/kernel/message/News.java
@@ -1,5 +1,5 @@
 /*
- * What control-plane and data-plane processes say to each other on a held circuit. A data-plane
+ * What control-plane and data-plane processes say to each other on a held connection. A data-plane
  * process asks, telling what it holds; the owner of a key answers with a grant where that is the
  * newest number and pushes the newest otherwise. An Ask after a push is its acknowledgement.
  */
@@ -8,18 +8,15 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.util.Arrays;
 import java.util.List;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public sealed interface News extends Wire {
     record Held(String key, long epoch, long number) {}
 
-    /** left is what remains of the licence in ms; cutoffLeft, for weights, until nothing starts on old ones. */
+    /** left is what remains of the lease in ms; cutoffLeft, for weights, until nothing starts on old ones. */
     record Grant(String key, long epoch, long number, int left, int cutoffLeft) {}
 
-    /** What one relay has of a leaf of a service's share tree: orders waiting and orders using a place. */
+    /** What one relay has of a leaf of a service's share tree: requests waiting and requests using a place. */
     record Demand(String service, String leaf, int waiting, int using) {}
 
     /** Places a relay sees at the replicas of a service. */
@@ -28,8 +25,8 @@
     /** What a relay may use of a leaf, in thousandths of a place. */
     record Part(String leaf, int milli) {}
 
-    /** ask is the asker's own monotonic time; it comes back so that a licence counts from the asking. */
-    record Ask(long ask, String name, long run, String role, String records, String operator, String domain,
+    /** ask is the asker's own monotonic time; it comes back so that a lease counts from the asking. */
+    record Ask(long ask, String name, long run, String role, String records, String operator, String zone,
         List<Held> held,
         List<Demand> demands, List<Places> places) implements News {
         @Override public int type() {
@@ -43,7 +40,7 @@
             o.writeUTF(role);
             o.writeUTF(records);
             o.writeUTF(operator);
-            o.writeUTF(domain);
+            o.writeUTF(zone);
             Wire.list(o, held, (p, h) -> {
                 p.writeUTF(h.key);
                 p.writeLong(h.epoch);
@@ -142,19 +139,4 @@
             default -> throw Wire.unknown(type);
         };
     }
-
-    static final class Tests {
-        @Test void whatIsWrittenIsReadAndAnythingElseIsRefused() throws IOException {
-            Ask a = new Ask(5, "r1", 77, "relay", "127.0.0.1:1", "127.0.0.1:2", "z", List.of(new Held("policy", 1, 2)),
-                List.of(new Demand("s", "t/x", 1, 2)), List.of(new Places("s", 9)));
-            byte[] b = Wire.bytes(a);
-            Assertions.assertEquals(a, Wire.read(b, News::read));
-            for (int n = 0; n < b.length; n++) {
-                byte[] cut = Arrays.copyOf(b, n);
-                Assertions.assertThrows(IOException.class, () -> Wire.read(cut, News::read));
-            }
-            byte[] more = Arrays.copyOf(b, b.length + 1);
-            Assertions.assertThrows(IOException.class, () -> Wire.read(more, News::read));
-        }
-    }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Reasons.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Reasons.java
@@ -1,5 +1,5 @@
 /*
- * What a relay hands to fellows on other machines so that its orders can be explained after it: a
+ * What a relay hands to peers on other machines so that its requests can be explained after it: a
  * numbered batch of decision records, a JSON text a line, deflated. Best effort; never answered.
  */
 package gladelug.kernel.message;
@@ -9,7 +9,7 @@
 import java.io.IOException;
 
 public sealed interface Reasons extends Wire {
-    /** low and high: the numbers of the orders in it; skipped: records left out so far for want of room. */
+    /** low and high: the numbers of the requests in it; skipped: records left out so far for want of room. */
     record Batch(String relay, String run, long nr, long low, long high, long skipped,
         byte[] packed) implements Reasons {
         @Override public int type() {
--- a/kernel/src/main/java/gladelug/kernel/message/Shuffle.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Shuffle.java
@@ -10,10 +10,10 @@
 import java.util.List;
 
 public sealed interface Shuffle extends Wire {
-    record Descriptor(String name, String role, String records, String operator, String domain, long generation,
+    record Descriptor(String name, String role, String records, String operator, String zone, long generation,
         int age) {
         public Descriptor older() {
-            return new Descriptor(name, role, records, operator, domain, generation, age + 1);
+            return new Descriptor(name, role, records, operator, zone, generation, age + 1);
         }
     }
 
@@ -42,7 +42,7 @@
         o.writeUTF(d.role);
         o.writeUTF(d.records);
         o.writeUTF(d.operator);
-        o.writeUTF(d.domain);
+        o.writeUTF(d.zone);
         o.writeLong(d.generation);
         o.writeInt(d.age);
     }
--- a/kernel/src/main/java/gladelug/kernel/message/Wire.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Wire.java
@@ -1,6 +1,6 @@
 /*
  * A record between processes: a type number and fields written with DataOutputStream. Readers
- * throw IOException on anything that isn't exactly a record; the circuit it came on is then closed.
+ * throw IOException on anything that isn't exactly a record; the connection it came on is then closed.
  */
 package gladelug.kernel.message;
 
--- a/kernel/src/main/java/gladelug/kernel/view/ViewService.java
+++ b/kernel/src/main/java/gladelug/kernel/view/ViewService.java
@@ -1,5 +1,5 @@
 /*
- * Runs the shuffling of views on one duty: a round a second over short circuits, begun from the
+ * Runs the shuffling of views on one duty: a round a second over short connections, begun from the
  * seed addresses while the view is small.
  */
 package gladelug.kernel.view;
@@ -8,8 +8,8 @@
 import gladelug.kernel.Clock;
 import gladelug.kernel.Duty;
 import gladelug.kernel.Kernel;
-import gladelug.kernel.circuit.Circuit;
-import gladelug.kernel.circuit.Doors;
+import gladelug.kernel.connection.Connection;
+import gladelug.kernel.connection.Doors;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.Shuffle;
 import gladelug.kernel.message.Wire;
@@ -71,7 +71,7 @@
     }
 
     private void shuffle(Address to, Shuffle.Request q) {
-        doors.call(to, Hello.SHUFFLE, c -> new Circuit.Receiver() {
+        doors.call(to, Hello.SHUFFLE, c -> new Connection.Receiver() {
             @Override public void record(byte[] r) throws IOException {
                 if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Answer a))
                     throw new IOException("a request where an answer was due");
--- a/operator-tools/src/main/java/gladelug/tools/Explanation.java
+++ b/operator-tools/src/main/java/gladelug/tools/Explanation.java
@@ -1,22 +1,19 @@
 /*
- * Puts into words for a person what a relay recorded of an order, stage by stage, and what the
+ * Puts into words for a person what a relay recorded of a request, stage by stage, and what the
  * control state says of a number. The words only rearrange the record; they add no reasons.
  */
 package gladelug.tools;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 final class Explanation {
     private Explanation() {}
 
-    static String ofOrder(JsonObject d) {
+    static String ofRequest(JsonObject d) {
         StringBuilder sb = new StringBuilder();
         sb.append("order ").append(d.getString("order", "?")).append(", came ").append(d.getString("came", "?"))
             .append(": ").append(d.getString("outcome", "?")).append('\n');
@@ -190,23 +187,4 @@
         for (JsonObject.Member m : v.asObject()) l.add(m.getName() + "=" + flat(m.getValue()));
         return String.join(" ", l);
     }
-
-    static final class Tests {
-        @Test void theWordsSayWhatTheRecordSays() {
-            JsonObject d = Json
-                .parse(
-                    """
-                        {"order":"r.ab12.1","came":"now","outcome":"complete","stages":[
-                         {"stage":"lookup","atMs":1,"weights":"w1","blocks":8,"index":"answered",
-                           "matches":[{"holder":"x","blocks":8}]},
-                         {"stage":"choice","atMs":2,"replica":"x","of":2,"options":[{"replica":"x","matched":8,
-                           "fetchFrom":"","fetchBlocks":0,"load":0,"backlogMs":0,"workMs":0,"totalMs":0}]},
-                         {"stage":"again","atMs":3,"why":"x did not run it"}]}""")
-                .asObject();
-            String s = ofOrder(d);
-            for (String w : new String[]{"order r.ab12.1, came now: complete", "x may hold 8", "replica x of 2",
-                "back to the choice: x did not run it"})
-                Assertions.assertTrue(s.contains(w), s);
-        }
-    }
 }
--- a/operator-tools/src/main/java/gladelug/tools/OpenApiImport.java
+++ b/operator-tools/src/main/java/gladelug/tools/OpenApiImport.java
@@ -1,6 +1,6 @@
 /*
- * Reads an OpenAPI document with swagger-parser and makes of its operations the mappings of a
- * policy, for an operator to look through and put into one. What a mapping can't express is a
+ * Reads an OpenAPI document with swagger-parser and makes of its operations the routes of a
+ * configuration, for an operator to look through and put into one. What a route can't express is a
  * finding with its place; nothing is guessed. Nothing the document refers to is fetched.
  */
 package gladelug.tools;
@@ -19,13 +19,11 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 final class OpenApiImport {
     private OpenApiImport() {}
 
-    /** The fragment {"mappings": [...]}; what could not be expressed is in the findings. */
+    /** The fragment {"routes": [...]}; what could not be expressed is in the findings. */
     static JsonObject read(String text, String service, Findings fs) {
         ParseOptions o = new ParseOptions();
         o.setResolve(false);
@@ -40,13 +38,13 @@
         Set<String> names = new HashSet<>();
         for (Map.Entry<String, PathItem> e : api.getPaths().entrySet())
             for (Map.Entry<PathItem.HttpMethod, Operation> q : e.getValue().readOperationsMap().entrySet()) {
-                JsonObject m = mapping(e.getKey(), q.getKey(), q.getValue(), service, names, fs);
+                JsonObject m = route(e.getKey(), q.getKey(), q.getValue(), service, names, fs);
                 if (m != null) out.add(m);
             }
         return Json.object().add("mappings", out);
     }
 
-    private static JsonObject mapping(String path, PathItem.HttpMethod method, Operation op, String service,
+    private static JsonObject route(String path, PathItem.HttpMethod method, Operation op, String service,
         Set<String> names, Findings fs) {
         String place = "paths." + path + "." + method.name().toLowerCase(Locale.ROOT);
         if (method != PathItem.HttpMethod.POST) {
@@ -75,40 +73,4 @@
         if (x.get("x-repeatable") instanceof Boolean b) m.add("repeatable", b);
         return m;
     }
-
-    static final class Tests {
-        @Test void operationsBecomeMappingsAndWhatCannotIsSaid() {
-            Findings fs = new Findings();
-            JsonObject o = read(
-                """
-                    openapi: 3.0.1
-                    info: {title: t, version: '1'}
-                    paths:
-                      /headline:
-                        post: {operationId: headline, x-repeatable: true, x-expiry-ms: 4000,
-                          responses: {'200': {description: ok}}}
-                        get: {operationId: look, responses: {'200': {description: ok}}}
-                      /stop/{id}:
-                        post: {operationId: stop, parameters: [{name: id, in: path, required: true,
-                          schema: {type: string}}], responses: {'200': {description: ok}}}
-                      /caption/draft:
-                        post: {responses: {'200': {description: ok}}}
-                    """,
-                "desk-model", fs);
-            Assertions.assertEquals("""
-                [{"name":"headline","path":"/headline","service":"desk-model","expiryMs":4000,"repeatable":true},\
-                {"name":"caption-draft","path":"/caption/draft","service":"desk-model"}]""",
-                o.get("mappings").toString());
-            String s = fs.toString();
-            for (String w : new String[]{"paths./headline.get: is left out: orders are sent with POST only",
-                "paths./stop/{id}.post: is left out", "paths./caption/draft.post: has no operationId"})
-                Assertions.assertTrue(s.contains(w), s);
-        }
-
-        @Test void whatIsNoDocumentIsAFinding() {
-            Findings fs = new Findings();
-            Assertions.assertEquals("[]", read("not: [an, api", "m", fs).get("mappings").toString());
-            Assertions.assertFalse(fs.clean());
-        }
-    }
 }
