--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -1,6 +1,6 @@
 /*
- * The operators' commands, one program with a command each. explain-order is the first: why an
- * order went where it went, or who has which number of the control state. Every command ends with
+ * The operators' commands, one program with a command each. explain-order is the first: why a
+ * request went where it went, or who has which number of the control state. Every command ends with
  * 0 when it was done, 1 when it was answered with a refusal or unknown, 2 when it was used wrongly,
  * 3 when nobody answered.
  */
@@ -16,7 +16,7 @@
 import gladelug.kernel.Findings;
 import gladelug.kernel.Program;
 import gladelug.kernel.Result;
-import gladelug.kernel.policy.Policy;
+import gladelug.kernel.configuration.Configuration;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -92,7 +92,7 @@
         try (Asking a = new Asking()) {
             return switch (c) {
                 case "explain-order" -> explain(a, control, n.getList("what"), json);
-                case "send-policy" -> sendPolicy(a, control, n.getString("file"), n.getString("based_on"), json);
+                case "send-policy" -> sendConfiguration(a, control, n.getString("file"), n.getString("based_on"), json);
                 case "show-policy" -> print(a.get(control, "/v1/policy"), true);
                 case "name-weights" -> print(a.call(HttpMethod.POST, control, "/v1/weights",
                     Json.object().add("service", n.getString("service")).add("weights", n.getString("weights"))
@@ -134,7 +134,7 @@
                 System.err.println("operator-tools: no key on standard input");
                 return Program.BAD_USE;
             }
-            System.out.println("sha256:" + Policy.hashOf(s));
+            System.out.println("sha256:" + Configuration.hashOf(s));
             return 0;
         } catch (IOException e) {
             System.err.println("operator-tools: standard input cannot be read");
@@ -163,10 +163,10 @@
         return end(a);
     }
 
-    private static int sendPolicy(Asking a, List<Address> control, String file, String basedOn, boolean json) {
+    private static int sendConfiguration(Asking a, List<Address> control, String file, String basedOn, boolean json) {
         String s = read(file);
         if (s == null) return Program.BAD_USE;
-        if (Policy.parse(s) instanceof Result.Bad<Policy> b) {
+        if (Configuration.parse(s) instanceof Result.Bad<Configuration> b) {
             System.err.println(file + " was not sent; found:");
             for (Finding f : b.findings()) System.err.println("  " + f);
             return 1;
@@ -212,16 +212,16 @@
             Asking.Answer d = a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/orders/" + id);
             if (d.status() == 400 || d.ok() && json) return print(d, json);
             if (d.ok()) {
-                System.out.print(Explanation.ofOrder(d.body()));
+                System.out.print(Explanation.ofRequest(d.body()));
                 return 0;
             }
             System.err.println("operator-tools: " + relay + ": " + d.body().getString("reason", "no answer"));
         }
-        return fromFellows(a, s.body(), id, json);
+        return fromPeers(a, s.body(), id, json);
     }
 
     /** What the relay no longer tells: from whoever was handed its records, the newest of them. */
-    private static int fromFellows(Asking a, JsonObject status, String id, boolean json) {
+    private static int fromPeers(Asking a, JsonObject status, String id, boolean json) {
         JsonObject best = null;
         String whose = "";
         for (JsonValue v : status.get("nodes").asArray()) {
@@ -239,7 +239,7 @@
             return 1;
         }
         if (json) return print(new Asking.Answer(200, best.add("keptBy", whose)), true);
-        System.out.print(Explanation.ofOrder(best));
+        System.out.print(Explanation.ofRequest(best));
         System.out.print(Explanation.ofKeeper(best, whose));
         return 0;
     }
--- /dev/null
+++ b/operator-tools/src/test/java/gladelug/tools/OpenApiImportTest.java
@@ -0,0 +1,47 @@
+/*
+ * Tests of OpenApiImport.
+ */
+package gladelug.tools;
+
+import static gladelug.tools.OpenApiImport.read;
+
+import com.eclipsesource.json.JsonObject;
+import gladelug.kernel.Findings;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class OpenApiImportTest {
+    @Test void operationsBecomeRoutesAndWhatCannotIsSaid() {
+        Findings fs = new Findings();
+        JsonObject o = read(
+            """
+                openapi: 3.0.1
+                info: {title: t, version: '1'}
+                paths:
+                  /headline:
+                    post: {operationId: headline, x-repeatable: true, x-expiry-ms: 4000,
+                      responses: {'200': {description: ok}}}
+                    get: {operationId: look, responses: {'200': {description: ok}}}
+                  /stop/{id}:
+                    post: {operationId: stop, parameters: [{name: id, in: path, required: true,
+                      schema: {type: string}}], responses: {'200': {description: ok}}}
+                  /caption/draft:
+                    post: {responses: {'200': {description: ok}}}
+                """,
+            "desk-model", fs);
+        Assertions.assertEquals("""
+            [{"name":"headline","path":"/headline","service":"desk-model","expiryMs":4000,"repeatable":true},\
+            {"name":"caption-draft","path":"/caption/draft","service":"desk-model"}]""",
+            o.get("mappings").toString());
+        String s = fs.toString();
+        for (String w : new String[]{"paths./headline.get: is left out: orders are sent with POST only",
+            "paths./stop/{id}.post: is left out", "paths./caption/draft.post: has no operationId"})
+            Assertions.assertTrue(s.contains(w), s);
+    }
+
+    @Test void whatIsNoDocumentIsAFinding() {
+        Findings fs = new Findings();
+        Assertions.assertEquals("[]", read("not: [an, api", "m", fs).get("mappings").toString());
+        Assertions.assertFalse(fs.clean());
+    }
+}
--- a/rehearsal/src/main/java/gladelug/rehearsal/Day.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Day.java
@@ -1,7 +1,7 @@
 /*
  * A seeded day of a deployment: at the brief's rates, everything the brief says may fail, in an
- * order the seed gives, each mended after a while; weights named, keys revoked, policies raced and
- * grown meanwhile; one last fault at the end. The promises with a time in them (policies, keys,
+ * request the seed gives, each mended after a while; weights named, keys revoked, configurations raced and
+ * grown meanwhile; one last fault at the end. The promises with a time in them (configurations, keys,
  * weights, leaving replicas) are judged by Promises from what operators and the platform were told and
  * when replicas got what; nothing acknowledged lost and back within 12 s here; the rest by Judge.
  */
@@ -10,8 +10,6 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -20,8 +18,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Day {
     private interface Step {
@@ -35,7 +31,7 @@
     private final StandInCallers callers;
     private final Promises promises = new Promises();
     private final List<String> slowReturn = new ArrayList<>();
-    private String lastPolicy = "";
+    private String lastConfiguration = "";
     private String application = "application";
     private List<String> revoked = List.of();
     private int more;
@@ -45,7 +41,7 @@
     private int weights = 1;
     private int hosts = 150;
     private StandInReplica stranger;
-    public String problem = "";
+    public String failure = "";
 
     public Day(Fleet f, long seed, double rate) {
         this.f = f;
@@ -93,25 +89,25 @@
     }
 
     private JsonObject wished() {
-        return f.deployment.policy(
+        return f.deployment.configuration(
             new Deployment.Wish(f.nextMarker(), revoked, application, more, gone, walled, narrow));
     }
 
-    private boolean policy() {
+    private boolean configuration() {
         JsonObject p = wished();
         List<Promises.Told> ts = new ArrayList<>();
         means().forEach((k, m) -> ts.add(promises.sent(k, m, now())));
         Fleet.Answer a = f.send(p, "*");
         if (a.status() == 200) {
-            lastPolicy = p.toString();
+            lastConfiguration = p.toString();
             for (Promises.Told t : ts) promises.answered(t, now());
         } else say("policy answered " + a.status() + " " + a.body());
         return a.status() == 200;
     }
 
     /** Sends until it is taken, as an operator does once the core is back. */
-    private void policyTaken() {
-        Fleet.until("a policy taken", 40_000, this::policy);
+    private void configurationTaken() {
+        Fleet.until("a policy taken", 40_000, this::configuration);
     }
 
     private void name(String w) {
@@ -216,10 +212,10 @@
         }));
         l.add(new Episode("a key is revoked from connected callers", () -> {
             revoked = List.of(f.deployment.tenants().get(1).name());
-            policy();
+            configuration();
         }, () -> {
             revoked = List.of();
-            policy();
+            configuration();
         }));
         l.add(new Episode("two operators race", () -> {
             long n = f.call("GET", "/v1/policy", null, Map.of()).body().getLong("number", -1);
@@ -234,16 +230,16 @@
             for (Thread t : ts) t.join();
             int won = (a[0].status() == 200 ? 1 : 0) + (a[1].status() == 200 ? 1 : 0);
             say("race answered " + a[0].status() + " and " + a[1].status());
-            if (won > 1) problem = "both racing policies were taken on number " + n;
+            if (won > 1) failure = "both racing policies were taken on number " + n;
         }, () -> {}));
         l.add(new Episode("the application moves to its second service", () -> {
             application = application.equals("application") ? "application-two" : "application";
-            policy();
+            configuration();
         }, () -> {}));
         if (f.deployment.name().equals("safari-njia")) {
             l.add(new Episode("the policy grows by 3000 mappings", () -> {
                 more += 3000;
-                policy();
+                configuration();
             }, () -> {}));
             l.add(new Episode("a core machine is swapped for another", () -> {
                 held[6] = "control-" + hosts;
@@ -281,7 +277,7 @@
         String[] held = new String[4];
         Step mend = () -> {
             f.wires.mend();
-            policyTaken();
+            configurationTaken();
         };
         l.add(new Episode("the owner of the policy is cut off from the core, and its side keeps two relays", () -> {
             Set<String> side = new LinkedHashSet<>(List.of(ownerOf("policy"), Fleet.edge(1), Fleet.edge(2)));
@@ -294,15 +290,15 @@
             f.wires.split(Set.of(Fleet.edge(3)), core());
             revoked = List.of(f.deployment.tenants().get(0).name());
             application = application.equals("application") ? "application-two" : "application";
-            policy();
+            configuration();
         }, () -> {
             f.wires.mend();
             revoked = List.of();
-            policyTaken();
+            configurationTaken();
         }));
         l.add(new Episode("a relay hears the core no more, though the core hears it", () -> {
             for (String c : core()) f.wires.cutOneWay(c, Fleet.edge(4));
-            policy();
+            configuration();
         }, mend));
         l.add(new Episode("a relay is cut off from a replica, and another hears nothing from one", () -> {
             f.wires.cut(Fleet.edge(1), "replica-2");
@@ -313,9 +309,9 @@
         l.add(new Episode("links between core machines are slow, and circuits of one break", () -> {
             List<String> c = controls();
             for (String a : c) for (String b : c) if (!a.equals(b)) f.wires.slow(a, b, 40);
-            f.wires.breakCircuits(c.get(0), c.get(1));
-            f.wires.breakCircuits(c.get(1), c.get(0));
-            policy();
+            f.wires.breakConnections(c.get(0), c.get(1));
+            f.wires.breakConnections(c.get(1), c.get(0));
+            configuration();
         }, mend));
         l.add(new Episode("a whole domain is killed at once", () -> {
             held[0] = controls().get(1);
@@ -355,11 +351,11 @@
         l.add(new Episode("a path goes away, a tenant is walled, an address is allowed no more", () -> {
             gone = narrow = true;
             walled = List.of(f.deployment.tenants().get(2).name());
-            policy();
+            configuration();
         }, () -> {
             gone = narrow = false;
             walled = List.of();
-            policyTaken();
+            configurationTaken();
         }));
         if (f.deployment.name().equals("moka-ridge")) {
             l.add(new Episode("a single core machine is cut off from everybody", () -> {
@@ -368,19 +364,19 @@
                 other.addAll(edges());
                 other.add("platform");
                 f.wires.split(Set.of(held[1]), other);
-                policy();
+                configuration();
             }, mend));
             l.add(new Episode("a single edge machine is cut off from everybody", () -> {
                 Set<String> other = core();
                 other.addAll(edges());
                 other.addAll(f.replicas.keySet());
                 f.wires.split(Set.of(Fleet.edge(2)), other);
-                policy();
+                configuration();
             }, mend));
         } else l.add(new Episode("the policy grows by 2000 mappings while a cut heals", () -> {
             f.wires.split(Set.of(Fleet.edge(2)), core());
             more += 2000;
-            policy();
+            configuration();
         }, mend));
         return l;
     }
@@ -399,7 +395,7 @@
             e.begin.run();
             long end = now() + secondsEach * 1000L;
             Fleet.pause(secondsEach * 400L);
-            if (e.name.contains("replicas are") || random.nextBoolean()) policy();
+            if (e.name.contains("replicas are") || random.nextBoolean()) configuration();
             if (end > now()) Fleet.pause(end - now());
             e.mend.run();
             Fleet.pause(1500);
@@ -415,13 +411,13 @@
         "one core disk is lost just after an acknowledgement, with the other two killed",
         "the core is split three ways and heals", "core machines are killed and come back one after another"};
 
-    /** The last fault, as the seed draws it; judged by orders that complete at each relay. */
+    /** The last fault, as the seed draws it; judged by requests that complete at each relay. */
     private void lastFault() throws Exception {
         Map<String, Child> edges = new LinkedHashMap<>(f.children);
         edges.keySet().removeIf(n -> n.startsWith("control"));
         int fault = random.nextInt(LAST.length);
         application = application.equals("application") ? "application-two" : "application";
-        policyTaken();
+        configurationTaken();
         System.out.println("last fault: " + LAST[fault]);
         List<String> all = controls();
         long back;
@@ -455,7 +451,7 @@
         Fleet.pause(4000);
     }
 
-    /** When, after a moment, an order sent to a relay since then completed; -1 for none yet. */
+    /** When, after a moment, a request sent to a relay since then completed; -1 for none yet. */
     private long since(String relay, long from) {
         return f.ledger.calls.values().stream().filter(c -> c.relay.equals(relay) && c.sent >= from && c.done >= 0
             && c.outcome.equals("complete")).mapToLong(c -> c.done - from).min().orElse(-1);
@@ -466,11 +462,11 @@
         Map<String, List<String>> more = promises.judge(f.ledger, Promises.BRIEF);
         List<String> lost = new ArrayList<>();
         Fleet.Answer a = f.call("GET", "/v1/policy", null, Map.of());
-        if (!a.body().get("value").equals(Json.parse(lastPolicy)))
+        if (!a.body().get("value").equals(Json.parse(lastConfiguration)))
             lost.add("number " + a.body().get("number") + " is not what was acknowledged last");
         more.put("acknowledged-policy-lost", lost);
         more.put("back-later-than-12s", slowReturn);
-        more.put("both-of-two-racing-taken", problem.isEmpty() ? List.of() : List.of(problem));
+        more.put("both-of-two-racing-taken", failure.isEmpty() ? List.of() : List.of(failure));
         for (Map.Entry<String, List<String>> e : more.entrySet()) {
             clean &= e.getValue().isEmpty();
             System.out.println("must never: " + e.getKey() + ": "
@@ -480,14 +476,4 @@
         }
         return clean;
     }
-
-    static final class Tests {
-        /** A fixed, short part of a day with the real programs. */
-        @Test void theFirstHoursOfAFixedDayAreClean() throws Exception {
-            Path out = Files.createTempDirectory("gladelug-day");
-            try (Fleet f = new Fleet(Deployment.mokaRidge(), out, 21, "summary")) {
-                Assertions.assertTrue(new Day(f, 21, 0.5).play(2, 8), "see the judgements above; logs in " + out);
-            }
-        }
-    }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
@@ -1,5 +1,5 @@
 /*
- * The two deployments at the brief's sizes: machines and domains, replicas, kinds of orders and
+ * The two deployments at the brief's sizes: machines and zones, replicas, kinds of requests and
  * their rates, tenants of whom a few are large.
  */
 package gladelug.rehearsal;
@@ -8,7 +8,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import gladelug.kernel.policy.Policy;
+import gladelug.kernel.configuration.Configuration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -45,7 +45,7 @@
             "legal-read");
     }
 
-    /** Two replicas, a relay and an index, for tests that set a fault and look at one order. */
+    /** Two replicas, a relay and an index, for tests that set a fault and look at one request. */
     public static Deployment small(int net) {
         return new Deployment("small", net, "m", 2, 1, 1,
             List.of(kind("ask", 5, 8, 200, false), kind("again", 5, 8, 200, true), kind("wide", 5, 4, 100, false)),
@@ -60,7 +60,7 @@
         };
     }
 
-    public String domain(int i) {
+    public String zone(int i) {
         return "zone-" + (char) ('a' + i % 3);
     }
 
@@ -68,29 +68,29 @@
         return kind("lookup-stop", 2, 0, 100, false);
     }
 
-    /** The policy an operator of this deployment sends; keys as hashes, marker in the last mapping's expiry. */
-    public JsonObject policy(int marker, List<String> without) {
-        return policy(marker, without, "application", 0);
+    /** The configuration an operator of this deployment sends; keys as hashes, marker in the last route's deadline. */
+    public JsonObject configuration(int marker, List<String> without) {
+        return configuration(marker, without, "application", 0);
     }
 
     /**
      * What an operator wants, beside what is always so: keys revoked, which of the two application services takes
-     * lookup-stop, further mappings (as a policy that grows has), whether the last kind's path is gone, tenants
+     * lookup-stop, further routes (as a configuration that grows has), whether the last kind's path is gone, tenants
      * isolated further, and whether the first replica's address is no longer allowed.
      */
     public record Wish(int marker, List<String> without, String application, int more, boolean gone,
         List<String> walled,
         boolean narrow) {}
 
-    public JsonObject policy(int marker, List<String> without, String application, int more) {
-        return policy(new Wish(marker, without, application, more, false, List.of(), false));
+    public JsonObject configuration(int marker, List<String> without, String application, int more) {
+        return configuration(new Wish(marker, without, application, more, false, List.of(), false));
     }
 
     public StandInCallers.Kind last() {
         return kinds.get(kinds.size() - 1);
     }
 
-    public JsonObject policy(Wish w) {
+    public JsonObject configuration(Wish w) {
         JsonArray ms = new JsonArray();
         for (StandInCallers.Kind k : kinds)
             ms.add(
@@ -105,7 +105,7 @@
         JsonArray ts = new JsonArray();
         for (StandInCallers.Tenant t : tenants) {
             JsonArray keys = new JsonArray();
-            if (!w.without.contains(t.name())) keys.add("sha256:" + Policy.hashOf(t.key()));
+            if (!w.without.contains(t.name())) keys.add("sha256:" + Configuration.hashOf(t.key()));
             ts.add(Json.object().add("name", t.name()).add("keys", keys).add("weight", t.size())
                 .add("isolated", t.name().equals(isolated) || w.walled.contains(t.name()))
                 .add("shares", Json.array().add((JsonValue) Json.object().add("name", "first").add("weight", 3)
--- a/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
@@ -62,7 +62,7 @@
         platform = new StandInPlatform(vertx, bind(100), ip(100));
         wires.carry(platform.address(), platform.bound(), "platform");
         for (int i = 1; i <= d.replicas(); i++) addReplica(StandInReplica.Kind.MODEL, d.service(), "replica-" + i,
-            20 + i, d.domain(i), seed * 1000 + i);
+            20 + i, d.zone(i), seed * 1000 + i);
         addReplica(StandInReplica.Kind.STORE, "prefix-store", "store", 60, "zone-a", seed * 1000 + 900);
         addReplica(StandInReplica.Kind.APPLICATION, "application", "application-1", 61, "zone-b",
             seed * 1000 + 901);
@@ -103,7 +103,7 @@
     }
 
     public StandInReplica addReplica(StandInReplica.Kind kind, String service, String instance, int host,
-        String domain, long seed) throws Exception {
+        String zone, long seed) throws Exception {
         int slots = kind == StandInReplica.Kind.APPLICATION ? 64 : 6;
         StandInReplica r = new StandInReplica(vertx, ledger, kind, service, instance, bind(host),
             kind == StandInReplica.Kind.MODEL ? "w1" : "", seed, slots,
@@ -113,7 +113,7 @@
         r.advertised = ip(host) + ":" + r.port;
         wires.carry(r.advertised, bind(host) + ":" + r.port, instance);
         replicas.put(instance, r);
-        platform.list(service, instance, r.address(), domain, true);
+        platform.list(service, instance, r.address(), zone, true);
         return r;
     }
 
@@ -137,7 +137,7 @@
         for (int i = 0; i < 3; i++) {
             String c = controls.get(i);
             Path f = settings(c,
-                Json.object().add("name", c).add("domain", deployment.domain(i)).add("records", records.get(c))
+                Json.object().add("name", c).add("domain", deployment.zone(i)).add("records", records.get(c))
                     .add("bind", bind(i + 1))
                     .add("operator", operator.get(c))
                     .add("platform", platform.address()).add("founders", founders).add("seeds", seeds)
@@ -151,7 +151,7 @@
             operator.put(n, door(3 + i, edge(i)));
             records.put(n, door(3 + i, edge(i)));
             indexes.add(records.get(n));
-            Path f = settings(n, Json.object().add("name", n).add("domain", deployment.domain(i))
+            Path f = settings(n, Json.object().add("name", n).add("domain", deployment.zone(i))
                 .add("records", records.get(n)).add("bind", bind(3 + i)).add("operator", operator.get(n))
                 .add("seeds", seeds));
             children.put(n, new Child(n, "gladelug.data.DataPlane", List.of("index", "--settings", f.toString()),
@@ -163,7 +163,7 @@
             records.put(n, door(3 + i, edge(i)));
             String c = door(3 + i, edge(i));
             callers.add(c);
-            JsonObject o = Json.object().add("name", n).add("domain", deployment.domain(i))
+            JsonObject o = Json.object().add("name", n).add("domain", deployment.zone(i))
                 .add("records", records.get(n)).add("bind", bind(3 + i)).add("operator", operator.get(n))
                 .add("callers", c)
                 .add("seeds", seeds).add("choice", choice).add("division", division);
@@ -207,7 +207,7 @@
         return f;
     }
 
-    /** Founds the core, starts every process, sends the first policy and weights, waits until every relay is ready. */
+    /** Founds the core, starts every process, sends the first configuration and weights, waits for ready relays. */
     public void start() throws Exception {
         for (int i = 1; i <= 3; i++) {
             String c = "control-" + i;
@@ -221,7 +221,7 @@
         until("a majority of control machines ready", 60_000,
             () -> ready("control-1") && ready("control-2") && ready("control-3"));
         until("the first policy taken", 30_000, () -> {
-            Answer a = policy(List.of(), "*");
+            Answer a = configuration(List.of(), "*");
             return a.status == 200;
         });
         until("weights named", 30_000, () -> weights("w1").status == 200);
@@ -229,13 +229,14 @@
             () -> children.keySet().stream().filter(n -> n.startsWith("relay")).allMatch(this::ready));
     }
 
-    public Answer policy(List<String> without, String match) {
-        return call("POST", "/v1/policy", deployment.policy(++marker, without).toString(), Map.of("If-Match", match));
+    public Answer configuration(List<String> without, String match) {
+        return call("POST", "/v1/policy", deployment.configuration(++marker, without).toString(),
+            Map.of("If-Match", match));
     }
 
-    /** A policy given whole; the door is whichever control machine answers first. */
-    public Answer send(JsonObject policy, String match) {
-        return call("POST", "/v1/policy", policy.toString(), Map.of("If-Match", match));
+    /** A configuration given whole; the door is whichever control machine answers first. */
+    public Answer send(JsonObject configuration, String match) {
+        return call("POST", "/v1/policy", configuration.toString(), Map.of("If-Match", match));
     }
 
     public int nextMarker() {
--- a/rehearsal/src/main/java/gladelug/rehearsal/Ledger.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Ledger.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 public final class Ledger {
-    /** One time a replica got an order. */
+    /** One time a replica got a request. */
     public static final class Run {
         public final String tag;
         public final String order;
@@ -25,7 +25,7 @@
         public volatile boolean ran;
         public volatile int pieces;
         public volatile boolean ended;
-        /** Its circuit was closed before its end. */
+        /** Its connection was closed before its end. */
         public volatile boolean left;
         public int blocks;
         public int reused;
--- a/rehearsal/src/main/java/gladelug/rehearsal/Promises.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Promises.java
@@ -1,6 +1,6 @@
 /*
  * The promises with a time in them, judged from what operators and the platform were told and when
- * replicas got what. A told thing has a key ("mapping ask", "tenant t", "wall t", "weights",
+ * replicas got what. A told thing has a key ("route ask", "tenant t", "wall t", "weights",
  * "replica r", "allowed r") and a meaning; a run may act on the last meaning whose acknowledgement is older than
  * the promise's grace, and on any told since. The simulator judges with no grace at all.
  */
@@ -12,15 +12,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Promises {
     /** A change: what it meant, when it went out, when it was acknowledged (or -1). */
     public record Told(String key, String meaning, long sent, long acked) {}
 
     /** How long after the acknowledgement the old may still be seen; slack for what may overtake on the way. */
-    public record Graces(long policy, long key, long weights, long replica, long slack) {}
+    public record Graces(long configuration, long key, long weights, long replica, long slack) {}
 
     public static final Graces BRIEF = new Graces(2000, 5000, 25_000, 3000, 1000);
     /** A change of unknown fate may yet be taken this long after it was sent. */
@@ -82,11 +80,11 @@
             }
             for (Ledger.Run r : rs) {
                 String who = tag + " (" + r.order + ")";
-                if (!may("mapping " + c.kind, r.service, r.at, g.policy))
+                if (!may("mapping " + c.kind, r.service, r.at, g.configuration))
                     out.get("old-policy-after-2s").add(who + " ran at " + r.service);
-                if (!r.weights.isEmpty() && !may("wall " + c.tenant, r.wall, r.at, g.policy))
+                if (!r.weights.isEmpty() && !may("wall " + c.tenant, r.wall, r.at, g.configuration))
                     out.get("old-policy-after-2s").add(who + " behind the wall '" + r.wall + "'");
-                if (!may("allowed " + r.instance, "yes", r.at, g.policy))
+                if (!may("allowed " + r.instance, "yes", r.at, g.configuration))
                     out.get("old-policy-after-2s").add(who + " at " + r.instance + ", allowed no more");
                 if (!may("tenant " + c.tenant, "good", r.at, g.key)) out.get("revoked-key-after-5s").add(who);
                 if (!r.weights.isEmpty() && !may("weights", r.weights, r.at, g.weights))
@@ -101,7 +99,7 @@
         return out;
     }
 
-    /** Of one relay and mapping: no run under an earlier telling than that of a run clearly before it. */
+    /** Of one relay and route: no run under an earlier telling than that of a run clearly before it. */
     private List<String> back(List<Object[]> runs, long slack) {
         List<String> out = new ArrayList<>();
         runs.sort(Comparator.comparingLong(r -> (Long) r[0]));
@@ -120,76 +118,4 @@
         }
         return out;
     }
-
-    static final class Tests {
-        private static Promises promises() {
-            Promises p = new Promises();
-            p.told("mapping ask", "a", 0, 0);
-            p.told("mapping ask", "b", 10_000, 10_500);
-            p.told("weights", "w1", 0, 0);
-            p.told("weights", "w2", 10_000, 10_100);
-            p.told("tenant t", "good", 0, 0);
-            p.told("tenant t", "revoked", 10_000, 10_200);
-            p.told("wall u", "", 0, 0);
-            p.told("wall u", "u", 10_000, 10_500);
-            p.told("replica y", "ready", 0, 0);
-            p.told("replica y", "leaving", 10_000, 10_000);
-            p.told("allowed z", "yes", 0, 0);
-            p.told("allowed z", "no", 10_000, 10_500);
-            return p;
-        }
-
-        private static String broken(Promises p, Object... runs) {
-            Ledger l = new Ledger();
-            for (int i = 0; i < runs.length; i += 7) {
-                String tag = "t" + i;
-                l.calls.put(tag, new Ledger.Call(tag, (String) runs[i], (String) runs[i + 1], "r", false, 0));
-                l.run(new Ledger.Run(tag, "id", (String) runs[i + 2], (String) runs[i + 3], (String) runs[i + 4],
-                    (String) runs[i + 5], 1, (Integer) runs[i + 6]));
-            }
-            StringBuilder sb = new StringBuilder();
-            p.judge(l, BRIEF).forEach((k, v) -> sb.append(v.isEmpty() ? "" : k + " "));
-            return sb.toString().trim();
-        }
-
-        @Test void eachCatchesItsViolationAndPassesItsNearestInnocentNeighbour() {
-            Object[][] runs = {
-                // kind, tenant, service, instance, weights, wall, at, the rule it breaks
-                {"ask", "v", "a", "x", "", "", 12_400, ""},
-                {"ask", "v", "a", "x", "", "", 12_600, "old-policy-after-2s"},
-                {"ask", "v", "b", "x", "", "", 10_100, ""},
-                {"ask", "v", "b", "x", "", "", 9_000, "old-policy-after-2s slipped-back"},
-                {"k", "t", "m", "x", "w1", "", 15_100, ""},
-                {"k", "t", "m", "x", "w1", "", 15_300, "revoked-key-after-5s"},
-                {"k", "v", "m", "x", "w1", "", 35_000, ""},
-                {"k", "v", "m", "x", "w1", "", 35_200, "old-weights-after-25s"},
-                {"k", "u", "m", "x", "w1", "", 12_400, ""},
-                {"k", "u", "m", "x", "w1", "", 12_600, "old-policy-after-2s"},
-                {"k", "u", "m", "x", "w1", "u", 12_600, ""},
-                {"k", "u", "m", "x", "w1", "u", 9_900, "old-policy-after-2s"},
-                {"k", "v", "m", "z", "w2", "", 12_400, ""},
-                {"k", "v", "m", "z", "w2", "", 12_600, "old-policy-after-2s"},
-                {"k", "v", "m", "y", "w2", "", 12_900, ""},
-                {"k", "v", "m", "y", "w2", "", 13_100, "leaving-replica-after-3s"}};
-            for (Object[] o : runs)
-                Assertions.assertEquals(o[7], broken(promises(), o[0], o[1], o[2], o[3], o[4], o[5], o[6]),
-                    List.of(o).toString());
-        }
-
-        @Test void aRelayThatSlipsBackIsSeenAlsoWithinTheGrace() {
-            Assertions.assertEquals("slipped-back", broken(promises(),
-                "ask", "v", "b", "x", "", "", 10_100, "ask", "v", "a", "x", "", "", 11_200));
-            Assertions.assertEquals("", broken(promises(),
-                "ask", "v", "b", "x", "", "", 10_100, "ask", "v", "a", "x", "", "", 10_900), "overtaken on the way");
-        }
-
-        @Test void aChangeOfUnknownFateMayBeSeenAfterTheNextAcknowledgedOne() {
-            Promises p = promises();
-            p.told("mapping ask", "c", 20_000, -1);
-            p.told("mapping ask", "b", 28_500, 28_600);
-            Assertions.assertTrue(p.may("mapping ask", "c", 32_000, 2000));
-            p.told("mapping ask", "b", 40_000, 40_100);
-            Assertions.assertFalse(p.may("mapping ask", "c", 43_000, 2000));
-        }
-    }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -7,7 +7,7 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.WriterConfig;
 import gladelug.kernel.Program;
-import gladelug.rehearsal.sim.OrderSim;
+import gladelug.rehearsal.sim.RequestSim;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -24,8 +24,6 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class RehearseFleet {
     private static final String[] CHOICES = {"summary", "least-occupancy", "holder-always"};
@@ -84,10 +82,12 @@
         if (n.getString("command").equals("stand-ins")) {
             Fleet f = new Fleet(Deployment.small(14), Path.of(n.getString("out")).toAbsolutePath().resolve("stand-ins"),
                 1, "summary");
-            Path policy = f.dir.resolve("policy.json");
-            Files.writeString(policy, f.deployment.policy(0, List.of()).toString(WriterConfig.PRETTY_PRINT));
-            System.out.println("platform " + f.platform.address() + "\npolicy " + policy + "\nkey of tenant one: "
-                + f.deployment.tenants().get(0).key() + "\nends with this process");
+            Path configuration = f.dir.resolve("policy.json");
+            Files.writeString(configuration,
+                f.deployment.configuration(0, List.of()).toString(WriterConfig.PRETTY_PRINT));
+            System.out
+                .println("platform " + f.platform.address() + "\npolicy " + configuration + "\nkey of tenant one: "
+                    + f.deployment.tenants().get(0).key() + "\nends with this process");
             Thread.currentThread().join();
         }
         if (n.getString("command").equals("weights")) {
@@ -100,7 +100,7 @@
         }
         if (n.getString("command").equals("simulate")) {
             Logger.getLogger("").setLevel(Level.OFF);
-            OrderSim.Stories t = OrderSim.stories(n.getLong("from"), n.getInt("seeds"), n.getInt("threads"));
+            RequestSim.Stories t = RequestSim.stories(n.getLong("from"), n.getInt("seeds"), n.getInt("threads"));
             t.offenders.forEach(System.out::println);
             System.out.println(t + "\noffending seeds: " + t.offenders.size());
             System.exit(t.offenders.isEmpty() ? 0 : 1);
@@ -210,7 +210,7 @@
             }
     }
 
-    private static boolean run(Fleet f, int seconds, long seed, boolean kills, double rate) throws Exception {
+    static boolean run(Fleet f, int seconds, long seed, boolean kills, double rate) throws Exception {
         long t0 = System.nanoTime();
         f.start();
         System.out.printf(Locale.ROOT, "%s: fleet ready after %d ms%n", f.deployment.name(),
@@ -224,7 +224,7 @@
         List<Long> acks = new ArrayList<>();
         long begin = System.nanoTime();
         String[] plan = kills ? new String[]{"control", "index", "relay", "replica"} : new String[0];
-        int done = 0, policies = 0;
+        int done = 0, configurations = 0;
         Runnable mend = () -> {};
         while (true) {
             long at = (System.nanoTime() - begin) / 1_000_000;
@@ -233,9 +233,9 @@
                 mend.run();
                 mend = kill(f, plan[done++]);
             }
-            if (at / 3000 > policies) {
-                policies++;
-                Fleet.Answer a = f.policy(List.of(), "*");
+            if (at / 3000 > configurations) {
+                configurations++;
+                Fleet.Answer a = f.configuration(List.of(), "*");
                 if (a.status() == 200) acks.add(a.body().getLong("waitedMs", -1));
                 else System.out.println("policy answered " + a.status() + " " + a.body());
             }
@@ -353,10 +353,10 @@
             (k, v) -> System.out.printf(Locale.ROOT, "outcomes %-18s %s first piece ms median %.0f p95 %.0f%n", k, v,
                 at(first.getOrDefault(k, List.of()), 0.5), at(first.getOrDefault(k, List.of()), 0.95)));
         reasons.forEach((k, v) -> System.out.println("  " + v + " x " + k));
-        long orders = 0, tries = 0, blocks = 0, reused = 0, fetched = 0, computed = 0, wrong = 0;
+        long requests = 0, tries = 0, blocks = 0, reused = 0, fetched = 0, computed = 0, wrong = 0;
         Map<String, Integer> per = new TreeMap<>();
         for (List<Ledger.Run> rs : l.runs.values()) {
-            orders++;
+            requests++;
             tries += rs.size() - 1;
             for (Ledger.Run r : rs) {
                 if (!r.ran) continue;
@@ -368,8 +368,8 @@
                 if (r.blocks > 0) per.merge(r.instance, 1, Integer::sum);
             }
         }
-        System.out.printf(Locale.ROOT, "orders that reached a replica %d, second tries %d (%.2f%%)%n", orders, tries,
-            100.0 * tries / Math.max(1, orders));
+        System.out.printf(Locale.ROOT, "orders that reached a replica %d, second tries %d (%.2f%%)%n", requests, tries,
+            100.0 * tries / Math.max(1, requests));
         System.out.printf(Locale.ROOT,
             "prefix blocks %d: reused %.1f%%, fetched %.1f%%, computed %.1f%%; wrong fetch hints %d%n", blocks,
             100.0 * reused / Math.max(1, blocks), 100.0 * fetched / Math.max(1, blocks),
@@ -396,17 +396,4 @@
         }
         return clean;
     }
-
-    static final class Tests {
-        /** The real programs, kills included, for a short while: the same run an operator can make. */
-        @Test void aShortRunOfRealProcessesWithKillsIsClean() throws Exception {
-            Path out = Files.createTempDirectory("gladelug-rehearsal");
-            try (Fleet f = new Fleet(Deployment.safariNjia(), out, 7, "summary")) {
-                boolean clean = run(f, 20, 7, true, 0.5);
-                Assertions.assertTrue(clean, "see the judgements above; logs in " + out);
-                long complete = f.ledger.calls.values().stream().filter(c -> c.outcome.equals("complete")).count();
-                Assertions.assertTrue(complete > f.ledger.calls.size() / 2, complete + " of " + f.ledger.calls.size());
-            }
-        }
-    }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInCallers.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInCallers.java
@@ -1,5 +1,5 @@
 /*
- * Stand-ins for callers: orders of several kinds at given rates, each with a prompt that begins
+ * Stand-ins for callers: requests of several kinds at given rates, each with a prompt that begins
  * with a prefix shared by its kind and tenant and ends in a part and tag of its own; what comes
  * back is checked piece by piece against what only the right replica's right run could send.
  */
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInPlatform.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInPlatform.java
@@ -14,7 +14,7 @@
 import java.util.function.BiConsumer;
 
 public final class StandInPlatform {
-    private record Line(String service, String instance, String address, String domain, String state) {}
+    private record Line(String service, String instance, String address, String zone, String state) {}
 
     private final Map<String, Line> lines = new LinkedHashMap<>();
     private final HttpServer server;
@@ -53,12 +53,12 @@
         JsonArray a = new JsonArray();
         for (Line l : lines.values())
             a.add(new JsonObject().put("service", l.service).put("instance", l.instance).put("address", l.address)
-                .put("domain", l.domain).put("state", l.state));
+                .put("domain", l.zone).put("state", l.state));
         return new JsonObject().put("replicas", a);
     }
 
-    public synchronized void list(String service, String instance, String address, String domain, boolean ready) {
-        lines.put(instance, new Line(service, instance, address, domain, ready ? "ready" : "leaving"));
+    public synchronized void list(String service, String instance, String address, String zone, boolean ready) {
+        lines.put(instance, new Line(service, instance, address, zone, ready ? "ready" : "leaving"));
     }
 
     public synchronized void unlist(String instance) {
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInReplica.java
@@ -1,6 +1,6 @@
 /*
  * A stand-in for a model replica, a store or an application replica, speaking the back ends'
- * published HTTP protocol. It prefills one order at a time and decodes up to its slots, keeps
+ * published HTTP protocol. It prefills one request at a time and decodes up to its slots, keeps
  * prefix blocks in a bounded memory with least recently used going first, tells cache events with
  * sequence numbers, and writes all it does into the ledger. Its faults are set from outside.
  */
@@ -112,7 +112,7 @@
     private long commanderEpoch;
     private String commander = "";
     private boolean up;
-    public volatile int orders;
+    public volatile int requests;
 
     public StandInReplica(Vertx vertx, Ledger ledger, Kind kind, String service, String instance, String host,
         String weights, long seed,
@@ -195,7 +195,7 @@
         up = true;
     }
 
-    /** Dies: all circuits break at once. */
+    /** Dies: all connections break at once. */
     public void kill() {
         HttpServer server;
         synchronized (this) {
@@ -358,7 +358,7 @@
         return tag + "/" + piece + " ";
     }
 
-    // ---- orders
+    // ---- requests
 
     private synchronized void order(HttpServerRequest q, Buffer body) {
         if (!up) return;
@@ -367,7 +367,7 @@
         Ledger.Run run = new Ledger.Run(tag, in.getString("order"), service, instance, in.getString("weights"),
             in.getString("wall"), in.getInteger("try"), System.nanoTime() / 1_000_000);
         ledger.run(run);
-        orders++;
+        requests++;
         if (!instance.equals(in.getString("instance")) || !service.equals(in.getString("service"))) {
             notRun(q, in, "this is " + service + "/" + instance);
             return;
@@ -421,7 +421,7 @@
         if (!waiting.remove(j) && !j.run.ended) finish();
     }
 
-    /** A circuit that closed before its handlers were set tells nobody. */
+    /** A connection that closed before its handlers were set tells nobody. */
     private boolean left(Job j) {
         if (!j.out.closed()) return false;
         leave(j);
@@ -512,7 +512,7 @@
         finish();
     }
 
-    // ---- orders from its commander
+    // ---- requests from its commander
 
     private synchronized void steer(HttpServerRequest q, Buffer b) {
         JsonObject o = b.toJsonObject();
--- a/rehearsal/src/main/java/gladelug/rehearsal/Wires.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Wires.java
@@ -1,8 +1,8 @@
 /*
  * The rehearsal's own wires: every advertised address is listened on here, and bytes are carried on
  * to where the process really listens. Who calls is known by the IP number it calls from, so a
- * pair can be cut one way or both: bytes stop while circuits stay open, as a lost link does, and new ones hang; a
- * link can be slowed, or its circuits broken. Machines are named by their IP number's last parts.
+ * pair can be cut one way or both: bytes stop while connections stay open, as a lost link does, and new ones hang; a
+ * link can be slowed, or its connections broken. Machines are named by their IP number's last parts.
  */
 package gladelug.rehearsal;
 
@@ -17,8 +17,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public final class Wires {
     /** Whoever calls from an IP number that is no machine's: callers, operators, the platform's own programs. */
@@ -82,8 +80,8 @@
         slow.put(b + ">" + a, ms);
     }
 
-    /** All circuits between two end at once, as when a machine between them is restarted. */
-    public void breakCircuits(String a, String b) {
+    /** All connections between two end at once, as when a machine between them is restarted. */
+    public void breakConnections(String a, String b) {
         for (Link l : links) if (l.is(a, b) || l.is(b, a)) l.close();
     }
 
@@ -93,7 +91,7 @@
         links.forEach(Link::look);
     }
 
-    /** One circuit through the wires. */
+    /** One connection through the wires. */
     private final class Link {
         private final String caller;
         private final String callee;
@@ -157,41 +155,4 @@
             if (far != null) far.close();
         }
     }
-
-    static final class Tests {
-        @Test void aCutStopsBytesOneWayAndCircuitsStayOpen() throws Exception {
-            Vertx v = Vertx.vertx();
-            try {
-                Wires w = new Wires(v);
-                w.machine("127.19.1.1", "a");
-                StringBuffer came = new StringBuffer(), answered = new StringBuffer();
-                int port = v.createNetServer().connectHandler(s -> s.handler(b -> {
-                    came.append(b);
-                    s.write(b);
-                })).listen(0, "127.19.1.2").toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
-                    .actualPort();
-                w.carry("127.19.0.2:" + port, "127.19.1.2:" + port, "b");
-                NetSocket s = v.createNetClient(new NetClientOptions().setLocalAddress("127.19.1.1"))
-                    .connect(port, "127.19.0.2").toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-                s.handler(answered::append);
-                boolean[] closed = {false};
-                s.closeHandler(x -> closed[0] = true);
-                s.write("1");
-                Fleet.until("an answer", 10_000, () -> answered.toString().equals("1"));
-                w.cutOneWay("b", "a");
-                s.write("2");
-                Fleet.until("it came", 10_000, () -> came.toString().equals("12"));
-                w.cutOneWay("a", "b");
-                s.write("3");
-                Assertions.assertEquals("1", answered.toString());
-                w.mend();
-                Fleet.until("all came after the mending", 10_000, () -> answered.toString().equals("123"));
-                Assertions.assertFalse(closed[0]);
-                w.breakCircuits("a", "b");
-                Fleet.until("it closed", 10_000, () -> closed[0]);
-            } finally {
-                v.close().toCompletionStage().toCompletableFuture().join();
-            }
-        }
-    }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/OrderRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
@@ -1,6 +1,6 @@
 /*
- * A whole relay in the simulated world: the product's news, stages, backlog, budget and hand-over
- * over simulated circuits, with its callers. It can be killed, paused, and run on a clock that drifts. What
+ * A whole relay in the simulated world: the product's news, stages, queue, budget and hand-over
+ * over simulated connections, with its callers. It can be killed, paused, and run on a clock that drifts. What
  * its callers see goes into the ledger.
  */
 package gladelug.rehearsal.sim;
@@ -9,16 +9,16 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.HeldNews;
 import gladelug.data.news.NewsBook;
-import gladelug.data.order.Decisions;
-import gladelug.data.order.Order;
-import gladelug.data.order.Verdict;
-import gladelug.data.order.Way;
+import gladelug.data.request.Decisions;
+import gladelug.data.request.Request;
+import gladelug.data.request.Verdict;
+import gladelug.data.request.Way;
 import gladelug.data.relay.Backends;
 import gladelug.data.relay.Relay;
 import gladelug.data.relay.Stages;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
-import gladelug.kernel.policy.Policy;
+import gladelug.kernel.configuration.Configuration;
 import gladelug.rehearsal.Ledger;
 import gladelug.rehearsal.StandInReplica;
 import io.smallrye.mutiny.Uni;
@@ -29,9 +29,9 @@
 import java.util.Map;
 import java.util.Set;
 
-final class OrderRelay {
+final class RequestRelay {
     private static final long LATE = 1700;
-    private final OrderSim sim;
+    private final RequestSim sim;
     final String name;
     int life;
     boolean up;
@@ -43,13 +43,13 @@
     private Relay relay;
     private Decisions decisions;
     private Way way;
-    private SimCircuits circuits;
-    private final Map<Order, Ledger.Call> calls = new HashMap<>();
+    private SimConnections connections;
+    private final Map<Request, Ledger.Call> calls = new HashMap<>();
     private final Set<Ledger.Call> open = new LinkedHashSet<>();
     int restarts;
     long complete;
 
-    OrderRelay(OrderSim sim, String name) {
+    RequestRelay(RequestSim sim, String name) {
         this.sim = sim;
         this.name = name;
     }
@@ -76,12 +76,12 @@
         int l = ++life;
         news = new HeldNews(this::now, new Shuffle.Descriptor(name, "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0), l,
             t -> relay.tables(t));
-        circuits = new SimCircuits(sim, this);
+        connections = new SimConnections(sim, this);
         decisions = new Decisions(512, name, l);
-        relay = new Relay(this::now, news, x -> new Backends(this::now, (r, told) -> sim.occupancy(this, r, told),
+        relay = new Relay(this::now, news, x -> new Backends(this::now, (r, told) -> sim.load(this, r, told),
             x::pump), "z", 64, () -> sim.fronts.size(), false);
         way = relay.way(blocks -> Uni.createFrom().emitter(e -> sim.lookup(this, blocks, e::complete)),
-            Stages.Mode.SUMMARY, circuits);
+            Stages.Mode.SUMMARY, connections);
         every(l, 50, () -> relay.tick());
         every(l, Backends.PERIOD, () -> relay.backends.askAll());
         every(l, 400, this::ask);
@@ -98,7 +98,7 @@
         for (String c : sim.controlNames()) sim.ask(name, c, a);
     }
 
-    /** On the order thread of this life, or when its pause is over. */
+    /** On the request thread of this life, or when its pause is over. */
     void run(int l, Runnable r) {
         if (!up || l != life) return;
         if (paused) held.add(r);
@@ -116,7 +116,7 @@
         up = false;
         life++;
         restarts++;
-        circuits.die();
+        connections.die();
         for (Ledger.Call c : new ArrayList<>(open)) end(c, "broken");
         calls.clear();
     }
@@ -129,7 +129,7 @@
     }
 
     void broke(SimReplica r) {
-        if (up) circuits.broke(r);
+        if (up) connections.broke(r);
     }
 
     /** Who the relay's list says is at an address. */
@@ -148,7 +148,7 @@
         c.done = sim.now();
     }
 
-    /** A caller sends an order, and perhaps goes away before its end. */
+    /** A caller sends a request, and perhaps goes away before its end. */
     void send(String kind, String path, String tenant, boolean repeatable, String prompt, String tag) {
         Ledger.Call c = new Ledger.Call(tag, kind, tenant, name, repeatable, sim.now());
         sim.ledger.calls.put(tag, c);
@@ -158,7 +158,8 @@
         }
         open.add(c);
         run(life, () -> {
-            Order o = new Order(decisions.begin(now()), now(), Policy.hashOf("key-of-" + tenant), path, new Side());
+            Request o = new Request(decisions.begin(now()), now(), Configuration.hashOf("key-of-" + tenant), path,
+                new Side());
             o.prompt = prompt + "#" + tag;
             o.maxPieces = 16;
             c.order = o.id();
@@ -173,7 +174,7 @@
         if (id.contains(String.format(".%04x.", life & 0xffff))) run(life, r);
     }
 
-    private void gone(Order o) {
+    private void gone(Request o) {
         Ledger.Call c = calls.remove(o);
         if (c == null) return;
         end(c, "gone");
@@ -181,20 +182,20 @@
     }
 
     /** What a caller is told, checked as a caller would. */
-    private final class Side implements Order.Caller {
-        @Override public void turnAway(Order o, Verdict.TurnAway v) {
+    private final class Side implements Request.Caller {
+        @Override public void refuse(Request o, Verdict.Refuse v) {
             Ledger.Call c = calls.remove(o);
             if (c == null) return;
             c.status = v.status();
             c.reason = v.reason();
             if (c.pieces > 0) sim.violation(o.id() + " was turned away after pieces went out");
             if (v.status() >= 500 && v.retryMs() <= 0) sim.violation(o.id() + " is not told when to come back");
-            if (o.expiry > 0 && now() > Math.max(o.expiry, woke) + LATE)
-                sim.violation(o.id() + " was answered " + (now() - o.expiry) + " ms after its expiry");
+            if (o.deadline > 0 && now() > Math.max(o.deadline, woke) + LATE)
+                sim.violation(o.id() + " was answered " + (now() - o.deadline) + " ms after its expiry");
             end(c, v.outcome());
         }
 
-        @Override public boolean piece(Order o, String json, Runnable ready) {
+        @Override public boolean piece(Request o, String json, Runnable ready) {
             Ledger.Call c = calls.get(o);
             if (c == null) return true;
             JsonObject j = Json.parse(json).asObject();
@@ -205,7 +206,7 @@
             return true;
         }
 
-        @Override public void complete(Order o, int pieces) {
+        @Override public void complete(Request o, int pieces) {
             Ledger.Call c = calls.remove(o);
             if (c == null) return;
             c.status = 200;
@@ -215,7 +216,7 @@
             end(c, "complete");
         }
 
-        @Override public void cutOff(Order o, String why) {
+        @Override public void cutOff(Request o, String why) {
             Ledger.Call c = calls.remove(o);
             if (c == null) return;
             c.status = 200;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/OrderSim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
@@ -1,9 +1,9 @@
 /*
- * The simulated world with orders in it: the core's machines, platform, policies, weights and
+ * The simulated world with requests in it: the core's machines, platform, configurations, weights and
  * commanders of Sim, and whole relays, an index and replicas around them, all the product's own
  * code but for links, disks and clocks. Each promise is judged in its strict form: from the instant
  * of the acknowledgement nothing leaves for a replica under what was before. A window that chance
- * seldom meets is held open by name: something happens between two steps of one order.
+ * seldom meets is held open by name: something happens between two steps of one request.
  */
 package gladelug.rehearsal.sim;
 
@@ -25,9 +25,9 @@
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
-import gladelug.kernel.policy.Policy;
-import gladelug.kernel.policy.Replicas;
-import gladelug.kernel.policy.Weights;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas;
+import gladelug.kernel.configuration.Weights;
 import gladelug.rehearsal.Judge;
 import gladelug.rehearsal.Ledger;
 import gladelug.rehearsal.Promises;
@@ -45,21 +45,16 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.logging.Level;
-import java.util.logging.Logger;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
-
-public final class OrderSim extends Sim {
-    /** Where an order is: asking the index, opening a circuit, on the wire to its replica, between pieces. */
+
+public final class RequestSim extends Sim {
+    /** Where a request is: asking the index, opening a connection, on the wire to its replica, between pieces. */
     enum Point {
         LOOKUP, OPEN, HANDED, STREAM
     }
 
     /** What may happen there. */
     enum Happening {
-        POLICY_MOVES, KEY_REVOKED, WALL_RAISED, REPLICA_LEAVES, WEIGHTS_NAMED, OWNER_DIES, REPLICA_CRASHES,
+        CONFIGURATION_MOVES, KEY_REVOKED, WALL_RAISED, REPLICA_LEAVES, WEIGHTS_NAMED, OWNER_DIES, REPLICA_CRASHES,
         REPLICA_VANISHES, RELAY_CUT_FROM_CORE, ADDRESS_REUSED
     }
 
@@ -70,13 +65,13 @@
     final Ledger ledger = new Ledger();
     final Promises promises = new Promises();
     final Map<String, SimReplica> replicas = new LinkedHashMap<>();
-    private final Map<String, SimReplica> byAddress = new HashMap<>();
-    final Map<String, OrderRelay> fronts = new LinkedHashMap<>();
+    final Map<String, SimReplica> byAddress = new HashMap<>();
+    final Map<String, RequestRelay> fronts = new LinkedHashMap<>();
     private final Map<String, String> listed = new LinkedHashMap<>();
     private final Map<String, Steering> steering = new HashMap<>();
-    private final Map<String, Policy> divided = new HashMap<>();
+    private final Map<String, Configuration> divided = new HashMap<>();
     private boolean platformSilent;
-    /** Rules switched off, to see that what they prevent is found: the check of circuits, and who may command. */
+    /** Rules switched off, to see that what they prevent is found: the check of connections, and who may command. */
     boolean unchecked;
     boolean anybodyCommands;
     // what the operator means at present
@@ -90,7 +85,7 @@
     // the window that is to be held open
     Happening happening;
     Point point;
-    private String heldOrder;
+    private String heldRequest;
     private long armedAt = Long.MAX_VALUE;
     long met = -1;
     // the index, a data-plane process of its own
@@ -101,9 +96,9 @@
     private int sent;
     double perSecond = 40;
 
-    OrderSim(long seed) {
+    RequestSim(long seed) {
         super(seed, 0);
-        for (int i = 1; i <= 3; i++) fronts.put("r" + i, new OrderRelay(this, "r" + i));
+        for (int i = 1; i <= 3; i++) fronts.put("r" + i, new RequestRelay(this, "r" + i));
         replica("m", "m1", "10.1.0.1", true);
         replica("m", "m2", "10.1.0.2", true);
         replica("m", "m3", "10.1.0.3", true);
@@ -114,10 +109,10 @@
         indexNews = new HeldNews(this::now,
             new Shuffle.Descriptor("index", "index", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
             1, t -> summary.holders(t, now()));
-        for (OrderRelay r : fronts.values()) r.start();
+        for (RequestRelay r : fronts.values()) r.start();
         after(100, this::index);
         run(2500);
-        operator(Keys.POLICY, policy(), x -> {});
+        operator(Keys.CONFIGURATION, configuration(), x -> {});
         run(500);
         nameWeights();
         run(1500);
@@ -172,7 +167,7 @@
         }
         Steering s = steering.computeIfAbsent(c.name, n -> new Steering(CUTOFF));
         s.view(new Steering.Kept(c.node.kept(Keys.REPLICAS).getValue(), c.node.kept(Keys.WEIGHTS).getValue(),
-            c.node.kept(Keys.POLICY).getValue(), c.node.knownAge(Keys.WEIGHTS)));
+            c.node.kept(Keys.CONFIGURATION).getValue(), c.node.knownAge(Keys.WEIGHTS)));
         for (Replicas.Replica r : s.steerable()) {
             String key = Keys.COMMANDER + r.instance();
             c.node.know(key);
@@ -194,20 +189,24 @@
 
     @Override CoreNode.Duties duties() {
         return new CoreNode.Duties() {
-            @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> rs, byte[] policy) {
-                return Division.divide(epoch, rs, divided.computeIfAbsent(new String(policy, StandardCharsets.UTF_8),
-                    s -> Policy.parse(s) instanceof Result.Good<Policy> g ? g.value() : Policy.EMPTY));
+            @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> rs,
+                byte[] configuration) {
+                return Division.divide(epoch, rs,
+                    divided.computeIfAbsent(new String(configuration, StandardCharsets.UTF_8),
+                        s -> Configuration.parse(s) instanceof Result.Good<Configuration> g
+                            ? g.value()
+                            : Configuration.EMPTY));
             }
         };
     }
 
     // ---- operators
 
-    String policy() {
+    String configuration() {
         JsonArray ts = new JsonArray();
         for (String t : TENANTS) {
             JsonArray ks = new JsonArray();
-            if (!revoked.contains(t)) ks.add("sha256:" + Policy.hashOf("key-of-" + t));
+            if (!revoked.contains(t)) ks.add("sha256:" + Configuration.hashOf("key-of-" + t));
             ts.add(Json.object().add("name", t).add("keys", ks).add("weight", t.length()).add("isolated",
                 walls.contains(t)));
         }
@@ -236,7 +235,7 @@
             return;
         }
         Map<String, String> means = new TreeMap<>();
-        if (key.equals(Keys.POLICY)) {
+        if (key.equals(Keys.CONFIGURATION)) {
             means.put("mapping ask", "m");
             means.put("mapping stop", application);
             means.put("mapping again", again);
@@ -266,12 +265,12 @@
     }
 
     /**
-     * Sends a policy that was changed somehow; if it was not taken, the operator's wish stays and goes out with the
-     * next.
+     * Sends a configuration that was changed somehow; if it was not taken, the operator's wish stays and goes out
+     * with the next.
      */
     private void change(Runnable how, Consumer<Boolean> done) {
         how.run();
-        operator(Keys.POLICY, policy(), done);
+        operator(Keys.CONFIGURATION, configuration(), done);
     }
 
     private void nameWeights() {
@@ -302,7 +301,7 @@
             String t = TENANTS[random.nextInt(TENANTS.length)];
             String tag = kind + "-" + t + "-" + sent++;
             String prompt = ("Told of " + kind + " to all and at length " + random.nextInt(3)).repeat(3) + tag;
-            List<OrderRelay> rs = new ArrayList<>(fronts.values());
+            List<RequestRelay> rs = new ArrayList<>(fronts.values());
             rs.get(random.nextInt(rs.size())).send(kind, "/" + kind, t, kind.equals("again"), prompt, tag);
             callers(kind);
         });
@@ -310,27 +309,27 @@
 
     // ---- what relays ask
 
-    void occupancy(OrderRelay by, Replicas.Replica r, Consumer<io.vertx.core.json.JsonObject> told) {
+    void load(RequestRelay by, Replicas.Replica r, Consumer<io.vertx.core.json.JsonObject> told) {
         int l = by.life;
         SimReplica x = at(r.address().toString());
         if (x == null || !x.answers()) after(x == null || !x.up ? 3 : 1000, () -> by.run(l, () -> told.accept(null)));
         else carry(by.name, x.instance, () -> {
             if (x.answers()) {
-                io.vertx.core.json.JsonObject o = x.occupancy();
+                io.vertx.core.json.JsonObject o = x.load();
                 carry(x.instance, by.name, () -> by.run(l, () -> told.accept(o)));
             }
         });
     }
 
-    void lookup(OrderRelay by, long[] blocks, Consumer<Lookups.Found> found) {
+    void lookup(RequestRelay by, long[] blocks, Consumer<Lookups.Found> found) {
         int l = by.life;
         Lookup.Answer a = summary.answer(new Lookup.Question(1, blocks));
         passes(Point.LOOKUP, by.name, () -> after(random.nextInt(8), () -> by.run(l,
             () -> found.accept(new Lookups.Found(a.warm() ? "answered" : "warming", a.matches())))));
     }
 
-    /** The strict moment of every promise: the order leaves for its replica. */
-    void handed(OrderRelay by, String json) {
+    /** The strict moment of every promise: the request leaves for its replica. */
+    void handed(RequestRelay by, String json) {
         JsonObject o = Json.parse(json).asObject();
         if (by.paused) violation(by.name + " handed " + o.getString("order", "") + " over while paused");
     }
@@ -399,7 +398,7 @@
 
     // ---- windows held open
 
-    /** From now on, the first order that passes the point is held there until the happening has been acknowledged. */
+    /** From now on, the first request that passes the point is held there until the happening has been acknowledged. */
     void arm(Happening h, Point p) {
         happening = h;
         point = p;
@@ -407,7 +406,7 @@
         met = -1;
     }
 
-    /** An order passes a point: it goes on at once, or is held there. */
+    /** A request passes a point: it goes on at once, or is held there. */
     void passes(Point p, String who, Runnable goOn) {
         if (p != point || met >= 0 || now() < armedAt) {
             goOn.run();
@@ -434,12 +433,12 @@
 
     void crash(SimReplica r) {
         r.crash();
-        for (OrderRelay f : fronts.values()) f.broke(r);
+        for (RequestRelay f : fronts.values()) f.broke(r);
     }
 
     void happen(Happening h, Consumer<Boolean> then) {
         switch (h) {
-            case POLICY_MOVES -> change(() -> {
+            case CONFIGURATION_MOVES -> change(() -> {
                 application = application.equals("app") ? "app-two" : "app";
                 again = again.equals("m") ? "n" : "m";
                 narrow = random.nextBoolean();
@@ -458,7 +457,7 @@
             case WEIGHTS_NAMED -> nameWeights(then);
             case OWNER_DIES -> {
                 for (SimControl c : controls.values())
-                    if (c.up && c.node.settled() && c.node.owns(Keys.POLICY)) c.power();
+                    if (c.up && c.node.settled() && c.node.owns(Keys.CONFIGURATION)) c.power();
                 change(() -> application = application.equals("app") ? "app-two" : "app", then);
             }
             case REPLICA_CRASHES -> {
@@ -499,7 +498,7 @@
                 if (c.paused) c.wake();
             }
         }
-        for (OrderRelay r : fronts.values()) {
+        for (RequestRelay r : fronts.values()) {
             if (!r.up) r.start();
             if (r.paused) r.wake();
         }
@@ -551,13 +550,13 @@
     }
 
     /** A story: a window held open, then whatever the seed brings, then all is well and everything is judged. */
-    static OrderSim story(long seed, int steps) {
-        OrderSim s = new OrderSim(seed);
+    static RequestSim story(long seed, int steps) {
+        RequestSim s = new RequestSim(seed);
         Happening[] hs = Happening.values();
         Point[] ps = Point.values();
         s.arm(hs[(int) (seed % hs.length)], ps[(int) (seed / hs.length % ps.length)]);
         for (SimControl c : s.controls.values()) c.rate(1 + (s.random.nextDouble() - 0.5) * 0.01);
-        for (OrderRelay r : s.fronts.values()) r.drift(1 + (s.random.nextDouble() - 0.5) * 0.01);
+        for (RequestRelay r : s.fronts.values()) r.drift(1 + (s.random.nextDouble() - 0.5) * 0.01);
         s.run(3500);
         s.mend();
         s.run(1500);
@@ -583,12 +582,13 @@
     public static final class Stories {
         public final List<String> offenders = Collections.synchronizedList(new ArrayList<>());
         final Map<String, Integer> met = new ConcurrentSkipListMap<>();
-        final AtomicLong orders = new AtomicLong();
+        final AtomicLong requests = new AtomicLong();
         final AtomicLong complete = new AtomicLong();
         final AtomicLong second = new AtomicLong();
 
         @Override public String toString() {
-            return "orders " + orders + ", complete " + complete + ", second tries " + second + ", windows met " + met;
+            return "orders " + requests + ", complete " + complete + ", second tries " + second + ", windows met "
+                + met;
         }
     }
 
@@ -615,7 +615,7 @@
     }
 
     private static void play(long seed, Stories t) {
-        OrderSim s;
+        RequestSim s;
         try {
             s = story(seed, 8);
         } catch (RuntimeException e) {
@@ -628,7 +628,7 @@
                 + String.join("\n", Arrays.asList(l).subList(Math.max(0, l.length - 30), l.length)));
         }
         if (s.met >= 0) t.met.merge(s.happening + "@" + s.point, 1, Integer::sum);
-        t.orders.addAndGet(s.ledger.calls.size());
+        t.requests.addAndGet(s.ledger.calls.size());
         t.complete.addAndGet(s.complete());
         for (List<Ledger.Run> rs : s.ledger.runs.values()) t.second.addAndGet(rs.size() - 1);
     }
@@ -636,7 +636,7 @@
     private void step() {
         List<String> cs = controlNames();
         SimControl c = controls.get(cs.get(random.nextInt(cs.size())));
-        OrderRelay f = fronts.get("r" + (1 + random.nextInt(fronts.size())));
+        RequestRelay f = fronts.get("r" + (1 + random.nextInt(fronts.size())));
         SimReplica r = someModel();
         switch (random.nextInt(18)) {
             case 0 -> c.power();
@@ -672,82 +672,4 @@
             }
         }
     }
-
-    static final class Tests {
-        private static final int SEEDS = Integer.getInteger("gladelug.seeds", 80);
-
-        private static String found(OrderSim s, long ms) {
-            s.run(ms);
-            s.judge();
-            return s.violations.toString();
-        }
-
-        private static void catches(String what, Function<Boolean, String> broken) {
-            String with = broken.apply(false), without = broken.apply(true);
-            Assertions.assertFalse(with.contains(what), "with the rule on: " + with);
-            Assertions.assertTrue(without.contains(what), "with the rule off nothing was found: " + without);
-        }
-
-        @Test void aRuleSwitchedOffIsFound() {
-            Logger.getLogger("").setLevel(Level.OFF);
-            // circuits that aren't asked who is there, and an address given to another service's replica
-            catches("old-policy", off -> {
-                OrderSim s = new OrderSim(1);
-                s.unchecked = off;
-                s.run(1000);
-                for (int i = 0; i < 20; i++) {
-                    // for the moment before a replica's own report shows it too
-                    for (SimReplica m : s.replicas.values())
-                        s.byAddress.put(m.address.toString(),
-                            new SimReplica(s, "ghost", m.instance, m.address, true, "w1"));
-                    s.run(100);
-                    for (SimReplica m : s.replicas.values()) s.byAddress.put(m.address.toString(), m);
-                    s.run(300);
-                }
-                return found(s, 300);
-            });
-            // a licence that doesn't run out: the relay's clock stands nearly still, or drifts by what is allowed for
-            catches("old-policy", off -> {
-                OrderSim s = new OrderSim(2);
-                s.run(500);
-                for (OrderRelay r : s.fronts.values()) r.drift(off ? 0.05 : 0.995);
-                s.happen(Happening.RELAY_CUT_FROM_CORE, x -> {});
-                return found(s, 6000);
-            });
-            // a cutoff later than the promise, with replicas that take no orders from their commander
-            catches("old-weights", off -> {
-                OrderSim s = new OrderSim(3);
-                s.cutoff = off ? 40_000 : 15_000;
-                for (SimControl c : s.controls.values()) {
-                    c.kill();
-                    c.start();
-                }
-                s.run(4000);
-                for (SimReplica r : s.replicas.values()) r.deaf = true;
-                s.happen(Happening.WEIGHTS_NAMED, x -> {});
-                return found(s, 25_000);
-            });
-            // every core machine steers, whoever owns the key
-            catches("had to refuse", off -> {
-                OrderSim s = new OrderSim(4);
-                s.anybodyCommands = off;
-                for (int i = 0; i < 4; i++) {
-                    s.happen(Happening.WEIGHTS_NAMED, x -> {});
-                    s.run(2000);
-                }
-                return found(s, 2000);
-            });
-        }
-
-        @Test void whateverHappensBetweenTheStepsOfAnOrderTheRulesHold() {
-            Logger.getLogger("").setLevel(Level.OFF);
-            Stories t = stories(Long.getLong("gladelug.from", 0), SEEDS, 2);
-            System.out.println(t);
-            Assertions.assertEquals(List.of(), t.offenders);
-            Assertions.assertTrue(t.complete.get() > t.orders.get() / 2, t + " prove too little");
-            for (Happening h : Happening.values())
-                for (Point p : Point.values())
-                    Assertions.assertTrue(t.met.containsKey(h + "@" + p), h + "@" + p + " was never met");
-        }
-    }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -2,7 +2,7 @@
  * A seeded world of control machines and relays run by one queue of events: links lose, delay,
  * repeat and are cut one way or both; machines die, lose power, pause; disks tear, stall, fail and
  * are lost; monotonic clocks drift. While it runs it checks the rules that must never be broken,
- * the strict way: from the moment an operator was told "taken", no relay may start an order on a
+ * the strict way: from the moment an operator was told "taken", no relay may start a request on a
  * lower number, whatever happens.
  */
 package gladelug.rehearsal.sim;
@@ -28,8 +28,6 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 public class Sim {
     private record Event(long at, long nr, Runnable run) implements Comparable<Event> {
@@ -48,11 +46,11 @@
     final Map<String, SimRelay> relays = new LinkedHashMap<>();
     private final Map<String, Address> addresses = new LinkedHashMap<>();
     private final Set<String> cut = new HashSet<>();
-    /** How long after a naming orders may begin on old weights; read as a machine starts. */
+    /** How long after a naming requests may begin on old weights; read as a machine starts. */
     int cutoff = 15_000;
     public double loss;
     public double repeat;
-    private final List<String> story = new ArrayList<>();
+    final List<String> story = new ArrayList<>();
     public final List<String> violations = new ArrayList<>();
     public final List<Sent> sent = new ArrayList<>();
     private final Map<String, Long> acked = new HashMap<>();
@@ -178,7 +176,7 @@
         int life = c.life;
         carry(from, to, () -> {
             try {
-                // a circuit ends with the process at its end
+                // a connection ends with the process at its end
                 if (c.life == life) c.deliver(Wire.read(b, CoreMessage.Envelope::read));
             } catch (IOException e) {
                 violation("a record that can't be read back: " + m);
@@ -262,12 +260,12 @@
     }
 
     void started(SimRelay r, NewsBook b) {
-        for (String k : Keys.LICENSED) {
+        for (String k : Keys.LEASED) {
             long a = acked.getOrDefault(k, 0L);
             if (b.number(k) < a) violation(
                 r.name + " starts an order under " + k + " " + b.number(k) + " after " + a + " was acknowledged");
         }
-        for (String key : new String[]{Keys.POLICY, Keys.REPLICAS}) {
+        for (String key : new String[]{Keys.CONFIGURATION, Keys.REPLICAS}) {
             String owner = null;
             for (SimControl c : controls.values()) {
                 if (!c.up || c.paused || !c.node.settled() || !c.node.mayCommand(key)) continue;
@@ -289,7 +287,7 @@
         for (SimRelay r : relays.values())
             if (r.up && r.starts - before.get(r.name) < 100)
                 violation(r.name + " does not serve " + within + " ms after all was well");
-        for (String key : new String[]{Keys.POLICY, Keys.WEIGHTS, Keys.REPLICAS}) {
+        for (String key : new String[]{Keys.CONFIGURATION, Keys.WEIGHTS, Keys.REPLICAS}) {
             Map<Long, String> m = meaning.getOrDefault(key, Map.of());
             for (SimRelay r : relays.values())
                 if (r.up && acked.getOrDefault(key, 0L) > r.number(key))
@@ -356,104 +354,4 @@
         for (SimControl c : controls.values()) if (c.up && c.node.settled() && c.node.owns(key)) o = o + c.name;
         return o;
     }
-
-    static final class Tests {
-        /** Whatever a seed brings, at most one machine at a time, so a majority is mostly there. */
-        private static Sim chaos(long seed, int steps, boolean all) {
-            Sim s = new Sim(seed, 3);
-            Random r = new Random(seed * 7919);
-            s.loss = r.nextInt(3) * 0.03;
-            s.repeat = r.nextInt(2) * 0.05;
-            for (SimControl c : s.controls.values()) c.rate(1 + (r.nextDouble() - 0.5) * 0.01);
-            for (SimRelay x : s.relays.values()) x.rate = 1 + (r.nextDouble() - 0.5) * 0.01;
-            s.run(2000);
-            for (int i = 0; i < steps; i++) {
-                List<String> cs = s.controlNames();
-                String c = cs.get(r.nextInt(cs.size()));
-                SimControl x = s.controls.get(c);
-                switch (r.nextInt(22)) {
-                    case 0 -> x.kill();
-                    case 1 -> x.power();
-                    case 2 -> s.cutOff(c);
-                    case 3 -> s.cut(c, cs.get(r.nextInt(cs.size())));
-                    case 4 -> x.pause();
-                    case 5 -> x.medium.stalled = true;
-                    case 6 -> s.cutOff("r" + (1 + r.nextInt(3)));
-                    case 7 -> {
-                        SimRelay y = s.relays.get("r" + (1 + r.nextInt(3)));
-                        y.kill();
-                        y.start();
-                    }
-                    case 8 -> {
-                        if (all) for (SimControl y : s.controls.values()) y.power();
-                    }
-                    case 10 -> s.split(Set.of(c, "r" + (1 + r.nextInt(3))));
-                    case 11 -> {
-                        String d = cs.get(r.nextInt(cs.size()));
-                        s.split(new HashSet<>(List.of(c, d, "r" + (1 + r.nextInt(3)))));
-                    }
-                    case 12 -> {
-                        // a disk is lost only while the others hold everything
-                        if (s.whole()) {
-                            x.empty("disk-" + seed + "-" + i);
-                            x.start();
-                        }
-                    }
-                    case 13 -> {
-                        if (s.whole()) s.swap(c, "c" + (s.controls.size() + 1));
-                    }
-                    case 14, 15 -> {
-                        // power goes just after an acknowledgement, on one machine, two or all
-                        Sent x1 = s.send(c, Keys.POLICY, -1);
-                        for (int j = 0; j < 3000 && x1.answer[0] == null; j++) s.run(1);
-                        int most = 1 + r.nextInt(3);
-                        for (SimControl y : s.controls.values()) if (most-- > 0) y.power();
-                    }
-                    case 9 -> s.cut("r" + (1 + r.nextInt(3)), c);
-                    default -> {
-                        s.send(c, r.nextInt(3) == 0 ? Keys.REPLICAS : Keys.POLICY, -1);
-                        if (r.nextBoolean()) s.send(cs.get(r.nextInt(cs.size())), Keys.POLICY, -1);
-                    }
-                }
-                s.run(r.nextInt(1500));
-                if (r.nextInt(2) == 0) mend(s);
-                s.run(r.nextInt(800));
-            }
-            mend(s);
-            s.loss = 0;
-            s.settle(12_000);
-            if (!s.whole()) s.violation("the core is not whole: " + s.generation());
-            return s;
-        }
-
-        private static void check(long seed, Sim s) {
-            if (s.violations.isEmpty()) return;
-            List<String> l = s.story;
-            Assertions.fail("seed " + seed + ": " + s.violations.subList(0, Math.min(4, s.violations.size())) + "\n"
-                + String.join("\n", l.subList(Math.max(0, l.size() - 60), l.size())));
-        }
-
-        private static void mend(Sim s) {
-            s.healAll();
-            for (SimControl c : s.controls.values()) {
-                c.medium.stalled = false;
-                if (!c.up) c.start();
-                else {
-                    c.medium.go(s, c);
-                    if (c.paused) c.wake();
-                }
-            }
-        }
-
-        @Test void whateverTheSeedBringsTheRulesHold() {
-            int done = 0;
-            for (long seed = 1; seed <= 150; seed++) {
-                Sim s = chaos(seed, 40, true);
-                check(seed, s);
-                done += s.done();
-            }
-            Assertions.assertTrue(done > 1000,
-                "only " + done + " changes were acknowledged; the seeds prove too little");
-        }
-    }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimCircuits.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimConnections.java
@@ -6,8 +6,8 @@
 package gladelug.rehearsal.sim;
 
 import com.eclipsesource.json.Json;
-import gladelug.data.relay.Circuits;
-import gladelug.kernel.policy.Replicas.Replica;
+import gladelug.data.relay.ReplicaConnections;
+import gladelug.kernel.configuration.Replicas.Replica;
 import gladelug.rehearsal.StandInReplica;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -16,21 +16,21 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-final class SimCircuits implements Circuits {
+final class SimConnections implements ReplicaConnections {
     private static final long CONNECT = 500, ASKED = 1000;
-    private final OrderSim sim;
-    private final OrderRelay relay;
+    private final RequestSim sim;
+    private final RequestRelay relay;
     private final int life;
-    private final Map<String, List<Connection>> idle = new HashMap<>();
-    private final List<Connection> all = new ArrayList<>();
+    private final Map<String, List<Pooled>> idle = new HashMap<>();
+    private final List<Pooled> all = new ArrayList<>();
 
-    SimCircuits(OrderSim sim, OrderRelay relay) {
+    SimConnections(RequestSim sim, RequestRelay relay) {
         this.sim = sim;
         this.relay = relay;
         this.life = relay.life;
     }
 
-    private final class Connection {
+    private final class Pooled {
         final String address;
         final SimReplica end;
         final int endLife;
@@ -40,7 +40,7 @@
         final ArrayDeque<Runnable> there = new ArrayDeque<>();
         final ArrayDeque<Runnable> back = new ArrayDeque<>();
 
-        Connection(String address, SimReplica end) {
+        Pooled(String address, SimReplica end) {
             this.address = address;
             this.end = end;
             this.endLife = end.life;
@@ -68,7 +68,7 @@
 
     /** The other end's process died or the stream broke: all that was on its way to it is lost. */
     void broke(SimReplica end) {
-        for (Connection c : new ArrayList<>(all)) {
+        for (Pooled c : new ArrayList<>(all)) {
             if (c.end != end || c.endLife != end.life - 1) continue;
             all.remove(c);
             Line l = c.used;
@@ -79,19 +79,19 @@
         }
     }
 
-    @Override public void open(Replica to, Consumer<Circuit> opened, Consumer<String> problem) {
+    @Override public void open(Replica to, Consumer<Connection> opened, Consumer<String> failure) {
         String a = to.address().toString();
-        List<Connection> l = idle.computeIfAbsent(a, x -> new ArrayList<>());
-        l.removeIf(Connection::dead);
+        List<Pooled> l = idle.computeIfAbsent(a, x -> new ArrayList<>());
+        l.removeIf(Pooled::dead);
         SimReplica r = sim.at(a);
         if (!l.isEmpty()) {
-            Connection c = l.remove(l.size() - 1);
-            sim.passes(OrderSim.Point.OPEN, relay.name, () -> later(0, () -> opened.accept(new Line(c))));
+            Pooled c = l.remove(l.size() - 1);
+            sim.passes(RequestSim.Point.OPEN, relay.name, () -> later(0, () -> opened.accept(new Line(c))));
         } else if (r == null || r.vanished || sim.isCut(relay.name, r.instance) || sim.isCut(r.instance, relay.name))
-            later(CONNECT, () -> problem.accept("no answer"));
-        else if (!r.up) later(2, () -> problem.accept("refused"));
-        else sim.passes(OrderSim.Point.OPEN, relay.name, () -> later(1 + sim.random.nextInt(3), () -> {
-            Connection c = new Connection(a, r);
+            later(CONNECT, () -> failure.accept("no answer"));
+        else if (!r.up) later(2, () -> failure.accept("refused"));
+        else sim.passes(RequestSim.Point.OPEN, relay.name, () -> later(1 + sim.random.nextInt(3), () -> {
+            Pooled c = new Pooled(a, r);
             all.add(c);
             opened.accept(new Line(c));
         }));
@@ -102,15 +102,15 @@
     }
 
     /** One use of a connection. */
-    final class Line implements Circuit {
-        private final Connection c;
+    final class Line implements Connection {
+        private final Pooled c;
         private Answer to;
         private SimReplica.Job job;
         private boolean over;
         private boolean reset;
         private boolean used;
 
-        Line(Connection c) {
+        Line(Pooled c) {
             this.c = c;
             c.used = this;
         }
@@ -145,7 +145,7 @@
             long handed = sim.now();
             String tag = StandInReplica.tagOf(Json.parse(json).asObject().getString("prompt", ""));
             sim.handed(relay, json);
-            sim.passes(OrderSim.Point.HANDED, tag, () -> c.carry(c.there, () -> taken(json, handed)));
+            sim.passes(RequestSim.Point.HANDED, tag, () -> c.carry(c.there, () -> taken(json, handed)));
         }
 
         /** A process that hangs reads it when it wakes, and may do so even if it was reset meanwhile. */
@@ -190,7 +190,7 @@
             });
         }
 
-        /** A connection that carries an order of ours is given up with it. */
+        /** A connection that carries a request of ours is given up with it. */
         @Override public void reset() {
             if (reset) return;
             reset = true;
@@ -218,7 +218,7 @@
 
     /** The relay's process died: its connections close. */
     void die() {
-        for (Connection c : all) {
+        for (Pooled c : all) {
             Line l = c.used;
             c.carry(c.there, () -> {
                 c.closed = true;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimRelay.java
@@ -1,6 +1,6 @@
 /*
  * One relay in the simulator: the product's NewsBook, asking every control machine it can reach,
- * and "starting an order" every few milliseconds wherever its licences let it. Each start is shown
+ * and "starting a request" every few milliseconds wherever its leases let it. Each start is shown
  * to the invariants.
  */
 package gladelug.rehearsal.sim;
@@ -67,7 +67,7 @@
     private void work(int l) {
         if (l != life) return;
         if (!paused) {
-            if (book.number(Keys.POLICY) > 0 && book.licences.valid(now())) {
+            if (book.number(Keys.CONFIGURATION) > 0 && book.leases.valid(now())) {
                 starts++;
                 if (lastStart >= 0) longestGap = Math.max(longestGap, sim.now() - lastStart);
                 lastStart = sim.now();
@@ -79,7 +79,7 @@
 
     void told(News n) {
         if (!up || paused) return;
-        long before = book.number(n instanceof News.Push p ? p.key() : Keys.POLICY);
+        long before = book.number(n instanceof News.Push p ? p.key() : Keys.CONFIGURATION);
         if (book.told(n) == NewsBook.Told.WANTS_WHOLE) sim.whole(name, ((News.Push) n).key());
         if (n instanceof News.Push p) {
             if (book.number(p.key()) < before)
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
@@ -1,8 +1,8 @@
 /*
- * A model or application replica in the simulated world: prefills one order at a time, decodes up
+ * A model or application replica in the simulated world: prefills one request at a time, decodes up
  * to its slots, keeps prefix blocks under the weights and wall they were made with, tells cache
  * events, loads weights when steered, and writes all it does into the ledger. It can crash, vanish
- * (nobody is told), hang, turn orders away, break streams, send bytes after its end.
+ * (nobody is told), hang, refuse requests, break streams, send bytes after its end.
  */
 package gladelug.rehearsal.sim;
 
@@ -22,22 +22,22 @@
 
     private record Kept(String weights, String wall) {}
 
-    /** One order as it has it. */
+    /** One request as it has it. */
     final class Job {
-        final SimCircuits.Line line;
+        final SimConnections.Line line;
         final JsonObject in;
         final Ledger.Run run;
         int pieces;
         boolean gone;
 
-        Job(SimCircuits.Line line, JsonObject in, Ledger.Run run) {
+        Job(SimConnections.Line line, JsonObject in, Ledger.Run run) {
             this.line = line;
             this.in = in;
             this.run = run;
         }
     }
 
-    private final OrderSim sim;
+    private final RequestSim sim;
     final String service;
     final String instance;
     final Address address;
@@ -46,7 +46,7 @@
     private String loading = "";
     boolean up = true;
     boolean hung;
-    /** A machine that vanished: nothing is answered and no circuit is told. */
+    /** A machine that vanished: nothing is answered and no connection is told. */
     boolean vanished;
     int life;
     double notRun;
@@ -66,7 +66,7 @@
     long seq;
     private int lives;
 
-    SimReplica(OrderSim sim, String service, String instance, Address address, boolean model, String weights) {
+    SimReplica(RequestSim sim, String service, String instance, Address address, boolean model, String weights) {
         this.sim = sim;
         this.service = service;
         this.instance = instance;
@@ -108,7 +108,7 @@
         incarnation = instance + "/" + ++lives;
     }
 
-    io.vertx.core.json.JsonObject occupancy() {
+    io.vertx.core.json.JsonObject load() {
         return new io.vertx.core.json.JsonObject().put("service", service).put("instance", instance)
             .put("weights", loading.isEmpty() ? weights : "").put("blockBytes", BLOCK).put("running", running.size())
             .put("waiting", waiting.size()).put("slots", SLOTS).put("waitMs", Math.max(0, busyUntil - sim.now()))
@@ -135,9 +135,9 @@
         return up && kept.containsKey(block);
     }
 
-    // ---- orders
+    // ---- requests
 
-    Job order(SimCircuits.Line line, JsonObject in, long handed) {
+    Job order(SimConnections.Line line, JsonObject in, long handed) {
         String tag = StandInReplica.tagOf(in.getString("prompt", ""));
         Ledger.Run run = new Ledger.Run(tag, in.getString("order", ""), service, instance, in.getString("weights", ""),
             in.getString("wall", ""), in.getInt("try", 0), handed);
@@ -223,7 +223,7 @@
             String p = Json.object().add("piece", n).add("text", StandInReplica.textOf(j.run.tag, n)).toString();
             j.run.pieces = j.pieces;
             j.line.toRelay(a -> a.line(p));
-            sim.passes(OrderSim.Point.STREAM, j.run.tag, () -> step(j, MS_PIECE, () -> piece(j)));
+            sim.passes(RequestSim.Point.STREAM, j.run.tag, () -> step(j, MS_PIECE, () -> piece(j)));
             return;
         }
         j.run.ended = true;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
@@ -11,8 +11,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.Test;
 
 final class Timeline {
     private Timeline() {}
@@ -98,7 +96,7 @@
             String[] ps = w.trim().split(" ");
             String why = "at " + line + "\n" + s.story();
             switch (ps[0]) {
-                case "send" -> s.send(ps[1].equals("up") ? s.anyUp() : ps[1], Keys.POLICY,
+                case "send" -> s.send(ps[1].equals("up") ? s.anyUp() : ps[1], Keys.CONFIGURATION,
                     ps.length > 2 ? Long.parseLong(ps[2]) : -1);
                 case "swap" -> {
                     boolean ok = false;
@@ -108,7 +106,8 @@
                     if (!ok) throw new AssertionError("no swap begun " + why);
                 }
                 case "owner" ->
-                    must(s.owner(Keys.POLICY).equals(ps[1]), "owner is " + s.owner(Keys.POLICY) + " " + why);
+                    must(s.owner(Keys.CONFIGURATION).equals(ps[1]),
+                        "owner is " + s.owner(Keys.CONFIGURATION) + " " + why);
                 case "retired" ->
                     must(s.controls.get(ps[1]).node.retired(), ps[1] + " doesn't know that it is out " + why);
                 case "generation" ->
@@ -148,199 +147,4 @@
     private static void must(boolean ok, String what) {
         if (!ok) throw new AssertionError(what);
     }
-
-    static final class Tests {
-        private static void play(String text) {
-            for (long seed = 1; seed <= 12; seed++) {
-                Sim s = new Sim(seed, 2);
-                Timeline.play(s, text);
-                if (!s.violations.isEmpty())
-                    throw new AssertionError("seed " + seed + " " + s.violations + "\n" + s.story());
-            }
-        }
-
-        @Test void losingAnyOneMachineCostsNoRelayItsLicence() {
-            for (String c : new String[]{"c1", "c2", "c3"})
-                play("""
-                    t     | %s    | op
-                    3000  | .     | send c1
-                    3500  | .     | last done, serve, forget
-                    4000  | power | .
-                    6500  | .     | serve, gap 30, send up
-                    11000 | .     | last done, serve, gap 30
-                    11000 | up    | .
-                    20000 | .     | serve, gap 30, well""".formatted(c));
-        }
-
-        @Test void aCutOffOwnerStopsBeingOneAndItsRelayStopsBeforeTheNextAcknowledgement() {
-            play("""
-                t     | c1 | c2   | c3   | r1   | r2 | op
-                3000  | .  | .    | .    | .    | .  | send c1
-                3500  | .  | .    | .    | .    | .  | last done, owner c3, serve
-                4000  | .  | .    | side | side | .  | .
-                4100  | .  | .    | .    | .    | .  | send c1
-                6300  | .  | .    | .    | .    | .  | still r1
-                9000  | .  | .    | .    | .    | .  | send c1
-                9500  | .  | .    | .    | .    | .  | last done
-                10000 | heal | heal | heal | heal | heal | .
-                16000 | .  | .    | .    | .    | .  | serve, well, send c2
-                17000 | .  | .    | .    | .    | .  | last done""");
-        }
-
-        @Test void aRelayCutFromTheOwnerAloneGoesOnThroughTheOthers() {
-            play("""
-                t     | c1 | c2 | c3 | r1       | op
-                3000  | .  | .  | .  | .        | send c1
-                3500  | .  | .  | .  | .        | last done, owner c3, forget
-                4000  | .  | .  | .  | cutby c3 | .
-                9000  | .  | .  | .  | .        | owner c3, serve, gap 600, send c1
-                9600  | .  | .  | .  | .        | last done, serve
-                9700  | .  | .  | .  | heal     | .
-                15000 | .  | .  | .  | .        | serve, well""");
-        }
-
-        @Test void aPausedOwnerThatWakesActsOnNothingOld() {
-            play("""
-                t     | c1 | c2 | c3    | op
-                3000  | .  | .  | .     | send c3
-                3500  | .  | .  | .     | last done, owner c3
-                3600  | .  | .  | .     | send c3
-                3604  | .  | .  | pause | .
-                7000  | .  | .  | .     | owner c1c3, send c2
-                8000  | .  | .  | .     | last done, serve
-                8001  | .  | .  | wake  | send c3
-                16000 | .  | .  | .     | serve, well""");
-        }
-
-        @Test void allKilledAtOnceJustAfterAnAcknowledgementServeAgainWithinTwelveSeconds() {
-            play("""
-                t     | c1    | c2    | c3    | r1   | op
-                3000  | .     | .     | .     | .    | send c1
-                3500  | .     | .     | .     | .    | last done
-                3501  | power | power | power | kill | .
-                9000  | .     | .     | .     | .    | still r2
-                10000 | up    | up    | up    | up   | .
-                14000 | .     | .     | .     | .    | serve, well, send c2
-                16000 | .     | .     | .     | .    | last done, serve""");
-        }
-
-        @Test void ofTwoOperatorsOnOneNumberOneIsToldTheCurrentNumber() {
-            play("""
-                t     | op
-                3000  | send c1 0
-                3400  | last done, send c1 1, send c2 1
-                3800  | oneOfTwo
-                4000  | send c3 1
-                4400  | last stale, well""");
-        }
-
-        @Test void withTwoMachinesGoneNobodyServesAndWithTwoBackAllDo() {
-            play("""
-                t     | c1   | c2   | c3    | op
-                3000  | .    | .    | .     | send c1
-                3500  | .    | .    | .     | last done
-                4000  | kill | .    | power | .
-                6500  | .    | .    | .     | still r1, still r2, send c2
-                8000  | .    | .    | .     | last noOwner
-                9000  | up   | .    | .     | .
-                12500 | .    | .    | .     | serve, send c1
-                16500 | .    | .    | .     | last done, well""");
-        }
-
-        @Test void aStalledDiskHandsItsKeysOnAndAFailedOneStopsItsMachine() {
-            play("""
-                t     | c1   | c2 | c3    | op
-                3000  | .    | .  | .     | send c1
-                3500  | .    | .  | stall | last done, owner c3, forget
-                3600  | .    | .  | .     | send c2
-                8000  | .    | .  | .     | owner c1, serve, send c2
-                9500  | .    | .  | .     | last done, gap 30
-                10000 | .    | .  | free  | .
-                18000 | .    | .  | .     | serve, owner c3
-                18001 | fail | .  | .     | send c2
-                20000 | .    | .  | .     | last done, serve, well""");
-        }
-
-        @Test void aMachineBackEmptyIsLetInByItselfAndThenCountsForAnotherLoss() {
-            play("""
-                t     | c1    | c2    | c3    | op
-                3000  | .     | .     | .     | send c1
-                3500  | .     | .     | .     | last done, generation 1
-                4000  | .     | empty | .     | forget
-                8000  | .     | .     | .     | generation 2, serve, gap 700, send c1
-                12000 | .     | .     | .     | last done
-                12500 | power | .     | .     | .
-                18000 | .     | .     | .     | serve, send c2
-                20500 | .     | .     | .     | last done, well""");
-        }
-
-        @Test void allThreeAreSwappedInTurnWhileRelaysServe() {
-            play("""
-                t     | c1   | c2   | c3   | c4  | c5  | c6  | op
-                3000  | .    | .    | .    | .   | .   | .   | send c1
-                3500  | .    | .    | .    | new | .   | .   | last done, forget
-                4500  | .    | .    | .    | .   | .   | .   | swap c1 c4
-                7000  | .    | .    | .    | .   | .   | .   | generation 2, serve, retired c1
-                7000  | kill | .    | .    | .   | new | .   | .
-                8500  | .    | .    | .    | .   | .   | .   | swap c2 c5
-                12000 | .    | kill | .    | .   | .   | new | generation 3, serve
-                13500 | .    | .    | .    | .   | .   | .   | swap c3 c6
-                17000 | .    | .    | kill | .   | .   | .   | generation 4, serve
-                22000 | .    | .    | .    | .   | .   | .   | serve, gap 700, send c4
-                24500 | .    | .    | .    | .   | .   | .   | last done
-                25000 | up   | up   | up   | .   | .   | .   | .
-                30000 | .    | .    | .    | .   | .   | .   | serve, generation 4, retired c3, send c5
-                31500 | .    | .    | .    | .   | .   | .   | last done, well""");
-        }
-
-        /** Else it takes from the others what they took a moment before, and they take it back. */
-        @Test void aNewcomerHearsWhoOwnsWhatBeforeItTriesItself() {
-            int ousted = 0;
-            for (long seed = 1; seed <= 40; seed++) ousted += Timeline.play(new Sim(seed, 2), """
-                t     | c1   | c2   | c3   | c4  | op
-                3000  | .    | .    | .    | .   | send c1
-                3500  | .    | .    | .    | new | last done
-                4500  | .    | .    | .    | .   | forget, swap c1 c4
-                7000  | .    | .    | .    | .   | generation 2, serve, well""").ousted;
-            Assertions.assertTrue(ousted <= 20, ousted + " owners lost a key just taken, in 40 swaps");
-        }
-
-        /** Else each takes the keys from the others again and again before anyone has served them. */
-        @Test void onMachinesWithTooMuchToDoTheCoreStillSettles() {
-            long longest = 0;
-            int ousted = 0;
-            for (long seed = 1; seed <= 20; seed++) {
-                Sim s = new Sim(seed, 2);
-                s.run(3000);
-                s.send("c1", Keys.POLICY, -1);
-                s.run(800);
-                for (SimControl c : s.controls.values()) c.power();
-                s.run(2500);
-                for (SimControl c : s.controls.values()) {
-                    c.medium.slow = 160;
-                    c.start();
-                }
-                long from = s.now();
-                s.ousted = 0;
-                while (s.now() - from < 40_000 && s.relays.values().stream().anyMatch(r -> s.now() - r.lastStart > 30))
-                    s.run(50);
-                longest = Math.max(longest, s.now() - from);
-                ousted += s.ousted;
-            }
-            Assertions.assertTrue(longest < 12_000, longest + " ms, " + ousted + " owners ousted");
-        }
-
-        @Test void aReplacementCutOffHalfWayIsFinishedByAnother() {
-            for (int ms : new int[]{1, 4, 8, 15, 30, 60})
-                play("""
-                    t     | c1 | c2 | c3    | c4  | op
-                    3000  | .  | .  | .     | new | send c1
-                    4500  | .  | .  | .     | .   | last done, swap c1 c4
-                    %d    | .  | .  | power | .   | .
-                    10000 | .  | .  | .     | .   | serve
-                    10001 | .  | .  | up    | .   | .
-                    19000 | .  | .  | .     | .   | serve, send c2
-                    22500 | .  | .  | .     | .   | last done, well""".formatted(4500 + ms));
-        }
-    }
 }
