--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -5,38 +5,31 @@
 package gladelug.control;
 
 import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.JsonValue;
 import gladelug.control.core.CoreNode;
 import gladelug.control.core.CoreService;
 import gladelug.control.core.Members;
 import gladelug.control.door.OperatorDoor;
 import gladelug.control.duty.Commander;
-import gladelug.control.duty.Describing;
-import gladelug.control.duty.Division;
+import gladelug.control.duty.OwnReplicaOrders;
+import gladelug.control.duty.OwnReplicaSource;
 import gladelug.control.duty.PlatformWatch;
+import gladelug.control.duty.Steering;
 import gladelug.kernel.Address;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
 import gladelug.kernel.Program;
 import gladelug.kernel.Result;
 import gladelug.kernel.Settings;
+import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.connection.Doors;
 import gladelug.kernel.connection.Local;
 import gladelug.kernel.disk.Folder;
-import gladelug.kernel.disk.Ring;
-import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
-import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -129,67 +122,16 @@
             for (Members.Member m : p.founders)
                 a.add(Json.object().add("name", m.name()).add("records", m.records().toString()).add("operator",
                     m.operator().toString()));
-            f.identity(Json.object().add("name", p.name).add("disk", newDisk()).add("ringFile", p.ringFile << 20)
+            f.identity(Json.object().add("name", p.name).add("disk", CoreDisk.newId()).add("ringFile", p.ringFile << 20)
                 .add("founders", a));
         }
         Log.event("founded", "name", p.name, "data", p.data);
     }
 
-    private static String newDisk() {
-        byte[] b = new byte[12];
-        new SecureRandom().nextBytes(b);
-        return HexFormat.of().formatHex(b);
-    }
-
     static void run(Place p) {
-        Folder folder = new Folder(Path.of(p.data), p.ringFile << 20);
-        JsonObject id = folder.identity();
-        if (id == null) {
-            // an empty disk only ever joins: without founders in its identity it votes on nothing until it is let in
-            folder.prepare();
-            id = Json.object().add("name", p.name).add("disk", newDisk()).add("ringFile", p.ringFile << 20);
-            folder.identity(id);
-            Log.event("empty-disk-joins", "name", p.name, "data", p.data);
-        }
-        if (!id.getString("name", "").equals(p.name))
-            throw new Kernel.CannotStart(
-                "data folder " + p.data + " belongs to " + id.getString("name", "?") + ", not to " + p.name);
-        folder.prepare();
-        Ring ring;
-        try {
-            ring = Ring.open(folder);
-        } catch (IOException e) {
-            throw new Kernel.CannotStart(
-                "data folder " + p.data + " is damaged: " + e.getMessage() + "; empty it and this machine joins anew",
-                e);
-        }
-        List<Members.Member> founders = new ArrayList<>();
-        if (id.get("founders") != null) for (JsonValue v : id.get("founders").asArray()) {
-            JsonObject o = v.asObject();
-            founders.add(new Members.Member(o.getString("name", ""), "", Address.of(o.getString("records", "")),
-                Address.of(o.getString("operator", ""))));
-        }
+        CoreDisk disk = CoreDisk.open(p.name, p.data, p.ringFile, List.of());
         Vertx vertx = Vertx.vertx();
         Kernel k = new Kernel();
-        CoreNode.Duties duties = new CoreNode.Duties() {
-            private byte[] read = new byte[0];
-            private Configuration configuration = Configuration.EMPTY;
-
-            @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, byte[] body) {
-                if (body != read) {
-                    configuration = Configuration
-                        .parse(new String(body, StandardCharsets.UTF_8)) instanceof Result.Good<Configuration> g
-                            ? g.value()
-                            : Configuration.EMPTY;
-                    read = body;
-                }
-                return Division.divide(epoch, relays, configuration);
-            }
-
-            @Override public String describe(String key, byte[] old, byte[] now) {
-                return Describing.change(key, old, now);
-            }
-        };
         k.add("doors", new Doors(vertx, p.records, p.local, p.name))
             .add("views",
                 new ViewService(vertx,
@@ -197,14 +139,15 @@
                         0),
                     p.seeds))
             .add("core",
-                new CoreService(vertx, ring,
-                    new Members.Member(p.name, id.getString("disk", ""), p.records, p.operator), p.seeds, p.cutoff,
-                    founders.isEmpty() ? null : new CoreNode.Founding(founders), duties, what -> {
+                new CoreService(vertx, disk.ring(),
+                    new Members.Member(p.name, disk.id(), p.records, p.operator), p.seeds, p.cutoff,
+                    disk.founders().isEmpty() ? null : new CoreNode.Founding(disk.founders()),
+                    new CoreDuties(Configuration::parse), what -> {
                         System.err.println("control-plane: the disk failed and this member stops: " + what);
                         Runtime.getRuntime().halt(Program.CANNOT);
                     }))
-            .add("platform-watch", new PlatformWatch(vertx, p.platform))
-            .add("commander", new Commander(vertx, p.name, p.cutoff))
+            .add("platform-watch", new PlatformWatch(vertx, l -> new OwnReplicaSource(vertx, l, p.platform)))
+            .add("commander", new Commander(vertx, p.name, new Steering(p.cutoff), l -> new OwnReplicaOrders(vertx, l)))
             .add("operator-door", new OperatorDoor(vertx, p.operator));
         Program.run("control-plane", k, 3000);
     }
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/CoreDuties.java
@@ -0,0 +1,42 @@
+/*
+ * What a member of the core does for whoever owns the keys: divides places over relays by the configuration, and says
+ * in a few words what a change is.
+ */
+package gladelug.control;
+
+import gladelug.control.core.CoreNode;
+import gladelug.control.duty.Describing;
+import gladelug.control.duty.Division;
+import gladelug.kernel.Result;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.message.News;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+public final class CoreDuties implements CoreNode.Duties {
+    private final Function<String, Result<Configuration>> reader;
+    private byte[] read = new byte[0];
+    private Configuration configuration = Configuration.EMPTY;
+
+    /** reader: how the configuration, as operators sent it, is read. */
+    public CoreDuties(Function<String, Result<Configuration>> reader) {
+        this.reader = reader;
+    }
+
+    @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, byte[] body) {
+        if (body != read) {
+            configuration = reader
+                .apply(new String(body, StandardCharsets.UTF_8)) instanceof Result.Good<Configuration> g
+                    ? g.value()
+                    : Configuration.EMPTY;
+            read = body;
+        }
+        return Division.divide(epoch, relays, configuration);
+    }
+
+    @Override public String describe(String key, byte[] old, byte[] now) {
+        return Describing.change(key, old, now);
+    }
+}
--- a/control-plane/src/main/java/gladelug/control/core/Members.java
+++ b/control-plane/src/main/java/gladelug/control/core/Members.java
@@ -6,8 +6,8 @@
 package gladelug.control.core;
 
 import gladelug.kernel.Address;
-import gladelug.kernel.message.Wire;
 import gladelug.kernel.configuration.CoreList;
+import gladelug.kernel.message.Wire;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -9,37 +9,38 @@
 import gladelug.control.core.CoreService;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
+import gladelug.kernel.configuration.Replicas;
 import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Local;
 import gladelug.kernel.message.Keys;
-import gladelug.kernel.configuration.Replicas;
 import io.smallrye.mutiny.Uni;
-import io.vertx.core.json.JsonObject;
-import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Context;
 import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.ext.web.client.WebClient;
+import java.util.function.Function;
 
 public final class Commander implements Kernel.Service {
     private static final long PERIOD = 250;
     private final Vertx vertx;
     private final String self;
     private final Steering steering;
+    private final Function<Local, ReplicaOrders> protocols;
+    private ReplicaOrders replicas;
     private CoreService core;
-    private WebClient web;
     private long timer;
     private boolean busy;
     private Context context;
 
-    public Commander(Vertx vertx, String self, int cutoff) {
+    /** protocols: makes the way to replicas for where this process calls from. */
+    public Commander(Vertx vertx, String self, Steering steering, Function<Local, ReplicaOrders> protocols) {
         this.vertx = vertx;
         this.self = self;
-        this.steering = new Steering(cutoff);
+        this.steering = steering;
+        this.protocols = protocols;
     }
 
     @Override public void start(Kernel k) {
         core = k.find("core", CoreService.class);
-        web = WebClient.create(vertx, k.find("doors", Doors.class).local
-            .from(new WebClientOptions().setConnectTimeout(700).setFollowRedirects(false).setMaxPoolSize(2)));
+        replicas = protocols.apply(k.find("doors", Doors.class).local);
         context = vertx.getOrCreateContext();
         context.runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> round()));
     }
@@ -58,34 +59,42 @@
             })).emitOn(r -> context.runOnContext(r))
             .subscribe().with(l -> {
                 busy = false;
+                if (!replicas.askAlways()) steering.listed(core.now());
                 l.forEach(this::look);
             }, t -> busy = false);
     }
 
     private void look(Replicas.Replica r) {
-        web.get(r.address().port(), r.address().host(), "/identity").timeout(1000).send().subscribe().with(a -> {
-            if (a.statusCode() != 200) return;
-            JsonObject o = a.bodyAsJsonObject();
-            if (o == null || !r.instance().equals(o.getString("instance"))
-                || !r.service().equals(o.getString("service"))) return;
-            steering.said(r, o.getString("weights", ""), o.getBoolean("loading", false), core.now());
-            String want = steering.wanted(r, core.now());
-            if (!want.isEmpty()) steer(r, want);
+        if (replicas.askAlways()) ask(r);
+        else if (steering.waits(r))
+            core.ask(n -> n.mayCommand(Keys.COMMANDER + r.instance())).emitOn(x -> context.runOnContext(x)).subscribe()
+                .with(mine -> {
+                    if (mine) ask(r);
+                }, t -> {});
+        else perhapsSteer(r);
+    }
+
+    private void ask(Replicas.Replica r) {
+        replicas.ask(r).emitOn(x -> context.runOnContext(x)).subscribe().with(s -> {
+            s.weights().forEach((m, w) -> steering.said(r, m, w, s.loading(), core.now()));
+            perhapsSteer(r);
         }, t -> {});
     }
 
-    private void steer(Replicas.Replica r, String want) {
+    private void perhapsSteer(Replicas.Replica r) {
+        Steering.Wish want = steering.wanted(r, core.now());
+        if (want != null) steer(r, want);
+    }
+
+    private void steer(Replicas.Replica r, Steering.Wish want) {
         String key = Keys.COMMANDER + r.instance();
         core.ask(n -> n.mayCommand(key) ? n.epochOf(key) : -1L).emitOn(x -> context.runOnContext(x)).flatMap(e -> {
             if (e < 0) return Uni.createFrom().nullItem();
             steering.told(r, want, core.now());
-            Log.event("steer", "replica", r.instance(), "to", want, "epoch", e);
-            return web.post(r.address().port(), r.address().host(), "/steer").timeout(1000)
-                .sendJsonObject(new JsonObject().put("commander", self).put("epoch", e).put("instance", r.instance())
-                    .put("weights", want));
-        }).subscribe().with(a -> {
-            if (a != null && a.statusCode() != 200)
-                Log.warn("steer-refused", "replica", r.instance(), "status", a.statusCode());
+            Log.event("steer", "replica", r.instance(), "model", want.model(), "to", want.weights(), "epoch", e);
+            return replicas.order(r, self, e, want.model(), want.weights());
+        }).emitOn(x -> context.runOnContext(x)).subscribe().with(runs -> {
+            if (runs != null && runs) steering.said(r, want.model(), want.weights(), false, core.now());
         }, t -> Log.warn("steer-problem", "replica", r.instance(), "what", t.toString()));
     }
 
--- a/control-plane/src/main/java/gladelug/control/duty/Division.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Division.java
@@ -8,9 +8,9 @@
 package gladelug.control.duty;
 
 import gladelug.control.core.CoreNode;
-import gladelug.kernel.message.News;
 import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.configuration.Share;
+import gladelug.kernel.message.News;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/duty/OwnReplicaSource.java
@@ -0,0 +1,35 @@
+/*
+ * The list of replicas by the product's own protocol.
+ */
+package gladelug.control.duty;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.Result;
+import gladelug.kernel.configuration.Replicas;
+import gladelug.kernel.connection.Local;
+import io.smallrye.mutiny.Uni;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.ext.web.client.WebClient;
+
+public final class OwnReplicaSource implements ReplicaSource {
+    private final WebClient web;
+    private final Address platform;
+
+    public OwnReplicaSource(Vertx vertx, Local local, Address platform) {
+        this.platform = platform;
+        web = WebClient.create(vertx,
+            local.from(new WebClientOptions().setConnectTimeout(1000).setFollowRedirects(false)));
+    }
+
+    @Override public Uni<Result<Replicas>> list() {
+        return web.get(platform.port(), platform.host(), "/replicas").timeout(1500).send()
+            .map(r -> r.statusCode() == 200
+                ? Replicas.parse(r.bodyAsString())
+                : Result.bad("status", String.valueOf(r.statusCode())));
+    }
+
+    @Override public long periodMs() {
+        return 250;
+    }
+}
--- a/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
+++ b/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
@@ -7,44 +7,42 @@
 
 import gladelug.control.core.ChangeAnswer;
 import gladelug.control.core.CoreService;
-import gladelug.kernel.Address;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
 import gladelug.kernel.Result;
+import gladelug.kernel.configuration.Replicas;
 import gladelug.kernel.connection.Doors;
+import gladelug.kernel.connection.Local;
 import gladelug.kernel.message.Keys;
-import gladelug.kernel.configuration.Replicas;
 import io.smallrye.mutiny.Uni;
-import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.ext.web.client.WebClient;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.List;
 import java.util.Arrays;
+import java.util.List;
+import java.util.function.Function;
 
 public final class PlatformWatch implements Kernel.Service {
-    private static final long PERIOD = 250;
     private final Vertx vertx;
-    private final Address platform;
+    private final Function<Local, ReplicaSource> sources;
+    private ReplicaSource source;
     private CoreService core;
-    private WebClient web;
     private final Learned learned = new Learned();
     private boolean busy;
     private boolean silent;
     private long timer;
 
-    public PlatformWatch(Vertx vertx, Address platform) {
+    /** sources: makes the source for where this process calls from. */
+    public PlatformWatch(Vertx vertx, Function<Local, ReplicaSource> sources) {
         this.vertx = vertx;
-        this.platform = platform;
+        this.sources = sources;
     }
 
     @Override public void start(Kernel k) {
         core = k.find("core", CoreService.class);
-        web = WebClient.create(vertx, k.find("doors", Doors.class).local
-            .from(new WebClientOptions().setConnectTimeout(1000).setFollowRedirects(false)));
-        vertx.getOrCreateContext().runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> look()));
+        source = sources.apply(k.find("doors", Doors.class).local);
+        vertx.getOrCreateContext().runOnContext(() -> timer = vertx.setPeriodic(source.periodMs(), i -> look()));
     }
 
     /**
@@ -74,25 +72,23 @@
         busy = true;
         core.ask(n -> n.owns(Keys.REPLICAS))
             .flatMap(owns -> owns
-                ? web.get(platform.port(), platform.host(), "/replicas").timeout(1500).send()
-                    .flatMap(r -> took(r.statusCode(), r.bodyAsString())).onFailure().call(t -> again())
+                ? source.list().flatMap(this::took).onFailure().call(t -> again())
                 : again())
             .ifNoItem().after(Duration.ofSeconds(12)).fail()
             .subscribe().with(x -> busy = false, t -> {
                 busy = false;
-                if (!silent) Log.warn("platform-silent", "address", platform, "what", t.toString());
+                if (!silent) Log.warn("platform-silent", "what", t.toString());
                 silent = true;
             });
     }
 
-    private Uni<?> took(int status, String body) {
-        Result<Replicas> r = status == 200 ? Replicas.parse(body) : Result.bad("status", String.valueOf(status));
+    private Uni<?> took(Result<Replicas> r) {
         if (!(r instanceof Result.Good<Replicas> g)) {
             if (!silent) Log.warn("platform-list-refused", "findings", r.toString());
             silent = true;
             return Uni.createFrom().nullItem();
         }
-        if (silent) Log.event("platform-back", "address", platform);
+        if (silent) Log.event("platform-back");
         silent = false;
         byte[] now = g.value().json().getBytes(StandardCharsets.UTF_8);
         return core.ask(n -> n.kept(Keys.REPLICAS)).flatMap(kept -> {
--- a/control-plane/src/main/java/gladelug/control/duty/Steering.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Steering.java
@@ -14,8 +14,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 public final class Steering {
     private static final long AGAIN = 1000, STALE = 1500;
@@ -23,6 +25,9 @@
     /** What is kept of the three keys, as it came, and how old the naming is. */
     public record Kept(byte[] replicas, byte[] weights, byte[] configuration, long age) {}
 
+    /** The weights of a model that a replica is to be told. */
+    public record Wish(String model, String weights) {}
+
     private static final class Seen {
         String weights = "";
         boolean loading;
@@ -32,6 +37,7 @@
     }
 
     private final int cutoff;
+    private final Function<String, Result<Configuration>> reader;
     private final Map<String, Seen> seen = new HashMap<>();
     private Kept kept = new Kept(new byte[0], new byte[0], new byte[0], 0);
     private Replicas replicas = Replicas.NONE;
@@ -39,7 +45,13 @@
     private Configuration configuration = Configuration.EMPTY;
 
     public Steering(int cutoff) {
+        this(cutoff, Configuration::parse);
+    }
+
+    /** reader: how the configuration, as operators sent it, is read; cutoff in ms. */
+    public Steering(int cutoff, Function<String, Result<Configuration>> reader) {
         this.cutoff = cutoff;
+        this.reader = reader;
     }
 
     /** Reads only what is not the same as last time. */
@@ -47,9 +59,10 @@
         if (k.replicas != kept.replicas) replicas = or(Replicas.parse(text(k.replicas)), Replicas.NONE);
         if (k.weights != kept.weights) weights = or(Weights.parse(text(k.weights)), Weights.NONE);
         if (k.configuration != kept.configuration)
-            configuration = or(Configuration.parse(text(k.configuration)), Configuration.EMPTY);
+            configuration = or(reader.apply(text(k.configuration)), Configuration.EMPTY);
         kept = k;
-        seen.keySet().retainAll(steerable().stream().map(Replicas.Replica::instance).toList());
+        List<String> names = steerable().stream().map(Replicas.Replica::instance).toList();
+        seen.keySet().removeIf(n -> !names.contains(n.substring(0, n.indexOf('\n'))));
     }
 
     private static String text(byte[] b) {
@@ -63,48 +76,82 @@
     /** Only replicas of a model service, where the configuration allows them, with weights named. */
     public List<Replicas.Replica> steerable() {
         List<Replicas.Replica> l = new ArrayList<>();
-        for (Replicas.Replica r : replicas.all) if (steerable(r)) l.add(r);
+        for (Replicas.Replica r : replicas.all) if (!models(r).isEmpty()) l.add(r);
         return l;
     }
 
-    private boolean steerable(Replicas.Replica r) {
+    /** The models a replica serves whose weights are named; one that tells of none serves its service's. */
+    private List<String> models(Replicas.Replica r) {
         Configuration.Service s = configuration.service(r.service());
-        return s != null && s.kind() == Configuration.Kind.MODEL && s.allows(r.address())
-            && weights.of(r.service()) != null;
+        if (s == null || s.kind() != Configuration.Kind.MODEL || !s.allows(r.address())) return List.of();
+        Set<String> all = r.weights().isEmpty() ? Set.of(r.service()) : r.weights().keySet();
+        return all.stream().filter(m -> weights.of(m) != null).sorted().toList();
+    }
+
+    private Seen seen(Replicas.Replica r, String model) {
+        return seen.computeIfAbsent(r.instance() + "\n" + model, i -> new Seen());
     }
 
     /** What a replica said of itself. */
-    public void said(Replicas.Replica r, String runs, boolean loading, long now) {
-        if (!steerable(r)) return;
-        Seen x = seen.computeIfAbsent(r.instance(), i -> new Seen());
+    public void said(Replicas.Replica r, String model, String runs, boolean loading, long now) {
+        if (!models(r).contains(model)) return;
+        Seen x = seen(r, model);
         x.weights = runs;
         x.loading = loading;
         x.at = now;
     }
 
-    /** The weights the replica is to be told now, or an empty text. */
-    public String wanted(Replicas.Replica r, long now) {
-        Seen x = seen.get(r.instance());
-        if (x == null || !steerable(r)) return "";
-        String want = weights.of(r.service()).now();
-        boolean told = x.steeredTo.equals(want);
-        if (x.weights.equals(want) && !x.loading || x.loading && told || now - x.steered < AGAIN && told) return "";
-        SortedMap<String, Batches.Replica> all = new TreeMap<>();
-        for (Replicas.Replica o : steerable()) {
-            if (!o.service().equals(r.service())) continue;
-            Seen y = seen.get(o.instance());
-            boolean heard = y != null && now - y.at < STALE;
-            all.put(o.instance(), !heard
-                ? Batches.Replica.SILENT
-                : y.weights.equals(want) && !y.loading ? Batches.Replica.MOVED : Batches.Replica.WAITING);
+    /**
+     * What the list says of its replicas, which lags: it counts but where a replica was told something that it has not
+     * yet been seen to run, or was seen to run it.
+     */
+    public void listed(long now) {
+        for (Replicas.Replica r : steerable())
+            for (String m : models(r)) {
+                Seen x = seen(r, m);
+                String runs = r.weights().getOrDefault(m, "");
+                if (x.steeredTo.isEmpty() || runs.equals(x.steeredTo) || now - x.steered > 4 * AGAIN) {
+                    x.weights = runs;
+                    x.loading = false;
+                }
+                x.at = now;
+            }
+    }
+
+    /** Whether a replica was told something that it has not yet been seen to run. */
+    public boolean waits(Replicas.Replica r) {
+        for (String m : models(r)) {
+            Seen x = seen(r, m);
+            if (!x.steeredTo.isEmpty() && !x.weights.equals(x.steeredTo)) return true;
+        }
+        return false;
+    }
+
+    /** What the replica is to be told now, or null. */
+    public Wish wanted(Replicas.Replica r, long now) {
+        for (String m : models(r)) {
+            Seen x = seen.get(r.instance() + "\n" + m);
+            if (x == null || x.at == Long.MIN_VALUE / 2) continue;
+            String want = weights.of(m).now();
+            boolean told = x.steeredTo.equals(want);
+            if (x.weights.equals(want) && !x.loading || x.loading && told || now - x.steered < AGAIN && told) continue;
+            SortedMap<String, Batches.Replica> all = new TreeMap<>();
+            for (Replicas.Replica o : steerable()) {
+                if (!o.service().equals(r.service()) || !models(o).contains(m)) continue;
+                Seen y = seen.get(o.instance() + "\n" + m);
+                boolean heard = y != null && now - y.at < STALE;
+                all.put(o.instance(), !heard
+                    ? Batches.Replica.SILENT
+                    : y.weights.equals(want) && !y.loading ? Batches.Replica.MOVED : Batches.Replica.WAITING);
+            }
+            if (Batches.may(r.instance(), all, kept.age, cutoff)) return new Wish(m, want);
         }
-        return Batches.may(r.instance(), all, kept.age, cutoff) ? want : "";
+        return null;
     }
 
-    public void told(Replicas.Replica r, String to, long now) {
-        Seen x = seen.get(r.instance());
-        if (x == null) return;
+    public void told(Replicas.Replica r, Wish w, long now) {
+        Seen x = seen(r, w.model);
         x.steered = now;
-        x.steeredTo = to;
+        x.steeredTo = w.weights;
     }
 }
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -8,7 +8,9 @@
 import gladelug.data.index.IndexService;
 import gladelug.data.news.NewsService;
 import gladelug.data.reasons.ReasonsService;
+import gladelug.data.relay.OwnProtocol;
 import gladelug.data.relay.RelayService;
+import gladelug.data.relay.RelaySettings;
 import gladelug.data.relay.Stages;
 import gladelug.kernel.Address;
 import gladelug.kernel.Clock;
@@ -116,8 +118,9 @@
             .add("views", new ViewService(vertx, self, p.seeds))
             .add("news", new NewsService(vertx, clock, self, p.seeds)).add("reasons", reasons);
         if (relay) {
-            RelayService r = new RelayService(vertx, clock, p.name, p.zone, p.callers, p.index, p.queue,
-                MODES.get(p.choice), p.division.equals("alone"));
+            RelayService r = new RelayService(vertx, clock, p.name, p.zone, new OwnProtocol(p.callers), p.index,
+                RelaySettings.builder().queueMost(p.queue).alone(p.division.equals("alone")).build(),
+                MODES.get(p.choice), RelayService.Ends.USUAL);
             k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, t -> {
                 r.routes(t);
                 reasons.routes(t);
--- a/data-plane/src/main/java/gladelug/data/news/HeldNews.java
+++ b/data-plane/src/main/java/gladelug/data/news/HeldNews.java
@@ -8,19 +8,20 @@
 import gladelug.kernel.Clock;
 import gladelug.kernel.Log;
 import gladelug.kernel.Result;
-import gladelug.kernel.message.Keys;
-import gladelug.kernel.message.News;
-import gladelug.kernel.message.Shuffle;
-import gladelug.kernel.configuration.CoreList;
 import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.CoreList;
 import gladelug.kernel.configuration.Replicas;
 import gladelug.kernel.configuration.Weights;
+import gladelug.kernel.message.Keys;
+import gladelug.kernel.message.News;
+import gladelug.kernel.message.Shuffle;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 public final class HeldNews {
     /** milli: thousandths of a place by leaf; empty and not full where nothing is bounded. */
@@ -28,6 +29,7 @@
 
     public final Leases leases;
     private final Clock clock;
+    private final Function<String, Result<Configuration>> reader;
     private final NewsBook book;
     private final Consumer<Tables> swapped;
     private final Map<String, Allotment> allotments = new ConcurrentHashMap<>();
@@ -37,6 +39,13 @@
 
     /** swapped is told of each new snapshot. */
     public HeldNews(Clock clock, Shuffle.Descriptor self, long run, Consumer<Tables> swapped) {
+        this(clock, self, run, swapped, Configuration::parse);
+    }
+
+    /** reader: how the configuration, as operators sent it, is read. */
+    public HeldNews(Clock clock, Shuffle.Descriptor self, long run, Consumer<Tables> swapped,
+        Function<String, Result<Configuration>> reader) {
+        this.reader = reader;
         this.clock = clock;
         this.swapped = swapped;
         this.book = new NewsBook(self, run, this::take);
@@ -87,7 +96,7 @@
         Tables t = tables;
         Result<Tables> r = switch (p.key()) {
             case Keys.CONFIGURATION ->
-                Configuration.parse(s).then(x -> Result.good(t.configuration(p.number(), p.digest(), x)));
+                reader.apply(s).then(x -> Result.good(t.configuration(p.number(), p.digest(), x)));
             case Keys.WEIGHTS -> Weights.parse(s).then(x -> Result.good(t.weights(p.number(), x)));
             case Keys.REPLICAS -> Replicas.parse(s).then(x -> Result.good(t.replicas(p.number(), x)));
             case Keys.CORE -> CoreList.parse(s).then(x -> Result.good(t.core(p.number(), x)));
--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -10,13 +10,15 @@
 import gladelug.kernel.Clock;
 import gladelug.kernel.Duty;
 import gladelug.kernel.Kernel;
+import gladelug.kernel.Result;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.CoreList;
 import gladelug.kernel.connection.Doors;
 import gladelug.kernel.connection.Held;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
 import gladelug.kernel.message.Wire;
-import gladelug.kernel.configuration.CoreList;
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
 import java.util.HashMap;
@@ -27,6 +29,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 public final class NewsService implements Kernel.Service {
     private static final long ASK = 400, CIRCLE = 1000;
@@ -44,12 +47,18 @@
     private ViewService views;
 
     public NewsService(Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds) {
+        this(vertx, clock, self, seeds, Configuration::parse);
+    }
+
+    /** reader: how the configuration, as operators sent it, is read. */
+    public NewsService(Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds,
+        Function<String, Result<Configuration>> reader) {
         this.vertx = vertx;
         this.clock = clock;
         this.self = self;
         this.seeds = seeds;
         this.duty = new Duty("news", 4096, clock);
-        this.held = new HeldNews(clock, self, run, this::swapped);
+        this.held = new HeldNews(clock, self, run, this::swapped, reader);
     }
 
     private void swapped(Tables t) {
--- a/data-plane/src/main/java/gladelug/data/news/Tables.java
+++ b/data-plane/src/main/java/gladelug/data/news/Tables.java
@@ -4,8 +4,8 @@
  */
 package gladelug.data.news;
 
-import gladelug.kernel.configuration.CoreList;
 import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.CoreList;
 import gladelug.kernel.configuration.Replicas;
 import gladelug.kernel.configuration.Weights;
 
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -1,21 +1,28 @@
 /*
  * One replica as a relay sees it: what the platform lists, what it last told of itself, and what
- * this relay has handed it since. Touched by the request thread alone.
+ * this relay has handed it since. Replicas either report (the product's own protocol: load, waiting time, links) or are
+ * known by the list and by what their answers say. Touched by the request thread alone.
  */
 package gladelug.data.relay;
 
+import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.configuration.Replicas.Replica;
 import java.util.HashMap;
 import java.util.Map;
 
 public final class Backend {
-    private static final long PROBE = 20_000, SILENT = 2000;
+    private static final long PROBE = 20_000, SILENT = 2000, QUIET = 1200;
+    private static final double USUAL_UNIT_MS = 0.03;
     public Replica replica;
     public boolean known;
-    public String weights = "";
+    /** Whether it reports by itself; else silence means nothing. */
+    public final boolean reports;
+    /** By model. */
+    public Map<String, String> weights = new HashMap<>();
     public int slots = 1;
     public int blockBytes = 256;
-    public double msPerBlock = 1;
+    /** Estimated ms to compute a unit of a prompt. */
+    public double unitMs = 1;
     public double waitMs;
     public int reported;
     public int mine;
@@ -23,11 +30,65 @@
     public double addedMs;
     public long reportedAt = Long.MIN_VALUE / 2;
     public long badUntil = Long.MIN_VALUE / 2;
+    /** Told to be ill by its own answers rather than by a moment's refusal; for people. */
+    public int failures;
     public Map<String, Double> links = new HashMap<>();
+    /** Estimated ms to pull a unit over its link, 0 where each link is measured by itself. */
+    private double engineLinkMs;
+    private long owedUntil;
+    /** When bytes last came from it, and since when something it was given has waited for the first. */
+    private long heardAt = Long.MIN_VALUE / 2;
+    private long askedSince = Long.MIN_VALUE / 2;
+    private int unanswered;
+    private long slowLinkUntil = Long.MIN_VALUE / 2;
     private final Map<String, Long> pulledAt = new HashMap<>();
 
     public Backend(Replica r) {
+        this(r, true);
+    }
+
+    public Backend(Replica r, boolean reports) {
         this.replica = r;
+        this.reports = reports;
+    }
+
+    public String weights(String model) {
+        return weights.getOrDefault(model, "");
+    }
+
+    /** What the list and the configuration say of one that doesn't report. */
+    void listed(Replica r, Configuration.Service s, long now) {
+        for (Map.Entry<String, String> e : r.weights().entrySet()) {
+            // an answer since may have told of newer weights than the list, which lags
+            if (newer(e.getValue(), weights(e.getKey()))) weights.put(e.getKey(), e.getValue());
+        }
+        if (!known) {
+            reportedAt = now;
+            unitMs = USUAL_UNIT_MS;
+        }
+        known = true;
+        slots = Math.max(1, r.slots() > 0 ? r.slots() : s.engine().slots());
+        if (s.engine().linkMbps() > 0) engineLinkMs = s.engine().tokenBytes() * 8.0 / (s.engine().linkMbps() * 1000);
+    }
+
+    /** Whether weights named a come after those named b; those that are numbers go by their value. */
+    public static boolean newer(String a, String b) {
+        if (b.isEmpty()) return !a.isEmpty();
+        if (a.length() != b.length() && number(a) && number(b)) return a.length() > b.length();
+        return number(a) && number(b) ? a.compareTo(b) > 0 : !a.equals(b);
+    }
+
+    private static boolean number(String s) {
+        for (int i = 0; i < s.length(); i++) if (s.charAt(i) < '0' || s.charAt(i) > '9') return false;
+        return !s.isEmpty() && s.length() < 19;
+    }
+
+    /** What an answer's head told: requests running and waiting there. */
+    public void load(int running, int waiting, long now) {
+        reported = running + waiting;
+        mineAtReport = mine;
+        reportedAt = now;
+        waitMs = 0;
     }
 
     /** Requests it has, by its last report and what this relay did since. */
@@ -45,24 +106,65 @@
     }
 
     public boolean usable(long now) {
-        return known && now >= badUntil && now - reportedAt < SILENT;
+        return known && now >= badUntil && (reports ? now - reportedAt < SILENT : !quiet(now));
     }
 
     /** Has told nothing of itself for so long that what it was given is given up; not by a relay just awake. */
     public boolean silent(long now, long awake) {
-        return now - Math.max(reportedAt, awake) > SILENT;
+        return reports && now - Math.max(reportedAt, awake) > SILENT;
+    }
+
+    /** Was given something and no byte of anything came since: nothing more goes there until one does. */
+    private boolean quiet(long now) {
+        return unanswered > 0 && now - Math.max(heardAt, askedSince) > QUIET && now - askedSince < 10 * QUIET;
+    }
+
+    /** A request went there. */
+    public void asked(long now) {
+        if (unanswered++ == 0) askedSince = now;
+    }
+
+    /** The first byte of an answer came, or the request ended without one. */
+    public void answered(boolean heard, long now) {
+        unanswered = Math.max(0, unanswered - 1);
+        if (heard) heard(now);
+    }
+
+    public void heard(long now) {
+        heardAt = now;
     }
 
     public double queueMs(long now) {
-        return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
+        return reports
+            ? Math.max(0, waitMs - (now - reportedAt)) + addedMs
+            : Math.max(0, owedUntil - now) + Math.max(0, reported - mineAtReport) * 2.0;
+    }
+
+    /** This relay gave it work of so many ms. */
+    public void owes(double ms, long now) {
+        addedMs += ms;
+        owedUntil = Math.max(owedUntil, now) + Math.round(ms);
+    }
+
+    /** What computing took in truth, per unit; single measurements move the estimate a little. */
+    public void measured(double msPerUnit) {
+        double m = Math.max(USUAL_UNIT_MS / 4, Math.min(USUAL_UNIT_MS * 8, msPerUnit));
+        unitMs += (m - unitMs) / 16;
+    }
+
+    /** A pull took far longer than its link should need: for a while units are computed here. */
+    public void slowLink(long now) {
+        slowLinkUntil = now + PROBE / 4;
     }
 
     /**
-     * Estimated ms to pull a block from a holder: as this replica measured it, else hopefully a quarter of computing
-     * it.
+     * Estimated ms to pull a unit from a holder: as this replica measured it, else by its engine's link and where the
+     * holder stands, else hopefully a quarter of computing it. Negative: not to be tried now.
      */
-    public double linkMs(String holder, long now) {
-        return unsure(holder, now) ? msPerBlock / 4 : links.get(holder);
+    public double linkMs(String holder, String holderZone, long now) {
+        if (engineLinkMs > 0)
+            return now < slowLinkUntil ? -1 : engineLinkMs * (holderZone.equals(replica.zone()) ? 1 : 2);
+        return unsure(holder, now) ? unitMs / 4 : links.get(holder);
     }
 
     /**
@@ -70,8 +172,9 @@
      * takes a block or two and no more, so that a slow link costs little each time.
      */
     public boolean unsure(String holder, long now) {
+        if (engineLinkMs > 0) return false;
         Double m = links.get(holder);
-        return m == null || m > msPerBlock / 4 && now - pulledAt.getOrDefault(holder, now - 1) > PROBE;
+        return m == null || m > unitMs / 4 && now - pulledAt.getOrDefault(holder, now - 1) > PROBE;
     }
 
     public void pulls(String holder, long now) {
--- a/data-plane/src/main/java/gladelug/data/relay/Backends.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backends.java
@@ -10,9 +10,9 @@
 import gladelug.data.news.Tables;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Log;
-import gladelug.kernel.connection.Local;
 import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.configuration.Replicas.Replica;
+import gladelug.kernel.connection.Local;
 import io.vertx.core.json.DecodeException;
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 public final class Backends {
     /** Asks a replica for its load; told is given the answer, or null where none came. */
@@ -38,6 +39,7 @@
     private final Map<String, Backend> all = new HashMap<>();
     private Map<String, List<Backend>> byService = Map.of();
 
+    /** asker is null where replicas don't report and are known by the list and their answers. */
     public Backends(Clock clock, Asker asker, Runnable changed) {
         this.clock = clock;
         this.changed = changed;
@@ -73,10 +75,11 @@
             listed.add(r.instance());
             Backend b = all.get(r.instance());
             if (b == null || !b.replica.address().equals(r.address()) || !b.replica.service().equals(r.service())) {
-                all.put(r.instance(), b = new Backend(r));
-                ask(b);
+                all.put(r.instance(), b = new Backend(r, asker != null));
+                if (asker != null) ask(b);
             }
             b.replica = r;
+            if (asker == null) b.listed(r, s, clock.now());
             if (r.ready()) by.computeIfAbsent(r.service(), x -> new ArrayList<>()).add(b);
         }
         // who is listed no more gets nothing new, but is asked on while requests of ours run there
@@ -93,12 +96,28 @@
         return byService.getOrDefault(service, List.of());
     }
 
-    /** Places free at replicas running any of these weights. */
-    public int free(String service, String now, String before) {
+    /** Of the weights replicas tell of for a model, the newest; empty where none does. */
+    public String newest(String model) {
+        return newestBelow(model, "");
+    }
+
+    /** The newest that come before those given; any where those are empty. */
+    public String newestBelow(String model, String below) {
+        String best = "";
+        for (Backend b : all.values()) {
+            String w = b.weights(model);
+            if (!w.isEmpty() && (below.isEmpty() || Backend.newer(below, w))
+                && (best.isEmpty() || Backend.newer(w, best)))
+                best = w;
+        }
+        return best;
+    }
+
+    /** Places free at those replicas of a service. */
+    public int free(String service, Predicate<Backend> which) {
         long t = clock.now();
         int n = 0;
-        for (Backend b : of(service))
-            if (b.usable(t) && (now.isEmpty() || b.weights.equals(now) || b.weights.equals(before))) n += b.free();
+        for (Backend b : of(service)) if (b.usable(t) && which.test(b)) n += b.free();
         return n;
     }
 
@@ -118,10 +137,10 @@
                 b.known = false;
                 return;
             }
-            b.weights = o.getString("weights", "");
+            b.weights = new HashMap<>(Map.of(b.replica.service(), o.getString("weights", "")));
             b.slots = within(o.getInteger("slots", 1), 1, 4096);
             b.blockBytes = within(o.getInteger("blockBytes", 256), 16, 65536);
-            b.msPerBlock = Math.max(0.001, Math.min(10_000, o.getDouble("msPerBlock", 1.0)));
+            b.unitMs = Math.max(0.001, Math.min(10_000, o.getDouble("msPerBlock", 1.0)));
             b.waitMs = Math.max(0, Math.min(600_000, o.getDouble("waitMs", 0.0)));
             b.reported = within(o.getInteger("running", 0) + o.getInteger("waiting", 0), 0, 100_000);
             b.mineAtReport = mine;
@@ -148,7 +167,7 @@
         JsonObject o = Json.object();
         for (Backend b : all.values())
             o.add(b.replica.instance(),
-                Json.object().add("service", b.replica.service()).add("weights", b.weights)
+                Json.object().add("service", b.replica.service()).add("weights", String.join(",", b.weights.values()))
                     .add("ready", b.replica.ready())
                     .add("usable", b.usable(t)).add("mine", b.mine).add("load", b.load()).add("slots", b.slots)
                     .add("toldMsAgo", Math.min(1 << 30, t - b.reportedAt)));
--- a/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
@@ -11,6 +11,7 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.request.Decision;
 import gladelug.data.request.Decisions;
+import gladelug.data.request.Prompt;
 import gladelug.data.request.Request;
 import gladelug.data.request.Verdict;
 import gladelug.data.request.Way;
@@ -19,6 +20,7 @@
 import gladelug.kernel.Findings;
 import gladelug.kernel.Result;
 import gladelug.kernel.configuration.Configuration;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
@@ -108,7 +110,7 @@
         }
         Asked x = ((Result.Good<Asked>) a).value();
         Request o = new Request(decisions.begin(came), came, hash, c.request().path(), this);
-        o.prompt = x.prompt;
+        o.prompt = new Prompt.Text(x.prompt);
         o.maxPieces = x.maxPieces;
         calls.put(o, c);
         c.response().putHeader("Gladelug-Order", o.id());
@@ -166,11 +168,11 @@
         return p;
     }
 
-    @Override public boolean piece(Request o, String json, Runnable ready) {
+    @Override public boolean piece(Request o, Buffer piece, Runnable ready) {
         RoutingContext c = calls.get(o);
         if (c == null) return true;
         HttpServerResponse p = begun(c);
-        p.write(json + "\n");
+        p.write(Buffer.buffer(piece.length() + 1).appendBuffer(piece).appendByte((byte) '\n'));
         if (!p.writeQueueFull()) return true;
         p.drainHandler(v -> ready.run());
         return false;
--- a/data-plane/src/main/java/gladelug/data/relay/HttpConnections.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HttpConnections.java
@@ -4,8 +4,8 @@
  */
 package gladelug.data.relay;
 
-import gladelug.kernel.connection.Local;
 import gladelug.kernel.configuration.Replicas.Replica;
+import gladelug.kernel.connection.Local;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/OwnProtocol.java
@@ -0,0 +1,31 @@
+/*
+ * The product's own protocol at both ends of a relay: callers' JSON over Vert.x Web, replicas that report.
+ */
+package gladelug.data.relay;
+
+import gladelug.data.request.Decisions;
+import gladelug.data.request.Way;
+import gladelug.kernel.Address;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.Router;
+
+public record OwnProtocol(Address callers) implements RelayProtocol {
+    @Override public Backends backends(Under u, Relay r) {
+        return Backends.overHttp(u.vertx(), u.local(), u.clock(), r::pump);
+    }
+
+    @Override public Exchange exchange(Under u, Relay r) {
+        return new LineExchange(r, new HttpConnections(u.vertx(), u.local()));
+    }
+
+    @Override public Uni<Door> open(Under u, Relay r, Decisions decisions, Way way) {
+        Router t = Router.router(u.vertx().getDelegate());
+        new CallerDoor(r, decisions, way).routes(t);
+        HttpServer server = u.vertx().getDelegate().createHttpServer(
+            new HttpServerOptions().setMaxHeaderSize(16384).setIdleTimeout(120).setTcpNoDelay(true));
+        return Uni.createFrom().completionStage(() -> server.requestHandler(t)
+            .listen(callers.port(), u.local().ip()).toCompletionStage()).map(x -> server::close);
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -16,10 +16,11 @@
 import gladelug.data.request.Way;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Log;
-import gladelug.kernel.message.Keys;
-import gladelug.kernel.message.News;
 import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas.Replica;
 import gladelug.kernel.configuration.Weights;
+import gladelug.kernel.message.Keys;
+import gladelug.kernel.message.News;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -42,35 +43,35 @@
     public final Clock clock;
     public final HeldNews news;
     public final Backends backends;
-    public final Budget budget = new Budget();
+    public final Budget budget;
     public final String zone;
-    private final int queueMost;
+    public RelaySettings settings;
     private final Map<String, WaitQueue> queues = new HashMap<>();
     private final Map<String, Integer> admitted = new HashMap<>();
     private final Map<Long, Request> live = new LinkedHashMap<>();
     private final Map<String, double[]> served = new HashMap<>();
     private Tables shaped = Tables.NONE;
     private final IntSupplier relays;
-    /** Shares kept by this relay alone, to be measured against the fleet's division. */
-    private final boolean alone;
     private long ticked;
     private long awake;
     private boolean pumping;
     private boolean pumpAgain;
+    /** Not ready any more, though requests are still taken. */
+    public boolean leaving;
     public boolean stopping;
     /** Records that have ended, for whoever hands them on. */
     public Consumer<Decision> reasons = d -> {};
 
-    public Relay(Clock clock, HeldNews news, Function<Relay, Backends> backends, String zone, int queueMost,
-        IntSupplier relays, boolean alone) {
+    public Relay(Clock clock, HeldNews news, Function<Relay, Backends> backends, String zone, RelaySettings settings,
+        IntSupplier relays) {
         this.relays = relays;
-        this.alone = alone;
+        this.settings = settings;
+        this.budget = new Budget(() -> this.settings, relays);
         this.ticked = clock.now();
         this.awake = ticked;
         this.clock = clock;
         this.news = news;
         this.zone = zone;
-        this.queueMost = queueMost;
         this.backends = backends.apply(this);
     }
 
@@ -88,16 +89,56 @@
         return "";
     }
 
-    /** The weights a request may run on now: the newest, and until the cutoff those before. */
-    public String[] weights(String service) {
-        Weights.Named n = tables().weights().of(service);
-        if (n == null) return null;
-        return new String[]{n.now(), clock.now() < news.leases.cutoffAt() ? n.before() : ""};
+    /**
+     * The weights of a model that a request may run on now: the newest, and until the cutoff those before; null where
+     * there are none. Where nobody has to name weights first, those that replicas tell of stand until somebody does.
+     */
+    public String[] weights(String model) {
+        Weights.Named n = tables().weights().of(model);
+        if (n == null) return settings.anyWeights() ? new String[]{backends.newest(model), ""} : null;
+        String before = n.before().isEmpty() && settings.anyWeights()
+            ? backends.newestBelow(model, n.now())
+            : n.before();
+        return new String[]{n.now(), clock.now() < news.leases.cutoffAt() ? before : ""};
+    }
+
+    /** Whether a request may begin on these weights now. */
+    public boolean mayRun(String model, String w) {
+        String[] may = weights(model);
+        return may != null && !w.isEmpty() && (w.equals(may[0]) || w.equals(may[1]));
+    }
+
+    /** Whether a replica runs weights on which requests may begin now, of any model it serves. */
+    private boolean runs(Backend b) {
+        for (String m : b.weights.keySet()) if (mayRun(m, b.weights(m))) return true;
+        return false;
+    }
+
+    /** Where a holder of kept prompts is called: a replica's or a store's address and zone; or null. */
+    public Replica holder(String name) {
+        Replica p = tables().replicas().find(name);
+        if (p != null) return p;
+        Configuration.Service s = tables().configuration().service(name);
+        return s == null || s.store() == null ? null : new Replica(name, name, s.store(), s.zone(), true);
+    }
+
+    /** The first piece of a request came so many ms after it was handed over: what is learned of its replica. */
+    public void firstPiece(Request o, Backend b, long ms) {
+        if (b.reports) return;
+        double rest = ms - o.queueMs;
+        if (o.fetchBlocks > 0 && rest > 4 * o.workMs + 250) b.slowLink(clock.now());
+        else if (o.fetchBlocks == 0 && o.computeUnits > 500 && rest > 0) b.measured(rest / o.computeUnits);
+    }
+
+    /** When a caller whose request did not run may come back: soon, and within the time it has. */
+    public long comeBackMs(Request o) {
+        double wait = o.service == null ? 0 : waitMs(o.service.name(), o.leaf);
+        return (long) Math.max(settings.comeBackMs(), Math.min(10_000, wait));
     }
 
     public WaitQueue queue(String service) {
         return queues.computeIfAbsent(service, s -> {
-            WaitQueue b = new WaitQueue(queueMost);
+            WaitQueue b = new WaitQueue(settings.queueMost());
             b.shape(tables().configuration());
             return b;
         });
@@ -143,7 +184,7 @@
         drop(o);
         o.backend = b;
         b.mine++;
-        b.addedMs += ms;
+        b.owes(ms, clock.now());
         admitted.merge(o.service.name(), -1, Integer::sum);
     }
 
@@ -168,7 +209,7 @@
             e.getValue().waitingAndUsed().forEach((leaf, n) -> ds.add(new News.Demand(s, leaf, n[0], n[1])));
             ps.add(new News.Places(s, places(s)));
             HeldNews.Allotment a = news.allotment(s);
-            if (alone || a == null || now - a.at() > STALE || !a.full()) e.getValue().unbound();
+            if (settings.alone() || a == null || now - a.at() > STALE || !a.full()) e.getValue().unbound();
             else e.getValue().bound(a.milli(), passed, requestMs(s));
         }
         news.demand(List.copyOf(ds), List.copyOf(ps));
@@ -199,7 +240,7 @@
     /** With nobody dividing, as much of the places as if all relays asked alike. */
     private int equalPart(String service) {
         HeldNews.Allotment a = news.allotment(service);
-        if (alone) return Integer.MAX_VALUE;
+        if (settings.alone()) return Integer.MAX_VALUE;
         if (a != null && clock.now() - a.at() <= STALE) return Integer.MAX_VALUE;
         int n = Math.max(1, relays.getAsInt());
         return (places(service) + n - 1) / n;
@@ -207,9 +248,8 @@
 
     public int free(String service) {
         Configuration.Service s = tables().configuration().service(service);
-        String[] w = s != null && s.kind() == Configuration.Kind.APPLICATION ? new String[]{"", ""} : weights(service);
-        if (w == null) return 0;
-        return Math.min(backends.free(service, w[0], w[1]) - admitted.getOrDefault(service, 0),
+        boolean model = s == null || s.kind() == Configuration.Kind.MODEL;
+        return Math.min(backends.free(service, b -> !model || runs(b)) - admitted.getOrDefault(service, 0),
             equalPart(service) - queue(service).used());
     }
 
@@ -255,10 +295,10 @@
     }
 
     /** The way of a request through this relay. */
-    public Way way(Lookups lookups, Stages.Mode mode, ReplicaConnections connections) {
+    public Way way(Lookups lookups, Stages.Mode mode, Exchange exchange) {
         return new Way(List.of(new Stages.Key(this), new Stages.Route(this), new Stages.Admission(this),
             new Stages.Prefix(this, lookups), new Stages.Choice(this, mode), new Stages.Fetch(this),
-            new HandOver(this, connections)), "choice", clock, this::ended);
+            new HandOver(this, exchange)), "choice", clock, this::ended);
     }
 
     /** A new snapshot: back ends, shares, and what it forbids of requests under way. */
@@ -267,7 +307,7 @@
         if (t.configurationNumber() != shaped.configurationNumber()) {
             for (WaitQueue b : queues.values()) b.shape(t.configuration());
             for (Request o : live()) {
-                if (o.tenant == null) continue;
+                if (o.tenant == null || o.route != null && o.route.open()) continue;
                 Configuration.Tenant n = t.configuration().tenantOfHash(o.keyHash);
                 if (n == null || !n.name().equals(o.tenant.name())) stop(o, "key revoked", 401);
             }
@@ -317,7 +357,7 @@
             } else if (o.backend != null && o.backend.silent(now, awake) && o.state.at() != State.At.WAITING)
                 o.lost.accept("has fallen silent");
         }
-        if (now - news.leases.until(Keys.CONFIGURATION) > GRACE)
+        if (settings.cutsStreams() && now - news.leases.until(Keys.CONFIGURATION) > GRACE)
             for (Request o : live())
                 if (o.tenant != null) stop(o, "no licence for so long that keys can't be known", 503);
         pump();
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayProtocol.java
@@ -0,0 +1,32 @@
+/*
+ * What a relay speaks: to callers at its door, to replicas, and how it knows those. The stages between are the same
+ * whatever is spoken. Called on the request thread.
+ */
+package gladelug.data.relay;
+
+import gladelug.data.request.Decisions;
+import gladelug.data.request.Way;
+import gladelug.kernel.Clock;
+import gladelug.kernel.connection.Local;
+import io.smallrye.mutiny.Uni;
+import io.vertx.mutiny.core.Vertx;
+
+public interface RelayProtocol {
+    /** The machine under a relay. */
+    record Under(Vertx vertx, Local local, Clock clock) {}
+
+    /** The open door. */
+    interface Door {
+        /** From now on callers are told to go elsewhere with their next request. */
+        default void leaving() {}
+
+        void close();
+    }
+
+    Backends backends(Under u, Relay r);
+
+    Exchange exchange(Under u, Relay r);
+
+    /** Opens the door; fails where it can't be opened. */
+    Uni<Door> open(Under u, Relay r, Decisions decisions, Way way);
+}
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -9,11 +9,11 @@
 import gladelug.data.StatusDoor;
 import gladelug.data.news.NewsService;
 import gladelug.data.news.Tables;
+import gladelug.data.reasons.ReasonsService;
 import gladelug.data.request.Decision;
 import gladelug.data.request.Decisions;
 import gladelug.data.request.Request;
 import gladelug.data.request.State;
-import gladelug.data.reasons.ReasonsService;
 import gladelug.kernel.Address;
 import gladelug.kernel.Clock;
 import gladelug.kernel.Kernel;
@@ -22,8 +22,6 @@
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.view.ViewService;
 import io.smallrye.mutiny.Uni;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.mutiny.core.Context;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.Router;
@@ -39,31 +37,36 @@
     public static final long DRAIN = 8000;
     private static final int REMEMBERED = 16384;
 
+    /** lingerMs: how long a relay that stops still takes requests; drainMs: when it has ended at the latest. */
+    public record Ends(long lingerMs, long drainMs) {
+        public static final Ends USUAL = new Ends(0, DRAIN);
+    }
+
     private final Vertx vertx;
     private final Clock clock;
     private final String name;
     private final String zone;
-    private final Address callers;
+    private final RelayProtocol protocol;
     private final Address index;
-    private final int queue;
+    private final RelaySettings settings;
     private final Stages.Mode mode;
-    private final boolean alone;
+    private final Ends ends;
     private Context context;
     private volatile Relay relay;
     private Decisions decisions;
-    private HttpServer server;
+    private RelayProtocol.Door door;
 
-    public RelayService(Vertx vertx, Clock clock, String name, String zone, Address callers, Address index,
-        int queue, Stages.Mode mode, boolean alone) {
+    public RelayService(Vertx vertx, Clock clock, String name, String zone, RelayProtocol protocol, Address index,
+        RelaySettings settings, Stages.Mode mode, Ends ends) {
         this.vertx = vertx;
         this.clock = clock;
         this.name = name;
         this.zone = zone;
-        this.callers = callers;
+        this.protocol = protocol;
         this.index = index;
-        this.queue = queue;
+        this.settings = settings;
         this.mode = mode;
-        this.alone = alone;
+        this.ends = ends;
     }
 
     @Override public void start(Kernel k) {
@@ -74,16 +77,12 @@
         reasons.prepare();
         decisions = new Decisions(REMEMBERED, name, news.run());
         context = vertx.getOrCreateContext();
+        RelayProtocol.Under under = new RelayProtocol.Under(vertx, doors.local, clock);
         CompletableFuture<Void> up = new CompletableFuture<>();
         context.runOnContext(() -> {
-            Relay r = new Relay(clock, news.held, x -> Backends.overHttp(vertx, doors.local, clock, x::pump), zone,
-                queue,
-                () -> 1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count(), alone);
+            Relay r = new Relay(clock, news.held, x -> protocol.backends(under, x), zone, settings,
+                () -> 1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count());
             LookupClient lookups = new LookupClient(vertx, context, doors, views, zone, index);
-            CallerDoor door = new CallerDoor(r, decisions,
-                r.way(lookups, mode, new HttpConnections(vertx, doors.local)));
-            io.vertx.ext.web.Router t = io.vertx.ext.web.Router.router(vertx.getDelegate());
-            door.routes(t);
             vertx.setPeriodic(50, i -> r.tick());
             List<Decision> ended = new ArrayList<>();
             r.reasons = ended::add;
@@ -93,24 +92,28 @@
                 ended.clear();
             });
             relay = r;
-            server = vertx.getDelegate().createHttpServer(
-                new HttpServerOptions().setMaxHeaderSize(16384).setIdleTimeout(120).setTcpNoDelay(true));
-            server.requestHandler(t).listen(callers.port(), doors.local.ip()).onComplete(a -> {
-                if (a.succeeded()) up.complete(null);
-                else up.completeExceptionally(a.cause());
-            });
+            protocol.open(under, r, decisions, r.way(lookups, mode, protocol.exchange(under, r))).subscribe()
+                .with(d -> {
+                    door = d;
+                    up.complete(null);
+                }, up::completeExceptionally);
         });
         try {
             up.get(10, TimeUnit.SECONDS);
         } catch (InterruptedException | ExecutionException | TimeoutException e) {
-            throw new Kernel.CannotStart("cannot listen for callers on " + callers + ": " + Doors.reason(e), e);
+            throw new Kernel.CannotStart("cannot listen for callers: " + Doors.reason(e), e);
         }
         news.listen(t -> context.runOnContext(() -> relay.tables(t)));
-        Log.event("callers-door-open", "address", callers);
+        Log.event("callers-door-open", "name", name);
+    }
+
+    /** Other settings from now on. */
+    public void settings(RelaySettings s) {
+        context.runOnContext(() -> relay.settings = s);
     }
 
     public String unready() {
-        return relay == null ? "starting" : relay.unready();
+        return relay == null ? "starting" : relay.leaving ? "stopping" : relay.unready();
     }
 
     public Uni<JsonObject> status() {
@@ -149,17 +152,20 @@
     @Override public void stop() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         context.runOnContext(() -> {
-            relay.stopping = true;
-            long until = clock.now() + DRAIN;
+            relay.leaving = true;
+            door.leaving();
+            long begun = clock.now();
             vertx.setPeriodic(20, i -> {
-                if (relay.live().isEmpty() || clock.now() > until) done.complete(null);
+                long past = clock.now() - begun;
+                if (past >= ends.lingerMs) relay.stopping = true;
+                if (past >= ends.lingerMs && relay.live().isEmpty() || past > ends.drainMs) done.complete(null);
             });
         });
         try {
-            done.get(DRAIN + 1000, TimeUnit.MILLISECONDS);
+            done.get(ends.drainMs + 1000, TimeUnit.MILLISECONDS);
         } catch (InterruptedException | ExecutionException | TimeoutException e) {
             Log.warn("drain-unfinished");
         }
-        server.close();
+        door.close();
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -9,14 +9,13 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.Tables;
-import gladelug.data.request.Blocks;
 import gladelug.data.request.Request;
 import gladelug.data.request.Stage;
 import gladelug.data.request.Verdict;
-import gladelug.kernel.message.Lookup;
 import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas.Replica;
+import gladelug.kernel.message.Lookup;
 import io.smallrye.mutiny.Uni;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -39,7 +38,11 @@
             if (!why.isEmpty()) return Verdict.notRun(503, why, 1000);
             Tables t = r.tables();
             o.tenant = t.configuration().tenantOfHash(o.keyHash);
-            if (o.tenant == null) return Verdict.notRun(401, "the key is not known", 0);
+            Configuration.Route m = t.configuration().route(o.host, o.path);
+            if (m != null && m.open() && o.tenant == null) o.tenant = Configuration.ANYBODY;
+            if (o.tenant == null) return m == null && r.settings.hidesNoRoutes()
+                ? Verdict.notRun(404, "no mapping for this path", 0)
+                : Verdict.notRun(401, "the key is not known", 0);
             o.wall = o.tenant.isolated() ? o.tenant.name() : "";
             o.decision.add("key", r.clock.now(), Json.object().add("tenant", o.tenant.name())
                 .add("isolated", o.tenant.isolated()).add("policy", t.configurationNumber()));
@@ -55,15 +58,17 @@
 
         @Override public Verdict decide(Request o) {
             Tables t = r.tables();
-            o.route = t.configuration().route(o.path);
+            o.route = t.configuration().route(o.host, o.path);
             if (o.route == null) return Verdict.notRun(404, "no mapping for this path", 0);
-            o.service = t.configuration().services.get(o.route.service());
+            o.service = t.configuration().services.get(o.route.service(o.draw));
+            if (o.model.isEmpty()) o.model = o.service.name();
             o.leaf = Configuration.leaf(o.tenant, o.route);
             o.repeatable = o.askedRepeatable == null ? o.route.repeatable() : o.askedRepeatable;
-            o.deadline = o.came + o.route.deadlineMs();
+            long may = o.route.deadlineMs();
+            o.deadline = o.came + (o.patienceMs > 0 ? Math.min(may, o.patienceMs) : may);
             o.decision.add("mapping", r.clock.now(),
                 Json.object().add("mapping", o.route.name()).add("service", o.service.name())
-                    .add("share", o.leaf).add("expiryMs", o.route.deadlineMs()).add("repeatable", o.repeatable));
+                    .add("share", o.leaf).add("expiryMs", o.deadline - o.came).add("repeatable", o.repeatable));
             return Verdict.GO;
         }
     }
@@ -75,16 +80,19 @@
         }
 
         @Override public Uni<Verdict> pass(Request o) {
-            if (o.service.kind() == Configuration.Kind.MODEL && r.weights(o.service.name()) == null)
-                return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
+            if (o.service.kind() == Configuration.Kind.MODEL && r.weights(o.model) == null)
+                return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.model, 2000));
             if (r.backends.of(o.service.name()).isEmpty())
                 return Uni.createFrom()
-                    .item(Verdict.notRun(503, "no replica of " + o.service.name() + " is listed as ready", 1000));
+                    .item(Verdict.notRun(503, "no replica of " + o.service.name() + " is listed as ready",
+                        r.settings.comeBackMs()));
             WaitQueue b = r.queue(o.service.name());
             double wait = r.waitMs(o.service.name(), o.leaf);
             long now = r.clock.now();
-            // a request that would begin too late to end in time only takes a place from others
-            if (wait > 0 && now + wait + r.requestMs(o.service.name()) > o.deadline)
+            // a request that would begin too late to end in time, or in time to be of worth, only takes a place
+            boolean late = now + wait + r.requestMs(o.service.name()) > o.deadline
+                || o.route.aimMs() > 0 && wait > o.route.aimMs() / 4.0;
+            if (wait > 0 && late)
                 return Uni.createFrom().item(Verdict.notRun(503, "the backlog is longer than the order may wait",
                     (long) Math.min(10_000, wait)));
             return Uni.createFrom().emitter(e -> {
@@ -111,21 +119,20 @@
 
         @Override public Uni<Verdict> pass(Request o) {
             if (o.service.kind() != Configuration.Kind.MODEL) return Uni.createFrom().item(Verdict.GO);
-            String[] w = r.weights(o.service.name());
+            String[] w = r.weights(o.model);
             if (w == null)
-                return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000));
+                return Uni.createFrom().item(Verdict.notRun(503, "no weights are named for " + o.model, 2000));
             long t = r.clock.now();
-            int blockBytes = 256;
-            boolean newest = false, older = false;
+            int blockBytes = 256, newest = 0, older = 0;
             for (Backend b : r.backends.of(o.service.name())) {
                 if (!b.usable(t)) continue;
                 blockBytes = b.blockBytes;
-                newest |= b.weights.equals(w[0]);
-                older |= !w[1].isEmpty() && b.weights.equals(w[1]);
+                if (b.weights(o.model).equals(w[0])) newest++;
+                else if (!w[1].isEmpty() && b.weights(o.model).equals(w[1])) older++;
             }
-            o.weights = newest || !older ? w[0] : w[1];
-            o.blocks = Blocks.ids(o.service.name(), o.weights, o.wall, o.prompt.getBytes(StandardCharsets.UTF_8),
-                blockBytes);
+            boolean toNewest = r.settings.prefersNewest() ? newest > 0 : newest >= older;
+            o.weights = toNewest || older == 0 ? w[0] : w[1];
+            o.blocks = o.prompt.keys(o.model, o.weights, o.wall, blockBytes);
             return lookups.ask(o.blocks).map(f -> {
                 o.matches = f.matches();
                 JsonArray a = new JsonArray();
@@ -150,23 +157,25 @@
         }
 
         private record Option(Backend b, int matched, String from, int fetch, double queue, double prefill,
-            double ms) {}
+            int compute, double ms) {}
 
         @Override public Verdict decide(Request o) {
             long t = r.clock.now();
             if (t >= o.deadline) return Verdict.notRun(503, "expired before a replica was chosen", 1000);
             boolean model = o.service.kind() == Configuration.Kind.MODEL;
-            String[] w = model ? r.weights(o.service.name()) : new String[]{"", ""};
-            if (w == null) return Verdict.notRun(503, "no weights are named for " + o.service.name(), 2000);
+            String[] w = model ? r.weights(o.model) : new String[]{"", ""};
+            if (w == null) return Verdict.notRun(503, "no weights are named for " + o.model, 2000);
+            Backend only = o.only;
+            o.only = null;
             List<Option> os = new ArrayList<>();
             boolean newest = false;
             for (Backend b : r.backends.of(o.service.name())) {
                 if (!b.usable(t) || b.free() == 0 && b != o.backend) continue;
-                if (model && !b.weights.equals(w[0]) && (w[1].isEmpty() || !b.weights.equals(w[1]))) continue;
-                newest |= model && b.weights.equals(w[0]);
+                if (only != null && b != only || model && !r.mayRun(o.model, b.weights(o.model))) continue;
+                newest |= model && r.settings.prefersNewest() && b.weights(o.model).equals(w[0]);
                 os.add(option(o, b, t));
             }
-            if (newest) os.removeIf(x -> !x.b.weights.equals(w[0]));
+            if (newest) os.removeIf(x -> !x.b.weights(o.model).equals(w[0]));
             if (os.isEmpty()) {
                 List<Backend> all = r.backends.of(o.service.name());
                 return Verdict.notRun(503,
@@ -175,7 +184,7 @@
                         : all.stream().anyMatch(b -> b.known && t < b.badUntil)
                             ? "every replica has just failed or turned an order away"
                             : "no replica answers",
-                    500);
+                    Math.min(500, r.settings.comeBackMs()));
             }
             Comparator<Option> first = switch (mode) {
                 case SUMMARY -> Comparator.comparingDouble(Option::ms);
@@ -186,13 +195,16 @@
                 .thenComparing(x -> (x.b.replica.instance().hashCode() ^ (int) o.decision.nr) * 0x9E3779B1));
             Option c = os.get(0);
             if (model) {
-                boolean same = c.b.weights.equals(o.weights);
-                o.weights = c.b.weights;
+                boolean same = c.b.weights(o.model).equals(o.weights);
+                o.weights = c.b.weights(o.model);
                 o.matched = same ? c.matched : 0;
                 o.fetchFrom = same ? c.from : "";
                 o.fetchBlocks = same ? c.fetch : 0;
             }
             if (o.fetchBlocks > 0) c.b.pulls(o.fetchFrom, t);
+            o.computeUnits = c.compute;
+            o.workMs = c.prefill;
+            o.queueMs = c.queue;
             r.choose(o, c.b, c.prefill);
             JsonArray a = new JsonArray();
             for (Option x : os.subList(0, Math.min(4, os.size())))
@@ -209,29 +221,43 @@
             return Math.round(d * 10) / 10.0;
         }
 
+        /** Units that a holder keeps of the prompt's first blocks: whole ones, and a part of the next. */
+        private static int units(Request o, Lookup.Match m) {
+            int u = 0, n = Math.min(o.blocks.length, m.blocks());
+            for (int i = 0; i < n; i++) u += o.prompt.units(i);
+            return n < o.blocks.length ? u + Math.min(m.units(), o.prompt.units(n)) : u;
+        }
+
         private Option option(Request o, Backend b, long t) {
-            int n = o.blocks.length, have = 0;
-            boolean same = b.weights.equals(o.weights) && mode != Mode.LEAST_LOAD;
+            int n = o.blocks.length, all = 0, have = 0, haveUnits = 0;
+            for (int i = 0; i < n; i++) all += o.prompt.units(i);
+            boolean same = b.weights(o.model).equals(o.weights) && mode != Mode.LEAST_LOAD;
             if (same) for (Lookup.Match m : o.matches)
-                if (m.holder().equals(b.replica.instance())) have = Math.max(have, Math.min(n, m.blocks()));
-            double work = (n - have) * b.msPerBlock;
+                if (m.holder().equals(b.replica.instance()) && units(o, m) >= haveUnits) {
+                    have = Math.min(n, m.blocks());
+                    haveUnits = units(o, m);
+                }
+            double work = (all - haveUnits) * b.unitMs;
             String from = "";
-            int fetch = 0;
+            int fetch = 0, compute = all - haveUnits;
             if (same && mode == Mode.SUMMARY)
                 for (Lookup.Match m : o.matches) {
-                    int more = Math.min(n, m.blocks()) - have;
-                    if (more <= 0 || r.tables().replicas().find(m.holder()) == null) continue;
-                    if (b.unsure(m.holder(), t)) more = Math.min(more, FEW);
-                    double f = FETCH_MS + more * b.linkMs(m.holder(), t) + (n - have - more) * b.msPerBlock;
-                    if (f < work) {
+                    int blocks = Math.min(n, m.blocks()) - have, more = units(o, m) - haveUnits;
+                    Replica h = r.holder(m.holder());
+                    if (more <= 0 || h == null) continue;
+                    if (b.unsure(m.holder(), t)) more = blocks = Math.min(blocks, FEW);
+                    double link = b.linkMs(m.holder(), h.zone(), t);
+                    double f = FETCH_MS + more * link + (all - haveUnits - more) * b.unitMs;
+                    if (link >= 0 && f < work) {
                         work = f;
                         from = m.holder();
-                        fetch = more;
+                        fetch = Math.max(1, blocks);
+                        compute = all - haveUnits - more;
                     }
                 }
             double queue = b.queueMs(t) + Math.max(0, b.load() - b.slots + 1) * 20.0;
-            return new Option(b, have, from, fetch, queue, work,
-                queue + work + (b.replica.zone().equals(r.zone) ? 0 : OTHER_ZONE_MS));
+            return new Option(b, have, from, fetch, queue, work, compute,
+                queue + work + (b.replica.zone().equals(r.zone) ? 0 : r.settings.zoneMs()));
         }
     }
 
--- a/data-plane/src/main/java/gladelug/data/request/Decision.java
+++ b/data-plane/src/main/java/gladelug/data/request/Decision.java
@@ -19,6 +19,8 @@
 
     public final String id;
     public final long nr;
+    /** The caller's own id of it, where it has one. */
+    String alias = "";
     private final long came;
     private final String wall = Instant.now().toString();
     private List<Reason> reasons = new ArrayList<>(10);
--- a/data-plane/src/main/java/gladelug/data/request/Decisions.java
+++ b/data-plane/src/main/java/gladelug/data/request/Decisions.java
@@ -4,6 +4,7 @@
  */
 package gladelug.data.request;
 
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReferenceArray;
 
 public final class Decisions {
@@ -22,6 +23,7 @@
     private final AtomicReferenceArray<Decision> ring;
     private final String relay;
     private final String run;
+    private final ConcurrentHashMap<String, Long> aliases = new ConcurrentHashMap<>();
     private long next;
 
     public Decisions(int size, String relay, long run) {
@@ -38,12 +40,29 @@
     public Decision begin(long came) {
         long n = next;
         Decision d = new Decision(relay + "." + run + "." + n, n, came);
-        ring.set((int) (n % ring.length()), d);
+        Decision old = ring.getAndSet((int) (n % ring.length()), d);
+        if (old != null && !old.alias.isEmpty()) aliases.remove(old.alias, old.nr);
         next = n + 1;
         return d;
     }
 
+    /** The same, for a request that its caller names by an id of its own. */
+    public Decision begin(long came, String alias) {
+        Decision d = begin(came);
+        d.alias = alias;
+        aliases.put(alias, d.nr);
+        return d;
+    }
+
+    /** By the relay's id of a request, or by its caller's. */
     public Found find(String id) {
+        Long nr = aliases.get(id);
+        if (nr == null) return findOwn(id);
+        Decision d = ring.get((int) (nr % ring.length()));
+        return d != null && d.nr == nr ? new Found.Yes(d) : new Found.Overwritten();
+    }
+
+    private Found findOwn(String id) {
         String[] ps = id.split("\\.", -1);
         long n;
         try {
--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -5,8 +5,9 @@
 package gladelug.data.request;
 
 import gladelug.data.relay.Backend;
-import gladelug.kernel.message.Lookup;
 import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.message.Lookup;
+import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -26,8 +27,24 @@
     public boolean repeatable;
     /** What the caller said of it, or null. */
     public Boolean askedRepeatable;
-    public String prompt = "";
+    /** Of the path's host, empty where the caller names none. */
+    public String host = "";
+    public Message message = Message.NONE;
+    public Prompt prompt = Prompt.NONE;
+    /** Whose weights it runs on: the model it names, or its service. */
+    public String model = "";
     public int maxPieces;
+    /** Tokens put out at most, as the caller said; 0 where it didn't. */
+    public int tokensOut;
+    /** How long the caller waits in all, in ms; 0 where it didn't say. */
+    public long patienceMs;
+    /** Told by the caller that what it sends may be taken up in the middle, after this event. */
+    public String lastEvent = "";
+    public Head head;
+    /** The only replica that may be chosen now, or null. */
+    public Backend only;
+    /** From 0 to 1, the same for every try at the same replicas: which part of a split route it takes. */
+    public double draw;
     public String weights = "";
     public String wall = "";
     public long[] blocks = new long[0];
@@ -36,6 +53,10 @@
     public int matched;
     public String fetchFrom = "";
     public int fetchBlocks;
+    /** What the choice reckoned with: units to compute, ms of that and of pulling, ms in the replica's queue. */
+    public int computeUnits;
+    public double workMs;
+    public double queueMs;
     public int tries;
     /** A replica had it and didn't say that it did not run it, so nothing may be called not-run any more. */
     public boolean mayHaveRun;
@@ -53,7 +74,10 @@
         void refuse(Request o, Verdict.Refuse v);
 
         /** False where the caller can't take more for now; ready is then called once. */
-        boolean piece(Request o, String json, Runnable ready);
+        boolean piece(Request o, Buffer piece, Runnable ready);
+
+        /** Before the first piece, once. */
+        default void head(Request o, Head h) {}
 
         void complete(Request o, int pieces);
 
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/request/Salt.java
@@ -0,0 +1,30 @@
+/*
+ * The text under which replicas keep parts of prompts: a digest of the model, its weights and, for a tenant that shares
+ * nothing, the tenant. Replicas and stores look a part up only under the text it was kept under and
+ * check neither tenant nor weights, so this text is the wall: what was kept under other weights or for another
+ * isolated tenant is never found, wherever it lies.
+ */
+package gladelug.data.request;
+
+import gladelug.kernel.Digest;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+
+public final class Salt {
+    private static final int BYTES = 10;
+
+    private Salt() {}
+
+    /** 20 hex digits; wall is empty for tenants that share. */
+    public static String of(String model, String weights, String wall) {
+        byte[] d = Digest.sha256()
+            .digest((model + "\n" + weights + "\n" + wall).getBytes(StandardCharsets.UTF_8));
+        return HexFormat.of().formatHex(d, 0, BYTES);
+    }
+
+    /** The index's key of a part kept under a salt. */
+    public static long key(String salt, String part) {
+        return ByteBuffer.wrap(Digest.sha256().digest((salt + "/" + part).getBytes(StandardCharsets.UTF_8))).getLong();
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/request/Way.java
+++ b/data-plane/src/main/java/gladelug/data/request/Way.java
@@ -53,6 +53,10 @@
     }
 
     private void refuse(Request o, Verdict.Refuse v) {
+        if (o.piecesOut > 0) {
+            cutOff(o, v.reason());
+            return;
+        }
         Verdict.Refuse t = !o.mayHaveRun || v.outcome().equals("unknown")
             ? v
             : new Verdict.Refuse(502, "unknown", v.reason() + ", and an earlier try may have run", v.retryMs());
@@ -65,4 +69,14 @@
         if (!o.gone) o.caller.refuse(o, t);
         ended.accept(o);
     }
+
+    /** A stream that broke and that nobody takes up. */
+    private void cutOff(Request o, String why) {
+        if (o.state.end()) {
+            o.decision.add("cut-off", clock.now(), Json.object().add("why", why).add("pieces", o.piecesOut));
+            o.decision.outcome("cut-off");
+            if (!o.gone) o.caller.cutOff(o, why);
+        }
+        ended.accept(o);
+    }
 }
--- a/kernel/src/main/java/gladelug/kernel/configuration/Configuration.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Configuration.java
@@ -22,38 +22,181 @@
 public final class Configuration {
     public enum Kind { MODEL, APPLICATION, STORE }
 
-    public record Service(int index, String name, Kind kind, List<Allow> allow) {
+    /**
+     * What the replicas of a model service are able to do, where that is known: requests at once, prompt tokens kept at
+     * most (0 where not known), bytes a kept token, the speed of their links in Mbit/s, how many may follow one's
+     * cache events at once, and the models they serve.
+     */
+    public record Engine(int slots, long keptTokens, int tokenBytes, double linkMbps, int followers,
+        List<String> models) {
+        public static final Engine UNKNOWN = new Engine(0, 0, 0, 0, 0, List.of());
+    }
+
+    /** A service; connections is the most a replica takes from all callers, store the address of a store, or null. */
+    public record Service(int index, String name, Kind kind, List<Allow> allow, int connections, Engine engine,
+        Address store, String zone) {
         public boolean allows(Address a) {
             for (Allow w : allow) if (w.allows(a)) return true;
             return false;
         }
     }
 
-    public record Route(int index, String name, String path, int service, int deadlineMs, boolean repeatable,
-        int maxBodyBytes) {}
+    /** What a client may send at most and how long it may take: bytes and milliseconds. */
+    public record Limits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {
+        public static final Limits USUAL = new Limits(16_384, 16_777_216, 10_000, 120_000);
+    }
+
+    /** A part of a route's traffic: a service by its index and how much of it. */
+    public record Weighted(int service, int weight) {}
+
+    /**
+     * Which requests go to which service. host is empty for any; prefix tells whether path begins the request's path
+     * or is all of it. aimMs and gapMs are when the first event and the next are still in time (0: not told).
+     */
+    public record Route(int index, String name, String host, String path, boolean prefix, List<Weighted> split,
+        int deadlineMs, boolean repeatable, int maxBodyBytes, int aimMs, int gapMs, int attempts, int tier,
+        boolean open, boolean stream, boolean resumable) {
+        public int service() {
+            return split.get(0).service();
+        }
+
+        public boolean allows(int service) {
+            for (Weighted w : split) if (w.service == service && w.weight > 0) return true;
+            return false;
+        }
+
+        /** The service for a request whose draw is from 0 to 1: by the weights, the same for the same draw. */
+        public int service(double draw) {
+            int all = 0;
+            for (Weighted w : split) all += w.weight;
+            double at = draw * all;
+            for (Weighted w : split) {
+                at -= w.weight;
+                if (at < 0) return w.service;
+            }
+            return split.get(split.size() - 1).service;
+        }
+
+        public static Builder named(String name) {
+            return new Builder(name);
+        }
+
+        /** A route as it is put together; what isn't said is as the product's own configuration has it. */
+        public static final class Builder {
+            private final String name;
+            private String host = "";
+            private String path = "/";
+            private boolean prefix;
+            private final List<Weighted> split = new ArrayList<>();
+            private int deadlineMs = 10_000;
+            private boolean repeatable;
+            private int maxBodyBytes = 262_144;
+            private int aimMs;
+            private int gapMs;
+            private int attempts = 2;
+            private int tier;
+            private boolean open;
+            private boolean stream = true;
+            private boolean resumable;
+
+            private Builder(String name) {
+                this.name = name;
+            }
+
+            public Builder at(String h, String p, boolean begins) {
+                host = h;
+                path = p;
+                prefix = begins;
+                return this;
+            }
+
+            public Builder to(int service, int weight) {
+                split.add(new Weighted(service, weight));
+                return this;
+            }
+
+            public Builder times(int deadline, int aim, int gap) {
+                deadlineMs = deadline;
+                aimMs = aim;
+                gapMs = gap;
+                return this;
+            }
+
+            public Builder tries(boolean again, int most) {
+                repeatable = again;
+                attempts = most;
+                return this;
+            }
+
+            public Builder body(int bytes) {
+                maxBodyBytes = bytes;
+                return this;
+            }
+
+            public Builder tier(int t) {
+                tier = t;
+                return this;
+            }
+
+            public Builder open(boolean yes) {
+                open = yes;
+                return this;
+            }
+
+            public Builder stream(boolean yes, boolean mayResume) {
+                stream = yes;
+                resumable = mayResume;
+                return this;
+            }
+
+            public Route build(int index) {
+                return new Route(index, name, host, path, prefix, List.copyOf(split), deadlineMs, repeatable,
+                    maxBodyBytes, aimMs, gapMs, attempts, tier, open, stream, resumable);
+            }
+        }
+    }
 
     public record Tenant(int index, String name, List<String> keys, boolean isolated, Share share) {}
 
     public final List<Service> services;
     public final List<Route> routes;
     public final List<Tenant> tenants;
+    public final Limits limits;
+    /** The operator's own number for it, 0 where there is none. */
+    public final long revision;
     private final Map<String, Route> byPath = new HashMap<>();
+    private final Map<String, Route> byPrefix = new HashMap<>();
     private final Map<String, Tenant> byKey = new HashMap<>();
     private final Map<String, Service> byName = new HashMap<>();
 
-    private Configuration(List<Service> services, List<Route> routes, List<Tenant> tenants) {
+    public Configuration(long revision, List<Service> services, List<Route> routes, List<Tenant> tenants,
+        Limits limits) {
+        this.revision = revision;
+        this.limits = limits;
         this.services = List.copyOf(services);
         this.routes = List.copyOf(routes);
         this.tenants = List.copyOf(tenants);
         for (Service s : services) byName.put(s.name, s);
-        for (Route m : routes) byPath.put(m.path, m);
+        for (Route m : routes) (m.prefix ? byPrefix : byPath).put(m.host + m.path, m);
         for (Tenant t : tenants) for (String k : t.keys) byKey.put(k, t);
     }
 
-    public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of());
+    /** Whoever calls a route that is open to all without a key. */
+    public static final Tenant ANYBODY = new Tenant(-1, "anybody", List.of(), false,
+        new Share("anybody", "anybody", 1, 9, 0, List.of(), List.of()));
+    public static final Configuration EMPTY = new Configuration(0, List.of(), List.of(), List.of(),
+        Limits.USUAL);
 
     public Route route(String path) {
-        return byPath.get(path);
+        return route("", path);
+    }
+
+    /** Of the host's routes the one that is the path, else the one that begins it and is longest; or null. */
+    public Route route(String host, String path) {
+        Route r = byPath.get(host + path);
+        for (int i = path.length() - 1; r == null && i >= 0; i--)
+            if (path.charAt(i) == '/') r = byPrefix.get(host + path.substring(0, i + 1));
+        return r != null || host.isEmpty() ? r : route("", path);
     }
 
     public Service service(String name) {
@@ -92,7 +235,7 @@
         Map<String, String> keys = new HashMap<>();
         for (Doc x : f.list("tenants", true)) ts.add(tenant(x, ts.size(), tn, keys, mn, fs));
         f.done();
-        return Result.of(fs, () -> new Configuration(ss, ms, ts));
+        return Result.of(fs, () -> new Configuration(0, ss, ms, ts, Limits.USUAL));
     }
 
     private static Service service(Doc x, int i, Map<String, Service> names, Findings fs) {
@@ -113,7 +256,7 @@
             else for (Finding y : ((Result.Bad<Allow>) r).findings()) fs.add(y.place(), y.what());
         }
         f.done();
-        Service s = new Service(i, name, kind, List.copyOf(as));
+        Service s = new Service(i, name, kind, List.copyOf(as), 256, Engine.UNKNOWN, null, "");
         if (names.putIfAbsent(name, s) != null) fs.add(f.place("name"), "two services are named " + name);
         return s;
     }
@@ -129,8 +272,10 @@
         if (path.startsWith("/operator/")) fs.add(f.place("path"), "must not begin with /operator/");
         if (!names.add(name)) fs.add(f.place("name"), "two mappings are named " + name);
         if (!paths.add(path)) fs.add(f.place("path"), "two mappings have the path " + path);
-        Route m = new Route(i, name, path, s == null ? -1 : s.index, (int) f.whole("expiryMs", 10_000, 50, 600_000),
-            f.yes("repeatable", false), (int) f.whole("maxBodyBytes", 262_144, 64, 16_777_216));
+        Route m = Route.named(name).at("", path, false).to(s == null ? -1 : s.index, 1)
+            .times((int) f.whole("expiryMs", 10_000, 50, 600_000), 0, 0)
+            .tries(f.yes("repeatable", false), (int) f.whole("attempts", 6, 1, 16))
+            .body((int) f.whole("maxBodyBytes", 262_144, 64, 16_777_216)).build(i);
         f.done();
         return m;
     }
--- a/kernel/src/main/java/gladelug/kernel/configuration/Replicas.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Replicas.java
@@ -5,6 +5,7 @@
 package gladelug.kernel.configuration;
 
 import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
 import gladelug.kernel.Address;
 import gladelug.kernel.Doc;
 import gladelug.kernel.Findings;
@@ -13,9 +14,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 public final class Replicas {
-    public record Replica(String service, String instance, Address address, String zone, boolean ready) {}
+    /** slots: requests at once, 0 where not told; weights: of each model it serves, empty where not told. */
+    public record Replica(String service, String instance, Address address, String zone, boolean ready, int slots,
+        Map<String, String> weights) {
+        public Replica {
+            weights = Map.copyOf(weights);
+        }
+
+        public Replica(String service, String instance, Address address, String zone, boolean ready) {
+            this(service, instance, address, zone, ready, 0, Map.of());
+        }
+    }
 
     public final List<Replica> all;
     private final Map<String, Replica> byInstance = new HashMap<>();
@@ -40,8 +52,11 @@
                 Doc.Fields g = x.fields(fs);
                 String st = g.text("state");
                 if (!st.equals("ready") && !st.equals("leaving")) fs.add(g.place("state"), "must be ready or leaving");
+                Map<String, String> ws = new HashMap<>();
+                Doc w = g.object("weights", false);
+                if (w != null) for (String m : w.members.keySet()) ws.put(m, w.fields(fs).text(m));
                 out.add(new Replica(g.text("service"), g.text("instance"), Address.read(g, "address", fs),
-                    g.text("domain", ""), st.equals("ready")));
+                    g.text("domain", ""), st.equals("ready"), (int) g.whole("slots", 0, 0, 1 << 20), ws));
                 g.done();
             }
             f.done();
@@ -53,9 +68,16 @@
         StringBuilder sb = new StringBuilder("{\"replicas\":[");
         for (Replica r : all) {
             if (sb.charAt(sb.length() - 1) == '}') sb.append(',');
-            sb.append(Json.object().add("service", r.service).add("instance", r.instance)
+            JsonObject o = Json.object().add("service", r.service).add("instance", r.instance)
                 .add("address", r.address.toString()).add("domain", r.zone)
-                .add("state", r.ready ? "ready" : "leaving"));
+                .add("state", r.ready ? "ready" : "leaving");
+            if (r.slots > 0) o.add("slots", r.slots);
+            if (!r.weights.isEmpty()) {
+                JsonObject w = Json.object();
+                new TreeMap<>(r.weights).forEach(w::add);
+                o.add("weights", w);
+            }
+            sb.append(o);
         }
         return sb.append("]}").toString();
     }
--- a/kernel/src/main/java/gladelug/kernel/message/Lookup.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Lookup.java
@@ -11,7 +11,12 @@
 import java.util.List;
 
 public sealed interface Lookup extends Wire {
-    record Match(String holder, int blocks) {}
+    /** blocks: leading blocks kept whole; units: what is kept of the one after them. */
+    record Match(String holder, int blocks, int units) {
+        public Match(String holder, int blocks) {
+            this(holder, blocks, 0);
+        }
+    }
 
     record Question(long nr, long[] blocks) implements Lookup {
         @Override public int type() {
@@ -36,6 +41,7 @@
             Wire.list(o, matches, (p, m) -> {
                 p.writeUTF(m.holder);
                 p.writeInt(m.blocks);
+                p.writeInt(m.units);
             });
         }
     }
@@ -52,7 +58,7 @@
             }
             case 2 -> {
                 return new Answer(in.readLong(), in.readBoolean(),
-                    Wire.list(in, i -> new Match(i.readUTF(), i.readInt())));
+                    Wire.list(in, i -> new Match(i.readUTF(), i.readInt(), i.readInt())));
             }
             default -> throw Wire.unknown(type);
         }
--- a/kernel/src/main/java/gladelug/kernel/view/Views.java
+++ b/kernel/src/main/java/gladelug/kernel/view/Views.java
@@ -6,8 +6,8 @@
  */
 package gladelug.kernel.view;
 
-import gladelug.kernel.message.Shuffle;
 import gladelug.kernel.message.Shuffle.Descriptor;
+import gladelug.kernel.message.Shuffle;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
@@ -9,19 +9,23 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.HeldNews;
 import gladelug.data.news.NewsBook;
+import gladelug.data.relay.Backends;
+import gladelug.data.relay.LineExchange;
+import gladelug.data.relay.Relay;
+import gladelug.data.relay.RelaySettings;
+import gladelug.data.relay.Stages;
 import gladelug.data.request.Decisions;
+import gladelug.data.request.Prompt;
 import gladelug.data.request.Request;
 import gladelug.data.request.Verdict;
 import gladelug.data.request.Way;
-import gladelug.data.relay.Backends;
-import gladelug.data.relay.Relay;
-import gladelug.data.relay.Stages;
+import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
-import gladelug.kernel.configuration.Configuration;
 import gladelug.rehearsal.Ledger;
 import gladelug.rehearsal.StandInReplica;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.buffer.Buffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -79,9 +83,9 @@
         connections = new SimConnections(sim, this);
         decisions = new Decisions(512, name, l);
         relay = new Relay(this::now, news, x -> new Backends(this::now, (r, told) -> sim.load(this, r, told),
-            x::pump), "z", 64, () -> sim.fronts.size(), false);
+            x::pump), "z", RelaySettings.builder().queueMost(64).build(), () -> sim.fronts.size());
         way = relay.way(blocks -> Uni.createFrom().emitter(e -> sim.lookup(this, blocks, e::complete)),
-            Stages.Mode.SUMMARY, connections);
+            Stages.Mode.SUMMARY, new LineExchange(relay, connections));
         every(l, 50, () -> relay.tick());
         every(l, Backends.PERIOD, () -> relay.backends.askAll());
         every(l, 400, this::ask);
@@ -160,7 +164,7 @@
         run(life, () -> {
             Request o = new Request(decisions.begin(now()), now(), Configuration.hashOf("key-of-" + tenant), path,
                 new Side());
-            o.prompt = prompt + "#" + tag;
+            o.prompt = new Prompt.Text(prompt + "#" + tag);
             o.maxPieces = 16;
             c.order = o.id();
             calls.put(o, c);
@@ -195,10 +199,10 @@
             end(c, v.outcome());
         }
 
-        @Override public boolean piece(Request o, String json, Runnable ready) {
+        @Override public boolean piece(Request o, Buffer piece, Runnable ready) {
             Ledger.Call c = calls.get(o);
             if (c == null) return true;
-            JsonObject j = Json.parse(json).asObject();
+            JsonObject j = Json.parse(piece.toString()).asObject();
             if (c.explicitEnd || j.getInt("piece", -1) != c.pieces) c.misordered++;
             if (!StandInReplica.textOf(c.tag, c.pieces).equals(j.getString("text", ""))) c.foreign++;
             if (c.firstPiece < 0) c.firstPiece = sim.now();
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
@@ -21,13 +21,13 @@
 import gladelug.data.relay.Lookups;
 import gladelug.kernel.Address;
 import gladelug.kernel.Result;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Replicas;
+import gladelug.kernel.configuration.Weights;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
-import gladelug.kernel.configuration.Configuration;
-import gladelug.kernel.configuration.Replicas;
-import gladelug.kernel.configuration.Weights;
 import gladelug.rehearsal.Judge;
 import gladelug.rehearsal.Ledger;
 import gladelug.rehearsal.Promises;
@@ -176,13 +176,13 @@
             int l = c.life;
             carry(x.instance, c.name, () -> c.run(() -> {
                 if (l != c.life) return;
-                s.said(r, x.runs(), x.isLoading(), now());
-                String want = s.wanted(r, now());
-                if (want.isEmpty() || !anybodyCommands && !c.node.mayCommand(key)) return;
+                s.said(r, r.service(), x.runs(), x.isLoading(), now());
+                Steering.Wish want = s.wanted(r, now());
+                if (want == null || !anybodyCommands && !c.node.mayCommand(key)) return;
                 s.told(r, want, now());
                 long e = c.node.epochOf(key);
-                carry(c.name, x.instance, () -> x.steer(c.name, e, want));
-                say(c.name, "steers " + x.instance + " to " + want + " under " + e);
+                carry(c.name, x.instance, () -> x.steer(c.name, e, want.weights()));
+                say(c.name, "steers " + x.instance + " to " + want.weights() + " under " + e);
             }));
         }
     }
