Index: holdings in units, tolerant feeds, a seam for protocols, up to 1024 holders

Cause: the index knew whole blocks only, followed one HTTP protocol strictly and had room for 64 holders. Ruled out: a count of units inside the joined entry (no bits left, and a removal must know it exactly); learning a block's full size in the index (sources know it or not; events say whether it's part). Change: CacheEvent and BlockList carry units and part; FleetSummary keeps one entry a block and holder and a bounded map of parts; Match has units. Feed takes a Policy (gaps, patience, pause between lists); HolderFeeds is the seam, HttpHolderFeeds today's protocol; Holders.of says who is a holder and with what capacity. New index settings mostHolders and listPauseMs.

--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -5,6 +5,9 @@
 package gladelug.data;
 
 import gladelug.data.index.CuckooSummary;
+import gladelug.data.index.Feed;
+import gladelug.data.index.FleetSummary;
+import gladelug.data.index.HttpHolderFeeds;
 import gladelug.data.index.IndexService;
 import gladelug.data.news.NewsService;
 import gladelug.data.reasons.ReasonsService;
@@ -36,12 +39,12 @@
         "least-occupancy", Stages.Mode.LEAST_LOAD, "holder-always", Stages.Mode.HOLDER_ALWAYS));
     private static final String[] BOTH = {"name", "domain", "records", "operator", "bind", "seeds", "reasonsMb", "log"};
     private static final String[] RELAY = {"callers", "index", "backlog", "choice", "division"};
-    private static final String[] INDEX = {"fingerprintBits"};
+    private static final String[] INDEX = {"fingerprintBits", "mostHolders", "listPauseMs"};
 
     record Place(String name, String zone, Address records, Address operator, Local local, List<Address> seeds,
         String log,
         Address callers, Address index, int queue, String choice, String division, int fingerprintBits,
-        int reasonsMb) {}
+        int mostHolders, long listPauseMs, int reasonsMb) {}
 
     private DataPlane() {}
 
@@ -53,8 +56,13 @@
                 relay ? s.address("callers") : null, relay ? s.address("index", null) : null,
                 relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
                 relay ? s.text("choice", "summary") : "", relay ? s.text("division", "fleet") : "",
-                relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 31 - CuckooSummary.HOLDER_BITS),
+                relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 25),
+                relay ? 0 : (int) s.whole("mostHolders", FleetSummary.MOST_HOLDERS, 1, CuckooSummary.MOST_HOLDERS),
+                relay ? 0 : s.whole("listPauseMs", Feed.LIST_PAUSE, 0, 3_600_000),
                 (int) s.whole("reasonsMb", 16, 1, 4096));
+            if (!relay && p.fingerprintBits + CuckooSummary.holderBits(p.mostHolders) > 31)
+                s.findings.add("--fingerprintBits", "at most " + (31 - CuckooSummary.holderBits(p.mostHolders))
+                    + " where there may be " + p.mostHolders + " holders");
             if (p.seeds.isEmpty())
                 s.findings.add("--seeds", "at least one records address of another process is needed");
             if (p.seeds.contains(p.records))
@@ -99,6 +107,8 @@
             case "callers" -> "IP:PORT for callers";
             case "index" -> "IP:PORT of this machine's index process, where it has one";
             case "backlog" -> "how many orders of a service may wait here";
+            case "mostHolders" -> "how many replicas and stores the index has room for, up to 1024";
+            case "listPauseMs" -> "milliseconds between two loads of one replica's block list, at least";
             case "division" -> "who divides a full fleet: fleet, or alone for comparisons";
             case "choice" -> "how a replica is chosen: summary; least-occupancy and holder-always are for comparisons";
             default -> "width f of a fingerprint in the Cuckoo Summary";
@@ -123,7 +133,8 @@
                 reasons.routes(t);
             })).add("relay", r);
         } else {
-            IndexService x = new IndexService(vertx, clock, p.fingerprintBits);
+            IndexService x = new IndexService(clock, p.fingerprintBits, p.mostHolders,
+                HttpHolderFeeds.factory(vertx, Feed.Policy.STRICT.listPauseMs(p.listPauseMs)));
             k.add("status-door", new StatusDoor(vertx, p.operator, () -> "", x::status, reasons::routes)).add("index",
                 x);
         }
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/index/BlockList.java
@@ -0,0 +1,28 @@
+/*
+ * All that a holder keeps at one moment, as its list gives it.
+ */
+package gladelug.data.index;
+
+import java.util.Arrays;
+import java.util.BitSet;
+
+/**
+ * @param incarnation the holder's life
+ * @param number sequence number of the last event that the list includes
+ * @param blocks ids of the blocks kept, each once
+ * @param units units kept of each, as long as blocks; 0 = not kept
+ * @param parts which of them are kept in part only
+ */
+public record BlockList(String incarnation, long number, long[] blocks, int[] units, BitSet parts) {
+    public BlockList {
+        if (blocks.length != units.length)
+            throw new IllegalArgumentException(blocks.length + " blocks, " + units.length + " units");
+    }
+
+    /** A list of whole blocks. */
+    public static BlockList whole(String incarnation, long number, long[] blocks) {
+        int[] units = new int[blocks.length];
+        Arrays.fill(units, 1);
+        return new BlockList(incarnation, number, blocks, units, new BitSet());
+    }
+}
--- a/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
+++ b/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
@@ -2,6 +2,9 @@
  * The Cuckoo Summary of all holders with what feeds it, pure. Holder ids are dense, local to this process, and given
  * again only after the holder's entries were cleared. When holders can keep more than the table
  * holds, or its overflow says it is full, a larger one is filled from fresh lists beside it and swapped in.
+ * A holder has one entry of a block, however many events tell of it: an event with units kept inserts it
+ * only where it isn't there, one with none removes exactly one copy. How much is kept of a block kept in
+ * part stands beside the table, a map a holder.
  */
 package gladelug.data.index;
 
@@ -11,21 +14,25 @@
 import gladelug.data.news.Tables;
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Lookup;
-import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.configuration.Replicas.Replica;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 public final class FleetSummary {
-    private static final long START = 1 << 12, SEED = 0x5eed;
+    public static final int MOST_HOLDERS = 512;
+    private static final long START = 1 << 12, SEED = 0x5eed, SWAP = 5000;
+    private final int mostHolders;
+    private final Function<Replica, Feed.Policy> policies;
     private final int fingerprintBits;
     private final Map<String, Holder> holders = new HashMap<>();
-    private final Holder[] byId = new Holder[CuckooSummary.HOLDERS];
+    private final Holder[] byId;
     private final BitSet taken = new BitSet();
     private CuckooSummary now;
     private CuckooSummary next;
@@ -34,10 +41,32 @@
     private long hits;
     private int rebuilt;
     private boolean refused;
+    /** Of a lookup: a bit for each holder whose chain goes on, and for each that has the block. */
+    private final long[] left;
+    private final long[] match;
 
+    /** With room for {@link #MOST_HOLDERS} holders, each followed strictly. */
     public FleetSummary(int fingerprintBits) {
+        this(fingerprintBits, MOST_HOLDERS, r -> Feed.Policy.STRICT);
+    }
+
+    /**
+     * @param fingerprintBits f; with the bits of a holder's id at most 31
+     * @param mostHolders how many holders there may be at a time, at most {@link CuckooSummary#MOST_HOLDERS}
+     * @param policies how each holder is followed
+     */
+    public FleetSummary(int fingerprintBits, int mostHolders, Function<Replica, Feed.Policy> policies) {
         this.fingerprintBits = fingerprintBits;
-        this.now = new CuckooSummary(START, fingerprintBits, SEED);
+        this.mostHolders = mostHolders;
+        this.policies = policies;
+        this.byId = new Holder[mostHolders];
+        this.now = table(START);
+        this.left = new long[now.words()];
+        this.match = new long[now.words()];
+    }
+
+    private CuckooSummary table(long entries) {
+        return new CuckooSummary(entries, fingerprintBits, CuckooSummary.SLOTS, mostHolders, SEED);
     }
 
     public List<Holder> all() {
@@ -51,25 +80,26 @@
     /** Those the configuration and the platform name, and no others. */
     public void holders(Tables t, long at) {
         Set<String> listed = new HashSet<>();
-        for (Replica r : t.replicas().all) {
-            Configuration.Service s = t.configuration().service(r.service());
-            if (s == null || s.kind() == Configuration.Kind.APPLICATION || !s.allows(r.address())) continue;
+        for (Holders.Listed l : Holders.of(t)) {
+            Replica r = l.replica();
             Holder old = holders.get(r.instance());
             if (old != null && !old.replica.address().equals(r.address())) drop(old);
             if (!holders.containsKey(r.instance())) {
                 int id = taken.nextClearBit(0);
-                if (id >= CuckooSummary.HOLDERS) {
-                    if (!refused) Log.warn("too-many-holders", "most", CuckooSummary.HOLDERS);
+                if (id >= mostHolders) {
+                    if (!refused) Log.warn("too-many-holders", "most", mostHolders);
                     refused = true;
                     continue;
                 }
                 taken.set(id);
-                byId[id] = new Holder(r, id, at, effects(id));
+                byId[id] = new Holder(r, id, at, policies.apply(r), effects(id));
                 holders.put(r.instance(), byId[id]);
             }
+            if (l.capacityBlocks() > 0) holders.get(r.instance()).capacity = l.capacityBlocks();
             listed.add(r.instance());
         }
         for (Holder h : new ArrayList<>(holders.values())) if (!listed.contains(h.replica.instance())) drop(h);
+        fit(at);
     }
 
     private void drop(Holder h) {
@@ -83,31 +113,43 @@
 
     private Feed.Effects effects(int id) {
         return new Feed.Effects() {
-            @Override public void insert(long b) {
-                now.insert(b, id);
-                if (byId[id].inNext) next.insert(b, id);
+            @Override public void keep(long block, int units, boolean part) {
+                Holder h = byId[id];
+                if (units > 0) {
+                    now.insertOnce(block, id);
+                    if (h.inNext) next.insertOnce(block, id);
+                    if (part) h.parts.put(block, units);
+                    else if (units > h.parts.get(block)) h.parts.remove(block);
+                } else {
+                    now.remove(block, id);
+                    if (h.inNext) next.remove(block, id);
+                    h.parts.remove(block);
+                }
             }
 
-            @Override public void remove(long b) {
-                now.remove(b, id);
-                if (byId[id].inNext) next.remove(b, id);
+            @Override public void clear() {
+                now.clear(id);
+                if (next != null) next.clear(id);
+                byId[id].parts.clear();
             }
 
-            @Override public void load(long[] bs) {
-                now.clear(id);
-                if (next != null) {
-                    next.clear(id);
-                    byId[id].inNext = true;
-                }
-                for (long b : bs) insert(b);
+            @Override public void load(BlockList l) {
+                clear();
+                if (next != null) byId[id].inNext = true;
+                for (int i = 0; i < l.blocks().length; i++) keep(l.blocks()[i], l.units()[i], l.parts().get(i));
             }
 
             @Override public void list(long nr) {}
         };
     }
 
+    /** The most blocks that a holder can keep: the table grows where all of theirs no longer fit. */
     public void capacity(Holder h, long blocks, long at) {
         h.capacity = blocks;
+        fit(at);
+    }
+
+    private void fit(long at) {
         long all = 0;
         for (Holder x : holders.values()) all += x.capacity;
         CuckooSummary t = next != null ? next : now;
@@ -115,13 +157,13 @@
     }
 
     private void grow(long entries, long at) {
-        next = new CuckooSummary(entries, fingerprintBits, SEED);
+        next = table(entries);
         nextSince = at;
         Log.event("summary-grows", "from", now.capacity(), "to", next.capacity(), "entries", now.size(), "overflow",
             now.overflowed());
         for (Holder h : holders.values()) {
             h.inNext = false;
-            if (h.feed.following()) h.feed.resync();
+            if (h.feed.following()) h.feed.resync(at);
         }
     }
 
@@ -129,7 +171,8 @@
         for (Holder h : holders.values()) h.feed.tick(t);
         if (next == null && now.full()) grow(now.capacity(), t);
         if (next == null) return;
-        for (Holder h : holders.values()) if (!h.inNext && !h.silent(t) && t - nextSince < 5000) return;
+        for (Holder h : holders.values())
+            if (!h.inNext && !h.silent(t) && t - nextSince < SWAP + h.feed.policy().listPauseMs()) return;
         now = next;
         next = null;
         rebuilt++;
@@ -150,32 +193,57 @@
         questions++;
         if (!warm()) return new Lookup.Answer(q.nr(), false, List.of());
         List<Lookup.Match> out = new ArrayList<>();
-        long left = -1L;
+        Arrays.fill(left, -1L);
+        boolean any = true;
         int n = 0;
-        for (; n < q.blocks().length && left != 0; n++) {
-            long m = left & now.lookup(q.blocks()[n]);
-            out(out, left & ~m, n);
-            left = m;
+        for (; n < q.blocks().length && any; n++) {
+            long block = q.blocks()[n];
+            now.lookup(block, match);
+            any = false;
+            for (int w = 0; w < left.length; w++) {
+                out(out, left[w] & ~match[w], w, n);
+                any |= (left[w] = parts(out, left[w] & match[w], w, n, block)) != 0;
+            }
         }
-        out(out, left, n);
+        for (int w = 0; w < left.length; w++) out(out, left[w], w, n);
         if (!out.isEmpty()) hits++;
         return new Lookup.Answer(q.nr(), true, out);
     }
 
-    private void out(List<Lookup.Match> out, long ids, int blocks) {
+    private void out(List<Lookup.Match> out, long ids, int word, int blocks) {
         if (blocks == 0) return;
         for (; ids != 0; ids &= ids - 1) {
-            Holder h = byId[Long.numberOfTrailingZeros(ids)];
-            if (h != null) out.add(new Lookup.Match(h.replica.instance(), blocks));
+            Holder h = byId(word, ids);
+            if (h != null) out.add(new Lookup.Match(h.replica.instance(), blocks, 0));
         }
     }
 
+    /** Ends the chain of those that keep the block in part; gives the bits of the others. */
+    private long parts(List<Lookup.Match> out, long ids, int word, int blocks, long block) {
+        long on = ids;
+        for (; ids != 0; ids &= ids - 1) {
+            Holder h = byId(word, ids);
+            int units = h == null ? 0 : h.parts.get(block);
+            if (units == 0) continue;
+            out.add(new Lookup.Match(h.replica.instance(), blocks, units));
+            on &= ~Long.lowestOneBit(ids);
+        }
+        return on;
+    }
+
+    private Holder byId(int word, long ids) {
+        int id = word << 6 | Long.numberOfTrailingZeros(ids);
+        return id < byId.length ? byId[id] : null;
+    }
+
     public JsonObject json(long t) {
         JsonArray hs = new JsonArray();
         for (Holder h : holders.values())
             hs.add(Json.object().add("instance", h.replica.instance()).add("following", h.feed.following())
                 .add("applied", h.feed.applied())
-                .add("resyncs", h.feed.resyncs()).add("repeats", h.feed.repeats()).add("heardMsAgo", t - h.heard));
+                .add("resyncs", h.feed.resyncs()).add("repeats", h.feed.repeats())
+                .add("missed", h.feed.missed()).add("parts", h.parts.size()).add("partsRefused", h.parts.refused())
+                .add("heardMsAgo", t - h.heard));
         return Json.object().add("warm", warm()).add("slots", now.capacity()).add("entries", now.size())
             .add("occupancy", now.occupancy())
             .add("overflow", now.overflowed()).add("overflowStrays", now.strays()).add("copiesEver", now.copies())
--- a/data-plane/src/main/java/gladelug/data/index/Holder.java
+++ b/data-plane/src/main/java/gladelug/data/index/Holder.java
@@ -1,6 +1,6 @@
 /*
- * One holder as the summary knows it: its dense id, its feed, when it was last heard. Pure; who
- * asks it for its list is set by whoever has the connections.
+ * One holder as the summary knows it: its dense id, its feed, the blocks it keeps in part, when it was
+ * last heard. Pure; who asks it for its list is set by whoever has the connections.
  */
 package gladelug.data.index;
 
@@ -14,6 +14,8 @@
     final int id;
     long capacity;
     boolean inNext;
+    /** Units of the blocks that it keeps in part. */
+    final Parts parts = new Parts();
     /** Listed no more: what still arrives must not touch the entries of whoever has its id next. */
     boolean dropped;
     /** Has answered or failed to at least once. */
@@ -21,27 +23,32 @@
     public long heard;
     private LongConsumer lists = nr -> {};
 
-    Holder(Replica r, int id, long now, Feed.Effects fx) {
+    Holder(Replica r, int id, long now, Feed.Policy policy, Feed.Effects fx) {
         this.replica = r;
         this.id = id;
         this.heard = now;
         this.feed = new Feed(new Feed.Effects() {
-            @Override public void insert(long b) {
-                if (!dropped) fx.insert(b);
+            @Override public void keep(long block, int units, boolean part) {
+                if (!dropped) fx.keep(block, units, part);
             }
 
-            @Override public void remove(long b) {
-                if (!dropped) fx.remove(b);
+            @Override public void clear() {
+                if (!dropped) fx.clear();
             }
 
-            @Override public void load(long[] bs) {
-                if (!dropped) fx.load(bs);
+            @Override public void load(BlockList l) {
+                if (!dropped) fx.load(l);
             }
 
             @Override public void list(long nr) {
                 if (!dropped) lists.accept(nr);
             }
-        });
+        }, policy);
+    }
+
+    /** The most blocks that it can keep, as far as known; 0 = not known. */
+    public long capacity() {
+        return capacity;
     }
 
     public void lists(LongConsumer asks) {
--- a/data-plane/src/main/java/gladelug/data/index/HolderConnection.java
+++ b/data-plane/src/main/java/gladelug/data/index/HolderConnection.java
@@ -1,7 +1,7 @@
 /*
- * The connections to one holder that the index process follows: identity first, then the stream of cache
- * events, and the block list whenever its feed asks. Everything is handed to the summary's duty;
- * an address that turns out to be somebody else's gets nothing more.
+ * The connections to one holder that the index process follows by the product's own protocol: identity
+ * first, then the stream of cache events, and the block list whenever its feed asks. Everything is handed
+ * to the sink; an address that turns out to be somebody else's gets nothing more.
  */
 package gladelug.data.index;
 
@@ -18,8 +18,9 @@
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.http.HttpClient;
 import io.vertx.mutiny.ext.web.client.WebClient;
+import java.util.List;
 
-final class HolderConnection {
+final class HolderConnection implements HolderFeeds.Following {
     private static final long AGAIN = 300;
 
     private final Holder h;
@@ -30,26 +31,25 @@
     private final WebClient web;
     private final Duty duty;
     private final Clock clock;
-    private final FleetSummary summary;
+    private final HolderFeeds.Sink sink;
     private HttpClientRequest stream;
     private boolean gone;
 
-    HolderConnection(Vertx vertx, HttpClient http, WebClient web, Duty duty, Clock clock, FleetSummary summary,
-        Holder h) {
+    HolderConnection(Vertx vertx, HttpClient http, WebClient web, Duty duty, Clock clock, Holder h,
+        HolderFeeds.Sink sink) {
         this.vertx = vertx;
         this.http = http;
         this.web = web;
         this.duty = duty;
         this.clock = clock;
-        this.summary = summary;
+        this.sink = sink;
         this.h = h;
         this.replica = h.replica;
         this.feed = h.feed;
-        h.lists(this::list);
         identify();
     }
 
-    void letGo() {
+    @Override public void close() {
         gone = true;
         if (stream != null) stream.reset();
     }
@@ -64,7 +64,6 @@
         web.get(replica.address().port(), replica.address().host(), "/identity").timeout(1000).send().subscribe()
             .with(r -> duty.offer(() -> {
                 if (gone) return;
-                h.tried = true;
                 JsonObject o;
                 try {
                     o = r.bodyAsJsonObject() == null ? new JsonObject() : r.bodyAsJsonObject();
@@ -74,14 +73,14 @@
                 if (!replica.instance().equals(o.getString("instance"))
                     || !replica.service().equals(o.getString("service"))) {
                     Log.warn("holder-is-another", "instance", replica.instance(), "address", replica.address());
+                    sink.silent();
                     again(this::identify);
                     return;
                 }
-                summary.capacity(h, o.getLong("capacityBlocks", 0L), clock.now());
-                feed.resync();
+                sink.began(o.getLong("capacityBlocks", 0L));
                 follow();
             }), t -> duty.offer(() -> {
-                h.tried = true;
+                sink.silent();
                 if (!gone) again(this::identify);
             }));
     }
@@ -137,18 +136,14 @@
         String inc = o.getString("incarnation"), op = o.getString("op");
         long seq = o.getLong("seq");
         long block = op.equals("pulse") ? 0 : Long.parseUnsignedLong(o.getString("block"), 16);
-        duty.offer(() -> {
-            if (gone) return;
-            h.heard = clock.now();
-            switch (op) {
-                case "store" -> feed.event(inc, seq, true, block, h.heard);
-                case "evict" -> feed.event(inc, seq, false, block, h.heard);
-                default -> feed.pulse(inc, seq, h.heard);
-            }
-        });
+        switch (op) {
+            case "store" -> sink.events(List.of(CacheEvent.store(inc, seq, block, 1)));
+            case "evict" -> sink.events(List.of(CacheEvent.evict(inc, seq, block, 0)));
+            default -> sink.pulse(inc, seq);
+        }
     }
 
-    private void list(long nr) {
+    @Override public void list(long nr) {
         web.get(replica.address().port(), replica.address().host(), "/cache/list?instance=" + replica.instance())
             .timeout(3000).send().subscribe().with(r -> {
                 try {
@@ -156,16 +151,10 @@
                     JsonArray a = o.getJsonArray("blocks");
                     long[] bs = new long[a.size()];
                     for (int i = 0; i < bs.length; i++) bs[i] = Long.parseUnsignedLong(a.getString(i), 16);
-                    String inc = o.getString("incarnation");
-                    long seq = o.getLong("seq");
-                    duty.offer(() -> {
-                        if (gone) return;
-                        h.heard = clock.now();
-                        feed.listed(nr, inc, seq, bs);
-                    });
+                    sink.listed(nr, BlockList.whole(o.getString("incarnation"), o.getLong("seq"), bs));
                 } catch (RuntimeException e) {
-                    duty.offer(() -> again(feed::resync));
+                    sink.listFailed(nr);
                 }
-            }, t -> duty.offer(() -> again(feed::resync)));
+            }, t -> sink.listFailed(nr));
     }
 }
--- a/data-plane/src/main/java/gladelug/data/index/IndexService.java
+++ b/data-plane/src/main/java/gladelug/data/index/IndexService.java
@@ -12,44 +12,42 @@
 import gladelug.kernel.Kernel;
 import gladelug.kernel.connection.Connection;
 import gladelug.kernel.connection.Doors;
-import gladelug.kernel.connection.Local;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.message.Wire;
 import io.smallrye.mutiny.Uni;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.ext.web.client.WebClientOptions;
-import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.core.http.HttpClient;
-import io.vertx.mutiny.ext.web.client.WebClient;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 public final class IndexService implements Kernel.Service {
-    private final Vertx vertx;
     private final Clock clock;
     private final Duty duty;
-    private final FleetSummary summary;
-    private final Map<Holder, HolderConnection> connections = new HashMap<>();
-    private HttpClient http;
-    private WebClient web;
+    private final int fingerprintBits;
+    private final int mostHolders;
+    private final HolderFeeds.Factory factory;
+    private final Map<Holder, HolderFeeds.Following> followed = new HashMap<>();
+    private HolderFeeds feeds;
+    private FleetSummary summary;
 
-    public IndexService(Vertx vertx, Clock clock, int fingerprintBits) {
-        this.vertx = vertx;
+    /**
+     * @param fingerprintBits width f of a fingerprint
+     * @param mostHolders how many holders there may be at a time
+     * @param factory by which protocol holders are followed
+     */
+    public IndexService(Clock clock, int fingerprintBits, int mostHolders, HolderFeeds.Factory factory) {
         this.clock = clock;
         this.duty = new Duty("summary", 65536, clock);
-        this.summary = new FleetSummary(fingerprintBits);
+        this.fingerprintBits = fingerprintBits;
+        this.mostHolders = mostHolders;
+        this.factory = factory;
     }
 
     @Override public void start(Kernel k) {
         NewsService news = k.find("news", NewsService.class);
-        Local local = k.find("doors", Doors.class).local;
-        http = vertx.createHttpClient(local.from(
-            new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false).setMaxPoolSize(4).setIdleTimeout(10)));
-        web = WebClient.create(vertx, local.from(new WebClientOptions().setConnectTimeout(1000).setKeepAlive(false)
-            .setFollowRedirects(false).setMaxPoolSize(4)));
+        feeds = factory.open(k, duty, clock);
+        summary = new FleetSummary(fingerprintBits, mostHolders, feeds::policy);
         news.listen(t -> duty.offer(() -> tables(t)));
         duty.every(100, () -> summary.tick(clock.now()));
         k.find("doors", Doors.class).take(Hello.LOOKUP, (h, c) -> new Connection.Receiver() {
@@ -63,13 +61,17 @@
 
     private void tables(Tables t) {
         summary.holders(t, clock.now());
-        connections.entrySet().removeIf(e -> {
+        followed.entrySet().removeIf(e -> {
             if (summary.has(e.getKey())) return false;
-            e.getValue().letGo();
+            e.getValue().close();
             return true;
         });
         for (Holder h : summary.all())
-            connections.computeIfAbsent(h, x -> new HolderConnection(vertx, http, web, duty, clock, summary, x));
+            if (!followed.containsKey(h)) {
+                HolderFeeds.Following f = feeds.follow(h, new HolderSink(h, summary, duty::offer, clock));
+                h.lists(f::list);
+                followed.put(h, f);
+            }
     }
 
     /** For operators, from the duty's own thread. */
@@ -79,5 +81,6 @@
 
     @Override public void stop() {
         duty.close();
+        if (feeds != null) feeds.close();
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -130,7 +130,8 @@
                 o.matches = f.matches();
                 JsonArray a = new JsonArray();
                 for (Lookup.Match m : f.matches())
-                    a.add(Json.object().add("holder", m.holder()).add("blocks", m.blocks()));
+                    a.add(Json.object().add("holder", m.holder()).add("blocks", m.blocks())
+                        .add("units", m.units()));
                 o.decision.add("lookup", r.clock.now(), Json.object().add("weights", o.weights)
                     .add("blocks", o.blocks.length).add("index", f.how()).add("matches", a));
                 return Verdict.GO;
--- a/data-plane/src/test/java/gladelug/data/index/FeedTest.java
+++ b/data-plane/src/test/java/gladelug/data/index/FeedTest.java
@@ -24,18 +24,18 @@
             long[] asked = {0, 0};
             boolean[] never = {false};
             Feed f = new Feed(new Effects() {
-                @Override public void insert(long b) {
-                    seen.merge(b, 1, Integer::sum);
+                @Override public void keep(long b, int units, boolean part) {
+                    if (seen.merge(b, units > 0 ? 1 : -1, Integer::sum) < 0) never[0] = true;
+                    seen.remove(b, 0);
                 }
 
-                @Override public void remove(long b) {
-                    if (seen.merge(b, -1, Integer::sum) < 0) never[0] = true;
-                    seen.remove(b, 0);
+                @Override public void clear() {
+                    seen.clear();
                 }
 
-                @Override public void load(long[] bs) {
+                @Override public void load(BlockList l) {
                     seen.clear();
-                    for (long b : bs) insert(b);
+                    for (long b : l.blocks()) keep(b, 1, false);
                 }
 
                 @Override public void list(long nr) {
@@ -45,7 +45,7 @@
             String inc = "i0";
             long seq = 0, now = 0;
             List<Runnable> line = new ArrayList<>();
-            f.resync();
+            f.resync(now);
             for (int step = 0; step < 4000; step++) {
                 now += 5;
                 long t = now;
@@ -60,7 +60,8 @@
                     if (!store) truth.remove(b);
                     long s = ++seq;
                     String i = inc;
-                    Runnable ev = () -> f.event(i, s, store, b, t);
+                    CacheEvent e = store ? CacheEvent.store(i, s, b, 1) : CacheEvent.evict(i, s, b, 0);
+                    Runnable ev = () -> f.event(e, t);
                     int c = r.nextInt(100);
                     if (c >= 2) line.add(ev);
                     if (c > 95) line.add(ev);
@@ -75,7 +76,7 @@
                 f.tick(now);
                 if (asked[0] != asked[1] && r.nextInt(10) == 0) {
                     asked[1] = asked[0];
-                    f.listed(asked[0], inc, seq, truth.stream().mapToLong(x -> x).toArray());
+                    f.listed(asked[0], BlockList.whole(inc, seq, truth.stream().mapToLong(x -> x).toArray()));
                 }
             }
             Assertions.assertTrue(f.following(), "seed " + seed);
--- a/kernel/src/main/java/gladelug/kernel/message/Lookup.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Lookup.java
@@ -1,7 +1,7 @@
 /*
  * What a relay asks an index process and what that answers. The blocks are the prompt's prefix
- * chain, so the answer per holder is how many leading blocks its entries match; a warming or
- * silent index says so and the relay goes on without a hint.
+ * chain, so the answer per holder is how many leading blocks its entries match, and how much of
+ * the next one it keeps in part; a warming or silent index says so and the relay goes on without a hint.
  */
 package gladelug.kernel.message;
 
@@ -11,7 +11,14 @@
 import java.util.List;
 
 public sealed interface Lookup extends Wire {
-    record Match(String holder, int blocks) {}
+    /**
+     * What one holder keeps of a prompt's chain, a hint only.
+     *
+     * @param holder the holder's instance
+     * @param blocks leading blocks, counted whole
+     * @param units units (tokens) kept of the block after those where it is kept in part, else 0
+     */
+    record Match(String holder, int blocks, int units) {}
 
     record Question(long nr, long[] blocks) implements Lookup {
         @Override public int type() {
@@ -36,6 +43,7 @@
             Wire.list(o, matches, (p, m) -> {
                 p.writeUTF(m.holder);
                 p.writeInt(m.blocks);
+                p.writeInt(m.units);
             });
         }
     }
@@ -52,7 +60,7 @@
             }
             case 2 -> {
                 return new Answer(in.readLong(), in.readBoolean(),
-                    Wire.list(in, i -> new Match(i.readUTF(), i.readInt())));
+                    Wire.list(in, i -> new Match(i.readUTF(), i.readInt(), i.readInt())));
             }
             default -> throw Wire.unknown(type);
         }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
@@ -14,6 +14,8 @@
 import gladelug.control.core.CoreNode;
 import gladelug.control.duty.Division;
 import gladelug.control.duty.Steering;
+import gladelug.data.index.BlockList;
+import gladelug.data.index.CacheEvent;
 import gladelug.data.index.FleetSummary;
 import gladelug.data.index.Holder;
 import gladelug.data.news.HeldNews;
@@ -347,7 +349,7 @@
             if (!h.tried) {
                 h.tried = true;
                 summary.capacity(h, r.capacity(), now());
-                h.feed.resync();
+                h.feed.resync(now());
             }
             h.heard = now();
             String inc = r.incarnation;
@@ -360,23 +362,24 @@
     private void list(Holder h, SimReplica r, long nr) {
         after(1 + random.nextInt(30), () -> {
             if (!r.answers() || random.nextInt(10) == 0) {
-                after(300, () -> h.feed.resync());
+                after(300, () -> h.feed.resync(now()));
                 return;
             }
             String inc = r.incarnation;
             long seq = r.seq;
             long[] blocks = r.list();
-            after(1 + random.nextInt(30), () -> h.feed.listed(nr, inc, seq, blocks));
+            after(1 + random.nextInt(30), () -> h.feed.listed(nr, BlockList.whole(inc, seq, blocks)));
         });
     }
 
     void cacheEvent(SimReplica r, String inc, long seq, boolean store, long block) {
+        CacheEvent e = store ? CacheEvent.store(inc, seq, block, 1) : CacheEvent.evict(inc, seq, block, 0);
         for (Holder h : summary.all()) {
             if (!h.replica.instance().equals(r.instance) || random.nextDouble() < loseEvents) continue;
             int n = random.nextDouble() < loseEvents ? 2 : 1;
             for (int i = 0; i < n; i++)
                 after(1 + (random.nextDouble() < delayEvents ? random.nextInt(400) : random.nextInt(2)),
-                    () -> h.feed.event(inc, seq, store, block, now()));
+                    () -> h.feed.event(e, now()));
         }
     }
 
