--- a/data-plane/src/main/java/gladelug/data/index/CuckooSummary.java
+++ b/data-plane/src/main/java/gladelug/data/index/CuckooSummary.java
@@ -242,6 +242,12 @@
         return false;
     }
 
+    /** Whether two blocks have the same fingerprint and buckets, so that entries of one holder can't be told apart. */
+    boolean alike(long a, long b) {
+        int fp = fingerprint(a);
+        return fp == fingerprint(b) && overflowKey(first(a), fp) == overflowKey(first(b), fp);
+    }
+
     /** Inserts unless {@link #contains} already; false where nothing was done. */
     public boolean insertOnce(long block, int holder) {
         if (contains(block, holder)) return false;
--- a/data-plane/src/test/java/gladelug/data/index/CuckooSummaryTest.java
+++ b/data-plane/src/test/java/gladelug/data/index/CuckooSummaryTest.java
@@ -8,6 +8,7 @@
 import static gladelug.data.index.CuckooSummary.fingerprintBits;
 import static gladelug.data.index.CuckooSummary.mix;
 
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -112,4 +113,99 @@
     @Test void thePapersWidthForOnePercent() {
         Assertions.assertEquals(10, fingerprintBits(0.01));
     }
+
+    @Test void repeatedInsertsLeaveOneEntryAlsoInTheOverflow() {
+        CuckooSummary s = new CuckooSummary(1000, 16, SLOTS, 300, 5);
+        for (int round = 0; round < 3; round++)
+            for (int h = 0; h < 300; h++) Assertions.assertEquals(round == 0, s.insertOnce(mix(7), h));
+        Assertions.assertEquals(300, s.size());
+        Assertions.assertEquals(292, s.overflowed());
+        for (int h = 0; h < 300; h++) {
+            Assertions.assertTrue(s.contains(mix(7), h));
+            Assertions.assertTrue(s.remove(mix(7), h));
+            Assertions.assertFalse(s.contains(mix(7), h));
+            Assertions.assertFalse(s.remove(mix(7), h), "a second copy");
+        }
+        Assertions.assertEquals(0, s.size());
+        Assertions.assertEquals(0, s.overflowed());
+    }
+
+    @Test void copiesOfOneHolderInTheOverflowAreCounted() {
+        CuckooSummary s = new CuckooSummary(1000, 16, SLOTS, 1024, 5);
+        for (int i = 0; i < 20; i++) s.insert(mix(7), 1000);
+        Assertions.assertEquals(12, s.overflowed());
+        for (int i = 0; i < 20; i++) Assertions.assertTrue(s.remove(mix(7), 1000));
+        Assertions.assertFalse(s.remove(mix(7), 1000));
+        Assertions.assertEquals(0, s.size());
+    }
+
+    @Test void manyHoldersAgainstAnExactModel() {
+        for (int holders : new int[]{65, 128, 500, 1024}) {
+            SplittableRandom r = new SplittableRandom(holders);
+            CuckooSummary s = new CuckooSummary(20_000, 16, SLOTS, holders, holders);
+            Map<Long, BitSet> truth = new HashMap<>();
+            long[] found = new long[s.words()];
+            int n = 0;
+            for (int i = 0; i < 120_000; i++) {
+                // a few blocks that everybody keeps, and others
+                long b = mix(r.nextInt(4) == 0 ? r.nextInt(20) : 100 + r.nextInt(2000));
+                int h = r.nextInt(holders);
+                BitSet bs = truth.computeIfAbsent(b, k -> new BitSet());
+                if (r.nextInt(5) < 3 && n < 18_000) {
+                    Assertions.assertEquals(!bs.get(h), s.insertOnce(b, h));
+                    if (!bs.get(h)) n++;
+                    bs.set(h);
+                } else {
+                    Assertions.assertEquals(bs.get(h), s.remove(b, h));
+                    if (bs.get(h)) n--;
+                    bs.clear(h);
+                }
+                if (i % 20_000 == 19_999) {
+                    int out = r.nextInt(holders);
+                    for (BitSet x : truth.values()) {
+                        if (x.get(out)) n--;
+                        x.clear(out);
+                    }
+                    s.clear(out);
+                }
+                Assertions.assertEquals(n, s.size());
+            }
+            truth.forEach((b, bs) -> {
+                Assertions.assertEquals(!bs.isEmpty(), s.lookup(b, found));
+                Assertions.assertEquals(bs, BitSet.valueOf(found), holders + " holders");
+            });
+        }
+    }
+
+    @Test void manyHoldersOfOnePrefixDoNotMakeTheTableCountAsFull() {
+        int holders = 100, blocks = 300;
+        CuckooSummary s = new CuckooSummary((long) holders * blocks, 16, SLOTS, 512, 1);
+        for (int h = 0; h < holders; h++) for (long b = 0; b < blocks; b++) s.insertOnce(mix(b + 77), h);
+        Assertions.assertEquals(holders * blocks, s.size());
+        Assertions.assertTrue(s.overflowed() >= (holders - 2 * SLOTS) * blocks, "overflow " + s.overflowed());
+        Assertions.assertFalse(s.full(), "strays " + s.strays());
+        for (int h = 0; h < holders - 4; h++) for (long b = 0; b < blocks; b++)
+            Assertions.assertTrue(s.remove(mix(b + 77), h));
+        Assertions.assertEquals(0, s.overflowed(), "moved back into the table");
+    }
+
+    @Test void aTableTooSmallCountsAsFull() {
+        CuckooSummary s = new CuckooSummary(1000, 16, SLOTS, 512, 1);
+        for (int i = 0; i < 4000; i++) s.insertOnce(mix(i), i % 100);
+        Assertions.assertEquals(4000, s.size());
+        Assertions.assertTrue(s.full());
+    }
+
+    @Test void bitsOfHoldersAndFingerprintFitOneInt() {
+        Assertions.assertEquals(6, CuckooSummary.holderBits(64));
+        Assertions.assertEquals(7, CuckooSummary.holderBits(65));
+        Assertions.assertEquals(10, CuckooSummary.holderBits(1024));
+        Assertions.assertThrows(IllegalArgumentException.class, () -> new CuckooSummary(10, 22, SLOTS, 1024, 1));
+        Assertions.assertThrows(IllegalArgumentException.class, () -> new CuckooSummary(10, 16, SLOTS, 1025, 1));
+        CuckooSummary s = new CuckooSummary(10, 21, SLOTS, 1024, 1);
+        s.insert(1, 1023);
+        long[] found = new long[16];
+        Assertions.assertTrue(s.lookup(1, found));
+        Assertions.assertEquals(1L << 63, found[15]);
+    }
 }
