--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -68,6 +68,9 @@
         p.addArgument("--out").setDefault("rehearsal-out");
         p = subs.addParser("table").help("the Cuckoo Summary by itself against wider buckets");
         p.addArgument("--rounds").type(Integer.class).setDefault(7);
+        p.addArgument("--holders").type(Integer.class).setDefault(13).help("others than 13 are compared to 13");
+        p.addArgument("--shared").type(Integer.class).setDefault(300).help("blocks that every holder keeps");
+        p.addArgument("--own").type(Integer.class).setDefault(1500).help("further blocks of each holder");
         p = subs.addParser("simulate")
             .help("stories of orders by seeds, in simulated time, each promise judged strictly");
         p.addArgument("--from").type(Long.class).setDefault(0L).help("the first seed");
@@ -95,7 +98,7 @@
             System.exit(0);
         }
         if (n.getString("command").equals("table")) {
-            Table.measure(n.getInt("rounds"));
+            Table.measure(n.getInt("rounds"), n.getInt("holders"), n.getInt("shared"), n.getInt("own"));
             System.exit(0);
         }
         if (n.getString("command").equals("simulate")) {
