--- a/kernel/src/main/java/gladelug/kernel/message/Lookup.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Lookup.java
@@ -1,7 +1,7 @@
 /*
  * What a relay asks an index process and what that answers. The blocks are the prompt's prefix
- * chain, so the answer per holder is how many leading blocks its entries match; a warming or
- * silent index says so and the relay goes on without a hint.
+ * chain, so the answer per holder is how many leading blocks its entries match, and how much of
+ * the next one it keeps in part; a warming or silent index says so and the relay goes on without a hint.
  */
 package gladelug.kernel.message;
 
@@ -11,7 +11,13 @@
 import java.util.List;
 
 public sealed interface Lookup extends Wire {
-    /** blocks: leading blocks kept whole; units: what is kept of the one after them. */
+    /**
+     * What one holder keeps of a prompt's chain, a hint only.
+     *
+     * @param holder the holder's instance
+     * @param blocks leading blocks, counted whole
+     * @param units units (tokens) kept of the block after those where it is kept in part, else 0
+     */
     record Match(String holder, int blocks, int units) {
         public Match(String holder, int blocks) {
             this(holder, blocks, 0);
