Core of any odd size that heals itself; tunables from outside; reads of the newest value

Cause: a deployment of other bounds needs its own times, more than three members, and nobody who types a swap when a machine dies. Ruled out: founding on what each founder last heard (two sets could come into force if one loses its disk meanwhile; a set is now pinned on every founder's disk first); a commander's wait tied to the lease. Known: RequestRehearsalTest.aMachineThatWillNotDoEndsWithOneClearLine still expects the words "exactly three" of `found`, which are no longer true; left for whoever takes this in.

--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -1,5 +1,5 @@
 /*
- * The program control-plane. `found` prepares the data folder of one of the three founders of a new
+ * The program control-plane. `found` prepares the data folder of one of the founders of a new
  * fleet; `run` serves, from a folder that was founded or has joined.
  */
 package gladelug.control;
@@ -10,6 +10,7 @@
 import gladelug.control.core.CoreNode;
 import gladelug.control.core.CoreService;
 import gladelug.control.core.Members;
+import gladelug.control.core.Tunables;
 import gladelug.control.door.OperatorDoor;
 import gladelug.control.duty.Commander;
 import gladelug.control.duty.Describing;
@@ -49,6 +50,8 @@
         "founders",
         "data", "log", "cutoffMs", "ringFileMb"};
 
+    private static final int MOST_FOUNDERS = 9;
+
     record Place(String name, String zone, Address records, Address operator, Local local, Address platform,
         List<Address> seeds,
         List<Members.Member> founders, String data, String log, int cutoff, int ringFile) {}
@@ -109,7 +112,7 @@
             case "operator" -> "IP:PORT for operators and the platform";
             case "platform" -> "IP:PORT where the platform lists replicas";
             case "seeds" -> "IP:PORT,... of other processes' records addresses";
-            case "founders" -> "NAME=RECORDS/OPERATOR,... of the three founders";
+            case "founders" -> "NAME=RECORDS/OPERATOR,... of all founders, three as a rule";
             case "data" -> "the data folder";
             case "log" -> "fine, info or warning";
             case "cutoffMs" -> "after new weights, how long orders may begin on old ones";
@@ -118,9 +121,11 @@
     }
 
     static void found(Place p) {
-        if (p.founders.size() != 3 || p.founders.stream().noneMatch(m -> m.name().equals(p.name)))
-            throw new Kernel.CannotStart(
-                "a new fleet is founded by exactly three, of which this is one; give --founders");
+        long names = p.founders.stream().map(Members.Member::name).distinct().count();
+        if (names < 1 || names > MOST_FOUNDERS || names != p.founders.size()
+            || p.founders.stream().noneMatch(m -> m.name().equals(p.name)))
+            throw new Kernel.CannotStart("a new fleet is founded by one to " + MOST_FOUNDERS
+                + " of different names, of which this is one; give --founders");
         try (Folder f = new Folder(Path.of(p.data), p.ringFile << 20)) {
             if (f.identity() != null) throw new Kernel.CannotStart(
                 "data folder " + p.data + " is already that of " + f.identity().getString("name", "?"));
@@ -197,7 +202,7 @@
                         0),
                     p.seeds))
             .add("core",
-                new CoreService(vertx, ring,
+                new CoreService(vertx, ring, Tunables.USUAL,
                     new Members.Member(p.name, id.getString("disk", ""), p.records, p.operator), p.seeds, p.cutoff,
                     founders.isEmpty() ? null : new CoreNode.Founding(founders), duties, what -> {
                         System.err.println("control-plane: the disk failed and this member stops: " + what);
--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -154,13 +154,14 @@
         }
     }
 
-    /** A founder looks for the others. */
-    record Meet(String records, String operator) implements CoreMessage {
+    /** A founder looks for the others; pinned: the first members it has on its disk, NONE before. */
+    record Meet(String records, String operator, Members pinned) implements CoreMessage {
         @Override public int tag() { return 10; }
 
         @Override public void put(DataOutputStream o) throws IOException {
             o.writeUTF(records);
             o.writeUTF(operator);
+            pinned.write(o);
         }
     }
 
@@ -236,6 +237,26 @@
         }
     }
 
+    /** A read taken at one member's door for the key's owner elsewhere. */
+    record Read(long nr, String key) implements CoreMessage {
+        @Override public int tag() { return 17; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeLong(nr);
+            o.writeUTF(key);
+        }
+    }
+
+    /** And what the owner says. */
+    record ReadDone(long nr, Newest newest) implements CoreMessage {
+        @Override public int tag() { return 18; }
+
+        @Override public void put(DataOutputStream o) throws IOException {
+            o.writeLong(nr);
+            newest.write(o);
+        }
+    }
+
     private static Carry carry(DataInputStream i) throws IOException {
         if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
         throw new IOException("only questions are handed on");
@@ -256,13 +277,15 @@
                     j.readLong())));
             case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
             case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
-            case 10 -> new Meet(i.readUTF(), i.readUTF());
+            case 10 -> new Meet(i.readUTF(), i.readUTF(), Members.read(i));
             case 11 -> new Settled(Members.read(i), kept(i));
             case 12 -> new Join(i.readUTF(), i.readUTF());
             case 13 -> new Seal(Members.read(i));
             case 15 -> carry(i);
             case 16 -> new Carried(i.readUTF(), Wire.read(Wire.blob(i), News::read));
             case 14 -> new Sealed(i.readLong(), kept(i));
+            case 17 -> new Read(i.readLong(), i.readUTF());
+            case 18 -> new ReadDone(i.readLong(), Newest.read(i));
             default -> throw Wire.unknown(tag);
         };
     }
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -21,6 +21,8 @@
 import gladelug.control.core.CoreMessage.Owned;
 import gladelug.control.core.CoreMessage.Promise;
 import gladelug.control.core.CoreMessage.Promised;
+import gladelug.control.core.CoreMessage.Read;
+import gladelug.control.core.CoreMessage.ReadDone;
 import gladelug.control.core.CoreMessage.Standing;
 import gladelug.kernel.message.Delta;
 import gladelug.kernel.message.Keys;
@@ -98,6 +100,7 @@
     private record Forwarded(String owner, long number, long at, Consumer<ChangeAnswer> answer) {}
 
     private final Map<Long, Forwarded> forwarded = new HashMap<>();
+    private final Reads reads = new Reads();
     private final Set<Long> seen = new LinkedHashSet<>();
     private final List<Round> rounds = new ArrayList<>();
     /** By key and number: when it was acknowledged and when each node was first seen to hold it, for people. */
@@ -128,7 +131,8 @@
         });
         for (String k : Keys.NEWS) owner(k);
         owner(Keys.SHARES);
-        membership.open(durable.get(Membership.MEMBERS), durable.get(Membership.SEALED));
+        membership.open(durable.get(Membership.MEMBERS), durable.get(Membership.SEALED),
+            durable.get(Membership.PINNED));
     }
 
     public Members members() {
@@ -166,7 +170,8 @@
     /** A generation begins here: nothing of the one before it counts. */
     void began(Members before, Members m) {
         deposeAll("generation");
-        newcomer = !m.stays(before, self);
+        // who was away for a generation knows as little as a new one
+        newcomer = before.generation() + 1 != m.generation() || !m.stays(before, self);
         began = host.now();
         // who was alive a moment ago still is, so that only the first live one takes a key
         peers.keySet().removeIf(x -> newcomer || !m.stays(before, x));
@@ -225,8 +230,11 @@
             membership.join(now);
             return;
         }
-        if (membership.sealed()) membership.drive(now);
+        if (membership.retired() || alone(now)) membership.join(now);
+        if (membership.sealed() && !membership.retired()) membership.drive(now);
         if (!membership.active()) return;
+        membership.plan(now, Math.max(began, booted));
+        reads.tick(now, m -> live(m, now));
         if (now - lastAlive >= tunables.alive()) {
             lastAlive = now;
             List<Owned> l = new ArrayList<>();
@@ -240,7 +248,7 @@
         for (Map.Entry<Long, Forwarded> e : new ArrayList<>(forwarded.entrySet())) {
             Forwarded f = e.getValue();
             // nobody will answer any more, so the sender is told so at once, with the number to ask about
-            if (now - f.at < tunables.fate() + 1000 && live(f.owner, now)) continue;
+            if (now - f.at < tunables.longest() && live(f.owner, now)) continue;
             forwarded.remove(e.getKey());
             f.answer.accept(new ChangeAnswer.Unknown(f.number));
         }
@@ -260,6 +268,15 @@
         return f != null && f.healthy && now - f.heard < tunables.dead();
     }
 
+    /** Hears no majority: perhaps because the fleet has moved on without it, so it asks around. */
+    private boolean alone(long now) {
+        if (now - Math.max(began, booted) < 2L * tunables.dead()) return false;
+        int n = 0;
+        for (Members.Member m : members().all())
+            if (m.name().equals(self) || now - heard(m.name()) < tunables.dead()) n++;
+        return n < members().majority();
+    }
+
     private String liveOwner(String key, long now) {
         for (Members.Member m : members().all()) {
             if (m.name().equals(self) || !live(m.name(), now)) continue;
@@ -342,6 +359,8 @@
         else if (s instanceof Carried c) host.news(c.node(), c.news());
         else if (s instanceof Change c && firstTime(c.nr()))
             owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
+        else if (s instanceof Read r) read(r.key(), a -> to(e.from(), new ReadDone(r.nr(), a)), now);
+        else if (s instanceof ReadDone r) reads.answered(r.nr(), r.newest());
         else if (s instanceof Changed c) {
             Forwarded f = forwarded.remove(c.nr());
             if (f != null) f.answer.accept(c.answer());
@@ -463,6 +482,28 @@
         to(other, new Change(n, key, match, body));
     }
 
+    /**
+     * The newest value of a key as its owner, here or elsewhere, has it, off a majority that confirmed the owner after
+     * this was asked; so nothing acknowledged before is missing. With no owner it answers that, within a second.
+     */
+    public void readNewest(String key, Consumer<Newest> answer) {
+        long now = host.now();
+        String other = membership.active() && !owns(key) ? liveOwner(key, now) : null;
+        if (other == null) {
+            read(key, answer, now);
+            return;
+        }
+        long n = ++nr;
+        reads.handed(n, other, now, answer);
+        to(other, new Read(n, key));
+    }
+
+    private void read(String key, Consumer<Newest> answer, long now) {
+        KeyOwner o = owners.get(key);
+        if (o == null) answer.accept(Newest.NO_OWNER);
+        else o.read(answer, now);
+    }
+
     void served(String key, Cell.Value v) {
         if (key.equals(Keys.CORE) && membership.pending(v.body()) != null)
             membership.seal(membership.pending(v.body()), host.now());
@@ -587,7 +628,7 @@
         return l;
     }
 
-    /** The three who found a fleet, by name; settled only once all have met. */
+    /** Those who found a fleet, by name, one to nine; settled only once all have met. */
     public record Founding(List<Members.Member> founders) {}
 
     /** What may be swapped in: machines that ask to join, lately heard. */
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -42,6 +42,7 @@
     private final Clock clock = Clock.monotonic();
     private final Duty duty = new Duty("core", 16384, clock);
     private final Ring ring;
+    private final Tunables tunables;
     private final Members.Member me;
     private final String self;
     private final List<Address> seeds;
@@ -57,10 +58,11 @@
     private DiskDuty disk;
     private CoreNode node;
 
-    public CoreService(Vertx vertx, Ring ring, Members.Member me, List<Address> seeds, int cutoff,
+    public CoreService(Vertx vertx, Ring ring, Tunables tunables, Members.Member me, List<Address> seeds, int cutoff,
         CoreNode.Founding founding, CoreNode.Duties duties, Consumer<String> fatal) {
         this.vertx = vertx;
         this.ring = ring;
+        this.tunables = tunables;
         this.me = me;
         this.self = me.name();
         this.seeds = seeds;
@@ -74,7 +76,7 @@
         doors = k.find("doors", Doors.class);
         views = k.find("views", ViewService.class);
         disk = new DiskDuty(ring, clock, r -> duty.offer(r), fatal);
-        node = new CoreNode(this, Tunables.USUAL, me, cutoff, ring.live(), founding, duties);
+        node = new CoreNode(this, tunables, me, cutoff, ring.live(), founding, duties);
         doors.take(Hello.CORE, (h, c) -> r -> {
             Envelope e = Wire.read(r, Envelope::read);
             duty.offer(() -> node.message(e));
@@ -123,8 +125,26 @@
         return changeOnce(key, match, body).flatMap(a -> a instanceof ChangeAnswer.NoOwner
             ? Uni.createFrom().<ChangeAnswer>failure(new Ownerless())
             : Uni.createFrom().item(a))
-            .onFailure(Ownerless.class).retry().withBackOff(BETWEEN, BETWEEN).withJitter(0).expireIn(OWNERLESS)
-            .onFailure().recoverWithItem(t -> new ChangeAnswer.NoOwner());
+            .onFailure(Ownerless.class).retry().withBackOff(BETWEEN, BETWEEN).withJitter(0).expireIn(ownerless())
+            .onFailure().recoverWithItem(t -> new ChangeAnswer.NoOwner())
+            .ifNoItem().after(Duration.ofMillis(tunables.longest()))
+            .recoverWithItem(new ChangeAnswer.Unknown(match < 0 ? -1 : match + 1));
+    }
+
+    /** So that a change offered again for this long can still be answered in time, ms. */
+    private long ownerless() {
+        return Math.min(OWNERLESS, tunables.fate() / 2);
+    }
+
+    /** The newest committed value from its owner, wherever that is; offered again while a key changes hands. */
+    public Uni<Newest> readNewest(String key) {
+        return Uni.createFrom().<Newest>emitter(e -> {
+            if (!duty.offer(() -> node.readNewest(key, e::complete))) e.complete(Newest.NO_OWNER);
+        }).flatMap(a -> a.owned()
+            ? Uni.createFrom().item(a)
+            : Uni.createFrom().<Newest>failure(new Ownerless()))
+            .onFailure(Ownerless.class).retry().withBackOff(BETWEEN, BETWEEN).withJitter(0).expireIn(ownerless())
+            .onFailure().recoverWithItem(t -> Newest.NO_OWNER);
     }
 
     private static final class Ownerless extends RuntimeException {
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -17,9 +17,11 @@
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -36,6 +38,7 @@
         boolean committed;
         boolean answered;
         int lapsed;
+        long committedAt;
         final Set<String> wrote = new HashSet<>();
         long sent;
 
@@ -50,6 +53,7 @@
     private static final class Leased {
         long deadline;
         long acked;
+        long asked;
     }
 
     private final CoreNode node;
@@ -63,6 +67,7 @@
     private long confirmedAt = Long.MIN_VALUE / 2;
     private long changedAt;
     private long mayAck;
+    private long mayCommand;
     private long servedAt;
     private Cell.Value value = Cell.Value.NONE;
     private final Map<String, Promised> promises = new HashMap<>();
@@ -70,6 +75,9 @@
     private final Map<String, Leased> leases = new HashMap<>();
     private final ArrayDeque<Change> waiting = new ArrayDeque<>();
     private Change current;
+    private final List<Read> reads = new ArrayList<>();
+
+    private record Read(long since, Consumer<Newest> answer) {}
 
     KeyOwner(CoreNode node, String key) {
         this.node = node;
@@ -107,9 +115,13 @@
         return n;
     }
 
-    /** Whether requests may go out in this owner's name: it holds the key and every earlier one's time is over. */
+    /**
+     * Whether commands may go out in this owner's name: a majority confirmed its epoch within commandLease, and
+     * every earlier owner's time is over. An earlier one's last confirmed round began before the promises to this
+     * one, by the member that both majorities share, so it fell silent commandLease after them.
+     */
     boolean mayCommand(long now) {
-        return serving() && now >= mayAck && now < confirmedAt + node.tunables.lease();
+        return serving() && now >= mayCommand && now < confirmedAt + node.tunables.commandLease();
     }
 
     /** How long an attempt may take: longer after each that failed, as disks may be slower than it allows for. */
@@ -169,7 +181,8 @@
     private void serve(long now) {
         phase = Phase.SERVING;
         failed = 0;
-        mayAck = promisedAt + node.tunables.lease() + 1;
+        mayAck = promisedAt + (strict() ? node.tunables.lease() + 1 : 0);
+        mayCommand = promisedAt + node.tunables.commandGap() + 1;
         servedAt = now;
         confirmedAt = Long.MIN_VALUE / 2;
         leases.clear();
@@ -192,6 +205,9 @@
         current = null;
         for (Change c : waiting) c.answer.accept(new ChangeAnswer.NoOwner());
         waiting.clear();
+        List<Read> rs = new ArrayList<>(reads);
+        reads.clear();
+        for (Read r : rs) r.answer.accept(Newest.NO_OWNER);
     }
 
     void confirmed(String from, Standing s, long now) {
@@ -207,6 +223,23 @@
     /** A majority confirmed the epoch in a round begun at this time. */
     void confirmedRound(long start) {
         confirmedAt = Math.max(confirmedAt, start);
+        if (reads.isEmpty() || !serving()) return;
+        List<Read> rs = reads.stream().filter(r -> r.since <= confirmedAt).toList();
+        reads.removeAll(rs);
+        for (Read r : rs) r.answer.accept(Newest.of(value));
+    }
+
+    /**
+     * The committed value, once a majority has confirmed this epoch in a round begun after the asking: whatever was
+     * acknowledged anywhere before it is then in it. A repeated reader of this moment may be told a newer one.
+     */
+    void read(Consumer<Newest> answer, long now) {
+        if (!serving() || reads.size() >= node.tunables.queue()) {
+            answer.accept(Newest.NO_OWNER);
+            return;
+        }
+        reads.add(new Read(now, answer));
+        node.confirmSoon();
     }
 
     void propose(long match, byte[] body, Consumer<ChangeAnswer> answer, long now) {
@@ -226,6 +259,7 @@
                 current = c;
                 c.value = value;
                 c.committed = true;
+                c.committedAt = now;
                 settle(now);
             } else if (c.match >= 0 && c.match != value.number()) {
                 c.answer.accept(new ChangeAnswer.Stale(value.number()));
@@ -246,6 +280,7 @@
         value = current.value;
         changedAt = now;
         current.committed = true;
+        current.committedAt = now;
         node.served(key, value);
         if (Keys.NEWS.contains(key)) node.pushAll(key, epoch, old, value);
         settle(now);
@@ -254,22 +289,31 @@
     private void settle(long now) {
         Change c = current;
         if (c == null || !c.committed || now < mayAck && !leaseless()) return;
-        int acks = 0;
+        int acks = 0, passed = 0;
         for (Iterator<Leased> i = leases.values().iterator(); i.hasNext();) {
             Leased l = i.next();
             if (l.acked >= c.value.number()) acks++;
             else if (l.deadline < now) {
                 i.remove();
                 c.lapsed++;
-            } else return;
+            } else if (strict() || inContact(l, now) && now - c.committedAt < node.tunables.ackWait()) return;
+            else passed++;
         }
         boolean again = c.value.digest().equals(value.digest()) && c.wrote.isEmpty();
         node.acknowledged(key, c.value.number());
-        finish(new ChangeAnswer.Done(c.value.number(), again, acks, c.lapsed, now - c.since));
+        finish(new ChangeAnswer.Done(c.value.number(), again, acks, c.lapsed + passed, now - c.since));
         current = null;
         next(now);
     }
 
+    private boolean strict() {
+        return node.tunables.acknowledge() == Tunables.Acknowledge.STRICT;
+    }
+
+    private boolean inContact(Leased l, long now) {
+        return now - l.asked < node.tunables.contact();
+    }
+
     private boolean leaseless() {
         return !Keys.LEASED.contains(key);
     }
@@ -297,7 +341,10 @@
     /** A data-plane process asked. A grant where it holds the newest number, else null and a push is due. */
     News.Grant ask(String who, boolean leased, News.Held held, long now) {
         Leased l = leases.get(who);
-        if (l != null) l.acked = Math.max(l.acked, held.number());
+        if (l != null) {
+            l.acked = Math.max(l.acked, held.number());
+            l.asked = now;
+        }
         News.Grant g = null;
         long left = confirmedAt + node.tunables.lease() - now;
         if (held.number() == value.number() && left > 0) {
@@ -307,6 +354,7 @@
                 if (l == null) leases.put(who, l = new Leased());
                 l.deadline = Math.max(l.deadline, now + left);
                 l.acked = held.number();
+                l.asked = now;
             }
         }
         settle(now);
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/MemberPlan.java
@@ -0,0 +1,62 @@
+/*
+ * Which members should come next. It only decides, from who is a member, who asks to be one, and how
+ * long each has been silent; the owner of the key core asks it and then has the change written,
+ * sealed and activated. First a member whose machine came back empty is replaced by itself, then one
+ * that has been dead for long by a machine unknown to the core, then the core grows towards the
+ * number of voters wanted, always to an odd one. Never a next set of which fewer than a majority are alive.
+ */
+package gladelug.control.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+
+final class MemberPlan {
+    /** why: in a word, for people. */
+    record Step(String why, List<String> out, List<Members.Member> in, Members next) {}
+
+    private final Members now;
+    private final List<Members.Member> joiners;
+    private final Predicate<String> live;
+
+    /** joiners: who asks to be let in and was heard lately, with disks that no member has; live: by name. */
+    MemberPlan(Members now, List<Members.Member> joiners, Predicate<String> live) {
+        this.now = now;
+        this.joiners = joiners;
+        this.live = live;
+    }
+
+    /** One step at the most, or null. silent: for how long nothing was heard of a member, ms. */
+    Step step(ToLongFunction<String> silent, Tunables t) {
+        for (Members.Member j : joiners) {
+            Members.Member m = now.find(j.name());
+            if (m == null || live.test(m.name()) || silent.applyAsLong(m.name()) <= 2L * t.dead()) continue;
+            Step s = change("back-empty", List.of(m.name()), List.of(j));
+            if (s != null) return s;
+        }
+        List<Members.Member> unknown = joiners.stream().filter(j -> now.find(j.name()) == null).toList();
+        if (unknown.isEmpty()) return null;
+        Members.Member dead = null;
+        if (t.replaceAfter() > 0) for (Members.Member m : now.all()) {
+            long s = silent.applyAsLong(m.name());
+            if (live.test(m.name()) || s < t.replaceAfter()) continue;
+            if (dead == null || s > silent.applyAsLong(dead.name())) dead = m;
+        }
+        if (dead != null) return change("dead", List.of(dead.name()), unknown.subList(0, 1));
+        int n = now.all().size(), more = n % 2 == 0 ? 1 : 2;
+        if (n + more > t.voters() || unknown.size() < more) return null;
+        return change("growth", List.of(), unknown.subList(0, more));
+    }
+
+    /** The set with these out and those in, or null where a majority of it isn't alive. */
+    Step change(String why, List<String> out, List<Members.Member> in) {
+        List<Members.Member> l = new ArrayList<>(now.all());
+        l.removeIf(m -> out.contains(m.name()));
+        l.addAll(in);
+        Members next = new Members(now.generation() + 1, l);
+        int alive = 0;
+        for (Members.Member m : next.all()) if (in.contains(m) || live.test(m.name())) alive++;
+        return alive < next.majority() ? null : new Step(why, List.copyOf(out), List.copyOf(in), next);
+    }
+}
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -1,5 +1,5 @@
 /*
- * Who the core's members are, at one member: founding, joining, and replacing one by another under
+ * Who the core's members are, at one member: founding, joining, and changing to a next set under
  * intent, seal, copy and activate. The next members are written like any value of the key core, so
  * there is one next generation; members then durably refuse the old one and say what they keep; the
  * new set is told itself with, of every key, the highest value and promise among a sealed majority.
@@ -25,18 +25,19 @@
 import java.util.function.Consumer;
 
 final class Membership {
-    static final String MEMBERS = "members", SEALED = "sealed";
+    static final String MEMBERS = "members", SEALED = "sealed", PINNED = "pinned";
+    private static final long MEET = 200, JOIN = 300, FRESH = 3000;
 
     private final CoreNode n;
     private final Members.Member me;
-    private CoreNode.Founding founding;
+    private FirstMembers founding;
     private Members members = Members.NONE;
     private Members sealed;
     private long sealedAt;
     private boolean retired;
     /** The newest members heard of, though this may be none of them. */
     private Members known = Members.NONE;
-    private final Map<String, Members.Member> met = new TreeMap<>();
+    private Members pinning;
     private final Map<String, Members.Member> joiners = new TreeMap<>();
     private final Map<String, Long> joinersHeard = new HashMap<>();
     /** Members of earlier generations, to be told that they are none any more. */
@@ -45,15 +46,17 @@
     private final Map<String, List<Kept>> sealedBy = new HashMap<>();
     private long lastMeet = Long.MIN_VALUE / 2;
     private long lastDrive = Long.MIN_VALUE / 2;
+    private long lastPlan = Long.MIN_VALUE / 2;
 
     Membership(CoreNode n, Members.Member me, CoreNode.Founding founding) {
         this.n = n;
         this.me = me;
-        this.founding = founding;
+        this.founding = founding == null ? null : new FirstMembers(me.name(), me.disk(), founding.founders());
     }
 
-    /** From what is on disk; either may be missing. */
-    void open(byte[] m, byte[] s) {
+    /** From what is on disk; each may be missing. What is there goes before what was given at the start. */
+    void open(byte[] m, byte[] s, byte[] pinned) {
+        if (pinned != null && founding != null) founding.pinned(Members.of(pinned));
         if (m != null) take(Members.of(m));
         if (s != null && Members.of(s).generation() > members.generation()) {
             sealed = Members.of(s);
@@ -97,26 +100,41 @@
     }
 
     void meet(long now) {
-        if (founding == null || now - lastMeet < 200) return;
+        if (founding == null || now - lastMeet < MEET) return;
         lastMeet = now;
-        for (Members.Member m : founding.founders()) {
-            if (m.name().equals(n.self)) met.put(n.self, new Members.Member(n.self, n.disk, m.records(), m.operator()));
-            else n.host.sendTo(m.records(), say(new Meet(m.records().toString(), m.operator().toString())));
-        }
-        settleFounding();
+        Set<Address> to = new HashSet<>(n.host.contacts());
+        for (Members.Member m : founding.founders().all()) to.add(m.records());
+        to.remove(me.records());
+        for (Address a : to)
+            n.host.sendTo(a, say(new Meet(me.records().toString(), me.operator().toString(), founding.pinned())));
+        agree();
     }
 
-    private void settleFounding() {
-        if (settled() || founding == null || met.size() < founding.founders().size()) return;
-        adopt(new Members(1, new ArrayList<>(met.values())), List.of());
+    /** One set at a time is put on disk, and is said to the others only from there. */
+    private void agree() {
+        if (settled() || founding == null) return;
+        Members m = pinning == null ? founding.toPin() : null;
+        if (m != null) {
+            pinning = m;
+            n.host.sync(PINNED, m.bytes(), () -> {
+                pinning = null;
+                if (founding == null) return;
+                founding.pinned(m);
+                lastMeet = Long.MIN_VALUE / 2;
+                agree();
+            });
+        }
+        Members first = founding.settled();
+        if (first != null) adopt(first, List.of());
     }
 
-    /** A machine without members and without founding asks to be let in; it votes on nothing meanwhile. */
+    /** A machine that is no member and founds nothing asks to be let in; it votes on nothing meanwhile. */
     void join(long now) {
-        if (founding != null || now - lastMeet < 300) return;
+        if (founding != null || now - lastMeet < JOIN) return;
         lastMeet = now;
         Set<Address> to = new HashSet<>(n.host.contacts());
         for (Members.Member m : known.all()) to.add(m.records());
+        for (Members.Member m : members.all()) to.add(m.records());
         to.remove(me.records());
         for (Address a : to) n.host.sendTo(a, say(new Join(me.records().toString(), me.operator().toString())));
     }
@@ -124,7 +142,7 @@
     /** What is said across generations; true where that was all. */
     boolean generations(Envelope e, long now) {
         CoreMessage s = e.said();
-        if (s instanceof Meet) onMeet(e, now);
+        if (s instanceof Meet m) onMeet(e, m, now);
         else if (s instanceof Settled x) onSettled(x);
         else if (s instanceof Join j) onJoin(e, j, now);
         else if (s instanceof Seal x) onSeal(e, x.next(), now);
@@ -133,20 +151,22 @@
         return true;
     }
 
-    private void onMeet(Envelope e, long now) {
+    private void onMeet(Envelope e, Meet x, long now) {
         if (settled()) {
             Members.Member m = members.find(e.from());
             if (m != null && m.disk().equals(e.disk())) tell(e.from(), now);
-            else n.host.event("stranger-at-founding", "name", e.from());
+            else {
+                // it founds what was founded already, with another disk or long after: it shall join
+                n.host.event("stranger-at-founding", "name", e.from());
+                n.host.sendTo(Address.of(x.records()), say(new Settled(members, List.of())));
+            }
             return;
         }
         if (founding == null) return;
-        for (Members.Member m : founding.founders()) {
-            if (!m.name().equals(e.from()) || m.name().equals(n.self)) continue;
-            Members.Member old = met.put(m.name(), new Members.Member(m.name(), e.disk(), m.records(), m.operator()));
-            if (old != null && !old.disk().equals(e.disk())) n.host.event("founder-changed-disk", "name", m.name());
-        }
-        settleFounding();
+        Members.Member f = founding.founders().find(e.from());
+        if (f == null) return;
+        founding.heard(e.from(), e.disk(), x.pinned());
+        agree();
     }
 
     /** To a member of this generation that seems not to know it: the members, and all that is kept here. */
@@ -166,6 +186,10 @@
         if (m.generation() <= members.generation()) return;
         Members.Member x = m.find(n.self);
         if (x == null || !x.disk().equals(n.disk)) {
+            if (!settled() && founding != null) {
+                founding = null;
+                n.host.event("founded-without-this-disk", "generation", m.generation());
+            }
             if (settled() && !retired) {
                 retired = true;
                 n.deposeAll("not a member any more");
@@ -173,6 +197,8 @@
             }
             return;
         }
+        // told as to a stranger, at an address that another machine had before: all that is kept is still to come
+        if (m.generation() > 1 && s.cells().isEmpty()) return;
         adopt(m, s.cells());
     }
 
@@ -191,43 +217,44 @@
         if (!settled() || sealed != null || retired) return;
         Members.Member m = members.find(e.from());
         if (m != null && m.disk().equals(e.disk())) {
-            tell(e.from(), now);
+            if (e.generation() < members.generation()) tell(e.from(), now);
             return;
         }
         Members.Member in = new Members.Member(e.from(), e.disk(), Address.of(j.records()), Address.of(j.operator()));
         if (joiners.put(in.name(), in) == null) n.host.event("would-join", "name", in.name(), "records", in.records());
         joinersHeard.put(in.name(), now);
         n.host.sendTo(in.records(), say(new Settled(members, List.of())));
-        if (m != null && n.owns(Keys.CORE) && !n.live(m.name(), now) && now - n.booted > 2L * n.tunables.dead()
-            && now - n.heard(m.name()) > 2L * n.tunables.dead())
-            replace(m.name(), in, a -> {});
     }
 
-    /** What may be swapped in: machines that ask to join, lately heard. */
+    /** What may be let in: machines that ask to join, lately heard. */
     List<Members.Member> joiners() {
         long now = n.host.now();
         List<Members.Member> l = new ArrayList<>();
         for (Members.Member m : joiners.values())
-            if (now - joinersHeard.get(m.name()) < 3000
+            if (now - joinersHeard.get(m.name()) < FRESH
                 && members.all().stream().noneMatch(x -> x.disk().equals(m.disk()))) l.add(m);
         return l;
     }
 
-    /**
-     * One at a time: the next members are written like any value of the key core, then the old generation is sealed.
-     */
-    private void replace(String out, Members.Member in, Consumer<ChangeAnswer> answer) {
-        List<Members.Member> l = new ArrayList<>(members.all());
-        l.removeIf(m -> m.name().equals(out));
-        l.add(in);
-        Members next = new Members(members.generation() + 1, l);
+    private MemberPlan plan(long now) {
+        return new MemberPlan(members, joiners(), m -> n.live(m, now));
+    }
+
+    /** The owner of the key core looks whether the members should change, which needs no operator. */
+    void plan(long now, long began) {
+        if (now - lastPlan < JOIN || !n.owns(Keys.CORE) || n.owner(Keys.CORE).busy()) return;
+        lastPlan = now;
+        if (pending(n.owner(Keys.CORE).value().body()) != null) return;
+        MemberPlan.Step s = plan(now).step(m -> now - Math.max(n.heard(m), began), n.tunables);
+        if (s != null) begin(s, a -> {});
+    }
+
+    /** One at a time: the next set is written like any value of the key core, then the old generation is sealed. */
+    private void begin(MemberPlan.Step s, Consumer<ChangeAnswer> answer) {
         KeyOwner o = n.owner(Keys.CORE);
-        if (pending(o.value().body()) != null) {
-            answer.accept(new ChangeAnswer.Busy());
-            return;
-        }
-        n.host.event("replace-begins", "out", out, "in", in.name(), "disk", in.disk(), "generation", next.generation());
-        o.propose(o.value().number(), next.bytes(), answer, n.host.now());
+        n.host.event("members-change", "why", s.why(), "out", s.out(), "in",
+            s.in().stream().map(m -> m.name() + "/" + m.disk()).toList(), "generation", s.next().generation());
+        o.propose(o.value().number(), s.next().bytes(), answer, n.host.now());
     }
 
     /** An operator's swap; findings are plain words and nothing changed. */
@@ -242,7 +269,9 @@
                 .orElse("another machine")
             + ", which owns the core's members at the moment";
         if (pending(n.owner(Keys.CORE).value().body()) != null) return "another replacement is under way";
-        replace(out, x, answer);
+        MemberPlan.Step s = plan(n.host.now()).change("swap", List.of(out), List.of(x));
+        if (s == null) return "fewer than a majority of the members would be alive then";
+        begin(s, answer);
         return "";
     }
 
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/Reads.java
@@ -0,0 +1,38 @@
+/*
+ * Reads of a key's newest value that were handed on to the key's owner at another member, until it
+ * answers, dies or takes too long. A read changes nothing, so what is lost is only asked again.
+ */
+package gladelug.control.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+final class Reads {
+    private static final long PATIENCE = 1000;
+
+    private record Pending(String owner, long at, Consumer<Newest> answer) {}
+
+    private final Map<Long, Pending> pending = new HashMap<>();
+
+    void handed(long nr, String owner, long now, Consumer<Newest> answer) {
+        pending.put(nr, new Pending(owner, now, answer));
+    }
+
+    void answered(long nr, Newest a) {
+        Pending p = pending.remove(nr);
+        if (p != null) p.answer.accept(a);
+    }
+
+    /** Whose owner is dead, or silent for a second, hears that there is none. */
+    void tick(long now, Predicate<String> live) {
+        List<Long> over = new ArrayList<>();
+        pending.forEach((nr, p) -> {
+            if (now - p.at >= PATIENCE || !live.test(p.owner)) over.add(nr);
+        });
+        for (long nr : over) answered(nr, Newest.NO_OWNER);
+    }
+}
