--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersSimTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersSimTest.java
@@ -17,7 +17,7 @@
 final class MembersSimTest {
     private static final int SETTLES = 15_000;
 
-    private static Sim chaos(long seed, int steps) {
+    static Sim chaos(long seed, int steps) {
         Random r = new Random(seed * 104_729);
         int machines = 3 + r.nextInt(7), voters = machines < 5 ? 3 : 5;
         int founding = switch (r.nextInt(4)) {
