--- a/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
+++ b/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
@@ -13,7 +13,6 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.data.news.Tables;
 import gladelug.kernel.Log;
-import gladelug.kernel.message.Lookup;
 import gladelug.kernel.configuration.Replicas.Replica;
 import gladelug.kernel.message.Lookup;
 import java.util.ArrayList;
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -169,7 +169,8 @@
         pump();
         Log.event("order-ended", "order", o.id(), "tenant", o.tenant == null ? "-" : o.tenant.name(), "mapping",
             o.route == null ? "-" : o.route.name(),
-            "outcome", o.decision.outcome(), "tries", o.tries, "pieces", o.piecesOut, "ms", clock.now() - o.came);
+            "outcome", o.decision.outcome(), "tries", o.tries, "pieces", o.piecesOut, "ms", clock.now() - o.came, "why",
+            o.why);
     }
 
     /** The request holds no replica any more. */
@@ -332,6 +333,7 @@
         // the reason first: letting the replica go may end the request's record on the spot
         o.decision.add("cut-off", clock.now(), Json.object().add("why", why).add("pieces", o.piecesOut));
         o.decision.outcome(streaming ? "cut-off" : "unknown");
+        o.why = why;
         o.cancel.run();
         if (!o.gone) {
             if (streaming) o.caller.cutOff(o, why);
--- a/data-plane/src/main/java/gladelug/data/request/Way.java
+++ b/data-plane/src/main/java/gladelug/data/request/Way.java
@@ -66,6 +66,7 @@
         }
         o.decision.add("turned-away", clock.now(), Json.object().add("status", t.status()).add("reason", t.reason()));
         o.decision.outcome(t.outcome());
+        o.why = t.reason();
         if (!o.gone) o.caller.refuse(o, t);
         ended.accept(o);
     }
--- a/data-plane/src/test/java/gladelug/data/index/FleetSummaryTest.java
+++ b/data-plane/src/test/java/gladelug/data/index/FleetSummaryTest.java
@@ -29,7 +29,8 @@
         Configuration c = ((Result.Good<Configuration>) Configuration.parse(
             "{\"services\": [{\"name\": \"m\", \"allow\": [\"10.0.0.0/16\"]},"
                 + " {\"name\": \"a\", \"kind\": \"application\", \"allow\": [\"10.0.0.0/16\"]}],"
-                + " \"mappings\": [], \"tenants\": []}")).value();
+                + " \"mappings\": [], \"tenants\": []}"))
+            .value();
         List<Replicas.Replica> rs = new ArrayList<>();
         for (int h = 0; h < holders; h++)
             rs.add(new Replicas.Replica("m", "h" + h, Address.of("10.0." + h / 200 + "." + (1 + h % 200) + ":80"), "z",
@@ -114,7 +115,8 @@
             long b = CuckooSummary.mix(1 + r.nextInt(blocks));
             int had = truth.get(h).getOrDefault(b, 0);
             boolean store = had < WHOLE && r.nextBoolean();
-            int kept = store ? Math.min(WHOLE, had + 64 * (1 + r.nextInt(4)))
+            int kept = store
+                ? Math.min(WHOLE, had + 64 * (1 + r.nextInt(4)))
                 : r.nextInt(3) == 0 ? had / 2 : 0;
             hs[h].feed.event(new CacheEvent("i", ++nr[h], b, kept, kept < WHOLE && kept > 0, false), i);
             if (kept == 0) truth.get(h).remove(b);
@@ -225,8 +227,10 @@
                     long b = CuckooSummary.mix(1 + r.nextInt(blocks));
                     int had = truth.getOrDefault(b, 0);
                     int kept = had == 0 ? WHOLE : r.nextInt(3) == 0 ? had / 2 : 0;
-                    CacheEvent e = had == 0 ? CacheEvent.store("i", ++nr, b, kept) : CacheEvent.evict("i", ++nr, b,
-                        kept);
+                    CacheEvent e = had == 0
+                        ? CacheEvent.store("i", ++nr, b, kept)
+                        : CacheEvent.evict("i", ++nr, b,
+                            kept);
                     if (kept == 0) truth.remove(b);
                     else truth.put(b, kept);
                     int c = r.nextInt(100);
@@ -271,7 +275,8 @@
         for (int i = 1; i <= blocks; i++) {
             long b = CuckooSummary.mix(i);
             int units = truth.getOrDefault(b, 0);
-            List<Lookup.Match> want = units == 0 ? List.of()
+            List<Lookup.Match> want = units == 0
+                ? List.of()
                 : List.of(new Lookup.Match("h0", units == WHOLE ? 1 : 0, units == WHOLE ? 0 : units));
             if (!ask(s, b).equals(want)) wrong++;
         }
