--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -41,6 +41,8 @@
     /** Told by the caller that what it sends may be taken up in the middle, after this event. */
     public String lastEvent = "";
     public Head head;
+    /** Why it was refused or cut off, for the log. */
+    public String why = "";
     /** The only replica that may be chosen now, or null. */
     public Backend only;
     /** From 0 to 1, the same for every try at the same replicas: which part of a split route it takes. */
