--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -61,7 +61,10 @@
             o.route = t.configuration().route(o.host, o.path);
             if (o.route == null) return Verdict.notRun(404, "no mapping for this path", 0);
             o.service = t.configuration().services.get(o.route.service(o.draw));
-            if (o.model.isEmpty()) o.model = o.service.name();
+            if (o.model.isEmpty()) {
+                List<String> models = o.service.engine().models();
+                o.model = models.isEmpty() ? o.service.name() : models.get(0);
+            }
             o.leaf = Configuration.leaf(o.tenant, o.route);
             o.repeatable = o.askedRepeatable == null ? o.route.repeatable() : o.askedRepeatable;
             long may = o.route.deadlineMs();
