Feeds go on until a paused list may be asked for; docs of units, many holders, policies

Cause: with a long pause between lists, a growing table or a tolerant feed with too many losses stopped following until the list came, and an index whose holders all wait gave no hints at all. Change: relist() asks without stopping; a tolerant feed goes on too. A strict one with a gap still stops.

--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -61,8 +61,9 @@
                 relay ? 0 : s.whole("listPauseMs", Feed.LIST_PAUSE, 0, 3_600_000),
                 (int) s.whole("reasonsMb", 16, 1, 4096));
             if (!relay && p.fingerprintBits + CuckooSummary.holderBits(p.mostHolders) > 31)
-                s.findings.add("--fingerprintBits", "at most " + (31 - CuckooSummary.holderBits(p.mostHolders))
-                    + " where there may be " + p.mostHolders + " holders");
+                s.findings.add(Settings.flag("fingerprintBits"),
+                    "at most " + (31 - CuckooSummary.holderBits(p.mostHolders))
+                        + " where there may be " + p.mostHolders + " holders");
             if (p.seeds.isEmpty())
                 s.findings.add("--seeds", "at least one records address of another process is needed");
             if (p.seeds.contains(p.records))
--- a/data-plane/src/main/java/gladelug/data/index/Feed.java
+++ b/data-plane/src/main/java/gladelug/data/index/Feed.java
@@ -4,8 +4,9 @@
  * policy's: under STRICT the holder's list is loaded in place of its entries, to go on after the list's
  * sequence, so that a block is never removed that wasn't inserted; under a tolerant policy the numbers that
  * never come are counted, and only too many of them lead to a list. A new incarnation clears the
- * holder at once and loads its list, as does a holder that says it lost events. Until a list asked for
- * other reasons comes, the holder's entries stay: they are hints.
+ * holder at once and loads its list; a holder that says it lost events is listed too. Until a list asked
+ * for other reasons comes, the holder's entries stay: they are hints. A list is asked for no oftener than
+ * the policy's pause; a tolerant feed goes on with events until then.
  */
 package gladelug.data.index;
 
@@ -142,14 +143,27 @@
         return policy;
     }
 
-    /** Asks for the list, now or when the pause since the last time is over; again where an answer failed to come. */
+    /**
+     * Asks for the list, now or when the pause since the last time is over; again where an answer failed to come. A
+     * strict feed applies nothing until then.
+     */
     public void resync(long now) {
+        if (tolerant == null) stop();
+        relist(now);
+    }
+
+    private void stop() {
         following = false;
         behindSince = -1;
+    }
+
+    /** As resync, where nothing is wrong with what was applied: events go on until the list is asked for. */
+    public void relist(long now) {
         if (now - listAt < policy.listPauseMs) {
             listWanted = true;
             return;
         }
+        stop();
         listWanted = false;
         listAt = now;
         resyncs++;
@@ -207,7 +221,7 @@
             window.put(seq, new Waiting(e, now));
             if (e.lost()) {
                 resync(now);
-                return;
+                if (!following) return;
             }
             drain();
             if (window.isEmpty()) behindSince = -1;
@@ -223,6 +237,7 @@
         windowOf = inc;
         lostUpTo = -1;
         fx.clear();
+        stop();
         resync(now);
     }
 
@@ -253,11 +268,9 @@
     }
 
     public void tick(long now) {
-        if (listWanted) {
-            if (now - listAt >= policy.listPauseMs) resync(now);
-        } else if (!following || behindSince < 0) {
-            // nothing is waited for
-        } else if (tolerant == null) {
+        if (listWanted && now - listAt >= policy.listPauseMs) relist(now);
+        if (!following || behindSince < 0) return;
+        if (tolerant == null) {
             if (now - behindSince > policy.patienceMs) resync(now);
         } else {
             while (following && !window.isEmpty() && now - window.firstEntry().getValue().came > policy.patienceMs)
@@ -275,14 +288,15 @@
         long n = upTo - applied;
         missed += n;
         missing.headSet(upTo - tolerant.per, true).clear();
-        if (Math.min(n, tolerant.per) + missing.size() > tolerant.limit) {
-            applied = upTo;
+        boolean many = Math.min(n, tolerant.per) + missing.size() > tolerant.limit;
+        if (!many) for (long i = Math.max(applied, upTo - tolerant.per) + 1; i <= upTo; i++) missing.add(i);
+        applied = upTo;
+        if (many) {
+            missing.clear();
+            newest.clear();
             resync(now);
-            return;
         }
-        for (long i = Math.max(applied, upTo - tolerant.per) + 1; i <= upTo; i++) missing.add(i);
-        applied = upTo;
-        drain();
+        if (following) drain();
     }
 
     private void drain() {
--- a/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
+++ b/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
@@ -163,7 +163,7 @@
             now.overflowed());
         for (Holder h : holders.values()) {
             h.inNext = false;
-            if (h.feed.following()) h.feed.resync(at);
+            if (h.feed.following()) h.feed.relist(at);
         }
     }
 
