A machine that stands by hands operators' changes and reads on to a member

Cause: with more machines than voters an operator's door may be at one that votes on nothing; it answered "no owner" to everything. A sealed member sent changes where nobody would take them. Change: a stand-by sends Change and Read to the member it heard last; that one answers whoever asks it to be let in, with the same disk. What is handed on is expired whatever the state. A unit test of commandLease, commandGap and of a read waiting for its own round.

--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -24,6 +24,7 @@
 import gladelug.control.core.CoreMessage.Read;
 import gladelug.control.core.CoreMessage.ReadDone;
 import gladelug.control.core.CoreMessage.Standing;
+import gladelug.kernel.Address;
 import gladelug.kernel.message.Delta;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
@@ -41,7 +42,7 @@
 public final class CoreNode {
     static final int LARGEST = 6 << 20;
     private static final long DIVIDE = 200, GONE = 1200, DIRECT = 900;
-    private static final String CELL = "cell/", ACKNOWLEDGED = "";
+    private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
     private static final int MOST_WORDS = 300;
 
     /** What this member does beside keeping state, where it owns the key for it. */
@@ -225,6 +226,7 @@
 
     public void tick() {
         long now = host.now();
+        expire(now);
         if (!settled()) {
             membership.meet(now);
             membership.join(now);
@@ -234,7 +236,6 @@
         if (membership.sealed() && !membership.retired()) membership.drive(now);
         if (!membership.active()) return;
         membership.plan(now, Math.max(began, booted));
-        reads.tick(now, m -> live(m, now));
         if (now - lastAlive >= tunables.alive()) {
             lastAlive = now;
             List<Owned> l = new ArrayList<>();
@@ -245,13 +246,6 @@
         if (now - lastConfirm >= tunables.confirm()) confirm(now);
         for (KeyOwner o : owners.values()) o.tick(now);
         if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
-        for (Map.Entry<Long, Forwarded> e : new ArrayList<>(forwarded.entrySet())) {
-            Forwarded f = e.getValue();
-            // nobody will answer any more, so the sender is told so at once, with the number to ask about
-            if (now - f.at < tunables.longest() && live(f.owner, now)) continue;
-            forwarded.remove(e.getKey());
-            f.answer.accept(new ChangeAnswer.Unknown(f.number));
-        }
         if (owns(Keys.SHARES) && now - lastDivided >= DIVIDE) {
             lastDivided = now;
             List<Seen> relays = new ArrayList<>();
@@ -262,6 +256,17 @@
         nodes.values().removeIf(s -> now - s.asked > 60_000);
     }
 
+    /** What was handed on and nobody will answer any more is answered here, with the number to ask about. */
+    private void expire(long now) {
+        for (Map.Entry<Long, Forwarded> e : new ArrayList<>(forwarded.entrySet())) {
+            Forwarded f = e.getValue();
+            if (now - f.at < tunables.longest() && (f.owner.equals(A_MEMBER) || live(f.owner, now))) continue;
+            forwarded.remove(e.getKey());
+            f.answer.accept(new ChangeAnswer.Unknown(f.number));
+        }
+        reads.tick(now, m -> m.equals(A_MEMBER) || live(m, now));
+    }
+
     boolean live(String m, long now) {
         if (m.equals(self)) return healthy;
         Peer f = peers.get(m);
@@ -340,7 +345,7 @@
 
     public void message(Envelope e) {
         long now = host.now();
-        if (membership.generations(e, now) || !membership.active()) return;
+        if (membership.generations(e, now) || standingBy(e, now) || !membership.active()) return;
         if (e.generation() != members().generation()) {
             if (e.generation() < members().generation()) membership.tell(e.from(), now);
             return;
@@ -360,13 +365,36 @@
         else if (s instanceof Change c && firstTime(c.nr()))
             owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
         else if (s instanceof Read r) read(r.key(), a -> to(e.from(), new ReadDone(r.nr(), a)), now);
-        else if (s instanceof ReadDone r) reads.answered(r.nr(), r.newest());
+        else answered(s);
+    }
+
+    private void answered(CoreMessage s) {
+        if (s instanceof ReadDone r) reads.answered(r.nr(), r.newest());
         else if (s instanceof Changed c) {
             Forwarded f = forwarded.remove(c.nr());
             if (f != null) f.answer.accept(c.answer());
         }
     }
 
+    /** What is said between a machine that stands by and the member it hands on to; true where that was all. */
+    private boolean standingBy(Envelope e, long now) {
+        CoreMessage s = e.said();
+        if (!membership.active()) {
+            answered(s);
+            return true;
+        }
+        Address to = membership.standsBy(e);
+        if (to == null) return false;
+        if (s instanceof Change c && firstTime(c.nr()))
+            change(c.key(), c.match(), c.body(), a -> toAddress(to, new Changed(c.nr(), a)));
+        else if (s instanceof Read r) readNewest(r.key(), a -> toAddress(to, new ReadDone(r.nr(), a)));
+        return true;
+    }
+
+    private void toAddress(Address to, CoreMessage m) {
+        host.sendTo(to, new Envelope(members().generation(), self, disk, m));
+    }
+
     /** A change that comes a second time must not be taken after its first coming was answered. */
     private boolean firstTime(long change) {
         if (!seen.add(change)) return false;
@@ -472,12 +500,18 @@
             o.propose(match, body, answer, now);
             return;
         }
-        String other = settled() ? liveOwner(key, now) : null;
-        if (other == null) {
+        String other = membership.active() ? liveOwner(key, now) : null;
+        Address door = membership.door(now);
+        if (other == null && door == null) {
             answer.accept(new ChangeAnswer.NoOwner());
             return;
         }
         long n = ++nr;
+        if (other == null) {
+            forwarded.put(n, new Forwarded(A_MEMBER, match >= 0 ? match + 1 : -1, now, answer));
+            toAddress(door, new Change(n, key, match, body));
+            return;
+        }
         forwarded.put(n, new Forwarded(other, (match >= 0 ? match : cell(key).value().number()) + 1, now, answer));
         to(other, new Change(n, key, match, body));
     }
@@ -489,11 +523,17 @@
     public void readNewest(String key, Consumer<Newest> answer) {
         long now = host.now();
         String other = membership.active() && !owns(key) ? liveOwner(key, now) : null;
-        if (other == null) {
+        Address door = membership.door(now);
+        if (other == null && door == null) {
             read(key, answer, now);
             return;
         }
         long n = ++nr;
+        if (other == null) {
+            reads.handed(n, A_MEMBER, now, answer);
+            toAddress(door, new Read(n, key));
+            return;
+        }
         reads.handed(n, other, now, answer);
         to(other, new Read(n, key));
     }
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -42,6 +42,8 @@
     private boolean strangers;
     private final Map<String, Members.Member> joiners = new TreeMap<>();
     private final Map<String, Long> joinersHeard = new HashMap<>();
+    /** While this is no member: when each member last told it who the members are. */
+    private final Map<String, Long> membersHeard = new HashMap<>();
     /** Members of earlier generations, to be told that they are none any more. */
     private final Map<String, Members.Member> former = new HashMap<>();
     private final Map<String, Long> told = new HashMap<>();
@@ -153,7 +155,10 @@
     boolean generations(Envelope e, long now) {
         CoreMessage s = e.said();
         if (s instanceof Meet m) onMeet(e, m, now);
-        else if (s instanceof Settled x) onSettled(x);
+        else if (s instanceof Settled x) {
+            membersHeard.put(e.from(), now);
+            onSettled(x);
+        }
         else if (s instanceof Join j) onJoin(e, j, now);
         else if (s instanceof Seal x) onSeal(e, x.next(), now);
         else if (s instanceof Sealed x) onSealed(e.from(), x);
@@ -236,6 +241,24 @@
         n.host.sendTo(in.records(), say(new Settled(members, List.of())));
     }
 
+    /** Where a machine that stands by hands on what operators send it: the member heard last, or null. */
+    Address door(long now) {
+        if (settled() && !retired) return null;
+        Members.Member best = null;
+        for (Members.Member m : known.all()) {
+            Long at = membersHeard.get(m.name());
+            if (at == null || now - at >= 2L * n.tunables.dead() || m.records().equals(me.records())) continue;
+            if (best == null || at > membersHeard.get(best.name())) best = m;
+        }
+        return best == null ? null : best.records();
+    }
+
+    /** Where whoever stands by is answered; null for all others and where this member can't help. */
+    Address standsBy(Envelope e) {
+        Members.Member m = active() ? joiners.get(e.from()) : null;
+        return m == null || !m.disk().equals(e.disk()) || members.find(e.from()) != null ? null : m.records();
+    }
+
     /** What an operator may let in: machines that ask to join, lately heard. */
     List<Members.Member> joiners() {
         return joiners(FRESH);
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -196,4 +196,45 @@
         p.synced();
         Assertions.assertEquals(0, p.count("b Promised"));
     }
+
+    @Test void aCommanderKeepsItsLeaseAndGapAndAReadWaitsForARoundBegunAfterIt() {
+        Paper p = new Paper();
+        Tunables t = Tunables.builder().commandLease(1000).commandGap(2500).build();
+        CoreNode n = new CoreNode(p, t, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()), null,
+            new Duties() {});
+        String k = Keys.REPLICAS;
+        p.now += 10_000;
+        for (int i = 0; i < 3; i++) {
+            p.now += 800;
+            n.tick();
+        }
+        long e = n.epochOf(k);
+        for (String m : new String[]{"a", "b"}) from(n, m, new Promised(k, e, true, e, 0, Cell.Value.NONE));
+        for (String m : new String[]{"a", "b"}) from(n, m, new Accepted(k, e, 0, true, e));
+        Assertions.assertTrue(n.owns(k));
+        long promised = p.now;
+        confirmedByTwo(n, p);
+        p.now = promised + 2500;
+        confirmedByTwo(n, p);
+        Assertions.assertFalse(n.mayCommand(k), "within the gap");
+        p.now = promised + 2501;
+        Assertions.assertTrue(n.mayCommand(k));
+        p.now = promised + 2500 + 1000;
+        Assertions.assertFalse(n.mayCommand(k), "its majority is a lease old");
+        List<Newest> read = new ArrayList<>();
+        n.readNewest(k, read::add);
+        Assertions.assertEquals(0, read.size(), "the last round began before the read");
+        confirmedByTwo(n, p);
+        Assertions.assertTrue(read.size() == 1 && read.get(0).owned() && read.get(0).number() == 0);
+    }
+
+    private static void confirmedByTwo(CoreNode n, Paper p) {
+        p.messages.clear();
+        n.confirmSoon();
+        n.tick();
+        Confirm c = p.messages.stream().map(Envelope::said).filter(m -> m instanceof Confirm).map(m -> (Confirm) m)
+            .findFirst().orElseThrow();
+        for (String m : new String[]{"a", "b"}) from(n, m, new CoreMessage.Confirmed(c.round(), c.claims().stream()
+            .map(x -> new CoreMessage.Standing(x.key(), x.epoch(), true, x.epoch(), x.epoch(), 0)).toList()));
+    }
 }
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersTimelineTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersTimelineTest.java
@@ -35,9 +35,9 @@
         play(7, 3, HEALING, """
             t     | op
             8000  | members c1 c2 c3 c4 c5, send c7
-            8100  | send c1
-            9000  | last done, serve, read c4
-            9500  | reads 1
+            8900  | last done, send c1
+            9000  | last done, serve, read c4, read c6
+            9500  | reads 2
             15000 | members c1 c2 c3 c4 c5, generation 2, serve, well""");
         play(3, 1, HEALING, """
             t     | op
