--- a/control-plane/src/main/java/gladelug/control/core/DiskDuty.java
+++ b/control-plane/src/main/java/gladelug/control/core/DiskDuty.java
@@ -27,6 +27,7 @@
     private final Thread thread;
     private volatile long busySince = -1;
     private volatile boolean broken;
+    private volatile boolean closing;
 
     public DiskDuty(Ring ring, Clock clock, Consumer<Runnable> back, Consumer<String> failed) {
         this.ring = ring;
@@ -51,7 +52,7 @@
 
     private void work() {
         List<Want> batch = new ArrayList<>();
-        while (!broken) {
+        while (!broken && !closing) {
             batch.clear();
             try {
                 batch.add(wants.take());
@@ -59,6 +60,8 @@
                 return;
             }
             wants.drainTo(batch);
+            batch.removeIf(w -> w.entry == null);
+            if (batch.isEmpty()) continue;
             busySince = clock.now();
             Map<String, Ring.Entry> last = new LinkedHashMap<>();
             for (Want w : batch) last.put(w.entry.key(), w.entry);
@@ -75,7 +78,9 @@
         }
     }
 
+    /** What is being written is written to its end: an interrupt would break the file's channel under it. */
     @Override public void close() {
-        thread.interrupt();
+        closing = true;
+        wants.offer(new Want(null, () -> {}, clock.now()));
     }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -310,7 +310,9 @@
             for (Request o : live()) {
                 if (o.tenant == null || o.route != null && o.route.open()) continue;
                 Configuration.Tenant n = t.configuration().tenantOfHash(o.keyHash);
-                if (n == null || !n.name().equals(o.tenant.name())) stop(o, "key revoked", 401);
+                boolean runs = o.state.at() == State.At.HANDED || o.state.at() == State.At.STREAMING;
+                if ((n == null || !n.name().equals(o.tenant.name())) && (settings.cutsStreams() || !runs))
+                    stop(o, "key revoked", 401);
             }
         }
         shaped = t;
--- a/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
@@ -46,7 +46,7 @@
         return anyWeights;
     }
 
-    /** Whether running streams end some time after the lease did, as their keys may hold no more. */
+    /** Whether running streams end when their key is revoked, and some time after the lease did, as it may be. */
     public boolean cutsStreams() {
         return cutsStreams;
     }
