--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
@@ -125,6 +125,7 @@
                     must((a == null ? "none" : a.getClass().getSimpleName()).equalsIgnoreCase(ps[1]),
                         "last answer " + a + " " + why);
                 }
+                case "answered" -> must(s.sent.get(s.sent.size() - 1).answer()[0] != null, "no answer yet " + why);
                 case "oneOfTwo" -> {
                     ChangeAnswer a = s.sent.get(s.sent.size() - 1).answer()[0],
                         b = s.sent.get(s.sent.size() - 2).answer()[0];
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersTimelineTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersTimelineTest.java
@@ -94,7 +94,7 @@
             4000  | .     | owner c3, send c1
             5000  | .     | last done, send %s
             %d    | power | .
-            9000  | .     | read %s, send %s
+            9000  | .     | answered, read %s, send %s
             9900  | .     | last done, reads 1, well""".formatted(c, 5000 + ms, c, c));
     }
 }
