--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -71,9 +71,12 @@
         if (s.engine().linkMbps() > 0) engineLinkMs = s.engine().tokenBytes() * 8.0 / (s.engine().linkMbps() * 1000);
     }
 
-    /** Whether weights named a come after those named b; those that are numbers go by their value. */
+    /**
+     * Whether weights named a come after those named b; those that are numbers go by their value. Where none are told,
+     * that comes after nothing.
+     */
     public static boolean newer(String a, String b) {
-        if (b.isEmpty()) return !a.isEmpty();
+        if (a.isEmpty() || b.isEmpty()) return !a.isEmpty();
         if (a.length() != b.length() && number(a) && number(b)) return a.length() > b.length();
         return number(a) && number(b) ? a.compareTo(b) > 0 : !a.equals(b);
     }
--- a/data-plane/src/main/java/gladelug/data/relay/HandOver.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HandOver.java
@@ -136,7 +136,8 @@
 
         @Override public void otherWeights(String why) {
             if (over) return;
-            notRun(why, o.tries >= o.route.attempts());
+            // the same one once more at most, whatever it says of itself
+            notRun(why, o.tries == o.route.attempts());
         }
 
         private void notRun(String why, boolean same) {
@@ -157,7 +158,7 @@
         @Override public void head(Head h) {
             if (over) return;
             first();
-            if (o.head == null) o.head = h;
+            if (o.piecesOut == 0) o.head = h;
         }
 
         private void first() {
@@ -202,6 +203,8 @@
         /** Before the first piece: once more where that is allowed, else of unknown fate. */
         @Override public void broken(String what) {
             if (over) return;
+            // letting the connection go may tell of the break once more
+            over = true;
             handle.reset();
             String why = b.replica.instance() + ": " + what;
             State.At at = o.state.at();
