--- a/control-plane/src/main/java/gladelug/control/duty/Steering.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Steering.java
@@ -135,6 +135,7 @@
             String want = weights.of(m).now();
             boolean told = x.steeredTo.equals(want);
             if (x.weights.equals(want) && !x.loading || x.loading && told || now - x.steered < AGAIN && told) continue;
+            if (takesAnother(r, m, now)) continue;
             SortedMap<String, Batches.Replica> all = new TreeMap<>();
             for (Replicas.Replica o : steerable()) {
                 if (!o.service().equals(r.service()) || !models(o).contains(m)) continue;
@@ -149,6 +150,16 @@
         return null;
     }
 
+    /** Whether a replica may be taking weights of another model, as it was told to: it takes one order at a time. */
+    private boolean takesAnother(Replicas.Replica r, String model, long now) {
+        for (String m : models(r)) {
+            Seen x = seen.get(r.instance() + "\n" + m);
+            if (x == null || m.equals(model) || x.steeredTo.isEmpty() || x.weights.equals(x.steeredTo)) continue;
+            if (x.loading || now - x.steered < AGAIN / 2) return true;
+        }
+        return false;
+    }
+
     public void told(Replicas.Replica r, Wish w, long now) {
         Seen x = seen(r, w.model);
         x.steered = now;
