Rolls known to relays, waits estimated over all relays, own placements, fewer wake-ups

Change: relays work out from the naming whose turn it is to load and leave it alone, take it for loaded after that (a 421 corrects them); waits weigh work given lately times the relays the core hears, waiting ones told, and room in memory; a relay knows where it sent a prompt before events tell.

--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -41,7 +41,7 @@
 
 public final class CoreNode {
     static final int LARGEST = 6 << 20;
-    private static final long DIVIDE = 200, GONE = 1200, DIRECT = 900;
+    private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
     private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
     private static final int MOST_WORDS = 300;
 
@@ -97,6 +97,8 @@
     private final Map<String, Long> yielded = new HashMap<>();
     private final Map<String, Long> ownerless = new HashMap<>();
     private final Map<String, Seen> nodes = new LinkedHashMap<>();
+    private int relays;
+    private long relaysAt = Long.MIN_VALUE / 2;
     private final Map<String, Long> pushed = new HashMap<>();
     private record Forwarded(String owner, long number, long at, Consumer<ChangeAnswer> answer) {}
 
@@ -600,7 +602,15 @@
             if (g != null) gs.add(g);
             else if (h.number() < o.value().number()) pushWhole(seen, o, now, false);
         }
-        if (!gs.isEmpty()) tell(seen, new News.Grants(a.ask(), gs));
+        if (!gs.isEmpty()) tell(seen, new News.Grants(a.ask(), gs, relays(now)));
+    }
+
+    private int relays(long now) {
+        if (now - relaysAt > COUNT) {
+            relaysAt = now;
+            relays = (int) nodes.values().stream().filter(s -> s.role.equals("relay") && now - s.asked < HEARD).count();
+        }
+        return relays;
     }
 
     public void wants(String name, String key) {
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -35,7 +35,7 @@
 import java.util.function.Function;
 
 public final class CoreService implements Kernel.Service, CoreHost {
-    private static final long TICK = 25, STALL = 400, PROBE = 1000, OWNERLESS = 2500;
+    private static final long STALL = 400, PROBE = 1000, OWNERLESS = 2500;
     private static final Duration BETWEEN = Duration.ofMillis(100);
 
     private final Vertx vertx;
@@ -99,7 +99,7 @@
                 if (name != null) nodes.remove(name, c);
             }
         });
-        duty.every(TICK, () -> {
+        duty.every(tunables.alive() / 4, () -> {
             node.healthy(disk.stalled() < STALL);
             node.tick();
         });
--- a/control-plane/src/main/java/gladelug/control/duty/Batches.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Batches.java
@@ -7,6 +7,7 @@
  */
 package gladelug.control.duty;
 
+import gladelug.kernel.configuration.RollPlan;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SortedMap;
@@ -17,17 +18,14 @@
         MOVED, WAITING, SILENT
     }
 
-    static final int THIRDS = 3;
-
     private Batches() {}
 
-    /** all: the service's replicas that may be steered; age: ms since the naming; cutoff as at the relays. */
-    static boolean may(String instance, SortedMap<String, Replica> all, long age, long cutoff) {
+    /** all: the service's replicas that may be steered; age: ms since the naming; roll: ms all thirds have. */
+    static boolean may(String instance, SortedMap<String, Replica> all, long age, long roll) {
         List<String> order = new ArrayList<>(all.keySet());
-        int i = order.indexOf(instance);
-        if (i < 0) return false;
-        int size = Math.max(1, (order.size() + THIRDS - 1) / THIRDS), third = i / size;
-        if (age >= third * cutoff / THIRDS) return true;
+        if (!all.containsKey(instance)) return false;
+        int size = RollPlan.size(order.size()), third = RollPlan.third(instance, order);
+        if (age >= RollPlan.due(third, roll)) return true;
         for (int j = 0; j < third * size; j++) if (all.get(order.get(j)) == Replica.WAITING) return false;
         return true;
     }
--- a/control-plane/src/main/java/gladelug/control/duty/Steering.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Steering.java
@@ -36,7 +36,7 @@
         String steeredTo = "";
     }
 
-    private final int cutoff;
+    private final long roll;
     private final Function<String, Result<Configuration>> reader;
     private final Map<String, Seen> seen = new HashMap<>();
     private Kept kept = new Kept(new byte[0], new byte[0], new byte[0], 0);
@@ -44,13 +44,13 @@
     private Weights weights = Weights.NONE;
     private Configuration configuration = Configuration.EMPTY;
 
-    public Steering(int cutoff) {
-        this(cutoff, Configuration::parse);
+    public Steering(int roll) {
+        this(roll, Configuration::parse);
     }
 
-    /** reader: how the configuration, as operators sent it, is read; cutoff in ms. */
-    public Steering(int cutoff, Function<String, Result<Configuration>> reader) {
-        this.cutoff = cutoff;
+    /** roll: ms that all replicas' turns take; reader: how the configuration, as operators sent it, is read. */
+    public Steering(int roll, Function<String, Result<Configuration>> reader) {
+        this.roll = roll;
         this.reader = reader;
     }
 
@@ -144,7 +144,7 @@
                     ? Batches.Replica.SILENT
                     : y.weights.equals(want) && !y.loading ? Batches.Replica.MOVED : Batches.Replica.WAITING);
             }
-            if (Batches.may(r.instance(), all, kept.age, cutoff)) return new Wish(m, want);
+            if (Batches.may(r.instance(), all, kept.age, roll)) return new Wish(m, want);
         }
         return null;
     }
--- a/data-plane/src/main/java/gladelug/data/news/HeldNews.java
+++ b/data-plane/src/main/java/gladelug/data/news/HeldNews.java
@@ -34,6 +34,7 @@
     private final Consumer<Tables> swapped;
     private final Map<String, Allotment> allotments = new ConcurrentHashMap<>();
     private volatile Tables tables = Tables.NONE;
+    private volatile int relays;
     private volatile List<News.Demand> demands = List.of();
     private volatile List<News.Places> places = List.of();
 
@@ -75,7 +76,13 @@
         return book.number(key);
     }
 
+    /** How many relays the core hears, 0 where that isn't known. */
+    public int relays() {
+        return relays;
+    }
+
     public NewsBook.Told told(News n) {
+        if (n instanceof News.Grants g) relays = g.relays();
         NewsBook.Told t = book.told(n);
         if (t == NewsBook.Told.TAKEN) {
             News.Push p = (News.Push) n;
--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -33,6 +33,7 @@
 
 public final class NewsService implements Kernel.Service {
     private static final long ASK = 400, CIRCLE = 1000;
+    private final long askMs;
     private final Vertx vertx;
     private final Clock clock;
     private final Shuffle.Descriptor self;
@@ -47,12 +48,13 @@
     private ViewService views;
 
     public NewsService(Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds) {
-        this(vertx, clock, self, seeds, Configuration::parse);
+        this(vertx, clock, self, seeds, ASK, Configuration::parse);
     }
 
-    /** reader: how the configuration, as operators sent it, is read. */
-    public NewsService(Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds,
+    /** askMs: how often the core is asked; reader: how the configuration, as operators sent it, is read. */
+    public NewsService(Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds, long askMs,
         Function<String, Result<Configuration>> reader) {
+        this.askMs = askMs;
         this.vertx = vertx;
         this.clock = clock;
         this.self = self;
@@ -89,7 +91,7 @@
         doors = k.find("doors", Doors.class);
         views = k.find("views", ViewService.class);
         duty.every(CIRCLE, this::circle);
-        duty.every(ASK, this::askAll);
+        duty.every(askMs, this::askAll);
     }
 
     private void circle() {
--- a/data-plane/src/main/java/gladelug/data/reasons/ReasonsService.java
+++ b/data-plane/src/main/java/gladelug/data/reasons/ReasonsService.java
@@ -39,6 +39,7 @@
     private final Duty duty;
     private final String name;
     private final String host;
+    private final String near;
     private final KeptReasons kept;
     private final Map<Address, Held> held = new HashMap<>();
     private Doors doors;
@@ -47,6 +48,12 @@
     private volatile long skipped;
 
     public ReasonsService(Vertx vertx, Clock clock, String name, String host, long mostBytes) {
+        this(vertx, clock, name, host, "", mostBytes);
+    }
+
+    /** near: the zone whose processes are handed records first, where bytes between zones are dear; empty for none. */
+    public ReasonsService(Vertx vertx, Clock clock, String name, String host, String near, long mostBytes) {
+        this.near = near;
         this.vertx = vertx;
         this.name = name;
         this.host = host;
@@ -105,7 +112,8 @@
     private List<Address> peers() {
         List<Address> l = views.all().stream().filter(d -> d.role().equals("relay") || d.role().equals("index"))
             .filter(d -> !Address.of(d.records()).host().equals(host))
-            .sorted(Comparator.comparingInt((Shuffle.Descriptor d) -> (name + ">" + d.name()).hashCode()))
+            .sorted(Comparator.comparing((Shuffle.Descriptor d) -> !near.isEmpty() && !near.equals(d.zone()))
+                .thenComparingInt(d -> (name + ">" + d.name()).hashCode()))
             .map(d -> Address.of(d.records())).distinct().toList();
         List<Address> use = new ArrayList<>();
         int open = 0;
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -13,6 +13,10 @@
 public final class Backend {
     private static final long PROBE = 20_000, SILENT = 2000, QUIET = 1200;
     private static final double USUAL_UNIT_MS = 0.03;
+    /** Work given lately is weighed over so many ms; a wait that was told of fades over so many. */
+    private static final double LATELY = 1000, FADES = 800;
+    /** What one that waits there is reckoned to hold up, and what room that isn't there costs, in ms. */
+    private static final double WAITS_MS = 25, NO_ROOM_MS = 800;
     public Replica replica;
     public boolean known;
     /** Whether it reports by itself; else silence means nothing. */
@@ -36,6 +40,16 @@
     /** Estimated ms to pull a unit over its link, 0 where each link is measured by itself. */
     private double engineLinkMs;
     private long owedUntil;
+    /** Ms of work a ms that this relay gave it lately, and when that was last reckoned. */
+    private double rate;
+    private long ratedAt;
+    /** Units under way there of this relay's, and the most it keeps (0: not known). */
+    public int mineUnits;
+    private long keptUnits;
+    private double usualUnits = 1500;
+    private int runningThere;
+    private int waitingThere;
+    private long oldUntil = Long.MIN_VALUE / 2;
     /** When bytes last came from it, and since when something it was given has waited for the first. */
     private long heardAt = Long.MIN_VALUE / 2;
     private long askedSince = Long.MIN_VALUE / 2;
@@ -67,6 +81,7 @@
             unitMs = USUAL_UNIT_MS;
         }
         known = true;
+        keptUnits = s.engine().keptTokens();
         slots = Math.max(1, r.slots() > 0 ? r.slots() : s.engine().slots());
         if (s.engine().linkMbps() > 0) engineLinkMs = s.engine().tokenBytes() * 8.0 / (s.engine().linkMbps() * 1000);
     }
@@ -85,6 +100,8 @@
 
     /** What an answer's head told: requests running and waiting there. */
     public void load(int running, int waiting, long now) {
+        runningThere = running;
+        waitingThere = waiting;
         reported = running + waiting;
         mineAtReport = mine;
         reportedAt = now;
@@ -134,16 +151,50 @@
         heardAt = now;
     }
 
-    public double queueMs(long now) {
-        return reports
-            ? Math.max(0, waitMs - (now - reportedAt)) + addedMs
-            : Math.max(0, owedUntil - now) + Math.max(0, reported - mineAtReport) * 2.0;
+    /**
+     * Estimated wait there of a request of so many units, in ms. One that reports says so itself. Of another it is
+     * what this relay gave it and isn't done, what as busy a server makes one wait if the other relays give it as
+     * much lately, what it told of waiting ones, and the room in its memory.
+     */
+    public double queueMs(long now, int relays, int units) {
+        if (reports) return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
+        double busy = Math.min(0.9, rate(now) * Math.max(1, relays * 0.8));
+        double told = waitingThere * WAITS_MS * Math.exp(-(now - reportedAt) / FADES);
+        double there = mineUnits + Math.max(0, reported - mineAtReport) * usualUnits;
+        double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - 0.9);
+        return Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * 40 + told + Math.min(2, over) * NO_ROOM_MS;
+    }
+
+    private double rate(long now) {
+        rate *= Math.exp(-(now - ratedAt) / LATELY);
+        ratedAt = now;
+        return rate;
     }
 
     /** This relay gave it work of so many ms. */
     public void owes(double ms, long now) {
         addedMs += ms;
         owedUntil = Math.max(owedUntil, now) + Math.round(ms);
+        rate = rate(now) + ms / LATELY;
+    }
+
+    /** A request of so many units goes there. */
+    public void takes(int units) {
+        mineUnits += units;
+        usualUnits += (units - usualUnits) / 64;
+    }
+
+    public void gives(int units) {
+        mineUnits = Math.max(0, mineUnits - units);
+    }
+
+    /** It said that it still runs older weights than was thought. */
+    public void stillOld(long until) {
+        oldUntil = until;
+    }
+
+    public boolean saidOld(long now) {
+        return now < oldUntil;
     }
 
     /** What computing took in truth, per unit; single measurements move the estimate a little. */
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -18,6 +18,7 @@
 import gladelug.kernel.Log;
 import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.configuration.Replicas.Replica;
+import gladelug.kernel.configuration.RollPlan;
 import gladelug.kernel.configuration.Weights;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
@@ -39,6 +40,8 @@
     private static final long STALE = 2000;
     private static final double START = 250;
     private static final long ASLEEP = 500;
+    /** How long a replica's taking of new weights is reckoned to last, and how long before it is left alone. */
+    private static final long LOADS = 1000, BEFORE = 100;
 
     public final Clock clock;
     public final HeldNews news;
@@ -51,7 +54,8 @@
     private final Map<Long, Request> live = new LinkedHashMap<>();
     private final Map<String, double[]> served = new HashMap<>();
     private Tables shaped = Tables.NONE;
-    private final IntSupplier relays;
+    public final IntSupplier relays;
+    public final Placements placements = new Placements();
     private long ticked;
     private long awake;
     private boolean pumping;
@@ -110,10 +114,38 @@
 
     /** Whether a replica runs weights on which requests may begin now, of any model it serves. */
     private boolean runs(Backend b) {
-        for (String m : b.weights.keySet()) if (mayRun(m, b.weights(m))) return true;
+        for (String m : b.weights.keySet()) if (mayRun(m, weightsOf(b, m))) return true;
         return false;
     }
 
+    /**
+     * The weights a replica is taken to run: what it or the list last told, but once it has had its turn to take newer
+     * ones, those; it says so if it doesn't yet, and then is left alone for a moment.
+     */
+    public String weightsOf(Backend b, String model) {
+        String told = b.weights(model);
+        Weights.Named n = b.reports ? null : tables().weights().of(model);
+        if (n == null || told.isEmpty() || !Backend.newer(n.now(), told)) return told;
+        long now = clock.now();
+        return !b.saidOld(now) && now >= turn(b, n) + LOADS ? n.now() : told;
+    }
+
+    /** Whether a replica is just about to take newer weights, as its turn has come: better left alone. */
+    public boolean loads(Backend b, String model) {
+        Weights.Named n = b.reports ? null : tables().weights().of(model);
+        if (n == null || b.weights(model).isEmpty() || !Backend.newer(n.now(), b.weights(model))) return false;
+        long now = clock.now();
+        return now >= turn(b, n) - BEFORE && !n.now().equals(weightsOf(b, model));
+    }
+
+    /** When a replica's turn to take the named weights comes, on this relay's clock; in the past where it has. */
+    private long turn(Backend b, Weights.Named n) {
+        long named = news.leases.cutoffAt() - settings.cutoffMs();
+        if (clock.now() >= news.leases.cutoffAt()) return clock.now() - LOADS;
+        List<String> all = backends.of(b.replica.service()).stream().map(x -> x.replica.instance()).toList();
+        return named + RollPlan.due(RollPlan.third(b.replica.instance(), all), settings.rollMs());
+    }
+
     /** Where a holder of kept prompts is called: a replica's or a store's address and zone; or null. */
     public Replica holder(String name) {
         Replica p = tables().replicas().find(name);
@@ -177,12 +209,14 @@
     public void drop(Request o) {
         if (o.backend == null) return;
         o.backend.mine = Math.max(0, o.backend.mine - 1);
+        o.backend.gives(o.units());
         o.backend = null;
         if (o.admitted) admitted.merge(o.service.name(), 1, Integer::sum);
     }
 
     public void choose(Request o, Backend b, double ms) {
         drop(o);
+        b.takes(o.units());
         o.backend = b;
         b.mine++;
         b.owes(ms, clock.now());
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -81,7 +81,8 @@
         CompletableFuture<Void> up = new CompletableFuture<>();
         context.runOnContext(() -> {
             Relay r = new Relay(clock, news.held, x -> protocol.backends(under, x), zone, settings,
-                () -> 1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count());
+                () -> Math.max(news.held.relays(),
+                    1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count()));
             LookupClient lookups = new LookupClient(vertx, context, doors, views, zone, index);
             vertx.setPeriodic(50, i -> r.tick());
             List<Decision> ended = new ArrayList<>();
--- a/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
@@ -17,6 +17,8 @@
     private final double zoneMs;
     private final boolean prefersNewest;
     private final boolean hidesNoRoutes;
+    private final long cutoffMs;
+    private final long rollMs;
 
     private RelaySettings(Builder b) {
         queueMost = b.queueMost;
@@ -28,6 +30,8 @@
         comeBackMs = b.comeBackMs;
         zoneMs = b.zoneMs;
         prefersNewest = b.prefersNewest;
+        cutoffMs = b.cutoffMs;
+        rollMs = b.rollMs;
         hidesNoRoutes = b.hidesNoRoutes;
     }
 
@@ -76,6 +80,15 @@
         return prefersNewest;
     }
 
+    /** After a naming, how long requests may begin on older weights, and how long all replicas' turns take; ms. */
+    public long cutoffMs() {
+        return cutoffMs;
+    }
+
+    public long rollMs() {
+        return rollMs;
+    }
+
     /** Whether a path without a route is 404 also for those without a key. */
     public boolean hidesNoRoutes() {
         return hidesNoRoutes;
@@ -97,6 +110,8 @@
         private double zoneMs = Stages.OTHER_ZONE_MS;
         private boolean prefersNewest = true;
         private boolean hidesNoRoutes;
+        private long cutoffMs = 15_000;
+        private long rollMs = 15_000;
 
         public Builder queueMost(int n) {
             queueMost = n;
@@ -134,6 +149,12 @@
             return this;
         }
 
+        public Builder weights(long cutoff, long roll) {
+            cutoffMs = cutoff;
+            rollMs = roll;
+            return this;
+        }
+
         public Builder hidesNoRoutes(boolean yes) {
             hidesNoRoutes = yes;
             return this;
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -22,6 +22,8 @@
 
 public final class Stages {
     public static final double OTHER_ZONE_MS = 2, FETCH_MS = 2;
+    /** What going to a replica that is about to load other weights is reckoned to cost. */
+    private static final double LOADING_MS = 600;
     /** How many blocks are pulled over a link whose speed is not known. */
     static final int FEW = 2;
 
@@ -130,8 +132,9 @@
             for (Backend b : r.backends.of(o.service.name())) {
                 if (!b.usable(t)) continue;
                 blockBytes = b.blockBytes;
-                if (b.weights(o.model).equals(w[0])) newest++;
-                else if (!w[1].isEmpty() && b.weights(o.model).equals(w[1])) older++;
+                String runs = r.weightsOf(b, o.model);
+                if (runs.equals(w[0])) newest++;
+                else if (!w[1].isEmpty() && runs.equals(w[1])) older++;
             }
             boolean toNewest = r.settings.prefersNewest() ? newest > 0 : newest >= older;
             o.weights = toNewest || older == 0 ? w[0] : w[1];
@@ -175,11 +178,11 @@
             boolean newest = false;
             for (Backend b : r.backends.of(o.service.name())) {
                 if (!b.usable(t) || b.free() == 0 && b != o.backend) continue;
-                if (only != null && b != only || model && !r.mayRun(o.model, b.weights(o.model))) continue;
-                newest |= model && r.settings.prefersNewest() && b.weights(o.model).equals(w[0]);
+                if (only != null && b != only || model && !r.mayRun(o.model, r.weightsOf(b, o.model))) continue;
+                newest |= model && r.settings.prefersNewest() && r.weightsOf(b, o.model).equals(w[0]);
                 os.add(option(o, b, t));
             }
-            if (newest) os.removeIf(x -> !x.b.weights(o.model).equals(w[0]));
+            if (newest) os.removeIf(x -> !r.weightsOf(x.b, o.model).equals(w[0]));
             if (os.isEmpty()) {
                 List<Backend> all = r.backends.of(o.service.name());
                 return Verdict.notRun(503,
@@ -199,8 +202,10 @@
                 .thenComparing(x -> (x.b.replica.instance().hashCode() ^ (int) o.decision.nr) * 0x9E3779B1));
             Option c = os.get(0);
             if (model) {
-                boolean same = c.b.weights(o.model).equals(o.weights);
-                o.weights = c.b.weights(o.model);
+                String runs = r.weightsOf(c.b, o.model);
+                boolean same = runs.equals(o.weights);
+                if (!same) o.blocks = o.prompt.keys(o.model, runs, o.wall, c.b.blockBytes);
+                o.weights = runs;
                 o.matched = same ? c.matched : 0;
                 o.fetchFrom = same ? c.from : "";
                 o.fetchBlocks = same ? c.fetch : 0;
@@ -210,6 +215,7 @@
             o.workMs = c.prefill;
             o.queueMs = c.queue;
             r.choose(o, c.b, c.prefill);
+            if (!c.b.reports) r.placements.sent(o.blocks, c.b.replica.instance(), t);
             JsonArray a = new JsonArray();
             for (Option x : os.subList(0, Math.min(4, os.size())))
                 a.add(Json.object().add("replica", x.b.replica.instance()).add("matched", x.matched)
@@ -235,12 +241,18 @@
         private Option option(Request o, Backend b, long t) {
             int n = o.blocks.length, all = 0, have = 0, haveUnits = 0;
             for (int i = 0; i < n; i++) all += o.prompt.units(i);
-            boolean same = b.weights(o.model).equals(o.weights) && mode != Mode.LEAST_LOAD;
+            boolean same = r.weightsOf(b, o.model).equals(o.weights) && mode != Mode.LEAST_LOAD;
             if (same) for (Lookup.Match m : o.matches)
                 if (m.holder().equals(b.replica.instance()) && units(o, m) >= haveUnits) {
                     have = Math.min(n, m.blocks());
                     haveUnits = units(o, m);
                 }
+            int sent = same && !b.reports ? r.placements.leading(o.blocks, b.replica.instance(), t) : 0;
+            if (sent > have) {
+                have = sent;
+                haveUnits = 0;
+                for (int i = 0; i < sent; i++) haveUnits += o.prompt.units(i);
+            }
             double work = (all - haveUnits) * b.unitMs;
             String from = "";
             int fetch = 0, compute = all - haveUnits;
@@ -259,7 +271,8 @@
                         compute = all - haveUnits - more;
                     }
                 }
-            double queue = b.queueMs(t) + Math.max(0, b.load() - b.slots + 1) * 20.0;
+            double queue = b.queueMs(t, r.relays.getAsInt(), all + o.tokensOut)
+                + Math.max(0, b.load() - b.slots + 1) * 20.0 + (r.loads(b, o.model) ? LOADING_MS : 0);
             return new Option(b, have, from, fetch, queue, work, compute,
                 queue + work + (b.replica.zone().equals(r.zone) ? 0 : r.settings.zoneMs()));
         }
--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -94,6 +94,13 @@
         this.caller = caller;
     }
 
+    /** What it takes of a replica's memory, in units: its prompt and what is put out at most. */
+    public int units() {
+        int u = tokensOut;
+        for (int i = 0; i < blocks.length; i++) u += prompt.units(i);
+        return u;
+    }
+
     public String id() {
         return decision.id;
     }
--- a/kernel/src/main/java/gladelug/kernel/message/News.java
+++ b/kernel/src/main/java/gladelug/kernel/message/News.java
@@ -59,7 +59,8 @@
         }
     }
 
-    record Grants(long ask, List<Grant> grants) implements News {
+    /** relays: how many relays the teller heard lately, among which what the fleet may do is shared out. */
+    record Grants(long ask, List<Grant> grants, int relays) implements News {
         @Override public int type() {
             return 2;
         }
@@ -73,6 +74,7 @@
                 p.writeInt(g.left);
                 p.writeInt(g.cutoffLeft);
             });
+            o.writeInt(relays);
         }
     }
 
@@ -131,7 +133,7 @@
                 Wire.list(in, i -> new Demand(i.readUTF(), i.readUTF(), i.readInt(), i.readInt())),
                 Wire.list(in, i -> new Places(i.readUTF(), i.readInt())));
             case 2 -> new Grants(in.readLong(), Wire.list(in,
-                i -> new Grant(i.readUTF(), i.readLong(), i.readLong(), i.readInt(), i.readInt())));
+                i -> new Grant(i.readUTF(), i.readLong(), i.readLong(), i.readInt(), i.readInt())), in.readInt());
             case 3 -> new Push(in.readUTF(), in.readLong(), in.readLong(), in.readLong(), in.readUTF(), Wire.blob(in));
             case 4 -> new Whole(in.readUTF());
             case 5 -> new Allot(in.readLong(), in.readUTF(), in.readBoolean(),
--- a/kernel/src/main/java/gladelug/kernel/view/ViewService.java
+++ b/kernel/src/main/java/gladelug/kernel/view/ViewService.java
@@ -20,7 +20,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 public final class ViewService implements Kernel.Service {
-    private static final long ROUND = 1000, ANSWER = 900;
+    /** Rounds are quick while a process is new, then slower; ms. */
+    private static final long ROUND = 1000, LATER = 3000, ANSWER = 900;
+    private static final int NEW = 15;
     private final Vertx vertx;
     private final Address self;
     private final List<Address> seeds;
@@ -29,6 +31,7 @@
     private volatile List<Shuffle.Descriptor> snapshot = List.of();
     private Doors doors;
     private int next;
+    private int rounds;
 
     public ViewService(Vertx vertx, Shuffle.Descriptor self, List<Address> seeds) {
         this.vertx = vertx;
@@ -56,7 +59,12 @@
                 snapshot = views.all();
             });
         });
-        duty.every(ROUND, this::round);
+        duty.offer(this::again);
+    }
+
+    private void again() {
+        round();
+        duty.after(rounds++ < NEW ? ROUND : LATER, this::again);
     }
 
     private void round() {
