A full disk is tried again instead of ending the member

Ruled out: trying again after a failed sync, which says nothing of what lasts; only a refused write is, from the same place. Change: Ring tells the two apart, the disk's duty writes the refused entries with what has come since; the member looks stalled meanwhile and hands on.

--- a/control-plane/src/main/java/gladelug/control/core/DiskDuty.java
+++ b/control-plane/src/main/java/gladelug/control/core/DiskDuty.java
@@ -1,7 +1,8 @@
 /*
  * The disk's own thread: takes what waits, writes it as one frame, syncs once, and tells all who
- * waited. A sync that fails is never tried again; the member stops. Oldest() lets the protocol see
- * a disk that stalls.
+ * waited. A sync that fails is never tried again; the member stops. A disk that takes no bytes, as a
+ * full one does, is tried again: it looks stalled meanwhile, and the member hands its keys on.
+ * stalled() lets the protocol see it.
  */
 package gladelug.control.core;
 
@@ -14,9 +15,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 public final class DiskDuty implements AutoCloseable {
+    private static final long AGAIN = 100;
+
     private record Want(Ring.Entry entry, Runnable done, long since) {}
 
     private final Ring ring;
@@ -28,6 +32,7 @@
     private volatile long busySince = -1;
     private volatile boolean broken;
     private volatile boolean closing;
+    private boolean refused;
 
     public DiskDuty(Ring ring, Clock clock, Consumer<Runnable> back, Consumer<String> failed) {
         this.ring = ring;
@@ -53,20 +58,25 @@
     private void work() {
         List<Want> batch = new ArrayList<>();
         while (!broken && !closing) {
-            batch.clear();
             try {
-                batch.add(wants.take());
+                // what a disk refused is written again with what has come since
+                Want w = batch.isEmpty() ? wants.take() : wants.poll(AGAIN, TimeUnit.MILLISECONDS);
+                if (w != null) batch.add(w);
             } catch (InterruptedException e) {
                 return;
             }
             wants.drainTo(batch);
             batch.removeIf(w -> w.entry == null);
             if (batch.isEmpty()) continue;
-            busySince = clock.now();
+            if (busySince < 0) busySince = clock.now();
             Map<String, Ring.Entry> last = new LinkedHashMap<>();
             for (Want w : batch) last.put(w.entry.key(), w.entry);
             try {
                 ring.write(new ArrayList<>(last.values()));
+            } catch (Ring.Refused e) {
+                if (!refused) Log.warn("disk-refuses", "what", e.toString());
+                refused = true;
+                continue;
             } catch (IOException | RuntimeException e) {
                 broken = true;
                 Log.warn("disk-failed", "what", e.toString());
@@ -74,7 +84,10 @@
                 return;
             }
             busySince = -1;
+            if (refused) Log.event("disk-takes-again");
+            refused = false;
             for (Want w : batch) back.accept(w.done);
+            batch.clear();
         }
     }
 
--- a/kernel/src/main/java/gladelug/kernel/disk/Ring.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Ring.java
@@ -28,6 +28,13 @@
         }
     }
 
+    /** The disk took no bytes, as a full one does; nothing was synced, and the same may be written again. */
+    public static final class Refused extends IOException {
+        Refused(IOException cause) {
+            super(cause.getMessage(), cause);
+        }
+    }
+
     private static final int MAGIC = 0x676c6164, HEAD = 21, STEP = 512;
     private static final byte SNAPSHOT = 1, MORE = 2;
 
@@ -134,22 +141,31 @@
         return b;
     }
 
-    /** Writes and syncs; when this returns the entries last. After an IOException the ring must not be used again. */
+    /**
+     * Writes and syncs; when this returns the entries last. After a Refused the same entries, or more, may be written
+     * again; after any other IOException the ring must not be used again, as a failed sync says nothing of what lasts.
+     */
     public void write(List<Entry> es) throws IOException {
         for (Entry e : es) if (!e.key.isEmpty()) live.put(e.key, e.state);
         byte[] b = frameBytes(MORE, es);
-        if (at + b.length > medium.size()) {
+        int to = file, from = at;
+        if (from + b.length > medium.size()) {
             List<Entry> all = new ArrayList<>();
             live.forEach((k, v) -> all.add(new Entry(k, v)));
             b = frameBytes(SNAPSHOT, all);
             if (b.length > medium.size())
                 throw new IOException("the live state of " + b.length + " bytes is larger than a ring file");
-            file = (file + 1) % medium.files();
-            at = 0;
+            to = (file + 1) % medium.files();
+            from = 0;
+        }
+        try {
+            medium.write(to, from, b);
+        } catch (IOException e) {
+            throw new Refused(e);
         }
-        medium.write(file, at, b);
-        medium.sync(file);
-        at += b.length;
+        medium.sync(to);
+        file = to;
+        at = from + b.length;
         seq++;
     }
 }
