--- a/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
+++ b/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
@@ -38,6 +38,7 @@
     private CuckooSummary next;
     private long nextSince;
     private long questions;
+    private final Placements placements = new Placements();
     private long hits;
     private int rebuilt;
     private boolean refused;
@@ -189,6 +190,25 @@
         return following > 0;
     }
 
+    /** A relay sent a prompt there: until events tell, its blocks count as kept. */
+    public void placed(Lookup.Placed p, long at) {
+        if (holders.containsKey(p.holder())) placements.sent(p.blocks(), p.holder(), at);
+    }
+
+    /** The table's matches, and of holders that were sent more of this prompt a moment ago, that. */
+    public Lookup.Answer answer(Lookup.Question q, long at) {
+        Lookup.Answer a = answer(q);
+        if (!a.warm() || q.blocks().length == 0) return a;
+        List<Lookup.Match> more = new ArrayList<>(a.matches());
+        for (String h : holders.keySet()) {
+            int n = placements.leading(q.blocks(), h, at);
+            if (n == 0) continue;
+            if (more.removeIf(m -> m.holder().equals(h) && m.blocks() < n)
+                || more.stream().noneMatch(m -> m.holder().equals(h))) more.add(new Lookup.Match(h, n, 0));
+        }
+        return new Lookup.Answer(a.nr(), true, more);
+    }
+
     public Lookup.Answer answer(Lookup.Question q) {
         questions++;
         if (!warm()) return new Lookup.Answer(q.nr(), false, List.of());
--- a/data-plane/src/main/java/gladelug/data/index/IndexService.java
+++ b/data-plane/src/main/java/gladelug/data/index/IndexService.java
@@ -52,9 +52,14 @@
         duty.every(100, () -> summary.tick(clock.now()));
         k.find("doors", Doors.class).take(Hello.LOOKUP, (h, c) -> new Connection.Receiver() {
             @Override public void record(byte[] r) throws IOException {
-                if (!(Wire.read(r, Lookup::read) instanceof Lookup.Question q))
-                    throw new IOException("an answer nobody asked for");
-                if (!duty.offer(() -> c.send(summary.answer(q)))) c.send(new Lookup.Answer(q.nr(), false, List.of()));
+                Lookup l = Wire.read(r, Lookup::read);
+                if (l instanceof Lookup.Placed p) {
+                    duty.offer(() -> summary.placed(p, clock.now()));
+                    return;
+                }
+                if (!(l instanceof Lookup.Question q)) throw new IOException("an answer nobody asked for");
+                if (!duty.offer(() -> c.send(summary.answer(q, clock.now()))))
+                    c.send(new Lookup.Answer(q.nr(), false, List.of()));
             }
         });
     }
--- a/data-plane/src/main/java/gladelug/data/relay/Placements.java
+++ b/data-plane/src/main/java/gladelug/data/index/Placements.java
@@ -1,9 +1,8 @@
 /*
- * Where this relay itself sent prompts a moment ago: their blocks will be kept there though no event told of them yet.
- * Bounded, a hint like the index's own, and only of use for going there again: nothing is pulled from a holder on this
- * word. Lives on the request thread.
+ * Where prompts were sent a moment ago: their blocks will be kept there though no event told of them yet. A relay
+ * remembers its own, an index those it is told of. Bounded, and a hint like the table's own. Lives on one thread.
  */
-package gladelug.data.relay;
+package gladelug.data.index;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -25,7 +25,8 @@
 import java.util.function.Consumer;
 
 public final class LookupClient implements Lookups {
-    private static final long WAIT = 8;
+    public static final long WAIT = 8;
+    private final long waitMs;
     private final Vertx vertx;
     private final Context context;
     private final Doors doors;
@@ -38,8 +39,10 @@
     private List<Address> order = new ArrayList<>();
     private long nr;
 
-    /** own may be null: no index on this machine. */
-    public LookupClient(Vertx vertx, Context context, Doors doors, ViewService views, String zone, Address own) {
+    /** own may be null: no index on this machine. waitMs: how long an answer is waited for. */
+    public LookupClient(Vertx vertx, Context context, Doors doors, ViewService views, String zone, Address own,
+        long waitMs) {
+        this.waitMs = waitMs;
         this.vertx = vertx;
         this.context = context;
         this.doors = doors;
@@ -77,6 +80,12 @@
         late.values().removeIf(n -> n <= 0);
     }
 
+    @Override public void placed(String holder, long[] blocks) {
+        if (blocks.length == 0) return;
+        Lookup.Placed p = new Lookup.Placed(holder, blocks);
+        for (Held h : held.values()) h.send(p);
+    }
+
     @Override public Uni<Found> ask(long[] blocks) {
         if (blocks.length == 0) return Uni.createFrom().item(new Found("no-block", List.of()));
         return Uni.createFrom().emitter(e -> {
@@ -89,7 +98,7 @@
                     asked.remove(n);
                     continue;
                 }
-                vertx.setTimer(WAIT, i -> {
+                vertx.setTimer(waitMs, i -> {
                     Consumer<Found> c = asked.remove(n);
                     if (c == null) return;
                     late.merge(a, 2, Integer::sum);
--- a/data-plane/src/main/java/gladelug/data/relay/Lookups.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Lookups.java
@@ -12,4 +12,7 @@
     record Found(String how, List<Lookup.Match> matches) {}
 
     Uni<Found> ask(long[] blocks);
+
+    /** Tells index processes where a prompt of these blocks was sent; best effort. */
+    default void placed(String holder, long[] blocks) {}
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -7,6 +7,7 @@
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
+import gladelug.data.index.Placements;
 import gladelug.data.news.HeldNews;
 import gladelug.data.news.Tables;
 import gladelug.data.request.Decision;
@@ -332,7 +333,7 @@
     /** The way of a request through this relay. */
     public Way way(Lookups lookups, Stages.Mode mode, Exchange exchange) {
         return new Way(List.of(new Stages.Key(this), new Stages.Route(this), new Stages.Admission(this),
-            new Stages.Prefix(this, lookups), new Stages.Choice(this, mode), new Stages.Fetch(this),
+            new Stages.Prefix(this, lookups), new Stages.Choice(this, mode, lookups), new Stages.Fetch(this),
             new HandOver(this, exchange)), "choice", clock, this::ended);
     }
 
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -83,7 +83,7 @@
             Relay r = new Relay(clock, news.held, x -> protocol.backends(under, x), zone, settings,
                 () -> Math.max(news.held.relays(),
                     1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count()));
-            LookupClient lookups = new LookupClient(vertx, context, doors, views, zone, index);
+            LookupClient lookups = new LookupClient(vertx, context, doors, views, zone, index, settings.lookupMs());
             vertx.setPeriodic(50, i -> r.tick());
             List<Decision> ended = new ArrayList<>();
             r.reasons = ended::add;
--- a/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
@@ -19,6 +19,7 @@
     private final boolean hidesNoRoutes;
     private final long cutoffMs;
     private final long rollMs;
+    private final long lookupMs;
 
     private RelaySettings(Builder b) {
         queueMost = b.queueMost;
@@ -32,6 +33,7 @@
         prefersNewest = b.prefersNewest;
         cutoffMs = b.cutoffMs;
         rollMs = b.rollMs;
+        lookupMs = b.lookupMs;
         hidesNoRoutes = b.hidesNoRoutes;
     }
 
@@ -89,6 +91,11 @@
         return rollMs;
     }
 
+    /** How long an index's answer is waited for, in ms. */
+    public long lookupMs() {
+        return lookupMs;
+    }
+
     /** Whether a path without a route is 404 also for those without a key. */
     public boolean hidesNoRoutes() {
         return hidesNoRoutes;
@@ -112,6 +119,7 @@
         private boolean hidesNoRoutes;
         private long cutoffMs = 15_000;
         private long rollMs = 15_000;
+        private long lookupMs = LookupClient.WAIT;
 
         public Builder queueMost(int n) {
             queueMost = n;
@@ -155,6 +163,11 @@
             return this;
         }
 
+        public Builder lookupMs(long ms) {
+            lookupMs = ms;
+            return this;
+        }
+
         public Builder hidesNoRoutes(boolean yes) {
             hidesNoRoutes = yes;
             return this;
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -158,7 +158,7 @@
     }
 
     /** Which replica: the least estimated milliseconds of queue, prefill or fetch, and distance. */
-    public record Choice(Relay r, Mode mode) implements Stage.AtOnce {
+    public record Choice(Relay r, Mode mode, Lookups lookups) implements Stage.AtOnce {
         @Override public String name() {
             return "choice";
         }
@@ -215,7 +215,10 @@
             o.workMs = c.prefill;
             o.queueMs = c.queue;
             r.choose(o, c.b, c.prefill);
-            if (!c.b.reports) r.placements.sent(o.blocks, c.b.replica.instance(), t);
+            if (!c.b.reports) {
+                r.placements.sent(o.blocks, c.b.replica.instance(), t);
+                lookups.placed(c.b.replica.instance(), o.blocks);
+            }
             JsonArray a = new JsonArray();
             for (Option x : os.subList(0, Math.min(4, os.size())))
                 a.add(Json.object().add("replica", x.b.replica.instance()).add("matched", x.matched)
--- a/kernel/src/main/java/gladelug/kernel/message/Lookup.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Lookup.java
@@ -52,20 +52,39 @@
         }
     }
 
+    /** A relay sent a prompt of these blocks to a holder, which will keep them though no event told of it yet. */
+    record Placed(String holder, long[] blocks) implements Lookup {
+        @Override public int type() {
+            return 3;
+        }
+
+        @Override public void write(DataOutputStream o) throws IOException {
+            o.writeUTF(holder);
+            o.writeInt(blocks.length);
+            for (long b : blocks) o.writeLong(b);
+        }
+    }
+
+    private static long[] blocks(DataInputStream in) throws IOException {
+        int n = in.readInt();
+        if (n < 0 || n > in.available() / 8) throw new IOException("impossible number of blocks " + n);
+        long[] b = new long[n];
+        for (int i = 0; i < n; i++) b[i] = in.readLong();
+        return b;
+    }
+
     static Lookup read(int type, DataInputStream in) throws IOException {
         switch (type) {
             case 1 -> {
-                long nr = in.readLong();
-                int n = in.readInt();
-                if (n < 0 || n > in.available() / 8) throw new IOException("impossible number of blocks " + n);
-                long[] b = new long[n];
-                for (int i = 0; i < n; i++) b[i] = in.readLong();
-                return new Question(nr, b);
+                return new Question(in.readLong(), blocks(in));
             }
             case 2 -> {
                 return new Answer(in.readLong(), in.readBoolean(),
                     Wire.list(in, i -> new Match(i.readUTF(), i.readInt(), i.readInt())));
             }
+            case 3 -> {
+                return new Placed(in.readUTF(), blocks(in));
+            }
             default -> throw Wire.unknown(type);
         }
     }
