--- a/data-plane/src/main/java/gladelug/data/index/IndexService.java
+++ b/data-plane/src/main/java/gladelug/data/index/IndexService.java
@@ -10,6 +10,7 @@
 import gladelug.kernel.Clock;
 import gladelug.kernel.Duty;
 import gladelug.kernel.Kernel;
+import gladelug.kernel.Log;
 import gladelug.kernel.connection.Connection;
 import gladelug.kernel.connection.Doors;
 import gladelug.kernel.message.Hello;
@@ -20,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 public final class IndexService implements Kernel.Service {
     private final Clock clock;
@@ -28,6 +30,9 @@
     private final int mostHolders;
     private final HolderFeeds.Factory factory;
     private final Map<Holder, HolderFeeds.Following> followed = new HashMap<>();
+    private final BooleanSupplier standsBy;
+    private Tables newest = Tables.NONE;
+    private boolean stands;
     private HolderFeeds feeds;
     private FleetSummary summary;
 
@@ -37,6 +42,13 @@
      * @param factory by which protocol holders are followed
      */
     public IndexService(Clock clock, int fingerprintBits, int mostHolders, HolderFeeds.Factory factory) {
+        this(clock, fingerprintBits, mostHolders, factory, () -> false);
+    }
+
+    /** standsBy: asked once a second; while it holds, another index does the work and no holder is followed. */
+    public IndexService(Clock clock, int fingerprintBits, int mostHolders, HolderFeeds.Factory factory,
+        BooleanSupplier standsBy) {
+        this.standsBy = standsBy;
         this.clock = clock;
         this.duty = new Duty("summary", 65536, clock);
         this.fingerprintBits = fingerprintBits;
@@ -49,6 +61,8 @@
         feeds = factory.open(k, duty, clock);
         summary = new FleetSummary(fingerprintBits, mostHolders, feeds::policy);
         news.listen(t -> duty.offer(() -> tables(t)));
+        stands = standsBy.getAsBoolean();
+        duty.every(1000, this::turn);
         duty.every(100, () -> summary.tick(clock.now()));
         k.find("doors", Doors.class).take(Hello.LOOKUP, (h, c) -> new Connection.Receiver() {
             @Override public void record(byte[] r) throws IOException {
@@ -64,8 +78,17 @@
         });
     }
 
+    private void turn() {
+        boolean now = standsBy.getAsBoolean();
+        if (now == stands) return;
+        stands = now;
+        Log.event(now ? "index-stands-by" : "index-follows");
+        tables(newest);
+    }
+
     private void tables(Tables t) {
-        summary.holders(t, clock.now());
+        newest = t;
+        summary.holders(stands ? Tables.NONE : t, clock.now());
         followed.entrySet().removeIf(e -> {
             if (summary.has(e.getKey())) return false;
             e.getValue().close();
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -26,6 +26,7 @@
 
 public final class LookupClient implements Lookups {
     public static final long WAIT = 8;
+    private static final int COLD = 5;
     private final long waitMs;
     private final Vertx vertx;
     private final Context context;
@@ -71,7 +72,9 @@
                 if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer s))
                     throw new IOException("a question where an answer was due");
                 context.runOnContext(() -> {
-                    late.remove(x);
+                    // one that is warming or stands by is left alone for a while, as one that is late
+                    if (s.warm()) late.remove(x);
+                    else late.put(x, COLD);
                     Consumer<Found> c = asked.remove(s.nr());
                     if (c != null) c.accept(new Found(s.warm() ? "answered" : "warming", s.matches()));
                 });
