--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -25,7 +25,9 @@
 import java.util.function.Consumer;
 
 public final class LookupClient implements Lookups {
-    private static final long WAIT = 8;
+    public static final long WAIT = 8;
+    private static final int COLD = 5;
+    private final long waitMs;
     private final Vertx vertx;
     private final Context context;
     private final Doors doors;
@@ -38,8 +40,10 @@
     private List<Address> order = new ArrayList<>();
     private long nr;
 
-    /** own may be null: no index on this machine. */
-    public LookupClient(Vertx vertx, Context context, Doors doors, ViewService views, String zone, Address own) {
+    /** own may be null: no index on this machine. waitMs: how long an answer is waited for. */
+    public LookupClient(Vertx vertx, Context context, Doors doors, ViewService views, String zone, Address own,
+        long waitMs) {
+        this.waitMs = waitMs;
         this.vertx = vertx;
         this.context = context;
         this.doors = doors;
@@ -68,7 +72,9 @@
                 if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer s))
                     throw new IOException("a question where an answer was due");
                 context.runOnContext(() -> {
-                    late.remove(x);
+                    // one that is warming or stands by is left alone for a while, as one that is late
+                    if (s.warm()) late.remove(x);
+                    else late.put(x, COLD);
                     Consumer<Found> c = asked.remove(s.nr());
                     if (c != null) c.accept(new Found(s.warm() ? "answered" : "warming", s.matches()));
                 });
@@ -77,6 +83,12 @@
         late.values().removeIf(n -> n <= 0);
     }
 
+    @Override public void placed(String holder, long[] blocks) {
+        if (blocks.length == 0) return;
+        Lookup.Placed p = new Lookup.Placed(holder, blocks);
+        for (Held h : held.values()) h.send(p);
+    }
+
     @Override public Uni<Found> ask(long[] blocks) {
         if (blocks.length == 0) return Uni.createFrom().item(new Found("no-block", List.of()));
         return Uni.createFrom().emitter(e -> {
@@ -89,7 +101,7 @@
                     asked.remove(n);
                     continue;
                 }
-                vertx.setTimer(WAIT, i -> {
+                vertx.setTimer(waitMs, i -> {
                     Consumer<Found> c = asked.remove(n);
                     if (c == null) return;
                     late.merge(a, 2, Integer::sum);
