Commanders hold their keys before weights are named; a busy replica is not a dead one

And from 25 s on one relay queued everything: replicas with one long wait counted as silent, and none was left.

--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -54,7 +54,8 @@
                 steering.view(k);
                 return steering.steerable();
             }).call(l -> core.ask(n -> {
-                for (Replicas.Replica r : l) n.know(Keys.COMMANDER + r.instance());
+                // known as soon as it is listed, so that its holder may command when weights are named
+                for (Replicas.Replica r : steering.listed()) n.know(Keys.COMMANDER + r.instance());
                 return true;
             })).emitOn(r -> context.runOnContext(r))
             .subscribe().with(l -> {
--- a/control-plane/src/main/java/gladelug/control/duty/Steering.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Steering.java
@@ -73,6 +73,14 @@
         return r instanceof Result.Good<T> g ? g.value() : none;
     }
 
+    /** All replicas of model services. */
+    public List<Replicas.Replica> listed() {
+        return replicas.all.stream().filter(r -> {
+            Configuration.Service s = configuration.service(r.service());
+            return s != null && s.kind() == Configuration.Kind.MODEL && s.allows(r.address());
+        }).toList();
+    }
+
     /** Only replicas of a model service, where the configuration allows them, with weights named. */
     public List<Replicas.Replica> steerable() {
         List<Replicas.Replica> l = new ArrayList<>();
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -15,8 +15,8 @@
     private static final double USUAL_UNIT_MS = 0.03;
     /** Work given lately is weighed over so many ms; a wait that was told of fades over so many. */
     private static final double LATELY = 1000, FADES = 800;
-    /** What one that waits there is reckoned to hold up, and what room that isn't there costs, in ms. */
-    private static final double WAITS_MS = 25, NO_ROOM_MS = 800;
+    /** What one that waits there is reckoned to hold up, and what room that isn't there and silence cost, in ms. */
+    private static final double WAITS_MS = 25, NO_ROOM_MS = 800, QUIET_MS = 1500;
     public Replica replica;
     public boolean known;
     /** Whether it reports by itself; else silence means nothing. */
@@ -123,7 +123,7 @@
     }
 
     public boolean usable(long now) {
-        return known && now >= badUntil && (reports ? now - reportedAt < SILENT : !quiet(now));
+        return known && now >= badUntil && (!reports || now - reportedAt < SILENT);
     }
 
     /** Has told nothing of itself for so long that what it was given is given up; not by a relay just awake. */
@@ -131,7 +131,7 @@
         return reports && now - Math.max(reportedAt, awake) > SILENT;
     }
 
-    /** Was given something and no byte of anything came since: nothing more goes there until one does. */
+    /** Was given something and no byte of anything came since: others are better, but it may only be busy. */
     private boolean quiet(long now) {
         return unanswered > 0 && now - Math.max(heardAt, askedSince) > QUIET && now - askedSince < 10 * QUIET;
     }
@@ -162,7 +162,7 @@
         double told = waitingThere * WAITS_MS * Math.exp(-(now - reportedAt) / FADES);
         double there = mineUnits + Math.max(0, reported - mineAtReport) * usualUnits;
         double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - 0.9);
-        return Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * 40 + told + Math.min(2, over) * NO_ROOM_MS;
+        return (quiet(now) ? QUIET_MS : 0) + Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * 40 + told + Math.min(2, over) * NO_ROOM_MS;
     }
 
     private double rate(long now) {
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -42,7 +42,7 @@
     private static final double START = 250;
     private static final long ASLEEP = 500;
     /** How long a replica's taking of new weights is reckoned to last, and how long before it is left alone. */
-    private static final long LOADS = 1000, BEFORE = 100;
+    private static final long LOADS = 1300, BEFORE = 100;
 
     public final Clock clock;
     public final HeldNews news;
