--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -162,7 +162,8 @@
         double told = waitingThere * WAITS_MS * Math.exp(-(now - reportedAt) / FADES);
         double there = mineUnits + Math.max(0, reported - mineAtReport) * usualUnits;
         double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - 0.9);
-        return (quiet(now) ? QUIET_MS : 0) + Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * 40 + told + Math.min(2, over) * NO_ROOM_MS;
+        return (quiet(now) ? QUIET_MS : 0) + Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * 40 + told
+            + Math.min(2, over) * NO_ROOM_MS;
     }
 
     private double rate(long now) {
