--- a/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
@@ -17,6 +17,9 @@
     private final double zoneMs;
     private final boolean prefersNewest;
     private final boolean hidesNoRoutes;
+    private final long cutoffMs;
+    private final long rollMs;
+    private final long lookupMs;
 
     private RelaySettings(Builder b) {
         queueMost = b.queueMost;
@@ -28,6 +31,9 @@
         comeBackMs = b.comeBackMs;
         zoneMs = b.zoneMs;
         prefersNewest = b.prefersNewest;
+        cutoffMs = b.cutoffMs;
+        rollMs = b.rollMs;
+        lookupMs = b.lookupMs;
         hidesNoRoutes = b.hidesNoRoutes;
     }
 
@@ -76,6 +82,20 @@
         return prefersNewest;
     }
 
+    /** After a naming, how long requests may begin on older weights, and how long all replicas' turns take; ms. */
+    public long cutoffMs() {
+        return cutoffMs;
+    }
+
+    public long rollMs() {
+        return rollMs;
+    }
+
+    /** How long an index's answer is waited for, in ms. */
+    public long lookupMs() {
+        return lookupMs;
+    }
+
     /** Whether a path without a route is 404 also for those without a key. */
     public boolean hidesNoRoutes() {
         return hidesNoRoutes;
@@ -97,6 +117,9 @@
         private double zoneMs = Stages.OTHER_ZONE_MS;
         private boolean prefersNewest = true;
         private boolean hidesNoRoutes;
+        private long cutoffMs = 15_000;
+        private long rollMs = 15_000;
+        private long lookupMs = LookupClient.WAIT;
 
         public Builder queueMost(int n) {
             queueMost = n;
@@ -134,6 +157,17 @@
             return this;
         }
 
+        public Builder weights(long cutoff, long roll) {
+            cutoffMs = cutoff;
+            rollMs = roll;
+            return this;
+        }
+
+        public Builder lookupMs(long ms) {
+            lookupMs = ms;
+            return this;
+        }
+
         public Builder hidesNoRoutes(boolean yes) {
             hidesNoRoutes = yes;
             return this;
--- a/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
@@ -78,7 +78,7 @@
             news.told(new News.Push(key, 1, n, -1, "", value.getBytes(StandardCharsets.UTF_8)));
             List<News.Grant> gs = new ArrayList<>();
             for (String k : Keys.LEASED) gs.add(new News.Grant(k, 1, news.number(k), LEASE, LEASE));
-            news.told(new News.Grants(now, gs));
+            news.told(new News.Grants(now, gs, 1));
         }
 
         void configuration(String... tenants) {
