--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -301,19 +301,25 @@
             return;
         }
         pumping = true;
-        do {
-            pumpAgain = false;
-            for (Map.Entry<String, WaitQueue> e : new ArrayList<>(queues.entrySet())) {
-                while (free(e.getKey()) > 0) {
-                    Request o = e.getValue().next();
-                    if (o == null) break;
-                    o.admitted = true;
-                    admitted.merge(e.getKey(), 1, Integer::sum);
-                    o.leaveQueue.accept(Verdict.GO);
-                }
-            }
-        } while (pumpAgain);
-        pumping = false;
+        try {
+            do {
+                pumpAgain = false;
+                for (Map.Entry<String, WaitQueue> e : new ArrayList<>(queues.entrySet())) places(e);
+            } while (pumpAgain);
+        } finally {
+            // whatever goes wrong with one request, those behind it are not left waiting for ever
+            pumping = false;
+        }
+    }
+
+    private void places(Map.Entry<String, WaitQueue> e) {
+        while (free(e.getKey()) > 0) {
+            Request o = e.getValue().next();
+            if (o == null) break;
+            o.admitted = true;
+            admitted.merge(e.getKey(), 1, Integer::sum);
+            o.leaveQueue.accept(Verdict.GO);
+        }
     }
 
     /** The caller went away: nothing is left to be done for its request. */
--- a/data-plane/src/main/java/gladelug/data/relay/Stages.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Stages.java
@@ -98,7 +98,8 @@
             boolean late = now + wait + r.requestMs(o.service.name()) > o.deadline
                 || o.route.aimMs() > 0 && wait > o.route.aimMs() / 4.0;
             if (wait > 0 && late)
-                return Uni.createFrom().item(Verdict.notRun(503, "the backlog is longer than the order may wait",
+                return Uni.createFrom().item(Verdict.notRun(503, "the backlog is longer than the order may wait: "
+                        + b.size() + " wait, " + r.free(o.service.name()) + " places",
                     (long) Math.min(10_000, wait)));
             return Uni.createFrom().emitter(e -> {
                 o.leaveQueue = v -> {
