Rolls by time alone, in quarters, with a moment for relays to stop sending

Change: RollPlan with a lead and parts; on the platform the first quarter goes 400 ms after the naming and nobody before its time; relays leave a replica alone from 400 ms before its turn.

--- a/control-plane/src/main/java/gladelug/control/duty/Steering.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Steering.java
@@ -8,6 +8,7 @@
 import gladelug.kernel.Result;
 import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.configuration.Replicas;
+import gladelug.kernel.configuration.RollPlan;
 import gladelug.kernel.configuration.Weights;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -36,7 +37,8 @@
         String steeredTo = "";
     }
 
-    private final long roll;
+    private final RollPlan plan;
+    private final boolean punctual;
     private final Function<String, Result<Configuration>> reader;
     private final Map<String, Seen> seen = new HashMap<>();
     private Kept kept = new Kept(new byte[0], new byte[0], new byte[0], 0);
@@ -45,12 +47,13 @@
     private Configuration configuration = Configuration.EMPTY;
 
     public Steering(int roll) {
-        this(roll, Configuration::parse);
+        this(RollPlan.thirds(roll), false, Configuration::parse);
     }
 
-    /** roll: ms that all replicas' turns take; reader: how the configuration, as operators sent it, is read. */
-    public Steering(int roll, Function<String, Result<Configuration>> reader) {
-        this.roll = roll;
+    /** punctual: nobody goes before its time; reader: how the configuration, as operators sent it, is read. */
+    public Steering(RollPlan plan, boolean punctual, Function<String, Result<Configuration>> reader) {
+        this.plan = plan;
+        this.punctual = punctual;
         this.reader = reader;
     }
 
@@ -153,7 +156,7 @@
                     ? Batches.Replica.SILENT
                     : y.weights.equals(want) && !y.loading ? Batches.Replica.MOVED : Batches.Replica.WAITING);
             }
-            if (Batches.may(r.instance(), all, kept.age, roll)) return new Wish(m, want);
+            if (Batches.may(r.instance(), all, kept.age, plan, punctual)) return new Wish(m, want);
         }
         return null;
     }
--- a/control-plane/src/test/java/gladelug/control/duty/BatchesTest.java
+++ b/control-plane/src/test/java/gladelug/control/duty/BatchesTest.java
@@ -6,6 +6,7 @@
 import static gladelug.control.duty.Batches.may;
 
 import gladelug.control.duty.Batches.Replica;
+import gladelug.kernel.configuration.RollPlan;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Assertions;
@@ -32,4 +33,17 @@
         Assertions.assertTrue(may("g", none, 10000, 15000));
         Assertions.assertFalse(may("x", none, 10000, 15000));
     }
+
+    @Test void aPunctualRollGoesByTimeAloneSoThatRelaysCanReckonWithIt() {
+        RollPlan plan = new RollPlan(400, 4800, 4);
+        SortedMap<String, Replica> none = of("wwwwwww"), all = of("mmmmmmw");
+        Assertions.assertFalse(may("a", none, 399, plan, true));
+        Assertions.assertTrue(may("a", none, 400, plan, true) && may("b", none, 400, plan, true));
+        Assertions.assertFalse(may("c", none, 1599, plan, true));
+        Assertions.assertTrue(may("c", none, 1600, plan, true));
+        Assertions.assertFalse(may("g", all, 3999, plan, true), "all before it have moved, but its time has not come");
+        Assertions.assertTrue(may("g", all, 4000, plan, true));
+        for (String x : none.keySet())
+            Assertions.assertEquals(may(x, none, 2800, plan, true), 2800 >= plan.due(plan.part(x, none.keySet())));
+    }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -19,7 +19,6 @@
 import gladelug.kernel.Log;
 import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.configuration.Replicas.Replica;
-import gladelug.kernel.configuration.RollPlan;
 import gladelug.kernel.configuration.Weights;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
@@ -42,7 +41,7 @@
     private static final double START = 250;
     private static final long ASLEEP = 500;
     /** How long a replica's taking of new weights is reckoned to last, and how long before it is left alone. */
-    private static final long LOADS = 1300, BEFORE = 100;
+    private static final long LOADS = 1200, BEFORE = 400;
 
     public final Clock clock;
     public final HeldNews news;
@@ -144,7 +143,7 @@
         long named = news.leases.cutoffAt() - settings.cutoffMs();
         if (clock.now() >= news.leases.cutoffAt()) return clock.now() - LOADS;
         List<String> all = backends.of(b.replica.service()).stream().map(x -> x.replica.instance()).toList();
-        return named + RollPlan.due(RollPlan.third(b.replica.instance(), all), settings.rollMs());
+        return named + settings.roll().due(settings.roll().part(b.replica.instance(), all));
     }
 
     /** Where a holder of kept prompts is called: a replica's or a store's address and zone; or null. */
--- a/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
@@ -4,6 +4,8 @@
  */
 package gladelug.data.relay;
 
+import gladelug.kernel.configuration.RollPlan;
+
 public final class RelaySettings {
     public static final RelaySettings USUAL = builder().build();
 
@@ -18,7 +20,7 @@
     private final boolean prefersNewest;
     private final boolean hidesNoRoutes;
     private final long cutoffMs;
-    private final long rollMs;
+    private final RollPlan roll;
     private final long lookupMs;
 
     private RelaySettings(Builder b) {
@@ -32,7 +34,7 @@
         zoneMs = b.zoneMs;
         prefersNewest = b.prefersNewest;
         cutoffMs = b.cutoffMs;
-        rollMs = b.rollMs;
+        roll = b.roll;
         lookupMs = b.lookupMs;
         hidesNoRoutes = b.hidesNoRoutes;
     }
@@ -82,13 +84,13 @@
         return prefersNewest;
     }
 
-    /** After a naming, how long requests may begin on older weights, and how long all replicas' turns take; ms. */
+    /** After a naming, how long requests may begin on older weights, in ms, and when replicas take the new ones. */
     public long cutoffMs() {
         return cutoffMs;
     }
 
-    public long rollMs() {
-        return rollMs;
+    public RollPlan roll() {
+        return roll;
     }
 
     /** How long an index's answer is waited for, in ms. */
@@ -118,7 +120,7 @@
         private boolean prefersNewest = true;
         private boolean hidesNoRoutes;
         private long cutoffMs = 15_000;
-        private long rollMs = 15_000;
+        private RollPlan roll = RollPlan.thirds(15_000);
         private long lookupMs = LookupClient.WAIT;
 
         public Builder queueMost(int n) {
@@ -157,9 +159,9 @@
             return this;
         }
 
-        public Builder weights(long cutoff, long roll) {
+        public Builder weights(long cutoff, RollPlan plan) {
             cutoffMs = cutoff;
-            rollMs = roll;
+            roll = plan;
             return this;
         }
 
--- a/kernel/src/main/java/gladelug/kernel/configuration/RollPlan.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/RollPlan.java
@@ -1,31 +1,33 @@
 /*
  * In which order a service's replicas take newly named weights, so that some capacity always serves: by instance, in
- * thirds, each at its time after the naming. Pure and the same for everybody: commanders go by it, and relays know by
- * it who is about to load without being told.
+ * parts, each at its time after the naming. Pure and the same for everybody: commanders go by it, and relays know by
+ * it who is about to load without being told, and leave it alone from a little before.
  */
 package gladelug.kernel.configuration;
 
 import java.util.Collection;
 
-public final class RollPlan {
-    public static final int THIRDS = 3;
-
-    private RollPlan() {}
+/** leadMs: from the naming to the first part's turn; rollMs: what all parts' turns take; parts: how many there are. */
+public record RollPlan(long leadMs, long rollMs, int parts) {
+    /** The product's own: thirds, the first at once. */
+    public static RollPlan thirds(long rollMs) {
+        return new RollPlan(0, rollMs, 3);
+    }
 
-    /** From 0; all: the instances of the service that take the weights, this one among them. */
-    public static int third(String instance, Collection<String> all) {
+    /** Of which part an instance is, from 0; all: the instances of the service that take the weights, it among them. */
+    public int part(String instance, Collection<String> all) {
         int before = 0;
         for (String x : all) if (x.compareTo(instance) < 0) before++;
         return before / size(all.size());
     }
 
-    /** How many replicas go in one third. */
-    public static int size(int all) {
-        return Math.max(1, (all + THIRDS - 1) / THIRDS);
+    /** How many replicas go in one part. */
+    public int size(int all) {
+        return Math.max(1, (all + parts - 1) / parts);
     }
 
-    /** When a third goes at the latest, in ms after the naming; roll: what all three have, in ms. */
-    public static long due(int third, long roll) {
-        return third * roll / THIRDS;
+    /** When a part goes at the latest, in ms after the naming. */
+    public long due(int part) {
+        return leadMs + part * rollMs / parts;
     }
 }
