rehearse-fleet scale: what each role takes as one size after the other grows

Cause: nobody could say which part of the fleet meets its limit first as it grows, or at which size.

Ruled out: stand-in replicas and whole relays for it (their own work hides the slope); one fleet a point for every size (a run took too long), so sizes that can grow in a running fleet share one; HTTP doors on 0.0.0.0; xchart for the charts, as it is in no local repository and builds are to stay offline: they are SVG by hand.

Change: core members, an index and a relay run as processes; hollow nodes speak the real records with the product's own NewsBook and Views, hollow replicas the product's protocol with a window of numbers for blocks. Ten sizes, four points each; processor time, peak memory and bytes from /proc, records counted at the hollow side, latencies by HdrHistogram (declared), least-squares slopes; table, CSV, SVG. Bad input is refused whole.

--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -7,6 +7,8 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.WriterConfig;
 import gladelug.kernel.Program;
+import gladelug.rehearsal.scale.ScalePlan;
+import gladelug.rehearsal.scale.ScaleRun;
 import gladelug.rehearsal.sim.RequestSim;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -21,6 +23,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
@@ -81,6 +84,16 @@
         p.addArgument("--seconds").type(Integer.class).setDefault(15);
         p.addArgument("--rounds").type(Integer.class).setDefault(3);
         p.addArgument("--out").setDefault("rehearsal-out");
+        p = subs.addParser("scale")
+            .help("what each role takes as one size after the other grows, with hollow nodes and replicas");
+        p.addArgument("--seed").type(Long.class).setDefault(1L);
+        p.addArgument("--seconds").type(Integer.class).setDefault(10).help("how long each point is measured");
+        p.addArgument("--sizes").setDefault("").help("sizes to vary, separated by commas; all unless told");
+        p.addArgument("--points").action(Arguments.append()).setDefault(new ArrayList<String>()).metavar("SIZE=N,N,...")
+            .help("other points of a size");
+        p.addArgument("--roles").setDefault("").help("roles to tell of, separated by commas; all unless told");
+        p.addArgument("--quick").action(Arguments.storeTrue()).help("two points a size");
+        p.addArgument("--out").setDefault("rehearsal-out");
         Namespace n = Program.parse(ap, args);
         if (n.getString("command").equals("stand-ins")) {
             Fleet f = new Fleet(Deployment.small(14), Path.of(n.getString("out")).toAbsolutePath().resolve("stand-ins"),
@@ -112,6 +125,15 @@
             Shares.measure(n.getString("out"), n.getInt("rounds"), n.getInt("seconds"));
             System.exit(0);
         }
+        if (n.getString("command").equals("scale")) {
+            Logger.getLogger("").setLevel(Level.WARNING);
+            ScalePlan plan = Program.orExit("rehearse-fleet", ScalePlan.of(new ScalePlan.Options(n.getLong("seed"),
+                n.getInt("seconds"), n.getString("sizes"), n.getList("points"), n.getString("roles"),
+                n.getBoolean("quick")), ScalePlan.machineMb()));
+            new ScaleRun(plan, Path.of(n.getString("out")).toAbsolutePath()
+                .resolve("scale-" + plan.seed() + "-" + System.currentTimeMillis()), System.out::println).run();
+            System.exit(0);
+        }
         if (n.getString("command").equals("compare")) {
             compare(n);
             System.exit(0);
