--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -1,5 +1,5 @@
 /*
- * The operators' commands, one program with a command each. explain-order is the first: why a
+ * The operators' commands, one program with a command each. explain-request is the first: why a
  * request went where it went, or who has which number of the control state. Every command ends with
  * 0 when it was done, 1 when it was answered with a refusal or unknown, 2 when it was used wrongly,
  * 3 when nobody answered.
@@ -37,6 +37,9 @@
 public final class OperatorTools {
     private OperatorTools() {}
 
+    /** What explain-request was called before; it stays for those who have it in their scripts. */
+    private static final String EARLIER = "explain-order";
+
     private static Subparser command(Subparsers subs, String name, String help) {
         Subparser p = subs.addParser(name).help(help).description(help).defaultHelp(true);
         p.addArgument("--control").required(true).metavar("IP:PORT,...").help("operator addresses of control machines");
@@ -49,10 +52,15 @@
         ArgumentParser ap = ArgumentParsers.newFor("operator-tools").build().defaultHelp(true)
             .description("The operators' commands of a gladelug fleet.");
         var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
-        Subparser p = command(subs, "explain-order",
-            "why an order went where it went; or what became of a number of the control state");
-        p.addArgument("what").nargs("+").metavar("ORDER | policy N | weights N")
-            .help("an order id from the header Gladelug-Order, or a key and its number");
+        Subparser p = subs.addParser("explain-request").aliases(EARLIER).defaultHelp(true)
+            .help("why a request went where it went; or what became of a number of the control state");
+        p.addArgument("--control").metavar("IP:PORT,...").help("operator addresses of control machines");
+        p.addArgument("--nodes").metavar("IP:PORT,...")
+            .help("operator addresses of relays and indexes to ask directly, in place of --control");
+        p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+        p.addArgument("what").nargs("+").metavar("REQUEST | policy N | weights N")
+            .help("the relay's id of a request, from the header Gladelug-Order, or with --nodes the caller's own; "
+                + "or a key and its number");
         p = command(subs, "send-policy", "send a whole policy");
         p.addArgument("file");
         p.addArgument("--based-on").required(true).metavar("NUMBER|*")
@@ -78,12 +86,17 @@
     }
 
     private static int run(Namespace n) {
-        String c = n.getString("command");
+        String c = n.getString("command").equals(EARLIER) ? "explain-request" : n.getString("command");
         if (c.equals("hash-key")) return hashKey();
         if (c.equals("import-openapi")) return importOpenApi(n.getString("file"), n.getString("service"));
         Findings fs = new Findings();
+        boolean direct = c.equals("explain-request") && n.getString("nodes") != null;
+        String given = direct ? n.getString("nodes") : n.getString("control");
+        if (given == null) fs.add("--control", "or --nodes is needed");
         List<Address> control = new ArrayList<>();
-        for (String s : n.getString("control").split(",")) control.add(Address.read(s.trim(), "--control", fs));
+        for (String s : given == null ? new String[0] : given.split(","))
+            control.add(Address.read(s.trim(), direct ? "--nodes" : "--control", fs));
+        if (direct && n.getList("what").size() != 1) fs.add("--nodes", "goes with the id of one request");
         if (!fs.clean()) {
             System.err.print(fs);
             return Program.BAD_USE;
@@ -91,7 +104,8 @@
         boolean json = n.getBoolean("json");
         try (Asking a = new Asking()) {
             return switch (c) {
-                case "explain-order" -> explain(a, control, n.getList("what"), json);
+                case "explain-request" -> direct ? explainAt(a, control, n.<String>getList("what").get(0), json)
+                    : explain(a, control, n.getList("what"), json);
                 case "send-policy" -> sendConfiguration(a, control, n.getString("file"), n.getString("based_on"), json);
                 case "show-policy" -> print(a.get(control, "/v1/policy"), true);
                 case "name-weights" -> print(a.call(HttpMethod.POST, control, "/v1/weights",
@@ -193,6 +207,27 @@
         return 0;
     }
 
+    /** From the nodes themselves: whoever took the request, else whoever keeps its record. */
+    private static int explainAt(Asking a, List<Address> nodes, String id, boolean json) {
+        JsonObject kept = null;
+        for (String path : new String[]{"/operator/orders/", "/operator/reasons/"})
+            for (Address n : nodes) {
+                Asking.Answer d = a.get(List.of(n), path + id);
+                if (!d.ok()) continue;
+                if (path.endsWith("orders/") && !json) System.out.print(Explanation.ofRequest(d.body()));
+                if (path.endsWith("orders/")) return json ? print(d, true) : 0;
+                if (kept == null || kept.getString("outcome", "").equals("live")) kept = d.body();
+            }
+        if (kept == null) {
+            System.err.println("operator-tools: none of these nodes knows of request " + id);
+            return 1;
+        }
+        if (json) return print(new Asking.Answer(200, kept), true);
+        System.out.print(Explanation.ofRequest(kept));
+        System.out.print(Explanation.ofKeeper(kept, "another"));
+        return 0;
+    }
+
     private static int explain(Asking a, List<Address> control, List<String> what, boolean json) {
         Asking.Answer s = a.get(control, "/v1/status");
         if (!s.ok()) return print(s, json);
