The chart's test counts a mark for each measured point

Change: points are circles in every series, which the library writes as ellipses, and the test wants at least one for each role and point, not just any.

--- a/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleChart.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleChart.java
@@ -32,7 +32,8 @@
             double[] x = e.getValue().stream().mapToDouble(p -> p[0]).toArray();
             double[] y = e.getValue().stream().mapToDouble(p -> p[1]).toArray();
             XYSeries points = c.addSeries(e.getKey(), x, y);
-            points.setXYSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter).setMarkerColor(colour);
+            points.setXYSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter).setMarker(SeriesMarkers.CIRCLE)
+                .setMarkerColor(colour);
             Slope s = Slope.of(e.getValue());
             double most = e.getValue().stream().mapToDouble(p -> p[0]).max().orElse(0);
             double from = Math.max(0, s.slope() > 0 ? -s.intercept() / s.slope() : 0);
--- a/rehearsal/src/test/java/gladelug/rehearsal/scale/ScaleTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/scale/ScaleTest.java
@@ -87,6 +87,7 @@
         }
         Assertions.assertTrue(Files.readAllLines(out.resolve("points.csv")).size() > 40);
         Assertions.assertTrue(Files.readString(out.resolve("slopes.csv")).contains("nodes,core-owner,cpu,"));
-        Assertions.assertTrue(Files.readString(out.resolve("nodes-cpu.svg")).contains("<circle"));
+        int marks = Files.readString(out.resolve("nodes-cpu.svg")).split("<ellipse", -1).length - 1;
+        Assertions.assertTrue(marks >= 2 * 4, "a mark for each role at both points, not " + marks);
     }
 }
