--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -47,7 +47,6 @@
     public int mineUnits;
     private long keptUnits;
     private double usualUnits = 1500;
-    private int runningThere;
     private int waitingThere;
     private long oldUntil = Long.MIN_VALUE / 2;
     /** When bytes last came from it, and since when something it was given has waited for the first. */
@@ -103,7 +102,6 @@
 
     /** What an answer's head told: requests running and waiting there. */
     public void load(int running, int waiting, long now) {
-        runningThere = running;
         waitingThere = waiting;
         reported = running + waiting;
         mineAtReport = mine;
