--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -39,121 +39,192 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 
 public final class ControlPlane {
-    private static final String[] FLAGS = {"name", "domain", "records", "operator", "bind", "platform", "seeds",
-        "founders",
-        "data", "log", "cutoffMs", "ringFileMb"};
+  private static final String[] FLAGS = {
+    "name",
+    "domain",
+    "records",
+    "operator",
+    "bind",
+    "platform",
+    "seeds",
+    "founders",
+    "data",
+    "log",
+    "cutoffMs",
+    "ringFileMb"
+  };
 
-    private static final int MOST_FOUNDERS = 9;
+  private static final int MOST_FOUNDERS = 9;
 
-    record Place(String name, String zone, Address records, Address operator, Local local, Address platform,
-        List<Address> seeds,
-        List<Members.Member> founders, String data, String log, int cutoff, int ringFile) {}
+  record Place(
+      String name,
+      String zone,
+      Address records,
+      Address operator,
+      Local local,
+      Address platform,
+      List<Address> seeds,
+      List<Members.Member> founders,
+      String data,
+      String log,
+      int cutoff,
+      int ringFile) {}
 
-    private ControlPlane() {}
+  private ControlPlane() {}
 
-    static Result<Place> place(String file, Map<String, String> flags) {
-        return Settings.open(file, flags).then(s -> {
-            List<Members.Member> fs = new ArrayList<>();
-            for (String t : s.texts("founders")) {
+  static Result<Place> place(String file, Map<String, String> flags) {
+    return Settings.open(file, flags)
+        .then(
+            s -> {
+              List<Members.Member> fs = new ArrayList<>();
+              for (String t : s.texts("founders")) {
                 String[] ps = t.split("[=/]");
                 if (ps.length != 3)
-                    s.findings.add("founders", "must be NAME=RECORDS/OPERATOR with two addresses, not " + t);
-                else fs.add(new Members.Member(ps[0], "", Address.read(ps[1], "founders", s.findings),
-                    Address.read(ps[2], "founders", s.findings)));
-            }
-            Address records = s.address("records");
-            Place p = new Place(s.name("name"), s.text("domain", ""), records, s.address("operator"),
-                Local.of(s, records),
-                s.address("platform"),
-                s.addresses("seeds"), fs, s.text("data"), s.text("log", "info"),
-                (int) s.whole("cutoffMs", 15_000, 1000, 20_000),
-                (int) s.whole("ringFileMb", 16, 16, 1024));
-            return s.done(() -> p);
-        });
-    }
+                  s.findings.add(
+                      "founders", "must be NAME=RECORDS/OPERATOR with two addresses, not " + t);
+                else
+                  fs.add(
+                      new Members.Member(
+                          ps[0],
+                          "",
+                          Address.read(ps[1], "founders", s.findings),
+                          Address.read(ps[2], "founders", s.findings)));
+              }
+              Address records = s.address("records");
+              Place p =
+                  new Place(
+                      s.name("name"),
+                      s.text("domain", ""),
+                      records,
+                      s.address("operator"),
+                      Local.of(s, records),
+                      s.address("platform"),
+                      s.addresses("seeds"),
+                      fs,
+                      s.text("data"),
+                      s.text("log", "info"),
+                      (int) s.whole("cutoffMs", 15_000, 1000, 20_000),
+                      (int) s.whole("ringFileMb", 16, 16, 1024));
+              return s.done(() -> p);
+            });
+  }
 
-    public static void main(String[] args) {
-        ArgumentParser ap = ArgumentParsers.newFor("control-plane").build().defaultHelp(true)
+  public static void main(String[] args) {
+    ArgumentParser ap =
+        ArgumentParsers.newFor("control-plane")
+            .build()
+            .defaultHelp(true)
             .description("Knows which servers and nodes exist and keeps the state they share.");
-        var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
-        for (String c : new String[]{"found", "run"}) {
-            Subparser p = subs.addParser(c)
-                .help(c.equals("found") ? "prepare the data folder of a founder of a new fleet" : "serve");
-            p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
-            for (String f : FLAGS) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
-        }
-        Namespace n = Program.parse(ap, args);
-        Map<String, String> flags = new HashMap<>();
-        for (String f : FLAGS) flags.put(f, n.getString(f));
-        Place p = Program.orExit("control-plane", place(n.getString("settings"), flags));
-        Log.setUp(p.name, Program.level(p.log), System.out);
-        try {
-            if (n.getString("command").equals("found")) found(p);
-            else run(p);
-        } catch (Kernel.CannotStart e) {
-            System.err.println("control-plane: " + e.getMessage());
-            System.exit(Program.CANNOT);
-        }
+    var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
+    for (String c : new String[] {"found", "run"}) {
+      Subparser p =
+          subs.addParser(c)
+              .help(
+                  c.equals("found")
+                      ? "prepare the data folder of a founder of a new fleet"
+                      : "serve");
+      p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
+      for (String f : FLAGS) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
     }
-
-    private static String help(String f) {
-        return switch (f) {
-            case "name" -> "this machine's name in the core";
-            case "domain" -> "the domain (zone) it stands in";
-            case "records" -> "IP:PORT for circuits between processes";
-            case "bind" -> "IP number to listen on and call from, where it isn't the advertised one";
-            case "operator" -> "IP:PORT for operators and the platform";
-            case "platform" -> "IP:PORT where the platform lists replicas";
-            case "seeds" -> "IP:PORT,... of other processes' records addresses";
-            case "founders" -> "NAME=RECORDS/OPERATOR,... of all founders, three as a rule";
-            case "data" -> "the data folder";
-            case "log" -> "fine, info or warning";
-            case "cutoffMs" -> "after new weights, how long orders may begin on old ones";
-            default -> "size of each of the four ring files, in MiB";
-        };
+    Namespace n = Program.parse(ap, args);
+    Map<String, String> flags = new HashMap<>();
+    for (String f : FLAGS) flags.put(f, n.getString(f));
+    Place p = Program.orExit("control-plane", place(n.getString("settings"), flags));
+    Log.setUp(p.name, Program.level(p.log), System.out);
+    try {
+      if (n.getString("command").equals("found")) found(p);
+      else run(p);
+    } catch (Kernel.CannotStart e) {
+      System.err.println("control-plane: " + e.getMessage());
+      System.exit(Program.CANNOT);
     }
+  }
 
-    static void found(Place p) {
-        long names = p.founders.stream().map(Members.Member::name).distinct().count();
-        if (names < 1 || names > MOST_FOUNDERS || names != p.founders.size()
-            || p.founders.stream().noneMatch(m -> m.name().equals(p.name)))
-            throw new Kernel.CannotStart("a new fleet is founded by one to " + MOST_FOUNDERS
-                + " of different names, of which this is one; give --founders");
-        try (Folder f = new Folder(Path.of(p.data), p.ringFile << 20)) {
-            if (f.identity() != null) throw new Kernel.CannotStart(
-                "data folder " + p.data + " is already that of " + f.identity().getString("name", "?"));
-            f.prepare();
-            var a = Json.array();
-            for (Members.Member m : p.founders)
-                a.add(Json.object().add("name", m.name()).add("records", m.records().toString()).add("operator",
-                    m.operator().toString()));
-            f.identity(Json.object().add("name", p.name).add("disk", CoreDisk.newId()).add("ringFile", p.ringFile << 20)
-                .add("founders", a));
-        }
-        Log.event("founded", "name", p.name, "data", p.data);
-    }
+  private static String help(String f) {
+    return switch (f) {
+      case "name" -> "this machine's name in the core";
+      case "domain" -> "the domain (zone) it stands in";
+      case "records" -> "IP:PORT for circuits between processes";
+      case "bind" -> "IP number to listen on and call from, where it isn't the advertised one";
+      case "operator" -> "IP:PORT for operators and the platform";
+      case "platform" -> "IP:PORT where the platform lists replicas";
+      case "seeds" -> "IP:PORT,... of other processes' records addresses";
+      case "founders" -> "NAME=RECORDS/OPERATOR,... of all founders, three as a rule";
+      case "data" -> "the data folder";
+      case "log" -> "fine, info or warning";
+      case "cutoffMs" -> "after new weights, how long orders may begin on old ones";
+      default -> "size of each of the four ring files, in MiB";
+    };
+  }
 
-    static void run(Place p) {
-        CoreDisk disk = CoreDisk.open(p.name, p.data, p.ringFile, List.of());
-        Vertx vertx = Vertx.vertx();
-        Kernel k = new Kernel();
-        k.add("doors", new Doors(vertx, p.records, p.local, p.name))
-            .add("views",
-                new ViewService(vertx,
-                    new Shuffle.Descriptor(p.name, "control", p.records.toString(), p.operator.toString(), p.zone, 0,
-                        0),
-                    p.seeds))
-            .add("core",
-                new CoreService(vertx, disk.ring(), Tunables.USUAL,
-                    new Members.Member(p.name, disk.id(), p.records, p.operator), p.seeds, p.cutoff,
-                    disk.founders().isEmpty() ? null : new CoreNode.Founding(disk.founders()),
-                    new CoreDuties(Configuration::parse), what -> {
-                        System.err.println("control-plane: the disk failed and this member stops: " + what);
-                        Runtime.getRuntime().halt(Program.CANNOT);
-                    }))
-            .add("platform-watch", new PlatformWatch(vertx, l -> new OwnReplicaSource(vertx, l, p.platform)))
-            .add("commander", new Commander(vertx, p.name, new Steering(p.cutoff), l -> new OwnReplicaOrders(vertx, l)))
-            .add("operator-door", new OperatorDoor(vertx, p.operator));
-        Program.run("control-plane", k, 3000);
+  static void found(Place p) {
+    long names = p.founders.stream().map(Members.Member::name).distinct().count();
+    if (names < 1
+        || names > MOST_FOUNDERS
+        || names != p.founders.size()
+        || p.founders.stream().noneMatch(m -> m.name().equals(p.name)))
+      throw new Kernel.CannotStart(
+          "a new fleet is founded by one to "
+              + MOST_FOUNDERS
+              + " of different names, of which this is one; give --founders");
+    try (Folder f = new Folder(Path.of(p.data), p.ringFile << 20)) {
+      if (f.identity() != null)
+        throw new Kernel.CannotStart(
+            "data folder " + p.data + " is already that of " + f.identity().getString("name", "?"));
+      f.prepare();
+      var a = Json.array();
+      for (Members.Member m : p.founders)
+        a.add(
+            Json.object()
+                .add("name", m.name())
+                .add("records", m.records().toString())
+                .add("operator", m.operator().toString()));
+      f.identity(
+          Json.object()
+              .add("name", p.name)
+              .add("disk", CoreDisk.newId())
+              .add("ringFile", p.ringFile << 20)
+              .add("founders", a));
     }
+    Log.event("founded", "name", p.name, "data", p.data);
+  }
+
+  static void run(Place p) {
+    CoreDisk disk = CoreDisk.open(p.name, p.data, p.ringFile, List.of());
+    Vertx vertx = Vertx.vertx();
+    Kernel k = new Kernel();
+    k.add("doors", new Doors(vertx, p.records, p.local, p.name))
+        .add(
+            "views",
+            new ViewService(
+                vertx,
+                new Shuffle.Descriptor(
+                    p.name, "control", p.records.toString(), p.operator.toString(), p.zone, 0, 0),
+                p.seeds))
+        .add(
+            "core",
+            new CoreService(
+                vertx,
+                disk.ring(),
+                Tunables.USUAL,
+                new Members.Member(p.name, disk.id(), p.records, p.operator),
+                p.seeds,
+                p.cutoff,
+                disk.founders().isEmpty() ? null : new CoreNode.Founding(disk.founders()),
+                new CoreDuties(Configuration::parse),
+                what -> {
+                  System.err.println(
+                      "control-plane: the disk failed and this member stops: " + what);
+                  Runtime.getRuntime().halt(Program.CANNOT);
+                }))
+        .add(
+            "platform-watch",
+            new PlatformWatch(vertx, l -> new OwnReplicaSource(vertx, l, p.platform)))
+        .add(
+            "commander",
+            new Commander(
+                vertx, p.name, new Steering(p.cutoff), l -> new OwnReplicaOrders(vertx, l)))
+        .add("operator-door", new OperatorDoor(vertx, p.operator));
+    Program.run("control-plane", k, 3000);
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/CoreDuties.java
+++ b/control-plane/src/main/java/gladelug/control/CoreDuties.java
@@ -16,27 +16,30 @@
 import java.util.function.Function;
 
 public final class CoreDuties implements CoreNode.Duties {
-    private final Function<String, Result<Configuration>> reader;
-    private byte[] read = new byte[0];
-    private Configuration configuration = Configuration.EMPTY;
+  private final Function<String, Result<Configuration>> reader;
+  private byte[] read = new byte[0];
+  private Configuration configuration = Configuration.EMPTY;
 
-    /** reader: how the configuration, as operators sent it, is read. */
-    public CoreDuties(Function<String, Result<Configuration>> reader) {
-        this.reader = reader;
-    }
+  /** reader: how the configuration, as operators sent it, is read. */
+  public CoreDuties(Function<String, Result<Configuration>> reader) {
+    this.reader = reader;
+  }
 
-    @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, byte[] body) {
-        if (body != read) {
-            configuration = reader
-                .apply(new String(body, StandardCharsets.UTF_8)) instanceof Result.Good<Configuration> g
-                    ? g.value()
-                    : Configuration.EMPTY;
-            read = body;
-        }
-        return Division.divide(epoch, relays, configuration);
+  @Override
+  public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays, byte[] body) {
+    if (body != read) {
+      configuration =
+          reader.apply(new String(body, StandardCharsets.UTF_8))
+                  instanceof Result.Good<Configuration> g
+              ? g.value()
+              : Configuration.EMPTY;
+      read = body;
     }
+    return Division.divide(epoch, relays, configuration);
+  }
 
-    @Override public String describe(String key, byte[] old, byte[] now) {
-        return Describing.change(key, old, now);
-    }
+  @Override
+  public String describe(String key, byte[] old, byte[] now) {
+    return Describing.change(key, old, now);
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/ChangeAnswer.java
+++ b/control-plane/src/main/java/gladelug/control/core/ChangeAnswer.java
@@ -10,54 +10,57 @@
 import java.io.IOException;
 
 public sealed interface ChangeAnswer {
-    /** acks: leased nodes that acknowledged; lapsed: those whose lease ran out first; waited in ms. */
-    record Done(long number, boolean repeated, int acks, int lapsed, long waited) implements ChangeAnswer {}
-
-    record Stale(long current) implements ChangeAnswer {}
-
-    record Unknown(long number) implements ChangeAnswer {}
-
-    record Busy() implements ChangeAnswer {}
-
-    record NoOwner() implements ChangeAnswer {}
-
-    record TooLarge(long bytes, long most) implements ChangeAnswer {}
-
-    default void write(DataOutputStream o) throws IOException {
-        if (this instanceof Done d) {
-            o.writeByte(1);
-            o.writeLong(d.number);
-            o.writeBoolean(d.repeated);
-            o.writeInt(d.acks);
-            o.writeInt(d.lapsed);
-            o.writeLong(d.waited);
-        } else if (this instanceof Stale s) {
-            o.writeByte(2);
-            o.writeLong(s.current);
-        } else if (this instanceof Unknown u) {
-            o.writeByte(3);
-            o.writeLong(u.number);
-        } else if (this instanceof Busy) {
-            o.writeByte(4);
-        } else if (this instanceof NoOwner) {
-            o.writeByte(5);
-        } else if (this instanceof TooLarge t) {
-            o.writeByte(6);
-            o.writeLong(t.bytes);
-            o.writeLong(t.most);
-        }
-    }
+  /**
+   * acks: leased nodes that acknowledged; lapsed: those whose lease ran out first; waited in ms.
+   */
+  record Done(long number, boolean repeated, int acks, int lapsed, long waited)
+      implements ChangeAnswer {}
+
+  record Stale(long current) implements ChangeAnswer {}
+
+  record Unknown(long number) implements ChangeAnswer {}
+
+  record Busy() implements ChangeAnswer {}
 
-    static ChangeAnswer read(DataInputStream i) throws IOException {
-        int t = i.readByte();
-        return switch (t) {
-            case 1 -> new Done(i.readLong(), i.readBoolean(), i.readInt(), i.readInt(), i.readLong());
-            case 2 -> new Stale(i.readLong());
-            case 3 -> new Unknown(i.readLong());
-            case 4 -> new Busy();
-            case 5 -> new NoOwner();
-            case 6 -> new TooLarge(i.readLong(), i.readLong());
-            default -> throw Wire.unknown(t);
-        };
+  record NoOwner() implements ChangeAnswer {}
+
+  record TooLarge(long bytes, long most) implements ChangeAnswer {}
+
+  default void write(DataOutputStream o) throws IOException {
+    if (this instanceof Done d) {
+      o.writeByte(1);
+      o.writeLong(d.number);
+      o.writeBoolean(d.repeated);
+      o.writeInt(d.acks);
+      o.writeInt(d.lapsed);
+      o.writeLong(d.waited);
+    } else if (this instanceof Stale s) {
+      o.writeByte(2);
+      o.writeLong(s.current);
+    } else if (this instanceof Unknown u) {
+      o.writeByte(3);
+      o.writeLong(u.number);
+    } else if (this instanceof Busy) {
+      o.writeByte(4);
+    } else if (this instanceof NoOwner) {
+      o.writeByte(5);
+    } else if (this instanceof TooLarge t) {
+      o.writeByte(6);
+      o.writeLong(t.bytes);
+      o.writeLong(t.most);
     }
+  }
+
+  static ChangeAnswer read(DataInputStream i) throws IOException {
+    int t = i.readByte();
+    return switch (t) {
+      case 1 -> new Done(i.readLong(), i.readBoolean(), i.readInt(), i.readInt(), i.readLong());
+      case 2 -> new Stale(i.readLong());
+      case 3 -> new Unknown(i.readLong());
+      case 4 -> new Busy();
+      case 5 -> new NoOwner();
+      case 6 -> new TooLarge(i.readLong(), i.readLong());
+      default -> throw Wire.unknown(t);
+    };
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/CoreHost.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreHost.java
@@ -10,30 +10,33 @@
 import java.util.List;
 
 public interface CoreHost {
-    long now();
+  long now();
 
-    long random(long below);
+  long random(long below);
 
-    /** The clock on the wall, which may jump: only for stamps that people read. */
-    long wall();
+  /** The clock on the wall, which may jump: only for stamps that people read. */
+  long wall();
 
-    /** To a member by name; to oneself as well. May be lost. */
-    void send(String member, CoreMessage.Envelope m);
+  /** To a member by name; to oneself as well. May be lost. */
+  void send(String member, CoreMessage.Envelope m);
 
-    /** While founding or joining there are only addresses. */
-    void sendTo(Address to, CoreMessage.Envelope m);
+  /** While founding or joining there are only addresses. */
+  void sendTo(Address to, CoreMessage.Envelope m);
 
-    /** Where other processes may be found by one that knows no members yet. */
-    List<Address> contacts();
+  /** Where other processes may be found by one that knows no members yet. */
+  List<Address> contacts();
 
-    /** Makes the state of a key durable, then runs done on the protocol's thread; in order; never if it failed. */
-    void sync(String key, byte[] state, Runnable done);
+  /**
+   * Makes the state of a key durable, then runs done on the protocol's thread; in order; never if
+   * it failed.
+   */
+  void sync(String key, byte[] state, Runnable done);
 
-    /** To a data-plane process by name. May be lost. */
-    void news(String node, News m);
+  /** To a data-plane process by name. May be lost. */
+  void news(String node, News m);
 
-    /** The members changed or became known: connections follow. */
-    void members(Members m);
+  /** The members changed or became known: connections follow. */
+  void members(Members m);
 
-    void event(String name, Object... pairs);
+  void event(String name, Object... pairs);
 }
--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -13,280 +13,394 @@
 import java.util.List;
 
 public sealed interface CoreMessage {
-    record Envelope(long generation, String from, String disk, CoreMessage said) implements Wire {
-        @Override public int type() {
-            return said.tag();
-        }
+  record Envelope(long generation, String from, String disk, CoreMessage said) implements Wire {
+    @Override
+    public int type() {
+      return said.tag();
+    }
 
-        @Override public void write(DataOutputStream o) throws IOException {
-            o.writeLong(generation);
-            o.writeUTF(from);
-            o.writeUTF(disk);
-            said.put(o);
-        }
+    @Override
+    public void write(DataOutputStream o) throws IOException {
+      o.writeLong(generation);
+      o.writeUTF(from);
+      o.writeUTF(disk);
+      said.put(o);
+    }
 
-        public static Envelope read(int type, DataInputStream i) throws IOException {
-            return new Envelope(i.readLong(), i.readUTF(), i.readUTF(), CoreMessage.read(type, i));
-        }
-    }
-
-    int tag();
+    public static Envelope read(int type, DataInputStream i) throws IOException {
+      return new Envelope(i.readLong(), i.readUTF(), i.readUTF(), CoreMessage.read(type, i));
+    }
+  }
 
-    void put(DataOutputStream o) throws IOException;
+  int tag();
 
-    /** What an owner says of a key of its own, so that the others know it and the value's age. */
-    record Owned(String key, long epoch, long number, long age, boolean busy) {}
+  void put(DataOutputStream o) throws IOException;
 
-    /** boot counts up within one run; settled says how long the sender has been up. */
-    record Alive(boolean healthy, long up, List<Owned> owned) implements CoreMessage {
-        @Override public int tag() { return 1; }
-
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeBoolean(healthy);
-            o.writeLong(up);
-            Wire.list(o, owned, (p, w) -> {
-                p.writeUTF(w.key);
-                p.writeLong(w.epoch);
-                p.writeLong(w.number);
-                p.writeLong(w.age);
-                p.writeBoolean(w.busy);
-            });
-        }
-    }
+  /** What an owner says of a key of its own, so that the others know it and the value's age. */
+  record Owned(String key, long epoch, long number, long age, boolean busy) {}
 
-    record Promise(String key, long epoch) implements CoreMessage {
-        @Override public int tag() { return 2; }
-
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeUTF(key);
-            o.writeLong(epoch);
-        }
+  /** boot counts up within one run; settled says how long the sender has been up. */
+  record Alive(boolean healthy, long up, List<Owned> owned) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 1;
     }
 
-    /** ok false: promised is higher than what was asked. */
-    record Promised(String key, long epoch, boolean ok, long promised, long accepted,
-        Cell.Value value) implements CoreMessage {
-        @Override public int tag() { return 3; }
-
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeUTF(key);
-            o.writeLong(epoch);
-            o.writeBoolean(ok);
-            o.writeLong(promised);
-            o.writeLong(accepted);
-            value.write(o);
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeBoolean(healthy);
+      o.writeLong(up);
+      Wire.list(
+          o,
+          owned,
+          (p, w) -> {
+            p.writeUTF(w.key);
+            p.writeLong(w.epoch);
+            p.writeLong(w.number);
+            p.writeLong(w.age);
+            p.writeBoolean(w.busy);
+          });
     }
+  }
 
-    record Accept(String key, long epoch, Cell.Value value) implements CoreMessage {
-        @Override public int tag() { return 4; }
+  record Promise(String key, long epoch) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 2;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeUTF(key);
-            o.writeLong(epoch);
-            value.write(o);
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeUTF(key);
+      o.writeLong(epoch);
+    }
+  }
+
+  /** ok false: promised is higher than what was asked. */
+  record Promised(
+      String key, long epoch, boolean ok, long promised, long accepted, Cell.Value value)
+      implements CoreMessage {
+    @Override
+    public int tag() {
+      return 3;
     }
 
-    record Accepted(String key, long epoch, long number, boolean ok, long promised) implements CoreMessage {
-        @Override public int tag() { return 5; }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeUTF(key);
+      o.writeLong(epoch);
+      o.writeBoolean(ok);
+      o.writeLong(promised);
+      o.writeLong(accepted);
+      value.write(o);
+    }
+  }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeUTF(key);
-            o.writeLong(epoch);
-            o.writeLong(number);
-            o.writeBoolean(ok);
-            o.writeLong(promised);
-        }
+  record Accept(String key, long epoch, Cell.Value value) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 4;
     }
 
-    record Claim(String key, long epoch) {}
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeUTF(key);
+      o.writeLong(epoch);
+      value.write(o);
+    }
+  }
 
-    /** One round for all keys the sender owns. */
-    record Confirm(long round, List<Claim> claims) implements CoreMessage {
-        @Override public int tag() { return 6; }
+  record Accepted(String key, long epoch, long number, boolean ok, long promised)
+      implements CoreMessage {
+    @Override
+    public int tag() {
+      return 5;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeLong(round);
-            Wire.list(o, claims, (p, c) -> {
-                p.writeUTF(c.key);
-                p.writeLong(c.epoch);
-            });
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeUTF(key);
+      o.writeLong(epoch);
+      o.writeLong(number);
+      o.writeBoolean(ok);
+      o.writeLong(promised);
     }
+  }
 
-    record Standing(String key, long epoch, boolean ok, long promised, long accepted, long number) {}
+  record Claim(String key, long epoch) {}
 
-    record Confirmed(long round, List<Standing> standings) implements CoreMessage {
-        @Override public int tag() { return 7; }
+  /** One round for all keys the sender owns. */
+  record Confirm(long round, List<Claim> claims) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 6;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeLong(round);
-            Wire.list(o, standings, (p, s) -> {
-                p.writeUTF(s.key);
-                p.writeLong(s.epoch);
-                p.writeBoolean(s.ok);
-                p.writeLong(s.promised);
-                p.writeLong(s.accepted);
-                p.writeLong(s.number);
-            });
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeLong(round);
+      Wire.list(
+          o,
+          claims,
+          (p, c) -> {
+            p.writeUTF(c.key);
+            p.writeLong(c.epoch);
+          });
     }
+  }
 
-    /** A change taken at one member's door for the key's owner elsewhere. match -1: whatever is there. */
-    record Change(long nr, String key, long match, byte[] body) implements CoreMessage {
-        @Override public int tag() { return 8; }
+  record Standing(String key, long epoch, boolean ok, long promised, long accepted, long number) {}
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeLong(nr);
-            o.writeUTF(key);
-            o.writeLong(match);
-            Wire.blob(o, body);
-        }
+  record Confirmed(long round, List<Standing> standings) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 7;
     }
 
-    record Changed(long nr, ChangeAnswer answer) implements CoreMessage {
-        @Override public int tag() { return 9; }
-
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeLong(nr);
-            answer.write(o);
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeLong(round);
+      Wire.list(
+          o,
+          standings,
+          (p, s) -> {
+            p.writeUTF(s.key);
+            p.writeLong(s.epoch);
+            p.writeBoolean(s.ok);
+            p.writeLong(s.promised);
+            p.writeLong(s.accepted);
+            p.writeLong(s.number);
+          });
+    }
+  }
+
+  /**
+   * A change taken at one member's door for the key's owner elsewhere. match -1: whatever is there.
+   */
+  record Change(long nr, String key, long match, byte[] body) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 8;
     }
 
-    /** A founder looks for the others; pinned: the first members it has on its disk, NONE before. */
-    record Meet(String records, String operator, Members pinned) implements CoreMessage {
-        @Override public int tag() { return 10; }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeLong(nr);
+      o.writeUTF(key);
+      o.writeLong(match);
+      Wire.blob(o, body);
+    }
+  }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeUTF(records);
-            o.writeUTF(operator);
-            pinned.write(o);
-        }
+  record Changed(long nr, ChangeAnswer answer) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 9;
     }
 
-    /** One key as a member keeps it. */
-    record Kept(String key, byte[] cell) {}
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeLong(nr);
+      answer.write(o);
+    }
+  }
 
-    private static void put(DataOutputStream o, List<Kept> l) throws IOException {
-        Wire.list(o, l, (p, k) -> {
-            p.writeUTF(k.key);
-            Wire.blob(p, k.cell);
-        });
+  /** A founder looks for the others; pinned: the first members it has on its disk, NONE before. */
+  record Meet(String records, String operator, Members pinned) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 10;
     }
 
-    private static List<Kept> kept(DataInputStream i) throws IOException {
-        return Wire.list(i, j -> new Kept(j.readUTF(), Wire.blob(j)));
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeUTF(records);
+      o.writeUTF(operator);
+      pinned.write(o);
     }
+  }
+
+  /** One key as a member keeps it. */
+  record Kept(String key, byte[] cell) {}
+
+  private static void put(DataOutputStream o, List<Kept> l) throws IOException {
+    Wire.list(
+        o,
+        l,
+        (p, k) -> {
+          p.writeUTF(k.key);
+          Wire.blob(p, k.cell);
+        });
+  }
 
-    /** A generation is in force; cells hold at least all that was ever acknowledged before it. */
-    record Settled(Members members, List<Kept> cells) implements CoreMessage {
-        @Override public int tag() { return 11; }
+  private static List<Kept> kept(DataInputStream i) throws IOException {
+    return Wire.list(i, j -> new Kept(j.readUTF(), Wire.blob(j)));
+  }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            members.write(o);
-            CoreMessage.put(o, cells);
-        }
+  /** A generation is in force; cells hold at least all that was ever acknowledged before it. */
+  record Settled(Members members, List<Kept> cells) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 11;
     }
 
-    /** A machine with an empty disk would like to be a member. */
-    record Join(String records, String operator) implements CoreMessage {
-        @Override public int tag() { return 12; }
-
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeUTF(records);
-            o.writeUTF(operator);
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      members.write(o);
+      CoreMessage.put(o, cells);
     }
+  }
 
-    /** Refuse the present generation from now on; next is to follow it. */
-    record Seal(Members next) implements CoreMessage {
-        @Override public int tag() { return 13; }
+  /** A machine with an empty disk would like to be a member. */
+  record Join(String records, String operator) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 12;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            next.write(o);
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeUTF(records);
+      o.writeUTF(operator);
     }
+  }
 
-    /** It is refused, durably, and this is all that was kept under it. */
-    record Sealed(long next, List<Kept> cells) implements CoreMessage {
-        @Override public int tag() { return 14; }
+  /** Refuse the present generation from now on; next is to follow it. */
+  record Seal(Members next) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 13;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeLong(next);
-            CoreMessage.put(o, cells);
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      next.write(o);
     }
+  }
 
-    /** What a data-plane process asked of a member that isn't the key's owner, handed on. */
-    record Carry(News.Ask ask) implements CoreMessage {
-        @Override public int tag() { return 15; }
+  /** It is refused, durably, and this is all that was kept under it. */
+  record Sealed(long next, List<Kept> cells) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 14;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            Wire.blob(o, Wire.bytes(ask));
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeLong(next);
+      CoreMessage.put(o, cells);
     }
+  }
 
-    /** And the owner's answer on the way back. */
-    record Carried(String node, News news) implements CoreMessage {
-        @Override public int tag() { return 16; }
+  /** What a data-plane process asked of a member that isn't the key's owner, handed on. */
+  record Carry(News.Ask ask) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 15;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeUTF(node);
-            Wire.blob(o, Wire.bytes(news));
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      Wire.blob(o, Wire.bytes(ask));
     }
+  }
 
-    /** A read taken at one member's door for the key's owner elsewhere. */
-    record Read(long nr, String key) implements CoreMessage {
-        @Override public int tag() { return 17; }
+  /** And the owner's answer on the way back. */
+  record Carried(String node, News news) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 16;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeLong(nr);
-            o.writeUTF(key);
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeUTF(node);
+      Wire.blob(o, Wire.bytes(news));
     }
+  }
 
-    /** And what the owner says. */
-    record ReadDone(long nr, Newest newest) implements CoreMessage {
-        @Override public int tag() { return 18; }
+  /** A read taken at one member's door for the key's owner elsewhere. */
+  record Read(long nr, String key) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 17;
+    }
 
-        @Override public void put(DataOutputStream o) throws IOException {
-            o.writeLong(nr);
-            newest.write(o);
-        }
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeLong(nr);
+      o.writeUTF(key);
     }
+  }
 
-    private static Carry carry(DataInputStream i) throws IOException {
-        if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
-        throw new IOException("only questions are handed on");
+  /** And what the owner says. */
+  record ReadDone(long nr, Newest newest) implements CoreMessage {
+    @Override
+    public int tag() {
+      return 18;
     }
 
-    static CoreMessage read(int tag, DataInputStream i) throws IOException {
-        return switch (tag) {
-            case 1 -> new Alive(i.readBoolean(), i.readLong(), Wire.list(i,
-                j -> new Owned(j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())));
-            case 2 -> new Promise(i.readUTF(), i.readLong());
-            case 3 -> new Promised(i.readUTF(), i.readLong(), i.readBoolean(), i.readLong(), i.readLong(),
-                Cell.Value.read(i));
-            case 4 -> new Accept(i.readUTF(), i.readLong(), Cell.Value.read(i));
-            case 5 -> new Accepted(i.readUTF(), i.readLong(), i.readLong(), i.readBoolean(), i.readLong());
-            case 6 -> new Confirm(i.readLong(), Wire.list(i, j -> new Claim(j.readUTF(), j.readLong())));
-            case 7 -> new Confirmed(i.readLong(), Wire.list(i,
-                j -> new Standing(j.readUTF(), j.readLong(), j.readBoolean(), j.readLong(), j.readLong(),
-                    j.readLong())));
-            case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
-            case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
-            case 10 -> new Meet(i.readUTF(), i.readUTF(), Members.read(i));
-            case 11 -> new Settled(Members.read(i), kept(i));
-            case 12 -> new Join(i.readUTF(), i.readUTF());
-            case 13 -> new Seal(Members.read(i));
-            case 15 -> carry(i);
-            case 16 -> new Carried(i.readUTF(), Wire.read(Wire.blob(i), News::read));
-            case 14 -> new Sealed(i.readLong(), kept(i));
-            case 17 -> new Read(i.readLong(), i.readUTF());
-            case 18 -> new ReadDone(i.readLong(), Newest.read(i));
-            default -> throw Wire.unknown(tag);
-        };
+    @Override
+    public void put(DataOutputStream o) throws IOException {
+      o.writeLong(nr);
+      newest.write(o);
     }
+  }
+
+  private static Carry carry(DataInputStream i) throws IOException {
+    if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
+    throw new IOException("only questions are handed on");
+  }
+
+  static CoreMessage read(int tag, DataInputStream i) throws IOException {
+    return switch (tag) {
+      case 1 ->
+          new Alive(
+              i.readBoolean(),
+              i.readLong(),
+              Wire.list(
+                  i,
+                  j ->
+                      new Owned(
+                          j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())));
+      case 2 -> new Promise(i.readUTF(), i.readLong());
+      case 3 ->
+          new Promised(
+              i.readUTF(),
+              i.readLong(),
+              i.readBoolean(),
+              i.readLong(),
+              i.readLong(),
+              Cell.Value.read(i));
+      case 4 -> new Accept(i.readUTF(), i.readLong(), Cell.Value.read(i));
+      case 5 ->
+          new Accepted(i.readUTF(), i.readLong(), i.readLong(), i.readBoolean(), i.readLong());
+      case 6 -> new Confirm(i.readLong(), Wire.list(i, j -> new Claim(j.readUTF(), j.readLong())));
+      case 7 ->
+          new Confirmed(
+              i.readLong(),
+              Wire.list(
+                  i,
+                  j ->
+                      new Standing(
+                          j.readUTF(),
+                          j.readLong(),
+                          j.readBoolean(),
+                          j.readLong(),
+                          j.readLong(),
+                          j.readLong())));
+      case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
+      case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
+      case 10 -> new Meet(i.readUTF(), i.readUTF(), Members.read(i));
+      case 11 -> new Settled(Members.read(i), kept(i));
+      case 12 -> new Join(i.readUTF(), i.readUTF());
+      case 13 -> new Seal(Members.read(i));
+      case 15 -> carry(i);
+      case 16 -> new Carried(i.readUTF(), Wire.read(Wire.blob(i), News::read));
+      case 14 -> new Sealed(i.readLong(), kept(i));
+      case 17 -> new Read(i.readLong(), i.readUTF());
+      case 18 -> new ReadDone(i.readLong(), Newest.read(i));
+      default -> throw Wire.unknown(tag);
+    };
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -40,713 +40,835 @@
 import java.util.function.Consumer;
 
 public final class CoreNode {
-    static final int LARGEST = 6 << 20;
-    private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
-    private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
-    private static final int MOST_WORDS = 300;
-
-    /** What this member does beside keeping state, where it owns the key for it. */
-    public interface Duties {
-        /**
-         * What each relay may use of each service's places; asked of the owner of the key shares a few times a
-         * second.
-         */
-        default Map<String, List<News.Allot>> divide(long epoch, List<Seen> relays, byte[] configuration) {
-            return Map.of();
-        }
-
-        /** What a change of a key is, in a few words, for people. */
-        default String describe(String key, byte[] old, byte[] now) {
-            return "";
-        }
-    }
-
-    public record Seen(String name, long run, String role, String records, String operator, String zone, long asked,
-        List<News.Held> held,
-        Map<String, Long> since, List<News.Demand> demands, List<News.Places> places, String via) {}
-
-    private static final class Peer {
-        long heard = Long.MIN_VALUE / 2;
-        long since;
-        boolean healthy;
-        List<Owned> owned = List.of();
-    }
-
-    private record Age(long number, long at, long age) {}
-
-    private static final class Round {
-        long nr;
-        long start;
-        final Map<String, Set<String>> by = new HashMap<>();
-        final Map<String, Long> epochs = new HashMap<>();
-    }
-
-    private final Membership membership;
-    final CoreHost host;
-    final Tunables tunables;
-    final String self;
-    final String disk;
-    final long booted;
-    private final int cutoff;
-    private final Duties duties;
-    private final Map<String, Cell> cells = new HashMap<>();
-    private final Map<String, KeyOwner> owners = new TreeMap<>();
-    private final Map<String, Peer> peers = new HashMap<>();
-    private final Map<String, Age> ages = new HashMap<>();
-    /** By key: when another was last promised it. */
-    private final Map<String, Long> yielded = new HashMap<>();
-    private final Map<String, Long> ownerless = new HashMap<>();
-    private final Map<String, Seen> nodes = new LinkedHashMap<>();
-    private int relays;
-    private long relaysAt = Long.MIN_VALUE / 2;
-    private final Map<String, Long> pushed = new HashMap<>();
-    private record Forwarded(String owner, long number, long at, Consumer<ChangeAnswer> answer) {}
-
-    private final Map<Long, Forwarded> forwarded = new HashMap<>();
-    private final Reads reads = new Reads();
-    private final Set<Long> seen = new LinkedHashSet<>();
-    private final List<Round> rounds = new ArrayList<>();
-    /** By key and number: when it was acknowledged and when each node was first seen to hold it, for people. */
-    private final Map<String, TreeMap<Long, Map<String, Long>>> reached = new HashMap<>();
-    private boolean healthy = true;
-    /** Not a member of the generation before: who owns what has to be heard first. */
-    private boolean newcomer = true;
-    private long began;
-    private long lastAlive = Long.MIN_VALUE / 2;
-    private long lastConfirm = Long.MIN_VALUE / 2;
-    private long lastDivided = Long.MIN_VALUE / 2;
-    private long nr;
-
-    public CoreNode(CoreHost host, Tunables t, Members.Member me, int cutoff, Map<String, byte[]> durable,
-        Founding founding, Duties duties) {
-        this.host = host;
-        this.tunables = t;
-        this.membership = new Membership(this, me, founding);
-        this.self = me.name();
-        this.disk = me.disk();
-        this.cutoff = cutoff;
-        this.duties = duties;
-        this.booted = host.now();
-        this.began = booted;
-        this.nr = host.random(1L << 40) << 20;
-        durable.forEach((k, b) -> {
-            if (k.startsWith(CELL)) cells.put(k.substring(CELL.length()), Cell.of(b));
-        });
-        for (String k : Keys.NEWS) owner(k);
-        owner(Keys.SHARES);
-        membership.open(durable.get(Membership.MEMBERS), durable.get(Membership.SEALED),
-            durable.get(Membership.PINNED));
-    }
-
-    public Members members() {
-        return membership.members();
-    }
-
-    public boolean settled() {
-        return membership.settled();
-    }
-
-    int cutoff() {
-        return cutoff;
-    }
-
-    Cell cell(String key) {
-        return cells.getOrDefault(key, Cell.EMPTY);
-    }
-
-    KeyOwner owner(String key) {
-        return owners.computeIfAbsent(key, k -> new KeyOwner(this, k));
-    }
-
-    void to(String member, CoreMessage m) {
-        host.send(member, new Envelope(members().generation(), self, disk, m));
-    }
-
-    void toAll(CoreMessage m) {
-        for (Members.Member x : members().all()) to(x.name(), m);
-    }
-
-    void deposeAll(String why) {
-        for (KeyOwner o : owners.values()) o.depose(why, host.now());
-    }
-
-    /** A generation begins here: nothing of the one before it counts. */
-    void began(Members before, Members m) {
-        deposeAll("generation");
-        // who was away for a generation knows as little as a new one
-        newcomer = before.generation() + 1 != m.generation() || !m.stays(before, self);
-        began = host.now();
-        // who was alive a moment ago still is, so that only the first live one takes a key
-        peers.keySet().removeIf(x -> newcomer || !m.stays(before, x));
-        for (Peer f : peers.values()) f.owned = List.of();
-        ownerless.clear();
-        rounds.clear();
-        for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer());
-        host.members(m);
-        host.event("members", "generation", m.generation(), "names",
-            m.all().stream().map(Members.Member::name).toList());
-    }
-
-    List<Kept> all() {
-        List<Kept> cs = new ArrayList<>();
-        cells.forEach((k, c) -> cs.add(new Kept(k, c.bytes())));
-        return cs;
-    }
-
-    long heard(String name) {
-        Peer f = peers.get(name);
-        return f == null ? Long.MIN_VALUE / 2 : f.heard;
-    }
-
-    /** Keys come to be when a replica is listed: one commander each. */
-    public void know(String key) {
-        owner(key);
-    }
-
-    public void healthy(boolean h) {
-        if (healthy == h) return;
-        healthy = h;
-        host.event(h ? "disk-well" : "disk-ill");
-        if (!h) for (KeyOwner o : owners.values()) o.depose("disk", host.now());
-    }
-
-    public boolean owns(String key) {
-        KeyOwner o = owners.get(key);
-        return o != null && o.serving();
-    }
-
-    public boolean mayCommand(String key) {
-        KeyOwner o = owners.get(key);
-        return o != null && o.mayCommand(host.now());
-    }
-
-    public long epochOf(String key) {
-        return owners.get(key).epoch;
-    }
-
-    // ---- events
-
-    public void tick() {
-        long now = host.now();
-        expire(now);
-        if (!settled()) {
-            membership.meet(now);
-            membership.join(now);
-            return;
-        }
-        if (membership.retired() || alone(now)) membership.join(now);
-        if (membership.sealed() && !membership.retired()) membership.drive(now);
-        if (!membership.active()) return;
-        membership.plan(now, Math.max(began, booted));
-        if (now - lastAlive >= tunables.alive()) {
-            lastAlive = now;
-            List<Owned> l = new ArrayList<>();
-            for (KeyOwner o : owners.values())
-                if (o.inHand(now)) l.add(new Owned(o.key, o.epoch, o.value().number(), o.age(now), o.busy()));
-            toAll(new Alive(healthy, now - booted, l));
-        }
-        if (now - lastConfirm >= tunables.confirm()) confirm(now);
-        for (KeyOwner o : owners.values()) o.tick(now);
-        if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
-        if (owns(Keys.SHARES) && now - lastDivided >= DIVIDE) {
-            lastDivided = now;
-            List<Seen> relays = new ArrayList<>();
-            for (Seen s : nodes.values()) if (s.role.equals("relay") && now - s.asked < GONE) relays.add(s);
-            duties.divide(epochOf(Keys.SHARES), relays, kept(Keys.CONFIGURATION).getValue())
-                .forEach((r, l) -> l.forEach(x -> tell(nodes.get(r), x)));
-        }
-        nodes.values().removeIf(s -> now - s.asked > 60_000);
-    }
-
-    /** What was handed on and nobody will answer any more is answered here, with the number to ask about. */
-    private void expire(long now) {
-        for (Map.Entry<Long, Forwarded> e : new ArrayList<>(forwarded.entrySet())) {
-            Forwarded f = e.getValue();
-            if (now - f.at < tunables.longest() && (f.owner.equals(A_MEMBER) || live(f.owner, now))) continue;
-            forwarded.remove(e.getKey());
-            f.answer.accept(new ChangeAnswer.Unknown(f.number));
-        }
-        reads.tick(now, m -> m.equals(A_MEMBER) || live(m, now));
-    }
-
-    boolean live(String m, long now) {
-        if (m.equals(self)) return healthy;
-        Peer f = peers.get(m);
-        return f != null && f.healthy && now - f.heard < tunables.dead();
-    }
-
-    /** Hears no majority: perhaps because the fleet has moved on without it, so it asks around. */
-    private boolean alone(long now) {
-        if (now - Math.max(began, booted) < 2L * tunables.dead()) return false;
-        int n = 0;
-        for (Members.Member m : members().all())
-            if (m.name().equals(self) || now - heard(m.name()) < tunables.dead()) n++;
-        return n < members().majority();
-    }
-
-    private String liveOwner(String key, long now) {
-        for (Members.Member m : members().all()) {
-            if (m.name().equals(self) || !live(m.name(), now)) continue;
-            for (Owned w : peers.get(m.name()).owned)
-                if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
-        }
-        return null;
-    }
-
-    private void perhapsTry(KeyOwner o, long now) {
-        if (o.serving()) return;
-        String other = liveOwner(o.key, now);
-        List<String> order = members().order(o.key);
-        int rank = 0;
-        for (String m : order) {
-            if (m.equals(self)) break;
-            if (live(m, now)) rank++;
-        }
-        if (other != null) {
-            ownerless.remove(o.key);
-            boolean before = order.indexOf(self) < order.indexOf(other);
-            boolean settled = now - booted >= tunables.settled()
-                && now - peers.get(other).since >= tunables.settled();
-            // taken back without churn: not while the owner is at a change, whose fate would then be unknown to its
-            // sender
-            if (rank == 0 && before && settled && !busy(other, o.key)) o.attempt(now);
-            return;
-        }
-        long since = ownerless.computeIfAbsent(o.key, k -> now);
-        long pause = newcomer && since - began < tunables.dead() ? tunables.dead() : 0;
-        // whoever was promised the key a moment ago is given the time to serve it, else all oust one another for ever
-        if (now - yielded.getOrDefault(o.key, Long.MIN_VALUE / 2) < tunables.yields()) return;
-        if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(now);
-    }
-
-    private boolean busy(String owner, String key) {
-        for (Owned w : peers.get(owner).owned) if (w.key().equals(key)) return w.busy();
-        return false;
-    }
-
-    private void confirm(long now) {
-        lastConfirm = now;
-        List<Claim> cs = new ArrayList<>();
-        Round r = new Round();
-        for (KeyOwner o : owners.values())
-            if (o.serving()) {
-                cs.add(new Claim(o.key, o.epoch));
-                r.epochs.put(o.key, o.epoch);
-            }
-        if (cs.isEmpty()) return;
-        r.nr = ++nr;
-        r.start = now;
-        rounds.add(r);
-        if (rounds.size() > 16) rounds.remove(0);
-        toAll(new Confirm(r.nr, cs));
-    }
-
-    void confirmSoon() {
-        lastConfirm = Long.MIN_VALUE / 2;
-    }
-
-    public void message(Envelope e) {
-        long now = host.now();
-        if (membership.generations(e, now) || standingBy(e, now) || !membership.active()) return;
-        if (e.generation() != members().generation()) {
-            if (e.generation() < members().generation()) membership.tell(e.from(), now);
-            return;
-        }
-        Members.Member m = members().find(e.from());
-        if (m == null || !m.disk().equals(e.disk())) return;
-        CoreMessage s = e.said();
-        if (s instanceof Alive a) alive(e.from(), a, now);
-        else if (s instanceof Promise p) onPromise(e.from(), p);
-        else if (s instanceof Promised p) owner(p.key()).promised(e.from(), p, now);
-        else if (s instanceof Accept a) onAccept(e.from(), a);
-        else if (s instanceof Accepted a) owner(a.key()).accepted(e.from(), a, now);
-        else if (s instanceof Confirm c) onConfirm(e.from(), c);
-        else if (s instanceof Confirmed c) onConfirmed(e.from(), c, now);
-        else if (s instanceof Carry c) ask(c.ask(), e.from(), now);
-        else if (s instanceof Carried c) host.news(c.node(), c.news());
-        else if (s instanceof Change c && firstTime(c.nr()))
-            owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
-        else if (s instanceof Read r) read(r.key(), a -> to(e.from(), new ReadDone(r.nr(), a)), now);
-        else answered(s);
-    }
-
-    private void answered(CoreMessage s) {
-        if (s instanceof ReadDone r) reads.answered(r.nr(), r.newest());
-        else if (s instanceof Changed c) {
-            Forwarded f = forwarded.remove(c.nr());
-            if (f != null) f.answer.accept(c.answer());
-        }
-    }
-
-    /** What is said between a machine that stands by and the member it hands on to; true where that was all. */
-    private boolean standingBy(Envelope e, long now) {
-        CoreMessage s = e.said();
-        if (!membership.active()) {
-            answered(s);
-            return true;
-        }
-        Address to = membership.standsBy(e);
-        if (to == null) return false;
-        if (s instanceof Change c && firstTime(c.nr()))
-            change(c.key(), c.match(), c.body(), a -> toAddress(to, new Changed(c.nr(), a)));
-        else if (s instanceof Read r) readNewest(r.key(), a -> toAddress(to, new ReadDone(r.nr(), a)));
-        return true;
-    }
-
-    private void toAddress(Address to, CoreMessage m) {
-        host.sendTo(to, new Envelope(members().generation(), self, disk, m));
-    }
-
-    /** A change that comes a second time must not be taken after its first coming was answered. */
-    private boolean firstTime(long change) {
-        if (!seen.add(change)) return false;
-        if (seen.size() > 4096) seen.remove(seen.iterator().next());
-        return true;
-    }
-
-    private void alive(String from, Alive a, long now) {
-        Peer f = peers.computeIfAbsent(from, n -> new Peer());
-        if (now - f.heard >= tunables.dead() || !f.healthy) f.since = now;
-        f.heard = now;
-        f.healthy = a.healthy();
-        f.owned = a.owned();
-        for (Owned w : a.owned()) {
-            owner(w.key()).highest = Math.max(owner(w.key()).highest, w.epoch());
-            Age g = ages.get(w.key());
-            if (g == null || w.number() >= g.number) ages.put(w.key(), new Age(w.number(), now, w.age()));
-        }
-    }
-
-    /**
-     * The most the value of this number may be old by what its owners told; a number never told of began after the
-     * last telling.
-     */
-    long knownAge(String key, long number, long now) {
-        Age g = ages.get(key);
-        if (g == null) return Integer.MAX_VALUE;
-        return g.number == number ? g.age + now - g.at : now - g.at;
-    }
-
-    /** How long ago the value now kept was acknowledged, at the most; for duties whose key this is not. */
-    public long knownAge(String key) {
-        KeyOwner o = owners.get(key);
-        return o != null && o.serving() ? o.age(host.now()) : knownAge(key, cell(key).value().number(), host.now());
-    }
-
-    // ---- the member's side: durable before answered
-
-    void keep(String key, Cell c, Runnable done) {
-        cells.put(key, c);
-        host.sync(CELL + key, c.bytes(), done);
-    }
-
-    private void onPromise(String from, Promise p) {
-        owner(p.key()).highest = Math.max(owner(p.key()).highest, p.epoch());
-        Cell c = cell(p.key());
-        if (p.epoch() <= c.promised()) {
-            to(from, new Promised(p.key(), p.epoch(), false, c.promised(), 0, Cell.Value.NONE));
-            return;
-        }
-        if (!from.equals(self)) yielded.put(p.key(), host.now());
-        keep(p.key(), new Cell(p.epoch(), c.epoch(), c.value()),
-            () -> to(from, new Promised(p.key(), p.epoch(), true, p.epoch(), c.epoch(), c.value())));
-    }
-
-    private void onAccept(String from, Accept a) {
-        Cell c = cell(a.key());
-        if (a.epoch() < c.promised()) {
-            to(from, new Accepted(a.key(), a.epoch(), a.value().number(), false, c.promised()));
-            return;
-        }
-        Cell n = c.takes(a.epoch(), a.value().number()) ? new Cell(a.epoch(), a.epoch(), a.value()) : c;
-        keep(a.key(), n, () -> to(from, new Accepted(a.key(), a.epoch(), a.value().number(), true, a.epoch())));
-    }
-
-    private void onConfirm(String from, Confirm c) {
-        List<Standing> out = new ArrayList<>();
-        boolean raised = false;
-        for (Claim k : c.claims()) {
-            Cell x = cell(k.key());
-            boolean ok = k.epoch() >= x.promised();
-            if (k.epoch() > x.promised()) {
-                x = new Cell(k.epoch(), x.epoch(), x.value());
-                keep(k.key(), x, () -> {});
-                raised = true;
-            }
-            out.add(new Standing(k.key(), k.epoch(), ok, x.promised(), x.epoch(), x.value().number()));
-        }
-        Confirmed answer = new Confirmed(c.round(), out);
-        if (raised) host.sync("", new byte[0], () -> to(from, answer));
-        else to(from, answer);
-    }
-
-    private void onConfirmed(String from, Confirmed c, long now) {
-        Round r = null;
-        for (Round x : rounds) if (x.nr == c.round()) r = x;
-        for (Standing s : c.standings()) {
-            KeyOwner o = owner(s.key());
-            o.confirmed(from, s, now);
-            if (r == null || !s.ok() || o.epoch != s.epoch() || !o.serving()) continue;
-            Set<String> by = r.by.computeIfAbsent(s.key(), k -> new HashSet<>());
-            by.add(from);
-            if (by.size() >= members().majority()) o.confirmedRound(r.start);
-        }
-    }
-
-    // ---- changes from operators and duties
-
-    public void change(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
-        KeyOwner o = owner(key);
-        long now = host.now();
-        if (o.serving()) {
-            o.propose(match, body, answer, now);
-            return;
-        }
-        String other = membership.active() ? liveOwner(key, now) : null;
-        Address door = membership.door(now);
-        if (other == null && door == null) {
-            answer.accept(new ChangeAnswer.NoOwner());
-            return;
-        }
-        long n = ++nr;
-        if (other == null) {
-            forwarded.put(n, new Forwarded(A_MEMBER, match >= 0 ? match + 1 : -1, now, answer));
-            toAddress(door, new Change(n, key, match, body));
-            return;
-        }
-        forwarded.put(n, new Forwarded(other, (match >= 0 ? match : cell(key).value().number()) + 1, now, answer));
-        to(other, new Change(n, key, match, body));
-    }
+  static final int LARGEST = 6 << 20;
+  private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
+  private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
+  private static final int MOST_WORDS = 300;
 
+  /** What this member does beside keeping state, where it owns the key for it. */
+  public interface Duties {
     /**
-     * The newest value of a key as its owner, here or elsewhere, has it, off a majority that confirmed the owner after
-     * this was asked; so nothing acknowledged before is missing. With no owner it answers that, within a second.
+     * What each relay may use of each service's places; asked of the owner of the key shares a few
+     * times a second.
      */
-    public void readNewest(String key, Consumer<Newest> answer) {
-        long now = host.now();
-        String other = membership.active() && !owns(key) ? liveOwner(key, now) : null;
-        Address door = membership.door(now);
-        if (other == null && door == null) {
-            read(key, answer, now);
-            return;
-        }
-        long n = ++nr;
-        if (other == null) {
-            reads.handed(n, A_MEMBER, now, answer);
-            toAddress(door, new Read(n, key));
-            return;
-        }
-        reads.handed(n, other, now, answer);
-        to(other, new Read(n, key));
-    }
-
-    private void read(String key, Consumer<Newest> answer, long now) {
-        KeyOwner o = owners.get(key);
-        if (o == null) answer.accept(Newest.NO_OWNER);
-        else o.read(answer, now);
-    }
-
-    void served(String key, Cell.Value v) {
-        if (key.equals(Keys.CORE) && membership.pending(v.body()) != null)
-            membership.seal(membership.pending(v.body()), host.now());
-    }
-
-    // ---- data-plane processes
-
-    /**
-     * A data-plane process asks here. What this member doesn't own it hands on to the owner, so that
-     * a process cut off from the owner alone still has its lease, through the others.
-     */
-    public void ask(News.Ask a) {
-        long now = host.now();
-        ask(a, "", now);
-        if (!membership.active()) return;
-        Set<String> to = new HashSet<>();
-        for (News.Held h : a.held()) {
-            String o = h.key().equals(Keys.CORE) || owns(h.key()) ? null : liveOwner(h.key(), now);
-            if (o != null && to.add(o)) to(o, new Carry(a));
-        }
-    }
-
-    /** On the way the process last asked by; directly where it did so lately. */
-    private void tell(Seen s, News m) {
-        if (s.via.isEmpty()) host.news(s.name, m);
-        else to(s.via, new Carried(s.name, m));
-    }
-
-    private void ask(News.Ask a, String via, long now) {
-        Seen old = nodes.get(a.name());
-        if (!via.isEmpty() && old != null && old.via.isEmpty() && now - old.asked < DIRECT) return;
-        Map<String, Long> since = new HashMap<>();
-        for (News.Held h : a.held()) {
-            boolean same = old != null && old.run == a.run()
-                && old.held.stream().anyMatch(x -> x.key().equals(h.key()) && x.number() == h.number());
-            if (!same && h.number() > 0) reached(h.key(), h.number(), a.name());
-            since.put(h.key(), same ? old.since.getOrDefault(h.key(), now) : now);
-        }
-        Seen seen = new Seen(a.name(), a.run(), a.role(), a.records(), a.operator(), a.zone(), now, a.held(), since,
-            a.demands(), a.places(), via);
-        nodes.put(a.name(), seen);
-        boolean relay = a.role().equals("relay");
-        List<News.Grant> gs = new ArrayList<>();
-        for (News.Held h : a.held()) {
-            if (h.key().equals(Keys.CORE)) {
-                if (settled() && h.number() < members().generation())
-                    tell(seen, new News.Push(Keys.CORE, members().generation(), members().generation(), -1, "",
-                        members().news()));
-                continue;
-            }
-            KeyOwner o = owners.get(h.key());
-            if (o == null || !o.serving()) continue;
-            News.Grant g = o.ask(a.name() + "#" + a.run(), relay, h, now);
-            if (g != null) gs.add(g);
-            else if (h.number() < o.value().number()) pushWhole(seen, o, now, false);
-        }
-        if (!gs.isEmpty()) tell(seen, new News.Grants(a.ask(), gs, relays(now)));
-    }
-
-    private int relays(long now) {
-        if (now - relaysAt > COUNT) {
-            relaysAt = now;
-            relays = (int) nodes.values().stream().filter(s -> s.role.equals("relay") && now - s.asked < HEARD).count();
-        }
-        return relays;
-    }
-
-    public void wants(String name, String key) {
-        KeyOwner o = owners.get(key);
-        if (o != null && o.serving() && nodes.containsKey(name)) pushWhole(nodes.get(name), o, host.now(), true);
-    }
-
-    private void pushWhole(Seen s, KeyOwner o, long now, boolean asked) {
-        String k = s.name + " " + o.key + " " + o.value().number();
-        Long last = pushed.get(k);
-        if (!asked && last != null && now - last < 300) return;
-        if (pushed.size() > 4096) pushed.clear();
-        pushed.put(k, now);
-        tell(s, new News.Push(o.key, o.epoch, o.value().number(), -1, o.value().digest(), o.value().body()));
-    }
-
-    /** The change alone to those who hold the number before it, else the value whole. */
-    void pushAll(String key, long epoch, Cell.Value old, Cell.Value now) {
-        byte[] delta = Delta.between(old.body(), now.body());
-        News.Push whole = new News.Push(key, epoch, now.number(), -1, now.digest(), now.body());
-        News.Push change = delta == null
+    default Map<String, List<News.Allot>> divide(
+        long epoch, List<Seen> relays, byte[] configuration) {
+      return Map.of();
+    }
+
+    /** What a change of a key is, in a few words, for people. */
+    default String describe(String key, byte[] old, byte[] now) {
+      return "";
+    }
+  }
+
+  public record Seen(
+      String name,
+      long run,
+      String role,
+      String records,
+      String operator,
+      String zone,
+      long asked,
+      List<News.Held> held,
+      Map<String, Long> since,
+      List<News.Demand> demands,
+      List<News.Places> places,
+      String via) {}
+
+  private static final class Peer {
+    long heard = Long.MIN_VALUE / 2;
+    long since;
+    boolean healthy;
+    List<Owned> owned = List.of();
+  }
+
+  private record Age(long number, long at, long age) {}
+
+  private static final class Round {
+    long nr;
+    long start;
+    final Map<String, Set<String>> by = new HashMap<>();
+    final Map<String, Long> epochs = new HashMap<>();
+  }
+
+  private final Membership membership;
+  final CoreHost host;
+  final Tunables tunables;
+  final String self;
+  final String disk;
+  final long booted;
+  private final int cutoff;
+  private final Duties duties;
+  private final Map<String, Cell> cells = new HashMap<>();
+  private final Map<String, KeyOwner> owners = new TreeMap<>();
+  private final Map<String, Peer> peers = new HashMap<>();
+  private final Map<String, Age> ages = new HashMap<>();
+
+  /** By key: when another was last promised it. */
+  private final Map<String, Long> yielded = new HashMap<>();
+
+  private final Map<String, Long> ownerless = new HashMap<>();
+  private final Map<String, Seen> nodes = new LinkedHashMap<>();
+  private int relays;
+  private long relaysAt = Long.MIN_VALUE / 2;
+  private final Map<String, Long> pushed = new HashMap<>();
+
+  private record Forwarded(String owner, long number, long at, Consumer<ChangeAnswer> answer) {}
+
+  private final Map<Long, Forwarded> forwarded = new HashMap<>();
+  private final Reads reads = new Reads();
+  private final Set<Long> seen = new LinkedHashSet<>();
+  private final List<Round> rounds = new ArrayList<>();
+
+  /**
+   * By key and number: when it was acknowledged and when each node was first seen to hold it, for
+   * people.
+   */
+  private final Map<String, TreeMap<Long, Map<String, Long>>> reached = new HashMap<>();
+
+  private boolean healthy = true;
+
+  /** Not a member of the generation before: who owns what has to be heard first. */
+  private boolean newcomer = true;
+
+  private long began;
+  private long lastAlive = Long.MIN_VALUE / 2;
+  private long lastConfirm = Long.MIN_VALUE / 2;
+  private long lastDivided = Long.MIN_VALUE / 2;
+  private long nr;
+
+  public CoreNode(
+      CoreHost host,
+      Tunables t,
+      Members.Member me,
+      int cutoff,
+      Map<String, byte[]> durable,
+      Founding founding,
+      Duties duties) {
+    this.host = host;
+    this.tunables = t;
+    this.membership = new Membership(this, me, founding);
+    this.self = me.name();
+    this.disk = me.disk();
+    this.cutoff = cutoff;
+    this.duties = duties;
+    this.booted = host.now();
+    this.began = booted;
+    this.nr = host.random(1L << 40) << 20;
+    durable.forEach(
+        (k, b) -> {
+          if (k.startsWith(CELL)) cells.put(k.substring(CELL.length()), Cell.of(b));
+        });
+    for (String k : Keys.NEWS) owner(k);
+    owner(Keys.SHARES);
+    membership.open(
+        durable.get(Membership.MEMBERS),
+        durable.get(Membership.SEALED),
+        durable.get(Membership.PINNED));
+  }
+
+  public Members members() {
+    return membership.members();
+  }
+
+  public boolean settled() {
+    return membership.settled();
+  }
+
+  int cutoff() {
+    return cutoff;
+  }
+
+  Cell cell(String key) {
+    return cells.getOrDefault(key, Cell.EMPTY);
+  }
+
+  KeyOwner owner(String key) {
+    return owners.computeIfAbsent(key, k -> new KeyOwner(this, k));
+  }
+
+  void to(String member, CoreMessage m) {
+    host.send(member, new Envelope(members().generation(), self, disk, m));
+  }
+
+  void toAll(CoreMessage m) {
+    for (Members.Member x : members().all()) to(x.name(), m);
+  }
+
+  void deposeAll(String why) {
+    for (KeyOwner o : owners.values()) o.depose(why, host.now());
+  }
+
+  /** A generation begins here: nothing of the one before it counts. */
+  void began(Members before, Members m) {
+    deposeAll("generation");
+    // who was away for a generation knows as little as a new one
+    newcomer = before.generation() + 1 != m.generation() || !m.stays(before, self);
+    began = host.now();
+    // who was alive a moment ago still is, so that only the first live one takes a key
+    peers.keySet().removeIf(x -> newcomer || !m.stays(before, x));
+    for (Peer f : peers.values()) f.owned = List.of();
+    ownerless.clear();
+    rounds.clear();
+    for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer());
+    host.members(m);
+    host.event(
+        "members",
+        "generation",
+        m.generation(),
+        "names",
+        m.all().stream().map(Members.Member::name).toList());
+  }
+
+  List<Kept> all() {
+    List<Kept> cs = new ArrayList<>();
+    cells.forEach((k, c) -> cs.add(new Kept(k, c.bytes())));
+    return cs;
+  }
+
+  long heard(String name) {
+    Peer f = peers.get(name);
+    return f == null ? Long.MIN_VALUE / 2 : f.heard;
+  }
+
+  /** Keys come to be when a replica is listed: one commander each. */
+  public void know(String key) {
+    owner(key);
+  }
+
+  public void healthy(boolean h) {
+    if (healthy == h) return;
+    healthy = h;
+    host.event(h ? "disk-well" : "disk-ill");
+    if (!h) for (KeyOwner o : owners.values()) o.depose("disk", host.now());
+  }
+
+  public boolean owns(String key) {
+    KeyOwner o = owners.get(key);
+    return o != null && o.serving();
+  }
+
+  public boolean mayCommand(String key) {
+    KeyOwner o = owners.get(key);
+    return o != null && o.mayCommand(host.now());
+  }
+
+  public long epochOf(String key) {
+    return owners.get(key).epoch;
+  }
+
+  // ---- events
+
+  public void tick() {
+    long now = host.now();
+    expire(now);
+    if (!settled()) {
+      membership.meet(now);
+      membership.join(now);
+      return;
+    }
+    if (membership.retired() || alone(now)) membership.join(now);
+    if (membership.sealed() && !membership.retired()) membership.drive(now);
+    if (!membership.active()) return;
+    membership.plan(now, Math.max(began, booted));
+    if (now - lastAlive >= tunables.alive()) {
+      lastAlive = now;
+      List<Owned> l = new ArrayList<>();
+      for (KeyOwner o : owners.values())
+        if (o.inHand(now))
+          l.add(new Owned(o.key, o.epoch, o.value().number(), o.age(now), o.busy()));
+      toAll(new Alive(healthy, now - booted, l));
+    }
+    if (now - lastConfirm >= tunables.confirm()) confirm(now);
+    for (KeyOwner o : owners.values()) o.tick(now);
+    if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
+    if (owns(Keys.SHARES) && now - lastDivided >= DIVIDE) {
+      lastDivided = now;
+      List<Seen> relays = new ArrayList<>();
+      for (Seen s : nodes.values())
+        if (s.role.equals("relay") && now - s.asked < GONE) relays.add(s);
+      duties
+          .divide(epochOf(Keys.SHARES), relays, kept(Keys.CONFIGURATION).getValue())
+          .forEach((r, l) -> l.forEach(x -> tell(nodes.get(r), x)));
+    }
+    nodes.values().removeIf(s -> now - s.asked > 60_000);
+  }
+
+  /**
+   * What was handed on and nobody will answer any more is answered here, with the number to ask
+   * about.
+   */
+  private void expire(long now) {
+    for (Map.Entry<Long, Forwarded> e : new ArrayList<>(forwarded.entrySet())) {
+      Forwarded f = e.getValue();
+      if (now - f.at < tunables.longest() && (f.owner.equals(A_MEMBER) || live(f.owner, now)))
+        continue;
+      forwarded.remove(e.getKey());
+      f.answer.accept(new ChangeAnswer.Unknown(f.number));
+    }
+    reads.tick(now, m -> m.equals(A_MEMBER) || live(m, now));
+  }
+
+  boolean live(String m, long now) {
+    if (m.equals(self)) return healthy;
+    Peer f = peers.get(m);
+    return f != null && f.healthy && now - f.heard < tunables.dead();
+  }
+
+  /** Hears no majority: perhaps because the fleet has moved on without it, so it asks around. */
+  private boolean alone(long now) {
+    if (now - Math.max(began, booted) < 2L * tunables.dead()) return false;
+    int n = 0;
+    for (Members.Member m : members().all())
+      if (m.name().equals(self) || now - heard(m.name()) < tunables.dead()) n++;
+    return n < members().majority();
+  }
+
+  private String liveOwner(String key, long now) {
+    for (Members.Member m : members().all()) {
+      if (m.name().equals(self) || !live(m.name(), now)) continue;
+      for (Owned w : peers.get(m.name()).owned)
+        if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
+    }
+    return null;
+  }
+
+  private void perhapsTry(KeyOwner o, long now) {
+    if (o.serving()) return;
+    String other = liveOwner(o.key, now);
+    List<String> order = members().order(o.key);
+    int rank = 0;
+    for (String m : order) {
+      if (m.equals(self)) break;
+      if (live(m, now)) rank++;
+    }
+    if (other != null) {
+      ownerless.remove(o.key);
+      boolean before = order.indexOf(self) < order.indexOf(other);
+      boolean settled =
+          now - booted >= tunables.settled() && now - peers.get(other).since >= tunables.settled();
+      // taken back without churn: not while the owner is at a change, whose fate would then be
+      // unknown to its
+      // sender
+      if (rank == 0 && before && settled && !busy(other, o.key)) o.attempt(now);
+      return;
+    }
+    long since = ownerless.computeIfAbsent(o.key, k -> now);
+    long pause = newcomer && since - began < tunables.dead() ? tunables.dead() : 0;
+    // whoever was promised the key a moment ago is given the time to serve it, else all oust one
+    // another for ever
+    if (now - yielded.getOrDefault(o.key, Long.MIN_VALUE / 2) < tunables.yields()) return;
+    if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(now);
+  }
+
+  private boolean busy(String owner, String key) {
+    for (Owned w : peers.get(owner).owned) if (w.key().equals(key)) return w.busy();
+    return false;
+  }
+
+  private void confirm(long now) {
+    lastConfirm = now;
+    List<Claim> cs = new ArrayList<>();
+    Round r = new Round();
+    for (KeyOwner o : owners.values())
+      if (o.serving()) {
+        cs.add(new Claim(o.key, o.epoch));
+        r.epochs.put(o.key, o.epoch);
+      }
+    if (cs.isEmpty()) return;
+    r.nr = ++nr;
+    r.start = now;
+    rounds.add(r);
+    if (rounds.size() > 16) rounds.remove(0);
+    toAll(new Confirm(r.nr, cs));
+  }
+
+  void confirmSoon() {
+    lastConfirm = Long.MIN_VALUE / 2;
+  }
+
+  public void message(Envelope e) {
+    long now = host.now();
+    if (membership.generations(e, now) || standingBy(e, now) || !membership.active()) return;
+    if (e.generation() != members().generation()) {
+      if (e.generation() < members().generation()) membership.tell(e.from(), now);
+      return;
+    }
+    Members.Member m = members().find(e.from());
+    if (m == null || !m.disk().equals(e.disk())) return;
+    CoreMessage s = e.said();
+    if (s instanceof Alive a) alive(e.from(), a, now);
+    else if (s instanceof Promise p) onPromise(e.from(), p);
+    else if (s instanceof Promised p) owner(p.key()).promised(e.from(), p, now);
+    else if (s instanceof Accept a) onAccept(e.from(), a);
+    else if (s instanceof Accepted a) owner(a.key()).accepted(e.from(), a, now);
+    else if (s instanceof Confirm c) onConfirm(e.from(), c);
+    else if (s instanceof Confirmed c) onConfirmed(e.from(), c, now);
+    else if (s instanceof Carry c) ask(c.ask(), e.from(), now);
+    else if (s instanceof Carried c) host.news(c.node(), c.news());
+    else if (s instanceof Change c && firstTime(c.nr()))
+      owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
+    else if (s instanceof Read r) read(r.key(), a -> to(e.from(), new ReadDone(r.nr(), a)), now);
+    else answered(s);
+  }
+
+  private void answered(CoreMessage s) {
+    if (s instanceof ReadDone r) reads.answered(r.nr(), r.newest());
+    else if (s instanceof Changed c) {
+      Forwarded f = forwarded.remove(c.nr());
+      if (f != null) f.answer.accept(c.answer());
+    }
+  }
+
+  /**
+   * What is said between a machine that stands by and the member it hands on to; true where that
+   * was all.
+   */
+  private boolean standingBy(Envelope e, long now) {
+    CoreMessage s = e.said();
+    if (!membership.active()) {
+      answered(s);
+      return true;
+    }
+    Address to = membership.standsBy(e);
+    if (to == null) return false;
+    if (s instanceof Change c && firstTime(c.nr()))
+      change(c.key(), c.match(), c.body(), a -> toAddress(to, new Changed(c.nr(), a)));
+    else if (s instanceof Read r) readNewest(r.key(), a -> toAddress(to, new ReadDone(r.nr(), a)));
+    return true;
+  }
+
+  private void toAddress(Address to, CoreMessage m) {
+    host.sendTo(to, new Envelope(members().generation(), self, disk, m));
+  }
+
+  /** A change that comes a second time must not be taken after its first coming was answered. */
+  private boolean firstTime(long change) {
+    if (!seen.add(change)) return false;
+    if (seen.size() > 4096) seen.remove(seen.iterator().next());
+    return true;
+  }
+
+  private void alive(String from, Alive a, long now) {
+    Peer f = peers.computeIfAbsent(from, n -> new Peer());
+    if (now - f.heard >= tunables.dead() || !f.healthy) f.since = now;
+    f.heard = now;
+    f.healthy = a.healthy();
+    f.owned = a.owned();
+    for (Owned w : a.owned()) {
+      owner(w.key()).highest = Math.max(owner(w.key()).highest, w.epoch());
+      Age g = ages.get(w.key());
+      if (g == null || w.number() >= g.number) ages.put(w.key(), new Age(w.number(), now, w.age()));
+    }
+  }
+
+  /**
+   * The most the value of this number may be old by what its owners told; a number never told of
+   * began after the last telling.
+   */
+  long knownAge(String key, long number, long now) {
+    Age g = ages.get(key);
+    if (g == null) return Integer.MAX_VALUE;
+    return g.number == number ? g.age + now - g.at : now - g.at;
+  }
+
+  /**
+   * How long ago the value now kept was acknowledged, at the most; for duties whose key this is
+   * not.
+   */
+  public long knownAge(String key) {
+    KeyOwner o = owners.get(key);
+    return o != null && o.serving()
+        ? o.age(host.now())
+        : knownAge(key, cell(key).value().number(), host.now());
+  }
+
+  // ---- the member's side: durable before answered
+
+  void keep(String key, Cell c, Runnable done) {
+    cells.put(key, c);
+    host.sync(CELL + key, c.bytes(), done);
+  }
+
+  private void onPromise(String from, Promise p) {
+    owner(p.key()).highest = Math.max(owner(p.key()).highest, p.epoch());
+    Cell c = cell(p.key());
+    if (p.epoch() <= c.promised()) {
+      to(from, new Promised(p.key(), p.epoch(), false, c.promised(), 0, Cell.Value.NONE));
+      return;
+    }
+    if (!from.equals(self)) yielded.put(p.key(), host.now());
+    keep(
+        p.key(),
+        new Cell(p.epoch(), c.epoch(), c.value()),
+        () -> to(from, new Promised(p.key(), p.epoch(), true, p.epoch(), c.epoch(), c.value())));
+  }
+
+  private void onAccept(String from, Accept a) {
+    Cell c = cell(a.key());
+    if (a.epoch() < c.promised()) {
+      to(from, new Accepted(a.key(), a.epoch(), a.value().number(), false, c.promised()));
+      return;
+    }
+    Cell n = c.takes(a.epoch(), a.value().number()) ? new Cell(a.epoch(), a.epoch(), a.value()) : c;
+    keep(
+        a.key(),
+        n,
+        () -> to(from, new Accepted(a.key(), a.epoch(), a.value().number(), true, a.epoch())));
+  }
+
+  private void onConfirm(String from, Confirm c) {
+    List<Standing> out = new ArrayList<>();
+    boolean raised = false;
+    for (Claim k : c.claims()) {
+      Cell x = cell(k.key());
+      boolean ok = k.epoch() >= x.promised();
+      if (k.epoch() > x.promised()) {
+        x = new Cell(k.epoch(), x.epoch(), x.value());
+        keep(k.key(), x, () -> {});
+        raised = true;
+      }
+      out.add(new Standing(k.key(), k.epoch(), ok, x.promised(), x.epoch(), x.value().number()));
+    }
+    Confirmed answer = new Confirmed(c.round(), out);
+    if (raised) host.sync("", new byte[0], () -> to(from, answer));
+    else to(from, answer);
+  }
+
+  private void onConfirmed(String from, Confirmed c, long now) {
+    Round r = null;
+    for (Round x : rounds) if (x.nr == c.round()) r = x;
+    for (Standing s : c.standings()) {
+      KeyOwner o = owner(s.key());
+      o.confirmed(from, s, now);
+      if (r == null || !s.ok() || o.epoch != s.epoch() || !o.serving()) continue;
+      Set<String> by = r.by.computeIfAbsent(s.key(), k -> new HashSet<>());
+      by.add(from);
+      if (by.size() >= members().majority()) o.confirmedRound(r.start);
+    }
+  }
+
+  // ---- changes from operators and duties
+
+  public void change(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
+    KeyOwner o = owner(key);
+    long now = host.now();
+    if (o.serving()) {
+      o.propose(match, body, answer, now);
+      return;
+    }
+    String other = membership.active() ? liveOwner(key, now) : null;
+    Address door = membership.door(now);
+    if (other == null && door == null) {
+      answer.accept(new ChangeAnswer.NoOwner());
+      return;
+    }
+    long n = ++nr;
+    if (other == null) {
+      forwarded.put(n, new Forwarded(A_MEMBER, match >= 0 ? match + 1 : -1, now, answer));
+      toAddress(door, new Change(n, key, match, body));
+      return;
+    }
+    forwarded.put(
+        n,
+        new Forwarded(other, (match >= 0 ? match : cell(key).value().number()) + 1, now, answer));
+    to(other, new Change(n, key, match, body));
+  }
+
+  /**
+   * The newest value of a key as its owner, here or elsewhere, has it, off a majority that
+   * confirmed the owner after this was asked; so nothing acknowledged before is missing. With no
+   * owner it answers that, within a second.
+   */
+  public void readNewest(String key, Consumer<Newest> answer) {
+    long now = host.now();
+    String other = membership.active() && !owns(key) ? liveOwner(key, now) : null;
+    Address door = membership.door(now);
+    if (other == null && door == null) {
+      read(key, answer, now);
+      return;
+    }
+    long n = ++nr;
+    if (other == null) {
+      reads.handed(n, A_MEMBER, now, answer);
+      toAddress(door, new Read(n, key));
+      return;
+    }
+    reads.handed(n, other, now, answer);
+    to(other, new Read(n, key));
+  }
+
+  private void read(String key, Consumer<Newest> answer, long now) {
+    KeyOwner o = owners.get(key);
+    if (o == null) answer.accept(Newest.NO_OWNER);
+    else o.read(answer, now);
+  }
+
+  void served(String key, Cell.Value v) {
+    if (key.equals(Keys.CORE) && membership.pending(v.body()) != null)
+      membership.seal(membership.pending(v.body()), host.now());
+  }
+
+  // ---- data-plane processes
+
+  /**
+   * A data-plane process asks here. What this member doesn't own it hands on to the owner, so that
+   * a process cut off from the owner alone still has its lease, through the others.
+   */
+  public void ask(News.Ask a) {
+    long now = host.now();
+    ask(a, "", now);
+    if (!membership.active()) return;
+    Set<String> to = new HashSet<>();
+    for (News.Held h : a.held()) {
+      String o = h.key().equals(Keys.CORE) || owns(h.key()) ? null : liveOwner(h.key(), now);
+      if (o != null && to.add(o)) to(o, new Carry(a));
+    }
+  }
+
+  /** On the way the process last asked by; directly where it did so lately. */
+  private void tell(Seen s, News m) {
+    if (s.via.isEmpty()) host.news(s.name, m);
+    else to(s.via, new Carried(s.name, m));
+  }
+
+  private void ask(News.Ask a, String via, long now) {
+    Seen old = nodes.get(a.name());
+    if (!via.isEmpty() && old != null && old.via.isEmpty() && now - old.asked < DIRECT) return;
+    Map<String, Long> since = new HashMap<>();
+    for (News.Held h : a.held()) {
+      boolean same =
+          old != null
+              && old.run == a.run()
+              && old.held.stream()
+                  .anyMatch(x -> x.key().equals(h.key()) && x.number() == h.number());
+      if (!same && h.number() > 0) reached(h.key(), h.number(), a.name());
+      since.put(h.key(), same ? old.since.getOrDefault(h.key(), now) : now);
+    }
+    Seen seen =
+        new Seen(
+            a.name(),
+            a.run(),
+            a.role(),
+            a.records(),
+            a.operator(),
+            a.zone(),
+            now,
+            a.held(),
+            since,
+            a.demands(),
+            a.places(),
+            via);
+    nodes.put(a.name(), seen);
+    boolean relay = a.role().equals("relay");
+    List<News.Grant> gs = new ArrayList<>();
+    for (News.Held h : a.held()) {
+      if (h.key().equals(Keys.CORE)) {
+        if (settled() && h.number() < members().generation())
+          tell(
+              seen,
+              new News.Push(
+                  Keys.CORE,
+                  members().generation(),
+                  members().generation(),
+                  -1,
+                  "",
+                  members().news()));
+        continue;
+      }
+      KeyOwner o = owners.get(h.key());
+      if (o == null || !o.serving()) continue;
+      News.Grant g = o.ask(a.name() + "#" + a.run(), relay, h, now);
+      if (g != null) gs.add(g);
+      else if (h.number() < o.value().number()) pushWhole(seen, o, now, false);
+    }
+    if (!gs.isEmpty()) tell(seen, new News.Grants(a.ask(), gs, relays(now)));
+  }
+
+  private int relays(long now) {
+    if (now - relaysAt > COUNT) {
+      relaysAt = now;
+      relays =
+          (int)
+              nodes.values().stream()
+                  .filter(s -> s.role.equals("relay") && now - s.asked < HEARD)
+                  .count();
+    }
+    return relays;
+  }
+
+  public void wants(String name, String key) {
+    KeyOwner o = owners.get(key);
+    if (o != null && o.serving() && nodes.containsKey(name))
+      pushWhole(nodes.get(name), o, host.now(), true);
+  }
+
+  private void pushWhole(Seen s, KeyOwner o, long now, boolean asked) {
+    String k = s.name + " " + o.key + " " + o.value().number();
+    Long last = pushed.get(k);
+    if (!asked && last != null && now - last < 300) return;
+    if (pushed.size() > 4096) pushed.clear();
+    pushed.put(k, now);
+    tell(
+        s,
+        new News.Push(
+            o.key, o.epoch, o.value().number(), -1, o.value().digest(), o.value().body()));
+  }
+
+  /** The change alone to those who hold the number before it, else the value whole. */
+  void pushAll(String key, long epoch, Cell.Value old, Cell.Value now) {
+    byte[] delta = Delta.between(old.body(), now.body());
+    News.Push whole = new News.Push(key, epoch, now.number(), -1, now.digest(), now.body());
+    News.Push change =
+        delta == null
             ? whole
             : new News.Push(key, epoch, now.number(), old.number(), now.digest(), delta);
-        for (Seen s : nodes.values()) {
-            boolean before = s.held.stream().anyMatch(h -> h.key().equals(key) && h.number() == old.number());
-            pushed.put(s.name + " " + key + " " + now.number(), host.now());
-            tell(s, before ? change : whole);
-        }
-    }
-
-    // ---- what operators ask
-
-    String describe(String key, byte[] old, byte[] now) {
-        String w = duties.describe(key, old, now);
-        return w.length() > MOST_WORDS ? w.substring(0, MOST_WORDS) + "..." : w;
-    }
-
-    void acknowledged(String key, long number) {
-        reached(key, number, ACKNOWLEDGED);
-    }
-
-    private void reached(String key, long number, String who) {
-        TreeMap<Long, Map<String, Long>> m = reached.computeIfAbsent(key, k -> new TreeMap<>());
-        m.computeIfAbsent(number, n -> new LinkedHashMap<>()).putIfAbsent(who, host.wall());
-        if (m.size() > 32) m.pollFirstEntry();
-    }
-
-    /**
-     * One number of a key: when it was taken, by whom, what it changed; who was seen to hold it, as far as known
-     * here.
-     */
-    public record Told(long number, String digest, long at, String by, String what, long acked,
-        Map<String, Long> held) {}
-
-    public List<Told> numbers(String key) {
-        KeyOwner o = owners.get(key);
-        Cell.Value v = o != null && o.serving() ? o.value() : cell(key).value();
-        List<Told> l = new ArrayList<>();
-        for (Cell.Mark m : v.history()) {
-            Map<String, Long> r = new LinkedHashMap<>(
-                reached.getOrDefault(key, new TreeMap<>()).getOrDefault(m.number(), Map.of()));
-            Long acked = r.remove(ACKNOWLEDGED);
-            l.add(new Told(m.number(), m.digest(), m.at(), m.by(), m.what(), acked == null ? 0 : acked, r));
-        }
-        return l;
-    }
-
-    /** Those who found a fleet, by name, one to nine; settled only once all have met. */
-    public record Founding(List<Members.Member> founders) {}
-
-    /** What may be swapped in: machines that ask to join, lately heard. */
-    public List<Members.Member> joiners() {
-        return membership.joiners();
-    }
-
-    /** An operator's swap; an empty text, or why it can't be, and then nothing changed. */
-    public String swap(String out, String in, Consumer<ChangeAnswer> answer) {
-        return membership.swap(out, in, answer);
-    }
-
-    /** Whether this member takes part, so that what it shows is the core's state. */
-    public boolean active() {
-        return membership.active();
-    }
-
-    public boolean sealed() {
-        return membership.sealed();
-    }
-
-    public boolean retired() {
-        return membership.retired();
-    }
-
-    public record KeyState(String key, String owner, long epoch, long number, String digest, int leased,
-        long confirmedAgo) {}
-
-    public List<KeyState> keys() {
-        long now = host.now();
-        List<KeyState> out = new ArrayList<>();
-        for (KeyOwner o : owners.values()) {
-            if (o.serving()) out.add(new KeyState(o.key, self, o.epoch, o.value().number(), o.value().digest(),
-                o.leased(now), o.confirmedAge(now)));
-            else {
-                String other = settled() ? liveOwner(o.key, now) : null;
-                Cell c = cell(o.key);
-                out.add(new KeyState(o.key, other == null ? "" : other, c.epoch(), c.value().number(),
-                    c.value().digest(), -1, -1));
-            }
-        }
-        return out;
-    }
-
-    public List<Seen> nodes() {
-        return new ArrayList<>(nodes.values());
-    }
-
-    public Map<String, Boolean> alive() {
-        long now = host.now();
-        Map<String, Boolean> m = new TreeMap<>();
-        for (Members.Member x : members().all()) m.put(x.name(), live(x.name(), now));
-        return m;
-    }
-
-    /** The value as last kept here and its number; for reading only, never for deciding. */
-    public Map.Entry<Long, byte[]> kept(String key) {
-        KeyOwner o = owners.get(key);
-        Cell.Value v = o != null && o.serving() ? o.value() : cell(key).value();
-        return Map.entry(v.number(), v.body());
-    }
-
-    /** taken, other, not yet or forgotten: what became of a number, for a sender who got unknown. */
-    public String fate(String key, long number, String digest) {
-        Cell.Value v = owners.get(key) != null && owners.get(key).serving() ? owners.get(key).value() : null;
-        if (v == null) return "unknown";
-        if (number > v.number()) return "not-yet";
-        for (Cell.Mark m : v.history()) if (m.number() == number) return m.digest().equals(digest) ? "taken" : "other";
-        return "forgotten";
-    }
+    for (Seen s : nodes.values()) {
+      boolean before =
+          s.held.stream().anyMatch(h -> h.key().equals(key) && h.number() == old.number());
+      pushed.put(s.name + " " + key + " " + now.number(), host.now());
+      tell(s, before ? change : whole);
+    }
+  }
+
+  // ---- what operators ask
+
+  String describe(String key, byte[] old, byte[] now) {
+    String w = duties.describe(key, old, now);
+    return w.length() > MOST_WORDS ? w.substring(0, MOST_WORDS) + "..." : w;
+  }
+
+  void acknowledged(String key, long number) {
+    reached(key, number, ACKNOWLEDGED);
+  }
+
+  private void reached(String key, long number, String who) {
+    TreeMap<Long, Map<String, Long>> m = reached.computeIfAbsent(key, k -> new TreeMap<>());
+    m.computeIfAbsent(number, n -> new LinkedHashMap<>()).putIfAbsent(who, host.wall());
+    if (m.size() > 32) m.pollFirstEntry();
+  }
+
+  /**
+   * One number of a key: when it was taken, by whom, what it changed; who was seen to hold it, as
+   * far as known here.
+   */
+  public record Told(
+      long number,
+      String digest,
+      long at,
+      String by,
+      String what,
+      long acked,
+      Map<String, Long> held) {}
+
+  public List<Told> numbers(String key) {
+    KeyOwner o = owners.get(key);
+    Cell.Value v = o != null && o.serving() ? o.value() : cell(key).value();
+    List<Told> l = new ArrayList<>();
+    for (Cell.Mark m : v.history()) {
+      Map<String, Long> r =
+          new LinkedHashMap<>(
+              reached.getOrDefault(key, new TreeMap<>()).getOrDefault(m.number(), Map.of()));
+      Long acked = r.remove(ACKNOWLEDGED);
+      l.add(
+          new Told(m.number(), m.digest(), m.at(), m.by(), m.what(), acked == null ? 0 : acked, r));
+    }
+    return l;
+  }
+
+  /** Those who found a fleet, by name, one to nine; settled only once all have met. */
+  public record Founding(List<Members.Member> founders) {}
+
+  /** What may be swapped in: machines that ask to join, lately heard. */
+  public List<Members.Member> joiners() {
+    return membership.joiners();
+  }
+
+  /** An operator's swap; an empty text, or why it can't be, and then nothing changed. */
+  public String swap(String out, String in, Consumer<ChangeAnswer> answer) {
+    return membership.swap(out, in, answer);
+  }
+
+  /** Whether this member takes part, so that what it shows is the core's state. */
+  public boolean active() {
+    return membership.active();
+  }
+
+  public boolean sealed() {
+    return membership.sealed();
+  }
+
+  public boolean retired() {
+    return membership.retired();
+  }
+
+  public record KeyState(
+      String key,
+      String owner,
+      long epoch,
+      long number,
+      String digest,
+      int leased,
+      long confirmedAgo) {}
+
+  public List<KeyState> keys() {
+    long now = host.now();
+    List<KeyState> out = new ArrayList<>();
+    for (KeyOwner o : owners.values()) {
+      if (o.serving())
+        out.add(
+            new KeyState(
+                o.key,
+                self,
+                o.epoch,
+                o.value().number(),
+                o.value().digest(),
+                o.leased(now),
+                o.confirmedAge(now)));
+      else {
+        String other = settled() ? liveOwner(o.key, now) : null;
+        Cell c = cell(o.key);
+        out.add(
+            new KeyState(
+                o.key,
+                other == null ? "" : other,
+                c.epoch(),
+                c.value().number(),
+                c.value().digest(),
+                -1,
+                -1));
+      }
+    }
+    return out;
+  }
+
+  public List<Seen> nodes() {
+    return new ArrayList<>(nodes.values());
+  }
+
+  public Map<String, Boolean> alive() {
+    long now = host.now();
+    Map<String, Boolean> m = new TreeMap<>();
+    for (Members.Member x : members().all()) m.put(x.name(), live(x.name(), now));
+    return m;
+  }
+
+  /** The value as last kept here and its number; for reading only, never for deciding. */
+  public Map.Entry<Long, byte[]> kept(String key) {
+    KeyOwner o = owners.get(key);
+    Cell.Value v = o != null && o.serving() ? o.value() : cell(key).value();
+    return Map.entry(v.number(), v.body());
+  }
+
+  /** taken, other, not yet or forgotten: what became of a number, for a sender who got unknown. */
+  public String fate(String key, long number, String digest) {
+    Cell.Value v =
+        owners.get(key) != null && owners.get(key).serving() ? owners.get(key).value() : null;
+    if (v == null) return "unknown";
+    if (number > v.number()) return "not-yet";
+    for (Cell.Mark m : v.history())
+      if (m.number() == number) return m.digest().equals(digest) ? "taken" : "other";
+    return "forgotten";
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -35,199 +35,270 @@
 import java.util.function.Function;
 
 public final class CoreService implements Kernel.Service, CoreHost {
-    private static final long STALL = 400, PROBE = 1000, OWNERLESS = 2500;
-    private static final Duration BETWEEN = Duration.ofMillis(100);
-
-    private final Vertx vertx;
-    private final Clock clock = Clock.monotonic();
-    private final Duty duty = new Duty("core", 16384, clock);
-    private final Ring ring;
-    private final Tunables tunables;
-    private final Members.Member me;
-    private final String self;
-    private final List<Address> seeds;
-    private final int cutoff;
-    private final CoreNode.Founding founding;
-    private final CoreNode.Duties duties;
-    private final Consumer<String> fatal;
-    private final Map<String, Held> peers = new HashMap<>();
-    private final Map<Address, Held> strangers = new HashMap<>();
-    private final Map<String, Connection> nodes = new ConcurrentHashMap<>();
-    private Doors doors;
-    private ViewService views;
-    private DiskDuty disk;
-    private CoreNode node;
-
-    public CoreService(Vertx vertx, Ring ring, Tunables tunables, Members.Member me, List<Address> seeds, int cutoff,
-        CoreNode.Founding founding, CoreNode.Duties duties, Consumer<String> fatal) {
-        this.vertx = vertx;
-        this.ring = ring;
-        this.tunables = tunables;
-        this.me = me;
-        this.self = me.name();
-        this.seeds = seeds;
-        this.cutoff = cutoff;
-        this.founding = founding;
-        this.duties = duties;
-        this.fatal = fatal;
-    }
+  private static final long STALL = 400, PROBE = 1000, OWNERLESS = 2500;
+  private static final Duration BETWEEN = Duration.ofMillis(100);
 
-    @Override public void start(Kernel k) {
-        doors = k.find("doors", Doors.class);
-        views = k.find("views", ViewService.class);
-        disk = new DiskDuty(ring, clock, r -> duty.offer(r), fatal);
-        node = new CoreNode(this, tunables, me, cutoff, ring.live(), founding, duties);
-        doors.take(Hello.CORE, (h, c) -> r -> {
-            Envelope e = Wire.read(r, Envelope::read);
-            duty.offer(() -> node.message(e));
-        });
-        doors.take(Hello.NEWS, (h, c) -> new Connection.Receiver() {
-            private String name;
+  private final Vertx vertx;
+  private final Clock clock = Clock.monotonic();
+  private final Duty duty = new Duty("core", 16384, clock);
+  private final Ring ring;
+  private final Tunables tunables;
+  private final Members.Member me;
+  private final String self;
+  private final List<Address> seeds;
+  private final int cutoff;
+  private final CoreNode.Founding founding;
+  private final CoreNode.Duties duties;
+  private final Consumer<String> fatal;
+  private final Map<String, Held> peers = new HashMap<>();
+  private final Map<Address, Held> strangers = new HashMap<>();
+  private final Map<String, Connection> nodes = new ConcurrentHashMap<>();
+  private Doors doors;
+  private ViewService views;
+  private DiskDuty disk;
+  private CoreNode node;
 
-            @Override public void record(byte[] r) throws IOException {
+  public CoreService(
+      Vertx vertx,
+      Ring ring,
+      Tunables tunables,
+      Members.Member me,
+      List<Address> seeds,
+      int cutoff,
+      CoreNode.Founding founding,
+      CoreNode.Duties duties,
+      Consumer<String> fatal) {
+    this.vertx = vertx;
+    this.ring = ring;
+    this.tunables = tunables;
+    this.me = me;
+    this.self = me.name();
+    this.seeds = seeds;
+    this.cutoff = cutoff;
+    this.founding = founding;
+    this.duties = duties;
+    this.fatal = fatal;
+  }
+
+  @Override
+  public void start(Kernel k) {
+    doors = k.find("doors", Doors.class);
+    views = k.find("views", ViewService.class);
+    disk = new DiskDuty(ring, clock, r -> duty.offer(r), fatal);
+    node = new CoreNode(this, tunables, me, cutoff, ring.live(), founding, duties);
+    doors.take(
+        Hello.CORE,
+        (h, c) ->
+            r -> {
+              Envelope e = Wire.read(r, Envelope::read);
+              duty.offer(() -> node.message(e));
+            });
+    doors.take(
+        Hello.NEWS,
+        (h, c) ->
+            new Connection.Receiver() {
+              private String name;
+
+              @Override
+              public void record(byte[] r) throws IOException {
                 News n = Wire.read(r, News::read);
                 if (n instanceof News.Ask a) {
-                    name = a.name();
-                    nodes.put(name, c);
-                    duty.offer(() -> node.ask(a));
+                  name = a.name();
+                  nodes.put(name, c);
+                  duty.offer(() -> node.ask(a));
                 } else if (n instanceof News.Whole w && name != null) {
-                    duty.offer(() -> node.wants(name, w.key()));
+                  duty.offer(() -> node.wants(name, w.key()));
                 } else throw new IOException("only control tells this");
-            }
+              }
 
-            @Override public void closed() {
+              @Override
+              public void closed() {
                 if (name != null) nodes.remove(name, c);
-            }
-        });
-        duty.every(tunables.alive() / 4, () -> {
-            node.healthy(disk.stalled() < STALL);
-            node.tick();
+              }
+            });
+    duty.every(
+        tunables.alive() / 4,
+        () -> {
+          node.healthy(disk.stalled() < STALL);
+          node.tick();
         });
-        duty.every(PROBE, () -> disk.want("", new byte[0], () -> {}));
-    }
+    duty.every(PROBE, () -> disk.want("", new byte[0], () -> {}));
+  }
 
-    /** Asks the protocol something on its own thread. */
-    public <T> Uni<T> ask(Function<CoreNode, T> f) {
-        return Uni.createFrom().emitter(e -> {
-            boolean ok = duty.offer(() -> {
-                try {
-                    e.complete(f.apply(node));
-                } catch (RuntimeException x) {
-                    e.fail(x);
-                }
+  /** Asks the protocol something on its own thread. */
+  public <T> Uni<T> ask(Function<CoreNode, T> f) {
+    return Uni.createFrom()
+        .emitter(
+            e -> {
+              boolean ok =
+                  duty.offer(
+                      () -> {
+                        try {
+                          e.complete(f.apply(node));
+                        } catch (RuntimeException x) {
+                          e.fail(x);
+                        }
+                      });
+              if (!ok) e.fail(new IllegalStateException("the core's ring is full"));
             });
-            if (!ok) e.fail(new IllegalStateException("the core's ring is full"));
-        });
-    }
+  }
 
-    /** While a key is between two owners nothing was taken, so the change is offered again for a moment. */
-    public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
-        return changeOnce(key, match, body).flatMap(a -> a instanceof ChangeAnswer.NoOwner
-            ? Uni.createFrom().<ChangeAnswer>failure(new Ownerless())
-            : Uni.createFrom().item(a))
-            .onFailure(Ownerless.class).retry().withBackOff(BETWEEN, BETWEEN).withJitter(0).expireIn(ownerless())
-            .onFailure().recoverWithItem(t -> new ChangeAnswer.NoOwner())
-            .ifNoItem().after(Duration.ofMillis(tunables.longest()))
-            .recoverWithItem(new ChangeAnswer.Unknown(match < 0 ? -1 : match + 1));
-    }
+  /**
+   * While a key is between two owners nothing was taken, so the change is offered again for a
+   * moment.
+   */
+  public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
+    return changeOnce(key, match, body)
+        .flatMap(
+            a ->
+                a instanceof ChangeAnswer.NoOwner
+                    ? Uni.createFrom().<ChangeAnswer>failure(new Ownerless())
+                    : Uni.createFrom().item(a))
+        .onFailure(Ownerless.class)
+        .retry()
+        .withBackOff(BETWEEN, BETWEEN)
+        .withJitter(0)
+        .expireIn(ownerless())
+        .onFailure()
+        .recoverWithItem(t -> new ChangeAnswer.NoOwner())
+        .ifNoItem()
+        .after(Duration.ofMillis(tunables.longest()))
+        .recoverWithItem(new ChangeAnswer.Unknown(match < 0 ? -1 : match + 1));
+  }
 
-    /** So that a change offered again for this long can still be answered in time, ms. */
-    private long ownerless() {
-        return Math.min(OWNERLESS, tunables.fate() / 2);
-    }
+  /** So that a change offered again for this long can still be answered in time, ms. */
+  private long ownerless() {
+    return Math.min(OWNERLESS, tunables.fate() / 2);
+  }
 
-    /** The newest committed value from its owner, wherever that is; offered again while a key changes hands. */
-    public Uni<Newest> readNewest(String key) {
-        return Uni.createFrom().<Newest>emitter(e -> {
-            if (!duty.offer(() -> node.readNewest(key, e::complete))) e.complete(Newest.NO_OWNER);
-        }).flatMap(a -> a.owned()
-            ? Uni.createFrom().item(a)
-            : Uni.createFrom().<Newest>failure(new Ownerless()))
-            .onFailure(Ownerless.class).retry().withBackOff(BETWEEN, BETWEEN).withJitter(0).expireIn(ownerless())
-            .onFailure().recoverWithItem(t -> Newest.NO_OWNER);
-    }
+  /**
+   * The newest committed value from its owner, wherever that is; offered again while a key changes
+   * hands.
+   */
+  public Uni<Newest> readNewest(String key) {
+    return Uni.createFrom()
+        .<Newest>emitter(
+            e -> {
+              if (!duty.offer(() -> node.readNewest(key, e::complete))) e.complete(Newest.NO_OWNER);
+            })
+        .flatMap(
+            a ->
+                a.owned()
+                    ? Uni.createFrom().item(a)
+                    : Uni.createFrom().<Newest>failure(new Ownerless()))
+        .onFailure(Ownerless.class)
+        .retry()
+        .withBackOff(BETWEEN, BETWEEN)
+        .withJitter(0)
+        .expireIn(ownerless())
+        .onFailure()
+        .recoverWithItem(t -> Newest.NO_OWNER);
+  }
 
-    private static final class Ownerless extends RuntimeException {
-        Ownerless() {
-            super("no owner", null, false, false);
-        }
+  private static final class Ownerless extends RuntimeException {
+    Ownerless() {
+      super("no owner", null, false, false);
     }
+  }
 
-    private Uni<ChangeAnswer> changeOnce(String key, long match, byte[] body) {
-        return Uni.createFrom().emitter(e -> {
-            if (!duty.offer(() -> node.change(key, match, body, e::complete))) e.complete(new ChangeAnswer.Busy());
-        });
-    }
+  private Uni<ChangeAnswer> changeOnce(String key, long match, byte[] body) {
+    return Uni.createFrom()
+        .emitter(
+            e -> {
+              if (!duty.offer(() -> node.change(key, match, body, e::complete)))
+                e.complete(new ChangeAnswer.Busy());
+            });
+  }
 
-    @Override public void stop() {
-        duty.close();
-        if (disk != null) disk.close();
-    }
+  @Override
+  public void stop() {
+    duty.close();
+    if (disk != null) disk.close();
+  }
 
-    // ---- the protocol's host
+  // ---- the protocol's host
 
-    @Override public long now() {
-        return clock.now();
-    }
+  @Override
+  public long now() {
+    return clock.now();
+  }
 
-    @Override public long random(long below) {
-        return ThreadLocalRandom.current().nextLong(below);
-    }
+  @Override
+  public long random(long below) {
+    return ThreadLocalRandom.current().nextLong(below);
+  }
 
-    @Override public void send(String member, Envelope m) {
-        if (member.equals(self)) {
-            duty.offer(() -> node.message(m));
-            return;
-        }
-        Held h = peers.get(member);
-        if (h != null) h.send(m);
+  @Override
+  public void send(String member, Envelope m) {
+    if (member.equals(self)) {
+      duty.offer(() -> node.message(m));
+      return;
     }
+    Held h = peers.get(member);
+    if (h != null) h.send(m);
+  }
 
-    @Override public void sendTo(Address to, Envelope m) {
-        strangers.computeIfAbsent(to, this::hold).send(m);
-    }
+  @Override
+  public void sendTo(Address to, Envelope m) {
+    strangers.computeIfAbsent(to, this::hold).send(m);
+  }
 
-    private Held hold(Address to) {
-        return new Held(vertx, doors, to, Hello.CORE, (h, r) -> {
-            throw new IOException("core circuits carry one way");
-        }, h -> {});
-    }
+  private Held hold(Address to) {
+    return new Held(
+        vertx,
+        doors,
+        to,
+        Hello.CORE,
+        (h, r) -> {
+          throw new IOException("core circuits carry one way");
+        },
+        h -> {});
+  }
 
-    @Override public long wall() {
-        return System.currentTimeMillis();
-    }
+  @Override
+  public long wall() {
+    return System.currentTimeMillis();
+  }
 
-    @Override public List<Address> contacts() {
-        Set<Address> l = new LinkedHashSet<>(seeds);
-        for (Shuffle.Descriptor d : views.all()) {
-            if (d.role().equals("control")) l.add(Address.of(d.records()));
-            else l.remove(Address.of(d.records()));
-        }
-        return new ArrayList<>(l);
+  @Override
+  public List<Address> contacts() {
+    Set<Address> l = new LinkedHashSet<>(seeds);
+    for (Shuffle.Descriptor d : views.all()) {
+      if (d.role().equals("control")) l.add(Address.of(d.records()));
+      else l.remove(Address.of(d.records()));
     }
+    return new ArrayList<>(l);
+  }
 
-    @Override public void sync(String key, byte[] state, Runnable done) {
-        disk.want(key, state, done);
-    }
+  @Override
+  public void sync(String key, byte[] state, Runnable done) {
+    disk.want(key, state, done);
+  }
 
-    @Override public void news(String to, News m) {
-        Connection c = nodes.get(to);
-        if (c != null) c.send(m);
-    }
+  @Override
+  public void news(String to, News m) {
+    Connection c = nodes.get(to);
+    if (c != null) c.send(m);
+  }
 
-    @Override public void members(Members m) {
-        views.generation(m.generation());
-        peers.entrySet().removeIf(e -> {
-            Members.Member x = m.find(e.getKey());
-            if (x != null && x.records().equals(e.getValue().to)) return false;
-            e.getValue().letGo();
-            return true;
-        });
-        for (Members.Member x : m.all())
-            if (!x.name().equals(self)) peers.computeIfAbsent(x.name(), n -> hold(x.records()));
-    }
+  @Override
+  public void members(Members m) {
+    views.generation(m.generation());
+    peers
+        .entrySet()
+        .removeIf(
+            e -> {
+              Members.Member x = m.find(e.getKey());
+              if (x != null && x.records().equals(e.getValue().to)) return false;
+              e.getValue().letGo();
+              return true;
+            });
+    for (Members.Member x : m.all())
+      if (!x.name().equals(self)) peers.computeIfAbsent(x.name(), n -> hold(x.records()));
+  }
 
-    @Override public void event(String name, Object... pairs) {
-        Log.event(name, pairs);
-    }
+  @Override
+  public void event(String name, Object... pairs) {
+    Log.event(name, pairs);
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/DiskDuty.java
+++ b/control-plane/src/main/java/gladelug/control/core/DiskDuty.java
@@ -19,81 +19,85 @@
 import java.util.function.Consumer;
 
 public final class DiskDuty implements AutoCloseable {
-    private static final long AGAIN = 100;
+  private static final long AGAIN = 100;
 
-    private record Want(Ring.Entry entry, Runnable done, long since) {}
+  private record Want(Ring.Entry entry, Runnable done, long since) {}
 
-    private final Ring ring;
-    private final Clock clock;
-    private final Consumer<Runnable> back;
-    private final Consumer<String> failed;
-    private final ArrayBlockingQueue<Want> wants = new ArrayBlockingQueue<>(4096);
-    private final Thread thread;
-    private volatile long busySince = -1;
-    private volatile boolean broken;
-    private volatile boolean closing;
-    private boolean refused;
+  private final Ring ring;
+  private final Clock clock;
+  private final Consumer<Runnable> back;
+  private final Consumer<String> failed;
+  private final ArrayBlockingQueue<Want> wants = new ArrayBlockingQueue<>(4096);
+  private final Thread thread;
+  private volatile long busySince = -1;
+  private volatile boolean broken;
+  private volatile boolean closing;
+  private boolean refused;
 
-    public DiskDuty(Ring ring, Clock clock, Consumer<Runnable> back, Consumer<String> failed) {
-        this.ring = ring;
-        this.clock = clock;
-        this.back = back;
-        this.failed = failed;
-        thread = new Thread(this::work, "disk");
-        thread.setDaemon(true);
-        thread.start();
-    }
+  public DiskDuty(Ring ring, Clock clock, Consumer<Runnable> back, Consumer<String> failed) {
+    this.ring = ring;
+    this.clock = clock;
+    this.back = back;
+    this.failed = failed;
+    thread = new Thread(this::work, "disk");
+    thread.setDaemon(true);
+    thread.start();
+  }
 
-    /** False where the ring of waiting writes is full: then nothing will be answered, as if lost. */
-    public boolean want(String key, byte[] state, Runnable done) {
-        return !broken && wants.offer(new Want(new Ring.Entry(key, state), done, clock.now()));
-    }
+  /** False where the ring of waiting writes is full: then nothing will be answered, as if lost. */
+  public boolean want(String key, byte[] state, Runnable done) {
+    return !broken && wants.offer(new Want(new Ring.Entry(key, state), done, clock.now()));
+  }
 
-    /** How long the disk has been at the present sync, in ms; 0 when idle. */
-    public long stalled() {
-        long b = busySince;
-        return b < 0 ? 0 : clock.now() - b;
-    }
+  /** How long the disk has been at the present sync, in ms; 0 when idle. */
+  public long stalled() {
+    long b = busySince;
+    return b < 0 ? 0 : clock.now() - b;
+  }
 
-    private void work() {
-        List<Want> batch = new ArrayList<>();
-        while (!broken && !closing) {
-            try {
-                // what a disk refused is written again with what has come since
-                Want w = batch.isEmpty() ? wants.take() : wants.poll(AGAIN, TimeUnit.MILLISECONDS);
-                if (w != null) batch.add(w);
-            } catch (InterruptedException e) {
-                return;
-            }
-            wants.drainTo(batch);
-            batch.removeIf(w -> w.entry == null);
-            if (batch.isEmpty()) continue;
-            if (busySince < 0) busySince = clock.now();
-            Map<String, Ring.Entry> last = new LinkedHashMap<>();
-            for (Want w : batch) last.put(w.entry.key(), w.entry);
-            try {
-                ring.write(new ArrayList<>(last.values()));
-            } catch (Ring.Refused e) {
-                if (!refused) Log.warn("disk-refuses", "what", e.toString());
-                refused = true;
-                continue;
-            } catch (IOException | RuntimeException e) {
-                broken = true;
-                Log.warn("disk-failed", "what", e.toString());
-                failed.accept(e.toString());
-                return;
-            }
-            busySince = -1;
-            if (refused) Log.event("disk-takes-again");
-            refused = false;
-            for (Want w : batch) back.accept(w.done);
-            batch.clear();
-        }
+  private void work() {
+    List<Want> batch = new ArrayList<>();
+    while (!broken && !closing) {
+      try {
+        // what a disk refused is written again with what has come since
+        Want w = batch.isEmpty() ? wants.take() : wants.poll(AGAIN, TimeUnit.MILLISECONDS);
+        if (w != null) batch.add(w);
+      } catch (InterruptedException e) {
+        return;
+      }
+      wants.drainTo(batch);
+      batch.removeIf(w -> w.entry == null);
+      if (batch.isEmpty()) continue;
+      if (busySince < 0) busySince = clock.now();
+      Map<String, Ring.Entry> last = new LinkedHashMap<>();
+      for (Want w : batch) last.put(w.entry.key(), w.entry);
+      try {
+        ring.write(new ArrayList<>(last.values()));
+      } catch (Ring.Refused e) {
+        if (!refused) Log.warn("disk-refuses", "what", e.toString());
+        refused = true;
+        continue;
+      } catch (IOException | RuntimeException e) {
+        broken = true;
+        Log.warn("disk-failed", "what", e.toString());
+        failed.accept(e.toString());
+        return;
+      }
+      busySince = -1;
+      if (refused) Log.event("disk-takes-again");
+      refused = false;
+      for (Want w : batch) back.accept(w.done);
+      batch.clear();
     }
+  }
 
-    /** What is being written is written to its end: an interrupt would break the file's channel under it. */
-    @Override public void close() {
-        closing = true;
-        wants.offer(new Want(null, () -> {}, clock.now()));
-    }
+  /**
+   * What is being written is written to its end: an interrupt would break the file's channel under
+   * it.
+   */
+  @Override
+  public void close() {
+    closing = true;
+    wants.offer(new Want(null, () -> {}, clock.now()));
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/FirstMembers.java
+++ b/control-plane/src/main/java/gladelug/control/core/FirstMembers.java
@@ -19,95 +19,106 @@
 import java.util.Map;
 
 final class FirstMembers {
-    private final String self;
-    private final String disk;
-    /** By name, with no disk yet. */
-    private final Members founders;
-    private final Map<String, String> disks = new HashMap<>();
-    private final Map<String, Members> pins = new HashMap<>();
-    private Members pinned = Members.NONE;
+  private final String self;
+  private final String disk;
 
-    FirstMembers(String self, String disk, List<Members.Member> founders) {
-        this.self = self;
-        this.disk = disk;
-        this.founders = new Members(1, founders);
-        disks.put(self, disk);
-    }
+  /** By name, with no disk yet. */
+  private final Members founders;
 
-    Members founders() {
-        return founders;
-    }
+  private final Map<String, String> disks = new HashMap<>();
+  private final Map<String, Members> pins = new HashMap<>();
+  private Members pinned = Members.NONE;
 
-    /** What is on this founder's disk; said to the others only from then on. */
-    Members pinned() {
-        return pinned;
-    }
+  FirstMembers(String self, String disk, List<Members.Member> founders) {
+    this.self = self;
+    this.disk = disk;
+    this.founders = new Members(1, founders);
+    disks.put(self, disk);
+  }
 
-    /** It is on disk. */
-    void pinned(Members m) {
-        pinned = m;
-        pins.put(self, m);
-    }
+  Members founders() {
+    return founders;
+  }
 
-    /** A founder said which disk it has and what it pinned. */
-    void heard(String name, String itsDisk, Members pin) {
-        if (name.equals(self) || founders.find(name) == null) return;
-        disks.put(name, itsDisk);
-        pins.put(name, pin);
-    }
+  /** What is on this founder's disk; said to the others only from then on. */
+  Members pinned() {
+    return pinned;
+  }
 
-    private boolean has(Members m, String name) {
-        Members.Member x = m.find(name);
-        return x != null && x.disk().equals(disks.get(name));
-    }
+  /** It is on disk. */
+  void pinned(Members m) {
+    pinned = m;
+    pins.put(self, m);
+  }
 
-    private boolean possible(Members m) {
-        return m.generation() == 1 && m.all().size() == founders.all().size()
-            && m.all().stream().allMatch(x -> founders.find(x.name()) != null) && has(m, self);
-    }
+  /** A founder said which disk it has and what it pinned. */
+  void heard(String name, String itsDisk, Members pin) {
+    if (name.equals(self) || founders.find(name) == null) return;
+    disks.put(name, itsDisk);
+    pins.put(name, pin);
+  }
 
-    private static String maker(Members m) {
-        return m.all().get(0).name();
-    }
+  private boolean has(Members m, String name) {
+    Members.Member x = m.find(name);
+    return x != null && x.disk().equals(disks.get(name));
+  }
+
+  private boolean possible(Members m) {
+    return m.generation() == 1
+        && m.all().size() == founders.all().size()
+        && m.all().stream().allMatch(x -> founders.find(x.name()) != null)
+        && has(m, self);
+  }
 
-    /** What to put on disk now, or null; make: whether it is time to make a set, if that is this founder's part. */
-    Members toPin(boolean make) {
-        if (founders.find(self) == null) return null;
-        List<Members> heard = new ArrayList<>();
-        boolean none = true;
-        for (Members.Member f : founders.all()) {
-            Members m = f.name().equals(self) ? Members.NONE : pins.getOrDefault(f.name(), Members.NONE);
-            none &= m.generation() == 0;
-            if (m.generation() == 0 || !possible(m) || !has(m, f.name())) continue;
-            if (has(m, maker(m))) heard.add(0, m);
-            else heard.add(m);
-        }
-        if (pinned.generation() == 0) {
-            if (!heard.isEmpty()) return heard.get(0);
-            if (!make || !none || !self.equals(maker(founders)) || disks.size() < founders.all().size()) return null;
-            List<Members.Member> l = new ArrayList<>();
-            for (Members.Member f : founders.all())
-                l.add(new Members.Member(f.name(), disks.get(f.name()), f.records(), f.operator()));
-            return new Members(1, l);
-        }
-        if (!disks.containsKey(maker(pinned)) || has(pinned, maker(pinned))) return null;
-        for (Members.Member f : founders.all()) {
-            Members m = pins.getOrDefault(f.name(), Members.NONE);
-            if (m.generation() > 0 && !m.equals(pinned) && has(pinned, f.name()) && possible(m) && has(m, maker(m)))
-                return m;
-        }
+  private static String maker(Members m) {
+    return m.all().get(0).name();
+  }
+
+  /**
+   * What to put on disk now, or null; make: whether it is time to make a set, if that is this
+   * founder's part.
+   */
+  Members toPin(boolean make) {
+    if (founders.find(self) == null) return null;
+    List<Members> heard = new ArrayList<>();
+    boolean none = true;
+    for (Members.Member f : founders.all()) {
+      Members m = f.name().equals(self) ? Members.NONE : pins.getOrDefault(f.name(), Members.NONE);
+      none &= m.generation() == 0;
+      if (m.generation() == 0 || !possible(m) || !has(m, f.name())) continue;
+      if (has(m, maker(m))) heard.add(0, m);
+      else heard.add(m);
+    }
+    if (pinned.generation() == 0) {
+      if (!heard.isEmpty()) return heard.get(0);
+      if (!make || !none || !self.equals(maker(founders)) || disks.size() < founders.all().size())
         return null;
+      List<Members.Member> l = new ArrayList<>();
+      for (Members.Member f : founders.all())
+        l.add(new Members.Member(f.name(), disks.get(f.name()), f.records(), f.operator()));
+      return new Members(1, l);
+    }
+    if (!disks.containsKey(maker(pinned)) || has(pinned, maker(pinned))) return null;
+    for (Members.Member f : founders.all()) {
+      Members m = pins.getOrDefault(f.name(), Members.NONE);
+      if (m.generation() > 0
+          && !m.equals(pinned)
+          && has(pinned, f.name())
+          && possible(m)
+          && has(m, maker(m))) return m;
     }
+    return null;
+  }
 
-    /** The first members, once they are in force; or null. */
-    Members settled() {
-        if (pinned.generation() == 0) return null;
-        int pins = 0, lost = 0;
-        for (Members.Member m : pinned.all()) {
-            if (!disks.containsKey(m.name())) continue;
-            if (!has(pinned, m.name())) lost++;
-            else if (pinned.equals(this.pins.get(m.name()))) pins++;
-        }
-        return pins + lost == pinned.all().size() && pins >= pinned.majority() ? pinned : null;
+  /** The first members, once they are in force; or null. */
+  Members settled() {
+    if (pinned.generation() == 0) return null;
+    int pins = 0, lost = 0;
+    for (Members.Member m : pinned.all()) {
+      if (!disks.containsKey(m.name())) continue;
+      if (!has(pinned, m.name())) lost++;
+      else if (pinned.equals(this.pins.get(m.name()))) pins++;
     }
+    return pins + lost == pinned.all().size() && pins >= pinned.majority() ? pinned : null;
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -27,337 +27,372 @@
 import java.util.function.Consumer;
 
 final class KeyOwner {
-    enum Phase { IDLE, ASKING, WRITING, SERVING }
-
-    private static final class Change {
-        final long match;
-        final byte[] body;
-        final long since;
-        final Consumer<ChangeAnswer> answer;
-        Cell.Value value;
-        boolean committed;
-        boolean answered;
-        int lapsed;
-        long committedAt;
-        final Set<String> wrote = new HashSet<>();
-        long sent;
-
-        Change(long match, byte[] body, long since, Consumer<ChangeAnswer> answer) {
-            this.match = match;
-            this.body = body;
-            this.since = since;
-            this.answer = answer;
-        }
+  enum Phase {
+    IDLE,
+    ASKING,
+    WRITING,
+    SERVING
+  }
+
+  private static final class Change {
+    final long match;
+    final byte[] body;
+    final long since;
+    final Consumer<ChangeAnswer> answer;
+    Cell.Value value;
+    boolean committed;
+    boolean answered;
+    int lapsed;
+    long committedAt;
+    final Set<String> wrote = new HashSet<>();
+    long sent;
+
+    Change(long match, byte[] body, long since, Consumer<ChangeAnswer> answer) {
+      this.match = match;
+      this.body = body;
+      this.since = since;
+      this.answer = answer;
     }
-
-    private static final class Leased {
-        long deadline;
-        long acked;
-        long asked;
+  }
+
+  private static final class Leased {
+    long deadline;
+    long acked;
+    long asked;
+  }
+
+  private final CoreNode node;
+  final String key;
+  Phase phase = Phase.IDLE;
+  long epoch;
+  private int failed;
+  long highest;
+  private long attempted = Long.MIN_VALUE / 2;
+  private long promisedAt;
+  private long confirmedAt = Long.MIN_VALUE / 2;
+  private long changedAt;
+  private long mayAck;
+  private long mayCommand;
+  private long servedAt;
+  private Cell.Value value = Cell.Value.NONE;
+  private final Map<String, Promised> promises = new HashMap<>();
+  private final Set<String> wrote = new HashSet<>();
+  private final Map<String, Leased> leases = new HashMap<>();
+  private final ArrayDeque<Change> waiting = new ArrayDeque<>();
+  private Change current;
+  private final List<Read> reads = new ArrayList<>();
+
+  private record Read(long since, Consumer<Newest> answer) {}
+
+  KeyOwner(CoreNode node, String key) {
+    this.node = node;
+    this.key = key;
+  }
+
+  boolean serving() {
+    return phase == Phase.SERVING;
+  }
+
+  Cell.Value value() {
+    return value;
+  }
+
+  long age(long now) {
+    return Math.max(0, now - changedAt);
+  }
+
+  long confirmedAge(long now) {
+    return now - confirmedAt;
+  }
+
+  /** Whether others may take it that the key is in good hands: a majority confirmed it lately. */
+  boolean inHand(long now) {
+    return serving() && now - Math.max(confirmedAt, servedAt) < 2L * node.tunables.dead();
+  }
+
+  boolean busy() {
+    return current != null || !waiting.isEmpty();
+  }
+
+  int leased(long now) {
+    int n = 0;
+    for (Leased l : leases.values()) if (l.deadline >= now) n++;
+    return n;
+  }
+
+  /**
+   * Whether commands may go out in this owner's name: a majority confirmed its epoch within
+   * commandLease, and every earlier owner's time is over. An earlier one's last confirmed round
+   * began before the promises to this one, by the member that both majorities share, so it fell
+   * silent commandLease after them.
+   */
+  boolean mayCommand(long now) {
+    return serving() && now >= mayCommand && now < confirmedAt + node.tunables.commandLease();
+  }
+
+  /**
+   * How long an attempt may take: longer after each that failed, as disks may be slower than it
+   * allows for.
+   */
+  private long patience() {
+    return (long) node.tunables.attempt() << Math.min(failed, 3);
+  }
+
+  void attempt(long now) {
+    if (phase != Phase.IDLE && now - attempted < patience()) return;
+    if (now - attempted < patience() / 2 + node.host.random(patience())) return;
+    epoch = node.members().epoch(Math.max(highest, node.cell(key).promised()), node.self);
+    highest = epoch;
+    attempted = now;
+    phase = Phase.ASKING;
+    promises.clear();
+    wrote.clear();
+    node.host.event("owner-attempt", "key", key, "epoch", epoch);
+    node.toAll(new Promise(key, epoch));
+  }
+
+  void promised(String from, Promised p, long now) {
+    highest = Math.max(highest, p.promised());
+    if (phase != Phase.ASKING || p.epoch() != epoch) return;
+    if (!p.ok()) {
+      depose("promise-refused", now);
+      return;
     }
-
-    private final CoreNode node;
-    final String key;
-    Phase phase = Phase.IDLE;
-    long epoch;
-    private int failed;
-    long highest;
-    private long attempted = Long.MIN_VALUE / 2;
-    private long promisedAt;
-    private long confirmedAt = Long.MIN_VALUE / 2;
-    private long changedAt;
-    private long mayAck;
-    private long mayCommand;
-    private long servedAt;
-    private Cell.Value value = Cell.Value.NONE;
-    private final Map<String, Promised> promises = new HashMap<>();
-    private final Set<String> wrote = new HashSet<>();
-    private final Map<String, Leased> leases = new HashMap<>();
-    private final ArrayDeque<Change> waiting = new ArrayDeque<>();
-    private Change current;
-    private final List<Read> reads = new ArrayList<>();
-
-    private record Read(long since, Consumer<Newest> answer) {}
-
-    KeyOwner(CoreNode node, String key) {
-        this.node = node;
-        this.key = key;
+    promises.put(from, p);
+    if (promises.size() < node.members().majority()) return;
+    Promised best = null;
+    for (Promised q : promises.values())
+      if (best == null
+          || q.accepted() > best.accepted()
+          || q.accepted() == best.accepted() && q.value().number() > best.value().number())
+        best = q;
+    promisedAt = now;
+    value = best.value();
+    phase = Phase.WRITING;
+    node.toAll(new Accept(key, epoch, value));
+  }
+
+  void accepted(String from, Accepted a, long now) {
+    highest = Math.max(highest, a.promised());
+    if (phase == Phase.IDLE || a.epoch() != epoch) return;
+    if (!a.ok()) {
+      depose("write-refused", now);
+      return;
     }
-
-    boolean serving() {
-        return phase == Phase.SERVING;
+    if (phase == Phase.WRITING && a.number() == value.number()) {
+      wrote.add(from);
+      if (wrote.size() >= node.members().majority()) serve(now);
+    } else if (phase == Phase.SERVING
+        && current != null
+        && current.value != null
+        && a.number() == current.value.number()) {
+      current.wrote.add(from);
+      if (!current.committed && current.wrote.size() >= node.members().majority()) commit(now);
     }
-
-    Cell.Value value() {
-        return value;
+  }
+
+  private void serve(long now) {
+    phase = Phase.SERVING;
+    failed = 0;
+    mayAck = promisedAt + (strict() ? node.tunables.lease() + 1 : 0);
+    mayCommand = promisedAt + node.tunables.commandGap() + 1;
+    servedAt = now;
+    confirmedAt = Long.MIN_VALUE / 2;
+    leases.clear();
+    changedAt = now - node.knownAge(key, value.number(), now);
+    node.host.event(
+        "owner-serves",
+        "key",
+        key,
+        "epoch",
+        epoch,
+        "number",
+        value.number(),
+        "after",
+        now - attempted);
+    node.served(key, value);
+    node.confirmSoon();
+  }
+
+  void depose(String why, long now) {
+    if (phase == Phase.IDLE) return;
+    boolean served = phase == Phase.SERVING;
+    if (!served) failed++;
+    phase = Phase.IDLE;
+    attempted = now;
+    leases.clear();
+    if (served) node.host.event("owner-ends", "key", key, "epoch", epoch, "why", why);
+    if (current != null)
+      finish(
+          current.value == null
+              ? new ChangeAnswer.NoOwner()
+              : new ChangeAnswer.Unknown(current.value.number()));
+    current = null;
+    for (Change c : waiting) c.answer.accept(new ChangeAnswer.NoOwner());
+    waiting.clear();
+    List<Read> rs = new ArrayList<>(reads);
+    reads.clear();
+    for (Read r : rs) r.answer.accept(Newest.NO_OWNER);
+  }
+
+  void confirmed(String from, Standing s, long now) {
+    highest = Math.max(highest, s.promised());
+    if (phase != Phase.SERVING || s.epoch() != epoch) return;
+    if (!s.ok()) {
+      depose("confirm-refused", now);
+      return;
     }
-
-    long age(long now) {
-        return Math.max(0, now - changedAt);
+    if (s.accepted() < epoch || s.number() < value.number())
+      node.to(from, new Accept(key, epoch, value));
+  }
+
+  /** A majority confirmed the epoch in a round begun at this time. */
+  void confirmedRound(long start) {
+    confirmedAt = Math.max(confirmedAt, start);
+    if (reads.isEmpty() || !serving()) return;
+    List<Read> rs = reads.stream().filter(r -> r.since <= confirmedAt).toList();
+    reads.removeAll(rs);
+    for (Read r : rs) r.answer.accept(Newest.of(value));
+  }
+
+  /**
+   * The committed value, once a majority has confirmed this epoch in a round begun after the
+   * asking: whatever was acknowledged anywhere before it is then in it. A repeated reader of this
+   * moment may be told a newer one.
+   */
+  void read(Consumer<Newest> answer, long now) {
+    if (!serving() || reads.size() >= node.tunables.queue()) {
+      answer.accept(Newest.NO_OWNER);
+      return;
     }
-
-    long confirmedAge(long now) {
-        return now - confirmedAt;
+    reads.add(new Read(now, answer));
+    node.confirmSoon();
+  }
+
+  void propose(long match, byte[] body, Consumer<ChangeAnswer> answer, long now) {
+    if (phase != Phase.SERVING) answer.accept(new ChangeAnswer.NoOwner());
+    else if (waiting.size() >= node.tunables.queue()) answer.accept(new ChangeAnswer.Busy());
+    else {
+      waiting.add(new Change(match, body, now, answer));
+      next(now);
     }
-
-    /** Whether others may take it that the key is in good hands: a majority confirmed it lately. */
-    boolean inHand(long now) {
-        return serving() && now - Math.max(confirmedAt, servedAt) < 2L * node.tunables.dead();
-    }
-
-    boolean busy() {
-        return current != null || !waiting.isEmpty();
-    }
-
-    int leased(long now) {
-        int n = 0;
-        for (Leased l : leases.values()) if (l.deadline >= now) n++;
-        return n;
-    }
-
-    /**
-     * Whether commands may go out in this owner's name: a majority confirmed its epoch within commandLease, and
-     * every earlier owner's time is over. An earlier one's last confirmed round began before the promises to this
-     * one, by the member that both majorities share, so it fell silent commandLease after them.
-     */
-    boolean mayCommand(long now) {
-        return serving() && now >= mayCommand && now < confirmedAt + node.tunables.commandLease();
-    }
-
-    /** How long an attempt may take: longer after each that failed, as disks may be slower than it allows for. */
-    private long patience() {
-        return (long) node.tunables.attempt() << Math.min(failed, 3);
-    }
-
-    void attempt(long now) {
-        if (phase != Phase.IDLE && now - attempted < patience()) return;
-        if (now - attempted < patience() / 2 + node.host.random(patience())) return;
-        epoch = node.members().epoch(Math.max(highest, node.cell(key).promised()), node.self);
-        highest = epoch;
-        attempted = now;
-        phase = Phase.ASKING;
-        promises.clear();
-        wrote.clear();
-        node.host.event("owner-attempt", "key", key, "epoch", epoch);
-        node.toAll(new Promise(key, epoch));
-    }
-
-    void promised(String from, Promised p, long now) {
-        highest = Math.max(highest, p.promised());
-        if (phase != Phase.ASKING || p.epoch() != epoch) return;
-        if (!p.ok()) {
-            depose("promise-refused", now);
-            return;
-        }
-        promises.put(from, p);
-        if (promises.size() < node.members().majority()) return;
-        Promised best = null;
-        for (Promised q : promises.values())
-            if (best == null || q.accepted() > best.accepted()
-                || q.accepted() == best.accepted() && q.value().number() > best.value().number()) best = q;
-        promisedAt = now;
-        value = best.value();
-        phase = Phase.WRITING;
-        node.toAll(new Accept(key, epoch, value));
-    }
-
-    void accepted(String from, Accepted a, long now) {
-        highest = Math.max(highest, a.promised());
-        if (phase == Phase.IDLE || a.epoch() != epoch) return;
-        if (!a.ok()) {
-            depose("write-refused", now);
-            return;
-        }
-        if (phase == Phase.WRITING && a.number() == value.number()) {
-            wrote.add(from);
-            if (wrote.size() >= node.members().majority()) serve(now);
-        } else if (phase == Phase.SERVING && current != null && current.value != null
-            && a.number() == current.value.number()) {
-                current.wrote.add(from);
-                if (!current.committed && current.wrote.size() >= node.members().majority()) commit(now);
-            }
-    }
-
-    private void serve(long now) {
-        phase = Phase.SERVING;
-        failed = 0;
-        mayAck = promisedAt + (strict() ? node.tunables.lease() + 1 : 0);
-        mayCommand = promisedAt + node.tunables.commandGap() + 1;
-        servedAt = now;
-        confirmedAt = Long.MIN_VALUE / 2;
-        leases.clear();
-        changedAt = now - node.knownAge(key, value.number(), now);
-        node.host.event("owner-serves", "key", key, "epoch", epoch, "number", value.number(), "after", now - attempted);
-        node.served(key, value);
-        node.confirmSoon();
-    }
-
-    void depose(String why, long now) {
-        if (phase == Phase.IDLE) return;
-        boolean served = phase == Phase.SERVING;
-        if (!served) failed++;
-        phase = Phase.IDLE;
-        attempted = now;
-        leases.clear();
-        if (served) node.host.event("owner-ends", "key", key, "epoch", epoch, "why", why);
-        if (current != null) finish(
-            current.value == null ? new ChangeAnswer.NoOwner() : new ChangeAnswer.Unknown(current.value.number()));
-        current = null;
-        for (Change c : waiting) c.answer.accept(new ChangeAnswer.NoOwner());
-        waiting.clear();
-        List<Read> rs = new ArrayList<>(reads);
-        reads.clear();
-        for (Read r : rs) r.answer.accept(Newest.NO_OWNER);
-    }
-
-    void confirmed(String from, Standing s, long now) {
-        highest = Math.max(highest, s.promised());
-        if (phase != Phase.SERVING || s.epoch() != epoch) return;
-        if (!s.ok()) {
-            depose("confirm-refused", now);
-            return;
-        }
-        if (s.accepted() < epoch || s.number() < value.number()) node.to(from, new Accept(key, epoch, value));
-    }
-
-    /** A majority confirmed the epoch in a round begun at this time. */
-    void confirmedRound(long start) {
-        confirmedAt = Math.max(confirmedAt, start);
-        if (reads.isEmpty() || !serving()) return;
-        List<Read> rs = reads.stream().filter(r -> r.since <= confirmedAt).toList();
-        reads.removeAll(rs);
-        for (Read r : rs) r.answer.accept(Newest.of(value));
-    }
-
-    /**
-     * The committed value, once a majority has confirmed this epoch in a round begun after the asking: whatever was
-     * acknowledged anywhere before it is then in it. A repeated reader of this moment may be told a newer one.
-     */
-    void read(Consumer<Newest> answer, long now) {
-        if (!serving() || reads.size() >= node.tunables.queue()) {
-            answer.accept(Newest.NO_OWNER);
-            return;
-        }
-        reads.add(new Read(now, answer));
-        node.confirmSoon();
-    }
-
-    void propose(long match, byte[] body, Consumer<ChangeAnswer> answer, long now) {
-        if (phase != Phase.SERVING) answer.accept(new ChangeAnswer.NoOwner());
-        else if (waiting.size() >= node.tunables.queue()) answer.accept(new ChangeAnswer.Busy());
-        else {
-            waiting.add(new Change(match, body, now, answer));
-            next(now);
-        }
-    }
-
-    private void next(long now) {
-        while (current == null && !waiting.isEmpty()) {
-            Change c = waiting.poll();
-            String d = Digest.hex(c.body);
-            if (d.equals(value.digest()) && value.number() > 0) {
-                current = c;
-                c.value = value;
-                c.committed = true;
-                c.committedAt = now;
-                settle(now);
-            } else if (c.match >= 0 && c.match != value.number()) {
-                c.answer.accept(new ChangeAnswer.Stale(value.number()));
-            } else if (c.body.length > CoreNode.LARGEST) {
-                c.answer.accept(new ChangeAnswer.TooLarge(c.body.length, CoreNode.LARGEST));
-            } else {
-                current = c;
-                c.value = value.next(d, c.body, node.host.wall(), node.self,
-                    node.describe(key, value.body(), c.body));
-                c.sent = now;
-                node.toAll(new Accept(key, epoch, c.value));
-            }
-        }
-    }
-
-    private void commit(long now) {
-        Cell.Value old = value;
-        value = current.value;
-        changedAt = now;
-        current.committed = true;
-        current.committedAt = now;
-        node.served(key, value);
-        if (Keys.NEWS.contains(key)) node.pushAll(key, epoch, old, value);
+  }
+
+  private void next(long now) {
+    while (current == null && !waiting.isEmpty()) {
+      Change c = waiting.poll();
+      String d = Digest.hex(c.body);
+      if (d.equals(value.digest()) && value.number() > 0) {
+        current = c;
+        c.value = value;
+        c.committed = true;
+        c.committedAt = now;
         settle(now);
+      } else if (c.match >= 0 && c.match != value.number()) {
+        c.answer.accept(new ChangeAnswer.Stale(value.number()));
+      } else if (c.body.length > CoreNode.LARGEST) {
+        c.answer.accept(new ChangeAnswer.TooLarge(c.body.length, CoreNode.LARGEST));
+      } else {
+        current = c;
+        c.value =
+            value.next(
+                d, c.body, node.host.wall(), node.self, node.describe(key, value.body(), c.body));
+        c.sent = now;
+        node.toAll(new Accept(key, epoch, c.value));
+      }
     }
-
-    private void settle(long now) {
-        Change c = current;
-        if (c == null || !c.committed || now < mayAck && !leaseless()) return;
-        int acks = 0, passed = 0;
-        for (Iterator<Leased> i = leases.values().iterator(); i.hasNext();) {
-            Leased l = i.next();
-            if (l.acked >= c.value.number()) acks++;
-            else if (l.deadline < now) {
-                i.remove();
-                c.lapsed++;
-            } else if (strict() || inContact(l, now) && now - c.committedAt < node.tunables.ackWait()) return;
-            else passed++;
-        }
-        boolean again = c.value.digest().equals(value.digest()) && c.wrote.isEmpty();
-        node.acknowledged(key, c.value.number());
-        finish(new ChangeAnswer.Done(c.value.number(), again, acks, c.lapsed + passed, now - c.since));
-        current = null;
-        next(now);
-    }
-
-    private boolean strict() {
-        return node.tunables.acknowledge() == Tunables.Acknowledge.STRICT;
-    }
-
-    private boolean inContact(Leased l, long now) {
-        return now - l.asked < node.tunables.contact();
-    }
-
-    private boolean leaseless() {
-        return !Keys.LEASED.contains(key);
+  }
+
+  private void commit(long now) {
+    Cell.Value old = value;
+    value = current.value;
+    changedAt = now;
+    current.committed = true;
+    current.committedAt = now;
+    node.served(key, value);
+    if (Keys.NEWS.contains(key)) node.pushAll(key, epoch, old, value);
+    settle(now);
+  }
+
+  private void settle(long now) {
+    Change c = current;
+    if (c == null || !c.committed || now < mayAck && !leaseless()) return;
+    int acks = 0, passed = 0;
+    for (Iterator<Leased> i = leases.values().iterator(); i.hasNext(); ) {
+      Leased l = i.next();
+      if (l.acked >= c.value.number()) acks++;
+      else if (l.deadline < now) {
+        i.remove();
+        c.lapsed++;
+      } else if (strict() || inContact(l, now) && now - c.committedAt < node.tunables.ackWait())
+        return;
+      else passed++;
     }
-
-    private void finish(ChangeAnswer a) {
-        if (!current.answered) current.answer.accept(a);
-        current.answered = true;
+    boolean again = c.value.digest().equals(value.digest()) && c.wrote.isEmpty();
+    node.acknowledged(key, c.value.number());
+    finish(new ChangeAnswer.Done(c.value.number(), again, acks, c.lapsed + passed, now - c.since));
+    current = null;
+    next(now);
+  }
+
+  private boolean strict() {
+    return node.tunables.acknowledge() == Tunables.Acknowledge.STRICT;
+  }
+
+  private boolean inContact(Leased l, long now) {
+    return now - l.asked < node.tunables.contact();
+  }
+
+  private boolean leaseless() {
+    return !Keys.LEASED.contains(key);
+  }
+
+  private void finish(ChangeAnswer a) {
+    if (!current.answered) current.answer.accept(a);
+    current.answered = true;
+  }
+
+  void tick(long now) {
+    if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > patience())
+      depose("no-majority-in-time", now);
+    if (phase == Phase.SERVING
+        && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.lease())
+      depose("unconfirmed", now);
+    if (phase != Phase.SERVING || current == null) return;
+    if (!current.committed && now - current.sent > node.tunables.confirm()) {
+      current.sent = now;
+      for (Members.Member m : node.members().all())
+        if (!current.wrote.contains(m.name()))
+          node.to(m.name(), new Accept(key, epoch, current.value));
     }
-
-    void tick(long now) {
-        if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > patience())
-            depose("no-majority-in-time", now);
-        if (phase == Phase.SERVING && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.lease())
-            depose("unconfirmed", now);
-        if (phase != Phase.SERVING || current == null) return;
-        if (!current.committed && now - current.sent > node.tunables.confirm()) {
-            current.sent = now;
-            for (Members.Member m : node.members().all())
-                if (!current.wrote.contains(m.name())) node.to(m.name(), new Accept(key, epoch, current.value));
-        }
-        if (now - current.since > node.tunables.fate()) finish(new ChangeAnswer.Unknown(current.value.number()));
-        settle(now);
+    if (now - current.since > node.tunables.fate())
+      finish(new ChangeAnswer.Unknown(current.value.number()));
+    settle(now);
+  }
+
+  /**
+   * A data-plane process asked. A grant where it holds the newest number, else null and a push is
+   * due.
+   */
+  News.Grant ask(String who, boolean leased, News.Held held, long now) {
+    Leased l = leases.get(who);
+    if (l != null) {
+      l.acked = Math.max(l.acked, held.number());
+      l.asked = now;
     }
-
-    /** A data-plane process asked. A grant where it holds the newest number, else null and a push is due. */
-    News.Grant ask(String who, boolean leased, News.Held held, long now) {
-        Leased l = leases.get(who);
-        if (l != null) {
-            l.acked = Math.max(l.acked, held.number());
-            l.asked = now;
-        }
-        News.Grant g = null;
-        long left = confirmedAt + node.tunables.lease() - now;
-        if (held.number() == value.number() && left > 0) {
-            int cutoff = key.equals(Keys.WEIGHTS) ? (int) Math.max(0, node.cutoff() - age(now)) : 0;
-            g = new News.Grant(key, epoch, value.number(), (int) left, cutoff);
-            if (leased && Keys.LEASED.contains(key)) {
-                if (l == null) leases.put(who, l = new Leased());
-                l.deadline = Math.max(l.deadline, now + left);
-                l.acked = held.number();
-                l.asked = now;
-            }
-        }
-        settle(now);
-        return g;
+    News.Grant g = null;
+    long left = confirmedAt + node.tunables.lease() - now;
+    if (held.number() == value.number() && left > 0) {
+      int cutoff = key.equals(Keys.WEIGHTS) ? (int) Math.max(0, node.cutoff() - age(now)) : 0;
+      g = new News.Grant(key, epoch, value.number(), (int) left, cutoff);
+      if (leased && Keys.LEASED.contains(key)) {
+        if (l == null) leases.put(who, l = new Leased());
+        l.deadline = Math.max(l.deadline, now + left);
+        l.acked = held.number();
+        l.asked = now;
+      }
     }
+    settle(now);
+    return g;
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/MemberPlan.java
+++ b/control-plane/src/main/java/gladelug/control/core/MemberPlan.java
@@ -13,50 +13,56 @@
 import java.util.function.ToLongFunction;
 
 final class MemberPlan {
-    /** why: in a word, for people. */
-    record Step(String why, List<String> out, List<Members.Member> in, Members next) {}
+  /** why: in a word, for people. */
+  record Step(String why, List<String> out, List<Members.Member> in, Members next) {}
 
-    private final Members now;
-    private final List<Members.Member> joiners;
-    private final Predicate<String> live;
+  private final Members now;
+  private final List<Members.Member> joiners;
+  private final Predicate<String> live;
 
-    /** joiners: who asks to be let in and was heard lately, with disks that no member has; live: by name. */
-    MemberPlan(Members now, List<Members.Member> joiners, Predicate<String> live) {
-        this.now = now;
-        this.joiners = joiners;
-        this.live = live;
-    }
+  /**
+   * joiners: who asks to be let in and was heard lately, with disks that no member has; live: by
+   * name.
+   */
+  MemberPlan(Members now, List<Members.Member> joiners, Predicate<String> live) {
+    this.now = now;
+    this.joiners = joiners;
+    this.live = live;
+  }
 
-    /** One step at the most, or null. silent: for how long nothing was heard of a member, ms. */
-    Step step(ToLongFunction<String> silent, Tunables t) {
-        for (Members.Member j : joiners) {
-            Members.Member m = now.find(j.name());
-            if (m == null || live.test(m.name()) || silent.applyAsLong(m.name()) <= 2L * t.dead()) continue;
-            Step s = change("back-empty", List.of(m.name()), List.of(j));
-            if (s != null) return s;
-        }
-        List<Members.Member> unknown = joiners.stream().filter(j -> now.find(j.name()) == null).toList();
-        if (unknown.isEmpty()) return null;
-        Members.Member dead = null;
-        if (t.replaceAfter() > 0) for (Members.Member m : now.all()) {
-            long s = silent.applyAsLong(m.name());
-            if (live.test(m.name()) || s < t.replaceAfter()) continue;
-            if (dead == null || s > silent.applyAsLong(dead.name())) dead = m;
-        }
-        if (dead != null) return change("dead", List.of(dead.name()), unknown.subList(0, 1));
-        int n = now.all().size(), more = n % 2 == 0 ? 1 : 2;
-        if (n + more > t.voters() || unknown.size() < more) return null;
-        return change("growth", List.of(), unknown.subList(0, more));
+  /** One step at the most, or null. silent: for how long nothing was heard of a member, ms. */
+  Step step(ToLongFunction<String> silent, Tunables t) {
+    for (Members.Member j : joiners) {
+      Members.Member m = now.find(j.name());
+      if (m == null || live.test(m.name()) || silent.applyAsLong(m.name()) <= 2L * t.dead())
+        continue;
+      Step s = change("back-empty", List.of(m.name()), List.of(j));
+      if (s != null) return s;
     }
+    List<Members.Member> unknown =
+        joiners.stream().filter(j -> now.find(j.name()) == null).toList();
+    if (unknown.isEmpty()) return null;
+    Members.Member dead = null;
+    if (t.replaceAfter() > 0)
+      for (Members.Member m : now.all()) {
+        long s = silent.applyAsLong(m.name());
+        if (live.test(m.name()) || s < t.replaceAfter()) continue;
+        if (dead == null || s > silent.applyAsLong(dead.name())) dead = m;
+      }
+    if (dead != null) return change("dead", List.of(dead.name()), unknown.subList(0, 1));
+    int n = now.all().size(), more = n % 2 == 0 ? 1 : 2;
+    if (n + more > t.voters() || unknown.size() < more) return null;
+    return change("growth", List.of(), unknown.subList(0, more));
+  }
 
-    /** The set with these out and those in, or null where a majority of it isn't alive. */
-    Step change(String why, List<String> out, List<Members.Member> in) {
-        List<Members.Member> l = new ArrayList<>(now.all());
-        l.removeIf(m -> out.contains(m.name()));
-        l.addAll(in);
-        Members next = new Members(now.generation() + 1, l);
-        int alive = 0;
-        for (Members.Member m : next.all()) if (in.contains(m) || live.test(m.name())) alive++;
-        return alive < next.majority() ? null : new Step(why, List.copyOf(out), List.copyOf(in), next);
-    }
+  /** The set with these out and those in, or null where a majority of it isn't alive. */
+  Step change(String why, List<String> out, List<Members.Member> in) {
+    List<Members.Member> l = new ArrayList<>(now.all());
+    l.removeIf(m -> out.contains(m.name()));
+    l.addAll(in);
+    Members next = new Members(now.generation() + 1, l);
+    int alive = 0;
+    for (Members.Member m : next.all()) if (in.contains(m) || live.test(m.name())) alive++;
+    return alive < next.majority() ? null : new Step(why, List.copyOf(out), List.copyOf(in), next);
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/Members.java
+++ b/control-plane/src/main/java/gladelug/control/core/Members.java
@@ -20,86 +20,96 @@
 import java.util.List;
 
 public record Members(long generation, List<Member> all) {
-    public record Member(String name, String disk, Address records, Address operator) {}
+  public record Member(String name, String disk, Address records, Address operator) {}
 
-    public static final Members NONE = new Members(0, List.of());
+  public static final Members NONE = new Members(0, List.of());
 
-    public Members {
-        List<Member> l = new ArrayList<>(all);
-        l.sort(Comparator.comparing(Member::name));
-        all = List.copyOf(l);
-    }
+  public Members {
+    List<Member> l = new ArrayList<>(all);
+    l.sort(Comparator.comparing(Member::name));
+    all = List.copyOf(l);
+  }
 
-    public Member find(String name) {
-        for (Member m : all) if (m.name.equals(name)) return m;
-        return null;
-    }
+  public Member find(String name) {
+    for (Member m : all) if (m.name.equals(name)) return m;
+    return null;
+  }
 
-    /** Whether the machine of this name was in that generation too, with the same disk. */
-    boolean stays(Members before, String name) {
-        Member now = find(name), then = before.find(name);
-        return now != null && then != null && now.disk.equals(then.disk);
-    }
+  /** Whether the machine of this name was in that generation too, with the same disk. */
+  boolean stays(Members before, String name) {
+    Member now = find(name), then = before.find(name);
+    return now != null && then != null && now.disk.equals(then.disk);
+  }
 
-    int slot(String name) {
-        for (int i = 0; i < all.size(); i++) if (all.get(i).name.equals(name)) return i;
-        return -1;
-    }
+  int slot(String name) {
+    for (int i = 0; i < all.size(); i++) if (all.get(i).name.equals(name)) return i;
+    return -1;
+  }
 
-    int majority() {
-        return all.size() / 2 + 1;
-    }
+  int majority() {
+    return all.size() / 2 + 1;
+  }
 
-    /** The agreed order for a key: by name, rotated by the key so that duties spread. */
-    List<String> order(String key) {
-        List<String> out = new ArrayList<>();
-        int n = all.size(), from = Math.floorMod(key.hashCode() * 0x9E3779B1 >>> 7, Math.max(1, n));
-        for (int i = 0; i < n; i++) out.add(all.get((from + i) % n).name);
-        return out;
-    }
+  /** The agreed order for a key: by name, rotated by the key so that duties spread. */
+  List<String> order(String key) {
+    List<String> out = new ArrayList<>();
+    int n = all.size(), from = Math.floorMod(key.hashCode() * 0x9E3779B1 >>> 7, Math.max(1, n));
+    for (int i = 0; i < n; i++) out.add(all.get((from + i) % n).name);
+    return out;
+  }
 
-    long epoch(long above, String name) {
-        long g = generation << 40;
-        long counter = above >= g ? (above - g >> 8) + 1 : 1;
-        return g | counter << 8 | slot(name);
-    }
+  long epoch(long above, String name) {
+    long g = generation << 40;
+    long counter = above >= g ? (above - g >> 8) + 1 : 1;
+    return g | counter << 8 | slot(name);
+  }
 
-    void write(DataOutputStream o) throws IOException {
-        o.writeLong(generation);
-        Wire.list(o, all, (p, m) -> {
-            p.writeUTF(m.name);
-            p.writeUTF(m.disk);
-            p.writeUTF(m.records.toString());
-            p.writeUTF(m.operator.toString());
+  void write(DataOutputStream o) throws IOException {
+    o.writeLong(generation);
+    Wire.list(
+        o,
+        all,
+        (p, m) -> {
+          p.writeUTF(m.name);
+          p.writeUTF(m.disk);
+          p.writeUTF(m.records.toString());
+          p.writeUTF(m.operator.toString());
         });
-    }
+  }
 
-    static Members read(DataInputStream i) throws IOException {
-        return new Members(i.readLong(), Wire.list(i,
-            j -> new Member(j.readUTF(), j.readUTF(), Address.of(j.readUTF()), Address.of(j.readUTF()))));
-    }
+  static Members read(DataInputStream i) throws IOException {
+    return new Members(
+        i.readLong(),
+        Wire.list(
+            i,
+            j ->
+                new Member(
+                    j.readUTF(), j.readUTF(), Address.of(j.readUTF()), Address.of(j.readUTF()))));
+  }
 
-    byte[] bytes() {
-        ByteArrayOutputStream b = new ByteArrayOutputStream();
-        try (DataOutputStream o = new DataOutputStream(b)) {
-            write(o);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        return b.toByteArray();
+  byte[] bytes() {
+    ByteArrayOutputStream b = new ByteArrayOutputStream();
+    try (DataOutputStream o = new DataOutputStream(b)) {
+      write(o);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
+    return b.toByteArray();
+  }
 
-    /** As data-plane processes are told. */
-    byte[] news() {
-        return new CoreList(all.stream().map(m -> new CoreList.Member(m.name, m.records, m.operator)).toList()).json()
-            .getBytes(StandardCharsets.UTF_8);
-    }
+  /** As data-plane processes are told. */
+  byte[] news() {
+    return new CoreList(
+            all.stream().map(m -> new CoreList.Member(m.name, m.records, m.operator)).toList())
+        .json()
+        .getBytes(StandardCharsets.UTF_8);
+  }
 
-    static Members of(byte[] b) {
-        try {
-            return read(new DataInputStream(new ByteArrayInputStream(b)));
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+  static Members of(byte[] b) {
+    try {
+      return read(new DataInputStream(new ByteArrayInputStream(b)));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -25,361 +25,421 @@
 import java.util.function.Consumer;
 
 final class Membership {
-    static final String MEMBERS = "members", SEALED = "sealed", PINNED = "pinned";
-    private static final long MEET = 200, JOIN = 300, FRESH = 3000;
-
-    private final CoreNode n;
-    private final Members.Member me;
-    private FirstMembers founding;
-    private Members members = Members.NONE;
-    private Members sealed;
-    private long sealedAt;
-    private boolean retired;
-    /** The newest members heard of, though this may be none of them. */
-    private Members known = Members.NONE;
-    private Members pinning;
-    /** Others than founders are known to this founder. */
-    private boolean strangers;
-    private final Map<String, Members.Member> joiners = new TreeMap<>();
-    private final Map<String, Long> joinersHeard = new HashMap<>();
-    /** While this is no member: when each member last told it who the members are. */
-    private final Map<String, Long> membersHeard = new HashMap<>();
-    /** Members of earlier generations, to be told that they are none any more. */
-    private final Map<String, Members.Member> former = new HashMap<>();
-    private final Map<String, Long> told = new HashMap<>();
-    private final Map<String, List<Kept>> sealedBy = new HashMap<>();
-    private long lastMeet = Long.MIN_VALUE / 2;
-    private long lastDrive = Long.MIN_VALUE / 2;
-    private long lastPlan = Long.MIN_VALUE / 2;
-
-    Membership(CoreNode n, Members.Member me, CoreNode.Founding founding) {
-        this.n = n;
-        this.me = me;
-        this.founding = founding == null ? null : new FirstMembers(me.name(), me.disk(), founding.founders());
-    }
-
-    /** From what is on disk; each may be missing. What is there goes before what was given at the start. */
-    void open(byte[] m, byte[] s, byte[] pinned) {
-        if (pinned != null && founding != null) founding.pinned(Members.of(pinned));
-        if (m != null) {
-            take(Members.of(m));
+  static final String MEMBERS = "members", SEALED = "sealed", PINNED = "pinned";
+  private static final long MEET = 200, JOIN = 300, FRESH = 3000;
+
+  private final CoreNode n;
+  private final Members.Member me;
+  private FirstMembers founding;
+  private Members members = Members.NONE;
+  private Members sealed;
+  private long sealedAt;
+  private boolean retired;
+
+  /** The newest members heard of, though this may be none of them. */
+  private Members known = Members.NONE;
+
+  private Members pinning;
+
+  /** Others than founders are known to this founder. */
+  private boolean strangers;
+
+  private final Map<String, Members.Member> joiners = new TreeMap<>();
+  private final Map<String, Long> joinersHeard = new HashMap<>();
+
+  /** While this is no member: when each member last told it who the members are. */
+  private final Map<String, Long> membersHeard = new HashMap<>();
+
+  /** Members of earlier generations, to be told that they are none any more. */
+  private final Map<String, Members.Member> former = new HashMap<>();
+
+  private final Map<String, Long> told = new HashMap<>();
+  private final Map<String, List<Kept>> sealedBy = new HashMap<>();
+  private long lastMeet = Long.MIN_VALUE / 2;
+  private long lastDrive = Long.MIN_VALUE / 2;
+  private long lastPlan = Long.MIN_VALUE / 2;
+
+  Membership(CoreNode n, Members.Member me, CoreNode.Founding founding) {
+    this.n = n;
+    this.me = me;
+    this.founding =
+        founding == null ? null : new FirstMembers(me.name(), me.disk(), founding.founders());
+  }
+
+  /**
+   * From what is on disk; each may be missing. What is there goes before what was given at the
+   * start.
+   */
+  void open(byte[] m, byte[] s, byte[] pinned) {
+    if (pinned != null && founding != null) founding.pinned(Members.of(pinned));
+    if (m != null) {
+      take(Members.of(m));
+      founding = null;
+    }
+    if (s != null && Members.of(s).generation() > members.generation()) {
+      sealed = Members.of(s);
+      sealedAt = n.host.now();
+    }
+  }
+
+  Members members() {
+    return members;
+  }
+
+  boolean settled() {
+    return members.generation() > 0;
+  }
+
+  boolean sealed() {
+    return sealed != null;
+  }
+
+  boolean retired() {
+    return retired;
+  }
+
+  /** Whether this member takes part in its generation. */
+  boolean active() {
+    return settled() && sealed == null && !retired;
+  }
+
+  private void take(Members m) {
+    for (Members.Member x : members.all()) if (m.find(x.name()) == null) former.put(x.name(), x);
+    Members before = members;
+    members = m;
+    sealed = null;
+    sealedBy.clear();
+    retired = false;
+    n.began(before, m);
+  }
+
+  private Envelope say(CoreMessage m) {
+    return new Envelope(members.generation(), n.self, n.disk, m);
+  }
+
+  void meet(long now) {
+    if (founding == null || now - lastMeet < MEET) return;
+    lastMeet = now;
+    Set<Address> to = new HashSet<>(n.host.contacts());
+    for (Members.Member m : founding.founders().all()) to.remove(m.records());
+    to.remove(me.records());
+    strangers = !to.isEmpty();
+    for (Members.Member m : founding.founders().all()) to.add(m.records());
+    to.remove(me.records());
+    for (Address a : to)
+      n.host.sendTo(
+          a, say(new Meet(me.records().toString(), me.operator().toString(), founding.pinned())));
+    agree();
+  }
+
+  /** One set at a time is put on disk, and is said to the others only from there. */
+  private void agree() {
+    if (settled() || founding == null) return;
+    // who knows others than the founders gives them the time to say that there is a fleet already
+    boolean make = !strangers || n.host.now() - n.booted >= 2L * n.tunables.dead();
+    Members m = pinning == null ? founding.toPin(make) : null;
+    if (m != null) {
+      pinning = m;
+      n.host.sync(
+          PINNED,
+          m.bytes(),
+          () -> {
+            pinning = null;
+            if (founding == null) return;
+            founding.pinned(m);
+            lastMeet = Long.MIN_VALUE / 2;
+            agree();
+          });
+    }
+    Members first = founding.settled();
+    if (first != null) adopt(first, List.of());
+  }
+
+  /**
+   * A machine that is no member and founds nothing asks to be let in; it votes on nothing
+   * meanwhile.
+   */
+  void join(long now) {
+    if (founding != null || now - lastMeet < JOIN) return;
+    lastMeet = now;
+    Set<Address> to = new HashSet<>(n.host.contacts());
+    for (Members.Member m : known.all()) to.add(m.records());
+    for (Members.Member m : members.all()) to.add(m.records());
+    to.remove(me.records());
+    for (Address a : to)
+      n.host.sendTo(a, say(new Join(me.records().toString(), me.operator().toString())));
+  }
+
+  /** What is said across generations; true where that was all. */
+  boolean generations(Envelope e, long now) {
+    CoreMessage s = e.said();
+    if (s instanceof Meet m) onMeet(e, m, now);
+    else if (s instanceof Settled x) {
+      membersHeard.put(e.from(), now);
+      onSettled(x);
+    } else if (s instanceof Join j) onJoin(e, j, now);
+    else if (s instanceof Seal x) onSeal(e, x.next(), now);
+    else if (s instanceof Sealed x) onSealed(e.from(), x);
+    else return false;
+    return true;
+  }
+
+  private void onMeet(Envelope e, Meet x, long now) {
+    if (settled()) {
+      Members.Member m = members.find(e.from());
+      if (m != null && m.disk().equals(e.disk())) tell(e.from(), now);
+      else {
+        // it founds what was founded already, with another disk or long after: it shall join
+        n.host.event("stranger-at-founding", "name", e.from());
+        n.host.sendTo(Address.of(x.records()), say(new Settled(members, List.of())));
+      }
+      return;
+    }
+    if (founding == null) return;
+    Members.Member f = founding.founders().find(e.from());
+    if (f == null) return;
+    founding.heard(e.from(), e.disk(), x.pinned());
+    agree();
+  }
+
+  /**
+   * To a member of this generation that seems not to know it: the members, and all that is kept
+   * here.
+   */
+  void tell(String name, long now) {
+    Members.Member m = members.find(name);
+    Long last = told.get(name);
+    if (sealed != null || last != null && now - last < 500) return;
+    told.put(name, now);
+    if (m != null) n.host.sendTo(m.records(), say(new Settled(members, n.all())));
+    else if (former.containsKey(name))
+      n.host.sendTo(former.get(name).records(), say(new Settled(members, List.of())));
+  }
+
+  private void onSettled(Settled s) {
+    Members m = s.members();
+    if (m.generation() > known.generation()) known = m;
+    if (m.generation() <= members.generation()) return;
+    Members.Member x = m.find(n.self);
+    if (x == null || !x.disk().equals(n.disk)) {
+      if (!settled() && founding != null) {
+        founding = null;
+        n.host.event("founded-without-this-disk", "generation", m.generation());
+      }
+      if (settled() && !retired) {
+        retired = true;
+        n.deposeAll("not a member any more");
+        n.host.event("not-a-member", "generation", m.generation());
+      }
+      return;
+    }
+    // told as to a stranger, at an address that another machine had before: all that is kept is
+    // still to come
+    if (m.generation() > 1 && s.cells().isEmpty()) return;
+    adopt(m, s.cells());
+  }
+
+  /** The cells first, the members last: only with these on disk does the generation count here. */
+  private void adopt(Members m, List<Kept> cs) {
+    for (Kept k : cs) n.keep(k.key(), Cell.merge(n.cell(k.key()), Cell.of(k.cell())), () -> {});
+    n.host.sync(
+        MEMBERS,
+        m.bytes(),
+        () -> {
+          if (m.generation() > members.generation()) {
             founding = null;
-        }
-        if (s != null && Members.of(s).generation() > members.generation()) {
-            sealed = Members.of(s);
-            sealedAt = n.host.now();
-        }
-    }
-
-    Members members() {
-        return members;
-    }
-
-    boolean settled() {
-        return members.generation() > 0;
-    }
-
-    boolean sealed() {
-        return sealed != null;
-    }
-
-    boolean retired() {
-        return retired;
-    }
-
-    /** Whether this member takes part in its generation. */
-    boolean active() {
-        return settled() && sealed == null && !retired;
-    }
-
-    private void take(Members m) {
-        for (Members.Member x : members.all()) if (m.find(x.name()) == null) former.put(x.name(), x);
-        Members before = members;
-        members = m;
-        sealed = null;
-        sealedBy.clear();
-        retired = false;
-        n.began(before, m);
-    }
-
-    private Envelope say(CoreMessage m) {
-        return new Envelope(members.generation(), n.self, n.disk, m);
-    }
-
-    void meet(long now) {
-        if (founding == null || now - lastMeet < MEET) return;
-        lastMeet = now;
-        Set<Address> to = new HashSet<>(n.host.contacts());
-        for (Members.Member m : founding.founders().all()) to.remove(m.records());
-        to.remove(me.records());
-        strangers = !to.isEmpty();
-        for (Members.Member m : founding.founders().all()) to.add(m.records());
-        to.remove(me.records());
-        for (Address a : to)
-            n.host.sendTo(a, say(new Meet(me.records().toString(), me.operator().toString(), founding.pinned())));
-        agree();
-    }
-
-    /** One set at a time is put on disk, and is said to the others only from there. */
-    private void agree() {
-        if (settled() || founding == null) return;
-        // who knows others than the founders gives them the time to say that there is a fleet already
-        boolean make = !strangers || n.host.now() - n.booted >= 2L * n.tunables.dead();
-        Members m = pinning == null ? founding.toPin(make) : null;
-        if (m != null) {
-            pinning = m;
-            n.host.sync(PINNED, m.bytes(), () -> {
-                pinning = null;
-                if (founding == null) return;
-                founding.pinned(m);
-                lastMeet = Long.MIN_VALUE / 2;
-                agree();
-            });
-        }
-        Members first = founding.settled();
-        if (first != null) adopt(first, List.of());
-    }
-
-    /** A machine that is no member and founds nothing asks to be let in; it votes on nothing meanwhile. */
-    void join(long now) {
-        if (founding != null || now - lastMeet < JOIN) return;
-        lastMeet = now;
-        Set<Address> to = new HashSet<>(n.host.contacts());
-        for (Members.Member m : known.all()) to.add(m.records());
-        for (Members.Member m : members.all()) to.add(m.records());
-        to.remove(me.records());
-        for (Address a : to) n.host.sendTo(a, say(new Join(me.records().toString(), me.operator().toString())));
-    }
-
-    /** What is said across generations; true where that was all. */
-    boolean generations(Envelope e, long now) {
-        CoreMessage s = e.said();
-        if (s instanceof Meet m) onMeet(e, m, now);
-        else if (s instanceof Settled x) {
-            membersHeard.put(e.from(), now);
-            onSettled(x);
-        }
-        else if (s instanceof Join j) onJoin(e, j, now);
-        else if (s instanceof Seal x) onSeal(e, x.next(), now);
-        else if (s instanceof Sealed x) onSealed(e.from(), x);
-        else return false;
-        return true;
-    }
-
-    private void onMeet(Envelope e, Meet x, long now) {
-        if (settled()) {
-            Members.Member m = members.find(e.from());
-            if (m != null && m.disk().equals(e.disk())) tell(e.from(), now);
-            else {
-                // it founds what was founded already, with another disk or long after: it shall join
-                n.host.event("stranger-at-founding", "name", e.from());
-                n.host.sendTo(Address.of(x.records()), say(new Settled(members, List.of())));
-            }
-            return;
-        }
-        if (founding == null) return;
-        Members.Member f = founding.founders().find(e.from());
-        if (f == null) return;
-        founding.heard(e.from(), e.disk(), x.pinned());
-        agree();
-    }
-
-    /** To a member of this generation that seems not to know it: the members, and all that is kept here. */
-    void tell(String name, long now) {
-        Members.Member m = members.find(name);
-        Long last = told.get(name);
-        if (sealed != null || last != null && now - last < 500) return;
-        told.put(name, now);
-        if (m != null) n.host.sendTo(m.records(), say(new Settled(members, n.all())));
-        else if (former.containsKey(name))
-            n.host.sendTo(former.get(name).records(), say(new Settled(members, List.of())));
-    }
-
-    private void onSettled(Settled s) {
-        Members m = s.members();
-        if (m.generation() > known.generation()) known = m;
-        if (m.generation() <= members.generation()) return;
-        Members.Member x = m.find(n.self);
-        if (x == null || !x.disk().equals(n.disk)) {
-            if (!settled() && founding != null) {
-                founding = null;
-                n.host.event("founded-without-this-disk", "generation", m.generation());
-            }
-            if (settled() && !retired) {
-                retired = true;
-                n.deposeAll("not a member any more");
-                n.host.event("not-a-member", "generation", m.generation());
-            }
-            return;
-        }
-        // told as to a stranger, at an address that another machine had before: all that is kept is still to come
-        if (m.generation() > 1 && s.cells().isEmpty()) return;
-        adopt(m, s.cells());
-    }
-
-    /** The cells first, the members last: only with these on disk does the generation count here. */
-    private void adopt(Members m, List<Kept> cs) {
-        for (Kept k : cs) n.keep(k.key(), Cell.merge(n.cell(k.key()), Cell.of(k.cell())), () -> {});
-        n.host.sync(MEMBERS, m.bytes(), () -> {
-            if (m.generation() > members.generation()) {
-                founding = null;
-                take(m);
-            }
+            take(m);
+          }
         });
-    }
-
-    private void onJoin(Envelope e, Join j, long now) {
-        if (!settled() || sealed != null || retired) return;
-        Members.Member m = members.find(e.from());
-        if (m != null && m.disk().equals(e.disk())) {
-            if (e.generation() < members.generation()) tell(e.from(), now);
-            return;
-        }
-        Members.Member in = new Members.Member(e.from(), e.disk(), Address.of(j.records()), Address.of(j.operator()));
-        if (joiners.put(in.name(), in) == null) n.host.event("would-join", "name", in.name(), "records", in.records());
-        joinersHeard.put(in.name(), now);
-        n.host.sendTo(in.records(), say(new Settled(members, List.of())));
-    }
-
-    /** Where a machine that stands by hands on what operators send it: the member heard last, or null. */
-    Address door(long now) {
-        if (settled() && !retired) return null;
-        Members.Member best = null;
-        for (Members.Member m : known.all()) {
-            Long at = membersHeard.get(m.name());
-            if (at == null || now - at >= 2L * n.tunables.dead() || m.records().equals(me.records())) continue;
-            if (best == null || at > membersHeard.get(best.name())) best = m;
-        }
-        return best == null ? null : best.records();
-    }
-
-    /** Where whoever stands by is answered; null for all others and where this member can't help. */
-    Address standsBy(Envelope e) {
-        Members.Member m = active() ? joiners.get(e.from()) : null;
-        return m == null || !m.disk().equals(e.disk()) || members.find(e.from()) != null ? null : m.records();
-    }
-
-    /** What an operator may let in: machines that ask to join, lately heard. */
-    List<Members.Member> joiners() {
-        return joiners(FRESH);
-    }
-
-    private List<Members.Member> joiners(long within) {
-        long now = n.host.now();
-        List<Members.Member> l = new ArrayList<>();
-        for (Members.Member m : joiners.values())
-            if (now - joinersHeard.get(m.name()) < within
-                && members.all().stream().noneMatch(x -> x.disk().equals(m.disk()))) l.add(m);
-        return l;
-    }
-
-    /** A next set can't be taken back, so nobody is let in unasked who may have died since it was heard. */
-    private MemberPlan plan(long now) {
-        return new MemberPlan(members, joiners(n.tunables.dead()), m -> n.live(m, now));
-    }
-
-    /** The owner of the key core looks whether the members should change, which needs no operator. */
-    void plan(long now, long began) {
-        if (now - lastPlan < JOIN || !n.owns(Keys.CORE) || n.owner(Keys.CORE).busy()) return;
-        lastPlan = now;
-        if (pending(n.owner(Keys.CORE).value().body()) != null) return;
-        MemberPlan.Step s = plan(now).step(m -> now - Math.max(n.heard(m), began), n.tunables);
-        if (s != null) begin(s, a -> {});
-    }
-
-    /** One at a time: the next set is written like any value of the key core, then the old generation is sealed. */
-    private void begin(MemberPlan.Step s, Consumer<ChangeAnswer> answer) {
-        KeyOwner o = n.owner(Keys.CORE);
-        n.host.event("members-change", "why", s.why(), "out", s.out(), "in",
-            s.in().stream().map(m -> m.name() + "/" + m.disk()).toList(), "generation", s.next().generation());
-        o.propose(o.value().number(), s.next().bytes(), answer, n.host.now());
-    }
-
-    /** An operator's swap; findings are plain words and nothing changed. */
-    String swap(String out, String in, Consumer<ChangeAnswer> answer) {
-        if (members.find(out) == null) return out + " is not a member of the core";
-        if (members.find(in) != null && !in.equals(out)) return in + " is already a member of the core";
-        Members.Member x = joiners().stream().filter(m -> m.name().equals(in)).findFirst().orElse(null);
-        if (x == null)
-            return in + " is not asking to join; start `control-plane run` there with an empty data folder first";
-        if (!n.owns(Keys.CORE)) return "ask "
-            + n.keys().stream().filter(k -> k.key().equals(Keys.CORE)).map(CoreNode.KeyState::owner).findFirst()
-                .orElse("another machine")
-            + ", which owns the core's members at the moment";
-        if (pending(n.owner(Keys.CORE).value().body()) != null) return "another replacement is under way";
-        MemberPlan.Step s = plan(n.host.now()).change("swap", List.of(out), List.of(x));
-        if (s == null) return "fewer than a majority of the members would be alive then";
-        begin(s, answer);
-        return "";
-    }
-
-    Members pending(byte[] body) {
-        if (body.length == 0) return null;
-        Members m = Members.of(body);
-        return m.generation() > members.generation() ? m : null;
-    }
-
-    private void onSeal(Envelope e, Members next, long now) {
-        if (!settled()) return;
-        if (next.generation() <= members.generation()) {
-            tell(e.from(), now);
-            return;
-        }
-        if (next.generation() != members.generation() + 1 || sealed != null && !sealed.equals(next)) return;
-        if (sealed == null) seal(next, now);
-        n.host.sync(SEALED, next.bytes(), () -> {
-            if (sealed != null) n.host.sendTo(e.from().equals(n.self) ? me.records() : address(e.from()),
+  }
+
+  private void onJoin(Envelope e, Join j, long now) {
+    if (!settled() || sealed != null || retired) return;
+    Members.Member m = members.find(e.from());
+    if (m != null && m.disk().equals(e.disk())) {
+      if (e.generation() < members.generation()) tell(e.from(), now);
+      return;
+    }
+    Members.Member in =
+        new Members.Member(e.from(), e.disk(), Address.of(j.records()), Address.of(j.operator()));
+    if (joiners.put(in.name(), in) == null)
+      n.host.event("would-join", "name", in.name(), "records", in.records());
+    joinersHeard.put(in.name(), now);
+    n.host.sendTo(in.records(), say(new Settled(members, List.of())));
+  }
+
+  /**
+   * Where a machine that stands by hands on what operators send it: the member heard last, or null.
+   */
+  Address door(long now) {
+    if (settled() && !retired) return null;
+    Members.Member best = null;
+    for (Members.Member m : known.all()) {
+      Long at = membersHeard.get(m.name());
+      if (at == null || now - at >= 2L * n.tunables.dead() || m.records().equals(me.records()))
+        continue;
+      if (best == null || at > membersHeard.get(best.name())) best = m;
+    }
+    return best == null ? null : best.records();
+  }
+
+  /** Where whoever stands by is answered; null for all others and where this member can't help. */
+  Address standsBy(Envelope e) {
+    Members.Member m = active() ? joiners.get(e.from()) : null;
+    return m == null || !m.disk().equals(e.disk()) || members.find(e.from()) != null
+        ? null
+        : m.records();
+  }
+
+  /** What an operator may let in: machines that ask to join, lately heard. */
+  List<Members.Member> joiners() {
+    return joiners(FRESH);
+  }
+
+  private List<Members.Member> joiners(long within) {
+    long now = n.host.now();
+    List<Members.Member> l = new ArrayList<>();
+    for (Members.Member m : joiners.values())
+      if (now - joinersHeard.get(m.name()) < within
+          && members.all().stream().noneMatch(x -> x.disk().equals(m.disk()))) l.add(m);
+    return l;
+  }
+
+  /**
+   * A next set can't be taken back, so nobody is let in unasked who may have died since it was
+   * heard.
+   */
+  private MemberPlan plan(long now) {
+    return new MemberPlan(members, joiners(n.tunables.dead()), m -> n.live(m, now));
+  }
+
+  /** The owner of the key core looks whether the members should change, which needs no operator. */
+  void plan(long now, long began) {
+    if (now - lastPlan < JOIN || !n.owns(Keys.CORE) || n.owner(Keys.CORE).busy()) return;
+    lastPlan = now;
+    if (pending(n.owner(Keys.CORE).value().body()) != null) return;
+    MemberPlan.Step s = plan(now).step(m -> now - Math.max(n.heard(m), began), n.tunables);
+    if (s != null) begin(s, a -> {});
+  }
+
+  /**
+   * One at a time: the next set is written like any value of the key core, then the old generation
+   * is sealed.
+   */
+  private void begin(MemberPlan.Step s, Consumer<ChangeAnswer> answer) {
+    KeyOwner o = n.owner(Keys.CORE);
+    n.host.event(
+        "members-change",
+        "why",
+        s.why(),
+        "out",
+        s.out(),
+        "in",
+        s.in().stream().map(m -> m.name() + "/" + m.disk()).toList(),
+        "generation",
+        s.next().generation());
+    o.propose(o.value().number(), s.next().bytes(), answer, n.host.now());
+  }
+
+  /** An operator's swap; findings are plain words and nothing changed. */
+  String swap(String out, String in, Consumer<ChangeAnswer> answer) {
+    if (members.find(out) == null) return out + " is not a member of the core";
+    if (members.find(in) != null && !in.equals(out)) return in + " is already a member of the core";
+    Members.Member x = joiners().stream().filter(m -> m.name().equals(in)).findFirst().orElse(null);
+    if (x == null)
+      return in
+          + " is not asking to join; start `control-plane run` there with an empty data folder first";
+    if (!n.owns(Keys.CORE))
+      return "ask "
+          + n.keys().stream()
+              .filter(k -> k.key().equals(Keys.CORE))
+              .map(CoreNode.KeyState::owner)
+              .findFirst()
+              .orElse("another machine")
+          + ", which owns the core's members at the moment";
+    if (pending(n.owner(Keys.CORE).value().body()) != null)
+      return "another replacement is under way";
+    MemberPlan.Step s = plan(n.host.now()).change("swap", List.of(out), List.of(x));
+    if (s == null) return "fewer than a majority of the members would be alive then";
+    begin(s, answer);
+    return "";
+  }
+
+  Members pending(byte[] body) {
+    if (body.length == 0) return null;
+    Members m = Members.of(body);
+    return m.generation() > members.generation() ? m : null;
+  }
+
+  private void onSeal(Envelope e, Members next, long now) {
+    if (!settled()) return;
+    if (next.generation() <= members.generation()) {
+      tell(e.from(), now);
+      return;
+    }
+    if (next.generation() != members.generation() + 1 || sealed != null && !sealed.equals(next))
+      return;
+    if (sealed == null) seal(next, now);
+    n.host.sync(
+        SEALED,
+        next.bytes(),
+        () -> {
+          if (sealed != null)
+            n.host.sendTo(
+                e.from().equals(n.self) ? me.records() : address(e.from()),
                 say(new Sealed(next.generation(), n.all())));
         });
-    }
-
-    private Address address(String name) {
-        Members.Member m = members.find(name);
-        return m == null ? me.records() : m.records();
-    }
-
-    void seal(Members next, long now) {
-        sealed = next;
-        sealedAt = now;
-        sealedBy.clear();
-        n.deposeAll("sealed");
-        n.host.event("sealed", "generation", members.generation(), "next", next.generation());
-        n.host.sync(SEALED, next.bytes(), () -> {});
-    }
-
-    /**
-     * Whoever is sealed brings it to an end, the first live one in the order of the key core at once, the others if
-     * that takes long.
-     */
-    void drive(long now) {
-        int rank = 0;
-        for (String m : members.order(Keys.CORE)) {
-            if (m.equals(n.self)) break;
-            if (sealedAt - n.heard(m) < n.tunables.dead()) rank++;
-        }
-        if (now - sealedAt < (long) rank * n.tunables.rank() || now - lastDrive < n.tunables.confirm()) return;
-        lastDrive = now;
-        if (sealedBy.size() < members.majority()) {
-            for (Members.Member m : members.all()) n.host.sendTo(m.records(), say(new Seal(sealed)));
-            return;
-        }
-        List<Kept> merged = merged();
-        for (Members.Member m : sealed.all()) n.host.sendTo(m.records(), say(new Settled(sealed, merged)));
-    }
-
-    private void onSealed(String from, Sealed s) {
-        if (sealed == null || s.next() != sealed.generation() || members.find(from) == null) return;
-        sealedBy.put(from, s.cells());
-        if (sealedBy.size() >= members.majority()) lastDrive = Long.MIN_VALUE / 2;
-    }
-
-    /** Of every key the highest value and the highest promise among a sealed majority. */
-    private List<Kept> merged() {
-        Map<String, Cell> m = new TreeMap<>();
-        for (List<Kept> l : sealedBy.values())
-            for (Kept k : l) m.merge(k.key(), Cell.of(k.cell()), Cell::merge);
-        List<Kept> out = new ArrayList<>();
-        m.forEach((k, c) -> out.add(new Kept(k, c.bytes())));
-        return out;
-    }
+  }
+
+  private Address address(String name) {
+    Members.Member m = members.find(name);
+    return m == null ? me.records() : m.records();
+  }
+
+  void seal(Members next, long now) {
+    sealed = next;
+    sealedAt = now;
+    sealedBy.clear();
+    n.deposeAll("sealed");
+    n.host.event("sealed", "generation", members.generation(), "next", next.generation());
+    n.host.sync(SEALED, next.bytes(), () -> {});
+  }
+
+  /**
+   * Whoever is sealed brings it to an end, the first live one in the order of the key core at once,
+   * the others if that takes long.
+   */
+  void drive(long now) {
+    int rank = 0;
+    for (String m : members.order(Keys.CORE)) {
+      if (m.equals(n.self)) break;
+      if (sealedAt - n.heard(m) < n.tunables.dead()) rank++;
+    }
+    if (now - sealedAt < (long) rank * n.tunables.rank() || now - lastDrive < n.tunables.confirm())
+      return;
+    lastDrive = now;
+    if (sealedBy.size() < members.majority()) {
+      for (Members.Member m : members.all()) n.host.sendTo(m.records(), say(new Seal(sealed)));
+      return;
+    }
+    List<Kept> merged = merged();
+    for (Members.Member m : sealed.all())
+      n.host.sendTo(m.records(), say(new Settled(sealed, merged)));
+  }
+
+  private void onSealed(String from, Sealed s) {
+    if (sealed == null || s.next() != sealed.generation() || members.find(from) == null) return;
+    sealedBy.put(from, s.cells());
+    if (sealedBy.size() >= members.majority()) lastDrive = Long.MIN_VALUE / 2;
+  }
+
+  /** Of every key the highest value and the highest promise among a sealed majority. */
+  private List<Kept> merged() {
+    Map<String, Cell> m = new TreeMap<>();
+    for (List<Kept> l : sealedBy.values())
+      for (Kept k : l) m.merge(k.key(), Cell.of(k.cell()), Cell::merge);
+    List<Kept> out = new ArrayList<>();
+    m.forEach((k, c) -> out.add(new Kept(k, c.bytes())));
+    return out;
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/Newest.java
+++ b/control-plane/src/main/java/gladelug/control/core/Newest.java
@@ -11,20 +11,20 @@
 
 /** number 0 is "never written"; body is the value as it was sent. */
 public record Newest(boolean owned, long number, String digest, byte[] body) {
-    public static final Newest NO_OWNER = new Newest(false, 0, "", new byte[0]);
+  public static final Newest NO_OWNER = new Newest(false, 0, "", new byte[0]);
 
-    static Newest of(Cell.Value v) {
-        return new Newest(true, v.number(), v.digest(), v.body());
-    }
+  static Newest of(Cell.Value v) {
+    return new Newest(true, v.number(), v.digest(), v.body());
+  }
 
-    void write(DataOutputStream o) throws IOException {
-        o.writeBoolean(owned);
-        o.writeLong(number);
-        o.writeUTF(digest);
-        Wire.blob(o, body);
-    }
+  void write(DataOutputStream o) throws IOException {
+    o.writeBoolean(owned);
+    o.writeLong(number);
+    o.writeUTF(digest);
+    Wire.blob(o, body);
+  }
 
-    static Newest read(DataInputStream i) throws IOException {
-        return new Newest(i.readBoolean(), i.readLong(), i.readUTF(), Wire.blob(i));
-    }
+  static Newest read(DataInputStream i) throws IOException {
+    return new Newest(i.readBoolean(), i.readLong(), i.readUTF(), Wire.blob(i));
+  }
 }
