--- a/control-plane/src/main/java/gladelug/control/core/Reads.java
+++ b/control-plane/src/main/java/gladelug/control/core/Reads.java
@@ -12,27 +12,28 @@
 import java.util.function.Predicate;
 
 final class Reads {
-    private static final long PATIENCE = 1000;
+  private static final long PATIENCE = 1000;
 
-    private record Pending(String owner, long at, Consumer<Newest> answer) {}
+  private record Pending(String owner, long at, Consumer<Newest> answer) {}
 
-    private final Map<Long, Pending> pending = new HashMap<>();
+  private final Map<Long, Pending> pending = new HashMap<>();
 
-    void handed(long nr, String owner, long now, Consumer<Newest> answer) {
-        pending.put(nr, new Pending(owner, now, answer));
-    }
+  void handed(long nr, String owner, long now, Consumer<Newest> answer) {
+    pending.put(nr, new Pending(owner, now, answer));
+  }
 
-    void answered(long nr, Newest a) {
-        Pending p = pending.remove(nr);
-        if (p != null) p.answer.accept(a);
-    }
+  void answered(long nr, Newest a) {
+    Pending p = pending.remove(nr);
+    if (p != null) p.answer.accept(a);
+  }
 
-    /** Whose owner is dead, or silent for a second, hears that there is none. */
-    void tick(long now, Predicate<String> live) {
-        List<Long> over = new ArrayList<>();
-        pending.forEach((nr, p) -> {
-            if (now - p.at >= PATIENCE || !live.test(p.owner)) over.add(nr);
+  /** Whose owner is dead, or silent for a second, hears that there is none. */
+  void tick(long now, Predicate<String> live) {
+    List<Long> over = new ArrayList<>();
+    pending.forEach(
+        (nr, p) -> {
+          if (now - p.at >= PATIENCE || !live.test(p.owner)) over.add(nr);
         });
-        for (long nr : over) answered(nr, Newest.NO_OWNER);
-    }
+    for (long nr : over) answered(nr, Newest.NO_OWNER);
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
+++ b/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
@@ -43,337 +43,538 @@
 import java.util.function.Consumer;
 
 public final class OperatorDoor implements Kernel.Service {
-    private static final String FORWARDED = "Gladelug-Forwarded";
-    private static final long LARGEST = 5 << 20;
-    private static final long ANY = -1, NONE = -2, BAD = -3;
-    private static final Duration PATIENCE = Duration.ofSeconds(15);
+  private static final String FORWARDED = "Gladelug-Forwarded";
+  private static final long LARGEST = 5 << 20;
+  private static final long ANY = -1, NONE = -2, BAD = -3;
+  private static final Duration PATIENCE = Duration.ofSeconds(15);
 
-    private final Vertx vertx;
-    private final Address address;
-    private CoreService core;
-    private HttpServer server;
-    private WebClient web;
-    private volatile boolean stopping;
+  private final Vertx vertx;
+  private final Address address;
+  private CoreService core;
+  private HttpServer server;
+  private WebClient web;
+  private volatile boolean stopping;
 
-    public OperatorDoor(Vertx vertx, Address address) {
-        this.vertx = vertx;
-        this.address = address;
-    }
+  public OperatorDoor(Vertx vertx, Address address) {
+    this.vertx = vertx;
+    this.address = address;
+  }
 
-    @Override public void start(Kernel k) {
-        core = k.find("core", CoreService.class);
-        Local local = k.find("doors", Doors.class).local;
-        web = WebClient.create(vertx,
+  @Override
+  public void start(Kernel k) {
+    core = k.find("core", CoreService.class);
+    Local local = k.find("doors", Doors.class).local;
+    web =
+        WebClient.create(
+            vertx,
             local.from(new WebClientOptions().setConnectTimeout(700).setFollowRedirects(false)));
-        Router r = Router.router(vertx);
-        r.route().handler(BodyHandler.create(false).setBodyLimit(LARGEST));
-        r.get("/ready").handler(this::ready);
-        r.post("/v1/policy").handler(this::configuration);
-        r.get("/v1/policy").handler(c -> atOwner(c, Keys.CONFIGURATION, x -> show(x, Keys.CONFIGURATION)));
-        r.get("/v1/policy/numbers/:number")
-            .handler(c -> atOwner(c, Keys.CONFIGURATION, x -> fate(x, Keys.CONFIGURATION)));
-        for (String key : new String[]{Keys.CONFIGURATION, Keys.WEIGHTS})
-            r.get("/v1/" + key + "/numbers").handler(c -> atOwner(c, key, x -> numbers(x, key)));
-        r.post("/v1/weights").handler(this::weights);
-        r.post("/v1/core/swap").handler(c -> atOwner(c, Keys.CORE, this::swap));
-        r.get("/v1/weights").handler(c -> atOwner(c, Keys.WEIGHTS, x -> show(x, Keys.WEIGHTS)));
-        r.get("/v1/replicas").handler(c -> atOwner(c, Keys.REPLICAS, x -> show(x, Keys.REPLICAS)));
-        r.get("/v1/status").handler(this::status);
-        r.errorHandler(413, c -> say(c, 413,
-            Json.object().add("outcome", "not-taken").add("reason", "the body is larger than " + LARGEST + " bytes")));
-        r.errorHandler(404, c -> say(c, 404, Json.object().add("reason", "nothing is here")));
-        r.errorHandler(500, c -> {
-            Log.thrown("operator-door-problem", c.failure(), "path", c.request().path());
-            say(c, 500, Json.object().add("outcome", "unknown").add("reason", "an internal problem"));
+    Router r = Router.router(vertx);
+    r.route().handler(BodyHandler.create(false).setBodyLimit(LARGEST));
+    r.get("/ready").handler(this::ready);
+    r.post("/v1/policy").handler(this::configuration);
+    r.get("/v1/policy")
+        .handler(c -> atOwner(c, Keys.CONFIGURATION, x -> show(x, Keys.CONFIGURATION)));
+    r.get("/v1/policy/numbers/:number")
+        .handler(c -> atOwner(c, Keys.CONFIGURATION, x -> fate(x, Keys.CONFIGURATION)));
+    for (String key : new String[] {Keys.CONFIGURATION, Keys.WEIGHTS})
+      r.get("/v1/" + key + "/numbers").handler(c -> atOwner(c, key, x -> numbers(x, key)));
+    r.post("/v1/weights").handler(this::weights);
+    r.post("/v1/core/swap").handler(c -> atOwner(c, Keys.CORE, this::swap));
+    r.get("/v1/weights").handler(c -> atOwner(c, Keys.WEIGHTS, x -> show(x, Keys.WEIGHTS)));
+    r.get("/v1/replicas").handler(c -> atOwner(c, Keys.REPLICAS, x -> show(x, Keys.REPLICAS)));
+    r.get("/v1/status").handler(this::status);
+    r.errorHandler(
+        413,
+        c ->
+            say(
+                c,
+                413,
+                Json.object()
+                    .add("outcome", "not-taken")
+                    .add("reason", "the body is larger than " + LARGEST + " bytes")));
+    r.errorHandler(404, c -> say(c, 404, Json.object().add("reason", "nothing is here")));
+    r.errorHandler(
+        500,
+        c -> {
+          Log.thrown("operator-door-problem", c.failure(), "path", c.request().path());
+          say(c, 500, Json.object().add("outcome", "unknown").add("reason", "an internal problem"));
         });
-        server = vertx.createHttpServer(new HttpServerOptions().setMaxHeaderSize(16384)).requestHandler(r::handle);
-        try {
-            server.listen(address.port(), local.ip()).await().atMost(Duration.ofSeconds(10));
-        } catch (RuntimeException e) {
-            throw new Kernel.CannotStart("cannot listen for operators on " + address + ": " + Doors.reason(e), e);
-        }
+    server =
+        vertx
+            .createHttpServer(new HttpServerOptions().setMaxHeaderSize(16384))
+            .requestHandler(r::handle);
+    try {
+      server.listen(address.port(), local.ip()).await().atMost(Duration.ofSeconds(10));
+    } catch (RuntimeException e) {
+      throw new Kernel.CannotStart(
+          "cannot listen for operators on " + address + ": " + Doors.reason(e), e);
     }
+  }
 
-    private static void say(RoutingContext c, int status, JsonObject o) {
-        if (c.response().ended() || c.response().closed()) return;
-        c.response().setStatusCode(status).putHeader("Content-Type", "application/json").endAndForget(o + "\n");
-    }
+  private static void say(RoutingContext c, int status, JsonObject o) {
+    if (c.response().ended() || c.response().closed()) return;
+    c.response()
+        .setStatusCode(status)
+        .putHeader("Content-Type", "application/json")
+        .endAndForget(o + "\n");
+  }
 
-    /** What only a key's owner can tell is asked of it, whichever machine the operator came to. */
-    private void atOwner(RoutingContext c, String key, Consumer<RoutingContext> here) {
-        core.ask(n -> {
-            if (n.owns(key)) return "";
-            String o = n.keys().stream().filter(k -> k.key().equals(key)).map(CoreNode.KeyState::owner).findFirst()
-                .orElse("");
-            Members.Member m = n.members().find(o);
-            return m == null ? "none" : m.operator().toString();
-        }).subscribe().with(at -> {
-            if (at.isEmpty()) here.accept(c);
-            else if (at.equals("none") || c.request().getHeader(FORWARDED) != null) {
+  /** What only a key's owner can tell is asked of it, whichever machine the operator came to. */
+  private void atOwner(RoutingContext c, String key, Consumer<RoutingContext> here) {
+    core.ask(
+            n -> {
+              if (n.owns(key)) return "";
+              String o =
+                  n.keys().stream()
+                      .filter(k -> k.key().equals(key))
+                      .map(CoreNode.KeyState::owner)
+                      .findFirst()
+                      .orElse("");
+              Members.Member m = n.members().find(o);
+              return m == null ? "none" : m.operator().toString();
+            })
+        .subscribe()
+        .with(
+            at -> {
+              if (at.isEmpty()) here.accept(c);
+              else if (at.equals("none") || c.request().getHeader(FORWARDED) != null) {
                 c.response().putHeader("Retry-After", "1");
-                say(c, 503,
-                    Json.object().add("outcome", "not-taken").add("reason", "no majority owns this at the moment"));
-            } else {
+                say(
+                    c,
+                    503,
+                    Json.object()
+                        .add("outcome", "not-taken")
+                        .add("reason", "no majority owns this at the moment"));
+              } else {
                 Address a = Address.of(at);
-                var q = web.request(c.request().method(), a.port(), a.host(), c.request().uri()).timeout(5000)
-                    .putHeader(FORWARDED, "yes");
-                (c.body().buffer() == null ? q.send() : q.sendBuffer(c.body().buffer())).subscribe().with(x -> {
-                    if (x.getHeader("ETag") != null) c.response().putHeader("ETag", x.getHeader("ETag"));
-                    c.response().setStatusCode(x.statusCode()).putHeader("Content-Type", "application/json")
-                        .endAndForget(x.bodyAsString() == null ? "" : x.bodyAsString());
-                }, t -> say(c, 504,
-                    Json.object().add("outcome", "unknown").add("reason", "the owner at " + at + " did not answer")));
-            }
-        }, t -> c.fail(500, t));
-    }
+                var q =
+                    web.request(c.request().method(), a.port(), a.host(), c.request().uri())
+                        .timeout(5000)
+                        .putHeader(FORWARDED, "yes");
+                (c.body().buffer() == null ? q.send() : q.sendBuffer(c.body().buffer()))
+                    .subscribe()
+                    .with(
+                        x -> {
+                          if (x.getHeader("ETag") != null)
+                            c.response().putHeader("ETag", x.getHeader("ETag"));
+                          c.response()
+                              .setStatusCode(x.statusCode())
+                              .putHeader("Content-Type", "application/json")
+                              .endAndForget(x.bodyAsString() == null ? "" : x.bodyAsString());
+                        },
+                        t ->
+                            say(
+                                c,
+                                504,
+                                Json.object()
+                                    .add("outcome", "unknown")
+                                    .add("reason", "the owner at " + at + " did not answer")));
+              }
+            },
+            t -> c.fail(500, t));
+  }
 
-    private static void findings(RoutingContext c, List<Finding> fs) {
-        JsonArray a = new JsonArray();
-        for (Finding f : fs) a.add(Json.object().add("place", f.place()).add("what", f.what()));
-        say(c, 400, Json.object().add("outcome", "not-taken").add("findings", a));
-    }
+  private static void findings(RoutingContext c, List<Finding> fs) {
+    JsonArray a = new JsonArray();
+    for (Finding f : fs) a.add(Json.object().add("place", f.place()).add("what", f.what()));
+    say(c, 400, Json.object().add("outcome", "not-taken").add("findings", a));
+  }
 
-    private void ready(RoutingContext c) {
-        core.ask(n -> n.settled() && n.alive().values().stream().filter(x -> x).count() > n.members().all().size() / 2)
-            .subscribe().with(ok -> say(c, ok && !stopping ? 200 : 503, Json.object().add("ready", ok && !stopping)
-                .add("reason", stopping ? "stopping" : ok ? "" : "no majority of the core is in reach")),
-                t -> c.fail(500, t));
-    }
+  private void ready(RoutingContext c) {
+    core.ask(
+            n ->
+                n.settled()
+                    && n.alive().values().stream().filter(x -> x).count()
+                        > n.members().all().size() / 2)
+        .subscribe()
+        .with(
+            ok ->
+                say(
+                    c,
+                    ok && !stopping ? 200 : 503,
+                    Json.object()
+                        .add("ready", ok && !stopping)
+                        .add(
+                            "reason",
+                            stopping
+                                ? "stopping"
+                                : ok ? "" : "no majority of the core is in reach")),
+            t -> c.fail(500, t));
+  }
 
-    /** The number a change was based on, from If-Match; * is whatever is there. */
-    private static long match(RoutingContext c) {
-        String s = c.request().getHeader("If-Match");
-        if (s == null) return NONE;
-        s = s.trim().replace("\"", "");
-        if (s.equals("*")) return ANY;
-        try {
-            long n = Long.parseLong(s);
-            return n < 0 ? BAD : n;
-        } catch (NumberFormatException e) {
-            return BAD;
-        }
+  /** The number a change was based on, from If-Match; * is whatever is there. */
+  private static long match(RoutingContext c) {
+    String s = c.request().getHeader("If-Match");
+    if (s == null) return NONE;
+    s = s.trim().replace("\"", "");
+    if (s.equals("*")) return ANY;
+    try {
+      long n = Long.parseLong(s);
+      return n < 0 ? BAD : n;
+    } catch (NumberFormatException e) {
+      return BAD;
     }
+  }
 
-    private void configuration(RoutingContext c) {
-        long m = match(c);
-        if (m == NONE) {
-            say(c, 428, Json.object().add("outcome", "not-taken")
-                .add("reason",
-                    "say with If-Match which number this policy is based on, or * to replace whatever is there"));
-            return;
-        }
-        String s = c.body().asString();
-        Result<Configuration> p = m == BAD
+  private void configuration(RoutingContext c) {
+    long m = match(c);
+    if (m == NONE) {
+      say(
+          c,
+          428,
+          Json.object()
+              .add("outcome", "not-taken")
+              .add(
+                  "reason",
+                  "say with If-Match which number this policy is based on, or * to replace whatever is there"));
+      return;
+    }
+    String s = c.body().asString();
+    Result<Configuration> p =
+        m == BAD
             ? Result.bad("If-Match", "must be a number or *")
             : Configuration.parse(s == null ? "" : s);
-        if (p instanceof Result.Bad<Configuration> b) {
-            findings(c, b.findings());
-            return;
-        }
-        core.change(Keys.CONFIGURATION, m, s.getBytes(StandardCharsets.UTF_8)).ifNoItem().after(PATIENCE)
-            .recoverWithItem(new ChangeAnswer.Unknown(m < 0 ? -1 : m + 1))
-            .subscribe().with(a -> answered(c, a), t -> c.fail(500, t));
+    if (p instanceof Result.Bad<Configuration> b) {
+      findings(c, b.findings());
+      return;
     }
+    core.change(Keys.CONFIGURATION, m, s.getBytes(StandardCharsets.UTF_8))
+        .ifNoItem()
+        .after(PATIENCE)
+        .recoverWithItem(new ChangeAnswer.Unknown(m < 0 ? -1 : m + 1))
+        .subscribe()
+        .with(a -> answered(c, a), t -> c.fail(500, t));
+  }
 
-    private static void answered(RoutingContext c, ChangeAnswer a) {
-        Log.event("change-answered", "path", c.request().path(), "answer", a);
-        if (a instanceof ChangeAnswer.Done d) {
-            c.response().putHeader("ETag", "\"" + d.number() + "\"");
-            say(c, 200, Json.object().add("outcome", "taken").add("number", d.number()).add("repeated", d.repeated())
-                .add("acknowledgedBy", d.acks()).add("licencesRunOut", d.lapsed()).add("waitedMs", d.waited()));
-        } else if (a instanceof ChangeAnswer.Stale s)
-            say(c, 412, Json.object().add("outcome", "not-taken").add("reason", "it was based on another number")
-                .add("current", s.current()));
-        else if (a instanceof ChangeAnswer.Unknown u)
-            say(c, 504, Json.object().add("outcome", "unknown").add("number", u.number())
-                .add("reason", "it may have been taken; ask what became of the number, or send the same again"));
-        else if (a instanceof ChangeAnswer.TooLarge l)
-            say(c, 413,
-                Json.object().add("outcome", "not-taken").add("reason", l.bytes() + " bytes; at most " + l.most()));
-        else {
-            c.response().putHeader("Retry-After", "1");
-            say(c, 503, Json.object().add("outcome", "not-taken").add("reason",
-                a instanceof ChangeAnswer.Busy ? "too many changes wait" : "no majority owns this at the moment"));
-        }
+  private static void answered(RoutingContext c, ChangeAnswer a) {
+    Log.event("change-answered", "path", c.request().path(), "answer", a);
+    if (a instanceof ChangeAnswer.Done d) {
+      c.response().putHeader("ETag", "\"" + d.number() + "\"");
+      say(
+          c,
+          200,
+          Json.object()
+              .add("outcome", "taken")
+              .add("number", d.number())
+              .add("repeated", d.repeated())
+              .add("acknowledgedBy", d.acks())
+              .add("licencesRunOut", d.lapsed())
+              .add("waitedMs", d.waited()));
+    } else if (a instanceof ChangeAnswer.Stale s)
+      say(
+          c,
+          412,
+          Json.object()
+              .add("outcome", "not-taken")
+              .add("reason", "it was based on another number")
+              .add("current", s.current()));
+    else if (a instanceof ChangeAnswer.Unknown u)
+      say(
+          c,
+          504,
+          Json.object()
+              .add("outcome", "unknown")
+              .add("number", u.number())
+              .add(
+                  "reason",
+                  "it may have been taken; ask what became of the number, or send the same again"));
+    else if (a instanceof ChangeAnswer.TooLarge l)
+      say(
+          c,
+          413,
+          Json.object()
+              .add("outcome", "not-taken")
+              .add("reason", l.bytes() + " bytes; at most " + l.most()));
+    else {
+      c.response().putHeader("Retry-After", "1");
+      say(
+          c,
+          503,
+          Json.object()
+              .add("outcome", "not-taken")
+              .add(
+                  "reason",
+                  a instanceof ChangeAnswer.Busy
+                      ? "too many changes wait"
+                      : "no majority owns this at the moment"));
     }
+  }
 
-    private void weights(RoutingContext c) {
-        String s = c.body().asString();
-        record Naming(String service, String weights) {}
-        Result<Naming> r = Doc.parse(s == null ? "" : s).then(d -> {
-            Findings fs = new Findings();
-            Doc.Fields f = d.fields(fs);
-            Naming n = new Naming(f.text("service"), f.text("weights"));
-            f.done();
-            return Result.of(fs, () -> n);
-        });
-        if (r instanceof Result.Bad<Naming> b) {
-            findings(c, b.findings());
-            return;
-        }
-        Naming n = ((Result.Good<Naming>) r).value();
-        long m = match(c);
-        if (m == BAD) findings(c, List.of(new Finding("If-Match", "must be a number or *")));
-        else core.ask(x -> x.kept(Keys.CONFIGURATION)).flatMap(kept -> {
-            Configuration p = Configuration
-                .parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Configuration> g
-                    ? g.value()
-                    : Configuration.EMPTY;
-            Configuration.Service sv = p.service(n.service);
-            if (sv == null || sv.kind() != Configuration.Kind.MODEL) {
-                findings(c, List.of(new Finding("service", "is no model service of the policy: " + n.service)));
-                return Uni.createFrom().nullItem();
-            }
-            return offered(n.service, n.weights, sv).flatMap(yes -> {
-                if (!yes) {
-                    findings(c, List.of(
-                        new Finding("weights", "no replica of " + n.service + " that answers offers " + n.weights)));
-                    return Uni.createFrom().nullItem();
-                }
-                return name(n.service, n.weights, m, 5).invoke(a -> answered(c, a));
-            });
-        }).subscribe().with(a -> {}, t -> c.fail(500, t));
+  private void weights(RoutingContext c) {
+    String s = c.body().asString();
+    record Naming(String service, String weights) {}
+    Result<Naming> r =
+        Doc.parse(s == null ? "" : s)
+            .then(
+                d -> {
+                  Findings fs = new Findings();
+                  Doc.Fields f = d.fields(fs);
+                  Naming n = new Naming(f.text("service"), f.text("weights"));
+                  f.done();
+                  return Result.of(fs, () -> n);
+                });
+    if (r instanceof Result.Bad<Naming> b) {
+      findings(c, b.findings());
+      return;
     }
+    Naming n = ((Result.Good<Naming>) r).value();
+    long m = match(c);
+    if (m == BAD) findings(c, List.of(new Finding("If-Match", "must be a number or *")));
+    else
+      core.ask(x -> x.kept(Keys.CONFIGURATION))
+          .flatMap(
+              kept -> {
+                Configuration p =
+                    Configuration.parse(new String(kept.getValue(), StandardCharsets.UTF_8))
+                            instanceof Result.Good<Configuration> g
+                        ? g.value()
+                        : Configuration.EMPTY;
+                Configuration.Service sv = p.service(n.service);
+                if (sv == null || sv.kind() != Configuration.Kind.MODEL) {
+                  findings(
+                      c,
+                      List.of(
+                          new Finding(
+                              "service", "is no model service of the policy: " + n.service)));
+                  return Uni.createFrom().nullItem();
+                }
+                return offered(n.service, n.weights, sv)
+                    .flatMap(
+                        yes -> {
+                          if (!yes) {
+                            findings(
+                                c,
+                                List.of(
+                                    new Finding(
+                                        "weights",
+                                        "no replica of "
+                                            + n.service
+                                            + " that answers offers "
+                                            + n.weights)));
+                            return Uni.createFrom().nullItem();
+                          }
+                          return name(n.service, n.weights, m, 5).invoke(a -> answered(c, a));
+                        });
+              })
+          .subscribe()
+          .with(a -> {}, t -> c.fail(500, t));
+  }
 
-    /** Whether any listed replica says it could run these weights. */
-    private Uni<Boolean> offered(String service, String weights, Configuration.Service sv) {
-        return core.ask(x -> x.kept(Keys.REPLICAS)).flatMap(kept -> {
-            Replicas l = Replicas
-                .parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Replicas> g
-                    ? g.value()
-                    : Replicas.NONE;
-            List<Uni<Boolean>> asked = new ArrayList<>();
-            for (Replicas.Replica r : l.all)
+  /** Whether any listed replica says it could run these weights. */
+  private Uni<Boolean> offered(String service, String weights, Configuration.Service sv) {
+    return core.ask(x -> x.kept(Keys.REPLICAS))
+        .flatMap(
+            kept -> {
+              Replicas l =
+                  Replicas.parse(new String(kept.getValue(), StandardCharsets.UTF_8))
+                          instanceof Result.Good<Replicas> g
+                      ? g.value()
+                      : Replicas.NONE;
+              List<Uni<Boolean>> asked = new ArrayList<>();
+              for (Replicas.Replica r : l.all)
                 if (r.service().equals(service) && sv.allows(r.address()))
-                    asked.add(
-                        web.get(r.address().port(), r.address().host(), "/identity").timeout(1000).send().map(a -> {
-                            var o = a.bodyAsJsonObject();
-                            return o != null && r.instance().equals(o.getString("instance"))
-                                && o.getJsonArray("offers") != null && o.getJsonArray("offers").contains(weights);
-                        }).onFailure().recoverWithItem(false));
-            if (asked.isEmpty()) return Uni.createFrom().item(false);
-            return Uni.join().all(asked).andCollectFailures().map(x -> x.contains(true));
-        });
-    }
+                  asked.add(
+                      web.get(r.address().port(), r.address().host(), "/identity")
+                          .timeout(1000)
+                          .send()
+                          .map(
+                              a -> {
+                                var o = a.bodyAsJsonObject();
+                                return o != null
+                                    && r.instance().equals(o.getString("instance"))
+                                    && o.getJsonArray("offers") != null
+                                    && o.getJsonArray("offers").contains(weights);
+                              })
+                          .onFailure()
+                          .recoverWithItem(false));
+              if (asked.isEmpty()) return Uni.createFrom().item(false);
+              return Uni.join().all(asked).andCollectFailures().map(x -> x.contains(true));
+            });
+  }
 
-    private void swap(RoutingContext c) {
-        record Swap(String out, String in) {}
-        String s = c.body().asString();
-        Result<Swap> r = Doc.parse(s == null ? "" : s).then(d -> {
-            Findings fs = new Findings();
-            Doc.Fields f = d.fields(fs);
-            Swap w = new Swap(f.text("out"), f.text("in"));
-            f.done();
-            return Result.of(fs, () -> w);
-        });
-        if (r instanceof Result.Bad<Swap> b) {
-            findings(c, b.findings());
-            return;
-        }
-        Swap w = ((Result.Good<Swap>) r).value();
-        core.ask(n -> n.swap(w.out, w.in, a -> Log.event("swap-written", "answer", a))).subscribe().with(why -> {
-            if (why.isEmpty()) say(c, 202, Json.object().add("outcome", "begun").add("out", w.out).add("in", w.in));
-            else say(c, 409, Json.object().add("outcome", "not-taken").add("reason", why));
-        }, t -> c.fail(500, t));
+  private void swap(RoutingContext c) {
+    record Swap(String out, String in) {}
+    String s = c.body().asString();
+    Result<Swap> r =
+        Doc.parse(s == null ? "" : s)
+            .then(
+                d -> {
+                  Findings fs = new Findings();
+                  Doc.Fields f = d.fields(fs);
+                  Swap w = new Swap(f.text("out"), f.text("in"));
+                  f.done();
+                  return Result.of(fs, () -> w);
+                });
+    if (r instanceof Result.Bad<Swap> b) {
+      findings(c, b.findings());
+      return;
     }
+    Swap w = ((Result.Good<Swap>) r).value();
+    core.ask(n -> n.swap(w.out, w.in, a -> Log.event("swap-written", "answer", a)))
+        .subscribe()
+        .with(
+            why -> {
+              if (why.isEmpty())
+                say(
+                    c,
+                    202,
+                    Json.object().add("outcome", "begun").add("out", w.out).add("in", w.in));
+              else say(c, 409, Json.object().add("outcome", "not-taken").add("reason", why));
+            },
+            t -> c.fail(500, t));
+  }
 
-    private Uni<ChangeAnswer> name(String service, String weights, long match, int tries) {
-        return core.ask(x -> x.kept(Keys.WEIGHTS)).flatMap(k -> {
-            Weights w = Weights
-                .parse(new String(k.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Weights> g
-                    ? g.value()
-                    : Weights.NONE;
-            Weights.Named old = w.of(service);
-            long base = match >= 0 ? match : k.getKey();
-            Weights next = old != null && old.now().equals(weights) ? w : w.naming(service, weights, base + 1);
-            return core.change(Keys.WEIGHTS, base, next.json().getBytes(StandardCharsets.UTF_8));
-        }).flatMap(a -> a instanceof ChangeAnswer.Stale && match < 0 && tries > 0
-            ? name(service, weights, match, tries - 1)
-            : Uni.createFrom().item(a));
-    }
+  private Uni<ChangeAnswer> name(String service, String weights, long match, int tries) {
+    return core.ask(x -> x.kept(Keys.WEIGHTS))
+        .flatMap(
+            k -> {
+              Weights w =
+                  Weights.parse(new String(k.getValue(), StandardCharsets.UTF_8))
+                          instanceof Result.Good<Weights> g
+                      ? g.value()
+                      : Weights.NONE;
+              Weights.Named old = w.of(service);
+              long base = match >= 0 ? match : k.getKey();
+              Weights next =
+                  old != null && old.now().equals(weights)
+                      ? w
+                      : w.naming(service, weights, base + 1);
+              return core.change(Keys.WEIGHTS, base, next.json().getBytes(StandardCharsets.UTF_8));
+            })
+        .flatMap(
+            a ->
+                a instanceof ChangeAnswer.Stale && match < 0 && tries > 0
+                    ? name(service, weights, match, tries - 1)
+                    : Uni.createFrom().item(a));
+  }
 
-    private void show(RoutingContext c, String key) {
-        core.ask(n -> n.kept(key)).subscribe().with(k -> {
-            c.response().putHeader("ETag", "\"" + k.getKey() + "\"");
-            JsonObject o = Json.object().add("number", k.getKey());
-            if (k.getKey() > 0) o.add("value", Json.parse(new String(k.getValue(), StandardCharsets.UTF_8)));
-            say(c, 200, o);
-        }, t -> c.fail(500, t));
-    }
+  private void show(RoutingContext c, String key) {
+    core.ask(n -> n.kept(key))
+        .subscribe()
+        .with(
+            k -> {
+              c.response().putHeader("ETag", "\"" + k.getKey() + "\"");
+              JsonObject o = Json.object().add("number", k.getKey());
+              if (k.getKey() > 0)
+                o.add("value", Json.parse(new String(k.getValue(), StandardCharsets.UTF_8)));
+              say(c, 200, o);
+            },
+            t -> c.fail(500, t));
+  }
 
-    /** The numbers remembered of a key, for people: stamps are by the owner's clock on the wall. */
-    private void numbers(RoutingContext c, String key) {
-        core.ask(n -> n.numbers(key)).subscribe().with(l -> {
-            JsonArray a = new JsonArray();
-            for (CoreNode.Told t : l) {
+  /** The numbers remembered of a key, for people: stamps are by the owner's clock on the wall. */
+  private void numbers(RoutingContext c, String key) {
+    core.ask(n -> n.numbers(key))
+        .subscribe()
+        .with(
+            l -> {
+              JsonArray a = new JsonArray();
+              for (CoreNode.Told t : l) {
                 JsonObject held = Json.object();
                 t.held().forEach((n, at) -> held.add(n, Instant.ofEpochMilli(at).toString()));
-                a.add(Json.object().add("number", t.number()).add("digest", t.digest()).add("taken", stamp(t.at()))
-                    .add("by", t.by()).add("changed", t.what()).add("acknowledged", stamp(t.acked()))
-                    .add("firstSeenAt", held));
-            }
-            say(c, 200, Json.object().add("key", key).add("numbers", a));
-        }, t -> c.fail(500, t));
-    }
+                a.add(
+                    Json.object()
+                        .add("number", t.number())
+                        .add("digest", t.digest())
+                        .add("taken", stamp(t.at()))
+                        .add("by", t.by())
+                        .add("changed", t.what())
+                        .add("acknowledged", stamp(t.acked()))
+                        .add("firstSeenAt", held));
+              }
+              say(c, 200, Json.object().add("key", key).add("numbers", a));
+            },
+            t -> c.fail(500, t));
+  }
 
-    private static String stamp(long at) {
-        return at == 0 ? "" : Instant.ofEpochMilli(at).toString();
-    }
+  private static String stamp(long at) {
+    return at == 0 ? "" : Instant.ofEpochMilli(at).toString();
+  }
 
-    private void fate(RoutingContext c, String key) {
-        String d = c.request().getParam("digest");
-        long n;
-        try {
-            n = Long.parseLong(c.pathParam("number"));
-        } catch (NumberFormatException e) {
-            n = 0;
-        }
-        if (n < 1 || d == null) {
-            findings(c, List.of(
-                new Finding("number and digest", "needs a number from 1 and ?digest=, the SHA-256 of what was sent")));
-            return;
-        }
-        long nr = n;
-        core.ask(x -> x.fate(key, nr, d)).subscribe()
-            .with(f -> say(c, 200, Json.object().add("number", nr).add("fate", f)), t -> c.fail(500, t));
+  private void fate(RoutingContext c, String key) {
+    String d = c.request().getParam("digest");
+    long n;
+    try {
+      n = Long.parseLong(c.pathParam("number"));
+    } catch (NumberFormatException e) {
+      n = 0;
+    }
+    if (n < 1 || d == null) {
+      findings(
+          c,
+          List.of(
+              new Finding(
+                  "number and digest",
+                  "needs a number from 1 and ?digest=, the SHA-256 of what was sent")));
+      return;
     }
+    long nr = n;
+    core.ask(x -> x.fate(key, nr, d))
+        .subscribe()
+        .with(
+            f -> say(c, 200, Json.object().add("number", nr).add("fate", f)), t -> c.fail(500, t));
+  }
 
-    private void status(RoutingContext c) {
-        core.ask(n -> {
-            JsonObject o = Json.object();
-            JsonArray ms = new JsonArray();
-            var alive = n.alive();
-            for (Members.Member m : n.members().all())
-                ms.add(Json.object().add("name", m.name()).add("records", m.records().toString())
-                    .add("operator", m.operator().toString())
-                    .add("alive", alive.getOrDefault(m.name(), false)));
-            o.add("generation", n.members().generation()).add("members", ms);
-            JsonArray ks = new JsonArray();
-            for (CoreNode.KeyState s : n.keys())
-                ks.add(Json.object().add("key", s.key()).add("owner", s.owner()).add("epoch", s.epoch())
-                    .add("number", s.number())
-                    .add("digest", s.digest()).add("licensed", s.leased()).add("confirmedMsAgo", s.confirmedAgo()));
-            o.add("keys", ks);
-            JsonArray js = new JsonArray();
-            for (Members.Member m : n.joiners())
+  private void status(RoutingContext c) {
+    core.ask(
+            n -> {
+              JsonObject o = Json.object();
+              JsonArray ms = new JsonArray();
+              var alive = n.alive();
+              for (Members.Member m : n.members().all())
+                ms.add(
+                    Json.object()
+                        .add("name", m.name())
+                        .add("records", m.records().toString())
+                        .add("operator", m.operator().toString())
+                        .add("alive", alive.getOrDefault(m.name(), false)));
+              o.add("generation", n.members().generation()).add("members", ms);
+              JsonArray ks = new JsonArray();
+              for (CoreNode.KeyState s : n.keys())
+                ks.add(
+                    Json.object()
+                        .add("key", s.key())
+                        .add("owner", s.owner())
+                        .add("epoch", s.epoch())
+                        .add("number", s.number())
+                        .add("digest", s.digest())
+                        .add("licensed", s.leased())
+                        .add("confirmedMsAgo", s.confirmedAgo()));
+              o.add("keys", ks);
+              JsonArray js = new JsonArray();
+              for (Members.Member m : n.joiners())
                 js.add(Json.object().add("name", m.name()).add("records", m.records().toString()));
-            o.add("wouldJoin", js).add("sealed", n.sealed()).add("retired", n.retired()).add("active", n.active());
-            JsonArray ns = new JsonArray();
-            for (CoreNode.Seen s : n.nodes()) {
+              o.add("wouldJoin", js)
+                  .add("sealed", n.sealed())
+                  .add("retired", n.retired())
+                  .add("active", n.active());
+              JsonArray ns = new JsonArray();
+              for (CoreNode.Seen s : n.nodes()) {
                 JsonObject held = Json.object();
                 for (News.Held h : s.held())
-                    held.add(h.key(), Json.object().add("number", h.number()).add("forMs",
-                        core.now() - s.since().getOrDefault(h.key(), core.now())));
-                ns.add(Json.object().add("name", s.name()).add("role", s.role()).add("domain", s.zone())
-                    .add("operator", s.operator())
-                    .add("askedMsAgo", core.now() - s.asked()).add("holds", held));
-            }
-            return o.add("nodes", ns);
-        }).subscribe().with(o -> say(c, o.getBoolean("active", false) ? 200 : 503, o), t -> c.fail(500, t));
-    }
+                  held.add(
+                      h.key(),
+                      Json.object()
+                          .add("number", h.number())
+                          .add("forMs", core.now() - s.since().getOrDefault(h.key(), core.now())));
+                ns.add(
+                    Json.object()
+                        .add("name", s.name())
+                        .add("role", s.role())
+                        .add("domain", s.zone())
+                        .add("operator", s.operator())
+                        .add("askedMsAgo", core.now() - s.asked())
+                        .add("holds", held));
+              }
+              return o.add("nodes", ns);
+            })
+        .subscribe()
+        .with(o -> say(c, o.getBoolean("active", false) ? 200 : 503, o), t -> c.fail(500, t));
+  }
 
-    @Override public void stop() {
-        stopping = true;
-        server.closeAndForget();
-    }
+  @Override
+  public void stop() {
+    stopping = true;
+    server.closeAndForget();
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/Batches.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Batches.java
@@ -13,27 +13,36 @@
 import java.util.SortedMap;
 
 final class Batches {
-    /** What a commander knows of a replica: it runs the new weights, it runs others, or it doesn't answer. */
-    enum Replica {
-        MOVED, WAITING, SILENT
-    }
+  /**
+   * What a commander knows of a replica: it runs the new weights, it runs others, or it doesn't
+   * answer.
+   */
+  enum Replica {
+    MOVED,
+    WAITING,
+    SILENT
+  }
 
-    private Batches() {}
+  private Batches() {}
 
-    /** all: the service's replicas that may be steered; age: ms since the naming; cutoff: ms all thirds have. */
-    static boolean may(String instance, SortedMap<String, Replica> all, long age, long cutoff) {
-        return may(instance, all, age, RollPlan.thirds(cutoff), false);
-    }
+  /**
+   * all: the service's replicas that may be steered; age: ms since the naming; cutoff: ms all
+   * thirds have.
+   */
+  static boolean may(String instance, SortedMap<String, Replica> all, long age, long cutoff) {
+    return may(instance, all, age, RollPlan.thirds(cutoff), false);
+  }
 
-    /** punctual: at its time and no sooner, so that others can reckon with it. */
-    static boolean may(String instance, SortedMap<String, Replica> all, long age, RollPlan plan, boolean punctual) {
-        List<String> order = new ArrayList<>(all.keySet());
-        if (!all.containsKey(instance)) return false;
-        int part = plan.part(instance, order);
-        if (age >= plan.due(part)) return true;
-        if (punctual) return false;
-        for (int j = 0; j < part * plan.size(order.size()); j++)
-            if (all.get(order.get(j)) == Replica.WAITING) return false;
-        return true;
-    }
+  /** punctual: at its time and no sooner, so that others can reckon with it. */
+  static boolean may(
+      String instance, SortedMap<String, Replica> all, long age, RollPlan plan, boolean punctual) {
+    List<String> order = new ArrayList<>(all.keySet());
+    if (!all.containsKey(instance)) return false;
+    int part = plan.part(instance, order);
+    if (age >= plan.due(part)) return true;
+    if (punctual) return false;
+    for (int j = 0; j < part * plan.size(order.size()); j++)
+      if (all.get(order.get(j)) == Replica.WAITING) return false;
+    return true;
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -19,87 +19,135 @@
 import java.util.function.Function;
 
 public final class Commander implements Kernel.Service {
-    private static final long PERIOD = 250;
-    private final Vertx vertx;
-    private final String self;
-    private final Steering steering;
-    private final Function<Local, ReplicaOrders> protocols;
-    private ReplicaOrders replicas;
-    private CoreService core;
-    private long timer;
-    private boolean busy;
-    private Context context;
+  private static final long PERIOD = 250;
+  private final Vertx vertx;
+  private final String self;
+  private final Steering steering;
+  private final Function<Local, ReplicaOrders> protocols;
+  private ReplicaOrders replicas;
+  private CoreService core;
+  private long timer;
+  private boolean busy;
+  private Context context;
 
-    /** protocols: makes the way to replicas for where this process calls from. */
-    public Commander(Vertx vertx, String self, Steering steering, Function<Local, ReplicaOrders> protocols) {
-        this.vertx = vertx;
-        this.self = self;
-        this.steering = steering;
-        this.protocols = protocols;
-    }
+  /** protocols: makes the way to replicas for where this process calls from. */
+  public Commander(
+      Vertx vertx, String self, Steering steering, Function<Local, ReplicaOrders> protocols) {
+    this.vertx = vertx;
+    this.self = self;
+    this.steering = steering;
+    this.protocols = protocols;
+  }
 
-    @Override public void start(Kernel k) {
-        core = k.find("core", CoreService.class);
-        replicas = protocols.apply(k.find("doors", Doors.class).local);
-        context = vertx.getOrCreateContext();
-        context.runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> round()));
-    }
+  @Override
+  public void start(Kernel k) {
+    core = k.find("core", CoreService.class);
+    replicas = protocols.apply(k.find("doors", Doors.class).local);
+    context = vertx.getOrCreateContext();
+    context.runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> round()));
+  }
 
-    private void round() {
-        if (busy) return;
-        busy = true;
-        core.ask(n -> new Steering.Kept(n.kept(Keys.REPLICAS).getValue(), n.kept(Keys.WEIGHTS).getValue(),
-            n.kept(Keys.CONFIGURATION).getValue(), n.knownAge(Keys.WEIGHTS)))
-            .emitOn(r -> context.runOnContext(r)).map(k -> {
-                steering.view(k);
-                return steering.steerable();
-            }).call(l -> core.ask(n -> {
-                // known as soon as it is listed, so that its holder may command when weights are named
-                for (Replicas.Replica r : steering.listed()) n.know(Keys.COMMANDER + r.instance());
-                return true;
-            })).emitOn(r -> context.runOnContext(r))
-            .subscribe().with(l -> {
-                busy = false;
-                if (!replicas.askAlways()) steering.listed(core.now());
-                l.forEach(this::look);
-            }, t -> busy = false);
-    }
+  private void round() {
+    if (busy) return;
+    busy = true;
+    core.ask(
+            n ->
+                new Steering.Kept(
+                    n.kept(Keys.REPLICAS).getValue(),
+                    n.kept(Keys.WEIGHTS).getValue(),
+                    n.kept(Keys.CONFIGURATION).getValue(),
+                    n.knownAge(Keys.WEIGHTS)))
+        .emitOn(r -> context.runOnContext(r))
+        .map(
+            k -> {
+              steering.view(k);
+              return steering.steerable();
+            })
+        .call(
+            l ->
+                core.ask(
+                    n -> {
+                      // known as soon as it is listed, so that its holder may command when weights
+                      // are named
+                      for (Replicas.Replica r : steering.listed())
+                        n.know(Keys.COMMANDER + r.instance());
+                      return true;
+                    }))
+        .emitOn(r -> context.runOnContext(r))
+        .subscribe()
+        .with(
+            l -> {
+              busy = false;
+              if (!replicas.askAlways()) steering.listed(core.now());
+              l.forEach(this::look);
+            },
+            t -> busy = false);
+  }
 
-    private void look(Replicas.Replica r) {
-        if (replicas.askAlways()) ask(r);
-        else if (steering.waits(r))
-            core.ask(n -> n.mayCommand(Keys.COMMANDER + r.instance())).emitOn(x -> context.runOnContext(x)).subscribe()
-                .with(mine -> {
-                    if (mine) ask(r);
-                }, t -> {});
-        else perhapsSteer(r);
-    }
+  private void look(Replicas.Replica r) {
+    if (replicas.askAlways()) ask(r);
+    else if (steering.waits(r))
+      core.ask(n -> n.mayCommand(Keys.COMMANDER + r.instance()))
+          .emitOn(x -> context.runOnContext(x))
+          .subscribe()
+          .with(
+              mine -> {
+                if (mine) ask(r);
+              },
+              t -> {});
+    else perhapsSteer(r);
+  }
 
-    private void ask(Replicas.Replica r) {
-        replicas.ask(r).emitOn(x -> context.runOnContext(x)).subscribe().with(s -> {
-            s.weights().forEach((m, w) -> steering.said(r, m, w, s.loading(), core.now()));
-            perhapsSteer(r);
-        }, t -> {});
-    }
+  private void ask(Replicas.Replica r) {
+    replicas
+        .ask(r)
+        .emitOn(x -> context.runOnContext(x))
+        .subscribe()
+        .with(
+            s -> {
+              s.weights().forEach((m, w) -> steering.said(r, m, w, s.loading(), core.now()));
+              perhapsSteer(r);
+            },
+            t -> {});
+  }
 
-    private void perhapsSteer(Replicas.Replica r) {
-        Steering.Wish want = steering.wanted(r, core.now());
-        if (want != null) steer(r, want);
-    }
+  private void perhapsSteer(Replicas.Replica r) {
+    Steering.Wish want = steering.wanted(r, core.now());
+    if (want != null) steer(r, want);
+  }
 
-    private void steer(Replicas.Replica r, Steering.Wish want) {
-        String key = Keys.COMMANDER + r.instance();
-        core.ask(n -> n.mayCommand(key) ? n.epochOf(key) : -1L).emitOn(x -> context.runOnContext(x)).flatMap(e -> {
-            if (e < 0) return Uni.createFrom().nullItem();
-            steering.told(r, want, core.now());
-            Log.event("steer", "replica", r.instance(), "model", want.model(), "to", want.weights(), "epoch", e);
-            return replicas.order(r, self, e, want.model(), want.weights());
-        }).emitOn(x -> context.runOnContext(x)).subscribe().with(runs -> {
-            if (runs != null && runs) steering.said(r, want.model(), want.weights(), false, core.now());
-        }, t -> Log.warn("steer-problem", "replica", r.instance(), "what", t.toString()));
-    }
+  private void steer(Replicas.Replica r, Steering.Wish want) {
+    String key = Keys.COMMANDER + r.instance();
+    core.ask(n -> n.mayCommand(key) ? n.epochOf(key) : -1L)
+        .emitOn(x -> context.runOnContext(x))
+        .flatMap(
+            e -> {
+              if (e < 0) return Uni.createFrom().nullItem();
+              steering.told(r, want, core.now());
+              Log.event(
+                  "steer",
+                  "replica",
+                  r.instance(),
+                  "model",
+                  want.model(),
+                  "to",
+                  want.weights(),
+                  "epoch",
+                  e);
+              return replicas.order(r, self, e, want.model(), want.weights());
+            })
+        .emitOn(x -> context.runOnContext(x))
+        .subscribe()
+        .with(
+            runs -> {
+              if (runs != null && runs)
+                steering.said(r, want.model(), want.weights(), false, core.now());
+            },
+            t -> Log.warn("steer-problem", "replica", r.instance(), "what", t.toString()));
+  }
 
-    @Override public void stop() {
-        vertx.cancelTimer(timer);
-    }
+  @Override
+  public void stop() {
+    vertx.cancelTimer(timer);
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/Describing.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Describing.java
@@ -15,59 +15,67 @@
 import java.util.Map;
 
 public final class Describing {
-    private static final int FEW = 6;
+  private static final int FEW = 6;
 
-    private Describing() {}
+  private Describing() {}
 
-    public static String change(String key, byte[] old, byte[] now) {
-        try {
-            JsonObject a = object(old), b = object(now);
-            List<String> out = new ArrayList<>();
-            if (key.equals(Keys.CONFIGURATION))
-                for (String k : new String[]{"services", "mappings", "tenants"})
-                    differences(k, named(a, k), named(b, k), out);
-            else if (key.equals(Keys.WEIGHTS)) {
-                for (JsonObject.Member m : b) {
-                    JsonValue was = a.get(m.getName());
-                    String to = m.getValue().asObject().getString("now", "?");
-                    String from = was == null ? "nothing" : was.asObject().getString("now", "?");
-                    if (!to.equals(from)) out.add(m.getName() + " from " + from + " to " + to);
-                }
-            }
-            return out.isEmpty() ? "nothing that has a name" : String.join("; ", out);
-        } catch (RuntimeException e) {
-            return "";
+  public static String change(String key, byte[] old, byte[] now) {
+    try {
+      JsonObject a = object(old), b = object(now);
+      List<String> out = new ArrayList<>();
+      if (key.equals(Keys.CONFIGURATION))
+        for (String k : new String[] {"services", "mappings", "tenants"})
+          differences(k, named(a, k), named(b, k), out);
+      else if (key.equals(Keys.WEIGHTS)) {
+        for (JsonObject.Member m : b) {
+          JsonValue was = a.get(m.getName());
+          String to = m.getValue().asObject().getString("now", "?");
+          String from = was == null ? "nothing" : was.asObject().getString("now", "?");
+          if (!to.equals(from)) out.add(m.getName() + " from " + from + " to " + to);
         }
+      }
+      return out.isEmpty() ? "nothing that has a name" : String.join("; ", out);
+    } catch (RuntimeException e) {
+      return "";
     }
+  }
 
-    private static JsonObject object(byte[] b) {
-        return b.length == 0 ? new JsonObject() : Json.parse(new String(b, StandardCharsets.UTF_8)).asObject();
-    }
+  private static JsonObject object(byte[] b) {
+    return b.length == 0
+        ? new JsonObject()
+        : Json.parse(new String(b, StandardCharsets.UTF_8)).asObject();
+  }
 
-    private static Map<String, String> named(JsonObject o, String k) {
-        Map<String, String> m = new LinkedHashMap<>();
-        if (o.get(k) != null)
-            for (JsonValue v : o.get(k).asArray()) m.put(v.asObject().getString("name", "?"), v.toString());
-        return m;
-    }
+  private static Map<String, String> named(JsonObject o, String k) {
+    Map<String, String> m = new LinkedHashMap<>();
+    if (o.get(k) != null)
+      for (JsonValue v : o.get(k).asArray())
+        m.put(v.asObject().getString("name", "?"), v.toString());
+    return m;
+  }
 
-    private static void differences(String what, Map<String, String> a, Map<String, String> b, List<String> out) {
-        List<String> came = new ArrayList<>(), gone = new ArrayList<>(), changed = new ArrayList<>();
-        b.forEach((n, v) -> {
-            if (!a.containsKey(n)) came.add(n);
-            else if (!a.get(n).equals(v)) changed.add(n);
-        });
-        a.keySet().forEach(n -> {
-            if (!b.containsKey(n)) gone.add(n);
+  private static void differences(
+      String what, Map<String, String> a, Map<String, String> b, List<String> out) {
+    List<String> came = new ArrayList<>(), gone = new ArrayList<>(), changed = new ArrayList<>();
+    b.forEach(
+        (n, v) -> {
+          if (!a.containsKey(n)) came.add(n);
+          else if (!a.get(n).equals(v)) changed.add(n);
         });
-        say(out, what + " new", came);
-        say(out, what + " gone", gone);
-        say(out, what + " changed", changed);
-    }
+    a.keySet()
+        .forEach(
+            n -> {
+              if (!b.containsKey(n)) gone.add(n);
+            });
+    say(out, what + " new", came);
+    say(out, what + " gone", gone);
+    say(out, what + " changed", changed);
+  }
 
-    private static void say(List<String> out, String what, List<String> names) {
-        if (names.isEmpty()) return;
-        String few = String.join(", ", names.subList(0, Math.min(FEW, names.size())));
-        out.add(what + ": " + few + (names.size() > FEW ? " and " + (names.size() - FEW) + " more" : ""));
-    }
+  private static void say(List<String> out, String what, List<String> names) {
+    if (names.isEmpty()) return;
+    String few = String.join(", ", names.subList(0, Math.min(FEW, names.size())));
+    out.add(
+        what + ": " + few + (names.size() > FEW ? " and " + (names.size() - FEW) + " more" : ""));
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/Division.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Division.java
@@ -19,141 +19,150 @@
 import java.util.TreeSet;
 
 public final class Division {
-    private static final class Node {
-        final String path;
-        final int weight;
-        final int tier;
-        final int limit;
-        final List<Node> children = new ArrayList<>();
-        double demand;
-        double places;
+  private static final class Node {
+    final String path;
+    final int weight;
+    final int tier;
+    final int limit;
+    final List<Node> children = new ArrayList<>();
+    double demand;
+    double places;
 
-        Node(String path, int weight, int tier, int limit) {
-            this.path = path;
-            this.weight = weight;
-            this.tier = tier;
-            this.limit = limit;
-        }
+    Node(String path, int weight, int tier, int limit) {
+      this.path = path;
+      this.weight = weight;
+      this.tier = tier;
+      this.limit = limit;
     }
+  }
 
-    private Division() {}
+  private Division() {}
 
-    public static Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> relays,
-        Configuration configuration) {
-        Map<String, Integer> places = new TreeMap<>();
-        for (CoreNode.Seen r : relays)
-            for (News.Places p : r.places()) places.merge(p.service(), p.places(), Math::max);
-        Map<String, List<News.Allot>> out = new HashMap<>();
-        places.forEach((service, n) -> {
-            Map<String, Double> demand = new HashMap<>();
-            for (CoreNode.Seen r : relays)
-                for (News.Demand d : r.demands())
-                    if (d.service().equals(service))
-                        demand.merge(d.leaf(), (double) d.waiting() + d.using(), Double::sum);
-            double all = demand.values().stream().mapToDouble(x -> x).sum();
-            Map<String, Double> leaf = new HashMap<>();
-            Node root = tree(configuration, demand);
-            boolean limited = over(root);
-            boolean full = all > n || limited;
-            if (full) {
-                deal(root, Math.min(n, all));
-                collect(root, leaf);
-            }
-            for (CoreNode.Seen r : relays) {
-                List<News.Part> parts = new ArrayList<>();
-                if (full)
-                    for (News.Demand d : r.demands()) {
-                        if (!d.service().equals(service)) continue;
-                        double total = demand.get(d.leaf()), mine = d.waiting() + d.using();
-                        parts.add(new News.Part(d.leaf(), (int) Math
-                            .round(1000 * leaf.getOrDefault(d.leaf(), 0.0) * (total == 0 ? 0 : mine / total))));
-                    }
-                out.computeIfAbsent(r.name(), x -> new ArrayList<>()).add(new News.Allot(epoch, service, full, parts));
-            }
+  public static Map<String, List<News.Allot>> divide(
+      long epoch, List<CoreNode.Seen> relays, Configuration configuration) {
+    Map<String, Integer> places = new TreeMap<>();
+    for (CoreNode.Seen r : relays)
+      for (News.Places p : r.places()) places.merge(p.service(), p.places(), Math::max);
+    Map<String, List<News.Allot>> out = new HashMap<>();
+    places.forEach(
+        (service, n) -> {
+          Map<String, Double> demand = new HashMap<>();
+          for (CoreNode.Seen r : relays)
+            for (News.Demand d : r.demands())
+              if (d.service().equals(service))
+                demand.merge(d.leaf(), (double) d.waiting() + d.using(), Double::sum);
+          double all = demand.values().stream().mapToDouble(x -> x).sum();
+          Map<String, Double> leaf = new HashMap<>();
+          Node root = tree(configuration, demand);
+          boolean limited = over(root);
+          boolean full = all > n || limited;
+          if (full) {
+            deal(root, Math.min(n, all));
+            collect(root, leaf);
+          }
+          for (CoreNode.Seen r : relays) {
+            List<News.Part> parts = new ArrayList<>();
+            if (full)
+              for (News.Demand d : r.demands()) {
+                if (!d.service().equals(service)) continue;
+                double total = demand.get(d.leaf()), mine = d.waiting() + d.using();
+                parts.add(
+                    new News.Part(
+                        d.leaf(),
+                        (int)
+                            Math.round(
+                                1000
+                                    * leaf.getOrDefault(d.leaf(), 0.0)
+                                    * (total == 0 ? 0 : mine / total))));
+              }
+            out.computeIfAbsent(r.name(), x -> new ArrayList<>())
+                .add(new News.Allot(epoch, service, full, parts));
+          }
         });
-        return out;
-    }
+    return out;
+  }
 
-    private static Node tree(Configuration p, Map<String, Double> demand) {
-        Node root = new Node("", 1, 0, 0);
-        Map<String, Double> left = new HashMap<>(demand);
-        for (Configuration.Tenant t : p.tenants) root.children.add(node(t.share(), left));
-        // leaves of an older configuration still have requests somewhere
-        for (String l : new TreeSet<>(left.keySet())) {
-            Node n = new Node(l, 1, 0, 0);
-            n.demand = left.get(l);
-            root.children.add(n);
-        }
-        sum(root);
-        return root;
+  private static Node tree(Configuration p, Map<String, Double> demand) {
+    Node root = new Node("", 1, 0, 0);
+    Map<String, Double> left = new HashMap<>(demand);
+    for (Configuration.Tenant t : p.tenants) root.children.add(node(t.share(), left));
+    // leaves of an older configuration still have requests somewhere
+    for (String l : new TreeSet<>(left.keySet())) {
+      Node n = new Node(l, 1, 0, 0);
+      n.demand = left.get(l);
+      root.children.add(n);
     }
+    sum(root);
+    return root;
+  }
 
-    private static Node node(Share s, Map<String, Double> left) {
-        Node n = new Node(s.path(), s.weight(), s.tier(), s.limit());
-        Double own = left.remove(s.path());
-        if (s.shares().isEmpty()) {
-            n.demand = own == null ? 0 : own;
-            return n;
-        }
-        for (Share c : s.shares()) n.children.add(node(c, left));
-        if (own != null) {
-            Node rest = new Node(s.path(), 1, 0, 0);
-            rest.demand = own;
-            n.children.add(rest);
-        }
-        return n;
+  private static Node node(Share s, Map<String, Double> left) {
+    Node n = new Node(s.path(), s.weight(), s.tier(), s.limit());
+    Double own = left.remove(s.path());
+    if (s.shares().isEmpty()) {
+      n.demand = own == null ? 0 : own;
+      return n;
     }
-
-    private static double sum(Node n) {
-        if (!n.children.isEmpty()) {
-            n.demand = 0;
-            for (Node c : n.children) n.demand += sum(c);
-        }
-        return n.limit > 0 ? Math.min(n.limit, n.demand) : n.demand;
+    for (Share c : s.shares()) n.children.add(node(c, left));
+    if (own != null) {
+      Node rest = new Node(s.path(), 1, 0, 0);
+      rest.demand = own;
+      n.children.add(rest);
     }
+    return n;
+  }
 
-    private static boolean over(Node n) {
-        if (n.limit > 0 && n.demand > n.limit) return true;
-        for (Node c : n.children) if (over(c)) return true;
-        return false;
+  private static double sum(Node n) {
+    if (!n.children.isEmpty()) {
+      n.demand = 0;
+      for (Node c : n.children) n.demand += sum(c);
     }
+    return n.limit > 0 ? Math.min(n.limit, n.demand) : n.demand;
+  }
 
-    private static double wants(Node n) {
-        return n.limit > 0 ? Math.min(n.limit, n.demand) : n.demand;
-    }
+  private static boolean over(Node n) {
+    if (n.limit > 0 && n.demand > n.limit) return true;
+    for (Node c : n.children) if (over(c)) return true;
+    return false;
+  }
 
-    private static void deal(Node n, double places) {
-        n.places = Math.min(places, wants(n));
-        if (n.children.isEmpty()) return;
-        TreeSet<Integer> tiers = new TreeSet<>();
-        for (Node c : n.children) tiers.add(c.tier);
-        double left = n.places;
-        for (int t : tiers) {
-            List<Node> open = new ArrayList<>();
-            for (Node c : n.children) if (c.tier == t && wants(c) > 0) open.add(c);
-            double given = 0;
-            Map<Node, Double> share = new HashMap<>();
-            while (!open.isEmpty() && left - given > 1e-9) {
-                double w = 0, pool = left - given;
-                for (Node c : open) w += c.weight;
-                List<Node> done = new ArrayList<>();
-                for (Node c : open) {
-                    double due = pool * c.weight / w, need = wants(c) - share.getOrDefault(c, 0.0),
-                        get = Math.min(due, need);
-                    share.merge(c, get, Double::sum);
-                    given += get;
-                    if (need <= due + 1e-9) done.add(c);
-                }
-                if (done.isEmpty()) break;
-                open.removeAll(done);
-            }
-            for (Map.Entry<Node, Double> e : share.entrySet()) deal(e.getKey(), e.getValue());
-            left -= given;
+  private static double wants(Node n) {
+    return n.limit > 0 ? Math.min(n.limit, n.demand) : n.demand;
+  }
+
+  private static void deal(Node n, double places) {
+    n.places = Math.min(places, wants(n));
+    if (n.children.isEmpty()) return;
+    TreeSet<Integer> tiers = new TreeSet<>();
+    for (Node c : n.children) tiers.add(c.tier);
+    double left = n.places;
+    for (int t : tiers) {
+      List<Node> open = new ArrayList<>();
+      for (Node c : n.children) if (c.tier == t && wants(c) > 0) open.add(c);
+      double given = 0;
+      Map<Node, Double> share = new HashMap<>();
+      while (!open.isEmpty() && left - given > 1e-9) {
+        double w = 0, pool = left - given;
+        for (Node c : open) w += c.weight;
+        List<Node> done = new ArrayList<>();
+        for (Node c : open) {
+          double due = pool * c.weight / w,
+              need = wants(c) - share.getOrDefault(c, 0.0),
+              get = Math.min(due, need);
+          share.merge(c, get, Double::sum);
+          given += get;
+          if (need <= due + 1e-9) done.add(c);
         }
+        if (done.isEmpty()) break;
+        open.removeAll(done);
+      }
+      for (Map.Entry<Node, Double> e : share.entrySet()) deal(e.getKey(), e.getValue());
+      left -= given;
     }
+  }
 
-    private static void collect(Node n, Map<String, Double> leaf) {
-        if (n.children.isEmpty()) leaf.merge(n.path, n.places, Double::sum);
-        for (Node c : n.children) collect(c, leaf);
-    }
+  private static void collect(Node n, Map<String, Double> leaf) {
+    if (n.children.isEmpty()) leaf.merge(n.path, n.places, Double::sum);
+    for (Node c : n.children) collect(c, leaf);
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/Learned.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Learned.java
@@ -10,27 +10,29 @@
 import java.util.function.BiConsumer;
 
 public final class Learned {
-    private static final long OLD = 30_000;
-    private byte[] value;
-    private long match;
-    private long at;
+  private static final long OLD = 30_000;
+  private byte[] value;
+  private long match;
+  private long at;
 
-    /** Something newer was learned, on this number. */
-    public void learn(long number, byte[] v, long now) {
-        value = v;
-        match = number;
-        at = now;
-    }
+  /** Something newer was learned, on this number. */
+  public void learn(long number, byte[] v, long now) {
+    value = v;
+    match = number;
+    at = now;
+  }
 
-    /** Offers again what is not yet through, if anything is. */
-    public void offer(long now, BiConsumer<Long, byte[]> change) {
-        if (value != null && now - at > OLD) value = null;
-        if (value != null) change.accept(match, value);
-    }
+  /** Offers again what is not yet through, if anything is. */
+  public void offer(long now, BiConsumer<Long, byte[]> change) {
+    if (value != null && now - at > OLD) value = null;
+    if (value != null) change.accept(match, value);
+  }
 
-    public void answered(ChangeAnswer a) {
-        boolean again = a instanceof ChangeAnswer.NoOwner || a instanceof ChangeAnswer.Busy
+  public void answered(ChangeAnswer a) {
+    boolean again =
+        a instanceof ChangeAnswer.NoOwner
+            || a instanceof ChangeAnswer.Busy
             || a instanceof ChangeAnswer.Unknown;
-        if (!again) value = null;
-    }
+    if (!again) value = null;
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/OwnReplicaSource.java
+++ b/control-plane/src/main/java/gladelug/control/duty/OwnReplicaSource.java
@@ -13,23 +13,31 @@
 import io.vertx.mutiny.ext.web.client.WebClient;
 
 public final class OwnReplicaSource implements ReplicaSource {
-    private final WebClient web;
-    private final Address platform;
+  private final WebClient web;
+  private final Address platform;
 
-    public OwnReplicaSource(Vertx vertx, Local local, Address platform) {
-        this.platform = platform;
-        web = WebClient.create(vertx,
+  public OwnReplicaSource(Vertx vertx, Local local, Address platform) {
+    this.platform = platform;
+    web =
+        WebClient.create(
+            vertx,
             local.from(new WebClientOptions().setConnectTimeout(1000).setFollowRedirects(false)));
-    }
+  }
 
-    @Override public Uni<Result<Replicas>> list() {
-        return web.get(platform.port(), platform.host(), "/replicas").timeout(1500).send()
-            .map(r -> r.statusCode() == 200
-                ? Replicas.parse(r.bodyAsString())
-                : Result.bad("status", String.valueOf(r.statusCode())));
-    }
+  @Override
+  public Uni<Result<Replicas>> list() {
+    return web.get(platform.port(), platform.host(), "/replicas")
+        .timeout(1500)
+        .send()
+        .map(
+            r ->
+                r.statusCode() == 200
+                    ? Replicas.parse(r.bodyAsString())
+                    : Result.bad("status", String.valueOf(r.statusCode())));
+  }
 
-    @Override public long periodMs() {
-        return 250;
-    }
+  @Override
+  public long periodMs() {
+    return 250;
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/ReplicaOrders.java
+++ b/control-plane/src/main/java/gladelug/control/duty/ReplicaOrders.java
@@ -9,15 +9,21 @@
 import java.util.Map;
 
 public interface ReplicaOrders {
-    /** weights: by model, what it runs; loading: it is just taking other ones. */
-    record Said(boolean loading, Map<String, String> weights) {}
+  /** weights: by model, what it runs; loading: it is just taking other ones. */
+  record Said(boolean loading, Map<String, String> weights) {}
 
-    /** Whether asking costs nothing to speak of; else the list is believed and only those told something are asked. */
-    boolean askAlways();
+  /**
+   * Whether asking costs nothing to speak of; else the list is believed and only those told
+   * something are asked.
+   */
+  boolean askAlways();
 
-    /** Fails where the replica is silent or another one. */
-    Uni<Said> ask(Replica r);
+  /** Fails where the replica is silent or another one. */
+  Uni<Said> ask(Replica r);
 
-    /** In the name of the holder, under its fence; true where the replica says that it runs these already. */
-    Uni<Boolean> order(Replica r, String holder, long fence, String model, String weights);
+  /**
+   * In the name of the holder, under its fence; true where the replica says that it runs these
+   * already.
+   */
+  Uni<Boolean> order(Replica r, String holder, long fence, String model, String weights);
 }
--- a/control-plane/src/main/java/gladelug/control/duty/ReplicaSource.java
+++ b/control-plane/src/main/java/gladelug/control/duty/ReplicaSource.java
@@ -9,8 +9,8 @@
 import io.smallrye.mutiny.Uni;
 
 public interface ReplicaSource {
-    Uni<Result<Replicas>> list();
+  Uni<Result<Replicas>> list();
 
-    /** How often it is asked, in ms. */
-    long periodMs();
+  /** How often it is asked, in ms. */
+  long periodMs();
 }
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -25,216 +25,290 @@
 import org.junit.jupiter.api.Test;
 
 final class CoreNodeTest {
-    /** A host that keeps what is said and what is to be synced until the test lets it go. */
-    private static final class Paper implements CoreHost {
-        long now = 1_000_000;
-        final List<String> said = new ArrayList<>();
-        final List<Envelope> messages = new ArrayList<>();
-        final List<Runnable> syncs = new ArrayList<>();
+  /** A host that keeps what is said and what is to be synced until the test lets it go. */
+  private static final class Paper implements CoreHost {
+    long now = 1_000_000;
+    final List<String> said = new ArrayList<>();
+    final List<Envelope> messages = new ArrayList<>();
+    final List<Runnable> syncs = new ArrayList<>();
 
-        @Override public long now() {
-            return now;
-        }
+    @Override
+    public long now() {
+      return now;
+    }
 
-        @Override public long wall() {
-            return 0;
-        }
+    @Override
+    public long wall() {
+      return 0;
+    }
 
-        @Override public long random(long below) {
-            return 0;
-        }
+    @Override
+    public long random(long below) {
+      return 0;
+    }
 
-        @Override public void send(String member, Envelope m) {
-            said.add(member + " " + m.said().getClass().getSimpleName());
-            messages.add(m);
-        }
+    @Override
+    public void send(String member, Envelope m) {
+      said.add(member + " " + m.said().getClass().getSimpleName());
+      messages.add(m);
+    }
 
-        @Override public void sendTo(Address to, Envelope m) {
-            said.add("address " + m.said().getClass().getSimpleName());
-        }
+    @Override
+    public void sendTo(Address to, Envelope m) {
+      said.add("address " + m.said().getClass().getSimpleName());
+    }
 
-        @Override public List<Address> contacts() {
-            return List.of();
-        }
+    @Override
+    public List<Address> contacts() {
+      return List.of();
+    }
 
-        @Override public void sync(String key, byte[] state, Runnable done) {
-            syncs.add(done);
-        }
+    @Override
+    public void sync(String key, byte[] state, Runnable done) {
+      syncs.add(done);
+    }
 
-        @Override public void news(String node, News m) {}
+    @Override
+    public void news(String node, News m) {}
 
-        @Override public void members(Members m) {}
+    @Override
+    public void members(Members m) {}
 
-        @Override public void event(String name, Object... pairs) {}
+    @Override
+    public void event(String name, Object... pairs) {}
 
-        void synced() {
-            List<Runnable> l = new ArrayList<>(syncs);
-            syncs.clear();
-            l.forEach(Runnable::run);
-        }
+    void synced() {
+      List<Runnable> l = new ArrayList<>(syncs);
+      syncs.clear();
+      l.forEach(Runnable::run);
+    }
 
-        long count(String what) {
-            return said.stream().filter(s -> s.equals(what)).count();
-        }
+    long count(String what) {
+      return said.stream().filter(s -> s.equals(what)).count();
     }
+  }
 
-    private static final Address A = Address.of("1.1.1.1:1");
-    private static final Members THREE = new Members(1, List.of(new Members.Member("a", "da", A, A),
-        new Members.Member("b", "db", A, A), new Members.Member("c", "dc", A, A)));
+  private static final Address A = Address.of("1.1.1.1:1");
+  private static final Members THREE =
+      new Members(
+          1,
+          List.of(
+              new Members.Member("a", "da", A, A),
+              new Members.Member("b", "db", A, A),
+              new Members.Member("c", "dc", A, A)));
 
-    private static CoreNode node(Paper p) {
-        return new CoreNode(p, Tunables.USUAL, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()),
-            null, new Duties() {});
-    }
+  private static CoreNode node(Paper p) {
+    return new CoreNode(
+        p,
+        Tunables.USUAL,
+        THREE.find("a"),
+        15_000,
+        Map.of(Membership.MEMBERS, THREE.bytes()),
+        null,
+        new Duties() {});
+  }
 
-    private static void from(CoreNode n, String who, CoreMessage m) {
-        n.message(new Envelope(1, who, "d" + who, m));
-    }
+  private static void from(CoreNode n, String who, CoreMessage m) {
+    n.message(new Envelope(1, who, "d" + who, m));
+  }
 
-    @Test void nothingIsAnsweredBeforeItIsOnDisk() {
-        Paper p = new Paper();
-        CoreNode n = node(p);
-        long e = THREE.epoch(0, "b");
-        from(n, "b", new Promise("k", e));
-        Assertions.assertEquals(0, p.count("b Promised"));
-        p.synced();
-        Assertions.assertEquals(1, p.count("b Promised"));
-        from(n, "b", new Accept("k", e, Cell.Value.NONE.next("d", new byte[1])));
-        Assertions.assertEquals(0, p.count("b Accepted"));
-        p.synced();
-        Assertions.assertEquals(1, p.count("b Accepted"));
-        from(n, "c", new Confirm(1, List.of(new Claim("k", THREE.epoch(e, "c")))));
-        Assertions.assertEquals(0, p.count("c Confirmed"), "a confirmation that raises the promise");
-        p.synced();
-        Assertions.assertEquals(1, p.count("c Confirmed"));
-    }
+  @Test
+  void nothingIsAnsweredBeforeItIsOnDisk() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    long e = THREE.epoch(0, "b");
+    from(n, "b", new Promise("k", e));
+    Assertions.assertEquals(0, p.count("b Promised"));
+    p.synced();
+    Assertions.assertEquals(1, p.count("b Promised"));
+    from(n, "b", new Accept("k", e, Cell.Value.NONE.next("d", new byte[1])));
+    Assertions.assertEquals(0, p.count("b Accepted"));
+    p.synced();
+    Assertions.assertEquals(1, p.count("b Accepted"));
+    from(n, "c", new Confirm(1, List.of(new Claim("k", THREE.epoch(e, "c")))));
+    Assertions.assertEquals(0, p.count("c Confirmed"), "a confirmation that raises the promise");
+    p.synced();
+    Assertions.assertEquals(1, p.count("c Confirmed"));
+  }
 
-    @Test void servesOnlyOnceTheValueItReadStandsAtAMajorityUnderItsOwnEpoch() {
-        Paper p = new Paper();
-        CoreNode n = node(p);
-        p.now += 10_000;
-        for (int i = 0; i < 3; i++) {
-            n.tick();
-            p.now += 800;
-        }
-        long e = n.epochOf(Keys.CONFIGURATION);
-        Assertions.assertTrue(e > 0, "never tried");
-        Cell.Value x = Cell.Value.NONE.next("x", new byte[]{1});
-        p.now -= 700;
-        from(n, "a", new Promised(Keys.CONFIGURATION, e, true, e, 0, Cell.Value.NONE));
-        from(n, "b", new Promised(Keys.CONFIGURATION, e, true, e, 5, x));
-        Assertions.assertFalse(n.owns(Keys.CONFIGURATION));
-        Accept w = p.messages.stream().map(Envelope::said).filter(m -> m instanceof Accept).map(m -> (Accept) m)
-            .findFirst().orElseThrow();
-        Assertions.assertTrue(w.epoch() == e && w.value().digest().equals("x"),
-            "the newest value heard of, under the new epoch");
-        from(n, "a", new Accepted(Keys.CONFIGURATION, e, 1, true, e));
-        Assertions.assertFalse(n.owns(Keys.CONFIGURATION));
-        from(n, "b", new Accepted(Keys.CONFIGURATION, e, 1, true, e));
-        Assertions.assertTrue(n.owns(Keys.CONFIGURATION));
-        Assertions.assertFalse(n.mayCommand(Keys.CONFIGURATION), "before the last owner's licence is over");
+  @Test
+  void servesOnlyOnceTheValueItReadStandsAtAMajorityUnderItsOwnEpoch() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    p.now += 10_000;
+    for (int i = 0; i < 3; i++) {
+      n.tick();
+      p.now += 800;
     }
+    long e = n.epochOf(Keys.CONFIGURATION);
+    Assertions.assertTrue(e > 0, "never tried");
+    Cell.Value x = Cell.Value.NONE.next("x", new byte[] {1});
+    p.now -= 700;
+    from(n, "a", new Promised(Keys.CONFIGURATION, e, true, e, 0, Cell.Value.NONE));
+    from(n, "b", new Promised(Keys.CONFIGURATION, e, true, e, 5, x));
+    Assertions.assertFalse(n.owns(Keys.CONFIGURATION));
+    Accept w =
+        p.messages.stream()
+            .map(Envelope::said)
+            .filter(m -> m instanceof Accept)
+            .map(m -> (Accept) m)
+            .findFirst()
+            .orElseThrow();
+    Assertions.assertTrue(
+        w.epoch() == e && w.value().digest().equals("x"),
+        "the newest value heard of, under the new epoch");
+    from(n, "a", new Accepted(Keys.CONFIGURATION, e, 1, true, e));
+    Assertions.assertFalse(n.owns(Keys.CONFIGURATION));
+    from(n, "b", new Accepted(Keys.CONFIGURATION, e, 1, true, e));
+    Assertions.assertTrue(n.owns(Keys.CONFIGURATION));
+    Assertions.assertFalse(
+        n.mayCommand(Keys.CONFIGURATION), "before the last owner's licence is over");
+  }
 
-    @Test void aSealedMemberTakesNoPartInTheOldGenerationEvenAfterARestart() {
-        Members next = new Members(2,
-            List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
-        Paper p = new Paper();
-        CoreNode n = node(p);
-        from(n, "b", new Seal(next));
-        p.synced();
-        from(n, "c", new Promise("k", THREE.epoch(0, "c")));
-        p.synced();
-        Assertions.assertEquals(0, p.count("c Promised"));
-        Paper q = new Paper();
-        CoreNode again = new CoreNode(q, Tunables.USUAL, THREE.find("a"), 15_000,
-            Map.of(Membership.MEMBERS, THREE.bytes(), Membership.SEALED, next.bytes()), null, new Duties() {});
-        from(again, "c", new Promise("k", THREE.epoch(0, "c")));
-        q.synced();
-        Assertions.assertEquals(0, q.count("c Promised"));
-    }
+  @Test
+  void aSealedMemberTakesNoPartInTheOldGenerationEvenAfterARestart() {
+    Members next =
+        new Members(
+            2, List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    from(n, "b", new Seal(next));
+    p.synced();
+    from(n, "c", new Promise("k", THREE.epoch(0, "c")));
+    p.synced();
+    Assertions.assertEquals(0, p.count("c Promised"));
+    Paper q = new Paper();
+    CoreNode again =
+        new CoreNode(
+            q,
+            Tunables.USUAL,
+            THREE.find("a"),
+            15_000,
+            Map.of(Membership.MEMBERS, THREE.bytes(), Membership.SEALED, next.bytes()),
+            null,
+            new Duties() {});
+    from(again, "c", new Promise("k", THREE.epoch(0, "c")));
+    q.synced();
+    Assertions.assertEquals(0, q.count("c Promised"));
+  }
 
-    @Test void theNextGenerationIsNotToldBeforeAMajorityOfTheOldIsSealed() {
-        Members next = new Members(2,
-            List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
-        Paper p = new Paper();
-        CoreNode n = node(p);
-        from(n, "b", new Seal(next));
-        p.synced();
-        from(n, "a", new Sealed(2, List.of()));
-        for (int i = 0; i < 20; i++) {
-            p.now += 200;
-            n.tick();
-        }
-        Assertions.assertTrue(p.count("address Seal") > 0, "whoever is sealed drives it on");
-        Assertions.assertEquals(0, p.count("address Settled"));
-        from(n, "c", new Sealed(2, List.of()));
-        p.now += 200;
-        n.tick();
-        Assertions.assertEquals(3, p.count("address Settled"));
+  @Test
+  void theNextGenerationIsNotToldBeforeAMajorityOfTheOldIsSealed() {
+    Members next =
+        new Members(
+            2, List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    from(n, "b", new Seal(next));
+    p.synced();
+    from(n, "a", new Sealed(2, List.of()));
+    for (int i = 0; i < 20; i++) {
+      p.now += 200;
+      n.tick();
     }
+    Assertions.assertTrue(p.count("address Seal") > 0, "whoever is sealed drives it on");
+    Assertions.assertEquals(0, p.count("address Settled"));
+    from(n, "c", new Sealed(2, List.of()));
+    p.now += 200;
+    n.tick();
+    Assertions.assertEquals(3, p.count("address Settled"));
+  }
 
-    @Test void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
-        Paper p = new Paper();
-        CoreNode n = new CoreNode(p, Tunables.USUAL, new Members.Member("a", "new disk", A, A), 15_000, Map.of(),
-            null, new Duties() {});
-        from(n, "b", new Promise("k", THREE.epoch(0, "b")));
-        from(n, "b", new Accept("k", THREE.epoch(0, "b"), Cell.Value.NONE));
-        from(n, "b", new Confirm(1, List.of(new Claim("k", 1))));
-        from(n, "b", new Settled(THREE, List.of()));
-        p.synced();
-        Assertions.assertEquals(List.of(), p.said);
-        Assertions.assertFalse(n.settled(), "members with the old disk in its name don't let it in");
-    }
+  @Test
+  void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
+    Paper p = new Paper();
+    CoreNode n =
+        new CoreNode(
+            p,
+            Tunables.USUAL,
+            new Members.Member("a", "new disk", A, A),
+            15_000,
+            Map.of(),
+            null,
+            new Duties() {});
+    from(n, "b", new Promise("k", THREE.epoch(0, "b")));
+    from(n, "b", new Accept("k", THREE.epoch(0, "b"), Cell.Value.NONE));
+    from(n, "b", new Confirm(1, List.of(new Claim("k", 1))));
+    from(n, "b", new Settled(THREE, List.of()));
+    p.synced();
+    Assertions.assertEquals(List.of(), p.said);
+    Assertions.assertFalse(n.settled(), "members with the old disk in its name don't let it in");
+  }
 
-    @Test void aChangeThatComesTwiceIsAnsweredOnceAndAStrangersDiskNever() {
-        Paper p = new Paper();
-        CoreNode n = node(p);
-        for (int i = 0; i < 2; i++) from(n, "b", new Change(7, Keys.CONFIGURATION, -1, new byte[1]));
-        Assertions.assertEquals(1, p.count("b Changed"));
-        n.message(new Envelope(1, "b", "another disk", new Promise("k", THREE.epoch(0, "b"))));
-        n.message(new Envelope(2, "b", "db", new Promise("k", THREE.epoch(0, "b"))));
-        p.synced();
-        Assertions.assertEquals(0, p.count("b Promised"));
-    }
+  @Test
+  void aChangeThatComesTwiceIsAnsweredOnceAndAStrangersDiskNever() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    for (int i = 0; i < 2; i++) from(n, "b", new Change(7, Keys.CONFIGURATION, -1, new byte[1]));
+    Assertions.assertEquals(1, p.count("b Changed"));
+    n.message(new Envelope(1, "b", "another disk", new Promise("k", THREE.epoch(0, "b"))));
+    n.message(new Envelope(2, "b", "db", new Promise("k", THREE.epoch(0, "b"))));
+    p.synced();
+    Assertions.assertEquals(0, p.count("b Promised"));
+  }
 
-    @Test void aCommanderKeepsItsLeaseAndGapAndAReadWaitsForARoundBegunAfterIt() {
-        Paper p = new Paper();
-        Tunables t = Tunables.builder().commandLease(1000).commandGap(2500).build();
-        CoreNode n = new CoreNode(p, t, THREE.find("a"), 15_000, Map.of(Membership.MEMBERS, THREE.bytes()), null,
+  @Test
+  void aCommanderKeepsItsLeaseAndGapAndAReadWaitsForARoundBegunAfterIt() {
+    Paper p = new Paper();
+    Tunables t = Tunables.builder().commandLease(1000).commandGap(2500).build();
+    CoreNode n =
+        new CoreNode(
+            p,
+            t,
+            THREE.find("a"),
+            15_000,
+            Map.of(Membership.MEMBERS, THREE.bytes()),
+            null,
             new Duties() {});
-        String k = Keys.REPLICAS;
-        p.now += 10_000;
-        for (int i = 0; i < 3; i++) {
-            p.now += 800;
-            n.tick();
-        }
-        long e = n.epochOf(k);
-        for (String m : new String[]{"a", "b"}) from(n, m, new Promised(k, e, true, e, 0, Cell.Value.NONE));
-        for (String m : new String[]{"a", "b"}) from(n, m, new Accepted(k, e, 0, true, e));
-        Assertions.assertTrue(n.owns(k));
-        long promised = p.now;
-        confirmedByTwo(n, p);
-        p.now = promised + 2500;
-        confirmedByTwo(n, p);
-        Assertions.assertFalse(n.mayCommand(k), "within the gap");
-        p.now = promised + 2501;
-        Assertions.assertTrue(n.mayCommand(k));
-        p.now = promised + 2500 + 1000;
-        Assertions.assertFalse(n.mayCommand(k), "its majority is a lease old");
-        List<Newest> read = new ArrayList<>();
-        n.readNewest(k, read::add);
-        Assertions.assertEquals(0, read.size(), "the last round began before the read");
-        confirmedByTwo(n, p);
-        Assertions.assertTrue(read.size() == 1 && read.get(0).owned() && read.get(0).number() == 0);
+    String k = Keys.REPLICAS;
+    p.now += 10_000;
+    for (int i = 0; i < 3; i++) {
+      p.now += 800;
+      n.tick();
     }
+    long e = n.epochOf(k);
+    for (String m : new String[] {"a", "b"})
+      from(n, m, new Promised(k, e, true, e, 0, Cell.Value.NONE));
+    for (String m : new String[] {"a", "b"}) from(n, m, new Accepted(k, e, 0, true, e));
+    Assertions.assertTrue(n.owns(k));
+    long promised = p.now;
+    confirmedByTwo(n, p);
+    p.now = promised + 2500;
+    confirmedByTwo(n, p);
+    Assertions.assertFalse(n.mayCommand(k), "within the gap");
+    p.now = promised + 2501;
+    Assertions.assertTrue(n.mayCommand(k));
+    p.now = promised + 2500 + 1000;
+    Assertions.assertFalse(n.mayCommand(k), "its majority is a lease old");
+    List<Newest> read = new ArrayList<>();
+    n.readNewest(k, read::add);
+    Assertions.assertEquals(0, read.size(), "the last round began before the read");
+    confirmedByTwo(n, p);
+    Assertions.assertTrue(read.size() == 1 && read.get(0).owned() && read.get(0).number() == 0);
+  }
 
-    private static void confirmedByTwo(CoreNode n, Paper p) {
-        p.messages.clear();
-        n.confirmSoon();
-        n.tick();
-        Confirm c = p.messages.stream().map(Envelope::said).filter(m -> m instanceof Confirm).map(m -> (Confirm) m)
-            .findFirst().orElseThrow();
-        for (String m : new String[]{"a", "b"}) from(n, m, new CoreMessage.Confirmed(c.round(), c.claims().stream()
-            .map(x -> new CoreMessage.Standing(x.key(), x.epoch(), true, x.epoch(), x.epoch(), 0)).toList()));
-    }
+  private static void confirmedByTwo(CoreNode n, Paper p) {
+    p.messages.clear();
+    n.confirmSoon();
+    n.tick();
+    Confirm c =
+        p.messages.stream()
+            .map(Envelope::said)
+            .filter(m -> m instanceof Confirm)
+            .map(m -> (Confirm) m)
+            .findFirst()
+            .orElseThrow();
+    for (String m : new String[] {"a", "b"})
+      from(
+          n,
+          m,
+          new CoreMessage.Confirmed(
+              c.round(),
+              c.claims().stream()
+                  .map(
+                      x ->
+                          new CoreMessage.Standing(
+                              x.key(), x.epoch(), true, x.epoch(), x.epoch(), 0))
+                  .toList()));
+  }
 }
--- a/control-plane/src/test/java/gladelug/control/core/DiskDutyTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/DiskDutyTest.java
@@ -17,80 +17,90 @@
 import org.junit.jupiter.api.Test;
 
 final class DiskDutyTest {
-    /** A medium in memory that refuses so many writes, and calls something in the middle of each sync. */
-    private static final class Paper implements Medium {
-        final byte[][] files = new byte[2][1 << 16];
-        final AtomicInteger refuses = new AtomicInteger();
-        final AtomicInteger refused = new AtomicInteger();
-        Runnable syncing = () -> {};
+  /**
+   * A medium in memory that refuses so many writes, and calls something in the middle of each sync.
+   */
+  private static final class Paper implements Medium {
+    final byte[][] files = new byte[2][1 << 16];
+    final AtomicInteger refuses = new AtomicInteger();
+    final AtomicInteger refused = new AtomicInteger();
+    Runnable syncing = () -> {};
 
-        @Override public int files() {
-            return files.length;
-        }
+    @Override
+    public int files() {
+      return files.length;
+    }
 
-        @Override public int size() {
-            return files[0].length;
-        }
+    @Override
+    public int size() {
+      return files[0].length;
+    }
 
-        @Override public byte[] read(int file) {
-            return files[file].clone();
-        }
+    @Override
+    public byte[] read(int file) {
+      return files[file].clone();
+    }
 
-        @Override public void write(int file, int at, byte[] b) throws IOException {
-            if (refuses.getAndUpdate(n -> Math.max(0, n - 1)) > 0) {
-                refused.incrementAndGet();
-                System.arraycopy(b, 0, files[file], at, b.length / 2);
-                throw new IOException("No space left on device");
-            }
-            System.arraycopy(b, 0, files[file], at, b.length);
-        }
+    @Override
+    public void write(int file, int at, byte[] b) throws IOException {
+      if (refuses.getAndUpdate(n -> Math.max(0, n - 1)) > 0) {
+        refused.incrementAndGet();
+        System.arraycopy(b, 0, files[file], at, b.length / 2);
+        throw new IOException("No space left on device");
+      }
+      System.arraycopy(b, 0, files[file], at, b.length);
+    }
 
-        @Override public void sync(int file) {
-            syncing.run();
-        }
+    @Override
+    public void sync(int file) {
+      syncing.run();
     }
+  }
 
-    @Test void whatAFullDiskRefusedIsWrittenOnceItTakesBytesAgain() throws Exception {
-        Paper p = new Paper();
-        p.refuses.set(3);
-        List<String> failed = new ArrayList<>();
-        CompletableFuture<Void> first = new CompletableFuture<>(), second = new CompletableFuture<>();
-        try (DiskDuty d = new DiskDuty(Ring.open(p), Clock.monotonic(), Runnable::run, failed::add)) {
-            d.want("a", new byte[]{1}, () -> first.complete(null));
-            d.want("b", new byte[]{2}, () -> second.complete(null));
-            first.get(10, TimeUnit.SECONDS);
-            second.get(10, TimeUnit.SECONDS);
-            Assertions.assertEquals(0, d.stalled());
-        }
-        Assertions.assertEquals(3, p.refused.get());
-        Assertions.assertEquals(List.of(), failed, "a full disk is no reason to end");
-        Ring again = Ring.open(p);
-        Assertions.assertArrayEquals(new byte[]{1}, again.live().get("a"));
-        Assertions.assertArrayEquals(new byte[]{2}, again.live().get("b"));
+  @Test
+  void whatAFullDiskRefusedIsWrittenOnceItTakesBytesAgain() throws Exception {
+    Paper p = new Paper();
+    p.refuses.set(3);
+    List<String> failed = new ArrayList<>();
+    CompletableFuture<Void> first = new CompletableFuture<>(), second = new CompletableFuture<>();
+    try (DiskDuty d = new DiskDuty(Ring.open(p), Clock.monotonic(), Runnable::run, failed::add)) {
+      d.want("a", new byte[] {1}, () -> first.complete(null));
+      d.want("b", new byte[] {2}, () -> second.complete(null));
+      first.get(10, TimeUnit.SECONDS);
+      second.get(10, TimeUnit.SECONDS);
+      Assertions.assertEquals(0, d.stalled());
     }
+    Assertions.assertEquals(3, p.refused.get());
+    Assertions.assertEquals(List.of(), failed, "a full disk is no reason to end");
+    Ring again = Ring.open(p);
+    Assertions.assertArrayEquals(new byte[] {1}, again.live().get("a"));
+    Assertions.assertArrayEquals(new byte[] {2}, again.live().get("b"));
+  }
 
-    @Test void closingDoesNotInterruptWhatIsBeingWritten() throws Exception {
-        Paper p = new Paper();
-        CountDownLatch within = new CountDownLatch(1), go = new CountDownLatch(1);
-        List<Boolean> interrupted = new ArrayList<>();
-        p.syncing = () -> {
-            within.countDown();
-            try {
-                go.await(10, TimeUnit.SECONDS);
-                interrupted.add(false);
-            } catch (InterruptedException e) {
-                interrupted.add(true);
-            }
+  @Test
+  void closingDoesNotInterruptWhatIsBeingWritten() throws Exception {
+    Paper p = new Paper();
+    CountDownLatch within = new CountDownLatch(1), go = new CountDownLatch(1);
+    List<Boolean> interrupted = new ArrayList<>();
+    p.syncing =
+        () -> {
+          within.countDown();
+          try {
+            go.await(10, TimeUnit.SECONDS);
+            interrupted.add(false);
+          } catch (InterruptedException e) {
+            interrupted.add(true);
+          }
         };
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        List<String> failed = new ArrayList<>();
-        DiskDuty d = new DiskDuty(Ring.open(p), Clock.monotonic(), Runnable::run, failed::add);
-        d.want("a", new byte[]{1}, () -> done.complete(null));
-        Assertions.assertTrue(within.await(10, TimeUnit.SECONDS));
-        d.close();
-        go.countDown();
-        done.get(10, TimeUnit.SECONDS);
-        Assertions.assertEquals(List.of(false), interrupted);
-        Assertions.assertEquals(List.of(), failed);
-    }
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    List<String> failed = new ArrayList<>();
+    DiskDuty d = new DiskDuty(Ring.open(p), Clock.monotonic(), Runnable::run, failed::add);
+    d.want("a", new byte[] {1}, () -> done.complete(null));
+    Assertions.assertTrue(within.await(10, TimeUnit.SECONDS));
+    d.close();
+    go.countDown();
+    done.get(10, TimeUnit.SECONDS);
+    Assertions.assertEquals(List.of(false), interrupted);
+    Assertions.assertEquals(List.of(), failed);
+  }
 }
--- a/control-plane/src/test/java/gladelug/control/core/MemberPlanTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/MemberPlanTest.java
@@ -12,54 +12,62 @@
 import org.junit.jupiter.api.Test;
 
 final class MemberPlanTest {
-    private static final Address A = Address.of("1.1.1.1:1");
-    private static final Tunables T = Tunables.builder().voters(5).replaceAfter(2500).build();
+  private static final Address A = Address.of("1.1.1.1:1");
+  private static final Tunables T = Tunables.builder().voters(5).replaceAfter(2500).build();
 
-    private static List<Member> members(String names, String disk) {
-        List<Member> l = new ArrayList<>();
-        for (String n : names.split("")) if (!n.isEmpty()) l.add(new Member(n, disk + n, A, A));
-        return l;
-    }
+  private static List<Member> members(String names, String disk) {
+    List<Member> l = new ArrayList<>();
+    for (String n : names.split("")) if (!n.isEmpty()) l.add(new Member(n, disk + n, A, A));
+    return l;
+  }
 
-    /** Who is in the next set, in order, after a name for why; or "none". */
-    private static String next(String now, String joiners, String dead, long silent, Tunables t) {
-        Set<String> d = Set.of(dead.isEmpty() ? new String[0] : dead.split(""));
-        MemberPlan.Step s = new MemberPlan(new Members(4, members(now, "d")), members(joiners, "e"),
-            m -> !d.contains(m)).step(m -> d.contains(m) ? silent : 0, t);
-        if (s == null) return "none";
-        Assertions.assertEquals(5, s.next().generation());
-        return s.why() + " " + String.join("", s.next().all().stream().map(Member::name).toList());
-    }
+  /** Who is in the next set, in order, after a name for why; or "none". */
+  private static String next(String now, String joiners, String dead, long silent, Tunables t) {
+    Set<String> d = Set.of(dead.isEmpty() ? new String[0] : dead.split(""));
+    MemberPlan.Step s =
+        new MemberPlan(
+                new Members(4, members(now, "d")), members(joiners, "e"), m -> !d.contains(m))
+            .step(m -> d.contains(m) ? silent : 0, t);
+    if (s == null) return "none";
+    Assertions.assertEquals(5, s.next().generation());
+    return s.why() + " " + String.join("", s.next().all().stream().map(Member::name).toList());
+  }
 
-    @Test void growsTwoAtATimeToAnOddNumberAndNoFurther() {
-        Assertions.assertEquals("none", next("abc", "d", "", 0, T));
-        Assertions.assertEquals("growth abcde", next("abc", "defg", "", 0, T));
-        Assertions.assertEquals("growth abcde", next("abcd", "efg", "", 0, T));
-        Assertions.assertEquals("growth abc", next("a", "bc", "", 0, T));
-        Assertions.assertEquals("none", next("abcde", "fgh", "", 0, T));
-        Assertions.assertEquals("none", next("abcdef", "gh", "", 0, T));
-        Assertions.assertEquals("none", next("abc", "defg", "", 0, T.with().voters(3).build()));
-    }
+  @Test
+  void growsTwoAtATimeToAnOddNumberAndNoFurther() {
+    Assertions.assertEquals("none", next("abc", "d", "", 0, T));
+    Assertions.assertEquals("growth abcde", next("abc", "defg", "", 0, T));
+    Assertions.assertEquals("growth abcde", next("abcd", "efg", "", 0, T));
+    Assertions.assertEquals("growth abc", next("a", "bc", "", 0, T));
+    Assertions.assertEquals("none", next("abcde", "fgh", "", 0, T));
+    Assertions.assertEquals("none", next("abcdef", "gh", "", 0, T));
+    Assertions.assertEquals("none", next("abc", "defg", "", 0, T.with().voters(3).build()));
+  }
 
-    @Test void aMemberDeadForLongIsReplacedByOneUnknownAndOnlyIfTunedSo() {
-        Assertions.assertEquals("dead abcdf", next("abcde", "f", "e", 2500, T));
-        Assertions.assertEquals("none", next("abcde", "f", "e", 2499, T));
-        Assertions.assertEquals("none", next("abcde", "f", "e", 999_999, Tunables.USUAL));
-        Assertions.assertEquals("none", next("abcde", "", "e", 2500, T));
-        Assertions.assertEquals("dead abcef", next("abcde", "f", "de", 2500, T), "one at a time");
-    }
+  @Test
+  void aMemberDeadForLongIsReplacedByOneUnknownAndOnlyIfTunedSo() {
+    Assertions.assertEquals("dead abcdf", next("abcde", "f", "e", 2500, T));
+    Assertions.assertEquals("none", next("abcde", "f", "e", 2499, T));
+    Assertions.assertEquals("none", next("abcde", "f", "e", 999_999, Tunables.USUAL));
+    Assertions.assertEquals("none", next("abcde", "", "e", 2500, T));
+    Assertions.assertEquals("dead abcef", next("abcde", "f", "de", 2500, T), "one at a time");
+  }
 
-    @Test void aMachineBackEmptyIsReplacedByItselfFirst() {
-        Assertions.assertEquals("back-empty abc", next("abc", "cd", "c", 1001, Tunables.USUAL));
-        Assertions.assertEquals("none", next("abc", "c", "c", 1000, Tunables.USUAL));
-        Assertions.assertEquals("none", next("abc", "c", "", 1001, Tunables.USUAL), "its old disk lives");
-    }
+  @Test
+  void aMachineBackEmptyIsReplacedByItselfFirst() {
+    Assertions.assertEquals("back-empty abc", next("abc", "cd", "c", 1001, Tunables.USUAL));
+    Assertions.assertEquals("none", next("abc", "c", "c", 1000, Tunables.USUAL));
+    Assertions.assertEquals(
+        "none", next("abc", "c", "", 1001, Tunables.USUAL), "its old disk lives");
+  }
 
-    @Test void neverASetOfWhichFewerThanAMajorityLive() {
-        Assertions.assertEquals("none", next("abcde", "f", "bcde", 9000, T));
-        Assertions.assertEquals("dead abdef", next("abcde", "f", "cde", 9000, T));
-        Assertions.assertEquals("none", next("ab", "c", "", 0, T.with().voters(1).build()));
-        Assertions.assertNull(new MemberPlan(new Members(1, members("abc", "d")), List.of(), "a"::equals)
+  @Test
+  void neverASetOfWhichFewerThanAMajorityLive() {
+    Assertions.assertEquals("none", next("abcde", "f", "bcde", 9000, T));
+    Assertions.assertEquals("dead abdef", next("abcde", "f", "cde", 9000, T));
+    Assertions.assertEquals("none", next("ab", "c", "", 0, T.with().voters(1).build()));
+    Assertions.assertNull(
+        new MemberPlan(new Members(1, members("abc", "d")), List.of(), "a"::equals)
             .change("swap", List.of("c"), List.of()));
-    }
+  }
 }
--- a/control-plane/src/test/java/gladelug/control/core/TunablesTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/TunablesTest.java
@@ -7,19 +7,37 @@
 import org.junit.jupiter.api.Test;
 
 final class TunablesTest {
-    @Test void aBuilderBeginsFromTheUsualAndChangesOnlyWhatItIsTold() {
-        Assertions.assertEquals(Tunables.USUAL, Tunables.builder().build());
-        Tunables t = Tunables.builder().lease(1500).voters(5).build();
-        Assertions.assertEquals(t, Tunables.USUAL.with().voters(5).lease(1500).build());
-        Assertions.assertEquals(1500, t.lease());
-        Assertions.assertEquals(Tunables.USUAL.fate(), t.fate());
-    }
+  @Test
+  void aBuilderBeginsFromTheUsualAndChangesOnlyWhatItIsTold() {
+    Assertions.assertEquals(Tunables.USUAL, Tunables.builder().build());
+    Tunables t = Tunables.builder().lease(1500).voters(5).build();
+    Assertions.assertEquals(t, Tunables.USUAL.with().voters(5).lease(1500).build());
+    Assertions.assertEquals(1500, t.lease());
+    Assertions.assertEquals(Tunables.USUAL.fate(), t.fate());
+  }
 
-    @Test void allThatCannotBeIsNamedTogether() {
-        String s = Assertions.assertThrows(IllegalArgumentException.class, () -> Tunables.builder().voters(4).dead(200)
-            .commandLease(1000).commandGap(900).replaceAfter(100).fate(0).build()).getMessage();
-        for (String w : new String[]{"voters must be odd", "dead must be", "commandGap must be", "replaceAfter must",
-            "every time"})
-            Assertions.assertTrue(s.contains(w), w + " in " + s);
-    }
+  @Test
+  void allThatCannotBeIsNamedTogether() {
+    String s =
+        Assertions.assertThrows(
+                IllegalArgumentException.class,
+                () ->
+                    Tunables.builder()
+                        .voters(4)
+                        .dead(200)
+                        .commandLease(1000)
+                        .commandGap(900)
+                        .replaceAfter(100)
+                        .fate(0)
+                        .build())
+            .getMessage();
+    for (String w :
+        new String[] {
+          "voters must be odd",
+          "dead must be",
+          "commandGap must be",
+          "replaceAfter must",
+          "every time"
+        }) Assertions.assertTrue(s.contains(w), w + " in " + s);
+  }
 }
--- a/control-plane/src/test/java/gladelug/control/duty/DescribingTest.java
+++ b/control-plane/src/test/java/gladelug/control/duty/DescribingTest.java
@@ -11,19 +11,27 @@
 import org.junit.jupiter.api.Test;
 
 final class DescribingTest {
-    private static byte[] bytes(String s) {
-        return s.getBytes(StandardCharsets.UTF_8);
-    }
+  private static byte[] bytes(String s) {
+    return s.getBytes(StandardCharsets.UTF_8);
+  }
 
-    @Test void namesWhatCameWentAndChangedAndNeverAKey() {
-        String a = "{'mappings':[{'name':'x','path':'/x'},{'name':'y','path':'/y'}],"
+  @Test
+  void namesWhatCameWentAndChangedAndNeverAKey() {
+    String a =
+        "{'mappings':[{'name':'x','path':'/x'},{'name':'y','path':'/y'}],"
             + "'tenants':[{'name':'t','keys':['sha256:1']}]}";
-        String b = "{'mappings':[{'name':'x','path':'/z'},{'name':'v','path':'/v'}],"
+    String b =
+        "{'mappings':[{'name':'x','path':'/z'},{'name':'v','path':'/v'}],"
             + "'tenants':[{'name':'t','keys':[]}]}";
-        Assertions.assertEquals("mappings new: v; mappings gone: y; mappings changed: x; tenants changed: t",
-            change(Keys.CONFIGURATION, bytes(a.replace('\'', '"')), bytes(b.replace('\'', '"'))));
-        Assertions.assertEquals("m from w1 to w2", change(Keys.WEIGHTS, bytes("{\"m\":{\"now\":\"w1\"}}"),
+    Assertions.assertEquals(
+        "mappings new: v; mappings gone: y; mappings changed: x; tenants changed: t",
+        change(Keys.CONFIGURATION, bytes(a.replace('\'', '"')), bytes(b.replace('\'', '"'))));
+    Assertions.assertEquals(
+        "m from w1 to w2",
+        change(
+            Keys.WEIGHTS,
+            bytes("{\"m\":{\"now\":\"w1\"}}"),
             bytes("{\"m\":{\"now\":\"w2\",\"before\":\"w1\"}}")));
-        Assertions.assertEquals("", change(Keys.CONFIGURATION, bytes("no JSON"), bytes("{}")));
-    }
+    Assertions.assertEquals("", change(Keys.CONFIGURATION, bytes("no JSON"), bytes("{}")));
+  }
 }
--- a/control-plane/src/test/java/gladelug/control/duty/LearnedTest.java
+++ b/control-plane/src/test/java/gladelug/control/duty/LearnedTest.java
@@ -8,23 +8,24 @@
 import org.junit.jupiter.api.Test;
 
 final class LearnedTest {
-    private static String offered(Learned l, long now) {
-        StringBuilder sb = new StringBuilder();
-        l.offer(now, (n, v) -> sb.append(n).append(':').append(v[0]));
-        return sb.toString();
-    }
+  private static String offered(Learned l, long now) {
+    StringBuilder sb = new StringBuilder();
+    l.offer(now, (n, v) -> sb.append(n).append(':').append(v[0]));
+    return sb.toString();
+  }
 
-    @Test void whatWasLearnedIsOfferedUntilItIsTakenOvertakenOrOld() {
-        Learned l = new Learned();
-        Assertions.assertEquals("", offered(l, 0));
-        l.learn(7, new byte[]{1}, 0);
-        l.answered(new ChangeAnswer.NoOwner());
-        Assertions.assertEquals("7:1", offered(l, 250));
-        l.answered(new ChangeAnswer.Unknown(8));
-        Assertions.assertEquals("7:1", offered(l, 500));
-        l.answered(new ChangeAnswer.Stale(9));
-        Assertions.assertEquals("", offered(l, 750));
-        l.learn(9, new byte[]{2}, 1000);
-        Assertions.assertEquals("", offered(l, 32_000));
-    }
+  @Test
+  void whatWasLearnedIsOfferedUntilItIsTakenOvertakenOrOld() {
+    Learned l = new Learned();
+    Assertions.assertEquals("", offered(l, 0));
+    l.learn(7, new byte[] {1}, 0);
+    l.answered(new ChangeAnswer.NoOwner());
+    Assertions.assertEquals("7:1", offered(l, 250));
+    l.answered(new ChangeAnswer.Unknown(8));
+    Assertions.assertEquals("7:1", offered(l, 500));
+    l.answered(new ChangeAnswer.Stale(9));
+    Assertions.assertEquals("", offered(l, 750));
+    l.learn(9, new byte[] {2}, 1000);
+    Assertions.assertEquals("", offered(l, 32_000));
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -37,111 +37,196 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 
 public final class DataPlane {
-    private static final Map<String, Stages.Mode> MODES = new TreeMap<>(Map.of("summary", Stages.Mode.SUMMARY,
-        "least-occupancy", Stages.Mode.LEAST_LOAD, "holder-always", Stages.Mode.HOLDER_ALWAYS));
-    private static final String[] BOTH = {"name", "domain", "records", "operator", "bind", "seeds", "reasonsMb", "log"};
-    private static final String[] RELAY = {"callers", "index", "backlog", "choice", "division"};
-    private static final String[] INDEX = {"fingerprintBits", "mostHolders", "listPauseMs"};
+  private static final Map<String, Stages.Mode> MODES =
+      new TreeMap<>(
+          Map.of(
+              "summary",
+              Stages.Mode.SUMMARY,
+              "least-occupancy",
+              Stages.Mode.LEAST_LOAD,
+              "holder-always",
+              Stages.Mode.HOLDER_ALWAYS));
+  private static final String[] BOTH = {
+    "name", "domain", "records", "operator", "bind", "seeds", "reasonsMb", "log"
+  };
+  private static final String[] RELAY = {"callers", "index", "backlog", "choice", "division"};
+  private static final String[] INDEX = {"fingerprintBits", "mostHolders", "listPauseMs"};
 
-    record Place(String name, String zone, Address records, Address operator, Local local, List<Address> seeds,
-        String log,
-        Address callers, Address index, int queue, String choice, String division, int fingerprintBits,
-        int mostHolders, long listPauseMs, int reasonsMb) {}
+  record Place(
+      String name,
+      String zone,
+      Address records,
+      Address operator,
+      Local local,
+      List<Address> seeds,
+      String log,
+      Address callers,
+      Address index,
+      int queue,
+      String choice,
+      String division,
+      int fingerprintBits,
+      int mostHolders,
+      long listPauseMs,
+      int reasonsMb) {}
 
-    private DataPlane() {}
+  private DataPlane() {}
 
-    static Result<Place> place(boolean relay, String file, Map<String, String> flags) {
-        return Settings.open(file, flags).then(s -> {
-            Address records = s.address("records");
-            Place p = new Place(s.name("name"), s.text("domain", ""), records, s.address("operator"),
-                Local.of(s, records), s.addresses("seeds"), s.text("log", "info"),
-                relay ? s.address("callers") : null, relay ? s.address("index", null) : null,
-                relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
-                relay ? s.text("choice", "summary") : "", relay ? s.text("division", "fleet") : "",
-                relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 25),
-                relay ? 0 : (int) s.whole("mostHolders", FleetSummary.MOST_HOLDERS, 1, CuckooSummary.MOST_HOLDERS),
-                relay ? 0 : s.whole("listPauseMs", Feed.LIST_PAUSE, 0, 3_600_000),
-                (int) s.whole("reasonsMb", 16, 1, 4096));
-            if (!relay && p.fingerprintBits + CuckooSummary.holderBits(p.mostHolders) > 31)
-                s.findings.add(Settings.flag("fingerprintBits"),
-                    "at most " + (31 - CuckooSummary.holderBits(p.mostHolders))
-                        + " where there may be " + p.mostHolders + " holders");
-            if (p.seeds.isEmpty())
-                s.findings.add("--seeds", "at least one records address of another process is needed");
-            if (p.seeds.contains(p.records))
-                s.findings.add("--seeds", "name this process itself, " + p.records + "; a seed is another process");
-            if (relay && !MODES.containsKey(p.choice))
-                s.findings.add("--choice", "must be one of " + MODES.keySet() + ", not " + p.choice);
-            if (relay && !p.division.equals("fleet") && !p.division.equals("alone"))
+  static Result<Place> place(boolean relay, String file, Map<String, String> flags) {
+    return Settings.open(file, flags)
+        .then(
+            s -> {
+              Address records = s.address("records");
+              Place p =
+                  new Place(
+                      s.name("name"),
+                      s.text("domain", ""),
+                      records,
+                      s.address("operator"),
+                      Local.of(s, records),
+                      s.addresses("seeds"),
+                      s.text("log", "info"),
+                      relay ? s.address("callers") : null,
+                      relay ? s.address("index", null) : null,
+                      relay ? (int) s.whole("backlog", 256, 1, 100_000) : 0,
+                      relay ? s.text("choice", "summary") : "",
+                      relay ? s.text("division", "fleet") : "",
+                      relay ? 0 : (int) s.whole("fingerprintBits", 16, 4, 25),
+                      relay
+                          ? 0
+                          : (int)
+                              s.whole(
+                                  "mostHolders",
+                                  FleetSummary.MOST_HOLDERS,
+                                  1,
+                                  CuckooSummary.MOST_HOLDERS),
+                      relay ? 0 : s.whole("listPauseMs", Feed.LIST_PAUSE, 0, 3_600_000),
+                      (int) s.whole("reasonsMb", 16, 1, 4096));
+              if (!relay && p.fingerprintBits + CuckooSummary.holderBits(p.mostHolders) > 31)
+                s.findings.add(
+                    Settings.flag("fingerprintBits"),
+                    "at most "
+                        + (31 - CuckooSummary.holderBits(p.mostHolders))
+                        + " where there may be "
+                        + p.mostHolders
+                        + " holders");
+              if (p.seeds.isEmpty())
+                s.findings.add(
+                    "--seeds", "at least one records address of another process is needed");
+              if (p.seeds.contains(p.records))
+                s.findings.add(
+                    "--seeds",
+                    "name this process itself, " + p.records + "; a seed is another process");
+              if (relay && !MODES.containsKey(p.choice))
+                s.findings.add(
+                    "--choice", "must be one of " + MODES.keySet() + ", not " + p.choice);
+              if (relay && !p.division.equals("fleet") && !p.division.equals("alone"))
                 s.findings.add("--division", "must be fleet or alone, not " + p.division);
-            return s.done(() -> p);
-        });
-    }
+              return s.done(() -> p);
+            });
+  }
 
-    public static void main(String[] args) {
-        ArgumentParser ap = ArgumentParsers.newFor("data-plane").build().defaultHelp(true)
+  public static void main(String[] args) {
+    ArgumentParser ap =
+        ArgumentParsers.newFor("data-plane")
+            .build()
+            .defaultHelp(true)
             .description("Carries orders to replicas, and indexes which of them keep what.");
-        var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
-        Map<String, String[]> flags = Map.of("relay", RELAY, "index", INDEX);
-        for (String c : List.of("relay", "index")) {
-            Subparser p = subs.addParser(c).help(c.equals("relay") ? "carry orders" : "index kept prefix blocks");
-            p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
-            for (String f : BOTH) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
-            for (String f : flags.get(c)) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
-        }
-        Namespace n = Program.parse(ap, args);
-        boolean relay = n.getString("command").equals("relay");
-        Map<String, String> given = new HashMap<>();
-        for (String f : BOTH) given.put(f, n.getString(f));
-        for (String f : relay ? RELAY : INDEX) given.put(f, n.getString(f));
-        run(relay, Program.orExit("data-plane", place(relay, n.getString("settings"), given)));
+    var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
+    Map<String, String[]> flags = Map.of("relay", RELAY, "index", INDEX);
+    for (String c : List.of("relay", "index")) {
+      Subparser p =
+          subs.addParser(c).help(c.equals("relay") ? "carry orders" : "index kept prefix blocks");
+      p.addArgument("--settings").metavar("FILE").help("settings file in JSON; flags go first");
+      for (String f : BOTH) p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
+      for (String f : flags.get(c))
+        p.addArgument(Settings.flag(f)).dest(f).metavar("VALUE").help(help(f));
     }
+    Namespace n = Program.parse(ap, args);
+    boolean relay = n.getString("command").equals("relay");
+    Map<String, String> given = new HashMap<>();
+    for (String f : BOTH) given.put(f, n.getString(f));
+    for (String f : relay ? RELAY : INDEX) given.put(f, n.getString(f));
+    run(relay, Program.orExit("data-plane", place(relay, n.getString("settings"), given)));
+  }
 
-    private static String help(String f) {
-        return switch (f) {
-            case "name" -> "this process's name in the fleet";
-            case "domain" -> "the domain (zone) it stands in";
-            case "records" -> "IP:PORT for circuits between processes";
-            case "bind" -> "IP number to listen on and call from, where it isn't the advertised one";
-            case "operator" -> "IP:PORT for operators and the platform";
-            case "seeds" -> "IP:PORT,... of other processes' records addresses";
-            case "reasonsMb" -> "MiB of other relays' decision records kept here";
-            case "log" -> "fine, info or warning";
-            case "callers" -> "IP:PORT for callers";
-            case "index" -> "IP:PORT of this machine's index process, where it has one";
-            case "backlog" -> "how many orders of a service may wait here";
-            case "mostHolders" -> "how many replicas and stores the index has room for, up to 1024";
-            case "listPauseMs" -> "milliseconds between two loads of one replica's block list, at least";
-            case "division" -> "who divides a full fleet: fleet, or alone for comparisons";
-            case "choice" -> "how a replica is chosen: summary; least-occupancy and holder-always are for comparisons";
-            default -> "width f of a fingerprint in the Cuckoo Summary";
-        };
-    }
+  private static String help(String f) {
+    return switch (f) {
+      case "name" -> "this process's name in the fleet";
+      case "domain" -> "the domain (zone) it stands in";
+      case "records" -> "IP:PORT for circuits between processes";
+      case "bind" -> "IP number to listen on and call from, where it isn't the advertised one";
+      case "operator" -> "IP:PORT for operators and the platform";
+      case "seeds" -> "IP:PORT,... of other processes' records addresses";
+      case "reasonsMb" -> "MiB of other relays' decision records kept here";
+      case "log" -> "fine, info or warning";
+      case "callers" -> "IP:PORT for callers";
+      case "index" -> "IP:PORT of this machine's index process, where it has one";
+      case "backlog" -> "how many orders of a service may wait here";
+      case "mostHolders" -> "how many replicas and stores the index has room for, up to 1024";
+      case "listPauseMs" -> "milliseconds between two loads of one replica's block list, at least";
+      case "division" -> "who divides a full fleet: fleet, or alone for comparisons";
+      case "choice" ->
+          "how a replica is chosen: summary; least-occupancy and holder-always are for comparisons";
+      default -> "width f of a fingerprint in the Cuckoo Summary";
+    };
+  }
 
-    static void run(boolean relay, Place p) {
-        Log.setUp(p.name, Program.level(p.log), System.out);
-        Vertx vertx = Vertx.vertx();
-        Clock clock = Clock.monotonic();
-        Shuffle.Descriptor self = new Shuffle.Descriptor(p.name, relay ? "relay" : "index", p.records.toString(),
-            p.operator.toString(), p.zone, 0, 0);
-        ReasonsService reasons = new ReasonsService(vertx, clock, p.name, p.records.host(), (long) p.reasonsMb << 20);
-        Kernel k = new Kernel().add("doors", new Doors(vertx, p.records, p.local, p.name))
+  static void run(boolean relay, Place p) {
+    Log.setUp(p.name, Program.level(p.log), System.out);
+    Vertx vertx = Vertx.vertx();
+    Clock clock = Clock.monotonic();
+    Shuffle.Descriptor self =
+        new Shuffle.Descriptor(
+            p.name,
+            relay ? "relay" : "index",
+            p.records.toString(),
+            p.operator.toString(),
+            p.zone,
+            0,
+            0);
+    ReasonsService reasons =
+        new ReasonsService(vertx, clock, p.name, p.records.host(), (long) p.reasonsMb << 20);
+    Kernel k =
+        new Kernel()
+            .add("doors", new Doors(vertx, p.records, p.local, p.name))
             .add("views", new ViewService(vertx, self, p.seeds))
-            .add("news", new NewsService(vertx, clock, self, p.seeds)).add("reasons", reasons);
-        if (relay) {
-            RelayService r = new RelayService(vertx, clock, p.name, p.zone, new OwnProtocol(p.callers), p.index,
-                RelaySettings.builder().queueMost(p.queue).alone(p.division.equals("alone")).build(),
-                MODES.get(p.choice), RelayService.Ends.USUAL);
-            k.add("status-door", new StatusDoor(vertx, p.operator, r::unready, r::status, t -> {
-                r.routes(t);
-                reasons.routes(t);
-            })).add("relay", r);
-        } else {
-            IndexService x = new IndexService(clock, p.fingerprintBits, p.mostHolders,
-                HttpHolderFeeds.factory(vertx, Feed.Policy.STRICT.listPauseMs(p.listPauseMs)));
-            k.add("status-door", new StatusDoor(vertx, p.operator, () -> "", x::status, reasons::routes)).add("index",
-                x);
-        }
-        Program.run("data-plane", k, RelayService.DRAIN + 2000);
+            .add("news", new NewsService(vertx, clock, self, p.seeds))
+            .add("reasons", reasons);
+    if (relay) {
+      RelayService r =
+          new RelayService(
+              vertx,
+              clock,
+              p.name,
+              p.zone,
+              new OwnProtocol(p.callers),
+              p.index,
+              RelaySettings.builder().queueMost(p.queue).alone(p.division.equals("alone")).build(),
+              MODES.get(p.choice),
+              RelayService.Ends.USUAL);
+      k.add(
+              "status-door",
+              new StatusDoor(
+                  vertx,
+                  p.operator,
+                  r::unready,
+                  r::status,
+                  t -> {
+                    r.routes(t);
+                    reasons.routes(t);
+                  }))
+          .add("relay", r);
+    } else {
+      IndexService x =
+          new IndexService(
+              clock,
+              p.fingerprintBits,
+              p.mostHolders,
+              HttpHolderFeeds.factory(vertx, Feed.Policy.STRICT.listPauseMs(p.listPauseMs)));
+      k.add("status-door", new StatusDoor(vertx, p.operator, () -> "", x::status, reasons::routes))
+          .add("index", x);
     }
+    Program.run("data-plane", k, RelayService.DRAIN + 2000);
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/StatusDoor.java
+++ b/data-plane/src/main/java/gladelug/data/StatusDoor.java
@@ -21,51 +21,71 @@
 import java.util.function.Supplier;
 
 public final class StatusDoor implements Kernel.Service {
-    private final Vertx vertx;
-    private final Address address;
-    private final Supplier<String> unready;
-    private final Supplier<Uni<JsonObject>> status;
-    private final Consumer<Router> more;
-    private HttpServer server;
+  private final Vertx vertx;
+  private final Address address;
+  private final Supplier<String> unready;
+  private final Supplier<Uni<JsonObject>> status;
+  private final Consumer<Router> more;
+  private HttpServer server;
 
-    /** unready gives the reason, or an empty text when this node is ready. */
-    public StatusDoor(Vertx vertx, Address address, Supplier<String> unready, Supplier<Uni<JsonObject>> status,
-        Consumer<Router> more) {
-        this.vertx = vertx;
-        this.address = address;
-        this.unready = unready;
-        this.status = status;
-        this.more = more;
-    }
+  /** unready gives the reason, or an empty text when this node is ready. */
+  public StatusDoor(
+      Vertx vertx,
+      Address address,
+      Supplier<String> unready,
+      Supplier<Uni<JsonObject>> status,
+      Consumer<Router> more) {
+    this.vertx = vertx;
+    this.address = address;
+    this.unready = unready;
+    this.status = status;
+    this.more = more;
+  }
 
-    @Override public void start(Kernel k) {
-        Router r = Router.router(vertx);
-        r.get("/ready").handler(c -> {
-            String why = unready.get();
-            say(c, why.isEmpty() ? 200 : 503, Json.object().add("ready", why.isEmpty()).add("reason", why));
-        });
-        r.get("/operator/status").handler(c -> status.get().subscribe().with(o -> say(c, 200, o), t -> c.fail(500, t)));
-        more.accept(r);
-        r.errorHandler(500, c -> {
-            Log.thrown("status-door-problem", c.failure(), "path", c.request().path());
-            say(c, 500, Json.object().add("reason", "an internal problem"));
+  @Override
+  public void start(Kernel k) {
+    Router r = Router.router(vertx);
+    r.get("/ready")
+        .handler(
+            c -> {
+              String why = unready.get();
+              say(
+                  c,
+                  why.isEmpty() ? 200 : 503,
+                  Json.object().add("ready", why.isEmpty()).add("reason", why));
+            });
+    r.get("/operator/status")
+        .handler(c -> status.get().subscribe().with(o -> say(c, 200, o), t -> c.fail(500, t)));
+    more.accept(r);
+    r.errorHandler(
+        500,
+        c -> {
+          Log.thrown("status-door-problem", c.failure(), "path", c.request().path());
+          say(c, 500, Json.object().add("reason", "an internal problem"));
         });
-        r.errorHandler(404, c -> say(c, 404, Json.object().add("reason", "nothing is here")));
-        server = vertx.createHttpServer(new HttpServerOptions()).requestHandler(r::handle);
-        try {
-            server.listen(address.port(), k.find("doors", Doors.class).local.ip()).await()
-                .atMost(Duration.ofSeconds(10));
-        } catch (RuntimeException e) {
-            throw new Kernel.CannotStart("cannot listen for operators on " + address + ": " + Doors.reason(e), e);
-        }
+    r.errorHandler(404, c -> say(c, 404, Json.object().add("reason", "nothing is here")));
+    server = vertx.createHttpServer(new HttpServerOptions()).requestHandler(r::handle);
+    try {
+      server
+          .listen(address.port(), k.find("doors", Doors.class).local.ip())
+          .await()
+          .atMost(Duration.ofSeconds(10));
+    } catch (RuntimeException e) {
+      throw new Kernel.CannotStart(
+          "cannot listen for operators on " + address + ": " + Doors.reason(e), e);
     }
+  }
 
-    public static void say(RoutingContext c, int status, JsonObject o) {
-        if (c.response().ended() || c.response().closed()) return;
-        c.response().setStatusCode(status).putHeader("Content-Type", "application/json").endAndForget(o + "\n");
-    }
+  public static void say(RoutingContext c, int status, JsonObject o) {
+    if (c.response().ended() || c.response().closed()) return;
+    c.response()
+        .setStatusCode(status)
+        .putHeader("Content-Type", "application/json")
+        .endAndForget(o + "\n");
+  }
 
-    @Override public void stop() {
-        server.closeAndForget();
-    }
+  @Override
+  public void stop() {
+    server.closeAndForget();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/BlockList.java
+++ b/data-plane/src/main/java/gladelug/data/index/BlockList.java
@@ -14,15 +14,15 @@
  * @param parts which of them are kept in part only
  */
 public record BlockList(String incarnation, long number, long[] blocks, int[] units, BitSet parts) {
-    public BlockList {
-        if (blocks.length != units.length)
-            throw new IllegalArgumentException(blocks.length + " blocks, " + units.length + " units");
-    }
+  public BlockList {
+    if (blocks.length != units.length)
+      throw new IllegalArgumentException(blocks.length + " blocks, " + units.length + " units");
+  }
 
-    /** A list of whole blocks. */
-    public static BlockList whole(String incarnation, long number, long[] blocks) {
-        int[] units = new int[blocks.length];
-        Arrays.fill(units, 1);
-        return new BlockList(incarnation, number, blocks, units, new BitSet());
-    }
+  /** A list of whole blocks. */
+  public static BlockList whole(String incarnation, long number, long[] blocks) {
+    int[] units = new int[blocks.length];
+    Arrays.fill(units, 1);
+    return new BlockList(incarnation, number, blocks, units, new BitSet());
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/Feed.java
+++ b/data-plane/src/main/java/gladelug/data/index/Feed.java
@@ -15,311 +15,320 @@
 import java.util.TreeSet;
 
 public final class Feed {
-    public static final int WINDOW = 64;
-    public static final long PATIENCE = 300, LIST_PAUSE = 300;
-
-    /** What numbers that never arrive mean. */
-    public sealed interface Gaps {
-        Gaps STRICT = new Strict();
-
-        /** A gap that stays means a resync. */
-        record Strict() implements Gaps {}
-
-        /** More than limit missing of the last per numbers mean a resync. */
-        record Tolerant(int limit, int per) implements Gaps {
-            public Tolerant {
-                if (limit < 0 || per < 1) throw new IllegalArgumentException(limit + " missing of " + per);
-            }
-        }
-
-        static Gaps tolerant(int limit, int per) {
-            return new Tolerant(limit, per);
-        }
-    }
-
-    /**
-     * How a holder is followed.
-     *
-     * @param gaps what numbers that never arrive mean
-     * @param patienceMs how long a missing number is waited for
-     * @param listPauseMs a list is asked for at most this often, since it costs the holder work
-     */
-    public record Policy(Gaps gaps, long patienceMs, long listPauseMs) {
-        public static final Policy STRICT = new Policy(Gaps.STRICT, PATIENCE, LIST_PAUSE);
-
-        public Policy gaps(Gaps g) {
-            return new Policy(g, patienceMs, listPauseMs);
-        }
-
-        public Policy patienceMs(long ms) {
-            return new Policy(gaps, ms, listPauseMs);
-        }
-
-        public Policy listPauseMs(long ms) {
-            return new Policy(gaps, patienceMs, ms);
-        }
-    }
+  public static final int WINDOW = 64;
+  public static final long PATIENCE = 300, LIST_PAUSE = 300;
 
-    public interface Effects {
-        /** So many units of the block are kept now; part as in {@link CacheEvent}. */
-        void keep(long block, int units, boolean part);
+  /** What numbers that never arrive mean. */
+  public sealed interface Gaps {
+    Gaps STRICT = new Strict();
 
-        /** The holder keeps nothing of what was told. */
-        void clear();
+    /** A gap that stays means a resync. */
+    record Strict() implements Gaps {}
 
-        /** Clear the holder and insert these. */
-        void load(BlockList list);
-
-        /** Ask the holder for its list; listed() follows with the same nr. */
-        void list(long nr);
+    /** More than limit missing of the last per numbers mean a resync. */
+    record Tolerant(int limit, int per) implements Gaps {
+      public Tolerant {
+        if (limit < 0 || per < 1) throw new IllegalArgumentException(limit + " missing of " + per);
+      }
     }
 
-    private record Waiting(CacheEvent event, long came) {}
-
-    private static final long NEVER = Long.MIN_VALUE / 2;
-    private final Effects fx;
-    private final Policy policy;
-    private final Gaps.Tolerant tolerant;
-    private final int room;
-    private final TreeMap<Long, Waiting> window = new TreeMap<>();
-    /** Tolerant only: numbers passed over, of the last per; at most limit of them. */
-    private final TreeSet<Long> missing = new TreeSet<>();
-    /** Tolerant only: while numbers are missing, the newest number that told of each block. */
-    private final LinkedHashMap<Long, Long> newest = new LinkedHashMap<>();
-    private String incarnation = "";
-    private String left = "";
-    private long applied;
-    private boolean following;
-    private long listNr;
-    private long answered;
-    private long listAt = NEVER;
-    private boolean listWanted;
-    private long lostUpTo = -1;
-    private long behindSince = -1;
-    private long told;
-    private long resyncs;
-    private long repeats;
-    private long missed;
-    private String windowOf = "";
-
-    public Feed(Effects fx) {
-        this(fx, Policy.STRICT);
+    static Gaps tolerant(int limit, int per) {
+      return new Tolerant(limit, per);
     }
-
-    public Feed(Effects fx, Policy policy) {
-        this.fx = fx;
-        this.policy = policy;
-        this.tolerant = policy.gaps instanceof Gaps.Tolerant t ? t : null;
-        this.room = tolerant == null ? 16 * WINDOW : 1024 * WINDOW;
-    }
-
-    public boolean following() {
-        return following;
-    }
-
-    public String incarnation() {
-        return incarnation;
-    }
-
-    public long applied() {
-        return applied;
-    }
-
-    /** How often the list was asked for. */
-    public long resyncs() {
-        return resyncs;
-    }
-
-    public long repeats() {
-        return repeats;
-    }
-
-    /** Numbers passed over, but for those that came later after all. */
-    public long missed() {
-        return missed;
+  }
+
+  /**
+   * How a holder is followed.
+   *
+   * @param gaps what numbers that never arrive mean
+   * @param patienceMs how long a missing number is waited for
+   * @param listPauseMs a list is asked for at most this often, since it costs the holder work
+   */
+  public record Policy(Gaps gaps, long patienceMs, long listPauseMs) {
+    public static final Policy STRICT = new Policy(Gaps.STRICT, PATIENCE, LIST_PAUSE);
+
+    public Policy gaps(Gaps g) {
+      return new Policy(g, patienceMs, listPauseMs);
     }
 
-    public Policy policy() {
-        return policy;
+    public Policy patienceMs(long ms) {
+      return new Policy(gaps, ms, listPauseMs);
     }
 
-    /**
-     * Asks for the list, now or when the pause since the last time is over; again where an answer failed to come. A
-     * strict feed applies nothing until then.
-     */
-    public void resync(long now) {
-        if (tolerant == null) stop();
-        relist(now);
+    public Policy listPauseMs(long ms) {
+      return new Policy(gaps, patienceMs, ms);
     }
-
-    private void stop() {
-        following = false;
-        behindSince = -1;
+  }
+
+  public interface Effects {
+    /** So many units of the block are kept now; part as in {@link CacheEvent}. */
+    void keep(long block, int units, boolean part);
+
+    /** The holder keeps nothing of what was told. */
+    void clear();
+
+    /** Clear the holder and insert these. */
+    void load(BlockList list);
+
+    /** Ask the holder for its list; listed() follows with the same nr. */
+    void list(long nr);
+  }
+
+  private record Waiting(CacheEvent event, long came) {}
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+  private final Effects fx;
+  private final Policy policy;
+  private final Gaps.Tolerant tolerant;
+  private final int room;
+  private final TreeMap<Long, Waiting> window = new TreeMap<>();
+
+  /** Tolerant only: numbers passed over, of the last per; at most limit of them. */
+  private final TreeSet<Long> missing = new TreeSet<>();
+
+  /** Tolerant only: while numbers are missing, the newest number that told of each block. */
+  private final LinkedHashMap<Long, Long> newest = new LinkedHashMap<>();
+
+  private String incarnation = "";
+  private String left = "";
+  private long applied;
+  private boolean following;
+  private long listNr;
+  private long answered;
+  private long listAt = NEVER;
+  private boolean listWanted;
+  private long lostUpTo = -1;
+  private long behindSince = -1;
+  private long told;
+  private long resyncs;
+  private long repeats;
+  private long missed;
+  private String windowOf = "";
+
+  public Feed(Effects fx) {
+    this(fx, Policy.STRICT);
+  }
+
+  public Feed(Effects fx, Policy policy) {
+    this.fx = fx;
+    this.policy = policy;
+    this.tolerant = policy.gaps instanceof Gaps.Tolerant t ? t : null;
+    this.room = tolerant == null ? 16 * WINDOW : 1024 * WINDOW;
+  }
+
+  public boolean following() {
+    return following;
+  }
+
+  public String incarnation() {
+    return incarnation;
+  }
+
+  public long applied() {
+    return applied;
+  }
+
+  /** How often the list was asked for. */
+  public long resyncs() {
+    return resyncs;
+  }
+
+  public long repeats() {
+    return repeats;
+  }
+
+  /** Numbers passed over, but for those that came later after all. */
+  public long missed() {
+    return missed;
+  }
+
+  public Policy policy() {
+    return policy;
+  }
+
+  /**
+   * Asks for the list, now or when the pause since the last time is over; again where an answer
+   * failed to come. A strict feed applies nothing until then.
+   */
+  public void resync(long now) {
+    if (tolerant == null) stop();
+    relist(now);
+  }
+
+  private void stop() {
+    following = false;
+    behindSince = -1;
+  }
+
+  /**
+   * As resync, where nothing is wrong with what was applied: events go on until the list is asked
+   * for.
+   */
+  public void relist(long now) {
+    if (now - listAt < policy.listPauseMs) {
+      listWanted = true;
+      return;
     }
-
-    /** As resync, where nothing is wrong with what was applied: events go on until the list is asked for. */
-    public void relist(long now) {
-        if (now - listAt < policy.listPauseMs) {
-            listWanted = true;
-            return;
-        }
-        stop();
-        listWanted = false;
-        listAt = now;
-        resyncs++;
-        fx.list(++listNr);
+    stop();
+    listWanted = false;
+    listAt = now;
+    resyncs++;
+    fx.list(++listNr);
+  }
+
+  public void listed(long nr, BlockList l) {
+    if (following || nr != listNr || nr == answered) return;
+    answered = nr;
+    if (!l.incarnation().equals(windowOf)) window.clear();
+    incarnation = windowOf = l.incarnation();
+    if (incarnation.equals(left)) left = "";
+    applied = l.number();
+    missing.clear();
+    newest.clear();
+    following = true;
+    behindSince = -1;
+    fx.load(l);
+    drain();
+    // lost after the list was made: this list stands until the next one comes
+    listWanted = lostUpTo > l.number();
+    lostUpTo = -1;
+  }
+
+  /** The list of this nr won't come: another one, after the pause. */
+  public void listFailed(long nr, long now) {
+    if (!following && nr == listNr && nr != answered) resync(now);
+  }
+
+  public void event(CacheEvent e, long now) {
+    String inc = e.incarnation();
+    long seq = e.number();
+    if (inc.equals(left)) {
+      repeats++;
+      return;
     }
-
-    public void listed(long nr, BlockList l) {
-        if (following || nr != listNr || nr == answered) return;
-        answered = nr;
-        if (!l.incarnation().equals(windowOf)) window.clear();
-        incarnation = windowOf = l.incarnation();
-        if (incarnation.equals(left)) left = "";
-        applied = l.number();
-        missing.clear();
-        newest.clear();
-        following = true;
-        behindSince = -1;
-        fx.load(l);
-        drain();
-        // lost after the list was made: this list stands until the next one comes
-        listWanted = lostUpTo > l.number();
+    if (!following) {
+      if (!inc.equals(windowOf)) {
+        window.clear();
         lostUpTo = -1;
-    }
-
-    /** The list of this nr won't come: another one, after the pause. */
-    public void listFailed(long nr, long now) {
-        if (!following && nr == listNr && nr != answered) resync(now);
-    }
-
-    public void event(CacheEvent e, long now) {
-        String inc = e.incarnation();
-        long seq = e.number();
-        if (inc.equals(left)) {
-            repeats++;
-            return;
-        }
-        if (!following) {
-            if (!inc.equals(windowOf)) {
-                window.clear();
-                lostUpTo = -1;
-                windowOf = inc;
-            }
-            if (e.lost()) lostUpTo = Math.max(lostUpTo, seq);
-            window.put(seq, new Waiting(e, now));
-            if (window.size() > room) window.pollFirstEntry();
-            return;
-        }
-        if (!inc.equals(incarnation)) {
-            window.clear();
-            window.put(seq, new Waiting(e, now));
-            leave(inc, now);
-        } else if (seq <= applied) late(e);
-        else if (window.containsKey(seq)) repeats++;
-        else {
-            window.put(seq, new Waiting(e, now));
-            if (e.lost()) {
-                resync(now);
-                if (!following) return;
-            }
-            drain();
-            if (window.isEmpty()) behindSince = -1;
-            else if (behindSince < 0) behindSince = now;
-            if (window.size() <= WINDOW) return;
-            if (tolerant == null) resync(now);
-            else passOver(window.firstKey() - 1, now);
-        }
-    }
-
-    private void leave(String inc, long now) {
-        left = incarnation;
         windowOf = inc;
-        lostUpTo = -1;
-        fx.clear();
-        stop();
+      }
+      if (e.lost()) lostUpTo = Math.max(lostUpTo, seq);
+      window.put(seq, new Waiting(e, now));
+      if (window.size() > room) window.pollFirstEntry();
+      return;
+    }
+    if (!inc.equals(incarnation)) {
+      window.clear();
+      window.put(seq, new Waiting(e, now));
+      leave(inc, now);
+    } else if (seq <= applied) late(e);
+    else if (window.containsKey(seq)) repeats++;
+    else {
+      window.put(seq, new Waiting(e, now));
+      if (e.lost()) {
         resync(now);
+        if (!following) return;
+      }
+      drain();
+      if (window.isEmpty()) behindSince = -1;
+      else if (behindSince < 0) behindSince = now;
+      if (window.size() <= WINDOW) return;
+      if (tolerant == null) resync(now);
+      else passOver(window.firstKey() - 1, now);
     }
-
-    /** A number passed over that comes after all counts, unless something newer told of its block. */
-    private void late(CacheEvent e) {
-        if (!missing.remove(e.number())) {
-            repeats++;
-            return;
-        }
-        missed--;
-        if (newest.getOrDefault(e.block(), -1L) < e.number()) apply(e);
-        if (missing.isEmpty()) newest.clear();
+  }
+
+  private void leave(String inc, long now) {
+    left = incarnation;
+    windowOf = inc;
+    lostUpTo = -1;
+    fx.clear();
+    stop();
+    resync(now);
+  }
+
+  /** A number passed over that comes after all counts, unless something newer told of its block. */
+  private void late(CacheEvent e) {
+    if (!missing.remove(e.number())) {
+      repeats++;
+      return;
     }
-
-    /** The holder told its newest sequence without an event. */
-    public void pulse(String inc, long newest, long now) {
-        if (!following || inc.equals(left)) return;
-        if (!inc.equals(incarnation)) {
-            window.clear();
-            leave(inc, now);
-        } else if (newest <= applied) {
-            if (window.isEmpty()) behindSince = -1;
-        } else if (behindSince < 0) {
-            behindSince = now;
-            told = newest;
-        }
-        tick(now);
+    missed--;
+    if (newest.getOrDefault(e.block(), -1L) < e.number()) apply(e);
+    if (missing.isEmpty()) newest.clear();
+  }
+
+  /** The holder told its newest sequence without an event. */
+  public void pulse(String inc, long newest, long now) {
+    if (!following || inc.equals(left)) return;
+    if (!inc.equals(incarnation)) {
+      window.clear();
+      leave(inc, now);
+    } else if (newest <= applied) {
+      if (window.isEmpty()) behindSince = -1;
+    } else if (behindSince < 0) {
+      behindSince = now;
+      told = newest;
     }
-
-    public void tick(long now) {
-        if (listWanted && now - listAt >= policy.listPauseMs) relist(now);
-        if (!following || behindSince < 0) return;
-        if (tolerant == null) {
-            if (now - behindSince > policy.patienceMs) resync(now);
-        } else {
-            while (following && !window.isEmpty() && now - window.firstEntry().getValue().came > policy.patienceMs)
-                passOver(window.firstKey() - 1, now);
-            if (!following) return;
-            if (window.isEmpty() && now - behindSince > policy.patienceMs) {
-                if (told > applied) passOver(told, now);
-                if (following) behindSince = -1;
-            }
-        }
+    tick(now);
+  }
+
+  public void tick(long now) {
+    if (listWanted && now - listAt >= policy.listPauseMs) relist(now);
+    if (!following || behindSince < 0) return;
+    if (tolerant == null) {
+      if (now - behindSince > policy.patienceMs) resync(now);
+    } else {
+      while (following
+          && !window.isEmpty()
+          && now - window.firstEntry().getValue().came > policy.patienceMs)
+        passOver(window.firstKey() - 1, now);
+      if (!following) return;
+      if (window.isEmpty() && now - behindSince > policy.patienceMs) {
+        if (told > applied) passOver(told, now);
+        if (following) behindSince = -1;
+      }
     }
-
-    /** Tolerant only: what is missing up to this number isn't waited for any longer. */
-    private void passOver(long upTo, long now) {
-        long n = upTo - applied;
-        missed += n;
-        missing.headSet(upTo - tolerant.per, true).clear();
-        boolean many = Math.min(n, tolerant.per) + missing.size() > tolerant.limit;
-        if (!many) for (long i = Math.max(applied, upTo - tolerant.per) + 1; i <= upTo; i++) missing.add(i);
-        applied = upTo;
-        if (many) {
-            missing.clear();
-            newest.clear();
-            resync(now);
-        }
-        if (following) drain();
+  }
+
+  /** Tolerant only: what is missing up to this number isn't waited for any longer. */
+  private void passOver(long upTo, long now) {
+    long n = upTo - applied;
+    missed += n;
+    missing.headSet(upTo - tolerant.per, true).clear();
+    boolean many = Math.min(n, tolerant.per) + missing.size() > tolerant.limit;
+    if (!many)
+      for (long i = Math.max(applied, upTo - tolerant.per) + 1; i <= upTo; i++) missing.add(i);
+    applied = upTo;
+    if (many) {
+      missing.clear();
+      newest.clear();
+      resync(now);
     }
+    if (following) drain();
+  }
 
-    private void drain() {
-        while (!window.isEmpty() && window.firstKey() <= applied) {
-            window.pollFirstEntry();
-            repeats++;
-        }
-        while (!window.isEmpty() && window.firstKey() == applied + 1) {
-            CacheEvent e = window.pollFirstEntry().getValue().event;
-            applied++;
-            apply(e);
-        }
-        if (tolerant == null || missing.isEmpty()) return;
-        missing.headSet(applied - tolerant.per, true).clear();
-        if (missing.isEmpty()) newest.clear();
+  private void drain() {
+    while (!window.isEmpty() && window.firstKey() <= applied) {
+      window.pollFirstEntry();
+      repeats++;
     }
-
-    private void apply(CacheEvent e) {
-        if (!missing.isEmpty()) {
-            newest.remove(e.block());
-            newest.put(e.block(), e.number());
-            if (newest.size() > tolerant.per) newest.remove(newest.keySet().iterator().next());
-        }
-        fx.keep(e.block(), e.units(), e.part());
+    while (!window.isEmpty() && window.firstKey() == applied + 1) {
+      CacheEvent e = window.pollFirstEntry().getValue().event;
+      applied++;
+      apply(e);
+    }
+    if (tolerant == null || missing.isEmpty()) return;
+    missing.headSet(applied - tolerant.per, true).clear();
+    if (missing.isEmpty()) newest.clear();
+  }
+
+  private void apply(CacheEvent e) {
+    if (!missing.isEmpty()) {
+      newest.remove(e.block());
+      newest.put(e.block(), e.number());
+      if (newest.size() > tolerant.per) newest.remove(newest.keySet().iterator().next());
     }
+    fx.keep(e.block(), e.units(), e.part());
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/Holder.java
+++ b/data-plane/src/main/java/gladelug/data/index/Holder.java
@@ -8,54 +8,65 @@
 import java.util.function.LongConsumer;
 
 public final class Holder {
-    private static final long SILENT = 3000;
-    public final Replica replica;
-    public final Feed feed;
-    final int id;
-    long capacity;
-    boolean inNext;
-    /** Units of the blocks that it keeps in part. */
-    final Parts parts = new Parts();
-    /** Listed no more: what still arrives must not touch the entries of whoever has its id next. */
-    boolean dropped;
-    /** Has answered or failed to at least once. */
-    public boolean tried;
-    public long heard;
-    private LongConsumer lists = nr -> {};
-
-    Holder(Replica r, int id, long now, Feed.Policy policy, Feed.Effects fx) {
-        this.replica = r;
-        this.id = id;
-        this.heard = now;
-        this.feed = new Feed(new Feed.Effects() {
-            @Override public void keep(long block, int units, boolean part) {
+  private static final long SILENT = 3000;
+  public final Replica replica;
+  public final Feed feed;
+  final int id;
+  long capacity;
+  boolean inNext;
+
+  /** Units of the blocks that it keeps in part. */
+  final Parts parts = new Parts();
+
+  /** Listed no more: what still arrives must not touch the entries of whoever has its id next. */
+  boolean dropped;
+
+  /** Has answered or failed to at least once. */
+  public boolean tried;
+
+  public long heard;
+  private LongConsumer lists = nr -> {};
+
+  Holder(Replica r, int id, long now, Feed.Policy policy, Feed.Effects fx) {
+    this.replica = r;
+    this.id = id;
+    this.heard = now;
+    this.feed =
+        new Feed(
+            new Feed.Effects() {
+              @Override
+              public void keep(long block, int units, boolean part) {
                 if (!dropped) fx.keep(block, units, part);
-            }
+              }
 
-            @Override public void clear() {
+              @Override
+              public void clear() {
                 if (!dropped) fx.clear();
-            }
+              }
 
-            @Override public void load(BlockList l) {
+              @Override
+              public void load(BlockList l) {
                 if (!dropped) fx.load(l);
-            }
+              }
 
-            @Override public void list(long nr) {
+              @Override
+              public void list(long nr) {
                 if (!dropped) lists.accept(nr);
-            }
-        }, policy);
-    }
-
-    /** The most blocks that it can keep, as far as known; 0 = not known. */
-    public long capacity() {
-        return capacity;
-    }
-
-    public void lists(LongConsumer asks) {
-        lists = asks;
-    }
-
-    boolean silent(long now) {
-        return now - heard > SILENT;
-    }
+              }
+            },
+            policy);
+  }
+
+  /** The most blocks that it can keep, as far as known; 0 = not known. */
+  public long capacity() {
+    return capacity;
+  }
+
+  public void lists(LongConsumer asks) {
+    lists = asks;
+  }
+
+  boolean silent(long now) {
+    return now - heard > SILENT;
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/HolderConnection.java
+++ b/data-plane/src/main/java/gladelug/data/index/HolderConnection.java
@@ -21,140 +21,190 @@
 import java.util.List;
 
 final class HolderConnection implements HolderFeeds.Following {
-    private static final long AGAIN = 300;
+  private static final long AGAIN = 300;
 
-    private final Holder h;
-    private final Replica replica;
-    private final Feed feed;
-    private final Vertx vertx;
-    private final HttpClient http;
-    private final WebClient web;
-    private final Duty duty;
-    private final Clock clock;
-    private final HolderFeeds.Sink sink;
-    private HttpClientRequest stream;
-    private boolean gone;
+  private final Holder h;
+  private final Replica replica;
+  private final Feed feed;
+  private final Vertx vertx;
+  private final HttpClient http;
+  private final WebClient web;
+  private final Duty duty;
+  private final Clock clock;
+  private final HolderFeeds.Sink sink;
+  private HttpClientRequest stream;
+  private boolean gone;
 
-    HolderConnection(Vertx vertx, HttpClient http, WebClient web, Duty duty, Clock clock, Holder h,
-        HolderFeeds.Sink sink) {
-        this.vertx = vertx;
-        this.http = http;
-        this.web = web;
-        this.duty = duty;
-        this.clock = clock;
-        this.sink = sink;
-        this.h = h;
-        this.replica = h.replica;
-        this.feed = h.feed;
-        identify();
-    }
+  HolderConnection(
+      Vertx vertx,
+      HttpClient http,
+      WebClient web,
+      Duty duty,
+      Clock clock,
+      Holder h,
+      HolderFeeds.Sink sink) {
+    this.vertx = vertx;
+    this.http = http;
+    this.web = web;
+    this.duty = duty;
+    this.clock = clock;
+    this.sink = sink;
+    this.h = h;
+    this.replica = h.replica;
+    this.feed = h.feed;
+    identify();
+  }
 
-    @Override public void close() {
-        gone = true;
-        if (stream != null) stream.reset();
-    }
+  @Override
+  public void close() {
+    gone = true;
+    if (stream != null) stream.reset();
+  }
 
-    private void again(Runnable r) {
-        duty.after(AGAIN, () -> {
-            if (!gone) r.run();
+  private void again(Runnable r) {
+    duty.after(
+        AGAIN,
+        () -> {
+          if (!gone) r.run();
         });
-    }
+  }
 
-    private void identify() {
-        web.get(replica.address().port(), replica.address().host(), "/identity").timeout(1000).send().subscribe()
-            .with(r -> duty.offer(() -> {
-                if (gone) return;
-                JsonObject o;
-                try {
-                    o = r.bodyAsJsonObject() == null ? new JsonObject() : r.bodyAsJsonObject();
-                } catch (RuntimeException e) {
-                    o = new JsonObject();
-                }
-                if (!replica.instance().equals(o.getString("instance"))
-                    || !replica.service().equals(o.getString("service"))) {
-                    Log.warn("holder-is-another", "instance", replica.instance(), "address", replica.address());
-                    sink.silent();
-                    again(this::identify);
-                    return;
-                }
-                sink.began(o.getLong("capacityBlocks", 0L));
-                follow();
-            }), t -> duty.offer(() -> {
-                sink.silent();
-                if (!gone) again(this::identify);
-            }));
-    }
+  private void identify() {
+    web.get(replica.address().port(), replica.address().host(), "/identity")
+        .timeout(1000)
+        .send()
+        .subscribe()
+        .with(
+            r ->
+                duty.offer(
+                    () -> {
+                      if (gone) return;
+                      JsonObject o;
+                      try {
+                        o = r.bodyAsJsonObject() == null ? new JsonObject() : r.bodyAsJsonObject();
+                      } catch (RuntimeException e) {
+                        o = new JsonObject();
+                      }
+                      if (!replica.instance().equals(o.getString("instance"))
+                          || !replica.service().equals(o.getString("service"))) {
+                        Log.warn(
+                            "holder-is-another",
+                            "instance",
+                            replica.instance(),
+                            "address",
+                            replica.address());
+                        sink.silent();
+                        again(this::identify);
+                        return;
+                      }
+                      sink.began(o.getLong("capacityBlocks", 0L));
+                      follow();
+                    }),
+            t ->
+                duty.offer(
+                    () -> {
+                      sink.silent();
+                      if (!gone) again(this::identify);
+                    }));
+  }
 
-    private void follow() {
-        if (gone) return;
-        http.getDelegate()
-            .request(new RequestOptions().setMethod(HttpMethod.GET).setHost(replica.address().host())
+  private void follow() {
+    if (gone) return;
+    http.getDelegate()
+        .request(
+            new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setHost(replica.address().host())
                 .setPort(replica.address().port())
-                .setURI("/cache/events?instance=" + replica.instance() + "&incarnation=" + feed.incarnation()
-                    + "&after=" + feed.applied())
+                .setURI(
+                    "/cache/events?instance="
+                        + replica.instance()
+                        + "&incarnation="
+                        + feed.incarnation()
+                        + "&after="
+                        + feed.applied())
                 .setTimeout(2000))
-            .compose(q -> {
-                duty.offer(() -> {
+        .compose(
+            q -> {
+              duty.offer(
+                  () -> {
                     stream = q;
                     if (gone) q.reset();
-                });
-                return q.send();
+                  });
+              return q.send();
             })
-            .onSuccess(resp -> {
-                if (resp.statusCode() != 200) {
-                    resp.request().reset();
-                    duty.offer(() -> again(this::identify));
-                    return;
-                }
-                RecordParser p = RecordParser.newDelimited("\n", b -> {
-                    JsonObject o;
-                    try {
-                        o = b.toJsonObject();
-                        line(o);
-                    } catch (RuntimeException e) {
-                        Log.warn("malformed-cache-event", "instance", replica.instance());
-                        resp.request().reset();
-                    }
-                });
-                p.maxRecordSize(1 << 16);
-                p.exceptionHandler(t -> resp.request().reset());
-                resp.handler(p);
-                resp.exceptionHandler(t -> broke());
-                resp.endHandler(v -> broke());
+        .onSuccess(
+            resp -> {
+              if (resp.statusCode() != 200) {
+                resp.request().reset();
+                duty.offer(() -> again(this::identify));
+                return;
+              }
+              RecordParser p =
+                  RecordParser.newDelimited(
+                      "\n",
+                      b -> {
+                        JsonObject o;
+                        try {
+                          o = b.toJsonObject();
+                          line(o);
+                        } catch (RuntimeException e) {
+                          Log.warn("malformed-cache-event", "instance", replica.instance());
+                          resp.request().reset();
+                        }
+                      });
+              p.maxRecordSize(1 << 16);
+              p.exceptionHandler(t -> resp.request().reset());
+              resp.handler(p);
+              resp.exceptionHandler(t -> broke());
+              resp.endHandler(v -> broke());
             })
-            .onFailure(t -> broke());
-    }
+        .onFailure(t -> broke());
+  }
 
-    private void broke() {
-        duty.offer(() -> again(() -> {
-            if (h.silent(clock.now())) identify();
-            else follow();
-        }));
-    }
+  private void broke() {
+    duty.offer(
+        () ->
+            again(
+                () -> {
+                  if (h.silent(clock.now())) identify();
+                  else follow();
+                }));
+  }
 
-    private void line(JsonObject o) {
-        String inc = o.getString("incarnation"), op = o.getString("op");
-        long seq = o.getLong("seq");
-        long block = op.equals("pulse") ? 0 : Long.parseUnsignedLong(o.getString("block"), 16);
-        switch (op) {
-            case "store" -> sink.events(List.of(CacheEvent.store(inc, seq, block, 1)));
-            case "evict" -> sink.events(List.of(CacheEvent.evict(inc, seq, block, 0)));
-            default -> sink.pulse(inc, seq);
-        }
+  private void line(JsonObject o) {
+    String inc = o.getString("incarnation"), op = o.getString("op");
+    long seq = o.getLong("seq");
+    long block = op.equals("pulse") ? 0 : Long.parseUnsignedLong(o.getString("block"), 16);
+    switch (op) {
+      case "store" -> sink.events(List.of(CacheEvent.store(inc, seq, block, 1)));
+      case "evict" -> sink.events(List.of(CacheEvent.evict(inc, seq, block, 0)));
+      default -> sink.pulse(inc, seq);
     }
+  }
 
-    @Override public void list(long nr) {
-        web.get(replica.address().port(), replica.address().host(), "/cache/list?instance=" + replica.instance())
-            .timeout(3000).send().subscribe().with(r -> {
-                try {
-                    JsonObject o = r.bodyAsJsonObject();
-                    JsonArray a = o.getJsonArray("blocks");
-                    long[] bs = new long[a.size()];
-                    for (int i = 0; i < bs.length; i++) bs[i] = Long.parseUnsignedLong(a.getString(i), 16);
-                    sink.listed(nr, BlockList.whole(o.getString("incarnation"), o.getLong("seq"), bs));
-                } catch (RuntimeException e) {
-                    sink.listFailed(nr);
-                }
-            }, t -> sink.listFailed(nr));
-    }
+  @Override
+  public void list(long nr) {
+    web.get(
+            replica.address().port(),
+            replica.address().host(),
+            "/cache/list?instance=" + replica.instance())
+        .timeout(3000)
+        .send()
+        .subscribe()
+        .with(
+            r -> {
+              try {
+                JsonObject o = r.bodyAsJsonObject();
+                JsonArray a = o.getJsonArray("blocks");
+                long[] bs = new long[a.size()];
+                for (int i = 0; i < bs.length; i++)
+                  bs[i] = Long.parseUnsignedLong(a.getString(i), 16);
+                sink.listed(nr, BlockList.whole(o.getString("incarnation"), o.getLong("seq"), bs));
+              } catch (RuntimeException e) {
+                sink.listFailed(nr);
+              }
+            },
+            t -> sink.listFailed(nr));
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/HolderFeeds.java
+++ b/data-plane/src/main/java/gladelug/data/index/HolderFeeds.java
@@ -14,48 +14,58 @@
 import java.util.List;
 
 public interface HolderFeeds extends AutoCloseable {
-    /** Makes the feeds when the index starts; duty is the summary's. */
-    @FunctionalInterface
-    interface Factory {
-        HolderFeeds open(Kernel kernel, Duty duty, Clock clock);
-    }
+  /** Makes the feeds when the index starts; duty is the summary's. */
+  @FunctionalInterface
+  interface Factory {
+    HolderFeeds open(Kernel kernel, Duty duty, Clock clock);
+  }
 
-    /** How a holder's feed treats gaps, and how often its list may be asked for. */
-    default Feed.Policy policy(Replica holder) {
-        return Feed.Policy.STRICT;
-    }
+  /** How a holder's feed treats gaps, and how often its list may be asked for. */
+  default Feed.Policy policy(Replica holder) {
+    return Feed.Policy.STRICT;
+  }
 
-    /** Begins to follow a holder. */
-    Following follow(Holder h, Sink sink);
+  /** Begins to follow a holder. */
+  Following follow(Holder h, Sink sink);
 
-    @Override void close();
+  @Override
+  void close();
 
-    /** A holder that is followed. */
-    interface Following extends AutoCloseable {
-        /** The feed wants the holder's list: answer by {@link Sink#listed} or {@link Sink#listFailed}. */
-        void list(long nr);
+  /** A holder that is followed. */
+  interface Following extends AutoCloseable {
+    /**
+     * The feed wants the holder's list: answer by {@link Sink#listed} or {@link Sink#listFailed}.
+     */
+    void list(long nr);
 
-        /** The holder is listed no more. */
-        @Override void close();
-    }
+    /** The holder is listed no more. */
+    @Override
+    void close();
+  }
 
-    /** Where what was read goes. Methods that take data give false where there was no room: nothing was taken. */
-    interface Sink {
-        /** The holder answered: it is followed from now on, and its list asked for. capacityBlocks 0 = not known. */
-        boolean began(long capacityBlocks);
+  /**
+   * Where what was read goes. Methods that take data give false where there was no room: nothing
+   * was taken.
+   */
+  interface Sink {
+    /**
+     * The holder answered: it is followed from now on, and its list asked for. capacityBlocks 0 =
+     * not known.
+     */
+    boolean began(long capacityBlocks);
 
-        /** The holder was tried and didn't answer; the index doesn't wait for it before it answers. */
-        boolean silent();
+    /** The holder was tried and didn't answer; the index doesn't wait for it before it answers. */
+    boolean silent();
 
-        /** Events in the order read, a page or one, all or none of them. */
-        boolean events(List<CacheEvent> page);
+    /** Events in the order read, a page or one, all or none of them. */
+    boolean events(List<CacheEvent> page);
 
-        /** The newest number of the holder, told without an event. */
-        boolean pulse(String incarnation, long newest);
+    /** The newest number of the holder, told without an event. */
+    boolean pulse(String incarnation, long newest);
 
-        boolean listed(long nr, BlockList list);
+    boolean listed(long nr, BlockList list);
 
-        /** The list of this nr won't come; another is asked for after the pause. */
-        boolean listFailed(long nr);
-    }
+    /** The list of this nr won't come; another is asked for after the pause. */
+    boolean listFailed(long nr);
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/Holders.java
+++ b/data-plane/src/main/java/gladelug/data/index/Holders.java
@@ -10,24 +10,29 @@
 import java.util.List;
 
 public final class Holders {
-    /**
-     * One that is to be followed.
-     *
-     * @param replica its instance, service and address
-     * @param capacityBlocks the most blocks it can keep, from the configuration; 0 = the holder is asked
-     */
-    public record Listed(Replica replica, long capacityBlocks) {}
+  /**
+   * One that is to be followed.
+   *
+   * @param replica its instance, service and address
+   * @param capacityBlocks the most blocks it can keep, from the configuration; 0 = the holder is
+   *     asked
+   */
+  public record Listed(Replica replica, long capacityBlocks) {}
 
-    private Holders() {}
+  private Holders() {}
 
-    /** Those of the platform's list whose service keeps blocks and allows their address, in the list's order. */
-    public static List<Listed> of(Tables t) {
-        List<Listed> out = new ArrayList<>();
-        for (Replica r : t.replicas().all) {
-            Configuration.Service s = t.configuration().service(r.service());
-            if (s == null || s.kind() == Configuration.Kind.APPLICATION || !s.allows(r.address())) continue;
-            out.add(new Listed(r, 0));
-        }
-        return out;
+  /**
+   * Those of the platform's list whose service keeps blocks and allows their address, in the list's
+   * order.
+   */
+  public static List<Listed> of(Tables t) {
+    List<Listed> out = new ArrayList<>();
+    for (Replica r : t.replicas().all) {
+      Configuration.Service s = t.configuration().service(r.service());
+      if (s == null || s.kind() == Configuration.Kind.APPLICATION || !s.allows(r.address()))
+        continue;
+      out.add(new Listed(r, 0));
     }
+    return out;
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/HttpHolderFeeds.java
+++ b/data-plane/src/main/java/gladelug/data/index/HttpHolderFeeds.java
@@ -15,39 +15,56 @@
 import io.vertx.mutiny.ext.web.client.WebClient;
 
 public final class HttpHolderFeeds implements HolderFeeds {
-    private final Vertx vertx;
-    private final Duty duty;
-    private final Clock clock;
-    private final Feed.Policy policy;
-    private final HttpClient http;
-    private final WebClient web;
+  private final Vertx vertx;
+  private final Duty duty;
+  private final Clock clock;
+  private final Feed.Policy policy;
+  private final HttpClient http;
+  private final WebClient web;
 
-    HttpHolderFeeds(Vertx vertx, Local local, Duty duty, Clock clock, Feed.Policy policy) {
-        this.vertx = vertx;
-        this.duty = duty;
-        this.clock = clock;
-        this.policy = policy;
-        http = vertx.createHttpClient(local.from(
-            new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false).setMaxPoolSize(4).setIdleTimeout(10)));
-        web = WebClient.create(vertx, local.from(new WebClientOptions().setConnectTimeout(1000).setKeepAlive(false)
-            .setFollowRedirects(false).setMaxPoolSize(4)));
-    }
+  HttpHolderFeeds(Vertx vertx, Local local, Duty duty, Clock clock, Feed.Policy policy) {
+    this.vertx = vertx;
+    this.duty = duty;
+    this.clock = clock;
+    this.policy = policy;
+    http =
+        vertx.createHttpClient(
+            local.from(
+                new HttpClientOptions()
+                    .setConnectTimeout(1000)
+                    .setKeepAlive(false)
+                    .setMaxPoolSize(4)
+                    .setIdleTimeout(10)));
+    web =
+        WebClient.create(
+            vertx,
+            local.from(
+                new WebClientOptions()
+                    .setConnectTimeout(1000)
+                    .setKeepAlive(false)
+                    .setFollowRedirects(false)
+                    .setMaxPoolSize(4)));
+  }
 
-    /** Feeds from the address that the process's doors call from, all with this policy. */
-    public static Factory factory(Vertx vertx, Feed.Policy policy) {
-        return (k, duty, clock) -> new HttpHolderFeeds(vertx, k.find("doors", Doors.class).local, duty, clock, policy);
-    }
+  /** Feeds from the address that the process's doors call from, all with this policy. */
+  public static Factory factory(Vertx vertx, Feed.Policy policy) {
+    return (k, duty, clock) ->
+        new HttpHolderFeeds(vertx, k.find("doors", Doors.class).local, duty, clock, policy);
+  }
 
-    @Override public Feed.Policy policy(Replica holder) {
-        return policy;
-    }
+  @Override
+  public Feed.Policy policy(Replica holder) {
+    return policy;
+  }
 
-    @Override public Following follow(Holder h, Sink sink) {
-        return new HolderConnection(vertx, http, web, duty, clock, h, sink);
-    }
+  @Override
+  public Following follow(Holder h, Sink sink) {
+    return new HolderConnection(vertx, http, web, duty, clock, h, sink);
+  }
 
-    @Override public void close() {
-        http.closeAndForget();
-        web.close();
-    }
+  @Override
+  public void close() {
+    http.closeAndForget();
+    web.close();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/IndexService.java
+++ b/data-plane/src/main/java/gladelug/data/index/IndexService.java
@@ -24,91 +24,110 @@
 import java.util.function.BooleanSupplier;
 
 public final class IndexService implements Kernel.Service {
-    private final Clock clock;
-    private final Duty duty;
-    private final int fingerprintBits;
-    private final int mostHolders;
-    private final HolderFeeds.Factory factory;
-    private final Map<Holder, HolderFeeds.Following> followed = new HashMap<>();
-    private final BooleanSupplier standsBy;
-    private Tables newest = Tables.NONE;
-    private boolean stands;
-    private HolderFeeds feeds;
-    private FleetSummary summary;
+  private final Clock clock;
+  private final Duty duty;
+  private final int fingerprintBits;
+  private final int mostHolders;
+  private final HolderFeeds.Factory factory;
+  private final Map<Holder, HolderFeeds.Following> followed = new HashMap<>();
+  private final BooleanSupplier standsBy;
+  private Tables newest = Tables.NONE;
+  private boolean stands;
+  private HolderFeeds feeds;
+  private FleetSummary summary;
 
-    /**
-     * @param fingerprintBits width f of a fingerprint
-     * @param mostHolders how many holders there may be at a time
-     * @param factory by which protocol holders are followed
-     */
-    public IndexService(Clock clock, int fingerprintBits, int mostHolders, HolderFeeds.Factory factory) {
-        this(clock, fingerprintBits, mostHolders, factory, () -> false);
-    }
+  /**
+   * @param fingerprintBits width f of a fingerprint
+   * @param mostHolders how many holders there may be at a time
+   * @param factory by which protocol holders are followed
+   */
+  public IndexService(
+      Clock clock, int fingerprintBits, int mostHolders, HolderFeeds.Factory factory) {
+    this(clock, fingerprintBits, mostHolders, factory, () -> false);
+  }
 
-    /** standsBy: asked once a second; while it holds, another index does the work and no holder is followed. */
-    public IndexService(Clock clock, int fingerprintBits, int mostHolders, HolderFeeds.Factory factory,
-        BooleanSupplier standsBy) {
-        this.standsBy = standsBy;
-        this.clock = clock;
-        this.duty = new Duty("summary", 65536, clock);
-        this.fingerprintBits = fingerprintBits;
-        this.mostHolders = mostHolders;
-        this.factory = factory;
-    }
+  /**
+   * standsBy: asked once a second; while it holds, another index does the work and no holder is
+   * followed.
+   */
+  public IndexService(
+      Clock clock,
+      int fingerprintBits,
+      int mostHolders,
+      HolderFeeds.Factory factory,
+      BooleanSupplier standsBy) {
+    this.standsBy = standsBy;
+    this.clock = clock;
+    this.duty = new Duty("summary", 65536, clock);
+    this.fingerprintBits = fingerprintBits;
+    this.mostHolders = mostHolders;
+    this.factory = factory;
+  }
 
-    @Override public void start(Kernel k) {
-        NewsService news = k.find("news", NewsService.class);
-        feeds = factory.open(k, duty, clock);
-        summary = new FleetSummary(fingerprintBits, mostHolders, feeds::policy);
-        news.listen(t -> duty.offer(() -> tables(t)));
-        stands = standsBy.getAsBoolean();
-        duty.every(1000, this::turn);
-        duty.every(100, () -> summary.tick(clock.now()));
-        k.find("doors", Doors.class).take(Hello.LOOKUP, (h, c) -> new Connection.Receiver() {
-            @Override public void record(byte[] r) throws IOException {
-                Lookup l = Wire.read(r, Lookup::read);
-                if (l instanceof Lookup.Placed p) {
-                    duty.offer(() -> summary.placed(p, clock.now()));
-                    return;
-                }
-                if (!(l instanceof Lookup.Question q)) throw new IOException("an answer nobody asked for");
-                if (!duty.offer(() -> c.send(summary.answer(q, clock.now()))))
-                    c.send(new Lookup.Answer(q.nr(), false, List.of()));
-            }
-        });
-    }
+  @Override
+  public void start(Kernel k) {
+    NewsService news = k.find("news", NewsService.class);
+    feeds = factory.open(k, duty, clock);
+    summary = new FleetSummary(fingerprintBits, mostHolders, feeds::policy);
+    news.listen(t -> duty.offer(() -> tables(t)));
+    stands = standsBy.getAsBoolean();
+    duty.every(1000, this::turn);
+    duty.every(100, () -> summary.tick(clock.now()));
+    k.find("doors", Doors.class)
+        .take(
+            Hello.LOOKUP,
+            (h, c) ->
+                new Connection.Receiver() {
+                  @Override
+                  public void record(byte[] r) throws IOException {
+                    Lookup l = Wire.read(r, Lookup::read);
+                    if (l instanceof Lookup.Placed p) {
+                      duty.offer(() -> summary.placed(p, clock.now()));
+                      return;
+                    }
+                    if (!(l instanceof Lookup.Question q))
+                      throw new IOException("an answer nobody asked for");
+                    if (!duty.offer(() -> c.send(summary.answer(q, clock.now()))))
+                      c.send(new Lookup.Answer(q.nr(), false, List.of()));
+                  }
+                });
+  }
 
-    private void turn() {
-        boolean now = standsBy.getAsBoolean();
-        if (now == stands) return;
-        stands = now;
-        Log.event(now ? "index-stands-by" : "index-follows");
-        tables(newest);
-    }
+  private void turn() {
+    boolean now = standsBy.getAsBoolean();
+    if (now == stands) return;
+    stands = now;
+    Log.event(now ? "index-stands-by" : "index-follows");
+    tables(newest);
+  }
 
-    private void tables(Tables t) {
-        newest = t;
-        summary.holders(stands ? Tables.NONE : t, clock.now());
-        followed.entrySet().removeIf(e -> {
-            if (summary.has(e.getKey())) return false;
-            e.getValue().close();
-            return true;
-        });
-        for (Holder h : summary.all())
-            if (!followed.containsKey(h)) {
-                HolderFeeds.Following f = feeds.follow(h, new HolderSink(h, summary, duty::offer, clock));
-                h.lists(f::list);
-                followed.put(h, f);
-            }
-    }
+  private void tables(Tables t) {
+    newest = t;
+    summary.holders(stands ? Tables.NONE : t, clock.now());
+    followed
+        .entrySet()
+        .removeIf(
+            e -> {
+              if (summary.has(e.getKey())) return false;
+              e.getValue().close();
+              return true;
+            });
+    for (Holder h : summary.all())
+      if (!followed.containsKey(h)) {
+        HolderFeeds.Following f = feeds.follow(h, new HolderSink(h, summary, duty::offer, clock));
+        h.lists(f::list);
+        followed.put(h, f);
+      }
+  }
 
-    /** For operators, from the duty's own thread. */
-    public Uni<JsonObject> status() {
-        return Uni.createFrom().emitter(e -> duty.offer(() -> e.complete(summary.json(clock.now()))));
-    }
+  /** For operators, from the duty's own thread. */
+  public Uni<JsonObject> status() {
+    return Uni.createFrom().emitter(e -> duty.offer(() -> e.complete(summary.json(clock.now()))));
+  }
 
-    @Override public void stop() {
-        duty.close();
-        if (feeds != null) feeds.close();
-    }
+  @Override
+  public void stop() {
+    duty.close();
+    if (feeds != null) feeds.close();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/index/Parts.java
+++ b/data-plane/src/main/java/gladelug/data/index/Parts.java
@@ -10,93 +10,95 @@
 import java.util.Arrays;
 
 final class Parts {
-    static final int MOST_SLOTS = 1 << 16;
-    private int[] tags = {};
-    /** 0 = the slot is free. */
-    private int[] units = {};
-    private int size;
-    private long refused;
+  static final int MOST_SLOTS = 1 << 16;
+  private int[] tags = {};
 
-    private static int tag(long block) {
-        return (int) (CuckooSummary.mix(block ^ 0xd1b54a32d192ed03L) >>> 32);
-    }
+  /** 0 = the slot is free. */
+  private int[] units = {};
 
-    private int slot(int tag) {
-        int mask = tags.length - 1, i = tag & mask;
-        while (units[i] != 0 && tags[i] != tag) i = i + 1 & mask;
-        return i;
-    }
+  private int size;
+  private long refused;
 
-    /** Units of a block that is kept in part, else 0. */
-    int get(long block) {
-        return size == 0 ? 0 : units[slot(tag(block))];
-    }
+  private static int tag(long block) {
+    return (int) (CuckooSummary.mix(block ^ 0xd1b54a32d192ed03L) >>> 32);
+  }
+
+  private int slot(int tag) {
+    int mask = tags.length - 1, i = tag & mask;
+    while (units[i] != 0 && tags[i] != tag) i = i + 1 & mask;
+    return i;
+  }
 
-    /** False where there is no more room and the block goes on counting as whole. */
-    boolean put(long block, int n) {
-        if (n <= 0) throw new IllegalArgumentException(n + " units");
-        int tag = tag(block);
-        if (size > 0) {
-            int i = slot(tag);
-            if (units[i] != 0) {
-                units[i] = n;
-                return true;
-            }
-        }
-        if (size + 1 > tags.length / 4 * 3 && !grow()) {
-            refused++;
-            return false;
-        }
-        int i = slot(tag);
-        tags[i] = tag;
+  /** Units of a block that is kept in part, else 0. */
+  int get(long block) {
+    return size == 0 ? 0 : units[slot(tag(block))];
+  }
+
+  /** False where there is no more room and the block goes on counting as whole. */
+  boolean put(long block, int n) {
+    if (n <= 0) throw new IllegalArgumentException(n + " units");
+    int tag = tag(block);
+    if (size > 0) {
+      int i = slot(tag);
+      if (units[i] != 0) {
         units[i] = n;
-        size++;
         return true;
+      }
     }
-
-    private boolean grow() {
-        if (tags.length >= MOST_SLOTS) return false;
-        int[] ts = tags, us = units;
-        tags = new int[Math.max(16, ts.length * 2)];
-        units = new int[tags.length];
-        for (int j = 0; j < ts.length; j++)
-            if (us[j] != 0) {
-                int i = slot(ts[j]);
-                tags[i] = ts[j];
-                units[i] = us[j];
-            }
-        return true;
+    if (size + 1 > tags.length / 4 * 3 && !grow()) {
+      refused++;
+      return false;
     }
+    int i = slot(tag);
+    tags[i] = tag;
+    units[i] = n;
+    size++;
+    return true;
+  }
 
-    /** Closes the gap by moving up what stood after it, so that no search ends too early. */
-    void remove(long block) {
-        if (size == 0) return;
-        int mask = tags.length - 1, gap = slot(tag(block));
-        if (units[gap] == 0) return;
-        size--;
-        for (int i = gap + 1 & mask; units[i] != 0; i = i + 1 & mask)
-            if ((i - (tags[i] & mask) & mask) >= (i - gap & mask)) {
-                tags[gap] = tags[i];
-                units[gap] = units[i];
-                gap = i;
-            }
-        units[gap] = 0;
-    }
+  private boolean grow() {
+    if (tags.length >= MOST_SLOTS) return false;
+    int[] ts = tags, us = units;
+    tags = new int[Math.max(16, ts.length * 2)];
+    units = new int[tags.length];
+    for (int j = 0; j < ts.length; j++)
+      if (us[j] != 0) {
+        int i = slot(ts[j]);
+        tags[i] = ts[j];
+        units[i] = us[j];
+      }
+    return true;
+  }
 
-    void clear() {
-        Arrays.fill(units, 0);
-        size = 0;
-    }
+  /** Closes the gap by moving up what stood after it, so that no search ends too early. */
+  void remove(long block) {
+    if (size == 0) return;
+    int mask = tags.length - 1, gap = slot(tag(block));
+    if (units[gap] == 0) return;
+    size--;
+    for (int i = gap + 1 & mask; units[i] != 0; i = i + 1 & mask)
+      if ((i - (tags[i] & mask) & mask) >= (i - gap & mask)) {
+        tags[gap] = tags[i];
+        units[gap] = units[i];
+        gap = i;
+      }
+    units[gap] = 0;
+  }
 
-    int size() {
-        return size;
-    }
+  void clear() {
+    Arrays.fill(units, 0);
+    size = 0;
+  }
 
-    long refused() {
-        return refused;
-    }
+  int size() {
+    return size;
+  }
 
-    long bytes() {
-        return 8L * tags.length;
-    }
+  long refused() {
+    return refused;
+  }
+
+  long bytes() {
+    return 8L * tags.length;
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/news/HeldNews.java
+++ b/data-plane/src/main/java/gladelug/data/news/HeldNews.java
@@ -24,96 +24,111 @@
 import java.util.function.Function;
 
 public final class HeldNews {
-    /** milli: thousandths of a place by leaf; empty and not full where nothing is bounded. */
-    public record Allotment(long at, boolean full, Map<String, Integer> milli) {}
+  /** milli: thousandths of a place by leaf; empty and not full where nothing is bounded. */
+  public record Allotment(long at, boolean full, Map<String, Integer> milli) {}
 
-    public final Leases leases;
-    private final Clock clock;
-    private final Function<String, Result<Configuration>> reader;
-    private final NewsBook book;
-    private final Consumer<Tables> swapped;
-    private final Map<String, Allotment> allotments = new ConcurrentHashMap<>();
-    private volatile Tables tables = Tables.NONE;
-    private volatile int relays;
-    private volatile List<News.Demand> demands = List.of();
-    private volatile List<News.Places> places = List.of();
+  public final Leases leases;
+  private final Clock clock;
+  private final Function<String, Result<Configuration>> reader;
+  private final NewsBook book;
+  private final Consumer<Tables> swapped;
+  private final Map<String, Allotment> allotments = new ConcurrentHashMap<>();
+  private volatile Tables tables = Tables.NONE;
+  private volatile int relays;
+  private volatile List<News.Demand> demands = List.of();
+  private volatile List<News.Places> places = List.of();
 
-    /** swapped is told of each new snapshot. */
-    public HeldNews(Clock clock, Shuffle.Descriptor self, long run, Consumer<Tables> swapped) {
-        this(clock, self, run, swapped, Configuration::parse);
-    }
+  /** swapped is told of each new snapshot. */
+  public HeldNews(Clock clock, Shuffle.Descriptor self, long run, Consumer<Tables> swapped) {
+    this(clock, self, run, swapped, Configuration::parse);
+  }
 
-    /** reader: how the configuration, as operators sent it, is read. */
-    public HeldNews(Clock clock, Shuffle.Descriptor self, long run, Consumer<Tables> swapped,
-        Function<String, Result<Configuration>> reader) {
-        this.reader = reader;
-        this.clock = clock;
-        this.swapped = swapped;
-        this.book = new NewsBook(self, run, this::take);
-        this.leases = book.leases;
-    }
+  /** reader: how the configuration, as operators sent it, is read. */
+  public HeldNews(
+      Clock clock,
+      Shuffle.Descriptor self,
+      long run,
+      Consumer<Tables> swapped,
+      Function<String, Result<Configuration>> reader) {
+    this.reader = reader;
+    this.clock = clock;
+    this.swapped = swapped;
+    this.book = new NewsBook(self, run, this::take);
+    this.leases = book.leases;
+  }
 
-    public Tables tables() {
-        return tables;
-    }
+  public Tables tables() {
+    return tables;
+  }
 
-    /** Where a relay puts what it has waiting and sees free, for whoever divides. */
-    public void demand(List<News.Demand> d, List<News.Places> p) {
-        demands = d;
-        places = p;
-    }
+  /** Where a relay puts what it has waiting and sees free, for whoever divides. */
+  public void demand(List<News.Demand> d, List<News.Places> p) {
+    demands = d;
+    places = p;
+  }
 
-    /** The newest division for this process, or null. */
-    public Allotment allotment(String service) {
-        return allotments.get(service);
-    }
+  /** The newest division for this process, or null. */
+  public Allotment allotment(String service) {
+    return allotments.get(service);
+  }
 
-    public News.Ask ask() {
-        return book.ask(clock.now(), demands, places);
-    }
+  public News.Ask ask() {
+    return book.ask(clock.now(), demands, places);
+  }
 
-    public long number(String key) {
-        return book.number(key);
-    }
+  public long number(String key) {
+    return book.number(key);
+  }
 
-    /** How many relays the core hears, 0 where that isn't known. */
-    public int relays() {
-        return relays;
-    }
+  /** How many relays the core hears, 0 where that isn't known. */
+  public int relays() {
+    return relays;
+  }
 
-    public NewsBook.Told told(News n) {
-        if (n instanceof News.Grants g) relays = g.relays();
-        NewsBook.Told t = book.told(n);
-        if (t == NewsBook.Told.TAKEN) {
-            News.Push p = (News.Push) n;
-            Log.event("news-taken", "key", p.key(), "number", p.number(), "epoch", p.epoch(), "bytes",
-                p.value().length, "whole", p.base() < 0);
-            swapped.accept(tables);
-        } else if (t == NewsBook.Told.ALLOTTED) {
-            News.Allot a = (News.Allot) n;
-            Map<String, Integer> m = new HashMap<>();
-            for (News.Part x : a.parts()) m.put(x.leaf(), x.milli());
-            allotments.put(a.service(), new Allotment(clock.now(), a.full(), m));
-        }
-        return t;
+  public NewsBook.Told told(News n) {
+    if (n instanceof News.Grants g) relays = g.relays();
+    NewsBook.Told t = book.told(n);
+    if (t == NewsBook.Told.TAKEN) {
+      News.Push p = (News.Push) n;
+      Log.event(
+          "news-taken",
+          "key",
+          p.key(),
+          "number",
+          p.number(),
+          "epoch",
+          p.epoch(),
+          "bytes",
+          p.value().length,
+          "whole",
+          p.base() < 0);
+      swapped.accept(tables);
+    } else if (t == NewsBook.Told.ALLOTTED) {
+      News.Allot a = (News.Allot) n;
+      Map<String, Integer> m = new HashMap<>();
+      for (News.Part x : a.parts()) m.put(x.leaf(), x.milli());
+      allotments.put(a.service(), new Allotment(clock.now(), a.full(), m));
     }
+    return t;
+  }
 
-    private boolean take(News.Push p) {
-        String s = new String(p.value(), StandardCharsets.UTF_8);
-        Tables t = tables;
-        Result<Tables> r = switch (p.key()) {
-            case Keys.CONFIGURATION ->
-                reader.apply(s).then(x -> Result.good(t.configuration(p.number(), p.digest(), x)));
-            case Keys.WEIGHTS -> Weights.parse(s).then(x -> Result.good(t.weights(p.number(), x)));
-            case Keys.REPLICAS -> Replicas.parse(s).then(x -> Result.good(t.replicas(p.number(), x)));
-            case Keys.CORE -> CoreList.parse(s).then(x -> Result.good(t.core(p.number(), x)));
-            default -> Result.bad(p.key(), "is no key");
+  private boolean take(News.Push p) {
+    String s = new String(p.value(), StandardCharsets.UTF_8);
+    Tables t = tables;
+    Result<Tables> r =
+        switch (p.key()) {
+          case Keys.CONFIGURATION ->
+              reader.apply(s).then(x -> Result.good(t.configuration(p.number(), p.digest(), x)));
+          case Keys.WEIGHTS -> Weights.parse(s).then(x -> Result.good(t.weights(p.number(), x)));
+          case Keys.REPLICAS -> Replicas.parse(s).then(x -> Result.good(t.replicas(p.number(), x)));
+          case Keys.CORE -> CoreList.parse(s).then(x -> Result.good(t.core(p.number(), x)));
+          default -> Result.bad(p.key(), "is no key");
         };
-        if (!(r instanceof Result.Good<Tables> g)) {
-            Log.warn("news-refused", "key", p.key(), "number", p.number(), "findings", r.toString());
-            return false;
-        }
-        tables = g.value();
-        return true;
+    if (!(r instanceof Result.Good<Tables> g)) {
+      Log.warn("news-refused", "key", p.key(), "number", p.number(), "findings", r.toString());
+      return false;
     }
+    tables = g.value();
+    return true;
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/news/Leases.java
+++ b/data-plane/src/main/java/gladelug/data/news/Leases.java
@@ -10,52 +10,52 @@
 import java.util.concurrent.atomic.AtomicLongArray;
 
 public final class Leases {
-    private static final long NEVER = Long.MIN_VALUE / 2;
-    private final AtomicLongArray deadline = new AtomicLongArray(Keys.LEASED.size());
-    private final AtomicLongArray epoch = new AtomicLongArray(Keys.LEASED.size());
-    private volatile long cutoffAt = NEVER;
-
-    public Leases() {
-        for (int i = 0; i < deadline.length(); i++) deadline.set(i, NEVER);
-    }
-
-    /** When the last of the leases ran out or will: the moment up to which requests may start. */
-    public long until() {
-        long t = Long.MAX_VALUE;
-        for (int i = 0; i < deadline.length(); i++) t = Math.min(t, deadline.get(i));
-        return t;
-    }
-
-    public long until(String key) {
-        return deadline.get(Keys.LEASED.indexOf(key));
-    }
-
-    public boolean valid(long now) {
-        return now < until();
-    }
-
-    /** From this moment nothing starts on weights named before the newest. */
-    public long cutoffAt() {
-        return cutoffAt;
-    }
-
-    /** A push under this epoch was taken. */
-    public void seen(String key, long e) {
-        int k = Keys.LEASED.indexOf(key);
-        if (k >= 0) epoch.set(k, Math.max(epoch.get(k), e));
-    }
-
-    public long epoch(String key) {
-        int k = Keys.LEASED.indexOf(key);
-        return k < 0 ? 0 : epoch.get(k);
-    }
-
-    public void granted(News.Grant g, long asked, long held) {
-        int k = Keys.LEASED.indexOf(g.key());
-        if (k < 0 || g.epoch() < epoch.get(k) || g.number() != held) return;
-        epoch.set(k, g.epoch());
-        long margin = 10 + g.left() / 50;
-        deadline.set(k, Math.max(deadline.get(k), asked + g.left() - margin));
-        if (g.key().equals(Keys.WEIGHTS)) cutoffAt = asked + g.cutoffLeft();
-    }
+  private static final long NEVER = Long.MIN_VALUE / 2;
+  private final AtomicLongArray deadline = new AtomicLongArray(Keys.LEASED.size());
+  private final AtomicLongArray epoch = new AtomicLongArray(Keys.LEASED.size());
+  private volatile long cutoffAt = NEVER;
+
+  public Leases() {
+    for (int i = 0; i < deadline.length(); i++) deadline.set(i, NEVER);
+  }
+
+  /** When the last of the leases ran out or will: the moment up to which requests may start. */
+  public long until() {
+    long t = Long.MAX_VALUE;
+    for (int i = 0; i < deadline.length(); i++) t = Math.min(t, deadline.get(i));
+    return t;
+  }
+
+  public long until(String key) {
+    return deadline.get(Keys.LEASED.indexOf(key));
+  }
+
+  public boolean valid(long now) {
+    return now < until();
+  }
+
+  /** From this moment nothing starts on weights named before the newest. */
+  public long cutoffAt() {
+    return cutoffAt;
+  }
+
+  /** A push under this epoch was taken. */
+  public void seen(String key, long e) {
+    int k = Keys.LEASED.indexOf(key);
+    if (k >= 0) epoch.set(k, Math.max(epoch.get(k), e));
+  }
+
+  public long epoch(String key) {
+    int k = Keys.LEASED.indexOf(key);
+    return k < 0 ? 0 : epoch.get(k);
+  }
+
+  public void granted(News.Grant g, long asked, long held) {
+    int k = Keys.LEASED.indexOf(g.key());
+    if (k < 0 || g.epoch() < epoch.get(k) || g.number() != held) return;
+    epoch.set(k, g.epoch());
+    long margin = 10 + g.left() / 50;
+    deadline.set(k, Math.max(deadline.get(k), asked + g.left() - margin));
+    if (g.key().equals(Keys.WEIGHTS)) cutoffAt = asked + g.cutoffLeft();
+  }
 }
