--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -32,102 +32,124 @@
 import java.util.function.Function;
 
 public final class NewsService implements Kernel.Service {
-    private static final long ASK = 400, CIRCLE = 1000;
-    private final long askMs;
-    private final Vertx vertx;
-    private final Clock clock;
-    private final Shuffle.Descriptor self;
-    private final List<Address> seeds;
-    private final long run = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
-    private final Duty duty;
-    private final Map<Address, Held> connections = new HashMap<>();
-    private final List<Consumer<Tables>> listeners = new CopyOnWriteArrayList<>();
-    public final HeldNews held;
-    private long generation;
-    private Doors doors;
-    private ViewService views;
+  private static final long ASK = 400, CIRCLE = 1000;
+  private final long askMs;
+  private final Vertx vertx;
+  private final Clock clock;
+  private final Shuffle.Descriptor self;
+  private final List<Address> seeds;
+  private final long run = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+  private final Duty duty;
+  private final Map<Address, Held> connections = new HashMap<>();
+  private final List<Consumer<Tables>> listeners = new CopyOnWriteArrayList<>();
+  public final HeldNews held;
+  private long generation;
+  private Doors doors;
+  private ViewService views;
 
-    public NewsService(Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds) {
-        this(vertx, clock, self, seeds, ASK, Configuration::parse);
-    }
+  public NewsService(Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds) {
+    this(vertx, clock, self, seeds, ASK, Configuration::parse);
+  }
 
-    /** askMs: how often the core is asked; reader: how the configuration, as operators sent it, is read. */
-    public NewsService(Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds, long askMs,
-        Function<String, Result<Configuration>> reader) {
-        this.askMs = askMs;
-        this.vertx = vertx;
-        this.clock = clock;
-        this.self = self;
-        this.seeds = seeds;
-        this.duty = new Duty("news", 4096, clock);
-        this.held = new HeldNews(clock, self, run, this::swapped, reader);
-    }
+  /**
+   * askMs: how often the core is asked; reader: how the configuration, as operators sent it, is
+   * read.
+   */
+  public NewsService(
+      Vertx vertx,
+      Clock clock,
+      Shuffle.Descriptor self,
+      List<Address> seeds,
+      long askMs,
+      Function<String, Result<Configuration>> reader) {
+    this.askMs = askMs;
+    this.vertx = vertx;
+    this.clock = clock;
+    this.self = self;
+    this.seeds = seeds;
+    this.duty = new Duty("news", 4096, clock);
+    this.held = new HeldNews(clock, self, run, this::swapped, reader);
+  }
 
-    private void swapped(Tables t) {
-        if (t.generation() != generation) {
-            generation = t.generation();
-            views.generation(generation);
-            circle();
-        }
-        for (Consumer<Tables> l : listeners) l.accept(t);
+  private void swapped(Tables t) {
+    if (t.generation() != generation) {
+      generation = t.generation();
+      views.generation(generation);
+      circle();
     }
+    for (Consumer<Tables> l : listeners) l.accept(t);
+  }
 
-    public long run() {
-        return run;
-    }
+  public long run() {
+    return run;
+  }
 
-    /**
-     * Called on the news duty with what is held now, which may have come before anybody listened, and after each
-     * swap.
-     */
-    public void listen(Consumer<Tables> l) {
-        duty.offer(() -> {
-            listeners.add(l);
-            l.accept(held.tables());
+  /**
+   * Called on the news duty with what is held now, which may have come before anybody listened, and
+   * after each swap.
+   */
+  public void listen(Consumer<Tables> l) {
+    duty.offer(
+        () -> {
+          listeners.add(l);
+          l.accept(held.tables());
         });
-    }
+  }
 
-    @Override public void start(Kernel k) {
-        doors = k.find("doors", Doors.class);
-        views = k.find("views", ViewService.class);
-        duty.every(CIRCLE, this::circle);
-        duty.every(askMs, this::askAll);
-    }
+  @Override
+  public void start(Kernel k) {
+    doors = k.find("doors", Doors.class);
+    views = k.find("views", ViewService.class);
+    duty.every(CIRCLE, this::circle);
+    duty.every(askMs, this::askAll);
+  }
 
-    private void circle() {
-        Set<Address> want = new HashSet<>();
-        for (CoreList.Member m : held.tables().core().all()) want.add(m.records());
-        boolean reached = connections.values().stream().anyMatch(Held::open);
-        if (want.isEmpty() || !reached) {
-            for (Shuffle.Descriptor d : views.all()) if (d.role().equals("control")) want.add(Address.of(d.records()));
-            if (held.tables().core().all().isEmpty()) want.addAll(seeds);
-        }
-        connections.entrySet().removeIf(e -> {
-            if (want.contains(e.getKey())) return false;
-            e.getValue().letGo();
-            return true;
-        });
-        for (Address a : want)
-            connections.computeIfAbsent(a, x -> new Held(vertx, doors, x, Hello.NEWS,
-                (h, r) -> {
+  private void circle() {
+    Set<Address> want = new HashSet<>();
+    for (CoreList.Member m : held.tables().core().all()) want.add(m.records());
+    boolean reached = connections.values().stream().anyMatch(Held::open);
+    if (want.isEmpty() || !reached) {
+      for (Shuffle.Descriptor d : views.all())
+        if (d.role().equals("control")) want.add(Address.of(d.records()));
+      if (held.tables().core().all().isEmpty()) want.addAll(seeds);
+    }
+    connections
+        .entrySet()
+        .removeIf(
+            e -> {
+              if (want.contains(e.getKey())) return false;
+              e.getValue().letGo();
+              return true;
+            });
+    for (Address a : want)
+      connections.computeIfAbsent(
+          a,
+          x ->
+              new Held(
+                  vertx,
+                  doors,
+                  x,
+                  Hello.NEWS,
+                  (h, r) -> {
                     News n = Wire.read(r, News::read);
                     duty.offer(() -> told(h, n));
-                },
-                h -> duty.offer(() -> h.send(held.ask()))));
-    }
+                  },
+                  h -> duty.offer(() -> h.send(held.ask()))));
+  }
 
-    private void askAll() {
-        News.Ask a = held.ask();
-        for (Held h : connections.values()) h.send(a);
-    }
+  private void askAll() {
+    News.Ask a = held.ask();
+    for (Held h : connections.values()) h.send(a);
+  }
 
-    private void told(Held from, News n) {
-        if (held.told(n) == NewsBook.Told.WANTS_WHOLE) from.send(new News.Whole(((News.Push) n).key()));
-        if (n instanceof News.Push) from.send(held.ask());
-    }
+  private void told(Held from, News n) {
+    if (held.told(n) == NewsBook.Told.WANTS_WHOLE) from.send(new News.Whole(((News.Push) n).key()));
+    if (n instanceof News.Push) from.send(held.ask());
+  }
 
-    @Override public void stop() {
-        duty.close();
-        for (Held h : connections.values()) h.letGo();
-    }
+  @Override
+  public void stop() {
+    duty.close();
+    for (Held h : connections.values()) h.letGo();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/news/Tables.java
+++ b/data-plane/src/main/java/gladelug/data/news/Tables.java
@@ -9,32 +9,64 @@
 import gladelug.kernel.configuration.Replicas;
 import gladelug.kernel.configuration.Weights;
 
-public record Tables(long configurationNumber, String configurationDigest, Configuration configuration,
-    long weightsNumber, Weights weights,
-    long replicasNumber, Replicas replicas, long generation, CoreList core) {
-    public static final Tables NONE = new Tables(0, "", Configuration.EMPTY, 0, Weights.NONE, 0, Replicas.NONE, 0,
-        CoreList.NONE);
+public record Tables(
+    long configurationNumber,
+    String configurationDigest,
+    Configuration configuration,
+    long weightsNumber,
+    Weights weights,
+    long replicasNumber,
+    Replicas replicas,
+    long generation,
+    CoreList core) {
+  public static final Tables NONE =
+      new Tables(0, "", Configuration.EMPTY, 0, Weights.NONE, 0, Replicas.NONE, 0, CoreList.NONE);
 
-    Tables configuration(long n, String digest, Configuration p) {
-        return new Tables(n, digest, p, weightsNumber, weights, replicasNumber, replicas, generation, core);
-    }
+  Tables configuration(long n, String digest, Configuration p) {
+    return new Tables(
+        n, digest, p, weightsNumber, weights, replicasNumber, replicas, generation, core);
+  }
 
-    Tables weights(long n, Weights w) {
-        return new Tables(configurationNumber, configurationDigest, configuration, n, w, replicasNumber, replicas,
-            generation, core);
-    }
+  Tables weights(long n, Weights w) {
+    return new Tables(
+        configurationNumber,
+        configurationDigest,
+        configuration,
+        n,
+        w,
+        replicasNumber,
+        replicas,
+        generation,
+        core);
+  }
 
-    Tables replicas(long n, Replicas r) {
-        return new Tables(configurationNumber, configurationDigest, configuration, weightsNumber, weights, n, r,
-            generation, core);
-    }
+  Tables replicas(long n, Replicas r) {
+    return new Tables(
+        configurationNumber,
+        configurationDigest,
+        configuration,
+        weightsNumber,
+        weights,
+        n,
+        r,
+        generation,
+        core);
+  }
 
-    Tables core(long g, CoreList c) {
-        return new Tables(configurationNumber, configurationDigest, configuration, weightsNumber, weights,
-            replicasNumber, replicas, g, c);
-    }
+  Tables core(long g, CoreList c) {
+    return new Tables(
+        configurationNumber,
+        configurationDigest,
+        configuration,
+        weightsNumber,
+        weights,
+        replicasNumber,
+        replicas,
+        g,
+        c);
+  }
 
-    public boolean complete() {
-        return configurationNumber > 0 && replicasNumber > 0;
-    }
+  public boolean complete() {
+    return configurationNumber > 0 && replicasNumber > 0;
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/reasons/ReasonsService.java
+++ b/data-plane/src/main/java/gladelug/data/reasons/ReasonsService.java
@@ -33,118 +33,157 @@
 import java.util.Map;
 
 public final class ReasonsService implements Kernel.Service {
-    public static final long PERIOD = 500;
-    private static final int FELLOWS = 2, SPARE = 1, MOST_PLAIN = 1 << 20;
-    private final Vertx vertx;
-    private final Duty duty;
-    private final String name;
-    private final String host;
-    private final String near;
-    private final KeptReasons kept;
-    private final Map<Address, Held> held = new HashMap<>();
-    private Doors doors;
-    private ViewService views;
-    private long nr;
-    private volatile long skipped;
+  public static final long PERIOD = 500;
+  private static final int FELLOWS = 2, SPARE = 1, MOST_PLAIN = 1 << 20;
+  private final Vertx vertx;
+  private final Duty duty;
+  private final String name;
+  private final String host;
+  private final String near;
+  private final KeptReasons kept;
+  private final Map<Address, Held> held = new HashMap<>();
+  private Doors doors;
+  private ViewService views;
+  private long nr;
+  private volatile long skipped;
 
-    public ReasonsService(Vertx vertx, Clock clock, String name, String host, long mostBytes) {
-        this(vertx, clock, name, host, "", mostBytes);
-    }
+  public ReasonsService(Vertx vertx, Clock clock, String name, String host, long mostBytes) {
+    this(vertx, clock, name, host, "", mostBytes);
+  }
 
-    /** near: the zone whose processes are handed records first, where bytes between zones are dear; empty for none. */
-    public ReasonsService(Vertx vertx, Clock clock, String name, String host, String near, long mostBytes) {
-        this.near = near;
-        this.vertx = vertx;
-        this.name = name;
-        this.host = host;
-        this.kept = new KeptReasons(mostBytes);
-        this.duty = new Duty("reasons", 256, clock);
-    }
+  /**
+   * near: the zone whose processes are handed records first, where bytes between zones are dear;
+   * empty for none.
+   */
+  public ReasonsService(
+      Vertx vertx, Clock clock, String name, String host, String near, long mostBytes) {
+    this.near = near;
+    this.vertx = vertx;
+    this.name = name;
+    this.host = host;
+    this.kept = new KeptReasons(mostBytes);
+    this.duty = new Duty("reasons", 256, clock);
+  }
 
-    @Override public void start(Kernel k) {
-        doors = k.find("doors", Doors.class);
-        views = k.find("views", ViewService.class);
-        doors.take(Hello.REASONS, (h, c) -> new Connection.Receiver() {
-            @Override public void record(byte[] r) throws IOException {
+  @Override
+  public void start(Kernel k) {
+    doors = k.find("doors", Doors.class);
+    views = k.find("views", ViewService.class);
+    doors.take(
+        Hello.REASONS,
+        (h, c) ->
+            new Connection.Receiver() {
+              @Override
+              public void record(byte[] r) throws IOException {
                 Reasons.Batch b = (Reasons.Batch) Wire.read(r, Reasons::read);
-                if (!b.relay().equals(h.name())) throw new IOException("reasons of " + b.relay() + " from " + h.name());
-                duty.offer(() -> {
-                    if (!kept.add(b)) Log.warn("reasons-turned-away", "relay", b.relay(), "batch", b.nr());
-                });
-            }
-        });
-    }
+                if (!b.relay().equals(h.name()))
+                  throw new IOException("reasons of " + b.relay() + " from " + h.name());
+                duty.offer(
+                    () -> {
+                      if (!kept.add(b))
+                        Log.warn("reasons-turned-away", "relay", b.relay(), "batch", b.nr());
+                    });
+              }
+            });
+  }
 
-    /** Whoever will hand records on has its connections open before it needs them. */
-    public void prepare() {
-        duty.every(PERIOD, this::peers);
-    }
+  /** Whoever will hand records on has its connections open before it needs them. */
+  public void prepare() {
+    duty.every(PERIOD, this::peers);
+  }
 
-    /** From the request thread: what has ended since the last time, and what is at replicas now. */
-    public void hand(List<Decision> ds, String run) {
-        if (ds.isEmpty()) return;
-        if (!duty.offer(() -> send(ds, run))) skipped += ds.size();
-    }
+  /** From the request thread: what has ended since the last time, and what is at replicas now. */
+  public void hand(List<Decision> ds, String run) {
+    if (ds.isEmpty()) return;
+    if (!duty.offer(() -> send(ds, run))) skipped += ds.size();
+  }
 
-    private void send(List<Decision> ds, String run) {
-        List<byte[]> lines = new ArrayList<>();
-        long low = Long.MAX_VALUE, high = 0;
-        int size = 0;
-        for (Decision d : ds) {
-            byte[] b = d.bytes();
-            if (size + b.length > MOST_PLAIN) {
-                skipped++;
-                continue;
-            }
-            size += b.length;
-            lines.add(b);
-            low = Math.min(low, d.nr);
-            high = Math.max(high, d.nr);
-        }
-        if (lines.isEmpty()) return;
-        Reasons.Batch batch = new Reasons.Batch(name, run, ++nr, low, high, skipped, KeptReasons.packed(lines));
-        int sent = 0;
-        for (Address a : peers()) if (sent < FELLOWS && held.get(a).send(batch)) sent++;
-        if (sent == 0) skipped += lines.size();
+  private void send(List<Decision> ds, String run) {
+    List<byte[]> lines = new ArrayList<>();
+    long low = Long.MAX_VALUE, high = 0;
+    int size = 0;
+    for (Decision d : ds) {
+      byte[] b = d.bytes();
+      if (size + b.length > MOST_PLAIN) {
+        skipped++;
+        continue;
+      }
+      size += b.length;
+      lines.add(b);
+      low = Math.min(low, d.nr);
+      high = Math.max(high, d.nr);
     }
+    if (lines.isEmpty()) return;
+    Reasons.Batch batch =
+        new Reasons.Batch(name, run, ++nr, low, high, skipped, KeptReasons.packed(lines));
+    int sent = 0;
+    for (Address a : peers()) if (sent < FELLOWS && held.get(a).send(batch)) sent++;
+    if (sent == 0) skipped += lines.size();
+  }
 
-    /** Those of other machines, in an order that only the names decide; one more connection is held than is used. */
-    private List<Address> peers() {
-        List<Address> l = views.all().stream().filter(d -> d.role().equals("relay") || d.role().equals("index"))
+  /**
+   * Those of other machines, in an order that only the names decide; one more connection is held
+   * than is used.
+   */
+  private List<Address> peers() {
+    List<Address> l =
+        views.all().stream()
+            .filter(d -> d.role().equals("relay") || d.role().equals("index"))
             .filter(d -> !Address.of(d.records()).host().equals(host))
-            .sorted(Comparator.comparing((Shuffle.Descriptor d) -> !near.isEmpty() && !near.equals(d.zone()))
-                .thenComparingInt(d -> (name + ">" + d.name()).hashCode()))
-            .map(d -> Address.of(d.records())).distinct().toList();
-        List<Address> use = new ArrayList<>();
-        int open = 0;
-        for (Address a : l) {
-            if (open >= FELLOWS + SPARE) break;
-            use.add(a);
-            Held h = held.computeIfAbsent(a, x -> new Held(vertx, doors, x, Hello.REASONS, (y, r) -> {
-                throw new IOException("an answer where none is due");
-            }, y -> {}));
-            if (h.open()) open++;
-        }
-        held.entrySet().removeIf(e -> {
-            if (use.contains(e.getKey())) return false;
-            e.getValue().letGo();
-            return true;
-        });
-        return use;
+            .sorted(
+                Comparator.comparing(
+                        (Shuffle.Descriptor d) -> !near.isEmpty() && !near.equals(d.zone()))
+                    .thenComparingInt(d -> (name + ">" + d.name()).hashCode()))
+            .map(d -> Address.of(d.records()))
+            .distinct()
+            .toList();
+    List<Address> use = new ArrayList<>();
+    int open = 0;
+    for (Address a : l) {
+      if (open >= FELLOWS + SPARE) break;
+      use.add(a);
+      Held h =
+          held.computeIfAbsent(
+              a,
+              x ->
+                  new Held(
+                      vertx,
+                      doors,
+                      x,
+                      Hello.REASONS,
+                      (y, r) -> {
+                        throw new IOException("an answer where none is due");
+                      },
+                      y -> {}));
+      if (h.open()) open++;
     }
+    held.entrySet()
+        .removeIf(
+            e -> {
+              if (use.contains(e.getKey())) return false;
+              e.getValue().letGo();
+              return true;
+            });
+    return use;
+  }
 
-    public void routes(Router r) {
-        r.get("/operator/reasons/:id").handler(c -> {
-            JsonObject d = kept.find(c.pathParam("id"));
-            if (d == null)
-                StatusDoor.say(c, 404, Json.object().add("reason", "no record of such an order is kept here"));
-            else StatusDoor.say(c, 200, d);
-        });
-        r.get("/operator/reasons").handler(c -> StatusDoor.say(c, 200, kept.json().add("skippedHere", skipped)));
-    }
+  public void routes(Router r) {
+    r.get("/operator/reasons/:id")
+        .handler(
+            c -> {
+              JsonObject d = kept.find(c.pathParam("id"));
+              if (d == null)
+                StatusDoor.say(
+                    c, 404, Json.object().add("reason", "no record of such an order is kept here"));
+              else StatusDoor.say(c, 200, d);
+            });
+    r.get("/operator/reasons")
+        .handler(c -> StatusDoor.say(c, 200, kept.json().add("skippedHere", skipped)));
+  }
 
-    @Override public void stop() {
-        duty.close();
-        for (Held h : held.values()) h.letGo();
-    }
+  @Override
+  public void stop() {
+    duty.close();
+    for (Held h : held.values()) h.letGo();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -11,230 +11,267 @@
 import java.util.Map;
 
 public final class Backend {
-    private static final long PROBE = 20_000, SILENT = 2000, QUIET = 1200;
-    private static final double USUAL_UNIT_MS = 0.03;
-    /** Work given lately is weighed over so many ms; a wait that was told of fades over so many. */
-    private static final double LATELY = 1000, FADES = 800;
-    /** What one that waits there is reckoned to hold up, and what room that isn't there and silence cost, in ms. */
-    private static final double WAITS_MS = 25, NO_ROOM_MS = 800, QUIET_MS = 1500;
-    public Replica replica;
-    public boolean known;
-    /** Whether it reports by itself; else silence means nothing. */
-    public final boolean reports;
-    /** By model. */
-    public Map<String, String> weights = new HashMap<>();
-    public int slots = 1;
-    public int blockBytes = 256;
-    /** Estimated ms to compute a unit of a prompt. */
-    public double unitMs = 1;
-    public double waitMs;
-    public int reported;
-    public int mine;
-    public int mineAtReport;
-    public double addedMs;
-    public long reportedAt = Long.MIN_VALUE / 2;
-    public long badUntil = Long.MIN_VALUE / 2;
-    /** Told to be ill by its own answers rather than by a moment's refusal; for people. */
-    public int failures;
-    public Map<String, Double> links = new HashMap<>();
-    /** Estimated ms to pull a unit over its link, 0 where each link is measured by itself. */
-    private double engineLinkMs;
-    private long owedUntil;
-    /** Ms of work a ms that this relay gave it lately, and when that was last reckoned. */
-    private double rate;
-    private long ratedAt;
-    /** Units under way there of this relay's, and the most it keeps (0: not known). */
-    public int mineUnits;
-    private long keptUnits;
-    private double usualUnits = 1500;
-    private int waitingThere;
-    private long oldUntil = Long.MIN_VALUE / 2;
-    /** When bytes last came from it, and since when something it was given has waited for the first. */
-    private long heardAt = Long.MIN_VALUE / 2;
-    private long askedSince = Long.MIN_VALUE / 2;
-    private int unanswered;
-    private long slowLinkUntil = Long.MIN_VALUE / 2;
-    private final Map<String, Long> pulledAt = new HashMap<>();
-
-    public Backend(Replica r) {
-        this(r, true);
-    }
+  private static final long PROBE = 20_000, SILENT = 2000, QUIET = 1200;
+  private static final double USUAL_UNIT_MS = 0.03;
 
-    public Backend(Replica r, boolean reports) {
-        this.replica = r;
-        this.reports = reports;
-    }
+  /** Work given lately is weighed over so many ms; a wait that was told of fades over so many. */
+  private static final double LATELY = 1000, FADES = 800;
 
-    public String weights(String model) {
-        return weights.getOrDefault(model, "");
-    }
+  /**
+   * What one that waits there is reckoned to hold up, and what room that isn't there and silence
+   * cost, in ms.
+   */
+  private static final double WAITS_MS = 25, NO_ROOM_MS = 800, QUIET_MS = 1500;
 
-    /** What the list and the configuration say of one that doesn't report. */
-    void listed(Replica r, Configuration.Service s, long now) {
-        for (Map.Entry<String, String> e : r.weights().entrySet()) {
-            // an answer since may have told of newer weights than the list, which lags
-            if (newer(e.getValue(), weights(e.getKey()))) weights.put(e.getKey(), e.getValue());
-        }
-        if (!known) {
-            reportedAt = now;
-            unitMs = USUAL_UNIT_MS;
-        }
-        known = true;
-        keptUnits = s.engine().keptTokens();
-        slots = Math.max(1, r.slots() > 0 ? r.slots() : s.engine().slots());
-        if (s.engine().linkMbps() > 0) engineLinkMs = s.engine().tokenBytes() * 8.0 / (s.engine().linkMbps() * 1000);
-    }
+  public Replica replica;
+  public boolean known;
 
-    /**
-     * Whether weights named a come after those named b; those that are numbers go by their value. Where none are told,
-     * that comes after nothing.
-     */
-    public static boolean newer(String a, String b) {
-        if (a.isEmpty() || b.isEmpty()) return !a.isEmpty();
-        if (a.length() != b.length() && number(a) && number(b)) return a.length() > b.length();
-        return number(a) && number(b) ? a.compareTo(b) > 0 : !a.equals(b);
-    }
+  /** Whether it reports by itself; else silence means nothing. */
+  public final boolean reports;
 
-    private static boolean number(String s) {
-        for (int i = 0; i < s.length(); i++) if (s.charAt(i) < '0' || s.charAt(i) > '9') return false;
-        return !s.isEmpty() && s.length() < 19;
-    }
+  /** By model. */
+  public Map<String, String> weights = new HashMap<>();
 
-    /** What an answer's head told: requests running and waiting there. */
-    public void load(int running, int waiting, long now) {
-        waitingThere = waiting;
-        reported = running + waiting;
-        mineAtReport = mine;
-        reportedAt = now;
-        waitMs = 0;
-    }
+  public int slots = 1;
+  public int blockBytes = 256;
 
-    /** Requests it has, by its last report and what this relay did since. */
-    public int load() {
-        return mine + Math.max(0, reported - mineAtReport);
-    }
+  /** Estimated ms to compute a unit of a prompt. */
+  public double unitMs = 1;
 
-    /** Its slots and one more, so that the next request is there when one ends. */
-    public int places() {
-        return slots + 1;
-    }
+  public double waitMs;
+  public int reported;
+  public int mine;
+  public int mineAtReport;
+  public double addedMs;
+  public long reportedAt = Long.MIN_VALUE / 2;
+  public long badUntil = Long.MIN_VALUE / 2;
 
-    public int free() {
-        return Math.max(0, places() - load());
-    }
+  /** Told to be ill by its own answers rather than by a moment's refusal; for people. */
+  public int failures;
 
-    public boolean usable(long now) {
-        return known && now >= badUntil && (!reports || now - reportedAt < SILENT);
-    }
+  public Map<String, Double> links = new HashMap<>();
 
-    /** Has told nothing of itself for so long that what it was given is given up; not by a relay just awake. */
-    public boolean silent(long now, long awake) {
-        return reports && now - Math.max(reportedAt, awake) > SILENT;
-    }
+  /** Estimated ms to pull a unit over its link, 0 where each link is measured by itself. */
+  private double engineLinkMs;
 
-    /** Was given something and no byte of anything came since: others are better, but it may only be busy. */
-    private boolean quiet(long now) {
-        return unanswered > 0 && now - Math.max(heardAt, askedSince) > QUIET && now - askedSince < 10 * QUIET;
-    }
+  private long owedUntil;
 
-    /** A request went there. */
-    public void asked(long now) {
-        if (unanswered++ == 0) askedSince = now;
-    }
+  /** Ms of work a ms that this relay gave it lately, and when that was last reckoned. */
+  private double rate;
 
-    /** The first byte of an answer came, or the request ended without one. */
-    public void answered(boolean heard, long now) {
-        unanswered = Math.max(0, unanswered - 1);
-        if (heard) heard(now);
-    }
+  private long ratedAt;
 
-    public void heard(long now) {
-        heardAt = now;
-    }
+  /** Units under way there of this relay's, and the most it keeps (0: not known). */
+  public int mineUnits;
 
-    /**
-     * Estimated wait there of a request of so many units, in ms. One that reports says so itself. Of another it is
-     * what this relay gave it and isn't done, what as busy a server makes one wait if the other relays give it as
-     * much lately, what it told of waiting ones, and the room in its memory.
-     */
-    public double queueMs(long now, int relays, int units) {
-        if (reports) return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
-        double busy = Math.min(0.9, rate(now) * Math.max(1, relays * 0.8));
-        double told = waitingThere * WAITS_MS * Math.exp(-(now - reportedAt) / FADES);
-        double there = mineUnits + Math.max(0, reported - mineAtReport) * usualUnits;
-        double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - 0.9);
-        return (quiet(now) ? QUIET_MS : 0) + Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * 40 + told
-            + Math.min(2, over) * NO_ROOM_MS;
-    }
+  private long keptUnits;
+  private double usualUnits = 1500;
+  private int waitingThere;
+  private long oldUntil = Long.MIN_VALUE / 2;
 
-    private double rate(long now) {
-        rate *= Math.exp(-(now - ratedAt) / LATELY);
-        ratedAt = now;
-        return rate;
-    }
+  /**
+   * When bytes last came from it, and since when something it was given has waited for the first.
+   */
+  private long heardAt = Long.MIN_VALUE / 2;
 
-    /** This relay gave it work of so many ms. */
-    public void owes(double ms, long now) {
-        addedMs += ms;
-        owedUntil = Math.max(owedUntil, now) + Math.round(ms);
-        rate = rate(now) + ms / LATELY;
-    }
+  private long askedSince = Long.MIN_VALUE / 2;
+  private int unanswered;
+  private long slowLinkUntil = Long.MIN_VALUE / 2;
+  private final Map<String, Long> pulledAt = new HashMap<>();
 
-    /** A request of so many units goes there. */
-    public void takes(int units) {
-        mineUnits += units;
-        usualUnits += (units - usualUnits) / 64;
-    }
+  public Backend(Replica r) {
+    this(r, true);
+  }
 
-    public void gives(int units) {
-        mineUnits = Math.max(0, mineUnits - units);
-    }
+  public Backend(Replica r, boolean reports) {
+    this.replica = r;
+    this.reports = reports;
+  }
 
-    /** It said that it still runs older weights than was thought. */
-    public void stillOld(long until) {
-        oldUntil = until;
-    }
+  public String weights(String model) {
+    return weights.getOrDefault(model, "");
+  }
 
-    public boolean saidOld(long now) {
-        return now < oldUntil;
+  /** What the list and the configuration say of one that doesn't report. */
+  void listed(Replica r, Configuration.Service s, long now) {
+    for (Map.Entry<String, String> e : r.weights().entrySet()) {
+      // an answer since may have told of newer weights than the list, which lags
+      if (newer(e.getValue(), weights(e.getKey()))) weights.put(e.getKey(), e.getValue());
     }
-
-    /** What computing took in truth, per unit; single measurements move the estimate a little. */
-    public void measured(double msPerUnit) {
-        double m = Math.max(USUAL_UNIT_MS / 4, Math.min(USUAL_UNIT_MS * 8, msPerUnit));
-        unitMs += (m - unitMs) / 16;
+    if (!known) {
+      reportedAt = now;
+      unitMs = USUAL_UNIT_MS;
     }
+    known = true;
+    keptUnits = s.engine().keptTokens();
+    slots = Math.max(1, r.slots() > 0 ? r.slots() : s.engine().slots());
+    if (s.engine().linkMbps() > 0)
+      engineLinkMs = s.engine().tokenBytes() * 8.0 / (s.engine().linkMbps() * 1000);
+  }
 
-    /** A pull took far longer than its link should need: for a while units are computed here. */
-    public void slowLink(long now) {
-        slowLinkUntil = now + PROBE / 4;
-    }
+  /**
+   * Whether weights named a come after those named b; those that are numbers go by their value.
+   * Where none are told, that comes after nothing.
+   */
+  public static boolean newer(String a, String b) {
+    if (a.isEmpty() || b.isEmpty()) return !a.isEmpty();
+    if (a.length() != b.length() && number(a) && number(b)) return a.length() > b.length();
+    return number(a) && number(b) ? a.compareTo(b) > 0 : !a.equals(b);
+  }
 
-    /**
-     * Estimated ms to pull a unit from a holder: as this replica measured it, else by its engine's link and where the
-     * holder stands, else hopefully a quarter of computing it. Negative: not to be tried now.
-     */
-    public double linkMs(String holder, String holderZone, long now) {
-        if (engineLinkMs > 0)
-            return now < slowLinkUntil ? -1 : engineLinkMs * (holderZone.equals(replica.zone()) ? 1 : 2);
-        return unsure(holder, now) ? unitMs / 4 : links.get(holder);
-    }
+  private static boolean number(String s) {
+    for (int i = 0; i < s.length(); i++) if (s.charAt(i) < '0' || s.charAt(i) > '9') return false;
+    return !s.isEmpty() && s.length() < 19;
+  }
 
-    /**
-     * A link never measured, or found slow a while ago: only a pull shows what it is now. Such a pull
-     * takes a block or two and no more, so that a slow link costs little each time.
-     */
-    public boolean unsure(String holder, long now) {
-        if (engineLinkMs > 0) return false;
-        Double m = links.get(holder);
-        return m == null || m > unitMs / 4 && now - pulledAt.getOrDefault(holder, now - 1) > PROBE;
-    }
+  /** What an answer's head told: requests running and waiting there. */
+  public void load(int running, int waiting, long now) {
+    waitingThere = waiting;
+    reported = running + waiting;
+    mineAtReport = mine;
+    reportedAt = now;
+    waitMs = 0;
+  }
 
-    public void pulls(String holder, long now) {
-        pulledAt.put(holder, now);
-    }
+  /** Requests it has, by its last report and what this relay did since. */
+  public int load() {
+    return mine + Math.max(0, reported - mineAtReport);
+  }
 
-    public void bad(long now, long ms) {
-        badUntil = Math.max(badUntil, now + ms);
-    }
+  /** Its slots and one more, so that the next request is there when one ends. */
+  public int places() {
+    return slots + 1;
+  }
+
+  public int free() {
+    return Math.max(0, places() - load());
+  }
+
+  public boolean usable(long now) {
+    return known && now >= badUntil && (!reports || now - reportedAt < SILENT);
+  }
+
+  /**
+   * Has told nothing of itself for so long that what it was given is given up; not by a relay just
+   * awake.
+   */
+  public boolean silent(long now, long awake) {
+    return reports && now - Math.max(reportedAt, awake) > SILENT;
+  }
+
+  /**
+   * Was given something and no byte of anything came since: others are better, but it may only be
+   * busy.
+   */
+  private boolean quiet(long now) {
+    return unanswered > 0
+        && now - Math.max(heardAt, askedSince) > QUIET
+        && now - askedSince < 10 * QUIET;
+  }
+
+  /** A request went there. */
+  public void asked(long now) {
+    if (unanswered++ == 0) askedSince = now;
+  }
+
+  /** The first byte of an answer came, or the request ended without one. */
+  public void answered(boolean heard, long now) {
+    unanswered = Math.max(0, unanswered - 1);
+    if (heard) heard(now);
+  }
+
+  public void heard(long now) {
+    heardAt = now;
+  }
+
+  /**
+   * Estimated wait there of a request of so many units, in ms. One that reports says so itself. Of
+   * another it is what this relay gave it and isn't done, what as busy a server makes one wait if
+   * the other relays give it as much lately, what it told of waiting ones, and the room in its
+   * memory.
+   */
+  public double queueMs(long now, int relays, int units) {
+    if (reports) return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
+    double busy = Math.min(0.9, rate(now) * Math.max(1, relays * 0.8));
+    double told = waitingThere * WAITS_MS * Math.exp(-(now - reportedAt) / FADES);
+    double there = mineUnits + Math.max(0, reported - mineAtReport) * usualUnits;
+    double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - 0.9);
+    return (quiet(now) ? QUIET_MS : 0)
+        + Math.max(0, owedUntil - now)
+        + busy * busy / (1 - busy) * 40
+        + told
+        + Math.min(2, over) * NO_ROOM_MS;
+  }
+
+  private double rate(long now) {
+    rate *= Math.exp(-(now - ratedAt) / LATELY);
+    ratedAt = now;
+    return rate;
+  }
+
+  /** This relay gave it work of so many ms. */
+  public void owes(double ms, long now) {
+    addedMs += ms;
+    owedUntil = Math.max(owedUntil, now) + Math.round(ms);
+    rate = rate(now) + ms / LATELY;
+  }
+
+  /** A request of so many units goes there. */
+  public void takes(int units) {
+    mineUnits += units;
+    usualUnits += (units - usualUnits) / 64;
+  }
+
+  public void gives(int units) {
+    mineUnits = Math.max(0, mineUnits - units);
+  }
+
+  /** It said that it still runs older weights than was thought. */
+  public void stillOld(long until) {
+    oldUntil = until;
+  }
+
+  public boolean saidOld(long now) {
+    return now < oldUntil;
+  }
+
+  /** What computing took in truth, per unit; single measurements move the estimate a little. */
+  public void measured(double msPerUnit) {
+    double m = Math.max(USUAL_UNIT_MS / 4, Math.min(USUAL_UNIT_MS * 8, msPerUnit));
+    unitMs += (m - unitMs) / 16;
+  }
+
+  /** A pull took far longer than its link should need: for a while units are computed here. */
+  public void slowLink(long now) {
+    slowLinkUntil = now + PROBE / 4;
+  }
+
+  /**
+   * Estimated ms to pull a unit from a holder: as this replica measured it, else by its engine's
+   * link and where the holder stands, else hopefully a quarter of computing it. Negative: not to be
+   * tried now.
+   */
+  public double linkMs(String holder, String holderZone, long now) {
+    if (engineLinkMs > 0)
+      return now < slowLinkUntil ? -1 : engineLinkMs * (holderZone.equals(replica.zone()) ? 1 : 2);
+    return unsure(holder, now) ? unitMs / 4 : links.get(holder);
+  }
+
+  /**
+   * A link never measured, or found slow a while ago: only a pull shows what it is now. Such a pull
+   * takes a block or two and no more, so that a slow link costs little each time.
+   */
+  public boolean unsure(String holder, long now) {
+    if (engineLinkMs > 0) return false;
+    Double m = links.get(holder);
+    return m == null || m > unitMs / 4 && now - pulledAt.getOrDefault(holder, now - 1) > PROBE;
+  }
+
+  public void pulls(String holder, long now) {
+    pulledAt.put(holder, now);
+  }
+
+  public void bad(long now, long ms) {
+    badUntil = Math.max(badUntil, now + ms);
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/CallerLimits.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerLimits.java
@@ -16,59 +16,62 @@
 import java.util.function.Supplier;
 
 public final class CallerLimits {
-    private final Clock clock;
-    private final Supplier<Configuration.Limits> limits;
-    private final Map<HttpConnection, One> all = new HashMap<>();
+  private final Clock clock;
+  private final Supplier<Configuration.Limits> limits;
+  private final Map<HttpConnection, One> all = new HashMap<>();
 
-    public CallerLimits(Clock clock, Supplier<Configuration.Limits> limits) {
-        this.clock = clock;
-        this.limits = limits;
-    }
+  public CallerLimits(Clock clock, Supplier<Configuration.Limits> limits) {
+    this.clock = clock;
+    this.limits = limits;
+  }
 
-    /** One connection: since when it is idle, and since when a head is on its way; -1 where none is. */
-    private final class One extends ChannelInboundHandlerAdapter {
-        int underWay;
-        long idleSince = clock.now();
-        long headSince = -1;
+  /**
+   * One connection: since when it is idle, and since when a head is on its way; -1 where none is.
+   */
+  private final class One extends ChannelInboundHandlerAdapter {
+    int underWay;
+    long idleSince = clock.now();
+    long headSince = -1;
 
-        @Override public void channelRead(ChannelHandlerContext c, Object m) {
-            if (underWay == 0 && headSince < 0) headSince = clock.now();
-            c.fireChannelRead(m);
-        }
+    @Override
+    public void channelRead(ChannelHandlerContext c, Object m) {
+      if (underWay == 0 && headSince < 0) headSince = clock.now();
+      c.fireChannelRead(m);
     }
+  }
 
-    public void opened(HttpConnection c) {
-        One one = new One();
-        all.put(c, one);
-        if (c instanceof ConnectionBase b) b.channelHandlerContext().pipeline().addFirst(one);
-        c.closeHandler(v -> all.remove(c));
-    }
+  public void opened(HttpConnection c) {
+    One one = new One();
+    all.put(c, one);
+    if (c instanceof ConnectionBase b) b.channelHandlerContext().pipeline().addFirst(one);
+    c.closeHandler(v -> all.remove(c));
+  }
 
-    /** The head of a request is here. */
-    public void begun(HttpServerRequest q) {
-        One one = all.get(q.connection());
-        if (one == null) return;
-        one.underWay++;
-        one.headSince = -1;
-    }
+  /** The head of a request is here. */
+  public void begun(HttpServerRequest q) {
+    One one = all.get(q.connection());
+    if (one == null) return;
+    one.underWay++;
+    one.headSince = -1;
+  }
 
-    /** Its answer is out. */
-    public void ended(HttpServerRequest q) {
-        One one = all.get(q.connection());
-        if (one == null) return;
-        one.underWay = Math.max(0, one.underWay - 1);
-        one.idleSince = clock.now();
-    }
+  /** Its answer is out. */
+  public void ended(HttpServerRequest q) {
+    One one = all.get(q.connection());
+    if (one == null) return;
+    one.underWay = Math.max(0, one.underWay - 1);
+    one.idleSince = clock.now();
+  }
 
-    /** Called a few times a second. */
-    public void tick() {
-        long now = clock.now();
-        Configuration.Limits l = limits.get();
-        for (Map.Entry<HttpConnection, One> e : Map.copyOf(all).entrySet()) {
-            One o = e.getValue();
-            if (o.underWay > 0) continue;
-            if (o.headSince >= 0 ? now - o.headSince > l.headerMs() : now - o.idleSince > l.idleMs())
-                e.getKey().close();
-        }
+  /** Called a few times a second. */
+  public void tick() {
+    long now = clock.now();
+    Configuration.Limits l = limits.get();
+    for (Map.Entry<HttpConnection, One> e : Map.copyOf(all).entrySet()) {
+      One o = e.getValue();
+      if (o.underWay > 0) continue;
+      if (o.headSince >= 0 ? now - o.headSince > l.headerMs() : now - o.idleSince > l.idleMs())
+        e.getKey().close();
     }
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Exchange.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Exchange.java
@@ -11,40 +11,48 @@
 import io.vertx.core.buffer.Buffer;
 
 public interface Exchange {
-    /** How to let go of a request that is at a replica, and how to hold its answer up. */
-    interface Handle {
-        void reset();
+  /** How to let go of a request that is at a replica, and how to hold its answer up. */
+  interface Handle {
+    void reset();
 
-        void pause();
+    void pause();
 
-        void resume();
-    }
+    void resume();
+  }
 
-    /** What comes back for one request. */
-    interface Reply {
-        /** The last look: false where it must not leave any more; nothing else is told then. */
-        boolean leave(Handle h);
+  /** What comes back for one request. */
+  interface Reply {
+    /** The last look: false where it must not leave any more; nothing else is told then. */
+    boolean leave(Handle h);
 
-        /** No byte left: there was no connection, or it was not that replica's; for badMs nothing more goes there. */
-        void unreached(String why, long badMs);
+    /**
+     * No byte left: there was no connection, or it was not that replica's; for badMs nothing more
+     * goes there.
+     */
+    void unreached(String why, long badMs);
 
-        /** The replica says that it did not run the request, and for how long it is better left alone. */
-        void notRun(String why, long badMs);
+    /**
+     * The replica says that it did not run the request, and for how long it is better left alone.
+     */
+    void notRun(String why, long badMs);
 
-        /** The same, as it runs other weights, of which it may have told: it can be asked again for those. */
-        void otherWeights(String why);
+    /**
+     * The same, as it runs other weights, of which it may have told: it can be asked again for
+     * those.
+     */
+    void otherWeights(String why);
 
-        void head(Head h);
+    void head(Head h);
 
-        /** The next whole piece; event is its name where it has one. */
-        void piece(Buffer piece, String event);
+    /** The next whole piece; event is its name where it has one. */
+    void piece(Buffer piece, String event);
 
-        /** The explicit end. */
-        void end();
+    /** The explicit end. */
+    void end();
 
-        /** Nothing more will come that counts; the request may have run. */
-        void broken(String why);
-    }
+    /** Nothing more will come that counts; the request may have run. */
+    void broken(String why);
+  }
 
-    void send(Request o, Backend b, Reply to);
+  void send(Request o, Backend b, Reply to);
 }
--- a/data-plane/src/main/java/gladelug/data/relay/HandOver.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HandOver.java
@@ -21,210 +21,237 @@
 import io.vertx.core.buffer.Buffer;
 
 public final class HandOver implements Stage {
-    /** When a caller told "not run" may come back: soon, as another relay may have room. */
-    private static final long SOON = 1000;
-    private final Relay r;
-    private final Exchange exchange;
+  /** When a caller told "not run" may come back: soon, as another relay may have room. */
+  private static final long SOON = 1000;
 
-    public HandOver(Relay r, Exchange exchange) {
-        this.r = r;
-        this.exchange = exchange;
-    }
+  private final Relay r;
+  private final Exchange exchange;
 
-    @Override public String name() {
-        return "hand-over";
-    }
+  public HandOver(Relay r, Exchange exchange) {
+    this.r = r;
+    this.exchange = exchange;
+  }
+
+  @Override
+  public String name() {
+    return "hand-over";
+  }
 
-    @Override public Uni<Verdict> pass(Request o) {
-        return Uni.createFrom().emitter(e -> exchange.send(o, o.backend, new Handed(o, o.backend, e)));
+  @Override
+  public Uni<Verdict> pass(Request o) {
+    return Uni.createFrom().emitter(e -> exchange.send(o, o.backend, new Handed(o, o.backend, e)));
+  }
+
+  /** Everything that may have changed since it was looked at first; empty where all still holds. */
+  private Verdict last(Request o, Backend b) {
+    long now = r.clock.now();
+    if (r.stopping && o.tries > 0 && o.piecesOut == 0) return Verdict.notRun(503, "stopping", SOON);
+    if (!r.news.leases.valid(now)) return Verdict.notRun(503, "no licence", SOON);
+    if (now >= o.deadline) return Verdict.notRun(503, "expired before it was handed over", SOON);
+    Tables t = r.tables();
+    Configuration.Route m = t.configuration().route(o.host, o.path);
+    if (m == null || !m.open()) {
+      Configuration.Tenant n = t.configuration().tenantOfHash(o.keyHash);
+      if (n == null || !n.name().equals(o.tenant.name()))
+        return Verdict.notRun(401, "key revoked", 0);
+      if (n.isolated() != o.tenant.isolated())
+        return Verdict.notRun(503, "the tenant's isolation changed", 200);
     }
+    Configuration.Service s = t.configuration().service(o.service.name());
+    if (m == null || s == null || !m.allows(s.index()))
+      return Verdict.notRun(503, "the mapping changed", 200);
+    Replicas.Replica p = t.replicas().find(b.replica.instance());
+    if (p == null
+        || !p.ready()
+        || !p.address().equals(b.replica.address())
+        || !p.service().equals(s.name())
+        || !s.allows(p.address()))
+      return new Verdict.Again(b.replica.instance() + " is not ready any more");
+    if (s.kind() == Configuration.Kind.MODEL && !r.mayRun(o.model, o.weights))
+      return new Verdict.Again("other weights are named");
+    return null;
+  }
 
-    /** Everything that may have changed since it was looked at first; empty where all still holds. */
-    private Verdict last(Request o, Backend b) {
-        long now = r.clock.now();
-        if (r.stopping && o.tries > 0 && o.piecesOut == 0) return Verdict.notRun(503, "stopping", SOON);
-        if (!r.news.leases.valid(now)) return Verdict.notRun(503, "no licence", SOON);
-        if (now >= o.deadline) return Verdict.notRun(503, "expired before it was handed over", SOON);
-        Tables t = r.tables();
-        Configuration.Route m = t.configuration().route(o.host, o.path);
-        if (m == null || !m.open()) {
-            Configuration.Tenant n = t.configuration().tenantOfHash(o.keyHash);
-            if (n == null || !n.name().equals(o.tenant.name())) return Verdict.notRun(401, "key revoked", 0);
-            if (n.isolated() != o.tenant.isolated()) return Verdict.notRun(503, "the tenant's isolation changed", 200);
-        }
-        Configuration.Service s = t.configuration().service(o.service.name());
-        if (m == null || s == null || !m.allows(s.index())) return Verdict.notRun(503, "the mapping changed", 200);
-        Replicas.Replica p = t.replicas().find(b.replica.instance());
-        if (p == null || !p.ready() || !p.address().equals(b.replica.address()) || !p.service().equals(s.name())
-            || !s.allows(p.address()))
-            return new Verdict.Again(b.replica.instance() + " is not ready any more");
-        if (s.kind() == Configuration.Kind.MODEL && !r.mayRun(o.model, o.weights))
-            return new Verdict.Again("other weights are named");
-        return null;
-    }
-
-    private final class Handed implements Exchange.Reply {
-        private final Request o;
-        private final Backend b;
-        private final UniEmitter<? super Verdict> e;
-        private Exchange.Handle handle;
-        private boolean over;
-        private boolean answered;
-
-        Handed(Request o, Backend b, UniEmitter<? super Verdict> e) {
-            this.o = o;
-            this.b = b;
-            this.e = e;
-        }
+  private final class Handed implements Exchange.Reply {
+    private final Request o;
+    private final Backend b;
+    private final UniEmitter<? super Verdict> e;
+    private Exchange.Handle handle;
+    private boolean over;
+    private boolean answered;
 
-        private boolean resumes() {
-            return o.piecesOut > 0;
-        }
+    Handed(Request o, Backend b, UniEmitter<? super Verdict> e) {
+      this.o = o;
+      this.b = b;
+      this.e = e;
+    }
 
-        private void over(Verdict v) {
-            over = true;
-            if (handle != null && !answered) b.answered(false, r.clock.now());
-            answered = true;
-            o.cancel = () -> {};
-            e.complete(v);
-        }
+    private boolean resumes() {
+      return o.piecesOut > 0;
+    }
 
-        @Override public boolean leave(Exchange.Handle h) {
-            if (over) return false;
-            Verdict v = last(o, b);
-            boolean goes = v == null && !o.gone && (resumes()
-                ? o.state.at() == State.At.STREAMING
-                : o.state.step(State.At.WAITING, State.At.HANDED));
-            if (!goes) {
-                if (o.gone) o.decision.outcome("caller-gone");
-                over(o.gone || v == null ? Verdict.ENDED : v);
-                return false;
-            }
-            handle = h;
-            long now = r.clock.now();
-            o.tries++;
-            o.handedAt = now;
-            b.asked(now);
-            if (o.tries == 1) r.budget.firstTry(o.service.name());
-            o.decision.add("hand-over", now,
-                Json.object().add("replica", b.replica.instance()).add("try", o.tries).add("after", o.lastEvent));
-            o.cancel = h::reset;
-            o.lost = this::broken;
-            return true;
-        }
+    private void over(Verdict v) {
+      over = true;
+      if (handle != null && !answered) b.answered(false, r.clock.now());
+      answered = true;
+      o.cancel = () -> {};
+      e.complete(v);
+    }
 
-        @Override public void unreached(String why, long badMs) {
-            if (over) return;
-            if (badMs > 0) b.bad(r.clock.now(), badMs);
-            over(new Verdict.Again(why));
-        }
+    @Override
+    public boolean leave(Exchange.Handle h) {
+      if (over) return false;
+      Verdict v = last(o, b);
+      boolean goes =
+          v == null
+              && !o.gone
+              && (resumes()
+                  ? o.state.at() == State.At.STREAMING
+                  : o.state.step(State.At.WAITING, State.At.HANDED));
+      if (!goes) {
+        if (o.gone) o.decision.outcome("caller-gone");
+        over(o.gone || v == null ? Verdict.ENDED : v);
+        return false;
+      }
+      handle = h;
+      long now = r.clock.now();
+      o.tries++;
+      o.handedAt = now;
+      b.asked(now);
+      if (o.tries == 1) r.budget.firstTry(o.service.name());
+      o.decision.add(
+          "hand-over",
+          now,
+          Json.object()
+              .add("replica", b.replica.instance())
+              .add("try", o.tries)
+              .add("after", o.lastEvent));
+      o.cancel = h::reset;
+      o.lost = this::broken;
+      return true;
+    }
 
-        /** Whether it may go to a replica once more; the same one again is no further replica. */
-        private boolean again(boolean same) {
-            if (r.clock.now() >= o.deadline || r.stopping && !resumes() || !same && o.tries >= o.route.attempts()
-                || !r.budget.secondTry(o.service.name())) return false;
-            return resumes()
-                ? o.state.at() == State.At.STREAMING
-                : o.state.step(State.At.HANDED, State.At.WAITING);
-        }
+    @Override
+    public void unreached(String why, long badMs) {
+      if (over) return;
+      if (badMs > 0) b.bad(r.clock.now(), badMs);
+      over(new Verdict.Again(why));
+    }
 
-        @Override public void notRun(String why, long badMs) {
-            if (over) return;
-            if (badMs > 0) b.bad(r.clock.now(), badMs);
-            notRun(why, false);
-        }
+    /** Whether it may go to a replica once more; the same one again is no further replica. */
+    private boolean again(boolean same) {
+      if (r.clock.now() >= o.deadline
+          || r.stopping && !resumes()
+          || !same && o.tries >= o.route.attempts()
+          || !r.budget.secondTry(o.service.name())) return false;
+      return resumes()
+          ? o.state.at() == State.At.STREAMING
+          : o.state.step(State.At.HANDED, State.At.WAITING);
+    }
 
-        @Override public void otherWeights(String why) {
-            if (over) return;
-            // the same one once more at most, whatever it says of itself
-            notRun(why, o.tries == o.route.attempts());
-        }
+    @Override
+    public void notRun(String why, long badMs) {
+      if (over) return;
+      if (badMs > 0) b.bad(r.clock.now(), badMs);
+      notRun(why, false);
+    }
 
-        private void notRun(String why, boolean same) {
-            String told = b.replica.instance() + " did not run it: " + why;
-            if (o.state.at() == State.At.ENDED) over(Verdict.ENDED);
-            else if (again(same)) {
-                o.only = same ? b : null;
-                over(new Verdict.Again(told));
-            } else if (resumes()) cut(told);
-            else over(Verdict.notRun(503, "the replica did not run it: " + why, r.comeBackMs(o)));
-        }
+    @Override
+    public void otherWeights(String why) {
+      if (over) return;
+      // the same one once more at most, whatever it says of itself
+      notRun(why, o.tries == o.route.attempts());
+    }
 
-        private void cut(String why) {
-            r.cutOff(o, why);
-            over(Verdict.ENDED);
-        }
+    private void notRun(String why, boolean same) {
+      String told = b.replica.instance() + " did not run it: " + why;
+      if (o.state.at() == State.At.ENDED) over(Verdict.ENDED);
+      else if (again(same)) {
+        o.only = same ? b : null;
+        over(new Verdict.Again(told));
+      } else if (resumes()) cut(told);
+      else over(Verdict.notRun(503, "the replica did not run it: " + why, r.comeBackMs(o)));
+    }
 
-        @Override public void head(Head h) {
-            if (over) return;
-            first();
-            if (o.piecesOut == 0) o.head = h;
-        }
+    private void cut(String why) {
+      r.cutOff(o, why);
+      over(Verdict.ENDED);
+    }
 
-        private void first() {
-            if (!answered) b.answered(true, r.clock.now());
-            answered = true;
-            b.heard(r.clock.now());
-        }
+    @Override
+    public void head(Head h) {
+      if (over) return;
+      first();
+      if (o.piecesOut == 0) o.head = h;
+    }
 
-        @Override public void piece(Buffer x, String event) {
-            if (over) return;
-            first();
-            if (o.state.at() == State.At.ENDED) {
-                handle.reset();
-                over(Verdict.ENDED);
-                return;
-            }
-            if (o.piecesOut == 0) {
-                if (!o.state.step(State.At.HANDED, State.At.STREAMING)) return;
-                long now = r.clock.now();
-                o.decision.add("stream", now, Json.object().add("firstPieceMs", now - o.came));
-                r.firstPiece(o, b, now - o.handedAt);
-                o.caller.head(o, o.head == null ? Head.PLAIN : o.head);
-            }
-            o.piecesOut++;
-            if (!event.isEmpty()) o.lastEvent = event;
-            if (!o.caller.piece(o, x, handle::resume)) handle.pause();
-        }
+    private void first() {
+      if (!answered) b.answered(true, r.clock.now());
+      answered = true;
+      b.heard(r.clock.now());
+    }
 
-        @Override public void end() {
-            if (over) return;
-            first();
-            if (o.state.end()) {
-                o.decision.outcome("complete");
-                if (!o.gone) {
-                    if (o.piecesOut == 0) o.caller.head(o, o.head == null ? Head.PLAIN : o.head);
-                    o.caller.complete(o, o.piecesOut);
-                }
-            }
-            over(Verdict.ENDED);
-        }
+    @Override
+    public void piece(Buffer x, String event) {
+      if (over) return;
+      first();
+      if (o.state.at() == State.At.ENDED) {
+        handle.reset();
+        over(Verdict.ENDED);
+        return;
+      }
+      if (o.piecesOut == 0) {
+        if (!o.state.step(State.At.HANDED, State.At.STREAMING)) return;
+        long now = r.clock.now();
+        o.decision.add("stream", now, Json.object().add("firstPieceMs", now - o.came));
+        r.firstPiece(o, b, now - o.handedAt);
+        o.caller.head(o, o.head == null ? Head.PLAIN : o.head);
+      }
+      o.piecesOut++;
+      if (!event.isEmpty()) o.lastEvent = event;
+      if (!o.caller.piece(o, x, handle::resume)) handle.pause();
+    }
 
-        /** Before the first piece: once more where that is allowed, else of unknown fate. */
-        @Override public void broken(String what) {
-            if (over) return;
-            // letting the connection go may tell of the break once more
-            over = true;
-            handle.reset();
-            String why = b.replica.instance() + ": " + what;
-            State.At at = o.state.at();
-            if (at == State.At.ENDED) {
-                over(Verdict.ENDED);
-                return;
-            }
-            b.failures++;
-            b.bad(r.clock.now(), at == State.At.STREAMING ? 300 : 1000);
-            if (at == State.At.STREAMING) {
-                if (o.route.resumable() && !o.lastEvent.isEmpty() && again(false)) {
-                    o.decision.add("resume", r.clock.now(),
-                        Json.object().add("after", o.lastEvent).add("why", why));
-                    over(new Verdict.Again(why));
-                } else cut(why);
-                return;
-            }
-            o.mayHaveRun = true;
-            if (o.repeatable && again(false)) over(new Verdict.Again(why));
-            else over(Verdict.unknown(502, why));
+    @Override
+    public void end() {
+      if (over) return;
+      first();
+      if (o.state.end()) {
+        o.decision.outcome("complete");
+        if (!o.gone) {
+          if (o.piecesOut == 0) o.caller.head(o, o.head == null ? Head.PLAIN : o.head);
+          o.caller.complete(o, o.piecesOut);
         }
+      }
+      over(Verdict.ENDED);
+    }
+
+    /** Before the first piece: once more where that is allowed, else of unknown fate. */
+    @Override
+    public void broken(String what) {
+      if (over) return;
+      // letting the connection go may tell of the break once more
+      over = true;
+      handle.reset();
+      String why = b.replica.instance() + ": " + what;
+      State.At at = o.state.at();
+      if (at == State.At.ENDED) {
+        over(Verdict.ENDED);
+        return;
+      }
+      b.failures++;
+      b.bad(r.clock.now(), at == State.At.STREAMING ? 300 : 1000);
+      if (at == State.At.STREAMING) {
+        if (o.route.resumable() && !o.lastEvent.isEmpty() && again(false)) {
+          o.decision.add(
+              "resume", r.clock.now(), Json.object().add("after", o.lastEvent).add("why", why));
+          over(new Verdict.Again(why));
+        } else cut(why);
+        return;
+      }
+      o.mayHaveRun = true;
+      if (o.repeatable && again(false)) over(new Verdict.Again(why));
+      else over(Verdict.unknown(502, why));
     }
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/HttpConnections.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HttpConnections.java
@@ -23,108 +23,148 @@
 import java.util.function.Consumer;
 
 public final class HttpConnections implements ReplicaConnections {
-    private static final int LONGEST_LINE = 1 << 20;
-    private final HttpClient http;
-    private final Map<HttpConnection, String> checked = new WeakHashMap<>();
+  private static final int LONGEST_LINE = 1 << 20;
+  private final HttpClient http;
+  private final Map<HttpConnection, String> checked = new WeakHashMap<>();
 
-    public HttpConnections(Vertx vertx, Local local) {
-        http = vertx.getDelegate()
-            .createHttpClient(local.from(new HttpClientOptions().setConnectTimeout(500).setKeepAlive(true)
-                .setKeepAliveTimeout(20).setPipelining(false).setMaxPoolSize(256).setMaxWaitQueueSize(64)
-                .setDecompressionSupported(false).setMaxRedirects(0)));
-    }
+  public HttpConnections(Vertx vertx, Local local) {
+    http =
+        vertx
+            .getDelegate()
+            .createHttpClient(
+                local.from(
+                    new HttpClientOptions()
+                        .setConnectTimeout(500)
+                        .setKeepAlive(true)
+                        .setKeepAliveTimeout(20)
+                        .setPipelining(false)
+                        .setMaxPoolSize(256)
+                        .setMaxWaitQueueSize(64)
+                        .setDecompressionSupported(false)
+                        .setMaxRedirects(0)));
+  }
 
-    @Override public void open(Replica to, Consumer<Connection> opened, Consumer<String> failure) {
-        http.request(new RequestOptions().setMethod(HttpMethod.POST).setHost(to.address().host())
-            .setPort(to.address().port()).setURI("/orders").setFollowRedirects(false)).onComplete(a -> {
-                if (a.failed()) failure.accept(a.cause().toString());
-                else opened.accept(new One(a.result()));
+  @Override
+  public void open(Replica to, Consumer<Connection> opened, Consumer<String> failure) {
+    http.request(
+            new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(to.address().host())
+                .setPort(to.address().port())
+                .setURI("/orders")
+                .setFollowRedirects(false))
+        .onComplete(
+            a -> {
+              if (a.failed()) failure.accept(a.cause().toString());
+              else opened.accept(new One(a.result()));
             });
-    }
+  }
 
-    private final class One implements Connection {
-        private final HttpClientRequest q;
-        private HttpClientResponse p;
-        private boolean over;
+  private final class One implements Connection {
+    private final HttpClientRequest q;
+    private HttpClientResponse p;
+    private boolean over;
 
-        One(HttpClientRequest q) {
-            this.q = q;
-        }
+    One(HttpClientRequest q) {
+      this.q = q;
+    }
 
-        @Override public String who() {
-            return checked.getOrDefault(q.connection(), "");
-        }
+    @Override
+    public String who() {
+      return checked.getOrDefault(q.connection(), "");
+    }
 
-        @Override public void identify(Consumer<String> who) {
-            HttpConnection c = q.connection();
-            q.setMethod(HttpMethod.GET).setURI("/identity");
-            q.setTimeout(1000);
-            q.send().compose(r -> r.statusCode() == 200 ? r.body() : Future.failedFuture("status " + r.statusCode()))
-                .onComplete(a -> {
-                    String is = "";
-                    if (a.succeeded()) {
-                        try {
-                            JsonObject j = a.result().toJsonObject();
-                            is = j.getString("service") + "/" + j.getString("instance");
-                        } catch (RuntimeException x) {
-                            is = "";
-                        }
-                    }
-                    if (!is.isEmpty()) checked.put(c, is);
-                    who.accept(is);
-                });
-        }
+    @Override
+    public void identify(Consumer<String> who) {
+      HttpConnection c = q.connection();
+      q.setMethod(HttpMethod.GET).setURI("/identity");
+      q.setTimeout(1000);
+      q.send()
+          .compose(
+              r ->
+                  r.statusCode() == 200
+                      ? r.body()
+                      : Future.failedFuture("status " + r.statusCode()))
+          .onComplete(
+              a -> {
+                String is = "";
+                if (a.succeeded()) {
+                  try {
+                    JsonObject j = a.result().toJsonObject();
+                    is = j.getString("service") + "/" + j.getString("instance");
+                  } catch (RuntimeException x) {
+                    is = "";
+                  }
+                }
+                if (!is.isEmpty()) checked.put(c, is);
+                who.accept(is);
+              });
+    }
 
-        @Override public void order(String json, Answer to) {
-            q.putHeader("Content-Type", "application/json");
-            q.send(Buffer.buffer(json)).onComplete(a -> {
+    @Override
+    public void order(String json, Answer to) {
+      q.putHeader("Content-Type", "application/json");
+      q.send(Buffer.buffer(json))
+          .onComplete(
+              a -> {
                 if (a.failed()) {
-                    to.over("the circuit broke");
-                    return;
+                  to.over("the circuit broke");
+                  return;
                 }
                 p = a.result();
                 if (p.statusCode() == 200) {
-                    lines(to);
-                    return;
+                  lines(to);
+                  return;
                 }
-                p.body().onComplete(b -> to.refused(p.statusCode(), b.succeeded() ? b.result().toString() : ""));
-            });
-        }
+                p.body()
+                    .onComplete(
+                        b ->
+                            to.refused(p.statusCode(), b.succeeded() ? b.result().toString() : ""));
+              });
+    }
 
-        private void lines(Answer to) {
-            RecordParser lines = RecordParser.newDelimited("\n", x -> {
+    private void lines(Answer to) {
+      RecordParser lines =
+          RecordParser.newDelimited(
+              "\n",
+              x -> {
                 if (!over) to.line(x.toString());
-            });
-            lines.maxRecordSize(LONGEST_LINE);
-            lines.exceptionHandler(t -> over(to, "an endless piece"));
-            p.handler(x -> {
-                if (!over) lines.handle(x);
-                else q.reset();
-            });
-            p.exceptionHandler(t -> over(to, "the answer broke off"));
-            p.endHandler(v -> over(to, "the answer ended without saying so"));
-        }
+              });
+      lines.maxRecordSize(LONGEST_LINE);
+      lines.exceptionHandler(t -> over(to, "an endless piece"));
+      p.handler(
+          x -> {
+            if (!over) lines.handle(x);
+            else q.reset();
+          });
+      p.exceptionHandler(t -> over(to, "the answer broke off"));
+      p.endHandler(v -> over(to, "the answer ended without saying so"));
+    }
 
-        private void over(Answer to, String why) {
-            if (over) return;
-            over = true;
-            to.over(why);
-        }
+    private void over(Answer to, String why) {
+      if (over) return;
+      over = true;
+      to.over(why);
+    }
 
-        @Override public void reset() {
-            q.reset();
-        }
+    @Override
+    public void reset() {
+      q.reset();
+    }
 
-        @Override public void close() {
-            q.connection().close();
-        }
+    @Override
+    public void close() {
+      q.connection().close();
+    }
 
-        @Override public void pause() {
-            p.pause();
-        }
+    @Override
+    public void pause() {
+      p.pause();
+    }
 
-        @Override public void resume() {
-            p.resume();
-        }
+    @Override
+    public void resume() {
+      p.resume();
     }
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -25,91 +25,121 @@
 import java.util.function.Consumer;
 
 public final class LookupClient implements Lookups {
-    public static final long WAIT = 8;
-    private static final int COLD = 5;
-    private final long waitMs;
-    private final Vertx vertx;
-    private final Context context;
-    private final Doors doors;
-    private final ViewService views;
-    private final String zone;
-    private final Address own;
-    private final Map<Address, Held> held = new HashMap<>();
-    private final Map<Address, Integer> late = new HashMap<>();
-    private final Map<Long, Consumer<Found>> asked = new HashMap<>();
-    private List<Address> order = new ArrayList<>();
-    private long nr;
+  public static final long WAIT = 8;
+  private static final int COLD = 5;
+  private final long waitMs;
+  private final Vertx vertx;
+  private final Context context;
+  private final Doors doors;
+  private final ViewService views;
+  private final String zone;
+  private final Address own;
+  private final Map<Address, Held> held = new HashMap<>();
+  private final Map<Address, Integer> late = new HashMap<>();
+  private final Map<Long, Consumer<Found>> asked = new HashMap<>();
+  private List<Address> order = new ArrayList<>();
+  private long nr;
 
-    /** own may be null: no index on this machine. waitMs: how long an answer is waited for. */
-    public LookupClient(Vertx vertx, Context context, Doors doors, ViewService views, String zone, Address own,
-        long waitMs) {
-        this.waitMs = waitMs;
-        this.vertx = vertx;
-        this.context = context;
-        this.doors = doors;
-        this.views = views;
-        this.zone = zone;
-        this.own = own;
-        vertx.setPeriodic(500, i -> look());
-        look();
-    }
+  /** own may be null: no index on this machine. waitMs: how long an answer is waited for. */
+  public LookupClient(
+      Vertx vertx,
+      Context context,
+      Doors doors,
+      ViewService views,
+      String zone,
+      Address own,
+      long waitMs) {
+    this.waitMs = waitMs;
+    this.vertx = vertx;
+    this.context = context;
+    this.doors = doors;
+    this.views = views;
+    this.zone = zone;
+    this.own = own;
+    vertx.setPeriodic(500, i -> look());
+    look();
+  }
 
-    private void look() {
-        List<Address> l = new ArrayList<>();
-        if (own != null) l.add(own);
-        views.all().stream().filter(d -> d.role().equals("index"))
-            .sorted(Comparator.comparing((Shuffle.Descriptor d) -> !d.zone().equals(zone))
+  private void look() {
+    List<Address> l = new ArrayList<>();
+    if (own != null) l.add(own);
+    views.all().stream()
+        .filter(d -> d.role().equals("index"))
+        .sorted(
+            Comparator.comparing((Shuffle.Descriptor d) -> !d.zone().equals(zone))
                 .thenComparing(Shuffle.Descriptor::name))
-            .map(d -> Address.of(d.records())).filter(a -> !l.contains(a)).forEach(l::add);
-        order = l;
-        held.entrySet().removeIf(e -> {
-            if (l.contains(e.getKey())) return false;
-            e.getValue().letGo();
-            return true;
-        });
-        for (Address a : l)
-            held.computeIfAbsent(a, x -> new Held(vertx, doors, x, Hello.LOOKUP, (h, r) -> {
-                if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer s))
-                    throw new IOException("a question where an answer was due");
-                context.runOnContext(() -> {
-                    // one that is warming or stands by is left alone for a while, as one that is late
-                    if (s.warm()) late.remove(x);
-                    else late.put(x, COLD);
-                    Consumer<Found> c = asked.remove(s.nr());
-                    if (c != null) c.accept(new Found(s.warm() ? "answered" : "warming", s.matches()));
-                });
-            }, h -> {}));
-        late.replaceAll((a, n) -> n - 1);
-        late.values().removeIf(n -> n <= 0);
-    }
+        .map(d -> Address.of(d.records()))
+        .filter(a -> !l.contains(a))
+        .forEach(l::add);
+    order = l;
+    held.entrySet()
+        .removeIf(
+            e -> {
+              if (l.contains(e.getKey())) return false;
+              e.getValue().letGo();
+              return true;
+            });
+    for (Address a : l)
+      held.computeIfAbsent(
+          a,
+          x ->
+              new Held(
+                  vertx,
+                  doors,
+                  x,
+                  Hello.LOOKUP,
+                  (h, r) -> {
+                    if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer s))
+                      throw new IOException("a question where an answer was due");
+                    context.runOnContext(
+                        () -> {
+                          // one that is warming or stands by is left alone for a while, as one that
+                          // is late
+                          if (s.warm()) late.remove(x);
+                          else late.put(x, COLD);
+                          Consumer<Found> c = asked.remove(s.nr());
+                          if (c != null)
+                            c.accept(new Found(s.warm() ? "answered" : "warming", s.matches()));
+                        });
+                  },
+                  h -> {}));
+    late.replaceAll((a, n) -> n - 1);
+    late.values().removeIf(n -> n <= 0);
+  }
 
-    @Override public void placed(String holder, long[] blocks) {
-        if (blocks.length == 0) return;
-        Lookup.Placed p = new Lookup.Placed(holder, blocks);
-        for (Held h : held.values()) h.send(p);
-    }
+  @Override
+  public void placed(String holder, long[] blocks) {
+    if (blocks.length == 0) return;
+    Lookup.Placed p = new Lookup.Placed(holder, blocks);
+    for (Held h : held.values()) h.send(p);
+  }
 
-    @Override public Uni<Found> ask(long[] blocks) {
-        if (blocks.length == 0) return Uni.createFrom().item(new Found("no-block", List.of()));
-        return Uni.createFrom().emitter(e -> {
-            long n = ++nr;
-            for (Address a : order) {
+  @Override
+  public Uni<Found> ask(long[] blocks) {
+    if (blocks.length == 0) return Uni.createFrom().item(new Found("no-block", List.of()));
+    return Uni.createFrom()
+        .emitter(
+            e -> {
+              long n = ++nr;
+              for (Address a : order) {
                 Held h = held.get(a);
                 if (h == null || !h.open() || late.getOrDefault(a, 0) > 3) continue;
                 asked.put(n, e::complete);
                 if (!h.send(new Lookup.Question(n, blocks))) {
-                    asked.remove(n);
-                    continue;
+                  asked.remove(n);
+                  continue;
                 }
-                vertx.setTimer(waitMs, i -> {
-                    Consumer<Found> c = asked.remove(n);
-                    if (c == null) return;
-                    late.merge(a, 2, Integer::sum);
-                    c.accept(new Found("late", List.of()));
-                });
+                vertx.setTimer(
+                    waitMs,
+                    i -> {
+                      Consumer<Found> c = asked.remove(n);
+                      if (c == null) return;
+                      late.merge(a, 2, Integer::sum);
+                      c.accept(new Found("late", List.of()));
+                    });
                 return;
-            }
-            e.complete(new Found("no-index", List.of()));
-        });
-    }
+              }
+              e.complete(new Found("no-index", List.of()));
+            });
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Lookups.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Lookups.java
@@ -8,11 +8,11 @@
 import java.util.List;
 
 public interface Lookups {
-    /** how: answered, warming, late, no-index or no-block. */
-    record Found(String how, List<Lookup.Match> matches) {}
+  /** how: answered, warming, late, no-index or no-block. */
+  record Found(String how, List<Lookup.Match> matches) {}
 
-    Uni<Found> ask(long[] blocks);
+  Uni<Found> ask(long[] blocks);
 
-    /** Tells index processes where a prompt of these blocks was sent; best effort. */
-    default void placed(String holder, long[] blocks) {}
+  /** Tells index processes where a prompt of these blocks was sent; best effort. */
+  default void placed(String holder, long[] blocks) {}
 }
--- a/data-plane/src/main/java/gladelug/data/relay/OwnProtocol.java
+++ b/data-plane/src/main/java/gladelug/data/relay/OwnProtocol.java
@@ -12,20 +12,32 @@
 import io.vertx.ext.web.Router;
 
 public record OwnProtocol(Address callers) implements RelayProtocol {
-    @Override public Backends backends(Under u, Relay r) {
-        return Backends.overHttp(u.vertx(), u.local(), u.clock(), r::pump);
-    }
+  @Override
+  public Backends backends(Under u, Relay r) {
+    return Backends.overHttp(u.vertx(), u.local(), u.clock(), r::pump);
+  }
 
-    @Override public Exchange exchange(Under u, Relay r) {
-        return new LineExchange(r, new HttpConnections(u.vertx(), u.local()));
-    }
+  @Override
+  public Exchange exchange(Under u, Relay r) {
+    return new LineExchange(r, new HttpConnections(u.vertx(), u.local()));
+  }
 
-    @Override public Uni<Door> open(Under u, Relay r, Decisions decisions, Way way) {
-        Router t = Router.router(u.vertx().getDelegate());
-        new CallerDoor(r, decisions, way).routes(t);
-        HttpServer server = u.vertx().getDelegate().createHttpServer(
-            new HttpServerOptions().setMaxHeaderSize(16384).setIdleTimeout(120).setTcpNoDelay(true));
-        return Uni.createFrom().completionStage(() -> server.requestHandler(t)
-            .listen(callers.port(), u.local().ip()).toCompletionStage()).map(x -> server::close);
-    }
+  @Override
+  public Uni<Door> open(Under u, Relay r, Decisions decisions, Way way) {
+    Router t = Router.router(u.vertx().getDelegate());
+    new CallerDoor(r, decisions, way).routes(t);
+    HttpServer server =
+        u.vertx()
+            .getDelegate()
+            .createHttpServer(
+                new HttpServerOptions()
+                    .setMaxHeaderSize(16384)
+                    .setIdleTimeout(120)
+                    .setTcpNoDelay(true));
+    return Uni.createFrom()
+        .completionStage(
+            () ->
+                server.requestHandler(t).listen(callers.port(), u.local().ip()).toCompletionStage())
+        .map(x -> server::close);
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -32,378 +32,454 @@
 import java.util.function.IntSupplier;
 
 public final class Relay {
-    /**
-     * How long after its lease for configurations or replicas ran out a relay lets streams go on; then it can't
-     * know that a key still holds.
-     */
-    public static final long GRACE = 2000;
-    private static final long STALE = 2000;
-    private static final double START = 250;
-    private static final long ASLEEP = 500;
-    /** How long a replica's taking of new weights is reckoned to last, and how long before it is left alone. */
-    private static final long LOADS = 1200, BEFORE = 400;
-
-    public final Clock clock;
-    public final HeldNews news;
-    public final Backends backends;
-    public final Budget budget;
-    public final String zone;
-    public RelaySettings settings;
-    private final Map<String, WaitQueue> queues = new HashMap<>();
-    private final Map<String, Integer> admitted = new HashMap<>();
-    private final Map<Long, Request> live = new LinkedHashMap<>();
-    private final Map<String, double[]> served = new HashMap<>();
-    private Tables shaped = Tables.NONE;
-    public final IntSupplier relays;
-    public final Placements placements = new Placements();
-    private long ticked;
-    private long awake;
-    private boolean pumping;
-    private boolean pumpAgain;
-    /** Not ready any more, though requests are still taken. */
-    public boolean leaving;
-    public boolean stopping;
-    /** Records that have ended, for whoever hands them on. */
-    public Consumer<Decision> reasons = d -> {};
-
-    public Relay(Clock clock, HeldNews news, Function<Relay, Backends> backends, String zone, RelaySettings settings,
-        IntSupplier relays) {
-        this.relays = relays;
-        this.settings = settings;
-        this.budget = new Budget(() -> this.settings, relays);
-        this.ticked = clock.now();
-        this.awake = ticked;
-        this.clock = clock;
-        this.news = news;
-        this.zone = zone;
-        this.backends = backends.apply(this);
-    }
-
-    public Tables tables() {
-        return news.tables();
-    }
-
-    /** Empty where requests may start now, else the reason why not. */
-    public String unready() {
-        Tables t = tables();
-        if (stopping) return "stopping";
-        if (t.configurationNumber() == 0) return "no policy yet";
-        if (t.replicasNumber() == 0) return "no list of replicas yet";
-        if (!news.leases.valid(clock.now())) return "no licence";
-        return "";
-    }
-
-    /**
-     * The weights of a model that a request may run on now: the newest, and until the cutoff those before; null where
-     * there are none. Where nobody has to name weights first, those that replicas tell of stand until somebody does.
-     */
-    public String[] weights(String model) {
-        Weights.Named n = tables().weights().of(model);
-        if (n == null) return settings.anyWeights() ? new String[]{backends.newest(model), ""} : null;
-        String before = n.before().isEmpty() && settings.anyWeights()
+  /**
+   * How long after its lease for configurations or replicas ran out a relay lets streams go on;
+   * then it can't know that a key still holds.
+   */
+  public static final long GRACE = 2000;
+
+  private static final long STALE = 2000;
+  private static final double START = 250;
+  private static final long ASLEEP = 500;
+
+  /**
+   * How long a replica's taking of new weights is reckoned to last, and how long before it is left
+   * alone.
+   */
+  private static final long LOADS = 1200, BEFORE = 400;
+
+  public final Clock clock;
+  public final HeldNews news;
+  public final Backends backends;
+  public final Budget budget;
+  public final String zone;
+  public RelaySettings settings;
+  private final Map<String, WaitQueue> queues = new HashMap<>();
+  private final Map<String, Integer> admitted = new HashMap<>();
+  private final Map<Long, Request> live = new LinkedHashMap<>();
+  private final Map<String, double[]> served = new HashMap<>();
+  private Tables shaped = Tables.NONE;
+  public final IntSupplier relays;
+  public final Placements placements = new Placements();
+  private long ticked;
+  private long awake;
+  private boolean pumping;
+  private boolean pumpAgain;
+
+  /** Not ready any more, though requests are still taken. */
+  public boolean leaving;
+
+  public boolean stopping;
+
+  /** Records that have ended, for whoever hands them on. */
+  public Consumer<Decision> reasons = d -> {};
+
+  public Relay(
+      Clock clock,
+      HeldNews news,
+      Function<Relay, Backends> backends,
+      String zone,
+      RelaySettings settings,
+      IntSupplier relays) {
+    this.relays = relays;
+    this.settings = settings;
+    this.budget = new Budget(() -> this.settings, relays);
+    this.ticked = clock.now();
+    this.awake = ticked;
+    this.clock = clock;
+    this.news = news;
+    this.zone = zone;
+    this.backends = backends.apply(this);
+  }
+
+  public Tables tables() {
+    return news.tables();
+  }
+
+  /** Empty where requests may start now, else the reason why not. */
+  public String unready() {
+    Tables t = tables();
+    if (stopping) return "stopping";
+    if (t.configurationNumber() == 0) return "no policy yet";
+    if (t.replicasNumber() == 0) return "no list of replicas yet";
+    if (!news.leases.valid(clock.now())) return "no licence";
+    return "";
+  }
+
+  /**
+   * The weights of a model that a request may run on now: the newest, and until the cutoff those
+   * before; null where there are none. Where nobody has to name weights first, those that replicas
+   * tell of stand until somebody does.
+   */
+  public String[] weights(String model) {
+    Weights.Named n = tables().weights().of(model);
+    if (n == null) return settings.anyWeights() ? new String[] {backends.newest(model), ""} : null;
+    String before =
+        n.before().isEmpty() && settings.anyWeights()
             ? backends.newestBelow(model, n.now())
             : n.before();
-        return new String[]{n.now(), clock.now() < news.leases.cutoffAt() ? before : ""};
-    }
-
-    /** Whether a request may begin on these weights now. */
-    public boolean mayRun(String model, String w) {
-        String[] may = weights(model);
-        return may != null && !w.isEmpty() && (w.equals(may[0]) || w.equals(may[1]));
-    }
-
-    /** Whether a replica runs weights on which requests may begin now, of any model it serves. */
-    private boolean runs(Backend b) {
-        for (String m : b.weights.keySet()) if (mayRun(m, weightsOf(b, m))) return true;
-        return false;
-    }
-
-    /**
-     * The weights a replica is taken to run: what it or the list last told, but once it has had its turn to take newer
-     * ones, those; it says so if it doesn't yet, and then is left alone for a moment.
-     */
-    public String weightsOf(Backend b, String model) {
-        String told = b.weights(model);
-        Weights.Named n = b.reports ? null : tables().weights().of(model);
-        if (n == null || told.isEmpty() || !Backend.newer(n.now(), told)) return told;
-        long now = clock.now();
-        return !b.saidOld(now) && now >= turn(b, n) + LOADS ? n.now() : told;
-    }
-
-    /** Whether a replica is just about to take newer weights, as its turn has come: better left alone. */
-    public boolean loads(Backend b, String model) {
-        Weights.Named n = b.reports ? null : tables().weights().of(model);
-        if (n == null || b.weights(model).isEmpty() || !Backend.newer(n.now(), b.weights(model))) return false;
-        long now = clock.now();
-        return now >= turn(b, n) - BEFORE && !n.now().equals(weightsOf(b, model));
-    }
-
-    /** When a replica's turn to take the named weights comes, on this relay's clock; in the past where it has. */
-    private long turn(Backend b, Weights.Named n) {
-        long named = news.leases.cutoffAt() - settings.cutoffMs();
-        if (clock.now() >= news.leases.cutoffAt()) return clock.now() - LOADS;
-        List<String> all = backends.of(b.replica.service()).stream().map(x -> x.replica.instance()).toList();
-        return named + settings.roll().due(settings.roll().part(b.replica.instance(), all));
-    }
-
-    /** Where a holder of kept prompts is called: a replica's or a store's address and zone; or null. */
-    public Replica holder(String name) {
-        Replica p = tables().replicas().find(name);
-        if (p != null) return p;
-        Configuration.Service s = tables().configuration().service(name);
-        return s == null || s.store() == null ? null : new Replica(name, name, s.store(), s.zone(), true);
-    }
-
-    /** The first piece of a request came so many ms after it was handed over: what is learned of its replica. */
-    public void firstPiece(Request o, Backend b, long ms) {
-        if (b.reports) return;
-        double rest = ms - o.queueMs;
-        if (o.fetchBlocks > 0 && rest > 4 * o.workMs + 250) b.slowLink(clock.now());
-        else if (o.fetchBlocks == 0 && o.computeUnits > 500 && rest > 0) b.measured(rest / o.computeUnits);
-    }
-
-    /** When a caller whose request did not run may come back: soon, and within the time it has. */
-    public long comeBackMs(Request o) {
-        double wait = o.service == null ? 0 : waitMs(o.service.name(), o.leaf);
-        return (long) Math.max(settings.comeBackMs(), Math.min(10_000, wait));
-    }
-
-    public WaitQueue queue(String service) {
-        return queues.computeIfAbsent(service, s -> {
-            WaitQueue b = new WaitQueue(settings.queueMost());
-            b.shape(tables().configuration());
-            return b;
+    return new String[] {n.now(), clock.now() < news.leases.cutoffAt() ? before : ""};
+  }
+
+  /** Whether a request may begin on these weights now. */
+  public boolean mayRun(String model, String w) {
+    String[] may = weights(model);
+    return may != null && !w.isEmpty() && (w.equals(may[0]) || w.equals(may[1]));
+  }
+
+  /** Whether a replica runs weights on which requests may begin now, of any model it serves. */
+  private boolean runs(Backend b) {
+    for (String m : b.weights.keySet()) if (mayRun(m, weightsOf(b, m))) return true;
+    return false;
+  }
+
+  /**
+   * The weights a replica is taken to run: what it or the list last told, but once it has had its
+   * turn to take newer ones, those; it says so if it doesn't yet, and then is left alone for a
+   * moment.
+   */
+  public String weightsOf(Backend b, String model) {
+    String told = b.weights(model);
+    Weights.Named n = b.reports ? null : tables().weights().of(model);
+    if (n == null || told.isEmpty() || !Backend.newer(n.now(), told)) return told;
+    long now = clock.now();
+    return !b.saidOld(now) && now >= turn(b, n) + LOADS ? n.now() : told;
+  }
+
+  /**
+   * Whether a replica is just about to take newer weights, as its turn has come: better left alone.
+   */
+  public boolean loads(Backend b, String model) {
+    Weights.Named n = b.reports ? null : tables().weights().of(model);
+    if (n == null || b.weights(model).isEmpty() || !Backend.newer(n.now(), b.weights(model)))
+      return false;
+    long now = clock.now();
+    return now >= turn(b, n) - BEFORE && !n.now().equals(weightsOf(b, model));
+  }
+
+  /**
+   * When a replica's turn to take the named weights comes, on this relay's clock; in the past where
+   * it has.
+   */
+  private long turn(Backend b, Weights.Named n) {
+    long named = news.leases.cutoffAt() - settings.cutoffMs();
+    if (clock.now() >= news.leases.cutoffAt()) return clock.now() - LOADS;
+    List<String> all =
+        backends.of(b.replica.service()).stream().map(x -> x.replica.instance()).toList();
+    return named + settings.roll().due(settings.roll().part(b.replica.instance(), all));
+  }
+
+  /**
+   * Where a holder of kept prompts is called: a replica's or a store's address and zone; or null.
+   */
+  public Replica holder(String name) {
+    Replica p = tables().replicas().find(name);
+    if (p != null) return p;
+    Configuration.Service s = tables().configuration().service(name);
+    return s == null || s.store() == null
+        ? null
+        : new Replica(name, name, s.store(), s.zone(), true);
+  }
+
+  /**
+   * The first piece of a request came so many ms after it was handed over: what is learned of its
+   * replica.
+   */
+  public void firstPiece(Request o, Backend b, long ms) {
+    if (b.reports) return;
+    double rest = ms - o.queueMs;
+    if (o.fetchBlocks > 0 && rest > 4 * o.workMs + 250) b.slowLink(clock.now());
+    else if (o.fetchBlocks == 0 && o.computeUnits > 500 && rest > 0)
+      b.measured(rest / o.computeUnits);
+  }
+
+  /** When a caller whose request did not run may come back: soon, and within the time it has. */
+  public long comeBackMs(Request o) {
+    double wait = o.service == null ? 0 : waitMs(o.service.name(), o.leaf);
+    return (long) Math.max(settings.comeBackMs(), Math.min(10_000, wait));
+  }
+
+  public WaitQueue queue(String service) {
+    return queues.computeIfAbsent(
+        service,
+        s -> {
+          WaitQueue b = new WaitQueue(settings.queueMost());
+          b.shape(tables().configuration());
+          return b;
         });
-    }
-
-    public void begin(Request o) {
-        live.put(o.decision.nr, o);
-    }
-
-    public List<Request> live() {
-        return new ArrayList<>(live.values());
-    }
-
-    /** The request's end: its place is free. */
-    public void ended(Request o) {
-        if (live.remove(o.decision.nr) == null) return;
-        o.state.end();
-        if (o.admitted) {
-            o.admitted = false;
-            queue(o.service.name()).release(o);
-            if (o.backend == null) admitted.merge(o.service.name(), -1, Integer::sum);
-            double[] s = served.computeIfAbsent(o.service.name(), x -> new double[]{START});
-            if (o.decision.outcome().equals("complete")) s[0] += (clock.now() - o.handedAt - s[0]) / 20;
-        }
-        drop(o);
-        o.decision.end();
-        reasons.accept(o.decision);
-        pump();
-        Log.event("order-ended", "order", o.id(), "tenant", o.tenant == null ? "-" : o.tenant.name(), "mapping",
-            o.route == null ? "-" : o.route.name(),
-            "outcome", o.decision.outcome(), "tries", o.tries, "pieces", o.piecesOut, "ms", clock.now() - o.came, "why",
-            o.why);
-    }
-
-    /** The request holds no replica any more. */
-    public void drop(Request o) {
-        if (o.backend == null) return;
-        o.backend.mine = Math.max(0, o.backend.mine - 1);
-        o.backend.gives(o.units());
-        o.backend = null;
-        if (o.admitted) admitted.merge(o.service.name(), 1, Integer::sum);
-    }
-
-    public void choose(Request o, Backend b, double ms) {
-        drop(o);
-        b.takes(o.units());
-        o.backend = b;
-        b.mine++;
-        b.owes(ms, clock.now());
-        admitted.merge(o.service.name(), -1, Integer::sum);
-    }
-
-    /** What a request of the service usually takes from its hand-over. */
-    public double requestMs(String service) {
-        double[] s = served.get(service);
-        return s == null ? START : s[0];
-    }
-
-    private int places(String service) {
-        int n = 0;
-        for (Backend b : backends.of(service)) if (b.usable(clock.now())) n += b.places();
-        return n;
-    }
-
-    /** Tells what waits and is seen here, and takes the fleet's division; with none fresh, an equal part. */
-    private void divide(long now, long passed) {
-        List<News.Demand> ds = new ArrayList<>();
-        List<News.Places> ps = new ArrayList<>();
-        for (Map.Entry<String, WaitQueue> e : queues.entrySet()) {
-            String s = e.getKey();
-            e.getValue().waitingAndUsed().forEach((leaf, n) -> ds.add(new News.Demand(s, leaf, n[0], n[1])));
-            ps.add(new News.Places(s, places(s)));
-            HeldNews.Allotment a = news.allotment(s);
-            if (settings.alone() || a == null || now - a.at() > STALE || !a.full()) e.getValue().unbound();
-            else e.getValue().bound(a.milli(), passed, requestMs(s));
-        }
-        news.demand(List.copyOf(ds), List.copyOf(ps));
-    }
-
-    /**
-     * By service and leaf: waiting and using here, and the part of places the fleet's division leaves this relay, if
-     * it bounds.
-     */
-    public JsonObject shares() {
-        JsonObject o = Json.object();
-        long now = clock.now();
-        for (Map.Entry<String, WaitQueue> e : queues.entrySet()) {
-            HeldNews.Allotment a = news.allotment(e.getKey());
-            boolean fresh = a != null && now - a.at() <= STALE;
-            JsonObject l = Json.object();
-            e.getValue().waitingAndUsed().forEach((leaf, n) -> {
+  }
+
+  public void begin(Request o) {
+    live.put(o.decision.nr, o);
+  }
+
+  public List<Request> live() {
+    return new ArrayList<>(live.values());
+  }
+
+  /** The request's end: its place is free. */
+  public void ended(Request o) {
+    if (live.remove(o.decision.nr) == null) return;
+    o.state.end();
+    if (o.admitted) {
+      o.admitted = false;
+      queue(o.service.name()).release(o);
+      if (o.backend == null) admitted.merge(o.service.name(), -1, Integer::sum);
+      double[] s = served.computeIfAbsent(o.service.name(), x -> new double[] {START});
+      if (o.decision.outcome().equals("complete")) s[0] += (clock.now() - o.handedAt - s[0]) / 20;
+    }
+    drop(o);
+    o.decision.end();
+    reasons.accept(o.decision);
+    pump();
+    Log.event(
+        "order-ended",
+        "order",
+        o.id(),
+        "tenant",
+        o.tenant == null ? "-" : o.tenant.name(),
+        "mapping",
+        o.route == null ? "-" : o.route.name(),
+        "outcome",
+        o.decision.outcome(),
+        "tries",
+        o.tries,
+        "pieces",
+        o.piecesOut,
+        "ms",
+        clock.now() - o.came,
+        "why",
+        o.why);
+  }
+
+  /** The request holds no replica any more. */
+  public void drop(Request o) {
+    if (o.backend == null) return;
+    o.backend.mine = Math.max(0, o.backend.mine - 1);
+    o.backend.gives(o.units());
+    o.backend = null;
+    if (o.admitted) admitted.merge(o.service.name(), 1, Integer::sum);
+  }
+
+  public void choose(Request o, Backend b, double ms) {
+    drop(o);
+    b.takes(o.units());
+    o.backend = b;
+    b.mine++;
+    b.owes(ms, clock.now());
+    admitted.merge(o.service.name(), -1, Integer::sum);
+  }
+
+  /** What a request of the service usually takes from its hand-over. */
+  public double requestMs(String service) {
+    double[] s = served.get(service);
+    return s == null ? START : s[0];
+  }
+
+  private int places(String service) {
+    int n = 0;
+    for (Backend b : backends.of(service)) if (b.usable(clock.now())) n += b.places();
+    return n;
+  }
+
+  /**
+   * Tells what waits and is seen here, and takes the fleet's division; with none fresh, an equal
+   * part.
+   */
+  private void divide(long now, long passed) {
+    List<News.Demand> ds = new ArrayList<>();
+    List<News.Places> ps = new ArrayList<>();
+    for (Map.Entry<String, WaitQueue> e : queues.entrySet()) {
+      String s = e.getKey();
+      e.getValue()
+          .waitingAndUsed()
+          .forEach((leaf, n) -> ds.add(new News.Demand(s, leaf, n[0], n[1])));
+      ps.add(new News.Places(s, places(s)));
+      HeldNews.Allotment a = news.allotment(s);
+      if (settings.alone() || a == null || now - a.at() > STALE || !a.full())
+        e.getValue().unbound();
+      else e.getValue().bound(a.milli(), passed, requestMs(s));
+    }
+    news.demand(List.copyOf(ds), List.copyOf(ps));
+  }
+
+  /**
+   * By service and leaf: waiting and using here, and the part of places the fleet's division leaves
+   * this relay, if it bounds.
+   */
+  public JsonObject shares() {
+    JsonObject o = Json.object();
+    long now = clock.now();
+    for (Map.Entry<String, WaitQueue> e : queues.entrySet()) {
+      HeldNews.Allotment a = news.allotment(e.getKey());
+      boolean fresh = a != null && now - a.at() <= STALE;
+      JsonObject l = Json.object();
+      e.getValue()
+          .waitingAndUsed()
+          .forEach(
+              (leaf, n) -> {
                 JsonObject x = Json.object().add("waiting", n[0]).add("using", n[1]);
                 if (fresh && a.full()) x.add("part", a.milli().getOrDefault(leaf, 1000) / 1000.0);
                 l.add(leaf, x);
-            });
-            o.add(e.getKey(),
-                Json.object().add("divided", !fresh ? "by nobody" : a.full() ? "full" : "not full").add("leaves", l));
-        }
-        return o;
-    }
-
-    /** With nobody dividing, as much of the places as if all relays asked alike. */
-    private int equalPart(String service) {
-        HeldNews.Allotment a = news.allotment(service);
-        if (settings.alone()) return Integer.MAX_VALUE;
-        if (a != null && clock.now() - a.at() <= STALE) return Integer.MAX_VALUE;
-        int n = Math.max(1, relays.getAsInt());
-        return (places(service) + n - 1) / n;
-    }
-
-    public int free(String service) {
-        Configuration.Service s = tables().configuration().service(service);
-        boolean model = s == null || s.kind() == Configuration.Kind.MODEL;
-        return Math.min(backends.free(service, b -> !model || runs(b)) - admitted.getOrDefault(service, 0),
-            equalPart(service) - queue(service).used());
-    }
-
-    /** How long a request of this leaf that joins the queue now would wait for a place. */
-    public double waitMs(String service, String leaf) {
-        return queue(service).ahead(leaf) * requestMs(service);
-    }
-
-    /** Gives free places to those that wait, as the share tree says. */
-    public void pump() {
-        if (pumping) {
-            pumpAgain = true;
-            return;
-        }
-        pumping = true;
-        try {
-            do {
-                pumpAgain = false;
-                for (Map.Entry<String, WaitQueue> e : new ArrayList<>(queues.entrySet())) places(e);
-            } while (pumpAgain);
-        } finally {
-            // whatever goes wrong with one request, those behind it are not left waiting for ever
-            pumping = false;
-        }
-    }
-
-    private void places(Map.Entry<String, WaitQueue> e) {
-        while (free(e.getKey()) > 0) {
-            Request o = e.getValue().next();
-            if (o == null) break;
-            o.admitted = true;
-            admitted.merge(e.getKey(), 1, Integer::sum);
-            o.leaveQueue.accept(Verdict.GO);
-        }
-    }
-
-    /** The caller went away: nothing is left to be done for its request. */
-    public void gone(Request o) {
-        o.gone = true;
-        State.At at = o.state.at();
-        if (at == State.At.ENDED) return;
-        o.decision.add("caller-gone", clock.now(), Json.object().add("pieces", o.piecesOut));
-        if (at == State.At.WAITING) stop(o, "the caller went away", 499);
-        else if (o.state.end()) {
-            o.decision.outcome("caller-gone");
-            o.cancel.run();
-            ended(o);
-        }
-    }
-
-    /** The way of a request through this relay. */
-    public Way way(Lookups lookups, Stages.Mode mode, Exchange exchange) {
-        return new Way(List.of(new Stages.Key(this), new Stages.Route(this), new Stages.Admission(this),
-            new Stages.Prefix(this, lookups), new Stages.Choice(this, mode, lookups), new Stages.Fetch(this),
-            new HandOver(this, exchange)), "choice", clock, this::ended);
-    }
-
-    /** A new snapshot: back ends, shares, and what it forbids of requests under way. */
-    public void tables(Tables t) {
-        backends.tables(t);
-        if (t.configurationNumber() != shaped.configurationNumber()) {
-            for (WaitQueue b : queues.values()) b.shape(t.configuration());
-            for (Request o : live()) {
-                if (o.tenant == null || o.route != null && o.route.open()) continue;
-                Configuration.Tenant n = t.configuration().tenantOfHash(o.keyHash);
-                boolean runs = o.state.at() == State.At.HANDED || o.state.at() == State.At.STREAMING;
-                if ((n == null || !n.name().equals(o.tenant.name())) && (settings.cutsStreams() || !runs))
-                    stop(o, "key revoked", 401);
-            }
-        }
-        shaped = t;
-        pump();
-    }
-
-    /** Ends a request wherever it is: refused from the queue, or cut off at the replica. */
-    public void stop(Request o, String why, int status) {
+              });
+      o.add(
+          e.getKey(),
+          Json.object()
+              .add("divided", !fresh ? "by nobody" : a.full() ? "full" : "not full")
+              .add("leaves", l));
+    }
+    return o;
+  }
+
+  /** With nobody dividing, as much of the places as if all relays asked alike. */
+  private int equalPart(String service) {
+    HeldNews.Allotment a = news.allotment(service);
+    if (settings.alone()) return Integer.MAX_VALUE;
+    if (a != null && clock.now() - a.at() <= STALE) return Integer.MAX_VALUE;
+    int n = Math.max(1, relays.getAsInt());
+    return (places(service) + n - 1) / n;
+  }
+
+  public int free(String service) {
+    Configuration.Service s = tables().configuration().service(service);
+    boolean model = s == null || s.kind() == Configuration.Kind.MODEL;
+    return Math.min(
+        backends.free(service, b -> !model || runs(b)) - admitted.getOrDefault(service, 0),
+        equalPart(service) - queue(service).used());
+  }
+
+  /** How long a request of this leaf that joins the queue now would wait for a place. */
+  public double waitMs(String service, String leaf) {
+    return queue(service).ahead(leaf) * requestMs(service);
+  }
+
+  /** Gives free places to those that wait, as the share tree says. */
+  public void pump() {
+    if (pumping) {
+      pumpAgain = true;
+      return;
+    }
+    pumping = true;
+    try {
+      do {
+        pumpAgain = false;
+        for (Map.Entry<String, WaitQueue> e : new ArrayList<>(queues.entrySet())) places(e);
+      } while (pumpAgain);
+    } finally {
+      // whatever goes wrong with one request, those behind it are not left waiting for ever
+      pumping = false;
+    }
+  }
+
+  private void places(Map.Entry<String, WaitQueue> e) {
+    while (free(e.getKey()) > 0) {
+      Request o = e.getValue().next();
+      if (o == null) break;
+      o.admitted = true;
+      admitted.merge(e.getKey(), 1, Integer::sum);
+      o.leaveQueue.accept(Verdict.GO);
+    }
+  }
+
+  /** The caller went away: nothing is left to be done for its request. */
+  public void gone(Request o) {
+    o.gone = true;
+    State.At at = o.state.at();
+    if (at == State.At.ENDED) return;
+    o.decision.add("caller-gone", clock.now(), Json.object().add("pieces", o.piecesOut));
+    if (at == State.At.WAITING) stop(o, "the caller went away", 499);
+    else if (o.state.end()) {
+      o.decision.outcome("caller-gone");
+      o.cancel.run();
+      ended(o);
+    }
+  }
+
+  /** The way of a request through this relay. */
+  public Way way(Lookups lookups, Stages.Mode mode, Exchange exchange) {
+    return new Way(
+        List.of(
+            new Stages.Key(this),
+            new Stages.Route(this),
+            new Stages.Admission(this),
+            new Stages.Prefix(this, lookups),
+            new Stages.Choice(this, mode, lookups),
+            new Stages.Fetch(this),
+            new HandOver(this, exchange)),
+        "choice",
+        clock,
+        this::ended);
+  }
+
+  /** A new snapshot: back ends, shares, and what it forbids of requests under way. */
+  public void tables(Tables t) {
+    backends.tables(t);
+    if (t.configurationNumber() != shaped.configurationNumber()) {
+      for (WaitQueue b : queues.values()) b.shape(t.configuration());
+      for (Request o : live()) {
+        if (o.tenant == null || o.route != null && o.route.open()) continue;
+        Configuration.Tenant n = t.configuration().tenantOfHash(o.keyHash);
+        boolean runs = o.state.at() == State.At.HANDED || o.state.at() == State.At.STREAMING;
+        if ((n == null || !n.name().equals(o.tenant.name())) && (settings.cutsStreams() || !runs))
+          stop(o, "key revoked", 401);
+      }
+    }
+    shaped = t;
+    pump();
+  }
+
+  /** Ends a request wherever it is: refused from the queue, or cut off at the replica. */
+  public void stop(Request o, String why, int status) {
+    State.At at = o.state.at();
+    if (at == State.At.WAITING && !o.admitted && o.leaveQueue != null) {
+      for (Request x : queue(o.service.name()).leave(y -> y == o))
+        x.leaveQueue.accept(Verdict.notRun(status, why, status == 401 ? 0 : 1000));
+    } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, why);
+    // an admitted request still waiting meets the same check at the hand-over
+  }
+
+  public void cutOff(Request o, String why) {
+    boolean streaming = o.state.at() == State.At.STREAMING;
+    if (!o.state.end()) return;
+    // the reason first: letting the replica go may end the request's record on the spot
+    o.decision.add(
+        "cut-off", clock.now(), Json.object().add("why", why).add("pieces", o.piecesOut));
+    o.decision.outcome(streaming ? "cut-off" : "unknown");
+    o.why = why;
+    o.cancel.run();
+    if (!o.gone) {
+      if (streaming) o.caller.cutOff(o, why);
+      else
+        o.caller.refuse(
+            o, (Verdict.Refuse) Verdict.unknown(o.deadline <= clock.now() ? 504 : 502, why));
+    }
+    ended(o);
+  }
+
+  /**
+   * Called a few times a second: deadlines, and streams whose right to go on can't be known any
+   * more.
+   */
+  public void tick() {
+    long now = clock.now();
+    divide(now, now - ticked);
+    // after a pause of its own, replicas are given the time to say that they are there
+    if (now - ticked > ASLEEP) awake = now;
+    ticked = now;
+    for (Request o : live()) {
+      if (o.deadline > 0 && now >= o.deadline) {
         State.At at = o.state.at();
         if (at == State.At.WAITING && !o.admitted && o.leaveQueue != null) {
-            for (Request x : queue(o.service.name()).leave(y -> y == o))
-                x.leaveQueue.accept(Verdict.notRun(status, why, status == 401 ? 0 : 1000));
-        } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, why);
-        // an admitted request still waiting meets the same check at the hand-over
-    }
-
-    public void cutOff(Request o, String why) {
-        boolean streaming = o.state.at() == State.At.STREAMING;
-        if (!o.state.end()) return;
-        // the reason first: letting the replica go may end the request's record on the spot
-        o.decision.add("cut-off", clock.now(), Json.object().add("why", why).add("pieces", o.piecesOut));
-        o.decision.outcome(streaming ? "cut-off" : "unknown");
-        o.why = why;
-        o.cancel.run();
-        if (!o.gone) {
-            if (streaming) o.caller.cutOff(o, why);
-            else o.caller.refuse(o, (Verdict.Refuse) Verdict.unknown(o.deadline <= clock.now() ? 504 : 502, why));
-        }
-        ended(o);
-    }
-
-    /** Called a few times a second: deadlines, and streams whose right to go on can't be known any more. */
-    public void tick() {
-        long now = clock.now();
-        divide(now, now - ticked);
-        // after a pause of its own, replicas are given the time to say that they are there
-        if (now - ticked > ASLEEP) awake = now;
-        ticked = now;
-        for (Request o : live()) {
-            if (o.deadline > 0 && now >= o.deadline) {
-                State.At at = o.state.at();
-                if (at == State.At.WAITING && !o.admitted && o.leaveQueue != null) {
-                    for (Request x : queue(o.service.name()).leave(y -> y == o))
-                        x.leaveQueue.accept(Verdict.notRun(503, "expired in the backlog", 1000));
-                } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, "expired");
-            } else if (o.backend != null && o.backend.silent(now, awake) && o.state.at() != State.At.WAITING)
-                o.lost.accept("has fallen silent");
-        }
-        if (settings.cutsStreams() && now - news.leases.until(Keys.CONFIGURATION) > GRACE)
-            for (Request o : live())
-                if (o.tenant != null) stop(o, "no licence for so long that keys can't be known", 503);
-        pump();
-    }
+          for (Request x : queue(o.service.name()).leave(y -> y == o))
+            x.leaveQueue.accept(Verdict.notRun(503, "expired in the backlog", 1000));
+        } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, "expired");
+      } else if (o.backend != null
+          && o.backend.silent(now, awake)
+          && o.state.at() != State.At.WAITING) o.lost.accept("has fallen silent");
+    }
+    if (settings.cutsStreams() && now - news.leases.until(Keys.CONFIGURATION) > GRACE)
+      for (Request o : live())
+        if (o.tenant != null) stop(o, "no licence for so long that keys can't be known", 503);
+    pump();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/RelayProtocol.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayProtocol.java
@@ -12,21 +12,21 @@
 import io.vertx.mutiny.core.Vertx;
 
 public interface RelayProtocol {
-    /** The machine under a relay. */
-    record Under(Vertx vertx, Local local, Clock clock) {}
+  /** The machine under a relay. */
+  record Under(Vertx vertx, Local local, Clock clock) {}
 
-    /** The open door. */
-    interface Door {
-        /** From now on callers are told to go elsewhere with their next request. */
-        default void leaving() {}
+  /** The open door. */
+  interface Door {
+    /** From now on callers are told to go elsewhere with their next request. */
+    default void leaving() {}
 
-        void close();
-    }
+    void close();
+  }
 
-    Backends backends(Under u, Relay r);
+  Backends backends(Under u, Relay r);
 
-    Exchange exchange(Under u, Relay r);
+  Exchange exchange(Under u, Relay r);
 
-    /** Opens the door; fails where it can't be opened. */
-    Uni<Door> open(Under u, Relay r, Decisions decisions, Way way);
+  /** Opens the door; fails where it can't be opened. */
+  Uni<Door> open(Under u, Relay r, Decisions decisions, Way way);
 }
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -34,139 +34,205 @@
 import java.util.concurrent.TimeoutException;
 
 public final class RelayService implements Kernel.Service {
-    public static final long DRAIN = 8000;
-    private static final int REMEMBERED = 16384;
+  public static final long DRAIN = 8000;
+  private static final int REMEMBERED = 16384;
 
-    /** lingerMs: how long a relay that stops still takes requests; drainMs: when it has ended at the latest. */
-    public record Ends(long lingerMs, long drainMs) {
-        public static final Ends USUAL = new Ends(0, DRAIN);
-    }
+  /**
+   * lingerMs: how long a relay that stops still takes requests; drainMs: when it has ended at the
+   * latest.
+   */
+  public record Ends(long lingerMs, long drainMs) {
+    public static final Ends USUAL = new Ends(0, DRAIN);
+  }
 
-    private final Vertx vertx;
-    private final Clock clock;
-    private final String name;
-    private final String zone;
-    private final RelayProtocol protocol;
-    private final Address index;
-    private final RelaySettings settings;
-    private final Stages.Mode mode;
-    private final Ends ends;
-    private Context context;
-    private volatile Relay relay;
-    private Decisions decisions;
-    private RelayProtocol.Door door;
+  private final Vertx vertx;
+  private final Clock clock;
+  private final String name;
+  private final String zone;
+  private final RelayProtocol protocol;
+  private final Address index;
+  private final RelaySettings settings;
+  private final Stages.Mode mode;
+  private final Ends ends;
+  private Context context;
+  private volatile Relay relay;
+  private Decisions decisions;
+  private RelayProtocol.Door door;
 
-    public RelayService(Vertx vertx, Clock clock, String name, String zone, RelayProtocol protocol, Address index,
-        RelaySettings settings, Stages.Mode mode, Ends ends) {
-        this.vertx = vertx;
-        this.clock = clock;
-        this.name = name;
-        this.zone = zone;
-        this.protocol = protocol;
-        this.index = index;
-        this.settings = settings;
-        this.mode = mode;
-        this.ends = ends;
-    }
+  public RelayService(
+      Vertx vertx,
+      Clock clock,
+      String name,
+      String zone,
+      RelayProtocol protocol,
+      Address index,
+      RelaySettings settings,
+      Stages.Mode mode,
+      Ends ends) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.name = name;
+    this.zone = zone;
+    this.protocol = protocol;
+    this.index = index;
+    this.settings = settings;
+    this.mode = mode;
+    this.ends = ends;
+  }
 
-    @Override public void start(Kernel k) {
-        NewsService news = k.find("news", NewsService.class);
-        Doors doors = k.find("doors", Doors.class);
-        ViewService views = k.find("views", ViewService.class);
-        ReasonsService reasons = k.find("reasons", ReasonsService.class);
-        reasons.prepare();
-        decisions = new Decisions(REMEMBERED, name, news.run());
-        context = vertx.getOrCreateContext();
-        RelayProtocol.Under under = new RelayProtocol.Under(vertx, doors.local, clock);
-        CompletableFuture<Void> up = new CompletableFuture<>();
-        context.runOnContext(() -> {
-            Relay r = new Relay(clock, news.held, x -> protocol.backends(under, x), zone, settings,
-                () -> Math.max(news.held.relays(),
-                    1 + (int) views.all().stream().filter(d -> d.role().equals("relay")).count()));
-            LookupClient lookups = new LookupClient(vertx, context, doors, views, zone, index, settings.lookupMs());
-            vertx.setPeriodic(50, i -> r.tick());
-            List<Decision> ended = new ArrayList<>();
-            r.reasons = ended::add;
-            vertx.setPeriodic(ReasonsService.PERIOD, i -> {
-                for (Request o : r.live()) if (o.state.at() != State.At.WAITING) ended.add(o.decision);
+  @Override
+  public void start(Kernel k) {
+    NewsService news = k.find("news", NewsService.class);
+    Doors doors = k.find("doors", Doors.class);
+    ViewService views = k.find("views", ViewService.class);
+    ReasonsService reasons = k.find("reasons", ReasonsService.class);
+    reasons.prepare();
+    decisions = new Decisions(REMEMBERED, name, news.run());
+    context = vertx.getOrCreateContext();
+    RelayProtocol.Under under = new RelayProtocol.Under(vertx, doors.local, clock);
+    CompletableFuture<Void> up = new CompletableFuture<>();
+    context.runOnContext(
+        () -> {
+          Relay r =
+              new Relay(
+                  clock,
+                  news.held,
+                  x -> protocol.backends(under, x),
+                  zone,
+                  settings,
+                  () ->
+                      Math.max(
+                          news.held.relays(),
+                          1
+                              + (int)
+                                  views.all().stream()
+                                      .filter(d -> d.role().equals("relay"))
+                                      .count()));
+          LookupClient lookups =
+              new LookupClient(vertx, context, doors, views, zone, index, settings.lookupMs());
+          vertx.setPeriodic(50, i -> r.tick());
+          List<Decision> ended = new ArrayList<>();
+          r.reasons = ended::add;
+          vertx.setPeriodic(
+              ReasonsService.PERIOD,
+              i -> {
+                for (Request o : r.live())
+                  if (o.state.at() != State.At.WAITING) ended.add(o.decision);
                 reasons.hand(List.copyOf(ended), decisions.run());
                 ended.clear();
-            });
-            relay = r;
-            protocol.open(under, r, decisions, r.way(lookups, mode, protocol.exchange(under, r))).subscribe()
-                .with(d -> {
+              });
+          relay = r;
+          protocol
+              .open(under, r, decisions, r.way(lookups, mode, protocol.exchange(under, r)))
+              .subscribe()
+              .with(
+                  d -> {
                     door = d;
                     up.complete(null);
-                }, up::completeExceptionally);
+                  },
+                  up::completeExceptionally);
         });
-        try {
-            up.get(10, TimeUnit.SECONDS);
-        } catch (InterruptedException | ExecutionException | TimeoutException e) {
-            throw new Kernel.CannotStart("cannot listen for callers: " + Doors.reason(e), e);
-        }
-        news.listen(t -> context.runOnContext(() -> relay.tables(t)));
-        Log.event("callers-door-open", "name", name);
+    try {
+      up.get(10, TimeUnit.SECONDS);
+    } catch (InterruptedException | ExecutionException | TimeoutException e) {
+      throw new Kernel.CannotStart("cannot listen for callers: " + Doors.reason(e), e);
     }
+    news.listen(t -> context.runOnContext(() -> relay.tables(t)));
+    Log.event("callers-door-open", "name", name);
+  }
 
-    /** Other settings from now on. */
-    public void settings(RelaySettings s) {
-        context.runOnContext(() -> relay.settings = s);
-    }
+  /** Other settings from now on. */
+  public void settings(RelaySettings s) {
+    context.runOnContext(() -> relay.settings = s);
+  }
 
-    public String unready() {
-        return relay == null ? "starting" : relay.leaving ? "stopping" : relay.unready();
-    }
+  public String unready() {
+    return relay == null ? "starting" : relay.leaving ? "stopping" : relay.unready();
+  }
 
-    public Uni<JsonObject> status() {
-        return Uni.createFrom().emitter(e -> context.runOnContext(() -> {
-            Relay r = relay;
-            Tables t = r.tables();
-            long now = clock.now();
-            JsonObject ls = Json.object();
-            for (String key : Keys.LEASED) ls.add(key, Math.max(-1, r.news.leases.until(key) - now));
-            e.complete(Json.object().add("name", name).add("domain", zone).add("unready", r.unready())
-                .add("policy", t.configurationNumber()).add("weights", t.weightsNumber())
-                .add("replicas", t.replicasNumber()).add("generation", t.generation()).add("licenceLeftMs", ls)
-                .add("ordersUnderWay", r.live().size()).add("shares", r.shares())
-                .add("backends", r.backends.json()));
-        }));
-    }
+  public Uni<JsonObject> status() {
+    return Uni.createFrom()
+        .emitter(
+            e ->
+                context.runOnContext(
+                    () -> {
+                      Relay r = relay;
+                      Tables t = r.tables();
+                      long now = clock.now();
+                      JsonObject ls = Json.object();
+                      for (String key : Keys.LEASED)
+                        ls.add(key, Math.max(-1, r.news.leases.until(key) - now));
+                      e.complete(
+                          Json.object()
+                              .add("name", name)
+                              .add("domain", zone)
+                              .add("unready", r.unready())
+                              .add("policy", t.configurationNumber())
+                              .add("weights", t.weightsNumber())
+                              .add("replicas", t.replicasNumber())
+                              .add("generation", t.generation())
+                              .add("licenceLeftMs", ls)
+                              .add("ordersUnderWay", r.live().size())
+                              .add("shares", r.shares())
+                              .add("backends", r.backends.json()));
+                    }));
+  }
 
-    public void routes(Router r) {
-        r.get("/operator/orders/:id").handler(this::explain);
-    }
+  public void routes(Router r) {
+    r.get("/operator/orders/:id").handler(this::explain);
+  }
 
-    private void explain(RoutingContext c) {
-        Decisions.Found f = decisions.find(c.pathParam("id"));
-        if (f instanceof Decisions.Found.Yes y) StatusDoor.say(c, 200, y.decision().json());
-        else if (f instanceof Decisions.Found.Malformed) StatusDoor.say(c, 400,
-            Json.object().add("reason", "an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order"));
-        else if (f instanceof Decisions.Found.Overwritten)
-            StatusDoor.say(c, 410, Json.object().add("reason",
-                "this relay took the order but has overwritten its record; it remembers the last " + REMEMBERED));
-        else if (f instanceof Decisions.Found.OtherRun)
-            StatusDoor.say(c, 410, Json.object().add("reason",
-                "the order was taken by an earlier run of this relay, whose records are gone"));
-        else StatusDoor.say(c, 404, Json.object().add("reason", "this relay never took such an order"));
-    }
+  private void explain(RoutingContext c) {
+    Decisions.Found f = decisions.find(c.pathParam("id"));
+    if (f instanceof Decisions.Found.Yes y) StatusDoor.say(c, 200, y.decision().json());
+    else if (f instanceof Decisions.Found.Malformed)
+      StatusDoor.say(
+          c,
+          400,
+          Json.object()
+              .add("reason", "an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order"));
+    else if (f instanceof Decisions.Found.Overwritten)
+      StatusDoor.say(
+          c,
+          410,
+          Json.object()
+              .add(
+                  "reason",
+                  "this relay took the order but has overwritten its record; it remembers the last "
+                      + REMEMBERED));
+    else if (f instanceof Decisions.Found.OtherRun)
+      StatusDoor.say(
+          c,
+          410,
+          Json.object()
+              .add(
+                  "reason",
+                  "the order was taken by an earlier run of this relay, whose records are gone"));
+    else StatusDoor.say(c, 404, Json.object().add("reason", "this relay never took such an order"));
+  }
 
-    @Override public void stop() {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        context.runOnContext(() -> {
-            relay.leaving = true;
-            door.leaving();
-            long begun = clock.now();
-            vertx.setPeriodic(20, i -> {
+  @Override
+  public void stop() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    context.runOnContext(
+        () -> {
+          relay.leaving = true;
+          door.leaving();
+          long begun = clock.now();
+          vertx.setPeriodic(
+              20,
+              i -> {
                 long past = clock.now() - begun;
                 if (past >= ends.lingerMs) relay.stopping = true;
-                if (past >= ends.lingerMs && relay.live().isEmpty() || past > ends.drainMs) done.complete(null);
-            });
+                if (past >= ends.lingerMs && relay.live().isEmpty() || past > ends.drainMs)
+                  done.complete(null);
+              });
         });
-        try {
-            done.get(ends.drainMs + 1000, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException | ExecutionException | TimeoutException e) {
-            Log.warn("drain-unfinished");
-        }
-        door.close();
+    try {
+      done.get(ends.drainMs + 1000, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException | ExecutionException | TimeoutException e) {
+      Log.warn("drain-unfinished");
     }
+    door.close();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
@@ -7,181 +7,192 @@
 import gladelug.kernel.configuration.RollPlan;
 
 public final class RelaySettings {
-    public static final RelaySettings USUAL = builder().build();
-
-    private final int queueMost;
-    private final boolean alone;
-    private final boolean anyWeights;
-    private final boolean cutsStreams;
-    private final double retryRatio;
-    private final double retrySlack;
-    private final long comeBackMs;
-    private final double zoneMs;
-    private final boolean prefersNewest;
-    private final boolean hidesNoRoutes;
-    private final long cutoffMs;
-    private final RollPlan roll;
-    private final long lookupMs;
-
-    private RelaySettings(Builder b) {
-        queueMost = b.queueMost;
-        alone = b.alone;
-        anyWeights = b.anyWeights;
-        cutsStreams = b.cutsStreams;
-        retryRatio = b.retryRatio;
-        retrySlack = b.retrySlack;
-        comeBackMs = b.comeBackMs;
-        zoneMs = b.zoneMs;
-        prefersNewest = b.prefersNewest;
-        cutoffMs = b.cutoffMs;
-        roll = b.roll;
-        lookupMs = b.lookupMs;
-        hidesNoRoutes = b.hidesNoRoutes;
+  public static final RelaySettings USUAL = builder().build();
+
+  private final int queueMost;
+  private final boolean alone;
+  private final boolean anyWeights;
+  private final boolean cutsStreams;
+  private final double retryRatio;
+  private final double retrySlack;
+  private final long comeBackMs;
+  private final double zoneMs;
+  private final boolean prefersNewest;
+  private final boolean hidesNoRoutes;
+  private final long cutoffMs;
+  private final RollPlan roll;
+  private final long lookupMs;
+
+  private RelaySettings(Builder b) {
+    queueMost = b.queueMost;
+    alone = b.alone;
+    anyWeights = b.anyWeights;
+    cutsStreams = b.cutsStreams;
+    retryRatio = b.retryRatio;
+    retrySlack = b.retrySlack;
+    comeBackMs = b.comeBackMs;
+    zoneMs = b.zoneMs;
+    prefersNewest = b.prefersNewest;
+    cutoffMs = b.cutoffMs;
+    roll = b.roll;
+    lookupMs = b.lookupMs;
+    hidesNoRoutes = b.hidesNoRoutes;
+  }
+
+  /** How many requests of a service may wait here. */
+  public int queueMost() {
+    return queueMost;
+  }
+
+  /** Shares kept by this relay alone, to be measured against the fleet's division. */
+  public boolean alone() {
+    return alone;
+  }
+
+  /** Whether requests may run on the weights replicas tell of while nobody has named any. */
+  public boolean anyWeights() {
+    return anyWeights;
+  }
+
+  /**
+   * Whether running streams end when their key is revoked, and some time after the lease did, as it
+   * may be.
+   */
+  public boolean cutsStreams() {
+    return cutsStreams;
+  }
+
+  /** Second tries a first try, over the fleet. */
+  public double retryRatio() {
+    return retryRatio;
+  }
+
+  /**
+   * Second tries in a window beyond that, over the fleet; negative for the product's own allowance.
+   */
+  public double retrySlack() {
+    return retrySlack;
+  }
+
+  /** The least a caller is told to wait before it comes back, in ms. */
+  public long comeBackMs() {
+    return comeBackMs;
+  }
+
+  /** What a replica in another zone is reckoned to cost beside its work, in ms. */
+  public double zoneMs() {
+    return zoneMs;
+  }
+
+  /**
+   * Whether a single replica with the newest weights gets everything, or both run side by side
+   * until the cutoff.
+   */
+  public boolean prefersNewest() {
+    return prefersNewest;
+  }
+
+  /**
+   * After a naming, how long requests may begin on older weights, in ms, and when replicas take the
+   * new ones.
+   */
+  public long cutoffMs() {
+    return cutoffMs;
+  }
+
+  public RollPlan roll() {
+    return roll;
+  }
+
+  /** How long an index's answer is waited for, in ms. */
+  public long lookupMs() {
+    return lookupMs;
+  }
+
+  /** Whether a path without a route is 404 also for those without a key. */
+  public boolean hidesNoRoutes() {
+    return hidesNoRoutes;
+  }
+
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Begins with the product's own values. */
+  public static final class Builder {
+    private int queueMost = 256;
+    private boolean alone;
+    private boolean anyWeights;
+    private boolean cutsStreams = true;
+    private double retryRatio = Budget.EARN;
+    private double retrySlack = -1;
+    private long comeBackMs = 1000;
+    private double zoneMs = Stages.OTHER_ZONE_MS;
+    private boolean prefersNewest = true;
+    private boolean hidesNoRoutes;
+    private long cutoffMs = 15_000;
+    private RollPlan roll = RollPlan.thirds(15_000);
+    private long lookupMs = LookupClient.WAIT;
+
+    public Builder queueMost(int n) {
+      queueMost = n;
+      return this;
     }
 
-    /** How many requests of a service may wait here. */
-    public int queueMost() {
-        return queueMost;
+    public Builder alone(boolean yes) {
+      alone = yes;
+      return this;
     }
 
-    /** Shares kept by this relay alone, to be measured against the fleet's division. */
-    public boolean alone() {
-        return alone;
+    public Builder anyWeights(boolean yes) {
+      anyWeights = yes;
+      return this;
     }
 
-    /** Whether requests may run on the weights replicas tell of while nobody has named any. */
-    public boolean anyWeights() {
-        return anyWeights;
+    public Builder cutsStreams(boolean yes) {
+      cutsStreams = yes;
+      return this;
     }
 
-    /** Whether running streams end when their key is revoked, and some time after the lease did, as it may be. */
-    public boolean cutsStreams() {
-        return cutsStreams;
+    public Builder retries(double ratio, double slack) {
+      retryRatio = ratio;
+      retrySlack = slack;
+      return this;
     }
 
-    /** Second tries a first try, over the fleet. */
-    public double retryRatio() {
-        return retryRatio;
+    public Builder comeBackMs(long ms) {
+      comeBackMs = ms;
+      return this;
     }
 
-    /** Second tries in a window beyond that, over the fleet; negative for the product's own allowance. */
-    public double retrySlack() {
-        return retrySlack;
+    public Builder prefersNewest(boolean yes) {
+      prefersNewest = yes;
+      return this;
     }
 
-    /** The least a caller is told to wait before it comes back, in ms. */
-    public long comeBackMs() {
-        return comeBackMs;
+    public Builder weights(long cutoff, RollPlan plan) {
+      cutoffMs = cutoff;
+      roll = plan;
+      return this;
     }
 
-    /** What a replica in another zone is reckoned to cost beside its work, in ms. */
-    public double zoneMs() {
-        return zoneMs;
+    public Builder lookupMs(long ms) {
+      lookupMs = ms;
+      return this;
     }
 
-    /** Whether a single replica with the newest weights gets everything, or both run side by side until the cutoff. */
-    public boolean prefersNewest() {
-        return prefersNewest;
+    public Builder hidesNoRoutes(boolean yes) {
+      hidesNoRoutes = yes;
+      return this;
     }
 
-    /** After a naming, how long requests may begin on older weights, in ms, and when replicas take the new ones. */
-    public long cutoffMs() {
-        return cutoffMs;
+    public Builder zoneMs(double ms) {
+      zoneMs = ms;
+      return this;
     }
 
-    public RollPlan roll() {
-        return roll;
-    }
-
-    /** How long an index's answer is waited for, in ms. */
-    public long lookupMs() {
-        return lookupMs;
-    }
-
-    /** Whether a path without a route is 404 also for those without a key. */
-    public boolean hidesNoRoutes() {
-        return hidesNoRoutes;
-    }
-
-    public static Builder builder() {
-        return new Builder();
-    }
-
-    /** Begins with the product's own values. */
-    public static final class Builder {
-        private int queueMost = 256;
-        private boolean alone;
-        private boolean anyWeights;
-        private boolean cutsStreams = true;
-        private double retryRatio = Budget.EARN;
-        private double retrySlack = -1;
-        private long comeBackMs = 1000;
-        private double zoneMs = Stages.OTHER_ZONE_MS;
-        private boolean prefersNewest = true;
-        private boolean hidesNoRoutes;
-        private long cutoffMs = 15_000;
-        private RollPlan roll = RollPlan.thirds(15_000);
-        private long lookupMs = LookupClient.WAIT;
-
-        public Builder queueMost(int n) {
-            queueMost = n;
-            return this;
-        }
-
-        public Builder alone(boolean yes) {
-            alone = yes;
-            return this;
-        }
-
-        public Builder anyWeights(boolean yes) {
-            anyWeights = yes;
-            return this;
-        }
-
-        public Builder cutsStreams(boolean yes) {
-            cutsStreams = yes;
-            return this;
-        }
-
-        public Builder retries(double ratio, double slack) {
-            retryRatio = ratio;
-            retrySlack = slack;
-            return this;
-        }
-
-        public Builder comeBackMs(long ms) {
-            comeBackMs = ms;
-            return this;
-        }
-
-        public Builder prefersNewest(boolean yes) {
-            prefersNewest = yes;
-            return this;
-        }
-
-        public Builder weights(long cutoff, RollPlan plan) {
-            cutoffMs = cutoff;
-            roll = plan;
-            return this;
-        }
-
-        public Builder lookupMs(long ms) {
-            lookupMs = ms;
-            return this;
-        }
-
-        public Builder hidesNoRoutes(boolean yes) {
-            hidesNoRoutes = yes;
-            return this;
-        }
-
-        public Builder zoneMs(double ms) {
-            zoneMs = ms;
-            return this;
-        }
-
-        public RelaySettings build() {
-            return new RelaySettings(this);
-        }
+    public RelaySettings build() {
+      return new RelaySettings(this);
     }
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaConnections.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaConnections.java
@@ -9,36 +9,36 @@
 import java.util.function.Consumer;
 
 public interface ReplicaConnections {
-    /** For one use: one asking who is there, or one request. */
-    interface Connection {
-        /** Who the other end of this very connection was found to be, or an empty text. */
-        String who();
+  /** For one use: one asking who is there, or one request. */
+  interface Connection {
+    /** Who the other end of this very connection was found to be, or an empty text. */
+    String who();
 
-        /** Asks SERVICE/INSTANCE on this connection; an empty text where nobody says so in time. */
-        void identify(Consumer<String> who);
+    /** Asks SERVICE/INSTANCE on this connection; an empty text where nobody says so in time. */
+    void identify(Consumer<String> who);
 
-        void order(String json, Answer to);
+    void order(String json, Answer to);
 
-        void reset();
+    void reset();
 
-        /** The connection, with whatever else is on it. */
-        void close();
+    /** The connection, with whatever else is on it. */
+    void close();
 
-        void pause();
+    void pause();
 
-        void resume();
-    }
+    void resume();
+  }
 
-    /** What comes back for one request. */
-    interface Answer {
-        /** The answer's status, and the body where it is not 200. */
-        void refused(int status, String body);
+  /** What comes back for one request. */
+  interface Answer {
+    /** The answer's status, and the body where it is not 200. */
+    void refused(int status, String body);
 
-        void line(String line);
+    void line(String line);
 
-        /** Nothing more will come. */
-        void over(String why);
-    }
+    /** Nothing more will come. */
+    void over(String why);
+  }
 
-    void open(Replica to, Consumer<Connection> opened, Consumer<String> failure);
+  void open(Replica to, Consumer<Connection> opened, Consumer<String> failure);
 }
--- a/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
+++ b/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
@@ -18,195 +18,205 @@
 import java.util.function.Predicate;
 
 public final class WaitQueue {
-    private static final class Node {
-        final String path;
-        final Node parent;
-        final List<Node> children = new ArrayList<>();
-        final ArrayDeque<Request> queue = new ArrayDeque<>();
-        int weight = 1;
-        int tier;
-        int limit;
-        int waiting;
-        int used;
-        double pass;
-        /** Places this leaf may use here, by the fleet's division; negative is no bound. */
-        double part = -1;
-        double credit;
-
-        Node(String path, Node parent) {
-            this.path = path;
-            this.parent = parent;
-            if (parent != null) parent.children.add(this);
-        }
-    }
-
-    private final int most;
-    private Map<String, Node> nodes = new HashMap<>();
-    private Node root = new Node("", null);
-
-    public WaitQueue(int most) {
-        this.most = most;
-    }
-
-    /** A new configuration's tree; what waits and what is used is carried over by path. */
-    public void shape(Configuration p) {
-        Map<String, Node> old = nodes;
-        Node oldRoot = root;
-        nodes = new HashMap<>();
-        root = new Node("", null);
-        for (Configuration.Tenant t : p.tenants) shape(t.share(), root);
-        List<Request> waiting = new ArrayList<>();
-        for (Node n : old.values()) {
-            waiting.addAll(n.queue);
-            Node m = nodes.get(n.path);
-            if (m != null) m.pass = n.pass;
-        }
-        waiting.sort((a, b) -> Long.compare(a.decision.nr, b.decision.nr));
-        for (Request o : waiting) put(o);
-        for (Map.Entry<String, Node> e : old.entrySet())
-            if (e.getValue().children.isEmpty()) for (int i = 0; i < e.getValue().used; i++) use(e.getKey(), 1);
-        root.used = oldRoot.used;
-    }
-
-    private void shape(Share s, Node under) {
-        Node n = new Node(s.path(), under);
-        n.weight = s.weight();
-        n.tier = s.tier();
-        n.limit = s.limit();
-        nodes.put(s.path(), n);
-        for (Share c : s.shares()) shape(c, n);
-        if (!s.shares().isEmpty()) {
-            // requests of a tenant or share that no leaf below names wait beside its children
-            Node rest = new Node(s.path() + "/", n);
-            nodes.put(rest.path, rest);
-        }
-    }
-
-    private Node leaf(String path) {
-        Node n = nodes.get(path);
-        if (n != null && !n.children.isEmpty()) n = nodes.get(path + "/");
-        if (n == null) nodes.put(path, n = new Node(path, root));
-        return n;
-    }
-
-    public int size() {
-        return root.waiting;
-    }
-
-    /** False where the queue is full. */
-    public boolean enter(Request o) {
-        if (root.waiting >= most) return false;
-        put(o);
-        return true;
-    }
-
-    private void put(Request o) {
-        Node l = leaf(o.leaf);
-        l.queue.add(o);
-        for (Node n = l; n != null; n = n.parent) {
-            if (n.waiting == 0 && n.parent != null) {
-                double least = Double.MAX_VALUE;
-                for (Node s : n.parent.children)
-                    if (s != n && (s.waiting > 0 || s.used > 0)) least = Math.min(least, s.pass);
-                if (least != Double.MAX_VALUE) n.pass = Math.max(n.pass, least);
-            }
-            n.waiting++;
-        }
-    }
-
-    /** No bounds on leaves: the fleet is not full, or nobody divides. */
-    public void unbound() {
-        for (Node n : nodes.values()) n.part = -1;
-    }
-
-    /**
-     * The fleet's division: thousandths of a place by leaf. A part of a place is used in time: it
-     * earns credit, one request's worth for each of that part of a request's usual duration.
-     */
-    public void bound(Map<String, Integer> milli, double passed, double requestMs) {
-        for (Node n : nodes.values()) {
-            if (!n.children.isEmpty()) continue;
-            Integer m = milli.get(leafName(n));
-            n.part = m == null ? 1 : m / 1000.0;
-            n.credit = Math.min(1, n.credit + (n.part - Math.floor(n.part)) * passed / Math.max(1, requestMs));
-        }
-    }
-
-    private static String leafName(Node n) {
-        return n.path.endsWith("/") ? n.path.substring(0, n.path.length() - 1) : n.path;
-    }
-
-    private static boolean may(Node n) {
-        if (n.waiting == 0 || n.limit > 0 && n.used >= n.limit) return false;
-        if (!n.children.isEmpty()) {
-            for (Node c : n.children) if (may(c)) return true;
-            return false;
-        }
-        return n.part < 0 || n.used < (int) n.part || n.credit >= 1 && n.used < (int) n.part + 1;
-    }
-
-    /** The next request to have a place, taken out and counted as using it; null where none may. */
-    public Request next() {
-        Node n = root;
-        if (!may(n)) return null;
-        while (!n.children.isEmpty()) {
-            Node best = null;
-            for (Node c : n.children) {
-                if (!may(c)) continue;
-                if (best == null || c.tier < best.tier || c.tier == best.tier && c.pass < best.pass) best = c;
-            }
-            if (best == null) return null;
-            n = best;
-        }
-        if (n.part >= 0 && n.used >= (int) n.part) n.credit = 0;
-        Request o = n.queue.poll();
-        for (Node m = n; m != null; m = m.parent) m.waiting--;
-        use(o.leaf, 1);
-        return o;
-    }
-
-    private void use(String path, int by) {
-        for (Node n = leaf(path); n != null; n = n.parent) {
-            n.used = Math.max(0, n.used + by);
-            if (by > 0) n.pass += 1.0 / n.weight;
-        }
-    }
-
-    /** A request that next() gave has given its place back. */
-    public void release(Request o) {
-        use(o.leaf, -1);
-    }
-
-    /** Takes out those that match; they had no place. */
-    public List<Request> leave(Predicate<Request> which) {
-        List<Request> out = new ArrayList<>();
-        for (Node l : nodes.values())
-            l.queue.removeIf(o -> {
-                if (!which.test(o)) return false;
-                out.add(o);
-                for (Node m = l; m != null; m = m.parent) m.waiting--;
-                return true;
-            });
-        return out;
-    }
-
-    /** By leaf: waiting, and using a place. */
-    public Map<String, int[]> waitingAndUsed() {
-        Map<String, int[]> m = new TreeMap<>();
-        for (Node n : nodes.values())
-            if (n.children.isEmpty() && (n.waiting > 0 || n.used > 0)) m.put(leafName(n), new int[]{n.waiting, n.used});
-        return m;
-    }
-
-    public int used() {
-        return root.used;
-    }
-
-    /** How many requests' time a new one of this leaf would wait: those before it over the places it has. */
-    public double ahead(String leaf) {
-        Node n = leaf(leaf);
-        if (n.waiting == 0) return 0;
-        double places = n.part >= 0 ? Math.max(0.25, n.part) : Math.max(1, n.used);
-        return (n.waiting + 1) / places;
-    }
+  private static final class Node {
+    final String path;
+    final Node parent;
+    final List<Node> children = new ArrayList<>();
+    final ArrayDeque<Request> queue = new ArrayDeque<>();
+    int weight = 1;
+    int tier;
+    int limit;
+    int waiting;
+    int used;
+    double pass;
+
+    /** Places this leaf may use here, by the fleet's division; negative is no bound. */
+    double part = -1;
+
+    double credit;
+
+    Node(String path, Node parent) {
+      this.path = path;
+      this.parent = parent;
+      if (parent != null) parent.children.add(this);
+    }
+  }
+
+  private final int most;
+  private Map<String, Node> nodes = new HashMap<>();
+  private Node root = new Node("", null);
+
+  public WaitQueue(int most) {
+    this.most = most;
+  }
+
+  /** A new configuration's tree; what waits and what is used is carried over by path. */
+  public void shape(Configuration p) {
+    Map<String, Node> old = nodes;
+    Node oldRoot = root;
+    nodes = new HashMap<>();
+    root = new Node("", null);
+    for (Configuration.Tenant t : p.tenants) shape(t.share(), root);
+    List<Request> waiting = new ArrayList<>();
+    for (Node n : old.values()) {
+      waiting.addAll(n.queue);
+      Node m = nodes.get(n.path);
+      if (m != null) m.pass = n.pass;
+    }
+    waiting.sort((a, b) -> Long.compare(a.decision.nr, b.decision.nr));
+    for (Request o : waiting) put(o);
+    for (Map.Entry<String, Node> e : old.entrySet())
+      if (e.getValue().children.isEmpty())
+        for (int i = 0; i < e.getValue().used; i++) use(e.getKey(), 1);
+    root.used = oldRoot.used;
+  }
+
+  private void shape(Share s, Node under) {
+    Node n = new Node(s.path(), under);
+    n.weight = s.weight();
+    n.tier = s.tier();
+    n.limit = s.limit();
+    nodes.put(s.path(), n);
+    for (Share c : s.shares()) shape(c, n);
+    if (!s.shares().isEmpty()) {
+      // requests of a tenant or share that no leaf below names wait beside its children
+      Node rest = new Node(s.path() + "/", n);
+      nodes.put(rest.path, rest);
+    }
+  }
+
+  private Node leaf(String path) {
+    Node n = nodes.get(path);
+    if (n != null && !n.children.isEmpty()) n = nodes.get(path + "/");
+    if (n == null) nodes.put(path, n = new Node(path, root));
+    return n;
+  }
+
+  public int size() {
+    return root.waiting;
+  }
+
+  /** False where the queue is full. */
+  public boolean enter(Request o) {
+    if (root.waiting >= most) return false;
+    put(o);
+    return true;
+  }
+
+  private void put(Request o) {
+    Node l = leaf(o.leaf);
+    l.queue.add(o);
+    for (Node n = l; n != null; n = n.parent) {
+      if (n.waiting == 0 && n.parent != null) {
+        double least = Double.MAX_VALUE;
+        for (Node s : n.parent.children)
+          if (s != n && (s.waiting > 0 || s.used > 0)) least = Math.min(least, s.pass);
+        if (least != Double.MAX_VALUE) n.pass = Math.max(n.pass, least);
+      }
+      n.waiting++;
+    }
+  }
+
+  /** No bounds on leaves: the fleet is not full, or nobody divides. */
+  public void unbound() {
+    for (Node n : nodes.values()) n.part = -1;
+  }
+
+  /**
+   * The fleet's division: thousandths of a place by leaf. A part of a place is used in time: it
+   * earns credit, one request's worth for each of that part of a request's usual duration.
+   */
+  public void bound(Map<String, Integer> milli, double passed, double requestMs) {
+    for (Node n : nodes.values()) {
+      if (!n.children.isEmpty()) continue;
+      Integer m = milli.get(leafName(n));
+      n.part = m == null ? 1 : m / 1000.0;
+      n.credit =
+          Math.min(1, n.credit + (n.part - Math.floor(n.part)) * passed / Math.max(1, requestMs));
+    }
+  }
+
+  private static String leafName(Node n) {
+    return n.path.endsWith("/") ? n.path.substring(0, n.path.length() - 1) : n.path;
+  }
+
+  private static boolean may(Node n) {
+    if (n.waiting == 0 || n.limit > 0 && n.used >= n.limit) return false;
+    if (!n.children.isEmpty()) {
+      for (Node c : n.children) if (may(c)) return true;
+      return false;
+    }
+    return n.part < 0 || n.used < (int) n.part || n.credit >= 1 && n.used < (int) n.part + 1;
+  }
+
+  /** The next request to have a place, taken out and counted as using it; null where none may. */
+  public Request next() {
+    Node n = root;
+    if (!may(n)) return null;
+    while (!n.children.isEmpty()) {
+      Node best = null;
+      for (Node c : n.children) {
+        if (!may(c)) continue;
+        if (best == null || c.tier < best.tier || c.tier == best.tier && c.pass < best.pass)
+          best = c;
+      }
+      if (best == null) return null;
+      n = best;
+    }
+    if (n.part >= 0 && n.used >= (int) n.part) n.credit = 0;
+    Request o = n.queue.poll();
+    for (Node m = n; m != null; m = m.parent) m.waiting--;
+    use(o.leaf, 1);
+    return o;
+  }
+
+  private void use(String path, int by) {
+    for (Node n = leaf(path); n != null; n = n.parent) {
+      n.used = Math.max(0, n.used + by);
+      if (by > 0) n.pass += 1.0 / n.weight;
+    }
+  }
+
+  /** A request that next() gave has given its place back. */
+  public void release(Request o) {
+    use(o.leaf, -1);
+  }
+
+  /** Takes out those that match; they had no place. */
+  public List<Request> leave(Predicate<Request> which) {
+    List<Request> out = new ArrayList<>();
+    for (Node l : nodes.values())
+      l.queue.removeIf(
+          o -> {
+            if (!which.test(o)) return false;
+            out.add(o);
+            for (Node m = l; m != null; m = m.parent) m.waiting--;
+            return true;
+          });
+    return out;
+  }
+
+  /** By leaf: waiting, and using a place. */
+  public Map<String, int[]> waitingAndUsed() {
+    Map<String, int[]> m = new TreeMap<>();
+    for (Node n : nodes.values())
+      if (n.children.isEmpty() && (n.waiting > 0 || n.used > 0))
+        m.put(leafName(n), new int[] {n.waiting, n.used});
+    return m;
+  }
+
+  public int used() {
+    return root.used;
+  }
+
+  /**
+   * How many requests' time a new one of this leaf would wait: those before it over the places it
+   * has.
+   */
+  public double ahead(String leaf) {
+    Node n = leaf(leaf);
+    if (n.waiting == 0) return 0;
+    double places = n.part >= 0 ? Math.max(0.25, n.part) : Math.max(1, n.used);
+    return (n.waiting + 1) / places;
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Blocks.java
+++ b/data-plane/src/main/java/gladelug/data/request/Blocks.java
@@ -12,19 +12,21 @@
 import java.security.MessageDigest;
 
 public final class Blocks {
-    private Blocks() {}
+  private Blocks() {}
 
-    public static long[] ids(String service, String weights, String wall, byte[] prompt, int blockBytes) {
-        int n = Math.max(0, prompt.length - 1) / blockBytes;
-        long[] out = new long[n];
-        MessageDigest d = Digest.sha256();
-        byte[] link = d.digest((service + "\n" + weights + "\n" + wall).getBytes(StandardCharsets.UTF_8));
-        for (int i = 0; i < n; i++) {
-            d.update(link);
-            d.update(prompt, i * blockBytes, blockBytes);
-            link = d.digest();
-            out[i] = ByteBuffer.wrap(link).getLong();
-        }
-        return out;
+  public static long[] ids(
+      String service, String weights, String wall, byte[] prompt, int blockBytes) {
+    int n = Math.max(0, prompt.length - 1) / blockBytes;
+    long[] out = new long[n];
+    MessageDigest d = Digest.sha256();
+    byte[] link =
+        d.digest((service + "\n" + weights + "\n" + wall).getBytes(StandardCharsets.UTF_8));
+    for (int i = 0; i < n; i++) {
+      d.update(link);
+      d.update(prompt, i * blockBytes, blockBytes);
+      link = d.digest();
+      out[i] = ByteBuffer.wrap(link).getLong();
     }
+    return out;
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Decision.java
+++ b/data-plane/src/main/java/gladelug/data/request/Decision.java
@@ -15,57 +15,62 @@
 import java.util.List;
 
 public final class Decision {
-    private record Reason(String stage, long at, JsonObject what) {}
+  private record Reason(String stage, long at, JsonObject what) {}
 
-    public final String id;
-    public final long nr;
-    /** The caller's own id of it, where it has one. */
-    String alias = "";
-    private final long came;
-    private final String wall = Instant.now().toString();
-    private List<Reason> reasons = new ArrayList<>(10);
-    private byte[] ended;
-    private String outcome = "";
+  public final String id;
+  public final long nr;
 
-    public Decision(String id, long nr, long came) {
-        this.id = id;
-        this.nr = nr;
-        this.came = came;
-    }
+  /** The caller's own id of it, where it has one. */
+  String alias = "";
 
-    public synchronized void add(String stage, long now, JsonObject what) {
-        if (ended == null) reasons.add(new Reason(stage, now - came, what));
-    }
+  private final long came;
+  private final String wall = Instant.now().toString();
+  private List<Reason> reasons = new ArrayList<>(10);
+  private byte[] ended;
+  private String outcome = "";
 
-    public synchronized void outcome(String o) {
-        outcome = o;
-    }
+  public Decision(String id, long nr, long came) {
+    this.id = id;
+    this.nr = nr;
+    this.came = came;
+  }
 
-    public synchronized String outcome() {
-        return outcome;
-    }
+  public synchronized void add(String stage, long now, JsonObject what) {
+    if (ended == null) reasons.add(new Reason(stage, now - came, what));
+  }
 
-    /** Nothing is added from now on. */
-    public synchronized void end() {
-        if (ended != null) return;
-        ended = json().toString().getBytes(StandardCharsets.UTF_8);
-        reasons = null;
-    }
+  public synchronized void outcome(String o) {
+    outcome = o;
+  }
 
-    /** The record as text, whole or so far. */
-    public synchronized byte[] bytes() {
-        return ended != null ? ended : json().toString().getBytes(StandardCharsets.UTF_8);
-    }
+  public synchronized String outcome() {
+    return outcome;
+  }
+
+  /** Nothing is added from now on. */
+  public synchronized void end() {
+    if (ended != null) return;
+    ended = json().toString().getBytes(StandardCharsets.UTF_8);
+    reasons = null;
+  }
+
+  /** The record as text, whole or so far. */
+  public synchronized byte[] bytes() {
+    return ended != null ? ended : json().toString().getBytes(StandardCharsets.UTF_8);
+  }
 
-    public synchronized JsonObject json() {
-        if (ended != null) return Json.parse(new String(ended, StandardCharsets.UTF_8)).asObject();
-        JsonArray a = new JsonArray();
-        for (Reason r : reasons) {
-            JsonObject o = Json.object().add("stage", r.stage).add("atMs", r.at);
-            r.what.forEach(m -> o.add(m.getName(), m.getValue()));
-            a.add(o);
-        }
-        return Json.object().add("order", id).add("came", wall).add("outcome", outcome.isEmpty() ? "live" : outcome)
-            .add("stages", a);
+  public synchronized JsonObject json() {
+    if (ended != null) return Json.parse(new String(ended, StandardCharsets.UTF_8)).asObject();
+    JsonArray a = new JsonArray();
+    for (Reason r : reasons) {
+      JsonObject o = Json.object().add("stage", r.stage).add("atMs", r.at);
+      r.what.forEach(m -> o.add(m.getName(), m.getValue()));
+      a.add(o);
     }
+    return Json.object()
+        .add("order", id)
+        .add("came", wall)
+        .add("outcome", outcome.isEmpty() ? "live" : outcome)
+        .add("stages", a);
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Head.java
+++ b/data-plane/src/main/java/gladelug/data/request/Head.java
@@ -7,5 +7,5 @@
 import java.util.Map;
 
 public record Head(int status, List<Map.Entry<String, String>> headers) {
-    public static final Head PLAIN = new Head(200, List.of());
+  public static final Head PLAIN = new Head(200, List.of());
 }
--- a/data-plane/src/main/java/gladelug/data/request/Message.java
+++ b/data-plane/src/main/java/gladelug/data/request/Message.java
@@ -8,11 +8,16 @@
 import java.util.List;
 import java.util.Map;
 
-public record Message(String id, String method, String target, List<Map.Entry<String, String>> headers, Buffer body,
+public record Message(
+    String id,
+    String method,
+    String target,
+    List<Map.Entry<String, String>> headers,
+    Buffer body,
     String lastEvent) {
-    public static final Message NONE = new Message("", "POST", "/", List.of(), Buffer.buffer(), "");
+  public static final Message NONE = new Message("", "POST", "/", List.of(), Buffer.buffer(), "");
 
-    public Message {
-        headers = List.copyOf(headers);
-    }
+  public Message {
+    headers = List.copyOf(headers);
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Prompt.java
+++ b/data-plane/src/main/java/gladelug/data/request/Prompt.java
@@ -9,43 +9,47 @@
 import java.util.List;
 
 public sealed interface Prompt {
-    Prompt NONE = new Parts(List.of());
+  Prompt NONE = new Parts(List.of());
 
-    /** The keys of the prefix blocks under these; blockBytes is what the replicas cut text into. */
-    long[] keys(String model, String weights, String wall, int blockBytes);
+  /** The keys of the prefix blocks under these; blockBytes is what the replicas cut text into. */
+  long[] keys(String model, String weights, String wall, int blockBytes);
 
-    /** The size of the block at i, in units. */
-    int units(int i);
+  /** The size of the block at i, in units. */
+  int units(int i);
 
-    /** A prompt as text. */
-    record Text(String text) implements Prompt {
-        @Override public long[] keys(String model, String weights, String wall, int blockBytes) {
-            return Blocks.ids(model, weights, wall, text.getBytes(StandardCharsets.UTF_8), blockBytes);
-        }
+  /** A prompt as text. */
+  record Text(String text) implements Prompt {
+    @Override
+    public long[] keys(String model, String weights, String wall, int blockBytes) {
+      return Blocks.ids(model, weights, wall, text.getBytes(StandardCharsets.UTF_8), blockBytes);
+    }
+
+    @Override
+    public int units(int i) {
+      return 1;
+    }
+  }
+
+  /** A named part of a prompt and its tokens. */
+  record Part(String id, int tokens) {}
+
+  /** A prompt as its parts in order. */
+  record Parts(List<Part> parts) implements Prompt {
+    public Parts {
+      parts = List.copyOf(parts);
+    }
 
-        @Override public int units(int i) {
-            return 1;
-        }
+    @Override
+    public long[] keys(String model, String weights, String wall, int blockBytes) {
+      String salt = Salt.of(model, weights, wall);
+      long[] out = new long[parts.size()];
+      for (int i = 0; i < out.length; i++) out[i] = Salt.key(salt, parts.get(i).id);
+      return out;
     }
 
-    /** A named part of a prompt and its tokens. */
-    record Part(String id, int tokens) {}
-
-    /** A prompt as its parts in order. */
-    record Parts(List<Part> parts) implements Prompt {
-        public Parts {
-            parts = List.copyOf(parts);
-        }
-
-        @Override public long[] keys(String model, String weights, String wall, int blockBytes) {
-            String salt = Salt.of(model, weights, wall);
-            long[] out = new long[parts.size()];
-            for (int i = 0; i < out.length; i++) out[i] = Salt.key(salt, parts.get(i).id);
-            return out;
-        }
-
-        @Override public int units(int i) {
-            return parts.get(i).tokens;
-        }
+    @Override
+    public int units(int i) {
+      return parts.get(i).tokens;
     }
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -12,96 +12,123 @@
 import java.util.function.Consumer;
 
 public final class Request {
-    public final State state = new State();
-    public final Decision decision;
-    public final long came;
-    public final String keyHash;
-    public final String path;
-    public final Caller caller;
-    public Configuration.Tenant tenant;
-    public Configuration.Route route;
-    public Configuration.Service service;
-    public String leaf = "";
-    public long deadline;
-    public long handedAt;
-    public boolean repeatable;
-    /** What the caller said of it, or null. */
-    public Boolean askedRepeatable;
-    /** Of the path's host, empty where the caller names none. */
-    public String host = "";
-    public Message message = Message.NONE;
-    public Prompt prompt = Prompt.NONE;
-    /** Whose weights it runs on: the model it names, or its service. */
-    public String model = "";
-    public int maxPieces;
-    /** Tokens put out at most, as the caller said; 0 where it didn't. */
-    public int tokensOut;
-    /** How long the caller waits in all, in ms; 0 where it didn't say. */
-    public long patienceMs;
-    /** Told by the caller that what it sends may be taken up in the middle, after this event. */
-    public String lastEvent = "";
-    public Head head;
-    /** Why it was refused or cut off, for the log. */
-    public String why = "";
-    /** The only replica that may be chosen now, or null. */
-    public Backend only;
-    /** From 0 to 1, the same for every try at the same replicas: which part of a split route it takes. */
-    public double draw;
-    public String weights = "";
-    public String wall = "";
-    public long[] blocks = new long[0];
-    public List<Lookup.Match> matches = List.of();
-    public Backend backend;
-    public int matched;
-    public String fetchFrom = "";
-    public int fetchBlocks;
-    /** What the choice reckoned with: units to compute, ms of that and of pulling, ms in the replica's queue. */
-    public int computeUnits;
-    public double workMs;
-    public double queueMs;
-    public int tries;
-    /** A replica had it and didn't say that it did not run it, so nothing may be called not-run any more. */
-    public boolean mayHaveRun;
-    public int choices;
-    public boolean admitted;
-    public int piecesOut;
-    public boolean gone;
-    public Runnable cancel = () -> {};
-    /** Told why, where its replica is known to be silent; nothing more of it counts then. */
-    public Consumer<String> lost = why -> {};
-    public Consumer<Verdict> leaveQueue;
-
-    /** The caller's side of a request. */
-    public interface Caller {
-        void refuse(Request o, Verdict.Refuse v);
-
-        /** False where the caller can't take more for now; ready is then called once. */
-        boolean piece(Request o, Buffer piece, Runnable ready);
-
-        /** Before the first piece, once. */
-        default void head(Request o, Head h) {}
-
-        void complete(Request o, int pieces);
-
-        void cutOff(Request o, String why);
-    }
-
-    public Request(Decision d, long came, String keyHash, String path, Caller caller) {
-        this.decision = d;
-        this.came = came;
-        this.keyHash = keyHash;
-        this.path = path;
-        this.caller = caller;
-    }
-
-    /** What it takes of a replica's memory, in units: its prompt and what is put out at most. */
-    public int units() {
-        int u = tokensOut;
-        for (int i = 0; i < blocks.length; i++) u += prompt.units(i);
-        return u;
-    }
-
-    public String id() {
-        return decision.id;
-    }
+  public final State state = new State();
+  public final Decision decision;
+  public final long came;
+  public final String keyHash;
+  public final String path;
+  public final Caller caller;
+  public Configuration.Tenant tenant;
+  public Configuration.Route route;
+  public Configuration.Service service;
+  public String leaf = "";
+  public long deadline;
+  public long handedAt;
+  public boolean repeatable;
+
+  /** What the caller said of it, or null. */
+  public Boolean askedRepeatable;
+
+  /** Of the path's host, empty where the caller names none. */
+  public String host = "";
+
+  public Message message = Message.NONE;
+  public Prompt prompt = Prompt.NONE;
+
+  /** Whose weights it runs on: the model it names, or its service. */
+  public String model = "";
+
+  public int maxPieces;
+
+  /** Tokens put out at most, as the caller said; 0 where it didn't. */
+  public int tokensOut;
+
+  /** How long the caller waits in all, in ms; 0 where it didn't say. */
+  public long patienceMs;
+
+  /** Told by the caller that what it sends may be taken up in the middle, after this event. */
+  public String lastEvent = "";
+
+  public Head head;
+
+  /** Why it was refused or cut off, for the log. */
+  public String why = "";
+
+  /** The only replica that may be chosen now, or null. */
+  public Backend only;
+
+  /**
+   * From 0 to 1, the same for every try at the same replicas: which part of a split route it takes.
+   */
+  public double draw;
+
+  public String weights = "";
+  public String wall = "";
+  public long[] blocks = new long[0];
+  public List<Lookup.Match> matches = List.of();
+  public Backend backend;
+  public int matched;
+  public String fetchFrom = "";
+  public int fetchBlocks;
+
+  /**
+   * What the choice reckoned with: units to compute, ms of that and of pulling, ms in the replica's
+   * queue.
+   */
+  public int computeUnits;
+
+  public double workMs;
+  public double queueMs;
+  public int tries;
+
+  /**
+   * A replica had it and didn't say that it did not run it, so nothing may be called not-run any
+   * more.
+   */
+  public boolean mayHaveRun;
+
+  public int choices;
+  public boolean admitted;
+  public int piecesOut;
+  public boolean gone;
+  public Runnable cancel = () -> {};
+
+  /** Told why, where its replica is known to be silent; nothing more of it counts then. */
+  public Consumer<String> lost = why -> {};
+
+  public Consumer<Verdict> leaveQueue;
+
+  /** The caller's side of a request. */
+  public interface Caller {
+    void refuse(Request o, Verdict.Refuse v);
+
+    /** False where the caller can't take more for now; ready is then called once. */
+    boolean piece(Request o, Buffer piece, Runnable ready);
+
+    /** Before the first piece, once. */
+    default void head(Request o, Head h) {}
+
+    void complete(Request o, int pieces);
+
+    void cutOff(Request o, String why);
+  }
+
+  public Request(Decision d, long came, String keyHash, String path, Caller caller) {
+    this.decision = d;
+    this.came = came;
+    this.keyHash = keyHash;
+    this.path = path;
+    this.caller = caller;
+  }
+
+  /** What it takes of a replica's memory, in units: its prompt and what is put out at most. */
+  public int units() {
+    int u = tokensOut;
+    for (int i = 0; i < blocks.length; i++) u += prompt.units(i);
+    return u;
+  }
+
+  public String id() {
+    return decision.id;
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Salt.java
+++ b/data-plane/src/main/java/gladelug/data/request/Salt.java
@@ -12,19 +12,22 @@
 import java.util.HexFormat;
 
 public final class Salt {
-    private static final int BYTES = 10;
+  private static final int BYTES = 10;
 
-    private Salt() {}
+  private Salt() {}
 
-    /** 20 hex digits; wall is empty for tenants that share. */
-    public static String of(String model, String weights, String wall) {
-        byte[] d = Digest.sha256()
+  /** 20 hex digits; wall is empty for tenants that share. */
+  public static String of(String model, String weights, String wall) {
+    byte[] d =
+        Digest.sha256()
             .digest((model + "\n" + weights + "\n" + wall).getBytes(StandardCharsets.UTF_8));
-        return HexFormat.of().formatHex(d, 0, BYTES);
-    }
+    return HexFormat.of().formatHex(d, 0, BYTES);
+  }
 
-    /** The index's key of a part kept under a salt. */
-    public static long key(String salt, String part) {
-        return ByteBuffer.wrap(Digest.sha256().digest((salt + "/" + part).getBytes(StandardCharsets.UTF_8))).getLong();
-    }
+  /** The index's key of a part kept under a salt. */
+  public static long key(String salt, String part) {
+    return ByteBuffer.wrap(
+            Digest.sha256().digest((salt + "/" + part).getBytes(StandardCharsets.UTF_8)))
+        .getLong();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Stage.java
+++ b/data-plane/src/main/java/gladelug/data/request/Stage.java
@@ -7,16 +7,17 @@
 import io.smallrye.mutiny.Uni;
 
 public interface Stage {
-    String name();
+  String name();
 
-    Uni<Verdict> pass(Request o);
+  Uni<Verdict> pass(Request o);
 
-    /** For stages that decide at once. */
-    interface AtOnce extends Stage {
-        Verdict decide(Request o);
+  /** For stages that decide at once. */
+  interface AtOnce extends Stage {
+    Verdict decide(Request o);
 
-        @Override default Uni<Verdict> pass(Request o) {
-            return Uni.createFrom().item(decide(o));
-        }
+    @Override
+    default Uni<Verdict> pass(Request o) {
+      return Uni.createFrom().item(decide(o));
     }
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/State.java
+++ b/data-plane/src/main/java/gladelug/data/request/State.java
@@ -8,20 +8,25 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 public final class State {
-    public enum At { WAITING, HANDED, STREAMING, ENDED }
+  public enum At {
+    WAITING,
+    HANDED,
+    STREAMING,
+    ENDED
+  }
 
-    private final AtomicInteger at = new AtomicInteger(At.WAITING.ordinal());
+  private final AtomicInteger at = new AtomicInteger(At.WAITING.ordinal());
 
-    public At at() {
-        return At.values()[at.get()];
-    }
+  public At at() {
+    return At.values()[at.get()];
+  }
 
-    public boolean step(At from, At to) {
-        return at.compareAndSet(from.ordinal(), to.ordinal());
-    }
+  public boolean step(At from, At to) {
+    return at.compareAndSet(from.ordinal(), to.ordinal());
+  }
 
-    /** True for exactly one caller, whatever the request was at. */
-    public boolean end() {
-        return at.getAndSet(At.ENDED.ordinal()) != At.ENDED.ordinal();
-    }
+  /** True for exactly one caller, whatever the request was at. */
+  public boolean end() {
+    return at.getAndSet(At.ENDED.ordinal()) != At.ENDED.ordinal();
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Verdict.java
+++ b/data-plane/src/main/java/gladelug/data/request/Verdict.java
@@ -4,23 +4,23 @@
 package gladelug.data.request;
 
 public sealed interface Verdict {
-    record Go() implements Verdict {}
+  record Go() implements Verdict {}
 
-    /** To the choice of a replica once more; why goes into the decision. */
-    record Again(String why) implements Verdict {}
+  /** To the choice of a replica once more; why goes into the decision. */
+  record Again(String why) implements Verdict {}
 
-    record Ended() implements Verdict {}
+  record Ended() implements Verdict {}
 
-    /** outcome is not-run or unknown; retryMs 0 is no advice. */
-    record Refuse(int status, String outcome, String reason, long retryMs) implements Verdict {}
+  /** outcome is not-run or unknown; retryMs 0 is no advice. */
+  record Refuse(int status, String outcome, String reason, long retryMs) implements Verdict {}
 
-    Verdict GO = new Go(), ENDED = new Ended();
+  Verdict GO = new Go(), ENDED = new Ended();
 
-    static Verdict notRun(int status, String reason, long retryMs) {
-        return new Refuse(status, "not-run", reason, retryMs);
-    }
+  static Verdict notRun(int status, String reason, long retryMs) {
+    return new Refuse(status, "not-run", reason, retryMs);
+  }
 
-    static Verdict unknown(int status, String reason) {
-        return new Refuse(status, "unknown", reason, 1000);
-    }
+  static Verdict unknown(int status, String reason) {
+    return new Refuse(status, "unknown", reason, 1000);
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Way.java
+++ b/data-plane/src/main/java/gladelug/data/request/Way.java
@@ -11,73 +11,86 @@
 import java.util.function.Consumer;
 
 public final class Way {
-    private static final int CHOICES = 6;
-    private final List<Stage> stages;
-    private final int choice;
-    private final Clock clock;
-    private final Consumer<Request> ended;
+  private static final int CHOICES = 6;
+  private final List<Stage> stages;
+  private final int choice;
+  private final Clock clock;
+  private final Consumer<Request> ended;
 
-    public Way(List<Stage> stages, String choiceStage, Clock clock, Consumer<Request> ended) {
-        this.stages = List.copyOf(stages);
-        int c = 0;
-        for (int i = 0; i < stages.size(); i++) if (stages.get(i).name().equals(choiceStage)) c = i;
-        this.choice = c;
-        this.clock = clock;
-        this.ended = ended;
-    }
+  public Way(List<Stage> stages, String choiceStage, Clock clock, Consumer<Request> ended) {
+    this.stages = List.copyOf(stages);
+    int c = 0;
+    for (int i = 0; i < stages.size(); i++) if (stages.get(i).name().equals(choiceStage)) c = i;
+    this.choice = c;
+    this.clock = clock;
+    this.ended = ended;
+  }
 
-    public void go(Request o) {
-        step(o, 0);
-    }
+  public void go(Request o) {
+    step(o, 0);
+  }
 
-    private void step(Request o, int i) {
-        Stage s = stages.get(i);
-        s.pass(o).subscribe().with(v -> next(o, i, v), t -> {
-            Log.thrown("stage-problem", t, "stage", s.name(), "order", o.id());
-            boolean handed = o.state.at() != State.At.WAITING;
-            next(o, i,
-                handed
-                    ? Verdict.unknown(502, "an internal problem")
-                    : Verdict.notRun(503, "an internal problem", 1000));
-        });
-    }
+  private void step(Request o, int i) {
+    Stage s = stages.get(i);
+    s.pass(o)
+        .subscribe()
+        .with(
+            v -> next(o, i, v),
+            t -> {
+              Log.thrown("stage-problem", t, "stage", s.name(), "order", o.id());
+              boolean handed = o.state.at() != State.At.WAITING;
+              next(
+                  o,
+                  i,
+                  handed
+                      ? Verdict.unknown(502, "an internal problem")
+                      : Verdict.notRun(503, "an internal problem", 1000));
+            });
+  }
 
-    private void next(Request o, int i, Verdict v) {
-        if (v instanceof Verdict.Go) step(o, i + 1);
-        else if (v instanceof Verdict.Again a) {
-            o.decision.add("again", clock.now(), Json.object().add("why", a.why()));
-            if (++o.choices > CHOICES) refuse(o, (Verdict.Refuse) Verdict.notRun(503, "no replica took it", 500));
-            else step(o, choice);
-        } else if (v instanceof Verdict.Refuse t) refuse(o, t);
-        else ended.accept(o);
-    }
+  private void next(Request o, int i, Verdict v) {
+    if (v instanceof Verdict.Go) step(o, i + 1);
+    else if (v instanceof Verdict.Again a) {
+      o.decision.add("again", clock.now(), Json.object().add("why", a.why()));
+      if (++o.choices > CHOICES)
+        refuse(o, (Verdict.Refuse) Verdict.notRun(503, "no replica took it", 500));
+      else step(o, choice);
+    } else if (v instanceof Verdict.Refuse t) refuse(o, t);
+    else ended.accept(o);
+  }
 
-    private void refuse(Request o, Verdict.Refuse v) {
-        if (o.piecesOut > 0) {
-            cutOff(o, v.reason());
-            return;
-        }
-        Verdict.Refuse t = !o.mayHaveRun || v.outcome().equals("unknown")
+  private void refuse(Request o, Verdict.Refuse v) {
+    if (o.piecesOut > 0) {
+      cutOff(o, v.reason());
+      return;
+    }
+    Verdict.Refuse t =
+        !o.mayHaveRun || v.outcome().equals("unknown")
             ? v
-            : new Verdict.Refuse(502, "unknown", v.reason() + ", and an earlier try may have run", v.retryMs());
-        if (!o.state.end()) {
-            ended.accept(o);
-            return;
-        }
-        o.decision.add("turned-away", clock.now(), Json.object().add("status", t.status()).add("reason", t.reason()));
-        o.decision.outcome(t.outcome());
-        o.why = t.reason();
-        if (!o.gone) o.caller.refuse(o, t);
-        ended.accept(o);
+            : new Verdict.Refuse(
+                502, "unknown", v.reason() + ", and an earlier try may have run", v.retryMs());
+    if (!o.state.end()) {
+      ended.accept(o);
+      return;
     }
+    o.decision.add(
+        "turned-away",
+        clock.now(),
+        Json.object().add("status", t.status()).add("reason", t.reason()));
+    o.decision.outcome(t.outcome());
+    o.why = t.reason();
+    if (!o.gone) o.caller.refuse(o, t);
+    ended.accept(o);
+  }
 
-    /** A stream that broke and that nobody takes up. */
-    private void cutOff(Request o, String why) {
-        if (o.state.end()) {
-            o.decision.add("cut-off", clock.now(), Json.object().add("why", why).add("pieces", o.piecesOut));
-            o.decision.outcome("cut-off");
-            if (!o.gone) o.caller.cutOff(o, why);
-        }
-        ended.accept(o);
+  /** A stream that broke and that nobody takes up. */
+  private void cutOff(Request o, String why) {
+    if (o.state.end()) {
+      o.decision.add(
+          "cut-off", clock.now(), Json.object().add("why", why).add("pieces", o.piecesOut));
+      o.decision.outcome("cut-off");
+      if (!o.gone) o.caller.cutOff(o, why);
     }
+    ended.accept(o);
+  }
 }
