--- a/data-plane/src/test/java/gladelug/data/index/FleetSummaryTest.java
+++ b/data-plane/src/test/java/gladelug/data/index/FleetSummaryTest.java
@@ -23,263 +23,308 @@
 import org.junit.jupiter.api.Test;
 
 final class FleetSummaryTest {
-    private static final int WHOLE = 256;
+  private static final int WHOLE = 256;
 
-    private static Tables tables(int holders) {
-        Configuration c = ((Result.Good<Configuration>) Configuration.parse(
-            "{\"services\": [{\"name\": \"m\", \"allow\": [\"10.0.0.0/16\"]},"
-                + " {\"name\": \"a\", \"kind\": \"application\", \"allow\": [\"10.0.0.0/16\"]}],"
-                + " \"mappings\": [], \"tenants\": []}"))
+  private static Tables tables(int holders) {
+    Configuration c =
+        ((Result.Good<Configuration>)
+                Configuration.parse(
+                    "{\"services\": [{\"name\": \"m\", \"allow\": [\"10.0.0.0/16\"]},"
+                        + " {\"name\": \"a\", \"kind\": \"application\", \"allow\": [\"10.0.0.0/16\"]}],"
+                        + " \"mappings\": [], \"tenants\": []}"))
             .value();
-        List<Replicas.Replica> rs = new ArrayList<>();
-        for (int h = 0; h < holders; h++)
-            rs.add(new Replicas.Replica("m", "h" + h, Address.of("10.0." + h / 200 + "." + (1 + h % 200) + ":80"), "z",
-                true));
-        rs.add(new Replicas.Replica("a", "no-holder", Address.of("10.0.200.1:80"), "z", true));
-        rs.add(new Replicas.Replica("m", "not-allowed", Address.of("10.9.0.1:80"), "z", true));
-        return new Tables(1, "", c, 0, Weights.NONE, 1, new Replicas(rs), 0, CoreList.NONE);
-    }
+    List<Replicas.Replica> rs = new ArrayList<>();
+    for (int h = 0; h < holders; h++)
+      rs.add(
+          new Replicas.Replica(
+              "m",
+              "h" + h,
+              Address.of("10.0." + h / 200 + "." + (1 + h % 200) + ":80"),
+              "z",
+              true));
+    rs.add(new Replicas.Replica("a", "no-holder", Address.of("10.0.200.1:80"), "z", true));
+    rs.add(new Replicas.Replica("m", "not-allowed", Address.of("10.9.0.1:80"), "z", true));
+    return new Tables(1, "", c, 0, Weights.NONE, 1, new Replicas(rs), 0, CoreList.NONE);
+  }
 
-    /** Holders that were asked for their list and gave an empty one, in the order of their names' numbers. */
-    private static Holder[] follow(FleetSummary s, int holders) {
-        s.holders(tables(holders), 0);
-        Holder[] hs = new Holder[holders];
-        for (Holder h : s.all()) {
-            hs[Integer.parseInt(h.replica.instance().substring(1))] = h;
-            h.tried = true;
-            h.lists(nr -> h.feed.listed(nr, BlockList.whole("i", 0, new long[0])));
-            h.feed.resync(0);
-        }
-        return hs;
+  /**
+   * Holders that were asked for their list and gave an empty one, in the order of their names'
+   * numbers.
+   */
+  private static Holder[] follow(FleetSummary s, int holders) {
+    s.holders(tables(holders), 0);
+    Holder[] hs = new Holder[holders];
+    for (Holder h : s.all()) {
+      hs[Integer.parseInt(h.replica.instance().substring(1))] = h;
+      h.tried = true;
+      h.lists(nr -> h.feed.listed(nr, BlockList.whole("i", 0, new long[0])));
+      h.feed.resync(0);
     }
+    return hs;
+  }
 
-    private static List<Lookup.Match> ask(FleetSummary s, long... blocks) {
-        Lookup.Answer a = s.answer(new Lookup.Question(1, blocks));
-        Assertions.assertTrue(a.warm());
-        return a.matches();
-    }
+  private static List<Lookup.Match> ask(FleetSummary s, long... blocks) {
+    Lookup.Answer a = s.answer(new Lookup.Question(1, blocks));
+    Assertions.assertTrue(a.warm());
+    return a.matches();
+  }
 
-    private static int entries(FleetSummary s) {
-        return s.json(0).getInt("entries", -1);
-    }
+  private static int entries(FleetSummary s) {
+    return s.json(0).getInt("entries", -1);
+  }
 
-    @Test void repeatedStoresKeepOneEntryAndPartialEvictionsTellUnits() {
-        FleetSummary s = new FleetSummary(16);
-        Holder h = follow(s, 1)[0];
-        long n = 0;
-        for (int i = 1; i <= 4; i++) h.feed.event(CacheEvent.store("i", ++n, 11, 64 * i), 1);
-        h.feed.event(CacheEvent.store("i", ++n, 12, WHOLE), 1);
-        h.feed.event(CacheEvent.store("i", ++n, 13, WHOLE), 1);
-        Assertions.assertEquals(3, entries(s));
-        Assertions.assertEquals(List.of(new Lookup.Match("h0", 3, 0)), ask(s, 11, 12, 13, 14));
-        h.feed.event(CacheEvent.evict("i", ++n, 12, 100), 1);
-        Assertions.assertEquals(3, entries(s));
-        Assertions.assertEquals(List.of(new Lookup.Match("h0", 1, 100)), ask(s, 11, 12, 13));
-        h.feed.event(CacheEvent.store("i", ++n, 12, 100), 1);
-        Assertions.assertEquals(List.of(new Lookup.Match("h0", 1, 100)), ask(s, 11, 12, 13), "it has not grown");
-        h.feed.event(CacheEvent.store("i", ++n, 12, 200), 1);
-        Assertions.assertEquals(List.of(new Lookup.Match("h0", 3, 0)), ask(s, 11, 12, 13), "counts as whole");
-        h.feed.event(new CacheEvent("i", ++n, 11, 32, true, false), 1);
-        Assertions.assertEquals(List.of(new Lookup.Match("h0", 0, 32)), ask(s, 11, 12, 13), "the first in part");
-        h.feed.event(CacheEvent.evict("i", ++n, 11, 0), 1);
-        h.feed.event(CacheEvent.evict("i", ++n, 11, 0), 1);
-        Assertions.assertEquals(List.of(), ask(s, 11, 12, 13));
-        Assertions.assertEquals(2, entries(s));
-        h.feed.event(CacheEvent.store("i", ++n, 11, 10), 1);
-        Assertions.assertEquals(List.of(new Lookup.Match("h0", 3, 0)), ask(s, 11, 12, 13), "the part is forgotten");
-    }
+  @Test
+  void repeatedStoresKeepOneEntryAndPartialEvictionsTellUnits() {
+    FleetSummary s = new FleetSummary(16);
+    Holder h = follow(s, 1)[0];
+    long n = 0;
+    for (int i = 1; i <= 4; i++) h.feed.event(CacheEvent.store("i", ++n, 11, 64 * i), 1);
+    h.feed.event(CacheEvent.store("i", ++n, 12, WHOLE), 1);
+    h.feed.event(CacheEvent.store("i", ++n, 13, WHOLE), 1);
+    Assertions.assertEquals(3, entries(s));
+    Assertions.assertEquals(List.of(new Lookup.Match("h0", 3, 0)), ask(s, 11, 12, 13, 14));
+    h.feed.event(CacheEvent.evict("i", ++n, 12, 100), 1);
+    Assertions.assertEquals(3, entries(s));
+    Assertions.assertEquals(List.of(new Lookup.Match("h0", 1, 100)), ask(s, 11, 12, 13));
+    h.feed.event(CacheEvent.store("i", ++n, 12, 100), 1);
+    Assertions.assertEquals(
+        List.of(new Lookup.Match("h0", 1, 100)), ask(s, 11, 12, 13), "it has not grown");
+    h.feed.event(CacheEvent.store("i", ++n, 12, 200), 1);
+    Assertions.assertEquals(
+        List.of(new Lookup.Match("h0", 3, 0)), ask(s, 11, 12, 13), "counts as whole");
+    h.feed.event(new CacheEvent("i", ++n, 11, 32, true, false), 1);
+    Assertions.assertEquals(
+        List.of(new Lookup.Match("h0", 0, 32)), ask(s, 11, 12, 13), "the first in part");
+    h.feed.event(CacheEvent.evict("i", ++n, 11, 0), 1);
+    h.feed.event(CacheEvent.evict("i", ++n, 11, 0), 1);
+    Assertions.assertEquals(List.of(), ask(s, 11, 12, 13));
+    Assertions.assertEquals(2, entries(s));
+    h.feed.event(CacheEvent.store("i", ++n, 11, 10), 1);
+    Assertions.assertEquals(
+        List.of(new Lookup.Match("h0", 3, 0)), ask(s, 11, 12, 13), "the part is forgotten");
+  }
 
-    @Test void aListTellsParts() {
-        FleetSummary s = new FleetSummary(16);
-        Holder h = follow(s, 1)[0];
-        BitSet parts = new BitSet();
-        parts.set(1);
-        h.lists(nr -> h.feed.listed(nr,
-            new BlockList("i", 5, new long[]{1, 2, 3, 4}, new int[]{WHOLE, 40, WHOLE, 0}, parts)));
-        h.feed.resync(1000);
-        Assertions.assertEquals(3, entries(s));
-        Assertions.assertEquals(List.of(new Lookup.Match("h0", 1, 40)), ask(s, 1, 2, 3));
-    }
+  @Test
+  void aListTellsParts() {
+    FleetSummary s = new FleetSummary(16);
+    Holder h = follow(s, 1)[0];
+    BitSet parts = new BitSet();
+    parts.set(1);
+    h.lists(
+        nr ->
+            h.feed.listed(
+                nr,
+                new BlockList(
+                    "i", 5, new long[] {1, 2, 3, 4}, new int[] {WHOLE, 40, WHOLE, 0}, parts)));
+    h.feed.resync(1000);
+    Assertions.assertEquals(3, entries(s));
+    Assertions.assertEquals(List.of(new Lookup.Match("h0", 1, 40)), ask(s, 1, 2, 3));
+  }
 
-    /** Holders' truth: units kept of each block. Gives how many entries a collision of fingerprints took away. */
-    private static int historyAgainstTruth(int fingerprintBits, int holders, int blocks, long seed) {
-        SplittableRandom r = new SplittableRandom(seed);
-        FleetSummary s = new FleetSummary(fingerprintBits);
-        CuckooSummary twin = new CuckooSummary(1 << 12, fingerprintBits, CuckooSummary.SLOTS, 512, 1);
-        Holder[] hs = follow(s, holders);
-        List<Map<Long, Integer>> truth = new ArrayList<>();
-        for (int h = 0; h < holders; h++) truth.add(new HashMap<>());
-        long[] nr = new long[holders];
-        for (int i = 0; i < 60_000; i++) {
-            int h = r.nextInt(holders);
-            long b = CuckooSummary.mix(1 + r.nextInt(blocks));
-            int had = truth.get(h).getOrDefault(b, 0);
-            boolean store = had < WHOLE && r.nextBoolean();
-            int kept = store
-                ? Math.min(WHOLE, had + 64 * (1 + r.nextInt(4)))
-                : r.nextInt(3) == 0 ? had / 2 : 0;
-            hs[h].feed.event(new CacheEvent("i", ++nr[h], b, kept, kept < WHOLE && kept > 0, false), i);
-            if (kept == 0) truth.get(h).remove(b);
-            else truth.get(h).put(b, kept);
-        }
-        int missing = 0, kept = 0;
-        for (int i = 1; i <= blocks; i++) {
-            long b = CuckooSummary.mix(i);
-            Map<String, Lookup.Match> found = new HashMap<>();
-            for (Lookup.Match m : ask(s, b)) found.put(m.holder(), m);
-            for (int h = 0; h < holders; h++) {
-                int units = truth.get(h).getOrDefault(b, 0);
-                Lookup.Match m = found.get("h" + h);
-                boolean alone = true;
-                for (int j = 1; j <= blocks; j++) alone &= j == i || !twin.alike(b, CuckooSummary.mix(j));
-                if (units > 0) kept++;
-                if (units > 0 && m == null) {
-                    missing++;
-                    Assertions.assertFalse(alone, "no other block has the fingerprint and buckets of " + i);
-                } else if (m != null && alone) {
-                    Assertions.assertTrue(units > 0, "found and not kept");
-                    Assertions.assertEquals(units == WHOLE ? 1 : 0, m.blocks());
-                    Assertions.assertEquals(units == WHOLE ? 0 : units, m.units());
-                }
-            }
+  /**
+   * Holders' truth: units kept of each block. Gives how many entries a collision of fingerprints
+   * took away.
+   */
+  private static int historyAgainstTruth(int fingerprintBits, int holders, int blocks, long seed) {
+    SplittableRandom r = new SplittableRandom(seed);
+    FleetSummary s = new FleetSummary(fingerprintBits);
+    CuckooSummary twin = new CuckooSummary(1 << 12, fingerprintBits, CuckooSummary.SLOTS, 512, 1);
+    Holder[] hs = follow(s, holders);
+    List<Map<Long, Integer>> truth = new ArrayList<>();
+    for (int h = 0; h < holders; h++) truth.add(new HashMap<>());
+    long[] nr = new long[holders];
+    for (int i = 0; i < 60_000; i++) {
+      int h = r.nextInt(holders);
+      long b = CuckooSummary.mix(1 + r.nextInt(blocks));
+      int had = truth.get(h).getOrDefault(b, 0);
+      boolean store = had < WHOLE && r.nextBoolean();
+      int kept =
+          store ? Math.min(WHOLE, had + 64 * (1 + r.nextInt(4))) : r.nextInt(3) == 0 ? had / 2 : 0;
+      hs[h].feed.event(new CacheEvent("i", ++nr[h], b, kept, kept < WHOLE && kept > 0, false), i);
+      if (kept == 0) truth.get(h).remove(b);
+      else truth.get(h).put(b, kept);
+    }
+    int missing = 0, kept = 0;
+    for (int i = 1; i <= blocks; i++) {
+      long b = CuckooSummary.mix(i);
+      Map<String, Lookup.Match> found = new HashMap<>();
+      for (Lookup.Match m : ask(s, b)) found.put(m.holder(), m);
+      for (int h = 0; h < holders; h++) {
+        int units = truth.get(h).getOrDefault(b, 0);
+        Lookup.Match m = found.get("h" + h);
+        boolean alone = true;
+        for (int j = 1; j <= blocks; j++) alone &= j == i || !twin.alike(b, CuckooSummary.mix(j));
+        if (units > 0) kept++;
+        if (units > 0 && m == null) {
+          missing++;
+          Assertions.assertFalse(alone, "no other block has the fingerprint and buckets of " + i);
+        } else if (m != null && alone) {
+          Assertions.assertTrue(units > 0, "found and not kept");
+          Assertions.assertEquals(units == WHOLE ? 1 : 0, m.blocks());
+          Assertions.assertEquals(units == WHOLE ? 0 : units, m.units());
         }
-        Assertions.assertTrue(kept - missing >= entries(s), kept + " kept, entries " + entries(s));
-        return missing;
+      }
     }
+    Assertions.assertTrue(kept - missing >= entries(s), kept + " kept, entries " + entries(s));
+    return missing;
+  }
 
-    @Test void withPartsItAgreesWithTheTruthButForCollisionsOfFingerprints() {
-        int missing = 0;
-        for (int seed = 1; seed <= 3; seed++) missing += historyAgainstTruth(16, 10, 300, seed);
-        Assertions.assertEquals(0, missing, "of some 9000 with f = 16");
-        int few = historyAgainstTruth(5, 10, 300, 4);
-        System.out.println("entries that collisions took away, f = 5, 10 holders, 300 blocks: " + few);
-        Assertions.assertTrue(few > 0 && few < 150, "with f = 5: " + few);
-    }
+  @Test
+  void withPartsItAgreesWithTheTruthButForCollisionsOfFingerprints() {
+    int missing = 0;
+    for (int seed = 1; seed <= 3; seed++) missing += historyAgainstTruth(16, 10, 300, seed);
+    Assertions.assertEquals(0, missing, "of some 9000 with f = 16");
+    int few = historyAgainstTruth(5, 10, 300, 4);
+    System.out.println("entries that collisions took away, f = 5, 10 holders, 300 blocks: " + few);
+    Assertions.assertTrue(few > 0 && few < 150, "with f = 5: " + few);
+  }
 
-    @Test void manyHoldersAreFoundAndTheirIdsGivenAgain() {
-        FleetSummary s = new FleetSummary(16);
-        Holder[] hs = follow(s, 300);
-        for (int h = 0; h < 300; h++) {
-            hs[h].feed.event(CacheEvent.store("i", 1, 1, 1), 1);
-            if (h % 2 == 0) hs[h].feed.event(CacheEvent.store("i", 2, 2, 1), 1);
-            else hs[h].feed.event(new CacheEvent("i", 2, 2, h, true, false), 1);
-        }
-        Set<Lookup.Match> want = new HashSet<>();
-        for (int h = 0; h < 300; h++) want.add(new Lookup.Match("h" + h, h % 2 == 0 ? 2 : 1, h % 2 == 0 ? 0 : h));
-        Assertions.assertEquals(want, new HashSet<>(ask(s, 1, 2, 3)));
-        Assertions.assertEquals(300, ask(s, 1, 2, 3).size(), "one match a holder");
-        s.holders(tables(100), 2);
-        Assertions.assertEquals(100, ask(s, 1, 2).size());
-        Assertions.assertEquals(200, entries(s));
-        s.holders(tables(300), 3);
-        Assertions.assertEquals(300, s.all().size());
-        Assertions.assertEquals(200, entries(s), "a new holder begins with nothing");
+  @Test
+  void manyHoldersAreFoundAndTheirIdsGivenAgain() {
+    FleetSummary s = new FleetSummary(16);
+    Holder[] hs = follow(s, 300);
+    for (int h = 0; h < 300; h++) {
+      hs[h].feed.event(CacheEvent.store("i", 1, 1, 1), 1);
+      if (h % 2 == 0) hs[h].feed.event(CacheEvent.store("i", 2, 2, 1), 1);
+      else hs[h].feed.event(new CacheEvent("i", 2, 2, h, true, false), 1);
     }
+    Set<Lookup.Match> want = new HashSet<>();
+    for (int h = 0; h < 300; h++)
+      want.add(new Lookup.Match("h" + h, h % 2 == 0 ? 2 : 1, h % 2 == 0 ? 0 : h));
+    Assertions.assertEquals(want, new HashSet<>(ask(s, 1, 2, 3)));
+    Assertions.assertEquals(300, ask(s, 1, 2, 3).size(), "one match a holder");
+    s.holders(tables(100), 2);
+    Assertions.assertEquals(100, ask(s, 1, 2).size());
+    Assertions.assertEquals(200, entries(s));
+    s.holders(tables(300), 3);
+    Assertions.assertEquals(300, s.all().size());
+    Assertions.assertEquals(200, entries(s), "a new holder begins with nothing");
+  }
+
+  @Test
+  void moreThanTheMostAreLeftOut() {
+    FleetSummary s = new FleetSummary(16, 70, r -> Feed.Policy.STRICT);
+    s.holders(tables(90), 0);
+    Assertions.assertEquals(70, s.all().size());
+  }
 
-    @Test void moreThanTheMostAreLeftOut() {
-        FleetSummary s = new FleetSummary(16, 70, r -> Feed.Policy.STRICT);
-        s.holders(tables(90), 0);
-        Assertions.assertEquals(70, s.all().size());
+  @Test
+  void aLargerTableIsFilledFromListsAndWaitsForTheirPause() {
+    FleetSummary s = new FleetSummary(16, 512, r -> Feed.Policy.STRICT.listPauseMs(10_000));
+    s.holders(tables(80), 0);
+    int[] lists = {0};
+    for (Holder h : s.all()) {
+      h.tried = true;
+      h.lists(
+          nr -> {
+            lists[0]++;
+            h.feed.listed(nr, BlockList.whole("i", 0, new long[] {1, 2, 3}));
+          });
+      h.feed.resync(0);
     }
+    Assertions.assertEquals(80, lists[0]);
+    s.capacity(s.all().get(0), 100_000, 1);
+    for (long t = 1; t < 10_000; t += 100) {
+      for (Holder h : s.all()) h.heard = t;
+      s.tick(t);
+      Assertions.assertEquals(80, lists[0], "before the pause is over, at " + t);
+    }
+    for (Holder h : s.all()) h.heard = 10_000;
+    s.tick(10_000);
+    Assertions.assertEquals(160, lists[0]);
+    Assertions.assertEquals(1, s.json(0).getInt("rebuilt", 0));
+    Assertions.assertTrue(s.json(0).getInt("slots", 0) >= 110_000);
+    Assertions.assertEquals(240, entries(s));
+    Assertions.assertEquals(80, ask(s, 1, 2, 3, 4).size());
+  }
 
-    @Test void aLargerTableIsFilledFromListsAndWaitsForTheirPause() {
-        FleetSummary s = new FleetSummary(16, 512, r -> Feed.Policy.STRICT.listPauseMs(10_000));
-        s.holders(tables(80), 0);
-        int[] lists = {0};
-        for (Holder h : s.all()) {
-            h.tried = true;
-            h.lists(nr -> {
-                lists[0]++;
-                h.feed.listed(nr, BlockList.whole("i", 0, new long[]{1, 2, 3}));
-            });
-            h.feed.resync(0);
-        }
-        Assertions.assertEquals(80, lists[0]);
-        s.capacity(s.all().get(0), 100_000, 1);
-        for (long t = 1; t < 10_000; t += 100) {
-            for (Holder h : s.all()) h.heard = t;
-            s.tick(t);
-            Assertions.assertEquals(80, lists[0], "before the pause is over, at " + t);
+  /**
+   * A line that loses 3 of 100 events for good, reorders and repeats others, into a tolerant feed.
+   */
+  @Test
+  void aTolerantFeedOnALossyLineStaysNearTheTruthAndAListRepairsIt() {
+    int blocks = 2000;
+    for (int seed = 1; seed <= 5; seed++) {
+      SplittableRandom r = new SplittableRandom(seed);
+      FleetSummary s =
+          new FleetSummary(
+              16,
+              512,
+              x -> Feed.Policy.STRICT.gaps(Feed.Gaps.tolerant(80, 1000)).listPauseMs(1000));
+      Holder h = follow(s, 1)[0];
+      Map<Long, Integer> truth = new HashMap<>();
+      List<CacheEvent> line = new ArrayList<>();
+      long nr = 0, now = 0, lost = 0;
+      for (int i = 0; i < 40_000 || !line.isEmpty(); i++) {
+        now += 2;
+        if (i < 40_000) {
+          long b = CuckooSummary.mix(1 + r.nextInt(blocks));
+          int had = truth.getOrDefault(b, 0);
+          int kept = had == 0 ? WHOLE : r.nextInt(3) == 0 ? had / 2 : 0;
+          CacheEvent e =
+              had == 0
+                  ? CacheEvent.store("i", ++nr, b, kept)
+                  : CacheEvent.evict("i", ++nr, b, kept);
+          if (kept == 0) truth.remove(b);
+          else truth.put(b, kept);
+          int c = r.nextInt(100);
+          if (c < 3) lost++;
+          else line.add(e);
+          if (c > 95) line.add(e);
         }
-        for (Holder h : s.all()) h.heard = 10_000;
-        s.tick(10_000);
-        Assertions.assertEquals(160, lists[0]);
-        Assertions.assertEquals(1, s.json(0).getInt("rebuilt", 0));
-        Assertions.assertTrue(s.json(0).getInt("slots", 0) >= 110_000);
-        Assertions.assertEquals(240, entries(s));
-        Assertions.assertEquals(80, ask(s, 1, 2, 3, 4).size());
-    }
+        while (line.size() > 6 || i >= 40_000 && !line.isEmpty())
+          h.feed.event(line.remove(r.nextInt(Math.min(line.size(), 6))), now);
+        if (i % 50 == 0) s.tick(now);
+      }
+      h.feed.pulse("i", nr, now);
+      for (int i = 0; i < 10; i++) s.tick(now += 100);
+      Assertions.assertEquals(1, h.feed.resyncs(), "only the list at the beginning, seed " + seed);
+      Assertions.assertEquals(nr, h.feed.applied());
+      Assertions.assertEquals(
+          lost, h.feed.missed(), "what came late or twice is not missing, seed " + seed);
+      int wrong = wrong(s, truth, blocks);
+      System.out.println(
+          "tolerant, seed "
+              + seed
+              + ": lost "
+              + lost
+              + ", wrong blocks "
+              + wrong
+              + " of "
+              + blocks);
+      // a block is wrong where its last event was lost, 3 of 100, plus slack of four deviations
+      Assertions.assertTrue(
+          wrong > 0 && wrong <= blocks * 0.03 + 4 * Math.sqrt(blocks * 0.03), "wrong " + wrong);
 
-    /** A line that loses 3 of 100 events for good, reorders and repeats others, into a tolerant feed. */
-    @Test void aTolerantFeedOnALossyLineStaysNearTheTruthAndAListRepairsIt() {
-        int blocks = 2000;
-        for (int seed = 1; seed <= 5; seed++) {
-            SplittableRandom r = new SplittableRandom(seed);
-            FleetSummary s = new FleetSummary(16, 512,
-                x -> Feed.Policy.STRICT.gaps(Feed.Gaps.tolerant(80, 1000)).listPauseMs(1000));
-            Holder h = follow(s, 1)[0];
-            Map<Long, Integer> truth = new HashMap<>();
-            List<CacheEvent> line = new ArrayList<>();
-            long nr = 0, now = 0, lost = 0;
-            for (int i = 0; i < 40_000 || !line.isEmpty(); i++) {
-                now += 2;
-                if (i < 40_000) {
-                    long b = CuckooSummary.mix(1 + r.nextInt(blocks));
-                    int had = truth.getOrDefault(b, 0);
-                    int kept = had == 0 ? WHOLE : r.nextInt(3) == 0 ? had / 2 : 0;
-                    CacheEvent e = had == 0
-                        ? CacheEvent.store("i", ++nr, b, kept)
-                        : CacheEvent.evict("i", ++nr, b,
-                            kept);
-                    if (kept == 0) truth.remove(b);
-                    else truth.put(b, kept);
-                    int c = r.nextInt(100);
-                    if (c < 3) lost++;
-                    else line.add(e);
-                    if (c > 95) line.add(e);
-                }
-                while (line.size() > 6 || i >= 40_000 && !line.isEmpty())
-                    h.feed.event(line.remove(r.nextInt(Math.min(line.size(), 6))), now);
-                if (i % 50 == 0) s.tick(now);
+      long at = nr;
+      h.lists(
+          n -> {
+            long[] bs = truth.keySet().stream().mapToLong(x -> x).toArray();
+            int[] us = new int[bs.length];
+            BitSet parts = new BitSet();
+            for (int i = 0; i < bs.length; i++) {
+              us[i] = truth.get(bs[i]);
+              parts.set(i, us[i] < WHOLE);
             }
-            h.feed.pulse("i", nr, now);
-            for (int i = 0; i < 10; i++) s.tick(now += 100);
-            Assertions.assertEquals(1, h.feed.resyncs(), "only the list at the beginning, seed " + seed);
-            Assertions.assertEquals(nr, h.feed.applied());
-            Assertions.assertEquals(lost, h.feed.missed(), "what came late or twice is not missing, seed " + seed);
-            int wrong = wrong(s, truth, blocks);
-            System.out.println("tolerant, seed " + seed + ": lost " + lost + ", wrong blocks " + wrong + " of "
-                + blocks);
-            // a block is wrong where its last event was lost, 3 of 100, plus slack of four deviations
-            Assertions.assertTrue(wrong > 0 && wrong <= blocks * 0.03 + 4 * Math.sqrt(blocks * 0.03), "wrong " + wrong);
-
-            long at = nr;
-            h.lists(n -> {
-                long[] bs = truth.keySet().stream().mapToLong(x -> x).toArray();
-                int[] us = new int[bs.length];
-                BitSet parts = new BitSet();
-                for (int i = 0; i < bs.length; i++) {
-                    us[i] = truth.get(bs[i]);
-                    parts.set(i, us[i] < WHOLE);
-                }
-                h.feed.listed(n, new BlockList("i", at, bs, us, parts));
-            });
-            h.feed.resync(now);
-            Assertions.assertEquals(0, wrong(s, truth, blocks), "after a list, seed " + seed);
-            Assertions.assertEquals(truth.size(), entries(s));
-        }
+            h.feed.listed(n, new BlockList("i", at, bs, us, parts));
+          });
+      h.feed.resync(now);
+      Assertions.assertEquals(0, wrong(s, truth, blocks), "after a list, seed " + seed);
+      Assertions.assertEquals(truth.size(), entries(s));
     }
+  }
 
-    private static int wrong(FleetSummary s, Map<Long, Integer> truth, int blocks) {
-        int wrong = 0;
-        for (int i = 1; i <= blocks; i++) {
-            long b = CuckooSummary.mix(i);
-            int units = truth.getOrDefault(b, 0);
-            List<Lookup.Match> want = units == 0
-                ? List.of()
-                : List.of(new Lookup.Match("h0", units == WHOLE ? 1 : 0, units == WHOLE ? 0 : units));
-            if (!ask(s, b).equals(want)) wrong++;
-        }
-        return wrong;
+  private static int wrong(FleetSummary s, Map<Long, Integer> truth, int blocks) {
+    int wrong = 0;
+    for (int i = 1; i <= blocks; i++) {
+      long b = CuckooSummary.mix(i);
+      int units = truth.getOrDefault(b, 0);
+      List<Lookup.Match> want =
+          units == 0
+              ? List.of()
+              : List.of(new Lookup.Match("h0", units == WHOLE ? 1 : 0, units == WHOLE ? 0 : units));
+      if (!ask(s, b).equals(want)) wrong++;
     }
+    return wrong;
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/news/LeasesTest.java
+++ b/data-plane/src/test/java/gladelug/data/news/LeasesTest.java
@@ -9,20 +9,21 @@
 import org.junit.jupiter.api.Test;
 
 final class LeasesTest {
-    private static News.Grant g(String key, long epoch, long number, int left) {
-        return new News.Grant(key, epoch, number, left, 0);
-    }
+  private static News.Grant g(String key, long epoch, long number, int left) {
+    return new News.Grant(key, epoch, number, left, 0);
+  }
 
-    @Test void countsFromTheAskingAndOnlyForTheNumberHeld() {
-        Leases l = new Leases();
-        Assertions.assertFalse(l.valid(0));
-        for (String k : Keys.LEASED) l.granted(g(k, 5, 3, 1000), 100, 3);
-        Assertions.assertEquals(100 + 1000 - 30, l.until());
-        l.granted(g("policy", 6, 4, 5000), 200, 3);
-        l.granted(g("policy", 4, 3, 5000), 200, 3);
-        Assertions.assertEquals(1070, l.until("policy"));
-        l.granted(g("policy", 7, 3, 1000), 900, 3);
-        Assertions.assertEquals(1870, l.until("policy"));
-        Assertions.assertFalse(l.valid(1070));
-    }
+  @Test
+  void countsFromTheAskingAndOnlyForTheNumberHeld() {
+    Leases l = new Leases();
+    Assertions.assertFalse(l.valid(0));
+    for (String k : Keys.LEASED) l.granted(g(k, 5, 3, 1000), 100, 3);
+    Assertions.assertEquals(100 + 1000 - 30, l.until());
+    l.granted(g("policy", 6, 4, 5000), 200, 3);
+    l.granted(g("policy", 4, 3, 5000), 200, 3);
+    Assertions.assertEquals(1070, l.until("policy"));
+    l.granted(g("policy", 7, 3, 1000), 900, 3);
+    Assertions.assertEquals(1870, l.until("policy"));
+    Assertions.assertFalse(l.valid(1070));
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/news/NewsBookTest.java
+++ b/data-plane/src/test/java/gladelug/data/news/NewsBookTest.java
@@ -16,36 +16,51 @@
 import org.junit.jupiter.api.Test;
 
 final class NewsBookTest {
-    private static byte[] bytes(String s) {
-        return s.getBytes(StandardCharsets.UTF_8);
-    }
+  private static byte[] bytes(String s) {
+    return s.getBytes(StandardCharsets.UTF_8);
+  }
 
-    private static News.Push push(long epoch, long nr, long base, String digestOf, byte[] v) {
-        return new News.Push(Keys.CONFIGURATION, epoch, nr, base, Digest.hex(digestOf), v);
-    }
+  private static News.Push push(long epoch, long nr, long base, String digestOf, byte[] v) {
+    return new News.Push(Keys.CONFIGURATION, epoch, nr, base, Digest.hex(digestOf), v);
+  }
 
-    @Test void aChangeIsTakenOnlyOnItsBaseAndOnlyIfTheDigestAgrees() {
-        List<String> taken = new ArrayList<>();
-        NewsBook b = new NewsBook(new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0), 1,
+  @Test
+  void aChangeIsTakenOnlyOnItsBaseAndOnlyIfTheDigestAgrees() {
+    List<String> taken = new ArrayList<>();
+    NewsBook b =
+        new NewsBook(
+            new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0),
+            1,
             p -> taken.add(new String(p.value())));
-        String one = "so it begins and goes on. ".repeat(20)
-            + "a policy that is long enough for a change of it to be worth while, twice over, as policies "
-            + "are, and then some more",
-            two = one.replace("twice", "three times"), three = two + "!";
-        Assertions.assertEquals(Told.WANTS_WHOLE, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))),
-            "a gap");
-        Assertions.assertEquals(Told.TAKEN, b.told(push(1, 1, -1, one, bytes(one))));
-        Assertions.assertEquals(Told.TAKEN, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))));
-        Assertions.assertEquals(Told.WANTS_WHOLE,
-            b.told(push(1, 3, 2, one, Delta.between(bytes(two), bytes(three)))), "another digest");
-        Assertions.assertEquals(Told.NOTHING, b.told(push(1, 1, -1, one, bytes(one))), "a lower number");
-        Assertions.assertEquals(Told.NOTHING, b.told(push(0, 9, -1, three, bytes(three))), "a lower epoch");
-        Assertions.assertEquals(List.of(one, two), taken);
-    }
+    String
+        one =
+            "so it begins and goes on. ".repeat(20)
+                + "a policy that is long enough for a change of it to be worth while, twice over, as policies "
+                + "are, and then some more",
+        two = one.replace("twice", "three times"),
+        three = two + "!";
+    Assertions.assertEquals(
+        Told.WANTS_WHOLE,
+        b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))),
+        "a gap");
+    Assertions.assertEquals(Told.TAKEN, b.told(push(1, 1, -1, one, bytes(one))));
+    Assertions.assertEquals(
+        Told.TAKEN, b.told(push(1, 2, 1, two, Delta.between(bytes(one), bytes(two)))));
+    Assertions.assertEquals(
+        Told.WANTS_WHOLE,
+        b.told(push(1, 3, 2, one, Delta.between(bytes(two), bytes(three)))),
+        "another digest");
+    Assertions.assertEquals(
+        Told.NOTHING, b.told(push(1, 1, -1, one, bytes(one))), "a lower number");
+    Assertions.assertEquals(
+        Told.NOTHING, b.told(push(0, 9, -1, three, bytes(three))), "a lower epoch");
+    Assertions.assertEquals(List.of(one, two), taken);
+  }
 
-    @Test void aDivisionUnderALowerEpochIsNotTaken() {
-        NewsBook b = new NewsBook(new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0), 1, p -> true);
-        Assertions.assertEquals(Told.ALLOTTED, b.told(new News.Allot(5, "m", true, List.of())));
-        Assertions.assertEquals(Told.NOTHING, b.told(new News.Allot(4, "m", true, List.of())));
-    }
+  @Test
+  void aDivisionUnderALowerEpochIsNotTaken() {
+    NewsBook b = new NewsBook(new Shuffle.Descriptor("r", "relay", "", "", "", 0, 0), 1, p -> true);
+    Assertions.assertEquals(Told.ALLOTTED, b.told(new News.Allot(5, "m", true, List.of())));
+    Assertions.assertEquals(Told.NOTHING, b.told(new News.Allot(4, "m", true, List.of())));
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/reasons/KeptReasonsTest.java
+++ b/data-plane/src/test/java/gladelug/data/reasons/KeptReasonsTest.java
@@ -13,36 +13,45 @@
 import org.junit.jupiter.api.Test;
 
 final class KeptReasonsTest {
-    private static Batch batch(String run, long low, String... lines) {
-        return new Batch("relay-1", run, 1, low, low + lines.length - 1, 0,
-            packed(List.of(lines).stream().map(s -> s.getBytes(StandardCharsets.UTF_8)).toList()));
-    }
+  private static Batch batch(String run, long low, String... lines) {
+    return new Batch(
+        "relay-1",
+        run,
+        1,
+        low,
+        low + lines.length - 1,
+        0,
+        packed(List.of(lines).stream().map(s -> s.getBytes(StandardCharsets.UTF_8)).toList()));
+  }
 
-    private static String line(long n, String outcome) {
-        return "{\"order\":\"relay-1.00aa." + n + "\",\"outcome\":\"" + outcome + "\"}";
-    }
+  private static String line(long n, String outcome) {
+    return "{\"order\":\"relay-1.00aa." + n + "\",\"outcome\":\"" + outcome + "\"}";
+  }
 
-    @Test void theNewestOfARequestIsFoundAndNothingElse() {
-        KeptReasons k = new KeptReasons(1 << 20);
-        Assertions.assertTrue(k.add(batch("00aa", 5, line(5, "live"), line(6, "complete"))));
-        Assertions.assertEquals("live", k.find("relay-1.00aa.5").getString("outcome", ""));
-        Assertions.assertTrue(k.add(batch("00aa", 5, line(5, "complete"))));
-        Assertions.assertEquals("complete", k.find("relay-1.00aa.5").getString("outcome", ""));
-        for (String id : new String[]{"relay-1.00aa.7", "relay-1.00ab.5", "relay-2.00aa.5", "relay-1.00aa", "",
-            "x.y.z"})
-            Assertions.assertNull(k.find(id), id);
-    }
+  @Test
+  void theNewestOfARequestIsFoundAndNothingElse() {
+    KeptReasons k = new KeptReasons(1 << 20);
+    Assertions.assertTrue(k.add(batch("00aa", 5, line(5, "live"), line(6, "complete"))));
+    Assertions.assertEquals("live", k.find("relay-1.00aa.5").getString("outcome", ""));
+    Assertions.assertTrue(k.add(batch("00aa", 5, line(5, "complete"))));
+    Assertions.assertEquals("complete", k.find("relay-1.00aa.5").getString("outcome", ""));
+    for (String id :
+        new String[] {
+          "relay-1.00aa.7", "relay-1.00ab.5", "relay-2.00aa.5", "relay-1.00aa", "", "x.y.z"
+        }) Assertions.assertNull(k.find(id), id);
+  }
 
-    @Test void tornBatchesAreRefusedAndTheBoundHolds() {
-        KeptReasons k = new KeptReasons(200);
-        Batch b = batch("00aa", 5, line(5, "complete"));
-        byte[] half = Arrays.copyOf(b.packed(), b.packed().length / 2);
-        Assertions.assertFalse(k.add(new Batch("relay-1", "00aa", 1, 5, 5, 0, half)));
-        Assertions.assertFalse(k.add(new Batch("no such name", "00aa", 1, 5, 5, 0, b.packed())));
-        Assertions.assertFalse(k.add(new Batch("relay-1", "00aa", 1, 5, 4, 0, b.packed())));
-        for (int i = 0; i < 50; i++) k.add(batch("00aa", i, line(i, "complete")));
-        Assertions.assertTrue(k.json().getLong("bytes", 0) <= 200);
-        Assertions.assertNull(k.find("relay-1.00aa.0"), "the oldest went first");
-        Assertions.assertNotNull(k.find("relay-1.00aa.49"));
-    }
+  @Test
+  void tornBatchesAreRefusedAndTheBoundHolds() {
+    KeptReasons k = new KeptReasons(200);
+    Batch b = batch("00aa", 5, line(5, "complete"));
+    byte[] half = Arrays.copyOf(b.packed(), b.packed().length / 2);
+    Assertions.assertFalse(k.add(new Batch("relay-1", "00aa", 1, 5, 5, 0, half)));
+    Assertions.assertFalse(k.add(new Batch("no such name", "00aa", 1, 5, 5, 0, b.packed())));
+    Assertions.assertFalse(k.add(new Batch("relay-1", "00aa", 1, 5, 4, 0, b.packed())));
+    for (int i = 0; i < 50; i++) k.add(batch("00aa", i, line(i, "complete")));
+    Assertions.assertTrue(k.json().getLong("bytes", 0) <= 200);
+    Assertions.assertNull(k.find("relay-1.00aa.0"), "the oldest went first");
+    Assertions.assertNotNull(k.find("relay-1.00aa.49"));
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/relay/BudgetTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/BudgetTest.java
@@ -12,34 +12,36 @@
 import org.junit.jupiter.api.Test;
 
 final class BudgetTest {
-    @Test void neverAboveAFifthAndTheAllowanceWhateverIsAsked() {
-        Random r = new Random(3);
-        Budget b = new Budget(() -> RelaySettings.USUAL, () -> 1);
-        int first = 0, second = 0;
-        for (int i = 0; i < 10_000; i++) {
-            if (r.nextInt(5) > 0) {
-                b.firstTry("s");
-                first++;
-            }
-            for (int j = 0; j < 3; j++) if (b.secondTry("s")) second++;
-            Assertions.assertTrue(second <= first * 0.2 + ALLOWANCE);
-        }
-        Assertions.assertTrue(second > first / 10);
+  @Test
+  void neverAboveAFifthAndTheAllowanceWhateverIsAsked() {
+    Random r = new Random(3);
+    Budget b = new Budget(() -> RelaySettings.USUAL, () -> 1);
+    int first = 0, second = 0;
+    for (int i = 0; i < 10_000; i++) {
+      if (r.nextInt(5) > 0) {
+        b.firstTry("s");
+        first++;
+      }
+      for (int j = 0; j < 3; j++) if (b.secondTry("s")) second++;
+      Assertions.assertTrue(second <= first * 0.2 + ALLOWANCE);
     }
+    Assertions.assertTrue(second > first / 10);
+  }
 
-    @Test void allRelaysTogetherStayUnderTheFleetsBound() {
-        RelaySettings fleet = RelaySettings.builder().retries(0.2, 62).build();
-        int relays = 11, first = 0, second = 0;
-        List<Budget> all = new ArrayList<>();
-        for (int i = 0; i < relays; i++) all.add(new Budget(() -> fleet, () -> relays));
-        Random r = new Random(5);
-        for (int i = 0; i < 4000; i++) {
-            Budget b = all.get(r.nextInt(relays));
-            b.firstTry("s");
-            first++;
-            for (int j = 0; j < 3; j++) if (b.secondTry("s")) second++;
-            Assertions.assertTrue(second <= first * 0.2 + 62, second + " of " + first);
-        }
-        Assertions.assertTrue(second > first / 10);
+  @Test
+  void allRelaysTogetherStayUnderTheFleetsBound() {
+    RelaySettings fleet = RelaySettings.builder().retries(0.2, 62).build();
+    int relays = 11, first = 0, second = 0;
+    List<Budget> all = new ArrayList<>();
+    for (int i = 0; i < relays; i++) all.add(new Budget(() -> fleet, () -> relays));
+    Random r = new Random(5);
+    for (int i = 0; i < 4000; i++) {
+      Budget b = all.get(r.nextInt(relays));
+      b.firstTry("s");
+      first++;
+      for (int j = 0; j < 3; j++) if (b.secondTry("s")) second++;
+      Assertions.assertTrue(second <= first * 0.2 + 62, second + " of " + first);
     }
+    Assertions.assertTrue(second > first / 10);
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
@@ -27,233 +27,290 @@
 import org.junit.jupiter.api.Test;
 
 final class RelayTest {
-    private static final int LEASE = 60_000, EXPIRY = 30_000, SLOTS = 2;
+  private static final int LEASE = 60_000, EXPIRY = 30_000, SLOTS = 2;
 
-    /** One that was sent to a replica. */
-    private record Sent(Request o, Backend b, Exchange.Reply to, List<String> handled) implements Exchange.Handle {
-        @Override public void reset() {
-            handled.add("reset");
-            // as connections do that are let go
-            to.broken("reset");
-        }
-
-        @Override public void pause() {
-            handled.add("pause");
-        }
+  /** One that was sent to a replica. */
+  private record Sent(Request o, Backend b, Exchange.Reply to, List<String> handled)
+      implements Exchange.Handle {
+    @Override
+    public void reset() {
+      handled.add("reset");
+      // as connections do that are let go
+      to.broken("reset");
+    }
 
-        @Override public void resume() {
-            handled.add("resume");
-        }
+    @Override
+    public void pause() {
+      handled.add("pause");
     }
 
-    /** A relay, what feeds it and what came of it. */
-    private static final class World {
-        /** What callers were told, in order. */
-        final List<String> told = new ArrayList<>();
-        final List<Sent> sent = new ArrayList<>();
-        final Map<String, Long> numbers = new HashMap<>();
-        final Decisions decisions = new Decisions(64, "r", 1);
-        long now = 1_000_000;
-        final HeldNews news;
-        final Relay relay;
+    @Override
+    public void resume() {
+      handled.add("resume");
+    }
+  }
 
-        World(RelaySettings.Builder settings) {
-            news = new HeldNews(() -> now, new Shuffle.Descriptor("r", "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0), 1,
-                this::tables);
-            relay = new Relay(() -> now, news, r -> new Backends(() -> now, null, r::pump), "z",
-                settings.anyWeights(true).build(), () -> 1);
-            configuration("t", "u");
-            List<Replicas.Replica> l = new ArrayList<>();
-            for (String n : List.of("a", "b")) l.add(new Replicas.Replica("m", n,
-                Address.of("1.1.1.1:" + (int) n.charAt(0)), "z", true, SLOTS, Map.of("m", "1")));
-            tell(Keys.REPLICAS, new Replicas(l).json());
-        }
+  /** A relay, what feeds it and what came of it. */
+  private static final class World {
+    /** What callers were told, in order. */
+    final List<String> told = new ArrayList<>();
 
-        void tables(Tables t) {
-            relay.tables(t);
-        }
+    final List<Sent> sent = new ArrayList<>();
+    final Map<String, Long> numbers = new HashMap<>();
+    final Decisions decisions = new Decisions(64, "r", 1);
+    long now = 1_000_000;
+    final HeldNews news;
+    final Relay relay;
 
-        void tell(String key, String value) {
-            long n = numbers.merge(key, 1L, Long::sum);
-            news.told(new News.Push(key, 1, n, -1, "", value.getBytes(StandardCharsets.UTF_8)));
-            List<News.Grant> gs = new ArrayList<>();
-            for (String k : Keys.LEASED) gs.add(new News.Grant(k, 1, news.number(k), LEASE, LEASE));
-            news.told(new News.Grants(now, gs, 1));
-        }
+    World(RelaySettings.Builder settings) {
+      news =
+          new HeldNews(
+              () -> now,
+              new Shuffle.Descriptor("r", "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
+              1,
+              this::tables);
+      relay =
+          new Relay(
+              () -> now,
+              news,
+              r -> new Backends(() -> now, null, r::pump),
+              "z",
+              settings.anyWeights(true).build(),
+              () -> 1);
+      configuration("t", "u");
+      List<Replicas.Replica> l = new ArrayList<>();
+      for (String n : List.of("a", "b"))
+        l.add(
+            new Replicas.Replica(
+                "m",
+                n,
+                Address.of("1.1.1.1:" + (int) n.charAt(0)),
+                "z",
+                true,
+                SLOTS,
+                Map.of("m", "1")));
+      tell(Keys.REPLICAS, new Replicas(l).json());
+    }
 
-        void configuration(String... tenants) {
-            List<String> ts = new ArrayList<>();
-            for (String t : tenants)
-                ts.add("{\"name\":\"" + t + "\",\"keys\":[\"sha256:" + Configuration.hashOf("key-of-" + t) + "\"]}");
-            tell(Keys.CONFIGURATION, "{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],"
-                + "\"mappings\":[{\"name\":\"x\",\"path\":\"/x\",\"service\":\"m\","
-                + "\"repeatable\":true,\"expiryMs\":" + EXPIRY + ",\"attempts\":3}],"
-                + "\"tenants\":[" + String.join(",", ts) + "]}");
-        }
+    void tables(Tables t) {
+      relay.tables(t);
+    }
 
-        Request ask(String tenant) {
-            Request o = new Request(decisions.begin(now), now, Configuration.hashOf("key-of-" + tenant), "/x",
-                new Request.Caller() {
-                    @Override public void refuse(Request q, Verdict.Refuse v) {
-                        told.add("refused " + v.status());
-                    }
+    void tell(String key, String value) {
+      long n = numbers.merge(key, 1L, Long::sum);
+      news.told(new News.Push(key, 1, n, -1, "", value.getBytes(StandardCharsets.UTF_8)));
+      List<News.Grant> gs = new ArrayList<>();
+      for (String k : Keys.LEASED) gs.add(new News.Grant(k, 1, news.number(k), LEASE, LEASE));
+      news.told(new News.Grants(now, gs, 1));
+    }
 
-                    @Override public boolean piece(Request q, Buffer piece, Runnable ready) {
-                        return told.add("piece " + piece);
-                    }
+    void configuration(String... tenants) {
+      List<String> ts = new ArrayList<>();
+      for (String t : tenants)
+        ts.add(
+            "{\"name\":\""
+                + t
+                + "\",\"keys\":[\"sha256:"
+                + Configuration.hashOf("key-of-" + t)
+                + "\"]}");
+      tell(
+          Keys.CONFIGURATION,
+          "{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],"
+              + "\"mappings\":[{\"name\":\"x\",\"path\":\"/x\",\"service\":\"m\","
+              + "\"repeatable\":true,\"expiryMs\":"
+              + EXPIRY
+              + ",\"attempts\":3}],"
+              + "\"tenants\":["
+              + String.join(",", ts)
+              + "]}");
+    }
 
-                    @Override public void head(Request q, Head h) {
-                        told.add("head " + h.status());
-                    }
+    Request ask(String tenant) {
+      Request o =
+          new Request(
+              decisions.begin(now),
+              now,
+              Configuration.hashOf("key-of-" + tenant),
+              "/x",
+              new Request.Caller() {
+                @Override
+                public void refuse(Request q, Verdict.Refuse v) {
+                  told.add("refused " + v.status());
+                }
 
-                    @Override public void complete(Request q, int pieces) {
-                        told.add("complete " + pieces);
-                    }
+                @Override
+                public boolean piece(Request q, Buffer piece, Runnable ready) {
+                  return told.add("piece " + piece);
+                }
 
-                    @Override public void cutOff(Request q, String why) {
-                        told.add("cut");
-                    }
-                });
-            relay.begin(o);
-            relay.way(b -> Uni.createFrom().item(new Lookups.Found("no-index", List.of())), Stages.Mode.SUMMARY,
-                (q, b, to) -> {
-                    Sent s = new Sent(q, b, to, new ArrayList<>());
-                    if (to.leave(s)) sent.add(s);
-                }).go(o);
-            return o;
-        }
+                @Override
+                public void head(Request q, Head h) {
+                  told.add("head " + h.status());
+                }
 
-        /** As many as the replicas take at once. */
-        void fill(String tenant) {
-            for (int i = 0; i < 2 * (SLOTS + 1); i++) ask(tenant);
-            Assertions.assertEquals(2 * (SLOTS + 1), sent.size());
-        }
+                @Override
+                public void complete(Request q, int pieces) {
+                  told.add("complete " + pieces);
+                }
 
-        List<String> told() {
-            List<String> l = List.copyOf(told);
-            told.clear();
-            return l;
-        }
+                @Override
+                public void cutOff(Request q, String why) {
+                  told.add("cut");
+                }
+              });
+      relay.begin(o);
+      relay
+          .way(
+              b -> Uni.createFrom().item(new Lookups.Found("no-index", List.of())),
+              Stages.Mode.SUMMARY,
+              (q, b, to) -> {
+                Sent s = new Sent(q, b, to, new ArrayList<>());
+                if (to.leave(s)) sent.add(s);
+              })
+          .go(o);
+      return o;
     }
 
-    private static World relay(boolean cutsStreams) {
-        return new World(RelaySettings.builder().cutsStreams(cutsStreams));
+    /** As many as the replicas take at once. */
+    void fill(String tenant) {
+      for (int i = 0; i < 2 * (SLOTS + 1); i++) ask(tenant);
+      Assertions.assertEquals(2 * (SLOTS + 1), sent.size());
     }
 
-    private static void piece(Sent s, String x) {
-        s.to.head(new Head(200, List.of()));
-        s.to.piece(Buffer.buffer(x), "");
+    List<String> told() {
+      List<String> l = List.copyOf(told);
+      told.clear();
+      return l;
     }
+  }
 
-    @Test void aRevokedKeyLeavesRunningStreamsAndRefusesThoseThatWait() {
-        World r = relay(false);
-        r.fill("t");
-        piece(r.sent.get(0), "one");
-        r.ask("t");
-        r.ask("u");
-        Assertions.assertEquals(2, r.relay.queue("m").size());
-        Assertions.assertEquals(List.of("head 200", "piece one"), r.told());
-        r.configuration("u");
-        Assertions.assertEquals(List.of("refused 401"), r.told(), "only the one that waited");
-        Assertions.assertEquals(1, r.relay.queue("m").size(), "the other tenant's waits on");
-        piece(r.sent.get(0), "two");
-        r.sent.get(0).to.end();
-        piece(r.sent.get(1), "first");
-        Assertions.assertEquals(List.of("piece two", "complete 2", "head 200", "piece first"), r.told());
-        Assertions.assertEquals(7, r.sent.size(), "a place was free");
-        Assertions.assertEquals("u", r.sent.get(6).o.tenant.name());
-        r.ask("t");
-        Assertions.assertEquals(List.of("refused 401"), r.told());
-    }
+  private static World relay(boolean cutsStreams) {
+    return new World(RelaySettings.builder().cutsStreams(cutsStreams));
+  }
 
-    @Test void whereStreamsAreCutARevokedKeyEndsThemToo() {
-        World r = relay(true);
-        r.fill("t");
-        piece(r.sent.get(0), "one");
-        r.told();
-        r.configuration("u");
-        List<String> l = r.told();
-        Assertions.assertEquals(6, l.size(), l.toString());
-        Assertions.assertEquals("cut", l.get(0));
-        Assertions.assertEquals(5, l.stream().filter("refused 502"::equals).count(), "handed over, of unknown fate");
-        for (Sent s : r.sent) Assertions.assertTrue(s.handled.contains("reset"));
-        Assertions.assertEquals(0, r.relay.live().size());
-        Assertions.assertEquals(0, r.relay.queue("m").used());
-    }
+  private static void piece(Sent s, String x) {
+    s.to.head(new Head(200, List.of()));
+    s.to.piece(Buffer.buffer(x), "");
+  }
 
-    @Test void withoutLeasesNothingStartsAndWhatRunsGoesOnUnlessStreamsAreCut() {
-        for (boolean cuts : new boolean[]{false, true}) {
-            World r = relay(cuts);
-            r.ask("t");
-            piece(r.sent.get(0), "one");
-            r.told();
-            r.now += EXPIRY / 2;
-            r.relay.tick();
-            Assertions.assertEquals(List.of(), r.told());
-            r.sent.get(0).o.deadline = Long.MAX_VALUE;
-            r.now += LEASE;
-            r.ask("t");
-            Assertions.assertEquals(List.of("refused 503"), r.told());
-            Assertions.assertEquals(1, r.sent.size());
-            r.now += Relay.GRACE;
-            r.relay.tick();
-            Assertions.assertEquals(cuts ? List.of("cut") : List.of(), r.told());
-        }
-    }
+  @Test
+  void aRevokedKeyLeavesRunningStreamsAndRefusesThoseThatWait() {
+    World r = relay(false);
+    r.fill("t");
+    piece(r.sent.get(0), "one");
+    r.ask("t");
+    r.ask("u");
+    Assertions.assertEquals(2, r.relay.queue("m").size());
+    Assertions.assertEquals(List.of("head 200", "piece one"), r.told());
+    r.configuration("u");
+    Assertions.assertEquals(List.of("refused 401"), r.told(), "only the one that waited");
+    Assertions.assertEquals(1, r.relay.queue("m").size(), "the other tenant's waits on");
+    piece(r.sent.get(0), "two");
+    r.sent.get(0).to.end();
+    piece(r.sent.get(1), "first");
+    Assertions.assertEquals(
+        List.of("piece two", "complete 2", "head 200", "piece first"), r.told());
+    Assertions.assertEquals(7, r.sent.size(), "a place was free");
+    Assertions.assertEquals("u", r.sent.get(6).o.tenant.name());
+    r.ask("t");
+    Assertions.assertEquals(List.of("refused 401"), r.told());
+  }
 
-    @Test void whatExpiresInTheQueueDidNotRunAndWhatExpiresAtAReplicaMayHave() {
-        World r = relay(false);
-        r.fill("t");
-        r.ask("t");
-        piece(r.sent.get(0), "one");
-        r.told();
-        r.now += EXPIRY;
-        r.relay.tick();
-        List<String> l = r.told();
-        Assertions.assertEquals(1, l.stream().filter("cut"::equals).count(), l.toString());
-        Assertions.assertEquals(5, l.stream().filter("refused 504"::equals).count(), l.toString());
-        Assertions.assertEquals(1, l.stream().filter("refused 503"::equals).count(), l.toString());
-        Assertions.assertEquals(0, r.relay.live().size());
-        Assertions.assertEquals(6, r.sent.size(), "nothing was begun in vain");
-    }
+  @Test
+  void whereStreamsAreCutARevokedKeyEndsThemToo() {
+    World r = relay(true);
+    r.fill("t");
+    piece(r.sent.get(0), "one");
+    r.told();
+    r.configuration("u");
+    List<String> l = r.told();
+    Assertions.assertEquals(6, l.size(), l.toString());
+    Assertions.assertEquals("cut", l.get(0));
+    Assertions.assertEquals(
+        5, l.stream().filter("refused 502"::equals).count(), "handed over, of unknown fate");
+    for (Sent s : r.sent) Assertions.assertTrue(s.handled.contains("reset"));
+    Assertions.assertEquals(0, r.relay.live().size());
+    Assertions.assertEquals(0, r.relay.queue("m").used());
+  }
 
-    @Test void aBreakOfWhichTheConnectionTellsTwiceIsOne() {
-        World r = relay(false);
-        r.ask("t");
-        r.sent.get(0).to.broken("it broke");
-        Assertions.assertEquals(2, r.sent.size(), "once more, elsewhere");
-        Assertions.assertEquals(1, r.sent.get(0).b.failures);
-        Assertions.assertNotSame(r.sent.get(0).b, r.sent.get(1).b);
-        Assertions.assertEquals(0, r.sent.get(0).b.mine);
-        piece(r.sent.get(1), "x");
-        r.sent.get(1).to.end();
-        Assertions.assertEquals(List.of("head 200", "piece x", "complete 1"), r.told());
-        Assertions.assertEquals(0, r.relay.live().size());
+  @Test
+  void withoutLeasesNothingStartsAndWhatRunsGoesOnUnlessStreamsAreCut() {
+    for (boolean cuts : new boolean[] {false, true}) {
+      World r = relay(cuts);
+      r.ask("t");
+      piece(r.sent.get(0), "one");
+      r.told();
+      r.now += EXPIRY / 2;
+      r.relay.tick();
+      Assertions.assertEquals(List.of(), r.told());
+      r.sent.get(0).o.deadline = Long.MAX_VALUE;
+      r.now += LEASE;
+      r.ask("t");
+      Assertions.assertEquals(List.of("refused 503"), r.told());
+      Assertions.assertEquals(1, r.sent.size());
+      r.now += Relay.GRACE;
+      r.relay.tick();
+      Assertions.assertEquals(cuts ? List.of("cut") : List.of(), r.told());
     }
+  }
 
-    @Test void theHeadThatGoesOutIsThatOfTheAnswerWhoseBodyFollows() {
-        World r = relay(false);
-        r.ask("t");
-        r.sent.get(0).to.head(new Head(200, List.of(Map.entry("X", "first"))));
-        r.sent.get(0).to.broken("it broke before its body");
-        r.sent.get(1).to.head(new Head(203, List.of(Map.entry("X", "second"))));
-        r.sent.get(1).to.piece(Buffer.buffer("x"), "");
-        Assertions.assertEquals(List.of("head 203", "piece x"), r.told());
-        r.ask("t");
-        r.sent.get(2).to.head(new Head(200, List.of()));
-        r.sent.get(2).to.broken("once more");
-    }
+  @Test
+  void whatExpiresInTheQueueDidNotRunAndWhatExpiresAtAReplicaMayHave() {
+    World r = relay(false);
+    r.fill("t");
+    r.ask("t");
+    piece(r.sent.get(0), "one");
+    r.told();
+    r.now += EXPIRY;
+    r.relay.tick();
+    List<String> l = r.told();
+    Assertions.assertEquals(1, l.stream().filter("cut"::equals).count(), l.toString());
+    Assertions.assertEquals(5, l.stream().filter("refused 504"::equals).count(), l.toString());
+    Assertions.assertEquals(1, l.stream().filter("refused 503"::equals).count(), l.toString());
+    Assertions.assertEquals(0, r.relay.live().size());
+    Assertions.assertEquals(6, r.sent.size(), "nothing was begun in vain");
+  }
 
-    @Test void whatWaitsGoesWhenAPlaceIsFreeAndOneWhoseCallerIsGoneNever() {
-        World r = relay(false);
-        r.fill("t");
-        Request gone = r.ask("t");
-        r.ask("u");
-        r.relay.gone(gone);
-        piece(r.sent.get(0), "x");
-        r.sent.get(0).to.end();
-        Assertions.assertEquals(7, r.sent.size());
-        Assertions.assertEquals("u", r.sent.get(6).o.tenant.name());
-        Assertions.assertFalse(r.told().contains("refused 499"), "nobody is there to be told");
-    }
+  @Test
+  void aBreakOfWhichTheConnectionTellsTwiceIsOne() {
+    World r = relay(false);
+    r.ask("t");
+    r.sent.get(0).to.broken("it broke");
+    Assertions.assertEquals(2, r.sent.size(), "once more, elsewhere");
+    Assertions.assertEquals(1, r.sent.get(0).b.failures);
+    Assertions.assertNotSame(r.sent.get(0).b, r.sent.get(1).b);
+    Assertions.assertEquals(0, r.sent.get(0).b.mine);
+    piece(r.sent.get(1), "x");
+    r.sent.get(1).to.end();
+    Assertions.assertEquals(List.of("head 200", "piece x", "complete 1"), r.told());
+    Assertions.assertEquals(0, r.relay.live().size());
+  }
+
+  @Test
+  void theHeadThatGoesOutIsThatOfTheAnswerWhoseBodyFollows() {
+    World r = relay(false);
+    r.ask("t");
+    r.sent.get(0).to.head(new Head(200, List.of(Map.entry("X", "first"))));
+    r.sent.get(0).to.broken("it broke before its body");
+    r.sent.get(1).to.head(new Head(203, List.of(Map.entry("X", "second"))));
+    r.sent.get(1).to.piece(Buffer.buffer("x"), "");
+    Assertions.assertEquals(List.of("head 203", "piece x"), r.told());
+    r.ask("t");
+    r.sent.get(2).to.head(new Head(200, List.of()));
+    r.sent.get(2).to.broken("once more");
+  }
+
+  @Test
+  void whatWaitsGoesWhenAPlaceIsFreeAndOneWhoseCallerIsGoneNever() {
+    World r = relay(false);
+    r.fill("t");
+    Request gone = r.ask("t");
+    r.ask("u");
+    r.relay.gone(gone);
+    piece(r.sent.get(0), "x");
+    r.sent.get(0).to.end();
+    Assertions.assertEquals(7, r.sent.size());
+    Assertions.assertEquals("u", r.sent.get(6).o.tenant.name());
+    Assertions.assertFalse(r.told().contains("refused 499"), "nobody is there to be told");
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/relay/WaitQueueTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/WaitQueueTest.java
@@ -15,88 +15,99 @@
 import org.junit.jupiter.api.Test;
 
 final class WaitQueueTest {
-    private static Configuration configuration(String tenants) {
-        var r = Configuration.parse(
+  private static Configuration configuration(String tenants) {
+    var r =
+        Configuration.parse(
             "{\"services\":[{\"name\":\"m\",\"allow\":[\"1.1.1.1\"]}],\"mappings\":[{\"name\":\"a\","
                 + "\"path\":\"/a\",\"service\":\"m\"},"
-                + "{\"name\":\"b\",\"path\":\"/b\",\"service\":\"m\"}],\"tenants\":" + tenants + "}");
-        return ((Result.Good<Configuration>) r).value();
-    }
+                + "{\"name\":\"b\",\"path\":\"/b\",\"service\":\"m\"}],\"tenants\":"
+                + tenants
+                + "}");
+    return ((Result.Good<Configuration>) r).value();
+  }
 
-    private static int nr;
+  private static int nr;
 
-    private static Request order(String leaf) {
-        Request o = new Request(new Decision("x", nr++, 0), 0, "", "", null);
-        o.leaf = leaf;
-        return o;
-    }
+  private static Request order(String leaf) {
+    Request o = new Request(new Decision("x", nr++, 0), 0, "", "", null);
+    o.leaf = leaf;
+    return o;
+  }
 
-    private static Map<String, Integer> deal(WaitQueue b, int places) {
-        Map<String, Integer> got = new TreeMap<>();
-        for (int i = 0; i < places; i++) {
-            Request o = b.next();
-            if (o == null) break;
-            got.merge(o.leaf, 1, Integer::sum);
-            b.release(o);
-        }
-        return got;
+  private static Map<String, Integer> deal(WaitQueue b, int places) {
+    Map<String, Integer> got = new TreeMap<>();
+    for (int i = 0; i < places; i++) {
+      Request o = b.next();
+      if (o == null) break;
+      got.merge(o.leaf, 1, Integer::sum);
+      b.release(o);
     }
+    return got;
+  }
 
-    @Test void whenFullPlacesGoByWeightAtEachLevel() {
-        WaitQueue b = new WaitQueue(1000);
-        b.shape(configuration(
+  @Test
+  void whenFullPlacesGoByWeightAtEachLevel() {
+    WaitQueue b = new WaitQueue(1000);
+    b.shape(
+        configuration(
             "[{\"name\":\"t\",\"keys\":[],\"weight\":3,\"shares\":[{\"name\":\"x\",\"weight\":2,"
                 + "\"mappings\":[\"a\"]},{\"name\":\"y\",\"mappings\":[\"b\"]}]},{\"name\":\"u\",\"keys\":[]}]"));
-        for (int i = 0; i < 200; i++) for (String l : new String[]{"t/x", "t/y", "u"}) b.enter(order(l));
-        Map<String, Integer> got = deal(b, 120);
-        Assertions.assertEquals(30, got.get("u"), 1.0, got.toString());
-        Assertions.assertEquals(60, got.get("t/x"), 1.0, got.toString());
-        Assertions.assertEquals(30, got.get("t/y"), 1.0, got.toString());
-    }
+    for (int i = 0; i < 200; i++)
+      for (String l : new String[] {"t/x", "t/y", "u"}) b.enter(order(l));
+    Map<String, Integer> got = deal(b, 120);
+    Assertions.assertEquals(30, got.get("u"), 1.0, got.toString());
+    Assertions.assertEquals(60, got.get("t/x"), 1.0, got.toString());
+    Assertions.assertEquals(30, got.get("t/y"), 1.0, got.toString());
+  }
 
-    @Test void aLightOneThatComesLateIsNextAndNobodySavesUp() {
-        WaitQueue b = new WaitQueue(1000);
-        b.shape(configuration("[{\"name\":\"t\",\"keys\":[]},{\"name\":\"u\",\"keys\":[]}]"));
-        for (int i = 0; i < 300; i++) b.enter(order("t"));
-        deal(b, 200);
-        for (int i = 0; i < 100; i++) b.enter(order("u"));
-        Map<String, Integer> got = deal(b, 100);
-        Assertions.assertEquals(50, got.get("u"), 1.0, "not all 100 at once: " + got);
-    }
+  @Test
+  void aLightOneThatComesLateIsNextAndNobodySavesUp() {
+    WaitQueue b = new WaitQueue(1000);
+    b.shape(configuration("[{\"name\":\"t\",\"keys\":[]},{\"name\":\"u\",\"keys\":[]}]"));
+    for (int i = 0; i < 300; i++) b.enter(order("t"));
+    deal(b, 200);
+    for (int i = 0; i < 100; i++) b.enter(order("u"));
+    Map<String, Integer> got = deal(b, 100);
+    Assertions.assertEquals(50, got.get("u"), 1.0, "not all 100 at once: " + got);
+  }
 
-    @Test void theFleetsDivisionBoundsLeavesAndPartsOfAPlaceAreUsedInTime() {
-        WaitQueue b = new WaitQueue(1000);
-        b.shape(configuration("[{\"name\":\"t\",\"keys\":[]},{\"name\":\"u\",\"keys\":[]}]"));
-        for (int i = 0; i < 50; i++) for (String l : new String[]{"t", "u"}) b.enter(order(l));
-        b.bound(Map.of("t", 2000, "u", 250), 0, 100);
-        StringBuilder s = new StringBuilder();
-        List<Request> out = new ArrayList<>();
-        for (int ms = 0; ms < 4000; ms += 100) {
-            for (Request o : out) b.release(o);
-            out.clear();
-            b.bound(Map.of("t", 2000, "u", 250), 100, 100);
-            for (Request o; (o = b.next()) != null;) {
-                out.add(o);
-                s.append(o.leaf);
-            }
-        }
-        Assertions.assertEquals(50, s.chars().filter(c -> c == 't').count());
-        Assertions.assertEquals(10, s.chars().filter(c -> c == 'u').count(),
-            "a quarter of a place for forty orders' time");
-        b.unbound();
-        Assertions.assertNotNull(b.next());
+  @Test
+  void theFleetsDivisionBoundsLeavesAndPartsOfAPlaceAreUsedInTime() {
+    WaitQueue b = new WaitQueue(1000);
+    b.shape(configuration("[{\"name\":\"t\",\"keys\":[]},{\"name\":\"u\",\"keys\":[]}]"));
+    for (int i = 0; i < 50; i++) for (String l : new String[] {"t", "u"}) b.enter(order(l));
+    b.bound(Map.of("t", 2000, "u", 250), 0, 100);
+    StringBuilder s = new StringBuilder();
+    List<Request> out = new ArrayList<>();
+    for (int ms = 0; ms < 4000; ms += 100) {
+      for (Request o : out) b.release(o);
+      out.clear();
+      b.bound(Map.of("t", 2000, "u", 250), 100, 100);
+      for (Request o; (o = b.next()) != null; ) {
+        out.add(o);
+        s.append(o.leaf);
+      }
     }
+    Assertions.assertEquals(50, s.chars().filter(c -> c == 't').count());
+    Assertions.assertEquals(
+        10, s.chars().filter(c -> c == 'u').count(), "a quarter of a place for forty orders' time");
+    b.unbound();
+    Assertions.assertNotNull(b.next());
+  }
 
-    @Test void lowerTiersWaitLimitsHoldAndTheBoundHolds() {
-        WaitQueue b = new WaitQueue(5);
-        b.shape(
-            configuration("[{\"name\":\"t\",\"keys\":[],\"tier\":1},{\"name\":\"u\",\"keys\":[],\"limit\":2}]"));
-        for (String l : new String[]{"t", "u", "u", "u", "t"}) Assertions.assertTrue(b.enter(order(l)));
-        Assertions.assertFalse(b.enter(order("u")));
-        StringBuilder s = new StringBuilder();
-        for (Request o; (o = b.next()) != null;) s.append(o.leaf);
-        Assertions.assertEquals("uutt", s.toString());
-        Assertions.assertEquals(1, b.leave(o -> o.leaf.equals("u")).size());
-        Assertions.assertEquals(0, b.size());
-    }
+  @Test
+  void lowerTiersWaitLimitsHoldAndTheBoundHolds() {
+    WaitQueue b = new WaitQueue(5);
+    b.shape(
+        configuration(
+            "[{\"name\":\"t\",\"keys\":[],\"tier\":1},{\"name\":\"u\",\"keys\":[],\"limit\":2}]"));
+    for (String l : new String[] {"t", "u", "u", "u", "t"})
+      Assertions.assertTrue(b.enter(order(l)));
+    Assertions.assertFalse(b.enter(order("u")));
+    StringBuilder s = new StringBuilder();
+    for (Request o; (o = b.next()) != null; ) s.append(o.leaf);
+    Assertions.assertEquals("uutt", s.toString());
+    Assertions.assertEquals(1, b.leave(o -> o.leaf.equals("u")).size());
+    Assertions.assertEquals(0, b.size());
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/request/DecisionsTest.java
+++ b/data-plane/src/test/java/gladelug/data/request/DecisionsTest.java
@@ -12,33 +12,41 @@
 import org.junit.jupiter.api.Test;
 
 final class DecisionsTest {
-    /** One thread begins requests, others ask. */
-    public static final class Asked {
-        private final Decisions d = new Decisions(2, "r", 0xabcdL);
+  /** One thread begins requests, others ask. */
+  public static final class Asked {
+    private final Decisions d = new Decisions(2, "r", 0xabcdL);
 
-        @Operation(nonParallelGroup = "order thread") public String begin() {
-            return d.begin(0).id;
-        }
-
-        @Operation public String find(@Param(gen = IntGen.class, conf = "0:3") int n) {
-            return d.find("r.abcd." + n).getClass().getSimpleName();
-        }
+    @Operation(nonParallelGroup = "order thread")
+    public String begin() {
+      return d.begin(0).id;
     }
 
-    @Test void whoAsksWhileRequestsBeginIsToldTheTruth() {
-        new ModelCheckingOptions().iterations(5).invocationsPerIteration(100).threads(2).actorsPerThread(4)
-            .check(Asked.class);
+    @Operation
+    public String find(@Param(gen = IntGen.class, conf = "0:3") int n) {
+      return d.find("r.abcd." + n).getClass().getSimpleName();
     }
+  }
 
-    @Test void remembersTheLastAndSaysWhatBecameOfOthers() {
-        Decisions ds = new Decisions(4, "r1", 0xabcdL);
-        for (int i = 0; i < 6; i++) ds.begin(0);
-        Assertions.assertTrue(ds.find("r1.abcd.5") instanceof Found.Yes);
-        Assertions.assertTrue(ds.find("r1.abcd.2") instanceof Found.Yes);
-        Assertions.assertTrue(ds.find("r1.abcd.1") instanceof Found.Overwritten);
-        Assertions.assertTrue(ds.find("r1.abcd.6") instanceof Found.Unknown);
-        Assertions.assertTrue(ds.find("r1.abce.5") instanceof Found.OtherRun);
-        for (String s : new String[]{"", "r1", "r1.abcd.x", "r1.zz.1", "r1.abcd.-1", "a.b.c.d"})
-            Assertions.assertTrue(ds.find(s) instanceof Found.Malformed, s);
-    }
+  @Test
+  void whoAsksWhileRequestsBeginIsToldTheTruth() {
+    new ModelCheckingOptions()
+        .iterations(5)
+        .invocationsPerIteration(100)
+        .threads(2)
+        .actorsPerThread(4)
+        .check(Asked.class);
+  }
+
+  @Test
+  void remembersTheLastAndSaysWhatBecameOfOthers() {
+    Decisions ds = new Decisions(4, "r1", 0xabcdL);
+    for (int i = 0; i < 6; i++) ds.begin(0);
+    Assertions.assertTrue(ds.find("r1.abcd.5") instanceof Found.Yes);
+    Assertions.assertTrue(ds.find("r1.abcd.2") instanceof Found.Yes);
+    Assertions.assertTrue(ds.find("r1.abcd.1") instanceof Found.Overwritten);
+    Assertions.assertTrue(ds.find("r1.abcd.6") instanceof Found.Unknown);
+    Assertions.assertTrue(ds.find("r1.abce.5") instanceof Found.OtherRun);
+    for (String s : new String[] {"", "r1", "r1.abcd.x", "r1.zz.1", "r1.abcd.-1", "a.b.c.d"})
+      Assertions.assertTrue(ds.find(s) instanceof Found.Malformed, s);
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/request/StateTest.java
+++ b/data-plane/src/test/java/gladelug/data/request/StateTest.java
@@ -9,37 +9,48 @@
 import org.junit.jupiter.api.Test;
 
 final class StateTest {
-    /** The steps that the request thread, a deadline and a caller going away may take at once. */
-    public static final class Fates {
-        private final State s = new State();
+  /** The steps that the request thread, a deadline and a caller going away may take at once. */
+  public static final class Fates {
+    private final State s = new State();
 
-        @Operation public boolean handOver() {
-            return s.step(At.WAITING, At.HANDED);
-        }
-
-        @Operation public boolean refuse() {
-            return s.step(At.WAITING, At.ENDED);
-        }
+    @Operation
+    public boolean handOver() {
+      return s.step(At.WAITING, At.HANDED);
+    }
 
-        @Operation public boolean firstPiece() {
-            return s.step(At.HANDED, At.STREAMING);
-        }
+    @Operation
+    public boolean refuse() {
+      return s.step(At.WAITING, At.ENDED);
+    }
 
-        @Operation public boolean notRunThere() {
-            return s.step(At.HANDED, At.WAITING);
-        }
+    @Operation
+    public boolean firstPiece() {
+      return s.step(At.HANDED, At.STREAMING);
+    }
 
-        @Operation public boolean end() {
-            return s.end();
-        }
+    @Operation
+    public boolean notRunThere() {
+      return s.step(At.HANDED, At.WAITING);
+    }
 
-        @Operation public At at() {
-            return s.at();
-        }
+    @Operation
+    public boolean end() {
+      return s.end();
     }
 
-    @Test void everyInterleavingIsAsIfOneAfterTheOther() {
-        new ModelCheckingOptions().iterations(5).invocationsPerIteration(100).threads(3).actorsPerThread(3)
-            .check(Fates.class);
+    @Operation
+    public At at() {
+      return s.at();
     }
+  }
+
+  @Test
+  void everyInterleavingIsAsIfOneAfterTheOther() {
+    new ModelCheckingOptions()
+        .iterations(5)
+        .invocationsPerIteration(100)
+        .threads(3)
+        .actorsPerThread(3)
+        .check(Fates.class);
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Clock.java
+++ b/kernel/src/main/java/gladelug/kernel/Clock.java
@@ -6,10 +6,10 @@
 
 @FunctionalInterface
 public interface Clock {
-    long now();
+  long now();
 
-    static Clock monotonic() {
-        long base = System.nanoTime();
-        return () -> (System.nanoTime() - base) / 1_000_000L + 1_000_000L;
-    }
+  static Clock monotonic() {
+    long base = System.nanoTime();
+    return () -> (System.nanoTime() - base) / 1_000_000L + 1_000_000L;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Digest.java
+++ b/kernel/src/main/java/gladelug/kernel/Digest.java
@@ -10,21 +10,21 @@
 import java.util.HexFormat;
 
 public final class Digest {
-    private Digest() {}
+  private Digest() {}
 
-    public static MessageDigest sha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
+  public static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
     }
+  }
 
-    public static String hex(byte[] b) {
-        return HexFormat.of().formatHex(sha256().digest(b));
-    }
+  public static String hex(byte[] b) {
+    return HexFormat.of().formatHex(sha256().digest(b));
+  }
 
-    public static String hex(String s) {
-        return hex(s.getBytes(StandardCharsets.UTF_8));
-    }
+  public static String hex(String s) {
+    return hex(s.getBytes(StandardCharsets.UTF_8));
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Doc.java
+++ b/kernel/src/main/java/gladelug/kernel/Doc.java
@@ -18,220 +18,270 @@
 import java.util.Set;
 
 public final class Doc {
-    public enum Kind { OBJECT, ARRAY, STRING, NUMBER, BOOLEAN, NULL }
-
-    public final Kind kind;
-    public final String path;
-    public final int line;
-    public final int column;
-    public final String text;
-    public final Map<String, Doc> members = new LinkedHashMap<>();
-    public final List<Doc> items = new ArrayList<>();
-
-    private Doc(Kind kind, String path, Location at, String text) {
-        this.kind = kind;
-        this.path = path;
-        this.line = at.line;
-        this.column = at.column;
-        this.text = text;
-    }
-
-    public String place() {
-        return "line " + line + ", column " + column + " (" + (path.isEmpty() ? "top" : path) + ")";
-    }
-
-    public static Result<Doc> parse(String json) {
-        Findings fs = new Findings();
-        Reader r = new Reader(fs);
-        try {
-            new JsonParser(r).parse(json);
-        } catch (ParseException e) {
-            fs.add("line " + e.getLocation().line + ", column " + e.getLocation().column,
-                "not JSON: " + e.getMessage().replaceFirst(" at \\d+:\\d+$", ""));
-        }
-        return Result.of(fs, () -> r.last);
-    }
-
-    public Fields fields(Findings fs) {
-        return new Fields(this, fs);
-    }
-
-    private static final class Reader extends JsonHandler<Object, Object> {
-        private final Findings fs;
-        private final ArrayDeque<String> paths = new ArrayDeque<>();
-        private final ArrayDeque<Doc> open = new ArrayDeque<>();
-        private final ArrayDeque<Location> starts = new ArrayDeque<>();
-        private Doc last;
-
-        Reader(Findings fs) {
-            this.fs = fs;
-            paths.push("");
-        }
-
-        private void leaf(Kind k, String text) {
-            last = new Doc(k, paths.peek(), starts.pop(), text);
-        }
-
-        private void begin() {
-            starts.push(getLocation());
-        }
-
-        @Override public void startNull() { begin(); }
-        @Override public void endNull() { leaf(Kind.NULL, null); }
-        @Override public void startBoolean() { begin(); }
-        @Override public void endBoolean(boolean v) { leaf(Kind.BOOLEAN, String.valueOf(v)); }
-        @Override public void startString() { begin(); }
-        @Override public void endString(String s) { leaf(Kind.STRING, s); }
-        @Override public void startNumber() { begin(); }
-        @Override public void endNumber(String s) { leaf(Kind.NUMBER, s); }
-
-        @Override public Object startArray() {
-            open.push(new Doc(Kind.ARRAY, paths.peek(), getLocation(), null));
-            return null;
-        }
-
-        @Override public void endArray(Object a) {
-            last = open.pop();
-        }
-
-        @Override public void startArrayValue(Object a) {
-            paths.push(paths.peek() + "[" + open.peek().items.size() + "]");
-        }
-
-        @Override public void endArrayValue(Object a) {
-            paths.pop();
-            open.peek().items.add(last);
-        }
-
-        @Override public Object startObject() {
-            open.push(new Doc(Kind.OBJECT, paths.peek(), getLocation(), null));
-            return null;
-        }
-
-        @Override public void endObject(Object o) {
-            last = open.pop();
-        }
-
-        @Override public void startObjectValue(Object o, String name) {
-            String p = paths.peek();
-            paths.push(p.isEmpty() ? name : p + "." + name);
-        }
-
-        @Override public void endObjectValue(Object o, String name) {
-            paths.pop();
-            if (open.peek().members.putIfAbsent(name, last) != null) fs.add(last.place(), "given twice");
-        }
-    }
-
-    public static final class Fields {
-        private final Doc doc;
-        private final Findings fs;
-        private final Set<String> asked = new HashSet<>();
-
-        private Fields(Doc doc, Findings fs) {
-            this.doc = doc;
-            this.fs = fs;
-            if (doc.kind != Kind.OBJECT) fs.add(doc.place(), "must be an object");
-        }
-
-        public boolean has(String name) {
-            return doc.members.containsKey(name);
-        }
-
-        public String place(String name) {
-            Doc d = doc.members.get(name);
-            return d == null ? doc.place() : d.place();
-        }
-
-        private Doc get(String name, Kind k, boolean must) {
-            asked.add(name);
-            Doc d = doc.members.get(name);
-            if (d == null) {
-                if (must && doc.kind == Kind.OBJECT) fs.add(doc.place(), "misses the field " + name);
-                return null;
-            }
-            if (d.kind != k) {
-                fs.add(d.place(), "must be " + switch (k) {
-                    case OBJECT -> "an object";
-                    case ARRAY -> "a list";
-                    case STRING -> "a text";
-                    case NUMBER -> "a number";
-                    case BOOLEAN -> "true or false";
-                    case NULL -> "null";
+  public enum Kind {
+    OBJECT,
+    ARRAY,
+    STRING,
+    NUMBER,
+    BOOLEAN,
+    NULL
+  }
+
+  public final Kind kind;
+  public final String path;
+  public final int line;
+  public final int column;
+  public final String text;
+  public final Map<String, Doc> members = new LinkedHashMap<>();
+  public final List<Doc> items = new ArrayList<>();
+
+  private Doc(Kind kind, String path, Location at, String text) {
+    this.kind = kind;
+    this.path = path;
+    this.line = at.line;
+    this.column = at.column;
+    this.text = text;
+  }
+
+  public String place() {
+    return "line " + line + ", column " + column + " (" + (path.isEmpty() ? "top" : path) + ")";
+  }
+
+  public static Result<Doc> parse(String json) {
+    Findings fs = new Findings();
+    Reader r = new Reader(fs);
+    try {
+      new JsonParser(r).parse(json);
+    } catch (ParseException e) {
+      fs.add(
+          "line " + e.getLocation().line + ", column " + e.getLocation().column,
+          "not JSON: " + e.getMessage().replaceFirst(" at \\d+:\\d+$", ""));
+    }
+    return Result.of(fs, () -> r.last);
+  }
+
+  public Fields fields(Findings fs) {
+    return new Fields(this, fs);
+  }
+
+  private static final class Reader extends JsonHandler<Object, Object> {
+    private final Findings fs;
+    private final ArrayDeque<String> paths = new ArrayDeque<>();
+    private final ArrayDeque<Doc> open = new ArrayDeque<>();
+    private final ArrayDeque<Location> starts = new ArrayDeque<>();
+    private Doc last;
+
+    Reader(Findings fs) {
+      this.fs = fs;
+      paths.push("");
+    }
+
+    private void leaf(Kind k, String text) {
+      last = new Doc(k, paths.peek(), starts.pop(), text);
+    }
+
+    private void begin() {
+      starts.push(getLocation());
+    }
+
+    @Override
+    public void startNull() {
+      begin();
+    }
+
+    @Override
+    public void endNull() {
+      leaf(Kind.NULL, null);
+    }
+
+    @Override
+    public void startBoolean() {
+      begin();
+    }
+
+    @Override
+    public void endBoolean(boolean v) {
+      leaf(Kind.BOOLEAN, String.valueOf(v));
+    }
+
+    @Override
+    public void startString() {
+      begin();
+    }
+
+    @Override
+    public void endString(String s) {
+      leaf(Kind.STRING, s);
+    }
+
+    @Override
+    public void startNumber() {
+      begin();
+    }
+
+    @Override
+    public void endNumber(String s) {
+      leaf(Kind.NUMBER, s);
+    }
+
+    @Override
+    public Object startArray() {
+      open.push(new Doc(Kind.ARRAY, paths.peek(), getLocation(), null));
+      return null;
+    }
+
+    @Override
+    public void endArray(Object a) {
+      last = open.pop();
+    }
+
+    @Override
+    public void startArrayValue(Object a) {
+      paths.push(paths.peek() + "[" + open.peek().items.size() + "]");
+    }
+
+    @Override
+    public void endArrayValue(Object a) {
+      paths.pop();
+      open.peek().items.add(last);
+    }
+
+    @Override
+    public Object startObject() {
+      open.push(new Doc(Kind.OBJECT, paths.peek(), getLocation(), null));
+      return null;
+    }
+
+    @Override
+    public void endObject(Object o) {
+      last = open.pop();
+    }
+
+    @Override
+    public void startObjectValue(Object o, String name) {
+      String p = paths.peek();
+      paths.push(p.isEmpty() ? name : p + "." + name);
+    }
+
+    @Override
+    public void endObjectValue(Object o, String name) {
+      paths.pop();
+      if (open.peek().members.putIfAbsent(name, last) != null) fs.add(last.place(), "given twice");
+    }
+  }
+
+  public static final class Fields {
+    private final Doc doc;
+    private final Findings fs;
+    private final Set<String> asked = new HashSet<>();
+
+    private Fields(Doc doc, Findings fs) {
+      this.doc = doc;
+      this.fs = fs;
+      if (doc.kind != Kind.OBJECT) fs.add(doc.place(), "must be an object");
+    }
+
+    public boolean has(String name) {
+      return doc.members.containsKey(name);
+    }
+
+    public String place(String name) {
+      Doc d = doc.members.get(name);
+      return d == null ? doc.place() : d.place();
+    }
+
+    private Doc get(String name, Kind k, boolean must) {
+      asked.add(name);
+      Doc d = doc.members.get(name);
+      if (d == null) {
+        if (must && doc.kind == Kind.OBJECT) fs.add(doc.place(), "misses the field " + name);
+        return null;
+      }
+      if (d.kind != k) {
+        fs.add(
+            d.place(),
+            "must be "
+                + switch (k) {
+                  case OBJECT -> "an object";
+                  case ARRAY -> "a list";
+                  case STRING -> "a text";
+                  case NUMBER -> "a number";
+                  case BOOLEAN -> "true or false";
+                  case NULL -> "null";
                 });
-                return null;
-            }
-            return d;
-        }
-
-        public String text(String name) {
-            Doc d = get(name, Kind.STRING, true);
-            if (d == null) return "";
-            if (d.text.isBlank()) fs.add(d.place(), "must not be empty");
-            return d.text;
-        }
-
-        public String text(String name, String or) {
-            Doc d = get(name, Kind.STRING, false);
-            return d == null ? or : d.text;
-        }
-
-        public long whole(String name, long or, long min, long max) {
-            return whole(name, false, or, min, max);
-        }
-
-        public long whole(String name, long min, long max) {
-            return whole(name, true, min, min, max);
-        }
-
-        private long whole(String name, boolean must, long or, long min, long max) {
-            Doc d = get(name, Kind.NUMBER, must);
-            if (d == null) return or;
-            try {
-                long v = Long.parseLong(d.text);
-                if (v >= min && v <= max) return v;
-            } catch (NumberFormatException e) {
-                // reported below with the range
-            }
-            fs.add(d.place(), "must be a whole number from " + min + " to " + max);
-            return or;
-        }
-
-        public double part(String name, double or, double min, double max) {
-            Doc d = get(name, Kind.NUMBER, false);
-            if (d == null) return or;
-            double v = Double.parseDouble(d.text);
-            if (v >= min && v <= max) return v;
-            fs.add(d.place(), "must be a number from " + min + " to " + max);
-            return or;
-        }
-
-        public boolean yes(String name, boolean or) {
-            Doc d = get(name, Kind.BOOLEAN, false);
-            return d == null ? or : d.text.equals("true");
-        }
-
-        public List<Doc> list(String name, boolean must) {
-            Doc d = get(name, Kind.ARRAY, must);
-            return d == null ? List.of() : d.items;
-        }
-
-        public List<String> texts(String name, boolean must) {
-            List<String> out = new ArrayList<>();
-            for (Doc d : list(name, must)) {
-                if (d.kind == Kind.STRING && !d.text.isBlank()) out.add(d.text);
-                else fs.add(d.place(), "must be a text that is not empty");
-            }
-            return out;
-        }
-
-        public Doc object(String name, boolean must) {
-            return get(name, Kind.OBJECT, must);
-        }
-
-        public void done() {
-            for (Map.Entry<String, Doc> e : doc.members.entrySet())
-                if (!asked.contains(e.getKey())) fs.add(e.getValue().place(), "is not a known field");
-        }
+        return null;
+      }
+      return d;
+    }
+
+    public String text(String name) {
+      Doc d = get(name, Kind.STRING, true);
+      if (d == null) return "";
+      if (d.text.isBlank()) fs.add(d.place(), "must not be empty");
+      return d.text;
+    }
+
+    public String text(String name, String or) {
+      Doc d = get(name, Kind.STRING, false);
+      return d == null ? or : d.text;
+    }
+
+    public long whole(String name, long or, long min, long max) {
+      return whole(name, false, or, min, max);
+    }
+
+    public long whole(String name, long min, long max) {
+      return whole(name, true, min, min, max);
+    }
+
+    private long whole(String name, boolean must, long or, long min, long max) {
+      Doc d = get(name, Kind.NUMBER, must);
+      if (d == null) return or;
+      try {
+        long v = Long.parseLong(d.text);
+        if (v >= min && v <= max) return v;
+      } catch (NumberFormatException e) {
+        // reported below with the range
+      }
+      fs.add(d.place(), "must be a whole number from " + min + " to " + max);
+      return or;
+    }
+
+    public double part(String name, double or, double min, double max) {
+      Doc d = get(name, Kind.NUMBER, false);
+      if (d == null) return or;
+      double v = Double.parseDouble(d.text);
+      if (v >= min && v <= max) return v;
+      fs.add(d.place(), "must be a number from " + min + " to " + max);
+      return or;
+    }
+
+    public boolean yes(String name, boolean or) {
+      Doc d = get(name, Kind.BOOLEAN, false);
+      return d == null ? or : d.text.equals("true");
+    }
+
+    public List<Doc> list(String name, boolean must) {
+      Doc d = get(name, Kind.ARRAY, must);
+      return d == null ? List.of() : d.items;
+    }
+
+    public List<String> texts(String name, boolean must) {
+      List<String> out = new ArrayList<>();
+      for (Doc d : list(name, must)) {
+        if (d.kind == Kind.STRING && !d.text.isBlank()) out.add(d.text);
+        else fs.add(d.place(), "must be a text that is not empty");
+      }
+      return out;
+    }
+
+    public Doc object(String name, boolean must) {
+      return get(name, Kind.OBJECT, must);
+    }
+
+    public void done() {
+      for (Map.Entry<String, Doc> e : doc.members.entrySet())
+        if (!asked.contains(e.getKey())) fs.add(e.getValue().place(), "is not a known field");
     }
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Duty.java
+++ b/kernel/src/main/java/gladelug/kernel/Duty.java
@@ -10,72 +10,79 @@
 import java.util.concurrent.TimeUnit;
 
 public final class Duty implements AutoCloseable {
-    private record Later(long at, long nr, Runnable run) implements Comparable<Later> {
-        @Override public int compareTo(Later o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(nr, o.nr);
-        }
+  private record Later(long at, long nr, Runnable run) implements Comparable<Later> {
+    @Override
+    public int compareTo(Later o) {
+      return at != o.at ? Long.compare(at, o.at) : Long.compare(nr, o.nr);
     }
+  }
 
-    private final String name;
-    private final Clock clock;
-    private final ArrayBlockingQueue<Runnable> ring;
-    private final PriorityQueue<Later> later = new PriorityQueue<>();
-    private final Thread thread;
-    private volatile boolean open = true;
-    private long nr;
+  private final String name;
+  private final Clock clock;
+  private final ArrayBlockingQueue<Runnable> ring;
+  private final PriorityQueue<Later> later = new PriorityQueue<>();
+  private final Thread thread;
+  private volatile boolean open = true;
+  private long nr;
 
-    public Duty(String name, int slots, Clock clock) {
-        this.name = name;
-        this.clock = clock;
-        this.ring = new ArrayBlockingQueue<>(slots);
-        this.thread = new Thread(this::work, name);
-        thread.setDaemon(true);
-        thread.start();
-    }
+  public Duty(String name, int slots, Clock clock) {
+    this.name = name;
+    this.clock = clock;
+    this.ring = new ArrayBlockingQueue<>(slots);
+    this.thread = new Thread(this::work, name);
+    thread.setDaemon(true);
+    thread.start();
+  }
 
-    public boolean offer(Runnable r) {
-        return open && ring.offer(r);
-    }
+  public boolean offer(Runnable r) {
+    return open && ring.offer(r);
+  }
 
-    /** From the duty's own thread only. */
-    public void after(long ms, Runnable r) {
-        later.add(new Later(clock.now() + ms, nr++, r));
-    }
+  /** From the duty's own thread only. */
+  public void after(long ms, Runnable r) {
+    later.add(new Later(clock.now() + ms, nr++, r));
+  }
 
-    public void every(long ms, Runnable r) {
-        offer(() -> again(ms, r));
-    }
+  public void every(long ms, Runnable r) {
+    offer(() -> again(ms, r));
+  }
 
-    private void again(long ms, Runnable r) {
-        r.run();
-        after(ms, () -> again(ms, r));
-    }
+  private void again(long ms, Runnable r) {
+    r.run();
+    after(ms, () -> again(ms, r));
+  }
 
-    private void work() {
-        while (open) {
-            try {
-                Later l = later.peek();
-                long wait = l == null ? 1000 : Math.max(0, l.at - clock.now());
-                Runnable r = wait == 0 ? ring.poll() : ring.poll(wait, TimeUnit.MILLISECONDS);
-                if (r != null) guard(r);
-                while ((l = later.peek()) != null && l.at <= clock.now()) guard(later.poll().run);
-            } catch (InterruptedException e) {
-                return;
-            }
-        }
+  private void work() {
+    while (open) {
+      try {
+        Later l = later.peek();
+        long wait = l == null ? 1000 : Math.max(0, l.at - clock.now());
+        Runnable r = wait == 0 ? ring.poll() : ring.poll(wait, TimeUnit.MILLISECONDS);
+        if (r != null) guard(r);
+        while ((l = later.peek()) != null && l.at <= clock.now()) guard(later.poll().run);
+      } catch (InterruptedException e) {
+        return;
+      }
     }
+  }
 
-    private void guard(Runnable r) {
-        try {
-            r.run();
-        } catch (RuntimeException e) {
-            Log.thrown("duty-problem", e, "duty", name, "at",
-                e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "-");
-        }
+  private void guard(Runnable r) {
+    try {
+      r.run();
+    } catch (RuntimeException e) {
+      Log.thrown(
+          "duty-problem",
+          e,
+          "duty",
+          name,
+          "at",
+          e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "-");
     }
+  }
 
-    @Override public void close() {
-        open = false;
-        thread.interrupt();
-    }
+  @Override
+  public void close() {
+    open = false;
+    thread.interrupt();
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Finding.java
+++ b/kernel/src/main/java/gladelug/kernel/Finding.java
@@ -5,7 +5,8 @@
 package gladelug.kernel;
 
 public record Finding(String place, String what) {
-    @Override public String toString() {
-        return place + ": " + what;
-    }
+  @Override
+  public String toString() {
+    return place + ": " + what;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Findings.java
+++ b/kernel/src/main/java/gladelug/kernel/Findings.java
@@ -8,23 +8,24 @@
 import java.util.List;
 
 public final class Findings {
-    private final List<Finding> all = new ArrayList<>();
+  private final List<Finding> all = new ArrayList<>();
 
-    public void add(String place, String what) {
-        all.add(new Finding(place, what));
-    }
+  public void add(String place, String what) {
+    all.add(new Finding(place, what));
+  }
 
-    public boolean clean() {
-        return all.isEmpty();
-    }
+  public boolean clean() {
+    return all.isEmpty();
+  }
 
-    public List<Finding> list() {
-        return List.copyOf(all);
-    }
+  public List<Finding> list() {
+    return List.copyOf(all);
+  }
 
-    @Override public String toString() {
-        StringBuilder sb = new StringBuilder();
-        for (Finding f : all) sb.append(f).append('\n');
-        return sb.toString();
-    }
+  @Override
+  public String toString() {
+    StringBuilder sb = new StringBuilder();
+    for (Finding f : all) sb.append(f).append('\n');
+    return sb.toString();
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Kernel.java
+++ b/kernel/src/main/java/gladelug/kernel/Kernel.java
@@ -12,62 +12,63 @@
 import java.util.Map;
 
 public final class Kernel {
-    public interface Service {
-        /** Throws CannotStart when the machine or the settings don't allow it. */
-        void start(Kernel k);
+  public interface Service {
+    /** Throws CannotStart when the machine or the settings don't allow it. */
+    void start(Kernel k);
 
-        /** Polite: what was begun may end; called once. */
-        default void stop() {}
-    }
+    /** Polite: what was begun may end; called once. */
+    default void stop() {}
+  }
 
-    public static final class CannotStart extends RuntimeException {
-        public CannotStart(String what) {
-            super(what);
-        }
+  public static final class CannotStart extends RuntimeException {
+    public CannotStart(String what) {
+      super(what);
+    }
 
-        public CannotStart(String what, Throwable cause) {
-            super(what, cause);
-        }
+    public CannotStart(String what, Throwable cause) {
+      super(what, cause);
     }
+  }
 
-    private final Map<String, Service> services = new LinkedHashMap<>();
-    private final ArrayDeque<String> started = new ArrayDeque<>();
+  private final Map<String, Service> services = new LinkedHashMap<>();
+  private final ArrayDeque<String> started = new ArrayDeque<>();
 
-    public Kernel add(String name, Service s) {
-        if (services.putIfAbsent(name, s) != null) throw new IllegalStateException("two services named " + name);
-        return this;
-    }
+  public Kernel add(String name, Service s) {
+    if (services.putIfAbsent(name, s) != null)
+      throw new IllegalStateException("two services named " + name);
+    return this;
+  }
 
-    public <T> T find(String name, Class<T> type) {
-        Service s = services.get(name);
-        if (s == null) throw new CannotStart("no service named " + name);
-        return type.cast(s);
-    }
+  public <T> T find(String name, Class<T> type) {
+    Service s = services.get(name);
+    if (s == null) throw new CannotStart("no service named " + name);
+    return type.cast(s);
+  }
 
-    public List<String> names() {
-        return new ArrayList<>(services.keySet());
-    }
+  public List<String> names() {
+    return new ArrayList<>(services.keySet());
+  }
 
-    public void start() {
-        for (Map.Entry<String, Service> e : services.entrySet()) {
-            try {
-                e.getValue().start(this);
-            } catch (RuntimeException x) {
-                stop();
-                throw x;
-            }
-            started.push(e.getKey());
-        }
+  public void start() {
+    for (Map.Entry<String, Service> e : services.entrySet()) {
+      try {
+        e.getValue().start(this);
+      } catch (RuntimeException x) {
+        stop();
+        throw x;
+      }
+      started.push(e.getKey());
     }
+  }
 
-    public synchronized void stop() {
-        while (!started.isEmpty()) {
-            String n = started.pop();
-            try {
-                services.get(n).stop();
-            } catch (RuntimeException e) {
-                Log.thrown("service-stop-problem", e, "service", n);
-            }
-        }
+  public synchronized void stop() {
+    while (!started.isEmpty()) {
+      String n = started.pop();
+      try {
+        services.get(n).stop();
+      } catch (RuntimeException e) {
+        Log.thrown("service-stop-problem", e, "service", n);
+      }
     }
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Log.java
+++ b/kernel/src/main/java/gladelug/kernel/Log.java
@@ -16,79 +16,94 @@
 import java.util.logging.Logger;
 
 public final class Log {
-    private static final FluentLogger FLOGGER = FluentLogger.forEnclosingClass();
-    private static final Logger ROOT = Logger.getLogger("");
-    private static volatile String node = "-";
-    private static Handler handler;
+  private static final FluentLogger FLOGGER = FluentLogger.forEnclosingClass();
+  private static final Logger ROOT = Logger.getLogger("");
+  private static volatile String node = "-";
+  private static Handler handler;
 
-    private Log() {}
+  private Log() {}
 
-    public static void setUp(String name, Level level, PrintStream out) {
-        node = name;
-        LogManager.getLogManager().reset();
-        handler = new Handler() {
-            @Override public void publish(LogRecord r) {
-                if (!isLoggable(r)) return;
-                String m = r.getMessage();
-                boolean ours = m != null && m.startsWith("event=");
-                StringBuilder sb = new StringBuilder(160).append("time=").append(Instant.ofEpochMilli(r.getMillis()))
-                    .append(" level=").append(r.getLevel().getName().toLowerCase(Locale.ROOT))
-                    .append(" node=").append(node).append(' ');
-                if (ours) sb.append(m);
-                else sb.append("event=library logger=").append(r.getLoggerName()).append(" message=").append(quote(m));
-                if (r.getThrown() != null) sb.append(" thrown=").append(quote(r.getThrown().toString()));
-                out.println(sb);
-            }
+  public static void setUp(String name, Level level, PrintStream out) {
+    node = name;
+    LogManager.getLogManager().reset();
+    handler =
+        new Handler() {
+          @Override
+          public void publish(LogRecord r) {
+            if (!isLoggable(r)) return;
+            String m = r.getMessage();
+            boolean ours = m != null && m.startsWith("event=");
+            StringBuilder sb =
+                new StringBuilder(160)
+                    .append("time=")
+                    .append(Instant.ofEpochMilli(r.getMillis()))
+                    .append(" level=")
+                    .append(r.getLevel().getName().toLowerCase(Locale.ROOT))
+                    .append(" node=")
+                    .append(node)
+                    .append(' ');
+            if (ours) sb.append(m);
+            else
+              sb.append("event=library logger=")
+                  .append(r.getLoggerName())
+                  .append(" message=")
+                  .append(quote(m));
+            if (r.getThrown() != null)
+              sb.append(" thrown=").append(quote(r.getThrown().toString()));
+            out.println(sb);
+          }
 
-            @Override public void flush() {
-                out.flush();
-            }
+          @Override
+          public void flush() {
+            out.flush();
+          }
 
-            @Override public void close() {}
+          @Override
+          public void close() {}
         };
-        handler.setLevel(level);
-        ROOT.setLevel(level);
-        ROOT.addHandler(handler);
-    }
+    handler.setLevel(level);
+    ROOT.setLevel(level);
+    ROOT.addHandler(handler);
+  }
 
-    public static void event(String name, Object... pairs) {
-        FLOGGER.atInfo().log("%s", line(name, pairs));
-    }
+  public static void event(String name, Object... pairs) {
+    FLOGGER.atInfo().log("%s", line(name, pairs));
+  }
 
-    public static void warn(String name, Object... pairs) {
-        FLOGGER.atWarning().log("%s", line(name, pairs));
-    }
+  public static void warn(String name, Object... pairs) {
+    FLOGGER.atWarning().log("%s", line(name, pairs));
+  }
 
-    public static void fine(String name, Object... pairs) {
-        if (FLOGGER.atFine().isEnabled()) FLOGGER.atFine().log("%s", line(name, pairs));
-    }
+  public static void fine(String name, Object... pairs) {
+    if (FLOGGER.atFine().isEnabled()) FLOGGER.atFine().log("%s", line(name, pairs));
+  }
 
-    public static void thrown(String name, Throwable t, Object... pairs) {
-        FLOGGER.atWarning().withCause(t).log("%s", line(name, pairs));
-    }
+  public static void thrown(String name, Throwable t, Object... pairs) {
+    FLOGGER.atWarning().withCause(t).log("%s", line(name, pairs));
+  }
 
-    static String line(String name, Object... pairs) {
-        StringBuilder sb = new StringBuilder(96).append("event=").append(name);
-        for (int i = 0; i + 1 < pairs.length; i += 2)
-            sb.append(' ').append(pairs[i]).append('=').append(quote(String.valueOf(pairs[i + 1])));
-        return sb.toString();
-    }
+  static String line(String name, Object... pairs) {
+    StringBuilder sb = new StringBuilder(96).append("event=").append(name);
+    for (int i = 0; i + 1 < pairs.length; i += 2)
+      sb.append(' ').append(pairs[i]).append('=').append(quote(String.valueOf(pairs[i + 1])));
+    return sb.toString();
+  }
 
-    static String quote(String s) {
-        if (s == null) return "-";
-        boolean plain = !s.isEmpty();
-        for (int i = 0; plain && i < s.length(); i++) {
-            char c = s.charAt(i);
-            plain = c > ' ' && c != '"' && c != '=' && c < 127;
-        }
-        if (plain) return s;
-        StringBuilder sb = new StringBuilder("\"");
-        for (int i = 0; i < s.length(); i++) {
-            char c = s.charAt(i);
-            if (c == '"' || c == '\\') sb.append('\\').append(c);
-            else if (c < ' ') sb.append("\\u").append(String.format("%04x", (int) c));
-            else sb.append(c);
-        }
-        return sb.append('"').toString();
+  static String quote(String s) {
+    if (s == null) return "-";
+    boolean plain = !s.isEmpty();
+    for (int i = 0; plain && i < s.length(); i++) {
+      char c = s.charAt(i);
+      plain = c > ' ' && c != '"' && c != '=' && c < 127;
+    }
+    if (plain) return s;
+    StringBuilder sb = new StringBuilder("\"");
+    for (int i = 0; i < s.length(); i++) {
+      char c = s.charAt(i);
+      if (c == '"' || c == '\\') sb.append('\\').append(c);
+      else if (c < ' ') sb.append("\\u").append(String.format("%04x", (int) c));
+      else sb.append(c);
     }
+    return sb.append('"').toString();
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Program.java
+++ b/kernel/src/main/java/gladelug/kernel/Program.java
@@ -6,66 +6,73 @@
 package gladelug.kernel;
 
 import java.util.logging.Level;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
-import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.Namespace;
 
 public final class Program {
-    public static final int BAD_USE = 2, CANNOT = 3;
+  public static final int BAD_USE = 2, CANNOT = 3;
 
-    private Program() {}
+  private Program() {}
 
-    public static Namespace parse(ArgumentParser p, String[] args) {
-        try {
-            return p.parseArgs(args);
-        } catch (HelpScreenException e) {
-            p.handleError(e);
-            System.exit(0);
-        } catch (ArgumentParserException e) {
-            p.handleError(e);
-            System.exit(BAD_USE);
-        }
-        throw new IllegalStateException();
+  public static Namespace parse(ArgumentParser p, String[] args) {
+    try {
+      return p.parseArgs(args);
+    } catch (HelpScreenException e) {
+      p.handleError(e);
+      System.exit(0);
+    } catch (ArgumentParserException e) {
+      p.handleError(e);
+      System.exit(BAD_USE);
     }
+    throw new IllegalStateException();
+  }
 
-    public static <T> T orExit(String program, Result<T> r) {
-        if (r instanceof Result.Good<T> g) return g.value();
-        System.err.println(program + ": nothing was started; found:");
-        for (Finding f : ((Result.Bad<T>) r).findings()) System.err.println("  " + f);
-        System.exit(BAD_USE);
-        throw new IllegalStateException();
-    }
+  public static <T> T orExit(String program, Result<T> r) {
+    if (r instanceof Result.Good<T> g) return g.value();
+    System.err.println(program + ": nothing was started; found:");
+    for (Finding f : ((Result.Bad<T>) r).findings()) System.err.println("  " + f);
+    System.exit(BAD_USE);
+    throw new IllegalStateException();
+  }
 
-    public static Level level(String s) {
-        return switch (s) {
-            case "fine" -> Level.FINE;
-            case "warning" -> Level.WARNING;
-            default -> Level.INFO;
-        };
-    }
+  public static Level level(String s) {
+    return switch (s) {
+      case "fine" -> Level.FINE;
+      case "warning" -> Level.WARNING;
+      default -> Level.INFO;
+    };
+  }
 
-    /** Starts, then waits until asked to stop; the stop has this many ms before the process ends anyway. */
-    public static void run(String program, Kernel k, long politely) {
-        try {
-            k.start();
-        } catch (Kernel.CannotStart e) {
-            Log.fine("cannot-start", "what", e.getMessage());
-            System.err.println(program + ": " + e.getMessage());
-            System.exit(CANNOT);
-        }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            Log.event("stopping");
-            Thread t = new Thread(k::stop, "stop");
-            t.setDaemon(true);
-            t.start();
-            try {
-                t.join(politely);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            Log.event("stopped", "in-time", !t.isAlive());
-        }, "shutdown"));
-        Log.event("started", "program", program, "services", k.names());
+  /**
+   * Starts, then waits until asked to stop; the stop has this many ms before the process ends
+   * anyway.
+   */
+  public static void run(String program, Kernel k, long politely) {
+    try {
+      k.start();
+    } catch (Kernel.CannotStart e) {
+      Log.fine("cannot-start", "what", e.getMessage());
+      System.err.println(program + ": " + e.getMessage());
+      System.exit(CANNOT);
     }
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  Log.event("stopping");
+                  Thread t = new Thread(k::stop, "stop");
+                  t.setDaemon(true);
+                  t.start();
+                  try {
+                    t.join(politely);
+                  } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                  }
+                  Log.event("stopped", "in-time", !t.isAlive());
+                },
+                "shutdown"));
+    Log.event("started", "program", program, "services", k.names());
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Result.java
+++ b/kernel/src/main/java/gladelug/kernel/Result.java
@@ -9,30 +9,31 @@
 import java.util.function.Supplier;
 
 public sealed interface Result<T> {
-    record Good<T>(T value) implements Result<T> {}
+  record Good<T>(T value) implements Result<T> {}
 
-    record Bad<T>(List<Finding> findings) implements Result<T> {
-        @Override public String toString() {
-            StringBuilder sb = new StringBuilder();
-            for (Finding f : findings) sb.append(f).append('\n');
-            return sb.toString();
-        }
+  record Bad<T>(List<Finding> findings) implements Result<T> {
+    @Override
+    public String toString() {
+      StringBuilder sb = new StringBuilder();
+      for (Finding f : findings) sb.append(f).append('\n');
+      return sb.toString();
     }
+  }
 
-    static <T> Result<T> good(T v) {
-        return new Good<>(v);
-    }
+  static <T> Result<T> good(T v) {
+    return new Good<>(v);
+  }
 
-    static <T> Result<T> bad(String place, String what) {
-        return new Bad<>(List.of(new Finding(place, what)));
-    }
+  static <T> Result<T> bad(String place, String what) {
+    return new Bad<>(List.of(new Finding(place, what)));
+  }
 
-    static <T> Result<T> of(Findings fs, Supplier<T> v) {
-        return fs.clean() ? new Good<>(v.get()) : new Bad<>(fs.list());
-    }
+  static <T> Result<T> of(Findings fs, Supplier<T> v) {
+    return fs.clean() ? new Good<>(v.get()) : new Bad<>(fs.list());
+  }
 
-    default <U> Result<U> then(Function<T, Result<U>> f) {
-        if (this instanceof Good<T> g) return f.apply(g.value());
-        return new Bad<>(((Bad<T>) this).findings());
-    }
+  default <U> Result<U> then(Function<T, Result<U>> f) {
+    if (this instanceof Good<T> g) return f.apply(g.value());
+    return new Bad<>(((Bad<T>) this).findings());
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/Settings.java
+++ b/kernel/src/main/java/gladelug/kernel/Settings.java
@@ -15,102 +15,105 @@
 import java.util.function.Supplier;
 
 public final class Settings {
-    private static final Doc NOTHING = ((Result.Good<Doc>) Doc.parse("{}")).value();
-    private final Doc.Fields file;
-    private final Map<String, String> flags;
-    public final Findings findings;
-
-    private Settings(Doc d, Map<String, String> flags, Findings fs) {
-        this.file = d.fields(fs);
-        this.flags = flags;
-        this.findings = fs;
+  private static final Doc NOTHING = ((Result.Good<Doc>) Doc.parse("{}")).value();
+  private final Doc.Fields file;
+  private final Map<String, String> flags;
+  public final Findings findings;
+
+  private Settings(Doc d, Map<String, String> flags, Findings fs) {
+    this.file = d.fields(fs);
+    this.flags = flags;
+    this.findings = fs;
+  }
+
+  public static Result<Settings> open(String path, Map<String, String> flags) {
+    Map<String, String> fl = new HashMap<>(flags);
+    fl.values().removeIf(v -> v == null);
+    if (path == null) return Result.good(new Settings(NOTHING, fl, new Findings()));
+    String s;
+    try {
+      s = Files.readString(Path.of(path));
+    } catch (IOException | RuntimeException e) {
+      return Result.bad("settings file " + path, "cannot be read: " + e.getClass().getSimpleName());
     }
-
-    public static Result<Settings> open(String path, Map<String, String> flags) {
-        Map<String, String> fl = new HashMap<>(flags);
-        fl.values().removeIf(v -> v == null);
-        if (path == null) return Result.good(new Settings(NOTHING, fl, new Findings()));
-        String s;
-        try {
-            s = Files.readString(Path.of(path));
-        } catch (IOException | RuntimeException e) {
-            return Result.bad("settings file " + path, "cannot be read: " + e.getClass().getSimpleName());
-        }
-        return Doc.parse(s).then(d -> Result.good(new Settings(d, fl, new Findings())));
-    }
-
-    /** A setting's name as a flag. */
-    public static String flag(String name) {
-        return "--" + name.replaceAll("([A-Z])", "-$1").toLowerCase(Locale.ROOT);
-    }
-
-    public boolean has(String name) {
-        return flags.containsKey(name) || file.has(name);
-    }
-
-    private String place(String name) {
-        return flags.containsKey(name) ? flag(name) : file.place(name);
-    }
-
-    public String text(String name) {
-        if (!has(name)) {
-            findings.add(flag(name), "is needed, as a flag or as " + name + " in the settings file");
-            return "";
-        }
-        String s = text(name, "");
-        if (s.isBlank()) findings.add(place(name), "must not be empty");
-        return s;
-    }
-
-    public String text(String name, String or) {
-        String inFile = file.text(name, or);
-        return flags.getOrDefault(name, inFile);
-    }
-
-    public String name(String name) {
-        String s = text(name);
-        if (!s.isEmpty() && !s.matches("[a-z0-9][a-z0-9-]{0,30}"))
-            findings.add(place(name), "must be small letters, digits and hyphens, 31 at most: " + s);
-        return s;
-    }
-
-    public Address address(String name) {
-        String s = text(name);
-        return Address.read(s, place(name), findings);
-    }
-
-    public Address address(String name, Address or) {
-        return has(name) ? address(name) : or;
-    }
-
-    public long whole(String name, long or, long min, long max) {
-        if (!flags.containsKey(name)) return file.whole(name, or, min, max);
-        file.whole(name, or, Long.MIN_VALUE, Long.MAX_VALUE);
-        try {
-            long v = Long.parseLong(flags.get(name));
-            if (v >= min && v <= max) return v;
-        } catch (NumberFormatException e) {
-            // reported below with the range
-        }
-        findings.add(flag(name), "must be a whole number from " + min + " to " + max);
-        return or;
-    }
-
-    public List<String> texts(String name) {
-        List<String> f = file.texts(name, false);
-        if (!flags.containsKey(name)) return f;
-        return List.of(flags.get(name).split(",")).stream().map(String::trim).filter(s -> !s.isEmpty()).toList();
+    return Doc.parse(s).then(d -> Result.good(new Settings(d, fl, new Findings())));
+  }
+
+  /** A setting's name as a flag. */
+  public static String flag(String name) {
+    return "--" + name.replaceAll("([A-Z])", "-$1").toLowerCase(Locale.ROOT);
+  }
+
+  public boolean has(String name) {
+    return flags.containsKey(name) || file.has(name);
+  }
+
+  private String place(String name) {
+    return flags.containsKey(name) ? flag(name) : file.place(name);
+  }
+
+  public String text(String name) {
+    if (!has(name)) {
+      findings.add(flag(name), "is needed, as a flag or as " + name + " in the settings file");
+      return "";
     }
-
-    public List<Address> addresses(String name) {
-        List<Address> out = new ArrayList<>();
-        for (String s : texts(name)) out.add(Address.read(s, place(name), findings));
-        return out;
-    }
-
-    /** The last call: fields nobody asked for are findings too. */
-    public <T> Result<T> done(Supplier<T> made) {
-        file.done();
-        return Result.of(findings, made);
+    String s = text(name, "");
+    if (s.isBlank()) findings.add(place(name), "must not be empty");
+    return s;
+  }
+
+  public String text(String name, String or) {
+    String inFile = file.text(name, or);
+    return flags.getOrDefault(name, inFile);
+  }
+
+  public String name(String name) {
+    String s = text(name);
+    if (!s.isEmpty() && !s.matches("[a-z0-9][a-z0-9-]{0,30}"))
+      findings.add(place(name), "must be small letters, digits and hyphens, 31 at most: " + s);
+    return s;
+  }
+
+  public Address address(String name) {
+    String s = text(name);
+    return Address.read(s, place(name), findings);
+  }
+
+  public Address address(String name, Address or) {
+    return has(name) ? address(name) : or;
+  }
+
+  public long whole(String name, long or, long min, long max) {
+    if (!flags.containsKey(name)) return file.whole(name, or, min, max);
+    file.whole(name, or, Long.MIN_VALUE, Long.MAX_VALUE);
+    try {
+      long v = Long.parseLong(flags.get(name));
+      if (v >= min && v <= max) return v;
+    } catch (NumberFormatException e) {
+      // reported below with the range
     }
+    findings.add(flag(name), "must be a whole number from " + min + " to " + max);
+    return or;
+  }
+
+  public List<String> texts(String name) {
+    List<String> f = file.texts(name, false);
+    if (!flags.containsKey(name)) return f;
+    return List.of(flags.get(name).split(",")).stream()
+        .map(String::trim)
+        .filter(s -> !s.isEmpty())
+        .toList();
+  }
+
+  public List<Address> addresses(String name) {
+    List<Address> out = new ArrayList<>();
+    for (String s : texts(name)) out.add(Address.read(s, place(name), findings));
+    return out;
+  }
+
+  /** The last call: fields nobody asked for are findings too. */
+  public <T> Result<T> done(Supplier<T> made) {
+    file.done();
+    return Result.of(findings, made);
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/configuration/Allow.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Allow.java
@@ -8,38 +8,38 @@
 import gladelug.kernel.Result;
 
 public record Allow(long net, int bits, int low, int high) {
-    public static Result<Allow> parse(String s, String place) {
-        String h = s;
-        int lo = 1, hi = 65535, bits = 32;
-        try {
-            int c = h.indexOf(':');
-            if (c >= 0) {
-                String[] ps = h.substring(c + 1).split("-", -1);
-                lo = Integer.parseInt(ps[0]);
-                hi = ps.length > 1 ? Integer.parseInt(ps[1]) : lo;
-                h = h.substring(0, c);
-                if (ps.length > 2) lo = -1;
-            }
-            int sl = h.indexOf('/');
-            if (sl >= 0) {
-                bits = Integer.parseInt(h.substring(sl + 1));
-                h = h.substring(0, sl);
-            }
-        } catch (NumberFormatException e) {
-            lo = -1;
-        }
-        long n = Address.number(h);
-        if (n < 0 || bits < 0 || bits > 32 || lo < 1 || hi > 65535 || lo > hi)
-            return Result.bad(place, "must be IP, IP/BITS, either with :PORT or :LOW-HIGH, not " + s);
-        return Result.good(new Allow(n & mask(bits), bits, lo, hi));
+  public static Result<Allow> parse(String s, String place) {
+    String h = s;
+    int lo = 1, hi = 65535, bits = 32;
+    try {
+      int c = h.indexOf(':');
+      if (c >= 0) {
+        String[] ps = h.substring(c + 1).split("-", -1);
+        lo = Integer.parseInt(ps[0]);
+        hi = ps.length > 1 ? Integer.parseInt(ps[1]) : lo;
+        h = h.substring(0, c);
+        if (ps.length > 2) lo = -1;
+      }
+      int sl = h.indexOf('/');
+      if (sl >= 0) {
+        bits = Integer.parseInt(h.substring(sl + 1));
+        h = h.substring(0, sl);
+      }
+    } catch (NumberFormatException e) {
+      lo = -1;
     }
+    long n = Address.number(h);
+    if (n < 0 || bits < 0 || bits > 32 || lo < 1 || hi > 65535 || lo > hi)
+      return Result.bad(place, "must be IP, IP/BITS, either with :PORT or :LOW-HIGH, not " + s);
+    return Result.good(new Allow(n & mask(bits), bits, lo, hi));
+  }
 
-    public boolean allows(Address a) {
-        long n = Address.number(a.host());
-        return n >= 0 && (n & mask(bits)) == net && a.port() >= low && a.port() <= high;
-    }
+  public boolean allows(Address a) {
+    long n = Address.number(a.host());
+    return n >= 0 && (n & mask(bits)) == net && a.port() >= low && a.port() <= high;
+  }
 
-    private static long mask(int bits) {
-        return bits == 0 ? 0 : 0xffffffffL << (32 - bits) & 0xffffffffL;
-    }
+  private static long mask(int bits) {
+    return bits == 0 ? 0 : 0xffffffffL << (32 - bits) & 0xffffffffL;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/configuration/Configuration.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Configuration.java
@@ -20,291 +20,378 @@
 import java.util.Set;
 
 public final class Configuration {
-    public enum Kind { MODEL, APPLICATION, STORE }
-
-    /**
-     * What the replicas of a model service are able to do, where that is known: requests at once, prompt tokens kept at
-     * most (0 where not known), bytes a kept token, the speed of their links in Mbit/s, how many may follow one's
-     * cache events at once, and the models they serve.
-     */
-    public record Engine(int slots, long keptTokens, int tokenBytes, double linkMbps, int followers,
-        List<String> models) {
-        public static final Engine UNKNOWN = new Engine(0, 0, 0, 0, 0, List.of());
+  public enum Kind {
+    MODEL,
+    APPLICATION,
+    STORE
+  }
+
+  /**
+   * What the replicas of a model service are able to do, where that is known: requests at once,
+   * prompt tokens kept at most (0 where not known), bytes a kept token, the speed of their links in
+   * Mbit/s, how many may follow one's cache events at once, and the models they serve.
+   */
+  public record Engine(
+      int slots,
+      long keptTokens,
+      int tokenBytes,
+      double linkMbps,
+      int followers,
+      List<String> models) {
+    public static final Engine UNKNOWN = new Engine(0, 0, 0, 0, 0, List.of());
+  }
+
+  /**
+   * A service; connections is the most a replica takes from all callers, store the address of a
+   * store, or null.
+   */
+  public record Service(
+      int index,
+      String name,
+      Kind kind,
+      List<Allow> allow,
+      int connections,
+      Engine engine,
+      Address store,
+      String zone) {
+    public boolean allows(Address a) {
+      for (Allow w : allow) if (w.allows(a)) return true;
+      return false;
     }
-
-    /** A service; connections is the most a replica takes from all callers, store the address of a store, or null. */
-    public record Service(int index, String name, Kind kind, List<Allow> allow, int connections, Engine engine,
-        Address store, String zone) {
-        public boolean allows(Address a) {
-            for (Allow w : allow) if (w.allows(a)) return true;
-            return false;
-        }
+  }
+
+  /** What a client may send at most and how long it may take: bytes and milliseconds. */
+  public record Limits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {
+    public static final Limits USUAL = new Limits(16_384, 16_777_216, 10_000, 120_000);
+  }
+
+  /** A part of a route's traffic: a service by its index and how much of it. */
+  public record Weighted(int service, int weight) {}
+
+  /**
+   * Which requests go to which service. host is empty for any; prefix tells whether path begins the
+   * request's path or is all of it. aimMs and gapMs are when the first event and the next are still
+   * in time (0: not told).
+   */
+  public record Route(
+      int index,
+      String name,
+      String host,
+      String path,
+      boolean prefix,
+      List<Weighted> split,
+      int deadlineMs,
+      boolean repeatable,
+      int maxBodyBytes,
+      int aimMs,
+      int gapMs,
+      int attempts,
+      int tier,
+      boolean open,
+      boolean stream,
+      boolean resumable) {
+    public int service() {
+      return split.get(0).service();
     }
 
-    /** What a client may send at most and how long it may take: bytes and milliseconds. */
-    public record Limits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {
-        public static final Limits USUAL = new Limits(16_384, 16_777_216, 10_000, 120_000);
+    public boolean allows(int service) {
+      for (Weighted w : split) if (w.service == service && w.weight > 0) return true;
+      return false;
     }
 
-    /** A part of a route's traffic: a service by its index and how much of it. */
-    public record Weighted(int service, int weight) {}
-
     /**
-     * Which requests go to which service. host is empty for any; prefix tells whether path begins the request's path
-     * or is all of it. aimMs and gapMs are when the first event and the next are still in time (0: not told).
+     * The service for a request whose draw is from 0 to 1: by the weights, the same for the same
+     * draw.
      */
-    public record Route(int index, String name, String host, String path, boolean prefix, List<Weighted> split,
-        int deadlineMs, boolean repeatable, int maxBodyBytes, int aimMs, int gapMs, int attempts, int tier,
-        boolean open, boolean stream, boolean resumable) {
-        public int service() {
-            return split.get(0).service();
-        }
-
-        public boolean allows(int service) {
-            for (Weighted w : split) if (w.service == service && w.weight > 0) return true;
-            return false;
-        }
-
-        /** The service for a request whose draw is from 0 to 1: by the weights, the same for the same draw. */
-        public int service(double draw) {
-            int all = 0;
-            for (Weighted w : split) all += w.weight;
-            double at = draw * all;
-            for (Weighted w : split) {
-                at -= w.weight;
-                if (at < 0) return w.service;
-            }
-            return split.get(split.size() - 1).service;
-        }
-
-        public static Builder named(String name) {
-            return new Builder(name);
-        }
-
-        /** A route as it is put together; what isn't said is as the product's own configuration has it. */
-        public static final class Builder {
-            private final String name;
-            private String host = "";
-            private String path = "/";
-            private boolean prefix;
-            private final List<Weighted> split = new ArrayList<>();
-            private int deadlineMs = 10_000;
-            private boolean repeatable;
-            private int maxBodyBytes = 262_144;
-            private int aimMs;
-            private int gapMs;
-            private int attempts = 2;
-            private int tier;
-            private boolean open;
-            private boolean stream = true;
-            private boolean resumable;
-
-            private Builder(String name) {
-                this.name = name;
-            }
-
-            public Builder at(String h, String p, boolean begins) {
-                host = h;
-                path = p;
-                prefix = begins;
-                return this;
-            }
-
-            public Builder to(int service, int weight) {
-                split.add(new Weighted(service, weight));
-                return this;
-            }
-
-            public Builder times(int deadline, int aim, int gap) {
-                deadlineMs = deadline;
-                aimMs = aim;
-                gapMs = gap;
-                return this;
-            }
-
-            public Builder tries(boolean again, int most) {
-                repeatable = again;
-                attempts = most;
-                return this;
-            }
-
-            public Builder body(int bytes) {
-                maxBodyBytes = bytes;
-                return this;
-            }
-
-            public Builder tier(int t) {
-                tier = t;
-                return this;
-            }
-
-            public Builder open(boolean yes) {
-                open = yes;
-                return this;
-            }
-
-            public Builder stream(boolean yes, boolean mayResume) {
-                stream = yes;
-                resumable = mayResume;
-                return this;
-            }
-
-            public Route build(int index) {
-                return new Route(index, name, host, path, prefix, List.copyOf(split), deadlineMs, repeatable,
-                    maxBodyBytes, aimMs, gapMs, attempts, tier, open, stream, resumable);
-            }
-        }
+    public int service(double draw) {
+      int all = 0;
+      for (Weighted w : split) all += w.weight;
+      double at = draw * all;
+      for (Weighted w : split) {
+        at -= w.weight;
+        if (at < 0) return w.service;
+      }
+      return split.get(split.size() - 1).service;
     }
 
-    public record Tenant(int index, String name, List<String> keys, boolean isolated, Share share) {}
-
-    public final List<Service> services;
-    public final List<Route> routes;
-    public final List<Tenant> tenants;
-    public final Limits limits;
-    /** The operator's own number for it, 0 where there is none. */
-    public final long revision;
-    private final Map<String, Route> byPath = new HashMap<>();
-    private final Map<String, Route> byPrefix = new HashMap<>();
-    private final Map<String, Tenant> byKey = new HashMap<>();
-    private final Map<String, Service> byName = new HashMap<>();
-
-    public Configuration(long revision, List<Service> services, List<Route> routes, List<Tenant> tenants,
-        Limits limits) {
-        this.revision = revision;
-        this.limits = limits;
-        this.services = List.copyOf(services);
-        this.routes = List.copyOf(routes);
-        this.tenants = List.copyOf(tenants);
-        for (Service s : services) byName.put(s.name, s);
-        for (Route m : routes) (m.prefix ? byPrefix : byPath).put(m.host + m.path, m);
-        for (Tenant t : tenants) for (String k : t.keys) byKey.put(k, t);
+    public static Builder named(String name) {
+      return new Builder(name);
     }
 
-    /** Whoever calls a route that is open to all without a key. */
-    public static final Tenant ANYBODY = new Tenant(-1, "anybody", List.of(), false,
-        new Share("anybody", "anybody", 1, 9, 0, List.of(), List.of()));
-    public static final Configuration EMPTY = new Configuration(0, List.of(), List.of(), List.of(),
-        Limits.USUAL);
-
-    public Route route(String path) {
-        return route("", path);
-    }
-
-    /** Of the host's routes the one that is the path, else the one that begins it and is longest; or null. */
-    public Route route(String host, String path) {
-        Route r = byPath.get(host + path);
-        for (int i = path.length() - 1; r == null && i >= 0; i--)
-            if (path.charAt(i) == '/') r = byPrefix.get(host + path.substring(0, i + 1));
-        return r != null || host.isEmpty() ? r : route("", path);
-    }
-
-    public Service service(String name) {
-        return byName.get(name);
-    }
-
-    public Tenant tenantOfHash(String hash) {
-        return byKey.get(hash);
-    }
-
-    public static String hashOf(String key) {
-        return Digest.hex(key);
-    }
-
-    /** Where in the tree a request of this tenant by this route stands: the leaf's path. */
-    public static String leaf(Tenant t, Route m) {
-        Share l = t.share.leaf(m.name);
-        return l == null ? t.share.path() : l.path();
-    }
-
-    public static Result<Configuration> parse(String json) {
-        return Doc.parse(json).then(Configuration::read);
+    /**
+     * A route as it is put together; what isn't said is as the product's own configuration has it.
+     */
+    public static final class Builder {
+      private final String name;
+      private String host = "";
+      private String path = "/";
+      private boolean prefix;
+      private final List<Weighted> split = new ArrayList<>();
+      private int deadlineMs = 10_000;
+      private boolean repeatable;
+      private int maxBodyBytes = 262_144;
+      private int aimMs;
+      private int gapMs;
+      private int attempts = 2;
+      private int tier;
+      private boolean open;
+      private boolean stream = true;
+      private boolean resumable;
+
+      private Builder(String name) {
+        this.name = name;
+      }
+
+      public Builder at(String h, String p, boolean begins) {
+        host = h;
+        path = p;
+        prefix = begins;
+        return this;
+      }
+
+      public Builder to(int service, int weight) {
+        split.add(new Weighted(service, weight));
+        return this;
+      }
+
+      public Builder times(int deadline, int aim, int gap) {
+        deadlineMs = deadline;
+        aimMs = aim;
+        gapMs = gap;
+        return this;
+      }
+
+      public Builder tries(boolean again, int most) {
+        repeatable = again;
+        attempts = most;
+        return this;
+      }
+
+      public Builder body(int bytes) {
+        maxBodyBytes = bytes;
+        return this;
+      }
+
+      public Builder tier(int t) {
+        tier = t;
+        return this;
+      }
+
+      public Builder open(boolean yes) {
+        open = yes;
+        return this;
+      }
+
+      public Builder stream(boolean yes, boolean mayResume) {
+        stream = yes;
+        resumable = mayResume;
+        return this;
+      }
+
+      public Route build(int index) {
+        return new Route(
+            index,
+            name,
+            host,
+            path,
+            prefix,
+            List.copyOf(split),
+            deadlineMs,
+            repeatable,
+            maxBodyBytes,
+            aimMs,
+            gapMs,
+            attempts,
+            tier,
+            open,
+            stream,
+            resumable);
+      }
     }
-
-    public static Result<Configuration> read(Doc d) {
-        Findings fs = new Findings();
-        Doc.Fields f = d.fields(fs);
-        Map<String, Service> sn = new HashMap<>();
-        List<Service> ss = new ArrayList<>();
-        for (Doc x : f.list("services", true)) ss.add(service(x, ss.size(), sn, fs));
-        List<Route> ms = new ArrayList<>();
-        Set<String> mn = new HashSet<>(), mp = new HashSet<>();
-        for (Doc x : f.list("mappings", true)) ms.add(route(x, ms.size(), sn, mn, mp, fs));
-        List<Tenant> ts = new ArrayList<>();
-        Set<String> tn = new HashSet<>();
-        Map<String, String> keys = new HashMap<>();
-        for (Doc x : f.list("tenants", true)) ts.add(tenant(x, ts.size(), tn, keys, mn, fs));
-        f.done();
-        return Result.of(fs, () -> new Configuration(0, ss, ms, ts, Limits.USUAL));
+  }
+
+  public record Tenant(int index, String name, List<String> keys, boolean isolated, Share share) {}
+
+  public final List<Service> services;
+  public final List<Route> routes;
+  public final List<Tenant> tenants;
+  public final Limits limits;
+
+  /** The operator's own number for it, 0 where there is none. */
+  public final long revision;
+
+  private final Map<String, Route> byPath = new HashMap<>();
+  private final Map<String, Route> byPrefix = new HashMap<>();
+  private final Map<String, Tenant> byKey = new HashMap<>();
+  private final Map<String, Service> byName = new HashMap<>();
+
+  public Configuration(
+      long revision,
+      List<Service> services,
+      List<Route> routes,
+      List<Tenant> tenants,
+      Limits limits) {
+    this.revision = revision;
+    this.limits = limits;
+    this.services = List.copyOf(services);
+    this.routes = List.copyOf(routes);
+    this.tenants = List.copyOf(tenants);
+    for (Service s : services) byName.put(s.name, s);
+    for (Route m : routes) (m.prefix ? byPrefix : byPath).put(m.host + m.path, m);
+    for (Tenant t : tenants) for (String k : t.keys) byKey.put(k, t);
+  }
+
+  /** Whoever calls a route that is open to all without a key. */
+  public static final Tenant ANYBODY =
+      new Tenant(
+          -1,
+          "anybody",
+          List.of(),
+          false,
+          new Share("anybody", "anybody", 1, 9, 0, List.of(), List.of()));
+
+  public static final Configuration EMPTY =
+      new Configuration(0, List.of(), List.of(), List.of(), Limits.USUAL);
+
+  public Route route(String path) {
+    return route("", path);
+  }
+
+  /**
+   * Of the host's routes the one that is the path, else the one that begins it and is longest; or
+   * null.
+   */
+  public Route route(String host, String path) {
+    Route r = byPath.get(host + path);
+    for (int i = path.length() - 1; r == null && i >= 0; i--)
+      if (path.charAt(i) == '/') r = byPrefix.get(host + path.substring(0, i + 1));
+    return r != null || host.isEmpty() ? r : route("", path);
+  }
+
+  public Service service(String name) {
+    return byName.get(name);
+  }
+
+  public Tenant tenantOfHash(String hash) {
+    return byKey.get(hash);
+  }
+
+  public static String hashOf(String key) {
+    return Digest.hex(key);
+  }
+
+  /** Where in the tree a request of this tenant by this route stands: the leaf's path. */
+  public static String leaf(Tenant t, Route m) {
+    Share l = t.share.leaf(m.name);
+    return l == null ? t.share.path() : l.path();
+  }
+
+  public static Result<Configuration> parse(String json) {
+    return Doc.parse(json).then(Configuration::read);
+  }
+
+  public static Result<Configuration> read(Doc d) {
+    Findings fs = new Findings();
+    Doc.Fields f = d.fields(fs);
+    Map<String, Service> sn = new HashMap<>();
+    List<Service> ss = new ArrayList<>();
+    for (Doc x : f.list("services", true)) ss.add(service(x, ss.size(), sn, fs));
+    List<Route> ms = new ArrayList<>();
+    Set<String> mn = new HashSet<>(), mp = new HashSet<>();
+    for (Doc x : f.list("mappings", true)) ms.add(route(x, ms.size(), sn, mn, mp, fs));
+    List<Tenant> ts = new ArrayList<>();
+    Set<String> tn = new HashSet<>();
+    Map<String, String> keys = new HashMap<>();
+    for (Doc x : f.list("tenants", true)) ts.add(tenant(x, ts.size(), tn, keys, mn, fs));
+    f.done();
+    return Result.of(fs, () -> new Configuration(0, ss, ms, ts, Limits.USUAL));
+  }
+
+  private static Service service(Doc x, int i, Map<String, Service> names, Findings fs) {
+    Doc.Fields f = x.fields(fs);
+    String name = f.text("name");
+    String k = f.text("kind", "model");
+    Kind kind = Kind.MODEL;
+    switch (k) {
+      case "model" -> kind = Kind.MODEL;
+      case "application" -> kind = Kind.APPLICATION;
+      case "store" -> kind = Kind.STORE;
+      default -> fs.add(f.place("kind"), "must be model, application or store, not " + k);
     }
-
-    private static Service service(Doc x, int i, Map<String, Service> names, Findings fs) {
-        Doc.Fields f = x.fields(fs);
-        String name = f.text("name");
-        String k = f.text("kind", "model");
-        Kind kind = Kind.MODEL;
-        switch (k) {
-            case "model" -> kind = Kind.MODEL;
-            case "application" -> kind = Kind.APPLICATION;
-            case "store" -> kind = Kind.STORE;
-            default -> fs.add(f.place("kind"), "must be model, application or store, not " + k);
-        }
-        List<Allow> as = new ArrayList<>();
-        for (String a : f.texts("allow", true)) {
-            Result<Allow> r = Allow.parse(a, f.place("allow"));
-            if (r instanceof Result.Good<Allow> g) as.add(g.value());
-            else for (Finding y : ((Result.Bad<Allow>) r).findings()) fs.add(y.place(), y.what());
-        }
-        f.done();
-        Service s = new Service(i, name, kind, List.copyOf(as), 256, Engine.UNKNOWN, null, "");
-        if (names.putIfAbsent(name, s) != null) fs.add(f.place("name"), "two services are named " + name);
-        return s;
+    List<Allow> as = new ArrayList<>();
+    for (String a : f.texts("allow", true)) {
+      Result<Allow> r = Allow.parse(a, f.place("allow"));
+      if (r instanceof Result.Good<Allow> g) as.add(g.value());
+      else for (Finding y : ((Result.Bad<Allow>) r).findings()) fs.add(y.place(), y.what());
     }
-
-    private static Route route(Doc x, int i, Map<String, Service> sn, Set<String> names, Set<String> paths,
-        Findings fs) {
-        Doc.Fields f = x.fields(fs);
-        String name = f.text("name"), path = f.text("path"), sv = f.text("service");
-        Service s = sn.get(sv);
-        if (s == null && !sv.isEmpty()) fs.add(f.place("service"), "names no service of this policy: " + sv);
-        if (s != null && s.kind == Kind.STORE) fs.add(f.place("service"), "a store takes no orders: " + sv);
-        if (!path.isEmpty() && !path.startsWith("/")) fs.add(f.place("path"), "must begin with a slash");
-        if (path.startsWith("/operator/")) fs.add(f.place("path"), "must not begin with /operator/");
-        if (!names.add(name)) fs.add(f.place("name"), "two mappings are named " + name);
-        if (!paths.add(path)) fs.add(f.place("path"), "two mappings have the path " + path);
-        Route m = Route.named(name).at("", path, false).to(s == null ? -1 : s.index, 1)
+    f.done();
+    Service s = new Service(i, name, kind, List.copyOf(as), 256, Engine.UNKNOWN, null, "");
+    if (names.putIfAbsent(name, s) != null)
+      fs.add(f.place("name"), "two services are named " + name);
+    return s;
+  }
+
+  private static Route route(
+      Doc x, int i, Map<String, Service> sn, Set<String> names, Set<String> paths, Findings fs) {
+    Doc.Fields f = x.fields(fs);
+    String name = f.text("name"), path = f.text("path"), sv = f.text("service");
+    Service s = sn.get(sv);
+    if (s == null && !sv.isEmpty())
+      fs.add(f.place("service"), "names no service of this policy: " + sv);
+    if (s != null && s.kind == Kind.STORE)
+      fs.add(f.place("service"), "a store takes no orders: " + sv);
+    if (!path.isEmpty() && !path.startsWith("/"))
+      fs.add(f.place("path"), "must begin with a slash");
+    if (path.startsWith("/operator/")) fs.add(f.place("path"), "must not begin with /operator/");
+    if (!names.add(name)) fs.add(f.place("name"), "two mappings are named " + name);
+    if (!paths.add(path)) fs.add(f.place("path"), "two mappings have the path " + path);
+    Route m =
+        Route.named(name)
+            .at("", path, false)
+            .to(s == null ? -1 : s.index, 1)
             .times((int) f.whole("expiryMs", 10_000, 50, 600_000), 0, 0)
             .tries(f.yes("repeatable", false), (int) f.whole("attempts", 6, 1, 16))
-            .body((int) f.whole("maxBodyBytes", 262_144, 64, 16_777_216)).build(i);
-        f.done();
-        return m;
-    }
-
-    private static Tenant tenant(Doc x, int i, Set<String> names, Map<String, String> keys, Set<String> routes,
-        Findings fs) {
-        Doc.Fields f = x.fields(fs);
-        String name = f.text("name");
-        List<String> ks = new ArrayList<>();
-        for (Doc k : f.list("keys", true)) {
-            if (k.kind != Doc.Kind.STRING || !k.text.matches("sha256:[0-9a-f]{64}"))
-                fs.add(k.place(), "must be sha256: and 64 small hex digits, the hash of a key, never the key itself");
-            else {
-                String h = k.text.substring(7), old = keys.putIfAbsent(h, name);
-                if (old != null) fs.add(k.place(), "is already a key of tenant " + old);
-                ks.add(h);
-            }
-        }
-        Set<String> taken = new HashSet<>();
-        List<Share> below = Share.readAll(f.list("shares", false), name, 1, taken, fs);
-        for (String m : taken)
-            if (!routes.contains(m)) fs.add(f.place("shares"), "a share names no mapping of this policy: " + m);
-        Share root = new Share(name, name, (int) f.whole("weight", 1, 1, 1_000_000), (int) f.whole("tier", 0, 0, 9),
-            (int) f.whole("limit", 0, 0, 1_000_000), List.of(), below);
-        for (Share c : below) Share.above(c, root.limit(), f.place("shares"), fs);
-        Tenant t = new Tenant(i, name, List.copyOf(ks), f.yes("isolated", false), root);
-        f.done();
-        if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
-        if (!names.add(name)) fs.add(f.place("name"), "two tenants are named " + name);
-        return t;
+            .body((int) f.whole("maxBodyBytes", 262_144, 64, 16_777_216))
+            .build(i);
+    f.done();
+    return m;
+  }
+
+  private static Tenant tenant(
+      Doc x, int i, Set<String> names, Map<String, String> keys, Set<String> routes, Findings fs) {
+    Doc.Fields f = x.fields(fs);
+    String name = f.text("name");
+    List<String> ks = new ArrayList<>();
+    for (Doc k : f.list("keys", true)) {
+      if (k.kind != Doc.Kind.STRING || !k.text.matches("sha256:[0-9a-f]{64}"))
+        fs.add(
+            k.place(),
+            "must be sha256: and 64 small hex digits, the hash of a key, never the key itself");
+      else {
+        String h = k.text.substring(7), old = keys.putIfAbsent(h, name);
+        if (old != null) fs.add(k.place(), "is already a key of tenant " + old);
+        ks.add(h);
+      }
     }
+    Set<String> taken = new HashSet<>();
+    List<Share> below = Share.readAll(f.list("shares", false), name, 1, taken, fs);
+    for (String m : taken)
+      if (!routes.contains(m))
+        fs.add(f.place("shares"), "a share names no mapping of this policy: " + m);
+    Share root =
+        new Share(
+            name,
+            name,
+            (int) f.whole("weight", 1, 1, 1_000_000),
+            (int) f.whole("tier", 0, 0, 9),
+            (int) f.whole("limit", 0, 0, 1_000_000),
+            List.of(),
+            below);
+    for (Share c : below) Share.above(c, root.limit(), f.place("shares"), fs);
+    Tenant t = new Tenant(i, name, List.copyOf(ks), f.yes("isolated", false), root);
+    f.done();
+    if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
+    if (!names.add(name)) fs.add(f.place("name"), "two tenants are named " + name);
+    return t;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/configuration/Replicas.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Replicas.java
@@ -17,68 +17,91 @@
 import java.util.TreeMap;
 
 public final class Replicas {
-    /** slots: requests at once, 0 where not told; weights: of each model it serves, empty where not told. */
-    public record Replica(String service, String instance, Address address, String zone, boolean ready, int slots,
-        Map<String, String> weights) {
-        public Replica {
-            weights = Map.copyOf(weights);
-        }
+  /**
+   * slots: requests at once, 0 where not told; weights: of each model it serves, empty where not
+   * told.
+   */
+  public record Replica(
+      String service,
+      String instance,
+      Address address,
+      String zone,
+      boolean ready,
+      int slots,
+      Map<String, String> weights) {
+    public Replica {
+      weights = Map.copyOf(weights);
+    }
 
-        public Replica(String service, String instance, Address address, String zone, boolean ready) {
-            this(service, instance, address, zone, ready, 0, Map.of());
-        }
+    public Replica(String service, String instance, Address address, String zone, boolean ready) {
+      this(service, instance, address, zone, ready, 0, Map.of());
     }
+  }
 
-    public final List<Replica> all;
-    private final Map<String, Replica> byInstance = new HashMap<>();
+  public final List<Replica> all;
+  private final Map<String, Replica> byInstance = new HashMap<>();
 
-    public static final Replicas NONE = new Replicas(List.of());
+  public static final Replicas NONE = new Replicas(List.of());
 
-    public Replicas(List<Replica> all) {
-        this.all = List.copyOf(all);
-        for (Replica r : all) byInstance.put(r.instance, r);
-    }
+  public Replicas(List<Replica> all) {
+    this.all = List.copyOf(all);
+    for (Replica r : all) byInstance.put(r.instance, r);
+  }
 
-    public Replica find(String instance) {
-        return byInstance.get(instance);
-    }
+  public Replica find(String instance) {
+    return byInstance.get(instance);
+  }
 
-    public static Result<Replicas> parse(String json) {
-        return Doc.parse(json).then(d -> {
-            Findings fs = new Findings();
-            Doc.Fields f = d.fields(fs);
-            List<Replica> out = new ArrayList<>();
-            for (Doc x : f.list("replicas", true)) {
+  public static Result<Replicas> parse(String json) {
+    return Doc.parse(json)
+        .then(
+            d -> {
+              Findings fs = new Findings();
+              Doc.Fields f = d.fields(fs);
+              List<Replica> out = new ArrayList<>();
+              for (Doc x : f.list("replicas", true)) {
                 Doc.Fields g = x.fields(fs);
                 String st = g.text("state");
-                if (!st.equals("ready") && !st.equals("leaving")) fs.add(g.place("state"), "must be ready or leaving");
+                if (!st.equals("ready") && !st.equals("leaving"))
+                  fs.add(g.place("state"), "must be ready or leaving");
                 Map<String, String> ws = new HashMap<>();
                 Doc w = g.object("weights", false);
                 if (w != null) for (String m : w.members.keySet()) ws.put(m, w.fields(fs).text(m));
-                out.add(new Replica(g.text("service"), g.text("instance"), Address.read(g, "address", fs),
-                    g.text("domain", ""), st.equals("ready"), (int) g.whole("slots", 0, 0, 1 << 20), ws));
+                out.add(
+                    new Replica(
+                        g.text("service"),
+                        g.text("instance"),
+                        Address.read(g, "address", fs),
+                        g.text("domain", ""),
+                        st.equals("ready"),
+                        (int) g.whole("slots", 0, 0, 1 << 20),
+                        ws));
                 g.done();
-            }
-            f.done();
-            return Result.of(fs, () -> new Replicas(out));
-        });
-    }
+              }
+              f.done();
+              return Result.of(fs, () -> new Replicas(out));
+            });
+  }
 
-    public String json() {
-        StringBuilder sb = new StringBuilder("{\"replicas\":[");
-        for (Replica r : all) {
-            if (sb.charAt(sb.length() - 1) == '}') sb.append(',');
-            JsonObject o = Json.object().add("service", r.service).add("instance", r.instance)
-                .add("address", r.address.toString()).add("domain", r.zone)
-                .add("state", r.ready ? "ready" : "leaving");
-            if (r.slots > 0) o.add("slots", r.slots);
-            if (!r.weights.isEmpty()) {
-                JsonObject w = Json.object();
-                new TreeMap<>(r.weights).forEach(w::add);
-                o.add("weights", w);
-            }
-            sb.append(o);
-        }
-        return sb.append("]}").toString();
+  public String json() {
+    StringBuilder sb = new StringBuilder("{\"replicas\":[");
+    for (Replica r : all) {
+      if (sb.charAt(sb.length() - 1) == '}') sb.append(',');
+      JsonObject o =
+          Json.object()
+              .add("service", r.service)
+              .add("instance", r.instance)
+              .add("address", r.address.toString())
+              .add("domain", r.zone)
+              .add("state", r.ready ? "ready" : "leaving");
+      if (r.slots > 0) o.add("slots", r.slots);
+      if (!r.weights.isEmpty()) {
+        JsonObject w = Json.object();
+        new TreeMap<>(r.weights).forEach(w::add);
+        o.add("weights", w);
+      }
+      sb.append(o);
     }
+    return sb.append("]}").toString();
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/configuration/RollPlan.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/RollPlan.java
@@ -7,27 +7,33 @@
 
 import java.util.Collection;
 
-/** leadMs: from the naming to the first part's turn; rollMs: what all parts' turns take; parts: how many there are. */
+/**
+ * leadMs: from the naming to the first part's turn; rollMs: what all parts' turns take; parts: how
+ * many there are.
+ */
 public record RollPlan(long leadMs, long rollMs, int parts) {
-    /** The product's own: thirds, the first at once. */
-    public static RollPlan thirds(long rollMs) {
-        return new RollPlan(0, rollMs, 3);
-    }
+  /** The product's own: thirds, the first at once. */
+  public static RollPlan thirds(long rollMs) {
+    return new RollPlan(0, rollMs, 3);
+  }
 
-    /** Of which part an instance is, from 0; all: the instances of the service that take the weights, it among them. */
-    public int part(String instance, Collection<String> all) {
-        int before = 0;
-        for (String x : all) if (x.compareTo(instance) < 0) before++;
-        return before / size(all.size());
-    }
+  /**
+   * Of which part an instance is, from 0; all: the instances of the service that take the weights,
+   * it among them.
+   */
+  public int part(String instance, Collection<String> all) {
+    int before = 0;
+    for (String x : all) if (x.compareTo(instance) < 0) before++;
+    return before / size(all.size());
+  }
 
-    /** How many replicas go in one part. */
-    public int size(int all) {
-        return Math.max(1, (all + parts - 1) / parts);
-    }
+  /** How many replicas go in one part. */
+  public int size(int all) {
+    return Math.max(1, (all + parts - 1) / parts);
+  }
 
-    /** When a part goes at the latest, in ms after the naming. */
-    public long due(int part) {
-        return leadMs + part * rollMs / parts;
-    }
+  /** When a part goes at the latest, in ms after the naming. */
+  public long due(int part) {
+    return leadMs + part * rollMs / parts;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/configuration/Share.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Share.java
@@ -12,55 +12,76 @@
 import java.util.List;
 import java.util.Set;
 
-public record Share(String name, String path, int weight, int tier, int limit, List<String> routes,
+public record Share(
+    String name,
+    String path,
+    int weight,
+    int tier,
+    int limit,
+    List<String> routes,
     List<Share> shares) {
-    static final int DEEPEST = 6;
+  static final int DEEPEST = 6;
 
-    static Share read(Doc d, String under, int depth, Set<String> taken, Findings fs) {
-        Doc.Fields f = d.fields(fs);
-        String name = f.text("name");
-        String path = under + "/" + name;
-        Share s = new Share(name, path, (int) f.whole("weight", 1, 1, 1_000_000), (int) f.whole("tier", 0, 0, 9),
-            (int) f.whole("limit", 0, 0, 1_000_000), List.copyOf(f.texts("mappings", false)),
+  static Share read(Doc d, String under, int depth, Set<String> taken, Findings fs) {
+    Doc.Fields f = d.fields(fs);
+    String name = f.text("name");
+    String path = under + "/" + name;
+    Share s =
+        new Share(
+            name,
+            path,
+            (int) f.whole("weight", 1, 1, 1_000_000),
+            (int) f.whole("tier", 0, 0, 9),
+            (int) f.whole("limit", 0, 0, 1_000_000),
+            List.copyOf(f.texts("mappings", false)),
             readAll(f.list("shares", false), path, depth + 1, taken, fs));
-        f.done();
-        if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
-        for (Share c : s.shares) above(c, s.limit, f.place("shares"), fs);
-        if (!s.shares.isEmpty() && !s.routes.isEmpty())
-            fs.add(f.place("mappings"), "belong to shares at the leaves; this one has shares below it");
-        for (String m : s.routes)
-            if (!taken.add(m)) fs.add(f.place("mappings"), "mapping " + m + " is in two shares of this tenant");
-        return s;
-    }
+    f.done();
+    if (name.contains("/")) fs.add(f.place("name"), "must not hold a slash");
+    for (Share c : s.shares) above(c, s.limit, f.place("shares"), fs);
+    if (!s.shares.isEmpty() && !s.routes.isEmpty())
+      fs.add(f.place("mappings"), "belong to shares at the leaves; this one has shares below it");
+    for (String m : s.routes)
+      if (!taken.add(m))
+        fs.add(f.place("mappings"), "mapping " + m + " is in two shares of this tenant");
+    return s;
+  }
 
-    static List<Share> readAll(List<Doc> ds, String under, int depth, Set<String> taken, Findings fs) {
-        if (depth > DEEPEST && !ds.isEmpty()) {
-            fs.add(ds.get(0).place(), "shares are nested deeper than " + DEEPEST);
-            return List.of();
-        }
-        List<Share> out = new ArrayList<>();
-        Set<String> names = new HashSet<>();
-        for (Doc d : ds) {
-            Share s = read(d, under, depth, taken, fs);
-            if (!names.add(s.name)) fs.add(d.place(), "two shares are named " + s.name + " here");
-            out.add(s);
-        }
-        return List.copyOf(out);
+  static List<Share> readAll(
+      List<Doc> ds, String under, int depth, Set<String> taken, Findings fs) {
+    if (depth > DEEPEST && !ds.isEmpty()) {
+      fs.add(ds.get(0).place(), "shares are nested deeper than " + DEEPEST);
+      return List.of();
     }
-
-    /** A share can't have more than what it is a share of. */
-    static void above(Share c, int limit, String place, Findings fs) {
-        if (limit > 0 && c.limit > limit)
-            fs.add(place, "the limit " + c.limit + " of " + c.path + " is above that of the share it is in, " + limit);
+    List<Share> out = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    for (Doc d : ds) {
+      Share s = read(d, under, depth, taken, fs);
+      if (!names.add(s.name)) fs.add(d.place(), "two shares are named " + s.name + " here");
+      out.add(s);
     }
+    return List.copyOf(out);
+  }
+
+  /** A share can't have more than what it is a share of. */
+  static void above(Share c, int limit, String place, Findings fs) {
+    if (limit > 0 && c.limit > limit)
+      fs.add(
+          place,
+          "the limit "
+              + c.limit
+              + " of "
+              + c.path
+              + " is above that of the share it is in, "
+              + limit);
+  }
 
-    /** The leaf below here that takes the route, or null. */
-    Share leaf(String route) {
-        if (routes.contains(route)) return this;
-        for (Share s : shares) {
-            Share l = s.leaf(route);
-            if (l != null) return l;
-        }
-        return null;
+  /** The leaf below here that takes the route, or null. */
+  Share leaf(String route) {
+    if (routes.contains(route)) return this;
+    for (Share s : shares) {
+      Share l = s.leaf(route);
+      if (l != null) return l;
     }
+    return null;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/configuration/Weights.java
+++ b/kernel/src/main/java/gladelug/kernel/configuration/Weights.java
@@ -14,43 +14,51 @@
 import org.pcollections.TreePMap;
 
 public final class Weights {
-    public record Named(String now, String before, long nr) {}
-
-    public static final Weights NONE = new Weights(TreePMap.empty());
-    private final PSortedMap<String, Named> byService;
-
-    private Weights(PSortedMap<String, Named> m) {
-        byService = m;
-    }
-
-    public Named of(String service) {
-        return byService.get(service);
-    }
-
-    public Weights naming(String service, String weights, long nr) {
-        Named old = byService.get(service);
-        return new Weights(byService.plus(service, new Named(weights, old == null ? "" : old.now, nr)));
-    }
-
-    public static Result<Weights> parse(String json) {
-        return Doc.parse(json).then(d -> {
-            Findings fs = new Findings();
-            PSortedMap<String, Named> m = TreePMap.empty();
-            Doc.Fields f = d.fields(fs);
-            for (String s : d.members.keySet()) {
+  public record Named(String now, String before, long nr) {}
+
+  public static final Weights NONE = new Weights(TreePMap.empty());
+  private final PSortedMap<String, Named> byService;
+
+  private Weights(PSortedMap<String, Named> m) {
+    byService = m;
+  }
+
+  public Named of(String service) {
+    return byService.get(service);
+  }
+
+  public Weights naming(String service, String weights, long nr) {
+    Named old = byService.get(service);
+    return new Weights(byService.plus(service, new Named(weights, old == null ? "" : old.now, nr)));
+  }
+
+  public static Result<Weights> parse(String json) {
+    return Doc.parse(json)
+        .then(
+            d -> {
+              Findings fs = new Findings();
+              PSortedMap<String, Named> m = TreePMap.empty();
+              Doc.Fields f = d.fields(fs);
+              for (String s : d.members.keySet()) {
                 Doc o = f.object(s, true);
                 if (o == null) continue;
                 Doc.Fields g = o.fields(fs);
-                m = m.plus(s, new Named(g.text("now"), g.text("before", ""), g.whole("nr", 0, Long.MAX_VALUE)));
-            }
-            Weights w = new Weights(m);
-            return Result.of(fs, () -> w);
-        });
-    }
-
-    public String json() {
-        JsonObject o = Json.object();
-        byService.forEach((s, n) -> o.add(s, Json.object().add("now", n.now).add("before", n.before).add("nr", n.nr)));
-        return o.toString();
-    }
+                m =
+                    m.plus(
+                        s,
+                        new Named(
+                            g.text("now"), g.text("before", ""), g.whole("nr", 0, Long.MAX_VALUE)));
+              }
+              Weights w = new Weights(m);
+              return Result.of(fs, () -> w);
+            });
+  }
+
+  public String json() {
+    JsonObject o = Json.object();
+    byService.forEach(
+        (s, n) ->
+            o.add(s, Json.object().add("now", n.now).add("before", n.before).add("nr", n.nr)));
+    return o.toString();
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/connection/Local.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Local.java
@@ -10,27 +10,28 @@
 import io.vertx.core.net.ClientOptionsBase;
 
 public record Local(String ip) {
-    /** From the setting bind, else from the records address. */
-    public static Local of(Settings s, Address records) {
-        String b = s.text("bind", "");
-        Findings fs = s.findings;
-        if (wild(records.host())) fs.add("--records", "is what others call, so it can't be " + records.host());
-        if (b.isEmpty()) return new Local(records.host());
-        if (Address.number(b) < 0) fs.add("--bind", "must be an IP number without a port, not " + b);
-        return new Local(b);
-    }
+  /** From the setting bind, else from the records address. */
+  public static Local of(Settings s, Address records) {
+    String b = s.text("bind", "");
+    Findings fs = s.findings;
+    if (wild(records.host()))
+      fs.add("--records", "is what others call, so it can't be " + records.host());
+    if (b.isEmpty()) return new Local(records.host());
+    if (Address.number(b) < 0) fs.add("--bind", "must be an IP number without a port, not " + b);
+    return new Local(b);
+  }
 
-    private static boolean wild(String host) {
-        return host.equals("0.0.0.0");
-    }
+  private static boolean wild(String host) {
+    return host.equals("0.0.0.0");
+  }
 
-    /** Where to listen for what is advertised as this. */
-    public Address at(Address advertised) {
-        return new Address(ip, advertised.port());
-    }
+  /** Where to listen for what is advertised as this. */
+  public Address at(Address advertised) {
+    return new Address(ip, advertised.port());
+  }
 
-    public <T extends ClientOptionsBase> T from(T options) {
-        if (!wild(ip)) options.setLocalAddress(ip);
-        return options;
-    }
+  public <T extends ClientOptionsBase> T from(T options) {
+    if (!wild(ip)) options.setLocalAddress(ip);
+    return options;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/disk/Medium.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Medium.java
@@ -7,13 +7,13 @@
 import java.io.IOException;
 
 public interface Medium {
-    int files();
+  int files();
 
-    int size();
+  int size();
 
-    byte[] read(int file) throws IOException;
+  byte[] read(int file) throws IOException;
 
-    void write(int file, int at, byte[] b) throws IOException;
+  void write(int file, int at, byte[] b) throws IOException;
 
-    void sync(int file) throws IOException;
+  void sync(int file) throws IOException;
 }
--- a/kernel/src/main/java/gladelug/kernel/disk/Ring.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Ring.java
@@ -20,152 +20,169 @@
 import java.util.zip.CRC32C;
 
 public final class Ring {
-    public record Entry(String key, byte[] state) {}
+  public record Entry(String key, byte[] state) {}
 
-    public static final class Damaged extends IOException {
-        Damaged(String what) {
-            super(what);
-        }
+  public static final class Damaged extends IOException {
+    Damaged(String what) {
+      super(what);
     }
+  }
 
-    /** The disk took no bytes, as a full one does; nothing was synced, and the same may be written again. */
-    public static final class Refused extends IOException {
-        Refused(IOException cause) {
-            super(cause.getMessage(), cause);
-        }
+  /**
+   * The disk took no bytes, as a full one does; nothing was synced, and the same may be written
+   * again.
+   */
+  public static final class Refused extends IOException {
+    Refused(IOException cause) {
+      super(cause.getMessage(), cause);
     }
+  }
 
-    private static final int MAGIC = 0x676c6164, HEAD = 21, STEP = 512;
-    private static final byte SNAPSHOT = 1, MORE = 2;
+  private static final int MAGIC = 0x676c6164, HEAD = 21, STEP = 512;
+  private static final byte SNAPSHOT = 1, MORE = 2;
 
-    private final Medium medium;
-    private final Map<String, byte[]> live = new HashMap<>();
-    private int file;
-    private int at;
-    private long seq;
+  private final Medium medium;
+  private final Map<String, byte[]> live = new HashMap<>();
+  private int file;
+  private int at;
+  private long seq;
 
-    private Ring(Medium m) {
-        medium = m;
-    }
+  private Ring(Medium m) {
+    medium = m;
+  }
 
-    public Map<String, byte[]> live() {
-        return Map.copyOf(live);
-    }
+  public Map<String, byte[]> live() {
+    return Map.copyOf(live);
+  }
 
-    private record Frame(long seq, byte type, List<Entry> entries, int end) {}
+  private record Frame(long seq, byte type, List<Entry> entries, int end) {}
 
-    public static Ring open(Medium m) throws IOException {
-        Ring r = new Ring(m);
-        int newest = -1;
-        long best = 0;
-        byte[][] all = new byte[m.files()][];
-        for (int i = 0; i < m.files(); i++) {
-            all[i] = m.read(i);
-            Frame f = frame(all[i], 0);
-            if (f != null && f.type == SNAPSHOT && f.seq > best) {
-                best = f.seq;
-                newest = i;
-            }
-        }
-        if (newest < 0) {
-            for (int i = 0; i < m.files(); i++)
-                if (behind(all[i], 0, 0)) throw new Damaged("no snapshot in any file but frames behind one");
-            r.file = m.files() - 1;
-            r.at = m.size();
-            return r;
-        }
-        r.file = newest;
-        byte[] b = all[newest];
-        Frame f;
-        while (r.at < b.length && (f = frame(b, r.at)) != null && f.seq > r.seq && (r.seq == 0 || f.seq == r.seq + 1)) {
-            for (Entry e : f.entries) r.live.put(e.key, e.state);
-            r.seq = f.seq;
-            r.at = f.end;
-        }
-        if (behind(b, r.at, r.seq))
-            throw new Damaged("bad frame " + (r.seq + 1) + " with later ones behind it in file " + newest);
-        int next = (newest + 1) % m.files();
-        if (behind(all[next], 0, r.seq))
-            throw new Damaged("bad snapshot in file " + next + " with later frames behind it");
-        return r;
+  public static Ring open(Medium m) throws IOException {
+    Ring r = new Ring(m);
+    int newest = -1;
+    long best = 0;
+    byte[][] all = new byte[m.files()][];
+    for (int i = 0; i < m.files(); i++) {
+      all[i] = m.read(i);
+      Frame f = frame(all[i], 0);
+      if (f != null && f.type == SNAPSHOT && f.seq > best) {
+        best = f.seq;
+        newest = i;
+      }
     }
-
-    private static boolean behind(byte[] b, int from, long seq) {
-        for (int i = from; i < b.length; i += STEP) {
-            Frame f = frame(b, i);
-            if (f != null && f.seq > seq) return true;
-        }
-        return false;
+    if (newest < 0) {
+      for (int i = 0; i < m.files(); i++)
+        if (behind(all[i], 0, 0))
+          throw new Damaged("no snapshot in any file but frames behind one");
+      r.file = m.files() - 1;
+      r.at = m.size();
+      return r;
     }
+    r.file = newest;
+    byte[] b = all[newest];
+    Frame f;
+    while (r.at < b.length
+        && (f = frame(b, r.at)) != null
+        && f.seq > r.seq
+        && (r.seq == 0 || f.seq == r.seq + 1)) {
+      for (Entry e : f.entries) r.live.put(e.key, e.state);
+      r.seq = f.seq;
+      r.at = f.end;
+    }
+    if (behind(b, r.at, r.seq))
+      throw new Damaged(
+          "bad frame " + (r.seq + 1) + " with later ones behind it in file " + newest);
+    int next = (newest + 1) % m.files();
+    if (behind(all[next], 0, r.seq))
+      throw new Damaged("bad snapshot in file " + next + " with later frames behind it");
+    return r;
+  }
 
-    private static Frame frame(byte[] b, int at) {
-        if (at + HEAD > b.length) return null;
-        ByteBuffer x = ByteBuffer.wrap(b, at, b.length - at);
-        if (x.getInt() != MAGIC) return null;
-        int crc = x.getInt(), len = x.getInt();
-        if (len < 0 || len > b.length - at - HEAD) return null;
-        CRC32C c = new CRC32C();
-        c.update(b, at + 8, HEAD - 8 + len);
-        if ((int) c.getValue() != crc) return null;
-        long seq = x.getLong();
-        byte type = x.get();
-        try {
-            DataInputStream in = new DataInputStream(new ByteArrayInputStream(b, at + HEAD, len));
-            int n = in.readInt();
-            List<Entry> l = new ArrayList<>();
-            for (int i = 0; i < n; i++) l.add(new Entry(in.readUTF(), in.readNBytes(in.readInt())));
-            return new Frame(seq, type, l, at + padded(HEAD + len));
-        } catch (IOException e) {
-            return null;
-        }
+  private static boolean behind(byte[] b, int from, long seq) {
+    for (int i = from; i < b.length; i += STEP) {
+      Frame f = frame(b, i);
+      if (f != null && f.seq > seq) return true;
     }
+    return false;
+  }
 
-    private static int padded(int n) {
-        return (n + STEP - 1) / STEP * STEP;
+  private static Frame frame(byte[] b, int at) {
+    if (at + HEAD > b.length) return null;
+    ByteBuffer x = ByteBuffer.wrap(b, at, b.length - at);
+    if (x.getInt() != MAGIC) return null;
+    int crc = x.getInt(), len = x.getInt();
+    if (len < 0 || len > b.length - at - HEAD) return null;
+    CRC32C c = new CRC32C();
+    c.update(b, at + 8, HEAD - 8 + len);
+    if ((int) c.getValue() != crc) return null;
+    long seq = x.getLong();
+    byte type = x.get();
+    try {
+      DataInputStream in = new DataInputStream(new ByteArrayInputStream(b, at + HEAD, len));
+      int n = in.readInt();
+      List<Entry> l = new ArrayList<>();
+      for (int i = 0; i < n; i++) l.add(new Entry(in.readUTF(), in.readNBytes(in.readInt())));
+      return new Frame(seq, type, l, at + padded(HEAD + len));
+    } catch (IOException e) {
+      return null;
     }
+  }
+
+  private static int padded(int n) {
+    return (n + STEP - 1) / STEP * STEP;
+  }
 
-    private byte[] frameBytes(byte type, List<Entry> es) throws IOException {
-        ByteArrayOutputStream p = new ByteArrayOutputStream();
-        DataOutputStream o = new DataOutputStream(p);
-        o.writeInt(es.size());
-        for (Entry e : es) {
-            o.writeUTF(e.key);
-            o.writeInt(e.state.length);
-            o.write(e.state);
-        }
-        byte[] q = p.toByteArray(), b = new byte[padded(HEAD + q.length)];
-        ByteBuffer x = ByteBuffer.wrap(b).putInt(MAGIC).putInt(0).putInt(q.length).putLong(seq + 1).put(type).put(q);
-        CRC32C c = new CRC32C();
-        c.update(b, 8, HEAD - 8 + q.length);
-        x.putInt(4, (int) c.getValue());
-        return b;
+  private byte[] frameBytes(byte type, List<Entry> es) throws IOException {
+    ByteArrayOutputStream p = new ByteArrayOutputStream();
+    DataOutputStream o = new DataOutputStream(p);
+    o.writeInt(es.size());
+    for (Entry e : es) {
+      o.writeUTF(e.key);
+      o.writeInt(e.state.length);
+      o.write(e.state);
     }
+    byte[] q = p.toByteArray(), b = new byte[padded(HEAD + q.length)];
+    ByteBuffer x =
+        ByteBuffer.wrap(b)
+            .putInt(MAGIC)
+            .putInt(0)
+            .putInt(q.length)
+            .putLong(seq + 1)
+            .put(type)
+            .put(q);
+    CRC32C c = new CRC32C();
+    c.update(b, 8, HEAD - 8 + q.length);
+    x.putInt(4, (int) c.getValue());
+    return b;
+  }
 
-    /**
-     * Writes and syncs; when this returns the entries last. After a Refused the same entries, or more, may be written
-     * again; after any other IOException the ring must not be used again, as a failed sync says nothing of what lasts.
-     */
-    public void write(List<Entry> es) throws IOException {
-        for (Entry e : es) if (!e.key.isEmpty()) live.put(e.key, e.state);
-        byte[] b = frameBytes(MORE, es);
-        int to = file, from = at;
-        if (from + b.length > medium.size()) {
-            List<Entry> all = new ArrayList<>();
-            live.forEach((k, v) -> all.add(new Entry(k, v)));
-            b = frameBytes(SNAPSHOT, all);
-            if (b.length > medium.size())
-                throw new IOException("the live state of " + b.length + " bytes is larger than a ring file");
-            to = (file + 1) % medium.files();
-            from = 0;
-        }
-        try {
-            medium.write(to, from, b);
-        } catch (IOException e) {
-            throw new Refused(e);
-        }
-        medium.sync(to);
-        file = to;
-        at = from + b.length;
-        seq++;
+  /**
+   * Writes and syncs; when this returns the entries last. After a Refused the same entries, or
+   * more, may be written again; after any other IOException the ring must not be used again, as a
+   * failed sync says nothing of what lasts.
+   */
+  public void write(List<Entry> es) throws IOException {
+    for (Entry e : es) if (!e.key.isEmpty()) live.put(e.key, e.state);
+    byte[] b = frameBytes(MORE, es);
+    int to = file, from = at;
+    if (from + b.length > medium.size()) {
+      List<Entry> all = new ArrayList<>();
+      live.forEach((k, v) -> all.add(new Entry(k, v)));
+      b = frameBytes(SNAPSHOT, all);
+      if (b.length > medium.size())
+        throw new IOException(
+            "the live state of " + b.length + " bytes is larger than a ring file");
+      to = (file + 1) % medium.files();
+      from = 0;
+    }
+    try {
+      medium.write(to, from, b);
+    } catch (IOException e) {
+      throw new Refused(e);
     }
+    medium.sync(to);
+    file = to;
+    at = from + b.length;
+    seq++;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Hello.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Hello.java
@@ -8,20 +8,25 @@
 import java.io.IOException;
 
 public record Hello(String protocol, String name) implements Wire {
-    public static final String CORE = "core/1", NEWS = "news/1", SHUFFLE = "shuffle/1", LOOKUP = "lookup/1",
-        REASONS = "reasons/1";
+  public static final String CORE = "core/1",
+      NEWS = "news/1",
+      SHUFFLE = "shuffle/1",
+      LOOKUP = "lookup/1",
+      REASONS = "reasons/1";
 
-    @Override public int type() {
-        return 1;
-    }
+  @Override
+  public int type() {
+    return 1;
+  }
 
-    @Override public void write(DataOutputStream o) throws IOException {
-        o.writeUTF(protocol);
-        o.writeUTF(name);
-    }
+  @Override
+  public void write(DataOutputStream o) throws IOException {
+    o.writeUTF(protocol);
+    o.writeUTF(name);
+  }
 
-    public static Hello read(int type, DataInputStream in) throws IOException {
-        if (type != 1) throw Wire.unknown(type);
-        return new Hello(in.readUTF(), in.readUTF());
-    }
+  public static Hello read(int type, DataInputStream in) throws IOException {
+    if (type != 1) throw Wire.unknown(type);
+    return new Hello(in.readUTF(), in.readUTF());
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Keys.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Keys.java
@@ -7,11 +7,14 @@
 import java.util.List;
 
 public final class Keys {
-    public static final String CONFIGURATION = "policy", WEIGHTS = "weights", REPLICAS = "replicas", CORE = "core",
-        SHARES = "shares";
-    public static final String COMMANDER = "commander/";
-    public static final List<String> LEASED = List.of(CONFIGURATION, WEIGHTS, REPLICAS);
-    public static final List<String> NEWS = List.of(CONFIGURATION, WEIGHTS, REPLICAS, CORE);
+  public static final String CONFIGURATION = "policy",
+      WEIGHTS = "weights",
+      REPLICAS = "replicas",
+      CORE = "core",
+      SHARES = "shares";
+  public static final String COMMANDER = "commander/";
+  public static final List<String> LEASED = List.of(CONFIGURATION, WEIGHTS, REPLICAS);
+  public static final List<String> NEWS = List.of(CONFIGURATION, WEIGHTS, REPLICAS, CORE);
 
-    private Keys() {}
+  private Keys() {}
 }
--- a/kernel/src/main/java/gladelug/kernel/message/News.java
+++ b/kernel/src/main/java/gladelug/kernel/message/News.java
@@ -11,134 +11,204 @@
 import java.util.List;
 
 public sealed interface News extends Wire {
-    record Held(String key, long epoch, long number) {}
-
-    /** left is what remains of the lease in ms; cutoffLeft, for weights, until nothing starts on old ones. */
-    record Grant(String key, long epoch, long number, int left, int cutoffLeft) {}
-
-    /** What one relay has of a leaf of a service's share tree: requests waiting and requests using a place. */
-    record Demand(String service, String leaf, int waiting, int using) {}
-
-    /** Places a relay sees at the replicas of a service. */
-    record Places(String service, int places) {}
-
-    /** What a relay may use of a leaf, in thousandths of a place. */
-    record Part(String leaf, int milli) {}
-
-    /** ask is the asker's own monotonic time; it comes back so that a lease counts from the asking. */
-    record Ask(long ask, String name, long run, String role, String records, String operator, String zone,
-        List<Held> held,
-        List<Demand> demands, List<Places> places) implements News {
-        @Override public int type() {
-            return 1;
-        }
-
-        @Override public void write(DataOutputStream o) throws IOException {
-            o.writeLong(ask);
-            o.writeUTF(name);
-            o.writeLong(run);
-            o.writeUTF(role);
-            o.writeUTF(records);
-            o.writeUTF(operator);
-            o.writeUTF(zone);
-            Wire.list(o, held, (p, h) -> {
-                p.writeUTF(h.key);
-                p.writeLong(h.epoch);
-                p.writeLong(h.number);
-            });
-            Wire.list(o, demands, (p, d) -> {
-                p.writeUTF(d.service);
-                p.writeUTF(d.leaf);
-                p.writeInt(d.waiting);
-                p.writeInt(d.using);
-            });
-            Wire.list(o, places, (p, x) -> {
-                p.writeUTF(x.service);
-                p.writeInt(x.places);
-            });
-        }
+  record Held(String key, long epoch, long number) {}
+
+  /**
+   * left is what remains of the lease in ms; cutoffLeft, for weights, until nothing starts on old
+   * ones.
+   */
+  record Grant(String key, long epoch, long number, int left, int cutoffLeft) {}
+
+  /**
+   * What one relay has of a leaf of a service's share tree: requests waiting and requests using a
+   * place.
+   */
+  record Demand(String service, String leaf, int waiting, int using) {}
+
+  /** Places a relay sees at the replicas of a service. */
+  record Places(String service, int places) {}
+
+  /** What a relay may use of a leaf, in thousandths of a place. */
+  record Part(String leaf, int milli) {}
+
+  /**
+   * ask is the asker's own monotonic time; it comes back so that a lease counts from the asking.
+   */
+  record Ask(
+      long ask,
+      String name,
+      long run,
+      String role,
+      String records,
+      String operator,
+      String zone,
+      List<Held> held,
+      List<Demand> demands,
+      List<Places> places)
+      implements News {
+    @Override
+    public int type() {
+      return 1;
     }
 
-    /** relays: how many relays the teller heard lately, among which what the fleet may do is shared out. */
-    record Grants(long ask, List<Grant> grants, int relays) implements News {
-        @Override public int type() {
-            return 2;
-        }
-
-        @Override public void write(DataOutputStream o) throws IOException {
-            o.writeLong(ask);
-            Wire.list(o, grants, (p, g) -> {
-                p.writeUTF(g.key);
-                p.writeLong(g.epoch);
-                p.writeLong(g.number);
-                p.writeInt(g.left);
-                p.writeInt(g.cutoffLeft);
-            });
-            o.writeInt(relays);
-        }
+    @Override
+    public void write(DataOutputStream o) throws IOException {
+      o.writeLong(ask);
+      o.writeUTF(name);
+      o.writeLong(run);
+      o.writeUTF(role);
+      o.writeUTF(records);
+      o.writeUTF(operator);
+      o.writeUTF(zone);
+      Wire.list(
+          o,
+          held,
+          (p, h) -> {
+            p.writeUTF(h.key);
+            p.writeLong(h.epoch);
+            p.writeLong(h.number);
+          });
+      Wire.list(
+          o,
+          demands,
+          (p, d) -> {
+            p.writeUTF(d.service);
+            p.writeUTF(d.leaf);
+            p.writeInt(d.waiting);
+            p.writeInt(d.using);
+          });
+      Wire.list(
+          o,
+          places,
+          (p, x) -> {
+            p.writeUTF(x.service);
+            p.writeInt(x.places);
+          });
+    }
+  }
+
+  /**
+   * relays: how many relays the teller heard lately, among which what the fleet may do is shared
+   * out.
+   */
+  record Grants(long ask, List<Grant> grants, int relays) implements News {
+    @Override
+    public int type() {
+      return 2;
     }
 
-    /** A value whole, or where base is not -1 the changes from the number base, see Delta. */
-    record Push(String key, long epoch, long number, long base, String digest, byte[] value) implements News {
-        @Override public int type() {
-            return 3;
-        }
-
-        @Override public void write(DataOutputStream o) throws IOException {
-            o.writeUTF(key);
-            o.writeLong(epoch);
-            o.writeLong(number);
-            o.writeLong(base);
-            o.writeUTF(digest);
-            Wire.blob(o, value);
-        }
+    @Override
+    public void write(DataOutputStream o) throws IOException {
+      o.writeLong(ask);
+      Wire.list(
+          o,
+          grants,
+          (p, g) -> {
+            p.writeUTF(g.key);
+            p.writeLong(g.epoch);
+            p.writeLong(g.number);
+            p.writeInt(g.left);
+            p.writeInt(g.cutoffLeft);
+          });
+      o.writeInt(relays);
+    }
+  }
+
+  /** A value whole, or where base is not -1 the changes from the number base, see Delta. */
+  record Push(String key, long epoch, long number, long base, String digest, byte[] value)
+      implements News {
+    @Override
+    public int type() {
+      return 3;
     }
 
-    /** The receiver could not use a delta and wants the value whole. */
-    record Whole(String key) implements News {
-        @Override public int type() {
-            return 4;
-        }
+    @Override
+    public void write(DataOutputStream o) throws IOException {
+      o.writeUTF(key);
+      o.writeLong(epoch);
+      o.writeLong(number);
+      o.writeLong(base);
+      o.writeUTF(digest);
+      Wire.blob(o, value);
+    }
+  }
 
-        @Override public void write(DataOutputStream o) throws IOException {
-            o.writeUTF(key);
-        }
+  /** The receiver could not use a delta and wants the value whole. */
+  record Whole(String key) implements News {
+    @Override
+    public int type() {
+      return 4;
     }
 
-    /**
-     * The fleet-wide division of one service's places for one relay, under the epoch of who divides. Not full: no
-     * bounds.
-     */
-    record Allot(long epoch, String service, boolean full, List<Part> parts) implements News {
-        @Override public int type() {
-            return 5;
-        }
-
-        @Override public void write(DataOutputStream o) throws IOException {
-            o.writeLong(epoch);
-            o.writeUTF(service);
-            o.writeBoolean(full);
-            Wire.list(o, parts, (p, x) -> {
-                p.writeUTF(x.leaf);
-                p.writeInt(x.milli);
-            });
-        }
+    @Override
+    public void write(DataOutputStream o) throws IOException {
+      o.writeUTF(key);
+    }
+  }
+
+  /**
+   * The fleet-wide division of one service's places for one relay, under the epoch of who divides.
+   * Not full: no bounds.
+   */
+  record Allot(long epoch, String service, boolean full, List<Part> parts) implements News {
+    @Override
+    public int type() {
+      return 5;
     }
 
-    static News read(int type, DataInputStream in) throws IOException {
-        return switch (type) {
-            case 1 -> new Ask(in.readLong(), in.readUTF(), in.readLong(), in.readUTF(), in.readUTF(), in.readUTF(),
-                in.readUTF(),
-                Wire.list(in, i -> new Held(i.readUTF(), i.readLong(), i.readLong())),
-                Wire.list(in, i -> new Demand(i.readUTF(), i.readUTF(), i.readInt(), i.readInt())),
-                Wire.list(in, i -> new Places(i.readUTF(), i.readInt())));
-            case 2 -> new Grants(in.readLong(), Wire.list(in,
-                i -> new Grant(i.readUTF(), i.readLong(), i.readLong(), i.readInt(), i.readInt())), in.readInt());
-            case 3 -> new Push(in.readUTF(), in.readLong(), in.readLong(), in.readLong(), in.readUTF(), Wire.blob(in));
-            case 4 -> new Whole(in.readUTF());
-            case 5 -> new Allot(in.readLong(), in.readUTF(), in.readBoolean(),
-                Wire.list(in, i -> new Part(i.readUTF(), i.readInt())));
-            default -> throw Wire.unknown(type);
-        };
+    @Override
+    public void write(DataOutputStream o) throws IOException {
+      o.writeLong(epoch);
+      o.writeUTF(service);
+      o.writeBoolean(full);
+      Wire.list(
+          o,
+          parts,
+          (p, x) -> {
+            p.writeUTF(x.leaf);
+            p.writeInt(x.milli);
+          });
     }
+  }
+
+  static News read(int type, DataInputStream in) throws IOException {
+    return switch (type) {
+      case 1 ->
+          new Ask(
+              in.readLong(),
+              in.readUTF(),
+              in.readLong(),
+              in.readUTF(),
+              in.readUTF(),
+              in.readUTF(),
+              in.readUTF(),
+              Wire.list(in, i -> new Held(i.readUTF(), i.readLong(), i.readLong())),
+              Wire.list(in, i -> new Demand(i.readUTF(), i.readUTF(), i.readInt(), i.readInt())),
+              Wire.list(in, i -> new Places(i.readUTF(), i.readInt())));
+      case 2 ->
+          new Grants(
+              in.readLong(),
+              Wire.list(
+                  in,
+                  i ->
+                      new Grant(i.readUTF(), i.readLong(), i.readLong(), i.readInt(), i.readInt())),
+              in.readInt());
+      case 3 ->
+          new Push(
+              in.readUTF(),
+              in.readLong(),
+              in.readLong(),
+              in.readLong(),
+              in.readUTF(),
+              Wire.blob(in));
+      case 4 -> new Whole(in.readUTF());
+      case 5 ->
+          new Allot(
+              in.readLong(),
+              in.readUTF(),
+              in.readBoolean(),
+              Wire.list(in, i -> new Part(i.readUTF(), i.readInt())));
+      default -> throw Wire.unknown(type);
+    };
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Reasons.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Reasons.java
@@ -9,27 +9,38 @@
 import java.io.IOException;
 
 public sealed interface Reasons extends Wire {
-    /** low and high: the numbers of the requests in it; skipped: records left out so far for want of room. */
-    record Batch(String relay, String run, long nr, long low, long high, long skipped,
-        byte[] packed) implements Reasons {
-        @Override public int type() {
-            return 1;
-        }
-
-        @Override public void write(DataOutputStream o) throws IOException {
-            o.writeUTF(relay);
-            o.writeUTF(run);
-            o.writeLong(nr);
-            o.writeLong(low);
-            o.writeLong(high);
-            o.writeLong(skipped);
-            Wire.blob(o, packed);
-        }
+  /**
+   * low and high: the numbers of the requests in it; skipped: records left out so far for want of
+   * room.
+   */
+  record Batch(String relay, String run, long nr, long low, long high, long skipped, byte[] packed)
+      implements Reasons {
+    @Override
+    public int type() {
+      return 1;
     }
 
-    static Reasons read(int type, DataInputStream i) throws IOException {
-        if (type != 1) throw Wire.unknown(type);
-        return new Batch(i.readUTF(), i.readUTF(), i.readLong(), i.readLong(), i.readLong(), i.readLong(),
-            Wire.blob(i));
+    @Override
+    public void write(DataOutputStream o) throws IOException {
+      o.writeUTF(relay);
+      o.writeUTF(run);
+      o.writeLong(nr);
+      o.writeLong(low);
+      o.writeLong(high);
+      o.writeLong(skipped);
+      Wire.blob(o, packed);
     }
+  }
+
+  static Reasons read(int type, DataInputStream i) throws IOException {
+    if (type != 1) throw Wire.unknown(type);
+    return new Batch(
+        i.readUTF(),
+        i.readUTF(),
+        i.readLong(),
+        i.readLong(),
+        i.readLong(),
+        i.readLong(),
+        Wire.blob(i));
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/message/Wire.java
+++ b/kernel/src/main/java/gladelug/kernel/message/Wire.java
@@ -15,81 +15,81 @@
 import java.util.List;
 
 public interface Wire {
-    int MAX = 32 << 20;
+  int MAX = 32 << 20;
 
-    int type();
+  int type();
 
-    void write(DataOutputStream o) throws IOException;
+  void write(DataOutputStream o) throws IOException;
 
-    interface Reader<T> {
-        T read(int type, DataInputStream in) throws IOException;
-    }
-
-    interface ItemReader<T> {
-        T read(DataInputStream in) throws IOException;
-    }
-
-    interface ItemWriter<T> {
-        void write(DataOutputStream o, T t) throws IOException;
-    }
-
-    static byte[] bytes(Wire m) {
-        ByteArrayOutputStream b = new ByteArrayOutputStream(128);
-        try (DataOutputStream o = new DataOutputStream(b)) {
-            o.writeByte(m.type());
-            m.write(o);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        return b.toByteArray();
-    }
-
-    static <T> T read(byte[] b, Reader<T> r) throws IOException {
-        DataInputStream in = new DataInputStream(new ByteArrayInputStream(b));
-        T t;
-        try {
-            t = r.read(in.readUnsignedByte(), in);
-        } catch (IllegalArgumentException e) {
-            throw new IOException("malformed record", e);
-        }
-        if (in.available() > 0) throw new IOException("bytes after the end of a record");
-        return t;
-    }
+  interface Reader<T> {
+    T read(int type, DataInputStream in) throws IOException;
+  }
 
-    static <T> void list(DataOutputStream o, List<T> l, ItemWriter<T> w) throws IOException {
-        o.writeInt(l.size());
-        for (T t : l) w.write(o, t);
-    }
+  interface ItemReader<T> {
+    T read(DataInputStream in) throws IOException;
+  }
 
-    static <T> List<T> list(DataInputStream in, ItemReader<T> r) throws IOException {
-        int n = in.readInt();
-        if (n < 0 || n > in.available()) throw new IOException("list of impossible length " + n);
-        List<T> l = new ArrayList<>(n);
-        for (int i = 0; i < n; i++) l.add(r.read(in));
-        return List.copyOf(l);
-    }
+  interface ItemWriter<T> {
+    void write(DataOutputStream o, T t) throws IOException;
+  }
 
-    static void blob(DataOutputStream o, byte[] b) throws IOException {
-        o.writeInt(b.length);
-        o.write(b);
+  static byte[] bytes(Wire m) {
+    ByteArrayOutputStream b = new ByteArrayOutputStream(128);
+    try (DataOutputStream o = new DataOutputStream(b)) {
+      o.writeByte(m.type());
+      m.write(o);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
-
-    static byte[] blob(DataInputStream in) throws IOException {
-        int n = in.readInt();
-        if (n < 0 || n > in.available()) throw new IOException("blob of impossible length " + n);
-        return in.readNBytes(n);
-    }
-
-    /** A text of any length; writeUTF stops at 65535 bytes. */
-    static void text(DataOutputStream o, String s) throws IOException {
-        blob(o, s.getBytes(StandardCharsets.UTF_8));
-    }
-
-    static String text(DataInputStream in) throws IOException {
-        return new String(blob(in), StandardCharsets.UTF_8);
-    }
-
-    static IOException unknown(int type) {
-        return new IOException("unknown record type " + type);
+    return b.toByteArray();
+  }
+
+  static <T> T read(byte[] b, Reader<T> r) throws IOException {
+    DataInputStream in = new DataInputStream(new ByteArrayInputStream(b));
+    T t;
+    try {
+      t = r.read(in.readUnsignedByte(), in);
+    } catch (IllegalArgumentException e) {
+      throw new IOException("malformed record", e);
     }
+    if (in.available() > 0) throw new IOException("bytes after the end of a record");
+    return t;
+  }
+
+  static <T> void list(DataOutputStream o, List<T> l, ItemWriter<T> w) throws IOException {
+    o.writeInt(l.size());
+    for (T t : l) w.write(o, t);
+  }
+
+  static <T> List<T> list(DataInputStream in, ItemReader<T> r) throws IOException {
+    int n = in.readInt();
+    if (n < 0 || n > in.available()) throw new IOException("list of impossible length " + n);
+    List<T> l = new ArrayList<>(n);
+    for (int i = 0; i < n; i++) l.add(r.read(in));
+    return List.copyOf(l);
+  }
+
+  static void blob(DataOutputStream o, byte[] b) throws IOException {
+    o.writeInt(b.length);
+    o.write(b);
+  }
+
+  static byte[] blob(DataInputStream in) throws IOException {
+    int n = in.readInt();
+    if (n < 0 || n > in.available()) throw new IOException("blob of impossible length " + n);
+    return in.readNBytes(n);
+  }
+
+  /** A text of any length; writeUTF stops at 65535 bytes. */
+  static void text(DataOutputStream o, String s) throws IOException {
+    blob(o, s.getBytes(StandardCharsets.UTF_8));
+  }
+
+  static String text(DataInputStream in) throws IOException {
+    return new String(blob(in), StandardCharsets.UTF_8);
+  }
+
+  static IOException unknown(int type) {
+    return new IOException("unknown record type " + type);
+  }
 }
