--- a/kernel/src/main/java/gladelug/kernel/view/ViewService.java
+++ b/kernel/src/main/java/gladelug/kernel/view/ViewService.java
@@ -20,82 +20,100 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 public final class ViewService implements Kernel.Service {
-    /** Rounds are quick while a process is new, then slower; ms. */
-    private static final long ROUND = 1000, LATER = 3000, ANSWER = 900;
-    private static final int NEW = 15;
-    private final Vertx vertx;
-    private final Address self;
-    private final List<Address> seeds;
-    private final Views views;
-    private final Duty duty;
-    private volatile List<Shuffle.Descriptor> snapshot = List.of();
-    private Doors doors;
-    private int next;
-    private int rounds;
+  /** Rounds are quick while a process is new, then slower; ms. */
+  private static final long ROUND = 1000, LATER = 3000, ANSWER = 900;
 
-    public ViewService(Vertx vertx, Shuffle.Descriptor self, List<Address> seeds) {
-        this.vertx = vertx;
-        this.self = Address.of(self.records());
-        this.seeds = seeds;
-        this.views = new Views(self, b -> ThreadLocalRandom.current().nextLong(b));
-        this.duty = new Duty("views", 1024, Clock.monotonic());
-    }
+  private static final int NEW = 15;
+  private final Vertx vertx;
+  private final Address self;
+  private final List<Address> seeds;
+  private final Views views;
+  private final Duty duty;
+  private volatile List<Shuffle.Descriptor> snapshot = List.of();
+  private Doors doors;
+  private int next;
+  private int rounds;
 
-    public List<Shuffle.Descriptor> all() {
-        return snapshot;
-    }
+  public ViewService(Vertx vertx, Shuffle.Descriptor self, List<Address> seeds) {
+    this.vertx = vertx;
+    this.self = Address.of(self.records());
+    this.seeds = seeds;
+    this.views = new Views(self, b -> ThreadLocalRandom.current().nextLong(b));
+    this.duty = new Duty("views", 1024, Clock.monotonic());
+  }
 
-    public void generation(long g) {
-        duty.offer(() -> views.generation(g));
-    }
+  public List<Shuffle.Descriptor> all() {
+    return snapshot;
+  }
 
-    @Override public void start(Kernel k) {
-        doors = k.find("doors", Doors.class);
-        doors.take(Hello.SHUFFLE, (h, c) -> r -> {
-            if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Request q))
+  public void generation(long g) {
+    duty.offer(() -> views.generation(g));
+  }
+
+  @Override
+  public void start(Kernel k) {
+    doors = k.find("doors", Doors.class);
+    doors.take(
+        Hello.SHUFFLE,
+        (h, c) ->
+            r -> {
+              if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Request q))
                 throw new IOException("an answer nobody asked for");
-            duty.offer(() -> {
-                c.send(views.asked(q));
-                snapshot = views.all();
+              duty.offer(
+                  () -> {
+                    c.send(views.asked(q));
+                    snapshot = views.all();
+                  });
             });
-        });
-        duty.offer(this::again);
-    }
+    duty.offer(this::again);
+  }
 
-    private void again() {
-        round();
-        duty.after(rounds++ < NEW ? ROUND : LATER, this::again);
-    }
+  private void again() {
+    round();
+    duty.after(rounds++ < NEW ? ROUND : LATER, this::again);
+  }
 
-    private void round() {
-        Map.Entry<Shuffle.Descriptor, Shuffle.Request> r = views.round();
-        snapshot = views.all();
-        if (r != null) shuffle(Address.of(r.getKey().records()), r.getValue());
-        if (r == null || snapshot.size() < 3) {
-            if (seeds.isEmpty()) return;
-            Address a = seeds.get(next++ % seeds.size());
-            if (!a.equals(self)) shuffle(a, views.begin());
-        }
+  private void round() {
+    Map.Entry<Shuffle.Descriptor, Shuffle.Request> r = views.round();
+    snapshot = views.all();
+    if (r != null) shuffle(Address.of(r.getKey().records()), r.getValue());
+    if (r == null || snapshot.size() < 3) {
+      if (seeds.isEmpty()) return;
+      Address a = seeds.get(next++ % seeds.size());
+      if (!a.equals(self)) shuffle(a, views.begin());
     }
+  }
 
-    private void shuffle(Address to, Shuffle.Request q) {
-        doors.call(to, Hello.SHUFFLE, c -> new Connection.Receiver() {
-            @Override public void record(byte[] r) throws IOException {
-                if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Answer a))
-                    throw new IOException("a request where an answer was due");
-                duty.offer(() -> {
-                    views.answered(a);
-                    snapshot = views.all();
-                });
-                c.close();
-            }
-        }).subscribe().with(c -> {
-            c.send(q);
-            vertx.setTimer(ANSWER, i -> c.close());
-        }, t -> {});
-    }
+  private void shuffle(Address to, Shuffle.Request q) {
+    doors
+        .call(
+            to,
+            Hello.SHUFFLE,
+            c ->
+                new Connection.Receiver() {
+                  @Override
+                  public void record(byte[] r) throws IOException {
+                    if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Answer a))
+                      throw new IOException("a request where an answer was due");
+                    duty.offer(
+                        () -> {
+                          views.answered(a);
+                          snapshot = views.all();
+                        });
+                    c.close();
+                  }
+                })
+        .subscribe()
+        .with(
+            c -> {
+              c.send(q);
+              vertx.setTimer(ANSWER, i -> c.close());
+            },
+            t -> {});
+  }
 
-    @Override public void stop() {
-        duty.close();
-    }
+  @Override
+  public void stop() {
+    duty.close();
+  }
 }
--- a/kernel/src/test/java/gladelug/kernel/DocTest.java
+++ b/kernel/src/test/java/gladelug/kernel/DocTest.java
@@ -10,24 +10,28 @@
 import org.junit.jupiter.api.Test;
 
 final class DocTest {
-    @Test void everyFindingHasItsPlace() {
-        Findings fs = new Findings();
-        Doc d = ((Result.Good<Doc>) parse("{\"a\": 1,\n \"b\": [\"x\", 3],\n \"zz\": true}")).value();
-        Fields f = d.fields(fs);
-        f.text("a");
-        f.texts("b", true);
-        f.whole("c", 1, 5);
-        f.done();
-        Assertions.assertEquals("""
+  @Test
+  void everyFindingHasItsPlace() {
+    Findings fs = new Findings();
+    Doc d = ((Result.Good<Doc>) parse("{\"a\": 1,\n \"b\": [\"x\", 3],\n \"zz\": true}")).value();
+    Fields f = d.fields(fs);
+    f.text("a");
+    f.texts("b", true);
+    f.whole("c", 1, 5);
+    f.done();
+    Assertions.assertEquals(
+        """
             line 1, column 7 (a): must be a text
             line 2, column 13 (b[1]): must be a text that is not empty
             line 1, column 1 (top): misses the field c
             line 3, column 8 (zz): is not a known field
-            """, fs.toString());
-    }
+            """,
+        fs.toString());
+  }
 
-    @Test void brokenTextAndDoubledFieldsAreFindings() {
-        Assertions.assertTrue(parse("{\"a\": }").toString().startsWith("line 1, column 7: not JSON"));
-        Assertions.assertTrue(parse("{\"a\": 1, \"a\": 2}").toString().contains("given twice"));
-    }
+  @Test
+  void brokenTextAndDoubledFieldsAreFindings() {
+    Assertions.assertTrue(parse("{\"a\": }").toString().startsWith("line 1, column 7: not JSON"));
+    Assertions.assertTrue(parse("{\"a\": 1, \"a\": 2}").toString().contains("given twice"));
+  }
 }
--- a/kernel/src/test/java/gladelug/kernel/LogTest.java
+++ b/kernel/src/test/java/gladelug/kernel/LogTest.java
@@ -9,9 +9,10 @@
 import org.junit.jupiter.api.Test;
 
 final class LogTest {
-    @Test void oneLineWhateverIsInAValue() {
-        Assertions.assertEquals(
-            "event=x a=1 b=\"two words\\u000aand \\\"more\\\"\" c=\"\"",
-            line("x", "a", 1, "b", "two words\nand \"more\"", "c", ""));
-    }
+  @Test
+  void oneLineWhateverIsInAValue() {
+    Assertions.assertEquals(
+        "event=x a=1 b=\"two words\\u000aand \\\"more\\\"\" c=\"\"",
+        line("x", "a", 1, "b", "two words\nand \"more\"", "c", ""));
+  }
 }
--- a/kernel/src/test/java/gladelug/kernel/configuration/AllowTest.java
+++ b/kernel/src/test/java/gladelug/kernel/configuration/AllowTest.java
@@ -11,18 +11,20 @@
 import org.junit.jupiter.api.Test;
 
 final class AllowTest {
-    private static Allow of(String s) {
-        return ((Result.Good<Allow>) parse(s, "x")).value();
-    }
+  private static Allow of(String s) {
+    return ((Result.Good<Allow>) parse(s, "x")).value();
+  }
 
-    @Test void onlyTheBlockAndThePortsWritten() {
-        Allow a = of("10.1.2.0/24:8000-8010");
-        Assertions.assertTrue(a.allows(Address.of("10.1.2.255:8010")));
-        Assertions.assertFalse(a.allows(Address.of("10.1.3.0:8010")));
-        Assertions.assertFalse(a.allows(Address.of("10.1.2.1:8011")));
-        Assertions.assertTrue(of("0.0.0.0/0").allows(Address.of("9.9.9.9:1")));
-        Assertions.assertFalse(of("10.1.2.3:80").allows(Address.of("10.1.2.4:80")));
-        for (String s : new String[]{"host:1", "10.0.0.1/33", "10.0.0.1:9-3", "10.0.0.1:1-2-3", "10.0.0:1"})
-            Assertions.assertTrue(parse(s, "x") instanceof Result.Bad<?>, s);
-    }
+  @Test
+  void onlyTheBlockAndThePortsWritten() {
+    Allow a = of("10.1.2.0/24:8000-8010");
+    Assertions.assertTrue(a.allows(Address.of("10.1.2.255:8010")));
+    Assertions.assertFalse(a.allows(Address.of("10.1.3.0:8010")));
+    Assertions.assertFalse(a.allows(Address.of("10.1.2.1:8011")));
+    Assertions.assertTrue(of("0.0.0.0/0").allows(Address.of("9.9.9.9:1")));
+    Assertions.assertFalse(of("10.1.2.3:80").allows(Address.of("10.1.2.4:80")));
+    for (String s :
+        new String[] {"host:1", "10.0.0.1/33", "10.0.0.1:9-3", "10.0.0.1:1-2-3", "10.0.0:1"})
+      Assertions.assertTrue(parse(s, "x") instanceof Result.Bad<?>, s);
+  }
 }
--- a/kernel/src/test/java/gladelug/kernel/configuration/ConfigurationTest.java
+++ b/kernel/src/test/java/gladelug/kernel/configuration/ConfigurationTest.java
@@ -13,49 +13,68 @@
 import org.junit.jupiter.api.Test;
 
 final class ConfigurationTest {
-    @Test void aGoodConfigurationIsIndexed() {
-        String h = hashOf("k1");
-        Configuration p = ((Result.Good<Configuration>) parse(
-            """
+  @Test
+  void aGoodConfigurationIsIndexed() {
+    String h = hashOf("k1");
+    Configuration p =
+        ((Result.Good<Configuration>)
+                parse(
+                    """
                 {"services": [{"name": "m", "allow": ["127.0.0.0/8"]}],
                  "mappings": [{"name": "a", "path": "/a", "service": "m"}, {"name": "b", "path": "/b",
                    "service": "m", "repeatable": true}],
                  "tenants": [{"name": "t", "keys": ["sha256:%s"], "shares": [{"name": "x", "mappings": ["a"]}]}]}"""
-                .formatted(h)))
+                        .formatted(h)))
             .value();
-        Tenant t = p.tenantOfHash(h);
-        Assertions.assertEquals("t/x", leaf(t, p.route("/a")));
-        Assertions.assertEquals("t", leaf(t, p.route("/b")));
-        Assertions.assertTrue(p.route("/b").repeatable());
-    }
+    Tenant t = p.tenantOfHash(h);
+    Assertions.assertEquals("t/x", leaf(t, p.route("/a")));
+    Assertions.assertEquals("t", leaf(t, p.route("/b")));
+    Assertions.assertTrue(p.route("/b").repeatable());
+  }
 
-    @Test void aShareTreeThatCannotBeMetIsTold() {
-        String s = parse(
-            """
+  @Test
+  void aShareTreeThatCannotBeMetIsTold() {
+    String s =
+        parse(
+                """
                 {"services": [{"name": "m", "allow": ["1.1.1.1"]}], "mappings": [{"name": "a", "path": "/a",
                   "service": "m"}, {"name": "b", "path": "/b", "service": "m"}],
                  "tenants": [{"name": "t", "keys": [], "limit": 4, "shares": [{"name": "x", "limit": 9,
                    "mappings": ["a"]}, {"name": "x", "mappings": ["a"]},
                   {"name": "y", "limit": 2, "mappings": ["b"], "shares": [{"name": "z", "limit": 3}]}]}]}""")
             .toString();
-        for (String w : new String[]{"the limit 9 of t/x is above", "two shares are named x",
-            "mapping a is in two shares", "belong to shares at the leaves", "the limit 3 of t/y/z is above"})
-            Assertions.assertTrue(s.contains(w), w + " in " + s);
-    }
+    for (String w :
+        new String[] {
+          "the limit 9 of t/x is above",
+          "two shares are named x",
+          "mapping a is in two shares",
+          "belong to shares at the leaves",
+          "the limit 3 of t/y/z is above"
+        }) Assertions.assertTrue(s.contains(w), w + " in " + s);
+  }
 
-    @Test void allMistakesAreReportedTogether() {
-        String s = parse(
-            """
+  @Test
+  void allMistakesAreReportedTogether() {
+    String s =
+        parse(
+                """
                 {"services": [{"name": "m", "allow": ["somewhere"]}, {"name": "m", "allow": []}],
                  "mappings": [{"name": "a", "path": "a", "service": "none", "expiryMs": 1}],
                  "tenants": [{"name": "t", "keys": ["secret"], "shares": [{"name": "x", "mappings": ["zz"],
                    "wait": 1}]}],
                  "extra": 1}""")
             .toString();
-        for (String w : new String[]{"must be IP", "two services are named m", "names no service",
-            "must begin with a slash",
-            "from 50 to 600000", "never the key itself", "no mapping of this policy: zz",
-            "tenants[0].shares[0].wait", "(extra): is not a known field"})
-            Assertions.assertTrue(s.contains(w), w + " in " + s);
-    }
+    for (String w :
+        new String[] {
+          "must be IP",
+          "two services are named m",
+          "names no service",
+          "must begin with a slash",
+          "from 50 to 600000",
+          "never the key itself",
+          "no mapping of this policy: zz",
+          "tenants[0].shares[0].wait",
+          "(extra): is not a known field"
+        }) Assertions.assertTrue(s.contains(w), w + " in " + s);
+  }
 }
--- a/kernel/src/test/java/gladelug/kernel/connection/LocalTest.java
+++ b/kernel/src/test/java/gladelug/kernel/connection/LocalTest.java
@@ -13,17 +13,20 @@
 import org.junit.jupiter.api.Test;
 
 final class LocalTest {
-    private static String findings(String bind, String records) {
-        Settings s = ((Result.Good<Settings>) Settings.open(null, Map.of("bind", bind))).value();
-        of(s, Address.of(records));
-        return s.findings.list().toString();
-    }
+  private static String findings(String bind, String records) {
+    Settings s = ((Result.Good<Settings>) Settings.open(null, Map.of("bind", bind))).value();
+    of(s, Address.of(records));
+    return s.findings.list().toString();
+  }
 
-    @Test void whatCantFitIsAFinding() {
-        Assertions.assertEquals("[]", findings("127.0.0.2", "127.0.0.1:7000"));
-        Assertions.assertEquals("[]", findings("0.0.0.0", "127.0.0.1:7000"));
-        Assertions.assertTrue(findings("here", "127.0.0.1:7000").contains("must be an IP number without a port"));
-        Assertions.assertTrue(findings("127.0.0.2:80", "127.0.0.1:7000").contains("must be an IP number"));
-        Assertions.assertTrue(findings("127.0.0.2", "0.0.0.0:7000").contains("is what others call"));
-    }
+  @Test
+  void whatCantFitIsAFinding() {
+    Assertions.assertEquals("[]", findings("127.0.0.2", "127.0.0.1:7000"));
+    Assertions.assertEquals("[]", findings("0.0.0.0", "127.0.0.1:7000"));
+    Assertions.assertTrue(
+        findings("here", "127.0.0.1:7000").contains("must be an IP number without a port"));
+    Assertions.assertTrue(
+        findings("127.0.0.2:80", "127.0.0.1:7000").contains("must be an IP number"));
+    Assertions.assertTrue(findings("127.0.0.2", "0.0.0.0:7000").contains("is what others call"));
+  }
 }
--- a/kernel/src/test/java/gladelug/kernel/disk/RingTest.java
+++ b/kernel/src/test/java/gladelug/kernel/disk/RingTest.java
@@ -12,70 +12,78 @@
 import org.junit.jupiter.api.Test;
 
 final class RingTest {
-    private static final class Paper implements Medium {
-        final byte[][] f = new byte[4][4096];
+  private static final class Paper implements Medium {
+    final byte[][] f = new byte[4][4096];
 
-        @Override public int files() {
-            return 4;
-        }
-
-        @Override public int size() {
-            return 4096;
-        }
-
-        @Override public byte[] read(int i) {
-            return f[i].clone();
-        }
-
-        @Override public void write(int i, int at, byte[] b) {
-            System.arraycopy(b, 0, f[i], at, b.length);
-        }
+    @Override
+    public int files() {
+      return 4;
+    }
 
-        @Override public void sync(int i) {}
+    @Override
+    public int size() {
+      return 4096;
     }
 
-    private static Entry e(String k, int v) {
-        return new Entry(k, ("v" + v).getBytes());
+    @Override
+    public byte[] read(int i) {
+      return f[i].clone();
     }
 
-    private static String get(Ring r, String k) {
-        return new String(r.live().get(k));
+    @Override
+    public void write(int i, int at, byte[] b) {
+      System.arraycopy(b, 0, f[i], at, b.length);
     }
 
-    @Test void comesRoundManyTimesAndKeepsWhatIsAlive() throws IOException {
-        Paper p = new Paper();
-        Ring r = Ring.open(p);
-        r.write(List.of(e("old", 7)));
-        for (int i = 0; i < 200; i++) {
-            r.write(List.of(e("k" + i % 3, i)));
-            Ring s = Ring.open(p);
-            Assertions.assertEquals("v" + i, get(s, "k" + i % 3));
-            Assertions.assertEquals("v7", get(s, "old"));
-        }
+    @Override
+    public void sync(int i) {}
+  }
+
+  private static Entry e(String k, int v) {
+    return new Entry(k, ("v" + v).getBytes());
+  }
+
+  private static String get(Ring r, String k) {
+    return new String(r.live().get(k));
+  }
+
+  @Test
+  void comesRoundManyTimesAndKeepsWhatIsAlive() throws IOException {
+    Paper p = new Paper();
+    Ring r = Ring.open(p);
+    r.write(List.of(e("old", 7)));
+    for (int i = 0; i < 200; i++) {
+      r.write(List.of(e("k" + i % 3, i)));
+      Ring s = Ring.open(p);
+      Assertions.assertEquals("v" + i, get(s, "k" + i % 3));
+      Assertions.assertEquals("v7", get(s, "old"));
     }
+  }
 
-    @Test void everyTornTailIsCutAndEveryEarlierFrameKept() throws IOException {
-        for (int n = 1; n < 40; n++) {
-            Paper p = new Paper();
-            Ring r = Ring.open(p);
-            for (int i = 0; i < n; i++) r.write(List.of(e("a", i)));
-            byte[][] before = new byte[4][];
-            for (int i = 0; i < 4; i++) before[i] = p.f[i].clone();
-            r.write(List.of(e("a", 1000)));
-            for (int i = 0; i < 4; i++)
-                for (int j = 0; j < 4096; j += 512)
-                    if (!Arrays.equals(before[i], j, j + 512, p.f[i], j, j + 512)) p.f[i][j + 25] ^= 0x55;
-            Assertions.assertEquals("v" + (n - 1), get(Ring.open(p), "a"), "after " + n);
-        }
+  @Test
+  void everyTornTailIsCutAndEveryEarlierFrameKept() throws IOException {
+    for (int n = 1; n < 40; n++) {
+      Paper p = new Paper();
+      Ring r = Ring.open(p);
+      for (int i = 0; i < n; i++) r.write(List.of(e("a", i)));
+      byte[][] before = new byte[4][];
+      for (int i = 0; i < 4; i++) before[i] = p.f[i].clone();
+      r.write(List.of(e("a", 1000)));
+      for (int i = 0; i < 4; i++)
+        for (int j = 0; j < 4096; j += 512)
+          if (!Arrays.equals(before[i], j, j + 512, p.f[i], j, j + 512)) p.f[i][j + 25] ^= 0x55;
+      Assertions.assertEquals("v" + (n - 1), get(Ring.open(p), "a"), "after " + n);
     }
+  }
 
-    @Test void damageBeforeTheTailIsNeverTakenForATornTail() throws IOException {
-        for (int bad = 0; bad < 5; bad++) {
-            Paper p = new Paper();
-            Ring r = Ring.open(p);
-            for (int i = 0; i < 6; i++) r.write(List.of(e("a", i)));
-            p.f[0][bad * 512 + 30] ^= 1;
-            Assertions.assertThrows(Damaged.class, () -> Ring.open(p), "frame " + bad);
-        }
+  @Test
+  void damageBeforeTheTailIsNeverTakenForATornTail() throws IOException {
+    for (int bad = 0; bad < 5; bad++) {
+      Paper p = new Paper();
+      Ring r = Ring.open(p);
+      for (int i = 0; i < 6; i++) r.write(List.of(e("a", i)));
+      p.f[0][bad * 512 + 30] ^= 1;
+      Assertions.assertThrows(Damaged.class, () -> Ring.open(p), "frame " + bad);
     }
+  }
 }
--- a/operator-tools/src/main/java/gladelug/tools/Asking.java
+++ b/operator-tools/src/main/java/gladelug/tools/Asking.java
@@ -18,46 +18,55 @@
 import java.util.Map;
 
 final class Asking implements AutoCloseable {
-    record Answer(int status, JsonObject body) {
-        boolean ok() {
-            return status / 100 == 2;
-        }
+  record Answer(int status, JsonObject body) {
+    boolean ok() {
+      return status / 100 == 2;
     }
+  }
 
-    private final Vertx vertx = Vertx.vertx();
-    private final WebClient web = WebClient.create(vertx,
-        new WebClientOptions().setConnectTimeout(1000).setFollowRedirects(false));
+  private final Vertx vertx = Vertx.vertx();
+  private final WebClient web =
+      WebClient.create(
+          vertx, new WebClientOptions().setConnectTimeout(1000).setFollowRedirects(false));
 
-    Answer get(List<Address> at, String path) {
-        return call(HttpMethod.GET, at, path, null, Map.of());
-    }
+  Answer get(List<Address> at, String path) {
+    return call(HttpMethod.GET, at, path, null, Map.of());
+  }
 
-    Answer call(HttpMethod m, List<Address> at, String path, String body, Map<String, String> headers) {
-        Answer last = new Answer(0, Json.object().add("reason", "no address was given"));
-        for (Address a : at) {
-            var q = web
-                .request(m, new RequestOptions(new RequestOptions().setHost(a.host()).setPort(a.port()).setURI(path)))
-                .timeout(20_000);
-            headers.forEach(q::putHeader);
-            try {
-                var r = (body == null ? q.send() : q.sendBuffer(Buffer.buffer(body))).await()
-                    .atMost(Duration.ofSeconds(25));
-                JsonObject o;
-                try {
-                    o = Json.parse(r.bodyAsString()).asObject();
-                } catch (RuntimeException e) {
-                    o = Json.object().add("reason", "an answer that is no JSON");
-                }
-                last = new Answer(r.statusCode(), o);
-                if (r.statusCode() != 503) return last;
-            } catch (RuntimeException e) {
-                if (last.status == 0) last = new Answer(0, Json.object().add("reason", a + " does not answer"));
-            }
+  Answer call(
+      HttpMethod m, List<Address> at, String path, String body, Map<String, String> headers) {
+    Answer last = new Answer(0, Json.object().add("reason", "no address was given"));
+    for (Address a : at) {
+      var q =
+          web.request(
+                  m,
+                  new RequestOptions(
+                      new RequestOptions().setHost(a.host()).setPort(a.port()).setURI(path)))
+              .timeout(20_000);
+      headers.forEach(q::putHeader);
+      try {
+        var r =
+            (body == null ? q.send() : q.sendBuffer(Buffer.buffer(body)))
+                .await()
+                .atMost(Duration.ofSeconds(25));
+        JsonObject o;
+        try {
+          o = Json.parse(r.bodyAsString()).asObject();
+        } catch (RuntimeException e) {
+          o = Json.object().add("reason", "an answer that is no JSON");
         }
-        return last;
+        last = new Answer(r.statusCode(), o);
+        if (r.statusCode() != 503) return last;
+      } catch (RuntimeException e) {
+        if (last.status == 0)
+          last = new Answer(0, Json.object().add("reason", a + " does not answer"));
+      }
     }
+    return last;
+  }
 
-    @Override public void close() {
-        vertx.closeAndForget();
-    }
+  @Override
+  public void close() {
+    vertx.closeAndForget();
+  }
 }
--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -35,275 +35,350 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 
 public final class OperatorTools {
-    private OperatorTools() {}
+  private OperatorTools() {}
 
-    /** What explain-request was called before; it stays for those who have it in their scripts. */
-    private static final String EARLIER = "explain-order";
+  /** What explain-request was called before; it stays for those who have it in their scripts. */
+  private static final String EARLIER = "explain-order";
 
-    private static Subparser command(Subparsers subs, String name, String help) {
-        Subparser p = subs.addParser(name).help(help).description(help).defaultHelp(true);
-        p.addArgument("--control").required(true).metavar("IP:PORT,...").help("operator addresses of control machines");
-        p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
-        return p;
-    }
+  private static Subparser command(Subparsers subs, String name, String help) {
+    Subparser p = subs.addParser(name).help(help).description(help).defaultHelp(true);
+    p.addArgument("--control")
+        .required(true)
+        .metavar("IP:PORT,...")
+        .help("operator addresses of control machines");
+    p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+    return p;
+  }
 
-    public static void main(String[] args) {
-        Logger.getLogger("").setLevel(Level.SEVERE);
-        ArgumentParser ap = ArgumentParsers.newFor("operator-tools").build().defaultHelp(true)
+  public static void main(String[] args) {
+    Logger.getLogger("").setLevel(Level.SEVERE);
+    ArgumentParser ap =
+        ArgumentParsers.newFor("operator-tools")
+            .build()
+            .defaultHelp(true)
             .description("The operators' commands of a gladelug fleet.");
-        var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
-        Subparser p = subs.addParser("explain-request").aliases(EARLIER).defaultHelp(true)
-            .help("why a request went where it went; or what became of a number of the control state");
-        p.addArgument("--control").metavar("IP:PORT,...").help("operator addresses of control machines");
-        p.addArgument("--nodes").metavar("IP:PORT,...")
-            .help("operator addresses of relays and indexes to ask directly, in place of --control");
-        p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
-        p.addArgument("what").nargs("+").metavar("REQUEST | policy N | weights N")
-            .help("the relay's id of a request, from the header Gladelug-Order, or with --nodes the caller's own; "
+    var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
+    Subparser p =
+        subs.addParser("explain-request")
+            .aliases(EARLIER)
+            .defaultHelp(true)
+            .help(
+                "why a request went where it went; or what became of a number of the control state");
+    p.addArgument("--control")
+        .metavar("IP:PORT,...")
+        .help("operator addresses of control machines");
+    p.addArgument("--nodes")
+        .metavar("IP:PORT,...")
+        .help("operator addresses of relays and indexes to ask directly, in place of --control");
+    p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+    p.addArgument("what")
+        .nargs("+")
+        .metavar("REQUEST | policy N | weights N")
+        .help(
+            "the relay's id of a request, from the header Gladelug-Order, or with --nodes the caller's own; "
                 + "or a key and its number");
-        p = command(subs, "send-policy", "send a whole policy");
-        p.addArgument("file");
-        p.addArgument("--based-on").required(true).metavar("NUMBER|*")
-            .help("the number it was based on, or * to replace whatever is there");
-        command(subs, "show-policy", "print the policy and its number");
-        p = command(subs, "name-weights", "name the weights a model service is to run");
-        p.addArgument("service");
-        p.addArgument("weights");
-        p = command(subs, "show-status", "who owns what, which nodes hold which numbers, who is behind");
-        p.addArgument("--nodes").action(Arguments.storeTrue())
-            .help("ask each node too: licences, shares, replicas, the summary's health");
-        p = command(subs, "swap-core-machine", "put a machine that asks to join in the place of a member of the core");
-        p.addArgument("out");
-        p.addArgument("in");
-        p = subs.addParser("import-openapi").help(
-            "print the mappings that an OpenAPI file's operations make, to be looked through and put into a policy");
-        p.addArgument("file");
-        p.addArgument("--service").required(true).help("the service the mappings lead to");
-        p = subs.addParser("hash-key")
-            .help("print the hash of a caller's key, read from standard input, as a policy wants it");
-        Namespace n = Program.parse(ap, args);
-        System.exit(run(n));
-    }
+    p = command(subs, "send-policy", "send a whole policy");
+    p.addArgument("file");
+    p.addArgument("--based-on")
+        .required(true)
+        .metavar("NUMBER|*")
+        .help("the number it was based on, or * to replace whatever is there");
+    command(subs, "show-policy", "print the policy and its number");
+    p = command(subs, "name-weights", "name the weights a model service is to run");
+    p.addArgument("service");
+    p.addArgument("weights");
+    p =
+        command(
+            subs, "show-status", "who owns what, which nodes hold which numbers, who is behind");
+    p.addArgument("--nodes")
+        .action(Arguments.storeTrue())
+        .help("ask each node too: licences, shares, replicas, the summary's health");
+    p =
+        command(
+            subs,
+            "swap-core-machine",
+            "put a machine that asks to join in the place of a member of the core");
+    p.addArgument("out");
+    p.addArgument("in");
+    p =
+        subs.addParser("import-openapi")
+            .help(
+                "print the mappings that an OpenAPI file's operations make,"
+                    + " to be looked through and put into a policy");
+    p.addArgument("file");
+    p.addArgument("--service").required(true).help("the service the mappings lead to");
+    p =
+        subs.addParser("hash-key")
+            .help(
+                "print the hash of a caller's key, read from standard input, as a policy wants it");
+    Namespace n = Program.parse(ap, args);
+    System.exit(run(n));
+  }
 
-    private static int run(Namespace n) {
-        String c = n.getString("command").equals(EARLIER) ? "explain-request" : n.getString("command");
-        if (c.equals("hash-key")) return hashKey();
-        if (c.equals("import-openapi")) return importOpenApi(n.getString("file"), n.getString("service"));
-        Findings fs = new Findings();
-        boolean direct = c.equals("explain-request") && n.getString("nodes") != null;
-        String given = direct ? n.getString("nodes") : n.getString("control");
-        if (given == null) fs.add("--control", "or --nodes is needed");
-        List<Address> control = new ArrayList<>();
-        for (String s : given == null ? new String[0] : given.split(","))
-            control.add(Address.read(s.trim(), direct ? "--nodes" : "--control", fs));
-        if (direct && n.getList("what").size() != 1) fs.add("--nodes", "goes with the id of one request");
-        if (!fs.clean()) {
-            System.err.print(fs);
-            return Program.BAD_USE;
-        }
-        boolean json = n.getBoolean("json");
-        try (Asking a = new Asking()) {
-            return switch (c) {
-                case "explain-request" -> direct ? explainAt(a, control, n.<String>getList("what").get(0), json)
-                    : explain(a, control, n.getList("what"), json);
-                case "send-policy" -> sendConfiguration(a, control, n.getString("file"), n.getString("based_on"), json);
-                case "show-policy" -> print(a.get(control, "/v1/policy"), true);
-                case "name-weights" -> print(a.call(HttpMethod.POST, control, "/v1/weights",
-                    Json.object().add("service", n.getString("service")).add("weights", n.getString("weights"))
+  private static int run(Namespace n) {
+    String c = n.getString("command").equals(EARLIER) ? "explain-request" : n.getString("command");
+    if (c.equals("hash-key")) return hashKey();
+    if (c.equals("import-openapi"))
+      return importOpenApi(n.getString("file"), n.getString("service"));
+    Findings fs = new Findings();
+    boolean direct = c.equals("explain-request") && n.getString("nodes") != null;
+    String given = direct ? n.getString("nodes") : n.getString("control");
+    if (given == null) fs.add("--control", "or --nodes is needed");
+    List<Address> control = new ArrayList<>();
+    for (String s : given == null ? new String[0] : given.split(","))
+      control.add(Address.read(s.trim(), direct ? "--nodes" : "--control", fs));
+    if (direct && n.getList("what").size() != 1)
+      fs.add("--nodes", "goes with the id of one request");
+    if (!fs.clean()) {
+      System.err.print(fs);
+      return Program.BAD_USE;
+    }
+    boolean json = n.getBoolean("json");
+    try (Asking a = new Asking()) {
+      return switch (c) {
+        case "explain-request" ->
+            direct
+                ? explainAt(a, control, n.<String>getList("what").get(0), json)
+                : explain(a, control, n.getList("what"), json);
+        case "send-policy" ->
+            sendConfiguration(a, control, n.getString("file"), n.getString("based_on"), json);
+        case "show-policy" -> print(a.get(control, "/v1/policy"), true);
+        case "name-weights" ->
+            print(
+                a.call(
+                    HttpMethod.POST,
+                    control,
+                    "/v1/weights",
+                    Json.object()
+                        .add("service", n.getString("service"))
+                        .add("weights", n.getString("weights"))
                         .toString(),
-                    Map.of()), json);
-                case "show-status" -> status(a, control, n.getBoolean("nodes"), json);
-                default -> print(
-                    a.call(HttpMethod.POST, control, "/v1/core/swap",
-                        Json.object().add("out", n.getString("out")).add("in", n.getString("in")).toString(), Map.of()),
-                    json);
-            };
-        }
+                    Map.of()),
+                json);
+        case "show-status" -> status(a, control, n.getBoolean("nodes"), json);
+        default ->
+            print(
+                a.call(
+                    HttpMethod.POST,
+                    control,
+                    "/v1/core/swap",
+                    Json.object()
+                        .add("out", n.getString("out"))
+                        .add("in", n.getString("in"))
+                        .toString(),
+                    Map.of()),
+                json);
+      };
     }
+  }
 
-    /** A file's text, or null and said so. */
-    private static String read(String file) {
-        try {
-            return Files.readString(Path.of(file));
-        } catch (IOException e) {
-            System.err.println("operator-tools: " + file + " cannot be read");
-            return null;
-        }
+  /** A file's text, or null and said so. */
+  private static String read(String file) {
+    try {
+      return Files.readString(Path.of(file));
+    } catch (IOException e) {
+      System.err.println("operator-tools: " + file + " cannot be read");
+      return null;
     }
+  }
 
-    private static int importOpenApi(String file, String service) {
-        String s = read(file);
-        if (s == null) return Program.BAD_USE;
-        Findings fs = new Findings();
-        JsonObject o = OpenApiImport.read(s, service, fs);
-        System.out.println(o.toString(WriterConfig.PRETTY_PRINT));
-        System.err.print(fs);
-        return o.get("mappings").asArray().isEmpty() ? 1 : 0;
-    }
+  private static int importOpenApi(String file, String service) {
+    String s = read(file);
+    if (s == null) return Program.BAD_USE;
+    Findings fs = new Findings();
+    JsonObject o = OpenApiImport.read(s, service, fs);
+    System.out.println(o.toString(WriterConfig.PRETTY_PRINT));
+    System.err.print(fs);
+    return o.get("mappings").asArray().isEmpty() ? 1 : 0;
+  }
 
-    private static int hashKey() {
-        try {
-            String s = new String(System.in.readAllBytes(), StandardCharsets.UTF_8).strip();
-            if (s.isEmpty()) {
-                System.err.println("operator-tools: no key on standard input");
-                return Program.BAD_USE;
-            }
-            System.out.println("sha256:" + Configuration.hashOf(s));
-            return 0;
-        } catch (IOException e) {
-            System.err.println("operator-tools: standard input cannot be read");
-            return Program.BAD_USE;
-        }
+  private static int hashKey() {
+    try {
+      String s = new String(System.in.readAllBytes(), StandardCharsets.UTF_8).strip();
+      if (s.isEmpty()) {
+        System.err.println("operator-tools: no key on standard input");
+        return Program.BAD_USE;
+      }
+      System.out.println("sha256:" + Configuration.hashOf(s));
+      return 0;
+    } catch (IOException e) {
+      System.err.println("operator-tools: standard input cannot be read");
+      return Program.BAD_USE;
     }
+  }
+
+  private static int end(Asking.Answer a) {
+    return a.status() == 0 ? Program.CANNOT : a.ok() ? 0 : 1;
+  }
 
-    private static int end(Asking.Answer a) {
-        return a.status() == 0 ? Program.CANNOT : a.ok() ? 0 : 1;
+  private static int print(Asking.Answer a, boolean json) {
+    if (json) System.out.println(a.body().toString(WriterConfig.PRETTY_PRINT));
+    else {
+      StringBuilder sb = new StringBuilder();
+      for (JsonObject.Member m : a.body()) {
+        if (m.getName().equals("findings"))
+          for (JsonValue v : m.getValue().asArray())
+            sb.append("  ")
+                .append(v.asObject().getString("place", ""))
+                .append(": ")
+                .append(v.asObject().getString("what", ""))
+                .append('\n');
+        else
+          sb.append(m.getName())
+              .append(": ")
+              .append(m.getValue().isString() ? m.getValue().asString() : m.getValue().toString())
+              .append('\n');
+      }
+      (a.ok() ? System.out : System.err).print(sb);
     }
+    return end(a);
+  }
 
-    private static int print(Asking.Answer a, boolean json) {
-        if (json) System.out.println(a.body().toString(WriterConfig.PRETTY_PRINT));
-        else {
-            StringBuilder sb = new StringBuilder();
-            for (JsonObject.Member m : a.body()) {
-                if (m.getName().equals("findings"))
-                    for (JsonValue v : m.getValue().asArray())
-                        sb.append("  ").append(v.asObject().getString("place", "")).append(": ")
-                            .append(v.asObject().getString("what", "")).append('\n');
-                else sb.append(m.getName()).append(": ")
-                    .append(m.getValue().isString() ? m.getValue().asString() : m.getValue().toString()).append('\n');
-            }
-            (a.ok() ? System.out : System.err).print(sb);
-        }
-        return end(a);
+  private static int sendConfiguration(
+      Asking a, List<Address> control, String file, String basedOn, boolean json) {
+    String s = read(file);
+    if (s == null) return Program.BAD_USE;
+    if (Configuration.parse(s) instanceof Result.Bad<Configuration> b) {
+      System.err.println(file + " was not sent; found:");
+      for (Finding f : b.findings()) System.err.println("  " + f);
+      return 1;
     }
+    return print(
+        a.call(HttpMethod.POST, control, "/v1/policy", s, Map.of("If-Match", basedOn)), json);
+  }
 
-    private static int sendConfiguration(Asking a, List<Address> control, String file, String basedOn, boolean json) {
-        String s = read(file);
-        if (s == null) return Program.BAD_USE;
-        if (Configuration.parse(s) instanceof Result.Bad<Configuration> b) {
-            System.err.println(file + " was not sent; found:");
-            for (Finding f : b.findings()) System.err.println("  " + f);
-            return 1;
-        }
-        return print(a.call(HttpMethod.POST, control, "/v1/policy", s, Map.of("If-Match", basedOn)), json);
+  private static int status(Asking a, List<Address> control, boolean nodes, boolean json) {
+    Asking.Answer s = a.get(control, "/v1/status");
+    if (!s.ok()) return print(s, json);
+    JsonObject each = Json.object();
+    if (nodes)
+      for (JsonValue v : s.body().get("nodes").asArray()) {
+        JsonObject n = v.asObject();
+        each.set(
+            n.getString("name", ""),
+            a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/status").body());
+      }
+    if (json) {
+      System.out.println(
+          (nodes ? s.body().add("each", each) : s.body()).toString(WriterConfig.PRETTY_PRINT));
+      return 0;
     }
+    System.out.print(Explanation.ofStatus(s.body()));
+    for (JsonObject.Member m : each)
+      System.out.print(Explanation.ofNode(m.getName(), m.getValue().asObject()));
+    return 0;
+  }
 
-    private static int status(Asking a, List<Address> control, boolean nodes, boolean json) {
-        Asking.Answer s = a.get(control, "/v1/status");
-        if (!s.ok()) return print(s, json);
-        JsonObject each = Json.object();
-        if (nodes)
-            for (JsonValue v : s.body().get("nodes").asArray()) {
-                JsonObject n = v.asObject();
-                each.set(n.getString("name", ""),
-                    a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/status").body());
-            }
-        if (json) {
-            System.out.println((nodes ? s.body().add("each", each) : s.body()).toString(WriterConfig.PRETTY_PRINT));
-            return 0;
-        }
-        System.out.print(Explanation.ofStatus(s.body()));
-        for (JsonObject.Member m : each) System.out.print(Explanation.ofNode(m.getName(), m.getValue().asObject()));
-        return 0;
+  /** From the nodes themselves: whoever took the request, else whoever keeps its record. */
+  private static int explainAt(Asking a, List<Address> nodes, String id, boolean json) {
+    JsonObject kept = null;
+    for (String path : new String[] {"/operator/orders/", "/operator/reasons/"})
+      for (Address n : nodes) {
+        Asking.Answer d = a.get(List.of(n), path + id);
+        if (!d.ok()) continue;
+        if (path.endsWith("orders/") && !json) System.out.print(Explanation.ofRequest(d.body()));
+        if (path.endsWith("orders/")) return json ? print(d, true) : 0;
+        if (kept == null || kept.getString("outcome", "").equals("live")) kept = d.body();
+      }
+    if (kept == null) {
+      System.err.println("operator-tools: none of these nodes knows of request " + id);
+      return 1;
     }
+    if (json) return print(new Asking.Answer(200, kept), true);
+    System.out.print(Explanation.ofRequest(kept));
+    System.out.print(Explanation.ofKeeper(kept, "another"));
+    return 0;
+  }
 
-    /** From the nodes themselves: whoever took the request, else whoever keeps its record. */
-    private static int explainAt(Asking a, List<Address> nodes, String id, boolean json) {
-        JsonObject kept = null;
-        for (String path : new String[]{"/operator/orders/", "/operator/reasons/"})
-            for (Address n : nodes) {
-                Asking.Answer d = a.get(List.of(n), path + id);
-                if (!d.ok()) continue;
-                if (path.endsWith("orders/") && !json) System.out.print(Explanation.ofRequest(d.body()));
-                if (path.endsWith("orders/")) return json ? print(d, true) : 0;
-                if (kept == null || kept.getString("outcome", "").equals("live")) kept = d.body();
-            }
-        if (kept == null) {
-            System.err.println("operator-tools: none of these nodes knows of request " + id);
-            return 1;
-        }
-        if (json) return print(new Asking.Answer(200, kept), true);
-        System.out.print(Explanation.ofRequest(kept));
-        System.out.print(Explanation.ofKeeper(kept, "another"));
+  private static int explain(Asking a, List<Address> control, List<String> what, boolean json) {
+    Asking.Answer s = a.get(control, "/v1/status");
+    if (!s.ok()) return print(s, json);
+    if (what.size() == 2
+        && (what.get(0).equals("policy") || what.get(0).equals("weights"))
+        && what.get(1).matches("[0-9]{1,18}"))
+      return number(a, control, s.body(), what.get(0), Long.parseLong(what.get(1)), json);
+    String id = what.get(0), relay = id.contains(".") ? id.substring(0, id.indexOf('.')) : "";
+    if (what.size() > 1 || relay.isEmpty()) {
+      System.err.println(
+          "operator-tools: an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order; or give: "
+              + "policy N, weights N");
+      return Program.BAD_USE;
+    }
+    for (JsonValue v : s.body().get("nodes").asArray()) {
+      JsonObject n = v.asObject();
+      if (!n.getString("name", "").equals(relay)) continue;
+      Asking.Answer d =
+          a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/orders/" + id);
+      if (d.status() == 400 || d.ok() && json) return print(d, json);
+      if (d.ok()) {
+        System.out.print(Explanation.ofRequest(d.body()));
         return 0;
+      }
+      System.err.println(
+          "operator-tools: " + relay + ": " + d.body().getString("reason", "no answer"));
     }
+    return fromPeers(a, s.body(), id, json);
+  }
 
-    private static int explain(Asking a, List<Address> control, List<String> what, boolean json) {
-        Asking.Answer s = a.get(control, "/v1/status");
-        if (!s.ok()) return print(s, json);
-        if (what.size() == 2 && (what.get(0).equals("policy") || what.get(0).equals("weights"))
-            && what.get(1).matches("[0-9]{1,18}"))
-            return number(a, control, s.body(), what.get(0), Long.parseLong(what.get(1)), json);
-        String id = what.get(0), relay = id.contains(".") ? id.substring(0, id.indexOf('.')) : "";
-        if (what.size() > 1 || relay.isEmpty()) {
-            System.err.println(
-                "operator-tools: an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order; or give: "
-                    + "policy N, weights N");
-            return Program.BAD_USE;
-        }
-        for (JsonValue v : s.body().get("nodes").asArray()) {
-            JsonObject n = v.asObject();
-            if (!n.getString("name", "").equals(relay)) continue;
-            Asking.Answer d = a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/orders/" + id);
-            if (d.status() == 400 || d.ok() && json) return print(d, json);
-            if (d.ok()) {
-                System.out.print(Explanation.ofRequest(d.body()));
-                return 0;
-            }
-            System.err.println("operator-tools: " + relay + ": " + d.body().getString("reason", "no answer"));
-        }
-        return fromPeers(a, s.body(), id, json);
+  /** What the relay no longer tells: from whoever was handed its records, the newest of them. */
+  private static int fromPeers(Asking a, JsonObject status, String id, boolean json) {
+    JsonObject best = null;
+    String whose = "";
+    for (JsonValue v : status.get("nodes").asArray()) {
+      JsonObject n = v.asObject();
+      Asking.Answer d =
+          a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/reasons/" + id);
+      if (!d.ok()) continue;
+      if (best == null || best.getString("outcome", "").equals("live")) {
+        best = d.body();
+        whose = n.getString("name", "");
+      }
     }
-
-    /** What the relay no longer tells: from whoever was handed its records, the newest of them. */
-    private static int fromPeers(Asking a, JsonObject status, String id, boolean json) {
-        JsonObject best = null;
-        String whose = "";
-        for (JsonValue v : status.get("nodes").asArray()) {
-            JsonObject n = v.asObject();
-            Asking.Answer d = a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/reasons/" + id);
-            if (!d.ok()) continue;
-            if (best == null || best.getString("outcome", "").equals("live")) {
-                best = d.body();
-                whose = n.getString("name", "");
-            }
-        }
-        if (best == null) {
-            System.err.println("operator-tools: nobody that answers keeps a record of order " + id
-                + "; its relay has not asked for a minute, or its records were too old to be kept");
-            return 1;
-        }
-        if (json) return print(new Asking.Answer(200, best.add("keptBy", whose)), true);
-        System.out.print(Explanation.ofRequest(best));
-        System.out.print(Explanation.ofKeeper(best, whose));
-        return 0;
+    if (best == null) {
+      System.err.println(
+          "operator-tools: nobody that answers keeps a record of order "
+              + id
+              + "; its relay has not asked for a minute, or its records were too old to be kept");
+      return 1;
     }
+    if (json) return print(new Asking.Answer(200, best.add("keptBy", whose)), true);
+    System.out.print(Explanation.ofRequest(best));
+    System.out.print(Explanation.ofKeeper(best, whose));
+    return 0;
+  }
 
-    /** Beside the numbers held, what the replicas run, as the relays see it. */
-    private static int number(Asking a, List<Address> control, JsonObject status, String key, long number,
-        boolean json) {
-        JsonObject runs = Json.object();
-        if (key.equals("weights"))
-            for (JsonValue v : status.get("nodes").asArray()) {
-                if (!v.asObject().getString("role", "").equals("relay")) continue;
-                Asking.Answer r = a.get(List.of(Address.of(v.asObject().getString("operator", ""))),
-                    "/operator/status");
-                if (!r.ok()) continue;
-                for (JsonObject.Member m : r.body().get("backends").asObject())
-                    runs.set(m.getName(), m.getValue().asObject().getString("weights", ""));
-                break;
-            }
-        Asking.Answer h = a.get(control, "/v1/" + key + "/numbers");
-        JsonArray history = h.ok() ? h.body().get("numbers").asArray() : new JsonArray();
-        if (json) {
-            System.out.println(Json.object().add("key", key).add("number", number).add("status", status)
-                .add("history", history).add("replicasRun", runs).toString(WriterConfig.PRETTY_PRINT));
-            return 0;
-        }
-        System.out.print(Explanation.ofNumber(key, number, status));
-        System.out.print(Explanation.ofHistory(key, number, history));
-        for (JsonObject.Member m : runs) if (!m.getValue().asString().isEmpty())
-            System.out.println("  " + m.getName() + " runs " + m.getValue().asString());
-        return 0;
+  /** Beside the numbers held, what the replicas run, as the relays see it. */
+  private static int number(
+      Asking a, List<Address> control, JsonObject status, String key, long number, boolean json) {
+    JsonObject runs = Json.object();
+    if (key.equals("weights"))
+      for (JsonValue v : status.get("nodes").asArray()) {
+        if (!v.asObject().getString("role", "").equals("relay")) continue;
+        Asking.Answer r =
+            a.get(List.of(Address.of(v.asObject().getString("operator", ""))), "/operator/status");
+        if (!r.ok()) continue;
+        for (JsonObject.Member m : r.body().get("backends").asObject())
+          runs.set(m.getName(), m.getValue().asObject().getString("weights", ""));
+        break;
+      }
+    Asking.Answer h = a.get(control, "/v1/" + key + "/numbers");
+    JsonArray history = h.ok() ? h.body().get("numbers").asArray() : new JsonArray();
+    if (json) {
+      System.out.println(
+          Json.object()
+              .add("key", key)
+              .add("number", number)
+              .add("status", status)
+              .add("history", history)
+              .add("replicasRun", runs)
+              .toString(WriterConfig.PRETTY_PRINT));
+      return 0;
     }
+    System.out.print(Explanation.ofNumber(key, number, status));
+    System.out.print(Explanation.ofHistory(key, number, history));
+    for (JsonObject.Member m : runs)
+      if (!m.getValue().asString().isEmpty())
+        System.out.println("  " + m.getName() + " runs " + m.getValue().asString());
+    return 0;
+  }
 }
--- a/operator-tools/src/test/java/gladelug/tools/ExplanationTest.java
+++ b/operator-tools/src/test/java/gladelug/tools/ExplanationTest.java
@@ -11,9 +11,10 @@
 import org.junit.jupiter.api.Test;
 
 final class ExplanationTest {
-    @Test void theWordsSayWhatTheRecordSays() {
-        JsonObject d = Json
-            .parse(
+  @Test
+  void theWordsSayWhatTheRecordSays() {
+    JsonObject d =
+        Json.parse(
                 """
                     {"order":"r.ab12.1","came":"now","outcome":"complete","stages":[
                      {"stage":"lookup","atMs":1,"weights":"w1","blocks":8,"index":"answered",
@@ -22,9 +23,13 @@
                        "fetchFrom":"","fetchBlocks":0,"load":0,"backlogMs":0,"workMs":0,"totalMs":0}]},
                      {"stage":"again","atMs":3,"why":"x did not run it"}]}""")
             .asObject();
-        String s = ofRequest(d);
-        for (String w : new String[]{"order r.ab12.1, came now: complete", "x may hold 8", "replica x of 2",
-            "back to the choice: x did not run it"})
-            Assertions.assertTrue(s.contains(w), s);
-    }
+    String s = ofRequest(d);
+    for (String w :
+        new String[] {
+          "order r.ab12.1, came now: complete",
+          "x may hold 8",
+          "replica x of 2",
+          "back to the choice: x did not run it"
+        }) Assertions.assertTrue(s.contains(w), s);
+  }
 }
--- a/operator-tools/src/test/java/gladelug/tools/OpenApiImportTest.java
+++ b/operator-tools/src/test/java/gladelug/tools/OpenApiImportTest.java
@@ -11,9 +11,11 @@
 import org.junit.jupiter.api.Test;
 
 final class OpenApiImportTest {
-    @Test void operationsBecomeRoutesAndWhatCannotIsSaid() {
-        Findings fs = new Findings();
-        JsonObject o = read(
+  @Test
+  void operationsBecomeRoutesAndWhatCannotIsSaid() {
+    Findings fs = new Findings();
+    JsonObject o =
+        read(
             """
                 openapi: 3.0.1
                 info: {title: t, version: '1'}
@@ -28,20 +30,26 @@
                   /caption/draft:
                     post: {responses: {'200': {description: ok}}}
                 """,
-            "desk-model", fs);
-        Assertions.assertEquals("""
+            "desk-model",
+            fs);
+    Assertions.assertEquals(
+        """
             [{"name":"headline","path":"/headline","service":"desk-model","expiryMs":4000,"repeatable":true},\
             {"name":"caption-draft","path":"/caption/draft","service":"desk-model"}]""",
-            o.get("mappings").toString());
-        String s = fs.toString();
-        for (String w : new String[]{"paths./headline.get: is left out: orders are sent with POST only",
-            "paths./stop/{id}.post: is left out", "paths./caption/draft.post: has no operationId"})
-            Assertions.assertTrue(s.contains(w), s);
-    }
+        o.get("mappings").toString());
+    String s = fs.toString();
+    for (String w :
+        new String[] {
+          "paths./headline.get: is left out: orders are sent with POST only",
+          "paths./stop/{id}.post: is left out",
+          "paths./caption/draft.post: has no operationId"
+        }) Assertions.assertTrue(s.contains(w), s);
+  }
 
-    @Test void whatIsNoDocumentIsAFinding() {
-        Findings fs = new Findings();
-        Assertions.assertEquals("[]", read("not: [an, api", "m", fs).get("mappings").toString());
-        Assertions.assertFalse(fs.clean());
-    }
+  @Test
+  void whatIsNoDocumentIsAFinding() {
+    Findings fs = new Findings();
+    Assertions.assertEquals("[]", read("not: [an, api", "m", fs).get("mappings").toString());
+    Assertions.assertFalse(fs.clean());
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Child.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Child.java
@@ -13,81 +13,91 @@
 import java.util.concurrent.TimeUnit;
 
 public final class Child {
-    public final String name;
-    private final String main;
-    private final List<String> args;
-    private final Path log;
-    private final int heapMb;
-    private Process process;
+  public final String name;
+  private final String main;
+  private final List<String> args;
+  private final Path log;
+  private final int heapMb;
+  private Process process;
 
-    public Child(String name, String main, List<String> args, Path log, int heapMb) {
-        this.name = name;
-        this.main = main;
-        this.args = args;
-        this.log = log;
-        this.heapMb = heapMb;
-    }
+  public Child(String name, String main, List<String> args, Path log, int heapMb) {
+    this.name = name;
+    this.main = main;
+    this.args = args;
+    this.log = log;
+    this.heapMb = heapMb;
+  }
 
-    public Child start() throws IOException {
-        List<String> l = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx" + heapMb + "m", "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Dvertx.disableDnsResolver=true", "-cp",
-            System.getProperty("gladelug.programs", System.getProperty("java.class.path")), main));
-        l.addAll(args);
-        process = new ProcessBuilder(l).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
-        return this;
-    }
+  public Child start() throws IOException {
+    List<String> l =
+        new ArrayList<>(
+            List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx" + heapMb + "m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xshare:auto",
+                "-Dvertx.disableDnsResolver=true",
+                "-cp",
+                System.getProperty("gladelug.programs", System.getProperty("java.class.path")),
+                main));
+    l.addAll(args);
+    process =
+        new ProcessBuilder(l)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+    return this;
+  }
 
-    public boolean alive() {
-        return process != null && process.isAlive();
-    }
+  public boolean alive() {
+    return process != null && process.isAlive();
+  }
 
-    public long pid() {
-        return process.pid();
-    }
+  public long pid() {
+    return process.pid();
+  }
 
-    /** At once, as when the machine loses power. */
-    public void kill() {
-        if (process == null) return;
-        process.destroyForcibly();
-        waitFor(20_000);
-    }
+  /** At once, as when the machine loses power. */
+  public void kill() {
+    if (process == null) return;
+    process.destroyForcibly();
+    waitFor(20_000);
+  }
 
-    /** Politely, as the platform does first. */
-    public boolean stop(long ms) {
-        process.destroy();
-        return waitFor(ms);
-    }
+  /** Politely, as the platform does first. */
+  public boolean stop(long ms) {
+    process.destroy();
+    return waitFor(ms);
+  }
 
-    /** Stops or continues the process where it is, as a machine that freezes does. */
-    public void freeze(boolean on) throws IOException {
-        try {
-            new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(pid())).start().waitFor();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+  /** Stops or continues the process where it is, as a machine that freezes does. */
+  public void freeze(boolean on) throws IOException {
+    try {
+      new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(pid())).start().waitFor();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+  }
 
-    public boolean waitFor(long ms) {
-        try {
-            return process.waitFor(ms, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
+  public boolean waitFor(long ms) {
+    try {
+      return process.waitFor(ms, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
     }
+  }
 
-    public int exit() {
-        return process.exitValue();
-    }
+  public int exit() {
+    return process.exitValue();
+  }
 
-    public String lines() {
-        try {
-            return Files.readString(log);
-        } catch (IOException e) {
-            return "";
-        }
+  public String lines() {
+    try {
+      return Files.readString(log);
+    } catch (IOException e) {
+      return "";
     }
-
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/CoreRehearsal.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/CoreRehearsal.java
@@ -6,5 +6,5 @@
 package gladelug.rehearsal;
 
 public final class CoreRehearsal {
-    private CoreRehearsal() {}
+  private CoreRehearsal() {}
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Deployment.java
@@ -12,120 +12,223 @@
 import java.util.ArrayList;
 import java.util.List;
 
-public record Deployment(String name, int net, String service, int replicas, int relays, int indexes,
+public record Deployment(
+    String name,
+    int net,
+    String service,
+    int replicas,
+    int relays,
+    int indexes,
     List<StandInCallers.Kind> kinds,
-    List<StandInCallers.Tenant> tenants, String isolated) {
-    private static StandInCallers.Kind kind(String n, double rate, int blocks, int own, boolean repeatable) {
-        return new StandInCallers.Kind(n, "/" + n, rate, blocks, own, repeatable);
-    }
+    List<StandInCallers.Tenant> tenants,
+    String isolated) {
+  private static StandInCallers.Kind kind(
+      String n, double rate, int blocks, int own, boolean repeatable) {
+    return new StandInCallers.Kind(n, "/" + n, rate, blocks, own, repeatable);
+  }
 
-    private static List<StandInCallers.Tenant> tenants(String... names) {
-        int[] sizes = {10, 8, 5, 1, 1, 1, 1, 1};
-        List<StandInCallers.Tenant> l = new ArrayList<>();
-        for (int i = 0; i < names.length; i++)
-            l.add(new StandInCallers.Tenant(names[i], "key-of-" + names[i], sizes[i]));
-        return List.copyOf(l);
-    }
+  private static List<StandInCallers.Tenant> tenants(String... names) {
+    int[] sizes = {10, 8, 5, 1, 1, 1, 1, 1};
+    List<StandInCallers.Tenant> l = new ArrayList<>();
+    for (int i = 0; i < names.length; i++)
+      l.add(new StandInCallers.Tenant(names[i], "key-of-" + names[i], sizes[i]));
+    return List.copyOf(l);
+  }
 
-    public static Deployment safariNjia() {
-        return new Deployment("safari-njia", 11, "planner-model", 12, 4, 2,
-            List.of(kind("timetable-summary", 25, 24, 900, true), kind("stage-match", 20, 12, 300, false),
-                kind("journey-reply", 30, 8, 200, false)),
-            tenants("planner-app", "ussd-gateway", "county-nairobi", "county-kiambu", "county-machakos",
-                "county-kajiado", "county-muranga", "county-nakuru"),
-            "county-nakuru");
-    }
+  public static Deployment safariNjia() {
+    return new Deployment(
+        "safari-njia",
+        11,
+        "planner-model",
+        12,
+        4,
+        2,
+        List.of(
+            kind("timetable-summary", 25, 24, 900, true),
+            kind("stage-match", 20, 12, 300, false),
+            kind("journey-reply", 30, 8, 200, false)),
+        tenants(
+            "planner-app",
+            "ussd-gateway",
+            "county-nairobi",
+            "county-kiambu",
+            "county-machakos",
+            "county-kajiado",
+            "county-muranga",
+            "county-nakuru"),
+        "county-nakuru");
+  }
 
-    public static Deployment mokaRidge() {
-        return new Deployment("moka-ridge", 12, "desk-model", 8, 4, 2,
-            List.of(kind("archive-check", 15, 40, 1500, false), kind("headline-tag", 12, 6, 200, true),
-                kind("caption-draft", 20, 10, 300, false)),
-            tenants("web-desk", "photo-desk", "legal-read", "sports-desk", "farm-weekly", "coast-daily", "hill-herald",
-                "rift-news"),
-            "legal-read");
-    }
+  public static Deployment mokaRidge() {
+    return new Deployment(
+        "moka-ridge",
+        12,
+        "desk-model",
+        8,
+        4,
+        2,
+        List.of(
+            kind("archive-check", 15, 40, 1500, false),
+            kind("headline-tag", 12, 6, 200, true),
+            kind("caption-draft", 20, 10, 300, false)),
+        tenants(
+            "web-desk",
+            "photo-desk",
+            "legal-read",
+            "sports-desk",
+            "farm-weekly",
+            "coast-daily",
+            "hill-herald",
+            "rift-news"),
+        "legal-read");
+  }
 
-    /** Two replicas, a relay and an index, for tests that set a fault and look at one request. */
-    public static Deployment small(int net) {
-        return new Deployment("small", net, "m", 2, 1, 1,
-            List.of(kind("ask", 5, 8, 200, false), kind("again", 5, 8, 200, true), kind("wide", 5, 4, 100, false)),
-            tenants("one", "two", "three", "four", "five", "six", "seven", "eight"), "eight");
-    }
+  /** Two replicas, a relay and an index, for tests that set a fault and look at one request. */
+  public static Deployment small(int net) {
+    return new Deployment(
+        "small",
+        net,
+        "m",
+        2,
+        1,
+        1,
+        List.of(
+            kind("ask", 5, 8, 200, false),
+            kind("again", 5, 8, 200, true),
+            kind("wide", 5, 4, 100, false)),
+        tenants("one", "two", "three", "four", "five", "six", "seven", "eight"),
+        "eight");
+  }
 
-    public static Deployment named(String n) {
-        return switch (n) {
-            case "safari-njia" -> safariNjia();
-            case "moka-ridge" -> mokaRidge();
-            default -> throw new IllegalArgumentException("no deployment " + n);
-        };
-    }
+  public static Deployment named(String n) {
+    return switch (n) {
+      case "safari-njia" -> safariNjia();
+      case "moka-ridge" -> mokaRidge();
+      default -> throw new IllegalArgumentException("no deployment " + n);
+    };
+  }
 
-    public String zone(int i) {
-        return "zone-" + (char) ('a' + i % 3);
-    }
+  public String zone(int i) {
+    return "zone-" + (char) ('a' + i % 3);
+  }
 
-    public StandInCallers.Kind application() {
-        return kind("lookup-stop", 2, 0, 100, false);
-    }
+  public StandInCallers.Kind application() {
+    return kind("lookup-stop", 2, 0, 100, false);
+  }
 
-    /** The configuration an operator of this deployment sends; keys as hashes, marker in the last route's deadline. */
-    public JsonObject configuration(int marker, List<String> without) {
-        return configuration(marker, without, "application", 0);
-    }
+  /**
+   * The configuration an operator of this deployment sends; keys as hashes, marker in the last
+   * route's deadline.
+   */
+  public JsonObject configuration(int marker, List<String> without) {
+    return configuration(marker, without, "application", 0);
+  }
 
-    /**
-     * What an operator wants, beside what is always so: keys revoked, which of the two application services takes
-     * lookup-stop, further routes (as a configuration that grows has), whether the last kind's path is gone, tenants
-     * isolated further, and whether the first replica's address is no longer allowed.
-     */
-    public record Wish(int marker, List<String> without, String application, int more, boolean gone,
-        List<String> walled,
-        boolean narrow) {}
+  /**
+   * What an operator wants, beside what is always so: keys revoked, which of the two application
+   * services takes lookup-stop, further routes (as a configuration that grows has), whether the
+   * last kind's path is gone, tenants isolated further, and whether the first replica's address is
+   * no longer allowed.
+   */
+  public record Wish(
+      int marker,
+      List<String> without,
+      String application,
+      int more,
+      boolean gone,
+      List<String> walled,
+      boolean narrow) {}
 
-    public JsonObject configuration(int marker, List<String> without, String application, int more) {
-        return configuration(new Wish(marker, without, application, more, false, List.of(), false));
-    }
+  public JsonObject configuration(int marker, List<String> without, String application, int more) {
+    return configuration(new Wish(marker, without, application, more, false, List.of(), false));
+  }
 
-    public StandInCallers.Kind last() {
-        return kinds.get(kinds.size() - 1);
-    }
+  public StandInCallers.Kind last() {
+    return kinds.get(kinds.size() - 1);
+  }
 
-    public JsonObject configuration(Wish w) {
-        JsonArray ms = new JsonArray();
-        for (StandInCallers.Kind k : kinds)
-            ms.add(
-                Json.object().add("name", k.name()).add("path", w.gone && k == last() ? k.path() + "-gone" : k.path())
-                    .add("service", service)
-                    .add("expiryMs", 8000).add("repeatable", k.repeatable()));
-        ms.add(Json.object().add("name", "lookup-stop").add("path", "/lookup-stop").add("service", w.application)
+  public JsonObject configuration(Wish w) {
+    JsonArray ms = new JsonArray();
+    for (StandInCallers.Kind k : kinds)
+      ms.add(
+          Json.object()
+              .add("name", k.name())
+              .add("path", w.gone && k == last() ? k.path() + "-gone" : k.path())
+              .add("service", service)
+              .add("expiryMs", 8000)
+              .add("repeatable", k.repeatable()));
+    ms.add(
+        Json.object()
+            .add("name", "lookup-stop")
+            .add("path", "/lookup-stop")
+            .add("service", w.application)
             .add("expiryMs", 5000 + w.marker % 1000));
-        for (int i = 0; i < w.more; i++)
-            ms.add(Json.object().add("name", "more-" + i).add("path", "/more/" + i).add("service", service)
-                .add("expiryMs", 8000).add("repeatable", i % 2 == 0));
-        JsonArray ts = new JsonArray();
-        for (StandInCallers.Tenant t : tenants) {
-            JsonArray keys = new JsonArray();
-            if (!w.without.contains(t.name())) keys.add("sha256:" + Configuration.hashOf(t.key()));
-            ts.add(Json.object().add("name", t.name()).add("keys", keys).add("weight", t.size())
-                .add("isolated", t.name().equals(isolated) || w.walled.contains(t.name()))
-                .add("shares", Json.array().add((JsonValue) Json.object().add("name", "first").add("weight", 3)
-                    .add("mappings", Json.array(kinds.get(0).name(), kinds.get(1).name())))
-                    .add((JsonValue) Json.object().add("name", "rest").add("weight", 1).add("mappings",
-                        Json.array(kinds.get(2).name())))));
-        }
-        // all that is listed but the first replica, at .21
-        JsonArray allow = new JsonArray();
-        if (w.narrow) for (String n : new String[]{"22/31", "24/29", "32/27", "64/26", "128/25"})
-            allow.add("127." + net + ".0." + n);
-        else allow.add("127." + net + ".0.0/16");
-        return Json.object().add("services", Json.array()
-            .add((JsonValue) Json.object().add("name", service).add("allow", allow))
-            .add((JsonValue) Json.object().add("name", "prefix-store").add("kind", "store").add("allow",
-                Json.array("127." + net + ".0.0/16")))
-            .add((JsonValue) Json.object().add("name", "application").add("kind", "application").add("allow",
-                Json.array("127." + net + ".0.0/16")))
-            .add((JsonValue) Json.object().add("name", "application-two").add("kind", "application").add("allow",
-                Json.array("127." + net + ".0.0/16"))))
-            .add("mappings", ms).add("tenants", ts);
+    for (int i = 0; i < w.more; i++)
+      ms.add(
+          Json.object()
+              .add("name", "more-" + i)
+              .add("path", "/more/" + i)
+              .add("service", service)
+              .add("expiryMs", 8000)
+              .add("repeatable", i % 2 == 0));
+    JsonArray ts = new JsonArray();
+    for (StandInCallers.Tenant t : tenants) {
+      JsonArray keys = new JsonArray();
+      if (!w.without.contains(t.name())) keys.add("sha256:" + Configuration.hashOf(t.key()));
+      ts.add(
+          Json.object()
+              .add("name", t.name())
+              .add("keys", keys)
+              .add("weight", t.size())
+              .add("isolated", t.name().equals(isolated) || w.walled.contains(t.name()))
+              .add(
+                  "shares",
+                  Json.array()
+                      .add(
+                          (JsonValue)
+                              Json.object()
+                                  .add("name", "first")
+                                  .add("weight", 3)
+                                  .add(
+                                      "mappings",
+                                      Json.array(kinds.get(0).name(), kinds.get(1).name())))
+                      .add(
+                          (JsonValue)
+                              Json.object()
+                                  .add("name", "rest")
+                                  .add("weight", 1)
+                                  .add("mappings", Json.array(kinds.get(2).name())))));
     }
+    // all that is listed but the first replica, at .21
+    JsonArray allow = new JsonArray();
+    if (w.narrow)
+      for (String n : new String[] {"22/31", "24/29", "32/27", "64/26", "128/25"})
+        allow.add("127." + net + ".0." + n);
+    else allow.add("127." + net + ".0.0/16");
+    return Json.object()
+        .add(
+            "services",
+            Json.array()
+                .add((JsonValue) Json.object().add("name", service).add("allow", allow))
+                .add(
+                    (JsonValue)
+                        Json.object()
+                            .add("name", "prefix-store")
+                            .add("kind", "store")
+                            .add("allow", Json.array("127." + net + ".0.0/16")))
+                .add(
+                    (JsonValue)
+                        Json.object()
+                            .add("name", "application")
+                            .add("kind", "application")
+                            .add("allow", Json.array("127." + net + ".0.0/16")))
+                .add(
+                    (JsonValue)
+                        Json.object()
+                            .add("name", "application-two")
+                            .add("kind", "application")
+                            .add("allow", Json.array("127." + net + ".0.0/16"))))
+        .add("mappings", ms)
+        .add("tenants", ts);
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
@@ -32,280 +32,400 @@
 import java.util.stream.Stream;
 
 public final class Fleet implements AutoCloseable {
-    public record Answer(int status, JsonObject body, Map<String, List<String>> headers) {}
+  public record Answer(int status, JsonObject body, Map<String, List<String>> headers) {}
 
-    public final Deployment deployment;
-    public final Path dir;
-    public final Ledger ledger = new Ledger();
-    public final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
-    public final Map<String, StandInReplica> replicas = new LinkedHashMap<>();
-    public final Map<String, Child> children = new LinkedHashMap<>();
-    public final Map<String, String> operator = new LinkedHashMap<>();
-    public final Map<String, String> records = new LinkedHashMap<>();
-    public final List<String> callers = new ArrayList<>();
-    public StandInPlatform platform;
-    public final Wires wires = new Wires(vertx);
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2))
-        .version(HttpClient.Version.HTTP_1_1).build();
-    private HttpServer trap;
-    public final Set<String> frozen = ConcurrentHashMap.newKeySet();
-    private int marker;
+  public final Deployment deployment;
+  public final Path dir;
+  public final Ledger ledger = new Ledger();
+  public final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
+  public final Map<String, StandInReplica> replicas = new LinkedHashMap<>();
+  public final Map<String, Child> children = new LinkedHashMap<>();
+  public final Map<String, String> operator = new LinkedHashMap<>();
+  public final Map<String, String> records = new LinkedHashMap<>();
+  public final List<String> callers = new ArrayList<>();
+  public StandInPlatform platform;
+  public final Wires wires = new Wires(vertx);
+  private final HttpClient http =
+      HttpClient.newBuilder()
+          .connectTimeout(Duration.ofSeconds(2))
+          .version(HttpClient.Version.HTTP_1_1)
+          .build();
+  private HttpServer trap;
+  public final Set<String> frozen = ConcurrentHashMap.newKeySet();
+  private int marker;
 
-    public Fleet(Deployment d, Path dir, long seed, String choice) throws Exception {
-        this(d, dir, seed, choice, "fleet");
-    }
+  public Fleet(Deployment d, Path dir, long seed, String choice) throws Exception {
+    this(d, dir, seed, choice, "fleet");
+  }
 
-    public Fleet(Deployment d, Path dir, long seed, String choice, String division) throws Exception {
-        this.deployment = d;
-        this.dir = dir;
-        Files.createDirectories(dir);
-        platform = new StandInPlatform(vertx, bind(100), ip(100));
-        wires.carry(platform.address(), platform.bound(), "platform");
-        for (int i = 1; i <= d.replicas(); i++) addReplica(StandInReplica.Kind.MODEL, d.service(), "replica-" + i,
-            20 + i, d.zone(i), seed * 1000 + i);
-        addReplica(StandInReplica.Kind.STORE, "prefix-store", "store", 60, "zone-a", seed * 1000 + 900);
-        addReplica(StandInReplica.Kind.APPLICATION, "application", "application-1", 61, "zone-b",
-            seed * 1000 + 901);
-        addReplica(StandInReplica.Kind.APPLICATION, "application-two", "application-2", 62, "zone-c",
-            seed * 1000 + 902);
-        trap = vertx.createHttpServer().requestHandler(q -> {
-            ledger.trapped.add(q.method() + " " + q.path());
-            q.response().setStatusCode(404).end();
-        });
-        String trapHost = "127." + (d.net() + 50) + ".0.9";
-        int port = trap.listen(0, trapHost).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS)
+  public Fleet(Deployment d, Path dir, long seed, String choice, String division) throws Exception {
+    this.deployment = d;
+    this.dir = dir;
+    Files.createDirectories(dir);
+    platform = new StandInPlatform(vertx, bind(100), ip(100));
+    wires.carry(platform.address(), platform.bound(), "platform");
+    for (int i = 1; i <= d.replicas(); i++)
+      addReplica(
+          StandInReplica.Kind.MODEL,
+          d.service(),
+          "replica-" + i,
+          20 + i,
+          d.zone(i),
+          seed * 1000 + i);
+    addReplica(StandInReplica.Kind.STORE, "prefix-store", "store", 60, "zone-a", seed * 1000 + 900);
+    addReplica(
+        StandInReplica.Kind.APPLICATION,
+        "application",
+        "application-1",
+        61,
+        "zone-b",
+        seed * 1000 + 901);
+    addReplica(
+        StandInReplica.Kind.APPLICATION,
+        "application-two",
+        "application-2",
+        62,
+        "zone-c",
+        seed * 1000 + 902);
+    trap =
+        vertx
+            .createHttpServer()
+            .requestHandler(
+                q -> {
+                  ledger.trapped.add(q.method() + " " + q.path());
+                  q.response().setStatusCode(404).end();
+                });
+    String trapHost = "127." + (d.net() + 50) + ".0.9";
+    int port =
+        trap.listen(0, trapHost)
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(10, TimeUnit.SECONDS)
             .actualPort();
-        platform.list(d.service(), "not-allowed-1", trapHost + ":" + port, "zone-a", true);
-        platform.list("ghost", "ghost-1", trapHost + ":" + port, "zone-a", true);
-        programs(choice, division);
-    }
+    platform.list(d.service(), "not-allowed-1", trapHost + ":" + port, "zone-a", true);
+    platform.list("ghost", "ghost-1", trapHost + ":" + port, "zone-a", true);
+    programs(choice, division);
+  }
 
-    public String ip(int host) {
-        return "127." + deployment.net() + ".0." + host;
-    }
+  public String ip(int host) {
+    return "127." + deployment.net() + ".0." + host;
+  }
 
-    /** Where what is advertised on ip(host) really listens. */
-    String bind(int host) {
-        return "127." + deployment.net() + ".1." + host;
-    }
+  /** Where what is advertised on ip(host) really listens. */
+  String bind(int host) {
+    return "127." + deployment.net() + ".1." + host;
+  }
 
-    /** A free address of a machine, carried by the wires to where its process will listen. */
-    private String door(int host, String machine) throws Exception {
-        String port = free(bind(host)).replaceFirst(".*:", "");
-        wires.machine(bind(host), machine);
-        wires.carry(ip(host) + ":" + port, bind(host) + ":" + port, machine);
-        return ip(host) + ":" + port;
-    }
+  /** A free address of a machine, carried by the wires to where its process will listen. */
+  private String door(int host, String machine) throws Exception {
+    String port = free(bind(host)).replaceFirst(".*:", "");
+    wires.machine(bind(host), machine);
+    wires.carry(ip(host) + ":" + port, bind(host) + ":" + port, machine);
+    return ip(host) + ":" + port;
+  }
 
-    /** The machine that edge processes number i share. */
-    public static String edge(int i) {
-        return "edge-" + i;
-    }
+  /** The machine that edge processes number i share. */
+  public static String edge(int i) {
+    return "edge-" + i;
+  }
 
-    public StandInReplica addReplica(StandInReplica.Kind kind, String service, String instance, int host,
-        String zone, long seed) throws Exception {
-        int slots = kind == StandInReplica.Kind.APPLICATION ? 64 : 6;
-        StandInReplica r = new StandInReplica(vertx, ledger, kind, service, instance, bind(host),
-            kind == StandInReplica.Kind.MODEL ? "w1" : "", seed, slots,
+  public StandInReplica addReplica(
+      StandInReplica.Kind kind, String service, String instance, int host, String zone, long seed)
+      throws Exception {
+    int slots = kind == StandInReplica.Kind.APPLICATION ? 64 : 6;
+    StandInReplica r =
+        new StandInReplica(
+            vertx,
+            ledger,
+            kind,
+            service,
+            instance,
+            bind(host),
+            kind == StandInReplica.Kind.MODEL ? "w1" : "",
+            seed,
+            slots,
             kind == StandInReplica.Kind.STORE ? 6000 : kind == StandInReplica.Kind.MODEL ? 1500 : 0,
-            kind == StandInReplica.Kind.APPLICATION ? 1 : 4, 6, 0.3, replicas::get);
-        r.start();
-        r.advertised = ip(host) + ":" + r.port;
-        wires.carry(r.advertised, bind(host) + ":" + r.port, instance);
-        replicas.put(instance, r);
-        platform.list(service, instance, r.address(), zone, true);
-        return r;
-    }
+            kind == StandInReplica.Kind.APPLICATION ? 1 : 4,
+            6,
+            0.3,
+            replicas::get);
+    r.start();
+    r.advertised = ip(host) + ":" + r.port;
+    wires.carry(r.advertised, bind(host) + ":" + r.port, instance);
+    replicas.put(instance, r);
+    platform.list(service, instance, r.address(), zone, true);
+    return r;
+  }
 
-    private static String free(String ip) throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-            return ip + ":" + s.getLocalPort();
-        }
+  private static String free(String ip) throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
+      return ip + ":" + s.getLocalPort();
     }
+  }
 
-    private void programs(String choice, String division) throws Exception {
-        List<String> controls = List.of("control-1", "control-2", "control-3");
-        for (int i = 0; i < 3; i++) {
-            operator.put(controls.get(i), door(i + 1, controls.get(i)));
-            records.put(controls.get(i), door(i + 1, controls.get(i)));
-        }
-        JsonArray founders = new JsonArray(), seeds = new JsonArray();
-        for (String c : controls) {
-            founders.add(c + "=" + records.get(c) + "/" + operator.get(c));
-            seeds.add(records.get(c));
-        }
-        for (int i = 0; i < 3; i++) {
-            String c = controls.get(i);
-            Path f = settings(c,
-                Json.object().add("name", c).add("domain", deployment.zone(i)).add("records", records.get(c))
-                    .add("bind", bind(i + 1))
-                    .add("operator", operator.get(c))
-                    .add("platform", platform.address()).add("founders", founders).add("seeds", seeds)
-                    .add("data", dir.resolve(c + "-data").toString()));
-            children.put(c, new Child(c, "gladelug.control.ControlPlane", List.of("run", "--settings", f.toString()),
-                dir.resolve(c + ".log"), 160));
-        }
-        List<String> indexes = new ArrayList<>();
-        for (int i = 1; i <= deployment.indexes(); i++) {
-            String n = "index-" + i;
-            operator.put(n, door(3 + i, edge(i)));
-            records.put(n, door(3 + i, edge(i)));
-            indexes.add(records.get(n));
-            Path f = settings(n, Json.object().add("name", n).add("domain", deployment.zone(i))
-                .add("records", records.get(n)).add("bind", bind(3 + i)).add("operator", operator.get(n))
-                .add("seeds", seeds));
-            children.put(n, new Child(n, "gladelug.data.DataPlane", List.of("index", "--settings", f.toString()),
-                dir.resolve(n + ".log"), 128));
-        }
-        for (int i = 1; i <= deployment.relays(); i++) {
-            String n = "relay-" + i;
-            operator.put(n, door(3 + i, edge(i)));
-            records.put(n, door(3 + i, edge(i)));
-            String c = door(3 + i, edge(i));
-            callers.add(c);
-            JsonObject o = Json.object().add("name", n).add("domain", deployment.zone(i))
-                .add("records", records.get(n)).add("bind", bind(3 + i)).add("operator", operator.get(n))
-                .add("callers", c)
-                .add("seeds", seeds).add("choice", choice).add("division", division);
-            if (i <= indexes.size()) o.add("index", indexes.get(i - 1));
-            Path f = settings(n, o);
-            children.put(n, new Child(n, "gladelug.data.DataPlane", List.of("relay", "--settings", f.toString()),
-                dir.resolve(n + ".log"), 160));
-        }
+  private void programs(String choice, String division) throws Exception {
+    List<String> controls = List.of("control-1", "control-2", "control-3");
+    for (int i = 0; i < 3; i++) {
+      operator.put(controls.get(i), door(i + 1, controls.get(i)));
+      records.put(controls.get(i), door(i + 1, controls.get(i)));
+    }
+    JsonArray founders = new JsonArray(), seeds = new JsonArray();
+    for (String c : controls) {
+      founders.add(c + "=" + records.get(c) + "/" + operator.get(c));
+      seeds.add(records.get(c));
+    }
+    for (int i = 0; i < 3; i++) {
+      String c = controls.get(i);
+      Path f =
+          settings(
+              c,
+              Json.object()
+                  .add("name", c)
+                  .add("domain", deployment.zone(i))
+                  .add("records", records.get(c))
+                  .add("bind", bind(i + 1))
+                  .add("operator", operator.get(c))
+                  .add("platform", platform.address())
+                  .add("founders", founders)
+                  .add("seeds", seeds)
+                  .add("data", dir.resolve(c + "-data").toString()));
+      children.put(
+          c,
+          new Child(
+              c,
+              "gladelug.control.ControlPlane",
+              List.of("run", "--settings", f.toString()),
+              dir.resolve(c + ".log"),
+              160));
+    }
+    List<String> indexes = new ArrayList<>();
+    for (int i = 1; i <= deployment.indexes(); i++) {
+      String n = "index-" + i;
+      operator.put(n, door(3 + i, edge(i)));
+      records.put(n, door(3 + i, edge(i)));
+      indexes.add(records.get(n));
+      Path f =
+          settings(
+              n,
+              Json.object()
+                  .add("name", n)
+                  .add("domain", deployment.zone(i))
+                  .add("records", records.get(n))
+                  .add("bind", bind(3 + i))
+                  .add("operator", operator.get(n))
+                  .add("seeds", seeds));
+      children.put(
+          n,
+          new Child(
+              n,
+              "gladelug.data.DataPlane",
+              List.of("index", "--settings", f.toString()),
+              dir.resolve(n + ".log"),
+              128));
     }
+    for (int i = 1; i <= deployment.relays(); i++) {
+      String n = "relay-" + i;
+      operator.put(n, door(3 + i, edge(i)));
+      records.put(n, door(3 + i, edge(i)));
+      String c = door(3 + i, edge(i));
+      callers.add(c);
+      JsonObject o =
+          Json.object()
+              .add("name", n)
+              .add("domain", deployment.zone(i))
+              .add("records", records.get(n))
+              .add("bind", bind(3 + i))
+              .add("operator", operator.get(n))
+              .add("callers", c)
+              .add("seeds", seeds)
+              .add("choice", choice)
+              .add("division", division);
+      if (i <= indexes.size()) o.add("index", indexes.get(i - 1));
+      Path f = settings(n, o);
+      children.put(
+          n,
+          new Child(
+              n,
+              "gladelug.data.DataPlane",
+              List.of("relay", "--settings", f.toString()),
+              dir.resolve(n + ".log"),
+              160));
+    }
+  }
 
-    /** A further control machine with an empty disk, whose process is not yet started. */
-    public Child control(String name, int host) throws Exception {
-        operator.put(name, door(host, name));
-        records.put(name, door(host, name));
-        JsonArray seeds = new JsonArray();
-        for (String c : records.keySet())
-            if (!c.equals(name) && (c.startsWith("relay") || c.startsWith("control"))) seeds.add(records.get(c));
-        Path f = settings(name,
-            Json.object().add("name", name).add("domain", "zone-a").add("records", records.get(name))
+  /** A further control machine with an empty disk, whose process is not yet started. */
+  public Child control(String name, int host) throws Exception {
+    operator.put(name, door(host, name));
+    records.put(name, door(host, name));
+    JsonArray seeds = new JsonArray();
+    for (String c : records.keySet())
+      if (!c.equals(name) && (c.startsWith("relay") || c.startsWith("control")))
+        seeds.add(records.get(c));
+    Path f =
+        settings(
+            name,
+            Json.object()
+                .add("name", name)
+                .add("domain", "zone-a")
+                .add("records", records.get(name))
                 .add("bind", bind(host))
                 .add("operator", operator.get(name))
-                .add("platform", platform.address()).add("seeds", seeds)
+                .add("platform", platform.address())
+                .add("seeds", seeds)
                 .add("data", dir.resolve(name + "-data-" + host).toString()));
-        Child c = new Child(name, "gladelug.control.ControlPlane", List.of("run", "--settings", f.toString()),
-            dir.resolve(name + ".log"), 160);
-        children.put(name, c);
-        return c;
-    }
+    Child c =
+        new Child(
+            name,
+            "gladelug.control.ControlPlane",
+            List.of("run", "--settings", f.toString()),
+            dir.resolve(name + ".log"),
+            160);
+    children.put(name, c);
+    return c;
+  }
 
-    /** The data folder of a control machine is gone for good. */
-    public void loseDisk(String name) throws IOException {
-        String data = Json.parse(Files.readString(dir.resolve(name + ".json"))).asObject().getString("data", "");
-        try (Stream<Path> all = Files.walk(Path.of(data))) {
-            for (Path p : all.sorted(Comparator.reverseOrder()).toList()) Files.delete(p);
-        }
+  /** The data folder of a control machine is gone for good. */
+  public void loseDisk(String name) throws IOException {
+    String data =
+        Json.parse(Files.readString(dir.resolve(name + ".json"))).asObject().getString("data", "");
+    try (Stream<Path> all = Files.walk(Path.of(data))) {
+      for (Path p : all.sorted(Comparator.reverseOrder()).toList()) Files.delete(p);
     }
+  }
 
-    private Path settings(String name, JsonObject o) throws IOException {
-        Path f = dir.resolve(name + ".json");
-        Files.writeString(f, o.toString());
-        return f;
-    }
+  private Path settings(String name, JsonObject o) throws IOException {
+    Path f = dir.resolve(name + ".json");
+    Files.writeString(f, o.toString());
+    return f;
+  }
 
-    /** Founds the core, starts every process, sends the first configuration and weights, waits for ready relays. */
-    public void start() throws Exception {
-        for (int i = 1; i <= 3; i++) {
-            String c = "control-" + i;
-            Child found = new Child(c, "gladelug.control.ControlPlane",
-                List.of("found", "--settings", dir.resolve(c + ".json").toString()), dir.resolve(c + ".log"), 64)
-                .start();
-            if (!found.waitFor(60_000) || found.exit() != 0)
-                throw new IllegalStateException("found failed: " + found.lines());
-        }
-        for (Child c : children.values()) c.start();
-        until("a majority of control machines ready", 60_000,
-            () -> ready("control-1") && ready("control-2") && ready("control-3"));
-        until("the first policy taken", 30_000, () -> {
-            Answer a = configuration(List.of(), "*");
-            return a.status == 200;
-        });
-        until("weights named", 30_000, () -> weights("w1").status == 200);
-        until("every relay ready", 60_000,
-            () -> children.keySet().stream().filter(n -> n.startsWith("relay")).allMatch(this::ready));
+  /**
+   * Founds the core, starts every process, sends the first configuration and weights, waits for
+   * ready relays.
+   */
+  public void start() throws Exception {
+    for (int i = 1; i <= 3; i++) {
+      String c = "control-" + i;
+      Child found =
+          new Child(
+                  c,
+                  "gladelug.control.ControlPlane",
+                  List.of("found", "--settings", dir.resolve(c + ".json").toString()),
+                  dir.resolve(c + ".log"),
+                  64)
+              .start();
+      if (!found.waitFor(60_000) || found.exit() != 0)
+        throw new IllegalStateException("found failed: " + found.lines());
     }
+    for (Child c : children.values()) c.start();
+    until(
+        "a majority of control machines ready",
+        60_000,
+        () -> ready("control-1") && ready("control-2") && ready("control-3"));
+    until(
+        "the first policy taken",
+        30_000,
+        () -> {
+          Answer a = configuration(List.of(), "*");
+          return a.status == 200;
+        });
+    until("weights named", 30_000, () -> weights("w1").status == 200);
+    until(
+        "every relay ready",
+        60_000,
+        () -> children.keySet().stream().filter(n -> n.startsWith("relay")).allMatch(this::ready));
+  }
 
-    public Answer configuration(List<String> without, String match) {
-        return call("POST", "/v1/policy", deployment.configuration(++marker, without).toString(),
-            Map.of("If-Match", match));
-    }
+  public Answer configuration(List<String> without, String match) {
+    return call(
+        "POST",
+        "/v1/policy",
+        deployment.configuration(++marker, without).toString(),
+        Map.of("If-Match", match));
+  }
 
-    /** A configuration given whole; the door is whichever control machine answers first. */
-    public Answer send(JsonObject configuration, String match) {
-        return call("POST", "/v1/policy", configuration.toString(), Map.of("If-Match", match));
-    }
+  /** A configuration given whole; the door is whichever control machine answers first. */
+  public Answer send(JsonObject configuration, String match) {
+    return call("POST", "/v1/policy", configuration.toString(), Map.of("If-Match", match));
+  }
 
-    public int nextMarker() {
-        return ++marker;
-    }
+  public int nextMarker() {
+    return ++marker;
+  }
 
-    public Answer weights(String w) {
-        return call("POST", "/v1/weights",
-            Json.object().add("service", deployment.service()).add("weights", w).toString(), Map.of());
-    }
+  public Answer weights(String w) {
+    return call(
+        "POST",
+        "/v1/weights",
+        Json.object().add("service", deployment.service()).add("weights", w).toString(),
+        Map.of());
+  }
 
-    /** On whichever control machine answers first. */
-    public Answer call(String method, String path, String body, Map<String, String> headers) {
-        Answer last = new Answer(0, new JsonObject(), Map.of());
-        for (String c : children.keySet()) {
-            if (!c.startsWith("control") || !children.get(c).alive() || frozen.contains(c)) continue;
-            last = http(operator.get(c), method, path, body, headers);
-            if (last.status != 0 && last.status != 503) return last;
-        }
-        return last;
+  /** On whichever control machine answers first. */
+  public Answer call(String method, String path, String body, Map<String, String> headers) {
+    Answer last = new Answer(0, new JsonObject(), Map.of());
+    for (String c : children.keySet()) {
+      if (!c.startsWith("control") || !children.get(c).alive() || frozen.contains(c)) continue;
+      last = http(operator.get(c), method, path, body, headers);
+      if (last.status != 0 && last.status != 503) return last;
     }
+    return last;
+  }
 
-    public Answer http(String address, String method, String path, String body, Map<String, String> headers) {
-        try {
-            HttpRequest.Builder b = HttpRequest.newBuilder(URI.create("http://" + address + path))
-                .timeout(Duration.ofSeconds(20));
-            headers.forEach(b::header);
-            HttpResponse<String> r = http.send(
-                b.method(method,
-                    body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body))
-                    .build(),
-                HttpResponse.BodyHandlers.ofString());
-            JsonObject o;
-            try {
-                o = Json.parse(r.body()).asObject();
-            } catch (RuntimeException e) {
-                o = Json.object().add("text", r.body());
-            }
-            return new Answer(r.statusCode(), o, r.headers().map());
-        } catch (IOException e) {
-            return new Answer(0, Json.object().add("reason", e.toString()), Map.of());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return new Answer(0, new JsonObject(), Map.of());
-        }
+  public Answer http(
+      String address, String method, String path, String body, Map<String, String> headers) {
+    try {
+      HttpRequest.Builder b =
+          HttpRequest.newBuilder(URI.create("http://" + address + path))
+              .timeout(Duration.ofSeconds(20));
+      headers.forEach(b::header);
+      HttpResponse<String> r =
+          http.send(
+              b.method(
+                      method,
+                      body == null
+                          ? HttpRequest.BodyPublishers.noBody()
+                          : HttpRequest.BodyPublishers.ofString(body))
+                  .build(),
+              HttpResponse.BodyHandlers.ofString());
+      JsonObject o;
+      try {
+        o = Json.parse(r.body()).asObject();
+      } catch (RuntimeException e) {
+        o = Json.object().add("text", r.body());
+      }
+      return new Answer(r.statusCode(), o, r.headers().map());
+    } catch (IOException e) {
+      return new Answer(0, Json.object().add("reason", e.toString()), Map.of());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return new Answer(0, new JsonObject(), Map.of());
     }
+  }
 
-    public boolean ready(String node) {
-        return http(operator.get(node), "GET", "/ready", null, Map.of()).status == 200;
-    }
+  public boolean ready(String node) {
+    return http(operator.get(node), "GET", "/ready", null, Map.of()).status == 200;
+  }
 
-    public static void until(String what, long ms, BooleanSupplier s) {
-        long end = System.nanoTime() + ms * 1_000_000;
-        while (!s.getAsBoolean()) {
-            if (System.nanoTime() > end) throw new IllegalStateException("waited in vain until " + what);
-            pause(50);
-        }
+  public static void until(String what, long ms, BooleanSupplier s) {
+    long end = System.nanoTime() + ms * 1_000_000;
+    while (!s.getAsBoolean()) {
+      if (System.nanoTime() > end) throw new IllegalStateException("waited in vain until " + what);
+      pause(50);
     }
+  }
 
-    public static void pause(long ms) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+  public static void pause(long ms) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+  }
 
-    @Override public void close() {
-        for (Child c : children.values()) c.kill();
-        vertx.close().toCompletionStage().toCompletableFuture().join();
-    }
+  @Override
+  public void close() {
+    for (Child c : children.values()) c.kill();
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Judge.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Judge.java
@@ -11,80 +11,104 @@
 import java.util.TreeMap;
 
 public final class Judge {
-    public record Finding(String rule, List<String> offenders) {
-        public boolean clean() {
-            return offenders.isEmpty();
-        }
+  public record Finding(String rule, List<String> offenders) {
+    public boolean clean() {
+      return offenders.isEmpty();
     }
+  }
 
-    /** Second tries that need no first ones: what four relays may have saved, and a few for relays that restart. */
-    private static final int ALLOWANCE = 16;
-    private static final long WINDOW = 10;
+  /**
+   * Second tries that need no first ones: what four relays may have saved, and a few for relays
+   * that restart.
+   */
+  private static final int ALLOWANCE = 16;
 
-    private Judge() {}
+  private static final long WINDOW = 10;
 
-    public static List<Finding> all(Ledger l) {
-        Map<String, List<String>> m = new LinkedHashMap<>();
-        for (String r : new String[]{"unrepeatable-ran-twice", "stream-lost-repeated-spliced", "cut-off-looks-complete",
-            "bytes-of-another", "not-run-but-ran",
-            "service-never-allowed", "cache-of-other-weights-or-wall", "two-commanders", "second-tries-over-a-fifth"})
-            m.put(r, new ArrayList<>());
-        for (Ledger.Call c : l.calls.values()) {
-            List<Ledger.Run> rs = l.runs.getOrDefault(c.tag, List.of());
-            long ran = rs.stream().filter(r -> r.ran).count();
-            if (!c.repeatable && ran > 1) m.get("unrepeatable-ran-twice").add(c.tag + " ran " + ran + " times");
-            if (c.misordered > 0) m.get("stream-lost-repeated-spliced").add(c.tag + " (" + c.order + ")");
-            if (c.foreign > 0) m.get("bytes-of-another").add(c.tag + " (" + c.order + ")");
-            boolean whole = rs.stream().anyMatch(r -> r.ended && r.pieces == c.pieces);
-            if (c.outcome.equals("complete") && !whole)
-                m.get("cut-off-looks-complete").add(c.tag + " with " + c.pieces + " pieces");
-            if (c.status == 200 && c.bodyTerminated && !c.explicitEnd)
-                m.get("cut-off-looks-complete").add(c.tag + " ended its body without an end");
-            if (c.outcome.equals("not-run") && ran > 0)
-                m.get("not-run-but-ran").add(c.tag + " (" + c.order + "): " + c.reason);
-        }
-        m.get("service-never-allowed").addAll(l.trapped);
-        m.get("cache-of-other-weights-or-wall").addAll(l.wrongReuse);
-        m.get("two-commanders").addAll(l.doubleCommand);
-        m.get("second-tries-over-a-fifth").addAll(secondTries(l, 0.2, ALLOWANCE));
-        List<Finding> out = new ArrayList<>();
-        m.forEach((k, v) -> out.add(new Finding(k, v)));
-        return out;
+  private Judge() {}
+
+  public static List<Finding> all(Ledger l) {
+    Map<String, List<String>> m = new LinkedHashMap<>();
+    for (String r :
+        new String[] {
+          "unrepeatable-ran-twice",
+          "stream-lost-repeated-spliced",
+          "cut-off-looks-complete",
+          "bytes-of-another",
+          "not-run-but-ran",
+          "service-never-allowed",
+          "cache-of-other-weights-or-wall",
+          "two-commanders",
+          "second-tries-over-a-fifth"
+        }) m.put(r, new ArrayList<>());
+    for (Ledger.Call c : l.calls.values()) {
+      List<Ledger.Run> rs = l.runs.getOrDefault(c.tag, List.of());
+      long ran = rs.stream().filter(r -> r.ran).count();
+      if (!c.repeatable && ran > 1)
+        m.get("unrepeatable-ran-twice").add(c.tag + " ran " + ran + " times");
+      if (c.misordered > 0) m.get("stream-lost-repeated-spliced").add(c.tag + " (" + c.order + ")");
+      if (c.foreign > 0) m.get("bytes-of-another").add(c.tag + " (" + c.order + ")");
+      boolean whole = rs.stream().anyMatch(r -> r.ended && r.pieces == c.pieces);
+      if (c.outcome.equals("complete") && !whole)
+        m.get("cut-off-looks-complete").add(c.tag + " with " + c.pieces + " pieces");
+      if (c.status == 200 && c.bodyTerminated && !c.explicitEnd)
+        m.get("cut-off-looks-complete").add(c.tag + " ended its body without an end");
+      if (c.outcome.equals("not-run") && ran > 0)
+        m.get("not-run-but-ran").add(c.tag + " (" + c.order + "): " + c.reason);
     }
+    m.get("service-never-allowed").addAll(l.trapped);
+    m.get("cache-of-other-weights-or-wall").addAll(l.wrongReuse);
+    m.get("two-commanders").addAll(l.doubleCommand);
+    m.get("second-tries-over-a-fifth").addAll(secondTries(l, 0.2, ALLOWANCE));
+    List<Finding> out = new ArrayList<>();
+    m.forEach((k, v) -> out.add(new Finding(k, v)));
+    return out;
+  }
 
-    /**
-     * Of each service, over the whole and over every window of ten seconds: second tries are at most a fraction of
-     * first ones and an allowance.
-     */
-    public static List<String> secondTries(Ledger l, double fraction, double allowance) {
-        Map<String, TreeMap<Long, int[]>> by = new TreeMap<>();
-        for (List<Ledger.Run> runs : l.runs.values()) {
-            List<Ledger.Run> rs;
-            synchronized (runs) {
-                rs = new ArrayList<>(runs);
-            }
-            for (int i = 0; i < rs.size(); i++)
-                by.computeIfAbsent(rs.get(i).service, s -> new TreeMap<>())
-                    .computeIfAbsent(rs.get(i).at / 1000, t -> new int[2])[i == 0 ? 0 : 1]++;
-        }
-        List<String> out = new ArrayList<>();
-        by.forEach((service, seconds) -> {
-            check(out, service, "in all", seconds.values(), fraction, allowance);
-            for (long t : seconds.keySet())
-                check(out, service, "in the 10 s from " + t, seconds.subMap(t, t + WINDOW).values(), fraction,
-                    allowance);
-        });
-        return out;
+  /**
+   * Of each service, over the whole and over every window of ten seconds: second tries are at most
+   * a fraction of first ones and an allowance.
+   */
+  public static List<String> secondTries(Ledger l, double fraction, double allowance) {
+    Map<String, TreeMap<Long, int[]>> by = new TreeMap<>();
+    for (List<Ledger.Run> runs : l.runs.values()) {
+      List<Ledger.Run> rs;
+      synchronized (runs) {
+        rs = new ArrayList<>(runs);
+      }
+      for (int i = 0; i < rs.size(); i++)
+        by.computeIfAbsent(rs.get(i).service, s -> new TreeMap<>())
+            .computeIfAbsent(rs.get(i).at / 1000, t -> new int[2])[i == 0 ? 0 : 1]++;
     }
+    List<String> out = new ArrayList<>();
+    by.forEach(
+        (service, seconds) -> {
+          check(out, service, "in all", seconds.values(), fraction, allowance);
+          for (long t : seconds.keySet())
+            check(
+                out,
+                service,
+                "in the 10 s from " + t,
+                seconds.subMap(t, t + WINDOW).values(),
+                fraction,
+                allowance);
+        });
+    return out;
+  }
 
-    private static void check(List<String> out, String service, String when, Collection<int[]> seconds, double fraction,
-        double allowance) {
-        int first = 0, second = 0;
-        for (int[] n : seconds) {
-            first += n[0];
-            second += n[1];
-        }
-        if (second > first * fraction + allowance)
-            out.add(service + " " + when + ": " + second + " second tries of " + first + " orders");
+  private static void check(
+      List<String> out,
+      String service,
+      String when,
+      Collection<int[]> seconds,
+      double fraction,
+      double allowance) {
+    int first = 0, second = 0;
+    for (int[] n : seconds) {
+      first += n[0];
+      second += n[1];
     }
+    if (second > first * fraction + allowance)
+      out.add(service + " " + when + ": " + second + " second tries of " + first + " orders");
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Ledger.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Ledger.java
@@ -12,86 +12,99 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 public final class Ledger {
-    /** One time a replica got a request. */
-    public static final class Run {
-        public final String tag;
-        public final String order;
-        public final String service;
-        public final String instance;
-        public final String weights;
-        public final String wall;
-        public final int attempt;
-        public final long at;
-        public volatile boolean ran;
-        public volatile int pieces;
-        public volatile boolean ended;
-        /** Its connection was closed before its end. */
-        public volatile boolean left;
-        public int blocks;
-        public int reused;
-        public int fetched;
-        public int computed;
-        public int wrongHints;
+  /** One time a replica got a request. */
+  public static final class Run {
+    public final String tag;
+    public final String order;
+    public final String service;
+    public final String instance;
+    public final String weights;
+    public final String wall;
+    public final int attempt;
+    public final long at;
+    public volatile boolean ran;
+    public volatile int pieces;
+    public volatile boolean ended;
 
-        public Run(String tag, String order, String service, String instance, String weights, String wall, int attempt,
-            long at) {
-            this.tag = tag;
-            this.order = order;
-            this.service = service;
-            this.instance = instance;
-            this.weights = weights;
-            this.wall = wall;
-            this.attempt = attempt;
-            this.at = at;
-        }
+    /** Its connection was closed before its end. */
+    public volatile boolean left;
+
+    public int blocks;
+    public int reused;
+    public int fetched;
+    public int computed;
+    public int wrongHints;
+
+    public Run(
+        String tag,
+        String order,
+        String service,
+        String instance,
+        String weights,
+        String wall,
+        int attempt,
+        long at) {
+      this.tag = tag;
+      this.order = order;
+      this.service = service;
+      this.instance = instance;
+      this.weights = weights;
+      this.wall = wall;
+      this.attempt = attempt;
+      this.at = at;
     }
+  }
 
-    /** What a caller saw of one order of its own. */
-    public static final class Call {
-        public final String tag;
-        public final String kind;
-        public final String tenant;
-        public final String relay;
-        public final boolean repeatable;
-        public final long sent;
-        public volatile String outcome = "none";
-        public volatile String order = "";
-        public volatile String reason = "";
-        public volatile int status;
-        public volatile int pieces;
-        public volatile int foreign;
-        public volatile int misordered;
-        public volatile boolean explicitEnd;
-        public volatile boolean bodyTerminated;
-        public volatile long firstPiece = -1;
-        public volatile long done = -1;
+  /** What a caller saw of one order of its own. */
+  public static final class Call {
+    public final String tag;
+    public final String kind;
+    public final String tenant;
+    public final String relay;
+    public final boolean repeatable;
+    public final long sent;
+    public volatile String outcome = "none";
+    public volatile String order = "";
+    public volatile String reason = "";
+    public volatile int status;
+    public volatile int pieces;
+    public volatile int foreign;
+    public volatile int misordered;
+    public volatile boolean explicitEnd;
+    public volatile boolean bodyTerminated;
+    public volatile long firstPiece = -1;
+    public volatile long done = -1;
 
-        public Call(String tag, String kind, String tenant, String relay, boolean repeatable, long sent) {
-            this.tag = tag;
-            this.kind = kind;
-            this.tenant = tenant;
-            this.relay = relay;
-            this.repeatable = repeatable;
-            this.sent = sent;
-        }
+    public Call(
+        String tag, String kind, String tenant, String relay, boolean repeatable, long sent) {
+      this.tag = tag;
+      this.kind = kind;
+      this.tenant = tenant;
+      this.relay = relay;
+      this.repeatable = repeatable;
+      this.sent = sent;
     }
+  }
 
-    public record Note(long at, String what) {}
+  public record Note(long at, String what) {}
 
-    public final Map<String, List<Run>> runs = new ConcurrentHashMap<>();
-    public final Map<String, Call> calls = new ConcurrentHashMap<>();
-    public final ConcurrentLinkedQueue<Note> notes = new ConcurrentLinkedQueue<>();
-    /** Reuse of a block made under other weights or behind another wall, as the replicas saw it. */
-    public final ConcurrentLinkedQueue<String> wrongReuse = new ConcurrentLinkedQueue<>();
-    /** Anything that reached a server nobody was ever allowed to call. */
-    public final ConcurrentLinkedQueue<String> trapped = new ConcurrentLinkedQueue<>();
-    public final ConcurrentLinkedQueue<String> doubleCommand = new ConcurrentLinkedQueue<>();
+  public final Map<String, List<Run>> runs = new ConcurrentHashMap<>();
+  public final Map<String, Call> calls = new ConcurrentHashMap<>();
+  public final ConcurrentLinkedQueue<Note> notes = new ConcurrentLinkedQueue<>();
 
-    public void run(Run r) {
-        runs.computeIfAbsent(r.tag, t -> Collections.synchronizedList(new ArrayList<>())).add(r);
-    }
+  /** Reuse of a block made under other weights or behind another wall, as the replicas saw it. */
+  public final ConcurrentLinkedQueue<String> wrongReuse = new ConcurrentLinkedQueue<>();
 
-    public void note(String what) {
-        notes.add(new Note(System.nanoTime() / 1_000_000, what));
-    }
+  /** Anything that reached a server nobody was ever allowed to call. */
+  public final ConcurrentLinkedQueue<String> trapped = new ConcurrentLinkedQueue<>();
+
+  public final ConcurrentLinkedQueue<String> doubleCommand = new ConcurrentLinkedQueue<>();
+
+  public void run(Run r) {
+    runs.computeIfAbsent(r.tag, t -> Collections.synchronizedList(new ArrayList<>())).add(r);
+  }
+
+  public void note(String what) {
+    notes.add(new Note(System.nanoTime() / 1_000_000, what));
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Promises.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Promises.java
@@ -14,108 +14,125 @@
 import java.util.Map;
 
 public final class Promises {
-    /** A change: what it meant, when it went out, when it was acknowledged (or -1). */
-    public record Told(String key, String meaning, long sent, long acked) {}
+  /** A change: what it meant, when it went out, when it was acknowledged (or -1). */
+  public record Told(String key, String meaning, long sent, long acked) {}
 
-    /** How long after the acknowledgement the old may still be seen; slack for what may overtake on the way. */
-    public record Graces(long configuration, long key, long weights, long replica, long slack) {}
+  /**
+   * How long after the acknowledgement the old may still be seen; slack for what may overtake on
+   * the way.
+   */
+  public record Graces(long configuration, long key, long weights, long replica, long slack) {}
 
-    public static final Graces BRIEF = new Graces(2000, 5000, 25_000, 3000, 1000);
-    /** A change of unknown fate may yet be taken this long after it was sent. */
-    private static final long FATE = 15_000;
-    private final Map<String, List<Told>> told = new HashMap<>();
+  public static final Graces BRIEF = new Graces(2000, 5000, 25_000, 3000, 1000);
 
-    public synchronized void told(Told t) {
-        told.computeIfAbsent(t.key, k -> new ArrayList<>()).add(t);
-    }
+  /** A change of unknown fate may yet be taken this long after it was sent. */
+  private static final long FATE = 15_000;
 
-    /** Sent, and nothing heard yet: its fate is unknown until answered() says more. */
-    public Told sent(String key, String meaning, long at) {
-        Told t = new Told(key, meaning, at, -1);
-        told(t);
-        return t;
-    }
+  private final Map<String, List<Told>> told = new HashMap<>();
 
-    /** It was acknowledged at a time, or it is certain that it was not taken (acked negative). */
-    public synchronized void answered(Told t, long acked) {
-        List<Told> l = told.get(t.key);
-        int i = l.indexOf(t);
-        if (acked < 0) l.remove(i);
-        else l.set(i, new Told(t.key, t.meaning, t.sent, acked));
-    }
+  public synchronized void told(Told t) {
+    told.computeIfAbsent(t.key, k -> new ArrayList<>()).add(t);
+  }
 
-    public void told(String key, String meaning, long sent, long acked) {
-        told(new Told(key, meaning, sent, acked));
-    }
+  /** Sent, and nothing heard yet: its fate is unknown until answered() says more. */
+  public Told sent(String key, String meaning, long at) {
+    Told t = new Told(key, meaning, at, -1);
+    told(t);
+    return t;
+  }
 
-    private synchronized List<Told> of(String key) {
-        return new ArrayList<>(told.getOrDefault(key, List.of()));
-    }
+  /** It was acknowledged at a time, or it is certain that it was not taken (acked negative). */
+  public synchronized void answered(Told t, long acked) {
+    List<Told> l = told.get(t.key);
+    int i = l.indexOf(t);
+    if (acked < 0) l.remove(i);
+    else l.set(i, new Told(t.key, t.meaning, t.sent, acked));
+  }
+
+  public void told(String key, String meaning, long sent, long acked) {
+    told(new Told(key, meaning, sent, acked));
+  }
 
-    /** Whether something may be acted on at a moment; of what nobody was ever told, anything. */
-    public boolean may(String key, String meaning, long at, long grace) {
-        List<Told> l = of(key);
-        if (l.isEmpty()) return true;
-        int from = -1;
-        for (int i = 0; i < l.size(); i++) if (l.get(i).acked >= 0 && l.get(i).acked + grace < at) from = i;
-        for (int i = 0; i < l.size(); i++) {
-            Told t = l.get(i);
-            boolean lateFate = t.acked < 0 && from >= 0 && t.sent > l.get(from).sent - FATE;
-            if ((i >= from || lateFate) && t.meaning.equals(meaning) && t.sent <= at) return true;
-        }
-        return false;
+  private synchronized List<Told> of(String key) {
+    return new ArrayList<>(told.getOrDefault(key, List.of()));
+  }
+
+  /** Whether something may be acted on at a moment; of what nobody was ever told, anything. */
+  public boolean may(String key, String meaning, long at, long grace) {
+    List<Told> l = of(key);
+    if (l.isEmpty()) return true;
+    int from = -1;
+    for (int i = 0; i < l.size(); i++)
+      if (l.get(i).acked >= 0 && l.get(i).acked + grace < at) from = i;
+    for (int i = 0; i < l.size(); i++) {
+      Told t = l.get(i);
+      boolean lateFate = t.acked < 0 && from >= 0 && t.sent > l.get(from).sent - FATE;
+      if ((i >= from || lateFate) && t.meaning.equals(meaning) && t.sent <= at) return true;
     }
+    return false;
+  }
 
-    public Map<String, List<String>> judge(Ledger l, Graces g) {
-        Map<String, List<String>> out = new LinkedHashMap<>();
-        for (String r : new String[]{"old-policy-after-2s", "revoked-key-after-5s", "old-weights-after-25s",
-            "leaving-replica-after-3s", "slipped-back"}) out.put(r, new ArrayList<>());
-        Map<String, List<Object[]>> byRelay = new HashMap<>();
-        l.runs.forEach((tag, runs) -> {
-            Ledger.Call c = l.calls.get(tag);
-            if (c == null) return;
-            List<Ledger.Run> rs;
-            synchronized (runs) {
-                rs = new ArrayList<>(runs);
-            }
-            for (Ledger.Run r : rs) {
-                String who = tag + " (" + r.order + ")";
-                if (!may("mapping " + c.kind, r.service, r.at, g.configuration))
-                    out.get("old-policy-after-2s").add(who + " ran at " + r.service);
-                if (!r.weights.isEmpty() && !may("wall " + c.tenant, r.wall, r.at, g.configuration))
-                    out.get("old-policy-after-2s").add(who + " behind the wall '" + r.wall + "'");
-                if (!may("allowed " + r.instance, "yes", r.at, g.configuration))
-                    out.get("old-policy-after-2s").add(who + " at " + r.instance + ", allowed no more");
-                if (!may("tenant " + c.tenant, "good", r.at, g.key)) out.get("revoked-key-after-5s").add(who);
-                if (!r.weights.isEmpty() && !may("weights", r.weights, r.at, g.weights))
-                    out.get("old-weights-after-25s").add(who + " on " + r.weights);
-                if (!may("replica " + r.instance, "ready", r.at, g.replica))
-                    out.get("leaving-replica-after-3s").add(who + " at " + r.instance);
-                byRelay.computeIfAbsent(c.relay + " mapping " + c.kind, k -> new ArrayList<>())
-                    .add(new Object[]{r.at, r.service, who, "mapping " + c.kind});
-            }
+  public Map<String, List<String>> judge(Ledger l, Graces g) {
+    Map<String, List<String>> out = new LinkedHashMap<>();
+    for (String r :
+        new String[] {
+          "old-policy-after-2s",
+          "revoked-key-after-5s",
+          "old-weights-after-25s",
+          "leaving-replica-after-3s",
+          "slipped-back"
+        }) out.put(r, new ArrayList<>());
+    Map<String, List<Object[]>> byRelay = new HashMap<>();
+    l.runs.forEach(
+        (tag, runs) -> {
+          Ledger.Call c = l.calls.get(tag);
+          if (c == null) return;
+          List<Ledger.Run> rs;
+          synchronized (runs) {
+            rs = new ArrayList<>(runs);
+          }
+          for (Ledger.Run r : rs) {
+            String who = tag + " (" + r.order + ")";
+            if (!may("mapping " + c.kind, r.service, r.at, g.configuration))
+              out.get("old-policy-after-2s").add(who + " ran at " + r.service);
+            if (!r.weights.isEmpty() && !may("wall " + c.tenant, r.wall, r.at, g.configuration))
+              out.get("old-policy-after-2s").add(who + " behind the wall '" + r.wall + "'");
+            if (!may("allowed " + r.instance, "yes", r.at, g.configuration))
+              out.get("old-policy-after-2s").add(who + " at " + r.instance + ", allowed no more");
+            if (!may("tenant " + c.tenant, "good", r.at, g.key))
+              out.get("revoked-key-after-5s").add(who);
+            if (!r.weights.isEmpty() && !may("weights", r.weights, r.at, g.weights))
+              out.get("old-weights-after-25s").add(who + " on " + r.weights);
+            if (!may("replica " + r.instance, "ready", r.at, g.replica))
+              out.get("leaving-replica-after-3s").add(who + " at " + r.instance);
+            byRelay
+                .computeIfAbsent(c.relay + " mapping " + c.kind, k -> new ArrayList<>())
+                .add(new Object[] {r.at, r.service, who, "mapping " + c.kind});
+          }
         });
-        byRelay.values().forEach(rs -> out.get("slipped-back").addAll(back(rs, g.slack)));
-        return out;
-    }
+    byRelay.values().forEach(rs -> out.get("slipped-back").addAll(back(rs, g.slack)));
+    return out;
+  }
 
-    /** Of one relay and route: no run under an earlier telling than that of a run clearly before it. */
-    private List<String> back(List<Object[]> runs, long slack) {
-        List<String> out = new ArrayList<>();
-        runs.sort(Comparator.comparingLong(r -> (Long) r[0]));
-        List<Told> l = of((String) runs.get(0)[3]);
-        if (l.isEmpty()) return out;
-        List<long[]> seen = new ArrayList<>();
-        int next = 0, floor = 0;
-        for (Object[] r : runs) {
-            long at = (Long) r[0];
-            for (; next < seen.size() && seen.get(next)[0] <= at - slack; next++)
-                floor = Math.max(floor, (int) seen.get(next)[1]);
-            int i = floor;
-            while (i < l.size() && !(l.get(i).meaning.equals(r[1]) && l.get(i).sent <= at)) i++;
-            if (i < l.size()) seen.add(new long[]{at, i});
-            else out.add(r[2] + " at " + r[1] + ", after a later policy was acted on");
-        }
-        return out;
+  /**
+   * Of one relay and route: no run under an earlier telling than that of a run clearly before it.
+   */
+  private List<String> back(List<Object[]> runs, long slack) {
+    List<String> out = new ArrayList<>();
+    runs.sort(Comparator.comparingLong(r -> (Long) r[0]));
+    List<Told> l = of((String) runs.get(0)[3]);
+    if (l.isEmpty()) return out;
+    List<long[]> seen = new ArrayList<>();
+    int next = 0, floor = 0;
+    for (Object[] r : runs) {
+      long at = (Long) r[0];
+      for (; next < seen.size() && seen.get(next)[0] <= at - slack; next++)
+        floor = Math.max(floor, (int) seen.get(next)[1]);
+      int i = floor;
+      while (i < l.size() && !(l.get(i).meaning.equals(r[1]) && l.get(i).sent <= at)) i++;
+      if (i < l.size()) seen.add(new long[] {at, i});
+      else out.add(r[2] + " at " + r[1] + ", after a later policy was acted on");
     }
+    return out;
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/RequestRehearsal.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RequestRehearsal.java
@@ -5,5 +5,5 @@
 package gladelug.rehearsal;
 
 public final class RequestRehearsal {
-    private RequestRehearsal() {}
+  private RequestRehearsal() {}
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Shares.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Shares.java
@@ -15,70 +15,105 @@
 import java.util.TreeMap;
 
 final class Shares {
-    private record Flow(String label, int tenant, double perSecond, int[] relays) {}
+  private record Flow(String label, int tenant, double perSecond, int[] relays) {}
 
-    private Shares() {}
+  private Shares() {}
 
-    static void measure(String base, int rounds, int seconds) throws Exception {
-        Map<String, List<double[]>> got = new TreeMap<>();
-        for (int round = 1; round <= rounds; round++)
-            for (String division : new String[]{"fleet", "alone"}) {
-                Deployment d = Deployment.mokaRidge();
-                Path out = Path.of(base).toAbsolutePath()
-                    .resolve("shares-" + division + "-" + System.currentTimeMillis());
-                Files.createDirectories(out);
-                try (Fleet f = new Fleet(d, out, round, "summary", division)) {
-                    f.start();
-                    for (StandInReplica r : f.replicas.values())
-                        if (r.kind == StandInReplica.Kind.MODEL) r.faults.slowPieces = 60;
-                    StandInCallers.Kind k = d.kinds().get(2);
-                    StandInCallers callers = new StandInCallers(f.vertx, f.ledger, f.callers, d.tenants(), d.kinds(),
-                        round);
-                    Flow[] flows = {new Flow("heavy", 3, 120, new int[]{0, 1}), new Flow("light", 4, 20, new int[]{2}),
-                        new Flow("spread", 5, 20, new int[]{0, 1, 2, 3})};
-                    Random r = new Random(round);
-                    long begin = System.nanoTime(), end = begin + seconds * 1_000_000_000L,
-                        half = begin + seconds * 400_000_000L;
-                    double[] due = new double[flows.length];
-                    while (System.nanoTime() < end) {
-                        double t = (System.nanoTime() - begin) / 1e9;
-                        for (int i = 0; i < flows.length; i++)
-                            while (due[i] < t) {
-                                callers.send(k, d.tenants().get(flows[i].tenant),
-                                    f.callers.get(flows[i].relays[r.nextInt(flows[i].relays.length)]));
-                                due[i] += 1 / flows[i].perSecond;
-                            }
-                        Fleet.pause(2);
-                    }
-                    long from = half / 1_000_000, to = end / 1_000_000;
-                    double[] v = new double[flows.length + 1];
-                    for (int i = 0; i < flows.length; i++) {
-                        String tenant = d.tenants().get(flows[i].tenant).name();
-                        v[i] = f.ledger.calls.values().stream().filter(c -> c.tenant.equals(tenant)
-                            && c.outcome.equals("complete") && c.done >= from && c.done < to).count() * 1000.0
-                            / (to - from);
-                        v[flows.length] += v[i];
-                    }
-                    got.computeIfAbsent(division, x -> new ArrayList<>()).add(v);
-                    double fair = dueOf(v[3], flows);
-                    System.out.printf(Locale.ROOT,
-                        "round %d %-6s completed a second: heavy %.1f, light %.1f of 20, spread %.1f of 20, all "
-                            + "%.1f; light has %.0f%% and spread %.0f%% of its due%n",
-                        round, division, v[0], v[1], v[2], v[3], 100 * v[1] / fair, 100 * v[2] / fair);
-                    callers.stop();
-                }
-            }
-        got.forEach((division, l) -> System.out.printf(Locale.ROOT,
-            "%-6s light median %.1f (%.1f to %.1f) of 20 a second, spread median %.1f (%.1f to %.1f)%n", division,
-            at(l, 1, 0.5), at(l, 1, 0), at(l, 1, 1), at(l, 2, 0.5), at(l, 2, 0), at(l, 2, 1)));
-    }
+  static void measure(String base, int rounds, int seconds) throws Exception {
+    Map<String, List<double[]>> got = new TreeMap<>();
+    for (int round = 1; round <= rounds; round++)
+      for (String division : new String[] {"fleet", "alone"}) {
+        Deployment d = Deployment.mokaRidge();
+        Path out =
+            Path.of(base)
+                .toAbsolutePath()
+                .resolve("shares-" + division + "-" + System.currentTimeMillis());
+        Files.createDirectories(out);
+        try (Fleet f = new Fleet(d, out, round, "summary", division)) {
+          f.start();
+          for (StandInReplica r : f.replicas.values())
+            if (r.kind == StandInReplica.Kind.MODEL) r.faults.slowPieces = 60;
+          StandInCallers.Kind k = d.kinds().get(2);
+          StandInCallers callers =
+              new StandInCallers(f.vertx, f.ledger, f.callers, d.tenants(), d.kinds(), round);
+          Flow[] flows = {
+            new Flow("heavy", 3, 120, new int[] {0, 1}),
+            new Flow("light", 4, 20, new int[] {2}),
+            new Flow("spread", 5, 20, new int[] {0, 1, 2, 3})
+          };
+          Random r = new Random(round);
+          long begin = System.nanoTime(),
+              end = begin + seconds * 1_000_000_000L,
+              half = begin + seconds * 400_000_000L;
+          double[] due = new double[flows.length];
+          while (System.nanoTime() < end) {
+            double t = (System.nanoTime() - begin) / 1e9;
+            for (int i = 0; i < flows.length; i++)
+              while (due[i] < t) {
+                callers.send(
+                    k,
+                    d.tenants().get(flows[i].tenant),
+                    f.callers.get(flows[i].relays[r.nextInt(flows[i].relays.length)]));
+                due[i] += 1 / flows[i].perSecond;
+              }
+            Fleet.pause(2);
+          }
+          long from = half / 1_000_000, to = end / 1_000_000;
+          double[] v = new double[flows.length + 1];
+          for (int i = 0; i < flows.length; i++) {
+            String tenant = d.tenants().get(flows[i].tenant).name();
+            v[i] =
+                f.ledger.calls.values().stream()
+                        .filter(
+                            c ->
+                                c.tenant.equals(tenant)
+                                    && c.outcome.equals("complete")
+                                    && c.done >= from
+                                    && c.done < to)
+                        .count()
+                    * 1000.0
+                    / (to - from);
+            v[flows.length] += v[i];
+          }
+          got.computeIfAbsent(division, x -> new ArrayList<>()).add(v);
+          double fair = dueOf(v[3], flows);
+          System.out.printf(
+              Locale.ROOT,
+              "round %d %-6s completed a second: heavy %.1f, light %.1f of 20, spread %.1f of 20, all "
+                  + "%.1f; light has %.0f%% and spread %.0f%% of its due%n",
+              round,
+              division,
+              v[0],
+              v[1],
+              v[2],
+              v[3],
+              100 * v[1] / fair,
+              100 * v[2] / fair);
+          callers.stop();
+        }
+      }
+    got.forEach(
+        (division, l) ->
+            System.out.printf(
+                Locale.ROOT,
+                "%-6s light median %.1f (%.1f to %.1f) of 20 a second, spread median %.1f (%.1f to %.1f)%n",
+                division,
+                at(l, 1, 0.5),
+                at(l, 1, 0),
+                at(l, 1, 1),
+                at(l, 2, 0.5),
+                at(l, 2, 0),
+                at(l, 2, 1)));
+  }
 
-    /** Of equal weights: a third of what the fleet did, or all that was asked for where that is less. */
-    private static double dueOf(double all, Flow[] flows) {
-        return Math.min(flows[1].perSecond, all / flows.length);
-    }
+  /**
+   * Of equal weights: a third of what the fleet did, or all that was asked for where that is less.
+   */
+  private static double dueOf(double all, Flow[] flows) {
+    return Math.min(flows[1].perSecond, all / flows.length);
+  }
 
-    private static double at(List<double[]> l, int i, double q) {
-        return RehearseFleet.at(l.stream().map(v -> v[i]).toList(), q);
-    }
+  private static double at(List<double[]> l, int i, double q) {
+    return RehearseFleet.at(l.stream().map(v -> v[i]).toList(), q);
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInPlatform.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInPlatform.java
@@ -14,62 +14,90 @@
 import java.util.function.BiConsumer;
 
 public final class StandInPlatform {
-    private record Line(String service, String instance, String address, String zone, String state) {}
+  private record Line(String service, String instance, String address, String zone, String state) {}
 
-    private final Map<String, Line> lines = new LinkedHashMap<>();
-    private final HttpServer server;
-    public final int port;
-    public final String host;
-    public volatile boolean silent;
-    /** Answers that make no sense. */
-    public volatile boolean lies;
-    /** Told of every state that was answered for the first time: an instance and ready, leaving or gone. */
-    public volatile BiConsumer<String, String> answered = (i, s) -> {};
-    private final Map<String, String> last = new HashMap<>();
+  private final Map<String, Line> lines = new LinkedHashMap<>();
+  private final HttpServer server;
+  public final int port;
+  public final String host;
+  public volatile boolean silent;
 
-    private final String advertised;
+  /** Answers that make no sense. */
+  public volatile boolean lies;
 
-    /** Listens on one IP number and is called by another. */
-    public StandInPlatform(Vertx vertx, String host, String advertised) throws Exception {
-        this.host = host;
-        this.advertised = advertised;
-        server = vertx.createHttpServer().requestHandler(q -> {
-            if (silent) return;
-            if (!q.path().equals("/replicas")) q.response().setStatusCode(404).end();
-            else if (lies)
-                q.response().putHeader("Content-Type", "application/json").end("{\"replicas\": [{\"service\"");
-            else q.response().putHeader("Content-Type", "application/json").end(json().toBuffer());
-        });
-        port = server.listen(0, host).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
-    }
+  /**
+   * Told of every state that was answered for the first time: an instance and ready, leaving or
+   * gone.
+   */
+  public volatile BiConsumer<String, String> answered = (i, s) -> {};
+
+  private final Map<String, String> last = new HashMap<>();
+
+  private final String advertised;
+
+  /** Listens on one IP number and is called by another. */
+  public StandInPlatform(Vertx vertx, String host, String advertised) throws Exception {
+    this.host = host;
+    this.advertised = advertised;
+    server =
+        vertx
+            .createHttpServer()
+            .requestHandler(
+                q -> {
+                  if (silent) return;
+                  if (!q.path().equals("/replicas")) q.response().setStatusCode(404).end();
+                  else if (lies)
+                    q.response()
+                        .putHeader("Content-Type", "application/json")
+                        .end("{\"replicas\": [{\"service\"");
+                  else
+                    q.response()
+                        .putHeader("Content-Type", "application/json")
+                        .end(json().toBuffer());
+                });
+    port =
+        server
+            .listen(0, host)
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(10, TimeUnit.SECONDS)
+            .actualPort();
+  }
 
-    private synchronized JsonObject json() {
-        Map<String, String> now = new HashMap<>();
-        last.keySet().forEach(i -> now.put(i, "gone"));
-        lines.values().forEach(l -> now.put(l.instance, l.state));
-        now.forEach((i, s) -> {
-            if (!s.equals(last.put(i, s))) answered.accept(i, s);
+  private synchronized JsonObject json() {
+    Map<String, String> now = new HashMap<>();
+    last.keySet().forEach(i -> now.put(i, "gone"));
+    lines.values().forEach(l -> now.put(l.instance, l.state));
+    now.forEach(
+        (i, s) -> {
+          if (!s.equals(last.put(i, s))) answered.accept(i, s);
         });
-        JsonArray a = new JsonArray();
-        for (Line l : lines.values())
-            a.add(new JsonObject().put("service", l.service).put("instance", l.instance).put("address", l.address)
-                .put("domain", l.zone).put("state", l.state));
-        return new JsonObject().put("replicas", a);
-    }
+    JsonArray a = new JsonArray();
+    for (Line l : lines.values())
+      a.add(
+          new JsonObject()
+              .put("service", l.service)
+              .put("instance", l.instance)
+              .put("address", l.address)
+              .put("domain", l.zone)
+              .put("state", l.state));
+    return new JsonObject().put("replicas", a);
+  }
 
-    public synchronized void list(String service, String instance, String address, String zone, boolean ready) {
-        lines.put(instance, new Line(service, instance, address, zone, ready ? "ready" : "leaving"));
-    }
+  public synchronized void list(
+      String service, String instance, String address, String zone, boolean ready) {
+    lines.put(instance, new Line(service, instance, address, zone, ready ? "ready" : "leaving"));
+  }
 
-    public synchronized void unlist(String instance) {
-        lines.remove(instance);
-    }
+  public synchronized void unlist(String instance) {
+    lines.remove(instance);
+  }
 
-    public String address() {
-        return advertised + ":" + port;
-    }
+  public String address() {
+    return advertised + ":" + port;
+  }
 
-    String bound() {
-        return host + ":" + port;
-    }
+  String bound() {
+    return host + ":" + port;
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/Wires.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Wires.java
@@ -19,140 +19,158 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 public final class Wires {
-    /** Whoever calls from an IP number that is no machine's: callers, operators, the platform's own programs. */
-    public static final String OUTSIDE = "outside";
-    private final Vertx vertx;
-    private final NetClient client;
-    private final Map<String, String> machines = new ConcurrentHashMap<>();
-    private final Set<String> cut = ConcurrentHashMap.newKeySet();
-    private final Map<String, Long> slow = new ConcurrentHashMap<>();
-    private final Set<Link> links = ConcurrentHashMap.newKeySet();
-    public final AtomicLong stopped = new AtomicLong();
-
-    public Wires(Vertx vertx) {
-        this.vertx = vertx;
-        this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(5000).setTcpNoDelay(true));
+  /**
+   * Whoever calls from an IP number that is no machine's: callers, operators, the platform's own
+   * programs.
+   */
+  public static final String OUTSIDE = "outside";
+
+  private final Vertx vertx;
+  private final NetClient client;
+  private final Map<String, String> machines = new ConcurrentHashMap<>();
+  private final Set<String> cut = ConcurrentHashMap.newKeySet();
+  private final Map<String, Long> slow = new ConcurrentHashMap<>();
+  private final Set<Link> links = ConcurrentHashMap.newKeySet();
+  public final AtomicLong stopped = new AtomicLong();
+
+  public Wires(Vertx vertx) {
+    this.vertx = vertx;
+    this.client =
+        vertx.createNetClient(new NetClientOptions().setConnectTimeout(5000).setTcpNoDelay(true));
+  }
+
+  /** Calls that come from this IP number are the machine's. */
+  public void machine(String ip, String name) {
+    machines.put(ip, name);
+  }
+
+  /** Carries what comes to an advertised address to where a process of the machine listens. */
+  public void carry(String advertised, String bound, String machine) throws Exception {
+    String[] a = split(advertised), b = split(bound);
+    vertx
+        .createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true))
+        .connectHandler(
+            s -> {
+              Link l =
+                  new Link(
+                      machines.getOrDefault(s.remoteAddress().hostAddress(), OUTSIDE), machine, s);
+              s.pause();
+              links.add(l);
+              client
+                  .connect(Integer.parseInt(b[1]), b[0])
+                  .onComplete(
+                      r -> {
+                        if (r.failed()) l.close();
+                        else l.joined(r.result());
+                      });
+            })
+        .listen(Integer.parseInt(a[1]), a[0])
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(10, TimeUnit.SECONDS);
+  }
+
+  private static String[] split(String address) {
+    int c = address.lastIndexOf(':');
+    return new String[] {address.substring(0, c), address.substring(c + 1)};
+  }
+
+  /** Nothing more comes from one machine to the other, until it is mended. */
+  public void cutOneWay(String from, String to) {
+    cut.add(from + ">" + to);
+    links.forEach(Link::look);
+  }
+
+  public void cut(String a, String b) {
+    cutOneWay(a, b);
+    cutOneWay(b, a);
+  }
+
+  /** Each of the one side from each of the other. */
+  public void split(Set<String> side, Set<String> other) {
+    for (String a : side) for (String b : other) if (!a.equals(b)) cut(a, b);
+  }
+
+  /** Milliseconds more for every piece of bytes between two. */
+  public void slow(String a, String b, long ms) {
+    slow.put(a + ">" + b, ms);
+    slow.put(b + ">" + a, ms);
+  }
+
+  /** All connections between two end at once, as when a machine between them is restarted. */
+  public void breakConnections(String a, String b) {
+    for (Link l : links) if (l.is(a, b) || l.is(b, a)) l.close();
+  }
+
+  public void mend() {
+    cut.clear();
+    slow.clear();
+    links.forEach(Link::look);
+  }
+
+  /** One connection through the wires. */
+  private final class Link {
+    private final String caller;
+    private final String callee;
+    private final NetSocket near;
+    private volatile NetSocket far;
+
+    Link(String caller, String callee, NetSocket near) {
+      this.caller = caller;
+      this.callee = callee;
+      this.near = near;
+      near.closeHandler(v -> close());
+      near.exceptionHandler(t -> close());
     }
 
-    /** Calls that come from this IP number are the machine's. */
-    public void machine(String ip, String name) {
-        machines.put(ip, name);
+    boolean is(String a, String b) {
+      return caller.equals(a) && callee.equals(b);
     }
 
-    /** Carries what comes to an advertised address to where a process of the machine listens. */
-    public void carry(String advertised, String bound, String machine) throws Exception {
-        String[] a = split(advertised), b = split(bound);
-        vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)).connectHandler(s -> {
-            Link l = new Link(machines.getOrDefault(s.remoteAddress().hostAddress(), OUTSIDE), machine, s);
-            s.pause();
-            links.add(l);
-            client.connect(Integer.parseInt(b[1]), b[0]).onComplete(r -> {
-                if (r.failed()) l.close();
-                else l.joined(r.result());
-            });
-        }).listen(Integer.parseInt(a[1]), a[0]).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    void joined(NetSocket f) {
+      far = f;
+      f.closeHandler(v -> close());
+      f.exceptionHandler(t -> close());
+      f.pause();
+      way(near, f, caller + ">" + callee);
+      way(f, near, callee + ">" + caller);
+      look();
     }
 
-    private static String[] split(String address) {
-        int c = address.lastIndexOf(':');
-        return new String[]{address.substring(0, c), address.substring(c + 1)};
+    private void way(NetSocket from, NetSocket to, String pair) {
+      from.handler(
+          b -> {
+            Long ms = slow.get(pair);
+            if (ms != null) vertx.setTimer(ms, i -> write(from, to, pair, b));
+            else write(from, to, pair, b);
+          });
     }
 
-    /** Nothing more comes from one machine to the other, until it is mended. */
-    public void cutOneWay(String from, String to) {
-        cut.add(from + ">" + to);
-        links.forEach(Link::look);
+    private void write(NetSocket from, NetSocket to, String pair, Buffer b) {
+      to.write(b);
+      if (!to.writeQueueFull()) return;
+      from.pause();
+      to.drainHandler(v -> look());
     }
 
-    public void cut(String a, String b) {
-        cutOneWay(a, b);
-        cutOneWay(b, a);
+    /** Lets bytes flow or stops them, as the pair stands now. */
+    void look() {
+      if (far == null) return;
+      flow(near, cut.contains(caller + ">" + callee));
+      flow(far, cut.contains(callee + ">" + caller));
     }
 
-    /** Each of the one side from each of the other. */
-    public void split(Set<String> side, Set<String> other) {
-        for (String a : side) for (String b : other) if (!a.equals(b)) cut(a, b);
+    private void flow(NetSocket s, boolean stop) {
+      if (stop) {
+        stopped.incrementAndGet();
+        s.pause();
+      } else s.resume();
     }
 
-    /** Milliseconds more for every piece of bytes between two. */
-    public void slow(String a, String b, long ms) {
-        slow.put(a + ">" + b, ms);
-        slow.put(b + ">" + a, ms);
-    }
-
-    /** All connections between two end at once, as when a machine between them is restarted. */
-    public void breakConnections(String a, String b) {
-        for (Link l : links) if (l.is(a, b) || l.is(b, a)) l.close();
-    }
-
-    public void mend() {
-        cut.clear();
-        slow.clear();
-        links.forEach(Link::look);
-    }
-
-    /** One connection through the wires. */
-    private final class Link {
-        private final String caller;
-        private final String callee;
-        private final NetSocket near;
-        private volatile NetSocket far;
-
-        Link(String caller, String callee, NetSocket near) {
-            this.caller = caller;
-            this.callee = callee;
-            this.near = near;
-            near.closeHandler(v -> close());
-            near.exceptionHandler(t -> close());
-        }
-
-        boolean is(String a, String b) {
-            return caller.equals(a) && callee.equals(b);
-        }
-
-        void joined(NetSocket f) {
-            far = f;
-            f.closeHandler(v -> close());
-            f.exceptionHandler(t -> close());
-            f.pause();
-            way(near, f, caller + ">" + callee);
-            way(f, near, callee + ">" + caller);
-            look();
-        }
-
-        private void way(NetSocket from, NetSocket to, String pair) {
-            from.handler(b -> {
-                Long ms = slow.get(pair);
-                if (ms != null) vertx.setTimer(ms, i -> write(from, to, pair, b));
-                else write(from, to, pair, b);
-            });
-        }
-
-        private void write(NetSocket from, NetSocket to, String pair, Buffer b) {
-            to.write(b);
-            if (!to.writeQueueFull()) return;
-            from.pause();
-            to.drainHandler(v -> look());
-        }
-
-        /** Lets bytes flow or stops them, as the pair stands now. */
-        void look() {
-            if (far == null) return;
-            flow(near, cut.contains(caller + ">" + callee));
-            flow(far, cut.contains(callee + ">" + caller));
-        }
-
-        private void flow(NetSocket s, boolean stop) {
-            if (stop) {
-                stopped.incrementAndGet();
-                s.pause();
-            } else s.resume();
-        }
-
-        void close() {
-            if (!links.remove(this)) return;
-            near.close();
-            if (far != null) far.close();
-        }
+    void close() {
+      if (!links.remove(this)) return;
+      near.close();
+      if (far != null) far.close();
     }
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/scale/HollowNode.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/scale/HollowNode.java
@@ -28,162 +28,187 @@
 import org.HdrHistogram.ConcurrentHistogram;
 
 final class HollowNode {
-    private static final long ASK = 400, ROUND = 1000, ANSWER = 900;
-    private final Vertx vertx;
-    private final Traffic traffic;
-    private final Doors doors;
-    private final Views views;
-    private final NewsBook book;
-    private final List<Address> core;
-    private final List<News.Demand> demands;
-    private final List<News.Places> places;
-    private final ConcurrentHistogram lookups;
-    private final List<Held> news = new ArrayList<>();
-    private final Map<Long, Long> asked = new ConcurrentHashMap<>();
-    private final long begun = System.nanoTime();
-    private final long[] timers = new long[4];
-    private Held index;
-    private long nr;
-    private int seed;
-
-    /**
-     * @param core records addresses of the core's members
-     * @param demands what it has waiting, told with each asking
-     * @param lookups where the microseconds of each answered question go
-     */
-    HollowNode(Vertx vertx, Traffic traffic, String name, Address records, List<Address> core,
-        List<News.Demand> demands, List<News.Places> places, ConcurrentHistogram lookups, long random) {
-        this.vertx = vertx;
-        this.traffic = traffic;
-        this.core = core;
-        this.demands = demands;
-        this.places = places;
-        this.lookups = lookups;
-        SplittableRandom r = new SplittableRandom(random);
-        Shuffle.Descriptor self = new Shuffle.Descriptor(name, "relay", records.toString(), records.toString(),
-            "zone-a", 0, 0);
-        doors = new Doors(vertx, records, new Local(records.host()), name);
-        views = new Views(self, r::nextLong);
-        book = new NewsBook(self, r.nextLong(1, Long.MAX_VALUE), p -> true);
-        seed = r.nextInt(core.size());
-    }
-
-    /** Begins; its askings and rounds fall at a time of its own, late by so many ms. */
-    void start(Address indexAt, long late) {
-        doors.take(Hello.SHUFFLE, (h, c) -> r -> {
-            traffic.count(Traffic.Kind.SHUFFLE, r.length);
-            if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Request q)) throw new IOException("no request");
-            Shuffle.Answer a;
-            synchronized (this) {
+  private static final long ASK = 400, ROUND = 1000, ANSWER = 900;
+  private final Vertx vertx;
+  private final Traffic traffic;
+  private final Doors doors;
+  private final Views views;
+  private final NewsBook book;
+  private final List<Address> core;
+  private final List<News.Demand> demands;
+  private final List<News.Places> places;
+  private final ConcurrentHistogram lookups;
+  private final List<Held> news = new ArrayList<>();
+  private final Map<Long, Long> asked = new ConcurrentHashMap<>();
+  private final long begun = System.nanoTime();
+  private final long[] timers = new long[4];
+  private Held index;
+  private long nr;
+  private int seed;
+
+  /**
+   * @param core records addresses of the core's members
+   * @param demands what it has waiting, told with each asking
+   * @param lookups where the microseconds of each answered question go
+   */
+  HollowNode(
+      Vertx vertx,
+      Traffic traffic,
+      String name,
+      Address records,
+      List<Address> core,
+      List<News.Demand> demands,
+      List<News.Places> places,
+      ConcurrentHistogram lookups,
+      long random) {
+    this.vertx = vertx;
+    this.traffic = traffic;
+    this.core = core;
+    this.demands = demands;
+    this.places = places;
+    this.lookups = lookups;
+    SplittableRandom r = new SplittableRandom(random);
+    Shuffle.Descriptor self =
+        new Shuffle.Descriptor(
+            name, "relay", records.toString(), records.toString(), "zone-a", 0, 0);
+    doors = new Doors(vertx, records, new Local(records.host()), name);
+    views = new Views(self, r::nextLong);
+    book = new NewsBook(self, r.nextLong(1, Long.MAX_VALUE), p -> true);
+    seed = r.nextInt(core.size());
+  }
+
+  /** Begins; its askings and rounds fall at a time of its own, late by so many ms. */
+  void start(Address indexAt, long late) {
+    doors.take(
+        Hello.SHUFFLE,
+        (h, c) ->
+            r -> {
+              traffic.count(Traffic.Kind.SHUFFLE, r.length);
+              if (!(Wire.read(r, Shuffle::read) instanceof Shuffle.Request q))
+                throw new IOException("no request");
+              Shuffle.Answer a;
+              synchronized (this) {
                 a = views.asked(q);
-            }
-            send(Traffic.Kind.SHUFFLE, c, a);
-        });
-        // what other relays hand on of their requests is read and forgotten
-        doors.take(Hello.REASONS, (h, c) -> r -> {});
-        doors.start(null);
-        for (Address a : core) news.add(new Held(vertx, doors, a, Hello.NEWS, this::told, this::ask));
-        index = new Held(vertx, doors, indexAt, Hello.LOOKUP, (h, r) -> answered(r), h -> {});
-        timers[0] = vertx.setTimer(1 + late % ASK, i -> timers[1] = vertx.setPeriodic(ASK, j -> news.forEach(
-            this::ask)));
-        timers[2] = vertx.setTimer(1 + late, i -> timers[3] = vertx.setPeriodic(ROUND, j -> round()));
-    }
-
-    void stop() {
-        for (long t : timers) vertx.cancelTimer(t);
-        news.forEach(Held::letGo);
-        if (index != null) index.letGo();
-        doors.stop();
-    }
-
-    /** The number of the configuration held. */
-    synchronized long configuration() {
-        return book.number(Keys.CONFIGURATION);
+              }
+              send(Traffic.Kind.SHUFFLE, c, a);
+            });
+    // what other relays hand on of their requests is read and forgotten
+    doors.take(Hello.REASONS, (h, c) -> r -> {});
+    doors.start(null);
+    for (Address a : core) news.add(new Held(vertx, doors, a, Hello.NEWS, this::told, this::ask));
+    index = new Held(vertx, doors, indexAt, Hello.LOOKUP, (h, r) -> answered(r), h -> {});
+    timers[0] =
+        vertx.setTimer(
+            1 + late % ASK, i -> timers[1] = vertx.setPeriodic(ASK, j -> news.forEach(this::ask)));
+    timers[2] = vertx.setTimer(1 + late, i -> timers[3] = vertx.setPeriodic(ROUND, j -> round()));
+  }
+
+  void stop() {
+    for (long t : timers) vertx.cancelTimer(t);
+    news.forEach(Held::letGo);
+    if (index != null) index.letGo();
+    doors.stop();
+  }
+
+  /** The number of the configuration held. */
+  synchronized long configuration() {
+    return book.number(Keys.CONFIGURATION);
+  }
+
+  private long now() {
+    return (System.nanoTime() - begun) / 1_000_000;
+  }
+
+  /** Holds a lease for each key that needs one. */
+  synchronized boolean leased() {
+    return book.leases.valid(now());
+  }
+
+  private void ask(Held h) {
+    News.Ask a;
+    synchronized (this) {
+      a = book.ask(now(), demands, places);
     }
-
-    private long now() {
-        return (System.nanoTime() - begun) / 1_000_000;
-    }
-
-    /** Holds a lease for each key that needs one. */
-    synchronized boolean leased() {
-        return book.leases.valid(now());
+    byte[] b = Wire.bytes(a);
+    if (h.send(a)) traffic.count(Traffic.Kind.ASK, b.length);
+  }
+
+  private void told(Held h, byte[] r) throws IOException {
+    News n = Wire.read(r, News::read);
+    traffic.count(kind(n), r.length);
+    NewsBook.Told t;
+    synchronized (this) {
+      t = book.told(n);
     }
-
-    private void ask(Held h) {
-        News.Ask a;
-        synchronized (this) {
-            a = book.ask(now(), demands, places);
-        }
-        byte[] b = Wire.bytes(a);
-        if (h.send(a)) traffic.count(Traffic.Kind.ASK, b.length);
-    }
-
-    private void told(Held h, byte[] r) throws IOException {
-        News n = Wire.read(r, News::read);
-        traffic.count(kind(n), r.length);
-        NewsBook.Told t;
-        synchronized (this) {
-            t = book.told(n);
-        }
-        if (t == NewsBook.Told.WANTS_WHOLE) h.send(new News.Whole(((News.Push) n).key()));
-        if (n instanceof News.Push) ask(h);
+    if (t == NewsBook.Told.WANTS_WHOLE) h.send(new News.Whole(((News.Push) n).key()));
+    if (n instanceof News.Push) ask(h);
+  }
+
+  private static Traffic.Kind kind(News n) {
+    if (n instanceof News.Push p)
+      return p.key().equals(Keys.CONFIGURATION) ? Traffic.Kind.POLICY : Traffic.Kind.PUSH;
+    return n instanceof News.Allot ? Traffic.Kind.ALLOT : Traffic.Kind.GRANTS;
+  }
+
+  private void send(Traffic.Kind k, Connection c, Wire m) {
+    byte[] b = Wire.bytes(m);
+    if (c.send(b)) traffic.count(k, b.length);
+  }
+
+  private void round() {
+    Map.Entry<Shuffle.Descriptor, Shuffle.Request> r;
+    Shuffle.Request begin;
+    boolean few;
+    synchronized (this) {
+      r = views.round();
+      few = r == null || views.all().size() < 3;
+      begin = few ? views.begin() : null;
     }
-
-    private static Traffic.Kind kind(News n) {
-        if (n instanceof News.Push p)
-            return p.key().equals(Keys.CONFIGURATION) ? Traffic.Kind.POLICY : Traffic.Kind.PUSH;
-        return n instanceof News.Allot ? Traffic.Kind.ALLOT : Traffic.Kind.GRANTS;
-    }
-
-    private void send(Traffic.Kind k, Connection c, Wire m) {
-        byte[] b = Wire.bytes(m);
-        if (c.send(b)) traffic.count(k, b.length);
-    }
-
-    private void round() {
-        Map.Entry<Shuffle.Descriptor, Shuffle.Request> r;
-        Shuffle.Request begin;
-        boolean few;
-        synchronized (this) {
-            r = views.round();
-            few = r == null || views.all().size() < 3;
-            begin = few ? views.begin() : null;
-        }
-        if (r != null) shuffle(Address.of(r.getKey().records()), r.getValue());
-        if (few) shuffle(core.get(seed++ % core.size()), begin);
-    }
-
-    private void shuffle(Address to, Shuffle.Request q) {
-        doors.call(to, Hello.SHUFFLE, c -> r -> {
-            traffic.count(Traffic.Kind.SHUFFLE, r.length);
-            if (Wire.read(r, Shuffle::read) instanceof Shuffle.Answer a) synchronized (this) {
-                views.answered(a);
-            }
-            c.close();
-        }).subscribe().with(c -> {
-            send(Traffic.Kind.SHUFFLE, c, q);
-            vertx.setTimer(ANSWER, i -> c.close());
-        }, t -> {});
-    }
-
-    /** A question to the index; how long its answer takes is recorded. */
-    void lookup(long[] blocks) {
-        long n;
-        synchronized (this) {
-            n = ++nr;
-        }
-        asked.put(n, System.nanoTime());
-        byte[] b = Wire.bytes(new Lookup.Question(n, blocks));
-        if (index.send(new Lookup.Question(n, blocks))) traffic.count(Traffic.Kind.QUESTION, b.length);
-        else asked.remove(n);
-    }
-
-    private void answered(byte[] r) throws IOException {
-        long at = System.nanoTime();
-        traffic.count(Traffic.Kind.ANSWER, r.length);
-        if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer a)) throw new IOException("no answer");
-        Long since = asked.remove(a.nr());
-        if (since != null) lookups.recordValue(Math.max(1, (at - since) / 1000));
+    if (r != null) shuffle(Address.of(r.getKey().records()), r.getValue());
+    if (few) shuffle(core.get(seed++ % core.size()), begin);
+  }
+
+  private void shuffle(Address to, Shuffle.Request q) {
+    doors
+        .call(
+            to,
+            Hello.SHUFFLE,
+            c ->
+                r -> {
+                  traffic.count(Traffic.Kind.SHUFFLE, r.length);
+                  if (Wire.read(r, Shuffle::read) instanceof Shuffle.Answer a)
+                    synchronized (this) {
+                      views.answered(a);
+                    }
+                  c.close();
+                })
+        .subscribe()
+        .with(
+            c -> {
+              send(Traffic.Kind.SHUFFLE, c, q);
+              vertx.setTimer(ANSWER, i -> c.close());
+            },
+            t -> {});
+  }
+
+  /** A question to the index; how long its answer takes is recorded. */
+  void lookup(long[] blocks) {
+    long n;
+    synchronized (this) {
+      n = ++nr;
     }
+    asked.put(n, System.nanoTime());
+    byte[] b = Wire.bytes(new Lookup.Question(n, blocks));
+    if (index.send(new Lookup.Question(n, blocks))) traffic.count(Traffic.Kind.QUESTION, b.length);
+    else asked.remove(n);
+  }
+
+  private void answered(byte[] r) throws IOException {
+    long at = System.nanoTime();
+    traffic.count(Traffic.Kind.ANSWER, r.length);
+    if (!(Wire.read(r, Lookup::read) instanceof Lookup.Answer a))
+      throw new IOException("no answer");
+    Long since = asked.remove(a.nr());
+    if (since != null) lookups.recordValue(Math.max(1, (at - since) / 1000));
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/scale/ProcessMeter.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/scale/ProcessMeter.java
@@ -9,37 +9,42 @@
 import java.nio.file.Path;
 
 final class ProcessMeter {
-    private static final double TICKS = 100;
+  private static final double TICKS = 100;
 
-    /**
-     * @param cpu processor seconds since the start
-     * @param peakKb VmHWM
-     * @param in bytes read, out bytes written, disk bytes written to the disk, since the start
-     */
-    record Reading(double cpu, long peakKb, long in, long out, long disk) {}
+  /**
+   * @param cpu processor seconds since the start
+   * @param peakKb VmHWM
+   * @param in bytes read, out bytes written, disk bytes written to the disk, since the start
+   */
+  record Reading(double cpu, long peakKb, long in, long out, long disk) {}
 
-    private ProcessMeter() {}
+  private ProcessMeter() {}
 
-    static Reading read(long pid) throws IOException {
-        Path p = Path.of("/proc", Long.toString(pid));
-        String stat = Files.readString(p.resolve("stat"));
-        String[] f = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        double cpu = (Long.parseLong(f[11]) + Long.parseLong(f[12])) / TICKS;
-        return new Reading(cpu, field(p.resolve("status"), "VmHWM:"), field(p.resolve("io"), "rchar:"),
-            field(p.resolve("io"), "wchar:"), field(p.resolve("io"), "write_bytes:"));
-    }
+  static Reading read(long pid) throws IOException {
+    Path p = Path.of("/proc", Long.toString(pid));
+    String stat = Files.readString(p.resolve("stat"));
+    String[] f = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+    double cpu = (Long.parseLong(f[11]) + Long.parseLong(f[12])) / TICKS;
+    return new Reading(
+        cpu,
+        field(p.resolve("status"), "VmHWM:"),
+        field(p.resolve("io"), "rchar:"),
+        field(p.resolve("io"), "wchar:"),
+        field(p.resolve("io"), "write_bytes:"));
+  }
 
-    static long machineKb() {
-        try {
-            return field(Path.of("/proc/meminfo"), "MemTotal:");
-        } catch (IOException e) {
-            return 0;
-        }
+  static long machineKb() {
+    try {
+      return field(Path.of("/proc/meminfo"), "MemTotal:");
+    } catch (IOException e) {
+      return 0;
     }
+  }
 
-    private static long field(Path file, String name) throws IOException {
-        for (String l : Files.readAllLines(file))
-            if (l.startsWith(name)) return Long.parseLong(l.substring(name.length()).trim().split("\\s+")[0]);
-        throw new IOException(file + " has no " + name);
-    }
+  private static long field(Path file, String name) throws IOException {
+    for (String l : Files.readAllLines(file))
+      if (l.startsWith(name))
+        return Long.parseLong(l.substring(name.length()).trim().split("\\s+")[0]);
+    throw new IOException(file + " has no " + name);
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleChart.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleChart.java
@@ -16,31 +16,38 @@
 import org.knowm.xchart.style.markers.SeriesMarkers;
 
 final class ScaleChart {
-    private static final int WIDTH = 760, HEIGHT = 440;
+  private static final int WIDTH = 760, HEIGHT = 440;
 
-    private ScaleChart() {}
+  private ScaleChart() {}
 
-    /** Series by name, each of points x and y. */
-    static void write(Path file, String title, Map<String, List<double[]>> series) throws IOException {
-        XYChart c = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).build();
-        c.getStyler().setXAxisMin(0.0).setYAxisMin(0.0);
-        Color[] colours = c.getStyler().getSeriesColors();
-        int n = 0;
-        for (Map.Entry<String, List<double[]>> e : series.entrySet()) {
-            if (e.getValue().isEmpty()) continue;
-            Color colour = colours[n++ % colours.length];
-            double[] x = e.getValue().stream().mapToDouble(p -> p[0]).toArray();
-            double[] y = e.getValue().stream().mapToDouble(p -> p[1]).toArray();
-            XYSeries points = c.addSeries(e.getKey(), x, y);
-            points.setXYSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter).setMarker(SeriesMarkers.CIRCLE)
-                .setMarkerColor(colour);
-            Slope s = Slope.of(e.getValue());
-            double most = e.getValue().stream().mapToDouble(p -> p[0]).max().orElse(0);
-            double from = Math.max(0, s.slope() > 0 ? -s.intercept() / s.slope() : 0);
-            c.addSeries(e.getKey() + ", line", new double[]{from, most},
-                new double[]{s.at(from), Math.max(0, s.at(most))}).setMarker(SeriesMarkers.NONE)
-                .setLineColor(colour).setShowInLegend(false);
-        }
-        VectorGraphicsEncoder.saveVectorGraphic(c, file.toString(), VectorGraphicsFormat.SVG);
+  /** Series by name, each of points x and y. */
+  static void write(Path file, String title, Map<String, List<double[]>> series)
+      throws IOException {
+    XYChart c = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).build();
+    c.getStyler().setXAxisMin(0.0).setYAxisMin(0.0);
+    Color[] colours = c.getStyler().getSeriesColors();
+    int n = 0;
+    for (Map.Entry<String, List<double[]>> e : series.entrySet()) {
+      if (e.getValue().isEmpty()) continue;
+      Color colour = colours[n++ % colours.length];
+      double[] x = e.getValue().stream().mapToDouble(p -> p[0]).toArray();
+      double[] y = e.getValue().stream().mapToDouble(p -> p[1]).toArray();
+      XYSeries points = c.addSeries(e.getKey(), x, y);
+      points
+          .setXYSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter)
+          .setMarker(SeriesMarkers.CIRCLE)
+          .setMarkerColor(colour);
+      Slope s = Slope.of(e.getValue());
+      double most = e.getValue().stream().mapToDouble(p -> p[0]).max().orElse(0);
+      double from = Math.max(0, s.slope() > 0 ? -s.intercept() / s.slope() : 0);
+      c.addSeries(
+              e.getKey() + ", line",
+              new double[] {from, most},
+              new double[] {s.at(from), Math.max(0, s.at(most))})
+          .setMarker(SeriesMarkers.NONE)
+          .setLineColor(colour)
+          .setShowInLegend(false);
     }
+    VectorGraphicsEncoder.saveVectorGraphic(c, file.toString(), VectorGraphicsFormat.SVG);
+  }
 }
