--- a/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleFleet.java
@@ -38,345 +38,460 @@
 import org.HdrHistogram.Histogram;
 
 public final class ScaleFleet implements AutoCloseable {
-    private static final String NET = "127.93.";
-    private static final int PER_NET = 250, CHAIN_SHARED = 4, CHAIN_OWN = 4, PLACES = 64;
-    private static final long LONGEST = 60_000_000, AGAIN_NS = 10_000_000_000L;
+  private static final String NET = "127.93.";
+  private static final int PER_NET = 250, CHAIN_SHARED = 4, CHAIN_OWN = 4, PLACES = 64;
+  private static final long LONGEST = 60_000_000, AGAIN_NS = 10_000_000_000L;
 
-    /**
-     * What a point gave.
-     *
-     * @param roles by role and metric, the figure
-     * @param records records of hollow nodes over the measured time
-     * @param pushes of the configuration that came to nodes for the changes made, once all had come
-     * @param changes acknowledged
-     * @param acks microseconds from sending a change to its acknowledgement
-     * @param lookups microseconds from a question to its answer
-     */
-    public record Figures(ScalePoint point, double seconds, Map<String, Map<String, Double>> roles,
-        Traffic.Count records, long pushes, long changes, Histogram acks, Histogram lookups) {
-        /** Records of a kind a second and node. */
-        double rate(Traffic.Kind k) {
-            return records.messages().get(k) / seconds / point.of(ScaleSize.NODES);
-        }
+  /**
+   * What a point gave.
+   *
+   * @param roles by role and metric, the figure
+   * @param records records of hollow nodes over the measured time
+   * @param pushes of the configuration that came to nodes for the changes made, once all had come
+   * @param changes acknowledged
+   * @param acks microseconds from sending a change to its acknowledgement
+   * @param lookups microseconds from a question to its answer
+   */
+  public record Figures(
+      ScalePoint point,
+      double seconds,
+      Map<String, Map<String, Double>> roles,
+      Traffic.Count records,
+      long pushes,
+      long changes,
+      Histogram acks,
+      Histogram lookups) {
+    /** Records of a kind a second and node. */
+    double rate(Traffic.Kind k) {
+      return records.messages().get(k) / seconds / point.of(ScaleSize.NODES);
+    }
 
-        /** Bytes of the kinds a second and node. */
-        double bytes(Traffic.Kind... ks) {
-            double n = 0;
-            for (Traffic.Kind k : ks) n += records.bytes().get(k);
-            return n / seconds / point.of(ScaleSize.NODES);
-        }
+    /** Bytes of the kinds a second and node. */
+    double bytes(Traffic.Kind... ks) {
+      double n = 0;
+      for (Traffic.Kind k : ks) n += records.bytes().get(k);
+      return n / seconds / point.of(ScaleSize.NODES);
     }
+  }
 
-    private ScalePoint point;
-    private final Path dir;
-    private final long seed;
-    private final Random random;
-    private final Vertx vertx = new Vertx(
-        io.vertx.core.Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2).setWorkerPoolSize(2)));
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2))
-        .version(HttpClient.Version.HTTP_1_1).build();
-    private final Map<String, Child> children = new LinkedHashMap<>();
-    private final Map<String, String> operator = new LinkedHashMap<>(), records = new LinkedHashMap<>();
-    private final List<HollowNode> nodes = new ArrayList<>();
-    private final Traffic traffic = new Traffic();
-    private final ConcurrentHistogram lookups = new ConcurrentHistogram(LONGEST, 3);
-    private HollowReplicas replicas;
-    private int marker;
-    private int again;
+  private ScalePoint point;
+  private final Path dir;
+  private final long seed;
+  private final Random random;
+  private final Vertx vertx =
+      new Vertx(
+          io.vertx.core.Vertx.vertx(
+              new VertxOptions().setEventLoopPoolSize(2).setWorkerPoolSize(2)));
+  private final HttpClient http =
+      HttpClient.newBuilder()
+          .connectTimeout(Duration.ofSeconds(2))
+          .version(HttpClient.Version.HTTP_1_1)
+          .build();
+  private final Map<String, Child> children = new LinkedHashMap<>();
+  private final Map<String, String> operator = new LinkedHashMap<>(),
+      records = new LinkedHashMap<>();
+  private final List<HollowNode> nodes = new ArrayList<>();
+  private final Traffic traffic = new Traffic();
+  private final ConcurrentHistogram lookups = new ConcurrentHistogram(LONGEST, 3);
+  private HollowReplicas replicas;
+  private int marker;
+  private int again;
 
-    public ScaleFleet(ScalePoint point, Path dir, long seed) throws IOException {
-        this.point = point;
-        this.dir = dir;
-        this.seed = seed;
-        this.random = new Random(seed);
-        Files.createDirectories(dir);
-    }
+  public ScaleFleet(ScalePoint point, Path dir, long seed) throws IOException {
+    this.point = point;
+    this.dir = dir;
+    this.seed = seed;
+    this.random = new Random(seed);
+    Files.createDirectories(dir);
+  }
 
-    private static String ip(int block, int i) {
-        return NET + (block + i / PER_NET) + "." + (1 + i % PER_NET);
-    }
+  private static String ip(int block, int i) {
+    return NET + (block + i / PER_NET) + "." + (1 + i % PER_NET);
+  }
 
-    private static String free(String ip) throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-            return ip + ":" + s.getLocalPort();
-        }
+  private static String free(String ip) throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
+      return ip + ":" + s.getLocalPort();
     }
+  }
 
-    private Path settings(String name, JsonObject o) throws IOException {
-        Path f = dir.resolve(name + ".json");
-        Files.writeString(f, o.toString());
-        return f;
-    }
+  private Path settings(String name, JsonObject o) throws IOException {
+    Path f = dir.resolve(name + ".json");
+    Files.writeString(f, o.toString());
+    return f;
+  }
 
-    private int size(ScaleSize s) {
-        return (int) point.of(s);
-    }
+  private int size(ScaleSize s) {
+    return (int) point.of(s);
+  }
 
-    /** Starts all of it and waits until everybody holds the first configuration. */
-    public void start() throws Exception {
-        List<String> ips = new ArrayList<>();
-        for (int i = 0; i < size(ScaleSize.REPLICAS); i++) ips.add(ip(50, i));
-        replicas = new HollowReplicas(vertx.getDelegate(), seed, ips, point.of(ScaleSize.BLOCKS));
-        StandInPlatform platform = new StandInPlatform(vertx.getDelegate(), ip(0, 100), ip(0, 100));
-        for (String[] r : replicas.list()) platform.list(HollowReplicas.SERVICE, r[0], r[1], "zone-a", true);
-        programs(platform.address());
-        List<Child> founding = new ArrayList<>();
-        for (String c : controls()) founding.add(new Child(c, "gladelug.control.ControlPlane",
-            List.of("found", "--settings", dir.resolve(c + ".json").toString()), dir.resolve(c + ".log"), 64)
-                .start());
-        for (Child f : founding) if (!f.waitFor(60_000) || f.exit() != 0)
-            throw new IllegalStateException("found failed: " + f.lines());
-        for (Child c : children.values()) c.start();
-        Fleet.until("the core is ready", 60_000, () -> controls().stream().allMatch(this::ready));
-        Fleet.until("the first configuration was taken", 60_000, () -> change(controls().get(0)) == 200);
-        Fleet.until("weights were named", 60_000, () -> call(controls().get(0), "POST", "/v1/weights",
-            Json.object().add("service", HollowReplicas.SERVICE).add("weights", HollowReplicas.WEIGHTS).toString())
-                .statusCode() == 200);
-        hollow();
-        replicas.tell(point.of(ScaleSize.EVENTS));
-        held();
-        Fleet.until("the relay is ready", 60_000, () -> ready("relay-1"));
-        Fleet.until("the index is warm", 60_000, () -> {
-            if (!ready("index-1")) return false;
-            JsonObject o = json("index-1", "/operator/status");
-            return o.getBoolean("warm", false) && o.getInt("entries", 0) > point.of(ScaleSize.BLOCKS) * 9 / 10;
+  /** Starts all of it and waits until everybody holds the first configuration. */
+  public void start() throws Exception {
+    List<String> ips = new ArrayList<>();
+    for (int i = 0; i < size(ScaleSize.REPLICAS); i++) ips.add(ip(50, i));
+    replicas = new HollowReplicas(vertx.getDelegate(), seed, ips, point.of(ScaleSize.BLOCKS));
+    StandInPlatform platform = new StandInPlatform(vertx.getDelegate(), ip(0, 100), ip(0, 100));
+    for (String[] r : replicas.list())
+      platform.list(HollowReplicas.SERVICE, r[0], r[1], "zone-a", true);
+    programs(platform.address());
+    List<Child> founding = new ArrayList<>();
+    for (String c : controls())
+      founding.add(
+          new Child(
+                  c,
+                  "gladelug.control.ControlPlane",
+                  List.of("found", "--settings", dir.resolve(c + ".json").toString()),
+                  dir.resolve(c + ".log"),
+                  64)
+              .start());
+    for (Child f : founding)
+      if (!f.waitFor(60_000) || f.exit() != 0)
+        throw new IllegalStateException("found failed: " + f.lines());
+    for (Child c : children.values()) c.start();
+    Fleet.until("the core is ready", 60_000, () -> controls().stream().allMatch(this::ready));
+    Fleet.until(
+        "the first configuration was taken", 60_000, () -> change(controls().get(0)) == 200);
+    Fleet.until(
+        "weights were named",
+        60_000,
+        () ->
+            call(
+                        controls().get(0),
+                        "POST",
+                        "/v1/weights",
+                        Json.object()
+                            .add("service", HollowReplicas.SERVICE)
+                            .add("weights", HollowReplicas.WEIGHTS)
+                            .toString())
+                    .statusCode()
+                == 200);
+    hollow();
+    replicas.tell(point.of(ScaleSize.EVENTS));
+    held();
+    Fleet.until("the relay is ready", 60_000, () -> ready("relay-1"));
+    Fleet.until(
+        "the index is warm",
+        60_000,
+        () -> {
+          if (!ready("index-1")) return false;
+          JsonObject o = json("index-1", "/operator/status");
+          return o.getBoolean("warm", false)
+              && o.getInt("entries", 0) > point.of(ScaleSize.BLOCKS) * 9 / 10;
         });
-    }
+  }
 
-    private void held() {
-        Fleet.until("every node holds configuration and leases", 60_000,
-            () -> nodes.stream().allMatch(n -> n.configuration() > 0 && n.leased()));
-    }
+  private void held() {
+    Fleet.until(
+        "every node holds configuration and leases",
+        60_000,
+        () -> nodes.stream().allMatch(n -> n.configuration() > 0 && n.leased()));
+  }
 
-    /** Another value of a size that can change while the fleet runs, see {@link ScaleSize#grows}. */
-    void grow(ScaleSize s, long value) throws IOException {
-        point = point.with(s, value);
-        switch (s) {
-            case EVENTS -> replicas.rate(value);
-            case TENANTS, ROUTES -> Fleet.until("a larger configuration was taken", 60_000,
-                () -> change(controls().get(0)) == 200);
-            case LEAVES -> {
-                nodes.forEach(HollowNode::stop);
-                nodes.clear();
-            }
-            default -> {}
-        }
-        hollow();
-        held();
+  /** Another value of a size that can change while the fleet runs, see {@link ScaleSize#grows}. */
+  void grow(ScaleSize s, long value) throws IOException {
+    point = point.with(s, value);
+    switch (s) {
+      case EVENTS -> replicas.rate(value);
+      case TENANTS, ROUTES ->
+          Fleet.until(
+              "a larger configuration was taken", 60_000, () -> change(controls().get(0)) == 200);
+      case LEAVES -> {
+        nodes.forEach(HollowNode::stop);
+        nodes.clear();
+      }
+      default -> {}
     }
+    hollow();
+    held();
+  }
 
-    private List<String> controls() {
-        return children.keySet().stream().filter(n -> n.startsWith("control")).toList();
-    }
+  private List<String> controls() {
+    return children.keySet().stream().filter(n -> n.startsWith("control")).toList();
+  }
 
-    private void programs(String platform) throws IOException {
-        JsonArray founders = new JsonArray(), seeds = new JsonArray();
-        List<String> cs = new ArrayList<>();
-        for (int i = 1; i <= size(ScaleSize.CONTROLS); i++) cs.add("control-" + i);
-        for (int i = 0; i < cs.size(); i++) {
-            operator.put(cs.get(i), free(ip(0, i)));
-            records.put(cs.get(i), free(ip(0, i)));
-            founders.add(cs.get(i) + "=" + records.get(cs.get(i)) + "/" + operator.get(cs.get(i)));
-            seeds.add(records.get(cs.get(i)));
-        }
-        for (String c : cs) program(c, "gladelug.control.ControlPlane", "run", ScalePoint.CONTROL_MB, Json.object()
-            .add("platform", platform).add("founders", founders).add("seeds", seeds)
-            .add("data", dir.resolve(c + "-data").toString()));
-        operator.put("index-1", free(ip(0, 20)));
-        records.put("index-1", free(ip(0, 20)));
-        program("index-1", "gladelug.data.DataPlane", "index", point.indexMb(), Json.object().add("seeds", seeds)
-            .add("mostHolders", 1024).add("fingerprintBits", 16));
-        operator.put("relay-1", free(ip(0, 21)));
-        records.put("relay-1", free(ip(0, 21)));
-        program("relay-1", "gladelug.data.DataPlane", "relay", ScalePoint.RELAY_MB, Json.object().add("seeds", seeds)
-            .add("callers", free(ip(0, 21))).add("index", records.get("index-1")));
+  private void programs(String platform) throws IOException {
+    JsonArray founders = new JsonArray(), seeds = new JsonArray();
+    List<String> cs = new ArrayList<>();
+    for (int i = 1; i <= size(ScaleSize.CONTROLS); i++) cs.add("control-" + i);
+    for (int i = 0; i < cs.size(); i++) {
+      operator.put(cs.get(i), free(ip(0, i)));
+      records.put(cs.get(i), free(ip(0, i)));
+      founders.add(cs.get(i) + "=" + records.get(cs.get(i)) + "/" + operator.get(cs.get(i)));
+      seeds.add(records.get(cs.get(i)));
     }
+    for (String c : cs)
+      program(
+          c,
+          "gladelug.control.ControlPlane",
+          "run",
+          ScalePoint.CONTROL_MB,
+          Json.object()
+              .add("platform", platform)
+              .add("founders", founders)
+              .add("seeds", seeds)
+              .add("data", dir.resolve(c + "-data").toString()));
+    operator.put("index-1", free(ip(0, 20)));
+    records.put("index-1", free(ip(0, 20)));
+    program(
+        "index-1",
+        "gladelug.data.DataPlane",
+        "index",
+        point.indexMb(),
+        Json.object().add("seeds", seeds).add("mostHolders", 1024).add("fingerprintBits", 16));
+    operator.put("relay-1", free(ip(0, 21)));
+    records.put("relay-1", free(ip(0, 21)));
+    program(
+        "relay-1",
+        "gladelug.data.DataPlane",
+        "relay",
+        ScalePoint.RELAY_MB,
+        Json.object()
+            .add("seeds", seeds)
+            .add("callers", free(ip(0, 21)))
+            .add("index", records.get("index-1")));
+  }
 
-    private void program(String name, String main, String command, int heapMb, JsonObject more) throws IOException {
-        JsonObject o = Json.object().add("name", name).add("domain", "zone-a").add("records", records.get(name))
-            .add("operator", operator.get(name)).add("log", "warning");
-        for (JsonObject.Member m : more) o.add(m.getName(), m.getValue());
-        children.put(name, new Child(name, main, List.of(command, "--settings", settings(name, o).toString()),
-            dir.resolve(name + ".log"), heapMb));
-    }
+  private void program(String name, String main, String command, int heapMb, JsonObject more)
+      throws IOException {
+    JsonObject o =
+        Json.object()
+            .add("name", name)
+            .add("domain", "zone-a")
+            .add("records", records.get(name))
+            .add("operator", operator.get(name))
+            .add("log", "warning");
+    for (JsonObject.Member m : more) o.add(m.getName(), m.getValue());
+    children.put(
+        name,
+        new Child(
+            name,
+            main,
+            List.of(command, "--settings", settings(name, o).toString()),
+            dir.resolve(name + ".log"),
+            heapMb));
+  }
 
-    private void hollow() throws IOException {
-        List<Address> core = controls().stream().map(c -> Address.of(records.get(c))).toList();
-        Address index = Address.of(records.get("index-1"));
-        for (int i = nodes.size(); i < size(ScaleSize.NODES); i++) {
-            List<News.Demand> ds = new ArrayList<>();
-            int first = random.nextInt(size(ScaleSize.TENANTS));
-            for (int j = 0; j < Math.min(size(ScaleSize.LEAVES), size(ScaleSize.TENANTS)); j++)
-                ds.add(new News.Demand(HollowReplicas.SERVICE, "tenant-" + (first + j) % size(ScaleSize.TENANTS), 1,
-                    1));
-            HollowNode n = new HollowNode(vertx, traffic, "hollow-" + i, Address.of(free(ip(100, i))), core, ds,
-                List.of(new News.Places(HollowReplicas.SERVICE, PLACES)), lookups, random.nextLong());
-            nodes.add(n);
-            n.start(index, random.nextInt(1000));
-        }
+  private void hollow() throws IOException {
+    List<Address> core = controls().stream().map(c -> Address.of(records.get(c))).toList();
+    Address index = Address.of(records.get("index-1"));
+    for (int i = nodes.size(); i < size(ScaleSize.NODES); i++) {
+      List<News.Demand> ds = new ArrayList<>();
+      int first = random.nextInt(size(ScaleSize.TENANTS));
+      for (int j = 0; j < Math.min(size(ScaleSize.LEAVES), size(ScaleSize.TENANTS)); j++)
+        ds.add(
+            new News.Demand(
+                HollowReplicas.SERVICE, "tenant-" + (first + j) % size(ScaleSize.TENANTS), 1, 1));
+      HollowNode n =
+          new HollowNode(
+              vertx,
+              traffic,
+              "hollow-" + i,
+              Address.of(free(ip(100, i))),
+              core,
+              ds,
+              List.of(new News.Places(HollowReplicas.SERVICE, PLACES)),
+              lookups,
+              random.nextLong());
+      nodes.add(n);
+      n.start(index, random.nextInt(1000));
     }
+  }
 
-    /** The configuration of this point; each differs from the one before in one route's deadline. */
-    private String configuration() {
-        marker++;
-        JsonArray ms = new JsonArray(), ts = new JsonArray();
-        for (int i = 0; i < size(ScaleSize.ROUTES); i++)
-            ms.add(Json.object().add("name", "route-" + i).add("path", "/route/" + i)
-                .add("service", HollowReplicas.SERVICE).add("expiryMs", i == 0 ? 1000 + marker % 9000 : 8000));
-        for (int i = 0; i < size(ScaleSize.TENANTS); i++)
-            ts.add(Json.object().add("name", "tenant-" + i)
-                .add("keys", Json.array("sha256:" + Digest.hex(seed + "/" + i)))
-                .add("weight", 1 + i % 5));
-        return Json.object().add("services", Json.array().add((JsonValue) Json.object()
-            .add("name", HollowReplicas.SERVICE).add("allow", Json.array(NET + "0.0/16"))))
-            .add("mappings", ms).add("tenants", ts).toString();
-    }
+  /** The configuration of this point; each differs from the one before in one route's deadline. */
+  private String configuration() {
+    marker++;
+    JsonArray ms = new JsonArray(), ts = new JsonArray();
+    for (int i = 0; i < size(ScaleSize.ROUTES); i++)
+      ms.add(
+          Json.object()
+              .add("name", "route-" + i)
+              .add("path", "/route/" + i)
+              .add("service", HollowReplicas.SERVICE)
+              .add("expiryMs", i == 0 ? 1000 + marker % 9000 : 8000));
+    for (int i = 0; i < size(ScaleSize.TENANTS); i++)
+      ts.add(
+          Json.object()
+              .add("name", "tenant-" + i)
+              .add("keys", Json.array("sha256:" + Digest.hex(seed + "/" + i)))
+              .add("weight", 1 + i % 5));
+    return Json.object()
+        .add(
+            "services",
+            Json.array()
+                .add(
+                    (JsonValue)
+                        Json.object()
+                            .add("name", HollowReplicas.SERVICE)
+                            .add("allow", Json.array(NET + "0.0/16"))))
+        .add("mappings", ms)
+        .add("tenants", ts)
+        .toString();
+  }
 
-    private int change(String at) {
-        return call(at, "POST", "/v1/policy", configuration()).statusCode();
-    }
+  private int change(String at) {
+    return call(at, "POST", "/v1/policy", configuration()).statusCode();
+  }
 
-    /** One change, sent again as operators do while it is answered that it was not taken, or that nobody knows. */
-    private boolean changed(String at) {
-        String body = configuration();
-        long end = System.nanoTime() + AGAIN_NS;
-        while (call(at, "POST", "/v1/policy", body).statusCode() != 200) {
-            if (System.nanoTime() > end) return false;
-            again++;
-            Fleet.pause(100);
-        }
-        return true;
+  /**
+   * One change, sent again as operators do while it is answered that it was not taken, or that
+   * nobody knows.
+   */
+  private boolean changed(String at) {
+    String body = configuration();
+    long end = System.nanoTime() + AGAIN_NS;
+    while (call(at, "POST", "/v1/policy", body).statusCode() != 200) {
+      if (System.nanoTime() > end) return false;
+      again++;
+      Fleet.pause(100);
     }
+    return true;
+  }
 
-    private HttpResponse<String> call(String node, String method, String path, String body) {
-        HttpRequest.Builder b = HttpRequest.newBuilder(URI.create("http://" + operator.get(node) + path))
-            .timeout(Duration.ofSeconds(20)).header("If-Match", "*");
-        try {
-            return http.send(b.method(method, body == null
-                ? HttpRequest.BodyPublishers.noBody()
-                : HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString());
-        } catch (IOException e) {
-            throw new IllegalStateException(node + path + ": " + e, e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(e);
-        }
+  private HttpResponse<String> call(String node, String method, String path, String body) {
+    HttpRequest.Builder b =
+        HttpRequest.newBuilder(URI.create("http://" + operator.get(node) + path))
+            .timeout(Duration.ofSeconds(20))
+            .header("If-Match", "*");
+    try {
+      return http.send(
+          b.method(
+                  method,
+                  body == null
+                      ? HttpRequest.BodyPublishers.noBody()
+                      : HttpRequest.BodyPublishers.ofString(body))
+              .build(),
+          HttpResponse.BodyHandlers.ofString());
+    } catch (IOException e) {
+      throw new IllegalStateException(node + path + ": " + e, e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
     }
+  }
 
-    private boolean ready(String node) {
-        try {
-            return call(node, "GET", "/ready", null).statusCode() == 200;
-        } catch (IllegalStateException e) {
-            return false;
-        }
+  private boolean ready(String node) {
+    try {
+      return call(node, "GET", "/ready", null).statusCode() == 200;
+    } catch (IllegalStateException e) {
+      return false;
     }
+  }
 
-    private JsonObject json(String node, String path) {
-        return Json.parse(call(node, "GET", path, null).body()).asObject();
-    }
+  private JsonObject json(String node, String path) {
+    return Json.parse(call(node, "GET", path, null).body()).asObject();
+  }
 
-    /** Who owns the key of the configuration. */
-    private String owner() {
-        for (JsonValue k : json(controls().get(0), "/v1/status").get("keys").asArray())
-            if (k.asObject().getString("key", "").equals(Keys.CONFIGURATION)) return k.asObject().getString("owner",
-                "");
-        return "";
-    }
+  /** Who owns the key of the configuration. */
+  private String owner() {
+    for (JsonValue k : json(controls().get(0), "/v1/status").get("keys").asArray())
+      if (k.asObject().getString("key", "").equals(Keys.CONFIGURATION))
+        return k.asObject().getString("owner", "");
+    return "";
+  }
 
-    /** Loads and measures it for so many seconds, after so many ms to settle. */
-    public Figures measure(int seconds, long settleMs) throws Exception {
-        long lookupTimer = asking(point.of(ScaleSize.LOOKUPS));
-        Fleet.until("the configuration has an owner", 30_000, () -> !owner().isEmpty());
-        String owner = owner();
-        Fleet.pause(settleMs);
-        lookups.reset();
-        Histogram acks = new Histogram(LONGEST, 3);
-        Map<String, ProcessMeter.Reading> before = readings(owner);
-        Traffic.Count first = traffic.count();
-        long asked = replicas.asked.sum(), begin = System.nanoTime(), end = begin + seconds * 1_000_000_000L;
-        double gap = 60e9 / point.of(ScaleSize.CHANGES);
-        int changes = 0;
-        again = 0;
-        for (long due = begin + (long) gap; due + 1_000_000_000L / 2 < end; due += (long) gap) {
-            Fleet.pause(Math.max(0, (due - System.nanoTime()) / 1_000_000));
-            long t = System.nanoTime();
-            if (t > end) break;
-            if (!changed(owner)) continue;
-            acks.recordValue((System.nanoTime() - t) / 1000);
-            changes++;
-        }
-        Fleet.pause(Math.max(0, (end - System.nanoTime()) / 1_000_000));
-        double took = (System.nanoTime() - begin) / 1e9;
-        Map<String, ProcessMeter.Reading> after = readings(owner);
-        Traffic.Count during = traffic.count().since(first);
-        double asks = (replicas.asked.sum() - asked) / took;
-        vertx.cancelTimer(lookupTimer);
-        Fleet.pause(500);
-        long pushes = traffic.count().since(first).messages().get(Traffic.Kind.POLICY);
-        Map<String, Map<String, Double>> roles = new LinkedHashMap<>();
-        for (String r : ScalePlan.ROLES) roles.put(r, figures(r, before, after, took));
-        roles.get("hollow").put("replica requests/s", asks);
-        roles.get("hollow").put("changes sent again", (double) again);
-        return new Figures(point, took, roles, during, pushes, changes, acks, lookups.copy());
+  /** Loads and measures it for so many seconds, after so many ms to settle. */
+  public Figures measure(int seconds, long settleMs) throws Exception {
+    long lookupTimer = asking(point.of(ScaleSize.LOOKUPS));
+    Fleet.until("the configuration has an owner", 30_000, () -> !owner().isEmpty());
+    String owner = owner();
+    Fleet.pause(settleMs);
+    lookups.reset();
+    Histogram acks = new Histogram(LONGEST, 3);
+    Map<String, ProcessMeter.Reading> before = readings(owner);
+    Traffic.Count first = traffic.count();
+    long asked = replicas.asked.sum(),
+        begin = System.nanoTime(),
+        end = begin + seconds * 1_000_000_000L;
+    double gap = 60e9 / point.of(ScaleSize.CHANGES);
+    int changes = 0;
+    again = 0;
+    for (long due = begin + (long) gap; due + 1_000_000_000L / 2 < end; due += (long) gap) {
+      Fleet.pause(Math.max(0, (due - System.nanoTime()) / 1_000_000));
+      long t = System.nanoTime();
+      if (t > end) break;
+      if (!changed(owner)) continue;
+      acks.recordValue((System.nanoTime() - t) / 1000);
+      changes++;
     }
+    Fleet.pause(Math.max(0, (end - System.nanoTime()) / 1_000_000));
+    double took = (System.nanoTime() - begin) / 1e9;
+    Map<String, ProcessMeter.Reading> after = readings(owner);
+    Traffic.Count during = traffic.count().since(first);
+    double asks = (replicas.asked.sum() - asked) / took;
+    vertx.cancelTimer(lookupTimer);
+    Fleet.pause(500);
+    long pushes = traffic.count().since(first).messages().get(Traffic.Kind.POLICY);
+    Map<String, Map<String, Double>> roles = new LinkedHashMap<>();
+    for (String r : ScalePlan.ROLES) roles.put(r, figures(r, before, after, took));
+    roles.get("hollow").put("replica requests/s", asks);
+    roles.get("hollow").put("changes sent again", (double) again);
+    return new Figures(point, took, roles, during, pushes, changes, acks, lookups.copy());
+  }
 
-    private long asking(double perSecond) {
-        double[] owes = {0};
-        long[] last = {System.nanoTime()};
-        int[] turn = {0};
-        return vertx.setPeriodic(10, i -> {
-            long t = System.nanoTime();
-            owes[0] = Math.min(1000, owes[0] + perSecond * (t - last[0]) / 1e9);
-            last[0] = t;
-            for (; owes[0] >= 1; owes[0]--) {
-                int n = turn[0]++;
-                nodes.get(n % nodes.size()).lookup(replicas.chain(n, CHAIN_SHARED, CHAIN_OWN));
-            }
+  private long asking(double perSecond) {
+    double[] owes = {0};
+    long[] last = {System.nanoTime()};
+    int[] turn = {0};
+    return vertx.setPeriodic(
+        10,
+        i -> {
+          long t = System.nanoTime();
+          owes[0] = Math.min(1000, owes[0] + perSecond * (t - last[0]) / 1e9);
+          last[0] = t;
+          for (; owes[0] >= 1; owes[0]--) {
+            int n = turn[0]++;
+            nodes.get(n % nodes.size()).lookup(replicas.chain(n, CHAIN_SHARED, CHAIN_OWN));
+          }
         });
-    }
+  }
 
-    /** By role and process. */
-    private Map<String, ProcessMeter.Reading> readings(String owner) throws IOException {
-        Map<String, ProcessMeter.Reading> m = new TreeMap<>();
-        for (Map.Entry<String, Child> e : children.entrySet()) {
-            String role = e.getKey().equals(owner)
-                ? "core-owner"
-                : e.getKey().startsWith("control") ? "core-other" : e.getKey().replace("-1", "");
-            m.put(role + " " + e.getKey(), ProcessMeter.read(e.getValue().pid()));
-        }
-        m.put("hollow self", ProcessMeter.read(ProcessHandle.current().pid()));
-        return m;
+  /** By role and process. */
+  private Map<String, ProcessMeter.Reading> readings(String owner) throws IOException {
+    Map<String, ProcessMeter.Reading> m = new TreeMap<>();
+    for (Map.Entry<String, Child> e : children.entrySet()) {
+      String role =
+          e.getKey().equals(owner)
+              ? "core-owner"
+              : e.getKey().startsWith("control") ? "core-other" : e.getKey().replace("-1", "");
+      m.put(role + " " + e.getKey(), ProcessMeter.read(e.getValue().pid()));
     }
+    m.put("hollow self", ProcessMeter.read(ProcessHandle.current().pid()));
+    return m;
+  }
 
-    /** The mean over the role's processes; peak memory is the largest. */
-    private static Map<String, Double> figures(String role, Map<String, ProcessMeter.Reading> before,
-        Map<String, ProcessMeter.Reading> after, double seconds) {
-        double cpu = 0, in = 0, out = 0, disk = 0, peak = 0;
-        int n = 0;
-        for (Map.Entry<String, ProcessMeter.Reading> e : after.entrySet()) {
-            if (!e.getKey().startsWith(role + " ")) continue;
-            ProcessMeter.Reading a = before.get(e.getKey()), b = e.getValue();
-            n++;
-            cpu += b.cpu() - a.cpu();
-            in += b.in() - a.in();
-            out += b.out() - a.out();
-            disk += b.disk() - a.disk();
-            peak = Math.max(peak, b.peakKb() / 1024.0);
-        }
-        Map<String, Double> m = new LinkedHashMap<>();
-        if (n == 0) return m;
-        m.put("cpu", cpu / n / seconds);
-        m.put("peak MB", peak);
-        m.put("in KB/s", in / n / seconds / 1024);
-        m.put("out KB/s", out / n / seconds / 1024);
-        m.put("disk KB/s", disk / n / seconds / 1024);
-        return m;
+  /** The mean over the role's processes; peak memory is the largest. */
+  private static Map<String, Double> figures(
+      String role,
+      Map<String, ProcessMeter.Reading> before,
+      Map<String, ProcessMeter.Reading> after,
+      double seconds) {
+    double cpu = 0, in = 0, out = 0, disk = 0, peak = 0;
+    int n = 0;
+    for (Map.Entry<String, ProcessMeter.Reading> e : after.entrySet()) {
+      if (!e.getKey().startsWith(role + " ")) continue;
+      ProcessMeter.Reading a = before.get(e.getKey()), b = e.getValue();
+      n++;
+      cpu += b.cpu() - a.cpu();
+      in += b.in() - a.in();
+      out += b.out() - a.out();
+      disk += b.disk() - a.disk();
+      peak = Math.max(peak, b.peakKb() / 1024.0);
     }
+    Map<String, Double> m = new LinkedHashMap<>();
+    if (n == 0) return m;
+    m.put("cpu", cpu / n / seconds);
+    m.put("peak MB", peak);
+    m.put("in KB/s", in / n / seconds / 1024);
+    m.put("out KB/s", out / n / seconds / 1024);
+    m.put("disk KB/s", disk / n / seconds / 1024);
+    return m;
+  }
 
-    @Override public void close() {
-        for (Child c : children.values()) c.kill();
-        nodes.forEach(HollowNode::stop);
-        if (replicas != null) replicas.stop();
-        vertx.getDelegate().close().toCompletionStage().toCompletableFuture().join();
-    }
+  @Override
+  public void close() {
+    for (Child c : children.values()) c.kill();
+    nodes.forEach(HollowNode::stop);
+    if (replicas != null) replicas.stop();
+    vertx.getDelegate().close().toCompletionStage().toCompletableFuture().join();
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleRun.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleRun.java
@@ -17,142 +17,200 @@
 import org.HdrHistogram.Histogram;
 
 public final class ScaleRun {
-    private final ScalePlan plan;
-    private final Path out;
-    private final Consumer<String> say;
-    private ScaleFleet.Figures base;
+  private final ScalePlan plan;
+  private final Path out;
+  private final Consumer<String> say;
+  private ScaleFleet.Figures base;
 
-    /** out: the folder that everything is written to; say: where lines of the table go. */
-    public ScaleRun(ScalePlan plan, Path out, Consumer<String> say) {
-        this.plan = plan;
-        this.out = out;
-        this.say = say;
-    }
+  /** out: the folder that everything is written to; say: where lines of the table go. */
+  public ScaleRun(ScalePlan plan, Path out, Consumer<String> say) {
+    this.plan = plan;
+    this.out = out;
+    this.say = say;
+  }
 
-    /** Runs all points and reports; by size, the figures of its points in order. */
-    public Map<ScaleSize, List<ScaleFleet.Figures>> run() throws Exception {
-        Files.createDirectories(out);
-        Map<ScaleSize, List<ScaleFleet.Figures>> all = new LinkedHashMap<>();
-        List<String> table = new ArrayList<>(List.of("size,value,role,metric,figure")),
-            slopes = new ArrayList<>(List.of("size,role,metric,slope,error,intercept,r2,from,to"));
-        for (Map.Entry<ScaleSize, List<Long>> e : plan.points().entrySet()) {
-            List<ScaleFleet.Figures> l = new ArrayList<>();
-            points(e.getKey(), e.getValue(), f -> {
-                long v = f.point().of(e.getKey());
-                l.add(f);
-                flat(f).forEach((k, x) -> table.add(row(e.getKey().text() + "," + v + "," + k, x)));
-                say.accept(line(e.getKey(), v, f));
-                Files.write(out.resolve("points.csv"), table);
-            });
-            all.put(e.getKey(), l);
-            slopes(e.getKey(), l, slopes);
-            Files.write(out.resolve("slopes.csv"), slopes);
-        }
-        say.accept("written to " + out);
-        return all;
+  /** Runs all points and reports; by size, the figures of its points in order. */
+  public Map<ScaleSize, List<ScaleFleet.Figures>> run() throws Exception {
+    Files.createDirectories(out);
+    Map<ScaleSize, List<ScaleFleet.Figures>> all = new LinkedHashMap<>();
+    List<String> table = new ArrayList<>(List.of("size,value,role,metric,figure")),
+        slopes = new ArrayList<>(List.of("size,role,metric,slope,error,intercept,r2,from,to"));
+    for (Map.Entry<ScaleSize, List<Long>> e : plan.points().entrySet()) {
+      List<ScaleFleet.Figures> l = new ArrayList<>();
+      points(
+          e.getKey(),
+          e.getValue(),
+          f -> {
+            long v = f.point().of(e.getKey());
+            l.add(f);
+            flat(f).forEach((k, x) -> table.add(row(e.getKey().text() + "," + v + "," + k, x)));
+            say.accept(line(e.getKey(), v, f));
+            Files.write(out.resolve("points.csv"), table);
+          });
+      all.put(e.getKey(), l);
+      slopes(e.getKey(), l, slopes);
+      Files.write(out.resolve("slopes.csv"), slopes);
     }
+    say.accept("written to " + out);
+    return all;
+  }
 
-    private interface Each {
-        void got(ScaleFleet.Figures f) throws IOException;
-    }
+  private interface Each {
+    void got(ScaleFleet.Figures f) throws IOException;
+  }
 
-    /** A size that can grow keeps its fleet from its second point on; others have a fresh one each. */
-    private void points(ScaleSize s, List<Long> values, Each each) throws Exception {
-        ScaleFleet fleet = null;
-        try {
-            for (long v : values) {
-                if (v == s.base() && base != null) {
-                    each.got(base);
-                    continue;
-                }
-                if (fleet != null && s.grows()) fleet.grow(s, v);
-                else {
-                    if (fleet != null) fleet.close();
-                    fleet = new ScaleFleet(ScalePoint.base().with(s, v), out.resolve(s.text() + "-" + v),
-                        plan.seed());
-                    fleet.start();
-                }
-                ScaleFleet.Figures f = fleet.measure(plan.seconds(), plan.settleMs());
-                if (v == s.base()) base = f;
-                each.got(f);
-            }
-        } finally {
-            if (fleet != null) fleet.close();
+  /**
+   * A size that can grow keeps its fleet from its second point on; others have a fresh one each.
+   */
+  private void points(ScaleSize s, List<Long> values, Each each) throws Exception {
+    ScaleFleet fleet = null;
+    try {
+      for (long v : values) {
+        if (v == s.base() && base != null) {
+          each.got(base);
+          continue;
         }
-    }
-
-    /** All figures of a point by role and metric. */
-    private Map<String, Double> flat(ScaleFleet.Figures f) {
-        Map<String, Double> m = new LinkedHashMap<>();
-        f.roles().forEach((r, x) -> {
-            if (plan.roles().contains(r)) x.forEach((k, v) -> m.put(r + "," + k, v));
-        });
-        for (Traffic.Kind k : Traffic.Kind.values()) {
-            m.put("node," + k + "/s", f.rate(k));
-            m.put("node," + k + " B/s", f.bytes(k));
+        if (fleet != null && s.grows()) fleet.grow(s, v);
+        else {
+          if (fleet != null) fleet.close();
+          fleet =
+              new ScaleFleet(
+                  ScalePoint.base().with(s, v), out.resolve(s.text() + "-" + v), plan.seed());
+          fleet.start();
         }
-        m.put("node,control B/s", f.bytes(Traffic.Kind.ASK, Traffic.Kind.GRANTS, Traffic.Kind.POLICY,
-            Traffic.Kind.PUSH, Traffic.Kind.ALLOT, Traffic.Kind.SHUFFLE));
-        m.put("node,pushes a change", f.changes() == 0
-            ? 0
-            : (double) f.pushes() / f.changes() / f.point().of(ScaleSize.NODES));
-        put(m, "acknowledgement", f.acks());
-        put(m, "lookup", f.lookups());
-        return m;
+        ScaleFleet.Figures f = fleet.measure(plan.seconds(), plan.settleMs());
+        if (v == s.base()) base = f;
+        each.got(f);
+      }
+    } finally {
+      if (fleet != null) fleet.close();
     }
+  }
 
-    private static void put(Map<String, Double> m, String what, Histogram h) {
-        m.put(what + ",count", (double) h.getTotalCount());
-        for (double q : new double[]{50, 95, 99}) m.put(what + ",p" + (int) q + " ms", h.getValueAtPercentile(q)
-            / 1000.0);
-        m.put(what + ",longest ms", h.getMaxValue() / 1000.0);
+  /** All figures of a point by role and metric. */
+  private Map<String, Double> flat(ScaleFleet.Figures f) {
+    Map<String, Double> m = new LinkedHashMap<>();
+    f.roles()
+        .forEach(
+            (r, x) -> {
+              if (plan.roles().contains(r)) x.forEach((k, v) -> m.put(r + "," + k, v));
+            });
+    for (Traffic.Kind k : Traffic.Kind.values()) {
+      m.put("node," + k + "/s", f.rate(k));
+      m.put("node," + k + " B/s", f.bytes(k));
     }
+    m.put(
+        "node,control B/s",
+        f.bytes(
+            Traffic.Kind.ASK,
+            Traffic.Kind.GRANTS,
+            Traffic.Kind.POLICY,
+            Traffic.Kind.PUSH,
+            Traffic.Kind.ALLOT,
+            Traffic.Kind.SHUFFLE));
+    m.put(
+        "node,pushes a change",
+        f.changes() == 0 ? 0 : (double) f.pushes() / f.changes() / f.point().of(ScaleSize.NODES));
+    put(m, "acknowledgement", f.acks());
+    put(m, "lookup", f.lookups());
+    return m;
+  }
 
-    private String line(ScaleSize s, long v, ScaleFleet.Figures f) {
-        StringBuilder sb = new StringBuilder(String.format(Locale.ROOT, "%-9s %7d |", s.text(), v));
-        f.roles().forEach((r, x) -> {
-            if (plan.roles().contains(r) && !x.isEmpty())
-                sb.append(String.format(Locale.ROOT, " %s %.3f cores %.0f MB %.0f/%.0f KB/s |", r, x.get("cpu"),
-                    x.get("peak MB"), x.get("in KB/s"), x.get("out KB/s")));
-        });
-        return sb.append(String.format(Locale.ROOT,
-            " node %.1f records/s %.0f B/s, %d pushes of %d changes | ack p50 %.1f p95 %.1f ms | lookup p50 %.2f p95 "
-                + "%.2f ms",
-            perNode(f), flat(f).get("node,control B/s"), f.pushes(), f.changes(),
-            f.acks().getValueAtPercentile(50) / 1000.0, f.acks().getValueAtPercentile(95) / 1000.0,
-            f.lookups().getValueAtPercentile(50) / 1000.0, f.lookups().getValueAtPercentile(95) / 1000.0)).toString();
-    }
+  private static void put(Map<String, Double> m, String what, Histogram h) {
+    m.put(what + ",count", (double) h.getTotalCount());
+    for (double q : new double[] {50, 95, 99})
+      m.put(what + ",p" + (int) q + " ms", h.getValueAtPercentile(q) / 1000.0);
+    m.put(what + ",longest ms", h.getMaxValue() / 1000.0);
+  }
 
-    /** Records of the control protocols a second that a node sends and receives, questions to the index left out. */
-    public static double perNode(ScaleFleet.Figures f) {
-        double n = 0;
-        for (Traffic.Kind k : Traffic.Kind.values())
-            if (k != Traffic.Kind.QUESTION && k != Traffic.Kind.ANSWER) n += f.rate(k);
-        return n;
-    }
+  private String line(ScaleSize s, long v, ScaleFleet.Figures f) {
+    StringBuilder sb = new StringBuilder(String.format(Locale.ROOT, "%-9s %7d |", s.text(), v));
+    f.roles()
+        .forEach(
+            (r, x) -> {
+              if (plan.roles().contains(r) && !x.isEmpty())
+                sb.append(
+                    String.format(
+                        Locale.ROOT,
+                        " %s %.3f cores %.0f MB %.0f/%.0f KB/s |",
+                        r,
+                        x.get("cpu"),
+                        x.get("peak MB"),
+                        x.get("in KB/s"),
+                        x.get("out KB/s")));
+            });
+    return sb.append(
+            String.format(
+                Locale.ROOT,
+                " node %.1f records/s %.0f B/s, %d pushes of %d changes | ack p50 %.1f p95 %.1f ms"
+                    + " | lookup p50 %.2f p95 "
+                    + "%.2f ms",
+                perNode(f),
+                flat(f).get("node,control B/s"),
+                f.pushes(),
+                f.changes(),
+                f.acks().getValueAtPercentile(50) / 1000.0,
+                f.acks().getValueAtPercentile(95) / 1000.0,
+                f.lookups().getValueAtPercentile(50) / 1000.0,
+                f.lookups().getValueAtPercentile(95) / 1000.0))
+        .toString();
+  }
 
-    private void slopes(ScaleSize s, List<ScaleFleet.Figures> l, List<String> csv) throws IOException {
-        Map<String, List<double[]>> by = new LinkedHashMap<>();
-        for (ScaleFleet.Figures f : l)
-            flat(f).forEach((k, v) -> by.computeIfAbsent(k, x -> new ArrayList<>())
-                .add(new double[]{f.point().of(s), v}));
-        Map<String, List<double[]>> cpu = new LinkedHashMap<>(), peak = new LinkedHashMap<>();
-        by.forEach((k, ps) -> {
-            if (ps.size() < 2) return;
-            Slope x = Slope.of(ps);
-            csv.add(String.format(Locale.ROOT, "%s,%s,%.6g,%.3g,%.6g,%.4f,%d,%d", s.text(), k, x.slope(), x.error(),
-                x.intercept(), x.r2(), (long) ps.get(0)[0], (long) ps.get(ps.size() - 1)[0]));
-            if (k.endsWith(",cpu")) cpu.put(k, ps);
-            if (k.endsWith(",peak MB")) peak.put(k, ps);
-            if (k.endsWith(",cpu") || k.endsWith(",peak MB"))
-                say.accept(String.format(Locale.ROOT, "  %-24s %.4g each (± %.2g), %.4g at none, r² %.3f",
-                    k.replace(',', ' '), x.slope(), x.error(), x.intercept(), x.r2()));
+  /**
+   * Records of the control protocols a second that a node sends and receives, questions to the
+   * index left out.
+   */
+  public static double perNode(ScaleFleet.Figures f) {
+    double n = 0;
+    for (Traffic.Kind k : Traffic.Kind.values())
+      if (k != Traffic.Kind.QUESTION && k != Traffic.Kind.ANSWER) n += f.rate(k);
+    return n;
+  }
+
+  private void slopes(ScaleSize s, List<ScaleFleet.Figures> l, List<String> csv)
+      throws IOException {
+    Map<String, List<double[]>> by = new LinkedHashMap<>();
+    for (ScaleFleet.Figures f : l)
+      flat(f)
+          .forEach(
+              (k, v) ->
+                  by.computeIfAbsent(k, x -> new ArrayList<>())
+                      .add(new double[] {f.point().of(s), v}));
+    Map<String, List<double[]>> cpu = new LinkedHashMap<>(), peak = new LinkedHashMap<>();
+    by.forEach(
+        (k, ps) -> {
+          if (ps.size() < 2) return;
+          Slope x = Slope.of(ps);
+          csv.add(
+              String.format(
+                  Locale.ROOT,
+                  "%s,%s,%.6g,%.3g,%.6g,%.4f,%d,%d",
+                  s.text(),
+                  k,
+                  x.slope(),
+                  x.error(),
+                  x.intercept(),
+                  x.r2(),
+                  (long) ps.get(0)[0],
+                  (long) ps.get(ps.size() - 1)[0]));
+          if (k.endsWith(",cpu")) cpu.put(k, ps);
+          if (k.endsWith(",peak MB")) peak.put(k, ps);
+          if (k.endsWith(",cpu") || k.endsWith(",peak MB"))
+            say.accept(
+                String.format(
+                    Locale.ROOT,
+                    "  %-24s %.4g each (± %.2g), %.4g at none, r² %.3f",
+                    k.replace(',', ' '),
+                    x.slope(),
+                    x.error(),
+                    x.intercept(),
+                    x.r2()));
         });
-        ScaleChart.write(out.resolve(s.text() + "-cpu.svg"), "cores by " + s.text(), cpu);
-        ScaleChart.write(out.resolve(s.text() + "-memory.svg"), "peak MB by " + s.text(), peak);
-    }
+    ScaleChart.write(out.resolve(s.text() + "-cpu.svg"), "cores by " + s.text(), cpu);
+    ScaleChart.write(out.resolve(s.text() + "-memory.svg"), "peak MB by " + s.text(), peak);
+  }
 
-    private static String row(String head, double v) {
-        return String.format(Locale.ROOT, "%s,%.6g", head, v);
-    }
+  private static String row(String head, double v) {
+    return String.format(Locale.ROOT, "%s,%.6g", head, v);
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
@@ -49,630 +49,780 @@
 import java.util.function.Consumer;
 
 public final class RequestSim extends Sim {
-    /** Where a request is: asking the index, opening a connection, on the wire to its replica, between pieces. */
-    enum Point {
-        LOOKUP, OPEN, HANDED, STREAM
-    }
-
-    /** What may happen there. */
-    enum Happening {
-        CONFIGURATION_MOVES, KEY_REVOKED, WALL_RAISED, REPLICA_LEAVES, WEIGHTS_NAMED, OWNER_DIES, REPLICA_CRASHES,
-        REPLICA_VANISHES, RELAY_CUT_FROM_CORE, ADDRESS_REUSED
-    }
-
-    static final Promises.Graces STRICT = new Promises.Graces(0, 0, 15_400, 0, 0);
-    private static final String[] TENANTS = {"one", "two", "walled"};
-    private static final int CUTOFF = 15_000;
-
-    final Ledger ledger = new Ledger();
-    final Promises promises = new Promises();
-    final Map<String, SimReplica> replicas = new LinkedHashMap<>();
-    final Map<String, SimReplica> byAddress = new HashMap<>();
-    final Map<String, RequestRelay> fronts = new LinkedHashMap<>();
-    private final Map<String, String> listed = new LinkedHashMap<>();
-    private final Map<String, Steering> steering = new HashMap<>();
-    private final Map<String, Configuration> divided = new HashMap<>();
-    private boolean platformSilent;
-    /** Rules switched off, to see that what they prevent is found: the check of connections, and who may command. */
-    boolean unchecked;
-    boolean anybodyCommands;
-    // what the operator means at present
-    private String application = "app";
-    private String again = "m";
-    private final Set<String> revoked = new HashSet<>();
-    private final Set<String> walls = new HashSet<>(Set.of("walled"));
-    private boolean narrow;
-    private int weights;
-    private int marker;
-    // the window that is to be held open
-    Happening happening;
-    Point point;
-    private String heldRequest;
-    private long armedAt = Long.MAX_VALUE;
-    long met = -1;
-    // the index, a data-plane process of its own
-    private final FleetSummary summary = new FleetSummary(16);
-    private final HeldNews indexNews;
-    double loseEvents;
-    double delayEvents;
-    private int sent;
-    double perSecond = 40;
-
-    RequestSim(long seed) {
-        super(seed, 0);
-        for (int i = 1; i <= 3; i++) fronts.put("r" + i, new RequestRelay(this, "r" + i));
-        replica("m", "m1", "10.1.0.1", true);
-        replica("m", "m2", "10.1.0.2", true);
-        replica("m", "m3", "10.1.0.3", true);
-        replica("m", "m9", "10.1.9.9", true);
-        replica("n", "n1", "10.1.0.4", true);
-        replica("app", "a1", "10.1.0.5", false);
-        replica("app-two", "b1", "10.1.0.6", false);
-        indexNews = new HeldNews(this::now,
+  /**
+   * Where a request is: asking the index, opening a connection, on the wire to its replica, between
+   * pieces.
+   */
+  enum Point {
+    LOOKUP,
+    OPEN,
+    HANDED,
+    STREAM
+  }
+
+  /** What may happen there. */
+  enum Happening {
+    CONFIGURATION_MOVES,
+    KEY_REVOKED,
+    WALL_RAISED,
+    REPLICA_LEAVES,
+    WEIGHTS_NAMED,
+    OWNER_DIES,
+    REPLICA_CRASHES,
+    REPLICA_VANISHES,
+    RELAY_CUT_FROM_CORE,
+    ADDRESS_REUSED
+  }
+
+  static final Promises.Graces STRICT = new Promises.Graces(0, 0, 15_400, 0, 0);
+  private static final String[] TENANTS = {"one", "two", "walled"};
+  private static final int CUTOFF = 15_000;
+
+  final Ledger ledger = new Ledger();
+  final Promises promises = new Promises();
+  final Map<String, SimReplica> replicas = new LinkedHashMap<>();
+  final Map<String, SimReplica> byAddress = new HashMap<>();
+  final Map<String, RequestRelay> fronts = new LinkedHashMap<>();
+  private final Map<String, String> listed = new LinkedHashMap<>();
+  private final Map<String, Steering> steering = new HashMap<>();
+  private final Map<String, Configuration> divided = new HashMap<>();
+  private boolean platformSilent;
+
+  /**
+   * Rules switched off, to see that what they prevent is found: the check of connections, and who
+   * may command.
+   */
+  boolean unchecked;
+
+  boolean anybodyCommands;
+  // what the operator means at present
+  private String application = "app";
+  private String again = "m";
+  private final Set<String> revoked = new HashSet<>();
+  private final Set<String> walls = new HashSet<>(Set.of("walled"));
+  private boolean narrow;
+  private int weights;
+  private int marker;
+  // the window that is to be held open
+  Happening happening;
+  Point point;
+  private String heldRequest;
+  private long armedAt = Long.MAX_VALUE;
+  long met = -1;
+  // the index, a data-plane process of its own
+  private final FleetSummary summary = new FleetSummary(16);
+  private final HeldNews indexNews;
+  double loseEvents;
+  double delayEvents;
+  private int sent;
+  double perSecond = 40;
+
+  RequestSim(long seed) {
+    super(seed, 0);
+    for (int i = 1; i <= 3; i++) fronts.put("r" + i, new RequestRelay(this, "r" + i));
+    replica("m", "m1", "10.1.0.1", true);
+    replica("m", "m2", "10.1.0.2", true);
+    replica("m", "m3", "10.1.0.3", true);
+    replica("m", "m9", "10.1.9.9", true);
+    replica("n", "n1", "10.1.0.4", true);
+    replica("app", "a1", "10.1.0.5", false);
+    replica("app-two", "b1", "10.1.0.6", false);
+    indexNews =
+        new HeldNews(
+            this::now,
             new Shuffle.Descriptor("index", "index", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
-            1, t -> summary.holders(t, now()));
-        for (RequestRelay r : fronts.values()) r.start();
-        after(100, this::index);
-        run(2500);
-        operator(Keys.CONFIGURATION, configuration(), x -> {});
-        run(500);
-        nameWeights();
-        run(1500);
-        for (String k : new String[]{"ask", "again", "stop"}) callers(k);
-    }
-
-    private SimReplica replica(String service, String name, String host, boolean model) {
-        SimReplica r = new SimReplica(this, service, name, new Address(host, 9), model, model ? "w0" : "");
-        replicas.put(name, r);
-        byAddress.put(r.address.toString(), r);
-        list(name, "ready");
-        return r;
-    }
-
-    SimReplica at(String address) {
-        return byAddress.get(address);
-    }
-
-    // ---- platform
-
-    /** The platform's word is learned when its next answer is given; here, strictly, when the core acknowledges it. */
-    void list(String instance, String state) {
-        if (state.isEmpty()) listed.remove(instance);
-        else listed.put(instance, state);
-    }
-
-    private String platform() {
-        JsonArray a = new JsonArray();
-        listed.forEach((n, s) -> {
-            SimReplica r = replicas.get(n);
-            a.add(Json.object().add("service", r.service).add("instance", n).add("address", r.address.toString())
-                .add("domain", "z").add("state", s));
+            1,
+            t -> summary.holders(t, now()));
+    for (RequestRelay r : fronts.values()) r.start();
+    after(100, this::index);
+    run(2500);
+    operator(Keys.CONFIGURATION, configuration(), x -> {});
+    run(500);
+    nameWeights();
+    run(1500);
+    for (String k : new String[] {"ask", "again", "stop"}) callers(k);
+  }
+
+  private SimReplica replica(String service, String name, String host, boolean model) {
+    SimReplica r =
+        new SimReplica(this, service, name, new Address(host, 9), model, model ? "w0" : "");
+    replicas.put(name, r);
+    byAddress.put(r.address.toString(), r);
+    list(name, "ready");
+    return r;
+  }
+
+  SimReplica at(String address) {
+    return byAddress.get(address);
+  }
+
+  // ---- platform
+
+  /**
+   * The platform's word is learned when its next answer is given; here, strictly, when the core
+   * acknowledges it.
+   */
+  void list(String instance, String state) {
+    if (state.isEmpty()) listed.remove(instance);
+    else listed.put(instance, state);
+  }
+
+  private String platform() {
+    JsonArray a = new JsonArray();
+    listed.forEach(
+        (n, s) -> {
+          SimReplica r = replicas.get(n);
+          a.add(
+              Json.object()
+                  .add("service", r.service)
+                  .add("instance", n)
+                  .add("address", r.address.toString())
+                  .add("domain", "z")
+                  .add("state", s));
         });
-        return Json.object().add("replicas", a).toString();
-    }
-
-    @Override void duty(SimControl c) {
-        if (c.node == null || !c.node.settled()) return;
-        if (c.node.owns(Keys.REPLICAS) && !platformSilent) {
-            Map<String, String> told = new LinkedHashMap<>(listed);
-            if (Replicas.parse(platform()) instanceof Result.Good<Replicas> g) {
-                byte[] now = g.value().json().getBytes(StandardCharsets.UTF_8);
-                var kept = c.node.kept(Keys.REPLICAS);
-                if (kept.getKey() == 0 || !Arrays.equals(kept.getValue(), now)) {
-                    long at = now();
-                    List<Promises.Told> ts = new ArrayList<>();
-                    for (String r : replicas.keySet())
-                        ts.add(promises.sent("replica " + r, told.getOrDefault(r, "gone"), at));
-                    c.node.change(Keys.REPLICAS, kept.getKey(), now, x -> answered(ts, x));
-                }
-            }
-        }
-        Steering s = steering.computeIfAbsent(c.name, n -> new Steering(CUTOFF));
-        s.view(new Steering.Kept(c.node.kept(Keys.REPLICAS).getValue(), c.node.kept(Keys.WEIGHTS).getValue(),
-            c.node.kept(Keys.CONFIGURATION).getValue(), c.node.knownAge(Keys.WEIGHTS)));
-        for (Replicas.Replica r : s.steerable()) {
-            String key = Keys.COMMANDER + r.instance();
-            c.node.know(key);
-            SimReplica x = at(r.address().toString());
-            if (x == null || !x.answers() || !x.instance.equals(r.instance())) continue;
-            int l = c.life;
-            carry(x.instance, c.name, () -> c.run(() -> {
-                if (l != c.life) return;
-                s.said(r, r.service(), x.runs(), x.isLoading(), now());
-                Steering.Wish want = s.wanted(r, now());
-                if (want == null || !anybodyCommands && !c.node.mayCommand(key)) return;
-                s.told(r, want, now());
-                long e = c.node.epochOf(key);
-                carry(c.name, x.instance, () -> x.steer(c.name, e, want.weights()));
-                say(c.name, "steers " + x.instance + " to " + want.weights() + " under " + e);
-            }));
+    return Json.object().add("replicas", a).toString();
+  }
+
+  @Override
+  void duty(SimControl c) {
+    if (c.node == null || !c.node.settled()) return;
+    if (c.node.owns(Keys.REPLICAS) && !platformSilent) {
+      Map<String, String> told = new LinkedHashMap<>(listed);
+      if (Replicas.parse(platform()) instanceof Result.Good<Replicas> g) {
+        byte[] now = g.value().json().getBytes(StandardCharsets.UTF_8);
+        var kept = c.node.kept(Keys.REPLICAS);
+        if (kept.getKey() == 0 || !Arrays.equals(kept.getValue(), now)) {
+          long at = now();
+          List<Promises.Told> ts = new ArrayList<>();
+          for (String r : replicas.keySet())
+            ts.add(promises.sent("replica " + r, told.getOrDefault(r, "gone"), at));
+          c.node.change(Keys.REPLICAS, kept.getKey(), now, x -> answered(ts, x));
         }
-    }
-
-    @Override CoreNode.Duties duties() {
-        return new CoreNode.Duties() {
-            @Override public Map<String, List<News.Allot>> divide(long epoch, List<CoreNode.Seen> rs,
-                byte[] configuration) {
-                return Division.divide(epoch, rs,
-                    divided.computeIfAbsent(new String(configuration, StandardCharsets.UTF_8),
-                        s -> Configuration.parse(s) instanceof Result.Good<Configuration> g
-                            ? g.value()
-                            : Configuration.EMPTY));
-            }
-        };
-    }
-
-    // ---- operators
-
-    String configuration() {
-        JsonArray ts = new JsonArray();
-        for (String t : TENANTS) {
-            JsonArray ks = new JsonArray();
-            if (!revoked.contains(t)) ks.add("sha256:" + Configuration.hashOf("key-of-" + t));
-            ts.add(Json.object().add("name", t).add("keys", ks).add("weight", t.length()).add("isolated",
-                walls.contains(t)));
-        }
-        JsonArray ss = new JsonArray();
-        for (String s : new String[]{"m", "n"})
-            ss.add(Json.object().add("name", s).add("allow", Json.array(narrow ? "10.1.0.0/24" : "10.1.0.0/16")));
-        for (String s : new String[]{"app", "app-two"})
-            ss.add(Json.object().add("name", s).add("kind", "application").add("allow", Json.array("10.1.0.0/24")));
-        JsonArray ms = new JsonArray();
-        ms.add(Json.object().add("name", "ask").add("path", "/ask").add("service", "m").add("expiryMs", 3000));
-        ms.add(Json.object().add("name", "again").add("path", "/again").add("service", again).add("expiryMs", 3000)
+      }
+    }
+    Steering s = steering.computeIfAbsent(c.name, n -> new Steering(CUTOFF));
+    s.view(
+        new Steering.Kept(
+            c.node.kept(Keys.REPLICAS).getValue(),
+            c.node.kept(Keys.WEIGHTS).getValue(),
+            c.node.kept(Keys.CONFIGURATION).getValue(),
+            c.node.knownAge(Keys.WEIGHTS)));
+    for (Replicas.Replica r : s.steerable()) {
+      String key = Keys.COMMANDER + r.instance();
+      c.node.know(key);
+      SimReplica x = at(r.address().toString());
+      if (x == null || !x.answers() || !x.instance.equals(r.instance())) continue;
+      int l = c.life;
+      carry(
+          x.instance,
+          c.name,
+          () ->
+              c.run(
+                  () -> {
+                    if (l != c.life) return;
+                    s.said(r, r.service(), x.runs(), x.isLoading(), now());
+                    Steering.Wish want = s.wanted(r, now());
+                    if (want == null || !anybodyCommands && !c.node.mayCommand(key)) return;
+                    s.told(r, want, now());
+                    long e = c.node.epochOf(key);
+                    carry(c.name, x.instance, () -> x.steer(c.name, e, want.weights()));
+                    say(c.name, "steers " + x.instance + " to " + want.weights() + " under " + e);
+                  }));
+    }
+  }
+
+  @Override
+  CoreNode.Duties duties() {
+    return new CoreNode.Duties() {
+      @Override
+      public Map<String, List<News.Allot>> divide(
+          long epoch, List<CoreNode.Seen> rs, byte[] configuration) {
+        return Division.divide(
+            epoch,
+            rs,
+            divided.computeIfAbsent(
+                new String(configuration, StandardCharsets.UTF_8),
+                s ->
+                    Configuration.parse(s) instanceof Result.Good<Configuration> g
+                        ? g.value()
+                        : Configuration.EMPTY));
+      }
+    };
+  }
+
+  // ---- operators
+
+  String configuration() {
+    JsonArray ts = new JsonArray();
+    for (String t : TENANTS) {
+      JsonArray ks = new JsonArray();
+      if (!revoked.contains(t)) ks.add("sha256:" + Configuration.hashOf("key-of-" + t));
+      ts.add(
+          Json.object()
+              .add("name", t)
+              .add("keys", ks)
+              .add("weight", t.length())
+              .add("isolated", walls.contains(t)));
+    }
+    JsonArray ss = new JsonArray();
+    for (String s : new String[] {"m", "n"})
+      ss.add(
+          Json.object()
+              .add("name", s)
+              .add("allow", Json.array(narrow ? "10.1.0.0/24" : "10.1.0.0/16")));
+    for (String s : new String[] {"app", "app-two"})
+      ss.add(
+          Json.object()
+              .add("name", s)
+              .add("kind", "application")
+              .add("allow", Json.array("10.1.0.0/24")));
+    JsonArray ms = new JsonArray();
+    ms.add(
+        Json.object()
+            .add("name", "ask")
+            .add("path", "/ask")
+            .add("service", "m")
+            .add("expiryMs", 3000));
+    ms.add(
+        Json.object()
+            .add("name", "again")
+            .add("path", "/again")
+            .add("service", again)
+            .add("expiryMs", 3000)
             .add("repeatable", true));
-        ms.add(Json.object().add("name", "stop").add("path", "/stop").add("service", application)
+    ms.add(
+        Json.object()
+            .add("name", "stop")
+            .add("path", "/stop")
+            .add("service", application)
             .add("expiryMs", 2000 + ++marker % 500));
-        return Json.object().add("services", ss).add("mappings", ms).add("tenants", ts).toString();
-    }
-
-    private void operator(String key, String body, Consumer<Boolean> done) {
-        operator(key, -1, body, done);
-    }
-
-    private void operator(String key, long match, String body, Consumer<Boolean> done) {
-        List<SimControl> ready = controls.values().stream().filter(c -> c.up && !c.paused && c.node.settled()).toList();
-        if (ready.isEmpty()) {
-            done.accept(false);
-            return;
-        }
-        Map<String, String> means = new TreeMap<>();
-        if (key.equals(Keys.CONFIGURATION)) {
-            means.put("mapping ask", "m");
-            means.put("mapping stop", application);
-            means.put("mapping again", again);
-            for (String t : TENANTS) {
-                means.put("tenant " + t, revoked.contains(t) ? "revoked" : "good");
-                means.put("wall " + t, walls.contains(t) ? t : "");
-            }
-            means.put("allowed m9", narrow ? "no" : "yes");
-        } else means.put("weights", "w" + weights);
-        long at = now();
-        List<Promises.Told> ts = new ArrayList<>();
-        means.forEach((k, m) -> ts.add(promises.sent(k, m, at)));
-        boolean[] once = {false};
-        ready.get(random.nextInt(ready.size())).propose(key, match, body.getBytes(StandardCharsets.UTF_8), a -> {
-            if (once[0]) return;
-            once[0] = true;
-            boolean taken = a instanceof ChangeAnswer.Done;
-            say("op", key + " " + means + ": " + a);
-            answered(ts, a);
-            done.accept(taken);
-        });
-    }
-
-    private void answered(List<Promises.Told> ts, ChangeAnswer a) {
-        if (a instanceof ChangeAnswer.Unknown) return;
-        for (Promises.Told t : ts) promises.answered(t, a instanceof ChangeAnswer.Done ? now() : -1);
-    }
-
-    /**
-     * Sends a configuration that was changed somehow; if it was not taken, the operator's wish stays and goes out
-     * with the next.
-     */
-    private void change(Runnable how, Consumer<Boolean> done) {
-        how.run();
-        operator(Keys.CONFIGURATION, configuration(), done);
-    }
-
-    private void nameWeights() {
-        nameWeights(x -> {});
-    }
-
-    private void nameWeights(Consumer<Boolean> done) {
-        SimControl c = controls.get(anyUp());
-        if (c.node == null || !c.node.settled()) {
-            done.accept(false);
-            return;
-        }
-        var kept = c.node.kept(Keys.WEIGHTS);
-        Weights w = kept.getKey() == 0
+    return Json.object().add("services", ss).add("mappings", ms).add("tenants", ts).toString();
+  }
+
+  private void operator(String key, String body, Consumer<Boolean> done) {
+    operator(key, -1, body, done);
+  }
+
+  private void operator(String key, long match, String body, Consumer<Boolean> done) {
+    List<SimControl> ready =
+        controls.values().stream().filter(c -> c.up && !c.paused && c.node.settled()).toList();
+    if (ready.isEmpty()) {
+      done.accept(false);
+      return;
+    }
+    Map<String, String> means = new TreeMap<>();
+    if (key.equals(Keys.CONFIGURATION)) {
+      means.put("mapping ask", "m");
+      means.put("mapping stop", application);
+      means.put("mapping again", again);
+      for (String t : TENANTS) {
+        means.put("tenant " + t, revoked.contains(t) ? "revoked" : "good");
+        means.put("wall " + t, walls.contains(t) ? t : "");
+      }
+      means.put("allowed m9", narrow ? "no" : "yes");
+    } else means.put("weights", "w" + weights);
+    long at = now();
+    List<Promises.Told> ts = new ArrayList<>();
+    means.forEach((k, m) -> ts.add(promises.sent(k, m, at)));
+    boolean[] once = {false};
+    ready
+        .get(random.nextInt(ready.size()))
+        .propose(
+            key,
+            match,
+            body.getBytes(StandardCharsets.UTF_8),
+            a -> {
+              if (once[0]) return;
+              once[0] = true;
+              boolean taken = a instanceof ChangeAnswer.Done;
+              say("op", key + " " + means + ": " + a);
+              answered(ts, a);
+              done.accept(taken);
+            });
+  }
+
+  private void answered(List<Promises.Told> ts, ChangeAnswer a) {
+    if (a instanceof ChangeAnswer.Unknown) return;
+    for (Promises.Told t : ts) promises.answered(t, a instanceof ChangeAnswer.Done ? now() : -1);
+  }
+
+  /**
+   * Sends a configuration that was changed somehow; if it was not taken, the operator's wish stays
+   * and goes out with the next.
+   */
+  private void change(Runnable how, Consumer<Boolean> done) {
+    how.run();
+    operator(Keys.CONFIGURATION, configuration(), done);
+  }
+
+  private void nameWeights() {
+    nameWeights(x -> {});
+  }
+
+  private void nameWeights(Consumer<Boolean> done) {
+    SimControl c = controls.get(anyUp());
+    if (c.node == null || !c.node.settled()) {
+      done.accept(false);
+      return;
+    }
+    var kept = c.node.kept(Keys.WEIGHTS);
+    Weights w =
+        kept.getKey() == 0
             ? Weights.NONE
-            : Weights.parse(new String(kept.getValue(), StandardCharsets.UTF_8)) instanceof Result.Good<Weights> g
+            : Weights.parse(new String(kept.getValue(), StandardCharsets.UTF_8))
+                    instanceof Result.Good<Weights> g
                 ? g.value()
                 : Weights.NONE;
-        weights++;
-        for (String s : new String[]{"m", "n"}) w = w.naming(s, "w" + weights, kept.getKey() + 1);
-        operator(Keys.WEIGHTS, kept.getKey(), w.json(), done);
-    }
-
-    // ---- callers
-
-    private void callers(String kind) {
-        after(1 + (long) (-Math.log(1 - random.nextDouble()) * 3000 / perSecond), () -> {
-            String t = TENANTS[random.nextInt(TENANTS.length)];
-            String tag = kind + "-" + t + "-" + sent++;
-            String prompt = ("Told of " + kind + " to all and at length " + random.nextInt(3)).repeat(3) + tag;
-            List<RequestRelay> rs = new ArrayList<>(fronts.values());
-            rs.get(random.nextInt(rs.size())).send(kind, "/" + kind, t, kind.equals("again"), prompt, tag);
-            callers(kind);
+    weights++;
+    for (String s : new String[] {"m", "n"}) w = w.naming(s, "w" + weights, kept.getKey() + 1);
+    operator(Keys.WEIGHTS, kept.getKey(), w.json(), done);
+  }
+
+  // ---- callers
+
+  private void callers(String kind) {
+    after(
+        1 + (long) (-Math.log(1 - random.nextDouble()) * 3000 / perSecond),
+        () -> {
+          String t = TENANTS[random.nextInt(TENANTS.length)];
+          String tag = kind + "-" + t + "-" + sent++;
+          String prompt =
+              ("Told of " + kind + " to all and at length " + random.nextInt(3)).repeat(3) + tag;
+          List<RequestRelay> rs = new ArrayList<>(fronts.values());
+          rs.get(random.nextInt(rs.size()))
+              .send(kind, "/" + kind, t, kind.equals("again"), prompt, tag);
+          callers(kind);
         });
-    }
-
-    // ---- what relays ask
-
-    void load(RequestRelay by, Replicas.Replica r, Consumer<io.vertx.core.json.JsonObject> told) {
-        int l = by.life;
-        SimReplica x = at(r.address().toString());
-        if (x == null || !x.answers()) after(x == null || !x.up ? 3 : 1000, () -> by.run(l, () -> told.accept(null)));
-        else carry(by.name, x.instance, () -> {
+  }
+
+  // ---- what relays ask
+
+  void load(RequestRelay by, Replicas.Replica r, Consumer<io.vertx.core.json.JsonObject> told) {
+    int l = by.life;
+    SimReplica x = at(r.address().toString());
+    if (x == null || !x.answers())
+      after(x == null || !x.up ? 3 : 1000, () -> by.run(l, () -> told.accept(null)));
+    else
+      carry(
+          by.name,
+          x.instance,
+          () -> {
             if (x.answers()) {
-                io.vertx.core.json.JsonObject o = x.load();
-                carry(x.instance, by.name, () -> by.run(l, () -> told.accept(o)));
-            }
-        });
-    }
-
-    void lookup(RequestRelay by, long[] blocks, Consumer<Lookups.Found> found) {
-        int l = by.life;
-        Lookup.Answer a = summary.answer(new Lookup.Question(1, blocks));
-        passes(Point.LOOKUP, by.name, () -> after(random.nextInt(8), () -> by.run(l,
-            () -> found.accept(new Lookups.Found(a.warm() ? "answered" : "warming", a.matches())))));
-    }
-
-    /** The strict moment of every promise: the request leaves for its replica. */
-    void handed(RequestRelay by, String json) {
-        JsonObject o = Json.parse(json).asObject();
-        if (by.paused) violation(by.name + " handed " + o.getString("order", "") + " over while paused");
-    }
-
-    // ---- the index and its feeds
-
-    private void index() {
-        News.Ask a = indexNews.ask();
-        for (String c : controlNames()) ask("index", c, a);
-        summary.tick(now());
-        for (Holder h : summary.all()) {
-            SimReplica r = at(h.replica.address().toString());
-            if (r == null || !r.answers() || !r.instance.equals(h.replica.instance())) continue;
-            h.lists(nr -> list(h, r, nr));
-            if (!h.tried) {
-                h.tried = true;
-                summary.capacity(h, r.capacity(), now());
-                h.feed.resync(now());
-            }
-            h.heard = now();
-            String inc = r.incarnation;
-            long seq = r.seq;
-            after(1 + random.nextInt(20), () -> h.feed.pulse(inc, seq, now()));
-        }
-        after(400, this::index);
-    }
-
-    private void list(Holder h, SimReplica r, long nr) {
-        after(1 + random.nextInt(30), () -> {
-            if (!r.answers() || random.nextInt(10) == 0) {
-                after(300, () -> h.feed.resync(now()));
-                return;
+              io.vertx.core.json.JsonObject o = x.load();
+              carry(x.instance, by.name, () -> by.run(l, () -> told.accept(o)));
             }
-            String inc = r.incarnation;
-            long seq = r.seq;
-            long[] blocks = r.list();
-            after(1 + random.nextInt(30), () -> h.feed.listed(nr, BlockList.whole(inc, seq, blocks)));
-        });
-    }
-
-    void cacheEvent(SimReplica r, String inc, long seq, boolean store, long block) {
-        CacheEvent e = store ? CacheEvent.store(inc, seq, block, 1) : CacheEvent.evict(inc, seq, block, 0);
-        for (Holder h : summary.all()) {
-            if (!h.replica.instance().equals(r.instance) || random.nextDouble() < loseEvents) continue;
-            int n = random.nextDouble() < loseEvents ? 2 : 1;
-            for (int i = 0; i < n; i++)
-                after(1 + (random.nextDouble() < delayEvents ? random.nextInt(400) : random.nextInt(2)),
-                    () -> h.feed.event(e, now()));
-        }
-    }
-
-    @Override void told(String relay, News m) {
-        if (relay.equals("index")) {
-            if (indexNews.told(m) == NewsBook.Told.WANTS_WHOLE) whole("index", ((News.Push) m).key());
-        } else if (fronts.containsKey(relay)) fronts.get(relay).told(m);
-    }
-
-    @Override List<String> others() {
-        List<String> l = new ArrayList<>();
-        if (fronts != null) {
-            l.addAll(fronts.keySet());
-            l.addAll(replicas.keySet());
-            l.add("index");
-        }
-        return l;
-    }
-
-    // ---- windows held open
-
-    /** From now on, the first request that passes the point is held there until the happening has been acknowledged. */
-    void arm(Happening h, Point p) {
-        happening = h;
-        point = p;
-        armedAt = now();
-        met = -1;
-    }
-
-    /** A request passes a point: it goes on at once, or is held there. */
-    void passes(Point p, String who, Runnable goOn) {
-        if (p != point || met >= 0 || now() < armedAt) {
-            goOn.run();
+          });
+  }
+
+  void lookup(RequestRelay by, long[] blocks, Consumer<Lookups.Found> found) {
+    int l = by.life;
+    Lookup.Answer a = summary.answer(new Lookup.Question(1, blocks));
+    passes(
+        Point.LOOKUP,
+        by.name,
+        () ->
+            after(
+                random.nextInt(8),
+                () ->
+                    by.run(
+                        l,
+                        () ->
+                            found.accept(
+                                new Lookups.Found(
+                                    a.warm() ? "answered" : "warming", a.matches())))));
+  }
+
+  /** The strict moment of every promise: the request leaves for its replica. */
+  void handed(RequestRelay by, String json) {
+    JsonObject o = Json.parse(json).asObject();
+    if (by.paused)
+      violation(by.name + " handed " + o.getString("order", "") + " over while paused");
+  }
+
+  // ---- the index and its feeds
+
+  private void index() {
+    News.Ask a = indexNews.ask();
+    for (String c : controlNames()) ask("index", c, a);
+    summary.tick(now());
+    for (Holder h : summary.all()) {
+      SimReplica r = at(h.replica.address().toString());
+      if (r == null || !r.answers() || !r.instance.equals(h.replica.instance())) continue;
+      h.lists(nr -> list(h, r, nr));
+      if (!h.tried) {
+        h.tried = true;
+        summary.capacity(h, r.capacity(), now());
+        h.feed.resync(now());
+      }
+      h.heard = now();
+      String inc = r.incarnation;
+      long seq = r.seq;
+      after(1 + random.nextInt(20), () -> h.feed.pulse(inc, seq, now()));
+    }
+    after(400, this::index);
+  }
+
+  private void list(Holder h, SimReplica r, long nr) {
+    after(
+        1 + random.nextInt(30),
+        () -> {
+          if (!r.answers() || random.nextInt(10) == 0) {
+            after(300, () -> h.feed.resync(now()));
             return;
-        }
-        met = now();
-        say("order", who + " is held at " + p + " while " + happening);
-        boolean[] gone = {false};
-        Consumer<Boolean> then = ok -> after(random.nextInt(20), () -> {
-            if (gone[0]) return;
-            gone[0] = true;
-            goOn.run();
+          }
+          String inc = r.incarnation;
+          long seq = r.seq;
+          long[] blocks = r.list();
+          after(1 + random.nextInt(30), () -> h.feed.listed(nr, BlockList.whole(inc, seq, blocks)));
         });
-        after(2600, () -> then.accept(false));
-        happen(happening, then);
-    }
-
-    private SimReplica someModel() {
-        List<SimReplica> l = replicas.values().stream()
+  }
+
+  void cacheEvent(SimReplica r, String inc, long seq, boolean store, long block) {
+    CacheEvent e =
+        store ? CacheEvent.store(inc, seq, block, 1) : CacheEvent.evict(inc, seq, block, 0);
+    for (Holder h : summary.all()) {
+      if (!h.replica.instance().equals(r.instance) || random.nextDouble() < loseEvents) continue;
+      int n = random.nextDouble() < loseEvents ? 2 : 1;
+      for (int i = 0; i < n; i++)
+        after(
+            1 + (random.nextDouble() < delayEvents ? random.nextInt(400) : random.nextInt(2)),
+            () -> h.feed.event(e, now()));
+    }
+  }
+
+  @Override
+  void told(String relay, News m) {
+    if (relay.equals("index")) {
+      if (indexNews.told(m) == NewsBook.Told.WANTS_WHOLE) whole("index", ((News.Push) m).key());
+    } else if (fronts.containsKey(relay)) fronts.get(relay).told(m);
+  }
+
+  @Override
+  List<String> others() {
+    List<String> l = new ArrayList<>();
+    if (fronts != null) {
+      l.addAll(fronts.keySet());
+      l.addAll(replicas.keySet());
+      l.add("index");
+    }
+    return l;
+  }
+
+  // ---- windows held open
+
+  /**
+   * From now on, the first request that passes the point is held there until the happening has been
+   * acknowledged.
+   */
+  void arm(Happening h, Point p) {
+    happening = h;
+    point = p;
+    armedAt = now();
+    met = -1;
+  }
+
+  /** A request passes a point: it goes on at once, or is held there. */
+  void passes(Point p, String who, Runnable goOn) {
+    if (p != point || met >= 0 || now() < armedAt) {
+      goOn.run();
+      return;
+    }
+    met = now();
+    say("order", who + " is held at " + p + " while " + happening);
+    boolean[] gone = {false};
+    Consumer<Boolean> then =
+        ok ->
+            after(
+                random.nextInt(20),
+                () -> {
+                  if (gone[0]) return;
+                  gone[0] = true;
+                  goOn.run();
+                });
+    after(2600, () -> then.accept(false));
+    happen(happening, then);
+  }
+
+  private SimReplica someModel() {
+    List<SimReplica> l =
+        replicas.values().stream()
             .filter(r -> r.model && r.up && "ready".equals(listed.get(r.instance)))
             .toList();
-        return l.isEmpty() ? replicas.get("m1") : l.get(random.nextInt(l.size()));
-    }
-
-    void crash(SimReplica r) {
-        r.crash();
-        for (RequestRelay f : fronts.values()) f.broke(r);
-    }
-
-    void happen(Happening h, Consumer<Boolean> then) {
-        switch (h) {
-            case CONFIGURATION_MOVES -> change(() -> {
+    return l.isEmpty() ? replicas.get("m1") : l.get(random.nextInt(l.size()));
+  }
+
+  void crash(SimReplica r) {
+    r.crash();
+    for (RequestRelay f : fronts.values()) f.broke(r);
+  }
+
+  void happen(Happening h, Consumer<Boolean> then) {
+    switch (h) {
+      case CONFIGURATION_MOVES ->
+          change(
+              () -> {
                 application = application.equals("app") ? "app-two" : "app";
                 again = again.equals("m") ? "n" : "m";
                 narrow = random.nextBoolean();
-            }, then);
-            case KEY_REVOKED -> change(() -> {
+              },
+              then);
+      case KEY_REVOKED ->
+          change(
+              () -> {
                 revoked.clear();
                 revoked.add(TENANTS[random.nextInt(TENANTS.length)]);
-            }, then);
-            case WALL_RAISED -> change(() -> {
+              },
+              then);
+      case WALL_RAISED ->
+          change(
+              () -> {
                 if (!walls.remove("one")) walls.add("one");
-            }, then);
-            case REPLICA_LEAVES -> {
-                list(someModel().instance, random.nextBoolean() ? "leaving" : "");
-                after(1200, () -> then.accept(true));
-            }
-            case WEIGHTS_NAMED -> nameWeights(then);
-            case OWNER_DIES -> {
-                for (SimControl c : controls.values())
-                    if (c.up && c.node.settled() && c.node.owns(Keys.CONFIGURATION)) c.power();
-                change(() -> application = application.equals("app") ? "app-two" : "app", then);
-            }
-            case REPLICA_CRASHES -> {
-                crash(someModel());
-                then.accept(true);
-            }
-            case REPLICA_VANISHES -> {
-                someModel().vanished = true;
-                then.accept(true);
-            }
-            case RELAY_CUT_FROM_CORE -> {
-                for (String f : fronts.keySet()) for (String c : controlNames()) {
-                    cut(f, c);
-                    cut(c, f);
-                }
-                change(() -> application = application.equals("app") ? "app-two" : "app", then);
-            }
-            default -> {
-                // the machine dies and its address is given to a replica of another service
-                SimReplica old = replicas.get("m2");
-                crash(old);
-                SimReplica x = new SimReplica(this, "ghost", "g" + now(), old.address, true, old.weights);
-                byAddress.put(old.address.toString(), x);
-                after(100, () -> then.accept(true));
-            }
-        }
-    }
-
-    /** All is well again. */
-    void mend() {
-        healAll();
-        platformSilent = false;
-        for (SimControl c : controls.values()) {
-            c.medium.stalled = false;
-            if (!c.up) c.start();
-            else {
-                c.medium.go(this, c);
-                if (c.paused) c.wake();
-            }
-        }
-        for (RequestRelay r : fronts.values()) {
-            if (!r.up) r.start();
-            if (r.paused) r.wake();
-        }
-        loseEvents = delayEvents = 0;
-        for (SimReplica r : replicas.values()) {
-            r.hung = r.vanished = r.lateBytes = r.neverLoads = false;
-            r.notRun = r.cutStreams = 0;
-            byAddress.put(r.address.toString(), r);
-            r.start("w" + (random.nextBoolean() ? weights : Math.max(1, weights - 1)));
-            list(r.instance, "ready");
-        }
-    }
-
-    // ---- what must never be
-
-    void judge() {
-        for (Judge.Finding f : Judge.all(ledger)) for (String o : f.offenders()) violation(f.rule() + ": " + o);
-        promises.judge(ledger, STRICT).forEach((k, v) -> v.forEach(o -> violation(k + ": " + o)));
-        int restarts = fronts.values().stream().mapToInt(r -> r.restarts).sum();
-        Judge.secondTries(ledger, 0.2, 3 * fronts.size() + restarts).forEach(o -> violation("second tries: " + o));
-        for (Ledger.Call c : ledger.calls.values())
-            if (c.done < 0) violation(c.tag + " was never answered");
-        summaryAgrees();
-    }
-
-    /** Once quiet, whatever a holder keeps is found, and next to nothing else. */
-    private void summaryAgrees() {
-        if (!summary.warm()) {
-            violation("the index is not warm");
-            return;
-        }
-        int kept = 0, entries = summary.json(now()).getInt("entries", -1);
-        for (SimReplica r : replicas.values()) {
-            boolean known = summary.all().stream().anyMatch(h -> h.replica.instance().equals(r.instance));
-            if (r.model && !known && !r.instance.equals("m9")) violation("the index doesn't know " + r.instance);
-            if (!known) continue;
-            for (long b : r.list()) {
-                kept++;
-                boolean found = summary.answer(new Lookup.Question(1, new long[]{b})).matches().stream()
-                    .anyMatch(m -> m.holder().equals(r.instance));
-                if (!found) violation("the index doesn't know a block of " + r.instance);
-            }
-        }
-        if (entries != kept) violation("the index holds " + entries + " entries where holders keep " + kept);
-    }
-
-    int complete() {
-        return (int) fronts.values().stream().mapToLong(f -> f.complete).sum();
-    }
-
-    /** A story: a window held open, then whatever the seed brings, then all is well and everything is judged. */
-    static RequestSim story(long seed, int steps) {
-        RequestSim s = new RequestSim(seed);
+              },
+              then);
+      case REPLICA_LEAVES -> {
+        list(someModel().instance, random.nextBoolean() ? "leaving" : "");
+        after(1200, () -> then.accept(true));
+      }
+      case WEIGHTS_NAMED -> nameWeights(then);
+      case OWNER_DIES -> {
+        for (SimControl c : controls.values())
+          if (c.up && c.node.settled() && c.node.owns(Keys.CONFIGURATION)) c.power();
+        change(() -> application = application.equals("app") ? "app-two" : "app", then);
+      }
+      case REPLICA_CRASHES -> {
+        crash(someModel());
+        then.accept(true);
+      }
+      case REPLICA_VANISHES -> {
+        someModel().vanished = true;
+        then.accept(true);
+      }
+      case RELAY_CUT_FROM_CORE -> {
+        for (String f : fronts.keySet())
+          for (String c : controlNames()) {
+            cut(f, c);
+            cut(c, f);
+          }
+        change(() -> application = application.equals("app") ? "app-two" : "app", then);
+      }
+      default -> {
+        // the machine dies and its address is given to a replica of another service
+        SimReplica old = replicas.get("m2");
+        crash(old);
+        SimReplica x = new SimReplica(this, "ghost", "g" + now(), old.address, true, old.weights);
+        byAddress.put(old.address.toString(), x);
+        after(100, () -> then.accept(true));
+      }
+    }
+  }
+
+  /** All is well again. */
+  void mend() {
+    healAll();
+    platformSilent = false;
+    for (SimControl c : controls.values()) {
+      c.medium.stalled = false;
+      if (!c.up) c.start();
+      else {
+        c.medium.go(this, c);
+        if (c.paused) c.wake();
+      }
+    }
+    for (RequestRelay r : fronts.values()) {
+      if (!r.up) r.start();
+      if (r.paused) r.wake();
+    }
+    loseEvents = delayEvents = 0;
+    for (SimReplica r : replicas.values()) {
+      r.hung = r.vanished = r.lateBytes = r.neverLoads = false;
+      r.notRun = r.cutStreams = 0;
+      byAddress.put(r.address.toString(), r);
+      r.start("w" + (random.nextBoolean() ? weights : Math.max(1, weights - 1)));
+      list(r.instance, "ready");
+    }
+  }
+
+  // ---- what must never be
+
+  void judge() {
+    for (Judge.Finding f : Judge.all(ledger))
+      for (String o : f.offenders()) violation(f.rule() + ": " + o);
+    promises.judge(ledger, STRICT).forEach((k, v) -> v.forEach(o -> violation(k + ": " + o)));
+    int restarts = fronts.values().stream().mapToInt(r -> r.restarts).sum();
+    Judge.secondTries(ledger, 0.2, 3 * fronts.size() + restarts)
+        .forEach(o -> violation("second tries: " + o));
+    for (Ledger.Call c : ledger.calls.values())
+      if (c.done < 0) violation(c.tag + " was never answered");
+    summaryAgrees();
+  }
+
+  /** Once quiet, whatever a holder keeps is found, and next to nothing else. */
+  private void summaryAgrees() {
+    if (!summary.warm()) {
+      violation("the index is not warm");
+      return;
+    }
+    int kept = 0, entries = summary.json(now()).getInt("entries", -1);
+    for (SimReplica r : replicas.values()) {
+      boolean known = summary.all().stream().anyMatch(h -> h.replica.instance().equals(r.instance));
+      if (r.model && !known && !r.instance.equals("m9"))
+        violation("the index doesn't know " + r.instance);
+      if (!known) continue;
+      for (long b : r.list()) {
+        kept++;
+        boolean found =
+            summary.answer(new Lookup.Question(1, new long[] {b})).matches().stream()
+                .anyMatch(m -> m.holder().equals(r.instance));
+        if (!found) violation("the index doesn't know a block of " + r.instance);
+      }
+    }
+    if (entries != kept)
+      violation("the index holds " + entries + " entries where holders keep " + kept);
+  }
+
+  int complete() {
+    return (int) fronts.values().stream().mapToLong(f -> f.complete).sum();
+  }
+
+  /**
+   * A story: a window held open, then whatever the seed brings, then all is well and everything is
+   * judged.
+   */
+  static RequestSim story(long seed, int steps) {
+    RequestSim s = new RequestSim(seed);
+    Happening[] hs = Happening.values();
+    Point[] ps = Point.values();
+    s.arm(hs[(int) (seed % hs.length)], ps[(int) (seed / hs.length % ps.length)]);
+    for (SimControl c : s.controls.values()) c.rate(1 + (s.random.nextDouble() - 0.5) * 0.01);
+    for (RequestRelay r : s.fronts.values()) r.drift(1 + (s.random.nextDouble() - 0.5) * 0.01);
+    s.run(3500);
+    s.mend();
+    s.run(1500);
+    for (int i = 0; i < steps; i++) {
+      s.step();
+      s.run(300 + s.random.nextInt(1500));
+      if (s.random.nextInt(2) == 0) s.mend();
+      s.run(s.random.nextInt(700));
+    }
+    s.mend();
+    s.run(12_000);
+    int before = s.complete();
+    s.run(3000);
+    if (s.complete() - before < 40)
+      s.violation("only " + (s.complete() - before) + " orders complete when all is well");
+    s.perSecond = 0.001;
+    s.run(6000);
+    s.judge();
+    return s;
+  }
+
+  /** What many stories came to. */
+  public static final class Stories {
+    public final List<String> offenders = Collections.synchronizedList(new ArrayList<>());
+    final Map<String, Integer> met = new ConcurrentSkipListMap<>();
+    final AtomicLong requests = new AtomicLong();
+    final AtomicLong complete = new AtomicLong();
+    final AtomicLong second = new AtomicLong();
+
+    @Override
+    public String toString() {
+      return "orders "
+          + requests
+          + ", complete "
+          + complete
+          + ", second tries "
+          + second
+          + ", windows met "
+          + met;
+    }
+  }
+
+  /** Plays so many stories from a seed on, on so many threads; each is a world of its own. */
+  public static Stories stories(long from, int seeds, int threads) {
+    Stories t = new Stories();
+    AtomicLong next = new AtomicLong(from);
+    List<Thread> ts = new ArrayList<>();
+    for (int i = 0; i < threads; i++) {
+      Thread x =
+          new Thread(
+              () -> {
+                for (long seed; (seed = next.getAndIncrement()) < from + seeds; ) play(seed, t);
+              },
+              "stories-" + i);
+      ts.add(x);
+      x.start();
+    }
+    for (Thread x : ts) {
+      try {
+        x.join();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    return t;
+  }
+
+  private static void play(long seed, Stories t) {
+    RequestSim s;
+    try {
+      s = story(seed, 8);
+    } catch (RuntimeException e) {
+      t.offenders.add("seed " + seed + " ended with " + e);
+      return;
+    }
+    if (!s.violations.isEmpty()) {
+      String[] l = s.story().lines().filter(x -> !x.contains(" owner-")).toArray(String[]::new);
+      t.offenders.add(
+          "seed "
+              + seed
+              + ": "
+              + s.violations.subList(0, Math.min(5, s.violations.size()))
+              + "\n"
+              + String.join("\n", Arrays.asList(l).subList(Math.max(0, l.length - 30), l.length)));
+    }
+    if (s.met >= 0) t.met.merge(s.happening + "@" + s.point, 1, Integer::sum);
+    t.requests.addAndGet(s.ledger.calls.size());
+    t.complete.addAndGet(s.complete());
+    for (List<Ledger.Run> rs : s.ledger.runs.values()) t.second.addAndGet(rs.size() - 1);
+  }
+
+  private void step() {
+    List<String> cs = controlNames();
+    SimControl c = controls.get(cs.get(random.nextInt(cs.size())));
+    RequestRelay f = fronts.get("r" + (1 + random.nextInt(fronts.size())));
+    SimReplica r = someModel();
+    switch (random.nextInt(18)) {
+      case 0 -> c.power();
+      case 1 -> cutOff(c.name);
+      case 2 -> c.pause();
+      case 3 -> {
+        f.kill();
+        f.start();
+      }
+      case 4 -> f.paused = true;
+      case 5 -> cutOff(f.name);
+      case 6 -> {
+        cut(f.name, r.instance);
+        if (random.nextBoolean()) cut(r.instance, f.name);
+      }
+      case 7 -> r.hung = true;
+      case 8 -> r.notRun = random.nextBoolean() ? 1 : 0.4;
+      case 9 -> r.cutStreams = 0.2;
+      case 10 -> r.lateBytes = true;
+      case 11 -> {
+        loseEvents = 0.1;
+        delayEvents = 0.3;
+      }
+      case 12 -> platformSilent = true;
+      case 13 -> r.neverLoads = true;
+      case 14 -> {
+        for (SimControl x : controls.values()) x.power();
+      }
+      case 15 -> split(Set.of(c.name, f.name));
+      default -> {
         Happening[] hs = Happening.values();
-        Point[] ps = Point.values();
-        s.arm(hs[(int) (seed % hs.length)], ps[(int) (seed / hs.length % ps.length)]);
-        for (SimControl c : s.controls.values()) c.rate(1 + (s.random.nextDouble() - 0.5) * 0.01);
-        for (RequestRelay r : s.fronts.values()) r.drift(1 + (s.random.nextDouble() - 0.5) * 0.01);
-        s.run(3500);
-        s.mend();
-        s.run(1500);
-        for (int i = 0; i < steps; i++) {
-            s.step();
-            s.run(300 + s.random.nextInt(1500));
-            if (s.random.nextInt(2) == 0) s.mend();
-            s.run(s.random.nextInt(700));
-        }
-        s.mend();
-        s.run(12_000);
-        int before = s.complete();
-        s.run(3000);
-        if (s.complete() - before < 40)
-            s.violation("only " + (s.complete() - before) + " orders complete when all is well");
-        s.perSecond = 0.001;
-        s.run(6000);
-        s.judge();
-        return s;
-    }
-
-    /** What many stories came to. */
-    public static final class Stories {
-        public final List<String> offenders = Collections.synchronizedList(new ArrayList<>());
-        final Map<String, Integer> met = new ConcurrentSkipListMap<>();
-        final AtomicLong requests = new AtomicLong();
-        final AtomicLong complete = new AtomicLong();
-        final AtomicLong second = new AtomicLong();
-
-        @Override public String toString() {
-            return "orders " + requests + ", complete " + complete + ", second tries " + second + ", windows met "
-                + met;
-        }
-    }
-
-    /** Plays so many stories from a seed on, on so many threads; each is a world of its own. */
-    public static Stories stories(long from, int seeds, int threads) {
-        Stories t = new Stories();
-        AtomicLong next = new AtomicLong(from);
-        List<Thread> ts = new ArrayList<>();
-        for (int i = 0; i < threads; i++) {
-            Thread x = new Thread(() -> {
-                for (long seed; (seed = next.getAndIncrement()) < from + seeds;) play(seed, t);
-            }, "stories-" + i);
-            ts.add(x);
-            x.start();
-        }
-        for (Thread x : ts) {
-            try {
-                x.join();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-        return t;
-    }
-
-    private static void play(long seed, Stories t) {
-        RequestSim s;
-        try {
-            s = story(seed, 8);
-        } catch (RuntimeException e) {
-            t.offenders.add("seed " + seed + " ended with " + e);
-            return;
-        }
-        if (!s.violations.isEmpty()) {
-            String[] l = s.story().lines().filter(x -> !x.contains(" owner-")).toArray(String[]::new);
-            t.offenders.add("seed " + seed + ": " + s.violations.subList(0, Math.min(5, s.violations.size())) + "\n"
-                + String.join("\n", Arrays.asList(l).subList(Math.max(0, l.length - 30), l.length)));
-        }
-        if (s.met >= 0) t.met.merge(s.happening + "@" + s.point, 1, Integer::sum);
-        t.requests.addAndGet(s.ledger.calls.size());
-        t.complete.addAndGet(s.complete());
-        for (List<Ledger.Run> rs : s.ledger.runs.values()) t.second.addAndGet(rs.size() - 1);
-    }
-
-    private void step() {
-        List<String> cs = controlNames();
-        SimControl c = controls.get(cs.get(random.nextInt(cs.size())));
-        RequestRelay f = fronts.get("r" + (1 + random.nextInt(fronts.size())));
-        SimReplica r = someModel();
-        switch (random.nextInt(18)) {
-            case 0 -> c.power();
-            case 1 -> cutOff(c.name);
-            case 2 -> c.pause();
-            case 3 -> {
-                f.kill();
-                f.start();
-            }
-            case 4 -> f.paused = true;
-            case 5 -> cutOff(f.name);
-            case 6 -> {
-                cut(f.name, r.instance);
-                if (random.nextBoolean()) cut(r.instance, f.name);
-            }
-            case 7 -> r.hung = true;
-            case 8 -> r.notRun = random.nextBoolean() ? 1 : 0.4;
-            case 9 -> r.cutStreams = 0.2;
-            case 10 -> r.lateBytes = true;
-            case 11 -> {
-                loseEvents = 0.1;
-                delayEvents = 0.3;
-            }
-            case 12 -> platformSilent = true;
-            case 13 -> r.neverLoads = true;
-            case 14 -> {
-                for (SimControl x : controls.values()) x.power();
-            }
-            case 15 -> split(Set.of(c.name, f.name));
-            default -> {
-                Happening[] hs = Happening.values();
-                happen(hs[random.nextInt(hs.length)], x -> {});
-            }
-        }
+        happen(hs[random.nextInt(hs.length)], x -> {});
+      }
     }
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -32,449 +32,527 @@
 import java.util.TreeMap;
 
 public class Sim {
-    private record Event(long at, long nr, Runnable run) implements Comparable<Event> {
-        @Override public int compareTo(Event o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(nr, o.nr);
-        }
-    }
-
-    public record Sent(int nr, String key, long match, String digest, long at, ChangeAnswer[] answer) {}
-
-    final Random random;
-    private final PriorityQueue<Event> queue = new PriorityQueue<>();
-    private long time;
-    private long nr;
-    final Map<String, SimControl> controls = new LinkedHashMap<>();
-    final Map<String, SimRelay> relays = new LinkedHashMap<>();
-    private final Map<String, Address> addresses = new LinkedHashMap<>();
-    private final Set<String> cut = new HashSet<>();
-    /** How long after a naming requests may begin on old weights; read as a machine starts. */
-    int cutoff = 15_000;
-    public double loss;
-    public double repeat;
-    final List<String> story = new ArrayList<>();
-    public final List<String> violations = new ArrayList<>();
-    public final List<Sent> sent = new ArrayList<>();
-    private final Map<String, Long> acked = new HashMap<>();
-    /** By key and number: when it was acknowledged first. */
-    private final Map<String, TreeMap<Long, Long>> ackedAt = new HashMap<>();
-    private final Map<Long, Members> generations = new TreeMap<>();
-    private final Map<String, Long> stoodBy = new HashMap<>();
-    private final List<Members> intents = new ArrayList<>();
-    private final Map<String, String> commander = new HashMap<>();
-    private final Map<String, Long> commandedAt = new HashMap<>();
-    final Tunables tunables;
-    /** Machines that left for good. */
-    final Set<String> left = new HashSet<>();
-    public int reads;
-    private final Map<String, Map<Long, String>> meaning = new HashMap<>();
-    private int sends;
-
-    public Sim(long seed, int relayCount) {
-        this(seed, relayCount, 3, 3, Tunables.USUAL);
-    }
-
-    /** The first of the machines found the fleet, the others ask to be let in. */
-    public Sim(long seed, int relayCount, int machines, int founding, Tunables tunables) {
-        this.tunables = tunables;
-        random = new Random(seed);
-        List<Members.Member> founders = new ArrayList<>();
-        for (int i = 1; i <= machines; i++) {
-            Address a = new Address("10.0.0." + i, 100);
-            addresses.put("c" + i, a);
-            if (i <= founding) founders.add(new Members.Member("c" + i, "", a, a));
-        }
-        for (int i = 1; i <= machines; i++)
-            controls.put("c" + i, new SimControl(this, "c" + i, "disk" + i, founders, i <= founding));
-        for (int i = 1; i <= relayCount; i++) relays.put("r" + i, new SimRelay(this, "r" + i));
-        for (SimControl c : controls.values()) c.start();
-        for (SimRelay r : relays.values()) r.start();
-    }
-
-    long now() {
-        return time;
-    }
-
-    void after(long ms, Runnable r) {
-        queue.add(new Event(time + ms, nr++, r));
-    }
-
-    public void run(long ms) {
-        long end = time + ms;
-        while (!queue.isEmpty() && queue.peek().at <= end) {
-            Event e = queue.poll();
-            time = e.at;
-            e.run.run();
-        }
-        time = end;
-    }
-
-    /** How often an owner found that another had taken its key. */
-    int ousted;
-
-    void say(String who, String what) {
-        if (what.startsWith("owner-ends") && what.endsWith("confirm-refused")) ousted++;
-        story.add(String.format("%7d %-3s %s", time, who, what));
-    }
-
-    public String story() {
-        return String.join("\n", story);
-    }
-
-    void violation(String what) {
-        say("!!!", what);
-        violations.add(time + ": " + what);
-    }
-
-    // ---- links
-
-    Address addressOf(String name) {
-        return addresses.get(name);
-    }
-
-    List<Address> allAddresses() {
-        return new ArrayList<>(addresses.values());
-    }
-
-    /** A new control machine, up, with an empty disk. */
-    public SimControl machine(String name) {
-        addresses.put(name, new Address("10.0.1." + addresses.size(), 100));
-        SimControl c = new SimControl(this, name, "disk-of-" + name, List.of(), false);
-        controls.put(name, c);
-        c.start();
-        return c;
-    }
-
-    String nameOf(Address a) {
-        for (Map.Entry<String, Address> e : addresses.entrySet()) if (e.getValue().equals(a)) return e.getKey();
-        return null;
-    }
-
-    List<String> controlNames() {
-        return new ArrayList<>(controls.keySet());
-    }
-
-    public void cut(String from, String to) {
-        cut.add(from + ">" + to);
-    }
-
-    public void cutOff(String who) {
-        for (String x : everybody()) if (!x.equals(who)) {
-            cut(who, x);
-            cut(x, who);
-        }
-    }
-
-    /** Two sides that hear nothing of each other. */
-    public void split(Set<String> side) {
-        for (String a : everybody()) for (String b : everybody()) if (side.contains(a) != side.contains(b)) cut(a, b);
-    }
-
-    public void heal(String who) {
-        cut.removeIf(s -> s.startsWith(who + ">") || s.endsWith(">" + who));
-    }
-
-    public void healAll() {
-        cut.clear();
-    }
-
-    private List<String> everybody() {
-        List<String> l = controlNames();
-        l.addAll(others());
-        return l;
-    }
-
-    void carry(String from, String to, Runnable r) {
-        if (cut.contains(from + ">" + to) || random.nextDouble() < loss) return;
-        after(1 + random.nextInt(random.nextInt(20) == 0 ? 60 : 4), r);
-        if (random.nextDouble() < repeat) after(1 + random.nextInt(100), r);
-    }
-
-    void core(String from, String to, CoreMessage.Envelope m) {
-        byte[] b = Wire.bytes(m);
-        SimControl c = controls.get(to);
-        int life = c.life;
-        carry(from, to, () -> {
-            try {
-                // a connection ends with the process at its end
-                if (c.life == life) c.deliver(Wire.read(b, CoreMessage.Envelope::read));
-            } catch (IOException e) {
-                violation("a record that can't be read back: " + m);
-            }
+  private record Event(long at, long nr, Runnable run) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event o) {
+      return at != o.at ? Long.compare(at, o.at) : Long.compare(nr, o.nr);
+    }
+  }
+
+  public record Sent(
+      int nr, String key, long match, String digest, long at, ChangeAnswer[] answer) {}
+
+  final Random random;
+  private final PriorityQueue<Event> queue = new PriorityQueue<>();
+  private long time;
+  private long nr;
+  final Map<String, SimControl> controls = new LinkedHashMap<>();
+  final Map<String, SimRelay> relays = new LinkedHashMap<>();
+  private final Map<String, Address> addresses = new LinkedHashMap<>();
+  private final Set<String> cut = new HashSet<>();
+
+  /** How long after a naming requests may begin on old weights; read as a machine starts. */
+  int cutoff = 15_000;
+
+  public double loss;
+  public double repeat;
+  final List<String> story = new ArrayList<>();
+  public final List<String> violations = new ArrayList<>();
+  public final List<Sent> sent = new ArrayList<>();
+  private final Map<String, Long> acked = new HashMap<>();
+
+  /** By key and number: when it was acknowledged first. */
+  private final Map<String, TreeMap<Long, Long>> ackedAt = new HashMap<>();
+
+  private final Map<Long, Members> generations = new TreeMap<>();
+  private final Map<String, Long> stoodBy = new HashMap<>();
+  private final List<Members> intents = new ArrayList<>();
+  private final Map<String, String> commander = new HashMap<>();
+  private final Map<String, Long> commandedAt = new HashMap<>();
+  final Tunables tunables;
+
+  /** Machines that left for good. */
+  final Set<String> left = new HashSet<>();
+
+  public int reads;
+  private final Map<String, Map<Long, String>> meaning = new HashMap<>();
+  private int sends;
+
+  public Sim(long seed, int relayCount) {
+    this(seed, relayCount, 3, 3, Tunables.USUAL);
+  }
+
+  /** The first of the machines found the fleet, the others ask to be let in. */
+  public Sim(long seed, int relayCount, int machines, int founding, Tunables tunables) {
+    this.tunables = tunables;
+    random = new Random(seed);
+    List<Members.Member> founders = new ArrayList<>();
+    for (int i = 1; i <= machines; i++) {
+      Address a = new Address("10.0.0." + i, 100);
+      addresses.put("c" + i, a);
+      if (i <= founding) founders.add(new Members.Member("c" + i, "", a, a));
+    }
+    for (int i = 1; i <= machines; i++)
+      controls.put("c" + i, new SimControl(this, "c" + i, "disk" + i, founders, i <= founding));
+    for (int i = 1; i <= relayCount; i++) relays.put("r" + i, new SimRelay(this, "r" + i));
+    for (SimControl c : controls.values()) c.start();
+    for (SimRelay r : relays.values()) r.start();
+  }
+
+  long now() {
+    return time;
+  }
+
+  void after(long ms, Runnable r) {
+    queue.add(new Event(time + ms, nr++, r));
+  }
+
+  public void run(long ms) {
+    long end = time + ms;
+    while (!queue.isEmpty() && queue.peek().at <= end) {
+      Event e = queue.poll();
+      time = e.at;
+      e.run.run();
+    }
+    time = end;
+  }
+
+  /** How often an owner found that another had taken its key. */
+  int ousted;
+
+  void say(String who, String what) {
+    if (what.startsWith("owner-ends") && what.endsWith("confirm-refused")) ousted++;
+    story.add(String.format("%7d %-3s %s", time, who, what));
+  }
+
+  public String story() {
+    return String.join("\n", story);
+  }
+
+  void violation(String what) {
+    say("!!!", what);
+    violations.add(time + ": " + what);
+  }
+
+  // ---- links
+
+  Address addressOf(String name) {
+    return addresses.get(name);
+  }
+
+  List<Address> allAddresses() {
+    return new ArrayList<>(addresses.values());
+  }
+
+  /** A new control machine, up, with an empty disk. */
+  public SimControl machine(String name) {
+    addresses.put(name, new Address("10.0.1." + addresses.size(), 100));
+    SimControl c = new SimControl(this, name, "disk-of-" + name, List.of(), false);
+    controls.put(name, c);
+    c.start();
+    return c;
+  }
+
+  String nameOf(Address a) {
+    for (Map.Entry<String, Address> e : addresses.entrySet())
+      if (e.getValue().equals(a)) return e.getKey();
+    return null;
+  }
+
+  List<String> controlNames() {
+    return new ArrayList<>(controls.keySet());
+  }
+
+  public void cut(String from, String to) {
+    cut.add(from + ">" + to);
+  }
+
+  public void cutOff(String who) {
+    for (String x : everybody())
+      if (!x.equals(who)) {
+        cut(who, x);
+        cut(x, who);
+      }
+  }
+
+  /** Two sides that hear nothing of each other. */
+  public void split(Set<String> side) {
+    for (String a : everybody())
+      for (String b : everybody()) if (side.contains(a) != side.contains(b)) cut(a, b);
+  }
+
+  public void heal(String who) {
+    cut.removeIf(s -> s.startsWith(who + ">") || s.endsWith(">" + who));
+  }
+
+  public void healAll() {
+    cut.clear();
+  }
+
+  private List<String> everybody() {
+    List<String> l = controlNames();
+    l.addAll(others());
+    return l;
+  }
+
+  void carry(String from, String to, Runnable r) {
+    if (cut.contains(from + ">" + to) || random.nextDouble() < loss) return;
+    after(1 + random.nextInt(random.nextInt(20) == 0 ? 60 : 4), r);
+    if (random.nextDouble() < repeat) after(1 + random.nextInt(100), r);
+  }
+
+  void core(String from, String to, CoreMessage.Envelope m) {
+    byte[] b = Wire.bytes(m);
+    SimControl c = controls.get(to);
+    int life = c.life;
+    carry(
+        from,
+        to,
+        () -> {
+          try {
+            // a connection ends with the process at its end
+            if (c.life == life) c.deliver(Wire.read(b, CoreMessage.Envelope::read));
+          } catch (IOException e) {
+            violation("a record that can't be read back: " + m);
+          }
         });
-    }
-
-    void ask(String relay, String control, News.Ask a) {
-        carry(relay, control, () -> {
-            SimControl c = controls.get(control);
-            c.run(() -> c.node.ask(a));
+  }
+
+  void ask(String relay, String control, News.Ask a) {
+    carry(
+        relay,
+        control,
+        () -> {
+          SimControl c = controls.get(control);
+          c.run(() -> c.node.ask(a));
         });
-    }
-
-    void whole(String relay, String key) {
-        for (SimControl c : controls.values()) carry(relay, c.name, () -> c.run(() -> c.node.wants(relay, key)));
-    }
-
-    void news(String control, String relay, News m) {
-        carry(control, relay, () -> {
-            told(relay, m);
+  }
+
+  void whole(String relay, String key) {
+    for (SimControl c : controls.values())
+      carry(relay, c.name, () -> c.run(() -> c.node.wants(relay, key)));
+  }
+
+  void news(String control, String relay, News m) {
+    carry(
+        control,
+        relay,
+        () -> {
+          told(relay, m);
         });
-    }
-
-    /** News has reached a data-plane process. */
-    void told(String relay, News m) {
-        SimRelay r = relays.get(relay);
-        if (r != null) r.told(m);
-    }
-
-    /** Everybody who has links, beside control machines. */
-    List<String> others() {
-        return new ArrayList<>(relays.keySet());
-    }
-
-    /** What a control machine does beside keeping state, each 250 ms while it runs. */
-    void duty(SimControl c) {}
-
-    CoreNode.Duties duties() {
-        return new CoreNode.Duties() {};
-    }
-
-    boolean isCut(String from, String to) {
-        return cut.contains(from + ">" + to);
-    }
-
-    // ---- operators
-
-    /** Sends a value nobody sent before, through the door of one machine. match -1: whatever is there. */
-    public Sent send(String door, String key, long match) {
-        int n = ++sends;
-        byte[] body = ("value " + n
-            + " of what an operator may send, long enough that only the change of it is pushed to whoever has "
-            + "the number before, and the rest stays"
-                .repeat(3))
+  }
+
+  /** News has reached a data-plane process. */
+  void told(String relay, News m) {
+    SimRelay r = relays.get(relay);
+    if (r != null) r.told(m);
+  }
+
+  /** Everybody who has links, beside control machines. */
+  List<String> others() {
+    return new ArrayList<>(relays.keySet());
+  }
+
+  /** What a control machine does beside keeping state, each 250 ms while it runs. */
+  void duty(SimControl c) {}
+
+  CoreNode.Duties duties() {
+    return new CoreNode.Duties() {};
+  }
+
+  boolean isCut(String from, String to) {
+    return cut.contains(from + ">" + to);
+  }
+
+  // ---- operators
+
+  /**
+   * Sends a value nobody sent before, through the door of one machine. match -1: whatever is there.
+   */
+  public Sent send(String door, String key, long match) {
+    int n = ++sends;
+    byte[] body =
+        ("value "
+                + n
+                + " of what an operator may send, long enough that only the change of it is pushed to whoever has "
+                + "the number before, and the rest stays".repeat(3))
             .getBytes(StandardCharsets.UTF_8);
-        ChangeAnswer[] answer = {null};
-        Sent s = new Sent(n, key, match, Digest.hex(body), time, answer);
-        sent.add(s);
-        controls.get(door).propose(key, match, body, a -> {
-            answer[0] = a;
-            say("op", "value " + n + " to " + key + " by " + door + ": " + a);
-            if (a instanceof ChangeAnswer.Done d) {
+    ChangeAnswer[] answer = {null};
+    Sent s = new Sent(n, key, match, Digest.hex(body), time, answer);
+    sent.add(s);
+    controls
+        .get(door)
+        .propose(
+            key,
+            match,
+            body,
+            a -> {
+              answer[0] = a;
+              say("op", "value " + n + " to " + key + " by " + door + ": " + a);
+              if (a instanceof ChangeAnswer.Done d) {
                 mean(key, d.number(), s.digest, "an answer");
                 acked.merge(key, d.number(), Math::max);
                 ackedAt.computeIfAbsent(key, k -> new TreeMap<>()).putIfAbsent(d.number(), time);
-            }
-        });
-        return s;
-    }
-
-    /** An operator reads the newest value through the door of one machine. */
-    public void read(String door, String key) {
-        long least = acked.getOrDefault(key, 0L);
-        controls.get(door).run(() -> controls.get(door).node.readNewest(key, x -> {
-            if (!x.owned()) return;
-            reads++;
-            if (x.number() < least)
-                violation("a read by " + door + " of " + key + " says " + x.number() + " after " + least);
-            if (x.number() > 0) mean(key, x.number(), x.digest(), "a read by " + door);
-        }));
-    }
-
-    // ---- what must never be
-
-    private void mean(String key, long number, String digest, String where) {
-        String old = meaning.computeIfAbsent(key, k -> new HashMap<>()).putIfAbsent(number, digest);
-        if (old != null && !old.equals(digest))
-            violation(key + " " + number + " means two things, the second by " + where);
-    }
-
-    void pushed(String relay, News.Push p) {
-        if (!p.key().equals(Keys.CORE)) mean(p.key(), p.number(), p.digest(), "a push to " + relay);
-    }
-
-    void started(SimRelay r, NewsBook b) {
-        for (String k : Keys.LEASED) {
-            long a = bound(k);
-            if (b.number(k) < a) violation(
-                r.name + " starts an order under " + k + " " + b.number(k) + " after " + a + " was acknowledged");
-        }
-        for (String key : new String[]{Keys.CONFIGURATION, Keys.REPLICAS}) {
-            String owner = null;
-            for (SimControl c : controls.values()) {
-                if (!c.up || c.paused || !c.node.settled() || !c.node.mayCommand(key)) continue;
-                if (owner != null) violation(owner + " and " + c.name + " may both command " + key);
-                owner = c.name;
-            }
-            if (owner != null) commands(key, owner);
-        }
-    }
-
-    /** The lowest number that may be acted on now. */
-    private long bound(String key) {
-        if (tunables.acknowledge() == Tunables.Acknowledge.STRICT) return acked.getOrDefault(key, 0L);
-        long a = 0;
-        for (Map.Entry<Long, Long> e : ackedAt.getOrDefault(key, new TreeMap<>()).entrySet())
-            if (time - e.getValue() > tunables.lease()) a = Math.max(a, e.getKey());
-        return a;
-    }
-
-    /** Two who command in turn keep apart by what is asked of them, less two in a hundred for clocks. */
-    private void commands(String key, String who) {
-        String last = commander.put(key, who);
-        Long at = commandedAt.put(key, time);
-        long apart = tunables.commandGap() - tunables.commandLease() - tunables.commandGap() / 50;
-        if (last != null && !last.equals(who) && time - at < apart)
-            violation(who + " commands " + key + " " + (time - at) + " ms after " + last);
-    }
-
-    // ---- members
-
-    /** A control machine took these members. */
-    void generation(Members m) {
-        Members old = generations.putIfAbsent(m.generation(), m);
-        if (old != null && !old.equals(m)) violation("generation " + m.generation() + " has two sets of members");
-    }
-
-    /** An owner of the key core began to have the members changed; in: as name/disk. */
-    void intended(List<?> out, List<?> in, long generation) {
-        Members before = generations.get(generation - 1);
-        List<Members.Member> l = new ArrayList<>(before.all());
-        l.removeIf(m -> out.contains(m.name()));
-        for (Object o : in) {
-            String[] x = o.toString().split("/");
-            Address a = addressOf(x[0]);
-            l.add(new Members.Member(x[0], x[1], a, a));
-        }
-        intents.add(new Members(generation, l));
-    }
-
-    /** The newest members that any machine took. */
-    Members newest() {
-        Members m = Members.NONE;
-        for (Members x : generations.values()) m = x;
-        return m;
-    }
-
-    /** Whether one disk more may be lost: no set that still counts loses more than it bears. */
-    boolean mayLose(String who) {
-        Members m = newest();
-        int took = 0;
-        for (Members.Member x : m.all()) {
-            SimControl c = controls.get(x.name());
-            if (c.disk.equals(x.disk()) && c.node.members().generation() == m.generation()) took++;
-        }
-        Members before = generations.get(m.generation() - 1);
-        for (Members i : intents) if (i.generation() > m.generation() && !bears(i, who)) return false;
-        return bears(m, who) && (took > m.all().size() / 2 || before == null || bears(before, who));
-    }
-
-    /** Whether a founder other than this one keeps a disk that knows the fleet: else it may be founded twice. */
-    boolean foundedElsewhere(String who) {
-        return controls.values().stream().anyMatch(c -> c.founder() && !c.name.equals(who)
-            && !left.contains(c.name) && c.node.members().generation() > 0 && c.holds());
-    }
-
-    private boolean bears(Members m, String who) {
-        int lost = m.find(who) == null ? 1 : 0;
-        for (Members.Member x : m.all())
-            if (x.name().equals(who) || left.contains(x.name()) || !controls.get(x.name()).disk.equals(x.disk()))
-                lost++;
-        // one that stands by may have been chosen for a next set a moment before
-        for (Map.Entry<String, Long> e : stoodBy.entrySet()) if (time - e.getValue() < 6000) lost++;
-        return lost <= (m.all().size() - 1) / 2;
-    }
-
-    /** What a machine had on its disk is gone. */
-    void lost(String who) {
-        if (newest().find(who) == null) stoodBy.put(who, time);
-        say(who, "loses its disk");
-    }
-
-    /** The machine is gone for good, with its disk. */
-    void leaves(String who) {
-        left.add(who);
-        lost(who);
-        controls.get(who).kill();
-        say(who, "leaves for good");
-    }
-
-    /**
-     * At the end of a story, with everything healed: nothing acknowledged lost, nothing refused taken, all serve
-     * again.
-     */
-    public void settle(long within) {
-        Map<String, Long> before = new HashMap<>();
-        run(within);
-        for (SimRelay r : relays.values()) if (r.up) before.put(r.name, r.starts);
-        run(1000);
-        for (SimRelay r : relays.values())
-            if (r.up && r.starts - before.get(r.name) < 100)
-                violation(r.name + " does not serve " + within + " ms after all was well");
-        for (String key : new String[]{Keys.CONFIGURATION, Keys.WEIGHTS, Keys.REPLICAS}) {
-            Map<Long, String> m = meaning.getOrDefault(key, Map.of());
-            for (SimRelay r : relays.values())
-                if (r.up && acked.getOrDefault(key, 0L) > r.number(key))
-                    violation(r.name + " is behind what was acknowledged of " + key);
-            for (Sent s : sent) {
-                if (!s.key.equals(key)) continue;
-                boolean taken = m.containsValue(s.digest);
-                ChangeAnswer a = s.answer[0];
-                if (taken && (a instanceof ChangeAnswer.Stale || a instanceof ChangeAnswer.Busy
-                    || a instanceof ChangeAnswer.NoOwner))
-                    violation("value " + s.nr + " was answered " + a + " and was taken");
-            }
-        }
-    }
-
-    public int done() {
-        int n = 0;
-        for (Sent s : sent) if (s.answer[0] instanceof ChangeAnswer.Done) n++;
-        return n;
-    }
-
-    public long generation() {
-        long g = 0;
-        for (SimControl c : controls.values())
-            if (c.up && c.node.settled()) g = Math.max(g, c.node.members().generation());
-        return g;
-    }
-
-    /** All members of the newest generation are up and know it. */
-    public boolean whole() {
-        long g = generation();
-        Members m = null;
-        for (SimControl c : controls.values())
-            if (c.up && c.node.settled() && c.node.members().generation() == g) m = c.node.members();
-        if (m == null) return false;
-        for (Members.Member x : m.all()) {
-            SimControl c = controls.get(x.name());
-            if (!c.up || c.paused || !c.disk.equals(x.disk()) || c.node.members().generation() != g || c.node.sealed())
-                return false;
-        }
-        return true;
-    }
-
-    /** An operator brings a new machine and has it swapped in. */
-    public void swap(String out, String in) {
-        machine(in);
-        for (int i = 0; i < 40; i++) {
-            run(100);
-            boolean[] begun = {false};
-            for (SimControl c : controls.values())
-                if (c.up && !c.paused && c.node.settled() && c.node.owns(Keys.CORE)
-                    && c.node.swap(out, in, a -> {}).isEmpty()) begun[0] = true;
-            if (begun[0]) return;
-        }
-    }
-
-    String anyUp() {
-        for (SimControl c : controls.values()) if (c.up && !c.paused) return c.name;
-        return "c1";
-    }
-
-    public String owner(String key) {
-        String o = "";
-        for (SimControl c : controls.values()) if (c.up && c.node.settled() && c.node.owns(key)) o = o + c.name;
-        return o;
-    }
+              }
+            });
+    return s;
+  }
+
+  /** An operator reads the newest value through the door of one machine. */
+  public void read(String door, String key) {
+    long least = acked.getOrDefault(key, 0L);
+    controls
+        .get(door)
+        .run(
+            () ->
+                controls
+                    .get(door)
+                    .node
+                    .readNewest(
+                        key,
+                        x -> {
+                          if (!x.owned()) return;
+                          reads++;
+                          if (x.number() < least)
+                            violation(
+                                "a read by "
+                                    + door
+                                    + " of "
+                                    + key
+                                    + " says "
+                                    + x.number()
+                                    + " after "
+                                    + least);
+                          if (x.number() > 0)
+                            mean(key, x.number(), x.digest(), "a read by " + door);
+                        }));
+  }
+
+  // ---- what must never be
+
+  private void mean(String key, long number, String digest, String where) {
+    String old = meaning.computeIfAbsent(key, k -> new HashMap<>()).putIfAbsent(number, digest);
+    if (old != null && !old.equals(digest))
+      violation(key + " " + number + " means two things, the second by " + where);
+  }
+
+  void pushed(String relay, News.Push p) {
+    if (!p.key().equals(Keys.CORE)) mean(p.key(), p.number(), p.digest(), "a push to " + relay);
+  }
+
+  void started(SimRelay r, NewsBook b) {
+    for (String k : Keys.LEASED) {
+      long a = bound(k);
+      if (b.number(k) < a)
+        violation(
+            r.name
+                + " starts an order under "
+                + k
+                + " "
+                + b.number(k)
+                + " after "
+                + a
+                + " was acknowledged");
+    }
+    for (String key : new String[] {Keys.CONFIGURATION, Keys.REPLICAS}) {
+      String owner = null;
+      for (SimControl c : controls.values()) {
+        if (!c.up || c.paused || !c.node.settled() || !c.node.mayCommand(key)) continue;
+        if (owner != null) violation(owner + " and " + c.name + " may both command " + key);
+        owner = c.name;
+      }
+      if (owner != null) commands(key, owner);
+    }
+  }
+
+  /** The lowest number that may be acted on now. */
+  private long bound(String key) {
+    if (tunables.acknowledge() == Tunables.Acknowledge.STRICT) return acked.getOrDefault(key, 0L);
+    long a = 0;
+    for (Map.Entry<Long, Long> e : ackedAt.getOrDefault(key, new TreeMap<>()).entrySet())
+      if (time - e.getValue() > tunables.lease()) a = Math.max(a, e.getKey());
+    return a;
+  }
+
+  /**
+   * Two who command in turn keep apart by what is asked of them, less two in a hundred for clocks.
+   */
+  private void commands(String key, String who) {
+    String last = commander.put(key, who);
+    Long at = commandedAt.put(key, time);
+    long apart = tunables.commandGap() - tunables.commandLease() - tunables.commandGap() / 50;
+    if (last != null && !last.equals(who) && time - at < apart)
+      violation(who + " commands " + key + " " + (time - at) + " ms after " + last);
+  }
+
+  // ---- members
+
+  /** A control machine took these members. */
+  void generation(Members m) {
+    Members old = generations.putIfAbsent(m.generation(), m);
+    if (old != null && !old.equals(m))
+      violation("generation " + m.generation() + " has two sets of members");
+  }
+
+  /** An owner of the key core began to have the members changed; in: as name/disk. */
+  void intended(List<?> out, List<?> in, long generation) {
+    Members before = generations.get(generation - 1);
+    List<Members.Member> l = new ArrayList<>(before.all());
+    l.removeIf(m -> out.contains(m.name()));
+    for (Object o : in) {
+      String[] x = o.toString().split("/");
+      Address a = addressOf(x[0]);
+      l.add(new Members.Member(x[0], x[1], a, a));
+    }
+    intents.add(new Members(generation, l));
+  }
+
+  /** The newest members that any machine took. */
+  Members newest() {
+    Members m = Members.NONE;
+    for (Members x : generations.values()) m = x;
+    return m;
+  }
+
+  /** Whether one disk more may be lost: no set that still counts loses more than it bears. */
+  boolean mayLose(String who) {
+    Members m = newest();
+    int took = 0;
+    for (Members.Member x : m.all()) {
+      SimControl c = controls.get(x.name());
+      if (c.disk.equals(x.disk()) && c.node.members().generation() == m.generation()) took++;
+    }
+    Members before = generations.get(m.generation() - 1);
+    for (Members i : intents) if (i.generation() > m.generation() && !bears(i, who)) return false;
+    return bears(m, who) && (took > m.all().size() / 2 || before == null || bears(before, who));
+  }
+
+  /**
+   * Whether a founder other than this one keeps a disk that knows the fleet: else it may be founded
+   * twice.
+   */
+  boolean foundedElsewhere(String who) {
+    return controls.values().stream()
+        .anyMatch(
+            c ->
+                c.founder()
+                    && !c.name.equals(who)
+                    && !left.contains(c.name)
+                    && c.node.members().generation() > 0
+                    && c.holds());
+  }
+
+  private boolean bears(Members m, String who) {
+    int lost = m.find(who) == null ? 1 : 0;
+    for (Members.Member x : m.all())
+      if (x.name().equals(who)
+          || left.contains(x.name())
+          || !controls.get(x.name()).disk.equals(x.disk())) lost++;
+    // one that stands by may have been chosen for a next set a moment before
+    for (Map.Entry<String, Long> e : stoodBy.entrySet()) if (time - e.getValue() < 6000) lost++;
+    return lost <= (m.all().size() - 1) / 2;
+  }
+
+  /** What a machine had on its disk is gone. */
+  void lost(String who) {
+    if (newest().find(who) == null) stoodBy.put(who, time);
+    say(who, "loses its disk");
+  }
+
+  /** The machine is gone for good, with its disk. */
+  void leaves(String who) {
+    left.add(who);
+    lost(who);
+    controls.get(who).kill();
+    say(who, "leaves for good");
+  }
+
+  /**
+   * At the end of a story, with everything healed: nothing acknowledged lost, nothing refused
+   * taken, all serve again.
+   */
+  public void settle(long within) {
+    Map<String, Long> before = new HashMap<>();
+    run(within);
+    for (SimRelay r : relays.values()) if (r.up) before.put(r.name, r.starts);
+    run(1000);
+    for (SimRelay r : relays.values())
+      if (r.up && r.starts - before.get(r.name) < 100)
+        violation(r.name + " does not serve " + within + " ms after all was well");
+    for (String key : new String[] {Keys.CONFIGURATION, Keys.WEIGHTS, Keys.REPLICAS}) {
+      Map<Long, String> m = meaning.getOrDefault(key, Map.of());
+      for (SimRelay r : relays.values())
+        if (r.up && acked.getOrDefault(key, 0L) > r.number(key))
+          violation(r.name + " is behind what was acknowledged of " + key);
+      for (Sent s : sent) {
+        if (!s.key.equals(key)) continue;
+        boolean taken = m.containsValue(s.digest);
+        ChangeAnswer a = s.answer[0];
+        if (taken
+            && (a instanceof ChangeAnswer.Stale
+                || a instanceof ChangeAnswer.Busy
+                || a instanceof ChangeAnswer.NoOwner))
+          violation("value " + s.nr + " was answered " + a + " and was taken");
+      }
+    }
+  }
+
+  public int done() {
+    int n = 0;
+    for (Sent s : sent) if (s.answer[0] instanceof ChangeAnswer.Done) n++;
+    return n;
+  }
+
+  public long generation() {
+    long g = 0;
+    for (SimControl c : controls.values())
+      if (c.up && c.node.settled()) g = Math.max(g, c.node.members().generation());
+    return g;
+  }
+
+  /** All members of the newest generation are up and know it. */
+  public boolean whole() {
+    long g = generation();
+    Members m = null;
+    for (SimControl c : controls.values())
+      if (c.up && c.node.settled() && c.node.members().generation() == g) m = c.node.members();
+    if (m == null) return false;
+    for (Members.Member x : m.all()) {
+      SimControl c = controls.get(x.name());
+      if (!c.up
+          || c.paused
+          || !c.disk.equals(x.disk())
+          || c.node.members().generation() != g
+          || c.node.sealed()) return false;
+    }
+    return true;
+  }
+
+  /** An operator brings a new machine and has it swapped in. */
+  public void swap(String out, String in) {
+    machine(in);
+    for (int i = 0; i < 40; i++) {
+      run(100);
+      boolean[] begun = {false};
+      for (SimControl c : controls.values())
+        if (c.up
+            && !c.paused
+            && c.node.settled()
+            && c.node.owns(Keys.CORE)
+            && c.node.swap(out, in, a -> {}).isEmpty()) begun[0] = true;
+      if (begun[0]) return;
+    }
+  }
+
+  String anyUp() {
+    for (SimControl c : controls.values()) if (c.up && !c.paused) return c.name;
+    return "c1";
+  }
+
+  public String owner(String key) {
+    String o = "";
+    for (SimControl c : controls.values())
+      if (c.up && c.node.settled() && c.node.owns(key)) o = o + c.name;
+    return o;
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimConnections.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimConnections.java
@@ -17,214 +17,254 @@
 import java.util.function.Consumer;
 
 final class SimConnections implements ReplicaConnections {
-    private static final long CONNECT = 500, ASKED = 1000;
-    private final RequestSim sim;
-    private final RequestRelay relay;
-    private final int life;
-    private final Map<String, List<Pooled>> idle = new HashMap<>();
-    private final List<Pooled> all = new ArrayList<>();
-
-    SimConnections(RequestSim sim, RequestRelay relay) {
-        this.sim = sim;
-        this.relay = relay;
-        this.life = relay.life;
-    }
-
-    private final class Pooled {
-        final String address;
-        final SimReplica end;
-        final int endLife;
-        String who = "";
-        boolean closed;
-        Line used;
-        final ArrayDeque<Runnable> there = new ArrayDeque<>();
-        final ArrayDeque<Runnable> back = new ArrayDeque<>();
-
-        Pooled(String address, SimReplica end) {
-            this.address = address;
-            this.end = end;
-            this.endLife = end.life;
-        }
-
-        boolean dead() {
-            return closed || end.life != endLife || sim.at(address) != end;
-        }
-
-        void carry(ArrayDeque<Runnable> way, Runnable r) {
-            way.add(r);
-            sim.after(1 + sim.random.nextInt(sim.random.nextInt(30) == 0 ? 40 : 3), () -> arrive(way));
-        }
-
-        private void arrive(ArrayDeque<Runnable> way) {
-            boolean cut = way == there ? sim.isCut(relay.name, end.instance) : sim.isCut(end.instance, relay.name);
-            if (cut || end.vanished) {
-                if (!closed) sim.after(50, () -> arrive(way));
-                return;
-            }
-            Runnable r = way.poll();
-            if (r != null) r.run();
-        }
+  private static final long CONNECT = 500, ASKED = 1000;
+  private final RequestSim sim;
+  private final RequestRelay relay;
+  private final int life;
+  private final Map<String, List<Pooled>> idle = new HashMap<>();
+  private final List<Pooled> all = new ArrayList<>();
+
+  SimConnections(RequestSim sim, RequestRelay relay) {
+    this.sim = sim;
+    this.relay = relay;
+    this.life = relay.life;
+  }
+
+  private final class Pooled {
+    final String address;
+    final SimReplica end;
+    final int endLife;
+    String who = "";
+    boolean closed;
+    Line used;
+    final ArrayDeque<Runnable> there = new ArrayDeque<>();
+    final ArrayDeque<Runnable> back = new ArrayDeque<>();
+
+    Pooled(String address, SimReplica end) {
+      this.address = address;
+      this.end = end;
+      this.endLife = end.life;
     }
 
-    /** The other end's process died or the stream broke: all that was on its way to it is lost. */
-    void broke(SimReplica end) {
-        for (Pooled c : new ArrayList<>(all)) {
-            if (c.end != end || c.endLife != end.life - 1) continue;
-            all.remove(c);
-            Line l = c.used;
-            c.carry(c.back, () -> {
-                c.closed = true;
-                if (l != null) l.over("the circuit broke");
-            });
-        }
-    }
-
-    @Override public void open(Replica to, Consumer<Connection> opened, Consumer<String> failure) {
-        String a = to.address().toString();
-        List<Pooled> l = idle.computeIfAbsent(a, x -> new ArrayList<>());
-        l.removeIf(Pooled::dead);
-        SimReplica r = sim.at(a);
-        if (!l.isEmpty()) {
-            Pooled c = l.remove(l.size() - 1);
-            sim.passes(RequestSim.Point.OPEN, relay.name, () -> later(0, () -> opened.accept(new Line(c))));
-        } else if (r == null || r.vanished || sim.isCut(relay.name, r.instance) || sim.isCut(r.instance, relay.name))
-            later(CONNECT, () -> failure.accept("no answer"));
-        else if (!r.up) later(2, () -> failure.accept("refused"));
-        else sim.passes(RequestSim.Point.OPEN, relay.name, () -> later(1 + sim.random.nextInt(3), () -> {
-            Pooled c = new Pooled(a, r);
-            all.add(c);
-            opened.accept(new Line(c));
-        }));
-    }
-
-    private void later(long ms, Runnable r) {
-        sim.after(ms, () -> relay.run(life, r));
-    }
-
-    /** One use of a connection. */
-    final class Line implements Connection {
-        private final Pooled c;
-        private Answer to;
-        private SimReplica.Job job;
-        private boolean over;
-        private boolean reset;
-        private boolean used;
-
-        Line(Pooled c) {
-            this.c = c;
-            c.used = this;
-        }
-
-        @Override public String who() {
-            return sim.unchecked && c.end != null ? relay.wanted(c.address) : c.who;
-        }
-
-        @Override public void identify(Consumer<String> who) {
-            boolean[] once = {false};
-            Consumer<String> tell = w -> relay.run(life, () -> {
-                if (once[0]) return;
-                once[0] = true;
-                if (!w.isEmpty()) {
-                    c.who = w;
-                    free();
-                }
-                who.accept(w);
-            });
-            sim.after(ASKED, () -> tell.accept(""));
-            c.carry(c.there, () -> {
-                if (!c.dead() && c.end.answers()) {
-                    String w = c.end.service + "/" + c.end.instance;
-                    c.carry(c.back, () -> tell.accept(w));
-                }
-            });
-        }
-
-        @Override public void order(String json, Answer a) {
-            to = a;
-            used = true;
-            long handed = sim.now();
-            String tag = StandInReplica.tagOf(Json.parse(json).asObject().getString("prompt", ""));
-            sim.handed(relay, json);
-            sim.passes(RequestSim.Point.HANDED, tag, () -> c.carry(c.there, () -> taken(json, handed)));
-        }
-
-        /** A process that hangs reads it when it wakes, and may do so even if it was reset meanwhile. */
-        private void taken(String json, long handed) {
-            if (c.dead() || reset && sim.random.nextBoolean()) return;
-            if (c.end.hung) {
-                sim.after(50, () -> taken(json, handed));
-                return;
-            }
-            job = c.end.order(this, Json.parse(json).asObject(), handed);
-            if (reset && job != null) c.end.left(job);
-        }
-
-        void toRelay(Consumer<Answer> what) {
-            c.carry(c.back, () -> relay.run(life, () -> {
-                if (!over && !reset && to != null) what.accept(to);
-            }));
-        }
-
-        /** The replica is through with it: the connection may be used again. */
-        void done() {
-            c.carry(c.back, this::free);
-        }
-
-        void broken() {
+    boolean dead() {
+      return closed || end.life != endLife || sim.at(address) != end;
+    }
+
+    void carry(ArrayDeque<Runnable> way, Runnable r) {
+      way.add(r);
+      sim.after(1 + sim.random.nextInt(sim.random.nextInt(30) == 0 ? 40 : 3), () -> arrive(way));
+    }
+
+    private void arrive(ArrayDeque<Runnable> way) {
+      boolean cut =
+          way == there ? sim.isCut(relay.name, end.instance) : sim.isCut(end.instance, relay.name);
+      if (cut || end.vanished) {
+        if (!closed) sim.after(50, () -> arrive(way));
+        return;
+      }
+      Runnable r = way.poll();
+      if (r != null) r.run();
+    }
+  }
+
+  /** The other end's process died or the stream broke: all that was on its way to it is lost. */
+  void broke(SimReplica end) {
+    for (Pooled c : new ArrayList<>(all)) {
+      if (c.end != end || c.endLife != end.life - 1) continue;
+      all.remove(c);
+      Line l = c.used;
+      c.carry(
+          c.back,
+          () -> {
             c.closed = true;
-            all.remove(c);
-        }
+            if (l != null) l.over("the circuit broke");
+          });
+    }
+  }
 
-        private void free() {
-            if (c.used == this && !c.dead() && !reset) {
-                c.used = null;
-                idle.computeIfAbsent(c.address, x -> new ArrayList<>()).add(c);
-            }
-        }
-
-        void over(String why) {
-            relay.run(life, () -> {
-                if (over || reset || to == null) return;
-                over = true;
-                to.over(why);
-            });
-        }
-
-        /** A connection that carries a request of ours is given up with it. */
-        @Override public void reset() {
-            if (reset) return;
-            reset = true;
-            if (!used) {
-                reset = false;
-                free();
-                return;
+  @Override
+  public void open(Replica to, Consumer<Connection> opened, Consumer<String> failure) {
+    String a = to.address().toString();
+    List<Pooled> l = idle.computeIfAbsent(a, x -> new ArrayList<>());
+    l.removeIf(Pooled::dead);
+    SimReplica r = sim.at(a);
+    if (!l.isEmpty()) {
+      Pooled c = l.remove(l.size() - 1);
+      sim.passes(
+          RequestSim.Point.OPEN, relay.name, () -> later(0, () -> opened.accept(new Line(c))));
+    } else if (r == null
+        || r.vanished
+        || sim.isCut(relay.name, r.instance)
+        || sim.isCut(r.instance, relay.name)) later(CONNECT, () -> failure.accept("no answer"));
+    else if (!r.up) later(2, () -> failure.accept("refused"));
+    else
+      sim.passes(
+          RequestSim.Point.OPEN,
+          relay.name,
+          () ->
+              later(
+                  1 + sim.random.nextInt(3),
+                  () -> {
+                    Pooled c = new Pooled(a, r);
+                    all.add(c);
+                    opened.accept(new Line(c));
+                  }));
+  }
+
+  private void later(long ms, Runnable r) {
+    sim.after(ms, () -> relay.run(life, r));
+  }
+
+  /** One use of a connection. */
+  final class Line implements Connection {
+    private final Pooled c;
+    private Answer to;
+    private SimReplica.Job job;
+    private boolean over;
+    private boolean reset;
+    private boolean used;
+
+    Line(Pooled c) {
+      this.c = c;
+      c.used = this;
+    }
+
+    @Override
+    public String who() {
+      return sim.unchecked && c.end != null ? relay.wanted(c.address) : c.who;
+    }
+
+    @Override
+    public void identify(Consumer<String> who) {
+      boolean[] once = {false};
+      Consumer<String> tell =
+          w ->
+              relay.run(
+                  life,
+                  () -> {
+                    if (once[0]) return;
+                    once[0] = true;
+                    if (!w.isEmpty()) {
+                      c.who = w;
+                      free();
+                    }
+                    who.accept(w);
+                  });
+      sim.after(ASKED, () -> tell.accept(""));
+      c.carry(
+          c.there,
+          () -> {
+            if (!c.dead() && c.end.answers()) {
+              String w = c.end.service + "/" + c.end.instance;
+              c.carry(c.back, () -> tell.accept(w));
             }
-            c.carry(c.there, () -> {
-                if (job != null) c.end.left(job);
-                c.closed = true;
-                all.remove(c);
-            });
-        }
-
-        @Override public void close() {
+          });
+    }
+
+    @Override
+    public void order(String json, Answer a) {
+      to = a;
+      used = true;
+      long handed = sim.now();
+      String tag = StandInReplica.tagOf(Json.parse(json).asObject().getString("prompt", ""));
+      sim.handed(relay, json);
+      sim.passes(RequestSim.Point.HANDED, tag, () -> c.carry(c.there, () -> taken(json, handed)));
+    }
+
+    /**
+     * A process that hangs reads it when it wakes, and may do so even if it was reset meanwhile.
+     */
+    private void taken(String json, long handed) {
+      if (c.dead() || reset && sim.random.nextBoolean()) return;
+      if (c.end.hung) {
+        sim.after(50, () -> taken(json, handed));
+        return;
+      }
+      job = c.end.order(this, Json.parse(json).asObject(), handed);
+      if (reset && job != null) c.end.left(job);
+    }
+
+    void toRelay(Consumer<Answer> what) {
+      c.carry(
+          c.back,
+          () ->
+              relay.run(
+                  life,
+                  () -> {
+                    if (!over && !reset && to != null) what.accept(to);
+                  }));
+    }
+
+    /** The replica is through with it: the connection may be used again. */
+    void done() {
+      c.carry(c.back, this::free);
+    }
+
+    void broken() {
+      c.closed = true;
+      all.remove(c);
+    }
+
+    private void free() {
+      if (c.used == this && !c.dead() && !reset) {
+        c.used = null;
+        idle.computeIfAbsent(c.address, x -> new ArrayList<>()).add(c);
+      }
+    }
+
+    void over(String why) {
+      relay.run(
+          life,
+          () -> {
+            if (over || reset || to == null) return;
+            over = true;
+            to.over(why);
+          });
+    }
+
+    /** A connection that carries a request of ours is given up with it. */
+    @Override
+    public void reset() {
+      if (reset) return;
+      reset = true;
+      if (!used) {
+        reset = false;
+        free();
+        return;
+      }
+      c.carry(
+          c.there,
+          () -> {
+            if (job != null) c.end.left(job);
             c.closed = true;
             all.remove(c);
-        }
-
-        @Override public void pause() {}
+          });
+    }
 
-        @Override public void resume() {}
+    @Override
+    public void close() {
+      c.closed = true;
+      all.remove(c);
     }
 
-    /** The relay's process died: its connections close. */
-    void die() {
-        for (Pooled c : all) {
-            Line l = c.used;
-            c.carry(c.there, () -> {
-                c.closed = true;
-                if (l != null && l.job != null) c.end.left(l.job);
-            });
-        }
-        all.clear();
+    @Override
+    public void pause() {}
+
+    @Override
+    public void resume() {}
+  }
+
+  /** The relay's process died: its connections close. */
+  void die() {
+    for (Pooled c : all) {
+      Line l = c.used;
+      c.carry(
+          c.there,
+          () -> {
+            c.closed = true;
+            if (l != null && l.job != null) c.end.left(l.job);
+          });
     }
+    all.clear();
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -19,202 +19,227 @@
 import java.util.function.Consumer;
 
 final class SimControl implements CoreHost {
-    final String name;
-    String disk;
-    private final Sim sim;
-    final SimDisk medium;
-    private final List<Members.Member> founders;
-    private boolean founded;
-    private boolean emptied;
-    CoreNode node;
-    boolean up;
-    boolean paused;
-    int life;
-    double rate = 1;
-    private long rateSince;
-    private long base;
-    private final Random jumps = new Random(7);
-    private final ArrayDeque<Runnable> held = new ArrayDeque<>();
-    String died = "";
-
-    SimControl(Sim sim, String name, String disk, List<Members.Member> founders, boolean founded) {
-        this.sim = sim;
-        this.name = name;
-        this.disk = disk;
-        this.founders = founders;
-        this.founded = founded;
-        this.medium = new SimDisk(sim.random);
-    }
-
-    boolean founder() {
-        return founded;
-    }
-
-    /** Whether its disk is the one the process that ran last had. */
-    boolean holds() {
-        return !emptied;
-    }
-
-    Address address() {
-        return sim.addressOf(name);
-    }
-
-    void start() {
-        up = true;
-        paused = false;
-        emptied = false;
-        died = "";
-        life++;
-        held.clear();
-        Map<String, byte[]> live;
-        try {
-            live = medium.open();
-        } catch (IOException e) {
-            up = false;
-            died = e.getMessage();
-            sim.say(name, "will not start: " + died);
-            return;
-        }
-        node = new CoreNode(this, sim.tunables, new Members.Member(name, disk, address(), address()), sim.cutoff,
+  final String name;
+  String disk;
+  private final Sim sim;
+  final SimDisk medium;
+  private final List<Members.Member> founders;
+  private boolean founded;
+  private boolean emptied;
+  CoreNode node;
+  boolean up;
+  boolean paused;
+  int life;
+  double rate = 1;
+  private long rateSince;
+  private long base;
+  private final Random jumps = new Random(7);
+  private final ArrayDeque<Runnable> held = new ArrayDeque<>();
+  String died = "";
+
+  SimControl(Sim sim, String name, String disk, List<Members.Member> founders, boolean founded) {
+    this.sim = sim;
+    this.name = name;
+    this.disk = disk;
+    this.founders = founders;
+    this.founded = founded;
+    this.medium = new SimDisk(sim.random);
+  }
+
+  boolean founder() {
+    return founded;
+  }
+
+  /** Whether its disk is the one the process that ran last had. */
+  boolean holds() {
+    return !emptied;
+  }
+
+  Address address() {
+    return sim.addressOf(name);
+  }
+
+  void start() {
+    up = true;
+    paused = false;
+    emptied = false;
+    died = "";
+    life++;
+    held.clear();
+    Map<String, byte[]> live;
+    try {
+      live = medium.open();
+    } catch (IOException e) {
+      up = false;
+      died = e.getMessage();
+      sim.say(name, "will not start: " + died);
+      return;
+    }
+    node =
+        new CoreNode(
+            this,
+            sim.tunables,
+            new Members.Member(name, disk, address(), address()),
+            sim.cutoff,
             live,
-            founded ? new CoreNode.Founding(founders) : null, sim.duties());
-        tick(life);
-        probe(life);
-        int l = life;
-        sim.after(250, () -> duty(l));
-    }
-
-    private void probe(int l) {
-        if (l != life) return;
-        run(() -> medium.want("", new byte[0], () -> {}, sim, this));
-        sim.after(1000, () -> probe(l));
-    }
-
-    private void duty(int l) {
-        if (l != life) return;
-        run(() -> sim.duty(this));
-        sim.after(250, () -> duty(l));
-    }
-
-    private void tick(int l) {
-        if (l != life) return;
-        run(() -> {
-            node.healthy(medium.stalledFor(sim.now()) < 400);
-            node.tick();
+            founded ? new CoreNode.Founding(founders) : null,
+            sim.duties());
+    tick(life);
+    probe(life);
+    int l = life;
+    sim.after(250, () -> duty(l));
+  }
+
+  private void probe(int l) {
+    if (l != life) return;
+    run(() -> medium.want("", new byte[0], () -> {}, sim, this));
+    sim.after(1000, () -> probe(l));
+  }
+
+  private void duty(int l) {
+    if (l != life) return;
+    run(() -> sim.duty(this));
+    sim.after(250, () -> duty(l));
+  }
+
+  private void tick(int l) {
+    if (l != life) return;
+    run(
+        () -> {
+          node.healthy(medium.stalledFor(sim.now()) < 400);
+          node.tick();
         });
-        sim.after(25, () -> tick(l));
-    }
-
-    void kill() {
-        up = false;
-        life++;
-    }
-
-    void power() {
-        kill();
-        medium.power();
-    }
-
-    void diskFailed() {
-        sim.say(name, "disk failed, stops");
-        kill();
-    }
-
-    void pause() {
-        paused = true;
-    }
-
-    void wake() {
-        paused = false;
-        while (!held.isEmpty() && !paused) run(held.poll());
-    }
-
-    void rate(double r) {
-        base = now();
-        rateSince = sim.now();
-        rate = r;
-    }
-
-    /** Runs now, or when the pause is over, unless the process it was meant for is gone. */
-    void run(Runnable r) {
-        if (!up) return;
-        if (paused) {
-            if (held.size() < 5000) held.add(r);
-        } else r.run();
-    }
-
-    void deliver(CoreMessage.Envelope e) {
-        int l = life;
-        run(() -> {
-            if (l == life) node.message(e);
+    sim.after(25, () -> tick(l));
+  }
+
+  void kill() {
+    up = false;
+    life++;
+  }
+
+  void power() {
+    kill();
+    medium.power();
+  }
+
+  void diskFailed() {
+    sim.say(name, "disk failed, stops");
+    kill();
+  }
+
+  void pause() {
+    paused = true;
+  }
+
+  void wake() {
+    paused = false;
+    while (!held.isEmpty() && !paused) run(held.poll());
+  }
+
+  void rate(double r) {
+    base = now();
+    rateSince = sim.now();
+    rate = r;
+  }
+
+  /** Runs now, or when the pause is over, unless the process it was meant for is gone. */
+  void run(Runnable r) {
+    if (!up) return;
+    if (paused) {
+      if (held.size() < 5000) held.add(r);
+    } else r.run();
+  }
+
+  void deliver(CoreMessage.Envelope e) {
+    int l = life;
+    run(
+        () -> {
+          if (l == life) node.message(e);
         });
-    }
-
-    void propose(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
-        run(() -> node.change(key, match, body, answer));
-    }
-
-    @Override public long now() {
-        return base + (long) ((sim.now() - rateSince) * rate);
-    }
-
-    @Override public long random(long below) {
-        return (long) (sim.random.nextDouble() * below);
-    }
-
-    /** Jumps about; nothing may come of it. */
-    @Override public long wall() {
-        return jumps.nextLong();
-    }
-
-    @Override public void send(String member, CoreMessage.Envelope m) {
-        if (member.equals(name)) sim.after(0, () -> deliver(m));
-        else sim.core(name, member, m);
-    }
-
-    @Override public void sendTo(Address to, CoreMessage.Envelope m) {
-        String n = sim.nameOf(to);
-        if (n != null) sim.core(name, n, m);
-    }
-
-    @Override public List<Address> contacts() {
-        return sim.allAddresses();
-    }
-
-    /** The machine comes back with an empty disk: it can only join. */
-    void empty(String newDisk) {
-        emptyFounder(newDisk);
-        founded = false;
-    }
-
-    /** The machine comes back with an empty disk and what it was started with the first time. */
-    void emptyFounder(String newDisk) {
-        kill();
-        medium.wipe();
-        disk = newDisk;
-        emptied = true;
-    }
-
-    @Override public void sync(String key, byte[] state, Runnable done) {
-        int l = life;
-        medium.want(key, state, () -> {
-            if (l == life) done.run();
-        }, sim, this);
-    }
-
-    @Override public void news(String to, News m) {
-        sim.news(name, to, m);
-    }
-
-    @Override public void members(Members m) {
-        sim.say(name, "members generation " + m.generation());
-        sim.generation(m);
-    }
-
-    @Override public void event(String what, Object... pairs) {
-        if (what.equals("members-change")) sim.intended((List<?>) pairs[3], (List<?>) pairs[5], (Long) pairs[7]);
-        StringBuilder sb = new StringBuilder(what);
-        for (int i = 0; i + 1 < pairs.length; i += 2) sb.append(' ').append(pairs[i]).append('=').append(pairs[i + 1]);
-        sim.say(name, sb.toString());
-    }
+  }
+
+  void propose(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
+    run(() -> node.change(key, match, body, answer));
+  }
+
+  @Override
+  public long now() {
+    return base + (long) ((sim.now() - rateSince) * rate);
+  }
+
+  @Override
+  public long random(long below) {
+    return (long) (sim.random.nextDouble() * below);
+  }
+
+  /** Jumps about; nothing may come of it. */
+  @Override
+  public long wall() {
+    return jumps.nextLong();
+  }
+
+  @Override
+  public void send(String member, CoreMessage.Envelope m) {
+    if (member.equals(name)) sim.after(0, () -> deliver(m));
+    else sim.core(name, member, m);
+  }
+
+  @Override
+  public void sendTo(Address to, CoreMessage.Envelope m) {
+    String n = sim.nameOf(to);
+    if (n != null) sim.core(name, n, m);
+  }
+
+  @Override
+  public List<Address> contacts() {
+    return sim.allAddresses();
+  }
+
+  /** The machine comes back with an empty disk: it can only join. */
+  void empty(String newDisk) {
+    emptyFounder(newDisk);
+    founded = false;
+  }
+
+  /** The machine comes back with an empty disk and what it was started with the first time. */
+  void emptyFounder(String newDisk) {
+    kill();
+    medium.wipe();
+    disk = newDisk;
+    emptied = true;
+  }
+
+  @Override
+  public void sync(String key, byte[] state, Runnable done) {
+    int l = life;
+    medium.want(
+        key,
+        state,
+        () -> {
+          if (l == life) done.run();
+        },
+        sim,
+        this);
+  }
+
+  @Override
+  public void news(String to, News m) {
+    sim.news(name, to, m);
+  }
+
+  @Override
+  public void members(Members m) {
+    sim.say(name, "members generation " + m.generation());
+    sim.generation(m);
+  }
+
+  @Override
+  public void event(String what, Object... pairs) {
+    if (what.equals("members-change"))
+      sim.intended((List<?>) pairs[3], (List<?>) pairs[5], (Long) pairs[7]);
+    StringBuilder sb = new StringBuilder(what);
+    for (int i = 0; i + 1 < pairs.length; i += 2)
+      sb.append(' ').append(pairs[i]).append('=').append(pairs[i + 1]);
+    sim.say(name, sb.toString());
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimDisk.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimDisk.java
@@ -15,114 +15,123 @@
 import java.util.Random;
 
 final class SimDisk implements Medium {
-    private static final int FILES = 4, SIZE = 96 << 10;
-    private final Random random;
-    private byte[][] files = new byte[FILES][SIZE];
-    private byte[][] before;
-    private Ring ring;
-    private final List<Ring.Entry> entries = new ArrayList<>();
-    private final List<Runnable> dones = new ArrayList<>();
-    private boolean busy;
-    private int life;
-    boolean stalled;
-    boolean failing;
-    /** Milliseconds more for each sync, as on a machine with too much to do. */
-    int slow;
-    long busySince = -1;
-
-    SimDisk(Random random) {
-        this.random = random;
-    }
+  private static final int FILES = 4, SIZE = 96 << 10;
+  private final Random random;
+  private byte[][] files = new byte[FILES][SIZE];
+  private byte[][] before;
+  private Ring ring;
+  private final List<Ring.Entry> entries = new ArrayList<>();
+  private final List<Runnable> dones = new ArrayList<>();
+  private boolean busy;
+  private int life;
+  boolean stalled;
+  boolean failing;
 
-    Map<String, byte[]> open() throws IOException {
-        life++;
-        busy = false;
-        busySince = -1;
-        entries.clear();
-        dones.clear();
-        ring = Ring.open(this);
-        return ring.live();
-    }
+  /** Milliseconds more for each sync, as on a machine with too much to do. */
+  int slow;
 
-    /** The power goes: what was being synced may be torn, what waited is gone. */
-    void power() {
-        life++;
-        if (busy && before != null)
-            for (int i = 0; i < FILES; i++)
-                for (int at = 0; at < SIZE; at += 512)
-                    if (random.nextBoolean()) System.arraycopy(before[i], at, files[i], at, 512);
-        busy = false;
-    }
+  long busySince = -1;
 
-    void wipe() {
-        files = new byte[FILES][SIZE];
-    }
+  SimDisk(Random random) {
+    this.random = random;
+  }
 
-    void want(String key, byte[] state, Runnable done, Sim sim, SimControl owner) {
-        entries.add(new Ring.Entry(key, state));
-        dones.add(done);
-        if (stalled && busySince < 0) busySince = sim.now();
-        go(sim, owner);
-    }
+  Map<String, byte[]> open() throws IOException {
+    life++;
+    busy = false;
+    busySince = -1;
+    entries.clear();
+    dones.clear();
+    ring = Ring.open(this);
+    return ring.live();
+  }
 
-    void go(Sim sim, SimControl owner) {
-        if (busy || entries.isEmpty() || stalled) return;
-        if (failing) {
-            owner.diskFailed();
-            return;
-        }
-        busy = true;
-        busySince = sim.now();
-        Map<String, Ring.Entry> last = new LinkedHashMap<>();
-        for (Ring.Entry e : entries) last.put(e.key(), e);
-        List<Runnable> ds = new ArrayList<>(dones);
-        entries.clear();
-        dones.clear();
-        before = new byte[FILES][];
-        for (int i = 0; i < FILES; i++) before[i] = files[i].clone();
-        try {
-            ring.write(new ArrayList<>(last.values()));
-        } catch (IOException e) {
-            owner.diskFailed();
-            return;
-        }
-        int l = life;
-        done(sim, owner, l, ds);
+  /** The power goes: what was being synced may be torn, what waited is gone. */
+  void power() {
+    life++;
+    if (busy && before != null)
+      for (int i = 0; i < FILES; i++)
+        for (int at = 0; at < SIZE; at += 512)
+          if (random.nextBoolean()) System.arraycopy(before[i], at, files[i], at, 512);
+    busy = false;
+  }
+
+  void wipe() {
+    files = new byte[FILES][SIZE];
+  }
+
+  void want(String key, byte[] state, Runnable done, Sim sim, SimControl owner) {
+    entries.add(new Ring.Entry(key, state));
+    dones.add(done);
+    if (stalled && busySince < 0) busySince = sim.now();
+    go(sim, owner);
+  }
+
+  void go(Sim sim, SimControl owner) {
+    if (busy || entries.isEmpty() || stalled) return;
+    if (failing) {
+      owner.diskFailed();
+      return;
+    }
+    busy = true;
+    busySince = sim.now();
+    Map<String, Ring.Entry> last = new LinkedHashMap<>();
+    for (Ring.Entry e : entries) last.put(e.key(), e);
+    List<Runnable> ds = new ArrayList<>(dones);
+    entries.clear();
+    dones.clear();
+    before = new byte[FILES][];
+    for (int i = 0; i < FILES; i++) before[i] = files[i].clone();
+    try {
+      ring.write(new ArrayList<>(last.values()));
+    } catch (IOException e) {
+      owner.diskFailed();
+      return;
     }
+    int l = life;
+    done(sim, owner, l, ds);
+  }
 
-    private void done(Sim sim, SimControl owner, int l, List<Runnable> ds) {
-        sim.after(slow + 1 + random.nextInt(random.nextInt(6) == 0 ? 80 : 8), () -> {
-            if (life != l) return;
-            if (stalled) {
-                done(sim, owner, l, ds);
-                return;
-            }
-            busy = false;
-            busySince = -1;
-            for (Runnable d : ds) owner.run(d);
-            go(sim, owner);
+  private void done(Sim sim, SimControl owner, int l, List<Runnable> ds) {
+    sim.after(
+        slow + 1 + random.nextInt(random.nextInt(6) == 0 ? 80 : 8),
+        () -> {
+          if (life != l) return;
+          if (stalled) {
+            done(sim, owner, l, ds);
+            return;
+          }
+          busy = false;
+          busySince = -1;
+          for (Runnable d : ds) owner.run(d);
+          go(sim, owner);
         });
-    }
+  }
 
-    long stalledFor(long now) {
-        return busySince < 0 ? 0 : now - busySince;
-    }
+  long stalledFor(long now) {
+    return busySince < 0 ? 0 : now - busySince;
+  }
 
-    @Override public int files() {
-        return FILES;
-    }
+  @Override
+  public int files() {
+    return FILES;
+  }
 
-    @Override public int size() {
-        return SIZE;
-    }
+  @Override
+  public int size() {
+    return SIZE;
+  }
 
-    @Override public byte[] read(int file) {
-        return files[file].clone();
-    }
+  @Override
+  public byte[] read(int file) {
+    return files[file].clone();
+  }
 
-    @Override public void write(int file, int at, byte[] b) {
-        System.arraycopy(b, 0, files[file], at, b.length);
-    }
+  @Override
+  public void write(int file, int at, byte[] b) {
+    System.arraycopy(b, 0, files[file], at, b.length);
+  }
 
-    @Override public void sync(int file) {}
+  @Override
+  public void sync(int file) {}
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimRelay.java
@@ -13,82 +13,86 @@
 import java.util.Map;
 
 final class SimRelay {
-    final String name;
-    private final Sim sim;
-    private NewsBook book;
-    boolean up;
-    boolean paused;
-    int life;
-    double rate = 1;
-    long starts;
-    long refused;
-    long lastStart = -1;
-    long longestGap;
-    final Map<String, String> digests = new HashMap<>();
+  final String name;
+  private final Sim sim;
+  private NewsBook book;
+  boolean up;
+  boolean paused;
+  int life;
+  double rate = 1;
+  long starts;
+  long refused;
+  long lastStart = -1;
+  long longestGap;
+  final Map<String, String> digests = new HashMap<>();
 
-    SimRelay(Sim sim, String name) {
-        this.sim = sim;
-        this.name = name;
-    }
+  SimRelay(Sim sim, String name) {
+    this.sim = sim;
+    this.name = name;
+  }
 
-    void start() {
-        up = true;
-        paused = false;
-        life++;
-        book = new NewsBook(new Shuffle.Descriptor(name, "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0), life, p -> {
-            sim.pushed(name, p);
-            digests.put(p.key(), p.digest());
-            return true;
-        });
-        ask(life);
-        work(life);
-    }
+  void start() {
+    up = true;
+    paused = false;
+    life++;
+    book =
+        new NewsBook(
+            new Shuffle.Descriptor(name, "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
+            life,
+            p -> {
+              sim.pushed(name, p);
+              digests.put(p.key(), p.digest());
+              return true;
+            });
+    ask(life);
+    work(life);
+  }
 
-    void kill() {
-        up = false;
-        life++;
-    }
+  void kill() {
+    up = false;
+    life++;
+  }
 
-    private long now() {
-        return (long) (sim.now() * rate);
-    }
+  private long now() {
+    return (long) (sim.now() * rate);
+  }
 
-    private void ask(int l) {
-        if (l != life) return;
-        if (!paused) askNow();
-        sim.after(400, () -> ask(l));
-    }
+  private void ask(int l) {
+    if (l != life) return;
+    if (!paused) askNow();
+    sim.after(400, () -> ask(l));
+  }
 
-    private void askNow() {
-        News.Ask a = book.ask(now());
-        for (String c : sim.controlNames()) sim.ask(name, c, a);
-    }
+  private void askNow() {
+    News.Ask a = book.ask(now());
+    for (String c : sim.controlNames()) sim.ask(name, c, a);
+  }
 
-    private void work(int l) {
-        if (l != life) return;
-        if (!paused) {
-            if (book.number(Keys.CONFIGURATION) > 0 && book.leases.valid(now())) {
-                starts++;
-                if (lastStart >= 0) longestGap = Math.max(longestGap, sim.now() - lastStart);
-                lastStart = sim.now();
-                sim.started(this, book);
-            } else refused++;
-        }
-        sim.after(7, () -> work(l));
+  private void work(int l) {
+    if (l != life) return;
+    if (!paused) {
+      if (book.number(Keys.CONFIGURATION) > 0 && book.leases.valid(now())) {
+        starts++;
+        if (lastStart >= 0) longestGap = Math.max(longestGap, sim.now() - lastStart);
+        lastStart = sim.now();
+        sim.started(this, book);
+      } else refused++;
     }
+    sim.after(7, () -> work(l));
+  }
 
-    void told(News n) {
-        if (!up || paused) return;
-        long before = book.number(n instanceof News.Push p ? p.key() : Keys.CONFIGURATION);
-        if (book.told(n) == NewsBook.Told.WANTS_WHOLE) sim.whole(name, ((News.Push) n).key());
-        if (n instanceof News.Push p) {
-            if (book.number(p.key()) < before)
-                sim.violation(name + " went back from " + before + " to " + book.number(p.key()));
-            askNow();
-        }
+  void told(News n) {
+    if (!up || paused) return;
+    long before = book.number(n instanceof News.Push p ? p.key() : Keys.CONFIGURATION);
+    if (book.told(n) == NewsBook.Told.WANTS_WHOLE) sim.whole(name, ((News.Push) n).key());
+    if (n instanceof News.Push p) {
+      if (book.number(p.key()) < before)
+        sim.violation(name + " went back from " + before + " to " + book.number(p.key()));
+      askNow();
     }
+  }
 
-    long number(String key) {
-        return book.number(key);
-    }
+  long number(String key) {
+    return book.number(key);
+  }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
@@ -17,132 +17,159 @@
 import java.util.List;
 
 final class SimReplica {
-    static final int BLOCK = 16;
-    private static final int SLOTS = 4, CAPACITY = 48, MS_BLOCK = 4, MS_PIECE = 6, LOAD_MS = 1200;
-
-    private record Kept(String weights, String wall) {}
-
-    /** One request as it has it. */
-    final class Job {
-        final SimConnections.Line line;
-        final JsonObject in;
-        final Ledger.Run run;
-        int pieces;
-        boolean gone;
-
-        Job(SimConnections.Line line, JsonObject in, Ledger.Run run) {
-            this.line = line;
-            this.in = in;
-            this.run = run;
-        }
-    }
+  static final int BLOCK = 16;
+  private static final int SLOTS = 4, CAPACITY = 48, MS_BLOCK = 4, MS_PIECE = 6, LOAD_MS = 1200;
 
-    private final RequestSim sim;
-    final String service;
-    final String instance;
-    final Address address;
-    final boolean model;
-    String weights;
-    private String loading = "";
-    boolean up = true;
-    boolean hung;
-    /** A machine that vanished: nothing is answered and no connection is told. */
-    boolean vanished;
-    int life;
-    double notRun;
-    double cutStreams;
-    boolean lateBytes;
-    boolean neverLoads;
-    /** Hears nothing of its commander. */
-    boolean deaf;
-    private final LinkedHashMap<Long, Kept> kept = new LinkedHashMap<>(64, 0.75f, true);
-    private final List<Job> running = new ArrayList<>();
-    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
-    private long busyUntil;
-    private long epoch;
-    private String commander = "";
-    int refusedSteers;
-    String incarnation;
-    long seq;
-    private int lives;
-
-    SimReplica(RequestSim sim, String service, String instance, Address address, boolean model, String weights) {
-        this.sim = sim;
-        this.service = service;
-        this.instance = instance;
-        this.address = address;
-        this.model = model;
-        this.weights = weights;
-        this.incarnation = instance + "/0";
-    }
+  private record Kept(String weights, String wall) {}
 
-    boolean answers() {
-        return up && !hung && !vanished;
-    }
+  /** One request as it has it. */
+  final class Job {
+    final SimConnections.Line line;
+    final JsonObject in;
+    final Ledger.Run run;
+    int pieces;
+    boolean gone;
 
-    void crash() {
-        up = false;
-        life++;
-        for (Job j : new ArrayList<>(running)) j.gone = true;
-        for (Job j : waiting) j.gone = true;
-        running.clear();
-        waiting.clear();
+    Job(SimConnections.Line line, JsonObject in, Ledger.Run run) {
+      this.line = line;
+      this.in = in;
+      this.run = run;
     }
+  }
 
-    /** Empty, and on the weights it boots with, which may be old ones. */
-    void start(String bootWeights) {
-        if (up) return;
-        up = true;
-        vanished = hung = false;
-        weights = model ? bootWeights : "";
-        loading = "";
-        epoch = 0;
-        commander = "";
-        busyUntil = 0;
-        fresh();
-    }
+  private final RequestSim sim;
+  final String service;
+  final String instance;
+  final Address address;
+  final boolean model;
+  String weights;
+  private String loading = "";
+  boolean up = true;
+  boolean hung;
 
-    private void fresh() {
-        kept.clear();
-        seq = 0;
-        incarnation = instance + "/" + ++lives;
-    }
+  /** A machine that vanished: nothing is answered and no connection is told. */
+  boolean vanished;
 
-    io.vertx.core.json.JsonObject load() {
-        return new io.vertx.core.json.JsonObject().put("service", service).put("instance", instance)
-            .put("weights", loading.isEmpty() ? weights : "").put("blockBytes", BLOCK).put("running", running.size())
-            .put("waiting", waiting.size()).put("slots", SLOTS).put("waitMs", Math.max(0, busyUntil - sim.now()))
-            .put("msPerBlock", MS_BLOCK).put("links", new io.vertx.core.json.JsonObject());
-    }
+  int life;
+  double notRun;
+  double cutStreams;
+  boolean lateBytes;
+  boolean neverLoads;
 
-    String runs() {
-        return weights;
-    }
+  /** Hears nothing of its commander. */
+  boolean deaf;
 
-    boolean isLoading() {
-        return !loading.isEmpty();
-    }
+  private final LinkedHashMap<Long, Kept> kept = new LinkedHashMap<>(64, 0.75f, true);
+  private final List<Job> running = new ArrayList<>();
+  private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+  private long busyUntil;
+  private long epoch;
+  private String commander = "";
+  int refusedSteers;
+  String incarnation;
+  long seq;
+  private int lives;
 
-    int capacity() {
-        return CAPACITY;
-    }
+  SimReplica(
+      RequestSim sim,
+      String service,
+      String instance,
+      Address address,
+      boolean model,
+      String weights) {
+    this.sim = sim;
+    this.service = service;
+    this.instance = instance;
+    this.address = address;
+    this.model = model;
+    this.weights = weights;
+    this.incarnation = instance + "/0";
+  }
 
-    long[] list() {
-        return kept.keySet().stream().mapToLong(x -> x).toArray();
-    }
+  boolean answers() {
+    return up && !hung && !vanished;
+  }
 
-    boolean has(long block) {
-        return up && kept.containsKey(block);
-    }
+  void crash() {
+    up = false;
+    life++;
+    for (Job j : new ArrayList<>(running)) j.gone = true;
+    for (Job j : waiting) j.gone = true;
+    running.clear();
+    waiting.clear();
+  }
+
+  /** Empty, and on the weights it boots with, which may be old ones. */
+  void start(String bootWeights) {
+    if (up) return;
+    up = true;
+    vanished = hung = false;
+    weights = model ? bootWeights : "";
+    loading = "";
+    epoch = 0;
+    commander = "";
+    busyUntil = 0;
+    fresh();
+  }
+
+  private void fresh() {
+    kept.clear();
+    seq = 0;
+    incarnation = instance + "/" + ++lives;
+  }
+
+  io.vertx.core.json.JsonObject load() {
+    return new io.vertx.core.json.JsonObject()
+        .put("service", service)
+        .put("instance", instance)
+        .put("weights", loading.isEmpty() ? weights : "")
+        .put("blockBytes", BLOCK)
+        .put("running", running.size())
+        .put("waiting", waiting.size())
+        .put("slots", SLOTS)
+        .put("waitMs", Math.max(0, busyUntil - sim.now()))
+        .put("msPerBlock", MS_BLOCK)
+        .put("links", new io.vertx.core.json.JsonObject());
+  }
 
-    // ---- requests
+  String runs() {
+    return weights;
+  }
 
-    Job order(SimConnections.Line line, JsonObject in, long handed) {
-        String tag = StandInReplica.tagOf(in.getString("prompt", ""));
-        Ledger.Run run = new Ledger.Run(tag, in.getString("order", ""), service, instance, in.getString("weights", ""),
-            in.getString("wall", ""), in.getInt("try", 0), handed);
-        sim.ledger.run(run);
-        String why = !instance.equals(in.getString("instance", "")) || !service.equals(in.getString("service", ""))
+  boolean isLoading() {
+    return !loading.isEmpty();
+  }
+
+  int capacity() {
+    return CAPACITY;
+  }
+
+  long[] list() {
+    return kept.keySet().stream().mapToLong(x -> x).toArray();
+  }
+
+  boolean has(long block) {
+    return up && kept.containsKey(block);
+  }
+
+  // ---- requests
+
+  Job order(SimConnections.Line line, JsonObject in, long handed) {
+    String tag = StandInReplica.tagOf(in.getString("prompt", ""));
+    Ledger.Run run =
+        new Ledger.Run(
+            tag,
+            in.getString("order", ""),
+            service,
+            instance,
+            in.getString("weights", ""),
+            in.getString("wall", ""),
+            in.getInt("try", 0),
+            handed);
+    sim.ledger.run(run);
+    String why =
+        !instance.equals(in.getString("instance", ""))
+                || !service.equals(in.getString("service", ""))
             ? "this is " + service + "/" + instance
             : !loading.isEmpty()
                 ? "weights are being loaded"
@@ -151,134 +178,153 @@
                     : running.size() >= SLOTS && waiting.size() >= 2 * SLOTS
                         ? "full"
                         : sim.random.nextDouble() < notRun ? "not now" : "";
-        if (!why.isEmpty()) {
-            String body = Json.object().add("order", run.order).add("outcome", "not-run").add("reason", why).toString();
-            line.toRelay(a -> a.refused(409, body));
-            line.done();
-            return null;
-        }
-        run.ran = true;
-        Job j = new Job(line, in, run);
-        if (running.size() < SLOTS) begin(j);
-        else waiting.add(j);
-        return j;
+    if (!why.isEmpty()) {
+      String body =
+          Json.object()
+              .add("order", run.order)
+              .add("outcome", "not-run")
+              .add("reason", why)
+              .toString();
+      line.toRelay(a -> a.refused(409, body));
+      line.done();
+      return null;
     }
+    run.ran = true;
+    Job j = new Job(line, in, run);
+    if (running.size() < SLOTS) begin(j);
+    else waiting.add(j);
+    return j;
+  }
 
-    void left(Job j) {
-        if (j.gone) return;
-        j.gone = true;
-        j.run.left = !j.run.ended;
-        if (!waiting.remove(j) && running.remove(j)) next();
-    }
+  void left(Job j) {
+    if (j.gone) return;
+    j.gone = true;
+    j.run.left = !j.run.ended;
+    if (!waiting.remove(j) && running.remove(j)) next();
+  }
 
-    private void next() {
-        while (up && running.size() < SLOTS && !waiting.isEmpty()) begin(waiting.poll());
-    }
+  private void next() {
+    while (up && running.size() < SLOTS && !waiting.isEmpty()) begin(waiting.poll());
+  }
 
-    private void begin(Job j) {
-        running.add(j);
-        long[] blocks = model
-            ? StandInReplica.ids(service, j.run.weights, j.run.wall, j.in.getString("prompt", ""),
-                BLOCK)
+  private void begin(Job j) {
+    running.add(j);
+    long[] blocks =
+        model
+            ? StandInReplica.ids(
+                service, j.run.weights, j.run.wall, j.in.getString("prompt", ""), BLOCK)
             : new long[0];
-        int have = 0;
-        while (have < blocks.length && kept.containsKey(blocks[have])) {
-            Kept k = kept.get(blocks[have]);
-            if (!k.weights.equals(j.run.weights) || !k.wall.equals(j.run.wall))
-                sim.ledger.wrongReuse.add(j.run.tag + " at " + instance + " reused what was made under " + k);
-            have++;
-        }
-        j.run.blocks = blocks.length;
-        j.run.reused = have;
-        busyUntil = Math.max(sim.now(), busyUntil) + (blocks.length - have + 1L) * MS_BLOCK;
-        step(j, busyUntil - sim.now(), () -> {
-            for (long b : blocks) keep(b, j.run.weights, j.run.wall);
-            String head = Json.object().add("order", j.run.order).add("instance", instance)
-                .add("weights", j.run.weights).toString();
-            j.line.toRelay(a -> a.line(head));
-            piece(j);
-        });
+    int have = 0;
+    while (have < blocks.length && kept.containsKey(blocks[have])) {
+      Kept k = kept.get(blocks[have]);
+      if (!k.weights.equals(j.run.weights) || !k.wall.equals(j.run.wall))
+        sim.ledger.wrongReuse.add(
+            j.run.tag + " at " + instance + " reused what was made under " + k);
+      have++;
     }
+    j.run.blocks = blocks.length;
+    j.run.reused = have;
+    busyUntil = Math.max(sim.now(), busyUntil) + (blocks.length - have + 1L) * MS_BLOCK;
+    step(
+        j,
+        busyUntil - sim.now(),
+        () -> {
+          for (long b : blocks) keep(b, j.run.weights, j.run.wall);
+          String head =
+              Json.object()
+                  .add("order", j.run.order)
+                  .add("instance", instance)
+                  .add("weights", j.run.weights)
+                  .toString();
+          j.line.toRelay(a -> a.line(head));
+          piece(j);
+        });
+  }
 
-    /** Later, if both are still there then; one that hangs goes on when it wakes. */
-    private void step(Job j, long ms, Runnable r) {
-        int l = life;
-        sim.after(Math.max(1, ms), () -> {
-            if (l != life || j.gone) return;
-            if (hung) step(j, 50, r);
-            else r.run();
+  /** Later, if both are still there then; one that hangs goes on when it wakes. */
+  private void step(Job j, long ms, Runnable r) {
+    int l = life;
+    sim.after(
+        Math.max(1, ms),
+        () -> {
+          if (l != life || j.gone) return;
+          if (hung) step(j, 50, r);
+          else r.run();
         });
-    }
+  }
 
-    private void piece(Job j) {
-        int want = Math.min(j.in.getInt("maxPieces", 1), StandInReplica.piecesOf(j.run.tag, 12));
-        if (j.pieces > 1 && sim.random.nextDouble() < cutStreams) {
-            left(j);
-            j.line.toRelay(a -> a.over("the answer broke off"));
-            j.line.broken();
-            return;
-        }
-        if (j.pieces < want) {
-            int n = j.pieces++;
-            String p = Json.object().add("piece", n).add("text", StandInReplica.textOf(j.run.tag, n)).toString();
-            j.run.pieces = j.pieces;
-            j.line.toRelay(a -> a.line(p));
-            sim.passes(RequestSim.Point.STREAM, j.run.tag, () -> step(j, MS_PIECE, () -> piece(j)));
-            return;
-        }
-        j.run.ended = true;
-        j.gone = true;
-        running.remove(j);
-        String end = Json.object().add("end", true).add("pieces", want).toString();
-        j.line.toRelay(a -> a.line(end));
-        if (lateBytes) j.line.toRelay(a -> a.line("{\"piece\":" + want + ",\"text\":\"after the end\"}"));
-        j.line.toRelay(a -> a.over("the answer ended without saying so"));
-        j.line.done();
-        next();
+  private void piece(Job j) {
+    int want = Math.min(j.in.getInt("maxPieces", 1), StandInReplica.piecesOf(j.run.tag, 12));
+    if (j.pieces > 1 && sim.random.nextDouble() < cutStreams) {
+      left(j);
+      j.line.toRelay(a -> a.over("the answer broke off"));
+      j.line.broken();
+      return;
     }
-
-    private void keep(long block, String w, String wall) {
-        if (kept.put(block, new Kept(w, wall)) == null) tell(true, block);
-        while (kept.size() > CAPACITY) {
-            long old = kept.keySet().iterator().next();
-            kept.remove(old);
-            tell(false, old);
-        }
+    if (j.pieces < want) {
+      int n = j.pieces++;
+      String p =
+          Json.object().add("piece", n).add("text", StandInReplica.textOf(j.run.tag, n)).toString();
+      j.run.pieces = j.pieces;
+      j.line.toRelay(a -> a.line(p));
+      sim.passes(RequestSim.Point.STREAM, j.run.tag, () -> step(j, MS_PIECE, () -> piece(j)));
+      return;
     }
+    j.run.ended = true;
+    j.gone = true;
+    running.remove(j);
+    String end = Json.object().add("end", true).add("pieces", want).toString();
+    j.line.toRelay(a -> a.line(end));
+    if (lateBytes)
+      j.line.toRelay(a -> a.line("{\"piece\":" + want + ",\"text\":\"after the end\"}"));
+    j.line.toRelay(a -> a.over("the answer ended without saying so"));
+    j.line.done();
+    next();
+  }
 
-    private void tell(boolean store, long block) {
-        long s = ++seq;
-        String inc = incarnation;
-        sim.cacheEvent(this, inc, s, store, block);
+  private void keep(long block, String w, String wall) {
+    if (kept.put(block, new Kept(w, wall)) == null) tell(true, block);
+    while (kept.size() > CAPACITY) {
+      long old = kept.keySet().iterator().next();
+      kept.remove(old);
+      tell(false, old);
     }
+  }
+
+  private void tell(boolean store, long block) {
+    long s = ++seq;
+    String inc = incarnation;
+    sim.cacheEvent(this, inc, s, store, block);
+  }
+
+  // ---- its commander
 
-    // ---- its commander
-
-    void steer(String who, long e, String w) {
-        if (!answers() || deaf) return;
-        if (e < epoch) {
-            refusedSteers++;
-            sim.violation(instance + " had to refuse " + who + " under " + e + ", below " + epoch);
-            return;
-        }
-        if (e == epoch && !who.equals(commander) && !commander.isEmpty())
-            sim.ledger.doubleCommand.add(instance + ": epoch " + e + " used by " + commander + " and " + who);
-        epoch = e;
-        commander = who;
-        if (w.equals(weights) || w.equals(loading)) return;
-        loading = w;
-        int l = life;
-        if (!neverLoads) sim.after(LOAD_MS, () -> loaded(l, w));
+  void steer(String who, long e, String w) {
+    if (!answers() || deaf) return;
+    if (e < epoch) {
+      refusedSteers++;
+      sim.violation(instance + " had to refuse " + who + " under " + e + ", below " + epoch);
+      return;
     }
+    if (e == epoch && !who.equals(commander) && !commander.isEmpty())
+      sim.ledger.doubleCommand.add(
+          instance + ": epoch " + e + " used by " + commander + " and " + who);
+    epoch = e;
+    commander = who;
+    if (w.equals(weights) || w.equals(loading)) return;
+    loading = w;
+    int l = life;
+    if (!neverLoads) sim.after(LOAD_MS, () -> loaded(l, w));
+  }
 
-    private void loaded(int l, String w) {
-        if (l != life || !loading.equals(w)) return;
-        if (!running.isEmpty() || !waiting.isEmpty() || hung) {
-            sim.after(20, () -> loaded(l, w));
-            return;
-        }
-        weights = w;
-        loading = "";
-        fresh();
+  private void loaded(int l, String w) {
+    if (l != life || !loading.equals(w)) return;
+    if (!running.isEmpty() || !waiting.isEmpty() || hung) {
+      sim.after(20, () -> loaded(l, w));
+      return;
     }
+    weights = w;
+    loading = "";
+    fresh();
+  }
 }
--- a/rehearsal/src/test/java/gladelug/rehearsal/DayTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/DayTest.java
@@ -9,11 +9,13 @@
 import org.junit.jupiter.api.Test;
 
 final class DayTest {
-    /** A fixed, short part of a day with the real programs. */
-    @Test void theFirstHoursOfAFixedDayAreClean() throws Exception {
-        Path out = Files.createTempDirectory("gladelug-day");
-        try (Fleet f = new Fleet(Deployment.mokaRidge(), out, 21, "summary")) {
-            Assertions.assertTrue(new Day(f, 21, 0.5).play(2, 8), "see the judgements above; logs in " + out);
-        }
+  /** A fixed, short part of a day with the real programs. */
+  @Test
+  void theFirstHoursOfAFixedDayAreClean() throws Exception {
+    Path out = Files.createTempDirectory("gladelug-day");
+    try (Fleet f = new Fleet(Deployment.mokaRidge(), out, 21, "summary")) {
+      Assertions.assertTrue(
+          new Day(f, 21, 0.5).play(2, 8), "see the judgements above; logs in " + out);
     }
+  }
 }
--- a/rehearsal/src/test/java/gladelug/rehearsal/RehearseFleetTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/RehearseFleetTest.java
@@ -11,14 +11,17 @@
 import org.junit.jupiter.api.Test;
 
 final class RehearseFleetTest {
-    /** The real programs, kills included, for a short while: the same run an operator can make. */
-    @Test void aShortRunOfRealProcessesWithKillsIsClean() throws Exception {
-        Path out = Files.createTempDirectory("gladelug-rehearsal");
-        try (Fleet f = new Fleet(Deployment.safariNjia(), out, 7, "summary")) {
-            boolean clean = run(f, 20, 7, true, 0.5);
-            Assertions.assertTrue(clean, "see the judgements above; logs in " + out);
-            long complete = f.ledger.calls.values().stream().filter(c -> c.outcome.equals("complete")).count();
-            Assertions.assertTrue(complete > f.ledger.calls.size() / 2, complete + " of " + f.ledger.calls.size());
-        }
+  /** The real programs, kills included, for a short while: the same run an operator can make. */
+  @Test
+  void aShortRunOfRealProcessesWithKillsIsClean() throws Exception {
+    Path out = Files.createTempDirectory("gladelug-rehearsal");
+    try (Fleet f = new Fleet(Deployment.safariNjia(), out, 7, "summary")) {
+      boolean clean = run(f, 20, 7, true, 0.5);
+      Assertions.assertTrue(clean, "see the judgements above; logs in " + out);
+      long complete =
+          f.ledger.calls.values().stream().filter(c -> c.outcome.equals("complete")).count();
+      Assertions.assertTrue(
+          complete > f.ledger.calls.size() / 2, complete + " of " + f.ledger.calls.size());
     }
+  }
 }
