--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersTimelineTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersTimelineTest.java
@@ -3,50 +3,80 @@
  */
 package gladelug.rehearsal.sim;
 
-import gladelug.control.core.Tunables.Acknowledge;
 import gladelug.control.core.Tunables;
+import gladelug.control.core.Tunables.Acknowledge;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 final class MembersTimelineTest {
-    private static final Tunables HEALING = Tunables.builder().acknowledge(Acknowledge.CONTACT).contact(900)
-        .ackWait(1500).voters(5).replaceAfter(2500).fate(3000).commandLease(1000).commandGap(2500).build();
+  private static final Tunables HEALING =
+      Tunables.builder()
+          .acknowledge(Acknowledge.CONTACT)
+          .contact(900)
+          .ackWait(1500)
+          .voters(5)
+          .replaceAfter(2500)
+          .fate(3000)
+          .commandLease(1000)
+          .commandGap(2500)
+          .build();
 
-    private static void play(int machines, int founding, Tunables t, String text) {
-        for (long seed = 1; seed <= 8; seed++) {
-            Sim s = new Sim(seed, 2, machines, founding, t);
-            Timeline.play(s, text);
-            if (!s.violations.isEmpty())
-                throw new AssertionError("seed " + seed + " " + s.violations + "\n" + s.story());
-        }
+  private static void play(int machines, int founding, Tunables t, String text) {
+    for (long seed = 1; seed <= 8; seed++) {
+      Sim s = new Sim(seed, 2, machines, founding, t);
+      Timeline.play(s, text);
+      if (!s.violations.isEmpty())
+        throw new AssertionError("seed " + seed + " " + s.violations + "\n" + s.story());
     }
+  }
 
-    @Test void anyNumberFoundsAndServes() {
-        Tunables still = HEALING.with().voters(1).build();
-        String[] names = {"c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8", "c9"};
-        for (int n = 1; n <= 9; n++) play(n, n, still, """
+  @Test
+  void anyNumberFoundsAndServes() {
+    Tunables still = HEALING.with().voters(1).build();
+    String[] names = {"c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8", "c9"};
+    for (int n = 1; n <= 9; n++)
+      play(
+          n,
+          n,
+          still,
+          """
             t     | op
             4000  | members %s, generation 1, send c1
             5000  | last done, serve, read c%d
-            5500  | reads 1, well""".formatted(String.join(" ", List.of(names).subList(0, n)), n));
-    }
+            5500  | reads 1, well"""
+              .formatted(String.join(" ", List.of(names).subList(0, n)), n));
+  }
 
-    @Test void theCoreGrowsToItsVotersAndTheRestStandBy() {
-        play(7, 3, HEALING, """
+  @Test
+  void theCoreGrowsToItsVotersAndTheRestStandBy() {
+    play(
+        7,
+        3,
+        HEALING,
+        """
             t     | op
             8000  | members c1 c2 c3 c4 c5, send c7
             8900  | last done, send c1
             9000  | last done, serve, read c4, read c6
             9500  | reads 2
             15000 | members c1 c2 c3 c4 c5, generation 2, serve, well""");
-        play(3, 1, HEALING, """
+    play(
+        3,
+        1,
+        HEALING,
+        """
             t     | op
             8000  | members c1 c2 c3, send c3
             9000  | last done, serve, well""");
-    }
+  }
 
-    @Test void aDeadMembersPlaceGoesToAStandByAndItComesBackAsOne() {
-        play(6, 5, HEALING, """
+  @Test
+  void aDeadMembersPlaceGoesToAStandByAndItComesBackAsOne() {
+    play(
+        6,
+        5,
+        HEALING,
+        """
             t     | c2    | c6    | op
             4000  | .     | .     | members c1 c2 c3 c4 c5, send c1
             4500  | .     | .     | last done
@@ -57,44 +87,69 @@
             15000 | .     | power | .
             20000 | .     | .     | members c1 c2 c3 c4 c5, generation 3, serve, send c2
             21000 | .     | .     | last done, serve, well""");
-    }
+  }
 
-    @Test void anEmptyMachineAtAnotherAddressTakesThePlaceOfOneThatLeft() {
-        play(3, 3, HEALING.with().voters(3).build(), """
+  @Test
+  void anEmptyMachineAtAnotherAddressTakesThePlaceOfOneThatLeft() {
+    play(
+        3,
+        3,
+        HEALING.with().voters(3).build(),
+        """
             t     | c3    | c4  | op
             4000  | .     | .   | send c1
             4500  | power | .   | last done
             9000  | .     | new | members c1 c2 c3, serve
             13500 | .     | .   | members c1 c2 c4, serve, send c4
             14500 | .     | .   | last done, well""");
-    }
+  }
 
-    @Test void aFounderThatLostItsDiskWhileOrAfterTheFleetWasFoundedIsLetInAgain() {
-        for (String c : new String[]{"c1", "c2", "c3"})
-            for (int ms : new int[]{100, 210, 215, 220, 230, 250, 300, 5000}) play(3, 3, Tunables.USUAL, """
+  @Test
+  void aFounderThatLostItsDiskWhileOrAfterTheFleetWasFoundedIsLetInAgain() {
+    for (String c : new String[] {"c1", "c2", "c3"})
+      for (int ms : new int[] {100, 210, 215, 220, 230, 250, 300, 5000})
+        play(
+            3,
+            3,
+            Tunables.USUAL,
+            """
                 t     | %s           | op
                 %d    | emptyFounder | .
                 12000 | .            | members c1 c2 c3, send %s
-                15000 | .            | last done, serve, well""".formatted(c, ms, c));
-    }
+                15000 | .            | last done, serve, well"""
+                .formatted(c, ms, c));
+  }
 
-    @Test void inContactNobodyWaitsForTheLeaseOfARelayThatDied() {
-        play(3, 3, HEALING.with().voters(3).lease(3000).build(), """
+  @Test
+  void inContactNobodyWaitsForTheLeaseOfARelayThatDied() {
+    play(
+        3,
+        3,
+        HEALING.with().voters(3).lease(3000).build(),
+        """
             t     | r1   | op
             4000  | .    | send c1
             5000  | .    | last done, serve
             5100  | kill | .
             6200  | .    | send c1
             6400  | .    | last done, well""");
-    }
+  }
 
-    @Test void aChangeWhoseOwnerDiesIsKnownWithinFourSeconds() {
-        for (int ms : new int[]{1, 5, 10, 20}) for (String c : new String[]{"c1", "c2"}) play(3, 3, HEALING, """
+  @Test
+  void aChangeWhoseOwnerDiesIsKnownWithinFourSeconds() {
+    for (int ms : new int[] {1, 5, 10, 20})
+      for (String c : new String[] {"c1", "c2"})
+        play(
+            3,
+            3,
+            HEALING,
+            """
             t     | c3    | op
             4000  | .     | owner c3, send c1
             5000  | .     | last done, send %s
             %d    | power | .
             9000  | .     | answered, read %s, send %s
-            9900  | .     | last done, reads 1, well""".formatted(c, 5000 + ms, c, c));
-    }
+            9900  | .     | last done, reads 1, well"""
+                .formatted(c, 5000 + ms, c, c));
+  }
 }
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/RequestSimTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/RequestSimTest.java
@@ -16,79 +16,92 @@
 import org.junit.jupiter.api.Test;
 
 final class RequestSimTest {
-    private static final int SEEDS = Integer.getInteger("gladelug.seeds", 80);
+  private static final int SEEDS = Integer.getInteger("gladelug.seeds", 80);
 
-    private static String found(RequestSim s, long ms) {
-        s.run(ms);
-        s.judge();
-        return s.violations.toString();
-    }
+  private static String found(RequestSim s, long ms) {
+    s.run(ms);
+    s.judge();
+    return s.violations.toString();
+  }
 
-    private static void catches(String what, Function<Boolean, String> broken) {
-        String with = broken.apply(false), without = broken.apply(true);
-        Assertions.assertFalse(with.contains(what), "with the rule on: " + with);
-        Assertions.assertTrue(without.contains(what), "with the rule off nothing was found: " + without);
-    }
+  private static void catches(String what, Function<Boolean, String> broken) {
+    String with = broken.apply(false), without = broken.apply(true);
+    Assertions.assertFalse(with.contains(what), "with the rule on: " + with);
+    Assertions.assertTrue(
+        without.contains(what), "with the rule off nothing was found: " + without);
+  }
 
-    @Test void aRuleSwitchedOffIsFound() {
-        Logger.getLogger("").setLevel(Level.OFF);
-        // connections that aren't asked who is there, and an address given to another service's replica
-        catches("old-policy", off -> {
-            RequestSim s = new RequestSim(1);
-            s.unchecked = off;
-            s.run(1000);
-            for (int i = 0; i < 20; i++) {
-                // for the moment before a replica's own report shows it too
-                for (SimReplica m : s.replicas.values())
-                    s.byAddress.put(m.address.toString(),
-                        new SimReplica(s, "ghost", m.instance, m.address, true, "w1"));
-                s.run(100);
-                for (SimReplica m : s.replicas.values()) s.byAddress.put(m.address.toString(), m);
-                s.run(300);
-            }
-            return found(s, 300);
+  @Test
+  void aRuleSwitchedOffIsFound() {
+    Logger.getLogger("").setLevel(Level.OFF);
+    // connections that aren't asked who is there, and an address given to another service's replica
+    catches(
+        "old-policy",
+        off -> {
+          RequestSim s = new RequestSim(1);
+          s.unchecked = off;
+          s.run(1000);
+          for (int i = 0; i < 20; i++) {
+            // for the moment before a replica's own report shows it too
+            for (SimReplica m : s.replicas.values())
+              s.byAddress.put(
+                  m.address.toString(),
+                  new SimReplica(s, "ghost", m.instance, m.address, true, "w1"));
+            s.run(100);
+            for (SimReplica m : s.replicas.values()) s.byAddress.put(m.address.toString(), m);
+            s.run(300);
+          }
+          return found(s, 300);
         });
-        // a lease that doesn't run out: the relay's clock stands nearly still, or drifts by what is allowed for
-        catches("old-policy", off -> {
-            RequestSim s = new RequestSim(2);
-            s.run(500);
-            for (RequestRelay r : s.fronts.values()) r.drift(off ? 0.05 : 0.995);
-            s.happen(Happening.RELAY_CUT_FROM_CORE, x -> {});
-            return found(s, 6000);
+    // a lease that doesn't run out: the relay's clock stands nearly still, or drifts by what is
+    // allowed for
+    catches(
+        "old-policy",
+        off -> {
+          RequestSim s = new RequestSim(2);
+          s.run(500);
+          for (RequestRelay r : s.fronts.values()) r.drift(off ? 0.05 : 0.995);
+          s.happen(Happening.RELAY_CUT_FROM_CORE, x -> {});
+          return found(s, 6000);
         });
-        // a cutoff later than the promise, with replicas that take no requests from their commander
-        catches("old-weights", off -> {
-            RequestSim s = new RequestSim(3);
-            s.cutoff = off ? 40_000 : 15_000;
-            for (SimControl c : s.controls.values()) {
-                c.kill();
-                c.start();
-            }
-            s.run(4000);
-            for (SimReplica r : s.replicas.values()) r.deaf = true;
-            s.happen(Happening.WEIGHTS_NAMED, x -> {});
-            return found(s, 25_000);
+    // a cutoff later than the promise, with replicas that take no requests from their commander
+    catches(
+        "old-weights",
+        off -> {
+          RequestSim s = new RequestSim(3);
+          s.cutoff = off ? 40_000 : 15_000;
+          for (SimControl c : s.controls.values()) {
+            c.kill();
+            c.start();
+          }
+          s.run(4000);
+          for (SimReplica r : s.replicas.values()) r.deaf = true;
+          s.happen(Happening.WEIGHTS_NAMED, x -> {});
+          return found(s, 25_000);
         });
-        // every core machine steers, whoever owns the key
-        catches("had to refuse", off -> {
-            RequestSim s = new RequestSim(4);
-            s.anybodyCommands = off;
-            for (int i = 0; i < 4; i++) {
-                s.happen(Happening.WEIGHTS_NAMED, x -> {});
-                s.run(2000);
-            }
-            return found(s, 2000);
+    // every core machine steers, whoever owns the key
+    catches(
+        "had to refuse",
+        off -> {
+          RequestSim s = new RequestSim(4);
+          s.anybodyCommands = off;
+          for (int i = 0; i < 4; i++) {
+            s.happen(Happening.WEIGHTS_NAMED, x -> {});
+            s.run(2000);
+          }
+          return found(s, 2000);
         });
-    }
+  }
 
-    @Test void whateverHappensBetweenTheStepsOfARequestTheRulesHold() {
-        Logger.getLogger("").setLevel(Level.OFF);
-        Stories t = stories(Long.getLong("gladelug.from", 0), SEEDS, 2);
-        System.out.println(t);
-        Assertions.assertEquals(List.of(), t.offenders);
-        Assertions.assertTrue(t.complete.get() > t.requests.get() / 2, t + " prove too little");
-        for (Happening h : Happening.values())
-            for (Point p : Point.values())
-                Assertions.assertTrue(t.met.containsKey(h + "@" + p), h + "@" + p + " was never met");
-    }
+  @Test
+  void whateverHappensBetweenTheStepsOfARequestTheRulesHold() {
+    Logger.getLogger("").setLevel(Level.OFF);
+    Stories t = stories(Long.getLong("gladelug.from", 0), SEEDS, 2);
+    System.out.println(t);
+    Assertions.assertEquals(List.of(), t.offenders);
+    Assertions.assertTrue(t.complete.get() > t.requests.get() / 2, t + " prove too little");
+    for (Happening h : Happening.values())
+      for (Point p : Point.values())
+        Assertions.assertTrue(t.met.containsKey(h + "@" + p), h + "@" + p + " was never met");
+  }
 }
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/TimelineTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/TimelineTest.java
@@ -8,18 +8,20 @@
 import org.junit.jupiter.api.Test;
 
 final class TimelineTest {
-    private static void play(String text) {
-        for (long seed = 1; seed <= 12; seed++) {
-            Sim s = new Sim(seed, 2);
-            Timeline.play(s, text);
-            if (!s.violations.isEmpty())
-                throw new AssertionError("seed " + seed + " " + s.violations + "\n" + s.story());
-        }
+  private static void play(String text) {
+    for (long seed = 1; seed <= 12; seed++) {
+      Sim s = new Sim(seed, 2);
+      Timeline.play(s, text);
+      if (!s.violations.isEmpty())
+        throw new AssertionError("seed " + seed + " " + s.violations + "\n" + s.story());
     }
+  }
 
-    @Test void losingAnyOneMachineCostsNoRelayItsLease() {
-        for (String c : new String[]{"c1", "c2", "c3"})
-            play("""
+  @Test
+  void losingAnyOneMachineCostsNoRelayItsLease() {
+    for (String c : new String[] {"c1", "c2", "c3"})
+      play(
+          """
                 t     | %s    | op
                 3000  | .     | send c1
                 3500  | .     | last done, serve, forget
@@ -27,11 +29,14 @@
                 6500  | .     | serve, gap 30, send up
                 11000 | .     | last done, serve, gap 30
                 11000 | up    | .
-                20000 | .     | serve, gap 30, well""".formatted(c));
-    }
+                20000 | .     | serve, gap 30, well"""
+              .formatted(c));
+  }
 
-    @Test void aCutOffOwnerStopsBeingOneAndItsRelayStopsBeforeTheNextAcknowledgement() {
-        play("""
+  @Test
+  void aCutOffOwnerStopsBeingOneAndItsRelayStopsBeforeTheNextAcknowledgement() {
+    play(
+        """
             t     | c1 | c2   | c3   | r1   | r2 | op
             3000  | .  | .    | .    | .    | .  | send c1
             3500  | .  | .    | .    | .    | .  | last done, owner c3, serve
@@ -43,10 +48,12 @@
             10000 | heal | heal | heal | heal | heal | .
             16000 | .  | .    | .    | .    | .  | serve, well, send c2
             17000 | .  | .    | .    | .    | .  | last done""");
-    }
+  }
 
-    @Test void aRelayCutFromTheOwnerAloneGoesOnThroughTheOthers() {
-        play("""
+  @Test
+  void aRelayCutFromTheOwnerAloneGoesOnThroughTheOthers() {
+    play(
+        """
             t     | c1 | c2 | c3 | r1       | op
             3000  | .  | .  | .  | .        | send c1
             3500  | .  | .  | .  | .        | last done, owner c3, forget
@@ -55,10 +62,12 @@
             9600  | .  | .  | .  | .        | last done, serve
             9700  | .  | .  | .  | heal     | .
             15000 | .  | .  | .  | .        | serve, well""");
-    }
+  }
 
-    @Test void aPausedOwnerThatWakesActsOnNothingOld() {
-        play("""
+  @Test
+  void aPausedOwnerThatWakesActsOnNothingOld() {
+    play(
+        """
             t     | c1 | c2 | c3    | op
             3000  | .  | .  | .     | send c3
             3500  | .  | .  | .     | last done, owner c3
@@ -68,10 +77,12 @@
             8000  | .  | .  | .     | last done, serve
             8001  | .  | .  | wake  | send c3
             16000 | .  | .  | .     | serve, well""");
-    }
+  }
 
-    @Test void allKilledAtOnceJustAfterAnAcknowledgementServeAgainWithinTwelveSeconds() {
-        play("""
+  @Test
+  void allKilledAtOnceJustAfterAnAcknowledgementServeAgainWithinTwelveSeconds() {
+    play(
+        """
             t     | c1    | c2    | c3    | r1   | op
             3000  | .     | .     | .     | .    | send c1
             3500  | .     | .     | .     | .    | last done
@@ -80,20 +91,24 @@
             10000 | up    | up    | up    | up   | .
             14000 | .     | .     | .     | .    | serve, well, send c2
             16000 | .     | .     | .     | .    | last done, serve""");
-    }
+  }
 
-    @Test void ofTwoOperatorsOnOneNumberOneIsToldTheCurrentNumber() {
-        play("""
+  @Test
+  void ofTwoOperatorsOnOneNumberOneIsToldTheCurrentNumber() {
+    play(
+        """
             t     | op
             3000  | send c1 0
             3400  | last done, send c1 1, send c2 1
             3800  | oneOfTwo
             4000  | send c3 1
             4400  | last stale, well""");
-    }
+  }
 
-    @Test void withTwoMachinesGoneNobodyServesAndWithTwoBackAllDo() {
-        play("""
+  @Test
+  void withTwoMachinesGoneNobodyServesAndWithTwoBackAllDo() {
+    play(
+        """
             t     | c1   | c2   | c3    | op
             3000  | .    | .    | .     | send c1
             3500  | .    | .    | .     | last done
@@ -103,10 +118,12 @@
             9000  | up   | .    | .     | .
             12500 | .    | .    | .     | serve, send c1
             16500 | .    | .    | .     | last done, well""");
-    }
+  }
 
-    @Test void aStalledDiskHandsItsKeysOnAndAFailedOneStopsItsMachine() {
-        play("""
+  @Test
+  void aStalledDiskHandsItsKeysOnAndAFailedOneStopsItsMachine() {
+    play(
+        """
             t     | c1   | c2 | c3    | op
             3000  | .    | .  | .     | send c1
             3500  | .    | .  | stall | last done, owner c3, forget
@@ -117,10 +134,12 @@
             18000 | .    | .  | .     | serve, owner c3
             18001 | fail | .  | .     | send c2
             20000 | .    | .  | .     | last done, serve, well""");
-    }
+  }
 
-    @Test void aMachineBackEmptyIsLetInByItselfAndThenCountsForAnotherLoss() {
-        play("""
+  @Test
+  void aMachineBackEmptyIsLetInByItselfAndThenCountsForAnotherLoss() {
+    play(
+        """
             t     | c1    | c2    | c3    | op
             3000  | .     | .     | .     | send c1
             3500  | .     | .     | .     | last done, generation 1
@@ -130,10 +149,12 @@
             12500 | power | .     | .     | .
             18000 | .     | .     | .     | serve, send c2
             20500 | .     | .     | .     | last done, well""");
-    }
+  }
 
-    @Test void allThreeAreSwappedInTurnWhileRelaysServe() {
-        play("""
+  @Test
+  void allThreeAreSwappedInTurnWhileRelaysServe() {
+    play(
+        """
             t     | c1   | c2   | c3   | c4  | c5  | c6  | op
             3000  | .    | .    | .    | .   | .   | .   | send c1
             3500  | .    | .    | .    | new | .   | .   | last done, forget
@@ -149,48 +170,57 @@
             25000 | up   | up   | up   | .   | .   | .   | .
             30000 | .    | .    | .    | .   | .   | .   | serve, generation 4, retired c3, send c5
             31500 | .    | .    | .    | .   | .   | .   | last done, well""");
-    }
+  }
 
-    /** Else it takes from the others what they took a moment before, and they take it back. */
-    @Test void aNewcomerHearsWhoOwnsWhatBeforeItTriesItself() {
-        int ousted = 0;
-        for (long seed = 1; seed <= 40; seed++) ousted += Timeline.play(new Sim(seed, 2), """
+  /** Else it takes from the others what they took a moment before, and they take it back. */
+  @Test
+  void aNewcomerHearsWhoOwnsWhatBeforeItTriesItself() {
+    int ousted = 0;
+    for (long seed = 1; seed <= 40; seed++)
+      ousted +=
+          Timeline.play(
+                  new Sim(seed, 2),
+                  """
             t     | c1   | c2   | c3   | c4  | op
             3000  | .    | .    | .    | .   | send c1
             3500  | .    | .    | .    | new | last done
             4500  | .    | .    | .    | .   | forget, swap c1 c4
-            7000  | .    | .    | .    | .   | generation 2, serve, well""").ousted;
-        Assertions.assertTrue(ousted <= 20, ousted + " owners lost a key just taken, in 40 swaps");
-    }
+            7000  | .    | .    | .    | .   | generation 2, serve, well""")
+              .ousted;
+    Assertions.assertTrue(ousted <= 20, ousted + " owners lost a key just taken, in 40 swaps");
+  }
 
-    /** Else each takes the keys from the others again and again before anyone has served them. */
-    @Test void onMachinesWithTooMuchToDoTheCoreStillSettles() {
-        long longest = 0;
-        int ousted = 0;
-        for (long seed = 1; seed <= 20; seed++) {
-            Sim s = new Sim(seed, 2);
-            s.run(3000);
-            s.send("c1", Keys.CONFIGURATION, -1);
-            s.run(800);
-            for (SimControl c : s.controls.values()) c.power();
-            s.run(2500);
-            for (SimControl c : s.controls.values()) {
-                c.medium.slow = 160;
-                c.start();
-            }
-            long from = s.now();
-            s.ousted = 0;
-            while (s.now() - from < 40_000 && s.relays.values().stream().anyMatch(r -> s.now() - r.lastStart > 30))
-                s.run(50);
-            longest = Math.max(longest, s.now() - from);
-            ousted += s.ousted;
-        }
-        Assertions.assertTrue(longest < 12_000, longest + " ms, " + ousted + " owners ousted");
+  /** Else each takes the keys from the others again and again before anyone has served them. */
+  @Test
+  void onMachinesWithTooMuchToDoTheCoreStillSettles() {
+    long longest = 0;
+    int ousted = 0;
+    for (long seed = 1; seed <= 20; seed++) {
+      Sim s = new Sim(seed, 2);
+      s.run(3000);
+      s.send("c1", Keys.CONFIGURATION, -1);
+      s.run(800);
+      for (SimControl c : s.controls.values()) c.power();
+      s.run(2500);
+      for (SimControl c : s.controls.values()) {
+        c.medium.slow = 160;
+        c.start();
+      }
+      long from = s.now();
+      s.ousted = 0;
+      while (s.now() - from < 40_000
+          && s.relays.values().stream().anyMatch(r -> s.now() - r.lastStart > 30)) s.run(50);
+      longest = Math.max(longest, s.now() - from);
+      ousted += s.ousted;
     }
+    Assertions.assertTrue(longest < 12_000, longest + " ms, " + ousted + " owners ousted");
+  }
 
-    @Test void aReplacementCutOffHalfWayIsFinishedByAnother() {
-        for (int ms : new int[]{1, 4, 8, 15, 30, 60})
-            play("""
+  @Test
+  void aReplacementCutOffHalfWayIsFinishedByAnother() {
+    for (int ms : new int[] {1, 4, 8, 15, 30, 60})
+      play(
+          """
                 t     | c1 | c2 | c3    | c4  | op
                 3000  | .  | .  | .     | new | send c1
                 4500  | .  | .  | .     | .   | last done, swap c1 c4
@@ -198,6 +228,7 @@
                 10000 | .  | .  | .     | .   | serve
                 10001 | .  | .  | up    | .   | .
                 19000 | .  | .  | .     | .   | serve, send c2
-                22500 | .  | .  | .     | .   | last done, well""".formatted(4500 + ms));
-    }
+                22500 | .  | .  | .     | .   | last done, well"""
+              .formatted(4500 + ms));
+  }
 }
