Held connections find out that the other side is gone and are begun anew

A TCP connection whose packets were dropped for a while stays silent for as long again, since TCP backs its retransmission off; nothing here noticed, as connections had neither heartbeat nor bound. A cut of many seconds therefore went on for seconds after its end, between machines that were well.

A record that is sent anyway now asks for an answer where nothing was received lately (the highest bit of the length; the answer is an empty record). An answer that is overdue resets the connection, after a moment in which this process reads what has arrived, so its own lateness counts for nothing. There is no timer for it: whoever sends also checks. Patience follows the slowest answer of late and doubles for connections that are accepted and never answered. The bounds are derived in Liveness. The accepting side asks peers that have been idle for 15 s and drops those that don't answer, by one timer for the process. A close whose bytes can't be sent resets within a second; before it waited for ever.

Ruled out: a timer for each connection, for its wake-ups; the system's keep-alive probes and TCP_USER_TIMEOUT, which the NIO transport can't set.

SilenceDetectorTest holds the bounds by a clock of its own. HeldTest runs against peers on loopback that accept and never answer, or stop reading: with SilenceDetector.silent() made constantly false (trial) both time out after 20 s, with it they pass in under 1 s.

--- a/kernel/src/main/java/gladelug/kernel/connection/Connection.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Connection.java
@@ -2,14 +2,24 @@
  * One side of a TCP connection carrying length-prefixed records. send() says whether the record was
  * taken: a connection whose other side doesn't read fills up and takes no more, and every protocol
  * above copes with loss by asking again. A record that can't be read closes this connection only.
+ *
+ * The highest bit of the length asks the other side for an answer, a record of length 0, which no
+ * receiver is told of. So either side finds out that the other is gone: see Liveness.
  */
 package gladelug.kernel.connection;
 
+import gladelug.kernel.Clock;
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Wire;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOption;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.impl.NetSocketInternal;
 import io.vertx.mutiny.core.net.NetSocket;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 public final class Connection {
   /** Told of each record, in order, and once of the end, all on the connection's event loop. */
@@ -20,15 +30,32 @@
   }
 
   private static final int FULL = 64 << 20;
+  private static final int ANSWER_REQUESTED = 1 << 31;
+  private static final int HEADER_BYTES = 4;
+
+  /** How long a close may wait for what is still to be sent, ms. */
+  private static final long CLOSE_WITHIN = 1000;
+
   private final NetSocket socket;
   public final String peer;
+  private final Clock clock;
+
+  /** Null where silence is looked for by someone else. */
+  private final SilenceDetector detector;
+
+  private final AtomicBoolean suspected = new AtomicBoolean();
   private Receiver receiver;
   private Buffer held = Buffer.buffer();
+  private volatile long lastReceived;
   private volatile boolean closed;
 
-  Connection(NetSocket s, String peer) {
+  Connection(NetSocket s, String peer, Clock clock, SilenceDetector detector) {
     this.socket = s;
     this.peer = peer;
+    this.clock = clock;
+    this.detector = detector;
+    this.lastReceived = clock.now();
+    if (detector != null) detector.connected();
     s.getDelegate().setWriteQueueMaxSize(FULL);
     s.getDelegate().handler(this::bytes);
     s.getDelegate().closeHandler(v -> end());
@@ -45,30 +72,90 @@
   }
 
   public boolean send(byte[] r) {
+    closeIfSilent();
     if (closed || socket.getDelegate().writeQueueFull()) return false;
-    socket.getDelegate().write(Buffer.buffer(r.length + 4).appendInt(r.length).appendBytes(r));
+    write(r, detector != null && detector.sending(r.length + HEADER_BYTES));
     return true;
   }
 
+  private void write(byte[] r, boolean answerRequested) {
+    int header = r.length | (answerRequested ? ANSWER_REQUESTED : 0);
+    socket
+        .getDelegate()
+        .write(Buffer.buffer(r.length + HEADER_BYTES).appendInt(header).appendBytes(r));
+  }
+
+  /** Asks the other side for a sign of life and sends nothing else. */
+  void askForAnswer() {
+    if (!closed && !socket.getDelegate().writeQueueFull()) write(new byte[0], true);
+  }
+
+  /** When bytes were last received, by this process's clock. */
+  long lastReceived() {
+    return lastReceived;
+  }
+
+  /**
+   * Resets the connection where an answer is overdue, after a moment in which the event loop reads
+   * what may have arrived while this process itself was late.
+   */
+  void closeIfSilent() {
+    if (closed || detector == null || !detector.silent() || !suspected.compareAndSet(false, true))
+      return;
+    channel()
+        .eventLoop()
+        .schedule(
+            () -> {
+              suspected.set(false);
+              if (closed || !detector.silent()) return;
+              Log.event("connection-silent", "peer", peer);
+              reset();
+            },
+            Liveness.GRACE,
+            TimeUnit.MILLISECONDS);
+  }
+
   public boolean open() {
     return !closed;
   }
 
+  /** Closes once all is sent, or resets soon where the other side doesn't read. */
   public void close() {
+    if (closed) return;
     socket.getDelegate().close();
+    channel().eventLoop().schedule(this::reset, CLOSE_WITHIN, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends the connection at once, waiting for nothing that is still to be sent. */
+  void reset() {
+    if (closed) return;
+    Channel c = channel();
+    try {
+      c.config().setOption(ChannelOption.SO_LINGER, 0);
+    } catch (ChannelException e) {
+      Log.fine("circuit-problem", "fellow", peer, "what", e.toString());
+    }
+    c.close();
+  }
+
+  private Channel channel() {
+    return ((NetSocketInternal) socket.getDelegate()).channelHandlerContext().channel();
   }
 
   private void bytes(Buffer b) {
+    lastReceived = clock.now();
+    if (detector != null) detector.received();
     held = held.length() == 0 ? b : held.appendBuffer(b);
     int at = 0;
     try {
-      while (held.length() - at >= 4) {
-        int n = held.getInt(at);
-        if (n < 1 || n > Wire.MAX) throw new IOException("record of impossible length " + n);
-        if (held.length() - at - 4 < n) break;
-        byte[] r = held.getBytes(at + 4, at + 4 + n);
-        at += 4 + n;
-        receiver.record(r);
+      while (held.length() - at >= HEADER_BYTES) {
+        int header = held.getInt(at);
+        int n = header & ~ANSWER_REQUESTED;
+        if (n > Wire.MAX) throw new IOException("record of impossible length " + n);
+        if (held.length() - at - HEADER_BYTES < n) break;
+        if ((header & ANSWER_REQUESTED) != 0) write(new byte[0], false);
+        if (n > 0) receiver.record(held.getBytes(at + HEADER_BYTES, at + HEADER_BYTES + n));
+        at += HEADER_BYTES + n;
       }
       if (at > 0) held = held.length() == at ? Buffer.buffer() : held.getBuffer(at, held.length());
     } catch (IOException e) {
--- a/kernel/src/main/java/gladelug/kernel/connection/Doors.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Doors.java
@@ -1,11 +1,13 @@
 /*
  * The door of a process for connections from others, on its one records address: reads the Hello and
  * hands the connection to whichever service took that protocol. Unknown protocols are closed. Also
- * where connections to others begin.
+ * where connections to others begin. Accepted connections whose peer fell silent are dropped, so that
+ * peers that vanished cost no descriptor for long; whoever holds a connection notices much sooner.
  */
 package gladelug.kernel.connection;
 
 import gladelug.kernel.Address;
+import gladelug.kernel.Clock;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
 import gladelug.kernel.message.Hello;
@@ -26,6 +28,13 @@
 import java.util.function.Function;
 
 public final class Doors implements Kernel.Service {
+  /** How often accepted connections are looked at, ms. */
+  private static final long SWEEP = 10_000;
+
+  /** Silence after which a peer is asked for a sign of life, which it has until the next look. */
+  private static final long IDLE = 15_000;
+
+  private final Clock clock = Clock.monotonic();
   private final Vertx vertx;
   private final Address address;
   public final Local local;
@@ -33,8 +42,14 @@
   private final Map<String, BiFunction<Hello, Connection, Connection.Receiver>> takers =
       new ConcurrentHashMap<>();
   private final Set<Connection> open = ConcurrentHashMap.newKeySet();
+
+  /** By accepted connection: when its silent peer was asked for a sign of life, or 0. */
+  private final Map<Connection, Long> accepted = new ConcurrentHashMap<>();
+
+  /** By how long an attempt to connect may take, ms. */
+  private final Map<Integer, NetClient> clients = new ConcurrentHashMap<>();
+
   private NetServer server;
-  private NetClient client;
 
   public Doors(Vertx vertx, Address address, Local local, String name) {
     this.local = local;
@@ -49,23 +64,46 @@
 
   @Override
   public void start(Kernel k) {
-    client =
-        vertx.createNetClient(
-            local.from(new NetClientOptions().setConnectTimeout(1000).setTcpNoDelay(true)));
     server =
         vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true));
     server
         .getDelegate()
         .connectHandler(
-            s -> accept(new Connection(new NetSocket(s), s.remoteAddress().toString())));
+            s ->
+                accept(
+                    new Connection(new NetSocket(s), s.remoteAddress().toString(), clock, null)));
     try {
       server.listen(address.port(), local.ip()).await().atMost(Duration.ofSeconds(10));
     } catch (RuntimeException e) {
       throw new Kernel.CannotStart("cannot listen for records on " + address + ": " + reason(e), e);
     }
+    vertx.setPeriodic(SWEEP, i -> sweep());
     Log.event("records-door-open", "address", address);
   }
 
+  private NetClient client(int connectTimeout) {
+    return clients.computeIfAbsent(
+        connectTimeout,
+        t ->
+            vertx.createNetClient(
+                local.from(new NetClientOptions().setConnectTimeout(t).setTcpNoDelay(true))));
+  }
+
+  private void sweep() {
+    accepted.replaceAll((c, asked) -> look(c, asked, clock.now()));
+  }
+
+  /** Returns when the peer was asked for a sign of life that hasn't come yet, or 0. */
+  private static long look(Connection c, long asked, long now) {
+    if (asked > 0 && c.lastReceived() < asked) {
+      c.reset();
+      return asked;
+    }
+    if (now - c.lastReceived() < IDLE) return 0;
+    c.askForAnswer();
+    return now;
+  }
+
   public static String reason(Throwable e) {
     Throwable t = e;
     while (t.getCause() != null) t = t.getCause();
@@ -74,6 +112,7 @@
 
   private void accept(Connection c) {
     open.add(c);
+    accepted.put(c, 0L);
     c.receiver(
         new Connection.Receiver() {
           private Connection.Receiver inner;
@@ -93,6 +132,7 @@
           @Override
           public void closed() {
             open.remove(c);
+            accepted.remove(c);
             if (inner != null) inner.closed();
           }
         });
@@ -101,11 +141,20 @@
   /** A new connection to another process, its Hello already sent. Fails where nobody answers. */
   public Uni<Connection> call(
       Address to, String protocol, Function<Connection, Connection.Receiver> receiver) {
-    return client
+    return call(to, protocol, Liveness.DATA.connectTimeout(), null, receiver);
+  }
+
+  Uni<Connection> call(
+      Address to,
+      String protocol,
+      int connectTimeout,
+      SilenceDetector detector,
+      Function<Connection, Connection.Receiver> receiver) {
+    return client(connectTimeout)
         .connect(to.port(), to.host())
         .map(
             s -> {
-              Connection c = new Connection(s, to.toString());
+              Connection c = new Connection(s, to.toString(), clock, detector);
               open.add(c);
               Connection.Receiver r = receiver.apply(c);
               c.receiver(
@@ -130,6 +179,6 @@
   public void stop() {
     for (Connection c : open) c.close();
     if (server != null) server.closeAndForget();
-    if (client != null) client.closeAndForget();
+    clients.values().forEach(NetClient::closeAndForget);
   }
 }
--- a/kernel/src/main/java/gladelug/kernel/connection/Held.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Held.java
@@ -1,10 +1,12 @@
 /*
- * A held connection to one address: begun at once, begun anew after it ends, until let go. What is
- * sent while there is no connection is lost, as records on any connection may be.
+ * A held connection to one address: begun at once, begun anew after it ends, until let go; one that
+ * has fallen silent is reset, and one attempt to connect is made at a time. What is sent while there
+ * is no connection is lost, as records on any connection may be.
  */
 package gladelug.kernel.connection;
 
 import gladelug.kernel.Address;
+import gladelug.kernel.Clock;
 import gladelug.kernel.message.Wire;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
@@ -15,13 +17,14 @@
     void record(Held h, byte[] r) throws IOException;
   }
 
-  private static final long PAUSE = 200;
   private final Vertx vertx;
   private final Doors doors;
   public final Address to;
   private final String protocol;
   private final Records records;
   private final Consumer<Held> opened;
+  private final Liveness liveness;
+  private final SilenceDetector detector;
   private volatile Connection connection;
   private volatile boolean let;
 
@@ -32,6 +35,20 @@
       String protocol,
       Records records,
       Consumer<Held> opened) {
+    this(vertx, doors, to, protocol, Liveness.DATA, records, opened);
+  }
+
+  /** opened is told of each new connection, once records may be sent. */
+  public Held(
+      Vertx vertx,
+      Doors doors,
+      Address to,
+      String protocol,
+      Liveness liveness,
+      Records records,
+      Consumer<Held> opened) {
+    this.liveness = liveness;
+    this.detector = new SilenceDetector(liveness, Clock.monotonic());
     this.vertx = vertx;
     this.doors = doors;
     this.to = to;
@@ -47,6 +64,8 @@
         .call(
             to,
             protocol,
+            liveness.connectTimeout(),
+            detector,
             c ->
                 new Connection.Receiver() {
                   @Override
@@ -71,7 +90,7 @@
   }
 
   private void again() {
-    if (!let) vertx.setTimer(PAUSE, i -> begin());
+    if (!let) vertx.setTimer(liveness.pause(), i -> begin());
   }
 
   public boolean send(Wire m) {
@@ -79,6 +98,15 @@
     return c != null && c.send(m);
   }
 
+  /**
+   * Begins the connection anew where an answer is overdue. Sending does so too; whoever needs the
+   * bound to be tighter than the time between two records calls this in between.
+   */
+  public void closeIfSilent() {
+    Connection c = connection;
+    if (c != null) c.closeIfSilent();
+  }
+
   public boolean open() {
     Connection c = connection;
     return c != null && c.open();
