Contact between core members is a round trip

A member counted as alive when it was heard, so one that was heard but heard nobody kept its keys for 1.8 s after its last confirmation and was chosen to hand changes and reads to; one that heard others but wasn't heard tried for keys again and again, and the epochs it raised ousted the working owner when the cut ended. A member without a majority queued changes for seconds.

Signs of life now carry the newest one heard of the receiver. Contact needs both directions within dead ms (the one told by echo: dead + alive). Without contact to a majority a member tries for no key, claims none, and answers changes and reads with NoOwner at once; in a takeover they are held 800 ms (before: 2500) and a read 900 ms in all, below the second after which callers go elsewhere. A claim of a key ends dead + confirm ms after the last confirmation (before: twice dead). Whoever hears a claim leaves the key be even without contact, so a one-way cut between two members moves no key. A member that regains its majority first hears for dead ms who owns what. A new connection, and a member heard anew, are answered by a sign of life at once. Connections between members are held with bounds derived from alive and dead.

Tests: two in CoreNodeTest, of a member heard that doesn't hear and of an owner without a majority. Two older ones drove a member that had heard nobody to try for keys; there it now first gets the signs of life that this needs, and what they assert is unchanged.

--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -39,8 +39,26 @@
   /** What an owner says of a key of its own, so that the others know it and the value's age. */
   record Owned(String key, long epoch, long number, long age, boolean busy) {}
 
-  /** boot counts up within one run; settled says how long the sender has been up. */
-  record Alive(boolean healthy, long up, List<Owned> owned) implements CoreMessage {
+  /** When something was sent, by the clock of one run of its sender, which alone can read it. */
+  record Stamp(long run, long at) {
+    static final Stamp NONE = new Stamp(0, 0);
+
+    private void put(DataOutputStream o) throws IOException {
+      o.writeLong(run);
+      o.writeLong(at);
+    }
+
+    private static Stamp read(DataInputStream i) throws IOException {
+      return new Stamp(i.readLong(), i.readLong());
+    }
+  }
+
+  /**
+   * A sign of life to one member. up: how long the sender has been up. heard: the newest stamp the
+   * sender heard of the receiver, so that the receiver knows what has reached the sender.
+   */
+  record Alive(boolean healthy, long up, List<Owned> owned, Stamp sent, Stamp heard)
+      implements CoreMessage {
     @Override
     public int tag() {
       return 1;
@@ -60,6 +78,8 @@
             p.writeLong(w.age);
             p.writeBoolean(w.busy);
           });
+      sent.put(o);
+      heard.put(o);
     }
   }
 
@@ -362,7 +382,9 @@
                   i,
                   j ->
                       new Owned(
-                          j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())));
+                          j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())),
+              Stamp.read(i),
+              Stamp.read(i));
       case 2 -> new Promise(i.readUTF(), i.readLong());
       case 3 ->
           new Promised(
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -3,6 +3,13 @@
  * all durable before they are answered), the owners of its keys, who is alive, and the data-plane
  * processes that ask it. Liveness only chooses who tries to own a key; what is safe rests on epochs
  * and majorities alone. One thread calls it; everything it does goes through its host.
+ *
+ * Contact with a member is a round trip: signs of life say which of the receiver's reached the
+ * sender last. A member without contact to a majority, itself included, tries for no key, claims
+ * none, and answers changes and reads with NoOwner at once. That holds at the latest dead + alive ms
+ * after the first direction failed. A key's owner that is still heard while its answers are not
+ * claims its key only so long as a majority confirms it, so whoever hears a claim leaves the key be
+ * even without contact, and no one-way cut between two members moves a key from a working owner.
  */
 package gladelug.control.core;
 
@@ -23,6 +30,7 @@
 import gladelug.control.core.CoreMessage.Promised;
 import gladelug.control.core.CoreMessage.Read;
 import gladelug.control.core.CoreMessage.ReadDone;
+import gladelug.control.core.CoreMessage.Stamp;
 import gladelug.control.core.CoreMessage.Standing;
 import gladelug.kernel.Address;
 import gladelug.kernel.message.Delta;
@@ -44,6 +52,7 @@
   private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
   private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
   private static final int MOST_WORDS = 300;
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** What this member does beside keeping state, where it owns the key for it. */
   public interface Duties {
@@ -77,7 +86,14 @@
       String via) {}
 
   private static final class Peer {
-    long heard = Long.MIN_VALUE / 2;
+    long heard = NEVER;
+
+    /** What it sent last, by its clock. */
+    Stamp sent = Stamp.NONE;
+
+    /** When the newest of this member's signs of life that reached it was sent, by this clock. */
+    long reachedBy = NEVER;
+
     long since;
     boolean healthy;
     List<Owned> owned = List.of();
@@ -98,6 +114,7 @@
   final String self;
   final String disk;
   final long booted;
+  private final long run;
   private final int cutoff;
   private final Duties duties;
   private final Map<String, Cell> cells = new HashMap<>();
@@ -133,6 +150,10 @@
   private boolean newcomer = true;
 
   private long began;
+
+  /** Since when this member has had contact with a majority, or NEVER while it has none. */
+  private long majoritySince = NEVER;
+
   private long lastAlive = Long.MIN_VALUE / 2;
   private long lastConfirm = Long.MIN_VALUE / 2;
   private long lastDivided = Long.MIN_VALUE / 2;
@@ -156,6 +177,7 @@
     this.booted = host.now();
     this.began = booted;
     this.nr = host.random(1L << 40) << 20;
+    this.run = nr;
     durable.forEach(
         (k, b) -> {
           if (k.startsWith(CELL)) cells.put(k.substring(CELL.length()), Cell.of(b));
@@ -227,9 +249,25 @@
     return cs;
   }
 
+  /**
+   * The last contact with a member, both ways. What it has heard of this one is told by its next
+   * sign of life, so that direction may be older by the time between two.
+   */
   long heard(String name) {
+    if (name.equals(self)) return host.now();
     Peer f = peers.get(name);
-    return f == null ? Long.MIN_VALUE / 2 : f.heard;
+    return f == null ? NEVER : Math.min(f.heard, f.reachedBy + tunables.alive());
+  }
+
+  private boolean inContact(String name, long now) {
+    return now - heard(name) < tunables.dead();
+  }
+
+  /** Contact with a majority of the members, this one counted. */
+  private boolean reachesMajority(long now) {
+    int n = 0;
+    for (Members.Member m : members().all()) if (inContact(m.name(), now)) n++;
+    return n >= members().majority();
   }
 
   /** Keys come to be when a replica is listed: one commander each. */
@@ -274,15 +312,12 @@
     membership.plan(now, Math.max(began, booted));
     if (now - lastAlive >= tunables.alive()) {
       lastAlive = now;
-      List<Owned> l = new ArrayList<>();
-      for (KeyOwner o : owners.values())
-        if (o.inHand(now))
-          l.add(new Owned(o.key, o.epoch, o.value().number(), o.age(now), o.busy()));
-      toAll(new Alive(healthy, now - booted, l));
+      List<Owned> l = claims(now);
+      for (Members.Member x : members().all()) sayAlive(x.name(), l, now);
     }
     if (now - lastConfirm >= tunables.confirm()) confirm(now);
     for (KeyOwner o : owners.values()) o.tick(now);
-    if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
+    tryForKeys(now);
     if (owns(Keys.SHARES) && now - lastDivided >= DIVIDE) {
       lastDivided = now;
       List<Seen> relays = new ArrayList<>();
@@ -295,6 +330,35 @@
     nodes.values().removeIf(s -> now - s.asked > 60_000);
   }
 
+  private List<Owned> claims(long now) {
+    List<Owned> l = new ArrayList<>();
+    for (KeyOwner o : owners.values())
+      if (o.inHand(now)) l.add(new Owned(o.key, o.epoch, o.value().number(), o.age(now), o.busy()));
+    return l;
+  }
+
+  private void sayAlive(String to, List<Owned> claims, long now) {
+    Peer f = peers.get(to);
+    Stamp heard = f == null ? Stamp.NONE : f.sent;
+    to(to, new Alive(healthy, now - booted, claims, new Stamp(run, now), heard));
+  }
+
+  /** A new connection to a member stands: a sign of life at once, for the time without one. */
+  public void connected(String member) {
+    long now = host.now();
+    if (membership.active() && members().find(member) != null) sayAlive(member, claims(now), now);
+  }
+
+  private void tryForKeys(long now) {
+    if (!reachesMajority(now)) {
+      majoritySince = NEVER;
+      ownerless.clear();
+      return;
+    }
+    if (majoritySince == NEVER) majoritySince = now;
+    if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
+  }
+
   /**
    * What was handed on and nobody will answer any more is answered here, with the number to ask
    * about.
@@ -313,30 +377,45 @@
   boolean live(String m, long now) {
     if (m.equals(self)) return healthy;
     Peer f = peers.get(m);
-    return f != null && f.healthy && now - f.heard < tunables.dead();
+    return f != null && f.healthy && inContact(m, now);
   }
 
-  /** Hears no majority: perhaps because the fleet has moved on without it, so it asks around. */
-  private boolean alone(long now) {
-    if (now - Math.max(began, booted) < 2L * tunables.dead()) return false;
-    int n = 0;
-    for (Members.Member m : members().all())
-      if (m.name().equals(self) || now - heard(m.name()) < tunables.dead()) n++;
-    return n < members().majority();
+  /**
+   * Has had no contact with a majority since it could have: perhaps because the fleet has moved on
+   * without it, so it asks around.
+   */
+  boolean alone(long now) {
+    return now - Math.max(began, booted) >= 2L * tunables.dead() && !reachesMajority(now);
   }
 
-  private String liveOwner(String key, long now) {
+  /** Whether no change or read can be served here or handed on before contact comes back. */
+  public boolean cutOff() {
+    long now = host.now();
+    if (membership.active()) return alone(now);
+    return now - booted >= 2L * tunables.dead() && membership.door(now) == null;
+  }
+
+  /** Who claims the key and was heard lately; a claim is kept up only while a majority confirms. */
+  private String claimant(String key, long now) {
     for (Members.Member m : members().all()) {
-      if (m.name().equals(self) || !live(m.name(), now)) continue;
-      for (Owned w : peers.get(m.name()).owned)
+      Peer f = peers.get(m.name());
+      if (m.name().equals(self) || f == null || !f.healthy || now - f.heard >= tunables.dead())
+        continue;
+      for (Owned w : f.owned)
         if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
     }
     return null;
   }
 
+  /** A claimant that what is handed on will reach, and whose answer will reach this member. */
+  private String liveOwner(String key, long now) {
+    String m = claimant(key, now);
+    return m == null || !live(m, now) ? null : m;
+  }
+
   private void perhapsTry(KeyOwner o, long now) {
     if (o.serving()) return;
-    String other = liveOwner(o.key, now);
+    String other = claimant(o.key, now);
     List<String> order = members().order(o.key);
     int rank = 0;
     for (String m : order) {
@@ -351,11 +430,14 @@
       // taken back without churn: not while the owner is at a change, whose fate would then be
       // unknown to its
       // sender
-      if (rank == 0 && before && settled && !busy(other, o.key)) o.attempt(now);
+      if (rank == 0 && before && settled && live(other, now) && !busy(other, o.key)) o.attempt(now);
       return;
     }
     long since = ownerless.computeIfAbsent(o.key, k -> now);
-    long pause = newcomer && since - began < tunables.dead() ? tunables.dead() : 0;
+    // whoever was away first hears who owns what
+    boolean wasAway =
+        newcomer && since - began < tunables.dead() || since - majoritySince < tunables.alive();
+    long pause = wasAway ? tunables.dead() : 0;
     // whoever was promised the key a moment ago is given the time to serve it, else all oust one
     // another for ever
     if (now - yielded.getOrDefault(o.key, Long.MIN_VALUE / 2) < tunables.yields()) return;
@@ -407,12 +489,16 @@
     else if (s instanceof Confirmed c) onConfirmed(e.from(), c, now);
     else if (s instanceof Carry c) ask(c.ask(), e.from(), now);
     else if (s instanceof Carried c) host.news(c.node(), c.news());
-    else if (s instanceof Change c && firstTime(c.nr()))
-      owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
+    else if (s instanceof Change c && firstTime(c.nr())) handedOn(c, e.from(), now);
     else if (s instanceof Read r) read(r.key(), a -> to(e.from(), new ReadDone(r.nr(), a)), now);
     else answered(s);
   }
 
+  private void handedOn(Change c, String from, long now) {
+    if (alone(now)) to(from, new Changed(c.nr(), new ChangeAnswer.NoOwner()));
+    else owner(c.key()).propose(c.match(), c.body(), a -> to(from, new Changed(c.nr(), a)), now);
+  }
+
   private void answered(CoreMessage s) {
     if (s instanceof ReadDone r) reads.answered(r.nr(), r.newest());
     else if (s instanceof Changed c) {
@@ -452,10 +538,14 @@
 
   private void alive(String from, Alive a, long now) {
     Peer f = peers.computeIfAbsent(from, n -> new Peer());
-    if (now - f.heard >= tunables.dead() || !f.healthy) f.since = now;
+    boolean knew = inContact(from, now);
+    if (!knew || !f.healthy) f.since = now;
     f.heard = now;
+    f.sent = a.sent();
+    if (a.heard().run() == run) f.reachedBy = Math.max(f.reachedBy, a.heard().at());
     f.healthy = a.healthy();
     f.owned = a.owned();
+    if (!knew) sayAlive(from, claims(now), now);
     for (Owned w : a.owned()) {
       owner(w.key()).highest = Math.max(owner(w.key()).highest, w.epoch());
       Age g = ages.get(w.key());
@@ -554,7 +644,7 @@
   public void change(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
     KeyOwner o = owner(key);
     long now = host.now();
-    if (o.serving()) {
+    if (o.serving() && !alone(now)) {
       o.propose(match, body, answer, now);
       return;
     }
@@ -601,7 +691,7 @@
 
   private void read(String key, Consumer<Newest> answer, long now) {
     KeyOwner o = owners.get(key);
-    if (o == null) answer.accept(Newest.NO_OWNER);
+    if (o == null || alone(now)) answer.accept(Newest.NO_OWNER);
     else o.read(answer, now);
   }
 
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -13,6 +13,7 @@
 import gladelug.kernel.connection.Connection;
 import gladelug.kernel.connection.Doors;
 import gladelug.kernel.connection.Held;
+import gladelug.kernel.connection.Liveness;
 import gladelug.kernel.disk.Ring;
 import gladelug.kernel.message.Hello;
 import gladelug.kernel.message.News;
@@ -35,7 +36,14 @@
 import java.util.function.Function;
 
 public final class CoreService implements Kernel.Service, CoreHost {
-  private static final long STALL = 400, PROBE = 1000, OWNERLESS = 2500;
+  private static final long STALL = 400, PROBE = 1000;
+
+  /**
+   * How long a change or read is offered again while a key is between two owners, and how long a
+   * read may take in all, ms: callers give a door up after a second of silence.
+   */
+  private static final long OWNERLESS = 800, READ = 900;
+
   private static final Duration BETWEEN = Duration.ofMillis(100);
 
   private final Vertx vertx;
@@ -121,6 +129,7 @@
         () -> {
           node.healthy(disk.stalled() < STALL);
           node.tick();
+          peers.values().forEach(Held::closeIfSilent);
         });
     duty.every(PROBE, () -> disk.want("", new byte[0], () -> {}));
   }
@@ -145,15 +154,10 @@
 
   /**
    * While a key is between two owners nothing was taken, so the change is offered again for a
-   * moment.
+   * moment; not where this member has no contact with a majority, and then it says so at once.
    */
   public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
     return changeOnce(key, match, body)
-        .flatMap(
-            a ->
-                a instanceof ChangeAnswer.NoOwner
-                    ? Uni.createFrom().<ChangeAnswer>failure(new Ownerless())
-                    : Uni.createFrom().item(a))
         .onFailure(Ownerless.class)
         .retry()
         .withBackOff(BETWEEN, BETWEEN)
@@ -173,26 +177,29 @@
 
   /**
    * The newest committed value from its owner, wherever that is; offered again while a key changes
-   * hands.
+   * hands, as a change is.
    */
   public Uni<Newest> readNewest(String key) {
     return Uni.createFrom()
         .<Newest>emitter(
             e -> {
-              if (!duty.offer(() -> node.readNewest(key, e::complete))) e.complete(Newest.NO_OWNER);
+              Consumer<Newest> answer =
+                  a -> {
+                    if (a.owned() || node.cutOff()) e.complete(a);
+                    else e.fail(new Ownerless());
+                  };
+              if (!duty.offer(() -> node.readNewest(key, answer))) e.complete(Newest.NO_OWNER);
             })
-        .flatMap(
-            a ->
-                a.owned()
-                    ? Uni.createFrom().item(a)
-                    : Uni.createFrom().<Newest>failure(new Ownerless()))
         .onFailure(Ownerless.class)
         .retry()
         .withBackOff(BETWEEN, BETWEEN)
         .withJitter(0)
         .expireIn(ownerless())
         .onFailure()
-        .recoverWithItem(t -> Newest.NO_OWNER);
+        .recoverWithItem(t -> Newest.NO_OWNER)
+        .ifNoItem()
+        .after(Duration.ofMillis(READ))
+        .recoverWithItem(Newest.NO_OWNER);
   }
 
   private static final class Ownerless extends RuntimeException {
@@ -205,7 +212,13 @@
     return Uni.createFrom()
         .emitter(
             e -> {
-              if (!duty.offer(() -> node.change(key, match, body, e::complete)))
+              Consumer<ChangeAnswer> answer =
+                  a -> {
+                    if (a instanceof ChangeAnswer.NoOwner && !node.cutOff())
+                      e.fail(new Ownerless());
+                    else e.complete(a);
+                  };
+              if (!duty.offer(() -> node.change(key, match, body, answer)))
                 e.complete(new ChangeAnswer.Busy());
             });
   }
@@ -240,19 +253,20 @@
 
   @Override
   public void sendTo(Address to, Envelope m) {
-    strangers.computeIfAbsent(to, this::hold).send(m);
+    strangers.computeIfAbsent(to, a -> hold(a, h -> {})).send(m);
   }
 
-  private Held hold(Address to) {
+  private Held hold(Address to, Consumer<Held> opened) {
     return new Held(
         vertx,
         doors,
         to,
         Hello.CORE,
+        Liveness.within(tunables.alive(), tunables.dead()),
         (h, r) -> {
           throw new IOException("core circuits carry one way");
         },
-        h -> {});
+        opened);
   }
 
   @Override
@@ -294,7 +308,9 @@
               return true;
             });
     for (Members.Member x : m.all())
-      if (!x.name().equals(self)) peers.computeIfAbsent(x.name(), n -> hold(x.records()));
+      if (!x.name().equals(self))
+        peers.computeIfAbsent(
+            x.name(), n -> hold(x.records(), h -> duty.offer(() -> node.connected(n))));
   }
 
   @Override
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -107,7 +107,8 @@
 
   /** Whether others may take it that the key is in good hands: a majority confirmed it lately. */
   boolean inHand(long now) {
-    return serving() && now - Math.max(confirmedAt, servedAt) < 2L * node.tunables.dead();
+    long within = (long) node.tunables.dead() + node.tunables.confirm();
+    return serving() && !node.alone(now) && now - Math.max(confirmedAt, servedAt) < within;
   }
 
   boolean busy() {
@@ -352,7 +353,16 @@
     current.answered = true;
   }
 
+  /** A read that no majority confirms in time, or can, is answered while its sender listens. */
+  private void expireReads(long now) {
+    boolean alone = node.alone(now);
+    List<Read> over = reads.stream().filter(r -> alone || now - r.since >= Reads.PATIENCE).toList();
+    reads.removeAll(over);
+    for (Read r : over) r.answer.accept(Newest.NO_OWNER);
+  }
+
   void tick(long now) {
+    if (!reads.isEmpty()) expireReads(now);
     if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > patience())
       depose("no-majority-in-time", now);
     if (phase == Phase.SERVING
--- a/control-plane/src/main/java/gladelug/control/core/Reads.java
+++ b/control-plane/src/main/java/gladelug/control/core/Reads.java
@@ -12,7 +12,8 @@
 import java.util.function.Predicate;
 
 final class Reads {
-  private static final long PATIENCE = 1000;
+  /** Below the second after which a caller gives a silent door up, ms. */
+  static final long PATIENCE = 700;
 
   private record Pending(String owner, long at, Consumer<Newest> answer) {}
 
@@ -27,7 +28,7 @@
     if (p != null) p.answer.accept(a);
   }
 
-  /** Whose owner is dead, or silent for a second, hears that there is none. */
+  /** Whose owner is dead, or silent for too long, hears that there is none. */
   void tick(long now, Predicate<String> live) {
     List<Long> over = new ArrayList<>();
     pending.forEach(
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -5,6 +5,7 @@
 
 import gladelug.control.core.CoreMessage.Accept;
 import gladelug.control.core.CoreMessage.Accepted;
+import gladelug.control.core.CoreMessage.Alive;
 import gladelug.control.core.CoreMessage.Change;
 import gladelug.control.core.CoreMessage.Claim;
 import gladelug.control.core.CoreMessage.Confirm;
@@ -14,6 +15,7 @@
 import gladelug.control.core.CoreMessage.Seal;
 import gladelug.control.core.CoreMessage.Sealed;
 import gladelug.control.core.CoreMessage.Settled;
+import gladelug.control.core.CoreMessage.Stamp;
 import gladelug.control.core.CoreNode.Duties;
 import gladelug.kernel.Address;
 import gladelug.kernel.message.Keys;
@@ -136,14 +138,11 @@
     Paper p = new Paper();
     CoreNode n = node(p);
     p.now += 10_000;
-    for (int i = 0; i < 3; i++) {
-      n.tick();
-      p.now += 800;
-    }
+    inContactUntilItTries(n, p, Keys.CONFIGURATION);
     long e = n.epochOf(Keys.CONFIGURATION);
     Assertions.assertTrue(e > 0, "never tried");
     Cell.Value x = Cell.Value.NONE.next("x", new byte[] {1});
-    p.now -= 700;
+    p.now += 100;
     from(n, "a", new Promised(Keys.CONFIGURATION, e, true, e, 0, Cell.Value.NONE));
     from(n, "b", new Promised(Keys.CONFIGURATION, e, true, e, 5, x));
     Assertions.assertFalse(n.owns(Keys.CONFIGURATION));
@@ -262,11 +261,9 @@
             new Duties() {});
     String k = Keys.REPLICAS;
     p.now += 10_000;
-    for (int i = 0; i < 3; i++) {
-      p.now += 800;
-      n.tick();
-    }
+    inContactUntilItTries(n, p, k);
     long e = n.epochOf(k);
+    Assertions.assertTrue(e > 0, "never tried");
     for (String m : new String[] {"a", "b"})
       from(n, m, new Promised(k, e, true, e, 0, Cell.Value.NONE));
     for (String m : new String[] {"a", "b"}) from(n, m, new Accepted(k, e, 0, true, e));
@@ -280,6 +277,7 @@
     Assertions.assertTrue(n.mayCommand(k));
     p.now = promised + 2500 + 1000;
     Assertions.assertFalse(n.mayCommand(k), "its majority is a lease old");
+    answersALife(n, p, "b");
     List<Newest> read = new ArrayList<>();
     n.readNewest(k, read::add);
     Assertions.assertEquals(0, read.size(), "the last round began before the read");
@@ -287,6 +285,67 @@
     Assertions.assertTrue(read.size() == 1 && read.get(0).owned() && read.get(0).number() == 0);
   }
 
+  /** Has the node send signs of life and hears of another member which of them it got. */
+  private static void answersALife(CoreNode n, Paper p, String who) {
+    n.tick();
+    Alive sent = null;
+    for (Envelope m : p.messages) if (m.said() instanceof Alive a) sent = a;
+    from(n, who, new Alive(true, 10_000, List.of(), new Stamp(7, p.now), sent.sent()));
+  }
+
+  private static void inContactUntilItTries(CoreNode n, Paper p, String key) {
+    for (int i = 0; i < 50 && n.epochOf(key) == 0; i++) {
+      p.now += 100;
+      answersALife(n, p, "b");
+    }
+  }
+
+  @Test
+  void whoeverIsHeardButDoesNotHearIsNotAliveAndNoKeyIsTriedForWithoutAMajority() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    for (int i = 0; i < 100; i++) {
+      p.now += 100;
+      n.tick();
+      from(n, "b", new Alive(true, 10_000, List.of(), new Stamp(7, p.now), Stamp.NONE));
+      from(n, "c", new Alive(true, 10_000, List.of(), new Stamp(8, p.now), new Stamp(9, p.now)));
+    }
+    Assertions.assertEquals(Map.of("a", true, "b", false, "c", false), n.alive());
+    Assertions.assertEquals(0, p.count("b Promise"), "an attempt without contact to a majority");
+    Assertions.assertTrue(n.cutOff());
+    answersALife(n, p, "b");
+    Assertions.assertEquals(Map.of("a", true, "b", true, "c", false), n.alive());
+    Assertions.assertFalse(n.cutOff());
+    p.now += Tunables.USUAL.dead();
+    Assertions.assertEquals(Map.of("a", true, "b", false, "c", false), n.alive());
+  }
+
+  @Test
+  void anOwnerWithoutContactToAMajorityClaimsNothingAndAnswersAtOnce() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    String k = Keys.CONFIGURATION;
+    p.now += 10_000;
+    inContactUntilItTries(n, p, k);
+    long e = n.epochOf(k);
+    for (String m : new String[] {"a", "b"})
+      from(n, m, new Promised(k, e, true, e, 0, Cell.Value.NONE));
+    for (String m : new String[] {"a", "b"}) from(n, m, new Accepted(k, e, 0, true, e));
+    List<Newest> read = new ArrayList<>();
+    List<ChangeAnswer> changed = new ArrayList<>();
+    n.readNewest(k, read::add);
+    p.now += Tunables.USUAL.dead() + Tunables.USUAL.alive();
+    n.tick();
+    Assertions.assertEquals(List.of(Newest.NO_OWNER), read, "a read that can't be confirmed");
+    n.readNewest(k, read::add);
+    n.change(k, -1, new byte[1], changed::add);
+    Assertions.assertEquals(List.of(Newest.NO_OWNER, Newest.NO_OWNER), read);
+    Assertions.assertEquals(List.of(new ChangeAnswer.NoOwner()), changed);
+    Alive last = null;
+    for (Envelope m : p.messages) if (m.said() instanceof Alive a) last = a;
+    Assertions.assertEquals(List.of(), last.owned());
+  }
+
   private static void confirmedByTwo(CoreNode n, Paper p) {
     p.messages.clear();
     n.confirmSoon();
