The simulator has connections that hang after a cut as TCP's do

Until now each record found its own way, so a link was well the moment its cut ended. Connections are reset by a process that ends, refused by a machine without one, hang towards one without power, and can be cut with resets. Off unless a test asks for it.

--- a/kernel/src/main/java/gladelug/kernel/connection/Liveness.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/Liveness.java
@@ -31,7 +31,7 @@
  */
 public record Liveness(long askAfter, long patience, int connectTimeout, long pause) {
   /** Time for what has arrived meanwhile to be read, where this process itself was late. */
-  static final long GRACE = 50;
+  public static final long GRACE = 50;
 
   /** The slowest link that is allowed for. */
   static final long BYTES_PER_MS = 1000;
--- a/kernel/src/main/java/gladelug/kernel/connection/SilenceDetector.java
+++ b/kernel/src/main/java/gladelug/kernel/connection/SilenceDetector.java
@@ -7,7 +7,7 @@
 
 import gladelug.kernel.Clock;
 
-final class SilenceDetector {
+public final class SilenceDetector {
   private static final long NEVER = Long.MIN_VALUE / 2;
   private static final int MOST_DOUBLINGS = 2;
 
@@ -22,13 +22,13 @@
   /** Connections in turn that were accepted and then never answered. */
   private int unanswered;
 
-  SilenceDetector(Liveness bounds, Clock clock) {
+  public SilenceDetector(Liveness bounds, Clock clock) {
     this.bounds = bounds;
     this.clock = clock;
   }
 
   /** A new connection stands; nothing was received on it yet. */
-  synchronized void connected() {
+  public synchronized void connected() {
     if (askedAt != NEVER && lastReceived == NEVER)
       unanswered = Math.min(unanswered + 1, MOST_DOUBLINGS);
     lastReceived = NEVER;
@@ -37,7 +37,7 @@
   }
 
   /** A record of this length is being sent: whether it should ask for an answer. */
-  synchronized boolean sending(int bytes) {
+  public synchronized boolean sending(int bytes) {
     bytesSinceReceived += bytes;
     long now = clock.now();
     if (askedAt != NEVER || now - lastReceived < bounds.askAfter()) return false;
@@ -52,7 +52,7 @@
   }
 
   /** Bytes have arrived, whatever they are. */
-  synchronized void received() {
+  public synchronized void received() {
     lastReceived = clock.now();
     bytesSinceReceived = 0;
     unanswered = 0;
@@ -62,7 +62,7 @@
   }
 
   /** Whether an answer is overdue. */
-  synchronized boolean silent() {
+  public synchronized boolean silent() {
     return askedAt != NEVER && clock.now() - askedAt >= allowed;
   }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -54,6 +54,20 @@
   /** How long after a naming requests may begin on old weights; read as a machine starts. */
   int cutoff = 15_000;
 
+  /** Whether records go by connections as TCP's, else each finds its own way. */
+  boolean connections;
+
+  /** Whether connections that fall silent are begun anew; only a control is without. */
+  boolean heartbeats = true;
+
+  /** How often a relay asks, ms. */
+  long askEach = 400;
+
+  private final SimNetwork network = new SimNetwork(this);
+
+  /** Machines whose cut links answer with resets. */
+  private final Set<String> rejecting = new HashSet<>();
+
   public double loss;
   public double repeat;
   final List<String> story = new ArrayList<>();
@@ -181,11 +195,24 @@
       for (String b : everybody()) if (side.contains(a) != side.contains(b)) cut(a, b);
   }
 
+  /** Cut off by something that answers every packet with a reset. */
+  void reject(String who) {
+    cutOff(who);
+    rejecting.add(who);
+    network.reset(who);
+  }
+
+  boolean rejects(String from, String to) {
+    return isCut(from, to) && (rejecting.contains(from) || rejecting.contains(to));
+  }
+
   public void heal(String who) {
+    rejecting.remove(who);
     cut.removeIf(s -> s.startsWith(who + ">") || s.endsWith(">" + who));
   }
 
   public void healAll() {
+    rejecting.clear();
     cut.clear();
   }
 
@@ -197,49 +224,87 @@
 
   void carry(String from, String to, Runnable r) {
     if (cut.contains(from + ">" + to) || random.nextDouble() < loss) return;
-    after(1 + random.nextInt(random.nextInt(20) == 0 ? 60 : 4), r);
+    after(delay(), r);
     if (random.nextDouble() < repeat) after(1 + random.nextInt(100), r);
   }
 
+  /** How long a record is on its way. */
+  long delay() {
+    return 1 + random.nextInt(random.nextInt(20) == 0 ? 60 : 4);
+  }
+
   void core(String from, String to, CoreMessage.Envelope m) {
     byte[] b = Wire.bytes(m);
     SimControl c = controls.get(to);
     int life = c.life;
-    carry(
-        from,
-        to,
+    Runnable received =
         () -> {
           try {
             // a connection ends with the process at its end
-            if (c.life == life) c.deliver(Wire.read(b, CoreMessage.Envelope::read));
+            if (c.life == life || connections) c.deliver(Wire.read(b, CoreMessage.Envelope::read));
           } catch (IOException e) {
             violation("a record that can't be read back: " + m);
           }
-        });
+        };
+    if (connections) network.send(from, to, b.length, received);
+    else carry(from, to, received);
+  }
+
+  // ---- processes, as connections see them
+
+  /** Counts the processes that ran under this name. */
+  int life(String who) {
+    SimControl c = controls.get(who);
+    return c != null ? c.life : relays.get(who).life;
+  }
+
+  /** Whether the machine is there and no process listens. */
+  boolean refuses(String who) {
+    SimControl c = controls.get(who);
+    return c != null && !c.up && !c.dark;
+  }
+
+  /** Whether the machine has no power. */
+  boolean dark(String who) {
+    SimControl c = controls.get(who);
+    return c != null && c.dark;
+  }
+
+  /** Runs in a control machine's process, once it does. */
+  void process(String who, Runnable r) {
+    controls.get(who).run(r);
+  }
+
+  /** A new connection stands. */
+  void opened(String from, String to) {
+    SimControl c = controls.get(from);
+    if (c != null) c.run(() -> c.node.connected(to));
+    else relays.get(from).connected(to);
+  }
+
+  void closeIfSilent(String caller) {
+    if (connections) network.closeIfSilent(caller);
   }
 
   void ask(String relay, String control, News.Ask a) {
-    carry(
-        relay,
-        control,
-        () -> {
-          SimControl c = controls.get(control);
-          c.run(() -> c.node.ask(a));
-        });
+    SimControl c = controls.get(control);
+    Runnable received = () -> c.run(() -> c.node.ask(a));
+    if (connections) network.ask(relay, control, Wire.bytes(a).length, received);
+    else carry(relay, control, received);
   }
 
   void whole(String relay, String key) {
-    for (SimControl c : controls.values())
-      carry(relay, c.name, () -> c.run(() -> c.node.wants(relay, key)));
+    for (SimControl c : controls.values()) {
+      Runnable received = () -> c.run(() -> c.node.wants(relay, key));
+      if (connections) network.send(relay, c.name, key.length(), received);
+      else carry(relay, c.name, received);
+    }
   }
 
   void news(String control, String relay, News m) {
-    carry(
-        control,
-        relay,
-        () -> {
-          told(relay, m);
-        });
+    Runnable received = () -> told(relay, m);
+    if (connections) network.news(control, relay, received);
+    else carry(control, relay, received);
   }
 
   /** News has reached a data-plane process. */
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -29,6 +29,10 @@
   CoreNode node;
   boolean up;
   boolean paused;
+
+  /** The machine has no power. */
+  boolean dark;
+
   int life;
   double rate = 1;
   private long rateSince;
@@ -61,6 +65,7 @@
 
   void start() {
     up = true;
+    dark = false;
     paused = false;
     emptied = false;
     died = "";
@@ -108,6 +113,7 @@
         () -> {
           node.healthy(medium.stalledFor(sim.now()) < 400);
           node.tick();
+          sim.closeIfSilent(name);
         });
     sim.after(25, () -> tick(l));
   }
@@ -119,6 +125,7 @@
 
   void power() {
     kill();
+    dark = true;
     medium.power();
   }
 
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimRelay.java
@@ -60,7 +60,12 @@
   private void ask(int l) {
     if (l != life) return;
     if (!paused) askNow();
-    sim.after(400, () -> ask(l));
+    sim.after(sim.askEach, () -> ask(l));
+  }
+
+  /** A new connection to a member stands. */
+  void connected(String control) {
+    if (!paused) sim.ask(name, control, book.ask(now()));
   }
 
   private void askNow() {
