Remember taken changes with the state; refuse only off a confirmed majority

Cause: a change sent again was compared with the newest value alone. One that was taken and then followed by another got Stale (412 or 400 at the platform's listener): a refusal of what had been acknowledged. And an owner that was cut off, and did not know yet, refused or acknowledged again off its own copy.

Ruled out: a lost write.

Change: a key's value now carries TakenChanges: number, digest and base of the last 512 changes that named a base, 48 bytes each. A change is the same only by digest and base together; an older text on a new base is a new change. One on a base older than the list is left unknown, never refused. Stale, Unknown-because-forgotten and Done(repeated) wait for a round of confirmation begun after the change came (told by round number, no longer by millisecond), else the sender hears NoOwner after the time in which a member counts as dead. A change that follows the newest number is written at once as before. Cell.Mark is HistoryEntry, Cell.takes is isReplacedBy.

Not covered: If-Match * names no base, so such a change is recognised only while it is the newest. Changes taken by earlier releases are recognised only while they are the newest.

--- a/control-plane/src/main/java/gladelug/control/core/Cell.java
+++ b/control-plane/src/main/java/gladelug/control/core/Cell.java
@@ -19,56 +19,102 @@
 
 record Cell(long promised, long epoch, Value value) {
   /**
-   * at: by the clock on the wall, for people; by: its owner then; what: what it changed. Nothing is
-   * decided by these.
+   * One number of the key, for people: takenAt by its owner's clock on the wall, takenBy that
+   * owner, summary what it changed. Nothing is decided by these three.
    */
-  record Mark(long number, String digest, long at, String by, String what) {}
+  record HistoryEntry(long number, String digest, long takenAt, String takenBy, String summary) {
+    private static HistoryEntry readIdentity(DataInputStream in) throws IOException {
+      return new HistoryEntry(in.readLong(), in.readUTF(), 0, "", "");
+    }
+
+    private HistoryEntry readRemarks(DataInputStream in) throws IOException {
+      return new HistoryEntry(number, digest, in.readLong(), in.readUTF(), in.readUTF());
+    }
+  }
 
   /** body is what is pushed; number 0 is "never written". */
-  record Value(long number, String digest, PVector<Mark> history, byte[] body) {
-    static final Value NONE = new Value(0, "", TreePVector.empty(), new byte[0]);
-    private static final int REMEMBERED = 32;
+  record Value(
+      long number,
+      String digest,
+      PVector<HistoryEntry> history,
+      byte[] body,
+      TakenChanges takenChanges) {
+    static final Value NONE = new Value(0, "", TreePVector.empty(), new byte[0], TakenChanges.NONE);
+
+    /** How many numbers are kept for people to look at. */
+    private static final int HISTORY_LENGTH = 32;
+
+    Value next(String nextDigest, byte[] nextBody) {
+      return next(nextDigest, nextBody, TakenChanges.NO_BASE, 0, "", "");
+    }
+
+    /** The value that follows this one; base as its sender counts, see TakenChanges. */
+    Value next(
+        String nextDigest,
+        byte[] nextBody,
+        long base,
+        long takenAt,
+        String takenBy,
+        String summary) {
+      HistoryEntry entry = new HistoryEntry(number + 1, nextDigest, takenAt, takenBy, summary);
+      PVector<HistoryEntry> longer = history.plus(entry);
+      return new Value(
+          number + 1,
+          nextDigest,
+          longer.size() > HISTORY_LENGTH ? longer.minus(0) : longer,
+          nextBody,
+          takenChanges.plus(number + 1, nextDigest, base));
+    }
 
-    Value next(String d, byte[] b) {
-      return next(d, b, 0, "", "");
+    /** What is known of a change with this digest, sent on this base. */
+    ChangeFate fate(String otherDigest, long base) {
+      return takenNumber(otherDigest, base) > 0
+          ? ChangeFate.TAKEN
+          : takenChanges.fate(otherDigest, base);
     }
 
-    Value next(String d, byte[] b, long at, String by, String what) {
-      PVector<Mark> h = history.plus(new Mark(number + 1, d, at, by, what));
-      return new Value(number + 1, d, h.size() > REMEMBERED ? h.minus(0) : h, b);
+    /**
+     * The number under which such a change was taken, 0 for none. A newest value that isn't listed
+     * was taken without a base, or before bases were kept: it is recognised by its digest alone.
+     */
+    long takenNumber(String otherDigest, long base) {
+      boolean newestIsListed = takenChanges.endsWith(number);
+      if (number > 0 && !newestIsListed && digest.equals(otherDigest)) return number;
+      return takenChanges.numberOf(otherDigest, base);
     }
 
-    void write(DataOutputStream o) throws IOException {
-      o.writeLong(number);
-      o.writeUTF(digest);
+    void write(DataOutputStream out) throws IOException {
+      out.writeLong(number);
+      out.writeUTF(digest);
       Wire.list(
-          o,
+          out,
           history,
-          (p, m) -> {
-            p.writeLong(m.number);
-            p.writeUTF(m.digest);
+          (o, entry) -> {
+            o.writeLong(entry.number);
+            o.writeUTF(entry.digest);
           });
-      Wire.blob(o, body);
-      for (Mark m : history) {
-        o.writeLong(m.at);
-        o.writeUTF(m.by);
-        o.writeUTF(m.what);
+      Wire.blob(out, body);
+      for (HistoryEntry entry : history) {
+        out.writeLong(entry.takenAt);
+        out.writeUTF(entry.takenBy);
+        out.writeUTF(entry.summary);
       }
+      takenChanges.write(out);
     }
 
-    static Value read(DataInputStream i) throws IOException {
-      long n = i.readLong();
-      String d = i.readUTF();
-      List<Mark> h = Wire.list(i, j -> new Mark(j.readLong(), j.readUTF(), 0, "", ""));
-      byte[] b = Wire.blob(i);
-      // what was kept before marks said more ends here
-      boolean more = i.available() > 0;
-      PVector<Mark> marks = TreePVector.empty();
-      for (Mark m : h)
-        marks =
-            marks.plus(
-                more ? new Mark(m.number, m.digest, i.readLong(), i.readUTF(), i.readUTF()) : m);
-      return new Value(n, d, marks, b);
+    /** Reads this format and the two before it, which end after the body or after the remarks. */
+    static Value read(DataInputStream in) throws IOException {
+      long number = in.readLong();
+      String digest = in.readUTF();
+      List<HistoryEntry> entries = Wire.list(in, HistoryEntry::readIdentity);
+      byte[] body = Wire.blob(in);
+      boolean hasRemarks = in.available() > 0;
+      PVector<HistoryEntry> history = TreePVector.empty();
+      for (HistoryEntry entry : entries)
+        history = history.plus(hasRemarks ? entry.readRemarks(in) : entry);
+      boolean hasTakenChanges = in.available() > 0;
+      TakenChanges taken = hasTakenChanges ? TakenChanges.read(in) : TakenChanges.NONE;
+      return new Value(number, digest, history, body, taken);
     }
 
     @Override
@@ -80,32 +126,32 @@
   static final Cell EMPTY = new Cell(0, 0, Value.NONE);
 
   /** Whether a write under this epoch and number is at least as new as what is kept. */
-  boolean takes(long e, long n) {
-    return e > epoch || e == epoch && n >= value.number;
+  boolean isReplacedBy(long otherEpoch, long otherNumber) {
+    return otherEpoch > epoch || otherEpoch == epoch && otherNumber >= value.number;
   }
 
   /** The newer value and the higher promise of two members' cells for one key. */
   static Cell merge(Cell a, Cell b) {
-    Cell n = a.takes(b.epoch, b.value.number) ? b : a;
-    return new Cell(Math.max(a.promised, b.promised), n.epoch, n.value);
+    Cell newer = a.isReplacedBy(b.epoch, b.value.number) ? b : a;
+    return new Cell(Math.max(a.promised, b.promised), newer.epoch, newer.value);
   }
 
   byte[] bytes() {
-    ByteArrayOutputStream b = new ByteArrayOutputStream();
-    try (DataOutputStream o = new DataOutputStream(b)) {
-      o.writeLong(promised);
-      o.writeLong(epoch);
-      value.write(o);
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      out.writeLong(promised);
+      out.writeLong(epoch);
+      value.write(out);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    return b.toByteArray();
+    return bytes.toByteArray();
   }
 
-  static Cell of(byte[] b) {
+  static Cell of(byte[] bytes) {
     try {
-      DataInputStream i = new DataInputStream(new ByteArrayInputStream(b));
-      return new Cell(i.readLong(), i.readLong(), Value.read(i));
+      DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+      return new Cell(in.readLong(), in.readLong(), Value.read(in));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/ChangeRequest.java
@@ -0,0 +1,34 @@
+/*
+ * A change of one key as its sender asks for it.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.Digest;
+
+/**
+ * key: what is changed. match: the number it must follow, ANY_NUMBER for whichever is there. base:
+ * what its sender says it builds on, in the sender's own count, by which the same change is
+ * recognised when it is sent again; TakenChanges.NO_BASE where that isn't wanted. body: the value.
+ */
+public record ChangeRequest(String key, long match, long base, byte[] body) {
+  public static final long ANY_NUMBER = -1;
+
+  /** A change that isn't remembered: sent again, it is compared with the newest value alone. */
+  public static ChangeRequest forgettable(String key, long match, byte[] body) {
+    return new ChangeRequest(key, match, TakenChanges.NO_BASE, body);
+  }
+
+  /** A change by a sender who counts as the core does, so that the number is the base too. */
+  public static ChangeRequest onNumber(String key, long match, byte[] body) {
+    return new ChangeRequest(key, match, match, body);
+  }
+
+  /** The number it gets if it is taken next, for a sender to ask about; -1 where that is open. */
+  long expectedNumber() {
+    return match == ANY_NUMBER ? -1 : match + 1;
+  }
+
+  String digest() {
+    return Digest.hex(body);
+  }
+}
--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -174,10 +174,8 @@
     }
   }
 
-  /**
-   * A change taken at one member's door for the key's owner elsewhere. match -1: whatever is there.
-   */
-  record Change(long nr, String key, long match, byte[] body) implements CoreMessage {
+  /** A change taken at one member's door for the key's owner elsewhere. */
+  record Change(long nr, ChangeRequest request) implements CoreMessage {
     @Override
     public int tag() {
       return 8;
@@ -186,9 +184,10 @@
     @Override
     public void put(DataOutputStream o) throws IOException {
       o.writeLong(nr);
-      o.writeUTF(key);
-      o.writeLong(match);
-      Wire.blob(o, body);
+      o.writeUTF(request.key());
+      o.writeLong(request.match());
+      Wire.blob(o, request.body());
+      o.writeLong(request.base());
     }
   }
 
@@ -347,6 +346,13 @@
     }
   }
 
+  private static ChangeRequest changeRequest(DataInputStream in) throws IOException {
+    String key = in.readUTF();
+    long match = in.readLong();
+    byte[] body = Wire.blob(in);
+    return new ChangeRequest(key, match, in.readLong(), body);
+  }
+
   private static Carry carry(DataInputStream i) throws IOException {
     if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
     throw new IOException("only questions are handed on");
@@ -389,7 +395,7 @@
                           j.readLong(),
                           j.readLong(),
                           j.readLong())));
-      case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
+      case 8 -> new Change(i.readLong(), changeRequest(i));
       case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
       case 10 -> new Meet(i.readUTF(), i.readUTF(), Members.read(i));
       case 11 -> new Settled(Members.read(i), kept(i));
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -384,6 +384,11 @@
     toAll(new Confirm(r.nr, cs));
   }
 
+  /** Rounds of confirmation that begin from now on have higher numbers. */
+  long lastRound() {
+    return nr;
+  }
+
   void confirmSoon() {
     lastConfirm = Long.MIN_VALUE / 2;
   }
@@ -408,7 +413,7 @@
     else if (s instanceof Carry c) ask(c.ask(), e.from(), now);
     else if (s instanceof Carried c) host.news(c.node(), c.news());
     else if (s instanceof Change c && firstTime(c.nr()))
-      owner(c.key()).propose(c.match(), c.body(), a -> to(e.from(), new Changed(c.nr(), a)), now);
+      owner(c.request().key()).propose(c.request(), a -> to(e.from(), new Changed(c.nr(), a)), now);
     else if (s instanceof Read r) read(r.key(), a -> to(e.from(), new ReadDone(r.nr(), a)), now);
     else answered(s);
   }
@@ -434,7 +439,7 @@
     Address to = membership.standsBy(e);
     if (to == null) return false;
     if (s instanceof Change c && firstTime(c.nr()))
-      change(c.key(), c.match(), c.body(), a -> toAddress(to, new Changed(c.nr(), a)));
+      change(c.request(), a -> toAddress(to, new Changed(c.nr(), a)));
     else if (s instanceof Read r) readNewest(r.key(), a -> toAddress(to, new ReadDone(r.nr(), a)));
     return true;
   }
@@ -511,7 +516,10 @@
       to(from, new Accepted(a.key(), a.epoch(), a.value().number(), false, c.promised()));
       return;
     }
-    Cell n = c.takes(a.epoch(), a.value().number()) ? new Cell(a.epoch(), a.epoch(), a.value()) : c;
+    Cell n =
+        c.isReplacedBy(a.epoch(), a.value().number())
+            ? new Cell(a.epoch(), a.epoch(), a.value())
+            : c;
     keep(
         a.key(),
         n,
@@ -545,17 +553,24 @@
       if (r == null || !s.ok() || o.epoch != s.epoch() || !o.serving()) continue;
       Set<String> by = r.by.computeIfAbsent(s.key(), k -> new HashSet<>());
       by.add(from);
-      if (by.size() >= members().majority()) o.confirmedRound(r.start);
+      if (by.size() >= members().majority()) o.confirmedRound(r.nr, r.start);
     }
   }
 
   // ---- changes from operators and duties
 
+  /** A change that isn't remembered; see the other. */
   public void change(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
+    change(ChangeRequest.forgettable(key, match, body), answer);
+  }
+
+  /** Has a change taken by the key's owner, here or elsewhere, and answers what became of it. */
+  public void change(ChangeRequest request, Consumer<ChangeAnswer> answer) {
+    String key = request.key();
     KeyOwner o = owner(key);
     long now = host.now();
     if (o.serving()) {
-      o.propose(match, body, answer, now);
+      o.propose(request, answer, now);
       return;
     }
     String other = membership.active() ? liveOwner(key, now) : null;
@@ -566,14 +581,14 @@
     }
     long n = ++nr;
     if (other == null) {
-      forwarded.put(n, new Forwarded(A_MEMBER, match >= 0 ? match + 1 : -1, now, answer));
-      toAddress(door, new Change(n, key, match, body));
+      forwarded.put(n, new Forwarded(A_MEMBER, request.expectedNumber(), now, answer));
+      toAddress(door, new Change(n, request));
       return;
     }
-    forwarded.put(
-        n,
-        new Forwarded(other, (match >= 0 ? match : cell(key).value().number()) + 1, now, answer));
-    to(other, new Change(n, key, match, body));
+    boolean anyNumber = request.match() == ChangeRequest.ANY_NUMBER;
+    long expected = anyNumber ? cell(key).value().number() + 1 : request.expectedNumber();
+    forwarded.put(n, new Forwarded(other, expected, now, answer));
+    to(other, new Change(n, request));
   }
 
   /**
@@ -766,13 +781,20 @@
     KeyOwner o = owners.get(key);
     Cell.Value v = o != null && o.serving() ? o.value() : cell(key).value();
     List<Told> l = new ArrayList<>();
-    for (Cell.Mark m : v.history()) {
+    for (Cell.HistoryEntry m : v.history()) {
       Map<String, Long> r =
           new LinkedHashMap<>(
               reached.getOrDefault(key, new TreeMap<>()).getOrDefault(m.number(), Map.of()));
       Long acked = r.remove(ACKNOWLEDGED);
       l.add(
-          new Told(m.number(), m.digest(), m.at(), m.by(), m.what(), acked == null ? 0 : acked, r));
+          new Told(
+              m.number(),
+              m.digest(),
+              m.takenAt(),
+              m.takenBy(),
+              m.summary(),
+              acked == null ? 0 : acked,
+              r));
     }
     return l;
   }
@@ -867,7 +889,7 @@
         owners.get(key) != null && owners.get(key).serving() ? owners.get(key).value() : null;
     if (v == null) return "unknown";
     if (number > v.number()) return "not-yet";
-    for (Cell.Mark m : v.history())
+    for (Cell.HistoryEntry m : v.history())
       if (m.number() == number) return m.digest().equals(digest) ? "taken" : "other";
     return "forgotten";
   }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -143,12 +143,17 @@
             });
   }
 
+  /** A change that isn't remembered; see the other. */
+  public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
+    return change(ChangeRequest.forgettable(key, match, body));
+  }
+
   /**
    * While a key is between two owners nothing was taken, so the change is offered again for a
    * moment.
    */
-  public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
-    return changeOnce(key, match, body)
+  public Uni<ChangeAnswer> change(ChangeRequest request) {
+    return changeOnce(request)
         .flatMap(
             a ->
                 a instanceof ChangeAnswer.NoOwner
@@ -163,7 +168,7 @@
         .recoverWithItem(t -> new ChangeAnswer.NoOwner())
         .ifNoItem()
         .after(Duration.ofMillis(tunables.longest()))
-        .recoverWithItem(new ChangeAnswer.Unknown(match < 0 ? -1 : match + 1));
+        .recoverWithItem(new ChangeAnswer.Unknown(request.expectedNumber()));
   }
 
   /** So that a change offered again for this long can still be answered in time, ms. */
@@ -201,11 +206,11 @@
     }
   }
 
-  private Uni<ChangeAnswer> changeOnce(String key, long match, byte[] body) {
+  private Uni<ChangeAnswer> changeOnce(ChangeRequest request) {
     return Uni.createFrom()
         .emitter(
             e -> {
-              if (!duty.offer(() -> node.change(key, match, body, e::complete)))
+              if (!duty.offer(() -> node.change(request, e::complete)))
                 e.complete(new ChangeAnswer.Busy());
             });
   }
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -13,7 +13,6 @@
 import gladelug.control.core.CoreMessage.Promise;
 import gladelug.control.core.CoreMessage.Promised;
 import gladelug.control.core.CoreMessage.Standing;
-import gladelug.kernel.Digest;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import java.util.ArrayDeque;
@@ -35,11 +34,20 @@
   }
 
   private static final class Change {
-    final long match;
-    final byte[] body;
+    final ChangeRequest request;
+    final String digest;
     final long since;
     final Consumer<ChangeAnswer> answer;
+
+    /** A majority confirmed this owner after the change had come. */
+    boolean confirmed;
+
+    /** The number it got, 0 before. */
+    long number;
+
+    /** What is written for it; null where it was taken before and only acknowledged again. */
     Cell.Value value;
+
     boolean committed;
     boolean answered;
     int lapsed;
@@ -47,9 +55,9 @@
     final Set<String> wrote = new HashSet<>();
     long sent;
 
-    Change(long match, byte[] body, long since, Consumer<ChangeAnswer> answer) {
-      this.match = match;
-      this.body = body;
+    Change(ChangeRequest request, long since, Consumer<ChangeAnswer> answer) {
+      this.request = request;
+      this.digest = request.digest();
       this.since = since;
       this.answer = answer;
     }
@@ -80,9 +88,13 @@
   private final Map<String, Leased> leases = new HashMap<>();
   private final ArrayDeque<Change> waiting = new ArrayDeque<>();
   private Change current;
-  private final List<Read> reads = new ArrayList<>();
+  private final List<Question> questions = new ArrayList<>();
 
-  private record Read(long since, Consumer<Newest> answer) {}
+  /**
+   * What waits until a majority confirms this owner in a round begun after it was asked: only then
+   * may anything be said that rests on the newest value. abandoned runs where that doesn't happen.
+   */
+  private record Question(long lastRound, long askedAt, Runnable confirmed, Runnable abandoned) {}
 
   KeyOwner(CoreNode node, String key) {
     this.node = node;
@@ -185,7 +197,7 @@
     } else if (phase == Phase.SERVING
         && current != null
         && current.value != null
-        && a.number() == current.value.number()) {
+        && a.number() == current.number) {
       current.wrote.add(from);
       if (!current.committed && current.wrote.size() >= node.members().majority()) commit(now);
     }
@@ -222,17 +234,16 @@
     attempted = now;
     leases.clear();
     if (served) node.host.event("owner-ends", "key", key, "epoch", epoch, "why", why);
-    if (current != null)
-      finish(
-          current.value == null
-              ? new ChangeAnswer.NoOwner()
-              : new ChangeAnswer.Unknown(current.value.number()));
+    if (current != null) finish(new ChangeAnswer.Unknown(current.number));
     current = null;
     for (Change c : waiting) c.answer.accept(new ChangeAnswer.NoOwner());
     waiting.clear();
-    List<Read> rs = new ArrayList<>(reads);
-    reads.clear();
-    for (Read r : rs) r.answer.accept(Newest.NO_OWNER);
+    abandon(new ArrayList<>(questions));
+  }
+
+  private void abandon(List<Question> unanswered) {
+    questions.removeAll(unanswered);
+    for (Question q : unanswered) q.abandoned.run();
   }
 
   void confirmed(String from, Standing s, long now) {
@@ -246,13 +257,21 @@
       node.to(from, new Accept(key, epoch, value));
   }
 
-  /** A majority confirmed the epoch in a round begun at this time. */
-  void confirmedRound(long start) {
+  /** A majority confirmed the epoch in the round with this number, begun at this time. */
+  void confirmedRound(long round, long start) {
     confirmedAt = Math.max(confirmedAt, start);
-    if (reads.isEmpty() || !serving()) return;
-    List<Read> rs = reads.stream().filter(r -> r.since <= confirmedAt).toList();
-    reads.removeAll(rs);
-    for (Read r : rs) r.answer.accept(Newest.of(value));
+    if (questions.isEmpty() || !serving()) return;
+    List<Question> answerable = questions.stream().filter(q -> q.lastRound < round).toList();
+    questions.removeAll(answerable);
+    for (Question q : answerable) q.confirmed.run();
+  }
+
+  /** False where too many wait already. */
+  private boolean onceConfirmed(Runnable confirmed, Runnable abandoned, long now) {
+    if (questions.size() >= node.tunables.queue()) return false;
+    questions.add(new Question(node.lastRound(), now, confirmed, abandoned));
+    node.confirmSoon();
+    return true;
   }
 
   /**
@@ -261,46 +280,84 @@
    * moment may be told a newer one.
    */
   void read(Consumer<Newest> answer, long now) {
-    if (!serving() || reads.size() >= node.tunables.queue()) {
-      answer.accept(Newest.NO_OWNER);
-      return;
-    }
-    reads.add(new Read(now, answer));
-    node.confirmSoon();
+    Runnable nobody = () -> answer.accept(Newest.NO_OWNER);
+    boolean asked = serving() && onceConfirmed(() -> answer.accept(Newest.of(value)), nobody, now);
+    if (!asked) nobody.run();
   }
 
-  void propose(long match, byte[] body, Consumer<ChangeAnswer> answer, long now) {
+  /** Takes a change, acknowledges again one that was taken, or says why not. */
+  void propose(ChangeRequest request, Consumer<ChangeAnswer> answer, long now) {
     if (phase != Phase.SERVING) answer.accept(new ChangeAnswer.NoOwner());
     else if (waiting.size() >= node.tunables.queue()) answer.accept(new ChangeAnswer.Busy());
     else {
-      waiting.add(new Change(match, body, now, answer));
+      waiting.add(new Change(request, now, answer));
       next(now);
     }
   }
 
   private void next(long now) {
-    while (current == null && !waiting.isEmpty()) {
-      Change c = waiting.poll();
-      String d = Digest.hex(c.body);
-      if (d.equals(value.digest()) && value.number() > 0) {
-        current = c;
-        c.value = value;
-        c.committed = true;
-        c.committedAt = now;
-        settle(now);
-      } else if (c.match >= 0 && c.match != value.number()) {
-        c.answer.accept(new ChangeAnswer.Stale(value.number()));
-      } else if (c.body.length > CoreNode.LARGEST) {
-        c.answer.accept(new ChangeAnswer.TooLarge(c.body.length, CoreNode.LARGEST));
-      } else {
-        current = c;
-        c.value =
-            value.next(
-                d, c.body, node.host.wall(), node.self, node.describe(key, value.body(), c.body));
-        c.sent = now;
-        node.toAll(new Accept(key, epoch, c.value));
-      }
+    while (current == null && !waiting.isEmpty()) begin(waiting.poll(), now);
+  }
+
+  /**
+   * A change that follows the newest value is written at once, as a majority that accepts it
+   * confirms the owner too. To refuse one, or to say that it was taken before, a majority has to
+   * confirm first that this owner's value is still the newest.
+   */
+  private void begin(Change change, long now) {
+    ChangeRequest request = change.request;
+    int size = request.body().length;
+    if (size > CoreNode.LARGEST) {
+      change.answer.accept(new ChangeAnswer.TooLarge(size, CoreNode.LARGEST));
+      return;
     }
+    long taken = takenNumber(change);
+    boolean follows =
+        request.match() == ChangeRequest.ANY_NUMBER || request.match() == value.number();
+    if (taken == 0 && follows) write(change, now);
+    else if (!change.confirmed) confirm(change, now);
+    else if (taken > 0) acknowledgeAgain(change, taken, now);
+    else if (value.fate(change.digest, request.base()) == ChangeFate.FORGOTTEN)
+      change.answer.accept(new ChangeAnswer.Unknown(request.expectedNumber()));
+    else change.answer.accept(new ChangeAnswer.Stale(value.number()));
+  }
+
+  /** The number under which the same change, or the same value as the newest, was taken; or 0. */
+  private long takenNumber(Change change) {
+    long taken = value.takenNumber(change.digest, change.request.base());
+    if (taken > 0) return taken;
+    return change.digest.equals(value.digest()) ? value.number() : 0;
+  }
+
+  private void write(Change change, long now) {
+    current = change;
+    byte[] body = change.request.body();
+    String summary = node.describe(key, value.body(), body);
+    change.value =
+        value.next(
+            change.digest, body, change.request.base(), node.host.wall(), node.self, summary);
+    change.number = change.value.number();
+    change.sent = now;
+    node.toAll(new Accept(key, epoch, change.value));
+  }
+
+  private void confirm(Change change, long now) {
+    Runnable again =
+        () -> {
+          change.confirmed = true;
+          waiting.addFirst(change);
+          next(node.host.now());
+        };
+    Runnable abandoned = () -> change.answer.accept(new ChangeAnswer.NoOwner());
+    if (!onceConfirmed(again, abandoned, now)) change.answer.accept(new ChangeAnswer.Busy());
+  }
+
+  private void acknowledgeAgain(Change change, long number, long now) {
+    current = change;
+    change.number = number;
+    change.committed = true;
+    change.committedAt = now;
+    settle(now);
   }
 
   private void commit(long now) {
@@ -320,7 +377,7 @@
     int acks = 0, passed = 0;
     for (Iterator<Leased> i = leases.values().iterator(); i.hasNext(); ) {
       Leased l = i.next();
-      if (l.acked >= c.value.number()) acks++;
+      if (l.acked >= c.number) acks++;
       else if (l.deadline < now) {
         i.remove();
         c.lapsed++;
@@ -328,9 +385,9 @@
         return;
       else passed++;
     }
-    boolean again = c.value.digest().equals(value.digest()) && c.wrote.isEmpty();
-    node.acknowledged(key, c.value.number());
-    finish(new ChangeAnswer.Done(c.value.number(), again, acks, c.lapsed + passed, now - c.since));
+    boolean again = c.value == null;
+    node.acknowledged(key, c.number);
+    finish(new ChangeAnswer.Done(c.number, again, acks, c.lapsed + passed, now - c.since));
     current = null;
     next(now);
   }
@@ -358,6 +415,7 @@
     if (phase == Phase.SERVING
         && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.lease())
       depose("unconfirmed", now);
+    abandon(questions.stream().filter(q -> now - q.askedAt >= node.tunables.dead()).toList());
     if (phase != Phase.SERVING || current == null) return;
     if (!current.committed && now - current.sent > node.tunables.confirm()) {
       current.sent = now;
@@ -366,7 +424,7 @@
           node.to(m.name(), new Accept(key, epoch, current.value));
     }
     if (now - current.since > node.tunables.fate())
-      finish(new ChangeAnswer.Unknown(current.value.number()));
+      finish(new ChangeAnswer.Unknown(current.number));
     settle(now);
   }
 
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -338,7 +338,8 @@
         s.in().stream().map(m -> m.name() + "/" + m.disk()).toList(),
         "generation",
         s.next().generation());
-    o.propose(o.value().number(), s.next().bytes(), answer, n.host.now());
+    ChangeRequest next = ChangeRequest.forgettable(Keys.CORE, o.value().number(), s.next().bytes());
+    o.propose(next, answer, n.host.now());
   }
 
   /** An operator's swap; findings are plain words and nothing changed. */
--- a/control-plane/src/main/java/gladelug/control/core/Newest.java
+++ b/control-plane/src/main/java/gladelug/control/core/Newest.java
@@ -4,27 +4,57 @@
  */
 package gladelug.control.core;
 
-import gladelug.kernel.message.Wire;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 
-/** number 0 is "never written"; body is the value as it was sent. */
-public record Newest(boolean owned, long number, String digest, byte[] body) {
-  public static final Newest NO_OWNER = new Newest(false, 0, "", new byte[0]);
+/** What was committed last, with its history; nothing where nobody owns the key. */
+public final class Newest {
+  /** Nobody owns the key at the moment. */
+  public static final Newest NO_OWNER = new Newest(false, Cell.Value.NONE);
 
-  static Newest of(Cell.Value v) {
-    return new Newest(true, v.number(), v.digest(), v.body());
+  private final boolean owned;
+  private final Cell.Value value;
+
+  private Newest(boolean owned, Cell.Value value) {
+    this.owned = owned;
+    this.value = value;
+  }
+
+  static Newest of(Cell.Value value) {
+    return new Newest(true, value);
+  }
+
+  public boolean owned() {
+    return owned;
+  }
+
+  /** 0 is "never written". */
+  public long number() {
+    return value.number();
+  }
+
+  /** The SHA-256 of the body, in hex. */
+  public String digest() {
+    return value.digest();
+  }
+
+  /** The value as it was sent. */
+  public byte[] body() {
+    return value.body();
+  }
+
+  /** What is known of a change with this digest, sent on this base. */
+  public ChangeFate fate(String digest, long base) {
+    return value.fate(digest, base);
   }
 
-  void write(DataOutputStream o) throws IOException {
-    o.writeBoolean(owned);
-    o.writeLong(number);
-    o.writeUTF(digest);
-    Wire.blob(o, body);
+  void write(DataOutputStream out) throws IOException {
+    out.writeBoolean(owned);
+    value.write(out);
   }
 
-  static Newest read(DataInputStream i) throws IOException {
-    return new Newest(i.readBoolean(), i.readLong(), i.readUTF(), Wire.blob(i));
+  static Newest read(DataInputStream in) throws IOException {
+    return new Newest(in.readBoolean(), Cell.Value.read(in));
   }
 }
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/TakenChanges.java
@@ -0,0 +1,97 @@
+/*
+ * The changes of one key that were taken last, so that one whose answer was lost and that is sent
+ * again is recognised. The list is a part of the key's value: it is written with it to a majority
+ * of disks and goes wherever the value goes, through takeover, restart, snapshot and change of
+ * members. A change is the same only if its digest and the base its sender named are both the same;
+ * the same text sent on another base is a new change.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.message.Wire;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.HexFormat;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * An immutable list, oldest first. forgottenBase is the highest base among the entries that had to
+ * make room, NO_BASE while there was none. Bases are counted by the senders of one key and never
+ * fall from one taken change to the next, so a change on a base above forgottenBase that isn't
+ * listed was never taken.
+ */
+public record TakenChanges(PVector<TakenChange> entries, long forgottenBase) {
+  /** The sender names no base: the change is not remembered and never recognised. */
+  public static final long NO_BASE = -1;
+
+  /**
+   * How many are remembered. A day holds hundreds of changes and eight senders at once, so a change
+   * is forgotten only after more than a usual day's changes followed it; one of those is answered
+   * as unknown, never as refused. Each takes 48 bytes beside the value: 24 KiB in all.
+   */
+  static final int REMEMBERED = 512;
+
+  static final TakenChanges NONE = new TakenChanges(TreePVector.empty(), NO_BASE);
+
+  private static final int DIGEST_BYTES = 32;
+
+  /** One taken change: the number it got, the SHA-256 of its body, and the base it was sent on. */
+  public record TakenChange(long number, String digest, long base) {}
+
+  /** The list after one more change was taken; a change without a base is not listed. */
+  TakenChanges plus(long number, String digest, long base) {
+    if (base == NO_BASE) return this;
+    PVector<TakenChange> longer = entries.plus(new TakenChange(number, digest, base));
+    if (longer.size() <= REMEMBERED) return new TakenChanges(longer, forgottenBase);
+    long oldestBase = longer.get(0).base();
+    return new TakenChanges(longer.minus(0), Math.max(forgottenBase, oldestBase));
+  }
+
+  /** The number under which this change was taken; 0 where it isn't listed. */
+  long numberOf(String digest, long base) {
+    if (base == NO_BASE) return 0;
+    for (int i = entries.size() - 1; i >= 0; i--) {
+      TakenChange taken = entries.get(i);
+      if (taken.base() == base && taken.digest().equals(digest)) return taken.number();
+    }
+    return 0;
+  }
+
+  /** Whether the change that got this number is listed, and last. */
+  boolean endsWith(long number) {
+    return !entries.isEmpty() && entries.get(entries.size() - 1).number() == number;
+  }
+
+  /** What is known of a change with this digest, sent on this base. */
+  public ChangeFate fate(String digest, long base) {
+    if (numberOf(digest, base) > 0) return ChangeFate.TAKEN;
+    boolean tooOld = base != NO_BASE && base <= forgottenBase;
+    return tooOld ? ChangeFate.FORGOTTEN : ChangeFate.NOT_TAKEN;
+  }
+
+  void write(DataOutputStream out) throws IOException {
+    out.writeLong(forgottenBase);
+    Wire.list(
+        out,
+        entries,
+        (o, taken) -> {
+          o.writeLong(taken.number());
+          o.write(HexFormat.of().parseHex(taken.digest()));
+          o.writeLong(taken.base());
+        });
+  }
+
+  static TakenChanges read(DataInputStream in) throws IOException {
+    long forgottenBase = in.readLong();
+    return new TakenChanges(
+        TreePVector.from(Wire.list(in, TakenChanges::readEntry)), forgottenBase);
+  }
+
+  private static TakenChange readEntry(DataInputStream in) throws IOException {
+    long number = in.readLong();
+    byte[] digest = new byte[DIGEST_BYTES];
+    in.readFully(digest);
+    return new TakenChange(number, HexFormat.of().formatHex(digest), in.readLong());
+  }
+}
--- a/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
+++ b/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
@@ -9,6 +9,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.ChangeRequest;
 import gladelug.control.core.CoreNode;
 import gladelug.control.core.CoreService;
 import gladelug.control.core.Members;
@@ -238,7 +239,7 @@
       findings(c, b.findings());
       return;
     }
-    core.change(Keys.CONFIGURATION, m, s.getBytes(StandardCharsets.UTF_8))
+    core.change(ChangeRequest.onNumber(Keys.CONFIGURATION, m, s.getBytes(StandardCharsets.UTF_8)))
         .ifNoItem()
         .after(PATIENCE)
         .recoverWithItem(new ChangeAnswer.Unknown(m < 0 ? -1 : m + 1))
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -16,6 +16,7 @@
 import gladelug.control.core.CoreMessage.Settled;
 import gladelug.control.core.CoreNode.Duties;
 import gladelug.kernel.Address;
+import gladelug.kernel.Digest;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.News;
 import java.util.ArrayList;
@@ -239,7 +240,8 @@
   void aChangeThatComesTwiceIsAnsweredOnceAndAStrangersDiskNever() {
     Paper p = new Paper();
     CoreNode n = node(p);
-    for (int i = 0; i < 2; i++) from(n, "b", new Change(7, Keys.CONFIGURATION, -1, new byte[1]));
+    for (int i = 0; i < 2; i++)
+      from(n, "b", new Change(7, ChangeRequest.onNumber(Keys.CONFIGURATION, -1, new byte[1])));
     Assertions.assertEquals(1, p.count("b Changed"));
     n.message(new Envelope(1, "b", "another disk", new Promise("k", THREE.epoch(0, "b"))));
     n.message(new Envelope(2, "b", "db", new Promise("k", THREE.epoch(0, "b"))));
@@ -287,6 +289,84 @@
     Assertions.assertTrue(read.size() == 1 && read.get(0).owned() && read.get(0).number() == 0);
   }
 
+  /** Makes the node the owner of a key at this number; two of three members hold the value. */
+  private static void serves(CoreNode n, Paper p, String key, Cell.Value value) {
+    p.now += 10_000;
+    for (int i = 0; i < 3; i++) {
+      p.now += 800;
+      n.tick();
+    }
+    long e = n.epochOf(key);
+    for (String m : new String[] {"a", "b"}) from(n, m, new Promised(key, e, true, e, 1, value));
+    for (String m : new String[] {"a", "b"})
+      from(n, m, new Accepted(key, e, value.number(), true, e));
+    Assertions.assertTrue(n.owns(key));
+  }
+
+  @Test
+  void aRefusalAndARepeatedAnswerWaitForARoundBegunAfterTheChangeCame() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    String key = Keys.REPLICAS;
+    byte[] first = {1}, second = {2};
+    Cell.Value value =
+        Cell.Value.NONE
+            .next(Digest.hex(first), first, 0, 0, "b", "")
+            .next(Digest.hex(second), second, 1, 0, "b", "");
+    serves(n, p, key, value);
+    p.now += Tunables.USUAL.lease() + 1;
+    confirmedByTwo(n, p);
+    List<ChangeAnswer> answers = new ArrayList<>();
+    n.change(ChangeRequest.onNumber(key, 1, new byte[] {9}), answers::add);
+    n.change(ChangeRequest.onNumber(key, 0, first), answers::add);
+    n.change(ChangeRequest.onNumber(key, 1, second), answers::add);
+    Assertions.assertEquals(List.of(), answers, "the last round began before they came");
+    confirmedByTwo(n, p);
+    Assertions.assertEquals(new ChangeAnswer.Stale(2), answers.get(0));
+    Assertions.assertEquals(new ChangeAnswer.Done(1, true, 0, 0, 0), answers.get(1));
+    Assertions.assertEquals(new ChangeAnswer.Done(2, true, 0, 0, 0), answers.get(2));
+  }
+
+  @Test
+  void withoutAMajorityNothingIsRefusedAndTheSenderHearsSoWithinTheTimeOfADeadMember() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    String key = Keys.REPLICAS;
+    serves(n, p, key, Cell.Value.NONE.next("d", new byte[1]));
+    List<ChangeAnswer> answers = new ArrayList<>();
+    List<Newest> reads = new ArrayList<>();
+    n.change(ChangeRequest.onNumber(key, 0, new byte[] {9}), answers::add);
+    n.readNewest(key, reads::add);
+    p.now += Tunables.USUAL.dead() - 1;
+    n.tick();
+    Assertions.assertTrue(answers.isEmpty() && reads.isEmpty());
+    p.now += 1;
+    n.tick();
+    Assertions.assertEquals(List.of(new ChangeAnswer.NoOwner()), answers);
+    Assertions.assertEquals(List.of(Newest.NO_OWNER), reads);
+    Assertions.assertTrue(n.owns(key), "it may only be slow: it still tries");
+  }
+
+  @Test
+  void aChangeTooOldToTellIsLeftUnknown() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    String key = Keys.REPLICAS;
+    Cell.Value value = Cell.Value.NONE;
+    for (int i = 0; i <= TakenChanges.REMEMBERED; i++) {
+      byte[] body = {(byte) i, (byte) (i >> 8)};
+      value = value.next(Digest.hex(body), body, i, 0, "b", "");
+    }
+    serves(n, p, key, value);
+    List<ChangeAnswer> answers = new ArrayList<>();
+    n.change(ChangeRequest.onNumber(key, 0, new byte[] {9}), answers::add);
+    n.change(ChangeRequest.onNumber(key, 1, new byte[] {9}), answers::add);
+    confirmedByTwo(n, p);
+    Assertions.assertEquals(
+        List.of(new ChangeAnswer.Unknown(1), new ChangeAnswer.Stale(TakenChanges.REMEMBERED + 1)),
+        answers);
+  }
+
   private static void confirmedByTwo(CoreNode n, Paper p) {
     p.messages.clear();
     n.confirmSoon();
--- /dev/null
+++ b/control-plane/src/test/java/gladelug/control/core/TakenChangesTest.java
@@ -0,0 +1,117 @@
+/*
+ * Tests of TakenChanges and of how a key's value keeps it.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.Digest;
+import gladelug.kernel.message.Wire;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.util.Arrays;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class TakenChangesTest {
+  private static String digest(long of) {
+    return Digest.hex("change " + of);
+  }
+
+  private static TakenChanges taken(int count) {
+    TakenChanges taken = TakenChanges.NONE;
+    for (int i = 0; i < count; i++) taken = taken.plus(i + 1, digest(i), 10L * i);
+    return taken;
+  }
+
+  @Test
+  void aChangeIsTheSameByDigestAndBaseTogether() {
+    TakenChanges taken = taken(3);
+    Assertions.assertEquals(ChangeFate.TAKEN, taken.fate(digest(1), 10));
+    Assertions.assertEquals(2, taken.numberOf(digest(1), 10));
+    Assertions.assertEquals(ChangeFate.NOT_TAKEN, taken.fate(digest(1), 20), "on another base");
+    Assertions.assertEquals(ChangeFate.NOT_TAKEN, taken.fate(digest(7), 10), "another change");
+    Assertions.assertEquals(
+        ChangeFate.NOT_TAKEN, taken.fate(digest(1), TakenChanges.NO_BASE), "without a base");
+  }
+
+  @Test
+  void whatHadToMakeRoomIsForgottenAndNeverCalledNotTaken() {
+    TakenChanges taken = taken(TakenChanges.REMEMBERED + 2);
+    Assertions.assertEquals(TakenChanges.REMEMBERED, taken.entries().size());
+    Assertions.assertEquals(ChangeFate.FORGOTTEN, taken.fate(digest(0), 0));
+    Assertions.assertEquals(ChangeFate.FORGOTTEN, taken.fate(digest(1), 10));
+    Assertions.assertEquals(ChangeFate.TAKEN, taken.fate(digest(2), 20));
+    Assertions.assertEquals(
+        ChangeFate.FORGOTTEN, taken.fate(digest(99), 10), "one on that base can't be told");
+    Assertions.assertEquals(ChangeFate.NOT_TAKEN, taken.fate(digest(99), 20));
+  }
+
+  @Test
+  void changesWithoutABaseAreNotListed() {
+    Assertions.assertEquals(
+        TakenChanges.NONE, TakenChanges.NONE.plus(1, digest(1), TakenChanges.NO_BASE));
+  }
+
+  @Test
+  void itIsReadAsItWasWrittenAndInTheStatedSize() throws IOException {
+    TakenChanges taken = taken(TakenChanges.REMEMBERED + 1);
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    taken.write(new DataOutputStream(bytes));
+    Assertions.assertTrue(bytes.size() <= 48 * TakenChanges.REMEMBERED + 16, "" + bytes.size());
+    DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes.toByteArray()));
+    Assertions.assertEquals(taken, TakenChanges.read(in));
+    byte[] cut = Arrays.copyOf(bytes.toByteArray(), bytes.size() - 1);
+    Assertions.assertThrows(
+        EOFException.class,
+        () -> TakenChanges.read(new DataInputStream(new ByteArrayInputStream(cut))));
+  }
+
+  @Test
+  void theNewerOfTwoMembersCellsBringsItsList() {
+    Cell.Value first = Cell.Value.NONE.next(digest(1), new byte[1], 0, 0, "a", "");
+    Cell.Value second = first.next(digest(2), new byte[1], 1, 0, "a", "");
+    Cell older = new Cell(9, 5, first), newer = new Cell(7, 5, second);
+    for (Cell merged : new Cell[] {Cell.merge(older, newer), Cell.merge(newer, older)}) {
+      Cell read = Cell.of(merged.bytes());
+      Assertions.assertEquals(9, read.promised());
+      Assertions.assertEquals(1, read.value().takenNumber(digest(1), 0));
+      Assertions.assertEquals(2, read.value().takenNumber(digest(2), 1));
+    }
+  }
+
+  /** A cell as the two releases before wrote it: without remarks, or with them and no more. */
+  private static byte[] cellOfAnEarlierRelease(boolean remarks) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    DataOutputStream out = new DataOutputStream(bytes);
+    out.writeLong(3);
+    out.writeLong(2);
+    out.writeLong(1);
+    out.writeUTF(digest(1));
+    out.writeInt(1);
+    out.writeLong(1);
+    out.writeUTF(digest(1));
+    Wire.blob(out, new byte[] {42});
+    if (remarks) {
+      out.writeLong(77);
+      out.writeUTF("a");
+      out.writeUTF("summary");
+    }
+    return bytes.toByteArray();
+  }
+
+  @Test
+  void aCellOfAnEarlierReleaseIsReadAndItsNewestValueRecognised() throws IOException {
+    for (boolean remarks : new boolean[] {false, true}) {
+      Cell.Value value = Cell.of(cellOfAnEarlierRelease(remarks)).value();
+      Assertions.assertEquals(1, value.number());
+      Assertions.assertEquals(remarks ? 77 : 0, value.history().get(0).takenAt());
+      Assertions.assertEquals(ChangeFate.TAKEN, value.fate(digest(1), 12345));
+      Cell.Value next = value.next(digest(2), new byte[1], 1, 0, "a", "");
+      Assertions.assertEquals(ChangeFate.NOT_TAKEN, next.fate(digest(1), 12345));
+      Assertions.assertEquals(ChangeFate.TAKEN, next.fate(digest(2), 1));
+    }
+  }
+}
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -270,13 +270,29 @@
    * Sends a value nobody sent before, through the door of one machine. match -1: whatever is there.
    */
   public Sent send(String door, String key, long match) {
-    int n = ++sends;
-    byte[] body =
-        ("value "
-                + n
-                + " of what an operator may send, long enough that only the change of it is pushed to whoever has "
-                + "the number before, and the rest stays".repeat(3))
-            .getBytes(StandardCharsets.UTF_8);
+    return send(door, key, match, ++sends);
+  }
+
+  /** Sends again what was sent before, unchanged, as one does whose answer was lost. */
+  public Sent sendAgain(String door, Sent before) {
+    return send(door, before.key, before.match, before.nr);
+  }
+
+  /** Sends a value that was sent before as a new change on another number. */
+  public Sent sendOnAnother(String door, Sent before, long match) {
+    return send(door, before.key, match, before.nr);
+  }
+
+  private static byte[] body(int n) {
+    return ("value "
+            + n
+            + " of what an operator may send, long enough that only the change of it is pushed to whoever has "
+            + "the number before, and the rest stays".repeat(3))
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
+  private Sent send(String door, String key, long match, int n) {
+    byte[] body = body(n);
     ChangeAnswer[] answer = {null};
     Sent s = new Sent(n, key, match, Digest.hex(body), time, answer);
     sent.add(s);
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -5,6 +5,7 @@
 package gladelug.rehearsal.sim;
 
 import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.ChangeRequest;
 import gladelug.control.core.CoreHost;
 import gladelug.control.core.CoreMessage;
 import gladelug.control.core.CoreNode;
@@ -159,7 +160,7 @@
   }
 
   void propose(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
-    run(() -> node.change(key, match, body, answer));
+    run(() -> node.change(ChangeRequest.onNumber(key, match, body), answer));
   }
 
   @Override
--- /dev/null
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/ResentChangesTest.java
@@ -0,0 +1,149 @@
+/*
+ * Changes whose answer was lost and that are sent again, unchanged, to any member, at any later time.
+ */
+package gladelug.rehearsal.sim;
+
+import gladelug.control.core.ChangeAnswer;
+import gladelug.kernel.message.Keys;
+import gladelug.rehearsal.sim.Sim.Sent;
+import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class ResentChangesTest {
+  private static final String KEY = Keys.CONFIGURATION;
+  private static final long START_MS = 3000, ANSWER_MS = 12_000, TAKEOVER_MS = 6000;
+
+  private static Sim started(long seed) {
+    Sim sim = new Sim(seed, 2);
+    sim.run(START_MS);
+    return sim;
+  }
+
+  private static ChangeAnswer answered(Sim sim, Sent sent) {
+    for (int ms = 0; ms < ANSWER_MS && sent.answer()[0] == null; ms++) sim.run(1);
+    return sent.answer()[0];
+  }
+
+  /** Sends changes one after the other, each on the number of the one before. */
+  private static Sent[] taken(Sim sim, int count) {
+    Sent[] changes = new Sent[count];
+    for (int i = 0; i < count; i++) {
+      changes[i] = sim.send("c1", KEY, i);
+      assertTaken(sim, changes[i], i + 1, false);
+    }
+    return changes;
+  }
+
+  private static void assertTaken(Sim sim, Sent sent, long number, boolean repeated) {
+    ChangeAnswer answer = answered(sim, sent);
+    Assertions.assertTrue(
+        answer instanceof ChangeAnswer.Done done
+            && done.number() == number
+            && done.repeated() == repeated,
+        () -> "wanted " + number + ", got " + answer + "\n" + sim.story());
+  }
+
+  private static void assertSentAgainByAllIsTaken(Sim sim, Sent[] changes) {
+    for (String door : sim.controlNames()) {
+      if (!sim.controls.get(door).up) continue;
+      for (int i = 0; i < changes.length; i++)
+        assertTaken(sim, sim.sendAgain(door, changes[i]), i + 1, true);
+    }
+    Assertions.assertEquals(List.of(), sim.violations);
+  }
+
+  @Test
+  void aTakenChangeIsAcknowledgedAgainAfterOthersFollowed() {
+    Sim sim = started(1);
+    assertSentAgainByAllIsTaken(sim, taken(sim, 4));
+  }
+
+  @Test
+  void aTakenChangeIsAcknowledgedAgainByTheOwnerThatFollows() {
+    Sim sim = started(2);
+    Sent[] changes = taken(sim, 4);
+    sim.controls.get(sim.owner(KEY)).kill();
+    sim.run(TAKEOVER_MS);
+    assertSentAgainByAllIsTaken(sim, changes);
+  }
+
+  @Test
+  void aTakenChangeIsAcknowledgedAgainAfterAllLostPower() {
+    Sim sim = started(3);
+    Sent[] changes = taken(sim, 4);
+    for (SimControl control : sim.controls.values()) control.power();
+    for (SimControl control : sim.controls.values()) control.start();
+    sim.run(TAKEOVER_MS);
+    assertSentAgainByAllIsTaken(sim, changes);
+  }
+
+  @Test
+  void aTakenChangeIsAcknowledgedAgainByMembersThatCameLater() {
+    Sim sim = started(4);
+    Sent[] changes = taken(sim, 4);
+    String[] former = sim.controlNames().toArray(String[]::new);
+    for (int i = 0; i < former.length; i++) {
+      sim.swap(former[i], "new" + i);
+      sim.run(TAKEOVER_MS);
+      sim.controls.get(former[i]).kill();
+    }
+    sim.run(TAKEOVER_MS);
+    assertSentAgainByAllIsTaken(sim, changes);
+  }
+
+  @Test
+  void ofTwoOnOneNumberTheLoserIsRefusedAtAnyLaterTime() {
+    Sim sim = started(5);
+    Sent[] first = taken(sim, 1);
+    Sent[] rivals = {sim.send("c2", KEY, 1), sim.send("c3", KEY, 1)};
+    int winners = 0;
+    for (Sent rival : rivals)
+      if (answered(sim, rival) instanceof ChangeAnswer.Done done) {
+        winners++;
+        Assertions.assertEquals(2, done.number());
+      }
+    Assertions.assertEquals(1, winners, sim::story);
+    assertTaken(sim, sim.send("c1", KEY, 2), 3, false);
+    for (String door : sim.controlNames())
+      for (Sent rival : rivals) {
+        boolean won = rival.answer()[0] instanceof ChangeAnswer.Done;
+        ChangeAnswer again = answered(sim, sim.sendAgain(door, rival));
+        Assertions.assertTrue(
+            won
+                ? again instanceof ChangeAnswer.Done done && done.number() == 2 && done.repeated()
+                : again instanceof ChangeAnswer.Stale,
+            () -> again + "\n" + sim.story());
+      }
+    assertTaken(sim, sim.sendAgain("c3", first[0]), 1, true);
+    Assertions.assertEquals(List.of(), sim.violations);
+  }
+
+  @Test
+  void anOlderValueOnTheNewestNumberIsANewChange() {
+    Sim sim = started(6);
+    Sent[] changes = taken(sim, 3);
+    Sent back = sim.sendOnAnother("c2", changes[0], 3);
+    assertTaken(sim, back, 4, false);
+    assertTaken(sim, sim.sendAgain("c3", back), 4, true);
+    assertTaken(sim, sim.sendAgain("c1", changes[0]), 1, true);
+  }
+
+  @Test
+  void anOwnerThatIsCutOffNeitherRefusesNorAcknowledgesAgain() {
+    Sim sim = started(7);
+    Sent[] changes = taken(sim, 2);
+    String cutOff = sim.owner(KEY);
+    sim.cutOff(cutOff);
+    Sent stale = sim.send(cutOff, KEY, 0);
+    Sent newest = sim.sendAgain(cutOff, changes[1]);
+    Sent older = sim.sendAgain(cutOff, changes[0]);
+    Assertions.assertTrue(sim.controls.get(cutOff).node.owns(KEY), "it doesn't know yet");
+    for (Sent sent : List.of(stale, newest, older))
+      Assertions.assertEquals(new ChangeAnswer.NoOwner(), answered(sim, sent));
+    sim.healAll();
+    sim.run(TAKEOVER_MS);
+    assertTaken(sim, sim.sendAgain(cutOff, changes[0]), 1, true);
+    Assertions.assertEquals(List.of(), sim.violations);
+  }
+}
