A member asked to stop hands on its keys and its place before it ends

Cause: on SIGTERM the core's process closed at once. Ruled out: waiting for a fixed time, which would make every plain restart longer. Change: CoreMessage.Leaving; a member that leaves owns nothing any more (changes under way have 1 s), counts as not alive for ownership, and is replaced at once if a machine stands by.

--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -347,6 +347,20 @@
     }
   }
 
+  /**
+   * The sender was asked to stop: it owns nothing any more and ends once its place is taken, if a
+   * machine stands by.
+   */
+  record Leaving() implements CoreMessage {
+    @Override
+    public int tag() {
+      return 30;
+    }
+
+    @Override
+    public void put(DataOutputStream o) {}
+  }
+
   private static Carry carry(DataInputStream i) throws IOException {
     if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
     throw new IOException("only questions are handed on");
@@ -400,6 +414,7 @@
       case 14 -> new Sealed(i.readLong(), kept(i));
       case 17 -> new Read(i.readLong(), i.readUTF());
       case 18 -> new ReadDone(i.readLong(), Newest.read(i));
+      case 30 -> new Leaving();
       default -> throw Wire.unknown(tag);
     };
   }
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -43,6 +43,10 @@
   static final int LARGEST = 6 << 20;
   private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
   private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
+
+  /** How long one that leaves waits for the changes under way, in ms. */
+  private static final long HAND_OVER = 1000;
+
   private static final int MOST_WORDS = 300;
 
   /** What this member does beside keeping state, where it owns the key for it. */
@@ -134,6 +138,11 @@
 
   private boolean healthy = true;
 
+  /** Asked to stop, and since when. */
+  private boolean leaving;
+
+  private long leavingSince;
+
   /** Not a member of the generation before: who owns what has to be heard first. */
   private boolean newcomer = true;
 
@@ -258,6 +267,33 @@
     if (!h) for (KeyOwner o : owners.values()) o.depose("disk", host.now());
   }
 
+  /**
+   * The process was asked to stop: its keys go to others as soon as no change of them is under way,
+   * and its place to a machine that stands by.
+   */
+  public void leave() {
+    if (leaving) return;
+    leaving = true;
+    leavingSince = host.now();
+    host.event("leaving", "generation", members().generation());
+  }
+
+  /** Whether the process may end: it owns nothing, and the others can do without it. */
+  public boolean dispensable() {
+    return leaving
+        && owners.values().stream().noneMatch(KeyOwner::serving)
+        && membership.dispensable(host.now());
+  }
+
+  private void handOver(long now) {
+    boolean late = now - leavingSince >= HAND_OVER;
+    for (KeyOwner o : owners.values()) {
+      if (!o.serving() || o.busy() && !late) continue;
+      o.depose("leaving", now);
+      lastAlive = Long.MIN_VALUE / 2;
+    }
+  }
+
   public boolean owns(String key) {
     KeyOwner o = owners.get(key);
     return o != null && o.serving();
@@ -282,21 +318,23 @@
       membership.join(now);
       return;
     }
-    if (membership.retired() || alone(now)) membership.join(now);
+    if (leaving) membership.sayLeaving(now);
+    else if (membership.retired() || alone(now)) membership.join(now);
     if (membership.sealed() && !membership.retired()) membership.drive(now);
     if (!membership.active()) return;
     membership.reviseMembers(now);
+    if (leaving) handOver(now);
     if (now - lastAlive >= tunables.alive()) {
       lastAlive = now;
       List<Owned> l = new ArrayList<>();
       for (KeyOwner o : owners.values())
         if (o.inHand(now))
           l.add(new Owned(o.key, o.epoch, o.value().number(), o.age(now), o.busy()));
-      toAll(new Alive(healthy, now - booted, l));
+      toAll(new Alive(healthy && !leaving, now - booted, l));
     }
     if (now - lastConfirm >= tunables.confirm()) confirm(now);
     for (KeyOwner o : owners.values()) o.tick(now);
-    if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
+    if (healthy && !leaving) for (KeyOwner o : owners.values()) perhapsTry(o, now);
     if (owns(Keys.SHARES) && now - lastDivided >= DIVIDE) {
       lastDivided = now;
       List<Seen> relays = new ArrayList<>();
@@ -325,7 +363,7 @@
   }
 
   boolean live(String m, long now) {
-    if (m.equals(self)) return healthy;
+    if (m.equals(self)) return healthy && !leaving;
     Peer f = peers.get(m);
     return f != null && f.healthy && now - f.heard < tunables.dead();
   }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -30,12 +30,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
 public final class CoreService implements Kernel.Service, CoreHost {
-  private static final long STALL = 400, PROBE = 1000, OWNERLESS = 2500;
+  private static final long STALL = 400, PROBE = 1000, OWNERLESS = 2500, LEFT = 50;
   private static final Duration BETWEEN = Duration.ofMillis(100);
 
   private final Vertx vertx;
@@ -210,12 +212,30 @@
             });
   }
 
+  /** A member first hands its keys and, where a machine stands by, its place to others. */
   @Override
   public void stop() {
+    if (node != null) leave();
     duty.close();
     if (disk != null) disk.close();
   }
 
+  private void leave() {
+    CountDownLatch left = new CountDownLatch(1);
+    boolean asked = duty.offer(node::leave);
+    duty.every(
+        LEFT,
+        () -> {
+          if (node.dispensable()) left.countDown();
+        });
+    try {
+      if (asked && !left.await(tunables.leave(), TimeUnit.MILLISECONDS))
+        Log.warn("left-too-early", "after", tunables.leave());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   // ---- the protocol's host
 
   @Override
--- a/control-plane/src/main/java/gladelug/control/core/MemberPlan.java
+++ b/control-plane/src/main/java/gladelug/control/core/MemberPlan.java
@@ -1,10 +1,10 @@
 /*
  * Which members should come next. It only decides, from who is a member, who asks to be one, and how
  * long each has been silent; the owner of the key core asks it and then has the change written,
- * sealed and activated. First members whose machines came back empty are replaced by themselves, then
- * those that have been dead for long by machines unknown to the core, as many at once as there are; then
- * the core grows towards the number of voters wanted, always to an odd one. Never a next set of which
- * fewer than a majority are alive.
+ * sealed and activated. First members whose machines came back empty are replaced by themselves. Then
+ * those that have been dead for long or are about to end are replaced by machines unknown to the core,
+ * as many at once as there are. Then the core grows towards the number of voters wanted, always to an
+ * odd one. Never a next set of which fewer than a majority are alive.
  */
 package gladelug.control.core;
 
@@ -32,17 +32,22 @@
     this.live = live;
   }
 
-  /** One step at the most, or null. silent: for how long nothing was heard of a member, ms. */
-  Step step(ToLongFunction<String> silent, Tunables t) {
+  /**
+   * One step at the most, or null. silent: for how long nothing was heard of a member, ms; leaving:
+   * who said that it was asked to stop.
+   */
+  Step step(ToLongFunction<String> silent, Predicate<String> leaving, Tunables t) {
     Step s = backEmpty(silent, t);
     if (s != null) return s;
     List<Members.Member> unknown =
         joiners.stream().filter(j -> now.find(j.name()) == null).toList();
     if (unknown.isEmpty()) return null;
-    List<String> dead = dead(silent, t);
-    if (!dead.isEmpty()) {
-      int places = Math.min(dead.size(), unknown.size());
-      return change("dead", dead.subList(0, places), unknown.subList(0, places));
+    List<String> out = dead(silent, t);
+    String why = out.isEmpty() ? "leaving" : "dead";
+    out.addAll(leaving(leaving, t));
+    if (!out.isEmpty()) {
+      int places = Math.min(out.size(), unknown.size());
+      return change(why, out.subList(0, places), unknown.subList(0, places));
     }
     int n = now.all().size(), more = n % 2 == 0 ? 1 : 2;
     if (n + more > t.voters() || unknown.size() < more) return null;
@@ -63,12 +68,19 @@
 
   /** Those silent for longer than replaceAfter, the longest silent first. */
   private List<String> dead(ToLongFunction<String> silent, Tunables t) {
+    List<String> out = new ArrayList<>();
+    if (t.replaceAfter() == 0) return out;
+    for (Members.Member m : now.all())
+      if (!live.test(m.name()) && silent.applyAsLong(m.name()) >= t.replaceAfter())
+        out.add(m.name());
+    out.sort(Comparator.comparingLong(silent).reversed());
+    return out;
+  }
+
+  /** Those whose place has to be taken before they end. */
+  private List<String> leaving(Predicate<String> leaving, Tunables t) {
     if (t.replaceAfter() == 0) return List.of();
-    return now.all().stream()
-        .map(Members.Member::name)
-        .filter(m -> !live.test(m) && silent.applyAsLong(m) >= t.replaceAfter())
-        .sorted(Comparator.comparingLong(silent).reversed())
-        .toList();
+    return now.all().stream().map(Members.Member::name).filter(leaving).toList();
   }
 
   /** The set with these out and those in, or null where a majority of it isn't alive. */
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -9,6 +9,7 @@
 import gladelug.control.core.CoreMessage.Envelope;
 import gladelug.control.core.CoreMessage.Join;
 import gladelug.control.core.CoreMessage.Kept;
+import gladelug.control.core.CoreMessage.Leaving;
 import gladelug.control.core.CoreMessage.Meet;
 import gladelug.control.core.CoreMessage.Seal;
 import gladelug.control.core.CoreMessage.Sealed;
@@ -54,10 +55,18 @@
   private final Map<String, Members.Member> former = new HashMap<>();
 
   private final Map<String, Long> told = new HashMap<>();
+
+  /** By member: when it said last that it leaves. */
+  private final Map<String, Long> leavers = new HashMap<>();
+
+  /** By member: the newest generation that it is known to take part in. */
+  private final Map<String, Long> activeIn = new HashMap<>();
+
   private final Map<String, List<Kept>> sealedBy = new HashMap<>();
   private long lastMeet = Long.MIN_VALUE / 2;
   private long lastDrive = Long.MIN_VALUE / 2;
   private long lastPlan = Long.MIN_VALUE / 2;
+  private long lastLeaving = Long.MIN_VALUE / 2;
 
   Membership(CoreNode n, Members.Member me, CoreNode.Founding founding) {
     this.n = n;
@@ -176,8 +185,10 @@
     if (s instanceof Meet m) onMeet(e, m, now);
     else if (s instanceof Settled x) {
       membersHeard.put(e.from(), now);
+      activeIn.merge(e.from(), e.generation(), Math::max);
       onSettled(x);
     } else if (s instanceof Join j) onJoin(e, j, now);
+    else if (s instanceof Leaving) onLeaving(e, now);
     else if (s instanceof Seal x) onSeal(e, x.next(), now);
     else if (s instanceof Sealed x) onSealed(e.from(), x);
     else return false;
@@ -268,6 +279,60 @@
     n.host.sendTo(in.records(), say(new Settled(members, List.of())));
   }
 
+  private void onLeaving(Envelope e, long now) {
+    if (e.generation() < members.generation()) {
+      tell(e.from(), now);
+      return;
+    }
+    Members.Member m = members.find(e.from());
+    if (m != null && m.disk().equals(e.disk())) leavers.put(m.name(), now);
+  }
+
+  private boolean leaving(String name, long now) {
+    Long said = leavers.get(name);
+    return said != null && now - said < n.tunables.dead();
+  }
+
+  /**
+   * Says to all who may be members that this one leaves, and hears from them who took its place.
+   */
+  void sayLeaving(long now) {
+    if (now - lastLeaving < n.tunables.alive()) return;
+    lastLeaving = now;
+    Set<Address> to = new HashSet<>();
+    for (Members.Member m : members.all()) to.add(m.records());
+    for (Members.Member m : known.all()) to.add(m.records());
+    to.remove(me.records());
+    for (Address a : to) n.host.sendTo(a, say(new Leaving()));
+  }
+
+  /**
+   * Whether the others can do without this machine, and lose as many more as they bear: it is no
+   * member, or its successor's generation is in force at a majority, or nobody stands by to succeed
+   * it and a majority lives without it.
+   */
+  boolean dispensable(long now) {
+    if (!settled()) return true;
+    if (retired) return activeMembers(known) >= known.majority();
+    if (sealed != null || successorStandsBy()) return false;
+    int others = 0;
+    for (Members.Member m : members.all())
+      if (!m.name().equals(n.self) && n.live(m.name(), now)) others++;
+    return others >= Math.min(members.majority(), members.all().size() - 1);
+  }
+
+  private int activeMembers(Members of) {
+    int active = 0;
+    for (Members.Member m : of.all())
+      if (activeIn.getOrDefault(m.name(), 0L) >= of.generation()) active++;
+    return active;
+  }
+
+  private boolean successorStandsBy() {
+    return n.tunables.replaceAfter() > 0
+        && joiners(FRESH).stream().anyMatch(j -> members.find(j.name()) == null);
+  }
+
   /**
    * Where a machine that stands by hands on what operators send it: the member heard last, or null.
    */
@@ -318,7 +383,7 @@
     if (now - lastPlan < JOIN || !n.owns(Keys.CORE) || n.owner(Keys.CORE).busy()) return;
     lastPlan = now;
     if (pending(n.owner(Keys.CORE).value().body()) != null) return;
-    MemberPlan.Step s = plan(now).step(m -> n.silent(m, now), n.tunables);
+    MemberPlan.Step s = plan(now).step(m -> n.silent(m, now), m -> leaving(m, now), n.tunables);
     if (s != null) begin(s, a -> {});
   }
 
--- a/control-plane/src/main/java/gladelug/control/core/Tunables.java
+++ b/control-plane/src/main/java/gladelug/control/core/Tunables.java
@@ -20,7 +20,8 @@
  * new owner may not command yet, ms; at least commandLease and what two owners in turn must keep
  * apart, clocks that drift included. voters: how many members automatic growth leads to, odd.
  * replaceAfter: silence after which a machine that asks to join takes a member's place without an
- * operator, ms; 0 for never.
+ * operator, ms; 0 for never. leave: how long a member that is asked to stop goes on at the most
+ * until its keys and its place are taken, ms.
  */
 public record Tunables(
     int lease,
@@ -39,7 +40,8 @@
     int commandLease,
     int commandGap,
     int voters,
-    int replaceAfter) {
+    int replaceAfter,
+    int leave) {
 
   /**
    * When a committed change is acknowledged. STRICT: once every leased relay has it or its lease
@@ -79,7 +81,8 @@
           2000,
           2000,
           3,
-          0);
+          0,
+          2000);
 
   public Tunables {
     List<String> l = new ArrayList<>();
@@ -97,7 +100,8 @@
           queue,
           contact,
           ackWait,
-          commandLease
+          commandLease,
+          leave
         }) if (x <= 0) l.add("every time and size but commandGap and replaceAfter must be above 0");
     if (dead <= 2 * alive)
       l.add("dead must be more than two signs of life, " + dead + " of " + alive);
@@ -144,6 +148,7 @@
     private int commandGap;
     private int voters;
     private int replaceAfter;
+    private int leave;
 
     private Builder(Tunables t) {
       lease = t.lease;
@@ -163,6 +168,7 @@
       commandGap = t.commandGap;
       voters = t.voters;
       replaceAfter = t.replaceAfter;
+      leave = t.leave;
     }
 
     public Builder lease(int x) {
@@ -250,6 +256,11 @@
       return this;
     }
 
+    public Builder leave(int x) {
+      leave = x;
+      return this;
+    }
+
     /** All that can't be is named in one IllegalArgumentException. */
     public Tunables build() {
       return new Tunables(
@@ -269,7 +280,8 @@
           commandLease,
           commandGap,
           voters,
-          replaceAfter);
+          replaceAfter,
+          leave);
     }
   }
 }
--- a/control-plane/src/test/java/gladelug/control/core/MemberPlanTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/MemberPlanTest.java
@@ -27,7 +27,7 @@
     MemberPlan.Step s =
         new MemberPlan(
                 new Members(4, members(now, "d")), members(joiners, "e"), m -> !d.contains(m))
-            .step(m -> d.contains(m) ? silent : 0, t);
+            .step(m -> d.contains(m) ? silent : 0, m -> false, t);
     if (s == null) return "none";
     Assertions.assertEquals(5, s.next().generation());
     return s.why() + " " + String.join("", s.next().all().stream().map(Member::name).toList());
@@ -60,6 +60,26 @@
     Assertions.assertEquals("back-empty abcde", next("abcde", "def", "de", 1801, T));
   }
 
+  @Test
+  void aMemberThatLeavesIsReplacedAtOnceButNotByNobodyOrWhereOperatorsDecide() {
+    Assertions.assertEquals("leaving abd", leaving("abc", "d", "c", T));
+    Assertions.assertEquals("leaving abdef", leaving("abcde", "f", "c", T));
+    Assertions.assertEquals("none", leaving("abc", "", "c", T));
+    Assertions.assertEquals("none", leaving("abc", "d", "c", Tunables.USUAL));
+    Assertions.assertEquals("leaving acd", leaving("abc", "d", "bc", T), "one place a machine");
+    Assertions.assertEquals("none", leaving("abcde", "f", "bcde", T), "two live of five");
+  }
+
+  private static String leaving(String now, String joiners, String leaving, Tunables t) {
+    MemberPlan.Step s =
+        new MemberPlan(
+                new Members(4, members(now, "d")), members(joiners, "e"), m -> !leaving.contains(m))
+            .step(m -> 0, leaving::contains, t);
+    return s == null
+        ? "none"
+        : s.why() + " " + String.join("", s.next().all().stream().map(Member::name).toList());
+  }
+
   @Test
   void aMachineBackEmptyIsReplacedByItselfFirst() {
     Assertions.assertEquals("back-empty abc", next("abc", "cd", "c", 1001, Tunables.USUAL));
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -117,6 +117,29 @@
     life++;
   }
 
+  /** The process is asked to stop and ends once it may, or when its time to leave is over. */
+  void terminate() {
+    int l = life;
+    run(() -> node.leave());
+    sim.after(sim.tunables.leave(), () -> ends(l, "its time is over"));
+    endsOnceDispensable(l);
+  }
+
+  private void endsOnceDispensable(int l) {
+    if (l != life) return;
+    run(
+        () -> {
+          if (node.dispensable()) ends(l, "the others can do without it");
+        });
+    sim.after(50, () -> endsOnceDispensable(l));
+  }
+
+  private void ends(int l, String why) {
+    if (l != life || paused) return;
+    sim.say(name, "ends: " + why);
+    kill();
+  }
+
   void power() {
     kill();
     medium.power();
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
@@ -53,6 +53,7 @@
     switch (what) {
       case "kill" -> c.kill();
       case "power" -> c.power();
+      case "term" -> c.terminate();
       case "up" -> c.start();
       case "pause" -> c.pause();
       case "wake" -> c.wake();
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersSimTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/MembersSimTest.java
@@ -116,6 +116,9 @@
         if (r.nextBoolean() && s.controls.size() < 20) s.machine("c" + (s.controls.size() + 1));
       }
       case 14 -> s.cutOff("r" + (1 + r.nextInt(3)));
+      case 15 -> {
+        if (x.up) x.terminate();
+      }
       default -> {
         s.send(c, r.nextInt(3) == 0 ? Keys.REPLICAS : Keys.CONFIGURATION, -1);
         if (r.nextBoolean()) s.send(cs.get(r.nextInt(cs.size())), Keys.CONFIGURATION, -1);
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/SecondLossSimTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/SecondLossSimTest.java
@@ -41,6 +41,7 @@
         .commandLease(1000)
         .commandGap(4187)
         .voters(voters)
+        .leave(6000)
         .replaceAfter(replaceAfter)
         .build();
   }
@@ -114,4 +115,81 @@
     }
     Assertions.assertTrue(longest < CATCH_UP_OF_FIVE - PROCESS_START, longest + " ms");
   }
+
+  /** The successor stands by; its place is taken before the old member ends. */
+  @Test
+  void aMemberThatLeavesEndsOnlyOnceAnyOtherMayBeLostToo() {
+    long longest = 0;
+    for (long seed = 1; seed <= 12; seed++) {
+      for (String leaver : List.of("c1", "c2", "c3")) {
+        Sim s = settled(seed, 3, OF_THREE);
+        s.machine("c4");
+        s.run(2000 + s.random.nextInt(1000));
+        s.send(taking(s), Keys.CONFIGURATION, -1);
+        s.run(s.random.nextInt(30));
+        s.controls.get(leaver).terminate();
+        longest = Math.max(longest, until(s, 6000, () -> !s.controls.get(leaver).up));
+        s.leaves(leaver);
+        String second = voters(s).get(s.random.nextInt(3));
+        s.leaves(second);
+        well(s, "seed " + seed + ", " + leaver + " leaves, then " + second + " is lost");
+      }
+    }
+    Assertions.assertTrue(longest < 2500, longest + " ms until a member that leaves may end");
+  }
+
+  @Test
+  void aMemberThatLeavesAndHasNoSuccessorHandsItsKeysOnAndEndsAtOnce() {
+    for (long seed = 1; seed <= 6; seed++) {
+      Sim s = settled(seed, 3, OF_THREE);
+      for (String leaver : List.of("c1", "c2", "c3", "c1", "c2", "c3")) {
+        SimRelay r = s.relays.get("r1");
+        r.longestGap = 0;
+        s.controls.get(leaver).terminate();
+        long took = until(s, 6000, () -> !s.controls.get(leaver).up);
+        Assertions.assertTrue(took < 500, leaver + " took " + took + "\n" + s.story());
+        s.run(1500);
+        acknowledged(s);
+        s.controls.get(leaver).start();
+        s.run(4000);
+        Assertions.assertTrue(r.longestGap < 30, r.longestGap + "\n" + s.story());
+      }
+      Assertions.assertEquals(1, s.generation(), "restarted, not replaced");
+      well(s, "seed " + seed);
+    }
+  }
+
+  /** A machine that is killed while it leaves is a loss as any other. */
+  @Test
+  void aMemberKilledAtAnyStepOfItsLeavingIsReplacedAllTheSame() {
+    for (int ms = 0; ms <= 240; ms += 4) {
+      Sim s = settled(ms, 3, OF_THREE);
+      s.machine("c4");
+      s.run(2500);
+      String leaver = s.owner(Keys.CORE);
+      s.controls.get(leaver).terminate();
+      s.run(ms);
+      s.leaves(leaver);
+      until(s, CATCH_UP_OF_THREE, () -> !member(s, leaver) && s.whole());
+      s.leaves(voters(s).get(ms / 4 % 3));
+      well(s, leaver + " killed " + ms + " ms after it was asked to stop");
+    }
+  }
+
+  /** The old member dies as the new machine starts; what is left then loses any one for good. */
+  @Test
+  void anyMachineMayBeLostOnceANewOneHasHadItsTimeToCatchUp() {
+    for (long seed = 1; seed <= 24; seed++) {
+      Sim s = settled(seed, 3, OF_THREE);
+      String first = List.of("c1", "c2", "c3").get((int) (seed % 3));
+      s.leaves(first);
+      long start = s.now();
+      s.run(PROCESS_START + s.random.nextInt(300));
+      s.machine("c4");
+      s.run(start + CATCH_UP_OF_THREE - s.now());
+      String second = voters(s).get(s.random.nextInt(3));
+      s.leaves(second);
+      well(s, "seed " + seed + ", " + first + " then " + second + " lost");
+    }
+  }
 }
