--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -51,6 +51,10 @@
   static final int LARGEST = 6 << 20;
   private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
   private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
+
+  /** How long one that leaves waits for the changes under way, in ms. */
+  private static final long HAND_OVER = 1000;
+
   private static final int MOST_WORDS = 300;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -86,6 +90,7 @@
       String via) {}
 
   private static final class Peer {
+    final long known;
     long heard = NEVER;
 
     /** What it sent last, by its clock. */
@@ -97,6 +102,10 @@
     long since;
     boolean healthy;
     List<Owned> owned = List.of();
+
+    Peer(long known) {
+      this.known = known;
+    }
   }
 
   private record Age(long number, long at, long age) {}
@@ -146,6 +155,11 @@
 
   private boolean healthy = true;
 
+  /** Asked to stop, and since when. */
+  private boolean leaving;
+
+  private long leavingSince;
+
   /** Not a member of the generation before: who owns what has to be heard first. */
   private boolean newcomer = true;
 
@@ -233,7 +247,7 @@
     for (Peer f : peers.values()) f.owned = List.of();
     ownerless.clear();
     rounds.clear();
-    for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer());
+    for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer(began));
     host.members(m);
     host.event(
         "members",
@@ -270,6 +284,15 @@
     return n >= members().majority();
   }
 
+  /**
+   * How long nothing was heard of a member; a change of members that it outlasts doesn't start this
+   * anew.
+   */
+  long silent(String name, long now) {
+    Peer f = peers.get(name);
+    return f == null ? 0 : now - Math.max(f.heard, f.known);
+  }
+
   /** Keys come to be when a replica is listed: one commander each. */
   public void know(String key) {
     owner(key);
@@ -282,6 +305,33 @@
     if (!h) for (KeyOwner o : owners.values()) o.depose("disk", host.now());
   }
 
+  /**
+   * The process was asked to stop: its keys go to others as soon as no change of them is under way,
+   * and its place to a machine that stands by.
+   */
+  public void leave() {
+    if (leaving) return;
+    leaving = true;
+    leavingSince = host.now();
+    host.event("leaving", "generation", members().generation());
+  }
+
+  /** Whether the process may end: it owns nothing, and the others can do without it. */
+  public boolean dispensable() {
+    return leaving
+        && owners.values().stream().noneMatch(KeyOwner::serving)
+        && membership.dispensable(host.now());
+  }
+
+  private void handOver(long now) {
+    boolean late = now - leavingSince >= HAND_OVER;
+    for (KeyOwner o : owners.values()) {
+      if (!o.serving() || o.busy() && !late) continue;
+      o.depose("leaving", now);
+      lastAlive = Long.MIN_VALUE / 2;
+    }
+  }
+
   public boolean owns(String key) {
     KeyOwner o = owners.get(key);
     return o != null && o.serving();
@@ -306,10 +356,12 @@
       membership.join(now);
       return;
     }
-    if (membership.retired() || alone(now)) membership.join(now);
+    if (leaving) membership.sayLeaving(now);
+    else if (membership.retired() || membership.behind() || alone(now)) membership.join(now);
     if (membership.sealed() && !membership.retired()) membership.drive(now);
     if (!membership.active()) return;
-    membership.plan(now, Math.max(began, booted));
+    membership.reviseMembers(now);
+    if (leaving) handOver(now);
     if (now - lastAlive >= tunables.alive()) {
       lastAlive = now;
       List<Owned> l = claims(now);
@@ -340,7 +392,7 @@
   private void sayAlive(String to, List<Owned> claims, long now) {
     Peer f = peers.get(to);
     Stamp heard = f == null ? Stamp.NONE : f.sent;
-    to(to, new Alive(healthy, now - booted, claims, new Stamp(run, now), heard));
+    to(to, new Alive(healthy && !leaving, now - booted, claims, new Stamp(run, now), heard));
   }
 
   /** A new connection to a member stands: a sign of life at once, for the time without one. */
@@ -356,7 +408,7 @@
       return;
     }
     if (majoritySince == NEVER) majoritySince = now;
-    if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
+    if (healthy && !leaving) for (KeyOwner o : owners.values()) perhapsTry(o, now);
   }
 
   /**
@@ -375,7 +427,7 @@
   }
 
   boolean live(String m, long now) {
-    if (m.equals(self)) return healthy;
+    if (m.equals(self)) return healthy && !leaving;
     Peer f = peers.get(m);
     return f != null && f.healthy && inContact(m, now);
   }
@@ -542,7 +594,7 @@
   }
 
   private void alive(String from, Alive a, long now) {
-    Peer f = peers.computeIfAbsent(from, n -> new Peer());
+    Peer f = peers.computeIfAbsent(from, n -> new Peer(now));
     boolean knew = inContact(from, now);
     if (!knew || !f.healthy) f.since = now;
     f.heard = now;
