An order to a replica leaves only under a right that lasts until it is given up

A second order could leave while the first was unanswered, and the first could then arrive last and take the replica back to older weights.

Ruled out: ExpectedCount alone; Sequence is only known from a report, which is priced, and is forgotten on restart.

Change: OrderCall opens the connection, asks for the permit, and writes in the same breath; an order has a connection of its own, waits 400 ms for its answer and is then reset (SO_LINGER 0). OrderSender (taken out of Commander) sends a replica one order at a time, and only where CommandRight covers those 400 ms; steering counts a replica as told only once the order left. CoreNode.commandRight tells fence and end of the right; mayCommand is as before.

--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -254,6 +254,13 @@
     return o != null && o.mayCommand(host.now());
   }
 
+  /** The right to command in a key's name now, with its end. */
+  public CommandRight commandRight(String key) {
+    return mayCommand(key)
+        ? new CommandRight(epochOf(key), owners.get(key).commandsUntil())
+        : CommandRight.NONE;
+  }
+
   public long epochOf(String key) {
     return owners.get(key).epoch;
   }
--- a/control-plane/src/main/java/gladelug/control/duty/Commander.java
+++ b/control-plane/src/main/java/gladelug/control/duty/Commander.java
@@ -6,9 +6,9 @@
  */
 package gladelug.control.duty;
 
+import gladelug.control.core.CommandRight;
 import gladelug.control.core.CoreService;
 import gladelug.kernel.Kernel;
-import gladelug.kernel.Log;
 import gladelug.kernel.configuration.Replicas;
 import gladelug.kernel.connection.Doors;
 import gladelug.kernel.connection.Local;
@@ -29,6 +29,7 @@
   private long timer;
   private boolean busy;
   private Context context;
+  private OrderSender orders;
 
   /** protocols: makes the way to replicas for where this process calls from. */
   public Commander(
@@ -44,6 +45,7 @@
     core = k.find("core", CoreService.class);
     replicas = protocols.apply(k.find("doors", Doors.class).local);
     context = vertx.getOrCreateContext();
+    orders = new OrderSender(self, replicas, steering, core::now, this::right);
     context.runOnContext(() -> timer = vertx.setPeriodic(PERIOD, i -> round()));
   }
 
@@ -95,7 +97,7 @@
                 if (mine) ask(r);
               },
               t -> {});
-    else perhapsSteer(r);
+    else orders.send(r);
   }
 
   private void ask(Replicas.Replica r) {
@@ -106,44 +108,14 @@
         .with(
             s -> {
               s.weights().forEach((m, w) -> steering.said(r, m, w, s.loading(), core.now()));
-              perhapsSteer(r);
+              orders.send(r);
             },
             t -> {});
   }
 
-  private void perhapsSteer(Replicas.Replica r) {
-    Steering.Wish want = steering.wanted(r, core.now());
-    if (want != null) steer(r, want);
-  }
-
-  private void steer(Replicas.Replica r, Steering.Wish want) {
-    String key = Keys.COMMANDER + r.instance();
-    core.ask(n -> n.mayCommand(key) ? n.epochOf(key) : -1L)
-        .emitOn(x -> context.runOnContext(x))
-        .flatMap(
-            e -> {
-              if (e < 0) return Uni.createFrom().nullItem();
-              steering.told(r, want, core.now());
-              Log.event(
-                  "steer",
-                  "replica",
-                  r.instance(),
-                  "model",
-                  want.model(),
-                  "to",
-                  want.weights(),
-                  "epoch",
-                  e);
-              return replicas.order(r, self, e, want.model(), want.weights());
-            })
-        .emitOn(x -> context.runOnContext(x))
-        .subscribe()
-        .with(
-            runs -> {
-              if (runs != null && runs)
-                steering.said(r, want.model(), want.weights(), false, core.now());
-            },
-            t -> Log.warn("steer-problem", "replica", r.instance(), "what", t.toString()));
+  private Uni<CommandRight> right(Replicas.Replica r) {
+    return core.ask(n -> n.commandRight(Keys.COMMANDER + r.instance()))
+        .emitOn(x -> context.runOnContext(x));
   }
 
   @Override
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/duty/OrderCall.java
@@ -0,0 +1,80 @@
+/*
+ * One order to a replica over HTTP: first the connection, then the right to command, then the bytes. What was decided
+ * before the connection was up may no longer hold when it is: the process may have been frozen, or the connection slow.
+ * An order is given up after a time that the right must still cover when it leaves, and its socket is then closed so
+ * that the kernel sends nothing more of it: no order arrives after its sender's right has ended.
+ */
+package gladelug.control.duty;
+
+import gladelug.kernel.connection.Local;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.core.http.HttpClient;
+import io.vertx.mutiny.core.http.HttpClientRequest;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
+
+public final class OrderCall {
+  /** How long an answer is waited for; the right to command must last as long when it leaves. */
+  public static final int ANSWER_MS = 400;
+
+  private static final int CONNECT_MS = 600;
+
+  /** Seconds that a closed socket goes on sending what it holds. */
+  private static final int ABORT = 0;
+
+  private final HttpClient http;
+
+  /**
+   * Each order has a connection of its own, on which no answer to an earlier one can be waiting.
+   */
+  public OrderCall(Vertx vertx, Local local) {
+    http =
+        vertx.createHttpClient(
+            local.from(
+                new HttpClientOptions()
+                    .setConnectTimeout(CONNECT_MS)
+                    .setKeepAlive(false)
+                    .setSoLinger(ABORT)));
+  }
+
+  /**
+   * Posts the order; its status comes, or nothing where it did not leave.
+   *
+   * @param permit asked once the connection is up: the fence to command under, empty where nothing
+   *     may leave; completes on the calling context, in the same breath as the bytes leave
+   * @param body what is posted under that fence
+   */
+  public Uni<OptionalInt> post(
+      RequestOptions to, Supplier<Uni<OptionalLong>> permit, LongFunction<JsonObject> body) {
+    return http.request(to.setMethod(HttpMethod.POST).setFollowRedirects(false))
+        .flatMap(
+            request ->
+                permit
+                    .get()
+                    .onFailure()
+                    .invoke(() -> request.connection().closeAndForget())
+                    .flatMap(
+                        fence -> {
+                          if (fence.isPresent())
+                            return write(request, body.apply(fence.getAsLong()));
+                          request.connection().closeAndForget();
+                          return Uni.createFrom().item(OptionalInt.empty());
+                        }));
+  }
+
+  private static Uni<OptionalInt> write(HttpClientRequest request, JsonObject body) {
+    request.idleTimeout(ANSWER_MS);
+    request.putHeader("Content-Type", "application/json");
+    return request
+        .send(Buffer.buffer(body.encode()))
+        .map(answer -> OptionalInt.of(answer.statusCode()));
+  }
+}
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/duty/OrderSender.java
@@ -0,0 +1,93 @@
+/*
+ * Sends a replica the orders that Steering wishes for: one at a time, and only under a right to command that is looked
+ * at again in the breath in which the order leaves. Lives on its commander's context.
+ */
+package gladelug.control.duty;
+
+import gladelug.control.core.CommandRight;
+import gladelug.kernel.Log;
+import gladelug.kernel.configuration.Replicas.Replica;
+import io.smallrye.mutiny.Uni;
+import java.util.HashSet;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+final class OrderSender {
+  private final String holder;
+  private final ReplicaOrders replicas;
+  private final Steering steering;
+  private final LongSupplier now;
+  private final Function<Replica, Uni<CommandRight>> right;
+
+  /**
+   * Replicas with an order under way. Of two at once the earlier could arrive last and take a
+   * replica back to older weights.
+   */
+  private final Set<String> underWay = new HashSet<>();
+
+  /** right: the right to command a replica at present, told on the commander's context. */
+  OrderSender(
+      String holder,
+      ReplicaOrders replicas,
+      Steering steering,
+      LongSupplier now,
+      Function<Replica, Uni<CommandRight>> right) {
+    this.holder = holder;
+    this.replicas = replicas;
+    this.steering = steering;
+    this.now = now;
+    this.right = right;
+  }
+
+  /** Tells a replica what Steering wishes it to run, if anything and if it may be told now. */
+  void send(Replica r) {
+    if (underWay.contains(r.instance())) return;
+    Steering.Wish want = steering.wanted(r, now.getAsLong());
+    if (want == null) return;
+    underWay.add(r.instance());
+    right
+        .apply(r)
+        .flatMap(x -> order(r, want, x))
+        .onTermination()
+        .invoke(() -> underWay.remove(r.instance()))
+        .subscribe()
+        .with(
+            outcome -> {
+              if (outcome == ReplicaOrders.Outcome.HOLDS)
+                steering.said(r, want.model(), want.weights(), false, now.getAsLong());
+            },
+            t -> Log.warn("steer-problem", "replica", r.instance(), "what", t.toString()));
+  }
+
+  /** Most members hold no right at all: those open no connection. */
+  private Uni<ReplicaOrders.Outcome> order(Replica r, Steering.Wish want, CommandRight mine) {
+    if (!covers(mine)) return Uni.createFrom().item(ReplicaOrders.Outcome.NOT_SENT);
+    return replicas.order(
+        r, holder, () -> right.apply(r).map(x -> leave(r, want, x)), want.model(), want.weights());
+  }
+
+  private boolean covers(CommandRight mine) {
+    return mine.covers(now.getAsLong(), OrderCall.ANSWER_MS);
+  }
+
+  /**
+   * The last look before an order leaves: its fence, or empty where the right may end before it.
+   */
+  private OptionalLong leave(Replica r, Steering.Wish want, CommandRight mine) {
+    if (!covers(mine)) return OptionalLong.empty();
+    steering.told(r, want, now.getAsLong());
+    Log.event(
+        "steer",
+        "replica",
+        r.instance(),
+        "model",
+        want.model(),
+        "to",
+        want.weights(),
+        "epoch",
+        mine.fence());
+    return OptionalLong.of(mine.fence());
+  }
+}
--- a/control-plane/src/main/java/gladelug/control/duty/OwnReplicaOrders.java
+++ b/control-plane/src/main/java/gladelug/control/duty/OwnReplicaOrders.java
@@ -7,14 +7,20 @@
 import gladelug.kernel.configuration.Replicas.Replica;
 import gladelug.kernel.connection.Local;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 public final class OwnReplicaOrders implements ReplicaOrders {
+  private static final int OK = 200;
   private final WebClient web;
+  private final OrderCall orders;
 
   public OwnReplicaOrders(Vertx vertx, Local local) {
     web =
@@ -25,6 +31,7 @@
                     .setConnectTimeout(700)
                     .setFollowRedirects(false)
                     .setMaxPoolSize(2)));
+    orders = new OrderCall(vertx, local);
   }
 
   @Override
@@ -50,20 +57,28 @@
   }
 
   @Override
-  public Uni<Boolean> order(Replica r, String holder, long fence, String model, String weights) {
-    return web.post(r.address().port(), r.address().host(), "/steer")
-        .timeout(1000)
-        .sendJsonObject(
-            new JsonObject()
-                .put("commander", holder)
-                .put("epoch", fence)
-                .put("instance", r.instance())
-                .put("weights", weights))
-        .map(
-            a -> {
-              if (a.statusCode() != 200)
-                Log.warn("steer-refused", "replica", r.instance(), "status", a.statusCode());
-              return false;
-            });
+  public Uni<Outcome> order(
+      Replica r, String holder, Supplier<Uni<OptionalLong>> permit, String model, String weights) {
+    return orders
+        .post(
+            new RequestOptions()
+                .setHost(r.address().host())
+                .setPort(r.address().port())
+                .setURI("/steer"),
+            permit,
+            fence ->
+                new JsonObject()
+                    .put("commander", holder)
+                    .put("epoch", fence)
+                    .put("instance", r.instance())
+                    .put("weights", weights))
+        .map(status -> outcome(r, status));
+  }
+
+  private static Outcome outcome(Replica r, OptionalInt status) {
+    if (status.isEmpty()) return Outcome.NOT_SENT;
+    if (status.getAsInt() != OK)
+      Log.warn("steer-refused", "replica", r.instance(), "status", status.getAsInt());
+    return Outcome.ANSWERED;
   }
 }
--- a/control-plane/src/main/java/gladelug/control/duty/ReplicaOrders.java
+++ b/control-plane/src/main/java/gladelug/control/duty/ReplicaOrders.java
@@ -7,6 +7,8 @@
 import gladelug.kernel.configuration.Replicas.Replica;
 import io.smallrye.mutiny.Uni;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 public interface ReplicaOrders {
   /** weights: by model, what it runs; loading: it is just taking other ones. */
@@ -21,9 +23,21 @@
   /** Fails where the replica is silent or another one. */
   Uni<Said> ask(Replica r);
 
+  /** What became of an order. */
+  enum Outcome {
+    /** Nothing left: the right to command had ended. */
+    NOT_SENT,
+    /** The replica has it, or refused it. */
+    ANSWERED,
+    /** The replica says that it runs these weights already. */
+    HOLDS
+  }
+
   /**
-   * In the name of the holder, under its fence; true where the replica says that it runs these
-   * already.
+   * In the name of the holder, under the fence of the permit, which is asked in the breath in which
+   * the order leaves. Fails where no answer came; the order may have been taken then. Once the
+   * outcome or the failure is told, nothing of the order can arrive any more.
    */
-  Uni<Boolean> order(Replica r, String holder, long fence, String model, String weights);
+  Uni<Outcome> order(
+      Replica r, String holder, Supplier<Uni<OptionalLong>> permit, String model, String weights);
 }
