A platform's list that comes late is proposed on what was kept when it was asked for

Cause: PlatformWatch read the number to build on after the platform had answered. A list that was asked for before the key changed hands and answered after the new owner had taken a newer one (with a replica draining) was then proposed, and taken, on top of that one.

Ruled out: the check of ownership alone; who lost the key has its change forwarded to the new owner.

Change: ListReading (taken out of PlatformWatch) takes what was kept, in the same look as the ownership, before the source is asked, and proposes on that number; a later number makes the owner answer Stale. `narrowed` and its test moved with it; the event replicas-listed lost its count, which nothing read.

--- a/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
+++ b/control-plane/src/main/java/gladelug/control/duty/PlatformWatch.java
@@ -6,6 +6,7 @@
 package gladelug.control.duty;
 
 import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.CoreNode;
 import gladelug.control.core.CoreService;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
@@ -16,11 +17,11 @@
 import gladelug.kernel.message.Keys;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 
 public final class PlatformWatch implements Kernel.Service {
@@ -29,6 +30,7 @@
   private ReplicaSource source;
   private CoreService core;
   private final Learned learned = new Learned();
+  private final ListReading.Store store = new Core();
   private boolean busy;
   private boolean silent;
   private long timer;
@@ -48,25 +50,6 @@
         .runOnContext(() -> timer = vertx.setPeriodic(source.periodMs(), i -> look()));
   }
 
-  /**
-   * What is kept less what the platform took away: the part of a list that may still be offered
-   * when the owner may have heard a newer one, because it can send a request to nobody that the
-   * newer one would not.
-   */
-  static byte[] narrowed(byte[] kept, Replicas heard) {
-    List<Replicas.Replica> l = new ArrayList<>();
-    if (Replicas.parse(new String(kept, StandardCharsets.UTF_8)) instanceof Result.Good<Replicas> k)
-      for (Replicas.Replica r : k.value().all) {
-        Replicas.Replica h = heard.find(r.instance());
-        if (h == null || !h.address().equals(r.address()) || !h.service().equals(r.service()))
-          continue;
-        l.add(
-            new Replicas.Replica(
-                r.service(), r.instance(), r.address(), r.zone(), r.ready() && h.ready()));
-      }
-    return new Replicas(l).json().getBytes(StandardCharsets.UTF_8);
-  }
-
   /** Who isn't the owner, or no more: what it learned and nobody took is offered to the owner. */
   private Uni<?> again() {
     List<Uni<?>> one = new ArrayList<>();
@@ -78,10 +61,15 @@
   private void look() {
     if (busy) return;
     busy = true;
-    core.ask(n -> n.owns(Keys.REPLICAS))
+    core.ask(PlatformWatch::keptIfOwned)
         .flatMap(
-            owns ->
-                owns ? source.list().flatMap(this::took).onFailure().call(t -> again()) : again())
+            base ->
+                base.isPresent()
+                    ? ListReading.read(base.get(), store, source::list)
+                        .invoke(this::read)
+                        .onFailure()
+                        .call(t -> again())
+                    : again())
         .ifNoItem()
         .after(Duration.ofSeconds(12))
         .fail()
@@ -95,42 +83,53 @@
             });
   }
 
-  private Uni<?> took(Result<Replicas> r) {
-    if (!(r instanceof Result.Good<Replicas> g)) {
-      if (!silent) Log.warn("platform-list-refused", "findings", r.toString());
+  /** The list as this member keeps it, where it owns the key. */
+  private static Optional<ListReading.Kept> keptIfOwned(CoreNode node) {
+    if (!node.owns(Keys.REPLICAS)) return Optional.empty();
+    Map.Entry<Long, byte[]> kept = node.kept(Keys.REPLICAS);
+    return Optional.of(new ListReading.Kept(kept.getKey(), kept.getValue()));
+  }
+
+  private void read(Result<Optional<ChangeAnswer>> outcome) {
+    if (outcome instanceof Result.Bad<Optional<ChangeAnswer>> bad) {
+      if (!silent) Log.warn("platform-list-refused", "findings", bad.toString());
       silent = true;
-      return Uni.createFrom().nullItem();
+      return;
     }
     if (silent) Log.event("platform-back");
     silent = false;
-    byte[] now = g.value().json().getBytes(StandardCharsets.UTF_8);
-    return core.ask(n -> n.kept(Keys.REPLICAS))
-        .flatMap(
-            kept -> {
-              if (kept.getKey() > 0 && Arrays.equals(kept.getValue(), now))
-                return Uni.createFrom().nullItem();
-              if (kept.getKey() > 0)
-                learned.learn(kept.getKey(), narrowed(kept.getValue(), g.value()), core.now());
-              return core.change(Keys.REPLICAS, kept.getKey(), now)
-                  .invoke(
-                      a -> {
-                        learned.answered(a);
-                        if (a instanceof ChangeAnswer.Done d)
-                          Log.event(
-                              "replicas-listed",
-                              "number",
-                              d.number(),
-                              "count",
-                              g.value().all.size(),
-                              "acks",
-                              d.acks(),
-                              "lapsed",
-                              d.lapsed(),
-                              "waited",
-                              d.waited());
-                        else Log.event("replicas-not-listed", "answer", a);
-                      });
-            });
+  }
+
+  private final class Core implements ListReading.Store {
+    @Override
+    public void learned(ListReading.Kept base, Replicas list) {
+      learned.learn(base.number(), ListReading.narrowed(base.list(), list), core.now());
+    }
+
+    @Override
+    public Uni<ChangeAnswer> change(long number, byte[] list) {
+      return core.change(Keys.REPLICAS, number, list)
+          .invoke(
+              answer -> {
+                learned.answered(answer);
+                tell(answer);
+              });
+    }
+
+    private void tell(ChangeAnswer answer) {
+      if (answer instanceof ChangeAnswer.Done d)
+        Log.event(
+            "replicas-listed",
+            "number",
+            d.number(),
+            "acks",
+            d.acks(),
+            "lapsed",
+            d.lapsed(),
+            "waited",
+            d.waited());
+      else Log.event("replicas-not-listed", "answer", answer);
+    }
   }
 
   @Override
--- /dev/null
+++ b/control-plane/src/test/java/gladelug/control/duty/ListReadingTest.java
@@ -0,0 +1,100 @@
+/*
+ * Tests of ListReading.
+ */
+package gladelug.control.duty;
+
+import static gladelug.control.duty.ListReading.narrowed;
+
+import gladelug.control.core.ChangeAnswer;
+import gladelug.kernel.Address;
+import gladelug.kernel.Result;
+import gladelug.kernel.configuration.Replicas;
+import io.smallrye.mutiny.Uni;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class ListReadingTest {
+  private static Replicas list(String... states) {
+    List<Replicas.Replica> l = new ArrayList<>();
+    for (String t : states)
+      l.add(
+          new Replicas.Replica(
+              "m",
+              t.substring(0, 1),
+              Address.of("1.1.1.1:" + (int) t.charAt(0)),
+              "z",
+              t.endsWith("+")));
+    return new Replicas(l);
+  }
+
+  @Test
+  void whatIsOfferedAgainOnlyTakesAway() {
+    byte[] kept = list("a+", "b+", "c-", "d+").json().getBytes(StandardCharsets.UTF_8);
+    Assertions.assertEquals(
+        list("a+", "b-", "c-").json(),
+        new String(narrowed(kept, list("a+", "b-", "c+", "e+")), StandardCharsets.UTF_8));
+  }
+
+  /** What is kept of lists, and the number it has. */
+  private static final class Store implements ListReading.Store {
+    private long number;
+    private String kept;
+
+    Store(long number, Replicas list) {
+      this.number = number;
+      this.kept = list.json();
+    }
+
+    ListReading.Kept kept() {
+      return new ListReading.Kept(number, kept.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public Uni<ChangeAnswer> change(long base, byte[] list) {
+      if (base != number) return Uni.createFrom().item(new ChangeAnswer.Stale(number));
+      kept = new String(list, StandardCharsets.UTF_8);
+      return Uni.createFrom().item(new ChangeAnswer.Done(++number, false, 0, 0, 0));
+    }
+
+    @Override
+    public void learned(ListReading.Kept base, Replicas list) {}
+  }
+
+  @Test
+  void aListThatComesLateIsNotPutOnTopOfANewerOne() {
+    Store store = new Store(3, list("a+", "b+"));
+    CompletableFuture<Result<Replicas>> late = new CompletableFuture<>();
+    AtomicReference<Result<Optional<ChangeAnswer>>> outcome = new AtomicReference<>();
+    ListReading.read(store.kept(), store, () -> Uni.createFrom().completionStage(late))
+        .subscribe()
+        .with(outcome::set);
+    // meanwhile another owner heard that b drains
+    ListReading.read(
+            store.kept(), store, () -> Uni.createFrom().item(Result.good(list("a+", "b-"))))
+        .subscribe()
+        .with(x -> {});
+    late.complete(Result.good(list("a+", "b+", "c+")));
+    Assertions.assertEquals(Result.good(Optional.of(new ChangeAnswer.Stale(4))), outcome.get());
+    Assertions.assertEquals(list("a+", "b-").json(), store.kept);
+  }
+
+  @Test
+  void aListAsKeptAndOneThatMakesNoSenseProposeNothing() {
+    Store store = new Store(3, list("a+"));
+    List<Result<Optional<ChangeAnswer>>> outcomes = new ArrayList<>();
+    Result<Replicas> senseless = Result.bad("Instances", "is not a list");
+    for (Result<Replicas> answer : List.of(Result.good(list("a+")), senseless))
+      ListReading.read(store.kept(), store, () -> Uni.createFrom().item(answer))
+          .subscribe()
+          .with(outcomes::add);
+    Assertions.assertEquals(Result.good(Optional.empty()), outcomes.get(0));
+    Assertions.assertInstanceOf(Result.Bad.class, outcomes.get(1));
+    Assertions.assertEquals(3, store.number);
+  }
+}
