Commands, paths and headers for operators use the field's words

send-configuration, show-configuration, explain-request configuration N, /v1/configuration, /operator/requests/ID and the header Gladelug-Request take the place of send-policy, show-policy, explain-order, policy N, /v1/policy, /operator/orders/ID and Gladelug-Order. What the commands print says request, route, configuration, lease, queue, refused.

OperatorDoor is now control.operator.OperatorEndpoint.

Expectations of tests that quote the commands' words changed with the words and are as strict as before.

--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -9,12 +9,12 @@
 import gladelug.control.core.CoreService;
 import gladelug.control.core.Members;
 import gladelug.control.core.Tunables;
-import gladelug.control.door.OperatorDoor;
 import gladelug.control.duty.Commander;
 import gladelug.control.duty.OwnReplicaOrders;
 import gladelug.control.duty.OwnReplicaSource;
 import gladelug.control.duty.PlatformWatch;
 import gladelug.control.duty.Steering;
+import gladelug.control.operator.OperatorEndpoint;
 import gladelug.kernel.Address;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
@@ -224,7 +224,7 @@
             "commander",
             new Commander(
                 vertx, p.name, new Steering(p.cutoff), l -> new OwnReplicaOrders(vertx, l)))
-        .add("operator-door", new OperatorDoor(vertx, p.operator));
+        .add("operator-endpoint", new OperatorEndpoint(vertx, p.operator));
     Program.run("control-plane", k, 3000);
   }
 }
--- a/control-plane/src/main/java/gladelug/control/door/OperatorDoor.java
+++ b/control-plane/src/main/java/gladelug/control/operator/OperatorEndpoint.java
@@ -3,7 +3,7 @@
  * named, the state shown, readiness told. Every answer says plainly whether a change was taken,
  * not taken, or of unknown fate; unknown is never called failed.
  */
-package gladelug.control.door;
+package gladelug.control.operator;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
@@ -42,7 +42,12 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-public final class OperatorDoor implements Kernel.Service {
+/** Serves operators and the platform on a control machine. */
+public final class OperatorEndpoint implements Kernel.Service {
+  /** Where a configuration is sent and read; the second is the earlier path, for one release. */
+  private static final List<String> CONFIGURATION_PATHS =
+      List.of("/v1/configuration", "/v1/policy");
+
   private static final String FORWARDED = "Gladelug-Forwarded";
   private static final long LARGEST = 5 << 20;
   private static final long ANY = -1, NONE = -2, BAD = -3;
@@ -55,7 +60,7 @@
   private WebClient web;
   private volatile boolean stopping;
 
-  public OperatorDoor(Vertx vertx, Address address) {
+  public OperatorEndpoint(Vertx vertx, Address address) {
     this.vertx = vertx;
     this.address = address;
   }
@@ -71,13 +76,9 @@
     Router r = Router.router(vertx);
     r.route().handler(BodyHandler.create(false).setBodyLimit(LARGEST));
     r.get("/ready").handler(this::ready);
-    r.post("/v1/policy").handler(this::configuration);
-    r.get("/v1/policy")
-        .handler(c -> atOwner(c, Keys.CONFIGURATION, x -> show(x, Keys.CONFIGURATION)));
-    r.get("/v1/policy/numbers/:number")
-        .handler(c -> atOwner(c, Keys.CONFIGURATION, x -> fate(x, Keys.CONFIGURATION)));
-    for (String key : new String[] {Keys.CONFIGURATION, Keys.WEIGHTS})
-      r.get("/v1/" + key + "/numbers").handler(c -> atOwner(c, key, x -> numbers(x, key)));
+    for (String path : CONFIGURATION_PATHS) configurationRoutes(r, path);
+    r.get("/v1/weights/numbers")
+        .handler(c -> atOwner(c, Keys.WEIGHTS, x -> numbers(x, Keys.WEIGHTS)));
     r.post("/v1/weights").handler(this::weights);
     r.post("/v1/core/swap").handler(c -> atOwner(c, Keys.CORE, this::swap));
     r.get("/v1/weights").handler(c -> atOwner(c, Keys.WEIGHTS, x -> show(x, Keys.WEIGHTS)));
@@ -96,8 +97,8 @@
     r.errorHandler(
         500,
         c -> {
-          Log.thrown("operator-door-problem", c.failure(), "path", c.request().path());
-          say(c, 500, Json.object().add("outcome", "unknown").add("reason", "an internal problem"));
+          Log.thrown("operator-endpoint-failure", c.failure(), "path", c.request().path());
+          say(c, 500, Json.object().add("outcome", "unknown").add("reason", "an internal failure"));
         });
     server =
         vertx
@@ -111,6 +112,14 @@
     }
   }
 
+  private void configurationRoutes(Router r, String path) {
+    String key = Keys.CONFIGURATION;
+    r.post(path).handler(this::configuration);
+    r.get(path).handler(c -> atOwner(c, key, x -> show(x, key)));
+    r.get(path + "/numbers").handler(c -> atOwner(c, key, x -> numbers(x, key)));
+    r.get(path + "/numbers/:number").handler(c -> atOwner(c, key, x -> fate(x, key)));
+  }
+
   private static void say(RoutingContext c, int status, JsonObject o) {
     if (c.response().ended() || c.response().closed()) return;
     c.response()
@@ -226,7 +235,7 @@
               .add("outcome", "not-taken")
               .add(
                   "reason",
-                  "say with If-Match which number this policy is based on, or * to replace whatever is there"));
+                  "say with If-Match which number this configuration is based on, or * to replace whatever is there"));
       return;
     }
     String s = c.body().asString();
@@ -335,7 +344,8 @@
                       c,
                       List.of(
                           new Finding(
-                              "service", "is no model service of the policy: " + n.service)));
+                              "service",
+                              "is no model service of the configuration: " + n.service)));
                   return Uni.createFrom().nullItem();
                 }
                 return offered(n.service, n.weights, sv)
--- a/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerDoor.java
@@ -122,7 +122,7 @@
     o.prompt = new Prompt.Text(x.prompt);
     o.maxPieces = x.maxPieces;
     calls.put(o, c);
-    c.response().putHeader("Gladelug-Order", o.id());
+    tellId(c, o.id());
     c.response().closeHandler(v -> gone(o));
     c.response().exceptionHandler(t -> gone(o));
     r.begin(o);
@@ -130,6 +130,11 @@
     way.go(o);
   }
 
+  /** The request's id; the second name is the earlier one, sent for one release. */
+  private static void tellId(RoutingContext c, String id) {
+    c.response().putHeader("Gladelug-Request", id).putHeader("Gladelug-Order", id);
+  }
+
   private void gone(Request o) {
     if (calls.remove(o) != null) r.gone(o);
   }
@@ -146,7 +151,7 @@
       d.end();
       r.reasons.accept(d);
       o.add("order", d.id);
-      c.response().putHeader("Gladelug-Order", d.id);
+      tellId(c, d.id);
     }
     if (fs != null) {
       JsonArray a = new JsonArray();
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -179,6 +179,8 @@
   }
 
   public void routes(Router r) {
+    r.get("/operator/requests/:id").handler(this::explain);
+    // the earlier path, for one release
     r.get("/operator/orders/:id").handler(this::explain);
   }
 
@@ -190,7 +192,8 @@
           c,
           400,
           Json.object()
-              .add("reason", "an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order"));
+              .add(
+                  "reason", "a request id is RELAY.RUN.NUMBER, as in the header Gladelug-Request"));
     else if (f instanceof Decisions.Found.Overwritten)
       StatusDoor.say(
           c,
@@ -198,7 +201,7 @@
           Json.object()
               .add(
                   "reason",
-                  "this relay took the order but has overwritten its record; it remembers the last "
+                  "this relay took the request but has overwritten its record; it remembers the last "
                       + REMEMBERED));
     else if (f instanceof Decisions.Found.OtherRun)
       StatusDoor.say(
@@ -207,8 +210,9 @@
           Json.object()
               .add(
                   "reason",
-                  "the order was taken by an earlier run of this relay, whose records are gone"));
-    else StatusDoor.say(c, 404, Json.object().add("reason", "this relay never took such an order"));
+                  "the request was taken by an earlier run of this relay, whose records are gone"));
+    else
+      StatusDoor.say(c, 404, Json.object().add("reason", "this relay never took such a request"));
   }
 
   @Override
--- a/operator-tools/src/main/java/gladelug/tools/Explanation.java
+++ b/operator-tools/src/main/java/gladelug/tools/Explanation.java
@@ -7,15 +7,21 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import gladelug.kernel.message.Keys;
 import java.util.ArrayList;
 import java.util.List;
 
 final class Explanation {
   private Explanation() {}
 
+  /** What operators call a key of the control state. */
+  static String nameOf(String key) {
+    return key.equals(Keys.CONFIGURATION) ? "configuration" : key;
+  }
+
   static String ofRequest(JsonObject d) {
     StringBuilder sb = new StringBuilder();
-    sb.append("order ")
+    sb.append("request ")
         .append(d.getString("order", "?"))
         .append(", came ")
         .append(d.getString("came", "?"))
@@ -51,16 +57,16 @@
           "the key is one of tenant "
               + s.getString("tenant", "")
               + (s.getBoolean("isolated", false) ? ", which shares no prefix" : "")
-              + "; policy "
+              + "; configuration "
               + s.get("policy");
       case "mapping" ->
-          "mapping "
+          "route "
               + s.getString("mapping", "")
               + " leads to service "
               + s.getString("service", "")
               + "; share "
               + s.getString("share", "")
-              + ", expiry "
+              + ", deadline "
               + s.get("expiryMs")
               + " ms, "
               + (s.getBoolean("repeatable", false) ? "may be repeated" : "must not be repeated");
@@ -104,8 +110,7 @@
               + s.get("computed");
       case "stream" -> "first piece after " + s.get("firstPieceMs") + " ms";
       case "again" -> "back to the choice: " + s.getString("why", "");
-      case "turned-away" ->
-          "turned away with " + s.get("status") + ": " + s.getString("reason", "");
+      case "turned-away" -> "refused with " + s.get("status") + ": " + s.getString("reason", "");
       case "cut-off" -> "cut off after " + s.get("pieces") + " pieces: " + s.getString("why", "");
       case "caller-gone" -> "the caller went away after " + s.get("pieces") + " pieces";
       default -> s.toString();
@@ -125,7 +130,7 @@
       JsonObject o = v.asObject();
       sb.append(
           String.format(
-              "%n%26s%-14s %8s ms = backlog %s + work %s; %s blocks matched, %s orders there",
+              "%n%26s%-14s %8s ms = queue %s + work %s; %s blocks matched, %s requests there",
               "",
               o.getString("replica", ""),
               o.get("totalMs"),
@@ -150,7 +155,7 @@
     for (JsonValue v : status.get("keys").asArray()) {
       JsonObject k = v.asObject();
       if (k.getString("key", "").equals(key))
-        sb.append(key)
+        sb.append(nameOf(key))
             .append(' ')
             .append(k.get("number"))
             .append(" is the newest, owned by ")
@@ -190,7 +195,7 @@
               ? "at a time not kept"
               : "at " + o.getString("taken", "");
       if (n == number) {
-        sb.append(key)
+        sb.append(nameOf(key))
             .append(' ')
             .append(n)
             .append(" was taken ")
@@ -219,7 +224,7 @@
     }
     if (sb.length() == 0)
       sb.append("nothing more is remembered of ")
-          .append(key)
+          .append(nameOf(key))
           .append(' ')
           .append(number)
           .append("; the last ")
@@ -247,11 +252,11 @@
       sb.append(
           String.format(
               "  %-24s number %-6s owner %-12s epoch %s%s%n",
-              k.getString("key", ""),
+              nameOf(k.getString("key", "")),
               k.get("number"),
               k.getString("owner", "").isEmpty() ? "none" : k.getString("owner", ""),
               k.get("epoch"),
-              k.getInt("licensed", -1) >= 0 ? ", licences out " + k.get("licensed") : ""));
+              k.getInt("licensed", -1) >= 0 ? ", leases out " + k.get("licensed") : ""));
     }
     sb.append("nodes\n");
     for (JsonValue v : s.get("nodes").asArray()) {
@@ -265,7 +270,7 @@
               n.get("askedMsAgo")));
       for (var h : n.get("holds").asObject())
         sb.append(' ')
-            .append(h.getName())
+            .append(nameOf(h.getName()))
             .append(' ')
             .append(h.getValue().asObject().get("number"));
       sb.append('\n');
--- a/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
+++ b/operator-tools/src/main/java/gladelug/tools/OperatorTools.java
@@ -17,6 +17,7 @@
 import gladelug.kernel.Program;
 import gladelug.kernel.Result;
 import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.message.Keys;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -37,11 +38,39 @@
 public final class OperatorTools {
   private OperatorTools() {}
 
-  /** What explain-request was called before; it stays for those who have it in their scripts. */
-  private static final String EARLIER = "explain-order";
+  private static final String EXPLAIN = "explain-request",
+      SEND_CONFIGURATION = "send-configuration",
+      SHOW_CONFIGURATION = "show-configuration";
+
+  /** Commands by the names they had before, which operators' scripts may use for one release. */
+  private static final Map<String, String> EARLIER_COMMANDS =
+      Map.of(
+          "explain-order", EXPLAIN,
+          "send-policy", SEND_CONFIGURATION,
+          "show-policy", SHOW_CONFIGURATION);
+
+  /** The earlier word for a configuration, still taken by explain-request for one release. */
+  private static final String EARLIER_CONFIGURATION = "policy";
+
+  /** The keys of the control state whose numbers can be asked about, by the words for them. */
+  private static final Map<String, String> KEYS =
+      Map.of(
+          "configuration",
+          Keys.CONFIGURATION,
+          EARLIER_CONFIGURATION,
+          Keys.CONFIGURATION,
+          "weights",
+          Keys.WEIGHTS);
+
+  private static final String REQUESTS = "/operator/requests/", KEPT_RECORDS = "/operator/reasons/";
+  private static final String CONFIGURATION_PATH = "/v1/configuration";
 
   private static Subparser command(Subparsers subs, String name, String help) {
     Subparser p = subs.addParser(name).help(help).description(help).defaultHelp(true);
+    EARLIER_COMMANDS.forEach(
+        (earlier, now) -> {
+          if (now.equals(name)) p.aliases(earlier);
+        });
     p.addArgument("--control")
         .required(true)
         .metavar("IP:PORT,...")
@@ -59,8 +88,8 @@
             .description("The operators' commands of a gladelug fleet.");
     var subs = ap.addSubparsers().dest("command").title("commands").metavar("COMMAND");
     Subparser p =
-        subs.addParser("explain-request")
-            .aliases(EARLIER)
+        subs.addParser(EXPLAIN)
+            .aliases("explain-order")
             .defaultHelp(true)
             .help(
                 "why a request went where it went; or what became of a number of the control state");
@@ -73,17 +102,17 @@
     p.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
     p.addArgument("what")
         .nargs("+")
-        .metavar("REQUEST | policy N | weights N")
+        .metavar("REQUEST | configuration N | weights N")
         .help(
-            "the relay's id of a request, from the header Gladelug-Order, or with --nodes the caller's own; "
+            "the relay's id of a request, from the header Gladelug-Request, or with --nodes the caller's own; "
                 + "or a key and its number");
-    p = command(subs, "send-policy", "send a whole policy");
+    p = command(subs, SEND_CONFIGURATION, "send a whole configuration");
     p.addArgument("file");
     p.addArgument("--based-on")
         .required(true)
         .metavar("NUMBER|*")
         .help("the number it was based on, or * to replace whatever is there");
-    command(subs, "show-policy", "print the policy and its number");
+    command(subs, SHOW_CONFIGURATION, "print the configuration and its number");
     p = command(subs, "name-weights", "name the weights a model service is to run");
     p.addArgument("service");
     p.addArgument("weights");
@@ -92,7 +121,7 @@
             subs, "show-status", "who owns what, which nodes hold which numbers, who is behind");
     p.addArgument("--nodes")
         .action(Arguments.storeTrue())
-        .help("ask each node too: licences, shares, replicas, the summary's health");
+        .help("ask each node too: leases, shares, replicas, the summary's health");
     p =
         command(
             subs,
@@ -103,25 +132,25 @@
     p =
         subs.addParser("import-openapi")
             .help(
-                "print the mappings that an OpenAPI file's operations make,"
-                    + " to be looked through and put into a policy");
+                "print the routes that an OpenAPI file's operations make,"
+                    + " to be looked through and put into a configuration");
     p.addArgument("file");
-    p.addArgument("--service").required(true).help("the service the mappings lead to");
+    p.addArgument("--service").required(true).help("the service the routes lead to");
     p =
         subs.addParser("hash-key")
             .help(
-                "print the hash of a caller's key, read from standard input, as a policy wants it");
+                "print the hash of a caller's key, read from standard input, as a configuration wants it");
     Namespace n = Program.parse(ap, args);
     System.exit(run(n));
   }
 
   private static int run(Namespace n) {
-    String c = n.getString("command").equals(EARLIER) ? "explain-request" : n.getString("command");
+    String c = EARLIER_COMMANDS.getOrDefault(n.getString("command"), n.getString("command"));
     if (c.equals("hash-key")) return hashKey();
     if (c.equals("import-openapi"))
       return importOpenApi(n.getString("file"), n.getString("service"));
     Findings fs = new Findings();
-    boolean direct = c.equals("explain-request") && n.getString("nodes") != null;
+    boolean direct = c.equals(EXPLAIN) && n.getString("nodes") != null;
     String given = direct ? n.getString("nodes") : n.getString("control");
     if (given == null) fs.add("--control", "or --nodes is needed");
     List<Address> control = new ArrayList<>();
@@ -136,13 +165,13 @@
     boolean json = n.getBoolean("json");
     try (Asking a = new Asking()) {
       return switch (c) {
-        case "explain-request" ->
+        case EXPLAIN ->
             direct
                 ? explainAt(a, control, n.<String>getList("what").get(0), json)
                 : explain(a, control, n.getList("what"), json);
-        case "send-policy" ->
+        case SEND_CONFIGURATION ->
             sendConfiguration(a, control, n.getString("file"), n.getString("based_on"), json);
-        case "show-policy" -> print(a.get(control, "/v1/policy"), true);
+        case SHOW_CONFIGURATION -> print(a.get(control, CONFIGURATION_PATH), true);
         case "name-weights" ->
             print(
                 a.call(
@@ -244,7 +273,7 @@
       return 1;
     }
     return print(
-        a.call(HttpMethod.POST, control, "/v1/policy", s, Map.of("If-Match", basedOn)), json);
+        a.call(HttpMethod.POST, control, CONFIGURATION_PATH, s, Map.of("If-Match", basedOn)), json);
   }
 
   private static int status(Asking a, List<Address> control, boolean nodes, boolean json) {
@@ -272,12 +301,12 @@
   /** From the nodes themselves: whoever took the request, else whoever keeps its record. */
   private static int explainAt(Asking a, List<Address> nodes, String id, boolean json) {
     JsonObject kept = null;
-    for (String path : new String[] {"/operator/orders/", "/operator/reasons/"})
+    for (String path : new String[] {REQUESTS, KEPT_RECORDS})
       for (Address n : nodes) {
         Asking.Answer d = a.get(List.of(n), path + id);
         if (!d.ok()) continue;
-        if (path.endsWith("orders/") && !json) System.out.print(Explanation.ofRequest(d.body()));
-        if (path.endsWith("orders/")) return json ? print(d, true) : 0;
+        if (path.equals(REQUESTS) && !json) System.out.print(Explanation.ofRequest(d.body()));
+        if (path.equals(REQUESTS)) return json ? print(d, true) : 0;
         if (kept == null || kept.getString("outcome", "").equals("live")) kept = d.body();
       }
     if (kept == null) {
@@ -293,22 +322,19 @@
   private static int explain(Asking a, List<Address> control, List<String> what, boolean json) {
     Asking.Answer s = a.get(control, "/v1/status");
     if (!s.ok()) return print(s, json);
-    if (what.size() == 2
-        && (what.get(0).equals("policy") || what.get(0).equals("weights"))
-        && what.get(1).matches("[0-9]{1,18}"))
-      return number(a, control, s.body(), what.get(0), Long.parseLong(what.get(1)), json);
+    if (what.size() == 2 && KEYS.containsKey(what.get(0)) && what.get(1).matches("[0-9]{1,18}"))
+      return number(a, control, s.body(), KEYS.get(what.get(0)), Long.parseLong(what.get(1)), json);
     String id = what.get(0), relay = id.contains(".") ? id.substring(0, id.indexOf('.')) : "";
     if (what.size() > 1 || relay.isEmpty()) {
       System.err.println(
-          "operator-tools: an order id is RELAY.RUN.NUMBER, as in the header Gladelug-Order; or give: "
-              + "policy N, weights N");
+          "operator-tools: a request id is RELAY.RUN.NUMBER, as in the header Gladelug-Order; or give: "
+              + "configuration N, weights N");
       return Program.BAD_USE;
     }
     for (JsonValue v : s.body().get("nodes").asArray()) {
       JsonObject n = v.asObject();
       if (!n.getString("name", "").equals(relay)) continue;
-      Asking.Answer d =
-          a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/orders/" + id);
+      Asking.Answer d = a.get(List.of(Address.of(n.getString("operator", ""))), REQUESTS + id);
       if (d.status() == 400 || d.ok() && json) return print(d, json);
       if (d.ok()) {
         System.out.print(Explanation.ofRequest(d.body()));
@@ -326,8 +352,7 @@
     String whose = "";
     for (JsonValue v : status.get("nodes").asArray()) {
       JsonObject n = v.asObject();
-      Asking.Answer d =
-          a.get(List.of(Address.of(n.getString("operator", ""))), "/operator/reasons/" + id);
+      Asking.Answer d = a.get(List.of(Address.of(n.getString("operator", ""))), KEPT_RECORDS + id);
       if (!d.ok()) continue;
       if (best == null || best.getString("outcome", "").equals("live")) {
         best = d.body();
@@ -336,7 +361,7 @@
     }
     if (best == null) {
       System.err.println(
-          "operator-tools: nobody that answers keeps a record of order "
+          "operator-tools: nobody that answers keeps a record of request "
               + id
               + "; its relay has not asked for a minute, or its records were too old to be kept");
       return 1;
@@ -361,7 +386,7 @@
           runs.set(m.getName(), m.getValue().asObject().getString("weights", ""));
         break;
       }
-    Asking.Answer h = a.get(control, "/v1/" + key + "/numbers");
+    Asking.Answer h = a.get(control, "/v1/" + Explanation.nameOf(key) + "/numbers");
     JsonArray history = h.ok() ? h.body().get("numbers").asArray() : new JsonArray();
     if (json) {
       System.out.println(
--- a/operator-tools/src/test/java/gladelug/tools/ExplanationTest.java
+++ b/operator-tools/src/test/java/gladelug/tools/ExplanationTest.java
@@ -26,7 +26,7 @@
     String s = ofRequest(d);
     for (String w :
         new String[] {
-          "order r.ab12.1, came now: complete",
+          "request r.ab12.1, came now: complete",
           "x may hold 8",
           "replica x of 2",
           "back to the choice: x did not run it"
--- a/rehearsal/src/main/java/gladelug/rehearsal/Day.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Day.java
@@ -295,7 +295,8 @@
         new Episode(
             "two operators race",
             () -> {
-              long n = f.call("GET", "/v1/policy", null, Map.of()).body().getLong("number", -1);
+              long n =
+                  f.call("GET", "/v1/configuration", null, Map.of()).body().getLong("number", -1);
               Fleet.Answer[] a = new Fleet.Answer[2];
               Thread[] ts = new Thread[2];
               for (int i = 0; i < 2; i++) {
@@ -646,7 +647,7 @@
     boolean clean = RehearseFleet.report(f, List.of(), null);
     Map<String, List<String>> more = promises.judge(f.ledger, Promises.BRIEF);
     List<String> lost = new ArrayList<>();
-    Fleet.Answer a = f.call("GET", "/v1/policy", null, Map.of());
+    Fleet.Answer a = f.call("GET", "/v1/configuration", null, Map.of());
     if (!a.body().get("value").equals(Json.parse(lastConfiguration)))
       lost.add("number " + a.body().get("number") + " is not what was acknowledged last");
     more.put("acknowledged-policy-lost", lost);
--- a/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
@@ -339,14 +339,14 @@
   public Answer configuration(List<String> without, String match) {
     return call(
         "POST",
-        "/v1/policy",
+        "/v1/configuration",
         deployment.configuration(++marker, without).toString(),
         Map.of("If-Match", match));
   }
 
   /** A configuration given whole; the door is whichever control machine answers first. */
   public Answer send(JsonObject configuration, String match) {
-    return call("POST", "/v1/policy", configuration.toString(), Map.of("If-Match", match));
+    return call("POST", "/v1/configuration", configuration.toString(), Map.of("If-Match", match));
   }
 
   public int nextMarker() {
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -139,14 +139,14 @@
               Path.of(n.getString("out")).toAbsolutePath().resolve("stand-ins"),
               1,
               "summary");
-      Path configuration = f.dir.resolve("policy.json");
+      Path configuration = f.dir.resolve("configuration.json");
       Files.writeString(
           configuration,
           f.deployment.configuration(0, List.of()).toString(WriterConfig.PRETTY_PRINT));
       System.out.println(
           "platform "
               + f.platform.address()
-              + "\npolicy "
+              + "\nconfiguration "
               + configuration
               + "\nkey of tenant one: "
               + f.deployment.tenants().get(0).key()
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInCallers.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInCallers.java
@@ -148,9 +148,9 @@
                         var p = b.result();
                         c.status = p.statusCode();
                         c.order =
-                            p.getHeader("Gladelug-Order") == null
+                            p.getHeader("Gladelug-Request") == null
                                 ? ""
-                                : p.getHeader("Gladelug-Order");
+                                : p.getHeader("Gladelug-Request");
                         RecordParser lines = RecordParser.newDelimited("\n", x -> line(c, x));
                         p.handler(lines);
                         p.exceptionHandler(
--- a/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/scale/ScaleFleet.java
@@ -329,7 +329,7 @@
   }
 
   private int change(String at) {
-    return call(at, "POST", "/v1/policy", configuration()).statusCode();
+    return call(at, "POST", "/v1/configuration", configuration()).statusCode();
   }
 
   /**
@@ -339,7 +339,7 @@
   private boolean changed(String at) {
     String body = configuration();
     long end = System.nanoTime() + AGAIN_NS;
-    while (call(at, "POST", "/v1/policy", body).statusCode() != 200) {
+    while (call(at, "POST", "/v1/configuration", body).statusCode() != 200) {
       if (System.nanoTime() > end) return false;
       again++;
       Fleet.pause(100);
--- a/rehearsal/src/test/java/gladelug/rehearsal/CoreRehearsalTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/CoreRehearsalTest.java
@@ -28,7 +28,7 @@
     List<String> args =
         new ArrayList<>(
             List.of(
-                "explain-order",
+                "explain-request",
                 "--control",
                 f.operator.get("control-1") + "," + f.operator.get("control-2")));
     args.addAll(List.of(what));
@@ -96,9 +96,9 @@
               && c.lines().contains("fate not known here"),
           c.lines());
       Assertions.assertEquals(200, f.configuration(List.of("two"), "*").status());
-      c = explained(f, "policy", "1");
+      c = explained(f, "configuration", "1");
       Assertions.assertTrue(
-          c.lines().contains("policy 1 was taken at 20")
+          c.lines().contains("configuration 1 was taken at 20")
               && c.lines().contains("acknowledged")
               && c.lines().contains("relay-3 was first seen with it at")
               && c.lines().contains("it was replaced by 2")
@@ -106,7 +106,7 @@
           c.lines());
       c = explained(f, "policy", "77");
       Assertions.assertTrue(
-          c.lines().contains("nothing more is remembered of policy 77"), c.lines());
+          c.lines().contains("nothing more is remembered of configuration 77"), c.lines());
       c = explained(f, ended.order.substring(0, ended.order.lastIndexOf('.')) + ".999");
       Assertions.assertEquals(1, c.exit());
       Assertions.assertTrue(c.lines().contains("keeps a record"), c.lines());
--- a/rehearsal/src/test/java/gladelug/rehearsal/RequestRehearsalTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/RequestRehearsalTest.java
@@ -126,7 +126,7 @@
               f.http(
                       f.operator.get("relay-1"),
                       "GET",
-                      "/operator/orders/" + b.order,
+                      "/operator/requests/" + b.order,
                       null,
                       Map.of())
                   .body()
@@ -169,13 +169,13 @@
     both(x -> x.notRun = 1);
     String away = explain(order(ask).order, 0);
     Assertions.assertTrue(
-        away.contains("turned away with 503: ") && away.contains("did not run it: not now"), away);
+        away.contains("refused with 503: ") && away.contains("did not run it: not now"), away);
     Fleet.Answer n = raw("/nothing", one.key(), "{}");
     Assertions.assertTrue(
         explain(n.body().getString("order", ""), 0)
-            .contains("turned away with 404: no mapping for this path"));
+            .contains("refused with 404: no mapping for this path"));
     Assertions.assertTrue(
-        explain(c.order.replaceAll("[0-9]+$", "999999"), 1).contains("never took such an order"));
+        explain(c.order.replaceAll("[0-9]+$", "999999"), 1).contains("never took such a request"));
     ends(
         program(
             "gladelug.tools.OperatorTools",
@@ -190,6 +190,32 @@
         "licenceLeftMs policy");
   }
 
+  /** The names of the release before are still served beside the present ones. */
+  @Test
+  void earlierNamesStillAnswer() throws Exception {
+    Fleet.Answer asked = raw("/ask", one.key(), "{\"prompt\":\"x#earlier-names\"}");
+    List<String> ids = asked.headers().get("gladelug-request");
+    Assertions.assertEquals(1, ids.size());
+    Assertions.assertEquals(ids, asked.headers().get("gladelug-order"));
+    String operator = f.operator.get("relay-1");
+    for (String path : new String[] {"/operator/requests/", "/operator/orders/"})
+      Assertions.assertEquals(
+          200, f.http(operator, "GET", path + ids.get(0), null, Map.of()).status(), path);
+    Assertions.assertEquals(
+        f.call("GET", "/v1/configuration", null, Map.of()).body(),
+        f.call("GET", "/v1/policy", null, Map.of()).body());
+    String control = f.operator.get("control-1");
+    for (String command : new String[] {"show-policy", "show-configuration"})
+      ends(
+          program("gladelug.tools.OperatorTools", command, "--control", control),
+          0,
+          "\"mappings\"");
+    ends(
+        program("gladelug.tools.OperatorTools", "explain-order", "--control", control, ids.get(0)),
+        0,
+        "request " + ids.get(0));
+  }
+
   @Test
   void badInputGetsAPlainAnswerAndReachesNoReplica() {
     int before = f.replicas.get("replica-1").requests + f.replicas.get("replica-2").requests;
@@ -215,19 +241,19 @@
 
   @Test
   void operatorsMistakesAreAllToldAndChangeNothing() {
-    long number = f.call("GET", "/v1/policy", null, Map.of()).body().getLong("number", -1);
+    long number = f.call("GET", "/v1/configuration", null, Map.of()).body().getLong("number", -1);
     String p = f.deployment.configuration(99, List.of()).toString();
-    Assertions.assertEquals(428, f.call("POST", "/v1/policy", p, Map.of()).status());
+    Assertions.assertEquals(428, f.call("POST", "/v1/configuration", p, Map.of()).status());
     Fleet.Answer stale =
-        f.call("POST", "/v1/policy", p, Map.of("If-Match", "\"" + (number + 5) + "\""));
+        f.call("POST", "/v1/configuration", p, Map.of("If-Match", "\"" + (number + 5) + "\""));
     Assertions.assertEquals(412, stale.status());
     Assertions.assertEquals(number, stale.body().getLong("current", -1));
     Assertions.assertEquals(
-        400, f.call("POST", "/v1/policy", p, Map.of("If-Match", "soon")).status());
+        400, f.call("POST", "/v1/configuration", p, Map.of("If-Match", "soon")).status());
     Fleet.Answer bad =
         f.call(
             "POST",
-            "/v1/policy",
+            "/v1/configuration",
             p.replace("\"kind\":\"store\"", "\"kind\":\"shop\"").replace("sha256:", "md5:"),
             Map.of("If-Match", "*"));
     Assertions.assertEquals(400, bad.status());
@@ -249,14 +275,14 @@
         f.call("POST", "/v1/core/swap", "{\"out\":\"control-1\",\"in\":\"control-2\"}", Map.of())
             .status());
     Assertions.assertEquals(
-        number, f.call("GET", "/v1/policy", null, Map.of()).body().getLong("number", -1));
+        number, f.call("GET", "/v1/configuration", null, Map.of()).body().getLong("number", -1));
   }
 
   @Test
   void aSecondSendOfTheSameConfigurationHasTheSameNumber() {
     String p = f.deployment.configuration(1234, List.of()).toString();
-    Fleet.Answer a = f.call("POST", "/v1/policy", p, Map.of("If-Match", "*")),
-        b = f.call("POST", "/v1/policy", p, Map.of("If-Match", "1"));
+    Fleet.Answer a = f.call("POST", "/v1/configuration", p, Map.of("If-Match", "*")),
+        b = f.call("POST", "/v1/configuration", p, Map.of("If-Match", "1"));
     Assertions.assertEquals(200, a.status());
     Assertions.assertEquals(200, b.status());
     Assertions.assertEquals(a.body().get("number"), b.body().get("number"));
@@ -266,7 +292,7 @@
         "taken",
         f.call(
                 "GET",
-                "/v1/policy/numbers/" + a.body().get("number") + "?digest=" + d,
+                "/v1/configuration/numbers/" + a.body().get("number") + "?digest=" + d,
                 null,
                 Map.of())
             .body()
