--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -7,6 +7,8 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.WriterConfig;
 import gladelug.kernel.Program;
+import gladelug.rehearsal.control.ControlDay;
+import gladelug.rehearsal.control.ControlTroubles;
 import gladelug.rehearsal.scale.ScalePlan;
 import gladelug.rehearsal.scale.ScaleRun;
 import gladelug.rehearsal.sim.RequestSim;
@@ -55,6 +57,12 @@
                 "a seeded day: everything that may fail, one after the other, and a judgement per must-never");
     p.addArgument("--deployment").choices("safari-njia", "moka-ridge").setDefault("safari-njia");
     p.addArgument("--seed").type(Long.class).setDefault(1L);
+    p.addArgument("--point")
+        .type(Integer.class)
+        .choices(Arguments.range(1, ControlTroubles.COUNT))
+        .help(
+            "a day of the control side instead: 1 a long cut, 2 racing operators, 3 replacements in turn, "
+                + "4 hundreds of changes, 5 resets");
     p.addArgument("--each").type(Integer.class).setDefault(5).help("seconds an episode lasts");
     p.addArgument("--rate").type(Double.class).setDefault(1.0).help("times the brief's rates");
     p.addArgument("--out").setDefault("rehearsal-out");
@@ -196,6 +204,10 @@
           .run();
       System.exit(0);
     }
+    if (n.getString("command").equals("day") && n.getInt("point") != null) {
+      Logger.getLogger("").setLevel(Level.WARNING);
+      System.exit(controlDay(n.getInt("point"), n.getLong("seed"), n.getString("out")) ? 0 : 1);
+    }
     if (n.getString("command").equals("compare")) {
       compare(n);
       System.exit(0);
@@ -226,6 +238,20 @@
     System.exit(clean ? 0 : 1);
   }
 
+  /** One of the five days of the control side; true if no rule was broken. */
+  private static boolean controlDay(int point, long seed, String base) throws Exception {
+    Path out =
+        Path.of(base)
+            .toAbsolutePath()
+            .resolve("control-" + point + "-" + seed + "-" + System.currentTimeMillis());
+    try (Fleet fleet = new Fleet(ControlDay.deployment(), out, seed, "summary")) {
+      boolean clean =
+          new ControlDay(fleet, seed, System.out::println).play(ControlTroubles.of(point));
+      System.out.println("logs: " + out);
+      return clean;
+    }
+  }
+
   private static void weights(Deployment d, String base) throws Exception {
     Path out = Path.of(base).toAbsolutePath().resolve("weights-" + System.currentTimeMillis());
     try (Fleet f = new Fleet(d, out, 1, "summary")) {
