Takeover times of each trouble of an owner, alone and after another, bounded

TakeoverTest brings nine kinds of trouble to the owner of the configuration, with all keys it owns, alone and right after the end of each of the nine, with the platform's times and connections as TCP's.

--- a/control-plane/src/main/java/gladelug/control/core/Tunables.java
+++ b/control-plane/src/main/java/gladelug/control/core/Tunables.java
@@ -9,7 +9,17 @@
 import java.util.List;
 
 /**
- * lease: how long a grant lasts, counted from the round that confirmed its owner, ms. alive:
+ * How long a lease has to be. A leased key's owner is confirmed each `confirm` ms. When it fails,
+ * the others find it silent `dead` ms after its last sign of life, or, where they still hear it,
+ * see its claim end dead + confirm ms after its last confirmation, told by a sign of life up to
+ * `alive` ms later; the first of them in order then needs an attempt, which with disks in order
+ * ends within `attempt` ms, and confirms at once. So a key goes without a confirmed owner for at
+ * most dead + confirm + alive + attempt ms and a round trip. Where another member is only just back
+ * from trouble and needed for a majority, its connections may take Liveness's connectTimeout +
+ * pause ms more. A lease counts from the confirmation it was granted off and a relay asks each so
+ * many ms, so `lease` must be longer than all that and the time between two asks together.
+ *
+ * <p>lease: how long a grant lasts, counted from the round that confirmed its owner, ms. alive:
  * between two signs of life, ms. dead: silence after which a member counts as dead, ms. confirm:
  * between two rounds of confirmation, ms. settled: how long a preferred owner is up before it takes
  * its key back, ms. rank: how long each further member waits to try for a key, ms. attempt: how
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -216,7 +216,7 @@
     cut.clear();
   }
 
-  private List<String> everybody() {
+  List<String> everybody() {
     List<String> l = controlNames();
     l.addAll(others());
     return l;
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/SilentConnectionsTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/SilentConnectionsTest.java
@@ -3,7 +3,6 @@
  */
 package gladelug.rehearsal.sim;
 
-import gladelug.kernel.message.Keys;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Assertions;
@@ -12,30 +11,10 @@
 final class SilentConnectionsTest {
   private static final String[] MEMBERS = {"c1", "c2", "c3"};
 
-  private static Sim fleet(long seed, boolean heartbeats) {
-    Sim s = new Sim(seed, 2, 3, 3, CoreTimes.PLATFORM);
-    s.connections = true;
-    s.heartbeats = heartbeats;
-    s.askEach = CoreTimes.ASK;
-    s.run(6000);
-    s.send("c1", Keys.CONFIGURATION, -1);
-    s.run(3000);
-    for (SimRelay r : s.relays.values()) r.longestGap = 0;
-    return s;
-  }
-
-  /** How long the relay that was worst off could not start anything, ms. */
-  private static long longestGap(Sim s) {
-    long gap = 0;
-    for (SimRelay r : s.relays.values())
-      gap = Math.max(gap, Math.max(r.longestGap, s.now() - r.lastStart));
-    return gap;
-  }
-
   /** A member is cut off for long; a moment after it is back another is. */
   private static long gapOfOneCutAfterAnother(
       long seed, boolean heartbeats, String first, long cut, String second) {
-    Sim s = fleet(seed, heartbeats);
+    Sim s = Takeover.fleet(seed, heartbeats);
     s.cutOff(first);
     s.run(cut);
     s.heal(first);
@@ -43,7 +22,7 @@
     s.cutOff(second);
     s.run(8000);
     Assertions.assertEquals(List.of(), s.violations);
-    return longestGap(s);
+    return Takeover.longestGap(s);
   }
 
   private static List<String> lapses(boolean heartbeats) {
--- /dev/null
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/TakeoverTest.java
@@ -0,0 +1,144 @@
+/*
+ * How long keys are without a working owner when trouble comes to it, alone and right after the end
+ * of other trouble; leases have to outlast that. The tables are printed; the system property
+ * takeover.seeds plays more seeds than the few of each build.
+ */
+package gladelug.rehearsal.sim;
+
+import gladelug.kernel.connection.Liveness;
+import gladelug.kernel.message.Keys;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class TakeoverTest {
+  private static final int SEEDS = Integer.getInteger("takeover.seeds", 2);
+  private static final int SEEDS_ALONE = Math.max(SEEDS, 10);
+  private static final long WITHIN = 8000;
+
+  /** The slowest round trip of the simulated links, and a step of the onlooker. */
+  private static final long BOTH_WAYS = 120, STEP = 25;
+
+  /** How long a leased key is without a confirmation at the most: see Tunables. */
+  private static final long UNCONFIRMED =
+      CoreTimes.PLATFORM.dead()
+          + CoreTimes.PLATFORM.confirm()
+          + CoreTimes.PLATFORM.alive()
+          + CoreTimes.PLATFORM.attempt()
+          + BOTH_WAYS
+          + STEP;
+
+  /** And where another member is only just back, whose connections are still to be made. */
+  private static final long UNCONFIRMED_AFTER_OTHER = UNCONFIRMED + reconnect();
+
+  private static long reconnect() {
+    Liveness l = Liveness.within(CoreTimes.PLATFORM.alive(), CoreTimes.PLATFORM.dead());
+    return l.connectTimeout() + l.pause() + BOTH_WAYS;
+  }
+
+  /** The times of many runs, as a line of a table. */
+  private static final class Times {
+    private final List<Long> takeovers = new ArrayList<>();
+    private int kept;
+    private long unconfirmed;
+    private long gap;
+
+    String line(String what) {
+      Collections.sort(takeovers);
+      int n = takeovers.size();
+      String median = n == 0 ? "-" : "" + takeovers.get(n / 2);
+      String worst = n == 0 ? "-" : "" + takeovers.get(n - 1);
+      return String.format(
+          "| %s | %s | %s | %d | %d | %d |", what, median, worst, kept, unconfirmed, gap);
+    }
+  }
+
+  private static final String HEAD =
+      """
+      | trouble of a key's owner | takeover, median | worst | kept | unconfirmed, worst | relay's gap, worst |
+      |---|---|---|---|---|---|""";
+
+  private static List<String> ownedBy(Takeover t, SimControl c) {
+    return Takeover.keys().stream().filter(k -> t.owner(k, null) == c).toList();
+  }
+
+  private static void add(Times times, Takeover t, Sim s, Trouble trouble) {
+    SimControl c = t.owner(Keys.CONFIGURATION, null);
+    if (c == null) c = s.controls.get("c1");
+    List<String> keys = ownedBy(t, c);
+    trouble.begin(s, c);
+    Map<String, Long> after = t.untilOthersServe(keys, c, WITHIN);
+    times.takeovers.addAll(after.values());
+    times.kept += keys.size() - after.size();
+    times.unconfirmed = Math.max(times.unconfirmed, t.longestUnconfirmed);
+    times.gap = Math.max(times.gap, Takeover.longestGap(s));
+    Assertions.assertEquals(List.of(), s.violations);
+  }
+
+  private static Times alone(Trouble trouble) {
+    Times times = new Times();
+    for (long seed = 1; seed <= SEEDS_ALONE; seed++) {
+      Sim s = Takeover.fleet(seed, true);
+      Takeover t = new Takeover(s);
+      t.run(new Random(seed).nextInt(400));
+      add(times, t, s, trouble);
+    }
+    return times;
+  }
+
+  private static Times after(Trouble first, Trouble second) {
+    Times times = new Times();
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      Sim s = Takeover.fleet(seed, true);
+      Takeover t = new Takeover(s);
+      SimControl c = t.owner(Keys.CONFIGURATION, null);
+      first.begin(s, c);
+      t.run(3000 + new Random(seed).nextInt(17_000));
+      first.end(s, c);
+      add(times, t, s, second);
+    }
+    return times;
+  }
+
+  private static void outlasted(Times times, long most, String what, List<String> failures) {
+    if (times.gap > 30) failures.add(what + ": a relay had no lease for " + times.gap);
+    if (times.unconfirmed > most)
+      failures.add(what + ": unconfirmed for " + times.unconfirmed + " of " + most);
+  }
+
+  @Test
+  void aLeaseIsLongerThanAnyTakeoverAndTheTimeBetweenTwoAsks() {
+    long needed = UNCONFIRMED_AFTER_OTHER + CoreTimes.ASK + BOTH_WAYS;
+    Assertions.assertTrue(needed < CoreTimes.PLATFORM.lease(), needed + " ms");
+  }
+
+  @Test
+  void leasesOutlastAnyTroubleOfAnOwner() {
+    System.out.println(HEAD);
+    List<String> failures = new ArrayList<>();
+    for (Trouble t : Trouble.values()) {
+      Times times = alone(t);
+      System.out.println(times.line(t.words));
+      outlasted(times, UNCONFIRMED, t.words, failures);
+    }
+    Assertions.assertEquals(List.of(), failures);
+  }
+
+  @Test
+  void leasesOutlastTroubleThatComesRightAfterOther() {
+    System.out.println(HEAD);
+    List<String> failures = new ArrayList<>();
+    for (Trouble first : Trouble.values())
+      for (Trouble second : Trouble.values()) {
+        String what = first.words + ", then " + second.words;
+        Times times = after(first, second);
+        System.out.println(times.line(what));
+        outlasted(times, UNCONFIRMED_AFTER_OTHER, what, failures);
+      }
+    Assertions.assertEquals(List.of(), failures);
+  }
+}
