--- a/data-plane/src/main/java/gladelug/data/news/NewsService.java
+++ b/data-plane/src/main/java/gladelug/data/news/NewsService.java
@@ -21,11 +21,11 @@
 import gladelug.kernel.message.Wire;
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -40,7 +40,7 @@
   private final List<Address> seeds;
   private final long run = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private final Duty duty;
-  private final Map<Address, Held> connections = new HashMap<>();
+  private final Map<Address, Held> connections = new ConcurrentHashMap<>();
   private final List<Consumer<Tables>> listeners = new CopyOnWriteArrayList<>();
   public final HeldNews held;
   private long generation;
@@ -137,6 +137,12 @@
                   h -> duty.offer(() -> h.send(held.ask()))));
   }
 
+  /** Whether a connection to the core member with this address for records is open now. */
+  public boolean reaches(Address records) {
+    Held connection = connections.get(records);
+    return connection != null && connection.open();
+  }
+
   private void askAll() {
     News.Ask a = held.ask();
     for (Held h : connections.values()) h.send(a);
