--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -119,7 +119,8 @@
 
   /** Whether others may take it that the key is in good hands: a majority confirmed it lately. */
   boolean inHand(long now) {
-    return serving() && now - Math.max(confirmedAt, servedAt) < 2L * node.tunables.dead();
+    long within = (long) node.tunables.dead() + node.tunables.confirm();
+    return serving() && !node.alone(now) && now - Math.max(confirmedAt, servedAt) < within;
   }
 
   boolean busy() {
@@ -409,13 +410,19 @@
     current.answered = true;
   }
 
+  /** What no majority confirms in time, or can, is answered while its sender listens. */
+  private void abandonUnconfirmed(long now) {
+    boolean alone = node.alone(now);
+    abandon(questions.stream().filter(q -> alone || now - q.askedAt >= Reads.PATIENCE).toList());
+  }
+
   void tick(long now) {
+    if (!questions.isEmpty()) abandonUnconfirmed(now);
     if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > patience())
       depose("no-majority-in-time", now);
     if (phase == Phase.SERVING
         && now - Math.max(confirmedAt, servedAt) > 2L * node.tunables.lease())
       depose("unconfirmed", now);
-    abandon(questions.stream().filter(q -> now - q.askedAt >= node.tunables.dead()).toList());
     if (phase != Phase.SERVING || current == null) return;
     if (!current.committed && now - current.sent > node.tunables.confirm()) {
       current.sent = now;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -30,6 +30,10 @@
   CoreNode node;
   boolean up;
   boolean paused;
+
+  /** The machine has no power. */
+  boolean dark;
+
   int life;
   double rate = 1;
   private long rateSince;
@@ -62,6 +66,7 @@
 
   void start() {
     up = true;
+    dark = false;
     paused = false;
     emptied = false;
     died = "";
@@ -109,6 +114,7 @@
         () -> {
           node.healthy(medium.stalledFor(sim.now()) < 400);
           node.tick();
+          sim.closeIfSilent(name);
         });
     sim.after(25, () -> tick(l));
   }
@@ -120,6 +126,7 @@
 
   void power() {
     kill();
+    dark = true;
     medium.power();
   }
 
