Model checker of the core: seeded walks over CoreNode with each rule judged every step

The checker does: the product's CoreNode on 3 or 5 machines and one or two that ask to join, messages as a set that may arrive in any order, twice or never, writes durable one by one, a crash that keeps a prefix of them, lost disks within what the core promises to bear, replacements, and a clock per machine.

Twelve rules are judged after each step, among them: what a majority accepted is in all accepted later, also across changes of members; what is acknowledged or served is on a majority's disks; reads are never behind what was told; refused changes never take effect; a generation begins only after a majority of the former is sealed, and with all that was chosen before it.

CoreInspection only decodes what is on disk. A promise that is never written is not found yet by walks and has no test so far.

--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/CoreInspection.java
@@ -0,0 +1,62 @@
+/*
+ * Reads what core members keep on disk and write to one another, for tools that judge the protocol
+ * from outside. It only decodes; the protocol itself does not use it.
+ */
+package gladelug.control.core;
+
+import gladelug.control.core.CoreMessage.Accept;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Decoders of durable state and of values in messages. */
+public final class CoreInspection {
+  /** The durable entry that holds the members of the generation a member takes part in. */
+  public static final String MEMBERS = Membership.MEMBERS;
+
+  /** The durable entry that holds the next members a member has sealed its generation for. */
+  public static final String SEALED = Membership.SEALED;
+
+  /** The prefix of the durable entries that hold one key each. */
+  public static final String CELL = "cell/";
+
+  private CoreInspection() {}
+
+  /** A numbered value, with the digests of the numbers before it that it remembers. */
+  public record NumberedValue(
+      long number, String digest, byte[] body, Map<Long, String> remembered) {}
+
+  /** What one member keeps for one key. */
+  public record KeptCell(long promised, long epoch, NumberedValue value) {}
+
+  /** Decodes the durable entry of a key. */
+  public static KeptCell cell(byte[] durable) {
+    Cell c = Cell.of(durable);
+    return new KeptCell(c.promised(), c.epoch(), value(c.value()));
+  }
+
+  /** The value an owner asks the members to accept. */
+  public static NumberedValue value(Accept accept) {
+    return value(accept.value());
+  }
+
+  private static NumberedValue value(Cell.Value v) {
+    Map<Long, String> remembered = new LinkedHashMap<>();
+    for (Cell.Mark m : v.history()) remembered.put(m.number(), m.digest());
+    return new NumberedValue(v.number(), v.digest(), v.body(), remembered);
+  }
+
+  /** Decodes a set of members: a durable entry, or a value of the key core. */
+  public static Members members(byte[] encoded) {
+    return encoded == null || encoded.length == 0 ? Members.NONE : Members.of(encoded);
+  }
+
+  /** Encodes a set of members as it is kept on disk. */
+  public static byte[] bytes(Members members) {
+    return members.bytes();
+  }
+
+  /** The generation an epoch belongs to. */
+  public static long generation(long epoch) {
+    return epoch >> 40;
+  }
+}
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -7,6 +7,7 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.WriterConfig;
 import gladelug.kernel.Program;
+import gladelug.rehearsal.check.ModelCheck;
 import gladelug.rehearsal.scale.ScalePlan;
 import gladelug.rehearsal.scale.ScaleRun;
 import gladelug.rehearsal.sim.RequestSim;
@@ -131,7 +132,24 @@
         .help("roles to tell of, separated by commas; all unless told");
     p.addArgument("--quick").action(Arguments.storeTrue()).help("two points a size");
     p.addArgument("--out").setDefault("rehearsal-out");
+    p =
+        subs.addParser("check")
+            .help("random walks of the core's protocol under a model checker, each rule judged");
+    p.addArgument("--members").type(Integer.class).choices(3, 5).setDefault(3);
+    p.addArgument("--seed").type(Long.class).setDefault(0L).help("the first seed");
+    p.addArgument("--walks").type(Integer.class).setDefault(100);
+    p.addArgument("--steps").type(Integer.class).setDefault(3000).help("of each walk");
+    p.addArgument("--without")
+        .choices(ModelCheck.mutations())
+        .setDefault("NONE")
+        .help("a rule of the protocol switched off, to see that this is found");
     Namespace n = Program.parse(ap, args);
+    if (n.getString("command").equals("check")) {
+      ModelCheck.Options options =
+          new ModelCheck.Options(
+              n.getInt("members"), n.getLong("seed"), n.getInt("walks"), n.getInt("steps"));
+      System.exit(ModelCheck.run(options, n.getString("without"), System.out::println) ? 0 : 1);
+    }
     if (n.getString("command").equals("stand-ins")) {
       Fleet f =
           new Fleet(
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/CheckedDisks.java
@@ -0,0 +1,56 @@
+/*
+ * What checked machines want written, as their disks take it. Mutations that break the order or the
+ * durability of writes live here.
+ */
+package gladelug.rehearsal.check;
+
+import gladelug.control.core.CoreInspection;
+import gladelug.control.core.CoreMessage;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The way from the protocol to the disks. */
+final class CheckedDisks {
+  private final Mutation mutation;
+
+  CheckedDisks(Mutation mutation) {
+    this.mutation = mutation;
+  }
+
+  /** handled: the message that the write comes from, or null. */
+  void want(CheckedMachine m, CoreMessage handled, CheckedDisk.Write w) {
+    boolean promise = handled instanceof CoreMessage.Promise;
+    if (mutation == Mutation.ANSWER_BEFORE_SYNC) {
+      m.disk.want(new CheckedDisk.Write(w.entry(), w.state(), w.accept(), () -> {}));
+      m.later(w.done());
+    } else if (mutation == Mutation.PROMISE_NOT_DURABLE && promise) {
+      m.disk.want(new CheckedDisk.Write("", new byte[0], false, w.done()));
+    } else if (mutation == Mutation.MEMBERS_BEFORE_CELLS
+        && w.entry().equals(CoreInspection.MEMBERS)) {
+      m.disk.wantFirst(w);
+    } else {
+      m.disk.want(w);
+    }
+  }
+
+  boolean keepsId() {
+    return mutation == Mutation.EMPTY_DISK_KEEPS_ID;
+  }
+
+  /** What a process finds at its start. */
+  Map<String, byte[]> opened(CheckedDisk disk) {
+    Map<String, byte[]> durable = disk.durable();
+    if (mutation != Mutation.PROMISE_FORGOTTEN) return durable;
+    Map<String, byte[]> forgotten = new HashMap<>(durable);
+    forgotten.replaceAll((k, b) -> k.startsWith(CoreInspection.CELL) ? withoutPromise(b) : b);
+    return forgotten;
+  }
+
+  /** The promised epoch is what an entry begins with. */
+  private static byte[] withoutPromise(byte[] cell) {
+    byte[] b = cell.clone();
+    ByteBuffer.wrap(b).putLong(0, 0);
+    return b;
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/CheckedNetwork.java
@@ -0,0 +1,136 @@
+/*
+ * The messages in flight between checked machines. Any of them may arrive next, twice, or never.
+ * Mutations that let answers be taken for more than they are live here.
+ */
+package gladelug.rehearsal.check;
+
+import gladelug.control.core.CoreInspection;
+import gladelug.control.core.CoreMessage;
+import gladelug.control.core.CoreMessage.Accept;
+import gladelug.control.core.CoreMessage.Accepted;
+import gladelug.control.core.CoreMessage.Claim;
+import gladelug.control.core.CoreMessage.Confirm;
+import gladelug.control.core.CoreMessage.Confirmed;
+import gladelug.control.core.CoreMessage.Envelope;
+import gladelug.control.core.CoreMessage.Promised;
+import gladelug.control.core.CoreMessage.Sealed;
+import gladelug.control.core.CoreMessage.Standing;
+import gladelug.control.core.Members;
+import gladelug.kernel.Address;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A multiset of messages. */
+final class CheckedNetwork {
+  /** Beyond this many the oldest is lost, so that a run does not drown in old messages. */
+  private static final int MOST = 90;
+
+  private final World world;
+  private final List<Flight> flights = new ArrayList<>();
+  private final Set<String> rewritten = new HashSet<>();
+
+  CheckedNetwork(World world) {
+    this.world = world;
+  }
+
+  List<Flight> flights() {
+    return flights;
+  }
+
+  void send(CheckedMachine from, Address to, Envelope m) {
+    CheckedMachine receiver = world.at(to);
+    if (receiver == null || !receiver.up() || !world.modelled(m.said())) return;
+    flights.add(new Flight(from.name, receiver.name, mutated(m)));
+    if (flights.size() > MOST) flights.remove(0);
+    world.budget.sent(m.said());
+  }
+
+  /** A process ended: what was on its way to it is lost. */
+  void ended(CheckedMachine m) {
+    flights.removeIf(f -> f.to().equals(m.name));
+  }
+
+  /** The message a step means, or null where there is none such. */
+  Flight find(Step s) {
+    List<Flight> of = new ArrayList<>();
+    for (Flight f : flights)
+      if (f.to().equals(s.machine()) && f.from().equals(s.other()) && f.type().equals(s.what()))
+        of.add(f);
+    return of.isEmpty() ? null : of.get((int) Math.min(s.amount(), of.size() - 1));
+  }
+
+  /** The step that delivers, repeats or loses the message at this place. */
+  Step step(Step.Kind kind, int place) {
+    Flight f = flights.get(place);
+    int before = 0;
+    for (int i = 0; i < place; i++) {
+      Flight x = flights.get(i);
+      if (x.to().equals(f.to()) && x.from().equals(f.from()) && x.type().equals(f.type())) before++;
+    }
+    return new Step(kind, f.to(), f.from(), f.type(), before);
+  }
+
+  void remove(Flight f) {
+    flights.remove(f);
+  }
+
+  /** Independent of the order in which the messages were sent. */
+  long digest() {
+    long sum = 0;
+    for (Flight f : flights) sum += f.digest();
+    return sum;
+  }
+
+  // ---- mutations
+
+  /** What goes out in place of a message. */
+  Envelope mutated(Envelope m) {
+    if (world.setup.mutation() != Mutation.CONFIRM_BELOW_PROMISE
+        || !(m.said() instanceof Confirmed c)) return m;
+    List<Standing> all = c.standings().stream().map(CheckedNetwork::confirmed).toList();
+    return new Envelope(m.generation(), m.from(), m.disk(), new Confirmed(c.round(), all));
+  }
+
+  private static Standing confirmed(Standing s) {
+    return new Standing(s.key(), s.epoch(), true, s.epoch(), s.accepted(), s.number());
+  }
+
+  /** Lets answers of others be made up where a mutation says so. */
+  void sentToItself(CheckedMachine m, Envelope e) {
+    world.budget.sent(e.said());
+    CoreMessage forged = forged(e.said());
+    if (forged == null) return;
+    for (Members.Member other : m.node.members().all())
+      if (!other.name().equals(m.name))
+        m.tellItself(new Envelope(e.generation(), other.name(), other.disk(), forged));
+  }
+
+  private CoreMessage forged(CoreMessage said) {
+    return switch (world.setup.mutation()) {
+      case MAJORITY_OF_ONE -> isOwnConsent(said) ? said : null;
+      case SERVING_WITHOUT_REWRITE -> said instanceof Accept a ? firstAccepted(a) : null;
+      case READ_WITHOUT_ROUND -> said instanceof Confirm c ? confirmedByAll(c) : null;
+      case SEAL_WITHOUT_MAJORITY ->
+          said instanceof Sealed s ? new Sealed(s.next(), List.of()) : null;
+      default -> null;
+    };
+  }
+
+  private static boolean isOwnConsent(CoreMessage said) {
+    return said instanceof Promised p && p.ok() || said instanceof Accepted a && a.ok();
+  }
+
+  private CoreMessage firstAccepted(Accept a) {
+    if (!rewritten.add(a.key() + a.epoch())) return null;
+    return new Accepted(a.key(), a.epoch(), CoreInspection.value(a).number(), true, a.epoch());
+  }
+
+  private static CoreMessage confirmedByAll(Confirm c) {
+    List<Standing> all = new ArrayList<>();
+    for (Claim x : c.claims())
+      all.add(new Standing(x.key(), x.epoch(), true, x.epoch(), x.epoch(), Long.MAX_VALUE));
+    return new Confirmed(c.round(), all);
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/Flight.java
@@ -0,0 +1,32 @@
+/*
+ * A message on its way between two processes. It ends with the process it was sent to, as its
+ * connection does, but outlives its sender.
+ */
+package gladelug.rehearsal.check;
+
+import gladelug.control.core.CoreMessage;
+import gladelug.control.core.CoreMessage.Envelope;
+import gladelug.kernel.message.Wire;
+import java.util.Arrays;
+
+/** A message in flight; type: the name of its type. */
+record Flight(String from, String to, String type, Envelope envelope) {
+  Flight(String from, String to, Envelope envelope) {
+    this(from, to, envelope.said().getClass().getSimpleName(), envelope);
+  }
+
+  /** The key it is about, or an empty text where it is about none or several. */
+  static String key(CoreMessage m) {
+    if (m instanceof CoreMessage.Promise x) return x.key();
+    if (m instanceof CoreMessage.Promised x) return x.key();
+    if (m instanceof CoreMessage.Accept x) return x.key();
+    if (m instanceof CoreMessage.Accepted x) return x.key();
+    return "";
+  }
+
+  /** Equal for messages of the same contents between the same two machines. */
+  long digest() {
+    long h = from.hashCode() * 31L + to.hashCode();
+    return Mixing.mix(h, Arrays.hashCode(Wire.bytes(envelope)));
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/Rules.java
@@ -0,0 +1,341 @@
+/*
+ * What must hold after each step of a checked run, whatever failed before. Chosen is a value that a
+ * majority of a generation's members had accepted, durably, under one epoch.
+ */
+package gladelug.rehearsal.check;
+
+import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.CoreInspection;
+import gladelug.control.core.CoreInspection.KeptCell;
+import gladelug.control.core.CoreInspection.NumberedValue;
+import gladelug.control.core.CoreNode;
+import gladelug.control.core.Members;
+import gladelug.control.core.Newest;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Judges one run, step by step; the first rule broken ends it. */
+final class Rules {
+  /** The rules, in the words they are reported in. */
+  enum Rule {
+    ONE_VALUE_PER_NUMBER("a number of a key means one value"),
+    CHOSEN_IS_KEPT("what a majority accepted is in all that is accepted later"),
+    ACKNOWLEDGED_IS_CHOSEN("a change is acknowledged only once a majority has it durably"),
+    SERVED_IS_CHOSEN("an owner serves only what a majority has under its epoch"),
+    READ_IS_NEWEST("a read returns nothing older than what was acknowledged before it"),
+    REFUSED_IS_NOT_TAKEN("a change answered as not taken never takes effect"),
+    EPOCHS_RISE("promised and accepted epochs on one disk only rise"),
+    ONE_OWNER_PER_EPOCH("an epoch has one owner"),
+    ONE_SET_PER_GENERATION("a generation has one set of members"),
+    SEALED_BEFORE_NEXT("a generation begins only after a majority of the former is sealed"),
+    NEXT_HAS_ALL("who takes part in a generation has all that was chosen before it"),
+    NO_EXCEPTION("the protocol throws nothing");
+
+    final String words;
+
+    Rule(String words) {
+      this.words = words;
+    }
+  }
+
+  /** A rule that does not hold. */
+  record Broken(Rule rule, String how) {
+    @Override
+    public String toString() {
+      return rule.words + ": " + how;
+    }
+  }
+
+  private record Served(long epoch, long number) {}
+
+  private final World world;
+  private Broken broken;
+
+  /** By key and number: the digest it stands for. */
+  private final Map<String, Map<Long, String>> meaning = new HashMap<>();
+
+  /** By key and epoch: the highest value chosen under it. */
+  private final Map<String, NavigableMap<Long, NumberedValue>> chosen = new HashMap<>();
+
+  /** By key and epoch, and then by disk: the highest value accepted under it. */
+  private final Map<String, Map<Long, Map<String, NumberedValue>>> accepted = new HashMap<>();
+
+  private final Map<String, Long> newestTold = new HashMap<>();
+  private final Map<String, String> refused = new HashMap<>();
+  private final Map<String, KeptCell> cells = new HashMap<>();
+  private final Map<String, String> owners = new HashMap<>();
+  private final Map<String, Served> served = new HashMap<>();
+  private final Map<String, Long> generationAt = new HashMap<>();
+  private final Map<Long, Members> generations = new LinkedHashMap<>();
+
+  /** By next generation: the disks that refuse the one before it. */
+  private final Map<Long, Set<String>> sealedFor = new HashMap<>();
+
+  private long digest;
+
+  Rules(World world) {
+    this.world = world;
+  }
+
+  Broken broken() {
+    return broken;
+  }
+
+  void breaks(Rule rule, String how) {
+    if (broken == null) broken = new Broken(rule, how);
+  }
+
+  /** Equal for runs that can be judged alike from here. */
+  long digest() {
+    return digest;
+  }
+
+  private void noted(String what, long value) {
+    digest += Mixing.mix(what.hashCode(), value);
+  }
+
+  int chosenValues() {
+    return meaning.values().stream().mapToInt(Map::size).sum();
+  }
+
+  long newestGeneration() {
+    return generations.keySet().stream().mapToLong(x -> x).max().orElse(0);
+  }
+
+  // ---- disks
+
+  /** A write became durable. */
+  void durable(CheckedMachine m, CheckedDisk.Write w) {
+    if (w.entry().startsWith(CoreInspection.CELL)) {
+      String key = w.entry().substring(CoreInspection.CELL.length());
+      if (world.setup.keys().contains(key))
+        durableCell(m, key, CoreInspection.cell(w.state()), w.accept());
+    } else if (w.entry().equals(CoreInspection.SEALED)) {
+      seals(m, CoreInspection.members(w.state()));
+    } else if (w.entry().equals(CoreInspection.MEMBERS)) {
+      Members members = CoreInspection.members(w.state());
+      seals(m, members);
+      hasAllChosenBefore(m, members);
+    }
+  }
+
+  private void durableCell(CheckedMachine m, String key, KeptCell now, boolean accept) {
+    KeptCell before = cells.put(m.disk.id + " " + key, now);
+    if (before != null && !rises(before, now))
+      breaks(
+          Rule.EPOCHS_RISE,
+          m.name + " had of " + key + " " + words(before) + ", now " + words(now));
+    if (!accept) return;
+    Map<String, NumberedValue> under =
+        accepted
+            .computeIfAbsent(key, k -> new HashMap<>())
+            .computeIfAbsent(now.epoch(), e -> new HashMap<>());
+    under.merge(m.disk.id, now.value(), (a, b) -> b.number() >= a.number() ? b : a);
+    choose(key, now.epoch(), under);
+  }
+
+  private static boolean rises(KeptCell before, KeptCell now) {
+    boolean value =
+        now.epoch() > before.epoch()
+            || now.epoch() == before.epoch() && now.value().number() >= before.value().number();
+    return value && now.promised() >= before.promised();
+  }
+
+  private static String words(KeptCell c) {
+    return c.value().number() + " of epoch " + c.epoch() + ", promised " + c.promised();
+  }
+
+  private void choose(String key, long epoch, Map<String, NumberedValue> under) {
+    Members of = generations.get(CoreInspection.generation(epoch));
+    if (of == null) return;
+    List<NumberedValue> had = new ArrayList<>();
+    for (Members.Member x : of.all()) if (under.get(x.disk()) != null) had.add(under.get(x.disk()));
+    int majority = of.all().size() / 2 + 1;
+    if (had.size() < majority) return;
+    had.sort(Comparator.comparingLong(NumberedValue::number).reversed());
+    chosen(key, epoch, had.get(majority - 1));
+  }
+
+  private void chosen(String key, long epoch, NumberedValue v) {
+    NavigableMap<Long, NumberedValue> all = chosen.computeIfAbsent(key, k -> new TreeMap<>());
+    NumberedValue known = all.get(epoch);
+    if (known != null && known.number() >= v.number()) return;
+    all.put(epoch, v);
+    noted(key + v.digest(), Mixing.mix(epoch, v.number()));
+    means(key, v, "accepted by a majority under epoch " + epoch);
+    Map.Entry<Long, NumberedValue> lower = all.lowerEntry(epoch), higher = all.higherEntry(epoch);
+    if (lower != null && !contains(v, lower.getValue()))
+      breaks(Rule.CHOSEN_IS_KEPT, lost(key, epoch, v, lower.getKey(), lower.getValue()));
+    if (higher != null && !contains(higher.getValue(), v))
+      breaks(Rule.CHOSEN_IS_KEPT, lost(key, higher.getKey(), higher.getValue(), epoch, v));
+  }
+
+  private static String lost(String key, long epoch, NumberedValue v, long old, NumberedValue was) {
+    return key
+        + " is "
+        + v.number()
+        + " under epoch "
+        + epoch
+        + " after "
+        + was.number()
+        + " under "
+        + old;
+  }
+
+  private static boolean contains(NumberedValue v, NumberedValue earlier) {
+    if (v.number() < earlier.number()) return false;
+    String same = v.remembered().get(earlier.number());
+    return same == null || same.equals(earlier.digest());
+  }
+
+  // ---- values
+
+  private void means(String key, NumberedValue v, String where) {
+    v.remembered().forEach((n, d) -> means(key, n, d, where));
+    if (v.number() > 0) means(key, v.number(), v.digest(), where);
+  }
+
+  private void means(String key, long number, String valueDigest, String where) {
+    String known =
+        meaning.computeIfAbsent(key, k -> new HashMap<>()).putIfAbsent(number, valueDigest);
+    if (known == null) noted(key + valueDigest, number);
+    else if (!known.equals(valueDigest))
+      breaks(
+          Rule.ONE_VALUE_PER_NUMBER,
+          key + " " + number + " means another value where it is " + where);
+    if (refused.containsKey(valueDigest))
+      breaks(
+          Rule.REFUSED_IS_NOT_TAKEN,
+          refused.get(valueDigest) + " and is " + number + " of " + key + ", " + where);
+  }
+
+  private boolean wasChosen(String key, long number, String valueDigest) {
+    for (NumberedValue v : chosen.getOrDefault(key, new TreeMap<>()).values()) {
+      String d = v.number() == number ? v.digest() : v.remembered().get(number);
+      if (d != null && (valueDigest == null || d.equals(valueDigest))) return true;
+    }
+    return false;
+  }
+
+  // ---- operators
+
+  /** What every answer to a read that begins now must have reached. */
+  long newestTold(String key) {
+    return newestTold.getOrDefault(key, 0L);
+  }
+
+  /** An operator was answered; valueDigest may be null where the value is not known. */
+  void answered(String key, String valueDigest, String name, ChangeAnswer a) {
+    if (a instanceof ChangeAnswer.Done d) {
+      if (!wasChosen(key, d.number(), valueDigest))
+        breaks(Rule.ACKNOWLEDGED_IS_CHOSEN, name + " as " + d.number() + " of " + key);
+      if (valueDigest != null) means(key, d.number(), valueDigest, "acknowledged");
+      told(key, d.number());
+    } else if (!(a instanceof ChangeAnswer.Unknown) && valueDigest != null) {
+      refused.put(valueDigest, name + " was answered " + a);
+      noted(valueDigest, -1);
+      Map<Long, String> taken = meaning.getOrDefault(key, Map.of());
+      if (taken.containsValue(valueDigest))
+        breaks(Rule.REFUSED_IS_NOT_TAKEN, name + " was taken before it was answered " + a);
+    }
+  }
+
+  private void told(String key, long number) {
+    if (number <= newestTold(key)) return;
+    newestTold.put(key, number);
+    noted("told " + key, number);
+  }
+
+  void read(String door, String key, long least, Newest answer) {
+    if (!answer.owned()) return;
+    if (answer.number() < least)
+      breaks(
+          Rule.READ_IS_NEWEST,
+          door + " reads " + answer.number() + " of " + key + " after " + least + " was told");
+    if (answer.number() > 0) means(key, answer.number(), answer.digest(), "read at " + door);
+    told(key, answer.number());
+  }
+
+  // ---- members and owners
+
+  private void seals(CheckedMachine m, Members next) {
+    if (sealedFor.computeIfAbsent(next.generation(), g -> new HashSet<>()).add(m.disk.id))
+      noted(m.disk.id, next.generation());
+  }
+
+  private void hasAllChosenBefore(CheckedMachine m, Members members) {
+    for (String key : world.setup.keys()) {
+      NavigableMap<Long, NumberedValue> all = chosen.getOrDefault(key, new TreeMap<>());
+      Map.Entry<Long, NumberedValue> last = all.lowerEntry(members.generation() << 40);
+      if (last == null) continue;
+      KeptCell c = cells.get(m.disk.id + " " + key);
+      if (c == null || !contains(c.value(), last.getValue()))
+        breaks(
+            Rule.NEXT_HAS_ALL,
+            m.name
+                + " takes part in generation "
+                + members.generation()
+                + " without "
+                + last.getValue().number()
+                + " of "
+                + key);
+    }
+  }
+
+  /** Looks at a machine after a step. */
+  void look(CheckedMachine m) {
+    if (!m.up()) return;
+    Members members = m.node.members();
+    Long before = generationAt.put(m.name, members.generation());
+    if (before == null || before != members.generation()) newGeneration(m, members);
+    for (String key : world.setup.keys()) if (m.node.owns(key)) owner(m, key);
+  }
+
+  private void newGeneration(CheckedMachine m, Members members) {
+    if (members.generation() == 0) return;
+    world.budget.counts(members);
+    Members same = generations.putIfAbsent(members.generation(), members);
+    if (same != null && !same.equals(members))
+      breaks(Rule.ONE_SET_PER_GENERATION, m.name + " has " + members + ", others " + same);
+    Members former = generations.get(members.generation() - 1);
+    if (same != null || former == null) return;
+    Set<String> sealed = sealedFor.getOrDefault(members.generation(), Set.of());
+    long of = former.all().stream().filter(x -> sealed.contains(x.disk())).count();
+    if (of <= former.all().size() / 2)
+      breaks(
+          Rule.SEALED_BEFORE_NEXT,
+          m.name
+              + " is in generation "
+              + members.generation()
+              + " and "
+              + of
+              + " are sealed for it");
+  }
+
+  private void owner(CheckedMachine m, String key) {
+    Served now = new Served(m.node.epochOf(key), m.node.kept(key).getKey());
+    if (now.equals(served.put(m.name + " " + key, now))) return;
+    String who = m.name + " in its life " + m.life;
+    String other = owners.putIfAbsent(key + " " + now.epoch, who);
+    if (other == null) noted(key + who, now.epoch);
+    else if (!other.equals(who))
+      breaks(
+          Rule.ONE_OWNER_PER_EPOCH,
+          who + " serves " + key + " under epoch " + now.epoch + " of " + other);
+    NumberedValue under = chosen.getOrDefault(key, new TreeMap<>()).get(now.epoch);
+    if (under == null || under.number() < now.number)
+      breaks(
+          Rule.SERVED_IS_CHOSEN,
+          who + " serves " + now.number + " of " + key + " under epoch " + now.epoch);
+    for (CoreNode.Told t : m.node.numbers(key))
+      means(key, t.number(), t.digest(), "served by " + m.name);
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/Setup.java
@@ -0,0 +1,52 @@
+/*
+ * What a checked world begins with.
+ */
+package gladelug.rehearsal.check;
+
+import gladelug.control.core.Tunables;
+import gladelug.kernel.message.Keys;
+import java.util.List;
+
+/**
+ * members: how many found the core; spares: machines that only ask to join; founded: whether the
+ * founders know the first generation already; chance: the seed of the members' own random choices,
+ * 0 for the smallest each time; keys: those the run is about.
+ */
+record Setup(
+    int members,
+    int spares,
+    boolean founded,
+    long chance,
+    List<String> keys,
+    Tunables tunables,
+    Mutation mutation) {
+  /** Members, a spare and the keys of configuration and members, nothing switched off. */
+  static Setup of(int members, boolean founded, long chance) {
+    Tunables tunables =
+        Tunables.builder()
+            .acknowledge(Tunables.Acknowledge.CONTACT)
+            .voters(members)
+            .replaceAfter(2 * Tunables.USUAL.dead())
+            .build();
+    return new Setup(
+        members,
+        2,
+        founded,
+        chance,
+        List.of(Keys.CONFIGURATION, Keys.CORE),
+        tunables,
+        Mutation.NONE);
+  }
+
+  Setup with(Mutation m) {
+    return new Setup(members, spares, founded, chance, keys, tunables, m);
+  }
+
+  Setup withKeys(List<String> k) {
+    return new Setup(members, spares, founded, chance, k, tunables, mutation);
+  }
+
+  Setup withSpares(int n) {
+    return new Setup(members, n, founded, chance, keys, tunables, mutation);
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/World.java
@@ -0,0 +1,177 @@
+/*
+ * A small core under a model checker: the product's state machines on checked machines, a network
+ * that is a set of messages, disks whose writes are durable when the run says so, and operators.
+ * A run is a sequence of steps; the same steps always give the same run.
+ */
+package gladelug.rehearsal.check;
+
+import gladelug.control.core.CoreInspection;
+import gladelug.control.core.CoreMessage;
+import gladelug.control.core.Members;
+import gladelug.kernel.Address;
+import gladelug.kernel.message.Keys;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The state of one run. */
+final class World {
+  private static final long FIRST_GENERATION = 1;
+
+  final Setup setup;
+  final CheckedNetwork network = new CheckedNetwork(this);
+  final CheckedDisks disks;
+  final FaultBudget budget = new FaultBudget(this);
+  final Rules rules = new Rules(this);
+  final Operators operators = new Operators(this);
+  private final Map<String, CheckedMachine> machines = new LinkedHashMap<>();
+  private final List<Members.Member> founders = new ArrayList<>();
+  private int addressesGiven;
+  private final boolean recordsEvents;
+  private final boolean digests;
+
+  /** For playing a run; drawn: whether what happens is kept for people. */
+  static World toPlay(Setup setup, boolean drawn) {
+    return new World(setup, drawn, false);
+  }
+
+  /** For exploring: worlds can be compared by their digests. */
+  static World toCompare(Setup setup) {
+    return new World(setup, false, true);
+  }
+
+  private World(Setup setup, boolean recordsEvents, boolean digests) {
+    this.setup = setup;
+    this.recordsEvents = recordsEvents;
+    this.digests = digests;
+    this.disks = new CheckedDisks(setup.mutation());
+    for (int i = 0; i < setup.members() + setup.spares(); i++) {
+      String name = String.valueOf((char) ('a' + i));
+      machines.put(name, new CheckedMachine(this, name, i, newAddress()));
+    }
+    for (CheckedMachine m : machines.values()) {
+      if (founders.size() == setup.members()) break;
+      founders.add(new Members.Member(m.name, "", m.address, m.address));
+      m.founder = !setup.founded();
+    }
+    if (setup.founded()) writeFirstGeneration();
+    for (CheckedMachine m : machines.values()) m.start();
+    for (CheckedMachine m : machines.values()) rules.look(m);
+  }
+
+  private void writeFirstGeneration() {
+    List<Members.Member> all = new ArrayList<>();
+    for (Members.Member f : founders) all.add(machine(f.name()).member());
+    Members first = new Members(FIRST_GENERATION, all);
+    for (Members.Member f : founders)
+      machine(f.name()).disk.format(CoreInspection.MEMBERS, CoreInspection.bytes(first));
+  }
+
+  private Address newAddress() {
+    return new Address("10.0.0." + ++addressesGiven, 100);
+  }
+
+  boolean recordsEvents() {
+    return recordsEvents;
+  }
+
+  List<Members.Member> founders() {
+    return founders;
+  }
+
+  boolean isFounder(CheckedMachine m) {
+    return founders.stream().anyMatch(f -> f.name().equals(m.name));
+  }
+
+  CheckedMachine machine(String name) {
+    return machines.get(name);
+  }
+
+  List<CheckedMachine> machines() {
+    return new ArrayList<>(machines.values());
+  }
+
+  CheckedMachine at(Address a) {
+    for (CheckedMachine m : machines.values()) if (m.address.equals(a)) return m;
+    return null;
+  }
+
+  List<Address> addresses() {
+    return machines.values().stream().map(m -> m.address).toList();
+  }
+
+  /** Whether messages like this are part of the run; others are as good as lost. */
+  boolean modelled(CoreMessage m) {
+    String key = Flight.key(m);
+    return key.isEmpty() || setup.keys().contains(key);
+  }
+
+  /** Does the step; false where it is not possible now, and then nothing happened. */
+  boolean apply(Step s) {
+    CheckedMachine m = machine(s.machine());
+    m.events.clear();
+    boolean done = possible(s, m);
+    if (!done) return false;
+    perform(s, m);
+    for (CheckedMachine x : machines.values()) rules.look(x);
+    return true;
+  }
+
+  private boolean possible(Step s, CheckedMachine m) {
+    return switch (s.kind()) {
+      case TICK, PROPOSE, READ, HEALTH, CRASH -> m.up();
+      case SWAP -> m.up() && m.node.owns(Keys.CORE);
+      case SYNC -> m.up() && m.disk.pending() > 0;
+      case DELIVER, DUPLICATE -> m.up() && network.find(s) != null;
+      case DROP -> network.find(s) != null;
+      case RESTART -> !m.up();
+      case WIPE -> budget.mayWipe(m, (s.amount() & Step.FOUNDING_AGAIN) != 0);
+    };
+  }
+
+  private void perform(Step s, CheckedMachine m) {
+    if (s.kind() != Step.Kind.DELIVER && s.kind() != Step.Kind.DUPLICATE)
+      m.history = Mixing.mix(m.history, s.hashCode());
+    switch (s.kind()) {
+      case TICK -> {
+        m.advance(s.amount());
+        m.run(m.node::tick);
+      }
+      case DELIVER, DUPLICATE -> {
+        Flight f = network.find(s);
+        if (s.kind() == Step.Kind.DELIVER) network.remove(f);
+        if (digests) m.history = Mixing.mix(m.history, f.digest());
+        m.deliver(f.envelope());
+      }
+      case DROP -> network.remove(network.find(s));
+      case SYNC -> m.sync(s.amount());
+      case CRASH -> {
+        network.ended(m);
+        m.crash(s.amount());
+      }
+      case RESTART -> m.start();
+      case WIPE -> wipe(s, m);
+      case PROPOSE -> operators.propose(m, s.what(), s.amount() == 1);
+      case READ -> operators.read(m, s.what());
+      case SWAP -> operators.swap(m, s.other(), s.what());
+      case HEALTH -> m.run(() -> m.node.healthy(s.amount() == 1));
+    }
+  }
+
+  private void wipe(Step s, CheckedMachine m) {
+    boolean foundingAgain = (s.amount() & Step.FOUNDING_AGAIN) != 0;
+    network.ended(m);
+    m.wipe();
+    m.founder = foundingAgain && isFounder(m);
+    budget.wiped(m, m.founder);
+    if ((s.amount() & Step.NEW_ADDRESS) != 0) m.address = newAddress();
+  }
+
+  /** Equal for worlds that can't be told apart by what may follow or be judged. */
+  long digest() {
+    long h = rules.digest();
+    for (CheckedMachine m : machines.values()) h = Mixing.mix(h, m.digest());
+    return Mixing.mix(h, network.digest());
+  }
+}
