--- a/control-plane/src/main/java/gladelug/control/core/CoreInspection.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreInspection.java
@@ -41,7 +41,7 @@
 
   private static NumberedValue value(Cell.Value v) {
     Map<Long, String> remembered = new LinkedHashMap<>();
-    for (Cell.Mark m : v.history()) remembered.put(m.number(), m.digest());
+    for (Cell.HistoryEntry m : v.history()) remembered.put(m.number(), m.digest());
     return new NumberedValue(v.number(), v.digest(), v.body(), remembered);
   }
 
--- a/rehearsal/src/main/java/gladelug/rehearsal/check/RandomWalk.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/RandomWalk.java
@@ -150,6 +150,7 @@
 
   private Step operatorStep() {
     CheckedMachine m = random.nextBoolean() ? anyMachine() : anyOwner(Keys.CONFIGURATION);
+    if (random.nextInt(6) == 0) return Step.on(Step.Kind.RESEND, m.name, random.nextInt(6));
     if (random.nextBoolean())
       return Step.key(Step.Kind.PROPOSE, m.name, Keys.CONFIGURATION, random.nextInt(2));
     List<String> keys = setup.keys();
--- a/rehearsal/src/main/java/gladelug/rehearsal/check/Step.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/Step.java
@@ -29,6 +29,8 @@
     WIPE,
     /** An operator sends a new value of a key; amount 1: only if the value kept here is current. */
     PROPOSE,
+    /** An operator sends the amount-th last value once more. */
+    RESEND,
     /** An operator asks for the newest value of a key. */
     READ,
     /** An operator has the member named by other replaced by the one named by what. */
@@ -68,6 +70,7 @@
           case RESTART -> "starts";
           case WIPE -> "loses its disk" + wipeFlags();
           case PROPOSE -> "is sent a value of " + what + (amount == 1 ? " on the one it has" : "");
+          case RESEND -> "is sent a value once more, " + amount + " back";
           case READ -> "is asked for " + what;
           case SWAP -> "is told to replace " + other + " by " + what;
           case HEALTH -> amount == 0 ? "finds its disk slow" : "finds its disk well";
--- a/rehearsal/src/main/java/gladelug/rehearsal/check/World.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/World.java
@@ -120,7 +120,7 @@
 
   private boolean possible(Step s, CheckedMachine m) {
     return switch (s.kind()) {
-      case TICK, PROPOSE, READ, HEALTH, CRASH -> m.up();
+      case TICK, PROPOSE, RESEND, READ, HEALTH, CRASH -> m.up();
       case SWAP -> m.up() && m.node.owns(Keys.CORE);
       case SYNC -> m.up() && m.disk.pending() > 0;
       case DELIVER, DUPLICATE -> m.up() && network.find(s) != null;
@@ -153,6 +153,7 @@
       case RESTART -> m.start();
       case WIPE -> wipe(s, m);
       case PROPOSE -> operators.propose(m, s.what(), s.amount() == 1);
+      case RESEND -> operators.resend(m, s.amount());
       case READ -> operators.read(m, s.what());
       case SWAP -> operators.swap(m, s.other(), s.what());
       case HEALTH -> m.run(() -> m.node.healthy(s.amount() == 1));
