--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/Operators.java
@@ -0,0 +1,87 @@
+/*
+ * The operators of a checked core: they send values nobody sent before and read the newest one,
+ * through the door of any machine.
+ */
+package gladelug.rehearsal.check;
+
+import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.ChangeRequest;
+import gladelug.kernel.Digest;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Sends changes and reads and hands the answers to the rules. */
+final class Operators {
+  private final World world;
+  private final List<ChangeRequest> requests = new ArrayList<>();
+  private int done;
+  private int reads;
+
+  Operators(World world) {
+    this.world = world;
+  }
+
+  int done() {
+    return done;
+  }
+
+  int reads() {
+    return reads;
+  }
+
+  /** onTheOneKept: only if the newest number is the one that this door has on disk. */
+  void propose(CheckedMachine door, String key, boolean onTheOneKept) {
+    String name = "value " + (requests.size() + 1);
+    byte[] body = name.getBytes(StandardCharsets.UTF_8);
+    ChangeRequest request =
+        onTheOneKept
+            ? ChangeRequest.onNumber(key, door.node.kept(key).getKey(), body)
+            : ChangeRequest.forgettable(key, ChangeRequest.ANY_NUMBER, body);
+    requests.add(request);
+    send(door, request, name);
+  }
+
+  /** Sends once more what was sent on a number; the back-th last request, whatever became of it. */
+  void resend(CheckedMachine door, long back) {
+    int at = requests.size() - 1 - (int) back;
+    if (at < 0 || requests.get(at).match() == ChangeRequest.ANY_NUMBER) return;
+    send(door, requests.get(at), "value " + (at + 1));
+  }
+
+  private void send(CheckedMachine door, ChangeRequest request, String name) {
+    String digest = Digest.hex(request.body());
+    Consumer<ChangeAnswer> answer =
+        a -> {
+          door.events.add(name + " answered " + a);
+          if (a instanceof ChangeAnswer.Done) done++;
+          world.rules.answered(request.key(), digest, name, a);
+        };
+    world.rules.sent(digest);
+    door.run(() -> door.node.change(request, answer));
+  }
+
+  void read(CheckedMachine door, String key) {
+    long least = world.rules.newestTold(key);
+    door.history = Mixing.mix(door.history, least);
+    door.run(
+        () ->
+            door.node.readNewest(
+                key,
+                x -> {
+                  door.events.add("read answered " + (x.owned() ? x.number() : "no owner"));
+                  if (x.owned()) reads++;
+                  world.rules.read(door.name, key, least, x);
+                }));
+  }
+
+  void swap(CheckedMachine owner, String out, String in) {
+    owner.run(
+        () -> {
+          String refusal =
+              owner.node.swap(out, in, a -> owner.events.add("replacement answered " + a));
+          if (!refusal.isEmpty()) owner.events.add(refusal);
+        });
+  }
+}
