Operators in the simulator that send again, eight at once, under seventeen kinds of trouble

Cause: the simulator's operator sent one change at a time, never again, and judged answers one by one. Operators now read the newest version, change it, go on to the next member after a failure or a second of silence, and send unchanged until they have a clear answer; every call goes into a history for the linearizability checker.

The disk of a process that has ended writes nothing more: what waited went on being written after a loss of power or a wipe, which no machine does, and such a member could not start. A disk can be full: it refuses writes, which are tried again.

--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -121,12 +121,13 @@
   void kill() {
     up = false;
     life++;
+    medium.processEnded();
   }
 
   void power() {
-    kill();
     dark = true;
     medium.power();
+    kill();
   }
 
   void diskFailed() {
@@ -149,6 +150,12 @@
     rate = r;
   }
 
+  /** The monotonic clock goes on from so many milliseconds later. */
+  void stepClock(long ms) {
+    base = now() + ms;
+    rateSince = sim.now();
+  }
+
   /** Runs now, or when the pause is over, unless the process it was meant for is gone. */
   void run(Runnable r) {
     if (!up) return;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimDisk.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimDisk.java
@@ -16,6 +16,10 @@
 
 final class SimDisk implements Medium {
   private static final int FILES = 4, SIZE = 96 << 10;
+
+  /** Between two tries of a write that a full disk refused, ms. */
+  private static final long AGAIN = 100;
+
   private final Random random;
   private byte[][] files = new byte[FILES][SIZE];
   private byte[][] before;
@@ -27,6 +31,9 @@
   boolean stalled;
   boolean failing;
 
+  /** Refuses every write, as a full disk does; what waits is tried again. */
+  boolean full;
+
   /** Milliseconds more for each sync, as on a machine with too much to do. */
   int slow;
 
@@ -48,12 +55,19 @@
 
   /** The power goes: what was being synced may be torn, what waited is gone. */
   void power() {
-    life++;
     if (busy && before != null)
       for (int i = 0; i < FILES; i++)
         for (int at = 0; at < SIZE; at += 512)
           if (random.nextBoolean()) System.arraycopy(before[i], at, files[i], at, 512);
+    processEnded();
+  }
+
+  /** Nobody writes any more; what waited to be written is gone with the process. */
+  void processEnded() {
+    life++;
     busy = false;
+    entries.clear();
+    dones.clear();
   }
 
   void wipe() {
@@ -74,7 +88,7 @@
       return;
     }
     busy = true;
-    busySince = sim.now();
+    if (busySince < 0) busySince = sim.now();
     Map<String, Ring.Entry> last = new LinkedHashMap<>();
     for (Ring.Entry e : entries) last.put(e.key(), e);
     List<Runnable> ds = new ArrayList<>(dones);
@@ -84,6 +98,9 @@
     for (int i = 0; i < FILES; i++) before[i] = files[i].clone();
     try {
       ring.write(new ArrayList<>(last.values()));
+    } catch (Ring.Refused e) {
+      tryAgain(sim, owner, new ArrayList<>(last.values()), ds);
+      return;
     } catch (IOException e) {
       owner.diskFailed();
       return;
@@ -92,6 +109,20 @@
     done(sim, owner, l, ds);
   }
 
+  /** Nothing was written: it waits in front of whatever has come since. */
+  private void tryAgain(Sim sim, SimControl owner, List<Ring.Entry> refused, List<Runnable> ds) {
+    int l = life;
+    entries.addAll(0, refused);
+    dones.addAll(0, ds);
+    sim.after(
+        AGAIN,
+        () -> {
+          if (life != l) return;
+          busy = false;
+          go(sim, owner);
+        });
+  }
+
   private void done(Sim sim, SimControl owner, int l, List<Runnable> ds) {
     sim.after(
         slow + 1 + random.nextInt(random.nextInt(6) == 0 ? 80 : 8),
@@ -128,7 +159,8 @@
   }
 
   @Override
-  public void write(int file, int at, byte[] b) {
+  public void write(int file, int at, byte[] b) throws IOException {
+    if (full) throw new IOException("no space left");
     System.arraycopy(b, 0, files[file], at, b.length);
   }
 
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Trouble.java
@@ -0,0 +1,25 @@
+/*
+ * The kinds of trouble that a core may meet in the simulator while operators call it.
+ */
+package gladelug.rehearsal.sim;
+
+/** A kind of trouble; see Troubles for how each is brought about. */
+public enum Trouble {
+  ONE_WAY_CUT,
+  SHORT_CUT,
+  LONG_CUT,
+  FLAPPING_CUT,
+  SPLIT,
+  POWER_AFTER_ACKNOWLEDGEMENT,
+  WIPE_AFTER_ACKNOWLEDGEMENT,
+  KILL,
+  REPLACEMENT,
+  TURNOVER,
+  CLOCK_STEP,
+  FREEZE,
+  DISK_STALL,
+  DISK_SLOW,
+  DISK_FULL,
+  ALL_LOSE_POWER,
+  ALL_KILLED
+}
--- /dev/null
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/OperatorsRun.java
@@ -0,0 +1,213 @@
+/*
+ * One seeded run of several operators against a core under troubles: the troubles, a closing fault,
+ * then all is well, every member reads back what was acknowledged, the last acknowledged change is
+ * sent once more, and the whole history is judged.
+ */
+package gladelug.rehearsal.sim;
+
+import gladelug.rehearsal.history.Call;
+import gladelug.rehearsal.history.Call.ChangeCall;
+import gladelug.rehearsal.history.Change;
+import gladelug.rehearsal.history.Counterexample;
+import gladelug.rehearsal.history.History;
+import gladelug.rehearsal.history.Outcome;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** A run from a seed; read its findings when it has been played. */
+final class OperatorsRun {
+  private static final long FOUNDING = 4000;
+  private static final long SETTLES = 15_000;
+  private static final long LAST_CALLS = 30_000;
+  private static final long ANSWERED_WITHIN = 5000;
+  private static final int STORY = 60;
+
+  /**
+   * How a run goes.
+   *
+   * @param connections whether members' records go by connections as TCP's
+   * @param members of the core at first, an odd number
+   * @param operators who change the configuration
+   * @param atOnce the most changes one operator has under way
+   * @param longestRest the most an operator waits between two changes, ms
+   * @param lostAnswers the share of answers that are lost
+   * @param troubles how many are begun
+   * @param kinds of trouble to choose from
+   * @param longestCalm the most time between two troubles, ms
+   */
+  record Plan(
+      boolean connections,
+      int members,
+      int operators,
+      int atOnce,
+      int longestRest,
+      double lostAnswers,
+      int troubles,
+      List<Trouble> kinds,
+      int longestCalm) {
+    /** A plan drawn from a seed. */
+    static Plan of(long seed) {
+      Random random = new Random(seed * 31_337);
+      return new Plan(
+          random.nextBoolean(),
+          random.nextInt(3) == 0 ? 5 : 3,
+          1 + random.nextInt(3),
+          random.nextInt(3) == 0 ? 8 : 1 + random.nextInt(3),
+          random.nextInt(3) == 0 ? 150 : 1500,
+          random.nextInt(3) * 0.25,
+          4 + random.nextInt(8),
+          List.of(Trouble.values()),
+          random.nextBoolean() ? 1500 : 6000);
+    }
+  }
+
+  private final long seed;
+  private final Plan plan;
+  private final Sim sim;
+  private final OperatorCalls calls;
+  private final Troubles troubles;
+  private final Random random;
+  private final List<Operator> operators = new ArrayList<>();
+  private final List<String> findings = new ArrayList<>();
+
+  private OperatorsRun(long seed, Plan plan) {
+    this.seed = seed;
+    this.plan = plan;
+    random = new Random(seed * 7907);
+    sim =
+        new Sim(
+            seed,
+            0,
+            plan.members,
+            plan.members,
+            CoreTimes.PLATFORM.with().voters(plan.members).build());
+    sim.connections = plan.connections;
+    calls = new OperatorCalls(sim, random);
+    troubles = new Troubles(sim, calls, random);
+    for (int i = 1; i <= plan.operators; i++)
+      operators.add(new Operator(sim, calls, "op" + i, random, plan.longestRest));
+  }
+
+  /** Plays the run that a seed brings. */
+  static OperatorsRun play(long seed) {
+    return play(seed, Plan.of(seed));
+  }
+
+  static OperatorsRun play(long seed, Plan plan) {
+    OperatorsRun run = new OperatorsRun(seed, plan);
+    run.play();
+    return run;
+  }
+
+  private void play() {
+    sim.say("sim", "seed " + seed + " " + plan);
+    sim.run(FOUNDING);
+    for (Operator operator : operators) operator.work(plan.atOnce);
+    calls.lostAnswers = plan.lostAnswers;
+    for (int i = 0; i < plan.troubles; i++) {
+      troubles.begin(plan.kinds.get(random.nextInt(plan.kinds.size())));
+      sim.run(random.nextInt(plan.longestCalm));
+      if (random.nextInt(3) == 0) troubles.mend();
+    }
+    closing();
+    readBack();
+    judge();
+  }
+
+  private void closing() {
+    troubles.mend();
+    sim.run(SETTLES);
+    troubles.closing((plan.members - 1) / 2);
+    sim.run(SETTLES);
+    troubles.mend();
+    sim.run(SETTLES);
+    calls.lostAnswers = 0;
+    for (Operator operator : operators) operator.stop();
+    for (long waited = 0; waited < LAST_CALLS && !operators.stream().allMatch(Operator::idle); )
+      waited += step();
+  }
+
+  private long step() {
+    sim.run(100);
+    return 100;
+  }
+
+  /** Everything is well: each member answers, in time, with what was acknowledged. */
+  private void readBack() {
+    for (String member : calls.members()) {
+      int before = calls.reads;
+      calls.read("end", member, seen -> {});
+      sim.run(OperatorCalls.SILENCE + 1);
+      if (calls.reads == before) findings.add(member + " does not answer a read at the end");
+    }
+    int before = calls.acknowledged;
+    for (long waited = 0; waited < ANSWERED_WITHIN && calls.acknowledged == before; )
+      waited += lastChangeAgain();
+    if (calls.acknowledged == before) findings.add("no change is acknowledged at the end");
+  }
+
+  /** The newest acknowledged change is sent once more; where it is not the newest, a new one is. */
+  private long lastChangeAgain() {
+    Change newest = new Change("end", 0, 1);
+    for (Call call : calls.history().calls())
+      if (call instanceof ChangeCall sent
+          && sent.outcome() == Outcome.ACKNOWLEDGED
+          && sent.change().version() >= newest.version()) newest = sent.change();
+    List<String> members = calls.members();
+    calls.change("end", members.get(random.nextInt(members.size())), newest, outcome -> {});
+    sim.run(OperatorCalls.SILENCE + 1);
+    return OperatorCalls.SILENCE;
+  }
+
+  private void judge() {
+    findings.addAll(sim.violations);
+    Counterexample.of(history()).ifPresent(x -> findings.add(x.timeline()));
+  }
+
+  /** All that operators called and were told. */
+  History history() {
+    return calls.history();
+  }
+
+  /** What was wrong; empty where nothing was. */
+  List<String> findings() {
+    return findings;
+  }
+
+  int acknowledged() {
+    return calls.acknowledged;
+  }
+
+  /** What the operators' calls came to. */
+  @Override
+  public String toString() {
+    return calls.acknowledged
+        + " acknowledged, "
+        + calls.refused
+        + " refused, "
+        + calls.unclear
+        + " without a clear answer, "
+        + calls.reads
+        + " reads";
+  }
+
+  /** The findings and the end of the story, for people. */
+  String report() {
+    List<String> story = sim.story;
+    return "seed "
+        + seed
+        + " "
+        + plan
+        + "\n"
+        + this
+        + "\n"
+        + String.join("\n", findings)
+        + "\n"
+        + String.join("\n", story.subList(Math.max(0, story.size() - STORY), story.size()));
+  }
+
+  String story() {
+    return sim.story();
+  }
+}
