--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -194,10 +194,8 @@
     }
   }
 
-  /**
-   * A change taken at one member's door for the key's owner elsewhere. match -1: whatever is there.
-   */
-  record Change(long nr, String key, long match, byte[] body) implements CoreMessage {
+  /** A change taken at one member's door for the key's owner elsewhere. */
+  record Change(long nr, ChangeRequest request) implements CoreMessage {
     @Override
     public int tag() {
       return 8;
@@ -206,9 +204,10 @@
     @Override
     public void put(DataOutputStream o) throws IOException {
       o.writeLong(nr);
-      o.writeUTF(key);
-      o.writeLong(match);
-      Wire.blob(o, body);
+      o.writeUTF(request.key());
+      o.writeLong(request.match());
+      Wire.blob(o, request.body());
+      o.writeLong(request.base());
     }
   }
 
@@ -367,6 +366,27 @@
     }
   }
 
+  private static ChangeRequest changeRequest(DataInputStream in) throws IOException {
+    String key = in.readUTF();
+    long match = in.readLong();
+    byte[] body = Wire.blob(in);
+    return new ChangeRequest(key, match, in.readLong(), body);
+  }
+
+  /**
+   * The sender was asked to stop: it owns nothing any more and ends once its place is taken, if a
+   * machine stands by.
+   */
+  record Leaving() implements CoreMessage {
+    @Override
+    public int tag() {
+      return 30;
+    }
+
+    @Override
+    public void put(DataOutputStream o) {}
+  }
+
   private static Carry carry(DataInputStream i) throws IOException {
     if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
     throw new IOException("only questions are handed on");
@@ -411,7 +431,7 @@
                           j.readLong(),
                           j.readLong(),
                           j.readLong())));
-      case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
+      case 8 -> new Change(i.readLong(), changeRequest(i));
       case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
       case 10 -> new Meet(i.readUTF(), i.readUTF(), Members.read(i));
       case 11 -> new Settled(Members.read(i), kept(i));
@@ -422,6 +442,7 @@
       case 14 -> new Sealed(i.readLong(), kept(i));
       case 17 -> new Read(i.readLong(), i.readUTF());
       case 18 -> new ReadDone(i.readLong(), Newest.read(i));
+      case 30 -> new Leaving();
       default -> throw Wire.unknown(tag);
     };
   }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -5,6 +5,7 @@
 package gladelug.rehearsal.sim;
 
 import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.ChangeRequest;
 import gladelug.control.core.CoreHost;
 import gladelug.control.core.CoreMessage;
 import gladelug.control.core.CoreNode;
@@ -124,6 +125,29 @@
     medium.processEnded();
   }
 
+  /** The process is asked to stop and ends once it may, or when its time to leave is over. */
+  void terminate() {
+    int l = life;
+    run(() -> node.leave());
+    sim.after(sim.tunables.leave(), () -> ends(l, "its time is over"));
+    endsOnceDispensable(l);
+  }
+
+  private void endsOnceDispensable(int l) {
+    if (l != life) return;
+    run(
+        () -> {
+          if (node.dispensable()) ends(l, "the others can do without it");
+        });
+    sim.after(50, () -> endsOnceDispensable(l));
+  }
+
+  private void ends(int l, String why) {
+    if (l != life || paused) return;
+    sim.say(name, "ends: " + why);
+    kill();
+  }
+
   void power() {
     dark = true;
     medium.power();
@@ -173,7 +197,7 @@
   }
 
   void propose(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
-    run(() -> node.change(key, match, body, answer));
+    run(() -> node.change(ChangeRequest.onNumber(key, match, body), answer));
   }
 
   @Override
