--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -285,12 +285,12 @@
   }
 
   /**
-   * How long nothing was heard of a member; a change of members that it outlasts doesn't start this
-   * anew.
+   * How long there was no contact with a member; a change of members that it outlasts doesn't start
+   * this anew.
    */
   long silent(String name, long now) {
     Peer f = peers.get(name);
-    return f == null ? 0 : now - Math.max(f.heard, f.known);
+    return f == null ? 0 : now - Math.max(heard(name), f.known);
   }
 
   /** Keys come to be when a replica is listed: one commander each. */
@@ -434,11 +434,16 @@
   }
 
   boolean live(String m, long now) {
-    if (m.equals(self)) return healthy && !leaving;
+    if (m.equals(self)) return healthy;
     Peer f = peers.get(m);
     return f != null && f.healthy && inContact(m, now);
   }
 
+  /** Whether a member is alive and is to stay. */
+  boolean stays(String m, long now) {
+    return live(m, now) && !membership.leaving(m, now);
+  }
+
   /**
    * Has had no contact with a majority since it could have: perhaps because the fleet has moved on
    * without it, so it asks around.
@@ -479,7 +484,7 @@
     int rank = 0;
     for (String m : order) {
       if (m.equals(self)) break;
-      if (live(m, now)) rank++;
+      if (stays(m, now)) rank++;
     }
     if (other != null) {
       ownerless.remove(o.key);
