--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -10,6 +10,7 @@
 import gladelug.control.core.CoreMessage.Claim;
 import gladelug.control.core.CoreMessage.Confirm;
 import gladelug.control.core.CoreMessage.Envelope;
+import gladelug.control.core.CoreMessage.Join;
 import gladelug.control.core.CoreMessage.Promise;
 import gladelug.control.core.CoreMessage.Promised;
 import gladelug.control.core.CoreMessage.Seal;
@@ -192,6 +193,52 @@
     Assertions.assertEquals(0, q.count("c Promised"));
   }
 
+  /** Else the one that lags could not be sealed, and the others may be too few without it. */
+  @Test
+  void aSealedMemberStillTellsItsGenerationToOneThatLags() {
+    Members second = new Members(2, THREE.all());
+    Members third =
+        new Members(
+            3, List.of(THREE.find("a"), THREE.find("b"), new Members.Member("d", "dd", A, A)));
+    Paper p = new Paper();
+    CoreNode n =
+        new CoreNode(
+            p,
+            Tunables.USUAL,
+            THREE.find("a"),
+            15_000,
+            Map.of(Membership.MEMBERS, second.bytes(), Membership.SEALED, third.bytes()),
+            null,
+            new Duties() {});
+    Assertions.assertTrue(n.sealed());
+    from(n, "b", new Join(A.toString(), A.toString()));
+    Assertions.assertEquals(1, p.count("address Settled"));
+    from(n, "c", new Seal(second));
+    Assertions.assertEquals(2, p.count("address Settled"));
+  }
+
+  @Test
+  void aMemberThatHearsOfALaterGenerationAsksForItAtOnce() {
+    Address other = Address.of("1.1.1.2:1");
+    Members two =
+        new Members(1, List.of(THREE.find("a"), new Members.Member("b", "db", other, other)));
+    Paper p = new Paper();
+    CoreNode n =
+        new CoreNode(
+            p,
+            Tunables.USUAL,
+            THREE.find("a"),
+            15_000,
+            Map.of(Membership.MEMBERS, two.bytes()),
+            null,
+            new Duties() {});
+    n.tick();
+    Assertions.assertEquals(0, p.count("address Join"));
+    n.message(new Envelope(2, "b", "db", new Promise("k", 1)));
+    n.tick();
+    Assertions.assertTrue(p.count("address Join") > 0);
+  }
+
   @Test
   void theNextGenerationIsNotToldBeforeAMajorityOfTheOldIsSealed() {
     Members next =
