No member takes a key from an owner that works for a majority

Where two members had no contact and each had with the third, keys changed hands several times a second for as long as that lasted: each tried for what the other had taken, and the third promised it to whoever asked.

A member now refuses to promise a key that another claims whom it heard lately, or that it works for itself; a member that takes a key back from one that comes after it says so and is not refused. An attempt asks the others first and gives its own promise last, so that one that fails leaves no higher promise behind with which a returning member would oust the owner. A refused member leaves the key alone for `yields` ms. Takeovers take one disk sync more.

CoreNodeTest, SimTest, TimelineTest, MembersTimelineTest, MembersSimTest, RequestSimTest, TakeoverTest, SilentConnectionsTest and the other tests of control-plane: passed.

--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -83,7 +83,16 @@
     }
   }
 
-  record Promise(String key, long epoch) implements CoreMessage {
+  /**
+   * A key is asked for under a higher epoch. handover: the present owner is known and well, and is
+   * to give the key to the one who comes before it in order; else a member that knows of a working
+   * owner refuses.
+   */
+  record Promise(String key, long epoch, boolean handover) implements CoreMessage {
+    Promise(String key, long epoch) {
+      this(key, epoch, false);
+    }
+
     @Override
     public int tag() {
       return 2;
@@ -93,10 +102,11 @@
     public void put(DataOutputStream o) throws IOException {
       o.writeUTF(key);
       o.writeLong(epoch);
+      o.writeBoolean(handover);
     }
   }
 
-  /** ok false: promised is higher than what was asked. */
+  /** ok false: promised is as high as what was asked, or the key has a working owner. */
   record Promised(
       String key, long epoch, boolean ok, long promised, long accepted, Cell.Value value)
       implements CoreMessage {
@@ -385,7 +395,7 @@
                           j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())),
               Stamp.read(i),
               Stamp.read(i));
-      case 2 -> new Promise(i.readUTF(), i.readLong());
+      case 2 -> new Promise(i.readUTF(), i.readLong(), i.readBoolean());
       case 3 ->
           new Promised(
               i.readUTF(),
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -9,7 +9,8 @@
  * none, and answers changes and reads with NoOwner at once. That holds at the latest dead + alive ms
  * after the first direction failed. A key's owner that is still heard while its answers are not
  * claims its key only so long as a majority confirms it, so whoever hears a claim leaves the key be
- * even without contact, and no one-way cut between two members moves a key from a working owner.
+ * even without contact, and refuses to promise it to a member that doesn't hear the owner. So no cut
+ * between two members moves a key from an owner that works for a majority.
  */
 package gladelug.control.core;
 
@@ -122,7 +123,7 @@
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<String, Age> ages = new HashMap<>();
 
-  /** By key: when another was last promised it. */
+  /** By key: when another was last promised it, or was found to own it. */
   private final Map<String, Long> yielded = new HashMap<>();
 
   private final Map<String, Long> ownerless = new HashMap<>();
@@ -430,7 +431,8 @@
       // taken back without churn: not while the owner is at a change, whose fate would then be
       // unknown to its
       // sender
-      if (rank == 0 && before && settled && live(other, now) && !busy(other, o.key)) o.attempt(now);
+      if (rank == 0 && before && settled && live(other, now) && !busy(other, o.key))
+        o.attempt(true, now);
       return;
     }
     long since = ownerless.computeIfAbsent(o.key, k -> now);
@@ -441,7 +443,7 @@
     // whoever was promised the key a moment ago is given the time to serve it, else all oust one
     // another for ever
     if (now - yielded.getOrDefault(o.key, Long.MIN_VALUE / 2) < tunables.yields()) return;
-    if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(now);
+    if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(false, now);
   }
 
   private boolean busy(String owner, String key) {
@@ -584,17 +586,37 @@
   private void onPromise(String from, Promise p) {
     owner(p.key()).highest = Math.max(owner(p.key()).highest, p.epoch());
     Cell c = cell(p.key());
-    if (p.epoch() <= c.promised()) {
+    if (p.epoch() <= c.promised() || !p.handover() && hasWorkingOwner(p.key(), from)) {
       to(from, new Promised(p.key(), p.epoch(), false, c.promised(), 0, Cell.Value.NONE));
       return;
     }
-    if (!from.equals(self)) yielded.put(p.key(), host.now());
+    if (!from.equals(self)) yields(p.key(), host.now());
     keep(
         p.key(),
         new Cell(p.epoch(), c.epoch(), c.value()),
         () -> to(from, new Promised(p.key(), p.epoch(), true, p.epoch(), c.epoch(), c.value())));
   }
 
+  /**
+   * Whether another than this member is known to own the key and to be well. It has to be heard
+   * more lately than whoever asks needs to have heard it, as that one may have missed its last
+   * signs of life, else a takeover would be held back by those who find the owner silent a moment
+   * later.
+   */
+  private boolean hasWorkingOwner(String key, String but) {
+    if (but.equals(self)) return false;
+    long now = host.now();
+    if (owners.get(key).inHand(now)) return true;
+    String owner = claimant(key, now);
+    long lately = (long) tunables.dead() - 2L * tunables.alive();
+    return owner != null && !owner.equals(but) && now - peers.get(owner).heard < lately;
+  }
+
+  /** Another is given the time to serve the key. */
+  void yields(String key, long now) {
+    yielded.put(key, now);
+  }
+
   private void onAccept(String from, Accept a) {
     Cell c = cell(a.key());
     if (a.epoch() < c.promised()) {
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -76,6 +76,10 @@
   private long servedAt;
   private Cell.Value value = Cell.Value.NONE;
   private final Map<String, Promised> promises = new HashMap<>();
+
+  /** Who refused this attempt since it knows of a working owner. */
+  private final Set<String> heldBack = new HashSet<>();
+
   private final Set<String> wrote = new HashSet<>();
   private final Map<String, Leased> leases = new HashMap<>();
   private final ArrayDeque<Change> waiting = new ArrayDeque<>();
@@ -139,7 +143,11 @@
     return (long) node.tunables.attempt() << Math.min(failed, 3);
   }
 
-  void attempt(long now) {
+  /**
+   * Asks the others first. This member's own promise, which would have it refuse the present owner,
+   * is given only once it makes up the majority; so an attempt that fails leaves no trace here.
+   */
+  void attempt(boolean handover, long now) {
     if (phase != Phase.IDLE && now - attempted < patience()) return;
     if (now - attempted < patience() / 2 + node.host.random(patience())) return;
     epoch = node.members().epoch(Math.max(highest, node.cell(key).promised()), node.self);
@@ -147,19 +155,28 @@
     attempted = now;
     phase = Phase.ASKING;
     promises.clear();
+    heldBack.clear();
     wrote.clear();
     node.host.event("owner-attempt", "key", key, "epoch", epoch);
-    node.toAll(new Promise(key, epoch));
+    for (Members.Member m : node.members().all())
+      if (!m.name().equals(node.self)) node.to(m.name(), new Promise(key, epoch, handover));
+    askItself();
+  }
+
+  private void askItself() {
+    if (!promises.containsKey(node.self) && promises.size() == node.members().majority() - 1)
+      node.to(node.self, new Promise(key, epoch));
   }
 
   void promised(String from, Promised p, long now) {
     highest = Math.max(highest, p.promised());
     if (phase != Phase.ASKING || p.epoch() != epoch) return;
     if (!p.ok()) {
-      depose("promise-refused", now);
+      if (p.promised() < epoch) heldBack(from, now);
+      else depose("promise-refused", now);
       return;
     }
-    promises.put(from, p);
+    if (promises.put(from, p) == null) askItself();
     if (promises.size() < node.members().majority()) return;
     Promised best = null;
     for (Promised q : promises.values())
@@ -173,6 +190,16 @@
     node.toAll(new Accept(key, epoch, value));
   }
 
+  /** Where a majority can't be had any more, the owner that the others know is left in peace. */
+  private void heldBack(String from, long now) {
+    heldBack.add(from);
+    int others = node.members().all().size() - node.members().majority();
+    if (heldBack.size() <= others) return;
+    phase = Phase.IDLE;
+    attempted = now;
+    node.yields(key, now);
+  }
+
   void accepted(String from, Accepted a, long now) {
     highest = Math.max(highest, a.promised());
     if (phase == Phase.IDLE || a.epoch() != epoch) return;
--- /dev/null
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/PartialCutTest.java
@@ -0,0 +1,55 @@
+/*
+ * Tests of a core in which two members have no contact with each other and each has with the rest.
+ */
+package gladelug.rehearsal.sim;
+
+import gladelug.kernel.message.Keys;
+import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class PartialCutTest {
+  private static final int SEEDS = 10;
+
+  private enum Cut {
+    BOTH_WAYS,
+    OWNER_IS_NOT_HEARD,
+    OWNER_DOES_NOT_HEAR
+  }
+
+  private static int ousted(Cut cut, String other, boolean connections) {
+    int ousted = 0;
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      Sim s = Takeover.fleet(seed, true);
+      s.connections = connections;
+      String owner = s.owner(Keys.CONFIGURATION);
+      s.ousted = 0;
+      if (cut != Cut.OWNER_DOES_NOT_HEAR) s.cut(owner, other);
+      if (cut != Cut.OWNER_IS_NOT_HEARD) s.cut(other, owner);
+      s.run(20_000);
+      s.healAll();
+      s.run(5000);
+      Assertions.assertEquals(List.of(), s.violations);
+      Assertions.assertTrue(Takeover.longestGap(s) <= 30, cut + " " + Takeover.longestGap(s));
+      ousted += s.ousted;
+    }
+    return ousted;
+  }
+
+  private static void noneIsOusted(boolean connections) {
+    for (Cut cut : Cut.values())
+      for (String other : new String[] {"c1", "c2"})
+        Assertions.assertEquals(0, ousted(cut, other, connections), cut + " " + other);
+  }
+
+  @Test
+  void noWorkingOwnerIsOustedByAMemberThatHasNoContactWithIt() {
+    noneIsOusted(true);
+  }
+
+  /** Where records find their own way, a one-way cut leaves the other way open. */
+  @Test
+  void norWhereTheOtherWayStaysOpen() {
+    noneIsOusted(false);
+  }
+}
