--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -52,6 +52,10 @@
   static final int LARGEST = 6 << 20;
   private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
   private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
+
+  /** How long one that leaves waits for the changes under way, in ms. */
+  private static final long HAND_OVER = 1000;
+
   private static final int MOST_WORDS = 300;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -87,6 +91,7 @@
       String via) {}
 
   private static final class Peer {
+    final long known;
     long heard = NEVER;
 
     /** What it sent last, by its clock. */
@@ -98,6 +103,10 @@
     long since;
     boolean healthy;
     List<Owned> owned = List.of();
+
+    Peer(long known) {
+      this.known = known;
+    }
   }
 
   private record Age(long number, long at, long age) {}
@@ -147,6 +156,11 @@
 
   private boolean healthy = true;
 
+  /** Asked to stop, and since when. */
+  private boolean leaving;
+
+  private long leavingSince;
+
   /** Not a member of the generation before: who owns what has to be heard first. */
   private boolean newcomer = true;
 
@@ -234,7 +248,7 @@
     for (Peer f : peers.values()) f.owned = List.of();
     ownerless.clear();
     rounds.clear();
-    for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer());
+    for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer(began));
     host.members(m);
     host.event(
         "members",
@@ -271,6 +285,15 @@
     return n >= members().majority();
   }
 
+  /**
+   * How long there was no contact with a member; a change of members that it outlasts doesn't start
+   * this anew.
+   */
+  long silent(String name, long now) {
+    Peer f = peers.get(name);
+    return f == null ? 0 : now - Math.max(heard(name), f.known);
+  }
+
   /** Keys come to be when a replica is listed: one commander each. */
   public void know(String key) {
     owner(key);
@@ -283,6 +306,33 @@
     if (!h) for (KeyOwner o : owners.values()) o.depose("disk", host.now());
   }
 
+  /**
+   * The process was asked to stop: its keys go to others as soon as no change of them is under way,
+   * and its place to a machine that stands by.
+   */
+  public void leave() {
+    if (leaving) return;
+    leaving = true;
+    leavingSince = host.now();
+    host.event("leaving", "generation", members().generation());
+  }
+
+  /** Whether the process may end: it owns nothing, and the others can do without it. */
+  public boolean dispensable() {
+    return leaving
+        && owners.values().stream().noneMatch(KeyOwner::serving)
+        && membership.dispensable(host.now());
+  }
+
+  private void handOver(long now) {
+    boolean late = now - leavingSince >= HAND_OVER;
+    for (KeyOwner o : owners.values()) {
+      if (!o.serving() || o.busy() && !late) continue;
+      o.depose("leaving", now);
+      lastAlive = Long.MIN_VALUE / 2;
+    }
+  }
+
   public boolean owns(String key) {
     KeyOwner o = owners.get(key);
     return o != null && o.serving();
@@ -293,6 +343,13 @@
     return o != null && o.mayCommand(host.now());
   }
 
+  /** The right to command in a key's name now, with its end. */
+  public CommandRight commandRight(String key) {
+    return mayCommand(key)
+        ? new CommandRight(epochOf(key), owners.get(key).commandsUntil())
+        : CommandRight.NONE;
+  }
+
   public long epochOf(String key) {
     return owners.get(key).epoch;
   }
@@ -307,10 +364,12 @@
       membership.join(now);
       return;
     }
-    if (membership.retired() || alone(now)) membership.join(now);
+    if (leaving) membership.sayLeaving(now);
+    else if (membership.retired() || membership.behind() || alone(now)) membership.join(now);
     if (membership.sealed() && !membership.retired()) membership.drive(now);
     if (!membership.active()) return;
-    membership.plan(now, Math.max(began, booted));
+    membership.reviseMembers(now);
+    if (leaving) handOver(now);
     if (now - lastAlive >= tunables.alive()) {
       lastAlive = now;
       List<Owned> l = claims(now);
@@ -341,7 +400,7 @@
   private void sayAlive(String to, List<Owned> claims, long now) {
     Peer f = peers.get(to);
     Stamp heard = f == null ? Stamp.NONE : f.sent;
-    to(to, new Alive(healthy, now - booted, claims, new Stamp(run, now), heard));
+    to(to, new Alive(healthy && !leaving, now - booted, claims, new Stamp(run, now), heard));
   }
 
   /** A new connection to a member stands: a sign of life at once, for the time without one. */
@@ -357,7 +416,7 @@
       return;
     }
     if (majoritySince == NEVER) majoritySince = now;
-    if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
+    if (healthy && !leaving) for (KeyOwner o : owners.values()) perhapsTry(o, now);
   }
 
   /**
@@ -381,6 +440,11 @@
     return f != null && f.healthy && inContact(m, now);
   }
 
+  /** Whether a member is alive and is to stay. */
+  boolean stays(String m, long now) {
+    return live(m, now) && !membership.leaving(m, now);
+  }
+
   /**
    * Has had no contact with a majority since it could have: perhaps because the fleet has moved on
    * without it, so it asks around.
@@ -421,7 +485,7 @@
     int rank = 0;
     for (String m : order) {
       if (m.equals(self)) break;
-      if (live(m, now)) rank++;
+      if (stays(m, now)) rank++;
     }
     if (other != null) {
       ownerless.remove(o.key);
@@ -468,6 +532,11 @@
     toAll(new Confirm(r.nr, cs));
   }
 
+  /** Rounds of confirmation that begin from now on have higher numbers. */
+  long lastRound() {
+    return nr;
+  }
+
   void confirmSoon() {
     lastConfirm = Long.MIN_VALUE / 2;
   }
@@ -498,7 +567,7 @@
 
   private void handedOn(Change c, String from, long now) {
     if (alone(now)) to(from, new Changed(c.nr(), new ChangeAnswer.NoOwner()));
-    else owner(c.key()).propose(c.match(), c.body(), a -> to(from, new Changed(c.nr(), a)), now);
+    else owner(c.request().key()).propose(c.request(), a -> to(from, new Changed(c.nr(), a)), now);
   }
 
   private void answered(CoreMessage s) {
@@ -522,7 +591,7 @@
     Address to = membership.standsBy(e);
     if (to == null) return false;
     if (s instanceof Change c && firstTime(c.nr()))
-      change(c.key(), c.match(), c.body(), a -> toAddress(to, new Changed(c.nr(), a)));
+      change(c.request(), a -> toAddress(to, new Changed(c.nr(), a)));
     else if (s instanceof Read r) readNewest(r.key(), a -> toAddress(to, new ReadDone(r.nr(), a)));
     return true;
   }
@@ -539,7 +608,7 @@
   }
 
   private void alive(String from, Alive a, long now) {
-    Peer f = peers.computeIfAbsent(from, n -> new Peer());
+    Peer f = peers.computeIfAbsent(from, n -> new Peer(now));
     boolean knew = inContact(from, now);
     if (!knew || !f.healthy) f.since = now;
     f.heard = now;
@@ -623,7 +692,10 @@
       to(from, new Accepted(a.key(), a.epoch(), a.value().number(), false, c.promised()));
       return;
     }
-    Cell n = c.takes(a.epoch(), a.value().number()) ? new Cell(a.epoch(), a.epoch(), a.value()) : c;
+    Cell n =
+        c.isReplacedBy(a.epoch(), a.value().number())
+            ? new Cell(a.epoch(), a.epoch(), a.value())
+            : c;
     keep(
         a.key(),
         n,
@@ -657,17 +729,24 @@
       if (r == null || !s.ok() || o.epoch != s.epoch() || !o.serving()) continue;
       Set<String> by = r.by.computeIfAbsent(s.key(), k -> new HashSet<>());
       by.add(from);
-      if (by.size() >= members().majority()) o.confirmedRound(r.start);
+      if (by.size() >= members().majority()) o.confirmedRound(r.nr, r.start);
     }
   }
 
   // ---- changes from operators and duties
 
+  /** A change that isn't remembered; see the other. */
   public void change(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
+    change(ChangeRequest.forgettable(key, match, body), answer);
+  }
+
+  /** Has a change taken by the key's owner, here or elsewhere, and answers what became of it. */
+  public void change(ChangeRequest request, Consumer<ChangeAnswer> answer) {
+    String key = request.key();
     KeyOwner o = owner(key);
     long now = host.now();
     if (o.serving() && !alone(now)) {
-      o.propose(match, body, answer, now);
+      o.propose(request, answer, now);
       return;
     }
     String other = membership.active() ? liveOwner(key, now) : null;
@@ -678,14 +757,14 @@
     }
     long n = ++nr;
     if (other == null) {
-      forwarded.put(n, new Forwarded(A_MEMBER, match >= 0 ? match + 1 : -1, now, answer));
-      toAddress(door, new Change(n, key, match, body));
+      forwarded.put(n, new Forwarded(A_MEMBER, request.expectedNumber(), now, answer));
+      toAddress(door, new Change(n, request));
       return;
     }
-    forwarded.put(
-        n,
-        new Forwarded(other, (match >= 0 ? match : cell(key).value().number()) + 1, now, answer));
-    to(other, new Change(n, key, match, body));
+    boolean anyNumber = request.match() == ChangeRequest.ANY_NUMBER;
+    long expected = anyNumber ? cell(key).value().number() + 1 : request.expectedNumber();
+    forwarded.put(n, new Forwarded(other, expected, now, answer));
+    to(other, new Change(n, request));
   }
 
   /**
@@ -878,13 +957,20 @@
     KeyOwner o = owners.get(key);
     Cell.Value v = o != null && o.serving() ? o.value() : cell(key).value();
     List<Told> l = new ArrayList<>();
-    for (Cell.Mark m : v.history()) {
+    for (Cell.HistoryEntry m : v.history()) {
       Map<String, Long> r =
           new LinkedHashMap<>(
               reached.getOrDefault(key, new TreeMap<>()).getOrDefault(m.number(), Map.of()));
       Long acked = r.remove(ACKNOWLEDGED);
       l.add(
-          new Told(m.number(), m.digest(), m.at(), m.by(), m.what(), acked == null ? 0 : acked, r));
+          new Told(
+              m.number(),
+              m.digest(),
+              m.takenAt(),
+              m.takenBy(),
+              m.summary(),
+              acked == null ? 0 : acked,
+              r));
     }
     return l;
   }
@@ -979,7 +1065,7 @@
         owners.get(key) != null && owners.get(key).serving() ? owners.get(key).value() : null;
     if (v == null) return "unknown";
     if (number > v.number()) return "not-yet";
-    for (Cell.Mark m : v.history())
+    for (Cell.HistoryEntry m : v.history())
       if (m.number() == number) return m.digest().equals(digest) ? "taken" : "other";
     return "forgotten";
   }
