Takeover test names its troubles apart; a full disk there refuses rather than stops

Two classes named Trouble had come into one package, one of the tests and one of the simulator, and the first hid the second. The one of TakeoverTest is now OwnerTrouble. Its full disk stopped the process, which a full disk doesn't: it refuses, as SimDisk can say since, and the disk that fails and stops its process is a trouble of its own.

--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/Trouble.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/OwnerTrouble.java
@@ -3,7 +3,7 @@
  */
 package gladelug.rehearsal.sim;
 
-enum Trouble {
+enum OwnerTrouble {
   SILENT_CUT("silent cut") {
     @Override
     void begin(Sim s, SimControl c) {
@@ -103,6 +103,17 @@
     }
   },
   FULL_DISK("full disk") {
+    @Override
+    void begin(Sim s, SimControl c) {
+      c.medium.full = true;
+    }
+
+    @Override
+    void end(Sim s, SimControl c) {
+      c.medium.full = false;
+    }
+  },
+  FAILED_DISK("failed disk, the process stops") {
     @Override
     void begin(Sim s, SimControl c) {
       c.medium.failing = true;
@@ -117,7 +128,7 @@
 
   final String words;
 
-  Trouble(String words) {
+  OwnerTrouble(String words) {
     this.words = words;
   }
 
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/TakeoverTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/TakeoverTest.java
@@ -66,7 +66,7 @@
     return Takeover.keys().stream().filter(k -> t.owner(k, null) == c).toList();
   }
 
-  private static void add(Times times, Takeover t, Sim s, Trouble trouble) {
+  private static void add(Times times, Takeover t, Sim s, OwnerTrouble trouble) {
     SimControl c = t.owner(Keys.CONFIGURATION, null);
     if (c == null) c = s.controls.get("c1");
     List<String> keys = ownedBy(t, c);
@@ -79,7 +79,7 @@
     Assertions.assertEquals(List.of(), s.violations);
   }
 
-  private static Times alone(Trouble trouble) {
+  private static Times alone(OwnerTrouble trouble) {
     Times times = new Times();
     for (long seed = 1; seed <= SEEDS_ALONE; seed++) {
       Sim s = Takeover.fleet(seed, true);
@@ -90,7 +90,7 @@
     return times;
   }
 
-  private static Times after(Trouble first, Trouble second) {
+  private static Times after(OwnerTrouble first, OwnerTrouble second) {
     Times times = new Times();
     for (long seed = 1; seed <= SEEDS; seed++) {
       Sim s = Takeover.fleet(seed, true);
@@ -120,7 +120,7 @@
   void leasesOutlastAnyTroubleOfAnOwner() {
     System.out.println(HEAD);
     List<String> failures = new ArrayList<>();
-    for (Trouble t : Trouble.values()) {
+    for (OwnerTrouble t : OwnerTrouble.values()) {
       Times times = alone(t);
       System.out.println(times.line(t.words));
       outlasted(times, UNCONFIRMED, t.words, failures);
@@ -132,8 +132,8 @@
   void leasesOutlastTroubleThatComesRightAfterOther() {
     System.out.println(HEAD);
     List<String> failures = new ArrayList<>();
-    for (Trouble first : Trouble.values())
-      for (Trouble second : Trouble.values()) {
+    for (OwnerTrouble first : OwnerTrouble.values())
+      for (OwnerTrouble second : OwnerTrouble.values()) {
         String what = first.words + ", then " + second.words;
         Times times = after(first, second);
         System.out.println(times.line(what));
