Data folders that can't be used are findings and left as they are

Causes (by reading; the seams to show them fail by are new): - a ring file that was missing beside an identity was made anew with zeros, so a member could start on older state than it had promised; - ring files without identity.json were opened under a new disk id; - an identity without a disk id, or with a field of another type, passed or ended the start with a stack trace; so did a cell or member list that can't be read, after the listener for records was open; - a folder of a newer release, a frame of an unknown kind, bytes after a cell's end and the state of another disk were not told apart from good ones; - another DiskMb than the folder was made with kept the member from starting; - a change that did not fit into a ring file with the other keys' values ended every member that wrote it.

Change: DiskIdentity holds and checks identity.json, with a format number. Folder makes files only without an identity and opens them with the size that it names. CoreDisk writes a first frame before the identity, so an identity beside a ring without frames is damage. DurableState checks all state before the member begins; a name it doesn't know is reported and kept. A cell that can't be read is no record between members either. CoreNode.largest answers TooLarge for what the disk can't keep beside the rest.

A member with a damaged folder does not start: it ends with the finding, as before.

--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -4,7 +4,6 @@
  */
 package gladelug.control;
 
-import com.eclipsesource.json.Json;
 import gladelug.control.core.CoreNode;
 import gladelug.control.core.CoreService;
 import gladelug.control.core.Members;
@@ -28,6 +27,7 @@
 import gladelug.kernel.message.Shuffle;
 import gladelug.kernel.view.ViewService;
 import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -168,23 +168,18 @@
               + MOST_FOUNDERS
               + " of different names, of which this is one; give --founders");
     try (Folder f = new Folder(Path.of(p.data), p.ringFile << 20)) {
-      if (f.identity() != null)
+      String identity = f.identity();
+      if (identity != null)
         throw new Kernel.CannotStart(
-            "data folder " + p.data + " is already that of " + f.identity().getString("name", "?"));
-      f.prepare();
-      var a = Json.array();
-      for (Members.Member m : p.founders)
-        a.add(
-            Json.object()
-                .add("name", m.name())
-                .add("records", m.records().toString())
-                .add("operator", m.operator().toString()));
-      f.identity(
-          Json.object()
-              .add("name", p.name)
-              .add("disk", CoreDisk.newId())
-              .add("ringFile", p.ringFile << 20)
-              .add("founders", a));
+            "data folder "
+                + p.data
+                + " is already that of "
+                + (DiskIdentity.read(identity) instanceof Result.Good<DiskIdentity> known
+                    ? known.value().name()
+                    : "somebody; its identity.json cannot be read"));
+      CoreDisk.create(f, p.name, p.founders);
+    } catch (IOException e) {
+      throw new Kernel.CannotStart("data folder " + p.data + " cannot be founded: " + e, e);
     }
     Log.event("founded", "name", p.name, "data", p.data);
   }
--- a/control-plane/src/main/java/gladelug/control/CoreDisk.java
+++ b/control-plane/src/main/java/gladelug/control/CoreDisk.java
@@ -1,94 +1,103 @@
 /*
  * A member's disk as it is opened: its id and its ring, and the founders it was given while the fleet is not settled.
- * An empty disk gets an id; without founders it only ever joins and votes on nothing until it is let in.
+ * An empty disk gets an id; without founders it only ever joins and votes on nothing until it is let in. A folder that
+ * can't be read as a whole is left as it is, and the start fails with what was found where: a member that goes on with
+ * less than it promised could undo what was acknowledged.
  */
 package gladelug.control;
 
-import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonArray;
-import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.JsonValue;
+import gladelug.control.core.DurableState;
 import gladelug.control.core.Members;
-import gladelug.kernel.Address;
+import gladelug.kernel.Finding;
 import gladelug.kernel.Kernel;
 import gladelug.kernel.Log;
+import gladelug.kernel.Result;
 import gladelug.kernel.disk.Folder;
 import gladelug.kernel.disk.Ring;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.security.SecureRandom;
-import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
+import java.util.stream.Collectors;
 
-public record CoreDisk(String id, Ring ring, List<Members.Member> founders) {
-  static String newId() {
-    byte[] b = new byte[12];
-    new SecureRandom().nextBytes(b);
-    return HexFormat.of().formatHex(b);
-  }
+/**
+ * id: the disk's own. ring: what is kept on it. founders: those given at the first start. folder:
+ * where it is; closing lets another process open it.
+ */
+public record CoreDisk(String id, Ring ring, List<Members.Member> founders, Folder folder)
+    implements AutoCloseable {
+  private static final String EMPTY_IT = "empty it and this machine joins anew";
 
   /**
    * founders: those of a fleet that starts for the first time, this one too; they count for an
-   * empty disk only.
+   * empty disk only. ringFileMb counts for an empty disk only, too.
    */
   public static CoreDisk open(
       String name, String data, int ringFileMb, List<Members.Member> founders) {
     Folder folder = new Folder(Path.of(data), ringFileMb << 20);
-    JsonObject id = folder.identity();
-    if (id == null) {
-      folder.prepare();
-      id = identity(name, ringFileMb << 20, founders);
-      folder.identity(id);
-      Log.event(
-          founders.isEmpty() ? "empty-disk-joins" : "empty-disk-founds",
-          "name",
-          name,
-          "data",
-          data);
-    }
-    if (!id.getString("name", "").equals(name))
-      throw new Kernel.CannotStart(
-          "data folder " + data + " belongs to " + id.getString("name", "?") + ", not to " + name);
-    folder.prepare();
     try {
-      return new CoreDisk(id.getString("disk", ""), Ring.open(folder), founders(id));
+      String identity = folder.identity();
+      return identity == null ? create(folder, name, founders) : reopen(folder, name, identity);
+    } catch (RuntimeException e) {
+      folder.close();
+      throw e;
     } catch (IOException e) {
+      folder.close();
+      throw damaged(data, e.getMessage());
+    }
+  }
+
+  /** Makes a folder that holds nothing yet. Its ring gets a first frame before it gets an id. */
+  static CoreDisk create(Folder folder, String name, List<Members.Member> founders)
+      throws IOException {
+    folder.create();
+    Ring ring = Ring.open(folder);
+    if (!ring.live().isEmpty())
       throw new Kernel.CannotStart(
           "data folder "
-              + data
-              + " is damaged: "
-              + e.getMessage()
-              + "; empty it and this machine joins anew",
-          e);
-    }
+              + folder.dir()
+              + " holds state but no identity.json, so it is not known whose; put that back, or "
+              + EMPTY_IT);
+    ring.write(List.of(new Ring.Entry("", new byte[0])));
+    DiskIdentity identity = DiskIdentity.create(name, folder.size(), founders);
+    folder.identity(identity.json());
+    Log.event(
+        founders.isEmpty() ? "empty-disk-joins" : "empty-disk-founds",
+        "name",
+        name,
+        "data",
+        folder.dir());
+    return new CoreDisk(identity.disk(), ring, identity.founders(), folder);
+  }
+
+  private static CoreDisk reopen(Folder folder, String name, String text) throws IOException {
+    Result<DiskIdentity> read = DiskIdentity.read(text);
+    if (read instanceof Result.Bad<DiskIdentity> bad)
+      throw new Kernel.CannotStart(
+          "identity.json in " + folder.dir() + " cannot be used: " + told(bad.findings()));
+    DiskIdentity identity = ((Result.Good<DiskIdentity>) read).value();
+    if (!identity.name().equals(name))
+      throw new Kernel.CannotStart(
+          "data folder " + folder.dir() + " belongs to " + identity.name() + ", not to " + name);
+    folder.open(identity.ringFile());
+    Ring ring = Ring.open(folder);
+    if (ring.unwritten() && identity.format() > 0)
+      throw damaged(folder.dir().toString(), "no file of the ring holds a frame");
+    List<Finding> findings = DurableState.findings(ring.live(), name, identity.disk());
+    if (!findings.isEmpty()) throw damaged(folder.dir().toString(), told(findings));
+    return new CoreDisk(identity.disk(), ring, identity.founders(), folder);
+  }
+
+  private static Kernel.CannotStart damaged(String folder, String what) {
+    return new Kernel.CannotStart(
+        "data folder " + folder + " is damaged: " + what + "; " + EMPTY_IT);
   }
 
-  static JsonObject identity(String name, int ringFile, List<Members.Member> founders) {
-    JsonObject id = Json.object().add("name", name).add("disk", newId()).add("ringFile", ringFile);
-    if (founders.isEmpty()) return id;
-    JsonArray a = Json.array();
-    for (Members.Member m : founders)
-      a.add(
-          Json.object()
-              .add("name", m.name())
-              .add("records", m.records().toString())
-              .add("operator", m.operator().toString()));
-    return id.add("founders", a);
+  private static String told(List<Finding> findings) {
+    return findings.stream().map(Finding::toString).collect(Collectors.joining("; "));
   }
 
-  private static List<Members.Member> founders(JsonObject id) {
-    List<Members.Member> out = new ArrayList<>();
-    if (id.get("founders") != null)
-      for (JsonValue v : id.get("founders").asArray()) {
-        JsonObject o = v.asObject();
-        out.add(
-            new Members.Member(
-                o.getString("name", ""),
-                "",
-                Address.of(o.getString("records", "")),
-                Address.of(o.getString("operator", ""))));
-      }
-    return out;
+  @Override
+  public void close() {
+    folder.close();
   }
 }
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/DiskIdentity.java
@@ -0,0 +1,85 @@
+/*
+ * Whose a data folder is: identity.json beside the ring's files. It is written once, when the folder
+ * is made, after the ring's first frame.
+ */
+package gladelug.control;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import gladelug.control.core.Members;
+import gladelug.kernel.Address;
+import gladelug.kernel.Doc;
+import gladelug.kernel.Findings;
+import gladelug.kernel.Result;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+
+/**
+ * name: the member's; disk: drawn by chance when the folder was made; ringFile: the size of each of
+ * the ring's files in bytes; founders: those given at the first start, none for a member that
+ * joins; format: of the whole folder, 0 where none is written, as releases before formats did.
+ */
+record DiskIdentity(
+    String name, String disk, int ringFile, List<Members.Member> founders, int format) {
+  /** The folder's format that this release writes, and the newest that it reads. */
+  static final int FORMAT = 1;
+
+  private static final int ID_BYTES = 12;
+
+  static DiskIdentity create(String name, int ringFile, List<Members.Member> founders) {
+    byte[] id = new byte[ID_BYTES];
+    new SecureRandom().nextBytes(id);
+    return new DiskIdentity(name, HexFormat.of().formatHex(id), ringFile, founders, FORMAT);
+  }
+
+  /** A folder of a newer release is a finding of its own, whatever else may be in it. */
+  static Result<DiskIdentity> read(String text) {
+    return Doc.parse(text).then(DiskIdentity::read);
+  }
+
+  private static Result<DiskIdentity> read(Doc document) {
+    Findings findings = new Findings();
+    Doc.Fields fields = document.fields(findings);
+    int format = (int) fields.whole("format", 0, 0, Integer.MAX_VALUE);
+    if (format > FORMAT)
+      return Result.bad(
+          "format",
+          "is " + format + ", written by a newer release; this one reads up to " + FORMAT);
+    String name = fields.text("name");
+    String disk = fields.text("disk");
+    int ringFile = (int) fields.whole("ringFile", 1, Integer.MAX_VALUE);
+    List<Members.Member> founders = new ArrayList<>();
+    for (Doc founder : fields.list("founders", false)) founders.add(founder(founder, findings));
+    return Result.of(findings, () -> new DiskIdentity(name, disk, ringFile, founders, format));
+  }
+
+  private static Members.Member founder(Doc document, Findings findings) {
+    Doc.Fields fields = document.fields(findings);
+    return new Members.Member(
+        fields.text("name"),
+        "",
+        Address.read(fields, "records", findings),
+        Address.read(fields, "operator", findings));
+  }
+
+  String json() {
+    JsonObject json =
+        Json.object()
+            .add("format", format)
+            .add("name", name)
+            .add("disk", disk)
+            .add("ringFile", ringFile);
+    if (founders.isEmpty()) return json.toString();
+    JsonArray list = Json.array();
+    for (Members.Member founder : founders)
+      list.add(
+          Json.object()
+              .add("name", founder.name())
+              .add("records", founder.records().toString())
+              .add("operator", founder.operator().toString()));
+    return json.add("founders", list).toString();
+  }
+}
--- a/control-plane/src/main/java/gladelug/control/core/Cell.java
+++ b/control-plane/src/main/java/gladelug/control/core/Cell.java
@@ -148,12 +148,21 @@
     return bytes.toByteArray();
   }
 
+  /** A cell that was checked before. */
   static Cell of(byte[] bytes) {
     try {
-      DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
-      return new Cell(in.readLong(), in.readLong(), Value.read(in));
+      return parse(bytes);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
+
+  /** A cell from anywhere; what is more or less than one is an IOException. */
+  static Cell parse(byte[] bytes) throws IOException {
+    DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+    Cell cell = new Cell(in.readLong(), in.readLong(), Value.read(in));
+    if (in.available() > 0)
+      throw new IOException(in.available() + " bytes after its end, as of a newer release");
+    return cell;
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/CoreHost.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreHost.java
@@ -32,6 +32,11 @@
    */
   void sync(String key, byte[] state, Runnable done);
 
+  /** How many bytes of state the disk can keep, all keys together. */
+  default long mostState() {
+    return Long.MAX_VALUE;
+  }
+
   /** To a data-plane process by name. May be lost. */
   void news(String node, News m);
 
--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -253,7 +253,14 @@
   }
 
   private static List<Kept> kept(DataInputStream i) throws IOException {
-    return Wire.list(i, j -> new Kept(j.readUTF(), Wire.blob(j)));
+    return Wire.list(i, CoreMessage::keptCell);
+  }
+
+  /** A cell that can't be read is no record: it never gets as far as a disk. */
+  private static Kept keptCell(DataInputStream in) throws IOException {
+    Kept kept = new Kept(in.readUTF(), Wire.blob(in));
+    Cell.parse(kept.cell);
+    return kept;
   }
 
   /** A generation is in force; cells hold at least all that was ever acknowledged before it. */
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -49,8 +49,12 @@
 
 public final class CoreNode {
   static final int LARGEST = 6 << 20;
+
+  /** Room for what is kept of a key beside its value: history and taken changes, in bytes. */
+  private static final int BESIDE_BODY = 48 << 10;
+
   private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
-  private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
+  private static final String CELL = DurableState.CELL, ACKNOWLEDGED = "", A_MEMBER = "";
   private static final int MOST_WORDS = 300;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -206,6 +210,17 @@
     return cells.getOrDefault(key, Cell.EMPTY);
   }
 
+  /**
+   * How large a value of this key may be: with the other keys' it has to fit on the disk, else
+   * every member would end on it.
+   */
+  long largest(String key) {
+    long others = 0;
+    for (Map.Entry<String, Cell> cell : cells.entrySet())
+      if (!cell.getKey().equals(key)) others += cell.getValue().value().body().length + BESIDE_BODY;
+    return Math.max(0, Math.min(LARGEST, host.mostState() - others - BESIDE_BODY));
+  }
+
   KeyOwner owner(String key) {
     return owners.computeIfAbsent(key, k -> new KeyOwner(this, k));
   }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -294,6 +294,12 @@
     disk.want(key, state, done);
   }
 
+  /** Some of a ring file is left for frames and the members' own records. */
+  @Override
+  public long mostState() {
+    return ring.fileSize() / 8 * 7L;
+  }
+
   @Override
   public void news(String to, News m) {
     Connection c = nodes.get(to);
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -308,8 +308,9 @@
   private void begin(Change change, long now) {
     ChangeRequest request = change.request;
     int size = request.body().length;
-    if (size > CoreNode.LARGEST) {
-      change.answer.accept(new ChangeAnswer.TooLarge(size, CoreNode.LARGEST));
+    long largest = node.largest(key);
+    if (size > largest) {
+      change.answer.accept(new ChangeAnswer.TooLarge(size, largest));
       return;
     }
     long taken = takenNumber(change);
--- a/control-plane/src/main/java/gladelug/control/core/Members.java
+++ b/control-plane/src/main/java/gladelug/control/core/Members.java
@@ -105,11 +105,25 @@
         .getBytes(StandardCharsets.UTF_8);
   }
 
-  static Members of(byte[] b) {
+  /** Members that were checked before. */
+  static Members of(byte[] bytes) {
     try {
-      return read(new DataInputStream(new ByteArrayInputStream(b)));
+      return parse(bytes);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
+
+  /** Members from anywhere; what is more or less than that is an IOException. */
+  static Members parse(byte[] bytes) throws IOException {
+    DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+    try {
+      Members members = read(in);
+      if (in.available() > 0)
+        throw new IOException(in.available() + " bytes after its end, as of a newer release");
+      return members;
+    } catch (IllegalArgumentException e) {
+      throw new IOException(e.getMessage(), e);
+    }
+  }
 }
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -31,6 +31,7 @@
   /** A host that keeps what is said and what is to be synced until the test lets it go. */
   private static final class Paper implements CoreHost {
     long now = 1_000_000;
+    long mostState = Long.MAX_VALUE;
     final List<String> said = new ArrayList<>();
     final List<Envelope> messages = new ArrayList<>();
     final List<Runnable> syncs = new ArrayList<>();
@@ -71,6 +72,11 @@
       syncs.add(done);
     }
 
+    @Override
+    public long mostState() {
+      return mostState;
+    }
+
     @Override
     public void news(String node, News m) {}
 
@@ -346,6 +352,35 @@
     Assertions.assertTrue(n.owns(key), "it may only be slow: it still tries");
   }
 
+  @Test
+  void aChangeThatTheDiskCannotHoldBesideTheRestIsTooLargeAndNeverWritten() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    String key = Keys.REPLICAS;
+    from(n, "b", new Accept(Keys.CONFIGURATION, THREE.epoch(0, "b"), value(new byte[500_000])));
+    p.synced();
+    serves(n, p, key, Cell.Value.NONE);
+    p.mostState = 1_000_000;
+    p.messages.clear();
+    List<ChangeAnswer> answers = new ArrayList<>();
+    n.change(key, 0, new byte[500_000], answers::add);
+    Assertions.assertTrue(answers.get(0) instanceof ChangeAnswer.TooLarge, answers::toString);
+    Assertions.assertEquals(0, accepts(p, key));
+    n.change(key, 0, new byte[400_000], answers::add);
+    Assertions.assertEquals(1, answers.size(), "under way");
+    Assertions.assertEquals(3, accepts(p, key));
+  }
+
+  private static Cell.Value value(byte[] body) {
+    return Cell.Value.NONE.next(Digest.hex(body), body);
+  }
+
+  private static long accepts(Paper p, String key) {
+    return p.messages.stream()
+        .filter(m -> m.said() instanceof Accept a && a.key().equals(key))
+        .count();
+  }
+
   @Test
   void aChangeTooOldToTellIsLeftUnknown() {
     Paper p = new Paper();
--- /dev/null
+++ b/control-plane/src/test/java/gladelug/control/core/DurableStateTest.java
@@ -0,0 +1,90 @@
+/*
+ * Tests of DurableState, and of cells and members read from bytes that are none.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.Digest;
+import gladelug.kernel.Finding;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class DurableStateTest {
+  private static final Address ADDRESS = Address.of("1.1.1.1:1");
+  private static final Members MEMBERS =
+      new Members(3, List.of(new Members.Member("a", "disk-a", ADDRESS, ADDRESS)));
+
+  private static byte[] cell() {
+    byte[] body = {1, 2, 3};
+    Cell.Value value = Cell.Value.NONE;
+    for (int i = 0; i < 3; i++)
+      value = value.next(Digest.hex(body), body, i, 7, "a", "what it changed");
+    return new Cell(5, 4, value).bytes();
+  }
+
+  private static List<Finding> found(String key, byte[] bytes) {
+    return DurableState.findings(Map.of(key, bytes), "a", "disk-a");
+  }
+
+  @Test
+  void whatThisReleaseWritesIsNoFinding() {
+    Map<String, byte[]> state =
+        Map.of(
+            "cell/policy",
+            cell(),
+            Membership.MEMBERS,
+            MEMBERS.bytes(),
+            Membership.SEALED,
+            MEMBERS.bytes(),
+            Membership.PINNED,
+            MEMBERS.bytes(),
+            "a-name-of-another-release",
+            new byte[9]);
+    Assertions.assertEquals(List.of(), DurableState.findings(state, "a", "disk-a"));
+  }
+
+  @Test
+  void whatIsCutShortOrTooLongIsAFindingUnderItsName() {
+    for (String key : List.of("cell/policy", Membership.MEMBERS, Membership.SEALED)) {
+      byte[] good = key.startsWith("cell/") ? cell() : MEMBERS.bytes();
+      byte[] longer = Arrays.copyOf(good, good.length + 1);
+      for (byte[] bad : List.of(new byte[0], Arrays.copyOf(good, good.length - 1), longer)) {
+        List<Finding> found = found(key, bad);
+        Assertions.assertEquals(1, found.size(), key);
+        Assertions.assertEquals(key, found.get(0).place());
+      }
+      Assertions.assertTrue(found(key, longer).get(0).what().contains("newer release"));
+    }
+  }
+
+  @Test
+  void theStateOfAnotherDiskIsAFinding() {
+    List<Finding> found =
+        DurableState.findings(Map.of(Membership.MEMBERS, MEMBERS.bytes()), "a", "disk-b");
+    Assertions.assertEquals(1, found.size());
+    Assertions.assertTrue(found.get(0).what().contains("disk-a"), found::toString);
+  }
+
+  /** Whatever the bytes: a cell, or an IOException; nothing else, and no memory to speak of. */
+  @Test
+  void bytesThatWereChangedAnywhereAreReadOrRefused() {
+    Random random = new Random(1);
+    byte[] cell = cell();
+    byte[] members = MEMBERS.bytes();
+    for (int i = 0; i < 20_000; i++) {
+      byte[] bad = (i % 2 == 0 ? cell : members).clone();
+      for (int j = 0; j <= i % 3; j++) bad[random.nextInt(bad.length)] = (byte) random.nextInt();
+      try {
+        if (i % 2 == 0) Cell.parse(bad);
+        else Members.parse(bad);
+      } catch (IOException e) {
+        // refused
+      }
+    }
+  }
+}
--- a/kernel/src/main/java/gladelug/kernel/disk/Folder.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Folder.java
@@ -4,10 +4,9 @@
  */
 package gladelug.kernel.disk;
 
-import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonObject;
 import gladelug.kernel.Kernel;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.RandomAccessFile;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
@@ -21,13 +20,15 @@
 import java.nio.file.StandardOpenOption;
 
 public final class Folder implements Medium, AutoCloseable {
-  private static final int FILES = 4;
+  private static final int FILES = 4, CHUNK = 1 << 20;
+  private static final String IDENTITY = "identity.json";
   private final Path dir;
-  private final int size;
+  private int size;
   private final FileChannel lockFile;
   private final FileLock lock;
   private final FileChannel[] files = new FileChannel[FILES];
 
+  /** size: of each of the ring's files in bytes, where the folder is made now. */
   public Folder(Path dir, int size) {
     this.dir = dir;
     this.size = size;
@@ -54,30 +55,31 @@
     return dir;
   }
 
-  public JsonObject identity() {
-    Path p = dir.resolve("identity.json");
-    if (!Files.exists(p)) return null;
+  /** The text of identity.json, or null where there is none. */
+  public String identity() {
+    Path file = dir.resolve(IDENTITY);
+    if (!Files.exists(file)) return null;
     try {
-      return Json.parse(Files.readString(p)).asObject();
-    } catch (IOException | RuntimeException e) {
-      throw new Kernel.CannotStart("identity.json in " + dir + " cannot be read: " + e, e);
+      return Files.readString(file);
+    } catch (IOException e) {
+      throw new Kernel.CannotStart(IDENTITY + " in " + dir + " cannot be read: " + e, e);
     }
   }
 
   /** Replaced whole: written aside, synced, renamed, folder synced. */
-  public void identity(JsonObject o) {
+  public void identity(String text) {
     try {
-      Path t = dir.resolve("identity.json.new");
-      try (FileChannel c =
+      Path aside = dir.resolve(IDENTITY + ".new");
+      try (FileChannel channel =
           FileChannel.open(
-              t,
+              aside,
               StandardOpenOption.CREATE,
               StandardOpenOption.WRITE,
               StandardOpenOption.TRUNCATE_EXISTING)) {
-        c.write(ByteBuffer.wrap(o.toString().getBytes(StandardCharsets.UTF_8)));
-        c.force(true);
+        channel.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        channel.force(true);
       }
-      Files.move(t, dir.resolve("identity.json"), StandardCopyOption.ATOMIC_MOVE);
+      Files.move(aside, dir.resolve(IDENTITY), StandardCopyOption.ATOMIC_MOVE);
       syncDir();
     } catch (IOException e) {
       throw new Kernel.CannotStart("data folder " + dir + " cannot be written: " + e, e);
@@ -91,29 +93,72 @@
   }
 
   /**
-   * Makes what is missing and opens the files; any file of the wrong size is a finding of its own.
+   * Makes the ring's files and opens them, in a folder without an identity. What an earlier attempt
+   * left unfinished is made whole; a file that holds anything is left as it is.
    */
-  public Folder prepare() {
-    byte[] zero = new byte[1 << 20];
+  public void create() {
     try {
       for (int i = 0; i < FILES; i++) {
-        Path p = dir.resolve("ring-" + i);
-        boolean fresh = !Files.exists(p) || Files.size(p) < size && identity() == null;
-        if (!fresh && Files.size(p) != size)
-          throw new Kernel.CannotStart(
-              "ring file " + p + " has " + Files.size(p) + " bytes and should have " + size);
-        try (RandomAccessFile f = new RandomAccessFile(p.toFile(), "rw")) {
-          for (long at = 0; fresh && at < size; at += zero.length)
-            f.write(zero, 0, (int) Math.min(zero.length, size - at));
-          if (fresh) f.getFD().sync();
-        }
-        files[i] = FileChannel.open(p, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        Path file = ringFile(i);
+        boolean whole = Files.exists(file) && Files.size(file) == size;
+        if (!whole) fill(file);
+        files[i] = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE);
       }
       syncDir();
     } catch (IOException e) {
       throw new Kernel.CannotStart("data folder " + dir + " cannot hold the ring: " + e, e);
     }
-    return this;
+  }
+
+  private void fill(Path file) throws IOException {
+    if (Files.exists(file) && !holdsNothing(file))
+      throw new Kernel.CannotStart(
+          "ring file "
+              + file
+              + " holds state but has "
+              + Files.size(file)
+              + " bytes and there is no "
+              + IDENTITY
+              + " to say how many it should have");
+    byte[] zeros = new byte[CHUNK];
+    try (RandomAccessFile out = new RandomAccessFile(file.toFile(), "rw")) {
+      out.setLength(0);
+      for (long at = 0; at < size; at += CHUNK)
+        out.write(zeros, 0, (int) Math.min(CHUNK, size - at));
+      out.getFD().sync();
+    }
+  }
+
+  private static boolean holdsNothing(Path file) throws IOException {
+    try (InputStream in = Files.newInputStream(file)) {
+      for (byte[] part = in.readNBytes(CHUNK); part.length > 0; part = in.readNBytes(CHUNK))
+        for (byte b : part) if (b != 0) return false;
+    }
+    return true;
+  }
+
+  /**
+   * Opens the ring's files in a folder that has an identity, of the size that it names. They were
+   * all there before it was written, so one that is missing or has another size is damage.
+   */
+  public void open(int ringFile) {
+    size = ringFile;
+    try {
+      for (int i = 0; i < FILES; i++) {
+        Path file = ringFile(i);
+        if (!Files.exists(file)) throw new Kernel.CannotStart("ring file " + file + " is missing");
+        if (Files.size(file) != size)
+          throw new Kernel.CannotStart(
+              "ring file " + file + " has " + Files.size(file) + " bytes and should have " + size);
+        files[i] = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE);
+      }
+    } catch (IOException e) {
+      throw new Kernel.CannotStart("data folder " + dir + " cannot be opened: " + e, e);
+    }
+  }
+
+  private Path ringFile(int number) {
+    return dir.resolve("ring-" + number);
   }
 
   @Override
--- a/kernel/src/main/java/gladelug/kernel/disk/Ring.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Ring.java
@@ -55,6 +55,16 @@
     return Map.copyOf(live);
   }
 
+  /** How many bytes one file holds, and so the whole live state at the most. */
+  public int fileSize() {
+    return medium.size();
+  }
+
+  /** Whether nothing was ever written. */
+  public boolean unwritten() {
+    return seq == 0;
+  }
+
   private record Frame(long seq, byte type, List<Entry> entries, int end) {}
 
   public static Ring open(Medium m) throws IOException {
@@ -85,7 +95,10 @@
         && (f = frame(b, r.at)) != null
         && f.seq > r.seq
         && (r.seq == 0 || f.seq == r.seq + 1)) {
-      for (Entry e : f.entries) r.live.put(e.key, e.state);
+      if (f.type != SNAPSHOT && f.type != MORE)
+        throw new Damaged(
+            "frame " + f.seq + " in file " + newest + " is of the unknown kind " + f.type);
+      for (Entry e : f.entries) if (!e.key.isEmpty()) r.live.put(e.key, e.state);
       r.seq = f.seq;
       r.at = f.end;
     }
@@ -123,7 +136,7 @@
       List<Entry> l = new ArrayList<>();
       for (int i = 0; i < n; i++) l.add(new Entry(in.readUTF(), in.readNBytes(in.readInt())));
       return new Frame(seq, type, l, at + padded(HEAD + len));
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return null;
     }
   }
--- a/kernel/src/test/java/gladelug/kernel/disk/RingTest.java
+++ b/kernel/src/test/java/gladelug/kernel/disk/RingTest.java
@@ -6,8 +6,10 @@
 import gladelug.kernel.disk.Ring.Damaged;
 import gladelug.kernel.disk.Ring.Entry;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.List;
+import java.util.zip.CRC32C;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
@@ -86,4 +88,20 @@
       Assertions.assertThrows(Damaged.class, () -> Ring.open(p), "frame " + bad);
     }
   }
+
+  @Test
+  void aFrameOfAnUnknownKindIsDamageAndNotRead() throws IOException {
+    Paper p = new Paper();
+    Ring r = Ring.open(p);
+    r.write(List.of(e("a", 1)));
+    r.write(List.of(e("a", 2)));
+    ByteBuffer frame = ByteBuffer.wrap(p.f[0], 512, 512);
+    int length = frame.getInt(512 + 8);
+    frame.put(512 + 20, (byte) 7);
+    CRC32C sum = new CRC32C();
+    sum.update(p.f[0], 512 + 8, 13 + length);
+    frame.putInt(512 + 4, (int) sum.getValue());
+    Damaged found = Assertions.assertThrows(Damaged.class, () -> Ring.open(p));
+    Assertions.assertTrue(found.getMessage().contains("unknown kind 7"), found.getMessage());
+  }
 }
