A change of owners writes epochs to disk, not the whole value again

Cause: a promise, and the new owner's write of the value that is there already, each wrote the whole value on every member: with 1500 kB, 3005 kB a change of owners, more than the change itself. And a value larger than the room left in a ring file was only found out by the write that stopped each member in turn. Old disks are read as before; an older program would not see the promises in the new records.

--- a/control-plane/src/main/java/gladelug/control/core/CoreHost.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreHost.java
@@ -32,6 +32,11 @@
    */
   void sync(String key, byte[] state, Runnable done);
 
+  /** How many bytes the newest state of all keys may take on disk together. */
+  default long stateCapacity() {
+    return Long.MAX_VALUE;
+  }
+
   /** To a data-plane process by name. May be lost. */
   void news(String node, News m);
 
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -50,11 +50,14 @@
 public final class CoreNode {
   static final int LARGEST = 6 << 20;
   private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
-  private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
+  private static final String ACKNOWLEDGED = "", A_MEMBER = "";
 
   /** How long one that leaves waits for the changes under way, in ms. */
   private static final long HAND_OVER = 1000;
 
+  /** Room on disk for what isn't a key's: members, epochs, the frame's own, in bytes. */
+  private static final int RESERVE = 128 << 10;
+
   private static final int MOST_WORDS = 300;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -126,7 +129,7 @@
   private final long run;
   private final int cutoff;
   private final Duties duties;
-  private final Map<String, Cell> cells = new HashMap<>();
+  private final KeptCells cells;
   private final Map<String, KeyOwner> owners = new TreeMap<>();
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<String, Age> ages = new HashMap<>();
@@ -192,10 +195,7 @@
     this.began = booted;
     this.nr = host.random(1L << 40) << 20;
     this.run = nr;
-    durable.forEach(
-        (k, b) -> {
-          if (k.startsWith(CELL)) cells.put(k.substring(CELL.length()), Cell.of(b));
-        });
+    this.cells = new KeptCells(host, durable);
     for (String k : Keys.NEWS) owner(k);
     owner(Keys.SHARES);
     membership.open(
@@ -217,7 +217,7 @@
   }
 
   Cell cell(String key) {
-    return cells.getOrDefault(key, Cell.EMPTY);
+    return cells.get(key);
   }
 
   KeyOwner owner(String key) {
@@ -257,10 +257,14 @@
         m.all().stream().map(Members.Member::name).toList());
   }
 
+  /** The largest value of a key: one that didn't fit the disks would stop every member at once. */
+  int largest(String key) {
+    long room = host.stateCapacity() - cells.sizeWithout(key) - RESERVE;
+    return (int) Math.max(0, Math.min(LARGEST, room));
+  }
+
   List<Kept> all() {
-    List<Kept> cs = new ArrayList<>();
-    cells.forEach((k, c) -> cs.add(new Kept(k, c.bytes())));
-    return cs;
+    return cells.all();
   }
 
   /**
@@ -634,8 +638,7 @@
   // ---- the member's side: durable before answered
 
   void keep(String key, Cell c, Runnable done) {
-    cells.put(key, c);
-    host.sync(CELL + key, c.bytes(), done);
+    cells.keep(key, c, done);
   }
 
   private void onPromise(String from, Promise p) {
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -312,6 +312,11 @@
     disk.want(key, state, done);
   }
 
+  @Override
+  public long stateCapacity() {
+    return ring.capacity();
+  }
+
   @Override
   public void news(String to, News m) {
     Connection c = nodes.get(to);
--- /dev/null
+++ b/control-plane/src/main/java/gladelug/control/core/KeptCells.java
@@ -0,0 +1,139 @@
+/*
+ * What this member keeps of each key, in memory and on its disk. A value is written whole only when
+ * it is new to the disk. A promise, or the value that is there already under a higher epoch, is written
+ * as a short record of the epochs alone, so that a change of owners costs no copy of a large value.
+ */
+package gladelug.control.core;
+
+import gladelug.control.core.CoreMessage.Kept;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+final class KeptCells {
+  private static final String CELL = "cell/", EPOCHS = "epochs/";
+
+  /** Bytes of a cell beside its body, at the most: names, digests, history, what was taken. */
+  private static final long OVERHEAD = 32 << 10;
+
+  /** Bytes on disk of a key that holds no value, at the most. */
+  private static final long NEVER_WRITTEN = 512;
+
+  private final CoreHost host;
+  private final Map<String, Cell> cells = new HashMap<>();
+
+  /**
+   * By key: the value in the newest whole record, once that record lasts; none while it may not.
+   */
+  private final Map<String, Cell.Value> onDisk = new HashMap<>();
+
+  /** By key: counts the whole records handed to the disk. */
+  private final Map<String, Long> writes = new HashMap<>();
+
+  /** durable: all records of the disk by name; what isn't a key's is left alone. */
+  KeptCells(CoreHost host, Map<String, byte[]> durable) {
+    this.host = host;
+    durable.forEach(
+        (name, record) -> {
+          if (!name.startsWith(CELL)) return;
+          String key = name.substring(CELL.length());
+          Cell whole = Cell.of(record);
+          byte[] later = durable.get(EPOCHS + key);
+          cells.put(key, later == null ? whole : Epochs.of(later).after(whole));
+          onDisk.put(key, whole.value());
+        });
+  }
+
+  Cell get(String key) {
+    return cells.getOrDefault(key, Cell.EMPTY);
+  }
+
+  /** What all keys but one take on disk, in bytes. */
+  long sizeWithout(String key) {
+    long size = 0;
+    for (Map.Entry<String, Cell> e : cells.entrySet()) {
+      Cell.Value value = e.getValue().value();
+      if (e.getKey().equals(key)) continue;
+      size += value.number() == 0 ? NEVER_WRITTEN : OVERHEAD + value.body().length;
+    }
+    return size;
+  }
+
+  List<Kept> all() {
+    List<Kept> all = new ArrayList<>();
+    cells.forEach((key, cell) -> all.add(new Kept(key, cell.bytes())));
+    return all;
+  }
+
+  /** Counts in memory at once; done is run when it lasts. */
+  void keep(String key, Cell cell, Runnable done) {
+    cells.put(key, cell);
+    if (same(onDisk.get(key), cell.value())) {
+      host.sync(EPOCHS + key, Epochs.of(cell).bytes(), done);
+      return;
+    }
+    // until this record lasts, no shorter one may build on it, nor on the one before
+    onDisk.remove(key);
+    long write = writes.merge(key, 1L, Long::sum);
+    host.sync(
+        CELL + key,
+        cell.bytes(),
+        () -> {
+          if (writes.get(key) == write) onDisk.put(key, cell.value());
+          done.run();
+        });
+  }
+
+  private static boolean same(Cell.Value a, Cell.Value b) {
+    if (a == b) return true;
+    if (a == null || a.number() != b.number() || !a.digest().equals(b.digest())) return false;
+    return Arrays.equals(new Cell(0, 0, a).bytes(), new Cell(0, 0, b).bytes());
+  }
+
+  /** The epochs of a cell whose value is in the whole record; number and digest say which value. */
+  private record Epochs(long promised, long accepted, long number, String digest) {
+    static Epochs of(Cell cell) {
+      return new Epochs(
+          cell.promised(), cell.epoch(), cell.value().number(), cell.value().digest());
+    }
+
+    /** Epochs only rise, so the higher ones are the later; a whole record may be the later one. */
+    Cell after(Cell whole) {
+      boolean sameValue = whole.value().number() == number && whole.value().digest().equals(digest);
+      return new Cell(
+          Math.max(whole.promised(), promised),
+          sameValue ? Math.max(whole.epoch(), accepted) : whole.epoch(),
+          whole.value());
+    }
+
+    byte[] bytes() {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      try (DataOutputStream out = new DataOutputStream(bytes)) {
+        out.writeLong(promised);
+        out.writeLong(accepted);
+        out.writeLong(number);
+        out.writeUTF(digest);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+      return bytes.toByteArray();
+    }
+
+    static Epochs of(byte[] bytes) {
+      try {
+        DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+        return new Epochs(in.readLong(), in.readLong(), in.readLong(), in.readUTF());
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+}
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -291,8 +291,8 @@
         settle(now);
       } else if (c.match >= 0 && c.match != value.number()) {
         c.answer.accept(new ChangeAnswer.Stale(value.number()));
-      } else if (c.body.length > CoreNode.LARGEST) {
-        c.answer.accept(new ChangeAnswer.TooLarge(c.body.length, CoreNode.LARGEST));
+      } else if (c.body.length > node.largest(key)) {
+        c.answer.accept(new ChangeAnswer.TooLarge(c.body.length, node.largest(key)));
       } else {
         current = c;
         c.value =
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -31,6 +31,7 @@
   /** A host that keeps what is said and what is to be synced until the test lets it go. */
   private static final class Paper implements CoreHost {
     long now = 1_000_000;
+    long capacity = Long.MAX_VALUE;
     final List<String> said = new ArrayList<>();
     final List<Envelope> messages = new ArrayList<>();
     final List<Runnable> syncs = new ArrayList<>();
@@ -71,6 +72,11 @@
       syncs.add(done);
     }
 
+    @Override
+    public long stateCapacity() {
+      return capacity;
+    }
+
     @Override
     public void news(String node, News m) {}
 
@@ -260,6 +266,22 @@
     Assertions.assertEquals(3, p.count("address Settled"));
   }
 
+  /** Every member would fail to write it, and stop. */
+  @Test
+  void noValueIsLargerThanTheRoomThatTheOtherKeysLeaveOnDisk() {
+    Paper p = new Paper();
+    p.capacity = 1 << 20;
+    CoreNode n = node(p);
+    int room = n.largest(Keys.CONFIGURATION);
+    Assertions.assertTrue(room > 700_000 && room < 1 << 20, room + " bytes");
+    Cell.Value list = Cell.Value.NONE.next("d", new byte[500_000]);
+    n.keep(Keys.REPLICAS, new Cell(1, 1, list), () -> {});
+    Assertions.assertTrue(n.largest(Keys.CONFIGURATION) <= room - 500_000);
+    Assertions.assertEquals(room, n.largest(Keys.REPLICAS));
+    p.capacity = Long.MAX_VALUE;
+    Assertions.assertEquals(CoreNode.LARGEST, n.largest(Keys.CONFIGURATION));
+  }
+
   @Test
   void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
     Paper p = new Paper();
--- /dev/null
+++ b/control-plane/src/test/java/gladelug/control/core/KeptCellsTest.java
@@ -0,0 +1,164 @@
+/*
+ * Tests of KeptCells: how much is written, and that what is read back is what was kept.
+ */
+package gladelug.control.core;
+
+import gladelug.kernel.Address;
+import gladelug.kernel.Digest;
+import gladelug.kernel.message.News;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class KeptCellsTest {
+  private static final String KEY = "policy";
+
+  private record Write(String name, byte[] state, Runnable done) {}
+
+  /** A disk that keeps what it is handed, in order, until the test has it last. */
+  private static final class Disk implements CoreHost {
+    final List<Write> writes = new ArrayList<>();
+    int lasting;
+
+    void lasts() {
+      writes.get(lasting++).done.run();
+    }
+
+    void allLasts() {
+      while (lasting < writes.size()) lasts();
+    }
+
+    /** What is read after a loss of power with so many writes done. */
+    Map<String, byte[]> after(int count) {
+      Map<String, byte[]> durable = new HashMap<>();
+      for (Write w : writes.subList(0, count)) durable.put(w.name, w.state);
+      return durable;
+    }
+
+    int lastSize() {
+      return writes.get(writes.size() - 1).state.length;
+    }
+
+    @Override
+    public void sync(String key, byte[] state, Runnable done) {
+      writes.add(new Write(key, state, done));
+    }
+
+    @Override
+    public long now() {
+      return 0;
+    }
+
+    @Override
+    public long random(long below) {
+      return 0;
+    }
+
+    @Override
+    public long wall() {
+      return 0;
+    }
+
+    @Override
+    public void send(String member, CoreMessage.Envelope m) {}
+
+    @Override
+    public void sendTo(Address to, CoreMessage.Envelope m) {}
+
+    @Override
+    public List<Address> contacts() {
+      return List.of();
+    }
+
+    @Override
+    public void news(String node, News m) {}
+
+    @Override
+    public void members(Members m) {}
+
+    @Override
+    public void event(String name, Object... pairs) {}
+  }
+
+  private static Cell.Value value(Cell.Value before, int size, int content) {
+    byte[] body = new byte[size];
+    Arrays.fill(body, (byte) content);
+    return before.next(Digest.hex(body), body);
+  }
+
+  /** Serialised and read again, as what comes from another member is. */
+  private static Cell copy(Cell cell) {
+    return Cell.of(cell.bytes());
+  }
+
+  @Test
+  void aChangeOfOwnersWritesEpochsAndNoCopyOfTheValue() {
+    Disk disk = new Disk();
+    KeptCells kept = new KeptCells(disk, Map.of());
+    Cell.Value large = value(Cell.Value.NONE, 1_500_000, 1);
+    kept.keep(KEY, new Cell(5, 5, large), () -> {});
+    Assertions.assertTrue(disk.lastSize() >= 1_500_000);
+    disk.allLasts();
+    kept.keep(KEY, new Cell(6, 5, large), () -> {});
+    Assertions.assertTrue(disk.lastSize() < 200, "a promise: " + disk.lastSize());
+    kept.keep(KEY, copy(new Cell(6, 6, large)), () -> {});
+    Assertions.assertTrue(disk.lastSize() < 200, "the value again: " + disk.lastSize());
+    kept.keep(KEY, new Cell(6, 6, value(large, 1_500_000, 2)), () -> {});
+    Assertions.assertTrue(disk.lastSize() >= 1_500_000, "a change");
+  }
+
+  @Test
+  void nothingShortIsWrittenOnAValueThatMayNotLast() {
+    Disk disk = new Disk();
+    KeptCells kept = new KeptCells(disk, Map.of());
+    Cell.Value seventh = value(Cell.Value.NONE, 4000, 1), eighth = value(seventh, 4000, 2);
+    kept.keep(KEY, new Cell(1, 1, seventh), () -> {});
+    kept.keep(KEY, new Cell(2, 1, seventh), () -> {});
+    Assertions.assertTrue(disk.lastSize() > 4000, "the value before it is still on its way");
+    disk.allLasts();
+    // the owner's write that nobody else took, and the next owner's older value over it
+    kept.keep(KEY, new Cell(2, 2, eighth), () -> {});
+    kept.keep(KEY, new Cell(3, 3, seventh), () -> {});
+    Assertions.assertTrue(disk.lastSize() > 4000, "the older value was overwritten");
+    disk.allLasts();
+    Assertions.assertEquals(
+        seventh.digest(),
+        new KeptCells(disk, disk.after(disk.writes.size())).get(KEY).value().digest());
+  }
+
+  @Test
+  void whereverThePowerGoesTheCellKeptLastBeforeIsReadBack() {
+    for (long seed = 1; seed <= 200; seed++) {
+      Random random = new Random(seed);
+      Disk disk = new Disk();
+      KeptCells kept = new KeptCells(disk, Map.of());
+      List<Cell> history = new ArrayList<>(List.of(Cell.EMPTY));
+      Cell cell = Cell.EMPTY;
+      long epoch = 0;
+      for (int i = 0; i < 60; i++) {
+        epoch += random.nextInt(3);
+        cell =
+            switch (random.nextInt(4)) {
+              case 0 -> new Cell(epoch, cell.epoch(), cell.value());
+              case 1 -> new Cell(epoch, epoch, cell.value());
+              case 2 -> new Cell(epoch, epoch, value(cell.value(), 10, random.nextInt(3)));
+              default ->
+                  new Cell(epoch, epoch, copy(history.get(random.nextInt(history.size()))).value());
+            };
+        kept.keep(KEY, cell, () -> {});
+        history.add(cell);
+        while (disk.lasting < disk.writes.size() && random.nextBoolean()) disk.lasts();
+      }
+      for (int count = 0; count <= disk.writes.size(); count++)
+        Assertions.assertArrayEquals(
+            history.get(count).bytes(),
+            new KeptCells(disk, disk.after(count)).get(KEY).bytes(),
+            "seed " + seed + ", power lost after write " + count);
+    }
+  }
+}
--- a/kernel/src/main/java/gladelug/kernel/disk/Ring.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Ring.java
@@ -51,6 +51,13 @@
     medium = m;
   }
 
+  /**
+   * How many bytes the newest state of all keys may take together: a snapshot has to fit a file.
+   */
+  public long capacity() {
+    return medium.size() - HEAD;
+  }
+
   public Map<String, byte[]> live() {
     return Map.copyOf(live);
   }
