A stream is taken up only after its own last event, a deadline holds while a connection is awaited

A stream that broke was taken up after the last event that had a name, which could be the client's own Last-Event-Id or one before events without a name: pieces came twice, and bytes of a second answer were put into a first of fixed length. Events that came twice or went back were passed on. A request that waited for a connection was held up to 600 ms past its deadline. When the replica that was to be asked once more for other weights could not be reached, a further one was asked beyond MaxAttempts.

Change: Request.resumesAfterLast says whether the piece that went out last is the event named by lastEvent; only then is a stream taken up. An event whose name does not come after the last one's breaks the answer (taken up elsewhere where allowed, else cut). Relay.tick ends what waits for a connection when its deadline passes (503, or 502 where an earlier try may have run); nothing leaves for it later. HandOver refuses a further replica when a request went to as many as its route allows.

--- a/data-plane/src/main/java/gladelug/data/relay/HandOver.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HandOver.java
@@ -47,7 +47,10 @@
     long now = r.clock.now();
     if (r.stopping && o.tries > 0 && o.piecesOut == 0) return Verdict.notRun(503, "stopping", SOON);
     if (!r.news.leases.valid(now)) return Verdict.notRun(503, "no licence", SOON);
-    if (now >= o.deadline) return Verdict.notRun(503, "expired before it was handed over", SOON);
+    if (now >= o.deadline) return Verdict.notRun(503, Relay.EXPIRED_UNSENT, SOON);
+    // the replica it was to go to once more may have become unreachable meanwhile
+    if (o.tries >= o.route.attempts() && b != o.triedLast)
+      return Verdict.notRun(503, "it went to as many replicas as it may", r.comeBackMs(o));
     Tables t = r.tables();
     Configuration.Route m = t.configuration().route(o.host, o.path);
     if (m == null || !m.open()) {
@@ -72,6 +75,11 @@
     return null;
   }
 
+  /** Whether an event may come after another in one answer: names that are numbers rise. */
+  private static boolean follows(String event, String last) {
+    return Backend.newer(event, last);
+  }
+
   private final class Handed implements Exchange.Reply {
     private final Request o;
     private final Backend b;
@@ -116,6 +124,7 @@
       handle = h;
       long now = r.clock.now();
       o.tries++;
+      o.triedLast = b;
       o.handedAt = now;
       b.asked(now);
       if (o.tries == 1) r.budget.firstTry(o.service.name());
@@ -200,6 +209,10 @@
         over(Verdict.ENDED);
         return;
       }
+      if (o.resumesAfterLast && !event.isEmpty() && !follows(event, o.lastEvent)) {
+        broken("event " + event + " after event " + o.lastEvent);
+        return;
+      }
       if (o.piecesOut == 0) {
         if (!o.state.step(State.At.HANDED, State.At.STREAMING)) return;
         long now = r.clock.now();
@@ -208,7 +221,8 @@
         o.caller.head(o, o.head == null ? Head.PLAIN : o.head);
       }
       o.piecesOut++;
-      if (!event.isEmpty()) o.lastEvent = event;
+      o.resumesAfterLast = !event.isEmpty();
+      if (o.resumesAfterLast) o.lastEvent = event;
       if (!o.caller.piece(o, x, handle::resume)) handle.pause();
     }
 
@@ -242,7 +256,7 @@
       b.failures++;
       b.bad(r.clock.now(), at == State.At.STREAMING ? 300 : 1000);
       if (at == State.At.STREAMING) {
-        if (o.route.resumable() && !o.lastEvent.isEmpty() && again(false)) {
+        if (o.route.resumable() && o.resumesAfterLast && again(false)) {
           o.decision.add(
               "resume", r.clock.now(), Json.object().add("after", o.lastEvent).add("why", why));
           over(new Verdict.Again(why));
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -38,6 +38,8 @@
    */
   public static final long GRACE = 2000;
 
+  static final String EXPIRED_UNSENT = "expired before it was handed over";
+
   private static final long STALE = 2000;
   private static final double START = 250;
   private static final long ASLEEP = 500;
@@ -456,6 +458,25 @@
     ended(o);
   }
 
+  /**
+   * Its deadline passed while a connection was awaited: the caller is told at once, and when the
+   * connection is up nothing leaves on it.
+   */
+  private void expireUnsent(Request o) {
+    if (!o.state.end()) return;
+    Verdict.Refuse v =
+        ((Verdict.Refuse) Verdict.notRun(503, EXPIRED_UNSENT, settings.comeBackMs()))
+            .afterTriesOf(o);
+    o.decision.add(
+        "turned-away",
+        clock.now(),
+        Json.object().add("status", v.status()).add("reason", v.reason()));
+    o.decision.outcome(v.outcome());
+    o.why = v.reason();
+    if (!o.gone) o.caller.refuse(o, v);
+    ended(o);
+  }
+
   /**
    * Called a few times a second: deadlines, and streams whose right to go on can't be known any
    * more.
@@ -473,6 +494,7 @@
           for (Request x : queue(o.service.name()).leave(y -> y == o))
             x.leaveQueue.accept(Verdict.notRun(503, "expired in the backlog", 1000));
         } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, "expired");
+        else if (at == State.At.WAITING && o.admitted) expireUnsent(o);
       } else if (o.backend != null
           && o.backend.silent(now, awake)
           && o.state.at() != State.At.WAITING) o.lost.accept("has fallen silent");
--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -49,6 +49,12 @@
   /** Told by the caller that what it sends may be taken up in the middle, after this event. */
   public String lastEvent = "";
 
+  /**
+   * Whether the last piece that went out is the event named by lastEvent, so that the answer can be
+   * taken up after it.
+   */
+  public boolean resumesAfterLast;
+
   public Head head;
 
   /** Why it was refused or cut off, for the log. */
@@ -81,6 +87,9 @@
   public double queueMs;
   public int tries;
 
+  /** The replica it went to last, or null. */
+  public Backend triedLast;
+
   /**
    * A replica had it and didn't say that it did not run it, so nothing may be called not-run any
    * more.
--- a/data-plane/src/main/java/gladelug/data/request/Verdict.java
+++ b/data-plane/src/main/java/gladelug/data/request/Verdict.java
@@ -12,7 +12,15 @@
   record Ended() implements Verdict {}
 
   /** outcome is not-run or unknown; retryMs 0 is no advice. */
-  record Refuse(int status, String outcome, String reason, long retryMs) implements Verdict {}
+  record Refuse(int status, String outcome, String reason, long retryMs) implements Verdict {
+    private static final String UNKNOWN = "unknown";
+
+    /** The same, but for a request that an earlier try may have run: that is of unknown fate. */
+    public Refuse afterTriesOf(Request o) {
+      if (!o.mayHaveRun || outcome.equals(UNKNOWN)) return this;
+      return new Refuse(502, UNKNOWN, reason + ", and an earlier try may have run", retryMs);
+    }
+  }
 
   Verdict GO = new Go(), ENDED = new Ended();
 
--- a/data-plane/src/main/java/gladelug/data/request/Way.java
+++ b/data-plane/src/main/java/gladelug/data/request/Way.java
@@ -64,11 +64,7 @@
       cutOff(o, v.reason());
       return;
     }
-    Verdict.Refuse t =
-        !o.mayHaveRun || v.outcome().equals("unknown")
-            ? v
-            : new Verdict.Refuse(
-                502, "unknown", v.reason() + ", and an earlier try may have run", v.retryMs());
+    Verdict.Refuse t = v.afterTriesOf(o);
     if (!o.state.end()) {
       ended.accept(o);
       return;
--- a/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
@@ -27,7 +27,7 @@
 import org.junit.jupiter.api.Test;
 
 final class RelayTest {
-  private static final int LEASE = 60_000, EXPIRY = 30_000, SLOTS = 2;
+  private static final int LEASE = 60_000, EXPIRY = 30_000, SLOTS = 2, ATTEMPTS = 3;
 
   /** One that was sent to a replica. */
   private record Sent(Request o, Backend b, Exchange.Reply to, List<String> handled)
@@ -56,6 +56,11 @@
     final List<String> told = new ArrayList<>();
 
     final List<Sent> sent = new ArrayList<>();
+
+    /** Those whose connection is not up yet, where connections don't come up at once. */
+    final List<Sent> connecting = new ArrayList<>();
+
+    boolean connects = true;
     final Map<String, Long> numbers = new HashMap<>();
     final Decisions decisions = new Decisions(64, "r", 1);
     long now = 1_000_000;
@@ -119,7 +124,9 @@
               + "\"mappings\":[{\"name\":\"x\",\"path\":\"/x\",\"service\":\"m\","
               + "\"repeatable\":true,\"expiryMs\":"
               + EXPIRY
-              + ",\"attempts\":3}],"
+              + ",\"attempts\":"
+              + ATTEMPTS
+              + "}],"
               + "\"tenants\":["
               + String.join(",", ts)
               + "]}");
@@ -164,13 +171,18 @@
               b -> Uni.createFrom().item(new Lookups.Found("no-index", List.of())),
               Stages.Mode.SUMMARY,
               (q, b, to) -> {
-                Sent s = new Sent(q, b, to, new ArrayList<>());
-                if (to.leave(s)) sent.add(s);
+                if (connects) leave(new Sent(q, b, to, new ArrayList<>()));
+                else connecting.add(new Sent(q, b, to, new ArrayList<>()));
               })
           .go(o);
       return o;
     }
 
+    /** A connection is up. */
+    void leave(Sent s) {
+      if (s.to.leave(s)) sent.add(s);
+    }
+
     /** As many as the replicas take at once. */
     void fill(String tenant) {
       for (int i = 0; i < 2 * (SLOTS + 1); i++) ask(tenant);
@@ -313,4 +325,112 @@
     Assertions.assertEquals("u", r.sent.get(6).o.tenant.name());
     Assertions.assertFalse(r.told().contains("refused 499"), "nobody is there to be told");
   }
+
+  @Test
+  void whatExpiresWhileItsConnectionIsAwaitedIsToldAtOnceAndNeverLeaves() {
+    World r = relay(false);
+    r.connects = false;
+    Request o = r.ask("t");
+    r.now += EXPIRY - 1;
+    r.relay.tick();
+    Assertions.assertEquals(List.of(), r.told());
+    r.now++;
+    r.relay.tick();
+    Assertions.assertEquals(List.of("refused 503"), r.told());
+    Assertions.assertEquals("not-run", o.decision.outcome());
+    Assertions.assertEquals(0, r.relay.live().size());
+    r.leave(r.connecting.get(0));
+    Assertions.assertEquals(0, r.sent.size());
+    Assertions.assertEquals(List.of(), r.told(), "and that but once");
+    Assertions.assertEquals(0, r.connecting.get(0).b.mine);
+  }
+
+  @Test
+  void whatExpiresWhileASecondConnectionIsAwaitedMayHaveRun() {
+    World r = relay(false);
+    Request o = r.ask("t");
+    r.connects = false;
+    r.sent.get(0).to.broken("it broke");
+    Assertions.assertEquals(1, r.connecting.size());
+    r.now += EXPIRY;
+    r.relay.tick();
+    Assertions.assertEquals(List.of("refused 502"), r.told());
+    Assertions.assertEquals("unknown", o.decision.outcome());
+    r.leave(r.connecting.get(0));
+    Assertions.assertEquals(1, r.sent.size());
+  }
+
+  @Test
+  void aCallerThatLeavesWhileAConnectionIsAwaitedLeavesNothingToSend() {
+    World r = relay(false);
+    r.connects = false;
+    Request o = r.ask("t");
+    r.relay.gone(o);
+    r.leave(r.connecting.get(0));
+    Assertions.assertEquals(0, r.sent.size());
+    Assertions.assertEquals(0, r.relay.live().size());
+    Assertions.assertEquals(List.of(), r.told());
+  }
+
+  @Test
+  void theReplicaAskedOnceMoreIsNotReplacedByAFurtherOne() {
+    World r = new World(RelaySettings.builder().cutsStreams(false).retries(0.2, 62));
+    r.ask("t");
+    for (int i = 0; i < ATTEMPTS - 1; i++) r.sent.get(i).to.notRun("full", 0);
+    Assertions.assertEquals(ATTEMPTS, r.sent.size());
+    r.connects = false;
+    r.sent.get(ATTEMPTS - 1).to.otherWeights("it runs others");
+    Sent same = r.connecting.get(0);
+    Assertions.assertSame(r.sent.get(ATTEMPTS - 1).b, same.b);
+    r.connects = true;
+    same.to.unreached("no connection", 1000);
+    Assertions.assertEquals(ATTEMPTS, r.sent.size(), "no further replica");
+    Assertions.assertEquals(List.of("refused 503"), r.told());
+  }
+
+  @Test
+  void anAnswerAfterItsCallerLeftReachesNobody() {
+    World r = relay(false);
+    Request o = r.ask("t");
+    r.relay.gone(o);
+    Sent s = r.sent.get(0);
+    Assertions.assertTrue(s.handled.contains("reset"));
+    piece(s, "late");
+    s.to.end();
+    Assertions.assertEquals(List.of(), r.told());
+    Assertions.assertEquals(0, s.b.mine);
+  }
+
+  @Test
+  void anAnswerToATryThatWasGivenUpReachesNobody() {
+    World r = relay(false);
+    r.ask("t");
+    Sent first = r.sent.get(0);
+    first.to.broken("it broke");
+    piece(first, "late");
+    first.to.end();
+    piece(r.sent.get(1), "own");
+    r.sent.get(1).to.end();
+    Assertions.assertEquals(List.of("head 200", "piece own", "complete 1"), r.told());
+  }
+
+  @Test
+  void aRelayThatWasFrozenBeforeSendingLooksAtEverythingAgain() {
+    for (String change : List.of("lease", "key", "deadline", "replica")) {
+      World r = relay(false);
+      r.connects = false;
+      // leases of which only a part of a request's time is left
+      if (change.equals("lease")) r.now += LEASE - EXPIRY / 2;
+      r.ask("t");
+      // the connection came up while the process was frozen
+      if (change.equals("lease")) r.now += EXPIRY - 1;
+      if (change.equals("key")) r.configuration("u");
+      if (change.equals("deadline")) r.now += EXPIRY;
+      if (change.equals("replica")) r.tell(Keys.REPLICAS, new Replicas(List.of()).json());
+      r.leave(r.connecting.get(0));
+      Assertions.assertEquals(0, r.sent.size(), change);
+      String status = change.equals("key") ? "401" : "503";
+      Assertions.assertEquals(List.of("refused " + status), r.told(), change);
+    }
+  }
 }
