--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -39,8 +39,26 @@
   /** What an owner says of a key of its own, so that the others know it and the value's age. */
   record Owned(String key, long epoch, long number, long age, boolean busy) {}
 
-  /** boot counts up within one run; settled says how long the sender has been up. */
-  record Alive(boolean healthy, long up, List<Owned> owned) implements CoreMessage {
+  /** When something was sent, by the clock of one run of its sender, which alone can read it. */
+  record Stamp(long run, long at) {
+    static final Stamp NONE = new Stamp(0, 0);
+
+    private void put(DataOutputStream o) throws IOException {
+      o.writeLong(run);
+      o.writeLong(at);
+    }
+
+    private static Stamp read(DataInputStream i) throws IOException {
+      return new Stamp(i.readLong(), i.readLong());
+    }
+  }
+
+  /**
+   * A sign of life to one member. up: how long the sender has been up. heard: the newest stamp the
+   * sender heard of the receiver, so that the receiver knows what has reached the sender.
+   */
+  record Alive(boolean healthy, long up, List<Owned> owned, Stamp sent, Stamp heard)
+      implements CoreMessage {
     @Override
     public int tag() {
       return 1;
@@ -60,6 +78,8 @@
             p.writeLong(w.age);
             p.writeBoolean(w.busy);
           });
+      sent.put(o);
+      heard.put(o);
     }
   }
 
@@ -174,10 +194,8 @@
     }
   }
 
-  /**
-   * A change taken at one member's door for the key's owner elsewhere. match -1: whatever is there.
-   */
-  record Change(long nr, String key, long match, byte[] body) implements CoreMessage {
+  /** A change taken at one member's door for the key's owner elsewhere. */
+  record Change(long nr, ChangeRequest request) implements CoreMessage {
     @Override
     public int tag() {
       return 8;
@@ -186,9 +204,10 @@
     @Override
     public void put(DataOutputStream o) throws IOException {
       o.writeLong(nr);
-      o.writeUTF(key);
-      o.writeLong(match);
-      Wire.blob(o, body);
+      o.writeUTF(request.key());
+      o.writeLong(request.match());
+      Wire.blob(o, request.body());
+      o.writeLong(request.base());
     }
   }
 
@@ -347,6 +366,27 @@
     }
   }
 
+  private static ChangeRequest changeRequest(DataInputStream in) throws IOException {
+    String key = in.readUTF();
+    long match = in.readLong();
+    byte[] body = Wire.blob(in);
+    return new ChangeRequest(key, match, in.readLong(), body);
+  }
+
+  /**
+   * The sender was asked to stop: it owns nothing any more and ends once its place is taken, if a
+   * machine stands by.
+   */
+  record Leaving() implements CoreMessage {
+    @Override
+    public int tag() {
+      return 30;
+    }
+
+    @Override
+    public void put(DataOutputStream o) {}
+  }
+
   private static Carry carry(DataInputStream i) throws IOException {
     if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
     throw new IOException("only questions are handed on");
@@ -362,7 +402,9 @@
                   i,
                   j ->
                       new Owned(
-                          j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())));
+                          j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())),
+              Stamp.read(i),
+              Stamp.read(i));
       case 2 -> new Promise(i.readUTF(), i.readLong());
       case 3 ->
           new Promised(
@@ -389,7 +431,7 @@
                           j.readLong(),
                           j.readLong(),
                           j.readLong())));
-      case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
+      case 8 -> new Change(i.readLong(), changeRequest(i));
       case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
       case 10 -> new Meet(i.readUTF(), i.readUTF(), Members.read(i));
       case 11 -> new Settled(Members.read(i), kept(i));
@@ -400,6 +442,7 @@
       case 14 -> new Sealed(i.readLong(), kept(i));
       case 17 -> new Read(i.readLong(), i.readUTF());
       case 18 -> new ReadDone(i.readLong(), Newest.read(i));
+      case 30 -> new Leaving();
       default -> throw Wire.unknown(tag);
     };
   }
--- a/control-plane/src/main/java/gladelug/control/core/MemberPlan.java
+++ b/control-plane/src/main/java/gladelug/control/core/MemberPlan.java
@@ -1,13 +1,15 @@
 /*
  * Which members should come next. It only decides, from who is a member, who asks to be one, and how
  * long each has been silent; the owner of the key core asks it and then has the change written,
- * sealed and activated. First a member whose machine came back empty is replaced by itself, then one
- * that has been dead for long by a machine unknown to the core, then the core grows towards the
- * number of voters wanted, always to an odd one. Never a next set of which fewer than a majority are alive.
+ * sealed and activated. First members whose machines came back empty are replaced by themselves. Then
+ * those that have been dead for long or are about to end are replaced by machines unknown to the core,
+ * as many at once as there are. Then the core grows towards the number of voters wanted, always to an
+ * odd one. Never a next set of which fewer than a majority are alive.
  */
 package gladelug.control.core;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
@@ -30,31 +32,57 @@
     this.live = live;
   }
 
-  /** One step at the most, or null. silent: for how long nothing was heard of a member, ms. */
-  Step step(ToLongFunction<String> silent, Tunables t) {
-    for (Members.Member j : joiners) {
-      Members.Member m = now.find(j.name());
-      if (m == null || live.test(m.name()) || silent.applyAsLong(m.name()) <= 2L * t.dead())
-        continue;
-      Step s = change("back-empty", List.of(m.name()), List.of(j));
-      if (s != null) return s;
-    }
+  /**
+   * One step at the most, or null. silent: for how long nothing was heard of a member, ms; leaving:
+   * who said that it was asked to stop.
+   */
+  Step step(ToLongFunction<String> silent, Predicate<String> leaving, Tunables t) {
+    Step s = backEmpty(silent, t);
+    if (s != null) return s;
     List<Members.Member> unknown =
         joiners.stream().filter(j -> now.find(j.name()) == null).toList();
     if (unknown.isEmpty()) return null;
-    Members.Member dead = null;
-    if (t.replaceAfter() > 0)
-      for (Members.Member m : now.all()) {
-        long s = silent.applyAsLong(m.name());
-        if (live.test(m.name()) || s < t.replaceAfter()) continue;
-        if (dead == null || s > silent.applyAsLong(dead.name())) dead = m;
-      }
-    if (dead != null) return change("dead", List.of(dead.name()), unknown.subList(0, 1));
+    List<String> out = dead(silent, t);
+    String why = out.isEmpty() ? "leaving" : "dead";
+    out.addAll(leaving(leaving, t));
+    if (!out.isEmpty()) {
+      int places = Math.min(out.size(), unknown.size());
+      return change(why, out.subList(0, places), unknown.subList(0, places));
+    }
     int n = now.all().size(), more = n % 2 == 0 ? 1 : 2;
     if (n + more > t.voters() || unknown.size() < more) return null;
     return change("growth", List.of(), unknown.subList(0, more));
   }
 
+  /** All at once whose machines came back empty: each change of members costs time of its own. */
+  private Step backEmpty(ToLongFunction<String> silent, Tunables t) {
+    List<Members.Member> back = new ArrayList<>();
+    for (Members.Member j : joiners) {
+      Members.Member m = now.find(j.name());
+      if (m != null && !live.test(m.name()) && silent.applyAsLong(m.name()) > 2L * t.dead())
+        back.add(j);
+    }
+    if (back.isEmpty()) return null;
+    return change("back-empty", back.stream().map(Members.Member::name).toList(), back);
+  }
+
+  /** Those silent for longer than replaceAfter, the longest silent first. */
+  private List<String> dead(ToLongFunction<String> silent, Tunables t) {
+    List<String> out = new ArrayList<>();
+    if (t.replaceAfter() == 0) return out;
+    for (Members.Member m : now.all())
+      if (!live.test(m.name()) && silent.applyAsLong(m.name()) >= t.replaceAfter())
+        out.add(m.name());
+    out.sort(Comparator.comparingLong(silent).reversed());
+    return out;
+  }
+
+  /** Those whose place has to be taken before they end. */
+  private List<String> leaving(Predicate<String> leaving, Tunables t) {
+    if (t.replaceAfter() == 0) return List.of();
+    return now.all().stream().map(Members.Member::name).filter(leaving).toList();
+  }
+
   /** The set with these out and those in, or null where a majority of it isn't alive. */
   Step change(String why, List<String> out, List<Members.Member> in) {
     List<Members.Member> l = new ArrayList<>(now.all());
--- a/control-plane/src/main/java/gladelug/control/core/Tunables.java
+++ b/control-plane/src/main/java/gladelug/control/core/Tunables.java
@@ -9,7 +9,17 @@
 import java.util.List;
 
 /**
- * lease: how long a grant lasts, counted from the round that confirmed its owner, ms. alive:
+ * How long a lease has to be. A leased key's owner is confirmed each `confirm` ms. When it fails,
+ * the others find it silent `dead` ms after its last sign of life, or, where they still hear it,
+ * see its claim end dead + confirm ms after its last confirmation, told by a sign of life up to
+ * `alive` ms later; the first of them in order then needs an attempt, which with disks in order
+ * ends within `attempt` ms, and confirms at once. So a key goes without a confirmed owner for at
+ * most dead + confirm + alive + attempt ms and a round trip. Where another member is only just back
+ * from trouble and needed for a majority, its connections may take Liveness's connectTimeout +
+ * pause ms more. A lease counts from the confirmation it was granted off and a relay asks each so
+ * many ms, so `lease` must be longer than all that and the time between two asks together.
+ *
+ * <p>lease: how long a grant lasts, counted from the round that confirmed its owner, ms. alive:
  * between two signs of life, ms. dead: silence after which a member counts as dead, ms. confirm:
  * between two rounds of confirmation, ms. settled: how long a preferred owner is up before it takes
  * its key back, ms. rank: how long each further member waits to try for a key, ms. attempt: how
@@ -20,7 +30,8 @@
  * new owner may not command yet, ms; at least commandLease and what two owners in turn must keep
  * apart, clocks that drift included. voters: how many members automatic growth leads to, odd.
  * replaceAfter: silence after which a machine that asks to join takes a member's place without an
- * operator, ms; 0 for never.
+ * operator, ms; 0 for never. leave: how long a member that is asked to stop goes on at the most
+ * until its keys and its place are taken, ms.
  */
 public record Tunables(
     int lease,
@@ -39,7 +50,8 @@
     int commandLease,
     int commandGap,
     int voters,
-    int replaceAfter) {
+    int replaceAfter,
+    int leave) {
 
   /**
    * When a committed change is acknowledged. STRICT: once every leased relay has it or its lease
@@ -79,7 +91,8 @@
           2000,
           2000,
           3,
-          0);
+          0,
+          2000);
 
   public Tunables {
     List<String> l = new ArrayList<>();
@@ -97,7 +110,8 @@
           queue,
           contact,
           ackWait,
-          commandLease
+          commandLease,
+          leave
         }) if (x <= 0) l.add("every time and size but commandGap and replaceAfter must be above 0");
     if (dead <= 2 * alive)
       l.add("dead must be more than two signs of life, " + dead + " of " + alive);
@@ -144,6 +158,7 @@
     private int commandGap;
     private int voters;
     private int replaceAfter;
+    private int leave;
 
     private Builder(Tunables t) {
       lease = t.lease;
@@ -163,6 +178,7 @@
       commandGap = t.commandGap;
       voters = t.voters;
       replaceAfter = t.replaceAfter;
+      leave = t.leave;
     }
 
     public Builder lease(int x) {
@@ -250,6 +266,11 @@
       return this;
     }
 
+    public Builder leave(int x) {
+      leave = x;
+      return this;
+    }
+
     /** All that can't be is named in one IllegalArgumentException. */
     public Tunables build() {
       return new Tunables(
@@ -269,7 +290,8 @@
           commandLease,
           commandGap,
           voters,
-          replaceAfter);
+          replaceAfter,
+          leave);
     }
   }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -5,6 +5,7 @@
 package gladelug.rehearsal.sim;
 
 import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.ChangeRequest;
 import gladelug.control.core.CoreHost;
 import gladelug.control.core.CoreMessage;
 import gladelug.control.core.CoreNode;
@@ -29,6 +30,10 @@
   CoreNode node;
   boolean up;
   boolean paused;
+
+  /** The machine has no power. */
+  boolean dark;
+
   int life;
   double rate = 1;
   private long rateSince;
@@ -61,6 +66,7 @@
 
   void start() {
     up = true;
+    dark = false;
     paused = false;
     emptied = false;
     died = "";
@@ -108,6 +114,7 @@
         () -> {
           node.healthy(medium.stalledFor(sim.now()) < 400);
           node.tick();
+          sim.closeIfSilent(name);
         });
     sim.after(25, () -> tick(l));
   }
@@ -115,11 +122,36 @@
   void kill() {
     up = false;
     life++;
+    medium.processEnded();
   }
 
-  void power() {
+  /** The process is asked to stop and ends once it may, or when its time to leave is over. */
+  void terminate() {
+    int l = life;
+    run(() -> node.leave());
+    sim.after(sim.tunables.leave(), () -> ends(l, "its time is over"));
+    endsOnceDispensable(l);
+  }
+
+  private void endsOnceDispensable(int l) {
+    if (l != life) return;
+    run(
+        () -> {
+          if (node.dispensable()) ends(l, "the others can do without it");
+        });
+    sim.after(50, () -> endsOnceDispensable(l));
+  }
+
+  private void ends(int l, String why) {
+    if (l != life || paused) return;
+    sim.say(name, "ends: " + why);
     kill();
+  }
+
+  void power() {
+    dark = true;
     medium.power();
+    kill();
   }
 
   void diskFailed() {
@@ -142,6 +174,12 @@
     rate = r;
   }
 
+  /** The monotonic clock goes on from so many milliseconds later. */
+  void stepClock(long ms) {
+    base = now() + ms;
+    rateSince = sim.now();
+  }
+
   /** Runs now, or when the pause is over, unless the process it was meant for is gone. */
   void run(Runnable r) {
     if (!up) return;
@@ -159,7 +197,7 @@
   }
 
   void propose(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
-    run(() -> node.change(key, match, body, answer));
+    run(() -> node.change(ChangeRequest.onNumber(key, match, body), answer));
   }
 
   @Override
