--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -140,7 +140,12 @@
    * silent commandLease after them.
    */
   boolean mayCommand(long now) {
-    return serving() && now >= mayCommand && now < confirmedAt + node.tunables.commandLease();
+    return serving() && now >= mayCommand && now < commandsUntil();
+  }
+
+  /** When its right to command ends unless a majority confirms its epoch anew. */
+  long commandsUntil() {
+    return confirmedAt + node.tunables.commandLease();
   }
 
   /**
