Operators are shown control state only once a majority has confirmed its owner

Naming weights judged service and offers by the same memory and could refuse (400) on old state.

OperatorEndpoint now asks readNewest, as the platform's adapter does: the value comes from the owner after a round of a majority that began after the question; who can't have that gets 503. Numbers and fates are told after such a round. Naming weights reads configuration, replicas and weights that way.

--- a/control-plane/src/main/java/gladelug/control/operator/OperatorEndpoint.java
+++ b/control-plane/src/main/java/gladelug/control/operator/OperatorEndpoint.java
@@ -13,6 +13,7 @@
 import gladelug.control.core.CoreNode;
 import gladelug.control.core.CoreService;
 import gladelug.control.core.Members;
+import gladelug.control.core.Newest;
 import gladelug.kernel.Address;
 import gladelug.kernel.Doc;
 import gladelug.kernel.Finding;
@@ -41,6 +42,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Serves operators and the platform on a control machine. */
@@ -52,6 +54,12 @@
   private static final String FORWARDED = "Gladelug-Forwarded";
   private static final long LARGEST = 5 << 20;
   private static final long ANY = -1, NONE = -2, BAD = -3;
+
+  /** How often a naming is tried again that others overtook. */
+  private static final int NAMING_TRIES = 5;
+
+  private static final long IDENTITY_MS = 1000;
+
   private static final Duration PATIENCE = Duration.ofSeconds(15);
 
   private final Vertx vertx;
@@ -79,11 +87,11 @@
     r.get("/ready").handler(this::ready);
     for (String path : CONFIGURATION_PATHS) configurationRoutes(r, path);
     r.get("/v1/weights/numbers")
-        .handler(c -> atOwner(c, Keys.WEIGHTS, x -> numbers(x, Keys.WEIGHTS)));
+        .handler(c -> atConfirmedOwner(c, Keys.WEIGHTS, x -> numbers(x, Keys.WEIGHTS)));
     r.post("/v1/weights").handler(this::weights);
     r.post("/v1/core/swap").handler(c -> atOwner(c, Keys.CORE, this::swap));
-    r.get("/v1/weights").handler(c -> atOwner(c, Keys.WEIGHTS, x -> show(x, Keys.WEIGHTS)));
-    r.get("/v1/replicas").handler(c -> atOwner(c, Keys.REPLICAS, x -> show(x, Keys.REPLICAS)));
+    r.get("/v1/weights").handler(c -> show(c, Keys.WEIGHTS));
+    r.get("/v1/replicas").handler(c -> show(c, Keys.REPLICAS));
     r.get("/v1/status").handler(this::status);
     r.errorHandler(
         413,
@@ -116,9 +124,9 @@
   private void configurationRoutes(Router r, String path) {
     String key = Keys.CONFIGURATION;
     r.post(path).handler(this::configuration);
-    r.get(path).handler(c -> atOwner(c, key, x -> show(x, key)));
-    r.get(path + "/numbers").handler(c -> atOwner(c, key, x -> numbers(x, key)));
-    r.get(path + "/numbers/:number").handler(c -> atOwner(c, key, x -> fate(x, key)));
+    r.get(path).handler(c -> show(c, key));
+    r.get(path + "/numbers").handler(c -> atConfirmedOwner(c, key, x -> numbers(x, key)));
+    r.get(path + "/numbers/:number").handler(c -> atConfirmedOwner(c, key, x -> fate(x, key)));
   }
 
   private static void say(RoutingContext c, int status, JsonObject o) {
@@ -129,6 +137,36 @@
         .endAndForget(o + "\n");
   }
 
+  private static void nobodyOwns(RoutingContext c) {
+    c.response().putHeader("Retry-After", "1");
+    say(
+        c,
+        503,
+        Json.object()
+            .add("outcome", "not-taken")
+            .add("reason", "no majority owns this at the moment"));
+  }
+
+  /**
+   * As atOwner, once a majority has confirmed after the question that the owner still is one; an
+   * owner that is cut off has not yet learned of its successor.
+   */
+  private void atConfirmedOwner(RoutingContext c, String key, Consumer<RoutingContext> here) {
+    atOwner(
+        c,
+        key,
+        x ->
+            core.readNewest(key)
+                .flatMap(newest -> core.ask(n -> newest.owned() && n.owns(key)))
+                .subscribe()
+                .with(
+                    owned -> {
+                      if (owned) here.accept(x);
+                      else nobodyOwns(x);
+                    },
+                    t -> c.fail(500, t)));
+  }
+
   /** What only a key's owner can tell is asked of it, whichever machine the operator came to. */
   private void atOwner(RoutingContext c, String key, Consumer<RoutingContext> here) {
     core.ask(
@@ -147,15 +185,8 @@
         .with(
             at -> {
               if (at.isEmpty()) here.accept(c);
-              else if (at.equals("none") || c.request().getHeader(FORWARDED) != null) {
-                c.response().putHeader("Retry-After", "1");
-                say(
-                    c,
-                    503,
-                    Json.object()
-                        .add("outcome", "not-taken")
-                        .add("reason", "no majority owns this at the moment"));
-              } else {
+              else if (at.equals("none") || c.request().getHeader(FORWARDED) != null) nobodyOwns(c);
+              else {
                 Address a = Address.of(at);
                 var q =
                     web.request(c.request().method(), a.port(), a.host(), c.request().uri())
@@ -310,97 +341,118 @@
     }
   }
 
+  private record Naming(String service, String weights) {}
+
+  private static Result<Naming> naming(String body) {
+    return Doc.parse(body == null ? "" : body)
+        .then(
+            d -> {
+              Findings findings = new Findings();
+              Doc.Fields fields = d.fields(findings);
+              Naming naming = new Naming(fields.text("service"), fields.text("weights"));
+              fields.done();
+              return Result.of(findings, () -> naming);
+            });
+  }
+
   private void weights(RoutingContext c) {
-    String s = c.body().asString();
-    record Naming(String service, String weights) {}
-    Result<Naming> r =
-        Doc.parse(s == null ? "" : s)
-            .then(
-                d -> {
-                  Findings fs = new Findings();
-                  Doc.Fields f = d.fields(fs);
-                  Naming n = new Naming(f.text("service"), f.text("weights"));
-                  f.done();
-                  return Result.of(fs, () -> n);
-                });
-    if (r instanceof Result.Bad<Naming> b) {
-      findings(c, b.findings());
-      return;
+    Result<Naming> body = naming(c.body().asString());
+    long match = match(c);
+    if (body instanceof Result.Bad<Naming> bad) findings(c, bad.findings());
+    else if (match == BAD) findings(c, List.of(new Finding("If-Match", "must be a number or *")));
+    else weights(c, ((Result.Good<Naming>) body).value(), match);
+  }
+
+  /** Names weights that a replica offers, judged by what a majority confirms to be current. */
+  private void weights(RoutingContext c, Naming naming, long match) {
+    Uni.combine()
+        .all()
+        .unis(core.readNewest(Keys.CONFIGURATION), core.readNewest(Keys.REPLICAS))
+        .asTuple()
+        .flatMap(
+            read -> {
+              if (!read.getItem1().owned() || !read.getItem2().owned()) {
+                nobodyOwns(c);
+                return Uni.createFrom().<ChangeAnswer>nullItem();
+              }
+              Configuration configuration = configuration(read.getItem1());
+              return finding(naming, configuration, replicas(read.getItem2()))
+                  .flatMap(finding -> nameUnless(finding, c, naming, match));
+            })
+        .subscribe()
+        .with(answer -> {}, t -> c.fail(500, t));
+  }
+
+  private Uni<ChangeAnswer> nameUnless(
+      Optional<Finding> finding, RoutingContext c, Naming naming, long match) {
+    if (finding.isPresent()) {
+      findings(c, List.of(finding.get()));
+      return Uni.createFrom().nullItem();
     }
-    Naming n = ((Result.Good<Naming>) r).value();
-    long m = match(c);
-    if (m == BAD) findings(c, List.of(new Finding("If-Match", "must be a number or *")));
-    else
-      core.ask(x -> x.kept(Keys.CONFIGURATION))
-          .flatMap(
-              kept -> {
-                Configuration p =
-                    Configuration.parse(new String(kept.getValue(), StandardCharsets.UTF_8))
-                            instanceof Result.Good<Configuration> g
-                        ? g.value()
-                        : Configuration.EMPTY;
-                Configuration.Service sv = p.service(n.service);
-                if (sv == null || sv.kind() != Configuration.Kind.MODEL) {
-                  findings(
-                      c,
-                      List.of(
-                          new Finding(
-                              "service",
-                              "is no model service of the configuration: " + n.service)));
-                  return Uni.createFrom().nullItem();
-                }
-                return offered(n.service, n.weights, sv)
-                    .flatMap(
-                        yes -> {
-                          if (!yes) {
-                            findings(
-                                c,
-                                List.of(
-                                    new Finding(
-                                        "weights",
-                                        "no replica of "
-                                            + n.service
-                                            + " that answers offers "
-                                            + n.weights)));
-                            return Uni.createFrom().nullItem();
-                          }
-                          return name(n.service, n.weights, m, 5).invoke(a -> answered(c, a));
-                        });
-              })
-          .subscribe()
-          .with(a -> {}, t -> c.fail(500, t));
+    return name(naming.service, naming.weights, match, NAMING_TRIES)
+        .invoke(answer -> answered(c, answer));
+  }
+
+  private static Configuration configuration(Newest newest) {
+    return Configuration.parse(text(newest)) instanceof Result.Good<Configuration> good
+        ? good.value()
+        : Configuration.EMPTY;
+  }
+
+  private static Replicas replicas(Newest newest) {
+    return Replicas.parse(text(newest)) instanceof Result.Good<Replicas> good
+        ? good.value()
+        : Replicas.NONE;
+  }
+
+  /** What speaks against naming the weights. */
+  private Uni<Optional<Finding>> finding(
+      Naming naming, Configuration configuration, Replicas replicas) {
+    Configuration.Service service = configuration.service(naming.service);
+    if (service == null || service.kind() != Configuration.Kind.MODEL)
+      return Uni.createFrom()
+          .item(
+              Optional.of(
+                  new Finding(
+                      "service", "is no model service of the configuration: " + naming.service)));
+    return offered(naming, service, replicas)
+        .map(
+            yes ->
+                yes
+                    ? Optional.empty()
+                    : Optional.of(
+                        new Finding(
+                            "weights",
+                            "no replica of "
+                                + naming.service
+                                + " that answers offers "
+                                + naming.weights)));
   }
 
   /** Whether any listed replica says it could run these weights. */
-  private Uni<Boolean> offered(String service, String weights, Configuration.Service sv) {
-    return core.ask(x -> x.kept(Keys.REPLICAS))
-        .flatMap(
-            kept -> {
-              Replicas l =
-                  Replicas.parse(new String(kept.getValue(), StandardCharsets.UTF_8))
-                          instanceof Result.Good<Replicas> g
-                      ? g.value()
-                      : Replicas.NONE;
-              List<Uni<Boolean>> asked = new ArrayList<>();
-              for (Replicas.Replica r : l.all)
-                if (r.service().equals(service) && sv.allows(r.address()))
-                  asked.add(
-                      web.get(r.address().port(), r.address().host(), "/identity")
-                          .timeout(1000)
-                          .send()
-                          .map(
-                              a -> {
-                                var o = a.bodyAsJsonObject();
-                                return o != null
-                                    && r.instance().equals(o.getString("instance"))
-                                    && o.getJsonArray("offers") != null
-                                    && o.getJsonArray("offers").contains(weights);
-                              })
-                          .onFailure()
-                          .recoverWithItem(false));
-              if (asked.isEmpty()) return Uni.createFrom().item(false);
-              return Uni.join().all(asked).andCollectFailures().map(x -> x.contains(true));
-            });
+  private Uni<Boolean> offered(Naming naming, Configuration.Service service, Replicas replicas) {
+    List<Uni<Boolean>> asked = new ArrayList<>();
+    for (Replicas.Replica replica : replicas.all)
+      if (replica.service().equals(naming.service) && service.allows(replica.address()))
+        asked.add(offers(replica, naming.weights));
+    if (asked.isEmpty()) return Uni.createFrom().item(false);
+    return Uni.join().all(asked).andCollectFailures().map(answers -> answers.contains(true));
+  }
+
+  private Uni<Boolean> offers(Replicas.Replica replica, String weights) {
+    return web.get(replica.address().port(), replica.address().host(), "/identity")
+        .timeout(IDENTITY_MS)
+        .send()
+        .map(
+            answer -> {
+              var identity = answer.bodyAsJsonObject();
+              return identity != null
+                  && replica.instance().equals(identity.getString("instance"))
+                  && identity.getJsonArray("offers") != null
+                  && identity.getJsonArray("offers").contains(weights);
+            })
+        .onFailure()
+        .recoverWithItem(false);
   }
 
   private void swap(RoutingContext c) {
@@ -436,16 +488,16 @@
   }
 
   private Uni<ChangeAnswer> name(String service, String weights, long match, int tries) {
-    return core.ask(x -> x.kept(Keys.WEIGHTS))
+    return core.readNewest(Keys.WEIGHTS)
         .flatMap(
-            k -> {
+            newest -> {
+              if (!newest.owned()) return Uni.createFrom().item(new ChangeAnswer.NoOwner());
               Weights w =
-                  Weights.parse(new String(k.getValue(), StandardCharsets.UTF_8))
-                          instanceof Result.Good<Weights> g
+                  Weights.parse(text(newest)) instanceof Result.Good<Weights> g
                       ? g.value()
                       : Weights.NONE;
               Weights.Named old = w.of(service);
-              long base = match >= 0 ? match : k.getKey();
+              long base = match >= 0 ? match : newest.number();
               Weights next =
                   old != null && old.now().equals(weights)
                       ? w
@@ -459,20 +511,29 @@
                     : Uni.createFrom().item(a));
   }
 
+  /** The newest value, as its owner has it once a majority has confirmed that it still is one. */
   private void show(RoutingContext c, String key) {
-    core.ask(n -> n.kept(key))
+    core.readNewest(key)
         .subscribe()
         .with(
-            k -> {
-              c.response().putHeader("ETag", "\"" + k.getKey() + "\"");
-              JsonObject o = Json.object().add("number", k.getKey());
-              if (k.getKey() > 0)
-                o.add("value", Json.parse(new String(k.getValue(), StandardCharsets.UTF_8)));
-              say(c, 200, o);
+            newest -> {
+              if (newest.owned()) say(c, newest);
+              else nobodyOwns(c);
             },
             t -> c.fail(500, t));
   }
 
+  private static void say(RoutingContext c, Newest newest) {
+    c.response().putHeader("ETag", "\"" + newest.number() + "\"");
+    JsonObject o = Json.object().add("number", newest.number());
+    if (newest.number() > 0) o.add("value", Json.parse(text(newest)));
+    say(c, 200, o);
+  }
+
+  private static String text(Newest newest) {
+    return new String(newest.body(), StandardCharsets.UTF_8);
+  }
+
   /** The numbers remembered of a key, for people: stamps are by the owner's clock on the wall. */
   private void numbers(RoutingContext c, String key) {
     core.ask(n -> n.numbers(key))
--- a/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
@@ -7,6 +7,7 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
@@ -403,6 +404,30 @@
     }
   }
 
+  /** Who owns a key of the control state, as the core tells it; the first member if nobody does. */
+  public String ownerOf(String key) {
+    JsonValue keys = call("GET", "/v1/status", null, Map.of()).body().get("keys");
+    if (keys != null) {
+      for (JsonValue one : keys.asArray()) {
+        String owner = one.asObject().getString("owner", "");
+        if (one.asObject().getString("key", "").equals(key) && !owner.isEmpty()) return owner;
+      }
+    }
+    return members().get(0);
+  }
+
+  /** The names of the core's members, as the core tells them; empty if it tells nothing. */
+  public List<String> members() {
+    List<String> names = new ArrayList<>();
+    JsonValue members = call("GET", "/v1/status", null, Map.of()).body().get("members");
+    if (members != null) {
+      for (JsonValue member : members.asArray()) {
+        names.add(member.asObject().getString("name", ""));
+      }
+    }
+    return names;
+  }
+
   public boolean ready(String node) {
     return http(operator.get(node), "GET", "/ready", null, Map.of()).status == 200;
   }
--- a/rehearsal/src/main/java/gladelug/rehearsal/control/ControlDay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/control/ControlDay.java
@@ -4,7 +4,6 @@
  */
 package gladelug.rehearsal.control;
 
-import com.eclipsesource.json.JsonValue;
 import gladelug.rehearsal.Deployment;
 import gladelug.rehearsal.Fleet;
 import gladelug.rehearsal.Judge;
@@ -157,14 +156,7 @@
 
   /** The core's members by name, as the core tells them now; operators call these from now on. */
   List<String> namesOfMembers() {
-    Fleet.Answer status = fleet.call("GET", "/v1/status", null, Map.of());
-    List<String> names = new ArrayList<>();
-    JsonValue told = status.body().get("members");
-    if (told != null) {
-      for (JsonValue member : told.asArray()) {
-        names.add(member.asObject().getString("name", ""));
-      }
-    }
+    List<String> names = fleet.members();
     if (!names.isEmpty()) {
       members = names.stream().map(n -> new Member(n, fleet.operator.get(n))).toList();
       operators.forEach(operator -> operator.members(members));
@@ -174,14 +166,7 @@
 
   /** Who owns the configuration, as the core tells it; any member where nobody does. */
   String ownerOfConfiguration() {
-    JsonValue keys = fleet.call("GET", "/v1/status", null, Map.of()).body().get("keys");
-    if (keys != null) {
-      for (JsonValue key : keys.asArray()) {
-        String owner = key.asObject().getString("owner", "");
-        if (key.asObject().getString("key", "").equals("policy") && !owner.isEmpty()) return owner;
-      }
-    }
-    return members.get(0).name();
+    return fleet.ownerOf("policy");
   }
 
   /** A machine loses power. */
--- a/rehearsal/src/test/java/gladelug/rehearsal/RequestRehearsalTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/RequestRehearsalTest.java
@@ -278,6 +278,25 @@
         number, f.call("GET", "/v1/configuration", null, Map.of()).body().getLong("number", -1));
   }
 
+  /** An owner that has lost its majority may have a successor that it has not heard of. */
+  @Test
+  void anOwnerThatNoMajorityConfirmsShowsNothing() throws Exception {
+    String owner = f.ownerOf("policy");
+    String digest = "?digest=" + Digest.hex("x");
+    List<String> others = new ArrayList<>(List.of("control-1", "control-2", "control-3"));
+    others.remove(owner);
+    for (String other : others) f.children.get(other).freeze(true);
+    List<Integer> answers = new ArrayList<>();
+    for (String path : new String[] {"", "/numbers", "/numbers/1" + digest})
+      answers.add(
+          f.http(f.operator.get(owner), "GET", "/v1/configuration" + path, null, Map.of())
+              .status());
+    for (String other : others) f.children.get(other).freeze(false);
+    until("a change is taken again", () -> f.configuration(List.of(), "*").status() == 200);
+    until("the relay is ready again", () -> f.ready("relay-1"));
+    Assertions.assertEquals(List.of(503, 503, 503), answers);
+  }
+
   @Test
   void aSecondSendOfTheSameConfigurationHasTheSameNumber() {
     String p = f.deployment.configuration(1234, List.of()).toString();
