--- a/rehearsal/src/main/java/gladelug/rehearsal/control/ChangeLedger.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/control/ChangeLedger.java
@@ -59,13 +59,21 @@
     }
   }
 
+  /** Markers below are those of the fleet's own first configurations. */
+  private static final int FIRST_CONTENT = 100;
+
+  /** Markers above look like others in a configuration. */
+  private static final int LAST_CONTENT = 999;
+
   private final ConcurrentLinkedQueue<Attempt> attempts = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<Reading> readings = new ConcurrentLinkedQueue<>();
-  private final AtomicInteger lastContent = new AtomicInteger();
+  private final AtomicInteger lastContent = new AtomicInteger(FIRST_CONTENT - 1);
 
   /** A marker that no content had before. */
   public int nextContent() {
-    return lastContent.incrementAndGet();
+    int content = lastContent.incrementAndGet();
+    if (content > LAST_CONTENT) throw new IllegalStateException("no content is left for a change");
+    return content;
   }
 
   /** Notes one attempt and its outcome. */
