Each rule of the core broken once is noticed in operators' histories

Six rules: promises, writes and confirmations of a majority, durable before answered, taken changes remembered, an empty disk is another.

--- /dev/null
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/BrokenRulesTest.java
@@ -0,0 +1,87 @@
+/*
+ * Tests that histories show when a rule of the core is broken: each rule is switched off under the
+ * troubles that need it, and seeds are tried until the checker objects.
+ */
+package gladelug.rehearsal.sim;
+
+import gladelug.rehearsal.sim.OperatorsRun.Plan;
+import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+final class BrokenRulesTest {
+  private static final int SEEDS = 60;
+
+  private static Plan plan(long seed, Trouble... kinds) {
+    return new Plan(seed % 2 == 0, 3, 2, 3, 900, 0, 25, List.of(kinds), 1200);
+  }
+
+  /** The first seed whose history contradicts itself; the rule kept, the same run does not. */
+  private static void isNoticed(BrokenRule rule, Trouble... kinds) {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      OperatorsRun run = OperatorsRun.play(seed, plan(seed, kinds), rule);
+      if (run.findings().isEmpty()) continue;
+      OperatorsRun kept = OperatorsRun.play(seed, plan(seed, kinds), BrokenRule.NONE);
+      Assertions.assertEquals(List.of(), kept.findings(), kept::report);
+      return;
+    }
+    Assertions.fail(rule + " is broken and no history of " + SEEDS + " seeds shows it");
+  }
+
+  @Test
+  void keysOwnedWithoutAMajorityOfPromisesAreNoticed() {
+    isNoticed(
+        BrokenRule.PROMISES_OF_A_MAJORITY, Trouble.SPLIT, Trouble.ONE_WAY_CUT, Trouble.KILL);
+  }
+
+  @Test
+  void acknowledgementsBeforeAMajorityHasWrittenAreNoticed() {
+    isNoticed(
+        BrokenRule.WRITES_OF_A_MAJORITY,
+        Trouble.SHORT_CUT,
+        Trouble.ONE_WAY_CUT,
+        Trouble.POWER_AFTER_ACKNOWLEDGEMENT,
+        Trouble.FREEZE,
+        Trouble.DISK_SLOW);
+  }
+
+  @Test
+  void readsAndRefusalsWithoutAConfirmedRoundAreNoticed() {
+    isNoticed(
+        BrokenRule.CONFIRMATIONS_OF_A_MAJORITY,
+        Trouble.FREEZE,
+        Trouble.SHORT_CUT,
+        Trouble.ONE_WAY_CUT);
+  }
+
+  @Test
+  void answersBeforeTheDiskHasThemAreNoticed() {
+    isNoticed(
+        BrokenRule.DURABLE_BEFORE_ANSWERED,
+        Trouble.DISK_SLOW,
+        Trouble.DISK_STALL,
+        Trouble.POWER_AFTER_ACKNOWLEDGEMENT,
+        Trouble.ALL_LOSE_POWER);
+  }
+
+  @Test
+  void takenChangesThatAreForgottenAreNoticed() {
+    isNoticed(
+        BrokenRule.TAKEN_CHANGES_REMEMBERED,
+        Trouble.SHORT_CUT,
+        Trouble.ONE_WAY_CUT,
+        Trouble.FREEZE,
+        Trouble.KILL);
+  }
+
+  @Test
+  void aLostDiskThatCountsAsTheSameIsNoticed() {
+    isNoticed(
+        BrokenRule.EMPTY_DISK_IS_ANOTHER,
+        Trouble.WIPE_AFTER_ACKNOWLEDGEMENT,
+        Trouble.SHORT_CUT,
+        Trouble.ONE_WAY_CUT,
+        Trouble.ALL_KILLED,
+        Trouble.KILL);
+  }
+}
