--- a/kernel/src/main/java/gladelug/kernel/Address.java
+++ b/kernel/src/main/java/gladelug/kernel/Address.java
@@ -55,6 +55,18 @@
     return n;
   }
 
+  // Written out: a record's own link themselves by method handles when first used, tens of ms of a
+  // process's start.
+  @Override
+  public boolean equals(Object o) {
+    return o instanceof Address a && port == a.port && host.equals(a.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + port;
+  }
+
   @Override
   public String toString() {
     return host + ":" + port;
--- a/kernel/src/main/java/gladelug/kernel/Log.java
+++ b/kernel/src/main/java/gladelug/kernel/Log.java
@@ -6,6 +6,7 @@
 package gladelug.kernel;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LogSite;
 import java.io.PrintStream;
 import java.time.Instant;
 import java.util.Locale;
@@ -67,19 +68,24 @@
   }
 
   public static void event(String name, Object... pairs) {
-    FLOGGER.atInfo().log("%s", line(name, pairs));
+    log(FLOGGER.atInfo(), name, pairs);
   }
 
   public static void warn(String name, Object... pairs) {
-    FLOGGER.atWarning().log("%s", line(name, pairs));
+    log(FLOGGER.atWarning(), name, pairs);
   }
 
   public static void fine(String name, Object... pairs) {
-    if (FLOGGER.atFine().isEnabled()) FLOGGER.atFine().log("%s", line(name, pairs));
+    log(FLOGGER.atFine(), name, pairs);
   }
 
   public static void thrown(String name, Throwable t, Object... pairs) {
-    FLOGGER.atWarning().withCause(t).log("%s", line(name, pairs));
+    log(FLOGGER.atWarning().withCause(t), name, pairs);
+  }
+
+  /** Lines carry no place in the source, so the stack isn't walked to find one. */
+  private static void log(FluentLogger.Api at, String name, Object... pairs) {
+    if (at.isEnabled()) at.withInjectedLogSite(LogSite.INVALID).log(line(name, pairs));
   }
 
   static String line(String name, Object... pairs) {
