--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -122,12 +122,36 @@
   void kill() {
     up = false;
     life++;
+    medium.processEnded();
   }
 
-  void power() {
+  /** The process is asked to stop and ends once it may, or when its time to leave is over. */
+  void terminate() {
+    int l = life;
+    run(() -> node.leave());
+    sim.after(sim.tunables.leave(), () -> ends(l, "its time is over"));
+    endsOnceDispensable(l);
+  }
+
+  private void endsOnceDispensable(int l) {
+    if (l != life) return;
+    run(
+        () -> {
+          if (node.dispensable()) ends(l, "the others can do without it");
+        });
+    sim.after(50, () -> endsOnceDispensable(l));
+  }
+
+  private void ends(int l, String why) {
+    if (l != life || paused) return;
+    sim.say(name, "ends: " + why);
     kill();
+  }
+
+  void power() {
     dark = true;
     medium.power();
+    kill();
   }
 
   void diskFailed() {
@@ -150,6 +174,12 @@
     rate = r;
   }
 
+  /** The monotonic clock goes on from so many milliseconds later. */
+  void stepClock(long ms) {
+    base = now() + ms;
+    rateSince = sim.now();
+  }
+
   /** Runs now, or when the pause is over, unless the process it was meant for is gone. */
   void run(Runnable r) {
     if (!up) return;
