A member that leaves brings the change of members to an end before it rests

Cause: a sealed member that heard of the next generation, of which it is none, stopped driving the change. When the one next member that took part then lost its disk, the leaving member held the only copy, told nobody, and the core stood still for good, with one disk of three lost in each set of members. Found by the model checker: of walks with 3 members and two that stand by (a, c, d with c not yet told; a replaced by b; d takes part in the next generation and is lost).

Ruled out: that two disks of one set were lost (one of a, c, d and one of b, c, d).

Change: it goes on sealing and telling until a majority of the next members is known to take part. That is harmless: whoever takes part ignores both, and what it tells is a sealed majority's.

CoreNodeTest.aMemberThatLeavesHandsOnWhatItKeepsUntilAMajorityOfTheNextTakesPart fails without the change (0 of 3 told) and passes with it; CoreNodeTest 15, MembersSimTest 1, MembersTimelineTest 7, SecondLossSimTest 9, FirstMembersTest 5 pass.

--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -365,7 +365,7 @@
     }
     if (leaving) membership.sayLeaving(now);
     else if (membership.retired() || membership.behind() || alone(now)) membership.join(now);
-    if (membership.sealed() && !membership.retired()) membership.drive(now);
+    if (membership.mustDrive()) membership.drive(now);
     if (!membership.active()) return;
     membership.reviseMembers(now);
     if (leaving) handOver(now);
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -481,6 +481,15 @@
     n.host.sync(SEALED, next.bytes(), () -> {});
   }
 
+  /**
+   * Whether this member has to bring a change of members to an end. One that leaves by the change
+   * has to as well, until a majority of those who come next takes part: before, what is kept here
+   * may be the only copy beside one that may still be lost.
+   */
+  boolean mustDrive() {
+    return sealed != null && !(retired && activeMembers(known) >= known.majority());
+  }
+
   /**
    * Whoever is sealed brings it to an end, the first live one in the order of the key core at once,
    * the others if that takes long.
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -261,6 +261,33 @@
     Assertions.assertEquals(3, p.count("address Settled"));
   }
 
+  /**
+   * Once the one next member that took part is lost, what the member that leaves keeps may be the
+   * only copy; the model checker found a core that stood still because it kept that to itself.
+   */
+  @Test
+  void aMemberThatLeavesHandsOnWhatItKeepsUntilAMajorityOfTheNextTakesPart() {
+    Members next =
+        new Members(
+            2, List.of(THREE.find("b"), THREE.find("c"), new Members.Member("d", "dd", A, A)));
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    from(n, "b", new Seal(next));
+    p.synced();
+    n.message(new Envelope(2, "d", "dd", new Settled(next, List.of())));
+    Assertions.assertTrue(n.retired());
+    for (String sealed : new String[] {"a", "c"}) from(n, sealed, new Sealed(2, List.of()));
+    p.said.clear();
+    p.now += 2000;
+    n.tick();
+    Assertions.assertEquals(3, p.count("address Settled"), "d alone takes part");
+    n.message(new Envelope(2, "b", "db", new Settled(next, List.of())));
+    p.said.clear();
+    p.now += 2000;
+    n.tick();
+    Assertions.assertEquals(0, p.count("address Settled"), "b and d take part");
+  }
+
   @Test
   void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
     Paper p = new Paper();
