Stories of cut off members, racing operators and hundreds of changes, moments swept

Eleven timelines judged as histories: an owner cut off both ways, not heard, not hearing, or flapping around a change (moments 25 ms apart); two operators at an owner that freezes and thaws, a change acknowledged again by later owners after a loss of power 0 to 400 ms after the acknowledgement, eight at once while the owner dies (5 and 10 ms apart); a member back after 400 changes, restarted, empty, or after a loss of power of all.

A read at the very moment when the first in order takes its key back has no clear answer (28,000 ms, 3 s after the heal); the callers' door offers it again, these stories read later.

--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -192,6 +192,15 @@
       }
   }
 
+  /** Nothing it sends arrives, or else nothing arrives at it. */
+  void cutOneWay(String who, boolean out) {
+    for (String other : everybody()) {
+      if (other.equals(who)) continue;
+      if (out) cut(who, other);
+      else cut(other, who);
+    }
+  }
+
   /** Two sides that hear nothing of each other. */
   public void split(Set<String> side) {
     for (String a : everybody())
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Timeline.java
@@ -1,7 +1,8 @@
 /*
  * Plays a story drawn as text, a column a node: the first line names the columns, each further
  * line is a time in milliseconds and what happens to each node then ("." is nothing). The column
- * op is the operator and the onlooker: it sends values and says what must be seen by then.
+ * op is the operator and the onlooker: it sends values and says what must be seen by then. A column
+ * named calls is left to whoever plays the story.
  */
 package gladelug.rehearsal.sim;
 
@@ -11,11 +12,22 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 
 final class Timeline {
   private Timeline() {}
 
   static Sim play(Sim s, String text) {
+    return play(
+        s,
+        text,
+        cell -> {
+          throw new IllegalArgumentException("nobody takes " + cell);
+        });
+  }
+
+  /** Plays a story whose column calls is told to the given consumer. */
+  static Sim play(Sim s, String text, Consumer<String> calls) {
     List<String> head = null;
     long base = s.now();
     for (String raw : text.split("\n")) {
@@ -34,7 +46,8 @@
       for (int i = 1; i < cells.size(); i++) {
         String what = cells.get(i);
         if (what.equals(".") || what.equals("side")) continue;
-        if (head.get(i).equals("op")) operator(s, what, raw);
+        if (head.get(i).equals("calls")) calls.accept(what);
+        else if (head.get(i).equals("op")) operator(s, what, raw);
         else if (head.get(i).startsWith("c")) control(s, head.get(i), what);
         else relay(s, head.get(i), what);
       }
@@ -58,6 +71,8 @@
       case "pause" -> c.pause();
       case "wake" -> c.wake();
       case "cut" -> s.cutOff(n);
+      case "cut-in" -> s.cutOneWay(n, false);
+      case "cut-out" -> s.cutOneWay(n, true);
       case "heal" -> s.heal(n);
       case "stall" -> c.medium.stalled = true;
       case "free" -> {
