--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -9,7 +9,8 @@
  * none, and answers changes and reads with NoOwner at once. That holds at the latest dead + alive ms
  * after the first direction failed. A key's owner that is still heard while its answers are not
  * claims its key only so long as a majority confirms it, so whoever hears a claim leaves the key be
- * even without contact, and no one-way cut between two members moves a key from a working owner.
+ * even without contact, and refuses to promise it to a member that doesn't hear the owner. So no cut
+ * between two members moves a key from an owner that works for a majority.
  */
 package gladelug.control.core;
 
@@ -49,12 +50,16 @@
 
 public final class CoreNode {
   static final int LARGEST = 6 << 20;
+
   private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
-  private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
+  private static final String ACKNOWLEDGED = "", A_MEMBER = "";
 
   /** How long one that leaves waits for the changes under way, in ms. */
   private static final long HAND_OVER = 1000;
 
+  /** Room on disk for what isn't a key's: members, epochs, the frame's own, in bytes. */
+  private static final int RESERVE = 128 << 10;
+
   private static final int MOST_WORDS = 300;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -126,12 +131,12 @@
   private final long run;
   private final int cutoff;
   private final Duties duties;
-  private final Map<String, Cell> cells = new HashMap<>();
+  private final KeptCells cells;
   private final Map<String, KeyOwner> owners = new TreeMap<>();
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<String, Age> ages = new HashMap<>();
 
-  /** By key: when another was last promised it. */
+  /** By key: when another was last promised it, or was found to own it. */
   private final Map<String, Long> yielded = new HashMap<>();
 
   private final Map<String, Long> ownerless = new HashMap<>();
@@ -192,10 +197,7 @@
     this.began = booted;
     this.nr = host.random(1L << 40) << 20;
     this.run = nr;
-    durable.forEach(
-        (k, b) -> {
-          if (k.startsWith(CELL)) cells.put(k.substring(CELL.length()), Cell.of(b));
-        });
+    this.cells = new KeptCells(host, durable);
     for (String k : Keys.NEWS) owner(k);
     owner(Keys.SHARES);
     membership.open(
@@ -217,7 +219,7 @@
   }
 
   Cell cell(String key) {
-    return cells.getOrDefault(key, Cell.EMPTY);
+    return cells.get(key);
   }
 
   KeyOwner owner(String key) {
@@ -257,10 +259,14 @@
         m.all().stream().map(Members.Member::name).toList());
   }
 
+  /** The largest value of a key: one that didn't fit the disks would stop every member at once. */
+  int largest(String key) {
+    long room = host.stateCapacity() - cells.sizeWithout(key) - RESERVE;
+    return (int) Math.max(0, Math.min(LARGEST, room));
+  }
+
   List<Kept> all() {
-    List<Kept> cs = new ArrayList<>();
-    cells.forEach((k, c) -> cs.add(new Kept(k, c.bytes())));
-    return cs;
+    return cells.all();
   }
 
   /**
@@ -285,12 +291,12 @@
   }
 
   /**
-   * How long nothing was heard of a member; a change of members that it outlasts doesn't start this
-   * anew.
+   * How long there was no contact with a member; a change of members that it outlasts doesn't start
+   * this anew.
    */
   long silent(String name, long now) {
     Peer f = peers.get(name);
-    return f == null ? 0 : now - Math.max(f.heard, f.known);
+    return f == null ? 0 : now - Math.max(heard(name), f.known);
   }
 
   /** Keys come to be when a replica is listed: one commander each. */
@@ -434,11 +440,16 @@
   }
 
   boolean live(String m, long now) {
-    if (m.equals(self)) return healthy && !leaving;
+    if (m.equals(self)) return healthy;
     Peer f = peers.get(m);
     return f != null && f.healthy && inContact(m, now);
   }
 
+  /** Whether a member is alive and is to stay. */
+  boolean stays(String m, long now) {
+    return live(m, now) && !membership.leaving(m, now);
+  }
+
   /**
    * Has had no contact with a majority since it could have: perhaps because the fleet has moved on
    * without it, so it asks around.
@@ -479,7 +490,7 @@
     int rank = 0;
     for (String m : order) {
       if (m.equals(self)) break;
-      if (live(m, now)) rank++;
+      if (stays(m, now)) rank++;
     }
     if (other != null) {
       ownerless.remove(o.key);
@@ -489,7 +500,8 @@
       // taken back without churn: not while the owner is at a change, whose fate would then be
       // unknown to its
       // sender
-      if (rank == 0 && before && settled && live(other, now) && !busy(other, o.key)) o.attempt(now);
+      if (rank == 0 && before && settled && live(other, now) && !busy(other, o.key))
+        o.attempt(true, now);
       return;
     }
     long since = ownerless.computeIfAbsent(o.key, k -> now);
@@ -500,7 +512,7 @@
     // whoever was promised the key a moment ago is given the time to serve it, else all oust one
     // another for ever
     if (now - yielded.getOrDefault(o.key, Long.MIN_VALUE / 2) < tunables.yields()) return;
-    if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(now);
+    if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(false, now);
   }
 
   private boolean busy(String owner, String key) {
@@ -641,24 +653,43 @@
   // ---- the member's side: durable before answered
 
   void keep(String key, Cell c, Runnable done) {
-    cells.put(key, c);
-    host.sync(CELL + key, c.bytes(), done);
+    cells.keep(key, c, done);
   }
 
   private void onPromise(String from, Promise p) {
     owner(p.key()).highest = Math.max(owner(p.key()).highest, p.epoch());
     Cell c = cell(p.key());
-    if (p.epoch() <= c.promised()) {
+    if (p.epoch() <= c.promised() || !p.handover() && hasWorkingOwner(p.key(), from)) {
       to(from, new Promised(p.key(), p.epoch(), false, c.promised(), 0, Cell.Value.NONE));
       return;
     }
-    if (!from.equals(self)) yielded.put(p.key(), host.now());
+    if (!from.equals(self)) yields(p.key(), host.now());
     keep(
         p.key(),
         new Cell(p.epoch(), c.epoch(), c.value()),
         () -> to(from, new Promised(p.key(), p.epoch(), true, p.epoch(), c.epoch(), c.value())));
   }
 
+  /**
+   * Whether another than this member is known to own the key and to be well. It has to be heard
+   * more lately than whoever asks needs to have heard it, as that one may have missed its last
+   * signs of life, else a takeover would be held back by those who find the owner silent a moment
+   * later.
+   */
+  private boolean hasWorkingOwner(String key, String but) {
+    if (but.equals(self)) return false;
+    long now = host.now();
+    if (owners.get(key).inHand(now)) return true;
+    String owner = claimant(key, now);
+    long lately = (long) tunables.dead() - 2L * tunables.alive();
+    return owner != null && !owner.equals(but) && now - peers.get(owner).heard < lately;
+  }
+
+  /** Another is given the time to serve the key. */
+  void yields(String key, long now) {
+    yielded.put(key, now);
+  }
+
   private void onAccept(String from, Accept a) {
     Cell c = cell(a.key());
     if (a.epoch() < c.promised()) {
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -38,6 +38,8 @@
    */
   public static final long GRACE = 2000;
 
+  static final String EXPIRED_UNSENT = "expired before it was handed over";
+
   private static final long STALE = 2000;
   private static final double START = 250;
   private static final long ASLEEP = 500;
@@ -123,13 +125,22 @@
 
   /** Whether a request may begin on these weights now. */
   public boolean mayRun(String model, String w) {
-    String[] may = weights(model);
+    return mayRun(weights(model), w);
+  }
+
+  /** As above, with what {@link #weights} gave for the model; may is null where it gave none. */
+  static boolean mayRun(String[] may, String w) {
     return may != null && !w.isEmpty() && (w.equals(may[0]) || w.equals(may[1]));
   }
 
-  /** Whether a replica runs weights on which requests may begin now, of any model it serves. */
-  private boolean runs(Backend b) {
-    for (String m : b.weights.keySet()) if (mayRun(m, weightsOf(b, m))) return true;
+  /**
+   * Whether a replica runs weights on which requests may begin now, of any model it serves. Looking
+   * for the newest weights reads all replicas, so a caller that asks about each of them hands in a
+   * map that lives for this one look.
+   */
+  private boolean runs(Backend b, Map<String, String[]> may) {
+    for (String m : b.weights.keySet())
+      if (mayRun(may.computeIfAbsent(m, this::weights), weightsOf(b, m))) return true;
     return false;
   }
 
@@ -343,8 +354,9 @@
   public int free(String service) {
     Configuration.Service s = tables().configuration().service(service);
     boolean model = s == null || s.kind() == Configuration.Kind.MODEL;
+    Map<String, String[]> may = new HashMap<>();
     return Math.min(
-        backends.free(service, b -> !model || runs(b)) - admitted.getOrDefault(service, 0),
+        backends.free(service, b -> !model || runs(b, may)) - admitted.getOrDefault(service, 0),
         equalPart(service) - queue(service).used());
   }
 
@@ -372,7 +384,7 @@
   }
 
   private void places(Map.Entry<String, WaitQueue> e) {
-    while (free(e.getKey()) > 0) {
+    while (e.getValue().size() > 0 && free(e.getKey()) > 0) {
       Request o = e.getValue().next();
       if (o == null) break;
       o.admitted = true;
@@ -456,6 +468,25 @@
     ended(o);
   }
 
+  /**
+   * Its deadline passed while a connection was awaited: the caller is told at once, and when the
+   * connection is up nothing leaves on it.
+   */
+  private void expireUnsent(Request o) {
+    if (!o.state.end()) return;
+    Verdict.Refuse v =
+        ((Verdict.Refuse) Verdict.notRun(503, EXPIRED_UNSENT, settings.comeBackMs()))
+            .afterTriesOf(o);
+    o.decision.add(
+        "turned-away",
+        clock.now(),
+        Json.object().add("status", v.status()).add("reason", v.reason()));
+    o.decision.outcome(v.outcome());
+    o.why = v.reason();
+    if (!o.gone) o.caller.refuse(o, v);
+    ended(o);
+  }
+
   /**
    * Called a few times a second: deadlines, and streams whose right to go on can't be known any
    * more.
@@ -473,6 +504,7 @@
           for (Request x : queue(o.service.name()).leave(y -> y == o))
             x.leaveQueue.accept(Verdict.notRun(503, "expired in the backlog", 1000));
         } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, "expired");
+        else if (at == State.At.WAITING && o.admitted) expireUnsent(o);
       } else if (o.backend != null
           && o.backend.silent(now, awake)
           && o.state.at() != State.At.WAITING) o.lost.accept("has fallen silent");
