The simulator resets connections, silences links, repeats answers and lets callers leave at every step

RequestSim lacked what comes about on connections that stay: resets while idle, between the choice of a connection and its use, before a request is read and while it runs; links that carry nothing for seconds and deliver late; a whole answer sent a second time, at once or up to 150 ms later, where a later request's answer is due; callers that leave at a given step. These are five more happenings, at each of the four points of a request, and Met counts what came about, so that a judgement of nothing is seen.

Surplus bytes now reach whichever request uses the connection then, and close an idle one, as with Vert.x.

--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
@@ -151,6 +151,24 @@
     if (up) connections.broke(r);
   }
 
+  /** All connections to a replica are reset at its end. */
+  void resetConnections(SimReplica r) {
+    if (up) connections.resetAll(r);
+  }
+
+  /** The caller of a request goes away, if it is this relay's and is not answered yet. */
+  void callerLeaves(String tag) {
+    for (Map.Entry<Request, Ledger.Call> e : new ArrayList<>(calls.entrySet()))
+      if (e.getValue().tag.equals(tag)) run(life, () -> gone(e.getKey()));
+  }
+
+  /** The caller of the request that came last goes away. */
+  void lastCallerLeaves() {
+    String last = "";
+    for (Ledger.Call c : open) last = c.tag;
+    callerLeaves(last);
+  }
+
   /** Who the relay's list says is at an address. */
   String wanted(String address) {
     return news.tables().replicas().all.stream()
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
@@ -37,6 +37,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -71,12 +72,18 @@
     REPLICA_CRASHES,
     REPLICA_VANISHES,
     RELAY_CUT_FROM_CORE,
-    ADDRESS_REUSED
+    ADDRESS_REUSED,
+    CONNECTIONS_RESET,
+    LINKS_SILENT,
+    ANSWERS_REPEATED,
+    ANSWERS_REPEATED_LATE,
+    CALLER_LEAVES
   }
 
   static final Promises.Graces STRICT = new Promises.Graces(0, 0, 15_400, 0, 0);
   private static final String[] TENANTS = {"one", "two", "walled"};
   private static final int CUTOFF = 15_000;
+  private static final long LATEST_SURPLUS_MS = 150;
 
   final Ledger ledger = new Ledger();
   final Promises promises = new Promises();
@@ -117,6 +124,9 @@
   private int sent;
   double perSecond = 40;
 
+  /** How often what the judges are to look at came about. */
+  final Map<Met, Integer> counts = new EnumMap<>(Met.class);
+
   RequestSim(long seed) {
     super(seed, 0);
     for (int i = 1; i <= 3; i++) fronts.put("r" + i, new RequestRelay(this, "r" + i));
@@ -152,6 +162,10 @@
     return r;
   }
 
+  void count(Met what) {
+    counts.merge(what, 1, Integer::sum);
+  }
+
   SimReplica at(String address) {
     return byAddress.get(address);
   }
@@ -529,6 +543,7 @@
     }
     met = now();
     say("order", who + " is held at " + p + " while " + happening);
+    heldRequest = who;
     boolean[] gone = {false};
     Consumer<Boolean> then =
         ok ->
@@ -556,6 +571,18 @@
     for (RequestRelay f : fronts.values()) f.broke(r);
   }
 
+  /**
+   * Nothing comes through between a replica and the relays for a while, and nobody is told; what
+   * was sent meanwhile arrives afterwards.
+   */
+  private void silence(SimReplica r) {
+    for (String f : fronts.keySet()) {
+      cut(f, r.instance);
+      cut(r.instance, f);
+    }
+    after(500 + random.nextInt(4000), () -> heal(r.instance));
+  }
+
   void happen(Happening h, Consumer<Boolean> then) {
     switch (h) {
       case CONFIGURATION_MOVES ->
@@ -605,6 +632,32 @@
           }
         change(() -> application = application.equals("app") ? "app-two" : "app", then);
       }
+      case CONNECTIONS_RESET -> {
+        for (SimReplica r : replicas.values())
+          for (RequestRelay f : fronts.values()) f.resetConnections(r);
+        then.accept(true);
+      }
+      case LINKS_SILENT -> {
+        silence(someModel());
+        then.accept(true);
+      }
+      case ANSWERS_REPEATED -> {
+        for (SimReplica r : replicas.values()) r.repeatsAnswers = 0.5;
+        then.accept(true);
+      }
+      case ANSWERS_REPEATED_LATE -> {
+        for (SimReplica r : replicas.values()) {
+          r.repeatsAnswers = 0.5;
+          r.repeatsWithinMs = LATEST_SURPLUS_MS;
+        }
+        then.accept(true);
+      }
+      case CALLER_LEAVES -> {
+        RequestRelay relay = fronts.get(heldRequest);
+        if (relay != null) relay.lastCallerLeaves();
+        else for (RequestRelay f : fronts.values()) f.callerLeaves(heldRequest);
+        then.accept(true);
+      }
       default -> {
         // the machine dies and its address is given to a replica of another service
         SimReplica old = replicas.get("m2");
@@ -635,7 +688,8 @@
     loseEvents = delayEvents = 0;
     for (SimReplica r : replicas.values()) {
       r.hung = r.vanished = r.lateBytes = r.neverLoads = false;
-      r.notRun = r.cutStreams = 0;
+      r.notRun = r.cutStreams = r.repeatsAnswers = 0;
+      r.repeatsWithinMs = 1;
       byAddress.put(r.address.toString(), r);
       r.start("w" + (random.nextBoolean() ? weights : Math.max(1, weights - 1)));
       list(r.instance, "ready");
@@ -723,6 +777,7 @@
     final AtomicLong requests = new AtomicLong();
     final AtomicLong complete = new AtomicLong();
     final AtomicLong second = new AtomicLong();
+    final Map<Met, Integer> counts = new ConcurrentSkipListMap<>();
 
     @Override
     public String toString() {
@@ -732,6 +787,8 @@
           + complete
           + ", second tries "
           + second
+          + ", brought about "
+          + counts
           + ", windows met "
           + met;
     }
@@ -781,6 +838,7 @@
               + String.join("\n", Arrays.asList(l).subList(Math.max(0, l.length - 30), l.length)));
     }
     if (s.met >= 0) t.met.merge(s.happening + "@" + s.point, 1, Integer::sum);
+    s.counts.forEach((what, n) -> t.counts.merge(what, n, Integer::sum));
     t.requests.addAndGet(s.ledger.calls.size());
     t.complete.addAndGet(s.complete());
     for (List<Ledger.Run> rs : s.ledger.runs.values()) t.second.addAndGet(rs.size() - 1);
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimConnections.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimConnections.java
@@ -36,6 +36,12 @@
     final int endLife;
     String who = "";
     boolean closed;
+
+    /**
+     * The other end reset it: nothing more is read there, whether the relay knows it yet or not.
+     */
+    boolean resetThere;
+
     Line used;
     final ArrayDeque<Runnable> there = new ArrayDeque<>();
     final ArrayDeque<Runnable> back = new ArrayDeque<>();
@@ -47,7 +53,35 @@
     }
 
     boolean dead() {
-      return closed || end.life != endLife || sim.at(address) != end;
+      return closed || resetThere || end.life != endLife || sim.at(address) != end;
+    }
+
+    /** The other end resets it; the relay hears of it after what is on its way back already. */
+    void reset() {
+      if (closed || resetThere) return;
+      resetThere = true;
+      if (used != null) used.lost();
+      carry(
+          back,
+          () -> {
+            closed = true;
+            all.remove(this);
+            if (used == null) sim.count(Met.RESET_WHILE_IDLE);
+            else used.over("the connection was reset");
+          });
+    }
+
+    /** Lines that answer no request that is open here. */
+    void surplus(List<String> lines) {
+      if (closed) return;
+      if (used == null || used.to == null) {
+        sim.count(Met.SURPLUS_WHILE_IDLE);
+        closed = true;
+        all.remove(this);
+        return;
+      }
+      sim.count(Met.SURPLUS_AT_NEXT_REQUEST);
+      used.surplus(lines);
     }
 
     void carry(ArrayDeque<Runnable> way, Runnable r) {
@@ -82,6 +116,11 @@
     }
   }
 
+  /** The replica's machine resets whatever connections it has with this relay. */
+  void resetAll(SimReplica end) {
+    for (Pooled c : new ArrayList<>(all)) if (c.end == end) c.reset();
+  }
+
   @Override
   public void open(Replica to, Consumer<Connection> opened, Consumer<String> failure) {
     String a = to.address().toString();
@@ -168,6 +207,11 @@
       long handed = sim.now();
       String tag = StandInReplica.tagOf(Json.parse(json).asObject().getString("prompt", ""));
       sim.handed(relay, json);
+      if (c.closed) {
+        sim.count(Met.CLOSED_BEFORE_SENDING);
+        sim.after(0, () -> over("the connection is closed"));
+        return;
+      }
       sim.passes(RequestSim.Point.HANDED, tag, () -> c.carry(c.there, () -> taken(json, handed)));
     }
 
@@ -175,6 +219,7 @@
      * A process that hangs reads it when it wakes, and may do so even if it was reset meanwhile.
      */
     private void taken(String json, long handed) {
+      if (c.resetThere) sim.count(Met.RESET_BEFORE_IT_WAS_READ);
       if (c.dead() || reset && sim.random.nextBoolean()) return;
       if (c.end.hung) {
         sim.after(50, () -> taken(json, handed));
@@ -191,10 +236,32 @@
               relay.run(
                   life,
                   () -> {
+                    if (reset) sim.count(Met.ANSWER_AFTER_IT_WAS_GIVEN_UP);
                     if (!over && !reset && to != null) what.accept(to);
                   }));
     }
 
+    /** Lines of another answer come where this request's answer is due. */
+    private void surplus(List<String> lines) {
+      relay.run(
+          life,
+          () -> {
+            for (String line : lines) if (!over && !reset) to.line(line);
+          });
+    }
+
+    /** Bytes that belong to no request, after an answer and perhaps much later. */
+    void sendSurplus(List<String> lines, long afterMs) {
+      sim.after(afterMs, () -> c.carry(c.back, () -> c.surplus(lines)));
+    }
+
+    /** The connection was reset at the replica's end: most drop the request then. */
+    private void lost() {
+      if (job == null) return;
+      sim.count(Met.RESET_WHILE_RUNNING);
+      if (sim.random.nextInt(4) > 0) c.end.left(job);
+    }
+
     /** The replica is through with it: the connection may be used again. */
     void done() {
       c.carry(c.back, this::free);
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
@@ -54,6 +54,11 @@
   double notRun;
   double cutStreams;
   boolean lateBytes;
+
+  /** How often an answer is sent a second time, at once or within so many ms. */
+  double repeatsAnswers;
+
+  long repeatsWithinMs = 1;
   boolean neverLoads;
 
   /** Hears nothing of its commander. */
@@ -230,12 +235,7 @@
         busyUntil - sim.now(),
         () -> {
           for (long b : blocks) keep(b, j.run.weights, j.run.wall);
-          String head =
-              Json.object()
-                  .add("order", j.run.order)
-                  .add("instance", instance)
-                  .add("weights", j.run.weights)
-                  .toString();
+          String head = headOf(j);
           j.line.toRelay(a -> a.line(head));
           piece(j);
         });
@@ -263,8 +263,7 @@
     }
     if (j.pieces < want) {
       int n = j.pieces++;
-      String p =
-          Json.object().add("piece", n).add("text", StandInReplica.textOf(j.run.tag, n)).toString();
+      String p = pieceOf(j, n);
       j.run.pieces = j.pieces;
       j.line.toRelay(a -> a.line(p));
       sim.passes(RequestSim.Point.STREAM, j.run.tag, () -> step(j, MS_PIECE, () -> piece(j)));
@@ -273,15 +272,44 @@
     j.run.ended = true;
     j.gone = true;
     running.remove(j);
-    String end = Json.object().add("end", true).add("pieces", want).toString();
+    String end = endOf(want);
     j.line.toRelay(a -> a.line(end));
     if (lateBytes)
       j.line.toRelay(a -> a.line("{\"piece\":" + want + ",\"text\":\"after the end\"}"));
     j.line.toRelay(a -> a.over("the answer ended without saying so"));
     j.line.done();
+    if (sim.random.nextDouble() < repeatsAnswers)
+      j.line.sendSurplus(wholeAnswer(j), sim.random.nextLong(repeatsWithinMs));
     next();
   }
 
+  private String headOf(Job j) {
+    return Json.object()
+        .add("order", j.run.order)
+        .add("instance", instance)
+        .add("weights", j.run.weights)
+        .toString();
+  }
+
+  private static String pieceOf(Job j, int n) {
+    return Json.object()
+        .add("piece", n)
+        .add("text", StandInReplica.textOf(j.run.tag, n))
+        .toString();
+  }
+
+  private static String endOf(int pieces) {
+    return Json.object().add("end", true).add("pieces", pieces).toString();
+  }
+
+  private List<String> wholeAnswer(Job j) {
+    List<String> lines = new ArrayList<>();
+    lines.add(headOf(j));
+    for (int n = 0; n < j.pieces; n++) lines.add(pieceOf(j, n));
+    lines.add(endOf(j.pieces));
+    return lines;
+  }
+
   private void keep(long block, String w, String wall) {
     if (kept.put(block, new Kept(w, wall)) == null) tell(true, block);
     while (kept.size() > CAPACITY) {
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/RequestSimTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/RequestSimTest.java
@@ -8,7 +8,9 @@
 import gladelug.rehearsal.sim.RequestSim.Happening;
 import gladelug.rehearsal.sim.RequestSim.Point;
 import gladelug.rehearsal.sim.RequestSim.Stories;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -18,6 +20,9 @@
 final class RequestSimTest {
   private static final int SEEDS = Integer.getInteger("gladelug.seeds", 80);
 
+  /** How often each kind of trouble is brought about in one world. */
+  private static final int WINDOWS = 16;
+
   private static String found(RequestSim s, long ms) {
     s.run(ms);
     s.judge();
@@ -104,4 +109,32 @@
       for (Point p : Point.values())
         Assertions.assertTrue(t.met.containsKey(h + "@" + p), h + "@" + p + " was never met");
   }
+
+  @Test
+  void whateverHappensToConnectionsNoRequestRunsTwiceAndNoAnswerGoesAstray() {
+    Logger.getLogger("").setLevel(Level.OFF);
+    Map<Met, Integer> counts = new EnumMap<>(Met.class);
+    for (Happening h :
+        List.of(
+            Happening.CONNECTIONS_RESET,
+            Happening.LINKS_SILENT,
+            Happening.ANSWERS_REPEATED,
+            Happening.ANSWERS_REPEATED_LATE,
+            Happening.CALLER_LEAVES)) {
+      RequestSim s = new RequestSim(h.ordinal());
+      s.run(3000);
+      for (int i = 0; i < WINDOWS; i++) {
+        s.arm(h, Point.values()[i % Point.values().length]);
+        s.run(1600);
+        Assertions.assertTrue(s.met >= 0, i + ": " + h + " was not met at " + s.point);
+      }
+      s.mend();
+      s.run(8000);
+      s.perSecond = 0.001;
+      s.run(6000);
+      Assertions.assertEquals("[]", found(s, 0), h.toString());
+      s.counts.forEach((met, n) -> counts.merge(met, n, Integer::sum));
+    }
+    for (Met m : Met.values()) Assertions.assertTrue(counts.containsKey(m), m + ": " + counts);
+  }
 }
