Split the simulated index and the stories out of RequestSim; no change of behaviour

SimIndex holds the index with its feeds and what must be true of it once quiet; RequestStories plays stories and sums them up (RequestSim.stories and Stories are now RequestStories.play).

--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -12,7 +12,7 @@
 import gladelug.rehearsal.control.ControlTroubles;
 import gladelug.rehearsal.scale.ScalePlan;
 import gladelug.rehearsal.scale.ScaleRun;
-import gladelug.rehearsal.sim.RequestSim;
+import gladelug.rehearsal.sim.RequestStories;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -189,8 +189,8 @@
     }
     if (n.getString("command").equals("simulate")) {
       Logger.getLogger("").setLevel(Level.OFF);
-      RequestSim.Stories t =
-          RequestSim.stories(n.getLong("from"), n.getInt("seeds"), n.getInt("threads"));
+      RequestStories t =
+          RequestStories.play(n.getLong("from"), n.getInt("seeds"), n.getInt("threads"));
       t.offenders.forEach(System.out::println);
       System.out.println(t + "\noffending seeds: " + t.offenders.size());
       System.exit(t.offenders.isEmpty() ? 0 : 1);
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
@@ -14,12 +14,6 @@
 import gladelug.control.core.CoreNode;
 import gladelug.control.duty.Division;
 import gladelug.control.duty.Steering;
-import gladelug.data.index.BlockList;
-import gladelug.data.index.CacheEvent;
-import gladelug.data.index.FleetSummary;
-import gladelug.data.index.Holder;
-import gladelug.data.news.HeldNews;
-import gladelug.data.news.NewsBook;
 import gladelug.data.relay.Lookups;
 import gladelug.kernel.Address;
 import gladelug.kernel.Result;
@@ -29,14 +23,12 @@
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.message.News;
-import gladelug.kernel.message.Shuffle;
 import gladelug.rehearsal.Judge;
 import gladelug.rehearsal.Ledger;
 import gladelug.rehearsal.Promises;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -45,8 +37,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentSkipListMap;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 public final class RequestSim extends Sim {
@@ -116,11 +106,7 @@
   private String heldRequest;
   private long armedAt = Long.MAX_VALUE;
   long met = -1;
-  // the index, a data-plane process of its own
-  private final FleetSummary summary = new FleetSummary(16);
-  private final HeldNews indexNews;
-  double loseEvents;
-  double delayEvents;
+  final SimIndex index;
   private int sent;
   double perSecond = 40;
 
@@ -137,14 +123,9 @@
     replica("n", "n1", "10.1.0.4", true);
     replica("app", "a1", "10.1.0.5", false);
     replica("app-two", "b1", "10.1.0.6", false);
-    indexNews =
-        new HeldNews(
-            this::now,
-            new Shuffle.Descriptor("index", "index", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
-            1,
-            t -> summary.holders(t, now()));
+    index = new SimIndex(this);
     for (RequestRelay r : fronts.values()) r.start();
-    after(100, this::index);
+    after(100, index::round);
     run(2500);
     operator(Keys.CONFIGURATION, configuration(), x -> {});
     run(500);
@@ -430,7 +411,7 @@
 
   void lookup(RequestRelay by, long[] blocks, Consumer<Lookups.Found> found) {
     int l = by.life;
-    Lookup.Answer a = summary.answer(new Lookup.Question(1, blocks));
+    Lookup.Answer a = index.answer(blocks);
     passes(
         Point.LOOKUP,
         by.name,
@@ -453,62 +434,10 @@
       violation(by.name + " handed " + o.getString("order", "") + " over while paused");
   }
 
-  // ---- the index and its feeds
-
-  private void index() {
-    News.Ask a = indexNews.ask();
-    for (String c : controlNames()) ask("index", c, a);
-    summary.tick(now());
-    for (Holder h : summary.all()) {
-      SimReplica r = at(h.replica.address().toString());
-      if (r == null || !r.answers() || !r.instance.equals(h.replica.instance())) continue;
-      h.lists(nr -> list(h, r, nr));
-      if (!h.tried) {
-        h.tried = true;
-        summary.capacity(h, r.capacity(), now());
-        h.feed.resync(now());
-      }
-      h.heard = now();
-      String inc = r.incarnation;
-      long seq = r.seq;
-      after(1 + random.nextInt(20), () -> h.feed.pulse(inc, seq, now()));
-    }
-    after(400, this::index);
-  }
-
-  private void list(Holder h, SimReplica r, long nr) {
-    after(
-        1 + random.nextInt(30),
-        () -> {
-          if (!r.answers() || random.nextInt(10) == 0) {
-            after(300, () -> h.feed.resync(now()));
-            return;
-          }
-          String inc = r.incarnation;
-          long seq = r.seq;
-          long[] blocks = r.list();
-          after(1 + random.nextInt(30), () -> h.feed.listed(nr, BlockList.whole(inc, seq, blocks)));
-        });
-  }
-
-  void cacheEvent(SimReplica r, String inc, long seq, boolean store, long block) {
-    CacheEvent e =
-        store ? CacheEvent.store(inc, seq, block, 1) : CacheEvent.evict(inc, seq, block, 0);
-    for (Holder h : summary.all()) {
-      if (!h.replica.instance().equals(r.instance) || random.nextDouble() < loseEvents) continue;
-      int n = random.nextDouble() < loseEvents ? 2 : 1;
-      for (int i = 0; i < n; i++)
-        after(
-            1 + (random.nextDouble() < delayEvents ? random.nextInt(400) : random.nextInt(2)),
-            () -> h.feed.event(e, now()));
-    }
-  }
-
   @Override
   void told(String relay, News m) {
-    if (relay.equals("index")) {
-      if (indexNews.told(m) == NewsBook.Told.WANTS_WHOLE) whole("index", ((News.Push) m).key());
-    } else if (fronts.containsKey(relay)) fronts.get(relay).told(m);
+    if (relay.equals(SimIndex.NAME)) index.told(m);
+    else if (fronts.containsKey(relay)) fronts.get(relay).told(m);
   }
 
   @Override
@@ -517,7 +446,7 @@
     if (fronts != null) {
       l.addAll(fronts.keySet());
       l.addAll(replicas.keySet());
-      l.add("index");
+      l.add(SimIndex.NAME);
     }
     return l;
   }
@@ -685,7 +614,7 @@
       if (!r.up) r.start();
       if (r.paused) r.wake();
     }
-    loseEvents = delayEvents = 0;
+    index.loseEvents = index.delayEvents = 0;
     for (SimReplica r : replicas.values()) {
       r.hung = r.vanished = r.lateBytes = r.neverLoads = false;
       r.notRun = r.cutStreams = r.repeatsAnswers = 0;
@@ -707,144 +636,15 @@
         .forEach(o -> violation("second tries: " + o));
     for (Ledger.Call c : ledger.calls.values())
       if (c.done < 0) violation(c.tag + " was never answered");
-    summaryAgrees();
-  }
-
-  /** Once quiet, whatever a holder keeps is found, and next to nothing else. */
-  private void summaryAgrees() {
-    if (!summary.warm()) {
-      violation("the index is not warm");
-      return;
-    }
-    int kept = 0, entries = summary.json(now()).getInt("entries", -1);
-    for (SimReplica r : replicas.values()) {
-      boolean known = summary.all().stream().anyMatch(h -> h.replica.instance().equals(r.instance));
-      if (r.model && !known && !r.instance.equals("m9"))
-        violation("the index doesn't know " + r.instance);
-      if (!known) continue;
-      for (long b : r.list()) {
-        kept++;
-        boolean found =
-            summary.answer(new Lookup.Question(1, new long[] {b})).matches().stream()
-                .anyMatch(m -> m.holder().equals(r.instance));
-        if (!found) violation("the index doesn't know a block of " + r.instance);
-      }
-    }
-    if (entries != kept)
-      violation("the index holds " + entries + " entries where holders keep " + kept);
+    index.judge();
   }
 
   int complete() {
     return (int) fronts.values().stream().mapToLong(f -> f.complete).sum();
   }
 
-  /**
-   * A story: a window held open, then whatever the seed brings, then all is well and everything is
-   * judged.
-   */
-  static RequestSim story(long seed, int steps) {
-    RequestSim s = new RequestSim(seed);
-    Happening[] hs = Happening.values();
-    Point[] ps = Point.values();
-    s.arm(hs[(int) (seed % hs.length)], ps[(int) (seed / hs.length % ps.length)]);
-    for (SimControl c : s.controls.values()) c.rate(1 + (s.random.nextDouble() - 0.5) * 0.01);
-    for (RequestRelay r : s.fronts.values()) r.drift(1 + (s.random.nextDouble() - 0.5) * 0.01);
-    s.run(3500);
-    s.mend();
-    s.run(1500);
-    for (int i = 0; i < steps; i++) {
-      s.step();
-      s.run(300 + s.random.nextInt(1500));
-      if (s.random.nextInt(2) == 0) s.mend();
-      s.run(s.random.nextInt(700));
-    }
-    s.mend();
-    s.run(12_000);
-    int before = s.complete();
-    s.run(3000);
-    if (s.complete() - before < 40)
-      s.violation("only " + (s.complete() - before) + " orders complete when all is well");
-    s.perSecond = 0.001;
-    s.run(6000);
-    s.judge();
-    return s;
-  }
-
-  /** What many stories came to. */
-  public static final class Stories {
-    public final List<String> offenders = Collections.synchronizedList(new ArrayList<>());
-    final Map<String, Integer> met = new ConcurrentSkipListMap<>();
-    final AtomicLong requests = new AtomicLong();
-    final AtomicLong complete = new AtomicLong();
-    final AtomicLong second = new AtomicLong();
-    final Map<Met, Integer> counts = new ConcurrentSkipListMap<>();
-
-    @Override
-    public String toString() {
-      return "orders "
-          + requests
-          + ", complete "
-          + complete
-          + ", second tries "
-          + second
-          + ", brought about "
-          + counts
-          + ", windows met "
-          + met;
-    }
-  }
-
-  /** Plays so many stories from a seed on, on so many threads; each is a world of its own. */
-  public static Stories stories(long from, int seeds, int threads) {
-    Stories t = new Stories();
-    AtomicLong next = new AtomicLong(from);
-    List<Thread> ts = new ArrayList<>();
-    for (int i = 0; i < threads; i++) {
-      Thread x =
-          new Thread(
-              () -> {
-                for (long seed; (seed = next.getAndIncrement()) < from + seeds; ) play(seed, t);
-              },
-              "stories-" + i);
-      ts.add(x);
-      x.start();
-    }
-    for (Thread x : ts) {
-      try {
-        x.join();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
-    return t;
-  }
-
-  private static void play(long seed, Stories t) {
-    RequestSim s;
-    try {
-      s = story(seed, 8);
-    } catch (RuntimeException e) {
-      t.offenders.add("seed " + seed + " ended with " + e);
-      return;
-    }
-    if (!s.violations.isEmpty()) {
-      String[] l = s.story().lines().filter(x -> !x.contains(" owner-")).toArray(String[]::new);
-      t.offenders.add(
-          "seed "
-              + seed
-              + ": "
-              + s.violations.subList(0, Math.min(5, s.violations.size()))
-              + "\n"
-              + String.join("\n", Arrays.asList(l).subList(Math.max(0, l.length - 30), l.length)));
-    }
-    if (s.met >= 0) t.met.merge(s.happening + "@" + s.point, 1, Integer::sum);
-    s.counts.forEach((what, n) -> t.counts.merge(what, n, Integer::sum));
-    t.requests.addAndGet(s.ledger.calls.size());
-    t.complete.addAndGet(s.complete());
-    for (List<Ledger.Run> rs : s.ledger.runs.values()) t.second.addAndGet(rs.size() - 1);
-  }
-
-  private void step() {
+  /** Whatever the seed brings next. */
+  void step() {
     List<String> cs = controlNames();
     SimControl c = controls.get(cs.get(random.nextInt(cs.size())));
     RequestRelay f = fronts.get("r" + (1 + random.nextInt(fronts.size())));
@@ -868,8 +668,8 @@
       case 9 -> r.cutStreams = 0.2;
       case 10 -> r.lateBytes = true;
       case 11 -> {
-        loseEvents = 0.1;
-        delayEvents = 0.3;
+        index.loseEvents = 0.1;
+        index.delayEvents = 0.3;
       }
       case 12 -> platformSilent = true;
       case 13 -> r.neverLoads = true;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
@@ -322,7 +322,7 @@
   private void tell(boolean store, long block) {
     long s = ++seq;
     String inc = incarnation;
-    sim.cacheEvent(this, inc, s, store, block);
+    sim.index.cacheEvent(this, inc, s, store, block);
   }
 
   // ---- its commander
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/RequestSimTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/RequestSimTest.java
@@ -3,11 +3,8 @@
  */
 package gladelug.rehearsal.sim;
 
-import static gladelug.rehearsal.sim.RequestSim.stories;
-
 import gladelug.rehearsal.sim.RequestSim.Happening;
 import gladelug.rehearsal.sim.RequestSim.Point;
-import gladelug.rehearsal.sim.RequestSim.Stories;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -101,7 +98,7 @@
   @Test
   void whateverHappensBetweenTheStepsOfARequestTheRulesHold() {
     Logger.getLogger("").setLevel(Level.OFF);
-    Stories t = stories(Long.getLong("gladelug.from", 0), SEEDS, 2);
+    RequestStories t = RequestStories.play(Long.getLong("gladelug.from", 0), SEEDS, 2);
     System.out.println(t);
     Assertions.assertEquals(List.of(), t.offenders);
     Assertions.assertTrue(t.complete.get() > t.requests.get() / 2, t + " prove too little");
