--- a/control-plane/src/main/java/gladelug/control/core/Cell.java
+++ b/control-plane/src/main/java/gladelug/control/core/Cell.java
@@ -83,6 +83,21 @@
       return takenChanges.numberOf(otherDigest, base);
     }
 
+    /** What became of a number, for the sender of a change with this digest. */
+    NumberFate fateOfNumber(long asked, String otherDigest) {
+      if (asked > number) return NumberFate.NOT_YET;
+      String known = digestOf(asked);
+      if (known.isEmpty()) return NumberFate.FORGOTTEN;
+      return known.equals(otherDigest) ? NumberFate.TAKEN : NumberFate.OTHER;
+    }
+
+    private String digestOf(long asked) {
+      for (HistoryEntry entry : history) if (entry.number() == asked) return entry.digest();
+      for (TakenChanges.TakenChange taken : takenChanges.entries())
+        if (taken.number() == asked) return taken.digest();
+      return "";
+    }
+
     void write(DataOutputStream out) throws IOException {
       out.writeLong(number);
       out.writeUTF(digest);
@@ -148,12 +163,21 @@
     return bytes.toByteArray();
   }
 
+  /** A cell that was checked before. */
   static Cell of(byte[] bytes) {
     try {
-      DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
-      return new Cell(in.readLong(), in.readLong(), Value.read(in));
+      return parse(bytes);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
+
+  /** A cell from anywhere; what is more or less than one is an IOException. */
+  static Cell parse(byte[] bytes) throws IOException {
+    DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+    Cell cell = new Cell(in.readLong(), in.readLong(), Value.read(in));
+    if (in.available() > 0)
+      throw new IOException(in.available() + " bytes after its end, as of a newer release");
+    return cell;
+  }
 }
--- a/kernel/src/main/java/gladelug/kernel/disk/Ring.java
+++ b/kernel/src/main/java/gladelug/kernel/disk/Ring.java
@@ -51,14 +51,39 @@
     medium = m;
   }
 
+  /**
+   * How many bytes the newest state of all keys may take together: a snapshot has to fit a file.
+   */
+  public long capacity() {
+    return medium.size() - HEAD;
+  }
+
   public Map<String, byte[]> live() {
     return Map.copyOf(live);
   }
 
+  /** How many bytes one file holds, and so the whole live state at the most. */
+  public int fileSize() {
+    return medium.size();
+  }
+
+  /** Whether nothing was ever written. */
+  public boolean unwritten() {
+    return seq == 0;
+  }
+
   private record Frame(long seq, byte type, List<Entry> entries, int end) {}
 
+  /** A ring over files that are known to hold nothing, which are not read. */
+  public static Ring blank(Medium medium) {
+    Ring ring = new Ring(medium);
+    ring.file = medium.files() - 1;
+    ring.at = medium.size();
+    return ring;
+  }
+
+  /** The ring that the files hold, read whole. */
   public static Ring open(Medium m) throws IOException {
-    Ring r = new Ring(m);
     int newest = -1;
     long best = 0;
     byte[][] all = new byte[m.files()][];
@@ -74,10 +99,9 @@
       for (int i = 0; i < m.files(); i++)
         if (behind(all[i], 0, 0))
           throw new Damaged("no snapshot in any file but frames behind one");
-      r.file = m.files() - 1;
-      r.at = m.size();
-      return r;
+      return blank(m);
     }
+    Ring r = new Ring(m);
     r.file = newest;
     byte[] b = all[newest];
     Frame f;
@@ -85,7 +109,10 @@
         && (f = frame(b, r.at)) != null
         && f.seq > r.seq
         && (r.seq == 0 || f.seq == r.seq + 1)) {
-      for (Entry e : f.entries) r.live.put(e.key, e.state);
+      if (f.type != SNAPSHOT && f.type != MORE)
+        throw new Damaged(
+            "frame " + f.seq + " in file " + newest + " is of the unknown kind " + f.type);
+      for (Entry e : f.entries) if (!e.key.isEmpty()) r.live.put(e.key, e.state);
       r.seq = f.seq;
       r.at = f.end;
     }
@@ -123,7 +150,7 @@
       List<Entry> l = new ArrayList<>();
       for (int i = 0; i < n; i++) l.add(new Entry(in.readUTF(), in.readNBytes(in.readInt())));
       return new Frame(seq, type, l, at + padded(HEAD + len));
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return null;
     }
   }
