--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/AddedLatency.java
@@ -0,0 +1,83 @@
+/*
+ * A direct call and one through a relay, turn about, to the application replica: what the relay adds.
+ */
+package gladelug.rehearsal;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Pairs of direct and relayed calls. */
+final class AddedLatency {
+  private final Fleet fleet;
+  private final List<Double> directMs = new ArrayList<>();
+  private final List<Double> relayedMs = new ArrayList<>();
+  private int pairs;
+
+  AddedLatency(Fleet fleet) {
+    this.fleet = fleet;
+  }
+
+  /** Makes one pair of calls. */
+  void pair() {
+    String tag = "added-" + pairs++;
+    String relay = fleet.callers.get(1 + pairs % (fleet.callers.size() - 1));
+    measure(directMs, () -> direct(tag));
+    measure(relayedMs, () -> relayed(relay, tag));
+  }
+
+  private interface Call {
+    int status();
+  }
+
+  private static void measure(List<Double> times, Call call) {
+    long began = System.nanoTime();
+    if (call.status() == 200) times.add((System.nanoTime() - began) / 1e6);
+  }
+
+  private int direct(String tag) {
+    StandInReplica application = fleet.replicas.get("application-1");
+    JsonObject request =
+        Json.object()
+            .add("order", tag)
+            .add("try", 1)
+            .add("service", application.service)
+            .add("instance", application.instance)
+            .add("weights", "")
+            .add("wall", "")
+            .add("prompt", "x#" + tag + "-direct")
+            .add("maxPieces", 1);
+    return fleet
+        .http(application.address(), "POST", "/orders", request.toString(), Map.of())
+        .status();
+  }
+
+  private int relayed(String relay, String tag) {
+    JsonObject request = Json.object().add("prompt", "x#" + tag).add("maxPieces", 1);
+    String key = fleet.deployment.tenants().get(0).key();
+    return fleet
+        .http(
+            relay,
+            "POST",
+            "/lookup-stop",
+            request.toString(),
+            Map.of("Authorization", "Bearer " + key))
+        .status();
+  }
+
+  @Override
+  public String toString() {
+    return String.format(
+        Locale.ROOT,
+        "direct median %.2f p99 %.2f, relayed median %.2f p99 %.2f, added median %.2f ms over %d pairs",
+        Quantiles.at(directMs, 0.5),
+        Quantiles.at(directMs, 0.99),
+        Quantiles.at(relayedMs, 0.5),
+        Quantiles.at(relayedMs, 0.99),
+        Quantiles.at(relayedMs, 0.5) - Quantiles.at(directMs, 0.5),
+        directMs.size());
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/CommandLine.java
@@ -0,0 +1,192 @@
+/*
+ * The commands of rehearse-fleet and their arguments.
+ */
+package gladelug.rehearsal;
+
+import gladelug.rehearsal.control.ControlTroubles;
+import java.util.ArrayList;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** The parser of rehearse-fleet's command line. */
+final class CommandLine {
+  private static final String DEFAULT_DEPLOYMENT = "safari-njia";
+  private final ArgumentParser parser =
+      ArgumentParsers.newFor("rehearse-fleet")
+          .build()
+          .defaultHelp(true)
+          .description("Runs a whole fleet on one machine with stand-ins around it.");
+  private final Subparsers commands =
+      parser.addSubparsers().dest("command").title("commands").metavar("COMMAND");
+
+  private CommandLine() {}
+
+  /** The parser of all commands. */
+  static ArgumentParser parser() {
+    CommandLine line = new CommandLine();
+    line.run();
+    line.day();
+    line.compare();
+    line.standIns();
+    line.weights();
+    line.table();
+    line.simulate();
+    line.shares();
+    line.scale();
+    return line.parser;
+  }
+
+  private Subparser command(String name, String help) {
+    return commands.addParser(name).help(help);
+  }
+
+  private static void out(Subparser command) {
+    command.addArgument("--out").setDefault("rehearsal-out");
+  }
+
+  private static void deployment(Subparser command) {
+    command
+        .addArgument("--deployment")
+        .choices("safari-njia", "moka-ridge")
+        .setDefault(DEFAULT_DEPLOYMENT);
+  }
+
+  private static void rate(Subparser command) {
+    command
+        .addArgument("--rate")
+        .type(Double.class)
+        .setDefault(1.0)
+        .help("times the deployment's rates");
+  }
+
+  private static void seed(Subparser command) {
+    command.addArgument("--seed").type(Long.class).setDefault(1L);
+  }
+
+  private static void number(Subparser command, String name, int usual, String help) {
+    command.addArgument(name).type(Integer.class).setDefault(usual).help(help);
+  }
+
+  private void run() {
+    Subparser command = command("run", "load a fleet, kill parts of it, judge from the ledgers");
+    deployment(command);
+    number(command, "--seconds", 60, "how long");
+    seed(command);
+    command.addArgument("--kills").choices("yes", "no").setDefault("yes");
+    command
+        .addArgument("--choice")
+        .choices(ChoiceComparison.CHOICES)
+        .setDefault(ChoiceComparison.CHOICES.get(0));
+    rate(command);
+    out(command);
+  }
+
+  private void day() {
+    Subparser command =
+        command(
+            "day",
+            "a seeded day: everything that may fail, one after the other, and a judgement per must-never");
+    deployment(command);
+    seed(command);
+    command
+        .addArgument("--point")
+        .type(Integer.class)
+        .choices(Arguments.range(1, ControlTroubles.COUNT))
+        .help(
+            "a day of the control side instead: 1 a long cut, 2 racing operators, 3 replacements in turn, "
+                + "4 hundreds of changes, 5 resets");
+    number(command, "--each", 5, "seconds an episode lasts");
+    rate(command);
+    out(command);
+  }
+
+  private void compare() {
+    Subparser command =
+        command(
+            "compare",
+            "the three ways of choosing a replica, turn about, several rounds, from the same seeds");
+    deployment(command);
+    number(command, "--seconds", 15, "how long each round lasts");
+    number(command, "--rounds", 3, "rounds of all three");
+    rate(command);
+    command
+        .addArgument("--link-factor")
+        .type(Double.class)
+        .setDefault(1.0)
+        .help("how much slower links between replicas are");
+    out(command);
+  }
+
+  private void standIns() {
+    out(
+        command(
+            "stand-ins",
+            "only the stand-ins: a platform with two replicas, a store and an application, to try the programs "
+                + "by hand"));
+  }
+
+  private void weights() {
+    Subparser command =
+        command(
+            "weights",
+            "how long a roll to new weights takes under load, and what it costs callers");
+    deployment(command);
+    out(command);
+  }
+
+  private void table() {
+    Subparser command = command("table", "the Cuckoo Summary by itself against wider buckets");
+    number(command, "--rounds", 7, "rounds");
+    number(command, "--holders", 13, "others than 13 are compared to 13");
+    number(command, "--shared", 300, "blocks that every holder keeps");
+    number(command, "--own", 1500, "further blocks of each holder");
+  }
+
+  private void simulate() {
+    Subparser command =
+        command(
+            "simulate",
+            "stories of requests by seeds, in simulated time, each promise judged strictly");
+    command.addArgument("--from").type(Long.class).setDefault(0L).help("the first seed");
+    number(command, "--seeds", 1000, "how many seeds");
+    number(command, "--threads", 4, "stories at a time");
+  }
+
+  private void shares() {
+    Subparser command =
+        command(
+            "shares",
+            "what tenants get of a full fleet, with and without the fleet-wide division, turn about");
+    number(command, "--seconds", 15, "how long each round lasts");
+    number(command, "--rounds", 3, "rounds of both");
+    out(command);
+  }
+
+  private void scale() {
+    Subparser command =
+        command(
+            "scale",
+            "what each role takes as one size after the other grows, with hollow nodes and replicas");
+    seed(command);
+    number(command, "--seconds", 10, "how long each point is measured");
+    command
+        .addArgument("--sizes")
+        .setDefault("")
+        .help("sizes to vary, separated by commas; all unless told");
+    command
+        .addArgument("--points")
+        .action(Arguments.append())
+        .setDefault(new ArrayList<String>())
+        .metavar("SIZE=N,N,...")
+        .help("other points of a size");
+    command
+        .addArgument("--roles")
+        .setDefault("")
+        .help("roles to tell of, separated by commas; all unless told");
+    command.addArgument("--quick").action(Arguments.storeTrue()).help("two points a size");
+    out(command);
+  }
+}
--- a/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Fleet.java
@@ -133,22 +133,14 @@
   public StandInReplica addReplica(
       StandInReplica.Kind kind, String service, String instance, int host, String zone, long seed)
       throws Exception {
-    int slots = kind == StandInReplica.Kind.APPLICATION ? 64 : 6;
     StandInReplica r =
         new StandInReplica(
             vertx,
             ledger,
-            kind,
-            service,
-            instance,
+            model(kind, service, instance),
             bind(host),
             kind == StandInReplica.Kind.MODEL ? "w1" : "",
             seed,
-            slots,
-            kind == StandInReplica.Kind.STORE ? 6000 : kind == StandInReplica.Kind.MODEL ? 1500 : 0,
-            kind == StandInReplica.Kind.APPLICATION ? 1 : 4,
-            6,
-            0.3,
             replicas::get);
     r.start();
     r.advertised = ip(host) + ":" + r.port;
@@ -158,6 +150,15 @@
     return r;
   }
 
+  private static StandInReplica.Model model(
+      StandInReplica.Kind kind, String service, String instance) {
+    return switch (kind) {
+      case MODEL -> new StandInReplica.Model(kind, service, instance, 6, 1500, 4, 6, 0.3);
+      case STORE -> new StandInReplica.Model(kind, service, instance, 6, 6000, 4, 6, 0.3);
+      case APPLICATION -> new StandInReplica.Model(kind, service, instance, 64, 0, 1, 6, 0.3);
+    };
+  }
+
   private static String free(String ip) throws IOException {
     try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
       return ip + ":" + s.getLocalPort();
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/KillRun.java
@@ -0,0 +1,147 @@
+/*
+ * A fleet under load with a control machine, an index, a relay and a replica killed on the way, and a configuration
+ * sent every three seconds; judged from the ledgers.
+ */
+package gladelug.rehearsal;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** The rehearsal "run". */
+final class KillRun {
+  private static final List<String> VICTIMS = List.of("control", "index", "relay", "replica");
+  private static final long CHANGE_EVERY_MS = 3000;
+  private static final long STEP_MS = 40;
+  private static final long READY_MS = 30_000;
+  private static final long TAKEOVER_MS = 10_000;
+
+  private final Fleet fleet;
+  private final List<Long> acknowledgedMs = new ArrayList<>();
+  private Runnable mend = () -> {};
+
+  private KillRun(Fleet fleet) {
+    this.fleet = fleet;
+  }
+
+  /** Runs for so many seconds at a multiple of the deployment's rates; true if clean. */
+  static boolean run(Fleet fleet, int seconds, long seed, boolean kills, double rate)
+      throws Exception {
+    long began = System.nanoTime();
+    fleet.start();
+    System.out.printf(
+        Locale.ROOT,
+        "%s: fleet ready after %d ms%n",
+        fleet.deployment.name(),
+        (System.nanoTime() - began) / 1_000_000);
+    return new KillRun(fleet).run(seconds * 1000L, seed, kills ? VICTIMS : List.of(), rate);
+  }
+
+  private boolean run(long lastsMs, long seed, List<String> victims, double rate) {
+    StandInCallers callers = callers(seed, rate);
+    AddedLatency added = new AddedLatency(fleet);
+    long began = System.nanoTime();
+    int killed = 0;
+    int changes = 0;
+    for (long at = 0; at < lastsMs; at = (System.nanoTime() - began) / 1_000_000) {
+      if (killed < victims.size() && at >= lastsMs * (killed + 1) / (victims.size() + 1)) {
+        mend.run();
+        kill(victims.get(killed++));
+      }
+      if (at / CHANGE_EVERY_MS > changes) {
+        changes++;
+        change();
+      }
+      added.pair();
+      Fleet.pause(STEP_MS);
+    }
+    mend.run();
+    callers.stop();
+    Fleet.until("the last requests ended", READY_MS, () -> callers.open() == 0);
+    return LedgerReport.print(fleet, List.of(acknowledgements(), "relay: " + added));
+  }
+
+  private StandInCallers callers(long seed, double rate) {
+    List<StandInCallers.Kind> kinds = new ArrayList<>(fleet.deployment.kinds());
+    kinds.add(fleet.deployment.application());
+    StandInCallers callers =
+        new StandInCallers(
+            fleet.vertx, fleet.ledger, fleet.callers, fleet.deployment.tenants(), kinds, seed);
+    callers.faster = rate;
+    callers.start();
+    return callers;
+  }
+
+  private void change() {
+    Fleet.Answer answer = fleet.configuration(List.of(), "*");
+    if (answer.status() == 200) acknowledgedMs.add(answer.body().getLong("waitedMs", -1));
+    else System.out.println("configuration answered " + answer.status() + " " + answer.body());
+  }
+
+  private String acknowledgements() {
+    return String.format(
+        Locale.ROOT,
+        "configuration push to acknowledgement ms: median %.0f, longest %.0f, of %d",
+        Quantiles.at(acknowledgedMs, 0.5),
+        Quantiles.at(acknowledgedMs, 1),
+        acknowledgedMs.size());
+  }
+
+  /** Kills what is meant by a word, and remembers how it is mended. */
+  private void kill(String what) {
+    if (what.equals("replica")) {
+      killReplica();
+      return;
+    }
+    boolean control = what.equals("control");
+    Child victim = fleet.children.get(control ? fleet.ownerOf("policy") : what + "-1");
+    long killedAt = System.currentTimeMillis();
+    victim.kill();
+    System.out.println("killed " + victim.name + (control ? ", owner of the configuration" : ""));
+    mend =
+        () -> {
+          if (control) {
+            System.out.println("takeover gap of its keys, ms: " + takeovers(victim.name, killedAt));
+          }
+          restart(victim);
+        };
+  }
+
+  private void killReplica() {
+    StandInReplica replica = fleet.replicas.get("replica-2");
+    replica.kill();
+    System.out.println("killed " + replica.instance);
+    mend =
+        () -> {
+          replica.start();
+          System.out.println("back " + replica.instance);
+        };
+  }
+
+  private void restart(Child child) {
+    try {
+      child.start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    Fleet.until(child.name + " ready again", READY_MS, () -> fleet.ready(child.name));
+    System.out.println("back " + child.name);
+  }
+
+  /** From the other members' logs: when each first served a key after the kill. */
+  private List<Long> takeovers(String dead, long killedAt) {
+    List<Long> gaps = new ArrayList<>();
+    for (Child child : fleet.children.values()) {
+      if (!child.name.startsWith("control") || child.name.equals(dead)) continue;
+      for (String line : child.lines().split("\n")) {
+        if (!line.contains("event=owner-serves")) continue;
+        long at = Instant.parse(line.substring(5, line.indexOf(' '))).toEpochMilli();
+        if (at >= killedAt && at < killedAt + TAKEOVER_MS) gaps.add(at - killedAt);
+      }
+    }
+    return gaps;
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/ReplicaCache.java
@@ -0,0 +1,181 @@
+/*
+ * The prefix blocks that a stand-in replica keeps, least recently used going first, and the sequence of events by
+ * which it tells of them. All methods are called under the replica's lock.
+ */
+package gladelug.rehearsal;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Random;
+
+/** The cache of one stand-in replica. */
+final class ReplicaCache {
+  /** What a block was made under. */
+  record Origin(String weights, String wall) {}
+
+  private record Event(long sequence, boolean stored, long block) {}
+
+  private static final int MOST_EVENTS = 2048;
+  private static final long PULSE_MS = 400;
+  private static final int LONGEST_DELAY_MS = 400;
+
+  private final Vertx vertx;
+  private final Object lock;
+  private final Random random;
+  private final ReplicaFaults faults;
+  private final int capacity;
+  private final LinkedHashMap<Long, Origin> kept = new LinkedHashMap<>(64, 0.75f, true);
+  private final ArrayDeque<Event> events = new ArrayDeque<>();
+  private final List<HttpServerResponse> followers = new ArrayList<>();
+  private String incarnation = "";
+  private long sequence;
+
+  /** Timers take the given lock before they touch the cache. */
+  ReplicaCache(Vertx vertx, Object lock, Random random, ReplicaFaults faults, int capacity) {
+    this.vertx = vertx;
+    this.lock = lock;
+    this.random = random;
+    this.faults = faults;
+    this.capacity = capacity;
+  }
+
+  /** Forgets all blocks and events; whoever follows learns of it by the new incarnation. */
+  void clear() {
+    kept.clear();
+    events.clear();
+    sequence = 0;
+    incarnation = Long.toHexString(random.nextLong());
+  }
+
+  /** Nobody follows any more, as after a crash. */
+  void dropFollowers() {
+    followers.clear();
+  }
+
+  /** Tells all who follow where the sequence stands. */
+  void pulseAll() {
+    for (HttpServerResponse follower : new ArrayList<>(followers)) {
+      if (!follower.closed()) follower.write(pulse());
+    }
+  }
+
+  String incarnation() {
+    return incarnation;
+  }
+
+  boolean has(long block) {
+    return kept.containsKey(block);
+  }
+
+  int size() {
+    return kept.size();
+  }
+
+  /** What a block was made under, or null; it counts as used. */
+  Origin origin(long block) {
+    return kept.get(block);
+  }
+
+  /** Keeps a block and lets the least recently used go for it. */
+  void keep(long block, Origin origin) {
+    if (kept.put(block, origin) == null) tell(true, block);
+    while (kept.size() > capacity) {
+      long oldest = kept.keySet().iterator().next();
+      kept.remove(oldest);
+      tell(false, oldest);
+    }
+  }
+
+  /** All blocks, as the protocol lists them. */
+  JsonObject list() {
+    JsonArray blocks = new JsonArray();
+    for (long block : kept.keySet()) blocks.add(hex(block));
+    return new JsonObject()
+        .put("incarnation", incarnation)
+        .put("seq", sequence)
+        .put("blocks", blocks);
+  }
+
+  /** Answers with the events after a sequence number and with all later ones. */
+  void follow(HttpServerRequest request) {
+    HttpServerResponse follower =
+        request.response().setChunked(true).putHeader("Content-Type", "application/x-ndjson");
+    long after = Long.parseLong(request.getParam("after", "0"));
+    boolean sameIncarnation = incarnation.equals(request.getParam("incarnation", ""));
+    for (Event event : events) {
+      if (!sameIncarnation || event.sequence > after) follower.write(line(event));
+    }
+    follower.write(pulse());
+    followers.add(follower);
+    follower.closeHandler(v -> unfollow(follower));
+    follower.exceptionHandler(t -> unfollow(follower));
+    vertx.setPeriodic(PULSE_MS, timer -> pulse(follower, timer));
+  }
+
+  private void pulse(HttpServerResponse follower, long timer) {
+    synchronized (lock) {
+      if (followers.contains(follower) && !follower.closed()) {
+        follower.write(pulse());
+      } else {
+        vertx.cancelTimer(timer);
+        followers.remove(follower);
+      }
+    }
+  }
+
+  private void unfollow(HttpServerResponse follower) {
+    synchronized (lock) {
+      followers.remove(follower);
+    }
+  }
+
+  private void tell(boolean stored, long block) {
+    Event event = new Event(++sequence, stored, block);
+    events.add(event);
+    if (events.size() > MOST_EVENTS) events.poll();
+    Buffer line = line(event);
+    for (HttpServerResponse follower : new ArrayList<>(followers)) {
+      if (random.nextDouble() < faults.loseEvents || follower.closed()) continue;
+      if (random.nextDouble() < faults.delayEvents) tellLate(follower, line);
+      else follower.write(line);
+    }
+  }
+
+  private void tellLate(HttpServerResponse follower, Buffer line) {
+    vertx.setTimer(
+        1 + random.nextInt(LONGEST_DELAY_MS),
+        timer -> {
+          if (!follower.closed()) follower.write(line);
+        });
+  }
+
+  private Buffer pulse() {
+    return Buffer.buffer(
+        "{\"incarnation\":\"" + incarnation + "\",\"seq\":" + sequence + ",\"op\":\"pulse\"}\n");
+  }
+
+  private Buffer line(Event event) {
+    return Buffer.buffer(
+        "{\"incarnation\":\""
+            + incarnation
+            + "\",\"seq\":"
+            + event.sequence
+            + ",\"op\":\""
+            + (event.stored ? "store" : "evict")
+            + "\",\"block\":\""
+            + hex(event.block)
+            + "\"}\n");
+  }
+
+  private static String hex(long block) {
+    return String.format("%016x", block);
+  }
+}
--- a/rehearsal/src/main/java/gladelug/rehearsal/Shares.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Shares.java
@@ -114,6 +114,6 @@
   }
 
   private static double at(List<double[]> l, int i, double q) {
-    return RehearseFleet.at(l.stream().map(v -> v[i]).toList(), q);
+    return Quantiles.at(l.stream().map(v -> v[i]).toList(), q);
   }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/StandInCallers.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInCallers.java
@@ -103,9 +103,9 @@
             + " written for "
             + (k.prefixBlocks > 20 ? t.name : "everybody")
             + ", line ";
-    for (int i = 0; sb.length() < k.prefixBlocks * StandInReplica.BLOCK; i++)
+    for (int i = 0; sb.length() < k.prefixBlocks * StandInContent.BLOCK_BYTES; i++)
       sb.append(line).append(i).append(".\n");
-    sb.setLength(k.prefixBlocks * StandInReplica.BLOCK);
+    sb.setLength(k.prefixBlocks * StandInContent.BLOCK_BYTES);
     return sb.toString();
   }
 
@@ -175,7 +175,7 @@
     }
     if (o.containsKey("piece")) {
       if (c.explicitEnd || o.getInteger("piece") != c.pieces) c.misordered++;
-      if (!StandInReplica.textOf(c.tag, c.pieces).equals(o.getString("text"))) c.foreign++;
+      if (!StandInContent.textOf(c.tag, c.pieces).equals(o.getString("text"))) c.foreign++;
       if (c.pieces == 0) c.firstPiece = System.nanoTime() / 1_000_000;
       c.pieces++;
     } else {
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/StandInContent.java
@@ -0,0 +1,71 @@
+/*
+ * What stand-ins on both ends agree on without asking each other: the tag at the end of a prompt, the pieces that
+ * the right replica's right run answers it with, and the ids of prefix blocks.
+ */
+package gladelug.rehearsal;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/** Prompts, pieces and block ids of the stand-ins. */
+public final class StandInContent {
+  /** Bytes of a prompt in one prefix block. */
+  public static final int BLOCK_BYTES = 256;
+
+  private static final String NO_TAG = "untagged";
+  private static final int FEWEST_PIECES = 4;
+  private static final int SPREAD_OF_PIECES = 13;
+
+  private StandInContent() {}
+
+  /** The tag that a caller put at the end of its prompt. */
+  public static String tagOf(String prompt) {
+    int mark = prompt.lastIndexOf('#');
+    return mark < 0 ? NO_TAG : prompt.substring(mark + 1);
+  }
+
+  /** How many pieces a request with a tag is answered with. */
+  public static int piecesOf(String tag, int most) {
+    return Math.min(most, FEWEST_PIECES + Math.floorMod(tag.hashCode(), SPREAD_OF_PIECES));
+  }
+
+  /** The text of one piece. */
+  public static String textOf(String tag, int piece) {
+    return tag + "/" + piece + " ";
+  }
+
+  /** The ids of a prompt's blocks of the usual size. */
+  public static long[] blockIds(String service, String weights, String wall, String prompt) {
+    return blockIds(service, weights, wall, prompt, BLOCK_BYTES);
+  }
+
+  /**
+   * The ids of a prompt's whole blocks, reckoned from the protocol's page and not by the product's
+   * code; the last byte of a prompt never counts.
+   */
+  public static long[] blockIds(
+      String service, String weights, String wall, String prompt, int blockBytes) {
+    byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
+    MessageDigest digest = sha256();
+    String origin = service + "\n" + weights + "\n" + wall;
+    byte[] link = digest.digest(origin.getBytes(StandardCharsets.UTF_8));
+    long[] ids = new long[Math.max(0, bytes.length - 1) / blockBytes];
+    for (int i = 0; i < ids.length; i++) {
+      ByteBuffer linked = ByteBuffer.allocate(link.length + blockBytes);
+      linked.put(link).put(bytes, i * blockBytes, blockBytes);
+      link = digest.digest(linked.array());
+      ids[i] = ByteBuffer.wrap(link).getLong();
+    }
+    return ids;
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- a/rehearsal/src/main/java/gladelug/rehearsal/Table.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/Table.java
@@ -130,8 +130,8 @@
     return String.format(
         Locale.ROOT,
         "median %.2f (%.2f to %.2f)",
-        RehearseFleet.at(a, 0.5),
-        RehearseFleet.at(a, 0),
-        RehearseFleet.at(a, 1));
+        Quantiles.at(a, 0.5),
+        Quantiles.at(a, 0),
+        Quantiles.at(a, 1));
   }
 }
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/WeightsRoll.java
@@ -0,0 +1,94 @@
+/*
+ * How long a roll to new weights takes under load, and what it costs callers.
+ */
+package gladelug.rehearsal;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** The rehearsal "weights". */
+final class WeightsRoll {
+  private static final String OLD = "w1";
+  private static final String NEW = "w2";
+  private static final long BEFORE_MS = 5000;
+  private static final long LONGEST_MS = 40_000;
+  private static final long STEP_MS = 20;
+  private static final long AFTER_MS = 2000;
+  private static final long ENDED_MS = 30_000;
+
+  private WeightsRoll() {}
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** Names new weights once and prints how the roll went. */
+  static void measure(Deployment deployment, String base) throws Exception {
+    Path out = Path.of(base).toAbsolutePath().resolve("weights-" + System.currentTimeMillis());
+    try (Fleet fleet = new Fleet(deployment, out, 1, "summary")) {
+      fleet.start();
+      StandInCallers callers =
+          new StandInCallers(
+              fleet.vertx,
+              fleet.ledger,
+              fleet.callers,
+              deployment.tenants(),
+              deployment.kinds(),
+              1);
+      callers.start();
+      Fleet.pause(BEFORE_MS);
+      long named = now();
+      Fleet.Answer answer = fleet.weights(NEW);
+      List<Long> moved = moved(fleet, named);
+      Fleet.pause(AFTER_MS);
+      callers.stop();
+      Fleet.until("the last requests ended", ENDED_MS, () -> callers.open() == 0);
+      report(fleet.ledger, answer.status(), moved, named);
+    }
+  }
+
+  /** When each model replica ran the new weights, counted from the naming. */
+  private static List<Long> moved(Fleet fleet, long named) {
+    List<StandInReplica> models =
+        fleet.replicas.values().stream()
+            .filter(replica -> replica.kind == StandInReplica.Kind.MODEL)
+            .toList();
+    List<Long> moved = new ArrayList<>();
+    while (moved.size() < models.size() && now() - named <= LONGEST_MS) {
+      long onNew = models.stream().filter(replica -> replica.weights().equals(NEW)).count();
+      while (moved.size() < onNew) moved.add(now() - named);
+      Fleet.pause(STEP_MS);
+    }
+    return moved;
+  }
+
+  private static void report(Ledger ledger, int status, List<Long> moved, long named) {
+    List<Ledger.Call> calls =
+        ledger.calls.values().stream().filter(call -> call.sent >= named).toList();
+    long incomplete = calls.stream().filter(call -> !call.outcome.equals("complete")).count();
+    long lastOnOld =
+        ledger.runs.values().stream()
+            .flatMap(List::stream)
+            .filter(run -> run.weights.equals(OLD))
+            .mapToLong(run -> run.at - named)
+            .max()
+            .orElse(0);
+    List<Long> firstPieces =
+        calls.stream()
+            .filter(call -> call.firstPiece >= 0)
+            .map(call -> call.firstPiece - call.sent)
+            .toList();
+    System.out.printf(
+        Locale.ROOT,
+        "naming answered %d; replicas on new weights after ms %s; last request begun on old ones "
+            + "after %d ms; %d of %d requests not complete; p95 first piece %.0f ms%n",
+        status,
+        moved,
+        lastOnOld,
+        incomplete,
+        calls.size(),
+        Quantiles.at(firstPieces, 0.95));
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/day/DayOperator.java
@@ -0,0 +1,137 @@
+/*
+ * The operator of a day: keeps what is wanted of the configuration, sends it whole, names weights, and tells the
+ * judge of timed promises what was sent and acknowledged when.
+ */
+package gladelug.rehearsal.day;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import gladelug.rehearsal.Deployment;
+import gladelug.rehearsal.Fleet;
+import gladelug.rehearsal.Promises;
+import gladelug.rehearsal.StandInCallers;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What is wanted of a day's fleet, and how it is sent. */
+final class DayOperator {
+  private static final long TAKEN_MS = 40_000;
+  private static final String FIRST_APPLICATION = "application";
+  private static final String SECOND_APPLICATION = "application-two";
+
+  private final Fleet fleet;
+  private final Promises promises;
+  private String lastConfiguration = "";
+  private String application = FIRST_APPLICATION;
+  private int weights = 1;
+
+  /** The tenants whose keys are revoked. */
+  List<String> revoked = List.of();
+
+  /** The tenants that are isolated beside the one that always is. */
+  List<String> isolated = List.of();
+
+  /** How many routes there are beside the deployment's own. */
+  int furtherRoutes;
+
+  /** Whether the path of the last kind of requests is gone. */
+  boolean pathGone;
+
+  /** Whether the address of the first replica is no longer allowed. */
+  boolean firstReplicaForbidden;
+
+  DayOperator(Fleet fleet, Promises promises) {
+    this.fleet = fleet;
+    this.promises = promises;
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** Moves the application's route to the other of its two services; sent with the next change. */
+  void moveApplication() {
+    application = application.equals(FIRST_APPLICATION) ? SECOND_APPLICATION : FIRST_APPLICATION;
+  }
+
+  /** The newest weights that were named. */
+  String weights() {
+    return "w" + weights;
+  }
+
+  /** Names the next weights. */
+  void nameNextWeights() {
+    weights++;
+    Promises.Told told = promises.sent("weights", weights(), now());
+    Fleet.Answer answer = fleet.weights(weights());
+    if (answer.status() == 200) promises.answered(told, now());
+    Day.say(
+        "weights "
+            + weights()
+            + " answered "
+            + answer.status()
+            + (answer.status() == 200
+                ? " after " + answer.body().get("waitedMs") + " ms"
+                : " " + answer.body()));
+  }
+
+  /** What the configuration means at present, by the keys of promises. */
+  Map<String, String> meanings() {
+    Deployment deployment = fleet.deployment;
+    Map<String, String> meanings = new LinkedHashMap<>();
+    meanings.put("mapping lookup-stop", application);
+    meanings.put("mapping " + deployment.last().name(), pathGone ? "none" : deployment.service());
+    meanings.put("allowed replica-1", firstReplicaForbidden ? "no" : "yes");
+    for (StandInCallers.Tenant tenant : deployment.tenants()) {
+      String name = tenant.name();
+      boolean alone = name.equals(deployment.isolated()) || isolated.contains(name);
+      meanings.put("tenant " + name, revoked.contains(name) ? "revoked" : "good");
+      meanings.put("wall " + name, alone ? name : "");
+    }
+    return meanings;
+  }
+
+  /** The whole configuration that is wanted, with a marker of its own. */
+  JsonObject wanted() {
+    return fleet.deployment.configuration(
+        new Deployment.Wish(
+            fleet.nextMarker(),
+            revoked,
+            application,
+            furtherRoutes,
+            pathGone,
+            isolated,
+            firstReplicaForbidden));
+  }
+
+  /** Sends what is wanted in place of whatever there is; whether it was confirmed. */
+  boolean send() {
+    JsonObject configuration = wanted();
+    List<Promises.Told> told = new ArrayList<>();
+    meanings().forEach((key, meaning) -> told.add(promises.sent(key, meaning, now())));
+    Fleet.Answer answer = fleet.send(configuration, "*");
+    if (answer.status() != 200) {
+      Day.say("configuration answered " + answer.status() + " " + answer.body());
+      return false;
+    }
+    lastConfiguration = configuration.toString();
+    for (Promises.Told one : told) promises.answered(one, now());
+    return true;
+  }
+
+  /** Sends until it is confirmed, as an operator does once the core is back. */
+  void sendUntilTaken() {
+    Fleet.until("a configuration taken", TAKEN_MS, this::send);
+  }
+
+  /**
+   * What is wrong with the configuration that the core shows; empty if it is the last confirmed.
+   */
+  List<String> lost() {
+    JsonObject shown = fleet.call("GET", "/v1/configuration", null, Map.of()).body();
+    if (shown.get("value").equals(Json.parse(lastConfiguration))) return List.of();
+    return List.of("number " + shown.get("number") + " is not what was acknowledged last");
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/day/LastFault.java
@@ -0,0 +1,120 @@
+/*
+ * The fault that ends a day, as the seed draws it: everything that was acknowledged just before has to be there
+ * after it, and each relay serves again within the bound.
+ */
+package gladelug.rehearsal.day;
+
+import gladelug.rehearsal.Child;
+import gladelug.rehearsal.Fleet;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The last fault of a day. */
+final class LastFault {
+  /** What may end a day. */
+  private enum Kind {
+    CORE_KILLED("every core machine is killed just after an acknowledgement"),
+    FLEET_KILLED("every process of the fleet is killed just after an acknowledgement"),
+    DISK_LOST("one core disk is lost just after an acknowledgement, with the other two killed"),
+    SPLIT("the core is split three ways and heals"),
+    BACK_ONE_BY_ONE("core machines are killed and come back one after another");
+
+    final String words;
+
+    Kind(String words) {
+      this.words = words;
+    }
+  }
+
+  private static final long SPLIT_MS = 4000;
+  private static final long DOWN_MS = 3000;
+  private static final long SERVES_MS = 60_000;
+  private static final long BOUND_MS = 12_000;
+  private static final long AFTER_MS = 4000;
+
+  private final DayFleet machines;
+  private final DayOperator operator;
+  private final Fleet fleet;
+  private final List<String> slowReturns = new ArrayList<>();
+
+  LastFault(DayFleet machines, DayOperator operator) {
+    this.machines = machines;
+    this.operator = operator;
+    this.fleet = machines.fleet;
+  }
+
+  /** Relays that served again later than the bound. */
+  List<String> slowReturns() {
+    return slowReturns;
+  }
+
+  void play() throws Exception {
+    Kind kind = Kind.values()[machines.random.nextInt(Kind.values().length)];
+    operator.moveApplication();
+    operator.sendUntilTaken();
+    System.out.println("last fault: " + kind.words);
+    List<String> members = machines.members();
+    long back = kind == Kind.SPLIT ? split(members) : kill(kind, members);
+    Fleet.until(
+        "requests complete at every relay again",
+        SERVES_MS,
+        () -> fleet.callers.stream().allMatch(relay -> completedAfter(relay, back) >= 0));
+    for (String relay : fleet.callers) {
+      long took = completedAfter(relay, back);
+      Day.say(
+          "the first request that began and completed at "
+              + relay
+              + " did so after "
+              + took
+              + " ms");
+      if (took > BOUND_MS) slowReturns.add(relay + " after " + took + " ms");
+    }
+    Fleet.pause(AFTER_MS);
+  }
+
+  private long split(List<String> members) {
+    for (String from : members) {
+      for (String to : members) {
+        if (!from.equals(to)) fleet.wires.cut(from, to);
+      }
+    }
+    Fleet.pause(SPLIT_MS);
+    fleet.wires.mend();
+    return Day.now();
+  }
+
+  /** Kills and starts again; the moment from which the fleet can serve. */
+  private long kill(Kind kind, List<String> members) throws IOException {
+    Map<String, Child> edges = new LinkedHashMap<>(fleet.children);
+    edges.keySet().removeIf(name -> name.startsWith("control"));
+    if (kind == Kind.FLEET_KILLED) edges.values().forEach(Child::kill);
+    machines.kill(members.toArray(new String[0]));
+    if (kind == Kind.DISK_LOST) fleet.loseDisk(members.get(machines.random.nextInt(3)));
+    Fleet.pause(DOWN_MS);
+    long majority = 0;
+    for (int i = 0; i < members.size(); i++) {
+      fleet.children.get(members.get(i)).start();
+      if (i == 1) majority = Day.now();
+      if (kind == Kind.BACK_ONE_BY_ONE) Fleet.pause(DOWN_MS);
+    }
+    if (kind == Kind.FLEET_KILLED) {
+      for (Child edge : edges.values()) edge.start();
+    }
+    // with a disk lost it takes all three: the two that are left, and the one let in again
+    boolean all = kind == Kind.DISK_LOST || kind == Kind.FLEET_KILLED;
+    return all ? Day.now() : majority;
+  }
+
+  /** When, after a moment, a request sent to a relay since then completed; -1 for none yet. */
+  private long completedAfter(String relay, long from) {
+    return fleet.ledger.calls.values().stream()
+        .filter(call -> call.relay.equals(relay) && call.sent >= from)
+        .filter(call -> call.done >= 0 && call.outcome.equals("complete"))
+        .mapToLong(call -> call.done - from)
+        .min()
+        .orElse(-1);
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/day/OperatorTroubles.java
@@ -0,0 +1,134 @@
+/*
+ * What operators do at bad moments: name weights twice, revoke keys, race, move services, grow the configuration, and
+ * swap members of the core.
+ */
+package gladelug.rehearsal.day;
+
+import com.eclipsesource.json.JsonObject;
+import gladelug.rehearsal.Fleet;
+import gladelug.rehearsal.StandInReplica;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Changes by operators. */
+final class OperatorTroubles {
+  private static final long BETWEEN_NAMINGS_MS = 1500;
+  private static final long LOADED_MS = 30_000;
+  private static final long SWAP_BEGUN_MS = 20_000;
+  private static final long LET_IN_MS = 30_000;
+  private static final int FURTHER_ROUTES = 3000;
+
+  private final DayFleet machines;
+  private final DayOperator operator;
+  private final List<String> racesWonTwice = new ArrayList<>();
+  private String killedCommander = "";
+  private String swappedIn;
+  private String swappedOut;
+
+  OperatorTroubles(DayFleet machines, DayOperator operator) {
+    this.machines = machines;
+    this.operator = operator;
+  }
+
+  /** Races in which both operators were confirmed on the same number. */
+  List<String> racesWonTwice() {
+    return racesWonTwice;
+  }
+
+  List<Episode> episodes() {
+    List<Episode> episodes =
+        new ArrayList<>(
+            List.of(
+                Episode.of(
+                    "new weights are named, and others half way", this::nameTwice, this::allLoaded),
+                Episode.of(
+                    "a key is revoked from connected callers",
+                    () -> revoke(List.of(machines.fleet.deployment.tenants().get(1).name())),
+                    () -> revoke(List.of())),
+                Episode.atOnce("two operators race", this::race),
+                Episode.atOnce(
+                    "the application moves to its second service",
+                    () -> {
+                      operator.moveApplication();
+                      operator.send();
+                    })));
+    if (machines.fleet.deployment.name().equals("safari-njia")) {
+      episodes.add(Episode.atOnce("the configuration grows by 3000 routes", this::grow));
+      episodes.add(
+          Episode.of("a core machine is swapped for another", this::beginSwap, this::endSwap));
+    }
+    return episodes;
+  }
+
+  private void nameTwice() {
+    operator.nameNextWeights();
+    Fleet.pause(BETWEEN_NAMINGS_MS);
+    if (machines.random.nextBoolean()) operator.nameNextWeights();
+    killedCommander = machines.random.nextBoolean() ? machines.ownerOf("commander/replica-1") : "";
+    if (!killedCommander.isEmpty()) machines.kill(killedCommander);
+  }
+
+  private void allLoaded() throws Exception {
+    if (!killedCommander.isEmpty()) machines.restart(killedCommander);
+    Fleet.until(
+        "every replica runs " + operator.weights(),
+        LOADED_MS,
+        () ->
+            machines.fleet.replicas.values().stream()
+                .filter(replica -> replica.kind == StandInReplica.Kind.MODEL)
+                .allMatch(replica -> replica.weights().equals(operator.weights())));
+  }
+
+  private void revoke(List<String> tenants) {
+    operator.revoked = tenants;
+    operator.send();
+  }
+
+  private void grow() {
+    operator.furtherRoutes += FURTHER_ROUTES;
+    operator.send();
+  }
+
+  /** Two at once on the same number; at most one may be confirmed. */
+  private void race() throws InterruptedException {
+    Fleet.Answer shown = machines.fleet.call("GET", "/v1/configuration", null, Map.of());
+    long number = shown.body().getLong("number", -1);
+    Fleet.Answer[] answers = new Fleet.Answer[2];
+    Thread[] threads = new Thread[answers.length];
+    for (int i = 0; i < answers.length; i++) {
+      int mine = i;
+      JsonObject configuration = operator.wanted();
+      threads[i] =
+          new Thread(
+              () -> answers[mine] = machines.fleet.send(configuration, Long.toString(number)));
+      threads[i].start();
+    }
+    for (Thread thread : threads) thread.join();
+    Day.say("race answered " + answers[0].status() + " and " + answers[1].status());
+    if (answers[0].status() == 200 && answers[1].status() == 200) {
+      racesWonTwice.add("both racing configurations were taken on number " + number);
+    }
+  }
+
+  private void beginSwap() throws Exception {
+    int host = machines.freshHost();
+    swappedIn = "control-" + host;
+    machines.fleet.control(swappedIn, host).start();
+    swappedOut = machines.anyMember();
+    String swap = "{\"out\":\"" + swappedOut + "\",\"in\":\"" + swappedIn + "\"}";
+    Fleet.until(
+        "the swap begun",
+        SWAP_BEGUN_MS,
+        () -> machines.fleet.call("POST", "/v1/core/swap", swap, Map.of()).status() == 202);
+  }
+
+  private void endSwap() {
+    Fleet.until(
+        swappedIn + " let in",
+        LET_IN_MS,
+        () -> machines.fleet.ready(swappedIn) && machines.members().contains(swappedIn));
+    machines.kill(swappedOut);
+    machines.fleet.children.remove(swappedOut);
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/day/ProcessTroubles.java
@@ -0,0 +1,71 @@
+/*
+ * Troubles of the product's own processes: killed, frozen, and back with or without their disks.
+ */
+package gladelug.rehearsal.day;
+
+import gladelug.rehearsal.Fleet;
+import java.util.List;
+
+/** Kills and freezes of members, relays and indexes. */
+final class ProcessTroubles {
+  private static final long LET_IN_MS = 30_000;
+  private final DayFleet machines;
+  private String killedOwner;
+  private String frozenOwner;
+  private String emptyMember;
+  private String firstOfTwo;
+  private String secondOfTwo;
+
+  ProcessTroubles(DayFleet machines) {
+    this.machines = machines;
+  }
+
+  List<Episode> episodes() {
+    return List.of(
+        Episode.of(
+            "the owner of the configuration is killed",
+            () -> {
+              killedOwner = machines.ownerOf(DayFleet.CONFIGURATION_KEY);
+              machines.kill(killedOwner);
+            },
+            () -> machines.restart(killedOwner)),
+        Episode.of(
+            "the owner of the list of replicas freezes for 5 s",
+            () -> {
+              frozenOwner = machines.ownerOf(DayFleet.REPLICAS_KEY);
+              machines.freeze(frozenOwner);
+            },
+            () -> machines.thaw(frozenOwner)),
+        Episode.of(
+            "a core machine returns empty at a new address",
+            this::returnEmpty,
+            () ->
+                Fleet.until(
+                    emptyMember + " let in", LET_IN_MS, () -> machines.fleet.ready(emptyMember))),
+        Episode.of(
+            "two core machines are killed at once",
+            this::killTwo,
+            () -> machines.restart(firstOfTwo, secondOfTwo)),
+        Episode.of(
+            "a relay freezes for 4 s",
+            () -> machines.freeze("relay-2"),
+            () -> machines.thaw("relay-2")),
+        Episode.of(
+            "a relay and an index are killed at once",
+            () -> machines.kill("relay-1", "index-1"),
+            () -> machines.restart("relay-1", "index-1")));
+  }
+
+  private void returnEmpty() throws Exception {
+    emptyMember = machines.anyMember();
+    machines.kill(emptyMember);
+    machines.fleet.control(emptyMember, machines.freshHost()).start();
+  }
+
+  private void killTwo() {
+    List<String> members = machines.members();
+    firstOfTwo = members.get(0);
+    secondOfTwo = members.get(1);
+    machines.kill(firstOfTwo, secondOfTwo);
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/day/ReplicaTroubles.java
@@ -0,0 +1,91 @@
+/*
+ * Troubles of replicas and the store: crashed, hanging, gone, released, empty, slow, with broken streams.
+ */
+package gladelug.rehearsal.day;
+
+import gladelug.rehearsal.Fleet;
+import gladelug.rehearsal.StandInReplica;
+import java.util.List;
+import java.util.Map;
+
+/** Faults of the stand-in replicas. */
+final class ReplicaTroubles {
+  private static final long LEAVING_MS = 2500;
+  private final DayFleet machines;
+  private final Map<String, StandInReplica> replicas;
+
+  ReplicaTroubles(DayFleet machines) {
+    this.machines = machines;
+    this.replicas = machines.fleet.replicas;
+  }
+
+  List<Episode> episodes() {
+    return List.of(
+        Episode.of(
+            "a replica crashes and returns",
+            () -> replicas.get("replica-3").kill(),
+            () -> replicas.get("replica-3").start()),
+        Episode.of(
+            "a replica hangs",
+            () -> replicas.get("replica-4").faults.hang = true,
+            () -> replicas.get("replica-4").faults.hang = false),
+        Episode.of(
+            "a replica vanishes for good",
+            () -> replicas.get("replica-5").kill(),
+            () -> forget("replica-5")),
+        new Episode(
+            "two replicas are released one by one",
+            () -> {
+              for (String name : List.of("replica-6", "replica-7")) release(name);
+            },
+            () -> {},
+            true),
+        Episode.of(
+            "the store goes down and comes back empty",
+            () -> replicas.get("store").kill(),
+            () -> replicas.get("store").start()),
+        Episode.of(
+            "links slow down and cache events are late or lost",
+            () -> replicas.values().forEach(ReplicaTroubles::slow),
+            () -> replicas.values().forEach(replica -> replica.faults.none())),
+        Episode.of(
+            "streams break at a replica, and another refuses half",
+            () -> {
+              replicas.get("replica-1").faults.cutStreams = true;
+              replicas.get("replica-2").faults.notRun = 0.5;
+            },
+            () -> {
+              replicas.get("replica-1").faults.none();
+              replicas.get("replica-2").faults.none();
+            }));
+  }
+
+  private static void slow(StandInReplica replica) {
+    replica.faults.linkFactor = 60;
+    replica.faults.loseEvents = 0.2;
+    replica.faults.delayEvents = 0.3;
+  }
+
+  private void forget(String name) {
+    machines.fleet.platform.unlist(name);
+    replicas.remove(name);
+  }
+
+  /** A replica is listed as leaving, dies, and another of a new name is listed. */
+  private void release(String name) throws Exception {
+    StandInReplica leaving = replicas.get(name);
+    machines.fleet.platform.list(leaving.service, name, leaving.address(), "zone-a", false);
+    Fleet.pause(LEAVING_MS);
+    leaving.kill();
+    forget(name);
+    StandInReplica next =
+        machines.fleet.addReplica(
+            StandInReplica.Kind.MODEL,
+            leaving.service,
+            name + "-next",
+            machines.freshHost(),
+            "zone-a",
+            machines.random.nextLong());
+    Day.say(name + " became " + next.instance);
+  }
+}
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
@@ -23,7 +23,7 @@
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
 import gladelug.rehearsal.Ledger;
-import gladelug.rehearsal.StandInReplica;
+import gladelug.rehearsal.StandInContent;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayDeque;
@@ -234,7 +234,7 @@
       if (c == null) return true;
       JsonObject j = Json.parse(piece.toString()).asObject();
       if (c.explicitEnd || j.getInt("piece", -1) != c.pieces) c.misordered++;
-      if (!StandInReplica.textOf(c.tag, c.pieces).equals(j.getString("text", ""))) c.foreign++;
+      if (!StandInContent.textOf(c.tag, c.pieces).equals(j.getString("text", ""))) c.foreign++;
       if (c.firstPiece < 0) c.firstPiece = sim.now();
       c.pieces++;
       return true;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimConnections.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimConnections.java
@@ -8,7 +8,7 @@
 import com.eclipsesource.json.Json;
 import gladelug.data.relay.ReplicaConnections;
 import gladelug.kernel.configuration.Replicas.Replica;
-import gladelug.rehearsal.StandInReplica;
+import gladelug.rehearsal.StandInContent;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -166,7 +166,7 @@
       to = a;
       used = true;
       long handed = sim.now();
-      String tag = StandInReplica.tagOf(Json.parse(json).asObject().getString("prompt", ""));
+      String tag = StandInContent.tagOf(Json.parse(json).asObject().getString("prompt", ""));
       sim.handed(relay, json);
       sim.passes(RequestSim.Point.HANDED, tag, () -> c.carry(c.there, () -> taken(json, handed)));
     }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
@@ -10,7 +10,7 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.kernel.Address;
 import gladelug.rehearsal.Ledger;
-import gladelug.rehearsal.StandInReplica;
+import gladelug.rehearsal.StandInContent;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -155,7 +155,7 @@
   // ---- requests
 
   Job order(SimConnections.Line line, JsonObject in, long handed) {
-    String tag = StandInReplica.tagOf(in.getString("prompt", ""));
+    String tag = StandInContent.tagOf(in.getString("prompt", ""));
     Ledger.Run run =
         new Ledger.Run(
             tag,
@@ -211,7 +211,7 @@
     running.add(j);
     long[] blocks =
         model
-            ? StandInReplica.ids(
+            ? StandInContent.blockIds(
                 service, j.run.weights, j.run.wall, j.in.getString("prompt", ""), BLOCK)
             : new long[0];
     int have = 0;
@@ -254,7 +254,7 @@
   }
 
   private void piece(Job j) {
-    int want = Math.min(j.in.getInt("maxPieces", 1), StandInReplica.piecesOf(j.run.tag, 12));
+    int want = Math.min(j.in.getInt("maxPieces", 1), StandInContent.piecesOf(j.run.tag, 12));
     if (j.pieces > 1 && sim.random.nextDouble() < cutStreams) {
       left(j);
       j.line.toRelay(a -> a.over("the answer broke off"));
@@ -264,7 +264,7 @@
     if (j.pieces < want) {
       int n = j.pieces++;
       String p =
-          Json.object().add("piece", n).add("text", StandInReplica.textOf(j.run.tag, n)).toString();
+          Json.object().add("piece", n).add("text", StandInContent.textOf(j.run.tag, n)).toString();
       j.run.pieces = j.pieces;
       j.line.toRelay(a -> a.line(p));
       sim.passes(RequestSim.Point.STREAM, j.run.tag, () -> step(j, MS_PIECE, () -> piece(j)));
--- a/rehearsal/src/test/java/gladelug/rehearsal/RehearseFleetTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/KillRunTest.java
@@ -1,16 +1,16 @@
 /*
- * Tests of RehearseFleet.
+ * Tests of KillRun.
  */
 package gladelug.rehearsal;
 
-import static gladelug.rehearsal.RehearseFleet.run;
+import static gladelug.rehearsal.KillRun.run;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
-final class RehearseFleetTest {
+final class KillRunTest {
   /** The real programs, kills included, for a short while: the same run an operator can make. */
   @Test
   void aShortRunOfRealProcessesWithKillsIsClean() throws Exception {
--- a/rehearsal/src/test/java/gladelug/rehearsal/RequestRehearsalTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/RequestRehearsalTest.java
@@ -90,7 +90,7 @@
     return f.ledger.runs.getOrDefault(c.tag, List.of());
   }
 
-  private static void both(Consumer<StandInReplica.Faults> x) {
+  private static void both(Consumer<ReplicaFaults> x) {
     x.accept(f.replicas.get("replica-1").faults);
     x.accept(f.replicas.get("replica-2").faults);
   }
--- a/rehearsal/src/test/java/gladelug/rehearsal/DayTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/day/DayTest.java
@@ -1,8 +1,10 @@
 /*
  * Tests of Day.
  */
-package gladelug.rehearsal;
+package gladelug.rehearsal.day;
 
+import gladelug.rehearsal.Deployment;
+import gladelug.rehearsal.Fleet;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Assertions;
