--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -40,15 +40,15 @@
 public final class CoreService implements Kernel.Service, CoreHost {
   private static final long STALL = 400, PROBE = 1000;
 
+  /** How often a process that was asked to stop looks whether it may end, in ms. */
+  private static final long LEFT = 50;
+
   /**
    * How long a change or read is offered again while a key is between two owners, and how long a
    * read may take in all, ms: callers give a door up after a second of silence.
    */
   private static final long OWNERLESS = 800, READ = 900;
 
-  /** How often a member that leaves looks whether it may end, ms. */
-  private static final long LEFT = 50;
-
   private static final Duration BETWEEN = Duration.ofMillis(100);
 
   private final Vertx vertx;
@@ -317,6 +317,11 @@
     disk.want(key, state, done);
   }
 
+  @Override
+  public long stateCapacity() {
+    return ring.capacity();
+  }
+
   @Override
   public void news(String to, News m) {
     Connection c = nodes.get(to);
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -298,7 +298,7 @@
     if (m != null && m.disk().equals(e.disk())) leavers.put(m.name(), now);
   }
 
-  private boolean leaving(String name, long now) {
+  boolean leaving(String name, long now) {
     Long said = leavers.get(name);
     return said != null && now - said < n.tunables.dead();
   }
@@ -309,11 +309,9 @@
   void sayLeaving(long now) {
     if (now - lastLeaving < n.tunables.alive()) return;
     lastLeaving = now;
-    Set<Address> to = new HashSet<>();
-    for (Members.Member m : members.all()) to.add(m.records());
-    for (Members.Member m : known.all()) to.add(m.records());
-    to.remove(me.records());
-    for (Address a : to) n.host.sendTo(a, say(new Leaving()));
+    n.toAll(new Leaving());
+    for (Members.Member m : known.all())
+      if (!m.equals(members.find(m.name()))) n.host.sendTo(m.records(), say(new Leaving()));
   }
 
   /**
@@ -327,7 +325,7 @@
     if (sealed != null || successorStandsBy()) return false;
     int others = 0;
     for (Members.Member m : members.all())
-      if (!m.name().equals(n.self) && n.live(m.name(), now)) others++;
+      if (!m.name().equals(n.self) && n.stays(m.name(), now)) others++;
     return others >= Math.min(members.majority(), members.all().size() - 1);
   }
 
@@ -385,7 +383,7 @@
    * heard.
    */
   private MemberPlan plan(long now) {
-    return new MemberPlan(members, joiners(n.tunables.dead()), m -> n.live(m, now));
+    return new MemberPlan(members, joiners(n.tunables.dead()), m -> n.stays(m, now));
   }
 
   /** The owner of the key core looks whether the members should change, which needs no operator. */
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -32,6 +32,7 @@
   /** A host that keeps what is said and what is to be synced until the test lets it go. */
   private static final class Paper implements CoreHost {
     long now = 1_000_000;
+    long capacity = Long.MAX_VALUE;
     final List<String> said = new ArrayList<>();
     final List<Envelope> messages = new ArrayList<>();
     final List<Runnable> syncs = new ArrayList<>();
@@ -72,6 +73,11 @@
       syncs.add(done);
     }
 
+    @Override
+    public long stateCapacity() {
+      return capacity;
+    }
+
     @Override
     public void news(String node, News m) {}
 
@@ -261,6 +267,22 @@
     Assertions.assertEquals(3, p.count("address Settled"));
   }
 
+  /** Every member would fail to write it, and stop. */
+  @Test
+  void noValueIsLargerThanTheRoomThatTheOtherKeysLeaveOnDisk() {
+    Paper p = new Paper();
+    p.capacity = 1 << 20;
+    CoreNode n = node(p);
+    int room = n.largest(Keys.CONFIGURATION);
+    Assertions.assertTrue(room > 700_000 && room < 1 << 20, room + " bytes");
+    Cell.Value list = Cell.Value.NONE.next("d", new byte[500_000]);
+    n.keep(Keys.REPLICAS, new Cell(1, 1, list), () -> {});
+    Assertions.assertTrue(n.largest(Keys.CONFIGURATION) <= room - 500_000);
+    Assertions.assertEquals(room, n.largest(Keys.REPLICAS));
+    p.capacity = Long.MAX_VALUE;
+    Assertions.assertEquals(CoreNode.LARGEST, n.largest(Keys.CONFIGURATION));
+  }
+
   @Test
   void anEmptyDiskAsksToJoinAndAnswersNothingElse() {
     Paper p = new Paper();
@@ -334,69 +356,9 @@
     Assertions.assertTrue(read.size() == 1 && read.get(0).owned() && read.get(0).number() == 0);
   }
 
-  /** Has the node send signs of life and hears of another member which of them it got. */
-  private static void answersALife(CoreNode n, Paper p, String who) {
-    n.tick();
-    Alive sent = null;
-    for (Envelope m : p.messages) if (m.said() instanceof Alive a) sent = a;
-    from(n, who, new Alive(true, 10_000, List.of(), new Stamp(7, p.now), sent.sent()));
-  }
-
-  private static void inContactUntilItTries(CoreNode n, Paper p, String key) {
-    for (int i = 0; i < 50 && n.epochOf(key) == 0; i++) {
-      p.now += 100;
-      answersALife(n, p, "b");
-    }
-  }
-
-  @Test
-  void whoeverIsHeardButDoesNotHearIsNotAliveAndNoKeyIsTriedForWithoutAMajority() {
-    Paper p = new Paper();
-    CoreNode n = node(p);
-    for (int i = 0; i < 100; i++) {
-      p.now += 100;
-      n.tick();
-      from(n, "b", new Alive(true, 10_000, List.of(), new Stamp(7, p.now), Stamp.NONE));
-      from(n, "c", new Alive(true, 10_000, List.of(), new Stamp(8, p.now), new Stamp(9, p.now)));
-    }
-    Assertions.assertEquals(Map.of("a", true, "b", false, "c", false), n.alive());
-    Assertions.assertEquals(0, p.count("b Promise"), "an attempt without contact to a majority");
-    Assertions.assertTrue(n.cutOff());
-    answersALife(n, p, "b");
-    Assertions.assertEquals(Map.of("a", true, "b", true, "c", false), n.alive());
-    Assertions.assertFalse(n.cutOff());
-    p.now += Tunables.USUAL.dead();
-    Assertions.assertEquals(Map.of("a", true, "b", false, "c", false), n.alive());
-  }
-
-  @Test
-  void anOwnerWithoutContactToAMajorityClaimsNothingAndAnswersAtOnce() {
-    Paper p = new Paper();
-    CoreNode n = node(p);
-    String k = Keys.CONFIGURATION;
-    p.now += 10_000;
-    inContactUntilItTries(n, p, k);
-    long e = n.epochOf(k);
-    for (String m : new String[] {"a", "b"})
-      from(n, m, new Promised(k, e, true, e, 0, Cell.Value.NONE));
-    for (String m : new String[] {"a", "b"}) from(n, m, new Accepted(k, e, 0, true, e));
-    List<Newest> read = new ArrayList<>();
-    List<ChangeAnswer> changed = new ArrayList<>();
-    n.readNewest(k, read::add);
-    p.now += Tunables.USUAL.dead() + Tunables.USUAL.alive();
-    n.tick();
-    Assertions.assertEquals(List.of(Newest.NO_OWNER), read, "a read that can't be confirmed");
-    n.readNewest(k, read::add);
-    n.change(k, -1, new byte[1], changed::add);
-    Assertions.assertEquals(List.of(Newest.NO_OWNER, Newest.NO_OWNER), read);
-    Assertions.assertEquals(List.of(new ChangeAnswer.NoOwner()), changed);
-    Alive last = null;
-    for (Envelope m : p.messages) if (m.said() instanceof Alive a) last = a;
-    Assertions.assertEquals(List.of(), last.owned());
-  }
-
   /** Makes the node the owner of a key at this number; two of three members hold the value. */
   private static void serves(CoreNode n, Paper p, String key, Cell.Value value) {
+    p.now += 10_000;
     inContactUntilItTries(n, p, key);
     long e = n.epochOf(key);
     for (String m : new String[] {"a", "b"}) from(n, m, new Promised(key, e, true, e, 1, value));
@@ -431,7 +393,7 @@
   }
 
   @Test
-  void withoutAMajorityNothingIsRefusedAndTheSenderHearsSoWithinTheTimeOfADeadMember() {
+  void withoutAMajorityNothingIsRefusedAndTheSenderHearsSoWhileItListens() {
     Paper p = new Paper();
     CoreNode n = node(p);
     String key = Keys.REPLICAS;
@@ -440,8 +402,11 @@
     List<Newest> reads = new ArrayList<>();
     n.change(ChangeRequest.onNumber(key, 0, new byte[] {9}), answers::add);
     n.readNewest(key, reads::add);
-    p.now += Tunables.USUAL.dead() - 1;
-    n.tick();
+    long half = Reads.PATIENCE / 2;
+    for (long step : new long[] {half, Reads.PATIENCE - half - 1}) {
+      p.now += step;
+      answersALife(n, p, "b");
+    }
     Assertions.assertTrue(answers.isEmpty() && reads.isEmpty());
     p.now += 1;
     n.tick();
@@ -450,6 +415,35 @@
     Assertions.assertTrue(n.owns(key), "it may only be slow: it still tries");
   }
 
+  @Test
+  void aChangeThatTheDiskCannotHoldBesideTheRestIsTooLargeAndNeverWritten() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    String key = Keys.REPLICAS;
+    from(n, "b", new Accept(Keys.CONFIGURATION, THREE.epoch(0, "b"), value(new byte[500_000])));
+    p.synced();
+    serves(n, p, key, Cell.Value.NONE);
+    p.capacity = 1_000_000;
+    p.messages.clear();
+    List<ChangeAnswer> answers = new ArrayList<>();
+    n.change(key, 0, new byte[500_000], answers::add);
+    Assertions.assertTrue(answers.get(0) instanceof ChangeAnswer.TooLarge, answers::toString);
+    Assertions.assertEquals(0, accepts(p, key));
+    n.change(key, 0, new byte[300_000], answers::add);
+    Assertions.assertEquals(1, answers.size(), "under way");
+    Assertions.assertEquals(3, accepts(p, key));
+  }
+
+  private static Cell.Value value(byte[] body) {
+    return Cell.Value.NONE.next(Digest.hex(body), body);
+  }
+
+  private static long accepts(Paper p, String key) {
+    return p.messages.stream()
+        .filter(m -> m.said() instanceof Accept a && a.key().equals(key))
+        .count();
+  }
+
   @Test
   void aChangeTooOldToTellIsLeftUnknown() {
     Paper p = new Paper();
@@ -470,6 +464,67 @@
         answers);
   }
 
+  /** Has the node send signs of life and hears of another member which of them it got. */
+  private static void answersALife(CoreNode n, Paper p, String who) {
+    n.tick();
+    Alive sent = null;
+    for (Envelope m : p.messages) if (m.said() instanceof Alive a) sent = a;
+    from(n, who, new Alive(true, 10_000, List.of(), new Stamp(7, p.now), sent.sent()));
+  }
+
+  private static void inContactUntilItTries(CoreNode n, Paper p, String key) {
+    for (int i = 0; i < 50 && n.epochOf(key) == 0; i++) {
+      p.now += 100;
+      answersALife(n, p, "b");
+    }
+  }
+
+  @Test
+  void whoeverIsHeardButDoesNotHearIsNotAliveAndNoKeyIsTriedForWithoutAMajority() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    for (int i = 0; i < 100; i++) {
+      p.now += 100;
+      n.tick();
+      from(n, "b", new Alive(true, 10_000, List.of(), new Stamp(7, p.now), Stamp.NONE));
+      from(n, "c", new Alive(true, 10_000, List.of(), new Stamp(8, p.now), new Stamp(9, p.now)));
+    }
+    Assertions.assertEquals(Map.of("a", true, "b", false, "c", false), n.alive());
+    Assertions.assertEquals(0, p.count("b Promise"), "an attempt without contact to a majority");
+    Assertions.assertTrue(n.cutOff());
+    answersALife(n, p, "b");
+    Assertions.assertEquals(Map.of("a", true, "b", true, "c", false), n.alive());
+    Assertions.assertFalse(n.cutOff());
+    p.now += Tunables.USUAL.dead();
+    Assertions.assertEquals(Map.of("a", true, "b", false, "c", false), n.alive());
+  }
+
+  @Test
+  void anOwnerWithoutContactToAMajorityClaimsNothingAndAnswersAtOnce() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    String k = Keys.CONFIGURATION;
+    p.now += 10_000;
+    inContactUntilItTries(n, p, k);
+    long e = n.epochOf(k);
+    for (String m : new String[] {"a", "b"})
+      from(n, m, new Promised(k, e, true, e, 0, Cell.Value.NONE));
+    for (String m : new String[] {"a", "b"}) from(n, m, new Accepted(k, e, 0, true, e));
+    List<Newest> read = new ArrayList<>();
+    List<ChangeAnswer> changed = new ArrayList<>();
+    n.readNewest(k, read::add);
+    p.now += Tunables.USUAL.dead() + Tunables.USUAL.alive();
+    n.tick();
+    Assertions.assertEquals(List.of(Newest.NO_OWNER), read, "a read that can't be confirmed");
+    n.readNewest(k, read::add);
+    n.change(k, -1, new byte[1], changed::add);
+    Assertions.assertEquals(List.of(Newest.NO_OWNER, Newest.NO_OWNER), read);
+    Assertions.assertEquals(List.of(new ChangeAnswer.NoOwner()), changed);
+    Alive last = null;
+    for (Envelope m : p.messages) if (m.said() instanceof Alive a) last = a;
+    Assertions.assertEquals(List.of(), last.owned());
+  }
+
   private static void confirmedByTwo(CoreNode n, Paper p) {
     p.messages.clear();
     n.confirmSoon();
--- a/rehearsal/src/main/java/gladelug/rehearsal/CommandLine.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/CommandLine.java
@@ -3,6 +3,7 @@
  */
 package gladelug.rehearsal;
 
+import gladelug.rehearsal.check.ModelCheck;
 import gladelug.rehearsal.control.ControlTroubles;
 import java.util.ArrayList;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -36,6 +37,7 @@
     line.simulate();
     line.shares();
     line.scale();
+    line.check();
     return line.parser;
   }
 
@@ -165,6 +167,21 @@
     out(command);
   }
 
+  private void check() {
+    Subparser command =
+        command(
+            "check", "random walks of the core's protocol under a model checker, each rule judged");
+    command.addArgument("--members").type(Integer.class).choices(3, 5).setDefault(3);
+    command.addArgument("--seed").type(Long.class).setDefault(0L).help("the first seed");
+    number(command, "--walks", 100, "how many walks");
+    number(command, "--steps", 3000, "of each walk");
+    command
+        .addArgument("--without")
+        .choices(ModelCheck.mutations())
+        .setDefault("NONE")
+        .help("a rule of the protocol switched off, to see that this is found");
+  }
+
   private void scale() {
     Subparser command =
         command(
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -6,6 +6,7 @@
 
 import com.eclipsesource.json.WriterConfig;
 import gladelug.kernel.Program;
+import gladelug.rehearsal.check.ModelCheck;
 import gladelug.rehearsal.control.ControlDay;
 import gladelug.rehearsal.control.ControlTroubles;
 import gladelug.rehearsal.day.Day;
@@ -43,6 +44,9 @@
       case "simulate" -> {
         return simulate(options);
       }
+      case "check" -> {
+        return check(options);
+      }
       case "stand-ins" -> standIns(options);
       case "weights" -> WeightsRoll.measure(deployment(options), options.getString("out"));
       case "table" ->
@@ -126,6 +130,16 @@
     return stories.offenders.isEmpty();
   }
 
+  private static boolean check(Namespace options) {
+    ModelCheck.Options wanted =
+        new ModelCheck.Options(
+            options.getInt("members"),
+            options.getLong("seed"),
+            options.getInt("walks"),
+            options.getInt("steps"));
+    return ModelCheck.run(wanted, options.getString("without"), System.out::println);
+  }
+
   /** Stays until it is ended. */
   private static void standIns(Namespace options) throws Exception {
     Path out = Path.of(options.getString("out")).toAbsolutePath().resolve("stand-ins");
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimDisk.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimDisk.java
@@ -9,6 +9,7 @@
 import gladelug.kernel.disk.Ring;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,9 +17,24 @@
 
 final class SimDisk implements Medium {
   private static final int FILES = 4, SIZE = 96 << 10;
+
+  private static final int SECTOR = 512;
+
+  /** Between two tries of a write that a full disk refused, ms. */
+  private static final long AGAIN = 100;
+
+  private record Replaced(int file, int at, byte[] bytes) {
+    int lengthFrom(int offset) {
+      return Math.min(SECTOR, bytes.length - offset);
+    }
+  }
+
   private final Random random;
   private byte[][] files = new byte[FILES][SIZE];
-  private byte[][] before;
+
+  /** What the write under way has replaced. */
+  private final List<Replaced> replaced = new ArrayList<>();
+
   private Ring ring;
   private final List<Ring.Entry> entries = new ArrayList<>();
   private final List<Runnable> dones = new ArrayList<>();
@@ -27,6 +43,9 @@
   boolean stalled;
   boolean failing;
 
+  /** Refuses every write, as a full disk does; what waits is tried again. */
+  boolean full;
+
   /** Milliseconds more for each sync, as on a machine with too much to do. */
   int slow;
 
@@ -48,12 +67,20 @@
 
   /** The power goes: what was being synced may be torn, what waited is gone. */
   void power() {
+    if (busy)
+      for (Replaced old : replaced)
+        for (int i = 0; i < old.bytes.length; i += SECTOR)
+          if (random.nextBoolean())
+            System.arraycopy(old.bytes, i, files[old.file], old.at + i, old.lengthFrom(i));
+    processEnded();
+  }
+
+  /** Nobody writes any more; what waited to be written is gone with the process. */
+  void processEnded() {
     life++;
-    if (busy && before != null)
-      for (int i = 0; i < FILES; i++)
-        for (int at = 0; at < SIZE; at += 512)
-          if (random.nextBoolean()) System.arraycopy(before[i], at, files[i], at, 512);
     busy = false;
+    entries.clear();
+    dones.clear();
   }
 
   void wipe() {
@@ -74,16 +101,18 @@
       return;
     }
     busy = true;
-    busySince = sim.now();
+    if (busySince < 0) busySince = sim.now();
     Map<String, Ring.Entry> last = new LinkedHashMap<>();
     for (Ring.Entry e : entries) last.put(e.key(), e);
     List<Runnable> ds = new ArrayList<>(dones);
     entries.clear();
     dones.clear();
-    before = new byte[FILES][];
-    for (int i = 0; i < FILES; i++) before[i] = files[i].clone();
+    replaced.clear();
     try {
       ring.write(new ArrayList<>(last.values()));
+    } catch (Ring.Refused e) {
+      tryAgain(sim, owner, new ArrayList<>(last.values()), ds);
+      return;
     } catch (IOException e) {
       owner.diskFailed();
       return;
@@ -92,6 +121,20 @@
     done(sim, owner, l, ds);
   }
 
+  /** Nothing was written: it waits in front of whatever has come since. */
+  private void tryAgain(Sim sim, SimControl owner, List<Ring.Entry> refused, List<Runnable> ds) {
+    int l = life;
+    entries.addAll(0, refused);
+    dones.addAll(0, ds);
+    sim.after(
+        AGAIN,
+        () -> {
+          if (life != l) return;
+          busy = false;
+          go(sim, owner);
+        });
+  }
+
   private void done(Sim sim, SimControl owner, int l, List<Runnable> ds) {
     sim.after(
         slow + 1 + random.nextInt(random.nextInt(6) == 0 ? 80 : 8),
@@ -128,7 +171,9 @@
   }
 
   @Override
-  public void write(int file, int at, byte[] b) {
+  public void write(int file, int at, byte[] b) throws IOException {
+    if (full) throw new IOException("no space left");
+    replaced.add(new Replaced(file, at, Arrays.copyOfRange(files[file], at, at + b.length)));
     System.arraycopy(b, 0, files[file], at, b.length);
   }
 
