--- a/control-plane/src/main/java/gladelug/control/operator/OperatorEndpoint.java
+++ b/control-plane/src/main/java/gladelug/control/operator/OperatorEndpoint.java
@@ -44,6 +44,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Serves operators and the platform on a control machine. */
 public final class OperatorEndpoint implements Kernel.Service {
@@ -53,6 +55,9 @@
 
   private static final String FORWARDED = "Gladelug-Forwarded";
   private static final long LARGEST = 5 << 20;
+  private static final String NO_OWNER =
+      "no majority owns this at the moment; if it was sent before, that may have been taken";
+  private static final Pattern NUMBER = Pattern.compile("\"(\\d{1,18})\"|(\\d{1,18})");
   private static final long ANY = -1, NONE = -2, BAD = -3;
 
   /** How often a naming is tried again that others overtook. */
@@ -126,7 +131,7 @@
     r.post(path).handler(this::configuration);
     r.get(path).handler(c -> show(c, key));
     r.get(path + "/numbers").handler(c -> atConfirmedOwner(c, key, x -> numbers(x, key)));
-    r.get(path + "/numbers/:number").handler(c -> atConfirmedOwner(c, key, x -> fate(x, key)));
+    r.get(path + "/numbers/:number").handler(c -> fate(c, key));
   }
 
   private static void say(RoutingContext c, int status, JsonObject o) {
@@ -139,12 +144,7 @@
 
   private static void nobodyOwns(RoutingContext c) {
     c.response().putHeader("Retry-After", "1");
-    say(
-        c,
-        503,
-        Json.object()
-            .add("outcome", "not-taken")
-            .add("reason", "no majority owns this at the moment"));
+    say(c, 503, Json.object().add("outcome", "not-taken").add("reason", NO_OWNER));
   }
 
   /**
@@ -247,14 +247,10 @@
   private static long match(RoutingContext c) {
     String s = c.request().getHeader("If-Match");
     if (s == null) return NONE;
-    s = s.trim().replace("\"", "");
-    if (s.equals("*")) return ANY;
-    try {
-      long n = Long.parseLong(s);
-      return n < 0 ? BAD : n;
-    } catch (NumberFormatException e) {
-      return BAD;
-    }
+    if (s.trim().equals("*")) return ANY;
+    Matcher number = NUMBER.matcher(s.trim());
+    if (!number.matches()) return BAD;
+    return Long.parseLong(number.group(1) == null ? number.group(2) : number.group(1));
   }
 
   private void configuration(RoutingContext c) {
@@ -270,16 +266,16 @@
                   "say with If-Match which number this configuration is based on, or * to replace whatever is there"));
       return;
     }
-    String s = c.body().asString();
+    byte[] body = c.body().buffer() == null ? new byte[0] : c.body().buffer().getBytes();
     Result<Configuration> p =
         m == BAD
             ? Result.bad("If-Match", "must be a number or *")
-            : Configuration.parse(s == null ? "" : s);
+            : Doc.text(body).then(Configuration::parse);
     if (p instanceof Result.Bad<Configuration> b) {
       findings(c, b.findings());
       return;
     }
-    core.change(ChangeRequest.onNumber(Keys.CONFIGURATION, m, s.getBytes(StandardCharsets.UTF_8)))
+    core.change(ChangeRequest.onNumber(Keys.CONFIGURATION, m, body))
         .ifNoItem()
         .after(PATIENCE)
         .recoverWithItem(new ChangeAnswer.Unknown(m < 0 ? -1 : m + 1))
@@ -333,11 +329,7 @@
           503,
           Json.object()
               .add("outcome", "not-taken")
-              .add(
-                  "reason",
-                  a instanceof ChangeAnswer.Busy
-                      ? "too many changes wait"
-                      : "no majority owns this at the moment"));
+              .add("reason", a instanceof ChangeAnswer.Busy ? "too many changes wait" : NO_OWNER));
     }
   }
 
@@ -563,6 +555,19 @@
     return at == 0 ? "" : Instant.ofEpochMilli(at).toString();
   }
 
+  private static JsonObject fate(Newest newest, long number, String digest) {
+    String fate =
+        !newest.owned()
+            ? "unknown"
+            : switch (newest.fateOfNumber(number, digest)) {
+              case TAKEN -> "taken";
+              case OTHER -> "other";
+              case NOT_YET -> "not-yet";
+              case FORGOTTEN -> "forgotten";
+            };
+    return Json.object().add("number", number).add("fate", fate);
+  }
+
   private void fate(RoutingContext c, String key) {
     String d = c.request().getParam("digest");
     long n;
@@ -581,10 +586,9 @@
       return;
     }
     long nr = n;
-    core.ask(x -> x.fate(key, nr, d))
+    core.readNewest(key)
         .subscribe()
-        .with(
-            f -> say(c, 200, Json.object().add("number", nr).add("fate", f)), t -> c.fail(500, t));
+        .with(newest -> say(c, 200, fate(newest, nr, d)), t -> c.fail(500, t));
   }
 
   private void status(RoutingContext c) {
