--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -297,11 +297,12 @@
             2, List.of(THREE.find("b"), THREE.find("c"), new Members.Member("d", "dd", A, A)));
     Paper p = new Paper();
     CoreNode n = node(p);
-    from(n, "b", new Seal(next));
+    from(n, "b", new Seal(next, 0, List.of()));
     p.synced();
     n.message(new Envelope(2, "d", "dd", new Settled(next, List.of())));
     Assertions.assertTrue(n.retired());
-    for (String sealed : new String[] {"a", "c"}) from(n, sealed, new Sealed(2, List.of()));
+    for (String sealed : new String[] {"a", "c"})
+      from(n, sealed, new Sealed(2, 0, List.of(), List.of()));
     p.said.clear();
     p.now += 2000;
     n.tick();
