Changes that wait at an owner are refused at once when it loses the majority

They stayed behind the change being written until the owner was deposed, two leases later, though nothing had been written for them. That change itself is left as it is: it may have been taken.

Test: changesThatWaitBehindAnotherAreRefused... in CoreNodeTest; with the code before (trial) it fails, the second change unanswered. CoreNodeTest, TimelineTest, PartialCutTest, TakeoverTest, ResentChangesTest: passed. ModelCheckTest: 12 of 13, findsAnswersBeforeTheSync fails as before: the rule that breaks first is ACKNOWLEDGED_IS_CHOSEN, the test names SERVED_IS_CHOSEN.

--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -269,11 +269,17 @@
     if (served) node.host.event("owner-ends", "key", key, "epoch", epoch, "why", why);
     if (current != null) finish(new ChangeAnswer.Unknown(current.number));
     current = null;
-    for (Change c : waiting) c.answer.accept(new ChangeAnswer.NoOwner());
-    waiting.clear();
+    refuseWaiting();
     abandon(new ArrayList<>(questions));
   }
 
+  /** Changes that nothing was written for yet. */
+  private void refuseWaiting() {
+    List<Change> refused = new ArrayList<>(waiting);
+    waiting.clear();
+    for (Change c : refused) c.answer.accept(new ChangeAnswer.NoOwner());
+  }
+
   private void abandon(List<Question> unanswered) {
     questions.removeAll(unanswered);
     for (Question q : unanswered) q.abandoned.run();
@@ -451,6 +457,7 @@
 
   void tick(long now) {
     if (!questions.isEmpty()) abandonUnconfirmed(now);
+    if (!waiting.isEmpty() && node.alone(now)) refuseWaiting();
     if ((phase == Phase.ASKING || phase == Phase.WRITING) && now - attempted > patience())
       depose("no-majority-in-time", now);
     if (phase == Phase.SERVING
--- a/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreNodeTest.java
@@ -489,11 +489,7 @@
     CoreNode n = node(p);
     String k = Keys.CONFIGURATION;
     p.now += 10_000;
-    inContactUntilItTries(n, p, k);
-    long e = n.epochOf(k);
-    for (String m : new String[] {"a", "b"})
-      from(n, m, new Promised(k, e, true, e, 0, Cell.Value.NONE));
-    for (String m : new String[] {"a", "b"}) from(n, m, new Accepted(k, e, 0, true, e));
+    ownsInContact(n, p, k);
     List<Newest> read = new ArrayList<>();
     List<ChangeAnswer> changed = new ArrayList<>();
     n.readNewest(k, read::add);
@@ -509,6 +505,32 @@
     Assertions.assertEquals(List.of(), last.owned());
   }
 
+  private static void ownsInContact(CoreNode n, Paper p, String key) {
+    inContactUntilItTries(n, p, key);
+    long e = n.epochOf(key);
+    for (String m : new String[] {"a", "b"})
+      from(n, m, new Promised(key, e, true, e, 0, Cell.Value.NONE));
+    for (String m : new String[] {"a", "b"}) from(n, m, new Accepted(key, e, 0, true, e));
+    Assertions.assertTrue(n.owns(key));
+  }
+
+  @Test
+  void changesThatWaitBehindAnotherAreRefusedOnceNoMajorityIsInContact() {
+    Paper p = new Paper();
+    CoreNode n = node(p);
+    String k = Keys.CONFIGURATION;
+    p.now += 10_000;
+    ownsInContact(n, p, k);
+    List<ChangeAnswer> first = new ArrayList<>();
+    List<ChangeAnswer> second = new ArrayList<>();
+    n.change(k, -1, new byte[] {1}, first::add);
+    n.change(k, -1, new byte[] {2}, second::add);
+    p.now += Tunables.USUAL.dead() + Tunables.USUAL.alive();
+    n.tick();
+    Assertions.assertEquals(List.of(), first, "it may have been taken");
+    Assertions.assertEquals(List.of(new ChangeAnswer.NoOwner()), second);
+  }
+
   private static void confirmedByTwo(CoreNode n, Paper p) {
     p.messages.clear();
     n.confirmSoon();
