--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -273,7 +273,10 @@
     return kept;
   }
 
-  /** A generation is in force; cells hold at least all that was ever acknowledged before it. */
+  /**
+   * A generation is in force; cells hold at least all that was ever acknowledged before it, but for
+   * the values that the one it is told has durably.
+   */
   record Settled(Members members, List<Kept> cells) implements CoreMessage {
     @Override
     public int tag() {
@@ -301,8 +304,29 @@
     }
   }
 
-  /** Refuse the present generation from now on; next is to follow it. */
-  record Seal(Members next) implements CoreMessage {
+  /** Which value of a key somebody keeps; epoch and number together mean one value. */
+  record Version(String key, long epoch, long number) {}
+
+  private static void putVersions(DataOutputStream o, List<Version> versions) throws IOException {
+    Wire.list(
+        o,
+        versions,
+        (p, v) -> {
+          p.writeUTF(v.key);
+          p.writeLong(v.epoch);
+          p.writeLong(v.number);
+        });
+  }
+
+  private static List<Version> versions(DataInputStream i) throws IOException {
+    return Wire.list(i, j -> new Version(j.readUTF(), j.readLong(), j.readLong()));
+  }
+
+  /**
+   * Refuse the present generation from now on; next is to follow it. run: the sender's present run,
+   * versions: what it keeps, which needn't be sent to it.
+   */
+  record Seal(Members next, long run, List<Version> versions) implements CoreMessage {
     @Override
     public int tag() {
       return 13;
@@ -311,11 +335,17 @@
     @Override
     public void put(DataOutputStream o) throws IOException {
       next.write(o);
+      o.writeLong(run);
+      putVersions(o, versions);
     }
   }
 
-  /** It is refused, durably, and this is all that was kept under it. */
-  record Sealed(long next, List<Kept> cells) implements CoreMessage {
+  /**
+   * It is refused, durably, and this is all that was kept under it: of keys of which the asking run
+   * keeps the same value or a newer one the promises alone. versions: what is kept here.
+   */
+  record Sealed(long next, long run, List<Kept> cells, List<Version> versions)
+      implements CoreMessage {
     @Override
     public int tag() {
       return 14;
@@ -324,7 +354,9 @@
     @Override
     public void put(DataOutputStream o) throws IOException {
       o.writeLong(next);
+      o.writeLong(run);
       CoreMessage.put(o, cells);
+      putVersions(o, versions);
     }
   }
 
@@ -453,10 +485,10 @@
       case 10 -> new Meet(i.readUTF(), i.readUTF(), Members.read(i));
       case 11 -> new Settled(Members.read(i), kept(i));
       case 12 -> new Join(i.readUTF(), i.readUTF());
-      case 13 -> new Seal(Members.read(i));
+      case 13 -> new Seal(Members.read(i), i.readLong(), versions(i));
       case 15 -> carry(i);
       case 16 -> new Carried(i.readUTF(), Wire.read(Wire.blob(i), News::read));
-      case 14 -> new Sealed(i.readLong(), kept(i));
+      case 14 -> new Sealed(i.readLong(), i.readLong(), kept(i), versions(i));
       case 17 -> new Read(i.readLong(), i.readUTF());
       case 18 -> new ReadDone(i.readLong(), Newest.read(i));
       case 30 -> new Leaving();
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -25,7 +25,6 @@
 import gladelug.control.core.CoreMessage.Confirm;
 import gladelug.control.core.CoreMessage.Confirmed;
 import gladelug.control.core.CoreMessage.Envelope;
-import gladelug.control.core.CoreMessage.Kept;
 import gladelug.control.core.CoreMessage.Owned;
 import gladelug.control.core.CoreMessage.Promise;
 import gladelug.control.core.CoreMessage.Promised;
@@ -57,9 +56,6 @@
   /** How long one that leaves waits for the changes under way, in ms. */
   private static final long HAND_OVER = 1000;
 
-  /** Room on disk for what isn't a key's: members, epochs, the frame's own, in bytes. */
-  private static final int RESERVE = 128 << 10;
-
   private static final int MOST_WORDS = 300;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -128,10 +124,10 @@
   final String self;
   final String disk;
   final long booted;
-  private final long run;
+  final long run;
   private final int cutoff;
   private final Duties duties;
-  private final KeptCells cells;
+  final KeptCells cells;
   private final Map<String, KeyOwner> owners = new TreeMap<>();
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<String, Age> ages = new HashMap<>();
@@ -222,6 +218,15 @@
     return cells.get(key);
   }
 
+  /**
+   * How large a value of this key may be: with the other keys' it has to fit on the disk, else
+   * every member would end on it.
+   */
+  long largest(String key) {
+    long room = host.mostState() - cells.sizeWithout(key) - KeptCells.BESIDE_BODY;
+    return Math.max(0, Math.min(LARGEST, room));
+  }
+
   KeyOwner owner(String key) {
     return owners.computeIfAbsent(key, k -> new KeyOwner(this, k));
   }
@@ -259,16 +264,6 @@
         m.all().stream().map(Members.Member::name).toList());
   }
 
-  /** The largest value of a key: one that didn't fit the disks would stop every member at once. */
-  int largest(String key) {
-    long room = host.stateCapacity() - cells.sizeWithout(key) - RESERVE;
-    return (int) Math.max(0, Math.min(LARGEST, room));
-  }
-
-  List<Kept> all() {
-    return cells.all();
-  }
-
   /**
    * The last contact with a member, both ways. What it has heard of this one is told by its next
    * sign of life, so that direction may be older by the time between two.
@@ -371,7 +366,7 @@
     }
     if (leaving) membership.sayLeaving(now);
     else if (membership.retired() || membership.behind() || alone(now)) membership.join(now);
-    if (membership.sealed() && !membership.retired()) membership.drive(now);
+    if (membership.mustDrive()) membership.drive(now);
     if (!membership.active()) return;
     membership.reviseMembers(now);
     if (leaving) handOver(now);
--- a/control-plane/src/main/java/gladelug/control/core/DurableState.java
+++ b/control-plane/src/main/java/gladelug/control/core/DurableState.java
@@ -16,7 +16,7 @@
   /** Before a key's name: the member's cell for it. */
   static final String CELL = "cell/";
 
-  /** Before a key's name: the epochs of its cell where they are newer than the cell itself. */
+  /** Before a key's name: the epochs of its cell, where they rose after the cell was written. */
   static final String EPOCHS = "epochs/";
 
   private DurableState() {}
@@ -39,7 +39,7 @@
   private static String problem(String key, byte[] bytes, String name, String disk) {
     try {
       if (key.startsWith(CELL)) Cell.parse(bytes);
-      else if (key.startsWith(EPOCHS)) KeptCells.Epochs.parse(bytes);
+      else if (key.startsWith(EPOCHS)) KeptCells.checkEpochs(bytes);
       else if (key.equals(Membership.MEMBERS)) return otherDisk(Members.parse(bytes), name, disk);
       else if (key.equals(Membership.SEALED) || key.equals(Membership.PINNED)) Members.parse(bytes);
       else Log.warn("unknown-state-kept", "key", key, "bytes", bytes.length);
--- a/control-plane/src/main/java/gladelug/control/core/KeptCells.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeptCells.java
@@ -6,6 +6,7 @@
 package gladelug.control.core;
 
 import gladelug.control.core.CoreMessage.Kept;
+import gladelug.control.core.CoreMessage.Version;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -21,8 +22,8 @@
 final class KeptCells {
   private static final String CELL = DurableState.CELL, EPOCHS = DurableState.EPOCHS;
 
-  /** Bytes of a cell beside its body, at the most: names, digests, history, what was taken. */
-  private static final long OVERHEAD = 48 << 10;
+  /** Room for what is kept of a key beside its value: history and taken changes, in bytes. */
+  static final int BESIDE_BODY = 48 << 10;
 
   /** Bytes on disk of a key that holds no value, at the most. */
   private static final long NEVER_WRITTEN = 512;
@@ -62,15 +63,42 @@
     for (Map.Entry<String, Cell> e : cells.entrySet()) {
       Cell.Value value = e.getValue().value();
       if (e.getKey().equals(key)) continue;
-      size += value.number() == 0 ? NEVER_WRITTEN : OVERHEAD + value.body().length;
+      size += value.number() == 0 ? NEVER_WRITTEN : BESIDE_BODY + value.body().length;
     }
     return size;
   }
 
+  List<Version> versions() {
+    List<Version> versions = new ArrayList<>();
+    cells.forEach((key, c) -> versions.add(new Version(key, c.epoch(), c.value().number())));
+    return versions;
+  }
+
+  /** All cells, those whose value is one of these versions, or older, without it. */
+  List<Kept> besides(List<Version> versions) {
+    return besides(cells, versions);
+  }
+
+  static List<Kept> besides(Map<String, Cell> cells, List<Version> versions) {
+    Map<String, Version> known = new HashMap<>();
+    for (Version version : versions) known.put(version.key(), version);
+    List<Kept> out = new ArrayList<>();
+    cells.forEach((key, cell) -> out.add(new Kept(key, besides(known.get(key), cell).bytes())));
+    return out;
+  }
+
+  private static Cell besides(Version known, Cell cell) {
+    return known != null && cell.isReplacedBy(known.epoch(), known.number())
+        ? new Cell(cell.promised(), 0, Cell.Value.NONE)
+        : cell;
+  }
+
   List<Kept> all() {
-    List<Kept> all = new ArrayList<>();
-    cells.forEach((key, cell) -> all.add(new Kept(key, cell.bytes())));
-    return all;
+    return besides(List.of());
+  }
+
+  Map<String, Cell> copy() {
+    return new HashMap<>(cells);
   }
 
   /** Counts in memory at once; done is run when it lasts. */
@@ -98,6 +126,11 @@
     return Arrays.equals(new Cell(0, 0, a).bytes(), new Cell(0, 0, b).bytes());
   }
 
+  /** Throws where a record of epochs can't be read, or holds more than this release knows. */
+  static void checkEpochs(byte[] record) throws IOException {
+    Epochs.parse(record);
+  }
+
   /** The epochs of a cell whose value is in the whole record; number and digest say which value. */
   record Epochs(long promised, long accepted, long number, String digest) {
     static Epochs of(Cell cell) {
@@ -127,6 +160,14 @@
       return bytes.toByteArray();
     }
 
+    static Epochs parse(byte[] bytes) throws IOException {
+      DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+      Epochs epochs = new Epochs(in.readLong(), in.readLong(), in.readLong(), in.readUTF());
+      if (in.available() > 0)
+        throw new IOException(in.available() + " bytes after its end, as of a newer release");
+      return epochs;
+    }
+
     static Epochs of(byte[] bytes) {
       try {
         return parse(bytes);
@@ -134,11 +175,5 @@
         throw new UncheckedIOException(e);
       }
     }
-
-    /** Fails where these are no epochs. */
-    static Epochs parse(byte[] bytes) throws IOException {
-      DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
-      return new Epochs(in.readLong(), in.readLong(), in.readLong(), in.readUTF());
-    }
   }
 }
--- a/control-plane/src/test/java/gladelug/control/core/DurableStateTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/DurableStateTest.java
@@ -27,6 +27,10 @@
     return new Cell(5, 4, value).bytes();
   }
 
+  private static byte[] epochs() {
+    return KeptCells.Epochs.of(Cell.of(cell())).bytes();
+  }
+
   private static List<Finding> found(String key, byte[] bytes) {
     return DurableState.findings(Map.of(key, bytes), "a", "disk-a");
   }
@@ -37,6 +41,8 @@
         Map.of(
             "cell/policy",
             cell(),
+            "epochs/policy",
+            epochs(),
             Membership.MEMBERS,
             MEMBERS.bytes(),
             Membership.SEALED,
@@ -50,8 +56,18 @@
 
   @Test
   void whatIsCutShortOrTooLongIsAFindingUnderItsName() {
-    for (String key : List.of("cell/policy", Membership.MEMBERS, Membership.SEALED)) {
-      byte[] good = key.startsWith("cell/") ? cell() : MEMBERS.bytes();
+    Map<String, byte[]> state =
+        Map.of(
+            "cell/policy",
+            cell(),
+            "epochs/policy",
+            epochs(),
+            Membership.MEMBERS,
+            MEMBERS.bytes(),
+            Membership.SEALED,
+            MEMBERS.bytes());
+    for (String key : state.keySet()) {
+      byte[] good = state.get(key);
       byte[] longer = Arrays.copyOf(good, good.length + 1);
       for (byte[] bad : List.of(new byte[0], Arrays.copyOf(good, good.length - 1), longer)) {
         List<Finding> found = found(key, bad);
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestRelay.java
@@ -23,7 +23,7 @@
 import gladelug.kernel.message.News;
 import gladelug.kernel.message.Shuffle;
 import gladelug.rehearsal.Ledger;
-import gladelug.rehearsal.StandInReplica;
+import gladelug.rehearsal.StandInContent;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayDeque;
@@ -151,6 +151,24 @@
     if (up) connections.broke(r);
   }
 
+  /** All connections to a replica are reset at its end. */
+  void resetConnections(SimReplica r) {
+    if (up) connections.resetAll(r);
+  }
+
+  /** The caller of a request goes away, if it is this relay's and is not answered yet. */
+  void callerLeaves(String tag) {
+    for (Map.Entry<Request, Ledger.Call> e : new ArrayList<>(calls.entrySet()))
+      if (e.getValue().tag.equals(tag)) run(life, () -> gone(e.getKey()));
+  }
+
+  /** The caller of the request that came last goes away. */
+  void lastCallerLeaves() {
+    String last = "";
+    for (Ledger.Call c : open) last = c.tag;
+    callerLeaves(last);
+  }
+
   /** Who the relay's list says is at an address. */
   String wanted(String address) {
     return news.tables().replicas().all.stream()
@@ -234,7 +252,7 @@
       if (c == null) return true;
       JsonObject j = Json.parse(piece.toString()).asObject();
       if (c.explicitEnd || j.getInt("piece", -1) != c.pieces) c.misordered++;
-      if (!StandInReplica.textOf(c.tag, c.pieces).equals(j.getString("text", ""))) c.foreign++;
+      if (!StandInContent.textOf(c.tag, c.pieces).equals(j.getString("text", ""))) c.foreign++;
       if (c.firstPiece < 0) c.firstPiece = sim.now();
       c.pieces++;
       return true;
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/Sim.java
@@ -71,6 +71,17 @@
   /** Machines whose cut links answer with resets. */
   private final Set<String> rejecting = new HashSet<>();
 
+  /** What a control machine's link carries, or 0 for any amount at once. */
+  int bytesPerMs;
+
+  /** What control machines sent for changes of members while links were narrow. */
+  long membershipBytes;
+
+  /** Bytes that each value an operator sends is longer than usual. */
+  int padding;
+
+  private final Map<String, Long> linkFree = new HashMap<>();
+
   public double loss;
   public double repeat;
   final List<String> story = new ArrayList<>();
@@ -192,6 +203,15 @@
       }
   }
 
+  /** Nothing it sends arrives, or else nothing arrives at it. */
+  void cutOneWay(String who, boolean out) {
+    for (String other : everybody()) {
+      if (other.equals(who)) continue;
+      if (out) cut(who, other);
+      else cut(other, who);
+    }
+  }
+
   /** Two sides that hear nothing of each other. */
   public void split(Set<String> side) {
     for (String a : everybody())
@@ -238,6 +258,28 @@
 
   void core(String from, String to, CoreMessage.Envelope m) {
     byte[] b = Wire.bytes(m);
+    if (bytesPerMs == 0) deliver(from, to, m, b);
+    else {
+      if (ofMembers(m.said())) membershipBytes += b.length;
+      after(queued(from, b.length), () -> deliver(from, to, m, b));
+    }
+  }
+
+  private static boolean ofMembers(CoreMessage m) {
+    return m instanceof CoreMessage.Seal
+        || m instanceof CoreMessage.Sealed
+        || m instanceof CoreMessage.Settled;
+  }
+
+  /** How long until the last byte has left a machine whose link carries one record at a time. */
+  private long queued(String from, int bytes) {
+    long start = Math.max(time, linkFree.getOrDefault(from, 0L));
+    long end = start + bytes / bytesPerMs;
+    linkFree.put(from, end);
+    return end - time;
+  }
+
+  private void deliver(String from, String to, CoreMessage.Envelope m, byte[] b) {
     SimControl c = controls.get(to);
     int life = c.life;
     Runnable received =
@@ -351,11 +393,12 @@
     return send(door, before.key, match, before.nr);
   }
 
-  private static byte[] body(int n) {
+  private byte[] body(int n) {
     return ("value "
             + n
             + " of what an operator may send, long enough that only the change of it is pushed to whoever has "
-            + "the number before, and the rest stays".repeat(3))
+            + "the number before, and the rest stays".repeat(3)
+            + "x".repeat(padding))
         .getBytes(StandardCharsets.UTF_8);
   }
 
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/SecondLossSimTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/SecondLossSimTest.java
@@ -287,4 +287,30 @@
         ? c.node.members().generation() == s.newest().generation() && c.node.active()
         : c.node.retired();
   }
+
+  /**
+   * Forty times smaller than a value of 1.6 MB on links of 100 Mbit/s, with the link as much
+   * narrower.
+   */
+  @Test
+  void aLargeValueIsCopiedToWhoLacksItAndNotAgainWhileItIsOnItsWay() {
+    long longest = 0, most = 0;
+    for (long seed = 1; seed <= 6; seed++) {
+      Sim s = settled(seed, 8, OF_FIVE);
+      s.padding = 40_000;
+      acknowledged(s);
+      s.run(1000);
+      s.bytesPerMs = 12_500 / 40;
+      s.controls.get(voters(s).get((int) seed % 5)).power();
+      until(s, CATCH_UP_OF_FIVE, () -> s.story().contains("members-change why=dead"));
+      s.membershipBytes = 0;
+      longest = Math.max(longest, until(s, CATCH_UP_OF_FIVE, s::whole));
+      s.run(1000);
+      most = Math.max(most, s.membershipBytes);
+      s.bytesPerMs = 0;
+      well(s, "seed " + seed);
+    }
+    Assertions.assertTrue(longest <= 600, longest + " ms, " + most + " bytes");
+    Assertions.assertTrue(most <= 12 * 40_000, longest + " ms, " + most + " bytes");
+  }
 }
