--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/RequestSim.java
@@ -19,7 +19,6 @@
 import gladelug.kernel.Result;
 import gladelug.kernel.configuration.Configuration;
 import gladelug.kernel.configuration.Replicas;
-import gladelug.kernel.configuration.Weights;
 import gladelug.kernel.message.Keys;
 import gladelug.kernel.message.Lookup;
 import gladelug.kernel.message.News;
@@ -31,12 +30,10 @@
 import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 
 public final class RequestSim extends Sim {
@@ -71,7 +68,7 @@
   }
 
   static final Promises.Graces STRICT = new Promises.Graces(0, 0, 15_400, 0, 0);
-  private static final String[] TENANTS = {"one", "two", "walled"};
+  static final String[] TENANTS = {"one", "two", "walled"};
   private static final int CUTOFF = 15_000;
   private static final long LATEST_SURPLUS_MS = 150;
 
@@ -92,14 +89,7 @@
   boolean unchecked;
 
   boolean anybodyCommands;
-  // what the operator means at present
-  private String application = "app";
-  private String again = "m";
-  private final Set<String> revoked = new HashSet<>();
-  private final Set<String> walls = new HashSet<>(Set.of("walled"));
-  private boolean narrow;
-  private int weights;
-  private int marker;
+  final SimOperator operator = new SimOperator(this);
   // the window that is to be held open
   Happening happening;
   Point point;
@@ -127,9 +117,9 @@
     for (RequestRelay r : fronts.values()) r.start();
     after(100, index::round);
     run(2500);
-    operator(Keys.CONFIGURATION, configuration(), x -> {});
+    operator.sendConfiguration(x -> {});
     run(500);
-    nameWeights();
+    operator.nameWeights(x -> {});
     run(1500);
     for (String k : new String[] {"ask", "again", "stop"}) callers(k);
   }
@@ -245,134 +235,12 @@
     };
   }
 
-  // ---- operators
-
-  String configuration() {
-    JsonArray ts = new JsonArray();
-    for (String t : TENANTS) {
-      JsonArray ks = new JsonArray();
-      if (!revoked.contains(t)) ks.add("sha256:" + Configuration.hashOf("key-of-" + t));
-      ts.add(
-          Json.object()
-              .add("name", t)
-              .add("keys", ks)
-              .add("weight", t.length())
-              .add("isolated", walls.contains(t)));
-    }
-    JsonArray ss = new JsonArray();
-    for (String s : new String[] {"m", "n"})
-      ss.add(
-          Json.object()
-              .add("name", s)
-              .add("allow", Json.array(narrow ? "10.1.0.0/24" : "10.1.0.0/16")));
-    for (String s : new String[] {"app", "app-two"})
-      ss.add(
-          Json.object()
-              .add("name", s)
-              .add("kind", "application")
-              .add("allow", Json.array("10.1.0.0/24")));
-    JsonArray ms = new JsonArray();
-    ms.add(
-        Json.object()
-            .add("name", "ask")
-            .add("path", "/ask")
-            .add("service", "m")
-            .add("expiryMs", 3000));
-    ms.add(
-        Json.object()
-            .add("name", "again")
-            .add("path", "/again")
-            .add("service", again)
-            .add("expiryMs", 3000)
-            .add("repeatable", true));
-    ms.add(
-        Json.object()
-            .add("name", "stop")
-            .add("path", "/stop")
-            .add("service", application)
-            .add("expiryMs", 2000 + ++marker % 500));
-    return Json.object().add("services", ss).add("mappings", ms).add("tenants", ts).toString();
-  }
-
-  private void operator(String key, String body, Consumer<Boolean> done) {
-    operator(key, -1, body, done);
-  }
-
-  private void operator(String key, long match, String body, Consumer<Boolean> done) {
-    List<SimControl> ready =
-        controls.values().stream().filter(c -> c.up && !c.paused && c.node.settled()).toList();
-    if (ready.isEmpty()) {
-      done.accept(false);
-      return;
-    }
-    Map<String, String> means = new TreeMap<>();
-    if (key.equals(Keys.CONFIGURATION)) {
-      means.put("mapping ask", "m");
-      means.put("mapping stop", application);
-      means.put("mapping again", again);
-      for (String t : TENANTS) {
-        means.put("tenant " + t, revoked.contains(t) ? "revoked" : "good");
-        means.put("wall " + t, walls.contains(t) ? t : "");
-      }
-      means.put("allowed m9", narrow ? "no" : "yes");
-    } else means.put("weights", "w" + weights);
-    long at = now();
-    List<Promises.Told> ts = new ArrayList<>();
-    means.forEach((k, m) -> ts.add(promises.sent(k, m, at)));
-    boolean[] once = {false};
-    ready
-        .get(random.nextInt(ready.size()))
-        .propose(
-            key,
-            match,
-            body.getBytes(StandardCharsets.UTF_8),
-            a -> {
-              if (once[0]) return;
-              once[0] = true;
-              boolean taken = a instanceof ChangeAnswer.Done;
-              say("op", key + " " + means + ": " + a);
-              answered(ts, a);
-              done.accept(taken);
-            });
-  }
-
-  private void answered(List<Promises.Told> ts, ChangeAnswer a) {
+  /** What became of something that was told. */
+  void answered(List<Promises.Told> ts, ChangeAnswer a) {
     if (a instanceof ChangeAnswer.Unknown) return;
     for (Promises.Told t : ts) promises.answered(t, a instanceof ChangeAnswer.Done ? now() : -1);
   }
 
-  /**
-   * Sends a configuration that was changed somehow; if it was not taken, the operator's wish stays
-   * and goes out with the next.
-   */
-  private void change(Runnable how, Consumer<Boolean> done) {
-    how.run();
-    operator(Keys.CONFIGURATION, configuration(), done);
-  }
-
-  private void nameWeights() {
-    nameWeights(x -> {});
-  }
-
-  private void nameWeights(Consumer<Boolean> done) {
-    SimControl c = controls.get(anyUp());
-    if (c.node == null || !c.node.settled()) {
-      done.accept(false);
-      return;
-    }
-    var kept = c.node.kept(Keys.WEIGHTS);
-    Weights w =
-        kept.getKey() == 0
-            ? Weights.NONE
-            : Weights.parse(new String(kept.getValue(), StandardCharsets.UTF_8))
-                    instanceof Result.Good<Weights> g
-                ? g.value()
-                : Weights.NONE;
-    weights++;
-    for (String s : new String[] {"m", "n"}) w = w.naming(s, "w" + weights, kept.getKey() + 1);
-    operator(Keys.WEIGHTS, kept.getKey(), w.json(), done);
-  }
-
   // ---- callers
 
   private void callers(String kind) {
@@ -514,36 +382,18 @@
 
   void happen(Happening h, Consumer<Boolean> then) {
     switch (h) {
-      case CONFIGURATION_MOVES ->
-          change(
-              () -> {
-                application = application.equals("app") ? "app-two" : "app";
-                again = again.equals("m") ? "n" : "m";
-                narrow = random.nextBoolean();
-              },
-              then);
-      case KEY_REVOKED ->
-          change(
-              () -> {
-                revoked.clear();
-                revoked.add(TENANTS[random.nextInt(TENANTS.length)]);
-              },
-              then);
-      case WALL_RAISED ->
-          change(
-              () -> {
-                if (!walls.remove("one")) walls.add("one");
-              },
-              then);
+      case CONFIGURATION_MOVES -> operator.moveServices(then);
+      case KEY_REVOKED -> operator.revokeKey(then);
+      case WALL_RAISED -> operator.raiseWall(then);
       case REPLICA_LEAVES -> {
         list(someModel().instance, random.nextBoolean() ? "leaving" : "");
         after(1200, () -> then.accept(true));
       }
-      case WEIGHTS_NAMED -> nameWeights(then);
+      case WEIGHTS_NAMED -> operator.nameWeights(then);
       case OWNER_DIES -> {
         for (SimControl c : controls.values())
           if (c.up && c.node.settled() && c.node.owns(Keys.CONFIGURATION)) c.power();
-        change(() -> application = application.equals("app") ? "app-two" : "app", then);
+        operator.moveApplication(then);
       }
       case REPLICA_CRASHES -> {
         crash(someModel());
@@ -559,7 +409,7 @@
             cut(f, c);
             cut(c, f);
           }
-        change(() -> application = application.equals("app") ? "app-two" : "app", then);
+        operator.moveApplication(then);
       }
       case CONNECTIONS_RESET -> {
         for (SimReplica r : replicas.values())
@@ -620,7 +470,7 @@
       r.notRun = r.cutStreams = r.repeatsAnswers = 0;
       r.repeatsWithinMs = 1;
       byAddress.put(r.address.toString(), r);
-      r.start("w" + (random.nextBoolean() ? weights : Math.max(1, weights - 1)));
+      r.start(operator.weightsNamedOrBefore());
       list(r.instance, "ready");
     }
   }
--- /dev/null
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimOperator.java
@@ -0,0 +1,201 @@
+/*
+ * The operator of the simulated world with requests: what it means at present, and its changes. One that was not taken
+ * stays meant and goes out with the next.
+ */
+package gladelug.rehearsal.sim;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import gladelug.control.core.ChangeAnswer;
+import gladelug.kernel.Result;
+import gladelug.kernel.configuration.Configuration;
+import gladelug.kernel.configuration.Weights;
+import gladelug.kernel.message.Keys;
+import gladelug.rehearsal.Promises;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+final class SimOperator {
+  private final RequestSim sim;
+  private String application = "app";
+  private String again = "m";
+  private final Set<String> revoked = new HashSet<>();
+  private final Set<String> walls = new HashSet<>(Set.of("walled"));
+  private boolean narrow;
+  private int weights;
+
+  /** Makes each configuration another than those before. */
+  private int marker;
+
+  SimOperator(RequestSim sim) {
+    this.sim = sim;
+  }
+
+  /** Sends the configuration as it is meant at present. */
+  void sendConfiguration(Consumer<Boolean> done) {
+    send(Keys.CONFIGURATION, -1, configuration(), done);
+  }
+
+  /** Moves two routes to other services, and perhaps narrows what a service allows. */
+  void moveServices(Consumer<Boolean> done) {
+    change(
+        () -> {
+          application = otherApplication();
+          again = again.equals("m") ? "n" : "m";
+          narrow = sim.random.nextBoolean();
+        },
+        done);
+  }
+
+  void moveApplication(Consumer<Boolean> done) {
+    change(() -> application = otherApplication(), done);
+  }
+
+  private String otherApplication() {
+    return application.equals("app") ? "app-two" : "app";
+  }
+
+  /** Takes the key from one tenant and gives back all others theirs. */
+  void revokeKey(Consumer<Boolean> done) {
+    change(
+        () -> {
+          revoked.clear();
+          revoked.add(RequestSim.TENANTS[sim.random.nextInt(RequestSim.TENANTS.length)]);
+        },
+        done);
+  }
+
+  /** Isolates a tenant, or no longer. */
+  void raiseWall(Consumer<Boolean> done) {
+    change(
+        () -> {
+          if (!walls.remove("one")) walls.add("one");
+        },
+        done);
+  }
+
+  /** Weights that a replica may boot with. */
+  String weightsNamedOrBefore() {
+    return "w" + (sim.random.nextBoolean() ? weights : Math.max(1, weights - 1));
+  }
+
+  private String configuration() {
+    JsonArray ts = new JsonArray();
+    for (String t : RequestSim.TENANTS) {
+      JsonArray ks = new JsonArray();
+      if (!revoked.contains(t)) ks.add("sha256:" + Configuration.hashOf("key-of-" + t));
+      ts.add(
+          Json.object()
+              .add("name", t)
+              .add("keys", ks)
+              .add("weight", t.length())
+              .add("isolated", walls.contains(t)));
+    }
+    JsonArray ss = new JsonArray();
+    for (String s : new String[] {"m", "n"})
+      ss.add(
+          Json.object()
+              .add("name", s)
+              .add("allow", Json.array(narrow ? "10.1.0.0/24" : "10.1.0.0/16")));
+    for (String s : new String[] {"app", "app-two"})
+      ss.add(
+          Json.object()
+              .add("name", s)
+              .add("kind", "application")
+              .add("allow", Json.array("10.1.0.0/24")));
+    JsonArray ms = new JsonArray();
+    ms.add(
+        Json.object()
+            .add("name", "ask")
+            .add("path", "/ask")
+            .add("service", "m")
+            .add("expiryMs", 3000));
+    ms.add(
+        Json.object()
+            .add("name", "again")
+            .add("path", "/again")
+            .add("service", again)
+            .add("expiryMs", 3000)
+            .add("repeatable", true));
+    ms.add(
+        Json.object()
+            .add("name", "stop")
+            .add("path", "/stop")
+            .add("service", application)
+            .add("expiryMs", 2000 + ++marker % 500));
+    return Json.object().add("services", ss).add("mappings", ms).add("tenants", ts).toString();
+  }
+
+  private void send(String key, long match, String body, Consumer<Boolean> done) {
+    List<SimControl> ready =
+        sim.controls.values().stream().filter(c -> c.up && !c.paused && c.node.settled()).toList();
+    if (ready.isEmpty()) {
+      done.accept(false);
+      return;
+    }
+    Map<String, String> means = new TreeMap<>();
+    if (key.equals(Keys.CONFIGURATION)) {
+      means.put("mapping ask", "m");
+      means.put("mapping stop", application);
+      means.put("mapping again", again);
+      for (String t : RequestSim.TENANTS) {
+        means.put("tenant " + t, revoked.contains(t) ? "revoked" : "good");
+        means.put("wall " + t, walls.contains(t) ? t : "");
+      }
+      means.put("allowed m9", narrow ? "no" : "yes");
+    } else means.put("weights", "w" + weights);
+    long at = sim.now();
+    List<Promises.Told> ts = new ArrayList<>();
+    means.forEach((k, m) -> ts.add(sim.promises.sent(k, m, at)));
+    boolean[] once = {false};
+    ready
+        .get(sim.random.nextInt(ready.size()))
+        .propose(
+            key,
+            match,
+            body.getBytes(StandardCharsets.UTF_8),
+            a -> {
+              if (once[0]) return;
+              once[0] = true;
+              boolean taken = a instanceof ChangeAnswer.Done;
+              sim.say("op", key + " " + means + ": " + a);
+              sim.answered(ts, a);
+              done.accept(taken);
+            });
+  }
+
+  /**
+   * Sends a configuration that was changed somehow; if it was not taken, the operator's wish stays
+   * and goes out with the next.
+   */
+  private void change(Runnable how, Consumer<Boolean> done) {
+    how.run();
+    sendConfiguration(done);
+  }
+
+  /** Names the next weights of both models. */
+  void nameWeights(Consumer<Boolean> done) {
+    SimControl c = sim.controls.get(sim.anyUp());
+    if (c.node == null || !c.node.settled()) {
+      done.accept(false);
+      return;
+    }
+    var kept = c.node.kept(Keys.WEIGHTS);
+    Weights w =
+        kept.getKey() == 0
+            ? Weights.NONE
+            : Weights.parse(new String(kept.getValue(), StandardCharsets.UTF_8))
+                    instanceof Result.Good<Weights> g
+                ? g.value()
+                : Weights.NONE;
+    weights++;
+    for (String s : new String[] {"m", "n"}) w = w.naming(s, "w" + weights, kept.getKey() + 1);
+    send(Keys.WEIGHTS, kept.getKey(), w.json(), done);
+  }
+}
--- a/rehearsal/src/test/java/gladelug/rehearsal/sim/BrokenRulesTest.java
+++ b/rehearsal/src/test/java/gladelug/rehearsal/sim/BrokenRulesTest.java
@@ -30,8 +30,7 @@
 
   @Test
   void keysOwnedWithoutAMajorityOfPromisesAreNoticed() {
-    isNoticed(
-        BrokenRule.PROMISES_OF_A_MAJORITY, Trouble.SPLIT, Trouble.ONE_WAY_CUT, Trouble.KILL);
+    isNoticed(BrokenRule.PROMISES_OF_A_MAJORITY, Trouble.SPLIT, Trouble.ONE_WAY_CUT, Trouble.KILL);
   }
 
   @Test
