--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -14,6 +14,7 @@
 import gladelug.control.core.CoreMessage.Seal;
 import gladelug.control.core.CoreMessage.Sealed;
 import gladelug.control.core.CoreMessage.Settled;
+import gladelug.control.core.CoreMessage.Version;
 import gladelug.kernel.Address;
 import gladelug.kernel.message.Keys;
 import java.util.ArrayList;
@@ -29,6 +30,12 @@
   static final String MEMBERS = "members", SEALED = "sealed", PINNED = "pinned";
   private static final long MEET = 200, JOIN = 300, FRESH = 3000;
 
+  /** Of the links between members, in bytes a ms. */
+  private static final long SLOWEST_LINK = 2000;
+
+  /** Between two tellings of what is kept to one that lags, ms; longer where that is much. */
+  private static final long TELL = 500;
+
   private final CoreNode n;
   private final Members.Member me;
   private FirstMembers founding;
@@ -57,7 +64,8 @@
   /** Members of earlier generations, to be told that they are none any more. */
   private final Map<String, Members.Member> former = new HashMap<>();
 
-  private final Map<String, Long> told = new HashMap<>();
+  /** By name: when it may be told again of this generation. */
+  private final Map<String, Long> tellAgain = new HashMap<>();
 
   /** By member: when it said last that it leaves. */
   private final Map<String, Long> leavers = new HashMap<>();
@@ -65,7 +73,11 @@
   /** By member: the newest generation that it is known to take part in. */
   private final Map<String, Long> activeIn = new HashMap<>();
 
-  private final Map<String, List<Kept>> sealedBy = new HashMap<>();
+  private final Map<String, Sealed> sealedBy = new HashMap<>();
+
+  /** By member of the next set: when it may be told of it again. */
+  private final Map<String, Long> activateAgain = new HashMap<>();
+
   private long lastMeet = Long.MIN_VALUE / 2;
   private long lastDrive = Long.MIN_VALUE / 2;
   private long lastPlan = Long.MIN_VALUE / 2;
@@ -121,6 +133,7 @@
     members = m;
     sealed = null;
     sealedBy.clear();
+    activateAgain.clear();
     retired = false;
     n.began(before, m);
   }
@@ -198,7 +211,7 @@
       onSettled(x);
     } else if (s instanceof Join j) onJoin(e, j, now);
     else if (s instanceof Leaving) onLeaving(e, now);
-    else if (s instanceof Seal x) onSeal(e, x.next(), now);
+    else if (s instanceof Seal x) onSeal(e, x, now);
     else if (s instanceof Sealed x) onSealed(e.from(), x);
     else return false;
     return true;
@@ -228,10 +241,10 @@
    */
   void tell(String name, long now) {
     Members.Member m = members.find(name);
-    Long last = told.get(name);
-    if (last != null && now - last < 500) return;
-    told.put(name, now);
-    if (m != null) n.host.sendTo(m.records(), say(new Settled(members, n.all())));
+    if (now < tellAgain.getOrDefault(name, Long.MIN_VALUE)) return;
+    List<Kept> cells = m == null ? List.of() : n.cells.all();
+    tellAgain.put(name, now + TELL + onItsWay(cells));
+    if (m != null) n.host.sendTo(m.records(), say(new Settled(members, cells)));
     else if (former.containsKey(name))
       n.host.sendTo(former.get(name).records(), say(new Settled(members, List.of())));
   }
@@ -445,7 +458,8 @@
     return m.generation() > members.generation() ? m : null;
   }
 
-  private void onSeal(Envelope e, Members next, long now) {
+  private void onSeal(Envelope e, Seal asked, long now) {
+    Members next = asked.next();
     if (!settled()) return;
     if (next.generation() <= members.generation()) {
       tell(e.from(), now);
@@ -461,10 +475,15 @@
           if (sealed != null)
             n.host.sendTo(
                 e.from().equals(n.self) ? me.records() : address(e.from()),
-                say(new Sealed(next.generation(), n.all())));
+                say(sealedAnswer(next, asked)));
         });
   }
 
+  private Sealed sealedAnswer(Members next, Seal asked) {
+    return new Sealed(
+        next.generation(), asked.run(), n.cells.besides(asked.versions()), n.cells.versions());
+  }
+
   private Address address(String name) {
     Members.Member m = members.find(name);
     return m == null ? me.records() : m.records();
@@ -474,6 +493,7 @@
     sealed = next;
     sealedAt = now;
     sealedBy.clear();
+    activateAgain.clear();
     n.deposeAll("sealed");
     n.host.event("sealed", "generation", members.generation(), "next", next.generation());
     n.host.sync(SEALED, next.bytes(), () -> {});
@@ -502,27 +522,46 @@
       return;
     lastDrive = now;
     if (sealedBy.size() < members.majority()) {
-      for (Members.Member m : members.all()) n.host.sendTo(m.records(), say(new Seal(sealed)));
+      Seal seal = new Seal(sealed, n.run, n.cells.versions());
+      for (Members.Member m : members.all()) n.host.sendTo(m.records(), say(seal));
       return;
     }
-    List<Kept> merged = merged();
-    for (Members.Member m : sealed.all())
-      n.host.sendTo(m.records(), say(new Settled(sealed, merged)));
+    Map<String, Cell> merged = merged();
+    for (Members.Member m : sealed.all()) activate(m, merged, now);
+  }
+
+  /** A copy is not sent again while the one before it may still be on its way. */
+  private void activate(Members.Member to, Map<String, Cell> merged, long now) {
+    if (now < activateAgain.getOrDefault(to.name(), Long.MIN_VALUE)) return;
+    Sealed answer = to.equals(members.find(to.name())) ? sealedBy.get(to.name()) : null;
+    List<Version> has = answer == null ? List.of() : answer.versions();
+    List<Kept> cells = KeptCells.besides(merged, has);
+    activateAgain.put(to.name(), now + n.tunables.confirm() + onItsWay(cells));
+    n.host.sendTo(to.records(), say(new Settled(sealed, cells)));
+  }
+
+  /** How long cells may take on the slowest link that members are to have, ms. */
+  private static long onItsWay(List<Kept> cells) {
+    long bytes = 0;
+    for (Kept k : cells) bytes += k.cell().length;
+    return bytes / SLOWEST_LINK;
   }
 
   private void onSealed(String from, Sealed s) {
-    if (sealed == null || s.next() != sealed.generation() || members.find(from) == null) return;
-    sealedBy.put(from, s.cells());
+    if (sealed == null || s.next() != sealed.generation() || s.run() != n.run) return;
+    if (members.find(from) == null) return;
+    sealedBy.put(from, s);
     if (sealedBy.size() >= members.majority()) lastDrive = Long.MIN_VALUE / 2;
   }
 
-  /** Of every key the highest value and the highest promise among a sealed majority. */
-  private List<Kept> merged() {
-    Map<String, Cell> m = new TreeMap<>();
-    for (List<Kept> l : sealedBy.values())
-      for (Kept k : l) m.merge(k.key(), Cell.of(k.cell()), Cell::merge);
-    List<Kept> out = new ArrayList<>();
-    m.forEach((k, c) -> out.add(new Kept(k, c.bytes())));
-    return out;
+  /**
+   * Of every key the highest value and the highest promise among a sealed majority and this member,
+   * whose values the others didn't send again.
+   */
+  private Map<String, Cell> merged() {
+    Map<String, Cell> m = n.cells.copy();
+    for (Sealed answer : sealedBy.values())
+      for (Kept k : answer.cells()) m.merge(k.key(), Cell.of(k.cell()), Cell::merge);
+    return m;
   }
 }
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimReplica.java
@@ -10,7 +10,7 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.kernel.Address;
 import gladelug.rehearsal.Ledger;
-import gladelug.rehearsal.StandInReplica;
+import gladelug.rehearsal.StandInContent;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -160,7 +160,7 @@
   // ---- requests
 
   Job order(SimConnections.Line line, JsonObject in, long handed) {
-    String tag = StandInReplica.tagOf(in.getString("prompt", ""));
+    String tag = StandInContent.tagOf(in.getString("prompt", ""));
     Ledger.Run run =
         new Ledger.Run(
             tag,
@@ -216,7 +216,7 @@
     running.add(j);
     long[] blocks =
         model
-            ? StandInReplica.ids(
+            ? StandInContent.blockIds(
                 service, j.run.weights, j.run.wall, j.in.getString("prompt", ""), BLOCK)
             : new long[0];
     int have = 0;
@@ -254,7 +254,7 @@
   }
 
   private void piece(Job j) {
-    int want = Math.min(j.in.getInt("maxPieces", 1), StandInReplica.piecesOf(j.run.tag, 12));
+    int want = Math.min(j.in.getInt("maxPieces", 1), StandInContent.piecesOf(j.run.tag, 12));
     if (j.pieces > 1 && sim.random.nextDouble() < cutStreams) {
       left(j);
       j.line.toRelay(a -> a.over("the answer broke off"));
@@ -294,7 +294,7 @@
   private static String pieceOf(Job j, int n) {
     return Json.object()
         .add("piece", n)
-        .add("text", StandInReplica.textOf(j.run.tag, n))
+        .add("text", StandInContent.textOf(j.run.tag, n))
         .toString();
   }
 
