--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -348,9 +348,10 @@
     disk.want(key, state, done);
   }
 
+  /** Some of a ring file is left for frames and the members' own records. */
   @Override
-  public long stateCapacity() {
-    return ring.capacity();
+  public long mostState() {
+    return ring.fileSize() / 8 * 7L;
   }
 
   @Override
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -340,7 +340,7 @@
   private void begin(Change change, long now) {
     ChangeRequest request = change.request;
     int size = request.body().length;
-    int largest = node.largest(key);
+    long largest = node.largest(key);
     if (size > largest) {
       change.answer.accept(new ChangeAnswer.TooLarge(size, largest));
       return;
--- a/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/RehearseFleet.java
@@ -12,7 +12,7 @@
 import gladelug.rehearsal.day.Day;
 import gladelug.rehearsal.scale.ScalePlan;
 import gladelug.rehearsal.scale.ScaleRun;
-import gladelug.rehearsal.sim.RequestSim;
+import gladelug.rehearsal.sim.RequestStories;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -122,8 +122,8 @@
 
   private static boolean simulate(Namespace options) {
     Logger.getLogger("").setLevel(Level.OFF);
-    RequestSim.Stories stories =
-        RequestSim.stories(
+    RequestStories stories =
+        RequestStories.play(
             options.getLong("from"), options.getInt("seeds"), options.getInt("threads"));
     stories.offenders.forEach(System.out::println);
     System.out.println(stories + "\noffending seeds: " + stories.offenders.size());
--- a/rehearsal/src/main/java/gladelug/rehearsal/check/CheckedNetwork.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/CheckedNetwork.java
@@ -113,7 +113,7 @@
       case SERVING_WITHOUT_REWRITE -> said instanceof Accept a ? firstAccepted(a) : null;
       case READ_WITHOUT_ROUND -> said instanceof Confirm c ? confirmedByAll(c) : null;
       case SEAL_WITHOUT_MAJORITY ->
-          said instanceof Sealed s ? new Sealed(s.next(), List.of()) : null;
+          said instanceof Sealed s ? new Sealed(s.next(), s.run(), List.of(), s.versions()) : null;
       default -> null;
     };
   }
