A relay with nothing under way looks at its clock 5 times a second, not 20

The tick watches deadlines, silent replicas and the queue, none of which there is without a request; it woke an idle relay every 50 ms.

--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -37,6 +37,9 @@
   public static final long DRAIN = 8000;
   private static final int REMEMBERED = 16384;
 
+  /** How often deadlines are looked at, ms, and while no request is under way. */
+  private static final long TICK = 50, IDLE_TICK = 200;
+
   /**
    * lingerMs: how long a relay that stops still takes requests; drainMs: when it has ended at the
    * latest.
@@ -110,7 +113,7 @@
                                       .count()));
           LookupClient lookups =
               new LookupClient(vertx, context, doors, views, zone, index, settings.lookupMs());
-          vertx.setPeriodic(50, i -> r.tick());
+          ticks(r);
           List<Decision> ended = new ArrayList<>();
           r.reasons = ended::add;
           vertx.setPeriodic(
@@ -141,6 +144,12 @@
     Log.event("callers-door-open", "name", name);
   }
 
+  /** While nothing is under way there are no deadlines to watch, so the relay wakes less often. */
+  private void ticks(Relay r) {
+    r.tick();
+    vertx.setTimer(r.live().isEmpty() ? IDLE_TICK : TICK, i -> ticks(r));
+  }
+
   /** Other settings from now on. */
   public void settings(RelaySettings s) {
     context.runOnContext(() -> relay.settings = s);
