--- a/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMessage.java
@@ -83,7 +83,16 @@
     }
   }
 
-  record Promise(String key, long epoch) implements CoreMessage {
+  /**
+   * A key is asked for under a higher epoch. handover: the present owner is known and well, and is
+   * to give the key to the one who comes before it in order; else a member that knows of a working
+   * owner refuses.
+   */
+  record Promise(String key, long epoch, boolean handover) implements CoreMessage {
+    Promise(String key, long epoch) {
+      this(key, epoch, false);
+    }
+
     @Override
     public int tag() {
       return 2;
@@ -93,10 +102,11 @@
     public void put(DataOutputStream o) throws IOException {
       o.writeUTF(key);
       o.writeLong(epoch);
+      o.writeBoolean(handover);
     }
   }
 
-  /** ok false: promised is higher than what was asked. */
+  /** ok false: promised is as high as what was asked, or the key has a working owner. */
   record Promised(
       String key, long epoch, boolean ok, long promised, long accepted, Cell.Value value)
       implements CoreMessage {
@@ -194,10 +204,8 @@
     }
   }
 
-  /**
-   * A change taken at one member's door for the key's owner elsewhere. match -1: whatever is there.
-   */
-  record Change(long nr, String key, long match, byte[] body) implements CoreMessage {
+  /** A change taken at one member's door for the key's owner elsewhere. */
+  record Change(long nr, ChangeRequest request) implements CoreMessage {
     @Override
     public int tag() {
       return 8;
@@ -206,9 +214,10 @@
     @Override
     public void put(DataOutputStream o) throws IOException {
       o.writeLong(nr);
-      o.writeUTF(key);
-      o.writeLong(match);
-      Wire.blob(o, body);
+      o.writeUTF(request.key());
+      o.writeLong(request.match());
+      Wire.blob(o, request.body());
+      o.writeLong(request.base());
     }
   }
 
@@ -254,7 +263,14 @@
   }
 
   private static List<Kept> kept(DataInputStream i) throws IOException {
-    return Wire.list(i, j -> new Kept(j.readUTF(), Wire.blob(j)));
+    return Wire.list(i, CoreMessage::keptCell);
+  }
+
+  /** A cell that can't be read is no record: it never gets as far as a disk. */
+  private static Kept keptCell(DataInputStream in) throws IOException {
+    Kept kept = new Kept(in.readUTF(), Wire.blob(in));
+    Cell.parse(kept.cell);
+    return kept;
   }
 
   /** A generation is in force; cells hold at least all that was ever acknowledged before it. */
@@ -367,6 +383,27 @@
     }
   }
 
+  private static ChangeRequest changeRequest(DataInputStream in) throws IOException {
+    String key = in.readUTF();
+    long match = in.readLong();
+    byte[] body = Wire.blob(in);
+    return new ChangeRequest(key, match, in.readLong(), body);
+  }
+
+  /**
+   * The sender was asked to stop: it owns nothing any more and ends once its place is taken, if a
+   * machine stands by.
+   */
+  record Leaving() implements CoreMessage {
+    @Override
+    public int tag() {
+      return 30;
+    }
+
+    @Override
+    public void put(DataOutputStream o) {}
+  }
+
   private static Carry carry(DataInputStream i) throws IOException {
     if (Wire.read(Wire.blob(i), News::read) instanceof News.Ask a) return new Carry(a);
     throw new IOException("only questions are handed on");
@@ -385,7 +422,7 @@
                           j.readUTF(), j.readLong(), j.readLong(), j.readLong(), j.readBoolean())),
               Stamp.read(i),
               Stamp.read(i));
-      case 2 -> new Promise(i.readUTF(), i.readLong());
+      case 2 -> new Promise(i.readUTF(), i.readLong(), i.readBoolean());
       case 3 ->
           new Promised(
               i.readUTF(),
@@ -411,7 +448,7 @@
                           j.readLong(),
                           j.readLong(),
                           j.readLong())));
-      case 8 -> new Change(i.readLong(), i.readUTF(), i.readLong(), Wire.blob(i));
+      case 8 -> new Change(i.readLong(), changeRequest(i));
       case 9 -> new Changed(i.readLong(), ChangeAnswer.read(i));
       case 10 -> new Meet(i.readUTF(), i.readUTF(), Members.read(i));
       case 11 -> new Settled(Members.read(i), kept(i));
@@ -422,6 +459,7 @@
       case 14 -> new Sealed(i.readLong(), kept(i));
       case 17 -> new Read(i.readLong(), i.readUTF());
       case 18 -> new ReadDone(i.readLong(), Newest.read(i));
+      case 30 -> new Leaving();
       default -> throw Wire.unknown(tag);
     };
   }
--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -9,7 +9,8 @@
  * none, and answers changes and reads with NoOwner at once. That holds at the latest dead + alive ms
  * after the first direction failed. A key's owner that is still heard while its answers are not
  * claims its key only so long as a majority confirms it, so whoever hears a claim leaves the key be
- * even without contact, and no one-way cut between two members moves a key from a working owner.
+ * even without contact, and refuses to promise it to a member that doesn't hear the owner. So no cut
+ * between two members moves a key from an owner that works for a majority.
  */
 package gladelug.control.core;
 
@@ -49,8 +50,16 @@
 
 public final class CoreNode {
   static final int LARGEST = 6 << 20;
+
   private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
-  private static final String CELL = "cell/", ACKNOWLEDGED = "", A_MEMBER = "";
+  private static final String ACKNOWLEDGED = "", A_MEMBER = "";
+
+  /** How long one that leaves waits for the changes under way, in ms. */
+  private static final long HAND_OVER = 1000;
+
+  /** Room on disk for what isn't a key's: members, epochs, the frame's own, in bytes. */
+  private static final int RESERVE = 128 << 10;
+
   private static final int MOST_WORDS = 300;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -86,6 +95,7 @@
       String via) {}
 
   private static final class Peer {
+    final long known;
     long heard = NEVER;
 
     /** What it sent last, by its clock. */
@@ -97,6 +107,10 @@
     long since;
     boolean healthy;
     List<Owned> owned = List.of();
+
+    Peer(long known) {
+      this.known = known;
+    }
   }
 
   private record Age(long number, long at, long age) {}
@@ -117,12 +131,12 @@
   private final long run;
   private final int cutoff;
   private final Duties duties;
-  private final Map<String, Cell> cells = new HashMap<>();
+  private final KeptCells cells;
   private final Map<String, KeyOwner> owners = new TreeMap<>();
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<String, Age> ages = new HashMap<>();
 
-  /** By key: when another was last promised it. */
+  /** By key: when another was last promised it, or was found to own it. */
   private final Map<String, Long> yielded = new HashMap<>();
 
   private final Map<String, Long> ownerless = new HashMap<>();
@@ -146,6 +160,11 @@
 
   private boolean healthy = true;
 
+  /** Asked to stop, and since when. */
+  private boolean leaving;
+
+  private long leavingSince;
+
   /** Not a member of the generation before: who owns what has to be heard first. */
   private boolean newcomer = true;
 
@@ -178,10 +197,7 @@
     this.began = booted;
     this.nr = host.random(1L << 40) << 20;
     this.run = nr;
-    durable.forEach(
-        (k, b) -> {
-          if (k.startsWith(CELL)) cells.put(k.substring(CELL.length()), Cell.of(b));
-        });
+    this.cells = new KeptCells(host, durable);
     for (String k : Keys.NEWS) owner(k);
     owner(Keys.SHARES);
     membership.open(
@@ -203,7 +219,7 @@
   }
 
   Cell cell(String key) {
-    return cells.getOrDefault(key, Cell.EMPTY);
+    return cells.get(key);
   }
 
   KeyOwner owner(String key) {
@@ -233,7 +249,7 @@
     for (Peer f : peers.values()) f.owned = List.of();
     ownerless.clear();
     rounds.clear();
-    for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer());
+    for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer(began));
     host.members(m);
     host.event(
         "members",
@@ -243,10 +259,14 @@
         m.all().stream().map(Members.Member::name).toList());
   }
 
+  /** The largest value of a key: one that didn't fit the disks would stop every member at once. */
+  int largest(String key) {
+    long room = host.stateCapacity() - cells.sizeWithout(key) - RESERVE;
+    return (int) Math.max(0, Math.min(LARGEST, room));
+  }
+
   List<Kept> all() {
-    List<Kept> cs = new ArrayList<>();
-    cells.forEach((k, c) -> cs.add(new Kept(k, c.bytes())));
-    return cs;
+    return cells.all();
   }
 
   /**
@@ -270,6 +290,15 @@
     return n >= members().majority();
   }
 
+  /**
+   * How long there was no contact with a member; a change of members that it outlasts doesn't start
+   * this anew.
+   */
+  long silent(String name, long now) {
+    Peer f = peers.get(name);
+    return f == null ? 0 : now - Math.max(heard(name), f.known);
+  }
+
   /** Keys come to be when a replica is listed: one commander each. */
   public void know(String key) {
     owner(key);
@@ -282,6 +311,33 @@
     if (!h) for (KeyOwner o : owners.values()) o.depose("disk", host.now());
   }
 
+  /**
+   * The process was asked to stop: its keys go to others as soon as no change of them is under way,
+   * and its place to a machine that stands by.
+   */
+  public void leave() {
+    if (leaving) return;
+    leaving = true;
+    leavingSince = host.now();
+    host.event("leaving", "generation", members().generation());
+  }
+
+  /** Whether the process may end: it owns nothing, and the others can do without it. */
+  public boolean dispensable() {
+    return leaving
+        && owners.values().stream().noneMatch(KeyOwner::serving)
+        && membership.dispensable(host.now());
+  }
+
+  private void handOver(long now) {
+    boolean late = now - leavingSince >= HAND_OVER;
+    for (KeyOwner o : owners.values()) {
+      if (!o.serving() || o.busy() && !late) continue;
+      o.depose("leaving", now);
+      lastAlive = Long.MIN_VALUE / 2;
+    }
+  }
+
   public boolean owns(String key) {
     KeyOwner o = owners.get(key);
     return o != null && o.serving();
@@ -292,6 +348,13 @@
     return o != null && o.mayCommand(host.now());
   }
 
+  /** The right to command in a key's name now, with its end. */
+  public CommandRight commandRight(String key) {
+    return mayCommand(key)
+        ? new CommandRight(epochOf(key), owners.get(key).commandsUntil())
+        : CommandRight.NONE;
+  }
+
   public long epochOf(String key) {
     return owners.get(key).epoch;
   }
@@ -306,10 +369,12 @@
       membership.join(now);
       return;
     }
-    if (membership.retired() || alone(now)) membership.join(now);
+    if (leaving) membership.sayLeaving(now);
+    else if (membership.retired() || membership.behind() || alone(now)) membership.join(now);
     if (membership.sealed() && !membership.retired()) membership.drive(now);
     if (!membership.active()) return;
-    membership.plan(now, Math.max(began, booted));
+    membership.reviseMembers(now);
+    if (leaving) handOver(now);
     if (now - lastAlive >= tunables.alive()) {
       lastAlive = now;
       List<Owned> l = claims(now);
@@ -340,7 +405,7 @@
   private void sayAlive(String to, List<Owned> claims, long now) {
     Peer f = peers.get(to);
     Stamp heard = f == null ? Stamp.NONE : f.sent;
-    to(to, new Alive(healthy, now - booted, claims, new Stamp(run, now), heard));
+    to(to, new Alive(healthy && !leaving, now - booted, claims, new Stamp(run, now), heard));
   }
 
   /** A new connection to a member stands: a sign of life at once, for the time without one. */
@@ -356,7 +421,7 @@
       return;
     }
     if (majoritySince == NEVER) majoritySince = now;
-    if (healthy) for (KeyOwner o : owners.values()) perhapsTry(o, now);
+    if (healthy && !leaving) for (KeyOwner o : owners.values()) perhapsTry(o, now);
   }
 
   /**
@@ -380,6 +445,11 @@
     return f != null && f.healthy && inContact(m, now);
   }
 
+  /** Whether a member is alive and is to stay. */
+  boolean stays(String m, long now) {
+    return live(m, now) && !membership.leaving(m, now);
+  }
+
   /**
    * Has had no contact with a majority since it could have: perhaps because the fleet has moved on
    * without it, so it asks around.
@@ -420,7 +490,7 @@
     int rank = 0;
     for (String m : order) {
       if (m.equals(self)) break;
-      if (live(m, now)) rank++;
+      if (stays(m, now)) rank++;
     }
     if (other != null) {
       ownerless.remove(o.key);
@@ -430,7 +500,8 @@
       // taken back without churn: not while the owner is at a change, whose fate would then be
       // unknown to its
       // sender
-      if (rank == 0 && before && settled && live(other, now) && !busy(other, o.key)) o.attempt(now);
+      if (rank == 0 && before && settled && live(other, now) && !busy(other, o.key))
+        o.attempt(true, now);
       return;
     }
     long since = ownerless.computeIfAbsent(o.key, k -> now);
@@ -441,7 +512,7 @@
     // whoever was promised the key a moment ago is given the time to serve it, else all oust one
     // another for ever
     if (now - yielded.getOrDefault(o.key, Long.MIN_VALUE / 2) < tunables.yields()) return;
-    if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(now);
+    if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(false, now);
   }
 
   private boolean busy(String owner, String key) {
@@ -466,6 +537,11 @@
     toAll(new Confirm(r.nr, cs));
   }
 
+  /** Rounds of confirmation that begin from now on have higher numbers. */
+  long lastRound() {
+    return nr;
+  }
+
   void confirmSoon() {
     lastConfirm = Long.MIN_VALUE / 2;
   }
@@ -496,7 +572,7 @@
 
   private void handedOn(Change c, String from, long now) {
     if (alone(now)) to(from, new Changed(c.nr(), new ChangeAnswer.NoOwner()));
-    else owner(c.key()).propose(c.match(), c.body(), a -> to(from, new Changed(c.nr(), a)), now);
+    else owner(c.request().key()).propose(c.request(), a -> to(from, new Changed(c.nr(), a)), now);
   }
 
   private void answered(CoreMessage s) {
@@ -520,7 +596,7 @@
     Address to = membership.standsBy(e);
     if (to == null) return false;
     if (s instanceof Change c && firstTime(c.nr()))
-      change(c.key(), c.match(), c.body(), a -> toAddress(to, new Changed(c.nr(), a)));
+      change(c.request(), a -> toAddress(to, new Changed(c.nr(), a)));
     else if (s instanceof Read r) readNewest(r.key(), a -> toAddress(to, new ReadDone(r.nr(), a)));
     return true;
   }
@@ -537,7 +613,7 @@
   }
 
   private void alive(String from, Alive a, long now) {
-    Peer f = peers.computeIfAbsent(from, n -> new Peer());
+    Peer f = peers.computeIfAbsent(from, n -> new Peer(now));
     boolean knew = inContact(from, now);
     if (!knew || !f.healthy) f.since = now;
     f.heard = now;
@@ -577,31 +653,53 @@
   // ---- the member's side: durable before answered
 
   void keep(String key, Cell c, Runnable done) {
-    cells.put(key, c);
-    host.sync(CELL + key, c.bytes(), done);
+    cells.keep(key, c, done);
   }
 
   private void onPromise(String from, Promise p) {
     owner(p.key()).highest = Math.max(owner(p.key()).highest, p.epoch());
     Cell c = cell(p.key());
-    if (p.epoch() <= c.promised()) {
+    if (p.epoch() <= c.promised() || !p.handover() && hasWorkingOwner(p.key(), from)) {
       to(from, new Promised(p.key(), p.epoch(), false, c.promised(), 0, Cell.Value.NONE));
       return;
     }
-    if (!from.equals(self)) yielded.put(p.key(), host.now());
+    if (!from.equals(self)) yields(p.key(), host.now());
     keep(
         p.key(),
         new Cell(p.epoch(), c.epoch(), c.value()),
         () -> to(from, new Promised(p.key(), p.epoch(), true, p.epoch(), c.epoch(), c.value())));
   }
 
+  /**
+   * Whether another than this member is known to own the key and to be well. It has to be heard
+   * more lately than whoever asks needs to have heard it, as that one may have missed its last
+   * signs of life, else a takeover would be held back by those who find the owner silent a moment
+   * later.
+   */
+  private boolean hasWorkingOwner(String key, String but) {
+    if (but.equals(self)) return false;
+    long now = host.now();
+    if (owners.get(key).inHand(now)) return true;
+    String owner = claimant(key, now);
+    long lately = (long) tunables.dead() - 2L * tunables.alive();
+    return owner != null && !owner.equals(but) && now - peers.get(owner).heard < lately;
+  }
+
+  /** Another is given the time to serve the key. */
+  void yields(String key, long now) {
+    yielded.put(key, now);
+  }
+
   private void onAccept(String from, Accept a) {
     Cell c = cell(a.key());
     if (a.epoch() < c.promised()) {
       to(from, new Accepted(a.key(), a.epoch(), a.value().number(), false, c.promised()));
       return;
     }
-    Cell n = c.takes(a.epoch(), a.value().number()) ? new Cell(a.epoch(), a.epoch(), a.value()) : c;
+    Cell n =
+        c.isReplacedBy(a.epoch(), a.value().number())
+            ? new Cell(a.epoch(), a.epoch(), a.value())
+            : c;
     keep(
         a.key(),
         n,
@@ -635,17 +733,24 @@
       if (r == null || !s.ok() || o.epoch != s.epoch() || !o.serving()) continue;
       Set<String> by = r.by.computeIfAbsent(s.key(), k -> new HashSet<>());
       by.add(from);
-      if (by.size() >= members().majority()) o.confirmedRound(r.start);
+      if (by.size() >= members().majority()) o.confirmedRound(r.nr, r.start);
     }
   }
 
   // ---- changes from operators and duties
 
+  /** A change that isn't remembered; see the other. */
   public void change(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
+    change(ChangeRequest.forgettable(key, match, body), answer);
+  }
+
+  /** Has a change taken by the key's owner, here or elsewhere, and answers what became of it. */
+  public void change(ChangeRequest request, Consumer<ChangeAnswer> answer) {
+    String key = request.key();
     KeyOwner o = owner(key);
     long now = host.now();
     if (o.serving() && !alone(now)) {
-      o.propose(match, body, answer, now);
+      o.propose(request, answer, now);
       return;
     }
     String other = membership.active() ? liveOwner(key, now) : null;
@@ -656,14 +761,14 @@
     }
     long n = ++nr;
     if (other == null) {
-      forwarded.put(n, new Forwarded(A_MEMBER, match >= 0 ? match + 1 : -1, now, answer));
-      toAddress(door, new Change(n, key, match, body));
+      forwarded.put(n, new Forwarded(A_MEMBER, request.expectedNumber(), now, answer));
+      toAddress(door, new Change(n, request));
       return;
     }
-    forwarded.put(
-        n,
-        new Forwarded(other, (match >= 0 ? match : cell(key).value().number()) + 1, now, answer));
-    to(other, new Change(n, key, match, body));
+    boolean anyNumber = request.match() == ChangeRequest.ANY_NUMBER;
+    long expected = anyNumber ? cell(key).value().number() + 1 : request.expectedNumber();
+    forwarded.put(n, new Forwarded(other, expected, now, answer));
+    to(other, new Change(n, request));
   }
 
   /**
@@ -856,13 +961,20 @@
     KeyOwner o = owners.get(key);
     Cell.Value v = o != null && o.serving() ? o.value() : cell(key).value();
     List<Told> l = new ArrayList<>();
-    for (Cell.Mark m : v.history()) {
+    for (Cell.HistoryEntry m : v.history()) {
       Map<String, Long> r =
           new LinkedHashMap<>(
               reached.getOrDefault(key, new TreeMap<>()).getOrDefault(m.number(), Map.of()));
       Long acked = r.remove(ACKNOWLEDGED);
       l.add(
-          new Told(m.number(), m.digest(), m.at(), m.by(), m.what(), acked == null ? 0 : acked, r));
+          new Told(
+              m.number(),
+              m.digest(),
+              m.takenAt(),
+              m.takenBy(),
+              m.summary(),
+              acked == null ? 0 : acked,
+              r));
     }
     return l;
   }
@@ -957,7 +1069,7 @@
         owners.get(key) != null && owners.get(key).serving() ? owners.get(key).value() : null;
     if (v == null) return "unknown";
     if (number > v.number()) return "not-yet";
-    for (Cell.Mark m : v.history())
+    for (Cell.HistoryEntry m : v.history())
       if (m.number() == number) return m.digest().equals(digest) ? "taken" : "other";
     return "forgotten";
   }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -31,13 +31,18 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
 public final class CoreService implements Kernel.Service, CoreHost {
   private static final long STALL = 400, PROBE = 1000;
 
+  /** How often a process that was asked to stop looks whether it may end, in ms. */
+  private static final long LEFT = 50;
+
   /**
    * How long a change or read is offered again while a key is between two owners, and how long a
    * read may take in all, ms: callers give a door up after a second of silence.
@@ -152,12 +157,17 @@
             });
   }
 
+  /** A change that isn't remembered; see the other. */
+  public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
+    return change(ChangeRequest.forgettable(key, match, body));
+  }
+
   /**
    * While a key is between two owners nothing was taken, so the change is offered again for a
    * moment; not where this member has no contact with a majority, and then it says so at once.
    */
-  public Uni<ChangeAnswer> change(String key, long match, byte[] body) {
-    return changeOnce(key, match, body)
+  public Uni<ChangeAnswer> change(ChangeRequest request) {
+    return changeOnce(request)
         .onFailure(Ownerless.class)
         .retry()
         .withBackOff(BETWEEN, BETWEEN)
@@ -167,7 +177,7 @@
         .recoverWithItem(t -> new ChangeAnswer.NoOwner())
         .ifNoItem()
         .after(Duration.ofMillis(tunables.longest()))
-        .recoverWithItem(new ChangeAnswer.Unknown(match < 0 ? -1 : match + 1));
+        .recoverWithItem(new ChangeAnswer.Unknown(request.expectedNumber()));
   }
 
   /** So that a change offered again for this long can still be answered in time, ms. */
@@ -208,7 +218,7 @@
     }
   }
 
-  private Uni<ChangeAnswer> changeOnce(String key, long match, byte[] body) {
+  private Uni<ChangeAnswer> changeOnce(ChangeRequest request) {
     return Uni.createFrom()
         .emitter(
             e -> {
@@ -218,17 +228,35 @@
                       e.fail(new Ownerless());
                     else e.complete(a);
                   };
-              if (!duty.offer(() -> node.change(key, match, body, answer)))
+              if (!duty.offer(() -> node.change(request, answer)))
                 e.complete(new ChangeAnswer.Busy());
             });
   }
 
+  /** A member first hands its keys and, where a machine stands by, its place to others. */
   @Override
   public void stop() {
+    if (node != null) leave();
     duty.close();
     if (disk != null) disk.close();
   }
 
+  private void leave() {
+    CountDownLatch left = new CountDownLatch(1);
+    boolean asked = duty.offer(node::leave);
+    duty.every(
+        LEFT,
+        () -> {
+          if (node.dispensable()) left.countDown();
+        });
+    try {
+      if (asked && !left.await(tunables.leave(), TimeUnit.MILLISECONDS))
+        Log.warn("left-too-early", "after", tunables.leave());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   // ---- the protocol's host
 
   @Override
@@ -289,6 +317,11 @@
     disk.want(key, state, done);
   }
 
+  @Override
+  public long stateCapacity() {
+    return ring.capacity();
+  }
+
   @Override
   public void news(String to, News m) {
     Connection c = nodes.get(to);
--- a/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/sim/SimControl.java
@@ -5,6 +5,7 @@
 package gladelug.rehearsal.sim;
 
 import gladelug.control.core.ChangeAnswer;
+import gladelug.control.core.ChangeRequest;
 import gladelug.control.core.CoreHost;
 import gladelug.control.core.CoreMessage;
 import gladelug.control.core.CoreNode;
@@ -121,12 +122,36 @@
   void kill() {
     up = false;
     life++;
+    medium.processEnded();
   }
 
-  void power() {
+  /** The process is asked to stop and ends once it may, or when its time to leave is over. */
+  void terminate() {
+    int l = life;
+    run(() -> node.leave());
+    sim.after(sim.tunables.leave(), () -> ends(l, "its time is over"));
+    endsOnceDispensable(l);
+  }
+
+  private void endsOnceDispensable(int l) {
+    if (l != life) return;
+    run(
+        () -> {
+          if (node.dispensable()) ends(l, "the others can do without it");
+        });
+    sim.after(50, () -> endsOnceDispensable(l));
+  }
+
+  private void ends(int l, String why) {
+    if (l != life || paused) return;
+    sim.say(name, "ends: " + why);
     kill();
+  }
+
+  void power() {
     dark = true;
     medium.power();
+    kill();
   }
 
   void diskFailed() {
@@ -149,6 +174,12 @@
     rate = r;
   }
 
+  /** The monotonic clock goes on from so many milliseconds later. */
+  void stepClock(long ms) {
+    base = now() + ms;
+    rateSince = sim.now();
+  }
+
   /** Runs now, or when the pause is over, unless the process it was meant for is gone. */
   void run(Runnable r) {
     if (!up) return;
@@ -166,7 +197,11 @@
   }
 
   void propose(String key, long match, byte[] body, Consumer<ChangeAnswer> answer) {
-    run(() -> node.change(key, match, body, answer));
+    ChangeRequest request =
+        sim.broken == BrokenRule.TAKEN_CHANGES_REMEMBERED
+            ? ChangeRequest.forgettable(key, match, body)
+            : ChangeRequest.onNumber(key, match, body);
+    run(() -> node.change(request, answer));
   }
 
   @Override
@@ -187,8 +222,18 @@
 
   @Override
   public void send(String member, CoreMessage.Envelope m) {
-    if (member.equals(name)) sim.after(0, () -> deliver(m));
-    else sim.core(name, member, m);
+    if (!member.equals(name)) {
+      sim.core(name, member, m);
+      return;
+    }
+    sim.after(0, () -> deliver(m));
+    if (!sim.broken.speaksForAll(m.said())) return;
+    for (Members.Member other : node.members().all())
+      if (!other.name().equals(name)) sim.after(0, () -> deliver(asSaidBy(other, m)));
+  }
+
+  private static CoreMessage.Envelope asSaidBy(Members.Member other, CoreMessage.Envelope m) {
+    return new CoreMessage.Envelope(m.generation(), other.name(), other.disk(), m.said());
   }
 
   @Override
@@ -212,12 +257,17 @@
   void emptyFounder(String newDisk) {
     kill();
     medium.wipe();
-    disk = newDisk;
+    if (sim.broken != BrokenRule.EMPTY_DISK_IS_ANOTHER) disk = newDisk;
     emptied = true;
   }
 
   @Override
   public void sync(String key, byte[] state, Runnable done) {
+    if (sim.broken == BrokenRule.DURABLE_BEFORE_ANSWERED) {
+      medium.want(key, state, () -> {}, sim, this);
+      sim.after(0, done);
+      return;
+    }
     int l = life;
     medium.want(
         key,
