--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -56,6 +56,9 @@
   /** How long one that leaves waits for the changes under way, in ms. */
   private static final long HAND_OVER = 1000;
 
+  /** Room on disk for what isn't a key's: members, epochs, the frame's own, in bytes. */
+  private static final int RESERVE = 128 << 10;
+
   private static final int MOST_WORDS = 300;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -218,15 +221,6 @@
     return cells.get(key);
   }
 
-  /**
-   * How large a value of this key may be: with the other keys' it has to fit on the disk, else
-   * every member would end on it.
-   */
-  long largest(String key) {
-    long room = host.mostState() - cells.sizeWithout(key) - KeptCells.BESIDE_BODY;
-    return Math.max(0, Math.min(LARGEST, room));
-  }
-
   KeyOwner owner(String key) {
     return owners.computeIfAbsent(key, k -> new KeyOwner(this, k));
   }
@@ -264,6 +258,12 @@
         m.all().stream().map(Members.Member::name).toList());
   }
 
+  /** The largest value of a key: one that didn't fit the disks would stop every member at once. */
+  int largest(String key) {
+    long room = host.stateCapacity() - cells.sizeWithout(key) - RESERVE;
+    return (int) Math.max(0, Math.min(LARGEST, room));
+  }
+
   /**
    * The last contact with a member, both ways. What it has heard of this one is told by its next
    * sign of life, so that direction may be older by the time between two.
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -317,10 +317,9 @@
     disk.want(key, state, done);
   }
 
-  /** Some of a ring file is left for frames and the members' own records. */
   @Override
-  public long mostState() {
-    return ring.fileSize() / 8 * 7L;
+  public long stateCapacity() {
+    return ring.capacity();
   }
 
   @Override
