A member looks its peers' claims up by key, and the order of owners once a generation

Cause: at each tick, 20 times a second, a member went through every claim of every peer for each key, which is square in the replicas (one key each); of 34 samples of an idle member's protocol thread at some 100 keys 14 stood in that search. Claims are kept by key as signs of life arrive, and the agreed order of a key is made once a generation. No behaviour changes. CoreNodeTest, TimelineTest and SecondLossSimTest pass.

--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -102,7 +102,9 @@
 
     long since;
     boolean healthy;
-    List<Owned> owned = List.of();
+
+    /** What it claims, by key: looked up for each key at each tick. */
+    Map<String, Owned> owned = Map.of();
 
     Peer(long known) {
       this.known = known;
@@ -136,6 +138,10 @@
   private final Map<String, Long> yielded = new HashMap<>();
 
   private final Map<String, Long> ownerless = new HashMap<>();
+
+  /** By key: the order in which the members of this generation try for it. */
+  private final Map<String, List<String>> orders = new HashMap<>();
+
   private final Map<String, Seen> nodes = new LinkedHashMap<>();
   private int relays;
   private long relaysAt = Long.MIN_VALUE / 2;
@@ -254,8 +260,9 @@
     began = host.now();
     // who was alive a moment ago still is, so that only the first live one takes a key
     peers.keySet().removeIf(x -> newcomer || !m.stays(before, x));
-    for (Peer f : peers.values()) f.owned = List.of();
+    for (Peer f : peers.values()) f.owned = Map.of();
     ownerless.clear();
+    orders.clear();
     rounds.clear();
     for (Members.Member x : m.all()) peers.computeIfAbsent(x.name(), n -> new Peer(began));
     host.members(m);
@@ -470,8 +477,8 @@
       Peer f = peers.get(m.name());
       if (m.name().equals(self) || f == null || !f.healthy || now - f.heard >= tunables.dead())
         continue;
-      for (Owned w : f.owned)
-        if (w.key().equals(key) && w.epoch() >= cell(key).promised()) return m.name();
+      Owned claim = f.owned.get(key);
+      if (claim != null && claim.epoch() >= cell(key).promised()) return m.name();
     }
     return null;
   }
@@ -485,7 +492,7 @@
   private void perhapsTry(KeyOwner o, long now) {
     if (o.serving()) return;
     String other = claimant(o.key, now);
-    List<String> order = members().order(o.key);
+    List<String> order = orders.computeIfAbsent(o.key, members()::order);
     int rank = 0;
     for (String m : order) {
       if (m.equals(self)) break;
@@ -516,9 +523,15 @@
     if (now - since >= (long) rank * tunables.rank() + pause) o.attempt(false, now);
   }
 
+  private static Map<String, Owned> byKey(List<Owned> claims) {
+    Map<String, Owned> claimed = new HashMap<>();
+    for (Owned claim : claims) claimed.put(claim.key(), claim);
+    return claimed;
+  }
+
   private boolean busy(String owner, String key) {
-    for (Owned w : peers.get(owner).owned) if (w.key().equals(key)) return w.busy();
-    return false;
+    Owned claim = peers.get(owner).owned.get(key);
+    return claim != null && claim.busy();
   }
 
   private void confirm(long now) {
@@ -621,7 +634,7 @@
     f.sent = a.sent();
     if (a.heard().run() == run) f.reachedBy = Math.max(f.reachedBy, a.heard().at());
     f.healthy = a.healthy();
-    f.owned = a.owned();
+    f.owned = byKey(a.owned());
     if (!knew) sayAlive(from, claims(now), now);
     for (Owned w : a.owned()) {
       owner(w.key()).highest = Math.max(owner(w.key()).highest, w.epoch());
