The mutation of unwritten promises fits entries that hold epochs alone

After the merge of entries that hold the epochs of a key without its value, dropping a promise's write whole could drop the value it came with, and ExplorationTest.findsPromisesThatAreNotDurable failed with a NullPointerException while reading the disk: the mutation's fault, not the core's. It now writes the entry with the promise left at the accepted epoch, which is what it is to switch off.

--- a/rehearsal/src/main/java/gladelug/rehearsal/check/CheckedDisks.java
+++ b/rehearsal/src/main/java/gladelug/rehearsal/check/CheckedDisks.java
@@ -25,7 +25,7 @@
       m.disk.want(new CheckedDisk.Write(w.entry(), w.state(), w.accept(), () -> {}));
       m.later(w.done());
     } else if (mutation == Mutation.PROMISE_NOT_DURABLE && promise) {
-      m.disk.want(new CheckedDisk.Write("", new byte[0], false, w.done()));
+      m.disk.want(new CheckedDisk.Write(w.entry(), onlyAccepted(w.state()), false, w.done()));
     } else if (mutation == Mutation.MEMBERS_BEFORE_CELLS
         && w.entry().equals(CoreInspection.MEMBERS)) {
       m.disk.wantFirst(w);
@@ -47,6 +47,13 @@
     return forgotten;
   }
 
+  /** The promised epoch and the accepted one are what each entry of a key begins with. */
+  private static byte[] onlyAccepted(byte[] cell) {
+    byte[] b = cell.clone();
+    ByteBuffer.wrap(b).putLong(0, ByteBuffer.wrap(b).getLong(Long.BYTES));
+    return b;
+  }
+
   /** The promised epoch is what each entry of a key begins with. */
   private static byte[] withoutPromise(byte[] cell) {
     byte[] b = cell.clone();
