The core node's times have names and units

No change of behaviour: DIVIDE, GONE, DIRECT, COUNT and HEARD say now what they bound, each with a line. CoreNodeTest passes (19 tests before and after).

--- a/control-plane/src/main/java/gladelug/control/core/CoreNode.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreNode.java
@@ -50,7 +50,23 @@
 public final class CoreNode {
   static final int LARGEST = 6 << 20;
 
-  private static final long DIVIDE = 200, GONE = 2400, DIRECT = 900, COUNT = 500, HEARD = 4000;
+  /** Between two divisions of the replicas' places among relays, ms. */
+  private static final long DIVIDE_INTERVAL = 200;
+
+  /**
+   * A relay that has not asked for this long gets no share of the places: three asks missed, ms.
+   */
+  private static final long RELAY_GONE_AFTER = 2400;
+
+  /** For this long after a process asked directly, it is not answered by way of others, ms. */
+  private static final long DIRECT_PREFERRED = 900;
+
+  /** Between two counts of the relays, ms. */
+  private static final long COUNT_INTERVAL = 500;
+
+  /** A relay is counted for this long after it asked last, ms. */
+  private static final long RELAY_COUNTED_FOR = 4000;
+
   private static final String ACKNOWLEDGED = "", A_MEMBER = "";
 
   /** How long one that leaves waits for the changes under way, in ms. */
@@ -389,11 +405,11 @@
     if (now - lastConfirm >= tunables.confirm()) confirm(now);
     for (KeyOwner o : owners.values()) o.tick(now);
     tryForKeys(now);
-    if (owns(Keys.SHARES) && now - lastDivided >= DIVIDE) {
+    if (owns(Keys.SHARES) && now - lastDivided >= DIVIDE_INTERVAL) {
       lastDivided = now;
       List<Seen> relays = new ArrayList<>();
       for (Seen s : nodes.values())
-        if (s.role.equals("relay") && now - s.asked < GONE) relays.add(s);
+        if (s.role.equals("relay") && now - s.asked < RELAY_GONE_AFTER) relays.add(s);
       duties
           .divide(epochOf(Keys.SHARES), relays, kept(Keys.CONFIGURATION).getValue())
           .forEach((r, l) -> l.forEach(x -> tell(nodes.get(r), x)));
@@ -844,7 +860,8 @@
 
   private void ask(News.Ask a, String via, long now) {
     Seen old = nodes.get(a.name());
-    if (!via.isEmpty() && old != null && old.via.isEmpty() && now - old.asked < DIRECT) return;
+    if (!via.isEmpty() && old != null && old.via.isEmpty() && now - old.asked < DIRECT_PREFERRED)
+      return;
     Map<String, Long> since = new HashMap<>();
     for (News.Held h : a.held()) {
       boolean same =
@@ -896,12 +913,12 @@
   }
 
   private int relays(long now) {
-    if (now - relaysAt > COUNT) {
+    if (now - relaysAt > COUNT_INTERVAL) {
       relaysAt = now;
       relays =
           (int)
               nodes.values().stream()
-                  .filter(s -> s.role.equals("relay") && now - s.asked < HEARD)
+                  .filter(s -> s.role.equals("relay") && now - s.asked < RELAY_COUNTED_FOR)
                   .count();
     }
     return relays;
