--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -401,14 +401,14 @@
     if (appliedNumber == 0 && follows) writeChange(change, now);
     else if (!change.isOwnershipConfirmed()) confirmThenRetry(change, now);
     else if (appliedNumber > 0) acknowledgeDuplicate(change, appliedNumber, now);
-    else if (value.fate(change.digest(), request.base()) == ChangeStatus.EXPIRED)
+    else if (value.fate(change.identity(), request.base()) == ChangeStatus.EXPIRED)
       change.answer(new ChangeResult.Unknown(request.expectedNumber()));
     else change.answer(new ChangeResult.Conflict(value.number()));
   }
 
   /** The number under which the same change, or the same value as the newest, was taken; or 0. */
   private long appliedNumber(PendingChange change) {
-    long applied = value.takenNumber(change.digest(), change.request().base());
+    long applied = value.takenNumber(change.identity(), change.request().base());
     if (applied > 0) return applied;
     return change.digest().equals(value.digest()) ? value.number() : 0;
   }
@@ -421,7 +421,7 @@
         value.next(
             change.digest(),
             body,
-            change.request().base(),
+            new VersionedValue.Sent(change.identity(), change.request().base()),
             context.wallClockMs(),
             context.self(),
             summary);
--- a/control-plane/src/main/java/gladelug/control/core/PendingChange.java
+++ b/control-plane/src/main/java/gladelug/control/core/PendingChange.java
@@ -14,6 +14,7 @@
 final class PendingChange {
   private final ChangeRequest request;
   private final String digest;
+  private final String identity;
   private final long receivedAtMs;
   private final Consumer<ChangeResult> onResult;
   private final Set<String> acceptedBy = new HashSet<>();
@@ -29,6 +30,7 @@
   PendingChange(ChangeRequest request, long receivedAtMs, Consumer<ChangeResult> onResult) {
     this.request = request;
     this.digest = request.digest();
+    this.identity = request.sentDigest().isEmpty() ? digest : request.sentDigest();
     this.receivedAtMs = receivedAtMs;
     this.onResult = onResult;
   }
@@ -42,6 +44,11 @@
     return digest;
   }
 
+  /** The SHA-256 of what its sender sent, in hex, by which it is recognised. */
+  String identity() {
+    return identity;
+  }
+
   /** ms since its receipt. */
   long ageMs(long now) {
     return now - receivedAtMs;
--- a/control-plane/src/main/java/gladelug/control/core/message/ChangeRequest.java
+++ b/control-plane/src/main/java/gladelug/control/core/message/ChangeRequest.java
@@ -9,10 +9,28 @@
  * <p>key: what is changed. match: the number it must follow, ANY_NUMBER for whichever is there.
  * base: what its sender says it builds on, in the sender's own count, by which the same change is
  * recognised when it is sent again; TakenChanges.NO_BASE where that isn't wanted. body: the value.
+ * sentDigest: the SHA-256 of what the sender sent, in hex, where that isn't the value itself, as
+ * with a change of some items of it; empty where it is.
  */
-public record ChangeRequest(String key, long match, long base, byte[] body) {
+public record ChangeRequest(String key, long match, long base, byte[] body, String sentDigest) {
   public static final long ANY_NUMBER = -1;
 
+  /** No newest value has this number once a change was applied, so nothing is written by it. */
+  private static final long NEVER_FOLLOWS = 0;
+
+  /** A change whose sender sent the value itself. */
+  public ChangeRequest(String key, long match, long base, byte[] body) {
+    this(key, match, base, body, "");
+  }
+
+  /**
+   * Asks that a change known to be applied be acknowledged again; nothing is written where it turns
+   * out not to be.
+   */
+  public static ChangeRequest repeated(String key, long base, String sentDigest) {
+    return new ChangeRequest(key, NEVER_FOLLOWS, base, new byte[0], sentDigest);
+  }
+
   /** A change that isn't remembered: sent again, it is compared with the newest value alone. */
   public static ChangeRequest forgettable(String key, long match, byte[] body) {
     return new ChangeRequest(key, match, AppliedChanges.NO_BASE, body);
@@ -32,4 +50,9 @@
   public String digest() {
     return Digest.hex(body);
   }
+
+  /** By what it is recognised when it is sent again: the digest of what was sent, in hex. */
+  public String identity() {
+    return sentDigest.isEmpty() ? digest() : sentDigest;
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/message/CoreMessage.java
+++ b/control-plane/src/main/java/gladelug/control/core/message/CoreMessage.java
@@ -278,6 +278,7 @@
       out.writeLong(request.match());
       WireRecord.blob(out, request.body());
       out.writeLong(request.base());
+      if (!request.sentDigest().isEmpty()) out.writeUTF(request.sentDigest());
     }
   }
 
@@ -444,7 +445,10 @@
     String key = in.readUTF();
     long match = in.readLong();
     byte[] body = WireRecord.blob(in);
-    return new ChangeRequest(key, match, in.readLong(), body);
+    long base = in.readLong();
+    // written only where it isn't the body's own digest, so that earlier releases are understood
+    String sentDigest = in.available() > 0 ? in.readUTF() : "";
+    return new ChangeRequest(key, match, base, body, sentDigest);
   }
 
   /**
--- a/control-plane/src/main/java/gladelug/control/core/register/VersionedValue.java
+++ b/control-plane/src/main/java/gladelug/control/core/register/VersionedValue.java
@@ -26,9 +26,21 @@
     return next(nextDigest, nextBody, AppliedChanges.NO_BASE, 0, "", "");
   }
 
-  /** The value that follows this one; base as its sender counts, see TakenChanges. */
+  /**
+   * A change as its sender knows it. digest: of what was sent, in hex. base: what it builds on, as
+   * the sender counts; see {@link AppliedChanges}.
+   */
+  public record Sent(String digest, long base) {}
+
+  /** The value that follows this one; base as its sender counts, who sent the value itself. */
   public VersionedValue next(
       String nextDigest, byte[] nextBody, long base, long takenAt, String takenBy, String summary) {
+    return next(nextDigest, nextBody, new Sent(nextDigest, base), takenAt, takenBy, summary);
+  }
+
+  /** The value that follows this one; sent is by what the change is recognised later. */
+  public VersionedValue next(
+      String nextDigest, byte[] nextBody, Sent sent, long takenAt, String takenBy, String summary) {
     HistoryEntry entry = new HistoryEntry(number + 1, nextDigest, takenAt, takenBy, summary);
     PVector<HistoryEntry> longer = history.plus(entry);
     return new VersionedValue(
@@ -36,7 +48,7 @@
         nextDigest,
         longer.size() > HISTORY_LENGTH ? longer.minus(0) : longer,
         nextBody,
-        takenChanges.plus(number + 1, nextDigest, base));
+        takenChanges.plus(number + 1, sent.digest(), sent.base()));
   }
 
   /** What is known of a change with this digest, sent on this base. */
--- a/control-plane/src/test/java/gladelug/control/core/CoreMemberTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreMemberTest.java
@@ -441,6 +441,31 @@
     Assertions.assertTrue(member.owns(key));
   }
 
+  @Test
+  void aChangeWhoseSenderSentLessThanTheValueIsRecognisedByWhatWasSent() {
+    Paper host = new Paper();
+    CoreMember member = node(host);
+    String key = StateKeys.REPLICAS;
+    byte[] first = {1}, merged = {2};
+    String sent = Digest.hex(new byte[] {7});
+    VersionedValue value =
+        VersionedValue.NONE
+            .next(Digest.hex(first), first, 0, 0, "b", "")
+            .next(Digest.hex(merged), merged, new VersionedValue.Sent(sent, 1), 0, "b", "");
+    serves(member, host, key, value);
+    host.now += QuorumConfig.DEFAULT.leaseMs() + 1;
+    exchangeSignsOfLife(member, host, "b");
+    List<ChangeResult> answers = new ArrayList<>();
+    member.change(ChangeRequest.repeated(key, 1, sent), answers::add);
+    member.change(ChangeRequest.repeated(key, 0, sent), answers::add);
+    member.change(ChangeRequest.repeated(key, 1, Digest.hex(new byte[] {8})), answers::add);
+    confirmedByTwo(member, host);
+    Assertions.assertEquals(new ChangeResult.Acknowledged(2, true, 0, 0, 0), answers.get(0));
+    Assertions.assertEquals(new ChangeResult.Conflict(2), answers.get(1), "on another base");
+    Assertions.assertEquals(new ChangeResult.Conflict(2), answers.get(2), "never applied");
+    Assertions.assertEquals(2, member.storedValue(key).getKey(), "a repeat writes nothing");
+  }
+
   @Test
   void aRefusalAndARepeatedAnswerWaitForARoundBegunAfterTheChangeCame() {
     Paper host = new Paper();
