Trial: the index knows requests and memory of each replica, by what all relays placed

Hypothesis: after a naming of weights short requests stood two seconds behind a replica whose memory was full of long prompts, and a relay knows only its own part of that. Change: a placement tells prefill, reply and units (Lookup.Work), FleetLoad counts what should be running and its memory, costs use the larger of that and the relay's own.

--- a/common/src/main/java/gladelug/common/message/Lookup.java
+++ b/common/src/main/java/gladelug/common/message/Lookup.java
@@ -40,12 +40,25 @@
   }
 
   /**
-   * How long a replica is busy with what all relays sent it, as the index was told.
+   * What a replica has to do of what all relays sent it, as the index was told.
    *
    * @param holder the replica's instance
-   * @param busyMs from now
+   * @param busyMs how long prompts that it was given keep it busy from now
+   * @param running requests that it should have now
+   * @param units what those take of its memory
    */
-  record Load(String holder, int busyMs) {}
+  record Load(String holder, int busyMs, int running, int units) {}
+
+  /**
+   * What a request is expected to ask of its replica.
+   *
+   * @param prefillMs until its prompt is computed or pulled
+   * @param replyMs from then to its last event
+   * @param units what it takes of the replica's memory
+   */
+  record Work(int prefillMs, int replyMs, int units) {
+    public static final Work UNKNOWN = new Work(0, 0, 0);
+  }
 
   /**
    * What the index knows of the fleet beside a prompt: who is busy, and how scarce memory is.
@@ -66,13 +79,15 @@
           (o, load) -> {
             o.writeUTF(load.holder);
             o.writeInt(load.busyMs);
+            o.writeInt(load.running);
+            o.writeInt(load.units);
           });
       out.writeShort((int) (evictedShare * THOUSANDTHS));
     }
 
     private static Fleet read(DataInputStream in) throws IOException {
       return new Fleet(
-          WireRecord.list(in, i -> new Load(i.readUTF(), i.readInt())),
+          WireRecord.list(in, i -> new Load(i.readUTF(), i.readInt(), i.readInt(), i.readInt())),
           in.readUnsignedShort() / (double) THOUSANDTHS);
     }
   }
@@ -108,11 +123,11 @@
 
   /**
    * A relay sent a prompt of these blocks to a holder, which will keep them though no event told of
-   * it yet, and is busy with it for so many ms (0: not told).
+   * it yet, and has so much work with it; earlier releases don't tell that.
    */
-  record Placed(String holder, long[] blocks, int workMs) implements Lookup {
+  record Placed(String holder, long[] blocks, Work work) implements Lookup {
     public Placed(String holder, long[] blocks) {
-      this(holder, blocks, 0);
+      this(holder, blocks, Work.UNKNOWN);
     }
 
     @Override
@@ -125,7 +140,10 @@
       out.writeUTF(holder);
       out.writeInt(blocks.length);
       for (long b : blocks) out.writeLong(b);
-      if (workMs > 0) out.writeInt(workMs);
+      if (work.equals(Work.UNKNOWN)) return;
+      out.writeInt(work.prefillMs);
+      out.writeInt(work.replyMs);
+      out.writeInt(work.units);
     }
   }
 
@@ -137,6 +155,10 @@
     return b;
   }
 
+  private static Work work(DataInputStream in) throws IOException {
+    return new Work(in.readInt(), in.readInt(), in.readInt());
+  }
+
   static Lookup read(int type, DataInputStream in) throws IOException {
     switch (type) {
       case 1 -> {
@@ -150,7 +172,7 @@
             in.available() > 0 ? Fleet.read(in) : Fleet.UNKNOWN);
       }
       case 3 -> {
-        return new Placed(in.readUTF(), blocks(in), in.available() > 0 ? in.readInt() : 0);
+        return new Placed(in.readUTF(), blocks(in), in.available() > 0 ? work(in) : Work.UNKNOWN);
       }
       default -> throw WireRecord.unknown(type);
     }
--- a/data-plane/src/main/java/gladelug/data/index/FleetLoad.java
+++ b/data-plane/src/main/java/gladelug/data/index/FleetLoad.java
@@ -6,35 +6,69 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 
 /**
  * What all relays together gave each replica and how scarce the holders' memory is: a relay alone
- * sees its own small part of both. Work is reckoned as a queue that is done one after the other;
- * what isn't told of any more runs out by itself. A hint, like all of the index. Lives on one
- * thread.
+ * sees its own small part of both. Prompts are reckoned as a queue that is done one after the
+ * other, replies as running side by side; what isn't told of any more runs out by itself. A hint,
+ * like all of the index. Lives on one thread.
  */
 final class FleetLoad {
-  /** Below this a replica counts as free, in ms. */
-  private static final int LEAST_BUSY_MS = 2;
-
   /** No work that is told of keeps a replica busy for longer, in ms. */
   private static final long MOST_BUSY_MS = 10_000;
 
+  /** How many requests of a replica are reckoned with at most. */
+  private static final int MOST_RUNNING = 1024;
+
   /** How many replicas an answer names at most; the busiest, as they are to be avoided. */
   private static final int MOST_NAMED = 64;
 
   /** The weight of one stored or evicted block against those before it. */
   private static final double BLOCK_WEIGHT = 1.0 / 512;
 
-  private final Map<String, Long> busyUntil = new HashMap<>();
+  private record Running(long endsAt, int units) {}
+
+  /** What one replica was given. */
+  private static final class Given {
+    private final PriorityQueue<Running> running =
+        new PriorityQueue<>(Comparator.comparingLong(Running::endsAt));
+    private long busyUntil;
+    private int units;
+
+    void add(Lookup.Work work, long now) {
+      long prefilled = Math.max(now, busyUntil) + Math.max(0, work.prefillMs());
+      busyUntil = Math.min(now + MOST_BUSY_MS, prefilled);
+      if (running.size() >= MOST_RUNNING) remove(running.poll());
+      long reply = Math.min(MOST_BUSY_MS, Math.max(0, work.replyMs()));
+      running.add(new Running(busyUntil + reply, Math.max(0, work.units())));
+      units += Math.max(0, work.units());
+    }
+
+    private void remove(Running ended) {
+      units -= ended.units;
+    }
+
+    /** Whether nothing is left of it. */
+    boolean expire(long now) {
+      while (!running.isEmpty() && running.peek().endsAt <= now) remove(running.poll());
+      return running.isEmpty() && busyUntil <= now;
+    }
+
+    Lookup.Load told(String holder, long now) {
+      return new Lookup.Load(
+          holder, (int) Math.max(0, busyUntil - now), running.size(), Math.max(0, units));
+    }
+  }
+
+  private final Map<String, Given> given = new HashMap<>();
   private double stored;
   private double evicted;
 
   /** A relay sent a replica so much work. */
-  void placed(String holder, int workMs, long now) {
-    if (workMs <= 0) return;
-    long from = Math.max(now, busyUntil.getOrDefault(holder, now));
-    busyUntil.put(holder, Math.min(now + MOST_BUSY_MS, from + workMs));
+  void placed(String holder, Lookup.Work work, long now) {
+    if (work.equals(Lookup.Work.UNKNOWN)) return;
+    given.computeIfAbsent(holder, name -> new Given()).add(work, now);
   }
 
   /** A holder told that it keeps a block, or keeps it no more. */
@@ -44,19 +78,19 @@
   }
 
   void gone(String holder) {
-    busyUntil.remove(holder);
+    given.remove(holder);
   }
 
   /** What an answer tells of it now. */
   Lookup.Fleet told(long now) {
-    busyUntil.values().removeIf(until -> until - now < LEAST_BUSY_MS);
-    List<Lookup.Load> loads = new ArrayList<>(busyUntil.size());
-    busyUntil.forEach((holder, until) -> loads.add(new Lookup.Load(holder, (int) (until - now))));
+    given.values().removeIf(work -> work.expire(now));
+    List<Lookup.Load> loads = new ArrayList<>(given.size());
+    given.forEach((holder, work) -> loads.add(work.told(holder, now)));
     if (loads.size() > MOST_NAMED) {
       loads.sort(Comparator.comparingInt(Lookup.Load::busyMs).reversed());
       loads.subList(MOST_NAMED, loads.size()).clear();
     }
-    return new Lookup.Fleet(loads, evictedShare());
+    return new Lookup.Fleet(List.copyOf(loads), evictedShare());
   }
 
   private double evictedShare() {
--- a/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
+++ b/data-plane/src/main/java/gladelug/data/index/FleetSummary.java
@@ -222,7 +222,7 @@
   public void placed(Lookup.Placed p, long at) {
     if (!holders.containsKey(p.holder())) return;
     placements.sent(p.blocks(), p.holder(), at);
-    load.placed(p.holder(), p.workMs(), at);
+    load.placed(p.holder(), p.work(), at);
   }
 
   /** The table's matches, and of holders that were sent more of this prompt a moment ago, that. */
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -2,6 +2,7 @@
 
 import gladelug.common.configuration.Configuration;
 import gladelug.common.configuration.Replicas.Replica;
+import gladelug.common.message.Lookup;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -65,6 +66,8 @@
   private long fleetBusyUntil;
 
   private long fleetToldAt = Long.MIN_VALUE / 2;
+  private int fleetRunning;
+  private int fleetUnits;
 
   /** Ms of work a ms that this relay gave it lately, and when that was last reckoned. */
   private double rate;
@@ -211,13 +214,12 @@
     if (reports) return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
     return (settings.has(Mechanism.SILENCE_ESTIMATES) && quiet(now) ? QUIET_MS : 0)
         + (settings.has(Mechanism.LOAD_ESTIMATES) ? workMs(now, relays) : 0)
-        + (settings.has(Mechanism.MEMORY_ESTIMATES) ? memoryMs(units) : 0);
+        + (settings.has(Mechanism.MEMORY_ESTIMATES) ? memoryMs(units, now) : 0);
   }
 
   /** Work that it was given and isn't done, this relay's and by its example that of the others. */
   private double workMs(long now, int relays) {
-    if (now - fleetToldAt < FLEET_LOAD_FRESH_MS)
-      return Math.max(0, fleetBusyUntil - now) + toldMs(now);
+    if (knowsFleet(now)) return Math.max(0, fleetBusyUntil - now) + toldMs(now);
     double busy = Math.min(0.9, rate(now) * Math.max(1, relays * 0.8));
     return Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * 40 + toldMs(now);
   }
@@ -226,15 +228,27 @@
     return waitingThere * WAITS_MS * Math.exp(-(now - reportedAt) / FADES);
   }
 
-  /** The index told how long all relays' work keeps it busy; this relay's own was among it. */
-  void fleetLoad(int busyMs, long now) {
-    fleetBusyUntil = now + busyMs;
+  /** The index told what all relays gave it; this relay's own was among it. */
+  void fleetLoad(Lookup.Load load, long now) {
+    fleetBusyUntil = now + load.busyMs();
+    fleetRunning = load.running();
+    fleetUnits = load.units();
     fleetToldAt = now;
   }
 
+  private boolean knowsFleet(long now) {
+    return now - fleetToldAt < FLEET_LOAD_FRESH_MS;
+  }
+
+  /** Requests it has, as far as this relay and a fresh answer of the index know. */
+  int running(long now) {
+    return knowsFleet(now) ? Math.max(load(), fleetRunning) : load();
+  }
+
   /** What a request of so many units waits for room in its memory. */
-  private double memoryMs(int units) {
+  private double memoryMs(int units, long now) {
     double there = mineUnits + Math.max(0, reported - mineAtReport) * usualUnits;
+    if (knowsFleet(now)) there = Math.max(there, fleetUnits);
     double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - 0.9);
     return Math.min(2, over) * NO_ROOM_MS;
   }
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -109,9 +109,9 @@
   }
 
   @Override
-  public void placed(String holder, long[] blocks, int workMs) {
+  public void placed(String holder, long[] blocks, Lookup.Work work) {
     if (blocks.length == 0) return;
-    Lookup.Placed p = new Lookup.Placed(holder, blocks, workMs);
+    Lookup.Placed p = new Lookup.Placed(holder, blocks, work);
     for (PersistentConnection connection : held.values()) connection.send(p);
   }
 
--- a/data-plane/src/main/java/gladelug/data/relay/Lookups.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Lookups.java
@@ -26,8 +26,8 @@
   Uni<Found> ask(long[] blocks);
 
   /**
-   * Tells index processes where a prompt of these blocks was sent, and how long that keeps the
-   * holder busy, in ms; best effort.
+   * Tells index processes where a prompt of these blocks was sent, and what that asks of the
+   * holder; best effort.
    */
-  default void placed(String holder, long[] blocks, int workMs) {}
+  default void placed(String holder, long[] blocks, Lookup.Work work) {}
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -78,6 +78,7 @@
   final PrefixStores stores;
   final ReuseShare reuse = new ReuseShare();
   private final Map<String, PrefillSpeed> speeds = new HashMap<>();
+  private final Map<String, ReplySpeed> replySpeeds = new HashMap<>();
   private double evictedShare;
   private long ticked;
   private long awake;
@@ -240,15 +241,27 @@
     return speeds.computeIfAbsent(service, name -> new PrefillSpeed());
   }
 
+  private ReplySpeed replySpeed(String service) {
+    return replySpeeds.computeIfAbsent(service, name -> new ReplySpeed());
+  }
+
+  /** What a request that was just placed asks of its replica. */
+  Lookup.Work work(Request request) {
+    int replyMs = replySpeed(request.service.name()).expectedMs(request.tokensOut);
+    return new Lookup.Work((int) Math.round(request.workMs), replyMs, request.units());
+  }
+
   /** What an index told of the replicas of a service; one it doesn't name is free. */
   void fleet(String service, Lookup.Fleet fleet) {
     evictedShare = fleet.evictedShare();
     if (!settings.has(Mechanism.FLEET_LOADS) || fleet.equals(Lookup.Fleet.UNKNOWN)) return;
-    Map<String, Integer> busy = new HashMap<>();
-    for (Lookup.Load load : fleet.loads()) busy.put(load.holder(), load.busyMs());
+    Map<String, Lookup.Load> busy = new HashMap<>();
+    for (Lookup.Load load : fleet.loads()) busy.put(load.holder(), load);
     long now = clock.now();
-    for (Backend backend : backends.of(service))
-      backend.fleetLoad(busy.getOrDefault(backend.replica.instance(), 0), now);
+    for (Backend backend : backends.of(service)) {
+      String instance = backend.replica.instance();
+      backend.fleetLoad(busy.getOrDefault(instance, new Lookup.Load(instance, 0, 0, 0)), now);
+    }
   }
 
   /** Of the blocks that holders stored lately, the share that drove another out. */
@@ -289,6 +302,9 @@
       queue(request.service.name()).release(request);
       if (request.backend == null) admitted.merge(request.service.name(), -1, Integer::sum);
       double[] s = served.computeIfAbsent(request.service.name(), x -> new double[] {START});
+      if (request.decision.outcome().equals("complete") && request.firstPieceMs >= 0)
+        replySpeed(request.service.name())
+            .measured(clock.now() - request.came - request.firstPieceMs, request.tokensOut);
       if (request.decision.outcome().equals("complete"))
         s[0] += (clock.now() - request.handedAt - s[0]) / 20;
     }
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
@@ -123,8 +123,7 @@
     if (backend.reports) return;
     if (!relay.settings.has(Mechanism.RECENT_PLACEMENTS)) return;
     relay.placements.sent(request.blocks, backend.replica.instance(), now);
-    lookups.placed(
-        backend.replica.instance(), request.blocks, (int) Math.round(chosen.prefillMs()));
+    lookups.placed(backend.replica.instance(), request.blocks, relay.work(request));
   }
 
   private void pull(Request request, ReplicaOption chosen, long now) {
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
@@ -70,7 +70,7 @@
         prefill = cheaper(prefill, request, backend, kept, match, now);
     double queue =
         backend.queueMs(now, relay.relays.getAsInt(), all + request.tokensOut, relay.settings)
-            + Math.max(0, backend.load() - backend.slots + 1) * BEYOND_SLOTS_MS
+            + Math.max(0, backend.running(now) - backend.slots + 1) * BEYOND_SLOTS_MS
             + (relay.settings.has(Mechanism.ROLLOUT_AVOIDANCE)
                     && relay.loads(backend, request.model)
                 ? LOADING_MS
--- /dev/null
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplySpeed.java
@@ -0,0 +1,23 @@
+package gladelug.data.relay;
+
+/**
+ * How long a reply of a service takes after its first event, for each token that it may have at
+ * most: callers tell the most, and learn how much of it comes. Confined to the request thread.
+ */
+final class ReplySpeed {
+  /** The weight of one reply against those before it. */
+  private static final double REPLY_WEIGHT = 1.0 / 32;
+
+  private double tokenMs;
+
+  /** A reply that might have so many tokens took so many ms after its first event. */
+  void measured(long ms, int mostTokens) {
+    if (mostTokens <= 0 || ms < 0) return;
+    tokenMs += ((double) ms / mostTokens - tokenMs) * REPLY_WEIGHT;
+  }
+
+  /** How long a reply of at most so many tokens is likely to take, in ms; 0 until one was seen. */
+  int expectedMs(int mostTokens) {
+    return (int) Math.round(tokenMs * Math.max(0, mostTokens));
+  }
+}
--- a/data-plane/src/test/java/gladelug/data/index/FleetLoadTest.java
+++ b/data-plane/src/test/java/gladelug/data/index/FleetLoadTest.java
@@ -12,22 +12,26 @@
   @Test
   void workOfAllRelaysAddsUpAndRunsOut() {
     FleetLoad load = new FleetLoad();
-    load.placed("a", 100, 1000);
-    load.placed("a", 50, 1010);
-    load.placed("b", 30, 1010);
-    load.placed("b", 0, 1010);
+    load.placed("a", new Lookup.Work(100, 300, 2000), 1000);
+    load.placed("a", new Lookup.Work(50, 10, 500), 1010);
+    load.placed("b", new Lookup.Work(30, 0, 7), 1010);
+    load.placed("b", Lookup.Work.UNKNOWN, 1010);
     Assertions.assertEquals(140, busy(load.told(1010), "a"));
     Assertions.assertEquals(30, busy(load.told(1010), "b"));
     Assertions.assertEquals(50, busy(load.told(1100), "a"));
     Assertions.assertEquals(0, busy(load.told(1100), "b"), "is free and isn't named");
+    Assertions.assertEquals(
+        List.of(new Lookup.Load("a", 0, 1, 2000)), load.told(1200).loads(), "one reply goes on");
+    Assertions.assertEquals(List.of(), load.told(1400).loads(), "all has run out");
+    load.placed("a", new Lookup.Work(100, 300, 2000), 1400);
     load.gone("a");
-    Assertions.assertEquals(List.of(), load.told(1100).loads());
+    Assertions.assertEquals(List.of(), load.told(1400).loads());
   }
 
   @Test
   void anAnswerNamesABoundedNumberTheBusiestFirst() {
     FleetLoad load = new FleetLoad();
-    for (int i = 0; i < 600; i++) load.placed("r" + i, 10 + i, 0);
+    for (int i = 0; i < 600; i++) load.placed("r" + i, new Lookup.Work(10 + i, 0, 1), 0);
     List<Lookup.Load> told = load.told(0).loads();
     Assertions.assertEquals(64, told.size());
     Assertions.assertEquals(609, told.get(0).busyMs());
@@ -49,16 +53,16 @@
   @Test
   void anAnswerIsReadBackWithAndWithoutTheFleet() throws IOException {
     List<Lookup.Match> matches = List.of(new Lookup.Match("i", 2, 3));
-    Lookup.Fleet fleet = new Lookup.Fleet(List.of(new Lookup.Load("i", 70)), 0.25);
+    Lookup.Fleet fleet = new Lookup.Fleet(List.of(new Lookup.Load("i", 70, 3, 9000)), 0.25);
     for (Lookup lookup :
         List.of(
             new Lookup.Answer(1, true, matches),
             new Lookup.Answer(1, true, matches, fleet),
             new Lookup.Answer(2, false, List.of())))
       Assertions.assertEquals(lookup, WireRecord.read(WireRecord.bytes(lookup), Lookup::read));
-    Lookup.Placed placed = new Lookup.Placed("i", new long[] {1}, 90);
+    Lookup.Placed placed = new Lookup.Placed("i", new long[] {1}, new Lookup.Work(90, 5, 800));
     Lookup read = WireRecord.read(WireRecord.bytes(placed), Lookup::read);
-    Assertions.assertEquals(90, ((Lookup.Placed) read).workMs());
+    Assertions.assertEquals(new Lookup.Work(90, 5, 800), ((Lookup.Placed) read).work());
   }
 
   private static int busy(Lookup.Fleet fleet, String holder) {
