--- a/emulator/src/main/java/gladelug/emulator/experiment/Ablation.java
+++ b/emulator/src/main/java/gladelug/emulator/experiment/Ablation.java
@@ -10,9 +10,9 @@
 import java.util.List;
 
 /**
- * Plays a plan: for each variant a checkout of this repository whose deploy file switches one
- * mechanism of the relays off, and in it the bench, one play after the other. A play that gives no
- * figure is said so and counts in no mean.
+ * Plays a plan: in a checkout of this repository the deploy file switches one mechanism of the
+ * relays off after the other, and there the bench plays, one play after the other. A play that
+ * gives no figure is said so and counts in no mean.
  */
 public final class Ablation {
   private static final Path DEPLOY_FILE = Path.of("deploy", "system.toml");
@@ -36,29 +36,35 @@
   /** Plays everything and writes the table after each variant. */
   public void run() throws IOException, InterruptedException {
     Files.createDirectories(plan.out());
+    Path checkout = checkout();
+    Path deployFile = checkout.resolve(DEPLOY_FILE);
+    String complete = Files.readString(deployFile);
     for (String variant : plan.variants()) {
-      Path checkout = checkout(variant);
+      switchOff(deployFile, complete, variant);
       for (AblationPlan.Play play : plan.plays(variant)) table.add(variant, worth(play, checkout));
       table.write(plan.out(), plan.site().getFileName() + ", what each mechanism is worth");
       System.out.println(table.markdown());
     }
   }
 
-  private Path checkout(String variant) throws IOException, InterruptedException {
-    Path folder = plan.out().resolve("checkout-" + variant).toAbsolutePath();
+  /** One checkout for all variants, so that only the first has to be built. */
+  private Path checkout() throws IOException, InterruptedException {
+    Path folder = plan.out().resolve("checkout").toAbsolutePath();
     if (!Files.exists(folder))
       start(
           List.of("git", "clone", "--quiet", repository.toString(), folder.toString()),
           repository,
           plan.out().resolve("clone.log"));
-    if (variant.equals(AblationPlan.ALL_ON)) return folder;
-    Path deploy = folder.resolve(DEPLOY_FILE);
-    String text = Files.readString(deploy);
-    String off = RELAY_COMMAND_END.replace("\"", " --without " + variant + "\"");
-    Files.writeString(deploy, text.replace(RELAY_COMMAND_END, off));
     return folder;
   }
 
+  private static void switchOff(Path deployFile, String complete, String variant)
+      throws IOException {
+    String off = RELAY_COMMAND_END.replace("\"", " --without " + variant + "\"");
+    boolean all = variant.equals(AblationPlan.ALL_ON);
+    Files.writeString(deployFile, all ? complete : complete.replace(RELAY_COMMAND_END, off));
+  }
+
   private double worth(AblationPlan.Play play, Path checkout)
       throws IOException, InterruptedException {
     Path report = plan.out().resolve(play.label() + ".json").toAbsolutePath();
--- /dev/null
+++ b/emulator/src/test/java/gladelug/emulator/experiment/AblationTest.java
@@ -0,0 +1,53 @@
+package gladelug.emulator.experiment;
+
+import gladelug.data.relay.Mechanism;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What an ablation plays and what its table says. */
+final class AblationTest {
+  @TempDir Path folder;
+
+  private AblationPlan plan() {
+    return new AblationPlan(
+        Path.of("bench"),
+        Path.of("site"),
+        List.of("a", "b"),
+        List.of("1", "2"),
+        List.of(Mechanism.RETRIES),
+        List.of("--fast"),
+        folder);
+  }
+
+  @Test
+  void everyVariantPlaysTheSameDaysAndSeeds() {
+    Assertions.assertEquals(List.of("all-on", "retries"), plan().variants());
+    List<AblationPlan.Play> plays = plan().plays("retries");
+    Assertions.assertEquals(4, plays.size());
+    Assertions.assertEquals(
+        List.of(
+            "bench", "run", "site", "a", "--seed", "2", "--fast", "--report", "r", "--why", "w"),
+        plan().command(plays.get(1), Path.of("r"), "w"));
+  }
+
+  @Test
+  void theWorthOfAMechanismIsComparedPlayByPlayAndAMissingFigureCountsInNoMean()
+      throws IOException {
+    AblationTable table = new AblationTable();
+    for (double worth : new double[] {0.8, 0.7, 0.9}) table.add("all-on", worth);
+    for (double worth : new double[] {0.7, 0.65, Double.NaN}) table.add("retries", worth);
+    AblationTable.Row row = table.rows().get(1);
+    Assertions.assertEquals(2, row.plays());
+    Assertions.assertEquals(0.075, row.worthOf(), 1e-9);
+    Assertions.assertEquals(0.05, row.least(), 1e-9);
+    Assertions.assertEquals(0.1, row.most(), 1e-9);
+    table.write(folder, "a title");
+    Assertions.assertTrue(Files.readString(folder.resolve("ablation.md")).contains("retries"));
+    Assertions.assertTrue(Files.exists(folder.resolve("ablation.svg")));
+  }
+}
