Memory that is nearly full costs what waiting and putting back cost

Change: from 80 % on 2,000 ms for each whole memory beyond (was 800 from 90 %). BackendTest: what the index tells counts for a second, replaces the relay's own extrapolation, and full memory costs more.

--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -25,7 +25,13 @@
    * What one that waits there is reckoned to hold up, and what room that isn't there and silence
    * cost, in ms.
    */
-  private static final double WAITS_MS = 25, NO_ROOM_MS = 800, QUIET_MS = 1500;
+  private static final double WAITS_MS = 25, NO_ROOM_MS = 2000, QUIET_MS = 1500;
+
+  /**
+   * From which share of its memory on a replica is reckoned to make requests wait or put others
+   * back, and how much beyond that counts.
+   */
+  private static final double ROOM_SHARE = 0.8, MOST_OVER = 1.5;
 
   public Replica replica;
   public boolean known;
@@ -249,8 +255,8 @@
   private double memoryMs(int units, long now) {
     double there = mineUnits + Math.max(0, reported - mineAtReport) * usualUnits;
     if (knowsFleet(now)) there = Math.max(there, fleetUnits);
-    double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - 0.9);
-    return Math.min(2, over) * NO_ROOM_MS;
+    double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - ROOM_SHARE);
+    return Math.min(MOST_OVER, over) * NO_ROOM_MS;
   }
 
   private double rate(long now) {
--- a/data-plane/src/test/java/gladelug/data/relay/BackendTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/BackendTest.java
@@ -1,5 +1,11 @@
 package gladelug.data.relay;
 
+import gladelug.common.Address;
+import gladelug.common.configuration.Configuration;
+import gladelug.common.configuration.Replicas.Replica;
+import gladelug.common.message.Lookup;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
@@ -18,4 +24,58 @@
     Assertions.assertFalse(
         Backend.newer("", "1") || Backend.newer("", "w") || Backend.newer("", ""));
   }
+
+  private static final int RELAYS = 84;
+
+  /** One that doesn't report, with memory for 100,000 tokens and 12 slots. */
+  private static Backend quiet() {
+    Configuration.Engine engine =
+        new Configuration.Engine(12, 100_000, 20_000, 1e6, 12, List.of("m"));
+    Configuration.Service service =
+        new Configuration.Service(0, "m", Configuration.Kind.MODEL, List.of(), 1, engine, null, "");
+    Replica replica = new Replica("m", "r", new Address("1.1.1.2", 1), "z", true, 12, Map.of());
+    Backend backend = new Backend(replica, false);
+    backend.listed(replica, service, 0);
+    return backend;
+  }
+
+  private static double queueMs(Backend backend, long now, int units) {
+    return backend.queueMs(now, RELAYS, units, RelaySettings.USUAL);
+  }
+
+  @Test
+  void whatTheIndexTellsOfAllRelaysWorkCountsForASecondAndRunsOut() {
+    Backend backend = quiet();
+    backend.fleetLoad(new Lookup.Load("r", 500, 3, 1000), 10_000);
+    Assertions.assertEquals(500, queueMs(backend, 10_000, 100), 1);
+    Assertions.assertEquals(300, queueMs(backend, 10_200, 100), 1);
+    Assertions.assertEquals(3, backend.running(10_200));
+    Assertions.assertEquals(0, queueMs(backend, 12_000, 100), 1);
+    Assertions.assertEquals(0, backend.running(12_000), "only its own again");
+  }
+
+  /** With a fresh answer of the index a relay doesn't take its own work for everybody's. */
+  @Test
+  void aReplicaThatThisRelayUsedLastIsNotAvoidedWhereTheIndexKnowsItIsFree() {
+    Backend alone = quiet();
+    alone.owes(100, 10_000);
+    Assertions.assertTrue(queueMs(alone, 10_200, 100) > 300, "its own work, 84 times");
+    Backend told = quiet();
+    told.owes(100, 10_000);
+    told.fleetLoad(new Lookup.Load("r", 0, 0, 0), 10_150);
+    Assertions.assertEquals(0, queueMs(told, 10_200, 100), 1);
+  }
+
+  @Test
+  void memoryThatOtherRelaysFilledCostsTheMoreTheLessRoomIsLeft() {
+    double before = 0;
+    for (int units : new int[] {60_000, 85_000, 110_000, 140_000}) {
+      Backend backend = quiet();
+      backend.fleetLoad(new Lookup.Load("r", 0, 5, units), 10_000);
+      double cost = queueMs(backend, 10_000, 15_000);
+      if (units == 60_000) Assertions.assertEquals(0, cost, 1, "there is room");
+      else Assertions.assertTrue(cost > before + 200, units + " units cost " + cost);
+      before = cost;
+    }
+  }
 }
