Tests: the same costs choose otherwise under plenty and scarce memory, fast and slow links

ReplicaCostsTest: a second copy with plenty of memory and the holder with scarce memory; a fast store pulled from, a slow one not; a replica before the store where its link is faster; 4 and 84 relays within their share; nothing saved twice.

--- /dev/null
+++ b/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
@@ -0,0 +1,220 @@
+package gladelug.data.relay;
+
+import gladelug.common.Address;
+import gladelug.common.Result;
+import gladelug.common.configuration.AllowedEndpoint;
+import gladelug.common.configuration.Configuration;
+import gladelug.common.configuration.Replicas;
+import gladelug.common.message.Lookup;
+import gladelug.common.message.Shuffle;
+import gladelug.common.message.StateKeys;
+import gladelug.common.message.StateUpdate;
+import gladelug.data.request.Decisions;
+import gladelug.data.request.Prompt;
+import gladelug.data.request.Request;
+import gladelug.data.state.StateSubscription;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What the same costs choose where memory is plenty or scarce, links fast or slow, relays few or
+ * many: everything by what is observed, nothing by a setting.
+ */
+final class ReplicaCostsTest {
+  private static final int SHARED = 13_000;
+  private static final int OWN = 4_000;
+  private static final double UNIT_MS = 0.0064;
+  private static final int TOKEN_BYTES = 18_432;
+  private static final double FAST_MBPS = 70_000;
+  private static final double SLOW_MBPS = 2_000;
+
+  /** A relay of the zone z with the replicas a and b there and a store. */
+  private static final class World {
+    private final long now = 1_000_000;
+    private final Relay relay;
+    private final Decisions decisions = new Decisions(64, "r", 1);
+
+    World(double linkMbps, double storeMbps, int relays, Set<Mechanism> without) {
+      Configuration configuration = configuration(linkMbps, storeMbps);
+      Relay[] made = new Relay[1];
+      StateSubscription news =
+          new StateSubscription(
+              () -> now,
+              new Shuffle.Descriptor("r", "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
+              1,
+              snapshot -> made[0].tables(snapshot),
+              text -> Result.good(configuration));
+      relay =
+          new Relay(
+              () -> now,
+              news,
+              r -> new Backends(() -> now, null, () -> {}),
+              "z",
+              RelaySettings.builder().anyWeights(true).without(without).build(),
+              () -> relays);
+      made[0] = relay;
+      List<Replicas.Replica> replicas = new ArrayList<>();
+      for (String name : List.of("a", "b"))
+        replicas.add(
+            new Replicas.Replica(
+                "m",
+                name,
+                Address.of("1.1.1.1:" + (int) name.charAt(0)),
+                "z",
+                true,
+                12,
+                Map.of("m", "1")));
+      tell(news, StateKeys.CONFIGURATION, "{}");
+      tell(news, StateKeys.REPLICAS, new Replicas(replicas).json());
+      for (Backend backend : relay.backends.of("m")) backend.unitMs = UNIT_MS;
+    }
+
+    private static void tell(StateSubscription news, String key, String value) {
+      byte[] body = value.getBytes(StandardCharsets.UTF_8);
+      news.told(new StateUpdate.ValuePush(key, 1, 1, -1, "", body));
+    }
+
+    private static Configuration configuration(double linkMbps, double storeMbps) {
+      return new Configuration(
+          1,
+          List.of(
+              service(0, "m", Configuration.Kind.MODEL, linkMbps, null),
+              service(1, "store", Configuration.Kind.STORE, storeMbps, Address.of("1.1.1.9:1"))),
+          List.of(),
+          List.of(),
+          Configuration.Limits.USUAL);
+    }
+
+    private static Configuration.Service service(
+        int index, String name, Configuration.Kind kind, double mbps, Address store) {
+      Configuration.Engine engine =
+          new Configuration.Engine(12, 180_000, TOKEN_BYTES, mbps, 12, List.of("m"));
+      return new Configuration.Service(
+          index, name, kind, List.of(new AllowedEndpoint(0, 0, 1, 65535)), 100, engine, store, "z");
+    }
+
+    /** A request whose shared part these keep. */
+    Request request(String... holders) {
+      Request request = new Request(decisions.begin(now), now, "", "/x", null);
+      request.service = relay.tables().configuration().service("m");
+      request.model = "m";
+      request.weights = "1";
+      request.prompt =
+          new Prompt.Parts(List.of(new Prompt.Part("s", SHARED), new Prompt.Part("o", OWN)));
+      request.blocks = request.prompt.keys("m", "1", "", 256);
+      List<Lookup.Match> matches = new ArrayList<>();
+      for (String holder : holders) matches.add(new Lookup.Match(holder, 1));
+      request.matches = matches;
+      return request;
+    }
+
+    ReplicaOption option(Request request, String instance) {
+      ReplicaCosts costs = new ReplicaCosts(relay, RequestFilters.Mode.SUMMARY);
+      for (Backend backend : relay.backends.of("m"))
+        if (backend.replica.instance().equals(instance)) return costs.option(request, backend, now);
+      throw new AssertionError(instance);
+    }
+
+    String cheapest(Request request) {
+      return relay.backends.of("m").stream()
+          .map(backend -> option(request, backend.replica.instance()))
+          .min(Comparator.comparingDouble(ReplicaOption::totalMs))
+          .map(option -> option.backend().replica.instance())
+          .orElseThrow();
+    }
+  }
+
+  private static World alone(Mechanism... further) {
+    Set<Mechanism> without =
+        EnumSet.of(Mechanism.REPLICA_FETCH, Mechanism.STORE_FETCH, Mechanism.STORE_SAVE);
+    without.addAll(List.of(further));
+    return new World(FAST_MBPS, FAST_MBPS, 1, without);
+  }
+
+  /** The holder is busy a little longer than computing its shared part takes. */
+  private static void busyHolder(World world, double evictedShare) {
+    Lookup.Load busy = new Lookup.Load("a", (int) (SHARED * UNIT_MS) + 15, 2, 1000);
+    world.relay.fleet("m", new Lookup.Fleet(List.of(busy), evictedShare));
+    for (int i = 0; i < 1000; i++) world.relay.reuse.seen(10, 6);
+  }
+
+  @Test
+  void withPlentyOfMemoryAnotherCopyIsMadeAndWithScarceMemoryTheHolderIsWaitedFor() {
+    World plenty = alone();
+    busyHolder(plenty, 0.001);
+    Assertions.assertEquals("b", plenty.cheapest(plenty.request("a")));
+    World scarce = alone();
+    busyHolder(scarce, 1);
+    Assertions.assertEquals("a", scarce.cheapest(scarce.request("a")));
+    World off = alone(Mechanism.DISPLACEMENT_COST);
+    busyHolder(off, 1);
+    Assertions.assertEquals("b", off.cheapest(off.request("a")), "switched off");
+  }
+
+  @Test
+  void aFastStoreIsPulledFromAndASlowOneIsNot() {
+    World fast = new World(FAST_MBPS, FAST_MBPS, 1, Set.of());
+    ReplicaOption pulls = fast.option(fast.request("store"), "b");
+    Assertions.assertEquals("store", pulls.fetchFrom());
+    Assertions.assertEquals(OWN, pulls.computeUnits());
+    World slow = new World(FAST_MBPS, SLOW_MBPS, 1, Set.of());
+    Assertions.assertEquals("", slow.option(slow.request("store"), "b").fetchFrom());
+    World off = new World(FAST_MBPS, FAST_MBPS, 1, EnumSet.of(Mechanism.STORE_FETCH));
+    Assertions.assertEquals("", off.option(off.request("store"), "b").fetchFrom());
+  }
+
+  @Test
+  void aStoreWhosePullsTakeTooLongIsLeftAloneAndTheRestIsComputed() {
+    World world = new World(FAST_MBPS, FAST_MBPS, 1, Set.of());
+    world.relay.stores.find("store").link().slow(world.now);
+    ReplicaOption option = world.option(world.request("store"), "b");
+    Assertions.assertEquals("", option.fetchFrom());
+    Assertions.assertEquals(SHARED + OWN, option.computeUnits());
+  }
+
+  @Test
+  void anotherReplicaIsPulledFromWhereItsLinkIsFasterThanComputing() {
+    World fast = new World(10 * FAST_MBPS, FAST_MBPS, 1, Set.of());
+    Assertions.assertEquals("a", fast.option(fast.request("a", "store"), "b").fetchFrom());
+    World slow = new World(SLOW_MBPS, FAST_MBPS, 1, Set.of());
+    Assertions.assertEquals("store", slow.option(slow.request("a", "store"), "b").fetchFrom());
+  }
+
+  @Test
+  void whatNobodyKeepsIsSavedOnceByFewRelaysAndByManyWithinTheirShare() {
+    for (int relays : new int[] {4, 84}) {
+      World world = new World(FAST_MBPS, FAST_MBPS, relays, Set.of());
+      int saved = 0;
+      // twenty seconds of one request a second
+      for (long at = world.now; at < world.now + 20_000; at += 1000) {
+        Request request = world.request();
+        ReplicaOption option = world.option(request, "b");
+        PrefixStore store = world.relay.stores.saveTo(request, option, at);
+        if (store == null) continue;
+        saved++;
+        store.link().spend((SHARED + OWN) * store.unitMs(option.backend()), at);
+      }
+      Assertions.assertTrue(
+          relays == 4 ? saved >= 18 : saved >= 1 && saved <= 8, relays + ": " + saved);
+    }
+  }
+
+  @Test
+  void whatAStoreOrTheReplicaKeepsIsNotSavedAgain() {
+    World world = new World(FAST_MBPS, FAST_MBPS, 1, Set.of());
+    long later = world.now + 5000;
+    Request inStore = world.request("store");
+    Assertions.assertNull(
+        world.relay.stores.saveTo(inStore, world.option(inStore, "b"), later), "is there");
+    Request kept = world.request("a");
+    Assertions.assertNull(
+        world.relay.stores.saveTo(kept, world.option(kept, "a"), later), "little is computed");
+  }
+}
