One rule for the index that follows, one size of a prompt; an accessor nobody called is gone

Cause, on a last reading: who follows in a zone was decided in PlatformNode and, since placements go to followers alone, again in LookupClient; now both ask ZoneFollower. The size of a prompt was added up in ReplicaCosts, PrefixStores and the log line; now Request.promptUnits. ChangeRequest.identity() had no caller, as PendingChange keeps it. No change of behaviour.

--- a/control-plane/src/main/java/gladelug/control/core/message/ChangeRequest.java
+++ b/control-plane/src/main/java/gladelug/control/core/message/ChangeRequest.java
@@ -50,9 +50,4 @@
   public String digest() {
     return Digest.hex(body);
   }
-
-  /** By what it is recognised when it is sent again: the digest of what was sent, in hex. */
-  public String identity() {
-    return sentDigest.isEmpty() ? digest() : sentDigest;
-  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -8,6 +8,7 @@
 import gladelug.common.message.Shuffle;
 import gladelug.common.message.WireRecord;
 import gladelug.common.view.PartialViewService;
+import gladelug.data.index.ZoneFollower;
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Context;
 import io.vertx.mutiny.core.Vertx;
@@ -16,11 +17,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * Looks up at an index process where a prompt's blocks are: this machine's own, else one of the
@@ -48,7 +49,7 @@
   /**
    * own may be null: no index on this machine. waitMs: how long an answer is waited for.
    * oneFollowsAZone: of a zone's indexes only the first by name follows holders, as {@link
-   * #followers} has it, so that only that one has use for placements.
+   * ZoneFollower} has it, so that only that one has use for placements.
    */
   public LookupClient(
       Vertx vertx,
@@ -71,15 +72,11 @@
     look();
   }
 
-  /** The indexes that follow holders where one a zone does: the first by name of each zone. */
+  /** The indexes that follow holders where one a zone does. */
   static Set<Address> followers(Collection<Shuffle.Descriptor> seen) {
-    Map<String, Shuffle.Descriptor> first = new HashMap<>();
-    for (Shuffle.Descriptor d : seen)
-      if (d.role().equals("index"))
-        first.merge(d.zone(), d, (a, b) -> a.name().compareTo(b.name()) <= 0 ? a : b);
-    Set<Address> out = new HashSet<>();
-    for (Shuffle.Descriptor d : first.values()) out.add(Address.of(d.records()));
-    return out;
+    return ZoneFollower.byZone(seen).values().stream()
+        .map(index -> Address.of(index.records()))
+        .collect(Collectors.toSet());
   }
 
   private void look() {
--- a/data-plane/src/main/java/gladelug/data/relay/PrefixStores.java
+++ b/data-plane/src/main/java/gladelug/data/relay/PrefixStores.java
@@ -48,17 +48,12 @@
     PrefixStore best = null;
     for (PrefixStore store : stores.values())
       if (keptUnits(request, store) < shared
-          && store.worthSaving(chosen.backend(), shared, promptUnits(request), now)
+          && store.worthSaving(chosen.backend(), shared, request.promptUnits(), now)
           && (best == null || store.unitMs(chosen.backend()) < best.unitMs(chosen.backend())))
         best = store;
     return best;
   }
 
-  /** The units of a prompt, all of which a save moves. */
-  static int promptUnits(Request request) {
-    return request.units() - request.tokensOut;
-  }
-
   private static int keptUnits(Request request, PrefixStore store) {
     int kept = 0;
     for (Lookup.Match match : request.matches)
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -329,7 +329,7 @@
         "ms",
         clock.now() - request.came,
         "units",
-        request.units() - request.tokensOut,
+        request.promptUnits(),
         "held",
         request.heldUnits,
         "computed",
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
@@ -112,7 +112,7 @@
       request.heldUnits = Math.max(request.heldUnits, ReplicaCosts.units(request, match));
     if (model) {
       takePrompt(request, chosen);
-      relay.reuse.seen(PrefixStores.promptUnits(request), request.heldUnits);
+      relay.reuse.seen(request.promptUnits(), request.heldUnits);
     }
     if (request.fetchBlocks > 0) pull(request, chosen, now);
     if (model && relay.settings.has(Mechanism.STORE_SAVE)) save(request, chosen, now);
@@ -131,7 +131,7 @@
     backend.pulls(request.fetchFrom, now);
     PrefixStore store = relay.stores.find(request.fetchFrom);
     if (store == null) return;
-    int units = PrefixStores.promptUnits(request) - chosen.computeUnits();
+    int units = request.promptUnits() - chosen.computeUnits();
     store.link().spend(units * store.unitMs(backend), now);
   }
 
@@ -141,7 +141,7 @@
     PrefixStore store = relay.stores.saveTo(request, chosen, now);
     if (store == null) return;
     request.saveTo = store.name();
-    store.link().spend(PrefixStores.promptUnits(request) * store.unitMs(backend), now);
+    store.link().spend(request.promptUnits() * store.unitMs(backend), now);
   }
 
   private void takePrompt(Request request, ReplicaOption chosen) {
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
@@ -39,26 +39,20 @@
   /** Units that a holder keeps of the prompt's first blocks: whole ones, and a part of the next. */
   static int units(Request request, Lookup.Match match) {
     int whole = Math.min(request.blocks.length, match.blocks());
-    int units = unitsOf(request, whole);
+    int units = request.promptUnits(whole);
     return whole < request.blocks.length
         ? units + Math.min(match.units(), request.prompt.units(whole))
         : units;
   }
 
-  private static int unitsOf(Request request, int blocks) {
-    int units = 0;
-    for (int i = 0; i < blocks; i++) units += request.prompt.units(i);
-    return units;
-  }
-
   /** Units of the prompt that other requests may ask for: all blocks but its own last one. */
   static int sharedUnits(Request request) {
-    return unitsOf(request, Math.max(0, request.blocks.length - 1));
+    return request.promptUnits(Math.max(0, request.blocks.length - 1));
   }
 
   /** The cost of sending the request there now. */
   ReplicaOption option(Request request, Backend backend, long now) {
-    int all = unitsOf(request, request.blocks.length);
+    int all = request.promptUnits();
     boolean same =
         relay.weightsOf(backend, request.model).equals(request.weights)
             && mode != RequestFilters.Mode.LEAST_LOAD;
@@ -113,7 +107,7 @@
         backend.reports || !relay.settings.has(Mechanism.RECENT_PLACEMENTS)
             ? 0
             : relay.placements.leading(request.blocks, instance, now);
-    return sent > blocks ? new Kept(sent, unitsOf(request, sent)) : new Kept(blocks, units);
+    return sent > blocks ? new Kept(sent, request.promptUnits(sent)) : new Kept(blocks, units);
   }
 
   /** Ms a unit over a store's link, negative where a pull of so many isn't to be asked for now. */
@@ -137,7 +131,7 @@
         store == null
             ? backend.linkMs(match.holder(), holder.zone(), now)
             : storeLinkMs(store, backend, more, now);
-    int left = unitsOf(request, request.blocks.length) - kept.units - more;
+    int left = request.promptUnits() - kept.units - more;
     double ms = FETCH_MS + more * link + left * backend.unitMs;
     if (link < 0 || ms >= least.ms) return least;
     return new Prefill(match.holder(), Math.max(1, blocks), left, ms);
--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -145,9 +145,19 @@
 
   /** What it takes of a replica's memory, in units: its prompt and what is put out at most. */
   public int units() {
-    int u = tokensOut;
-    for (int i = 0; i < blocks.length; i++) u += prompt.units(i);
-    return u;
+    return promptUnits() + tokensOut;
+  }
+
+  /** The size of its prompt, in units. */
+  public int promptUnits() {
+    return promptUnits(blocks.length);
+  }
+
+  /** The size of the first so many blocks of its prompt, in units. */
+  public int promptUnits(int firstBlocks) {
+    int units = 0;
+    for (int i = 0; i < firstBlocks; i++) units += prompt.units(i);
+    return units;
   }
 
   public String id() {
--- a/data-plane/src/test/java/gladelug/data/relay/LookupClientTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/LookupClientTest.java
@@ -2,6 +2,7 @@
 
 import gladelug.common.Address;
 import gladelug.common.message.Shuffle;
+import gladelug.data.index.ZoneFollower;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Assertions;
@@ -31,4 +32,16 @@
     Shuffle.Descriptor next = seen("b-index", "index", "east", 2);
     Assertions.assertEquals(Set.of(Address.of("1.1.1.1:2")), LookupClient.followers(List.of(next)));
   }
+
+  /** Relays tell whom the indexes themselves take to follow, whatever each of them sees. */
+  @Test
+  void theIndexThatIsToldIsTheOneThatDoesNotStandBy() {
+    Shuffle.Descriptor first = seen("a-index", "index", "east", 1);
+    Shuffle.Descriptor second = seen("b-index", "index", "east", 2);
+    Shuffle.Descriptor elsewhere = seen("0-index", "index", "west", 3);
+    Assertions.assertFalse(ZoneFollower.standsBy(first, List.of(second, elsewhere)));
+    Assertions.assertTrue(ZoneFollower.standsBy(second, List.of(first, elsewhere)));
+    Assertions.assertFalse(ZoneFollower.standsBy(second, List.of(elsewhere)));
+    Assertions.assertFalse(ZoneFollower.standsBy(first, List.of()));
+  }
 }
