review: one spoilt answer stops a whole relay (case 1)

A replica's event stream whose first event never ends: the relay's event loop looks through all that it holds for each chunk that comes, and answers nobody meanwhile (rule CONFIG: no final answer half a second after RequestTimeoutMs).

--- a/review/stand-ins/Case.java
+++ b/review/stand-ins/Case.java
@@ -23,7 +23,7 @@
             case "isolation" -> Isolation.play(stage, trouble);
             case "bodies" -> Bodies.play(stage, trouble);
             case "large" -> LargeConfiguration.play(stage, trouble);
-            case "first" -> FirstStart.play(stage, trouble);
+            case "spoilt" -> SpoiltAnswer.play(stage, trouble);
             default -> NOT_RUN;
           };
       record.add(result == HELD ? "the rule held" : result == BROKEN ? "the rule was broken" : "not run");
--- a/review/stand-ins/LargeConfiguration.java
+++ b/review/stand-ins/LargeConfiguration.java
@@ -12,9 +12,9 @@
   /** As large as the product says that it takes: 5 MB. */
   private static final int MOST_BYTES = 5_000_000;
 
-  private static final int GROWTHS = 48;
+  private static final int GROWTHS = 51;
   private static final int CHANGES = 25;
-  private static final double CHANGES_END_S = 85;
+  private static final double CHANGES_END_S = 76;
 
   /** How long it is read back: RecoveryS, which is longer than ContactMs. */
   private static final double READ_S = 12;
@@ -46,16 +46,16 @@
       if (text.length() > MOST_BYTES) return Case.NOT_RUN;
       stage.record.add("configuration " + (revision + 2) + " on " + revision + ": " + routes.size()
           + " routes, " + text.length() + " bytes");
-      taken = stage.configure(revision + 2, revision, text, 15);
+      taken = stage.configure(revision + 2, revision, text, 12);
       if (taken) revision += 2;
       Stage.sleep(50);
     }
     // ContactMs, twice, before anything is judged
     Stage.sleep(6000);
     long read = readBack(stage);
-    int served = served(stage, "after", 12);
+    int served = served(stage, "after", 6);
     stage.record.add("newest acknowledged " + revision + ", read back "
-        + (read < 0 ? "nothing in " + READ_S + " s" : String.valueOf(read)) + ", of 12 requests "
+        + (read < 0 ? "nothing in " + READ_S + " s" : String.valueOf(read)) + ", of 6 requests "
         + served + " were served");
     for (Stage.Node n : stage.nodes.values())
       stage.record.add(n.name + " " + n.role + (n.process.isAlive() ? " runs" : " has ended"));
@@ -83,7 +83,7 @@
       Http.Message m =
           stage.call(stage.ip(1 + i % Stage.MACHINES), stage.frontend,
               Deployment.head(name + "-" + i, "/lohu930/2f", "kaje80", "5c1e07a2:800,abcd:410", 3000),
-              new byte[100], 3000);
+              new byte[100], 1500);
       stage.record.add("request " + name + "-" + i + " answered "
           + (m == null ? "nothing" : m.line() + " " + m.text()));
       if (m != null && m.status() == 200) served++;
--- a/review/stand-ins/Replica.java
+++ b/review/stand-ins/Replica.java
@@ -8,9 +8,19 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** A model replica that keeps parts of prompts as PROTOCOL.md says, and tells who made them. */
 final class Replica {
+  /** How long an answer is spoilt at the most: garble's for_s on the site. */
+  private static final int SPOILT_S = 5;
+
+  /** A piece as the site's are, of 50 bytes, without the empty line that ends an event. */
+  private static final String SPOILT_LINE = "data: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\n";
+
+  /** How many are written at once. */
+  private static final int SPOILT_CHUNKS = 1000;
+
   /** A kept part: who made it, and when. */
   private record Kept(String tenant, String version, String request) {}
 
@@ -33,6 +43,9 @@
   volatile int workMs = 20;
   volatile int ran;
 
+  /** The next answer is spoilt. */
+  final AtomicBoolean spoilsNext = new AtomicBoolean();
+
   Replica(String ip, String instance, String service, String model, Record record, Finding finding)
       throws IOException {
     this.instance = instance;
@@ -166,6 +179,10 @@
         + q.header("X-Gladelug-Cache-Salt") + " parts " + q.header("X-Gladelug-Prompt-Prefix")
         + " body " + q.body().length);
     use(q, id, tenant, now);
+    if (spoilsNext.getAndSet(false)) {
+      spoil(out, echo, id, now);
+      return;
+    }
     Stage.sleep(workMs);
     byte[] body = answerBytes > 0 ? new byte[answerBytes] : ("answer to " + id).getBytes();
     for (int i = 0; answerBytes > 0 && i < body.length; i++) body[i] = (byte) ('a' + i % 26);
@@ -177,6 +194,41 @@
         body);
   }
 
+  /**
+   * A spoilt answer: a stream whose first event doesn't end, until the caller lets go of it or the
+   * trouble is over.
+   */
+  private void spoil(OutputStream out, String echo, String id, String now) throws IOException {
+    record.add("the answer to " + id + " at " + instance + " is spoilt from now on");
+    Http.write(
+        out,
+        "HTTP/1.1 200 OK\r\n" + echo + "X-Gladelug-Server-Seal: seal-" + instance + "-" + id
+            + "\r\nX-Gladelug-Weight-Versions: " + now
+            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+        new byte[0]);
+    StringBuilder chunks = new StringBuilder();
+    for (int i = 0; i < SPOILT_CHUNKS; i++)
+      chunks.append(Integer.toHexString(SPOILT_LINE.length())).append("\r\n").append(SPOILT_LINE).append("\r\n");
+    byte[] many = chunks.toString().getBytes();
+    long from = System.nanoTime();
+    long sent = 0;
+    Stage.daemon(
+        "end of the trouble",
+        () -> {
+          Stage.sleep(SPOILT_S * 1000L);
+          out.close();
+        });
+    try {
+      while (true) {
+        out.write(many);
+        sent += many.length;
+      }
+    } finally {
+      record.add("the spoilt answer ends after " + sent + " bytes and "
+          + (System.nanoTime() - from) / 1_000_000 + " ms");
+    }
+  }
+
   /** Looks kept parts up under the request's salt, in order, and keeps those that were not there. */
   private synchronized void use(Http.Message q, String id, String tenant, String version) {
     String salt = q.header("X-Gladelug-Cache-Salt");
