A worker's error ends its process, and a periodic task comes again after an exception

What was seen: a process lived on as a shell when a thread of it was gone.

Cause: SingleThreadWorker caught RuntimeException alone, and scheduled a periodic task anew only after it had returned. Nothing was told of errors on event loops but a log line.

A periodic task is scheduled anew whatever it threw.

--- a/common/src/main/java/gladelug/common/Program.java
+++ b/common/src/main/java/gladelug/common/Program.java
@@ -9,11 +9,15 @@
 /**
  * What every program's main has in common: findings go to the error stream and end the process with
  * 2, a machine that won't do (port in use, folder damaged) ends it with one line and 3; SIGTERM
- * stops the services of the {@link ServiceRegistry}. Nothing here starts a process.
+ * stops the services of the {@link ServiceRegistry}. An error that ends a thread ends the process
+ * with 4. Nothing here starts a process.
  */
 public final class Program {
   public static final int BAD_USE = 2, CANNOT = 3;
 
+  /** The process lost a thread that it can't do without; see {@link FatalFailure}. */
+  public static final int FAILED = 4;
+
   private Program() {}
 
   public static Namespace parse(ArgumentParser parser, String[] args) {
@@ -50,6 +54,7 @@
    * anyway.
    */
   public static void run(String program, ServiceRegistry registry, long politely) {
+    FatalFailure.endProcessOnUncaughtErrors();
     try {
       registry.start();
     } catch (ServiceRegistry.StartupException e) {
--- a/common/src/main/java/gladelug/common/SingleThreadWorker.java
+++ b/common/src/main/java/gladelug/common/SingleThreadWorker.java
@@ -8,6 +8,10 @@
  * One thread with a bounded queue of tasks. Whoever offers a task to a full queue gets false and
  * must cope; nothing waits without bound. The state that the tasks touch is confined to this
  * thread. Tasks can be scheduled for later on the same thread, by monotonic time.
+ *
+ * <p>An exception ends the task that threw it and is logged; a periodic task comes again all the
+ * same. An {@link Error}, such as want of memory, leaves the tasks' state in doubt: whoever is to
+ * be told of it is told, and usually that ends the process.
  */
 public final class SingleThreadWorker implements AutoCloseable {
   private record ScheduledTask(long dueAtMs, long sequence, Runnable run)
@@ -25,10 +29,23 @@
   private final ArrayBlockingQueue<Runnable> queue;
   private final PriorityQueue<ScheduledTask> scheduled = new PriorityQueue<>();
   private final Thread thread;
+  private final FatalFailure.Handler onFatal;
   private volatile boolean open = true;
   private long nextSequence;
 
+  /** A worker whose process ends where a task throws an error. */
   public SingleThreadWorker(String name, int slots, Clock clock) {
+    this(name, slots, clock, FatalFailure::endProcess);
+  }
+
+  /**
+   * Starts the thread.
+   *
+   * @param slots how many tasks may wait
+   * @param onFatal is told, on the worker's thread, of an error that a task threw
+   */
+  SingleThreadWorker(String name, int slots, Clock clock, FatalFailure.Handler onFatal) {
+    this.onFatal = onFatal;
     this.name = name;
     this.clock = clock;
     this.queue = new ArrayBlockingQueue<>(slots);
@@ -51,8 +68,11 @@
   }
 
   private void runAndReschedule(long delayMs, Runnable task) {
-    task.run();
-    scheduleAfter(delayMs, () -> runAndReschedule(delayMs, task));
+    try {
+      task.run();
+    } finally {
+      scheduleAfter(delayMs, () -> runAndReschedule(delayMs, task));
+    }
   }
 
   private void runLoop() {
@@ -81,6 +101,8 @@
           name,
           "at",
           e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "-");
+    } catch (Error e) {
+      onFatal.onFatal(name, task.getClass().getName(), e);
     }
   }
 
--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -1,5 +1,6 @@
 package gladelug.control;
 
+import gladelug.common.FatalFailure;
 import gladelug.common.Log;
 import gladelug.common.Program;
 import gladelug.common.Result;
@@ -146,7 +147,9 @@
   static void run(ControlPlaneSettings settings) {
     CoreDataFolder disk =
         CoreDataFolder.open(settings.name(), settings.data(), settings.ringFileMb(), List.of());
-    Program.run(PROGRAM, services(Vertx.vertx(), settings, disk), STOP_TIMEOUT_MS);
+    Vertx vertx = Vertx.vertx();
+    vertx.getDelegate().exceptionHandler(FatalFailure::onUncaught);
+    Program.run(PROGRAM, services(vertx, settings, disk), STOP_TIMEOUT_MS);
   }
 
   /** All services of a control machine in the order in which they start. */
--- a/control-plane/src/main/java/gladelug/control/core/register/DiskWriter.java
+++ b/control-plane/src/main/java/gladelug/control/core/register/DiskWriter.java
@@ -1,6 +1,7 @@
 package gladelug.control.core.register;
 
 import gladelug.common.Clock;
+import gladelug.common.FatalFailure;
 import gladelug.common.Log;
 import gladelug.common.disk.RecordRing;
 import java.io.IOException;
@@ -91,6 +92,9 @@
         Log.warn("disk-failed", "what", e.toString());
         failed.accept(e.toString());
         return;
+      } catch (Error e) {
+        FatalFailure.endProcess(thread.getName(), "ring.write", e);
+        return;
       }
       busySince = -1;
       if (refused) Log.event("disk-accepts-writes");
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -2,6 +2,7 @@
 
 import gladelug.common.Address;
 import gladelug.common.Clock;
+import gladelug.common.FatalFailure;
 import gladelug.common.Log;
 import gladelug.common.Program;
 import gladelug.common.Result;
@@ -178,6 +179,7 @@
   static void run(boolean relay, DataPlaneSettings p) {
     Log.setUp(p.name, Program.level(p.log), System.out);
     Vertx vertx = Vertx.vertx();
+    vertx.getDelegate().exceptionHandler(FatalFailure::onUncaught);
     Clock clock = Clock.monotonic();
     Shuffle.Descriptor self =
         new Shuffle.Descriptor(
