--- a/common/src/main/java/gladelug/common/LocatedJson.java
+++ b/common/src/main/java/gladelug/common/LocatedJson.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -31,22 +32,50 @@
   }
 
   public final Kind kind;
-  public final String path;
   public final int line;
   public final int column;
   public final String text;
-  public final Map<String, LocatedJson> members = new LinkedHashMap<>();
-  public final List<LocatedJson> items = new ArrayList<>();
 
-  private LocatedJson(Kind kind, String path, Location at, String text) {
+  /** Of an object its fields by name, in their order; of anything else none. */
+  public final Map<String, LocatedJson> members;
+
+  /** Of a list its items; of anything else none. */
+  public final List<LocatedJson> items;
+
+  /** The object or list this stands in, or null at the top. */
+  private final LocatedJson parent;
+
+  /** The field's name in an object, null in a list. */
+  private final String name;
+
+  /** The place in a list. */
+  private final int index;
+
+  private LocatedJson(Kind kind, Position position, Location at, String text) {
     this.kind = kind;
-    this.path = path;
+    this.parent = position.parent;
+    this.name = position.name;
+    this.index = position.index;
     this.line = at.line;
     this.column = at.column;
     this.text = text;
+    this.members = kind == Kind.OBJECT ? new LinkedHashMap<>() : Map.of();
+    this.items = kind == Kind.ARRAY ? new ArrayList<>() : List.of();
+  }
+
+  /** Where a value stands: in what, and under which name or at which place of a list. */
+  private record Position(LocatedJson parent, String name, int index) {}
+
+  /** The way to it from the top, such as {@code routes[3].name}; empty at the top. */
+  private String path() {
+    if (parent == null) return "";
+    String above = parent.path();
+    if (name == null) return above + "[" + index + "]";
+    return above.isEmpty() ? name : above + "." + name;
   }
 
   public String place() {
+    String path = path();
     return "line " + line + ", column " + column + " (" + (path.isEmpty() ? "top" : path) + ")";
   }
 
@@ -77,20 +106,38 @@
     return new Fields(this, findings);
   }
 
+  /**
+   * Makes the nodes. A large text has hundreds of thousands of them, so what is equal in many is
+   * one object: names of fields, and short texts.
+   */
   private static final class Reader extends JsonHandler<Object, Object> {
+    /** Longer texts are seldom equal. */
+    private static final int LONGEST_SHARED_TEXT = 24;
+
+    private static final int MAX_SHARED_TEXTS = 4096;
+
     private final Findings findings;
-    private final ArrayDeque<String> paths = new ArrayDeque<>();
+    private final Map<String, String> sharedTexts = new HashMap<>();
+    private final ArrayDeque<Position> positions = new ArrayDeque<>();
     private final ArrayDeque<LocatedJson> open = new ArrayDeque<>();
     private final ArrayDeque<Location> starts = new ArrayDeque<>();
     private LocatedJson last;
 
     Reader(Findings findings) {
       this.findings = findings;
-      paths.push("");
+      positions.push(new Position(null, null, 0));
     }
 
     private void leaf(Kind k, String text) {
-      last = new LocatedJson(k, paths.peek(), starts.pop(), text);
+      last = new LocatedJson(k, positions.peek(), starts.pop(), shared(text));
+    }
+
+    private String shared(String text) {
+      if (text == null || text.length() > LONGEST_SHARED_TEXT) return text;
+      String first = sharedTexts.get(text);
+      if (first != null) return first;
+      if (sharedTexts.size() < MAX_SHARED_TEXTS) sharedTexts.put(text, text);
+      return text;
     }
 
     private void begin() {
@@ -139,7 +186,7 @@
 
     @Override
     public Object startArray() {
-      open.push(new LocatedJson(Kind.ARRAY, paths.peek(), getLocation(), null));
+      open.push(new LocatedJson(Kind.ARRAY, positions.peek(), getLocation(), null));
       return null;
     }
 
@@ -150,18 +197,18 @@
 
     @Override
     public void startArrayValue(Object a) {
-      paths.push(paths.peek() + "[" + open.peek().items.size() + "]");
+      positions.push(new Position(open.peek(), null, open.peek().items.size()));
     }
 
     @Override
     public void endArrayValue(Object a) {
-      paths.pop();
+      positions.pop();
       open.peek().items.add(last);
     }
 
     @Override
     public Object startObject() {
-      open.push(new LocatedJson(Kind.OBJECT, paths.peek(), getLocation(), null));
+      open.push(new LocatedJson(Kind.OBJECT, positions.peek(), getLocation(), null));
       return null;
     }
 
@@ -172,14 +219,13 @@
 
     @Override
     public void startObjectValue(Object o, String name) {
-      String p = paths.peek();
-      paths.push(p.isEmpty() ? name : p + "." + name);
+      positions.push(new Position(open.peek(), shared(name), 0));
     }
 
     @Override
     public void endObjectValue(Object o, String name) {
-      paths.pop();
-      if (open.peek().members.putIfAbsent(name, last) != null)
+      positions.pop();
+      if (open.peek().members.putIfAbsent(shared(name), last) != null)
         findings.add(last.place(), "given twice");
     }
   }
--- a/common/src/main/java/gladelug/common/configuration/Configuration.java
+++ b/common/src/main/java/gladelug/common/configuration/Configuration.java
@@ -114,6 +114,27 @@
       return split.get(split.size() - 1).service;
     }
 
+    /** The same route wherever it and its services stand in the lists of a configuration. */
+    public Route withoutPlaces() {
+      return new Route(
+          0,
+          name,
+          host,
+          path,
+          prefix,
+          List.of(),
+          deadlineMs,
+          repeatable,
+          maxBodyBytes,
+          aimMs,
+          gapMs,
+          attempts,
+          tier,
+          open,
+          stream,
+          resumable);
+    }
+
     public static Builder named(String name) {
       return new Builder(name);
     }
--- /dev/null
+++ b/common/src/test/java/gladelug/common/MemoryBudgetTest.java
@@ -0,0 +1,27 @@
+package gladelug.common;
+
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** Tests of MemoryBudget. */
+final class MemoryBudgetTest {
+  @Test
+  void nothingIsTakenThatIsNotThereAndWhatIsGivenBackMayBeTakenAgain() {
+    MemoryBudget budget = new MemoryBudget(100);
+    Assertions.assertTrue(budget.reserve(60));
+    Assertions.assertFalse(budget.reserve(41));
+    Assertions.assertTrue(budget.reserve(40));
+    budget.release(60);
+    Assertions.assertTrue(budget.reserve(60));
+    Assertions.assertEquals(100, budget.reserved());
+    Assertions.assertEquals(100, budget.peak());
+    Assertions.assertEquals(1, budget.refused());
+  }
+
+  @Test
+  void theLargestValueFollowsFromTheHeapAndTenThousandRoutesAlwaysFit() {
+    Assertions.assertEquals(2 << 20, MemoryBudget.largestValueBytes(16 << 20));
+    Assertions.assertEquals((160 << 20) / 44, MemoryBudget.largestValueBytes(160 << 20));
+    Assertions.assertEquals(6 << 20, MemoryBudget.largestValueBytes(4L << 30));
+  }
+}
--- a/control-plane/src/main/java/gladelug/control/ChangeSummary.java
+++ b/control-plane/src/main/java/gladelug/control/ChangeSummary.java
@@ -3,7 +3,7 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import gladelug.common.message.StateKeys;
+import gladelug.common.configuration.Configuration;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -18,37 +18,91 @@
   /** More names than these are counted, not listed. */
   private static final int MAX_NAMES = 6;
 
-  private static final List<String> CONFIGURATION_LISTS =
-      List.of("services", "mappings", "tenants");
-
   private ChangeSummary() {}
 
+  /** In place of no difference at all. */
+  private static final String NOTHING_NAMED = "nothing that has a name";
+
   /**
-   * Summarizes a change.
+   * Summarizes a change of the named weights.
    *
-   * @param key the key of the control state
-   * @param before its value before, JSON; empty where it had none
-   * @param after its value after, JSON; empty where it has none
+   * @param before the value before, JSON; empty where there was none
+   * @param after the value after, JSON
    * @return one line, empty where the values aren't such JSON
    */
-  public static String summarize(String key, byte[] before, byte[] after) {
+  public static String ofWeights(byte[] before, byte[] after) {
     try {
-      List<String> differences = differences(key, parseObject(before), parseObject(after));
-      return differences.isEmpty() ? "nothing that has a name" : String.join("; ", differences);
+      List<String> differences = new ArrayList<>();
+      addWeightDifferences(parseObject(before), parseObject(after), differences);
+      return line(differences);
     } catch (RuntimeException unreadable) {
-      // whatever operators sent and however it fails to be read: a change isn't lost for its
-      // summary
+      // whatever stands there and however it fails to be read: a change isn't lost for its summary
       return "";
     }
   }
 
-  private static List<String> differences(String key, JsonObject before, JsonObject after) {
+  /**
+   * Summarizes a change of the configuration.
+   *
+   * @param before the one before, EMPTY where there was none
+   * @return one line
+   */
+  public static String ofConfiguration(Configuration before, Configuration after) {
     List<String> differences = new ArrayList<>();
-    if (key.equals(StateKeys.CONFIGURATION))
-      for (String list : CONFIGURATION_LISTS)
-        addDifferences(list, entriesByName(before, list), entriesByName(after, list), differences);
-    else if (key.equals(StateKeys.WEIGHTS)) addWeightDifferences(before, after, differences);
-    return differences;
+    addDifferences("services", services(before), services(after), differences);
+    addDifferences("mappings", routes(before), routes(after), differences);
+    addDifferences("tenants", tenants(before), tenants(after), differences);
+    return line(differences);
+  }
+
+  private static String line(List<String> differences) {
+    return differences.isEmpty() ? NOTHING_NAMED : String.join("; ", differences);
+  }
+
+  /** By name, what makes a service what it is beside its place in the list. */
+  private static Map<String, Object> services(Configuration configuration) {
+    Map<String, Object> services = new LinkedHashMap<>();
+    for (Configuration.Service s : configuration.services)
+      services.put(
+          s.name(),
+          List.of(
+              s.kind(),
+              s.allow(),
+              s.connections(),
+              s.engine(),
+              String.valueOf(s.store()),
+              s.zone()));
+    return services;
+  }
+
+  /** By name, what makes a route what it is; services by their names, not their places. */
+  private static Map<String, Object> routes(Configuration configuration) {
+    Map<String, Object> routes = new LinkedHashMap<>();
+    for (Configuration.Route route : configuration.routes)
+      routes.put(
+          route.name(), new NamedRoute(route.withoutPlaces(), targets(configuration, route)));
+    return routes;
+  }
+
+  /** A route without places in lists, and the names of services with their parts. */
+  private record NamedRoute(Configuration.Route route, String targets) {}
+
+  private static String targets(Configuration configuration, Configuration.Route route) {
+    StringBuilder targets = new StringBuilder();
+    for (Configuration.Weighted part : route.split())
+      targets
+          .append(configuration.services.get(part.service()).name())
+          .append(' ')
+          .append(part.weight())
+          .append(' ');
+    return targets.toString();
+  }
+
+  private static Map<String, Object> tenants(Configuration configuration) {
+    Map<String, Object> tenants = new LinkedHashMap<>();
+    for (Configuration.Tenant tenant : configuration.tenants)
+      tenants.put(tenant.name(), List.of(tenant.keys(), tenant.isolated(), tenant.share()));
+    return tenants;
   }
 
   private static void addWeightDifferences(
@@ -71,18 +125,10 @@
     return Json.parse(new String(json, StandardCharsets.UTF_8)).asObject();
   }
 
-  private static Map<String, String> entriesByName(JsonObject configuration, String list) {
-    Map<String, String> entries = new LinkedHashMap<>();
-    if (configuration.get(list) == null) return entries;
-    for (JsonValue entry : configuration.get(list).asArray())
-      entries.put(entry.asObject().getString("name", "?"), entry.toString());
-    return entries;
-  }
-
   private static void addDifferences(
       String list,
-      Map<String, String> before,
-      Map<String, String> after,
+      Map<String, Object> before,
+      Map<String, Object> after,
       List<String> differences) {
     List<String> added = new ArrayList<>();
     List<String> changed = new ArrayList<>();
--- a/control-plane/src/main/java/gladelug/control/ControlOwnerTasks.java
+++ b/control-plane/src/main/java/gladelug/control/ControlOwnerTasks.java
@@ -23,7 +23,10 @@
   private final Function<String, Result<Configuration>> configurationParser;
 
   /** The one that was read last: with a change under way the next, else the newest. */
-  private ReadConfiguration lastRead = new ReadConfiguration(new byte[0], null);
+  private ReadConfiguration lastRead = NOTHING_READ;
+
+  /** The one that was read before it, while a change is under way. */
+  private ReadConfiguration readBeforeIt = NOTHING_READ;
 
   /**
    * A configuration by the array that holds its text.
@@ -32,6 +35,8 @@
    */
   private record ReadConfiguration(byte[] body, Configuration configuration) {}
 
+  private static final ReadConfiguration NOTHING_READ = new ReadConfiguration(new byte[0], null);
+
   /**
    * Tasks that read the configuration so.
    *
@@ -45,6 +50,7 @@
   public Map<String, List<StateUpdate.CapacityGrant>> allocateCapacity(
       long epoch, List<SubscriberStatus> relays, byte[] body) {
     Configuration configuration = read(body);
+    readBeforeIt = NOTHING_READ;
     return CapacityAllocation.allocate(
         epoch, relays, configuration == null ? Configuration.EMPTY : configuration);
   }
@@ -63,16 +69,24 @@
 
   private Configuration read(byte[] body) {
     if (body == lastRead.body()) return lastRead.configuration();
+    if (body == readBeforeIt.body()) return readBeforeIt.configuration();
     Result<Configuration> parsed =
         configurationParser.apply(new String(body, StandardCharsets.UTF_8));
     Configuration configuration =
         parsed instanceof Result.Good<Configuration> good ? good.value() : null;
+    readBeforeIt = lastRead;
     lastRead = new ReadConfiguration(body, configuration);
     return configuration;
   }
 
   @Override
   public String summarizeChange(String key, byte[] before, byte[] after) {
-    return ChangeSummary.summarize(key, before, after);
+    if (key.equals(StateKeys.WEIGHTS)) return ChangeSummary.ofWeights(before, after);
+    if (!key.equals(StateKeys.CONFIGURATION)) return "";
+    Configuration readBefore = before.length == 0 ? Configuration.EMPTY : read(before);
+    Configuration readAfter = read(after);
+    return readBefore == null || readAfter == null
+        ? ""
+        : ChangeSummary.ofConfiguration(readBefore, readAfter);
   }
 }
--- a/control-plane/src/main/java/gladelug/control/core/CoreMember.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreMember.java
@@ -1,6 +1,7 @@
 package gladelug.control.core;
 
 import gladelug.common.Address;
+import gladelug.common.MemoryBudget;
 import gladelug.common.configuration.PrefixSharing;
 import gladelug.common.message.StateKeys;
 import gladelug.common.message.StateUpdate;
@@ -49,7 +50,7 @@
  * everything it does goes through its host. Times are of the host's monotonic clock, in ms.
  */
 public final class CoreMember {
-  static final int MAX_VALUE_BYTES = 6 << 20;
+  static final int MAX_VALUE_BYTES = MemoryBudget.largestValueBytes();
 
   /** Between two allocations of the replicas' slots among relays, ms. */
   private static final long ALLOCATION_INTERVAL_MS = 200;
