--- a/data-plane/src/main/java/gladelug/data/relay/CallerLimits.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerLimits.java
@@ -13,8 +13,8 @@
 
 /**
  * How long callers may take over the head of a request and stay idle: connections beyond the
- * configuration's time-outs are closed, those with a request under way never. Confined to the
- * request thread.
+ * configuration's time-outs are closed, those with a request under way only where nothing comes of
+ * a body that is awaited. Confined to the request thread.
  */
 public final class CallerLimits {
   private final Clock clock;
@@ -31,12 +31,15 @@
    */
   private final class One extends ChannelInboundHandlerAdapter {
     int underWay;
+    boolean bodyAwaited;
+    long readAt = clock.now();
     long idleSince = clock.now();
     long headSince = -1;
 
     @Override
     public void channelRead(ChannelHandlerContext c, Object m) {
-      if (underWay == 0 && headSince < 0) headSince = clock.now();
+      readAt = clock.now();
+      if (underWay == 0 && headSince < 0) headSince = readAt;
       c.fireChannelRead(m);
     }
   }
@@ -56,11 +59,24 @@
     one.headSince = -1;
   }
 
+  /** The rest of a request is awaited. */
+  public void bodyAwaited(HttpServerRequest request) {
+    One one = all.get(request.connection());
+    if (one != null) one.bodyAwaited = true;
+  }
+
+  /** The request is here to its end. */
+  public void bodyRead(HttpServerRequest request) {
+    One one = all.get(request.connection());
+    if (one != null) one.bodyAwaited = false;
+  }
+
   /** Its answer is out. */
   public void ended(HttpServerRequest request) {
     One one = all.get(request.connection());
     if (one == null) return;
     one.underWay = Math.max(0, one.underWay - 1);
+    one.bodyAwaited = false;
     one.idleSince = clock.now();
   }
 
@@ -70,9 +86,11 @@
     Configuration.Limits l = limits.get();
     for (Map.Entry<HttpConnection, One> e : Map.copyOf(all).entrySet()) {
       One o = e.getValue();
-      if (o.underWay > 0) continue;
-      if (o.headSince >= 0 ? now - o.headSince > l.headerMs() : now - o.idleSince > l.idleMs())
-        e.getKey().close();
+      if (o.underWay > 0) {
+        if (o.bodyAwaited && now - o.readAt > l.idleMs()) e.getKey().close();
+      } else if (o.headSince >= 0
+          ? now - o.headSince > l.headerMs()
+          : now - o.idleSince > l.idleMs()) e.getKey().close();
     }
   }
 }
