A body of which nothing comes is given up only by a process that ran; the configuration before is let go

CallerLimits closes a connection on which nothing of an awaited body comes for the idle time; a process that was frozen looked before it had read what had come meanwhile, and would have closed those too. It now gives them the time anew. ControlOwnerTasks let go of the configuration before a change only where it also divides capacity, some 10 MB at the largest size on other members. CallerBodiesTest has the caller that vanishes in the middle of its body.

--- a/control-plane/src/main/java/gladelug/control/ControlOwnerTasks.java
+++ b/control-plane/src/main/java/gladelug/control/ControlOwnerTasks.java
@@ -85,6 +85,7 @@
     if (!key.equals(StateKeys.CONFIGURATION)) return "";
     Configuration readBefore = before.length == 0 ? Configuration.EMPTY : read(before);
     Configuration readAfter = read(after);
+    readBeforeIt = NOTHING_READ;
     return readBefore == null || readAfter == null
         ? ""
         : ChangeSummary.ofConfiguration(readBefore, readAfter);
--- a/data-plane/src/main/java/gladelug/data/relay/CallerLimits.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerLimits.java
@@ -17,11 +17,18 @@
  * a body that is awaited. Confined to the request thread.
  */
 public final class CallerLimits {
+  /**
+   * A look that comes so late says that this process stood still: what came may not be read yet.
+   */
+  private static final long STOOD_STILL_MS = 1000;
+
   private final Clock clock;
   private final Supplier<Configuration.Limits> limits;
   private final Map<HttpConnection, One> all = new HashMap<>();
+  private long tickedAt;
 
   public CallerLimits(Clock clock, Supplier<Configuration.Limits> limits) {
+    this.tickedAt = clock.now();
     this.clock = clock;
     this.limits = limits;
   }
@@ -83,10 +90,13 @@
   /** Called a few times a second. */
   public void tick() {
     long now = clock.now();
+    boolean stoodStill = now - tickedAt > STOOD_STILL_MS;
+    tickedAt = now;
     Configuration.Limits l = limits.get();
     for (Map.Entry<HttpConnection, One> e : Map.copyOf(all).entrySet()) {
       One o = e.getValue();
       if (o.underWay > 0) {
+        if (stoodStill) o.readAt = now;
         if (o.bodyAwaited && now - o.readAt > l.idleMs()) e.getKey().close();
       } else if (o.headSince >= 0
           ? now - o.headSince > l.headerMs()
