A fleet comes to be though a founder came back empty and asks to be let in (first start)

What operators saw: one of three founders was killed with its disk 0.3 s after the first start and came back empty a second later.

Cause: founders wait until each has stored the first set or announces another disk. A machine that comes back empty announces nothing, it asks to be let in, and that was dropped while there is no generation. Where it was first by name, nobody else proposed a set either.

Change: such a request from a founder's name tells the others that its former disk is lost and that the new one stores no first set.

--- a/control-plane/src/main/java/gladelug/control/core/Bootstrap.java
+++ b/control-plane/src/main/java/gladelug/control/core/Bootstrap.java
@@ -3,8 +3,10 @@
 import gladelug.control.core.config.MemberSet;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * How bootstrap members agree on a fleet's first members, once, though one may lose its disk
@@ -12,13 +14,17 @@
  * is agreed. The first by name proposes the set of names and disks when it has heard from all;
  * every bootstrap member stores it; it is in force when all in it have stored it. A member seen
  * with another disk has lost the one in the set, so it can't store it any more, and a majority of
- * the set that did store it goes on without it.
+ * the set that did store it goes on without it. A member that came back empty and asks to be let in
+ * stores no set either, as it doesn't know that it bootstrapped: its new disk may be in a set,
+ * counts as lost there, and the next by name that does bootstrap proposes in its place.
  *
  * <p>Why no two sets come into force: a member stores another set only when it knows that the one
  * it stored never will be in force. That is so when the set's proposer came back with another disk
  * and a member in the set, whose disk it still has, stored another one instead; it never goes back
  * to the first. A proposer with a new disk proposes no set while anybody it heard from has stored
- * one. So a fleet is bootstrapped once, as long as its members are not all started on empty disks
+ * one. Who proposes in place of one that came back empty has stored nothing, keeps its own set for
+ * good and is in every set that the former proposer can have made, so none of those comes into
+ * force. So a fleet is bootstrapped once, as long as its members are not all started on empty disks
  * again.
  */
 final class Bootstrap {
@@ -28,6 +34,13 @@
   private final MemberSet members;
 
   private final Map<String, String> disksByName = new HashMap<>();
+
+  /** Disks of bootstrap members that came back empty and only ask to be let in, by disk. */
+  private final Map<String, MemberSet.Member> joiningByDisk = new HashMap<>();
+
+  /** Disks that announced themselves for bootstrap; what they stored counts whatever they ask. */
+  private final Set<String> bootstrapDisks = new HashSet<>();
+
   private final Map<String, MemberSet> storedSets = new HashMap<>();
   private MemberSet storedSet = MemberSet.NONE;
 
@@ -55,10 +68,21 @@
   /** A bootstrap member announced which disk it has and which set it stored. */
   void onAnnouncement(String name, String memberDisk, MemberSet stored) {
     if (name.equals(self) || members.find(name) == null) return;
+    bootstrapDisks.add(memberDisk);
     disksByName.put(name, memberDisk);
     storedSets.put(name, stored);
   }
 
+  /** A machine asks to be let in; if it is a bootstrap member by name, it lost the disk it had. */
+  void onJoinRequest(MemberSet.Member joining) {
+    if (joining.name().equals(self)
+        || members.find(joining.name()) == null
+        || bootstrapDisks.contains(joining.disk())) return;
+    joiningByDisk.put(joining.disk(), joining);
+    disksByName.put(joining.name(), joining.disk());
+    storedSets.put(joining.name(), MemberSet.NONE);
+  }
+
   private boolean hasSameDisk(MemberSet set, String name) {
     MemberSet.Member member = set.find(name);
     return member != null && member.disk().equals(disksByName.get(name));
@@ -71,10 +95,32 @@
         && hasSameDisk(set, self);
   }
 
-  private static String proposer(MemberSet set) {
+  /** The first by name, of those that can have stored anything. */
+  private String proposer(MemberSet set) {
+    for (MemberSet.Member member : set.all())
+      if (!joiningByDisk.containsKey(member.disk())) return member.name();
     return set.all().get(0).name();
   }
 
+  /** The first by name, as far as it isn't known to have come back empty. */
+  private String nextProposer() {
+    for (MemberSet.Member member : members.all())
+      if (!joiningByDisk.containsKey(disksByName.getOrDefault(member.name(), "")))
+        return member.name();
+    return self;
+  }
+
+  private MemberSet proposedSet() {
+    List<MemberSet.Member> proposed = new ArrayList<>();
+    for (MemberSet.Member member : members.all()) {
+      String disk = disksByName.get(member.name());
+      MemberSet.Member bootstrapping =
+          new MemberSet.Member(member.name(), disk, member.records(), member.operator());
+      proposed.add(joiningByDisk.getOrDefault(disk, bootstrapping));
+    }
+    return new MemberSet(1, proposed);
+  }
+
   /**
    * The set to store now, or null.
    *
@@ -99,17 +145,9 @@
       if (!candidates.isEmpty()) return candidates.get(0);
       if (!mayPropose
           || !nothingStored
-          || !self.equals(proposer(members))
+          || !self.equals(nextProposer())
           || disksByName.size() < members.all().size()) return null;
-      List<MemberSet.Member> proposed = new ArrayList<>();
-      for (MemberSet.Member member : members.all())
-        proposed.add(
-            new MemberSet.Member(
-                member.name(),
-                disksByName.get(member.name()),
-                member.records(),
-                member.operator()));
-      return new MemberSet(1, proposed);
+      return proposedSet();
     }
     if (!disksByName.containsKey(proposer(storedSet))
         || hasSameDisk(storedSet, proposer(storedSet))) return null;
@@ -130,7 +168,8 @@
     int stored = 0, lost = 0;
     for (MemberSet.Member member : storedSet.all()) {
       if (!disksByName.containsKey(member.name())) continue;
-      if (!hasSameDisk(storedSet, member.name())) lost++;
+      if (joiningByDisk.containsKey(member.disk()) || !hasSameDisk(storedSet, member.name()))
+        lost++;
       else if (storedSet.equals(this.storedSets.get(member.name()))) stored++;
     }
     return stored + lost == storedSet.all().size() && stored >= storedSet.majority()
--- a/control-plane/src/main/java/gladelug/control/core/Membership.java
+++ b/control-plane/src/main/java/gladelug/control/core/Membership.java
@@ -324,6 +324,16 @@
   }
 
   private void onJoinRequest(Envelope envelope, JoinRequest request, long now) {
+    MemberSet.Member candidate =
+        new MemberSet.Member(
+            envelope.sender(),
+            envelope.senderDisk(),
+            Address.of(request.records()),
+            Address.of(request.operator()));
+    if (!initialized() && bootstrap != null) {
+      bootstrap.onJoinRequest(candidate);
+      agreeOnBootstrapSet();
+    }
     if (!initialized() || retired) return;
     MemberSet.Member member = members.find(envelope.sender());
     if (member != null && member.disk().equals(envelope.senderDisk())) {
@@ -331,12 +341,6 @@
       return;
     }
     if (sealed()) return;
-    MemberSet.Member candidate =
-        new MemberSet.Member(
-            envelope.sender(),
-            envelope.senderDisk(),
-            Address.of(request.records()),
-            Address.of(request.operator()));
     if (joinCandidates.onRequest(candidate, now))
       context.host.event(
           "join-requested", "name", candidate.name(), "records", candidate.records());
--- a/control-plane/src/test/java/gladelug/control/core/BootstrapTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/BootstrapTest.java
@@ -85,6 +85,85 @@
     Assertions.assertEquals(now, b.agreed());
   }
 
+  private static Member joining(String name, String disk) {
+    return new Member(name, disk, ADDRESS, ADDRESS);
+  }
+
+  @Test
+  void aFounderThatCameBackEmptyBeforeItWasHeardIsInTheSetAndNobodyWaitsForItToStoreIt() {
+    Bootstrap a = founder("a", "a1");
+    a.onAnnouncement("b", "b1", MemberSet.NONE);
+    a.onJoinRequest(joining("c", "c2"));
+    MemberSet s = a.nextToStore(true);
+    Assertions.assertEquals(set("a1", "b1", "c2"), s);
+    a.storedSet(s);
+    Assertions.assertNull(a.agreed(), "one of three");
+    a.onAnnouncement("b", "b1", s);
+    Assertions.assertEquals(s, a.agreed());
+  }
+
+  @Test
+  void aSetWithTheDiskThatWasLostComesIntoForceOnceItsMachineAsksToBeLetIn() {
+    MemberSet s = set("a1", "b1", "c1");
+    Bootstrap b = founder("b", "b1");
+    b.onAnnouncement("a", "a1", s);
+    b.onAnnouncement("c", "c1", MemberSet.NONE);
+    b.storedSet(b.nextToStore(true));
+    Assertions.assertNull(b.agreed());
+    b.onJoinRequest(joining("c", "c2"));
+    Assertions.assertEquals(s, b.agreed());
+  }
+
+  @Test
+  void theNextByNameProposesForAFirstThatCameBackEmpty() {
+    Bootstrap b = founder("b", "b1");
+    Bootstrap c = founder("c", "c1");
+    b.onAnnouncement("c", "c1", MemberSet.NONE);
+    b.onJoinRequest(joining("a", "a2"));
+    MemberSet s = b.nextToStore(true);
+    Assertions.assertEquals(set("a2", "b1", "c1"), s);
+    b.storedSet(s);
+    c.onJoinRequest(joining("a", "a2"));
+    c.onAnnouncement("b", "b1", MemberSet.NONE);
+    Assertions.assertNull(c.nextToStore(true), "the one before it by name bootstraps");
+    c.onAnnouncement("b", "b1", s);
+    Assertions.assertEquals(s, c.nextToStore(true));
+    c.storedSet(s);
+    Assertions.assertEquals(s, c.agreed());
+  }
+
+  @Test
+  void theLostFirstOnesSetIsLeftForTheOneProposedInItsPlace() {
+    MemberSet old = set("a1", "b1", "c1"), now = set("a2", "b1", "c1");
+    Bootstrap c = founder("c", "c1");
+    c.onAnnouncement("a", "a1", old);
+    c.storedSet(c.nextToStore(true));
+    c.onAnnouncement("b", "b1", now);
+    Assertions.assertNull(c.nextToStore(true), "its proposer may still be there");
+    c.onJoinRequest(joining("a", "a2"));
+    Assertions.assertEquals(now, c.nextToStore(true));
+    c.storedSet(now);
+    Assertions.assertEquals(now, c.agreed());
+    Bootstrap b = founder("b", "b1");
+    b.onJoinRequest(joining("a", "a2"));
+    b.onAnnouncement("c", "c1", old);
+    Assertions.assertEquals(old, b.nextToStore(true), "one that is stored goes before a new one");
+  }
+
+  @Test
+  void aDiskThatBootstrapsIsNotLostByAskingToBeLetIn() {
+    Bootstrap a = founder("a", "a1");
+    a.onAnnouncement("b", "b1", MemberSet.NONE);
+    a.onAnnouncement("c", "c1", MemberSet.NONE);
+    MemberSet s = a.nextToStore(true);
+    a.storedSet(s);
+    a.onAnnouncement("b", "b1", s);
+    a.onJoinRequest(joining("c", "c1"));
+    a.onJoinRequest(joining("x", "x1"));
+    a.onJoinRequest(joining("a", "a2"));
+    Assertions.assertNull(a.agreed());
+  }
+
   @Test
   void whatIsNoSetOfTheseFoundersOrNotThisDiskIsNotPinned() {
     Bootstrap b = founder("b", "b1");
--- a/emulator/src/main/java/gladelug/emulator/Fleet.java
+++ b/emulator/src/main/java/gladelug/emulator/Fleet.java
@@ -307,6 +307,13 @@
    * ready relays.
    */
   public void start() throws Exception {
+    bootstrap();
+    for (Child c : children.values()) c.start();
+    awaitServing();
+  }
+
+  /** Prepares the data folders of the first members of the core. */
+  void bootstrap() throws Exception {
     for (int i = 1; i <= 3; i++) {
       String c = "control-" + i;
       Child found =
@@ -320,7 +327,10 @@
       if (!found.waitFor(60_000) || found.exit() != 0)
         throw new IllegalStateException("found failed: " + found.lines());
     }
-    for (Child c : children.values()) c.start();
+  }
+
+  /** Waits for the core, sends the first configuration and weights, and waits for the relays. */
+  void awaitServing() {
     until(
         "a majority of control machines ready",
         60_000,
--- a/emulator/src/main/java/gladelug/emulator/check/FaultBudget.java
+++ b/emulator/src/main/java/gladelug/emulator/check/FaultBudget.java
@@ -83,7 +83,7 @@
   void wiped(CheckedMachine m, boolean foundingAgain) {
     if (established() == 0 && world.isFounder(m)) {
       boolean majorityLeft = (wipedFounders.size() + 1) * 2 < world.setup.members();
-      foundingHolds &= majorityLeft && foundingAgain;
+      foundingHolds &= majorityLeft;
     }
     if (isMember(m)) lostStandbys.removeIf(this::forgotten);
     else lostStandbys.add(new LostStandby(clocks()));
--- a/emulator/src/main/java/gladelug/emulator/check/ModelCheck.java
+++ b/emulator/src/main/java/gladelug/emulator/check/ModelCheck.java
@@ -69,7 +69,11 @@
   public static boolean explore(int depth, long mostStates, String mutation, Consumer<String> say) {
     Mutation m = Mutation.valueOf(mutation);
     List<Scenario> scenarios =
-        List.of(Scenario.twoOwners(m), Scenario.changeOfMembers(m), Scenario.founding(m));
+        List.of(
+            Scenario.twoOwners(m),
+            Scenario.changeOfMembers(m),
+            Scenario.founding(m),
+            Scenario.lossAtTheFounding(m));
     boolean well = true;
     for (Scenario scenario : scenarios) {
       Exploration.Result r = Exploration.explore(scenario, depth, mostStates);
--- a/emulator/src/main/java/gladelug/emulator/check/Scenario.java
+++ b/emulator/src/main/java/gladelug/emulator/check/Scenario.java
@@ -38,6 +38,7 @@
           "SealRequest",
           "SealResponse",
           "Activate");
+  private static final String JOIN_REQUEST = "JoinRequest";
   private static final int LONGEST_PREFIX = 4000;
 
   /**
@@ -84,6 +85,22 @@
     return new Scenario("founding", setup, List.of(), menu).without(mutation);
   }
 
+  /**
+   * Three founders with empty disks; one of them may lose its disk and then only asks to be let in,
+   * or founds again.
+   */
+  static Scenario lossAtTheFounding(Mutation mutation) {
+    Menu menu =
+        new Menu(
+            List.of(300), 5, 0, 0, 0, 1, Set.of("BootstrapAnnouncement", JOIN_REQUEST, "Activate"));
+    return new Scenario("loss at the founding", founding(mutation).setup(), List.of(), menu);
+  }
+
+  /** Whether a machine that lost its disk may ask to be let in. */
+  boolean mayJoin() {
+    return menu.messages().contains(JOIN_REQUEST);
+  }
+
   private Scenario without(Mutation mutation) {
     return new Scenario(name, setup.with(mutation), prefix, menu);
   }
--- /dev/null
+++ b/emulator/src/test/java/gladelug/emulator/FirstStartTest.java
@@ -0,0 +1,31 @@
+package gladelug.emulator;
+
+import java.nio.file.Files;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests of the first start of a fleet of real processes. */
+final class FirstStartTest {
+  /** Before the bootstrap members can have agreed: a process takes longer to start. */
+  private static final long LOST_AFTER_MS = 300;
+
+  private static final long BACK_AFTER_MS = 1000;
+
+  /** Guards against a fleet that never comes to be when a first member loses its disk (review). */
+  @ParameterizedTest
+  @ValueSource(strings = {"control-1", "control-3"})
+  void aFleetComesToBeThoughAFirstMemberComesBackEmpty(String lost) throws Exception {
+    Deployment deployment = Deployment.small(lost.equals("control-1") ? 23 : 24);
+    try (Fleet fleet =
+        new Fleet(deployment, Files.createTempDirectory("gladelug-first"), 11, "summary")) {
+      fleet.bootstrap();
+      for (Child child : fleet.children.values()) child.start();
+      Fleet.pause(LOST_AFTER_MS);
+      fleet.children.get(lost).kill();
+      fleet.loseDisk(lost);
+      Fleet.pause(BACK_AFTER_MS);
+      fleet.children.get(lost).start();
+      fleet.awaitServing();
+    }
+  }
+}
--- a/emulator/src/test/java/gladelug/emulator/check/ExplorationTest.java
+++ b/emulator/src/test/java/gladelug/emulator/check/ExplorationTest.java
@@ -31,6 +31,12 @@
     noRuleBreaks(Scenario.founding(Mutation.NONE), 5);
   }
 
+  /** Guards against a fleet that never comes to be, or twice, where a founder came back empty. */
+  @Test
+  void noRuleBreaksWhereAFounderComesBackEmpty() {
+    noRuleBreaks(Scenario.lossAtTheFounding(Mutation.NONE), 5);
+  }
+
   @Test
   void findsPromisesThatAreNotDurable() {
     Scenario whole = Scenario.twoOwners(Mutation.PROMISE_NOT_DURABLE);
