--- a/common/src/main/java/gladelug/common/MemoryBudget.java
+++ b/common/src/main/java/gladelug/common/MemoryBudget.java
@@ -21,6 +21,9 @@
   /** Of the heap, what callers' bodies may take. */
   private static final int BODIES_SHARE = 4;
 
+  /** Of the heap, what whole answers to this process's calls may take, and the largest of them. */
+  private static final int ANSWERS_SHARE = 8, ANSWER_SHARE = 20;
+
   private final long bytes;
   private long reserved;
   private long peak;
@@ -36,6 +39,16 @@
     return new MemoryBudget(Runtime.getRuntime().maxMemory() / BODIES_SHARE);
   }
 
+  /** The budget of whole answers to this process's calls: pages of events, lists, reports. */
+  public static MemoryBudget ofAnswers() {
+    return new MemoryBudget(Runtime.getRuntime().maxMemory() / ANSWERS_SHARE);
+  }
+
+  /** The largest page of events or list that is taken in, in bytes: 8 MB with 160 MB of heap. */
+  public static long largestPageBytes() {
+    return Runtime.getRuntime().maxMemory() / ANSWER_SHARE;
+  }
+
   /** The largest value of a key of the control state that this process can work with, in bytes. */
   public static int largestValueBytes() {
     return largestValueBytes(Runtime.getRuntime().maxMemory());
--- /dev/null
+++ b/common/src/main/java/gladelug/common/connection/HttpAnswer.java
@@ -0,0 +1,22 @@
+package gladelug.common.connection;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+
+/**
+ * A whole answer. Its body's bytes stay reserved until it is closed, by whoever has read them.
+ *
+ * @param body never null
+ */
+public record HttpAnswer(int status, MultiMap headers, Buffer body, Runnable release)
+    implements AutoCloseable {
+  /** A header's value, or null. */
+  public String header(String name) {
+    return headers.get(name);
+  }
+
+  @Override
+  public void close() {
+    release.run();
+  }
+}
--- a/control-plane/src/main/java/gladelug/control/rollout/ReplicaCommandCall.java
+++ b/control-plane/src/main/java/gladelug/control/rollout/ReplicaCommandCall.java
@@ -82,6 +82,11 @@
     request.putHeader("Content-Type", "application/json");
     return request
         .send(Buffer.buffer(body.encode()))
-        .map(answer -> OptionalInt.of(answer.statusCode()));
+        .map(
+            answer -> {
+              // the status says all; whatever else comes of the answer is nobody's
+              request.connection().closeAndForget();
+              return OptionalInt.of(answer.statusCode());
+            });
   }
 }
