A thread that stands still takes readiness away, and then ends its process

Change: StallDetector gives each watched thread a task every two seconds and counts how long it isn't done, by time in which the checks themselves went on, so that a frozen process blames no thread. After six seconds a relay is not ready, after thirty the process ends with exit code 4. The longest waits by thread are in a relay's status. Watched: every SingleThreadWorker, the request thread.

--- a/common/src/main/java/gladelug/common/Program.java
+++ b/common/src/main/java/gladelug/common/Program.java
@@ -55,6 +55,7 @@
    */
   public static void run(String program, ServiceRegistry registry, long politely) {
     FatalFailure.endProcessOnUncaughtErrors();
+    ProcessStalls.start();
     try {
       registry.start();
     } catch (ServiceRegistry.StartupException e) {
--- a/common/src/main/java/gladelug/common/SingleThreadWorker.java
+++ b/common/src/main/java/gladelug/common/SingleThreadWorker.java
@@ -30,6 +30,7 @@
   private final PriorityQueue<ScheduledTask> scheduled = new PriorityQueue<>();
   private final Thread thread;
   private final FatalFailure.Handler onFatal;
+  private final StallDetector.Watched watched;
   private volatile boolean open = true;
   private long nextSequence;
 
@@ -52,6 +53,7 @@
     this.thread = new Thread(this::runLoop, name);
     thread.setDaemon(true);
     thread.start();
+    this.watched = ProcessStalls.detector().watch(name, this::offer);
   }
 
   public boolean offer(Runnable task) {
@@ -108,6 +110,7 @@
 
   @Override
   public void close() {
+    watched.close();
     open = false;
     thread.interrupt();
   }
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -5,7 +5,9 @@
 import gladelug.common.Address;
 import gladelug.common.Clock;
 import gladelug.common.Log;
+import gladelug.common.ProcessStalls;
 import gladelug.common.ServiceRegistry;
+import gladelug.common.StallDetector;
 import gladelug.common.connection.ConnectionAcceptor;
 import gladelug.common.message.StateKeys;
 import gladelug.common.view.PartialViewService;
@@ -59,6 +61,7 @@
   private final Ends ends;
   private Context context;
   private volatile Relay relay;
+  private StallDetector.Watched watched;
   private Decisions decisions;
   private RelayProtocol.Door door;
 
@@ -92,6 +95,7 @@
     reasons.prepare();
     decisions = new Decisions(REMEMBERED, name, news.run());
     context = vertx.getOrCreateContext();
+    watched = ProcessStalls.detector().watch("requests", this::onRequestThread);
     RelayProtocol.Under under = new RelayProtocol.Under(vertx, doors.local, clock);
     CompletableFuture<Void> up = new CompletableFuture<>();
     context.runOnContext(
@@ -153,6 +157,11 @@
     Log.event("caller-listener-started", "name", name);
   }
 
+  private boolean onRequestThread(Runnable task) {
+    context.runOnContext(task);
+    return true;
+  }
+
   /** While nothing is under way there are no deadlines to watch, so the relay wakes less often. */
   private void ticks(Relay r) {
     r.tick();
@@ -165,7 +174,8 @@
   }
 
   public String unready() {
-    return relay == null ? "starting" : relay.leaving ? "stopping" : relay.unready();
+    return ProcessStalls.orElse(
+        relay == null ? "starting" : relay.leaving ? "stopping" : relay.unready());
   }
 
   public Uni<JsonObject> status() {
@@ -191,11 +201,19 @@
                               .add("generation", snapshot.generation())
                               .add("licenceLeftMs", json)
                               .add("ordersUnderWay", r.live().size())
+                              .add("longestWaitsMs", longestWaits())
                               .add("shares", r.shares())
                               .add("backends", r.backends.json()));
                     }));
   }
 
+  /** By thread, the longest that a task waited for the one before it. */
+  private static JsonObject longestWaits() {
+    JsonObject waits = Json.object();
+    ProcessStalls.detector().longestWaitsMs().forEach(waits::add);
+    return waits;
+  }
+
   public void routes(Router r) {
     r.get("/operator/requests/:id").handler(this::explain);
     // the earlier path, for one release
@@ -236,6 +254,7 @@
 
   @Override
   public void stop() {
+    watched.close();
     CompletableFuture<Void> done = new CompletableFuture<>();
     context.runOnContext(
         () -> {
