--- a/control-plane/src/main/java/gladelug/control/instances/HttpInstanceListSource.java
+++ b/control-plane/src/main/java/gladelug/control/instances/HttpInstanceListSource.java
@@ -1,15 +1,16 @@
 package gladelug.control.instances;
 
 import gladelug.common.Address;
+import gladelug.common.MemoryBudget;
 import gladelug.common.Result;
 import gladelug.common.configuration.Replicas;
 import gladelug.common.connection.BindAddress;
+import gladelug.common.connection.BoundedHttpCalls;
+import gladelug.common.connection.HttpAnswer;
 import io.smallrye.mutiny.Uni;
-import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.core.buffer.Buffer;
-import io.vertx.mutiny.ext.web.client.HttpResponse;
-import io.vertx.mutiny.ext.web.client.WebClient;
 
 /** The list of replicas by the product's own HTTP protocol. */
 public final class HttpInstanceListSource implements InstanceListSource {
@@ -17,7 +18,11 @@
   private static final int CONNECT_TIMEOUT_MS = 1000;
   private static final long LIST_TIMEOUT_MS = 1500;
   private static final long POLL_INTERVAL_MS = 250;
-  private final WebClient web;
+
+  /** The list as a whole: some hundred bytes for each replica. */
+  private static final int LIST_BYTES = 4 << 20;
+
+  private final BoundedHttpCalls calls;
   private final Address platform;
 
   /**
@@ -27,27 +32,26 @@
    */
   public HttpInstanceListSource(Vertx vertx, BindAddress local, Address platform) {
     this.platform = platform;
-    web =
-        WebClient.create(
-            vertx,
-            local.withLocalAddress(
-                new WebClientOptions()
-                    .setConnectTimeout(CONNECT_TIMEOUT_MS)
-                    .setFollowRedirects(false)));
+    calls =
+        new BoundedHttpCalls(
+            vertx.getDelegate(),
+            local.withLocalAddress(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS)),
+            MemoryBudget.ofAnswers());
   }
 
   @Override
   public Uni<Result<Replicas>> list() {
-    return web.get(platform.port(), platform.host(), "/replicas")
-        .timeout(LIST_TIMEOUT_MS)
-        .send()
-        .map(HttpInstanceListSource::parse);
+    RequestOptions target =
+        new RequestOptions().setHost(platform.host()).setPort(platform.port()).setURI("/replicas");
+    return calls.send(target, LIST_BYTES, LIST_TIMEOUT_MS).map(HttpInstanceListSource::parse);
   }
 
-  private static Result<Replicas> parse(HttpResponse<Buffer> answer) {
-    if (answer.statusCode() != HTTP_OK)
-      return Result.bad("status", String.valueOf(answer.statusCode()));
-    return Replicas.parse(answer.bodyAsString());
+  private static Result<Replicas> parse(HttpAnswer answer) {
+    try (answer) {
+      return answer.status() == HTTP_OK
+          ? Replicas.parse(answer.body().toString())
+          : Result.bad("status", String.valueOf(answer.status()));
+    }
   }
 
   @Override
--- a/control-plane/src/main/java/gladelug/control/rollout/HttpReplicaCommands.java
+++ b/control-plane/src/main/java/gladelug/control/rollout/HttpReplicaCommands.java
@@ -1,16 +1,16 @@
 package gladelug.control.rollout;
 
 import gladelug.common.Log;
+import gladelug.common.MemoryBudget;
 import gladelug.common.configuration.Replicas.Replica;
 import gladelug.common.connection.BindAddress;
+import gladelug.common.connection.BoundedHttpCalls;
+import gladelug.common.connection.HttpAnswer;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
-import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.core.buffer.Buffer;
-import io.vertx.mutiny.ext.web.client.HttpResponse;
-import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -22,7 +22,11 @@
   private static final int CONNECT_TIMEOUT_MS = 700;
   private static final long STATE_TIMEOUT_MS = 1000;
   private static final int CONNECTIONS_PER_REPLICA = 2;
-  private final WebClient web;
+
+  /** What a replica says of itself is a few fields. */
+  private static final int STATE_BYTES = 1 << 16;
+
+  private final BoundedHttpCalls calls;
   private final ReplicaCommandCall commandCall;
 
   /**
@@ -31,14 +35,14 @@
    * @param local the address that connections are opened from
    */
   public HttpReplicaCommands(Vertx vertx, BindAddress local) {
-    web =
-        WebClient.create(
-            vertx,
+    calls =
+        new BoundedHttpCalls(
+            vertx.getDelegate(),
             local.withLocalAddress(
-                new WebClientOptions()
+                new HttpClientOptions()
                     .setConnectTimeout(CONNECT_TIMEOUT_MS)
-                    .setFollowRedirects(false)
-                    .setMaxPoolSize(CONNECTIONS_PER_REPLICA)));
+                    .setMaxPoolSize(CONNECTIONS_PER_REPLICA)),
+            MemoryBudget.ofAnswers());
     commandCall = new ReplicaCommandCall(vertx, local);
   }
 
@@ -49,14 +53,24 @@
 
   @Override
   public Uni<ReportedState> fetchState(Replica replica) {
-    return web.get(replica.address().port(), replica.address().host(), "/identity")
-        .timeout(STATE_TIMEOUT_MS)
-        .send()
+    RequestOptions target =
+        new RequestOptions()
+            .setHost(replica.address().host())
+            .setPort(replica.address().port())
+            .setURI("/identity");
+    return calls
+        .send(target, STATE_BYTES, STATE_TIMEOUT_MS)
         .map(answer -> reportedState(replica, answer));
   }
 
-  private static ReportedState reportedState(Replica replica, HttpResponse<Buffer> answer) {
-    JsonObject identity = answer.statusCode() == HTTP_OK ? answer.bodyAsJsonObject() : null;
+  private static ReportedState reportedState(Replica replica, HttpAnswer answer) {
+    try (answer) {
+      return reportedState(
+          replica, answer.status() == HTTP_OK ? new JsonObject(answer.body()) : null);
+    }
+  }
+
+  private static ReportedState reportedState(Replica replica, JsonObject identity) {
     if (identity == null
         || !replica.instance().equals(identity.getString("instance"))
         || !replica.service().equals(identity.getString("service")))
--- a/data-plane/src/main/java/gladelug/data/index/HolderConnection.java
+++ b/data-plane/src/main/java/gladelug/data/index/HolderConnection.java
@@ -2,8 +2,11 @@
 
 import gladelug.common.Clock;
 import gladelug.common.Log;
+import gladelug.common.MemoryBudget;
 import gladelug.common.SingleThreadWorker;
 import gladelug.common.configuration.Replicas.Replica;
+import gladelug.common.connection.BoundedHttpCalls;
+import gladelug.common.connection.HttpAnswer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -11,7 +14,6 @@
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.RecordParser;
 import io.vertx.mutiny.core.http.HttpClient;
-import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.List;
 
 /**
@@ -22,12 +24,13 @@
  */
 final class HolderConnection implements HolderFeeds.Following {
   private static final long AGAIN = 300;
+  private static final int IDENTITY_BYTES = 1 << 16, IDENTITY_MS = 1000, LIST_MS = 3000;
 
   private final Holder h;
   private final Replica replica;
   private final CacheEventFeed feed;
   private final HttpClient http;
-  private final WebClient web;
+  private final BoundedHttpCalls calls;
   private final SingleThreadWorker duty;
   private final Clock clock;
   private final HolderFeeds.Sink sink;
@@ -36,13 +39,13 @@
 
   HolderConnection(
       HttpClient http,
-      WebClient web,
+      BoundedHttpCalls calls,
       SingleThreadWorker duty,
       Clock clock,
       Holder holder,
       HolderFeeds.Sink sink) {
     this.http = http;
-    this.web = web;
+    this.calls = calls;
     this.duty = duty;
     this.clock = clock;
     this.sink = sink;
@@ -66,44 +69,49 @@
         });
   }
 
+  private RequestOptions get(String path) {
+    return new RequestOptions()
+        .setHost(replica.address().host())
+        .setPort(replica.address().port())
+        .setURI(path);
+  }
+
   private void identify() {
-    web.get(replica.address().port(), replica.address().host(), "/identity")
-        .timeout(1000)
-        .send()
+    calls
+        .send(get("/identity"), IDENTITY_BYTES, IDENTITY_MS)
         .subscribe()
         .with(
-            r ->
-                duty.offer(
-                    () -> {
-                      if (gone) return;
-                      JsonObject json;
-                      try {
-                        json =
-                            r.bodyAsJsonObject() == null ? new JsonObject() : r.bodyAsJsonObject();
-                      } catch (RuntimeException e) {
-                        json = new JsonObject();
-                      }
-                      if (!replica.instance().equals(json.getString("instance"))
-                          || !replica.service().equals(json.getString("service"))) {
-                        Log.warn(
-                            "holder-is-another",
-                            "instance",
-                            replica.instance(),
-                            "address",
-                            replica.address());
-                        sink.silent();
-                        again(this::identify);
-                        return;
-                      }
-                      sink.began(json.getLong("capacityBlocks", 0L));
-                      follow();
-                    }),
-            failure ->
-                duty.offer(
-                    () -> {
-                      sink.silent();
-                      if (!gone) again(this::identify);
-                    }));
+            answer -> {
+              JsonObject identity = identity(answer);
+              duty.offer(() -> identified(identity));
+            },
+            failure -> duty.offer(this::unidentified));
+  }
+
+  /** What a holder says of itself; empty where that makes no sense. */
+  private static JsonObject identity(HttpAnswer answer) {
+    try (answer) {
+      return new JsonObject(answer.body());
+    } catch (RuntimeException malformed) {
+      return new JsonObject();
+    }
+  }
+
+  private void identified(JsonObject identity) {
+    if (gone) return;
+    if (replica.instance().equals(identity.getString("instance"))
+        && replica.service().equals(identity.getString("service"))) {
+      sink.began(identity.getLong("capacityBlocks", 0L));
+      follow();
+      return;
+    }
+    Log.warn("holder-is-another", "instance", replica.instance(), "address", replica.address());
+    unidentified();
+  }
+
+  private void unidentified() {
+    sink.silent();
+    if (!gone) again(this::identify);
   }
 
   private void follow() {
@@ -183,27 +191,25 @@
 
   @Override
   public void list(long nr) {
-    web.get(
-            replica.address().port(),
-            replica.address().host(),
-            "/cache/list?instance=" + replica.instance())
-        .timeout(3000)
-        .send()
+    calls
+        .send(
+            get("/cache/list?instance=" + replica.instance()),
+            MemoryBudget.largestPageBytes(),
+            LIST_MS)
         .subscribe()
-        .with(
-            r -> {
-              try {
-                JsonObject json = r.bodyAsJsonObject();
-                JsonArray array = json.getJsonArray("blocks");
-                long[] bs = new long[array.size()];
-                for (int i = 0; i < bs.length; i++)
-                  bs[i] = Long.parseUnsignedLong(array.getString(i), 16);
-                sink.listed(
-                    nr, BlockList.whole(json.getString("incarnation"), json.getLong("seq"), bs));
-              } catch (RuntimeException e) {
-                sink.listFailed(nr);
-              }
-            },
-            failure -> sink.listFailed(nr));
+        .with(answer -> listed(nr, answer), failure -> sink.listFailed(nr));
+  }
+
+  private void listed(long nr, HttpAnswer answer) {
+    try (answer) {
+      JsonObject json = new JsonObject(answer.body());
+      JsonArray array = json.getJsonArray("blocks");
+      long[] blocks = new long[array.size()];
+      for (int i = 0; i < blocks.length; i++)
+        blocks[i] = Long.parseUnsignedLong(array.getString(i), 16);
+      sink.listed(nr, BlockList.whole(json.getString("incarnation"), json.getLong("seq"), blocks));
+    } catch (RuntimeException malformed) {
+      sink.listFailed(nr);
+    }
   }
 }
--- a/data-plane/src/main/java/gladelug/data/index/HttpHolderFeeds.java
+++ b/data-plane/src/main/java/gladelug/data/index/HttpHolderFeeds.java
@@ -1,15 +1,15 @@
 package gladelug.data.index;
 
 import gladelug.common.Clock;
+import gladelug.common.MemoryBudget;
 import gladelug.common.SingleThreadWorker;
 import gladelug.common.configuration.Replicas.Replica;
 import gladelug.common.connection.BindAddress;
+import gladelug.common.connection.BoundedHttpCalls;
 import gladelug.common.connection.ConnectionAcceptor;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.http.HttpClient;
-import io.vertx.mutiny.ext.web.client.WebClient;
 
 /** Holders followed by the product's own protocol over HTTP, whole blocks only. */
 public final class HttpHolderFeeds implements HolderFeeds {
@@ -17,7 +17,7 @@
   private final Clock clock;
   private final CacheEventFeed.Policy policy;
   private final HttpClient http;
-  private final WebClient web;
+  private final BoundedHttpCalls calls;
 
   HttpHolderFeeds(
       Vertx vertx,
@@ -36,15 +36,15 @@
                     .setKeepAlive(false)
                     .setMaxPoolSize(4)
                     .setIdleTimeout(10)));
-    web =
-        WebClient.create(
-            vertx,
+    calls =
+        new BoundedHttpCalls(
+            vertx.getDelegate(),
             local.withLocalAddress(
-                new WebClientOptions()
+                new HttpClientOptions()
                     .setConnectTimeout(1000)
                     .setKeepAlive(false)
-                    .setFollowRedirects(false)
-                    .setMaxPoolSize(4)));
+                    .setMaxPoolSize(4)),
+            MemoryBudget.ofAnswers());
   }
 
   /** Feeds from the address that the process's doors call from, all with this policy. */
@@ -61,12 +61,12 @@
 
   @Override
   public Following follow(Holder holder, Sink sink) {
-    return new HolderConnection(http, web, duty, clock, holder, sink);
+    return new HolderConnection(http, calls, duty, clock, holder, sink);
   }
 
   @Override
   public void close() {
     http.closeAndForget();
-    web.close();
+    calls.close();
   }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Backends.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backends.java
@@ -4,14 +4,17 @@
 import com.eclipsesource.json.JsonObject;
 import gladelug.common.Clock;
 import gladelug.common.Log;
+import gladelug.common.MemoryBudget;
 import gladelug.common.configuration.Configuration;
 import gladelug.common.configuration.Replicas.Replica;
 import gladelug.common.connection.BindAddress;
+import gladelug.common.connection.BoundedHttpCalls;
+import gladelug.common.connection.HttpAnswer;
 import gladelug.data.state.ControlStateSnapshot;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
-import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
-import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -33,6 +36,7 @@
   }
 
   public static final long PERIOD = 250;
+  private static final int LOAD_BYTES = 1 << 16, LOAD_MS = 1000;
   private final Clock clock;
   private final Asker asker;
   private final Runnable changed;
@@ -47,40 +51,46 @@
   }
 
   static Backends overHttp(Vertx vertx, BindAddress local, Clock clock, Runnable changed) {
-    WebClient web =
-        WebClient.create(
-            vertx,
+    BoundedHttpCalls calls =
+        new BoundedHttpCalls(
+            vertx.getDelegate(),
             local.withLocalAddress(
-                new WebClientOptions()
+                new HttpClientOptions()
                     .setConnectTimeout(500)
-                    .setFollowRedirects(false)
                     .setMaxPoolSize(2)
-                    .setKeepAlive(true)));
+                    .setKeepAlive(true)),
+            MemoryBudget.ofAnswers());
     Backends b =
         new Backends(
             clock,
-            (r, told) ->
-                web.get(r.address().port(), r.address().host(), "/occupancy")
-                    .timeout(1000)
-                    .send()
+            (replica, told) ->
+                calls
+                    .send(loadCall(replica), LOAD_BYTES, LOAD_MS)
                     .subscribe()
-                    .with(
-                        a -> {
-                          try {
-                            told.accept(
-                                a.statusCode() == 200
-                                    ? a.bodyAsJsonObject()
-                                    : new io.vertx.core.json.JsonObject());
-                          } catch (DecodeException e) {
-                            told.accept(new io.vertx.core.json.JsonObject());
-                          }
-                        },
-                        failure -> told.accept(null)),
+                    .with(answer -> told.accept(load(answer)), failure -> told.accept(null)),
             changed);
     vertx.setPeriodic(PERIOD, i -> b.askAll());
     return b;
   }
 
+  private static RequestOptions loadCall(Replica replica) {
+    return new RequestOptions()
+        .setHost(replica.address().host())
+        .setPort(replica.address().port())
+        .setURI("/occupancy");
+  }
+
+  /** What a replica says of its load; empty where that makes no sense. */
+  private static io.vertx.core.json.JsonObject load(HttpAnswer answer) {
+    try (answer) {
+      return answer.status() == 200
+          ? new io.vertx.core.json.JsonObject(answer.body())
+          : new io.vertx.core.json.JsonObject();
+    } catch (DecodeException malformed) {
+      return new io.vertx.core.json.JsonObject();
+    }
+  }
+
   public void askAll() {
     for (Backend backend : all.values()) ask(backend);
   }
