--- a/emulator/src/main/java/gladelug/emulator/soak/Soak.java
+++ b/emulator/src/main/java/gladelug/emulator/soak/Soak.java
@@ -113,6 +113,7 @@
 
   /** Ends all processes and judges what was played; what comes after the events is not judged. */
   private void interrupted() {
+    ledger.interrupted(ledger.nowMs());
     close();
     try {
       say.accept("interrupted; judged is what was played\n" + SoakReport.write(result()).trim());
--- a/emulator/src/main/java/gladelug/emulator/soak/SoakJudge.java
+++ b/emulator/src/main/java/gladelug/emulator/soak/SoakJudge.java
@@ -233,7 +233,8 @@
     List<Call> lost = new ArrayList<>(), besideChanges = new ArrayList<>();
     int atOtherTimes = 0;
     for (Call call : ledger.calls.values()) {
-      if (call.end != End.CUT || !soundRuns(call)) continue;
+      if (call.end != End.CUT || call.endedAtMs >= ledger.interruptedAtMs()) continue;
+      if (!soundRuns(call)) continue;
       if (call.endedAtMs >= call.sentAtMs + call.deadlineMs - SLACK_MS) continue;
       Disturbance stop = stopOf(call);
       boolean planned = calm.nothingElse(stop, call.machine, call.sentAtMs, call.endedAtMs);
--- a/emulator/src/main/java/gladelug/emulator/soak/SoakLedger.java
+++ b/emulator/src/main/java/gladelug/emulator/soak/SoakLedger.java
@@ -191,6 +191,7 @@
   private final List<Readiness> readiness = new ArrayList<>();
   private volatile String finalConfiguration;
   private volatile long endOfEventsMs = -1;
+  private volatile long interruptedAtMs = Long.MAX_VALUE;
 
   long nowMs() {
     return (System.nanoTime() - originNs) / 1_000_000;
@@ -244,6 +245,15 @@
     endOfEventsMs = atMs;
   }
 
+  /** The soak itself ends all processes from now on. */
+  void interrupted(long atMs) {
+    interruptedAtMs = atMs;
+  }
+
+  long interruptedAtMs() {
+    return interruptedAtMs;
+  }
+
   synchronized List<Run> runs() {
     return List.copyOf(runs);
   }
--- a/emulator/src/test/java/gladelug/emulator/soak/SoakJudgeTest.java
+++ b/emulator/src/test/java/gladelug/emulator/soak/SoakJudgeTest.java
@@ -247,6 +247,14 @@
     Assertions.assertEquals(List.of(), SoakJudge.judge(ledger, Set.of()));
   }
 
+  @Test
+  void whatIsCutAsTheSoakIsInterruptedBreaksNothing() {
+    SoakLedger ledger = well();
+    for (int i = 0; i < 5; i++) cut(ledger, i, AT_MS, AT_MS + 500);
+    ledger.interrupted(AT_MS + 500);
+    Assertions.assertEquals(List.of(), SoakJudge.judge(ledger, Set.of()));
+  }
+
   @Test
   void whatAReplicasFaultSpoiltIsNoMachinesBreach() {
     SoakLedger ledger = well();
