A thread whose queue is full at a check is asked again, not blamed

Cause: found on reading the change again. A probe that a full queue refused counted as one that was never done, so a busy index would have ended its process after thirty seconds though it went on.

Test: StallDetectorTest.oneThatTakesNoTaskIsAskedAgainAndNotBlamed.

--- a/common/src/main/java/gladelug/common/StallDetector.java
+++ b/common/src/main/java/gladelug/common/StallDetector.java
@@ -36,11 +36,14 @@
       postedAtMs = nowMs;
       stillMs = 0;
       answered = false;
-      poster.post(
-          () -> {
-            longestMs = Math.max(longestMs, clock.now() - postedAtMs);
-            answered = true;
-          });
+      boolean posted =
+          poster.post(
+              () -> {
+                longestMs = Math.max(longestMs, clock.now() - postedAtMs);
+                answered = true;
+              });
+      // a thread that has too much to do takes no task, and goes on; it is asked at the next check
+      if (!posted) answered = true;
     }
 
     @Override
--- a/common/src/test/java/gladelug/common/StallDetectorTest.java
+++ b/common/src/test/java/gladelug/common/StallDetectorTest.java
@@ -79,6 +79,21 @@
     Assertions.assertEquals(List.of(), ended);
   }
 
+  /** Its queue is full at the moment of a check, perhaps of many, though it works through it. */
+  @Test
+  void oneThatTakesNoTaskIsAskedAgainAndNotBlamed() {
+    boolean[] full = {true};
+    detector.watch("index", task -> !full[0] && tasks.add(task));
+    for (int i = 0; i < 60; i++) {
+      pass(1);
+      runTasks();
+    }
+    Assertions.assertEquals("", detector.stalled());
+    full[0] = false;
+    pass(12);
+    Assertions.assertTrue(ended.contains("index stands still"), "once it took a task: " + ended);
+  }
+
   @Test
   void oneThatIsToEndIsWatchedNoMore() {
     pass(1);
