--- a/data-plane/src/main/java/gladelug/data/relay/Forwarding.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Forwarding.java
@@ -269,7 +269,7 @@
         r.firstPiece(o, b, now - o.handedAt);
         o.caller.head(o, o.head == null ? Head.PLAIN : o.head);
       }
-      o.piecesOut++;
+      o.pieceCame(r.clock.now());
       o.resumesAfterLast = !event.isEmpty();
       if (o.resumesAfterLast) o.lastEvent = event;
       if (!o.caller.piece(o, buffer, handle::resume)) handle.pause();
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -330,6 +330,14 @@
         s[0] += (clock.now() - request.handedAt - s[0]) / 20;
     }
     drop(request);
+    if (request.pausedTooLong())
+      request.decision.add(
+          "paused",
+          clock.now(),
+          Json.object()
+              .add("ms", request.longestPauseMs())
+              .add("endedMs", request.longestPauseEndedMs())
+              .add("allowedMs", request.route.gapMs()));
     request.decision.end();
     reasons.accept(request.decision);
     pump();
@@ -367,6 +375,16 @@
         Math.round(request.queueMs),
         "firstMs",
         request.firstPieceMs,
+        "pauseMs",
+        request.longestPauseMs(),
+        "pauseEndedMs",
+        request.longestPauseEndedMs(),
+        "replica",
+        request.triedLast == null ? "-" : request.triedLast.replica.instance(),
+        "handedMs",
+        request.tries == 0 ? -1 : request.handedAt - request.came,
+        "runningThere",
+        request.runningThere,
         "why",
         request.why);
   }
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
@@ -119,6 +119,7 @@
     request.computeUnits = chosen.computeUnits();
     request.workMs = chosen.prefillMs();
     request.queueMs = chosen.queueMs();
+    request.runningThere = backend.running(now);
     relay.choose(request, backend, chosen.prefillMs());
     if (backend.reports) return;
     if (!relay.settings.has(Mechanism.RECENT_PLACEMENTS)) return;
--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -85,6 +85,14 @@
   /** From its arrival to the first piece of the answer, in ms; -1 before that. */
   public long firstPieceMs = -1;
 
+  /** When the last piece of the answer came, on the relay's clock; counts from the first one on. */
+  private long lastPieceAtMs;
+
+  /** The longest time between two pieces of the answer, in ms, and when it ended. */
+  private long longestPauseMs;
+
+  private long longestPauseEndedAtMs;
+
   public Backend backend;
   public int matched;
   public String fetchFrom = "";
@@ -101,6 +109,10 @@
 
   public double workMs;
   public double queueMs;
+
+  /** Requests that the chosen replica had by then, as far as the relay and the index knew. */
+  public int runningThere;
+
   public int tries;
 
   /** The replica it went to last, or null. */
@@ -159,6 +171,31 @@
     this.caller = caller;
   }
 
+  /** A piece of the answer came, the first or a later one. */
+  public void pieceCame(long nowMs) {
+    if (piecesOut > 0 && nowMs - lastPieceAtMs > longestPauseMs) {
+      longestPauseMs = nowMs - lastPieceAtMs;
+      longestPauseEndedAtMs = nowMs;
+    }
+    lastPieceAtMs = nowMs;
+    piecesOut++;
+  }
+
+  /** The longest time between two pieces of the answer so far, in ms; 0 before the second. */
+  public long longestPauseMs() {
+    return longestPauseMs;
+  }
+
+  /** From its arrival to the end of that pause, in ms; -1 where there is none. */
+  public long longestPauseEndedMs() {
+    return longestPauseMs == 0 ? -1 : longestPauseEndedAtMs - came;
+  }
+
+  /** Whether a pause was longer than its route allows. */
+  public boolean pausedTooLong() {
+    return route != null && route.gapMs() > 0 && longestPauseMs > route.gapMs();
+  }
+
   /** What it takes of a replica's memory, in units: its prompt and what is put out at most. */
   public int units() {
     return promptUnits() + tokensOut;
--- a/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
@@ -310,6 +310,22 @@
     Assertions.assertEquals(0, r.relay.live().size());
   }
 
+  @Test
+  void theLongestPauseOfAnAnswerIsKnownWithItsEnd() {
+    World r = relay(false);
+    Request request = r.ask("t");
+    piece(r.sent.get(0), "one");
+    Assertions.assertEquals(0, request.longestPauseMs());
+    Assertions.assertEquals(-1, request.longestPauseEndedMs());
+    for (int wait : new int[] {100, 450, 30}) {
+      r.now += wait;
+      piece(r.sent.get(0), "more");
+    }
+    Assertions.assertEquals(450, request.longestPauseMs());
+    Assertions.assertEquals(550, request.longestPauseEndedMs());
+    Assertions.assertFalse(request.pausedTooLong(), "its route names no longest pause");
+  }
+
   @Test
   void theHeadThatGoesOutIsThatOfTheAnswerWhoseBodyFollows() {
     World r = relay(false);
