--- a/data-plane/src/main/java/gladelug/data/index/FleetLoad.java
+++ b/data-plane/src/main/java/gladelug/data/index/FleetLoad.java
@@ -14,7 +14,7 @@
  * other, replies as running side by side; what isn't told of any more runs out by itself. A hint,
  * like all of the index. Lives on one thread.
  */
-final class FleetLoad {
+public final class FleetLoad {
   /** No work that is told of keeps a replica busy for longer, in ms. */
   private static final long MOST_BUSY_MS = 10_000;
 
@@ -66,7 +66,7 @@
   private double evicted;
 
   /** A relay sent a replica so much work. */
-  void placed(String holder, Lookup.Work work, long now) {
+  public void placed(String holder, Lookup.Work work, long now) {
     if (work.equals(Lookup.Work.UNKNOWN)) return;
     given.computeIfAbsent(holder, name -> new Given()).add(work, now);
   }
@@ -82,7 +82,7 @@
   }
 
   /** What an answer tells of it now. */
-  Lookup.Fleet told(long now) {
+  public Lookup.Fleet told(long now) {
     given.values().removeIf(work -> work.expire(now));
     List<Lookup.Load> loads = new ArrayList<>(given.size());
     given.forEach((holder, work) -> loads.add(work.told(holder, now)));
