--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -15,6 +15,9 @@
 public final class Backend {
   private static final long PROBE = 20_000, SILENT = 2000, QUIET = 1200;
 
+  /** Over how long the prefill that was told of is averaged, in ms. */
+  private static final double USUAL_PREFILL_OVER_MS = 2000;
+
   /** How long what the index told of its load counts, in ms. */
   private static final long FLEET_LOAD_FRESH_MS = 1000;
 
@@ -72,6 +75,7 @@
   private long fleetBusyUntil;
 
   private long fleetToldAt = Long.MIN_VALUE / 2;
+  private double usualPrefillMs;
   private int fleetRunning;
   private int fleetUnits;
 
@@ -236,12 +240,25 @@
 
   /** The index told what all relays gave it; this relay's own was among it. */
   void fleetLoad(Lookup.Load load, long now) {
+    double share = 1 - Math.exp(-(now - fleetToldAt) / USUAL_PREFILL_OVER_MS);
+    usualPrefillMs += (load.busyMs() - usualPrefillMs) * share;
     fleetBusyUntil = now + load.busyMs();
     fleetRunning = load.running();
     fleetUnits = load.units();
     fleetToldAt = now;
   }
 
+  /** How long prompts keep it busy at a random moment, by what was told of it lately, in ms. */
+  double usualPrefillMs() {
+    return usualPrefillMs;
+  }
+
+  /** How long the prompts that it has keep it busy from now, in ms; 0 of one that reports. */
+  double prefillAheadMs(long now) {
+    if (reports) return 0;
+    return Math.max(0, (knowsFleet(now) ? fleetBusyUntil : owedUntil) - now);
+  }
+
   private boolean knowsFleet(long now) {
     return now - fleetToldAt < FLEET_LOAD_FRESH_MS;
   }
--- a/data-plane/src/main/java/gladelug/data/relay/Mechanism.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Mechanism.java
@@ -35,6 +35,8 @@
   SILENCE_ESTIMATES,
   /** Replicas of the relay's own zone are a little cheaper. */
   ZONE_PREFERENCE,
+  /** Long prompts and streams that run at the same replica make it dear for each other. */
+  STREAM_INTERFERENCE,
   /** A replica about to load other weights is avoided. */
   ROLLOUT_AVOIDANCE,
   /** A replica that failed or refused is left alone for a moment. */
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -262,14 +262,19 @@
     return speeds.computeIfAbsent(service, name -> new PrefillSpeed());
   }
 
-  private ReplySpeed replySpeed(String service) {
+  ReplySpeed replySpeed(String service) {
     return replySpeeds.computeIfAbsent(service, name -> new ReplySpeed());
   }
 
   /** What a request that was just placed asks of its replica. */
   Lookup.Work work(Request request) {
-    int replyMs = replySpeed(request.service.name()).expectedMs(request.tokensOut);
-    return new Lookup.Work((int) Math.round(request.workMs), replyMs, request.units());
+    return new Lookup.Work(
+        (int) Math.round(request.workMs), expectedReplyMs(request), request.units());
+  }
+
+  /** How long its reply is likely to take after its first event, in ms. */
+  int expectedReplyMs(Request request) {
+    return replySpeed(request.service.name()).expectedMs(request.tokensOut);
   }
 
   /** What an index told of the replicas of a service; one it doesn't name is free. */
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
@@ -6,8 +6,8 @@
 
 /**
  * What a request costs at a replica, in estimated ms: the wait there, what isn't kept to be pulled
- * or computed, and distance. The matches of the Cuckoo Summary say what is kept; a wrong one costs
- * a recompute. Used on the request thread.
+ * or computed, distance, and what prompts and streams there hold each other up. The matches of the
+ * Cuckoo Summary say what is kept; a wrong one costs a recompute. Used on the request thread.
  */
 final class ReplicaCosts {
   /** Setting up a pull from another holder, in ms. */
@@ -81,7 +81,11 @@
         queue,
         prefill.ms,
         prefill.computeUnits,
-        queue + prefill.ms + distance + displacementMs(missing, backend));
+        queue
+            + prefill.ms
+            + distance
+            + displacementMs(missing, backend)
+            + interferenceMs(request, backend, prefill, now));
   }
 
   /**
@@ -93,6 +97,18 @@
     return relay.evictedShare() * relay.reuse.share() * storedUnits * backend.unitMs;
   }
 
+  /** What the request and the others at the replica hold each other up. */
+  private double interferenceMs(Request request, Backend backend, Prefill prefill, long now) {
+    if (!relay.settings.has(Mechanism.STREAM_INTERFERENCE)) return 0;
+    return StreamInterference.causedMs(
+            request,
+            backend.prefillAheadMs(now),
+            prefill.computeUnits * backend.unitMs,
+            backend.running(now))
+        + StreamInterference.sufferedMs(
+            request, backend.usualPrefillMs(), relay.expectedReplyMs(request));
+  }
+
   /** By the index's matches, and by what this relay sent there a moment ago. */
   private Kept kept(Request request, Backend backend, long now) {
     String instance = backend.replica.instance();
--- a/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
@@ -31,6 +31,8 @@
   private static final int SHARED = 13_000;
   private static final int OWN = 4_000;
   private static final double UNIT_MS = 0.0064;
+  private static final double SLOW_UNIT_MS = 0.026;
+  private static final int STREAMS = 6;
   private static final int TOKEN_BYTES = 18_432;
   private static final double FAST_MBPS = 70_000;
   private static final double SLOW_MBPS = 2_000;
@@ -158,6 +160,62 @@
     Assertions.assertEquals("b", off.cheapest(off.request("a")), "switched off");
   }
 
+  /** With so many streams at a and so much prefill at b now, what a request of a route costs. */
+  private static World streamsAtAAndPrefillAtB(int prefillMs, Mechanism... further) {
+    World world = alone(further);
+    for (Backend backend : world.relay.backends.of("m")) backend.unitMs = SLOW_UNIT_MS;
+    world.relay.fleet(
+        "m",
+        new Lookup.Fleet(
+            List.of(
+                new Lookup.Load("a", 0, STREAMS, 1000), new Lookup.Load("b", prefillMs, 1, 1000)),
+            0));
+    return world;
+  }
+
+  private static Request withLongestPause(Request request, int pauseMs) {
+    request.route = Configuration.Route.named("x").times(20_000, 800, pauseMs).build(0);
+    return request;
+  }
+
+  @Test
+  void aLongPromptGoesWhereFewStreamsRunThoughItWaitsThere() {
+    World world = streamsAtAAndPrefillAtB(200);
+    Assertions.assertEquals("b", world.cheapest(withLongestPause(world.request(), 400)));
+    Assertions.assertEquals(
+        "a", world.cheapest(withLongestPause(world.request(), 0)), "no pause is named");
+    World off = streamsAtAAndPrefillAtB(200, Mechanism.STREAM_INTERFERENCE);
+    Assertions.assertEquals("a", off.cheapest(withLongestPause(off.request(), 400)));
+  }
+
+  @Test
+  void aPromptTooShortToHoldStreamsUpGoesWhereItBeginsSoonest() {
+    World world = streamsAtAAndPrefillAtB(200);
+    Request request = withLongestPause(world.request(), 400);
+    request.prompt = new Prompt.Parts(List.of(new Prompt.Part("p", 600)));
+    request.blocks = request.prompt.keys("m", "1", "", 256);
+    Assertions.assertEquals("a", world.cheapest(request));
+  }
+
+  @Test
+  void aStreamGoesWherePromptsSeldomCome() {
+    World world = streamsAtAAndPrefillAtB(300);
+    world.relay.replySpeed("m").measured(2000, 100);
+    // both are free just now, and b is known to read prompts much of the time
+    world.relay.fleet("m", new Lookup.Fleet(List.of(), 0.001));
+    for (Backend backend : world.relay.backends.of("m"))
+      Assertions.assertEquals(0, backend.prefillAheadMs(world.now));
+    Request stream = withLongestPause(world.request(), 400);
+    stream.tokensOut = 100;
+    Assertions.assertTrue(
+        world.option(stream, "a").totalMs() < world.option(stream, "b").totalMs());
+    stream.tokensOut = 0;
+    Assertions.assertEquals(
+        world.option(stream, "a").totalMs(),
+        world.option(stream, "b").totalMs(),
+        "nothing goes on after the first event");
+  }
+
   @Test
   void aFastStoreIsPulledFromAndASlowOneIsNot() {
     World fast = new World(FAST_MBPS, FAST_MBPS, 1, Set.of());
