--- a/common/src/test/java/gladelug/common/message/PublishedNamesTest.java
+++ b/common/src/test/java/gladelug/common/message/PublishedNamesTest.java
@@ -19,7 +19,7 @@
   private static final byte[] BLOB = {1, 2, (byte) 0xff};
 
   /** An example of each record; every list in it has an entry. */
-  private static Map<String, WireRecord> examples() {
+  static Map<String, WireRecord> examples() {
     Map<String, WireRecord> examples = new LinkedHashMap<>();
     examples.put("hello", new Hello("core/1", "core-a"));
     examples.put(
@@ -106,7 +106,7 @@
     Assertions.assertEquals(BYTES, now);
   }
 
-  private static WireRecord read(String name, byte[] bytes) throws IOException {
+  static WireRecord read(String name, byte[] bytes) throws IOException {
     return switch (name.split(" ")[0]) {
       case "hello" -> WireRecord.read(bytes, Hello::read);
       case "news" -> WireRecord.read(bytes, StateUpdate::read);
--- a/control-plane/src/test/java/gladelug/control/core/PublishedNamesTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/PublishedNamesTest.java
@@ -51,7 +51,7 @@
   }
 
   /** An example of each message and of each answer to a change; every list in it has an entry. */
-  private static Map<String, CoreMessage> examples() {
+  static Map<String, CoreMessage> examples() {
     Map<String, CoreMessage> examples = new LinkedHashMap<>();
     List<RegisterRecord> kept =
         List.of(new RegisterRecord("policy", new Register(1, 0, VersionedValue.NONE).bytes()));
@@ -212,7 +212,7 @@
                   + "000000000007"),
           Map.entry("leaving", "1e00000000000000030006636f72652d6100046469736b"));
 
-  private static byte[] bytes(CoreMessage message) {
+  static byte[] bytes(CoreMessage message) {
     return WireRecord.bytes(new Envelope(3, "core-a", "disk", message));
   }
 
