--- a/data-plane/src/main/java/gladelug/data/relay/PrefixLookupFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/PrefixLookupFilter.java
@@ -29,10 +29,12 @@
     if (mayRun == null) return Uni.createFrom().item(AdmissionFilter.noWeights(request));
     chooseWeights(request, mayRun);
     boolean hints = relay.settings.has(Mechanism.INDEX_HINTS);
+    long askedAt = relay.clock.now();
     return lookups
         .ask(hints ? request.blocks : NO_BLOCKS)
         .map(
             found -> {
+              request.lookupMs = relay.clock.now() - askedAt;
               take(request, found);
               return FilterResult.GO;
             });
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -376,6 +376,8 @@
         request.saveTo.isEmpty() ? "-" : request.saveTo,
         "index",
         request.lookupAnswer,
+        "lookupMs",
+        request.lookupMs,
         "queueMs",
         Math.round(request.queueMs),
         "firstMs",
--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -79,6 +79,9 @@
   /** How the index answered: answered, warming, late, no-index or no-block; - where not asked. */
   public String lookupAnswer = "-";
 
+  /** How long the index's answer was waited for, in ms. */
+  public long lookupMs;
+
   /** The most units of its prompt's first blocks that any one holder keeps, as the index told. */
   public int heldUnits;
 
