--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -17,6 +17,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -31,6 +32,7 @@
 public final class LookupClient implements Lookups {
   public static final long WAIT = 8;
   private static final int COLD = 5;
+  private static final int MOST_OVERDUE = 256;
   private final long waitMs;
   private final Vertx vertx;
   private final Context context;
@@ -41,6 +43,16 @@
   private final Map<Address, PersistentConnection> held = new HashMap<>();
   private final Map<Address, Integer> late = new HashMap<>();
   private final Map<Long, Consumer<Found>> asked = new HashMap<>();
+
+  /** Who wants what late answers tell of the fleet; the eldest give way. */
+  private final Map<Long, Consumer<Lookup.Fleet>> overdue =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Consumer<Lookup.Fleet>> eldest) {
+          return size() > MOST_OVERDUE;
+        }
+      };
+
   private List<Address> order = new ArrayList<>();
   private Set<Address> followers = Set.of();
   private final boolean oneFollowsAZone;
@@ -117,10 +129,7 @@
                           // is late
                           if (s.warm()) late.remove(x);
                           else late.put(x, COLD);
-                          Consumer<Found> c = asked.remove(s.sequence());
-                          if (c != null)
-                            c.accept(
-                                new Found(s.warm() ? ANSWERED : "warming", s.matches(), s.fleet()));
+                          answered(s);
                         });
                   },
                   connection -> {}));
@@ -128,6 +137,15 @@
     late.values().removeIf(n -> n <= 0);
   }
 
+  private void answered(Lookup.Answer answer) {
+    Consumer<Found> found = asked.remove(answer.sequence());
+    Consumer<Lookup.Fleet> late = overdue.remove(answer.sequence());
+    if (found != null)
+      found.accept(
+          new Found(answer.warm() ? ANSWERED : "warming", answer.matches(), answer.fleet()));
+    else if (late != null && answer.warm()) late.accept(answer.fleet());
+  }
+
   @Override
   public void placed(String holder, long[] blocks, Lookup.Work work) {
     if (blocks.length == 0) return;
@@ -138,6 +156,11 @@
 
   @Override
   public Uni<Found> ask(long[] blocks) {
+    return ask(blocks, fleet -> {});
+  }
+
+  @Override
+  public Uni<Found> ask(long[] blocks, Consumer<Lookup.Fleet> fleetIfLate) {
     if (blocks.length == 0) return Uni.createFrom().item(new Found("no-block", List.of()));
     return Uni.createFrom()
         .emitter(
@@ -158,6 +181,7 @@
                       Consumer<Found> c = asked.remove(n);
                       if (c == null) return;
                       late.merge(address, 2, Integer::sum);
+                      overdue.put(n, fleetIfLate);
                       c.accept(new Found("late", List.of()));
                     });
                 return;
--- a/data-plane/src/main/java/gladelug/data/relay/Lookups.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Lookups.java
@@ -3,6 +3,7 @@
 import gladelug.common.message.Lookup;
 import io.smallrye.mutiny.Uni;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * Where a prompt's blocks are, as a relay looks them up: an answer within milliseconds, or none.
@@ -25,6 +26,14 @@
 
   Uni<Found> ask(long[] blocks);
 
+  /**
+   * Asks, and has what an answer tells of the fleet though it came too late for this request; best
+   * effort.
+   */
+  default Uni<Found> ask(long[] blocks, Consumer<Lookup.Fleet> late) {
+    return ask(blocks);
+  }
+
   /**
    * Tells index processes where a prompt of these blocks was sent, and what that asks of the
    * holder; best effort.
--- a/data-plane/src/main/java/gladelug/data/relay/PrefixLookupFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/PrefixLookupFilter.java
@@ -31,7 +31,8 @@
     boolean hints = relay.settings.has(Mechanism.INDEX_HINTS);
     long askedAt = relay.clock.now();
     return lookups
-        .ask(hints ? request.blocks : NO_BLOCKS)
+        .ask(
+            hints ? request.blocks : NO_BLOCKS, fleet -> relay.fleet(request.service.name(), fleet))
         .map(
             found -> {
               request.lookupMs = relay.clock.now() - askedAt;
--- a/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
@@ -38,9 +38,9 @@
   private static final double SLOW_MBPS = 2_000;
 
   /** A relay of the zone z with the replicas a and b there and a store. */
-  private static final class World {
-    private final long now = 1_000_000;
-    private final Relay relay;
+  static final class World {
+    final long now = 1_000_000;
+    final Relay relay;
     private final Decisions decisions = new Decisions(64, "r", 1);
 
     World(double linkMbps, double storeMbps, int relays, Set<Mechanism> without) {
