--- a/common/src/main/java/gladelug/common/view/PartialView.java
+++ b/common/src/main/java/gladelug/common/view/PartialView.java
@@ -19,7 +19,14 @@
  * is true.
  */
 public final class PartialView {
-  public static final int SIZE = 16, SOME = 6, FORGET = 120;
+  /** Descriptors in the sample at most. */
+  private static final int SIZE = 16;
+
+  /** Descriptors of the sample, our own among them, that an exchange brings. */
+  private static final int SHARED = 6;
+
+  /** After how many rounds without fresh word of it a process leaves the sample. */
+  private static final int FORGET = 120;
 
   /** Of which roles all processes are known, as everybody calls them and they are few. */
   private static final Set<String> DIRECTORY_ROLES = Set.of("index");
@@ -75,13 +82,13 @@
 
   /** What to say to a seed, of which only the address is known. */
   public Shuffle.Request start() {
-    List<Descriptor> l = sample(view, SOME - 1);
+    List<Descriptor> l = sample(view, SHARED - 1);
     given = l.stream().map(Descriptor::name).toList();
     return new Shuffle.Request(withDirectory(l));
   }
 
   public Shuffle.Answer onRequest(Shuffle.Request r) {
-    List<Descriptor> l = sample(view, SOME - 1);
+    List<Descriptor> l = sample(view, SHARED - 1);
     List<String> names = l.stream().map(Descriptor::name).toList();
     Shuffle.Answer answer = new Shuffle.Answer(withDirectory(l));
     merge(r.some(), names);
--- a/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
+++ b/data-plane/src/main/java/gladelug/data/relay/LookupClient.java
@@ -30,8 +30,18 @@
  * request goes on without a hint. Confined to the request thread.
  */
 public final class LookupClient implements Lookups {
+  /** How long an answer is waited for unless a setting says otherwise, in ms. */
   public static final long WAIT = 8;
-  private static final int COLD = 5;
+
+  /** How often it is looked which indexes there are, in ms. */
+  private static final long LOOK_MS = 500;
+
+  private static final int LATENESS_OF_AN_ANSWER = 2;
+  private static final int LATENESS_OF_NO_HINTS = 5;
+
+  /** With more points than these an index is not asked. */
+  private static final int MOST_LATENESS = 3;
+
   private static final int MOST_OVERDUE = 256;
   private final long waitMs;
   private final Vertx vertx;
@@ -41,7 +51,10 @@
   private final String zone;
   private final Address own;
   private final Map<Address, PersistentConnection> held = new HashMap<>();
-  private final Map<Address, Integer> late = new HashMap<>();
+
+  /** Points of an index that was late or had no hints; one fades with each look. */
+  private final Map<Address, Integer> lateness = new HashMap<>();
+
   private final Map<Long, Consumer<Found>> asked = new HashMap<>();
 
   /** Who wants what late answers tell of the fleet; the eldest give way. */
@@ -56,7 +69,7 @@
   private List<Address> order = new ArrayList<>();
   private Set<Address> followers = Set.of();
   private final boolean oneFollowsAZone;
-  private long nr;
+  private long lastSequence;
 
   /**
    * own may be null: no index on this machine. waitMs: how long an answer is waited for.
@@ -80,7 +93,7 @@
     this.views = views;
     this.zone = zone;
     this.own = own;
-    vertx.setPeriodic(500, i -> look());
+    vertx.setPeriodic(LOOK_MS, timer -> look());
     look();
   }
 
@@ -91,53 +104,54 @@
         .collect(Collectors.toSet());
   }
 
+  /** Goes by the indexes that are seen now: own machine's first, then the zone's, then others. */
   private void look() {
-    List<Address> l = new ArrayList<>();
-    if (own != null) l.add(own);
-    views.all().stream()
-        .filter(d -> d.role().equals("index"))
-        .sorted(
-            Comparator.comparing((Shuffle.Descriptor d) -> !d.zone().equals(zone))
-                .thenComparing(Shuffle.Descriptor::name))
-        .map(d -> Address.of(d.records()))
-        .filter(a -> !l.contains(a))
-        .forEach(l::add);
-    order = l;
-    followers = oneFollowsAZone ? followers(views.all()) : Set.copyOf(l);
+    order = inOrder(views.all());
+    followers = oneFollowsAZone ? followers(views.all()) : Set.copyOf(order);
     held.entrySet()
         .removeIf(
-            e -> {
-              if (l.contains(e.getKey())) return false;
-              e.getValue().close();
+            index -> {
+              if (order.contains(index.getKey())) return false;
+              index.getValue().close();
               return true;
             });
-    for (Address a : l)
-      held.computeIfAbsent(
-          a,
-          x ->
-              new PersistentConnection(
-                  vertx,
-                  doors,
-                  x,
-                  Hello.LOOKUP,
-                  (connection, record) -> {
-                    if (!(WireRecord.read(record, Lookup::read) instanceof Lookup.Answer s))
-                      throw new IOException("a question where an answer was due");
-                    context.runOnContext(
-                        () -> {
-                          // one that is warming or stands by is left alone for a while, as one that
-                          // is late
-                          if (s.warm()) late.remove(x);
-                          else late.put(x, COLD);
-                          answered(s);
-                        });
-                  },
-                  connection -> {}));
-    late.replaceAll((a, n) -> n - 1);
-    late.values().removeIf(n -> n <= 0);
+    for (Address index : order) held.computeIfAbsent(index, this::connect);
+    lateness.replaceAll((index, points) -> points - 1);
+    lateness.values().removeIf(points -> points <= 0);
+  }
+
+  private List<Address> inOrder(Collection<Shuffle.Descriptor> seen) {
+    List<Address> indexes = new ArrayList<>();
+    if (own != null) indexes.add(own);
+    seen.stream()
+        .filter(process -> process.role().equals("index"))
+        .sorted(
+            Comparator.comparing((Shuffle.Descriptor process) -> !process.zone().equals(zone))
+                .thenComparing(Shuffle.Descriptor::name))
+        .map(process -> Address.of(process.records()))
+        .filter(index -> !indexes.contains(index))
+        .forEach(indexes::add);
+    return indexes;
+  }
+
+  private PersistentConnection connect(Address index) {
+    return new PersistentConnection(
+        vertx,
+        doors,
+        index,
+        Hello.LOOKUP,
+        (connection, record) -> {
+          if (!(WireRecord.read(record, Lookup::read) instanceof Lookup.Answer answer))
+            throw new IOException("a question where an answer was due");
+          context.runOnContext(() -> answered(index, answer));
+        },
+        connection -> {});
   }
 
-  private void answered(Lookup.Answer answer) {
+  private void answered(Address index, Lookup.Answer answer) {
+    // one that is warming or stands by is left alone for a while, as one that is late
+    if (answer.warm()) lateness.remove(index);
+    else lateness.put(index, LATENESS_OF_NO_HINTS);
     Consumer<Found> found = asked.remove(answer.sequence());
     Consumer<Lookup.Fleet> late = overdue.remove(answer.sequence());
     if (found != null)
@@ -149,9 +163,9 @@
   @Override
   public void placed(String holder, long[] blocks, Lookup.Work work) {
     if (blocks.length == 0) return;
-    Lookup.Placed p = new Lookup.Placed(holder, blocks, work);
+    Lookup.Placed placed = new Lookup.Placed(holder, blocks, work);
     for (Map.Entry<Address, PersistentConnection> index : held.entrySet())
-      if (followers.contains(index.getKey())) index.getValue().send(p);
+      if (followers.contains(index.getKey())) index.getValue().send(placed);
   }
 
   @Override
@@ -160,33 +174,40 @@
   }
 
   @Override
-  public Uni<Found> ask(long[] blocks, Consumer<Lookup.Fleet> fleetIfLate) {
+  public Uni<Found> ask(long[] blocks, Consumer<Lookup.Fleet> late) {
     if (blocks.length == 0) return Uni.createFrom().item(new Found("no-block", List.of()));
     return Uni.createFrom()
         .emitter(
-            e -> {
-              long n = ++nr;
-              for (Address address : order) {
-                PersistentConnection connection = held.get(address);
-                if (connection == null || !connection.open() || late.getOrDefault(address, 0) > 3)
-                  continue;
-                asked.put(n, e::complete);
-                if (!connection.send(new Lookup.Question(n, blocks))) {
-                  asked.remove(n);
-                  continue;
-                }
-                vertx.setTimer(
-                    waitMs,
-                    i -> {
-                      Consumer<Found> c = asked.remove(n);
-                      if (c == null) return;
-                      late.merge(address, 2, Integer::sum);
-                      overdue.put(n, fleetIfLate);
-                      c.accept(new Found("late", List.of()));
-                    });
-                return;
-              }
-              e.complete(new Found("no-index", List.of()));
+            emitter -> {
+              if (!askFirstThatAnswers(blocks, emitter::complete, late))
+                emitter.complete(new Found("no-index", List.of()));
             });
   }
+
+  /** Whether an index could be asked: the first in order that is connected and seldom late. */
+  private boolean askFirstThatAnswers(
+      long[] blocks, Consumer<Found> found, Consumer<Lookup.Fleet> late) {
+    long sequence = ++lastSequence;
+    for (Address index : order) {
+      PersistentConnection connection = held.get(index);
+      if (connection == null || !connection.open()) continue;
+      if (lateness.getOrDefault(index, 0) > MOST_LATENESS) continue;
+      asked.put(sequence, found);
+      if (connection.send(new Lookup.Question(sequence, blocks))) {
+        vertx.setTimer(waitMs, timer -> giveUp(sequence, index, late));
+        return true;
+      }
+      asked.remove(sequence);
+    }
+    return false;
+  }
+
+  /** The request goes on without a hint, unless the answer came. */
+  private void giveUp(long sequence, Address index, Consumer<Lookup.Fleet> late) {
+    Consumer<Found> found = asked.remove(sequence);
+    if (found == null) return;
+    lateness.merge(index, LATENESS_OF_AN_ANSWER, Integer::sum);
+    overdue.put(sequence, late);
+    found.accept(new Found("late", List.of()));
+  }
 }
