--- a/data-plane/src/main/java/gladelug/data/relay/AdmissionFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/AdmissionFilter.java
@@ -9,8 +9,9 @@
 import io.smallrye.mutiny.subscription.UniEmitter;
 
 /**
- * When: a place at once, or the queue by the share tree, or refused at once where waiting can't
- * help.
+ * When: a place at once, or the queue by the share tree, or refused at once where, behind the work
+ * that waits already, it could not end before its caller's deadline. Whoever is let into the queue
+ * could therefore be served in the order of arrival.
  */
 record AdmissionFilter(Relay relay) implements RequestFilter {
   static final int NO_WEIGHTS_RETRY_MS = 2000;
@@ -18,9 +19,6 @@
   private static final int LEAST_QUEUE_RETRY_MS = 500;
   private static final int MOST_QUEUE_RETRY_MS = 10_000;
 
-  /** The part of its aim that a request may wait for a place and still be of worth. */
-  private static final double AIM_SHARE = 0.25;
-
   @Override
   public String name() {
     return "admission";
@@ -30,8 +28,9 @@
   public Uni<FilterResult> pass(Request request) {
     FilterResult unservable = unservable(request);
     if (unservable != null) return Uni.createFrom().item(unservable);
-    double waitMs = relay.waitMs(request.service.name(), request.leaf);
-    if (waitMs > 0 && beginsTooLate(request, waitMs) && relay.settings.has(Mechanism.EARLY_REFUSAL))
+    relay.estimateWork(request);
+    double waitMs = relay.waitMs(request);
+    if (waitMs > 0 && endsTooLate(request, waitMs) && relay.settings.has(Mechanism.EARLY_REFUSAL))
       return Uni.createFrom().item(tooLate(request, waitMs));
     return Uni.createFrom().emitter(emitter -> enter(request, waitMs, emitter));
   }
@@ -52,11 +51,9 @@
         503, "no weights are named for " + request.model, NO_WEIGHTS_RETRY_MS);
   }
 
-  /** Whether it would begin too late to end in time, or in time to be of worth. */
-  private boolean beginsTooLate(Request request, double waitMs) {
-    double endsAt = relay.clock.now() + waitMs + relay.requestMs(request.service.name());
-    int aimMs = request.route.aimMs();
-    return endsAt > request.deadline || aimMs > 0 && waitMs > aimMs * AIM_SHARE;
+  /** Whether it would end after its deadline, the only time that its caller is known to have. */
+  private boolean endsTooLate(Request request, double waitMs) {
+    return relay.clock.now() + waitMs > request.latestStartMs();
   }
 
   private FilterResult tooLate(Request request, double waitMs) {
--- a/data-plane/src/main/java/gladelug/data/relay/PrefixLookupFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/PrefixLookupFilter.java
@@ -14,7 +14,7 @@
   private static final long[] NO_BLOCKS = {};
 
   /** What text is cut into until a replica told otherwise, in bytes. */
-  private static final int USUAL_BLOCK_BYTES = 256;
+  static final int USUAL_BLOCK_BYTES = 256;
 
   @Override
   public String name() {
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -42,6 +42,8 @@
 
   static final String EXPIRED_UNSENT = "expired before it was handed over";
 
+  private static final String EXPIRED_UNPLACED = "no place came while it could still end in time";
+
   private static final long STALE = 2000;
 
   /** How long a caller that is refused for want of a lease is to wait, in ms. */
@@ -53,7 +55,6 @@
    */
   private static final long FLEET_STARTS_MS = 2000;
 
-  private static final double START = 250;
   private static final long ASLEEP = 500;
 
   /**
@@ -71,7 +72,7 @@
   private final Map<String, WaitQueue> queues = new HashMap<>();
   private final Map<String, Integer> admitted = new HashMap<>();
   private final Map<Long, Request> live = new LinkedHashMap<>();
-  private final Map<String, double[]> served = new HashMap<>();
+  private final Map<String, RequestDurations> durations = new HashMap<>();
   private ControlStateSnapshot shaped = ControlStateSnapshot.NONE;
   public final IntSupplier relays;
   public final RecentPlacements placements = new RecentPlacements();
@@ -274,7 +275,7 @@
 
   /** How long its reply is likely to take after its first event, in ms. */
   int expectedReplyMs(Request request) {
-    return replySpeed(request.service.name()).expectedMs(request.tokensOut);
+    return replySpeed(request.service.name()).expectedMs(request.mostTokensOut());
   }
 
   /** What an index told of the replicas of a service; one it doesn't name is free. */
@@ -297,7 +298,7 @@
 
   /** When a caller whose request did not run may come back: soon, and within the time it has. */
   public long comeBackMs(Request request) {
-    double wait = request.service == null ? 0 : waitMs(request.service.name(), request.leaf);
+    double wait = request.service == null ? 0 : waitMs(request);
     return (long) Math.max(settings.comeBackMs(), Math.min(10_000, wait));
   }
 
@@ -327,12 +328,7 @@
       request.admitted = false;
       queue(request.service.name()).release(request);
       if (request.backend == null) admitted.merge(request.service.name(), -1, Integer::sum);
-      double[] s = served.computeIfAbsent(request.service.name(), x -> new double[] {START});
-      if (request.decision.outcome().equals("complete") && request.firstPieceMs >= 0)
-        replySpeed(request.service.name())
-            .measured(clock.now() - request.came - request.firstPieceMs, request.tokensOut);
-      if (request.decision.outcome().equals("complete"))
-        s[0] += (clock.now() - request.handedAt - s[0]) / 20;
+      if (request.decision.outcome().equals("complete")) learnDurations(request);
     }
     drop(request);
     if (request.pausedTooLong())
@@ -396,6 +392,14 @@
         request.why);
   }
 
+  private void learnDurations(Request request) {
+    String service = request.service.name();
+    if (request.firstPieceMs >= 0)
+      replySpeed(service)
+          .measured(clock.now() - request.came - request.firstPieceMs, request.mostTokensOut());
+    durations(service).measured(clock.now() - request.handedAt, request.ownWorkMs);
+  }
+
   /** The request holds no replica any more. */
   public void drop(Request request) {
     if (request.backend == null) return;
@@ -414,10 +418,35 @@
     admitted.merge(request.service.name(), -1, Integer::sum);
   }
 
+  private RequestDurations durations(String service) {
+    return durations.computeIfAbsent(service, name -> new RequestDurations());
+  }
+
   /** What a request of the service usually takes from its hand-over. */
-  public double requestMs(String service) {
-    double[] s = served.get(service);
-    return s == null ? START : s[0];
+  double requestMs(String service) {
+    return durations(service).meanMs();
+  }
+
+  /**
+   * Reckons what is left to do for a request before it is given a place: computing what is usually
+   * not kept of its prompt, its reply, and what it waits for at a replica.
+   */
+  void estimateWork(Request request) {
+    request.ownWorkMs = computeMs(request) + expectedReplyMs(request);
+    request.expectedMs = durations(request.service.name()).expectedMs(request.ownWorkMs);
+  }
+
+  /** Computing the share of its prompt that is usually kept nowhere, in ms. */
+  private double computeMs(Request request) {
+    if (request.service.kind() != Configuration.Kind.MODEL) return 0;
+    double unitMs = 0;
+    int blockBytes = PrefixLookupFilter.USUAL_BLOCK_BYTES;
+    List<Backend> all = backends.of(request.service.name());
+    for (Backend backend : all) {
+      unitMs += backend.unitMs / all.size();
+      blockBytes = backend.blockBytes;
+    }
+    return request.prompt.totalUnits(blockBytes) * (1 - reuse.share()) * unitMs;
   }
 
   private int places(String service) {
@@ -495,9 +524,15 @@
         equalPart(service) - queue(service).used());
   }
 
-  /** How long a request of this leaf that joins the queue now would wait for a place. */
-  public double waitMs(String service, String leaf) {
-    return queue(service).ahead(leaf) * requestMs(service);
+  /**
+   * How long a request would wait for a place if it joined the queue now, in ms: until one comes
+   * free, and for what goes before it.
+   */
+  double waitMs(Request request) {
+    String service = request.service.name();
+    WaitQueue queue = queue(service);
+    if (queue.size() == 0 && free(service) > 0) return 0;
+    return queue.waitMs(request, requestMs(service));
   }
 
   /** Gives free places to those that wait, as the share tree says. */
@@ -627,6 +662,14 @@
     ended(request);
   }
 
+  /** What waits and can't end in time any more is told so at once, so that its caller can go on. */
+  private void refuseTooLate(long now) {
+    if (!settings.has(Mechanism.EARLY_REFUSAL)) return;
+    for (WaitQueue queue : queues.values())
+      for (Request request : queue.leave(waiting -> now > waiting.latestStartMs()))
+        request.leaveQueue.accept(FilterResult.notRun(503, EXPIRED_UNPLACED, comeBackMs(request)));
+  }
+
   /**
    * Called a few times a second: deadlines, and streams whose right to go on can't be known any
    * more.
@@ -637,6 +680,7 @@
     // after a pause of its own, replicas are given the time to say that they are there
     if (now - ticked > ASLEEP) awake = now;
     ticked = now;
+    refuseTooLate(now);
     for (Request o : live()) {
       if (o.deadline > 0 && now >= o.deadline) {
         State.At at = o.state.at();
--- a/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
+++ b/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
@@ -3,11 +3,14 @@
 import gladelug.common.configuration.Configuration;
 import gladelug.common.configuration.QuotaShare;
 import gladelug.data.request.Request;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
@@ -18,11 +21,17 @@
  * what others leave. Bounded; no I/O.
  */
 public final class WaitQueue {
+  /** The least part of a place that a leaf is reckoned to have, as parts are earned in time. */
+  private static final double LEAST_PART = 0.25;
+
+  private static final Comparator<Request> NEXT_AT_A_LEAF =
+      Comparator.comparingLong(request -> request.decision.nr);
+
   private static final class Node {
     final String path;
     final Node parent;
     final List<Node> children = new ArrayList<>();
-    final ArrayDeque<Request> queue = new ArrayDeque<>();
+    final PriorityQueue<Request> queue = new PriorityQueue<>(NEXT_AT_A_LEAF);
     int weight = 1;
     int tier;
     int limit;
@@ -210,13 +219,55 @@
   }
 
   /**
-   * How many requests' time a new one of this leaf would wait: those before it over the places it
-   * has.
+   * How long a request that joins now would wait for a place, in ms: until the first comes free,
+   * and for all that goes before it.
+   *
+   * @param requestMs what a request usually takes
    */
-  public double ahead(String leaf) {
-    Node n = leaf(leaf);
-    if (n.waiting == 0) return 0;
-    double places = n.part >= 0 ? Math.max(0.25, n.part) : Math.max(1, n.used);
-    return (n.waiting + 1) / places;
+  double waitMs(Request request, double requestMs) {
+    Node leaf = leaf(request.leaf);
+    double places = leaf.part >= 0 ? Math.max(LEAST_PART, leaf.part) : Math.max(1, root.used);
+    return (requestMs + workAheadMs(request, leaf)) / places;
+  }
+
+  /** The expected ms of work that waits and goes before a request of this leaf. */
+  private double workAheadMs(Request request, Node leaf) {
+    double ownLeafMs = 0;
+    for (Request waiting : leaf.queue) ownLeafMs += waiting.expectedMs;
+    if (leaf.part >= 0) return ownLeafMs;
+    double elsewhereMs = 0;
+    for (Node other : nodes.values())
+      if (other != leaf && !other.queue.isEmpty())
+        elsewhereMs += elsewhereMs(request, leaf, other, ownLeafMs);
+    return ownLeafMs + elsewhereMs;
+  }
+
+  /**
+   * Of another leaf's waiting work, what goes before a request: all that is more urgent; of what is
+   * as urgent, as much as its share gets while this leaf's own goes before.
+   */
+  private double elsewhereMs(Request request, Node leaf, Node other, double ownLeafMs) {
+    Fork fork = Fork.between(leaf, other);
+    if (fork.ours.tier < fork.theirs.tier) return 0;
+    double moreUrgentMs = 0;
+    double asUrgentMs = 0;
+    for (Request waiting : other.queue)
+      if (fork.theirs.tier < fork.ours.tier) moreUrgentMs += waiting.expectedMs;
+      else asUrgentMs += waiting.expectedMs;
+    double theirShare = (double) fork.theirs.weight / fork.ours.weight;
+    return moreUrgentMs + Math.min(asUrgentMs, (ownLeafMs + request.expectedMs) * theirShare);
+  }
+
+  /** Where the ways to two leaves part: the two nodes below their nearest common parent. */
+  private record Fork(Node ours, Node theirs) {
+    static Fork between(Node leaf, Node other) {
+      Set<Node> above = new HashSet<>();
+      for (Node node = leaf; node != null; node = node.parent) above.add(node);
+      Node theirs = other;
+      while (!above.contains(theirs.parent)) theirs = theirs.parent;
+      Node ours = leaf;
+      while (ours.parent != theirs.parent) ours = ours.parent;
+      return new Fork(ours, theirs);
+    }
   }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Prompt.java
+++ b/data-plane/src/main/java/gladelug/data/request/Prompt.java
@@ -18,6 +18,9 @@
   /** The size of the block at i, in units. */
   int units(int i);
 
+  /** The size of all of it, in units; blockBytes is what the replicas cut text into. */
+  int totalUnits(int blockBytes);
+
   /** A prompt as text. */
   record Text(String text) implements Prompt {
     @Override
@@ -29,6 +32,11 @@
     public int units(int i) {
       return 1;
     }
+
+    @Override
+    public int totalUnits(int blockBytes) {
+      return text.getBytes(StandardCharsets.UTF_8).length / blockBytes;
+    }
   }
 
   /** A named part of a prompt and its tokens. */
@@ -52,5 +60,12 @@
     public int units(int i) {
       return parts.get(i).tokens;
     }
+
+    @Override
+    public int totalUnits(int blockBytes) {
+      int units = 0;
+      for (Part part : parts) units += part.tokens;
+      return units;
+    }
   }
 }
--- a/data-plane/src/main/java/gladelug/data/request/Request.java
+++ b/data-plane/src/main/java/gladelug/data/request/Request.java
@@ -43,6 +43,11 @@
   /** Tokens put out at most, as the caller said; 0 where it didn't. */
   public int tokensOut;
 
+  /** Estimated before it is given a place, in ms: its prompt and reply; and those with all else. */
+  public double ownWorkMs;
+
+  public double expectedMs;
+
   /** How long the caller waits in all, in ms; 0 where it didn't say. */
   public long patienceMs;
 
@@ -199,6 +204,16 @@
     return route != null && route.gapMs() > 0 && longestPauseMs > route.gapMs();
   }
 
+  /** The last moment at which it may begin and is still likely to end before its deadline. */
+  public long latestStartMs() {
+    return deadline - Math.round(expectedMs);
+  }
+
+  /** The most that is put out for it, in tokens or, where those aren't told, in pieces. */
+  public int mostTokensOut() {
+    return tokensOut > 0 ? tokensOut : maxPieces;
+  }
+
   /** What it takes of a replica's memory, in units: its prompt and what is put out at most. */
   public int units() {
     return promptUnits() + tokensOut;
--- /dev/null
+++ b/data-plane/src/test/java/gladelug/data/relay/CallersTimeTest.java
@@ -0,0 +1,96 @@
+package gladelug.data.relay;
+
+import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** Who is served and who is refused follows from the time that callers have and the work left. */
+final class CallersTimeTest {
+  private static final int RELAYS = 3;
+  private static final long REQUEST_MS = 500;
+  private static final long LONG_WAIT_MS = 15_000;
+  private static final long SHORT_WAIT_MS = 900;
+  private static final long BURST_MS = 210;
+  private static final int CALLERS = 14;
+  private static final long AT_ONCE_MS = 30;
+
+  private static SimulatedBurst burstOfTarget(int targetLatencyMs) {
+    return new SimulatedBurst(
+        RELAYS, request -> REQUEST_MS, SimulatedBurst.configuration(targetLatencyMs));
+  }
+
+  private static long served(List<SimulatedBurst.Outcome> outcomes) {
+    return outcomes.stream().filter(SimulatedBurst.Outcome::served).count();
+  }
+
+  /** Guards against callers sent away by a share of their route's target latency. */
+  @Test
+  void callersWithTimeForAllTheWorkAheadAreServedWhateverTheirRoutesTargetIs() {
+    for (int targetLatencyMs : new int[] {0, 1, 300, 9000}) {
+      SimulatedBurst world = burstOfTarget(targetLatencyMs);
+      List<SimulatedBurst.Outcome> outcomes =
+          world.burst(CALLERS, SimulatedBurst.Call.waiting(LONG_WAIT_MS), BURST_MS);
+      world.run(LONG_WAIT_MS);
+      Assertions.assertEquals(CALLERS, served(outcomes), "target of " + targetLatencyMs + " ms");
+    }
+  }
+
+  @Test
+  void callersBehindMoreWorkThanTheyHaveTimeForAreRefusedAtOnceAndToldWhenToReturn() {
+    for (int targetLatencyMs : new int[] {0, 300, 9000}) {
+      SimulatedBurst world = burstOfTarget(targetLatencyMs);
+      world.burst(CALLERS + 2, SimulatedBurst.Call.waiting(LONG_WAIT_MS), BURST_MS);
+      for (SimulatedBurst.Outcome late :
+          world.burst(5, SimulatedBurst.Call.waiting(SHORT_WAIT_MS), 50)) {
+        world.run(AT_ONCE_MS);
+        Assertions.assertNotNull(late.refusal, "target of " + targetLatencyMs + " ms");
+        Assertions.assertEquals("not-run", late.refusal.outcome());
+        Assertions.assertTrue(late.refusedAfterMs() <= AT_ONCE_MS);
+        Assertions.assertTrue(late.refusal.retryMs() > SHORT_WAIT_MS, "" + late.refusal);
+      }
+    }
+  }
+
+  /** Guards against a time left that is compared with the mean of requests of all lengths. */
+  @Test
+  void whoAsksForLittleIsLetInWhereWhoAsksForMuchCouldNotEndInTime() {
+    SimulatedBurst world =
+        new SimulatedBurst(
+            RELAYS, request -> 10L * request.tokensOut, SimulatedBurst.configuration(0));
+    SimulatedBurst.Call much = SimulatedBurst.Call.waiting(60_000).tokens(0, 400);
+    SimulatedBurst.Call little = SimulatedBurst.Call.waiting(60_000).tokens(0, 5);
+    for (int i = 0; i < 40; i++) {
+      world.ask(much);
+      world.ask(little);
+      world.run(4_100);
+    }
+    for (int i = 0; i < 3; i++) world.ask(much);
+    long waitsMs = 3_500;
+    SimulatedBurst.Outcome refused = world.ask(SimulatedBurst.Call.waiting(waitsMs).tokens(0, 400));
+    SimulatedBurst.Outcome letIn = world.ask(SimulatedBurst.Call.waiting(waitsMs).tokens(0, 5));
+    world.run(AT_ONCE_MS);
+    Assertions.assertNotNull(refused.refusal, "four seconds of work for one who waits less");
+    Assertions.assertNull(letIn.refusal);
+  }
+
+  /** Guards against callers held until their deadline though nothing can come of their wait. */
+  @Test
+  void whoCanNoLongerEndInTimeIsToldBeforeItsDeadline() {
+    long[] requestMs = {REQUEST_MS};
+    SimulatedBurst world =
+        new SimulatedBurst(RELAYS, request -> requestMs[0], SimulatedBurst.configuration(0));
+    for (int i = 0; i < 60; i++) {
+      world.ask(SimulatedBurst.Call.waiting(LONG_WAIT_MS));
+      world.run(REQUEST_MS);
+    }
+    requestMs[0] = LONG_WAIT_MS;
+    for (int i = 0; i < 3; i++) world.ask(SimulatedBurst.Call.waiting(2 * LONG_WAIT_MS));
+    long waitsMs = 4 * REQUEST_MS;
+    SimulatedBurst.Outcome waits = world.ask(SimulatedBurst.Call.waiting(waitsMs));
+    world.run(AT_ONCE_MS);
+    Assertions.assertNull(waits.refusal, "by what was known it could be served");
+    world.run(waitsMs);
+    Assertions.assertEquals("not-run", waits.refusal.outcome());
+    Assertions.assertTrue(waits.refusedAfterMs() < waitsMs - REQUEST_MS / 2, "" + waits.refusal);
+  }
+}
