--- a/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
+++ b/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
@@ -16,16 +16,19 @@
 
 /**
  * Requests of one service that wait for a slot, in the tree of quota shares: at each level the
- * lowest tier goes first, within it slots are allocated by weight (each node's pass grows by
- * 1/weight a slot, the least pass is next), and at a leaf first in, first out. Any node may use
- * what others leave. Bounded; no I/O.
+ * lowest tier goes first, within it the lowest tier of a route, and where those are alike slots are
+ * allocated by weight (each node's pass grows by 1/weight a slot, the least pass is next). At a
+ * leaf, of routes of one tier, the request goes first that has to begin first to end before its
+ * deadline. Any node may use what others leave. Bounded; no I/O.
  */
 public final class WaitQueue {
   /** The least part of a place that a leaf is reckoned to have, as parts are earned in time. */
   private static final double LEAST_PART = 0.25;
 
   private static final Comparator<Request> NEXT_AT_A_LEAF =
-      Comparator.comparingLong(request -> request.decision.nr);
+      Comparator.comparingInt(WaitQueue::routeTier)
+          .thenComparingLong(Request::latestStartMs)
+          .thenComparingLong(request -> request.decision.nr);
 
   private static final class Node {
     final String path;
@@ -164,11 +167,7 @@
     if (!may(n)) return null;
     while (!n.children.isEmpty()) {
       Node best = null;
-      for (Node c : n.children) {
-        if (!may(c)) continue;
-        if (best == null || c.tier < best.tier || c.tier == best.tier && c.pass < best.pass)
-          best = c;
-      }
+      for (Node c : n.children) if (may(c) && (best == null || goesBefore(c, best))) best = c;
       if (best == null) return null;
       n = best;
     }
@@ -179,6 +178,21 @@
     return request;
   }
 
+  private static boolean goesBefore(Node node, Node other) {
+    if (node.tier != other.tier) return node.tier < other.tier;
+    int route = mostUrgentRoute(node);
+    int otherRoute = mostUrgentRoute(other);
+    return route != otherRoute ? route < otherRoute : node.pass < other.pass;
+  }
+
+  /** The lowest tier of a route whose request may have a place below this node now. */
+  private static int mostUrgentRoute(Node node) {
+    if (node.children.isEmpty()) return routeTier(node.queue.element());
+    int tier = Integer.MAX_VALUE;
+    for (Node child : node.children) if (may(child)) tier = Math.min(tier, mostUrgentRoute(child));
+    return tier;
+  }
+
   private void use(String path, int by) {
     for (Node n = leaf(path); n != null; n = n.parent) {
       n.used = Math.max(0, n.used + by);
@@ -233,7 +247,8 @@
   /** The expected ms of work that waits and goes before a request of this leaf. */
   private double workAheadMs(Request request, Node leaf) {
     double ownLeafMs = 0;
-    for (Request waiting : leaf.queue) ownLeafMs += waiting.expectedMs;
+    for (Request waiting : leaf.queue)
+      if (routeTier(waiting) <= routeTier(request)) ownLeafMs += waiting.expectedMs;
     if (leaf.part >= 0) return ownLeafMs;
     double elsewhereMs = 0;
     for (Node other : nodes.values())
@@ -252,8 +267,9 @@
     double moreUrgentMs = 0;
     double asUrgentMs = 0;
     for (Request waiting : other.queue)
-      if (fork.theirs.tier < fork.ours.tier) moreUrgentMs += waiting.expectedMs;
-      else asUrgentMs += waiting.expectedMs;
+      if (fork.theirs.tier < fork.ours.tier || routeTier(waiting) < routeTier(request))
+        moreUrgentMs += waiting.expectedMs;
+      else if (routeTier(waiting) == routeTier(request)) asUrgentMs += waiting.expectedMs;
     double theirShare = (double) fork.theirs.weight / fork.ours.weight;
     return moreUrgentMs + Math.min(asUrgentMs, (ownLeafMs + request.expectedMs) * theirShare);
   }
@@ -270,4 +286,8 @@
       return new Fork(ours, theirs);
     }
   }
+
+  private static int routeTier(Request request) {
+    return request.route == null ? 0 : request.route.tier();
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/relay/CallersTimeTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/CallersTimeTest.java
@@ -1,5 +1,6 @@
 package gladelug.data.relay;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
@@ -93,4 +94,44 @@
     Assertions.assertEquals("not-run", waits.refusal.outcome());
     Assertions.assertTrue(waits.refusedAfterMs() < waitsMs - REQUEST_MS / 2, "" + waits.refusal);
   }
+
+  /** Guards against a queue that looks at neither the time that callers have nor their routes. */
+  @Test
+  void ofCallersAlikeInRankTheOneThatHasToBeginFirstGoesFirst() {
+    SimulatedBurst world = burstOfTarget(0);
+    for (int i = 0; i < 3; i++) world.ask(SimulatedBurst.Call.waiting(LONG_WAIT_MS));
+    SimulatedBurst.Outcome patient = world.ask(SimulatedBurst.Call.waiting(LONG_WAIT_MS));
+    SimulatedBurst.Outcome hurried = world.ask(SimulatedBurst.Call.waiting(LONG_WAIT_MS / 3));
+    world.run(LONG_WAIT_MS);
+    Assertions.assertTrue(hurried.completeAtMs < patient.completeAtMs);
+    Assertions.assertTrue(patient.served());
+  }
+
+  @Test
+  void aTenantsRankGoesBeforeItsRoutesAndARoutesBeforeTheTimeLeft() {
+    SimulatedBurst world =
+        new SimulatedBurst(
+            RELAYS,
+            request -> REQUEST_MS,
+            SimulatedBurst.configuration(
+                List.of(
+                    SimulatedBurst.tenant("first", 0),
+                    SimulatedBurst.tenant("alike", 0),
+                    SimulatedBurst.tenant("second", 1)),
+                List.of(
+                    SimulatedBurst.route("/urgent").tier(0),
+                    SimulatedBurst.route("/usual").tier(7))));
+    SimulatedBurst.Call call = SimulatedBurst.Call.waiting(LONG_WAIT_MS);
+    for (int i = 0; i < 3; i++) world.ask(call.of("first").on("/urgent"));
+    List<SimulatedBurst.Outcome> inOrderOfRank = new ArrayList<>();
+    inOrderOfRank.add(world.ask(call.of("second").on("/usual")));
+    inOrderOfRank.add(0, world.ask(call.of("second").on("/urgent")));
+    inOrderOfRank.add(0, world.ask(call.of("first").on("/usual")));
+    inOrderOfRank.add(0, world.ask(call.of("alike").on("/urgent")));
+    world.run(LONG_WAIT_MS);
+    for (int i = 1; i < inOrderOfRank.size(); i++)
+      Assertions.assertTrue(
+          inOrderOfRank.get(i - 1).completeAtMs <= inOrderOfRank.get(i).completeAtMs,
+          "at " + i + ": " + inOrderOfRank.get(i).call);
+  }
 }
