--- a/data-plane/src/main/java/gladelug/data/relay/AdmissionFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/AdmissionFilter.java
@@ -14,11 +14,6 @@
  * could therefore be served in the order of arrival.
  */
 record AdmissionFilter(Relay relay) implements RequestFilter {
-  static final int NO_WEIGHTS_RETRY_MS = 2000;
-
-  private static final int LEAST_QUEUE_RETRY_MS = 500;
-  private static final int MOST_QUEUE_RETRY_MS = 10_000;
-
   @Override
   public String name() {
     return "admission";
@@ -31,8 +26,8 @@
     relay.estimateWork(request);
     double waitMs = relay.waitMs(request);
     if (waitMs > 0 && endsTooLate(request, waitMs) && relay.settings.has(Mechanism.EARLY_REFUSAL))
-      return Uni.createFrom().item(tooLate(request, waitMs));
-    return Uni.createFrom().emitter(emitter -> enter(request, waitMs, emitter));
+      return Uni.createFrom().item(tooLate(request));
+    return Uni.createFrom().emitter(emitter -> enter(request, emitter));
   }
 
   /** The refusal where nobody can run it now, or null. */
@@ -42,13 +37,15 @@
       return noWeights(request);
     if (relay.backends.of(service).isEmpty())
       return FilterResult.notRun(
-          503, "no replica of " + service + " is listed as ready", relay.settings.comeBackMs());
+          503,
+          "no replica of " + service + " is listed as ready",
+          relay.retryAdvice.untilRoomMs(request));
     return null;
   }
 
-  static FilterResult noWeights(Request request) {
+  FilterResult noWeights(Request request) {
     return FilterResult.notRun(
-        503, "no weights are named for " + request.model, NO_WEIGHTS_RETRY_MS);
+        503, "no weights are named for " + request.model, relay.retryAdvice.untilStateMs());
   }
 
   /** Whether it would end after its deadline, the only time that its caller is known to have. */
@@ -56,7 +53,7 @@
     return relay.clock.now() + waitMs > request.latestStartMs();
   }
 
-  private FilterResult tooLate(Request request, double waitMs) {
+  private FilterResult tooLate(Request request) {
     String service = request.service.name();
     String reason =
         "the backlog is longer than the order may wait: "
@@ -64,10 +61,10 @@
             + " wait, "
             + relay.free(service)
             + " places";
-    return FilterResult.notRun(503, reason, (long) Math.min(MOST_QUEUE_RETRY_MS, waitMs));
+    return FilterResult.notRun(503, reason, relay.retryAdvice.untilRoomMs(request));
   }
 
-  private void enter(Request request, double waitMs, UniEmitter<? super FilterResult> emitter) {
+  private void enter(Request request, UniEmitter<? super FilterResult> emitter) {
     WaitQueue queue = relay.queue(request.service.name());
     long enteredAt = relay.clock.now();
     request.leaveQueue =
@@ -85,7 +82,7 @@
       return;
     }
     request.leaveQueue = null;
-    double retryMs = Math.max(LEAST_QUEUE_RETRY_MS, Math.min(MOST_QUEUE_RETRY_MS, waitMs));
-    emitter.complete(FilterResult.notRun(503, "the backlog is full", (long) retryMs));
+    emitter.complete(
+        FilterResult.notRun(503, "the backlog is full", relay.retryAdvice.untilRoomMs(request)));
   }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -181,6 +181,12 @@
     return known && now >= badUntil && (!reports || now - reportedAt < SILENT);
   }
 
+  /** In how many ms it may be given requests again, as far as is known; 0 where it may now. */
+  long usableInMs(long now) {
+    if (usable(now)) return 0;
+    return now < badUntil ? badUntil - now : Backends.PERIOD;
+  }
+
   /**
    * Has told nothing of itself for so long that what it was given is given up; not by a relay just
    * awake.
--- a/data-plane/src/main/java/gladelug/data/relay/CallerListener.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerListener.java
@@ -59,7 +59,12 @@
     t.errorHandler(
         500,
         context ->
-            refuse(context, 503, "an internal problem before the order was taken", null, 1000));
+            refuse(
+                context,
+                503,
+                "an internal problem before the order was taken",
+                null,
+                FilterResult.RETRY_AT_ONCE_MS));
   }
 
   private static String key(HttpServerRequest request) {
@@ -70,7 +75,7 @@
   private void head(RoutingContext context) {
     String why = r.unready();
     if (!why.isEmpty()) {
-      refuse(context, 503, why, null, 1000);
+      refuse(context, 503, why, null, r.retryAdvice.untilReadyMs());
       return;
     }
     String hash = Configuration.hashOf(key(context.request()));
--- a/data-plane/src/main/java/gladelug/data/relay/Forwarding.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Forwarding.java
@@ -23,12 +23,6 @@
  * under the head of its first replica.
  */
 public final class Forwarding implements RequestFilter {
-  /** When a caller told "not run" may come back: soon, as another relay may have room. */
-  private static final long SOON = 1000;
-
-  /** When one may come back whose route or key changed while it waited: the new one counts then. */
-  private static final long CHANGED_MS = 200;
-
   private final Relay r;
   private final Exchange exchange;
 
@@ -62,15 +56,17 @@
   private FilterResult lateOrTriedOut(Request request, Backend backend) {
     long now = r.clock.now();
     if (r.stopping && request.tries > 0 && request.piecesOut == 0)
-      return FilterResult.notRun(503, "stopping", r.settings.comeBackMs());
+      return FilterResult.notRun(503, "stopping", FilterResult.RETRY_AT_ONCE_MS);
     FilterResult outlasts = request.piecesOut == 0 ? r.refusalIfItMayOutlastThis(request) : null;
     if (outlasts != null) return outlasts;
-    if (!r.news.leases.valid(now)) return FilterResult.notRun(503, "no licence", SOON);
-    if (now >= request.deadline) return FilterResult.notRun(503, Relay.EXPIRED_UNSENT, SOON);
+    if (!r.news.leases.valid(now))
+      return FilterResult.notRun(503, "no licence", r.retryAdvice.untilStateMs());
+    if (now >= request.deadline)
+      return FilterResult.notRun(503, Relay.EXPIRED_UNSENT, r.retryAdvice.untilRoomMs(request));
     // the replica it was to go to once more may have become unreachable meanwhile
     if (request.tries >= request.route.attempts() && backend != request.triedLast)
       return FilterResult.notRun(
-          503, "it went to as many replicas as it may", r.comeBackMs(request));
+          503, "it went to as many replicas as it may", r.retryAdvice.untilRoomMs(request));
     return null;
   }
 
@@ -81,7 +77,7 @@
     Configuration.Tenant tenant = tenantNow(request, snapshot, open);
     if (tenant == null || !tenant.name().equals(request.tenant.name()))
       return open
-          ? FilterResult.notRun(503, "the key's tenant changed", CHANGED_MS)
+          ? FilterResult.notRun(503, "the key's tenant changed", FilterResult.RETRY_AT_ONCE_MS)
           : FilterResult.notRun(401, "key revoked", 0);
     String scope = CacheScope.of(tenant, snapshot.prefixSharingSince());
     boolean model = request.service.kind() == Configuration.Kind.MODEL;
@@ -104,7 +100,7 @@
       Request request, Backend backend, ControlStateSnapshot snapshot, Configuration.Route route) {
     Configuration.Service service = snapshot.configuration().service(request.service.name());
     if (route == null || service == null || !route.allows(service.index()))
-      return FilterResult.notRun(503, "the mapping changed", CHANGED_MS);
+      return FilterResult.notRun(503, "the mapping changed", FilterResult.RETRY_AT_ONCE_MS);
     Replicas.Replica replica = snapshot.replicas().find(backend.replica.instance());
     if (replica == null
         || !replica.ready()
@@ -227,7 +223,10 @@
         o.only = same ? b : null;
         over(new FilterResult.Again(told));
       } else if (resumes()) cut(told);
-      else over(FilterResult.notRun(503, "the replica did not run it: " + why, r.comeBackMs(o)));
+      else
+        over(
+            FilterResult.notRun(
+                503, "the replica did not run it: " + why, r.retryAdvice.untilRoomMs(o)));
     }
 
     private void cut(String why) {
@@ -314,7 +313,7 @@
       }
       o.mayHaveRun = true;
       if (o.repeatable && again(false)) over(new FilterResult.Again(why));
-      else over(FilterResult.unknown(502, why));
+      else over(FilterResult.unknown(502, why, r.retryAdvice.untilRoomMs(o)));
     }
   }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/KeyFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/KeyFilter.java
@@ -20,7 +20,8 @@
   @Override
   public FilterResult decide(Request request) {
     String unready = relay.unready();
-    if (!unready.isEmpty()) return FilterResult.notRun(503, unready, relay.readyInMs());
+    if (!unready.isEmpty())
+      return FilterResult.notRun(503, unready, relay.retryAdvice.untilReadyMs());
     ControlStateSnapshot snapshot = relay.tables();
     Configuration.Route route = snapshot.configuration().route(request.host, request.path);
     request.tenant = tenant(request, route, snapshot);
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -46,15 +46,6 @@
 
   private static final long STALE = 2000;
 
-  /** How long a caller that is refused for want of a lease is to wait, in ms. */
-  private static final long COME_BACK_MS = 1000;
-
-  /**
-   * From the start of all processes at once until relays have the state of a newly elected core, in
-   * ms: measured on machines of a third of a core.
-   */
-  private static final long FLEET_STARTS_MS = 2000;
-
   private static final long ASLEEP = 500;
 
   /**
@@ -68,6 +59,7 @@
   public final Backends backends;
   public final RetryBudget budget;
   public final String zone;
+  public final RetryAdvice retryAdvice = new RetryAdvice(this);
   public RelaySettings settings;
   private final Map<String, WaitQueue> queues = new HashMap<>();
   private final Map<String, Integer> admitted = new HashMap<>();
@@ -131,17 +123,6 @@
     return "";
   }
 
-  /**
-   * Within what time a relay that may start nothing now is likely to, in ms: one that knows no
-   * state yet gets callers only where the fleet as a whole starts again.
-   */
-  long readyInMs() {
-    ControlStateSnapshot snapshot = tables();
-    boolean starts = snapshot.configurationNumber() == 0 || snapshot.replicasNumber() == 0;
-    if (stopping) return settings.comeBackMs();
-    return starts ? FLEET_STARTS_MS : COME_BACK_MS;
-  }
-
   /** Not ready from now on; whatever still runs then is cut off at a time on this relay's clock. */
   public void leave(long untilMs) {
     leaving = true;
@@ -154,7 +135,7 @@
    */
   FilterResult refusalIfItMayOutlastThis(Request request) {
     return request.deadline > drainsUntilMs
-        ? FilterResult.notRun(503, "stopping before it has to end", settings.comeBackMs())
+        ? FilterResult.notRun(503, "stopping before it has to end", FilterResult.RETRY_AT_ONCE_MS)
         : null;
   }
 
@@ -296,12 +277,6 @@
     return evictedShare;
   }
 
-  /** When a caller whose request did not run may come back: soon, and within the time it has. */
-  public long comeBackMs(Request request) {
-    double wait = request.service == null ? 0 : waitMs(request);
-    return (long) Math.max(settings.comeBackMs(), Math.min(10_000, wait));
-  }
-
   public WaitQueue queue(String service) {
     return queues.computeIfAbsent(
         service,
@@ -618,7 +593,8 @@
     State.At at = o.state.at();
     if (at == State.At.WAITING && !o.admitted && o.leaveQueue != null) {
       for (Request x : queue(o.service.name()).leave(y -> y == o))
-        x.leaveQueue.accept(FilterResult.notRun(status, why, status == 401 ? 0 : 1000));
+        x.leaveQueue.accept(
+            FilterResult.notRun(status, why, status == 401 ? 0 : retryAdvice.untilStateMs()));
     } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, why);
     // an admitted request still waiting meets the same check at the hand-over
   }
@@ -638,7 +614,10 @@
         request.caller.refuse(
             request,
             (FilterResult.Refuse)
-                FilterResult.unknown(request.deadline <= clock.now() ? 504 : 502, why));
+                FilterResult.unknown(
+                    request.deadline <= clock.now() ? 504 : 502,
+                    why,
+                    retryAdvice.untilRoomMs(request)));
     }
     ended(request);
   }
@@ -650,7 +629,8 @@
   private void expireUnsent(Request request) {
     if (!request.state.end()) return;
     FilterResult.Refuse v =
-        ((FilterResult.Refuse) FilterResult.notRun(503, EXPIRED_UNSENT, settings.comeBackMs()))
+        ((FilterResult.Refuse)
+                FilterResult.notRun(503, EXPIRED_UNSENT, retryAdvice.untilRoomMs(request)))
             .afterTriesOf(request);
     request.decision.add(
         "turned-away",
@@ -667,7 +647,8 @@
     if (!settings.has(Mechanism.EARLY_REFUSAL)) return;
     for (WaitQueue queue : queues.values())
       for (Request request : queue.leave(waiting -> now > waiting.latestStartMs()))
-        request.leaveQueue.accept(FilterResult.notRun(503, EXPIRED_UNPLACED, comeBackMs(request)));
+        request.leaveQueue.accept(
+            FilterResult.notRun(503, EXPIRED_UNPLACED, retryAdvice.untilRoomMs(request)));
   }
 
   /**
@@ -686,7 +667,8 @@
         State.At at = o.state.at();
         if (at == State.At.WAITING && !o.admitted && o.leaveQueue != null) {
           for (Request x : queue(o.service.name()).leave(y -> y == o))
-            x.leaveQueue.accept(FilterResult.notRun(503, "expired in the backlog", 1000));
+            x.leaveQueue.accept(
+                FilterResult.notRun(503, "expired in the backlog", retryAdvice.untilRoomMs(x)));
         } else if (at == State.At.HANDED || at == State.At.STREAMING) cutOff(o, "expired");
         else if (at == State.At.WAITING && o.admitted) expireUnsent(o);
       } else if (o.backend != null
--- a/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
@@ -1,6 +1,7 @@
 package gladelug.data.relay;
 
 import gladelug.common.configuration.RolloutPlan;
+import gladelug.data.state.StateSubscriptionService;
 import java.util.Set;
 
 /**
@@ -20,7 +21,7 @@
   private final boolean cutsStreams;
   private final double retryRatio;
   private final double retrySlack;
-  private final long comeBackMs;
+  private final long stateRenewalMs;
   private final double zoneMs;
   private final boolean prefersNewest;
   private final boolean hidesNoRoutes;
@@ -37,7 +38,7 @@
     cutsStreams = b.cutsStreams;
     retryRatio = b.retryRatio;
     retrySlack = b.retrySlack;
-    comeBackMs = b.comeBackMs;
+    stateRenewalMs = b.stateRenewalMs;
     zoneMs = b.zoneMs;
     prefersNewest = b.prefersNewest;
     cutoffMs = b.cutoffMs;
@@ -93,9 +94,9 @@
     return retrySlack;
   }
 
-  /** The least a caller is told to wait before it comes back, in ms. */
-  public long comeBackMs() {
-    return comeBackMs;
+  /** How often the core is asked for leases and newer state, in ms. */
+  public long stateRenewalMs() {
+    return stateRenewalMs;
   }
 
   /** What a replica in another zone is reckoned to cost beside its work, in ms. */
@@ -145,7 +146,7 @@
     private boolean cutsStreams = true;
     private double retryRatio = RetryBudget.EARN;
     private double retrySlack = -1;
-    private long comeBackMs = 1000;
+    private long stateRenewalMs = StateSubscriptionService.ASK_MS;
     private double zoneMs = OTHER_ZONE_MS;
     private boolean prefersNewest = true;
     private boolean hidesNoRoutes;
@@ -193,8 +194,8 @@
       return this;
     }
 
-    public Builder comeBackMs(long ms) {
-      comeBackMs = ms;
+    public Builder stateRenewalMs(long ms) {
+      stateRenewalMs = ms;
       return this;
     }
 
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
@@ -45,11 +45,11 @@
   public FilterResult decide(Request request) {
     long now = relay.clock.now();
     if (now >= request.deadline)
-      return FilterResult.notRun(503, "expired before a replica was chosen", 1000);
+      return FilterResult.notRun(
+          503, "expired before a replica was chosen", relay.retryAdvice.untilRoomMs(request));
     boolean model = request.service.kind() == Configuration.Kind.MODEL;
     String[] may = model ? relay.weights(request.model) : NO_WEIGHTS;
-    if (may == null)
-      return FilterResult.notRun(503, "no weights are named for " + request.model, 2000);
+    if (may == null) return new AdmissionFilter(relay).noWeights(request);
     List<ReplicaOption> options = options(request, model, may, now);
     if (options.isEmpty()) return none(request, now);
     ReplicaOption chosen = best(request, options);
@@ -84,7 +84,7 @@
             : all.stream().anyMatch(backend -> backend.known && now < backend.badUntil)
                 ? "every replica has just failed or turned an order away"
                 : "no replica answers",
-        Math.min(500, relay.settings.comeBackMs()));
+        relay.retryAdvice.untilRoomMs(request));
   }
 
   private ReplicaOption best(Request request, List<ReplicaOption> options) {
--- a/data-plane/src/main/java/gladelug/data/relay/RequestDurations.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RequestDurations.java
@@ -9,16 +9,18 @@
   /** Until a request completed. */
   private static final double INITIAL_MS = 250;
 
-  /** The weight of one request against those before it. */
-  private static final double REQUEST_WEIGHT = 1.0 / 20;
+  /** Over how many requests durations are averaged. */
+  private static final int AVERAGED_OVER = 20;
 
   private double meanMs = INITIAL_MS;
   private double beyondWorkMs = INITIAL_MS;
+  private int measured;
 
   /** A request whose own work was reckoned at workMs held its place for durationMs. */
   void measured(double durationMs, double workMs) {
-    meanMs += (durationMs - meanMs) * REQUEST_WEIGHT;
-    beyondWorkMs += (Math.max(0, durationMs - workMs) - beyondWorkMs) * REQUEST_WEIGHT;
+    measured = Math.min(AVERAGED_OVER, measured + 1);
+    meanMs += (durationMs - meanMs) / measured;
+    beyondWorkMs += (Math.max(0, durationMs - workMs) - beyondWorkMs) / measured;
   }
 
   /** What a request of the service usually takes, in ms. */
--- a/data-plane/src/main/java/gladelug/data/request/FilterChain.java
+++ b/data-plane/src/main/java/gladelug/data/request/FilterChain.java
@@ -45,8 +45,10 @@
                   request,
                   i,
                   handed
-                      ? FilterResult.unknown(502, "an internal problem")
-                      : FilterResult.notRun(503, "an internal problem", 1000));
+                      ? FilterResult.unknown(
+                          502, "an internal problem", FilterResult.RETRY_AT_ONCE_MS)
+                      : FilterResult.notRun(
+                          503, "an internal problem", FilterResult.RETRY_AT_ONCE_MS));
             });
   }
 
@@ -55,7 +57,10 @@
     else if (v instanceof FilterResult.Again a) {
       request.decision.add("again", clock.now(), Json.object().add("why", a.why()));
       if (++request.choices > CHOICES)
-        refuse(request, (FilterResult.Refuse) FilterResult.notRun(503, "no replica took it", 500));
+        refuse(
+            request,
+            (FilterResult.Refuse)
+                FilterResult.notRun(503, "no replica took it", FilterResult.RETRY_AT_ONCE_MS));
       else step(request, choice);
     } else if (v instanceof FilterResult.Refuse t) refuse(request, t);
     else ended.accept(request);
--- a/data-plane/src/main/java/gladelug/data/request/FilterResult.java
+++ b/data-plane/src/main/java/gladelug/data/request/FilterResult.java
@@ -23,13 +23,19 @@
     }
   }
 
+  /**
+   * The advice, in ms, to come back at once: what the request lacked is there now, here or at
+   * another relay.
+   */
+  long RETRY_AT_ONCE_MS = 10;
+
   FilterResult GO = new Go(), ENDED = new Ended();
 
   static FilterResult notRun(int status, String reason, long retryMs) {
     return new Refuse(status, "not-run", reason, retryMs);
   }
 
-  static FilterResult unknown(int status, String reason) {
-    return new Refuse(status, "unknown", reason, 1000);
+  static FilterResult unknown(int status, String reason, long retryMs) {
+    return new Refuse(status, "unknown", reason, retryMs);
   }
 }
--- a/data-plane/src/main/java/gladelug/data/state/StateSubscriptionService.java
+++ b/data-plane/src/main/java/gladelug/data/state/StateSubscriptionService.java
@@ -32,7 +32,10 @@
  * from the partial view, else from the seeds, so it goes on when all of the core has moved.
  */
 public final class StateSubscriptionService implements ServiceRegistry.Service {
-  private static final long ASK = 400, CIRCLE = 1000;
+  /** How often the core is asked where nothing else is set, in ms. */
+  public static final long ASK_MS = 400;
+
+  private static final long CIRCLE = 1000;
   private final long askMs;
   private final Vertx vertx;
   private final List<Address> seeds;
@@ -47,7 +50,7 @@
 
   public StateSubscriptionService(
       Vertx vertx, Clock clock, Shuffle.Descriptor self, List<Address> seeds) {
-    this(vertx, clock, self, seeds, ASK, Configuration::parse);
+    this(vertx, clock, self, seeds, ASK_MS, Configuration::parse);
   }
 
   /**
--- a/data-plane/src/test/java/gladelug/data/relay/BackendTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/BackendTest.java
@@ -78,4 +78,14 @@
       before = cost;
     }
   }
+
+  @Test
+  void oneLeftAloneTellsWhenItIsAskedAgain() {
+    Backend backend = quiet();
+    Assertions.assertEquals(0, backend.usableInMs(1000));
+    backend.bad(1000, 700);
+    Assertions.assertEquals(700, backend.usableInMs(1000));
+    Assertions.assertEquals(200, backend.usableInMs(1500));
+    Assertions.assertEquals(0, backend.usableInMs(1700));
+  }
 }
--- a/data-plane/src/test/java/gladelug/data/relay/CallersTimeTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/CallersTimeTest.java
@@ -1,5 +1,6 @@
 package gladelug.data.relay;
 
+import gladelug.data.request.FilterResult;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Assertions;
@@ -52,6 +53,37 @@
     }
   }
 
+  /** Guards against times to come back that are constants and not when there will be room. */
+  @Test
+  void whoComesBackWhenToldFindsRoomAndWhoComesLongBeforeDoesNot() {
+    SimulatedBurst world = burstOfTarget(0);
+    world.burst(CALLERS + 2, SimulatedBurst.Call.waiting(LONG_WAIT_MS), BURST_MS);
+    SimulatedBurst.Call call = SimulatedBurst.Call.waiting(3 * REQUEST_MS);
+    SimulatedBurst.Call shortCall = SimulatedBurst.Call.waiting(SHORT_WAIT_MS);
+    SimulatedBurst.Outcome refused = world.ask(shortCall);
+    Assertions.assertNotNull(refused.refusal);
+    world.run(refused.refusal.retryMs() / 3);
+    Assertions.assertNotNull(world.ask(shortCall).refusal);
+    world.run(refused.refusal.retryMs() - refused.refusal.retryMs() / 3);
+    SimulatedBurst.Outcome again = world.ask(call);
+    // what is told before the first request has completed is a guess
+    if (again.refusal != null) {
+      world.run(again.refusal.retryMs());
+      again = world.ask(call);
+    }
+    world.run(call.patienceMs());
+    Assertions.assertTrue(again.served(), "" + again.refusal);
+  }
+
+  @Test
+  void whereNothingWaitsACallerMayComeBackAtOnce() {
+    SimulatedBurst world = burstOfTarget(0);
+    world.relay().leave(world.nowMs() + REQUEST_MS);
+    SimulatedBurst.Outcome refused = world.ask(SimulatedBurst.Call.waiting(LONG_WAIT_MS));
+    Assertions.assertEquals(
+        FilterResult.RETRY_AT_ONCE_MS, refused.refusal.retryMs(), "another relay has the time");
+  }
+
   /** Guards against a time left that is compared with the mean of requests of all lengths. */
   @Test
   void whoAsksForLittleIsLetInWhereWhoAsksForMuchCouldNotEndInTime() {
--- a/data-plane/src/test/java/gladelug/data/relay/SimulatedBurst.java
+++ b/data-plane/src/test/java/gladelug/data/relay/SimulatedBurst.java
@@ -193,6 +193,11 @@
     return nowMs;
   }
 
+  /** The relay that is asked. */
+  Relay relay() {
+    return relays.get(0);
+  }
+
   /** So many calls alike at the first relay, evenly over so many ms, which are played. */
   List<Outcome> burst(int calls, Call call, long overMs) {
     List<Outcome> outcomes = new ArrayList<>();
