--- a/data-plane/src/main/java/gladelug/data/relay/Exchange.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Exchange.java
@@ -43,6 +43,13 @@
      */
     void otherWeights(String why);
 
+    /**
+     * The replica ran the request and answered that it failed. True where it goes to another
+     * replica instead, and nothing more of this answer counts; false where the answer is the
+     * caller's.
+     */
+    boolean goesOnAfter(String failure);
+
     void head(Head h);
 
     /** The next whole piece; event is its name where it has one. */
--- a/data-plane/src/main/java/gladelug/data/relay/Forwarding.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Forwarding.java
@@ -23,6 +23,11 @@
  * under the head of its first replica.
  */
 public final class Forwarding implements RequestFilter {
+  /** How long a replica is left alone that failed before an answer, or broke off in its middle. */
+  private static final long FAILED_MS = 1000;
+
+  private static final long BROKE_OFF_MS = 300;
+
   private final Relay r;
   private final Exchange exchange;
 
@@ -55,8 +60,6 @@
 
   private FilterResult lateOrTriedOut(Request request, Backend backend) {
     long now = r.clock.now();
-    if (r.stopping && request.tries > 0 && request.piecesOut == 0)
-      return FilterResult.notRun(503, "stopping", FilterResult.RETRY_AT_ONCE_MS);
     FilterResult outlasts = request.piecesOut == 0 ? r.refusalIfItMayOutlastThis(request) : null;
     if (outlasts != null) return outlasts;
     if (!r.news.leases.valid(now))
@@ -190,10 +193,12 @@
       over(new FilterResult.Again(why));
     }
 
-    /** Whether it may go to a replica once more; the same one again is no further replica. */
+    /**
+     * Whether it may go to a replica once more, and if so takes that from the budget. Its route
+     * bounds to how many replicas it may go; the same one again is no further replica.
+     */
     private boolean again(boolean same) {
       if (r.clock.now() >= o.deadline
-          || r.stopping && !resumes()
           || !same && o.tries >= o.route.attempts()
           || !r.settings.has(Mechanism.RETRIES)
           || !r.budget.secondTry(o.service.name())) return false;
@@ -288,6 +293,20 @@
       over(FilterResult.ENDED);
     }
 
+    @Override
+    public boolean goesOnAfter(String failure) {
+      if (over) return true;
+      if (!o.repeatable || o.piecesOut > 0 || !again(false)) return false;
+      // letting the connection go may tell of a break
+      over = true;
+      handle.reset();
+      b.failures++;
+      leaveAlone(FAILED_MS);
+      o.mayHaveRun = true;
+      over(new FilterResult.Again(b.replica.instance() + ": " + failure));
+      return true;
+    }
+
     /** Before the first piece: once more where that is allowed, else of unknown fate. */
     @Override
     public void broken(String what) {
@@ -302,7 +321,7 @@
         return;
       }
       b.failures++;
-      leaveAlone(at == State.At.STREAMING ? 300 : 1000);
+      leaveAlone(at == State.At.STREAMING ? BROKE_OFF_MS : FAILED_MS);
       if (at == State.At.STREAMING) {
         if (o.route.resumable() && o.resumesAfterLast && again(false)) {
           o.decision.add(
--- a/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
@@ -310,6 +310,20 @@
     Assertions.assertEquals(0, r.relay.live().size());
   }
 
+  /** Guards against a stopping relay that refuses what was tried before and takes what was not. */
+  @Test
+  void atAStoppingRelayWhatEndsInTimeIsTriedOnceMoreAndWhatMayOutlastItIsNot() {
+    for (boolean outlasts : new boolean[] {false, true}) {
+      World r = relay(false);
+      r.ask("t");
+      r.relay.leave(r.now + EXPIRY + (outlasts ? -1 : 1));
+      r.relay.stopping = true;
+      r.sent.get(0).to.notRun("full", 0);
+      Assertions.assertEquals(outlasts ? 1 : 2, r.sent.size());
+      Assertions.assertEquals(outlasts ? List.of("refused 503") : List.of(), r.told());
+    }
+  }
+
   @Test
   void theLongestPauseOfAnAnswerIsKnownWithItsEnd() {
     World r = relay(false);
