--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -66,6 +66,7 @@
   private final Map<Long, Request> live = new LinkedHashMap<>();
   private final Map<String, RequestDurations> durations = new HashMap<>();
   private ControlStateSnapshot shaped = ControlStateSnapshot.NONE;
+  private UrgencyLevels urgencyLevels = new UrgencyLevels(Configuration.EMPTY);
   public final IntSupplier relays;
   public final RecentPlacements placements = new RecentPlacements();
   final PrefixStores stores;
@@ -277,6 +278,11 @@
     return evictedShare;
   }
 
+  /** How urgent replicas are told that a request is, by the newest configuration; 0 is first. */
+  public int urgency(Request request) {
+    return urgencyLevels.of(request);
+  }
+
   public WaitQueue queue(String service) {
     return queues.computeIfAbsent(
         service,
@@ -574,6 +580,7 @@
     backends.tables(snapshot);
     stores.tables(snapshot, clock.now());
     if (snapshot.configurationNumber() != shaped.configurationNumber()) {
+      urgencyLevels = new UrgencyLevels(snapshot.configuration());
       for (WaitQueue b : queues.values()) b.shape(snapshot.configuration());
       for (Request request : live()) {
         if (request.tenant == null || request.route != null && request.route.open()) continue;
