--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -75,7 +75,7 @@
   private long fleetBusyUntil;
 
   private long fleetToldAt = Long.MIN_VALUE / 2;
-  private double usualPrefillMs;
+  private double usualPrefillShare;
   private int fleetRunning;
   private int fleetUnits;
 
@@ -247,16 +247,16 @@
   /** The index told what all relays gave it; this relay's own was among it. */
   void fleetLoad(Lookup.Load load, long now) {
     double share = 1 - Math.exp(-(now - fleetToldAt) / USUAL_PREFILL_OVER_MS);
-    usualPrefillMs += (load.busyMs() - usualPrefillMs) * share;
+    usualPrefillShare += ((load.busyMs() > 0 ? 1 : 0) - usualPrefillShare) * share;
     fleetBusyUntil = now + load.busyMs();
     fleetRunning = load.running();
     fleetUnits = load.units();
     fleetToldAt = now;
   }
 
-  /** How long prompts keep it busy at a random moment, by what was told of it lately, in ms. */
-  double usualPrefillMs() {
-    return usualPrefillMs;
+  /** The part of the time in which it reads prompts, by what was told of it lately. */
+  double usualPrefillShare() {
+    return usualPrefillShare;
   }
 
   /** How long the prompts that it has keep it busy from now, in ms; 0 of one that reports. */
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
@@ -100,13 +100,9 @@
   /** What the request and the others at the replica hold each other up. */
   private double interferenceMs(Request request, Backend backend, Prefill prefill, long now) {
     if (!relay.settings.has(Mechanism.STREAM_INTERFERENCE)) return 0;
-    return StreamInterference.causedMs(
-            request,
-            backend.prefillAheadMs(now),
-            prefill.computeUnits * backend.unitMs,
-            backend.running(now))
+    return StreamInterference.causedMs(prefill.computeUnits * backend.unitMs, backend.running(now))
         + StreamInterference.sufferedMs(
-            request, backend.usualPrefillMs(), relay.expectedReplyMs(request));
+            backend.usualPrefillShare(), relay.expectedReplyMs(request));
   }
 
   /** By the index's matches, and by what this relay sent there a moment ago. */
