--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -82,9 +82,6 @@
   /** Not ready any more, though requests are still taken that end in time. */
   public boolean leaving;
 
-  /** No request is taken any more. */
-  public boolean stopping;
-
   /** When whatever still runs is cut off, on this relay's clock, once it is leaving. */
   private long drainsUntilMs = Long.MAX_VALUE;
 
@@ -117,7 +114,6 @@
   /** Empty where requests may start now, else the reason why not. */
   public String unready() {
     ControlStateSnapshot snapshot = tables();
-    if (stopping) return "stopping";
     if (snapshot.configurationNumber() == 0) return "no policy yet";
     if (snapshot.replicasNumber() == 0) return "no list of replicas yet";
     if (!news.leases.valid(clock.now())) return "no licence";
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -43,8 +43,9 @@
   private static final long TICK = 50, IDLE_TICK = 200;
 
   /**
-   * lingerMs: how long a relay that stops still takes requests, if their deadlines lie before its
-   * end; drainMs: when it has ended at the latest.
+   * A relay that stops takes what has to end before it does. lingerMs: how long it stays though
+   * nothing is under way, as callers may still be sent to it; drainMs: when it has ended at the
+   * latest.
    */
   public record Ends(long lingerMs, long drainMs) {
     public static final Ends USUAL = new Ends(0, DRAIN);
@@ -265,7 +266,6 @@
               20,
               i -> {
                 long past = clock.now() - begun;
-                if (past >= ends.lingerMs) relay.stopping = true;
                 if (past >= ends.lingerMs && relay.live().isEmpty() || past > ends.drainMs)
                   done.complete(null);
               });
--- a/data-plane/src/main/java/gladelug/data/relay/RetryAdvice.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RetryAdvice.java
@@ -55,7 +55,6 @@
   public long untilReadyMs() {
     ControlStateSnapshot snapshot = relay.tables();
     boolean starts = snapshot.configurationNumber() == 0 || snapshot.replicasNumber() == 0;
-    if (relay.stopping) return FilterResult.RETRY_AT_ONCE_MS;
     return starts ? FLEET_STARTS_MS : untilStateMs();
   }
 }
--- a/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
@@ -317,13 +317,28 @@
       World r = relay(false);
       r.ask("t");
       r.relay.leave(r.now + EXPIRY + (outlasts ? -1 : 1));
-      r.relay.stopping = true;
       r.sent.get(0).to.notRun("full", 0);
       Assertions.assertEquals(outlasts ? 1 : 2, r.sent.size());
       Assertions.assertEquals(outlasts ? List.of("refused 503") : List.of(), r.told());
     }
   }
 
+  /** Guards against a stopping relay that refuses what it has the time for. */
+  @Test
+  void aRelayThatLeavesTakesWhatEndsInTimeUntilItsEndAndNothingElse() {
+    World r = relay(false);
+    r.relay.leave(r.now + 2 * EXPIRY);
+    for (int i = 0; i <= 4; i++) {
+      r.ask("t");
+      Assertions.assertEquals(List.of(), r.told());
+      r.sent.get(i).to.end();
+      r.told();
+      r.now += EXPIRY / 4;
+    }
+    r.ask("t");
+    Assertions.assertEquals(List.of("refused 503"), r.told());
+  }
+
   @Test
   void theLongestPauseOfAnAnswerIsKnownWithItsEnd() {
     World r = relay(false);
