--- a/data-plane/src/main/java/gladelug/data/decisions/DecisionLogService.java
+++ b/data-plane/src/main/java/gladelug/data/decisions/DecisionLogService.java
@@ -53,7 +53,7 @@
   }
 
   /**
-   * near: the zone whose processes are handed records first, where bytes between zones are dear;
+   * near: the zone whose processes are handed records first, where links between zones are narrow;
    * empty for none.
    */
   public DecisionLogService(
--- a/data-plane/src/main/java/gladelug/data/relay/Backend.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Backend.java
@@ -13,7 +13,14 @@
  * the request thread.
  */
 public final class Backend {
-  private static final long PROBE = 20_000, SILENT = 2000, QUIET = 1200;
+  /** After how long a link that was found slow is tried again, in ms. */
+  private static final long LINK_RETRY_MS = 20_000;
+
+  /** After how long without a report one that reports is taken for gone, in ms. */
+  private static final long REPORT_TIMEOUT_MS = 2000;
+
+  /** After how long without a byte one that was given something is taken for slow, in ms. */
+  private static final long UNANSWERED_MS = 1200;
 
   /** Over how long the prefill that was told of is averaged, in ms. */
   private static final double USUAL_PREFILL_OVER_MS = 2000;
@@ -21,20 +28,35 @@
   /** How long what the index told of its load counts, in ms. */
   private static final long FLEET_LOAD_FRESH_MS = 1000;
 
-  /** Work given lately is weighed over so many ms; a wait that was told of fades over so many. */
-  private static final double LATELY = 1000, FADES = 800;
+  /** Work given lately is averaged over so long, in ms. */
+  private static final double RATE_OVER_MS = 1000;
 
-  /**
-   * What one that waits there is reckoned to hold up, and what room that isn't there and silence
-   * cost, in ms.
-   */
-  private static final double WAITS_MS = 25, NO_ROOM_MS = 2000, QUIET_MS = 1500;
+  /** Waiting requests that an answer told of are done after about so long, in ms. */
+  private static final double TOLD_FADES_MS = 800;
 
-  /**
-   * From which share of its memory on a replica is reckoned to make requests wait or put others
-   * back, and how much beyond that counts.
-   */
-  private static final double ROOM_SHARE = 0.8, MOST_OVER = 1.5;
+  /** How long a request waits for each that waits there before it, in ms. */
+  private static final double WAITING_REQUEST_MS = 25;
+
+  /** How long a request waits for memory that others hold, in ms. */
+  private static final double FULL_MEMORY_WAIT_MS = 2000;
+
+  /** How long a request is likely to wait for one that leaves others unanswered, in ms. */
+  private static final double UNANSWERED_WAIT_MS = 1500;
+
+  /** The share of its memory from which on requests wait there or put others back. */
+  private static final double ROOM_SHARE = 0.8;
+
+  /** The most of its memory beyond that share that is reckoned with. */
+  private static final double MOST_OVER = 1.5;
+
+  /** Of a relay's own work at a replica, what each other relay is reckoned to give it beside. */
+  private static final double OTHER_RELAYS_SHARE = 0.8;
+
+  /** The most that a replica is reckoned to be busy, as the wait grows without end towards 1. */
+  private static final double MOST_BUSY = 0.9;
+
+  /** How long the work of one request usually is, of those that others wait for, in ms. */
+  private static final double USUAL_WORK_MS = 40;
 
   public Replica replica;
   public boolean known;
@@ -178,7 +200,7 @@
   }
 
   public boolean usable(long now) {
-    return known && now >= badUntil && (!reports || now - reportedAt < SILENT);
+    return known && now >= badUntil && (!reports || now - reportedAt < REPORT_TIMEOUT_MS);
   }
 
   /** In how many ms it may be given requests again, as far as is known; 0 where it may now. */
@@ -192,7 +214,7 @@
    * awake.
    */
   public boolean silent(long now, long awake) {
-    return reports && now - Math.max(reportedAt, awake) > SILENT;
+    return reports && now - Math.max(reportedAt, awake) > REPORT_TIMEOUT_MS;
   }
 
   /**
@@ -201,8 +223,8 @@
    */
   private boolean quiet(long now) {
     return unanswered > 0
-        && now - Math.max(heardAt, askedSince) > QUIET
-        && now - askedSince < 10 * QUIET;
+        && now - Math.max(heardAt, askedSince) > UNANSWERED_MS
+        && now - askedSince < 10 * UNANSWERED_MS;
   }
 
   /** A request went there. */
@@ -228,7 +250,7 @@
    */
   public double queueMs(long now, int relays, int units, RelaySettings settings) {
     if (reports) return Math.max(0, waitMs - (now - reportedAt)) + addedMs;
-    return (settings.has(Mechanism.SILENCE_ESTIMATES) && quiet(now) ? QUIET_MS : 0)
+    return (settings.has(Mechanism.SILENCE_ESTIMATES) && quiet(now) ? UNANSWERED_WAIT_MS : 0)
         + (settings.has(Mechanism.LOAD_ESTIMATES) ? workMs(now, relays) : 0)
         + (settings.has(Mechanism.MEMORY_ESTIMATES) ? memoryMs(units, now) : 0);
   }
@@ -236,12 +258,12 @@
   /** Work that it was given and isn't done, this relay's and by its example that of the others. */
   private double workMs(long now, int relays) {
     if (knowsFleet(now)) return Math.max(0, fleetBusyUntil - now) + toldMs(now);
-    double busy = Math.min(0.9, rate(now) * Math.max(1, relays * 0.8));
-    return Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * 40 + toldMs(now);
+    double busy = Math.min(MOST_BUSY, rate(now) * Math.max(1, relays * OTHER_RELAYS_SHARE));
+    return Math.max(0, owedUntil - now) + busy * busy / (1 - busy) * USUAL_WORK_MS + toldMs(now);
   }
 
   private double toldMs(long now) {
-    return waitingThere * WAITS_MS * Math.exp(-(now - reportedAt) / FADES);
+    return waitingThere * WAITING_REQUEST_MS * Math.exp(-(now - reportedAt) / TOLD_FADES_MS);
   }
 
   /** The index told what all relays gave it; this relay's own was among it. */
@@ -279,11 +301,11 @@
     double there = mineUnits + Math.max(0, reported - mineAtReport) * usualUnits;
     if (knowsFleet(now)) there = Math.max(there, fleetUnits);
     double over = keptUnits <= 0 ? 0 : Math.max(0, (there + units) / keptUnits - ROOM_SHARE);
-    return Math.min(MOST_OVER, over) * NO_ROOM_MS;
+    return Math.min(MOST_OVER, over) * FULL_MEMORY_WAIT_MS;
   }
 
   private double rate(long now) {
-    rate *= Math.exp(-(now - ratedAt) / LATELY);
+    rate *= Math.exp(-(now - ratedAt) / RATE_OVER_MS);
     ratedAt = now;
     return rate;
   }
@@ -293,7 +315,7 @@
     addedMs += ms;
     owedUntil = Math.max(owedUntil, now) + Math.round(ms);
     fleetBusyUntil = Math.max(fleetBusyUntil, now) + Math.round(ms);
-    rate = rate(now) + ms / LATELY;
+    rate = rate(now) + ms / RATE_OVER_MS;
   }
 
   /** A request of so many units goes there. */
@@ -317,7 +339,7 @@
 
   /** A pull took far longer than its link should need: for a while units are computed here. */
   public void slowLink(long now) {
-    slowLinkUntil = now + PROBE / 4;
+    slowLinkUntil = now + LINK_RETRY_MS / 4;
   }
 
   /**
@@ -338,7 +360,8 @@
   public boolean unsure(String holder, long now) {
     if (engineLinkMs > 0) return false;
     Double m = links.get(holder);
-    return m == null || m > unitMs / 4 && now - pulledAt.getOrDefault(holder, now - 1) > PROBE;
+    return m == null
+        || m > unitMs / 4 && now - pulledAt.getOrDefault(holder, now - 1) > LINK_RETRY_MS;
   }
 
   public void pulls(String holder, long now) {
--- a/data-plane/src/main/java/gladelug/data/relay/Mechanism.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Mechanism.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 
 /**
- * The mechanisms of the data plane that can be switched off one by one, to measure what each is
- * worth. For experiments only: a deployment runs with all of them.
+ * The mechanisms of the data plane that can be switched off one by one, to measure what callers get
+ * by each. For experiments only: a deployment runs with all of them.
  */
 public enum Mechanism {
   /** Lookups at the Cuckoo Summary. */
@@ -35,7 +35,7 @@
   SILENCE_ESTIMATES,
   /** Replicas of the relay's own zone are a little cheaper. */
   ZONE_PREFERENCE,
-  /** Long prompts and streams that run at the same replica make it dear for each other. */
+  /** Long prompts and streams that run at the same replica hold each other up. */
   STREAM_INTERFERENCE,
   /** A replica about to load other weights is avoided. */
   ROLLOUT_AVOIDANCE,
--- a/data-plane/src/main/java/gladelug/data/relay/PrefixStore.java
+++ b/data-plane/src/main/java/gladelug/data/relay/PrefixStore.java
@@ -10,8 +10,8 @@
   /** Another zone's link takes twice as long. */
   private static final double OTHER_ZONE = 2;
 
-  /** What a save has to be able to spare a later request, in ms, to be worth its move. */
-  private static final double WORTH_MS = 10;
+  /** What a save has to spare the next caller who asks for the same, in ms. */
+  private static final double LEAST_SPARED_MS = 10;
 
   private final Configuration.Service service;
   private final StoreLink link;
@@ -42,14 +42,15 @@
   }
 
   /**
-   * Whether a replica should save what it is about to compute.
+   * Whether a replica should save what it is about to compute: the next caller is spared some time
+   * by pulling it, and there is time left on the link.
    *
    * @param shared units of the prompt that other requests may ask for
    * @param all units that a save moves
    */
-  boolean worthSaving(Backend backend, int shared, int all, long now) {
+  boolean sparesTime(Backend backend, int shared, int all, long now) {
     double unit = unitMs(backend);
-    if (unit < 0 || shared * (backend.unitMs - unit) < WORTH_MS) return false;
+    if (unit < 0 || shared * (backend.unitMs - unit) < LEAST_SPARED_MS) return false;
     return link.maySave(all * unit, now);
   }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/PrefixStores.java
+++ b/data-plane/src/main/java/gladelug/data/relay/PrefixStores.java
@@ -40,7 +40,8 @@
 
   /**
    * To which store the chosen replica is to save the prompt, or null: one that keeps less of its
-   * shared blocks than the request has, that is worth the move, with the least time on its link.
+   * shared blocks than the request has, from which the next caller pulls sooner than it computes,
+   * with the least time on its link.
    */
   PrefixStore saveTo(Request request, ReplicaOption chosen, long now) {
     int shared = ReplicaCosts.sharedUnits(request);
@@ -48,7 +49,7 @@
     PrefixStore best = null;
     for (PrefixStore store : stores.values())
       if (keptUnits(request, store) < shared
-          && store.worthSaving(chosen.backend(), shared, request.promptUnits(), now)
+          && store.sparesTime(chosen.backend(), shared, request.promptUnits(), now)
           && (best == null || store.unitMs(chosen.backend()) < best.unitMs(chosen.backend())))
         best = store;
     return best;
--- a/data-plane/src/test/java/gladelug/data/relay/SimulatedFleet.java
+++ b/data-plane/src/test/java/gladelug/data/relay/SimulatedFleet.java
@@ -53,8 +53,7 @@
    * @param spread of those, as the deviation of their logarithm
    * @param mostTokens the most of those
    * @param replyTokens the mean of a reply's tokens
-   * @param aimMs until when its first piece is in time
-   * @param gapMs the longest pause that is in time
+   * @param gapMs the longest pause that its callers bear
    */
   record Kind(
       String name,
@@ -63,7 +62,6 @@
       double spread,
       int mostTokens,
       int replyTokens,
-      int aimMs,
       int gapMs) {}
 
   private record Event(double at, long number, Runnable what) {}
@@ -177,7 +175,7 @@
           Configuration.Route.named(kind.name)
               .at("", "/" + kind.name, false)
               .to(0, 1)
-              .times((int) DEADLINE_MS, kind.aimMs, kind.gapMs)
+              .times((int) DEADLINE_MS, 0, kind.gapMs)
               .open(true)
               .build(routes.size()));
     return new Configuration(1, List.of(service), routes, List.of(), Configuration.Limits.USUAL);
--- a/data-plane/src/test/java/gladelug/data/relay/StoreLinkTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/StoreLinkTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
-/** A relay's share of a store's link, and what is worth moving over it. */
+/** A relay's share of a store's link, and what is moved over it. */
 final class StoreLinkTest {
   private static final int TOKEN_BYTES = 20_000;
   private static final double MBPS = 80_000;
@@ -63,13 +63,13 @@
     StoreLink link = new StoreLink(() -> 1, 0);
     PrefixStore store = store(link, MBPS);
     long idle = 10_000;
-    Assertions.assertTrue(store.worthSaving(backend("here", 0.01), PROMPT, PROMPT, idle));
+    Assertions.assertTrue(store.sparesTime(backend("here", 0.01), PROMPT, PROMPT, idle));
     Assertions.assertFalse(
-        store.worthSaving(backend("here", UNIT_MS), PROMPT, PROMPT, idle), "computes as fast");
+        store.sparesTime(backend("here", UNIT_MS), PROMPT, PROMPT, idle), "computes as fast");
     Assertions.assertFalse(
-        store.worthSaving(backend("here", 0.01), 100, 100, idle), "too short to matter");
+        store.sparesTime(backend("here", 0.01), 100, 100, idle), "too short to matter");
     Assertions.assertFalse(
-        store(link, 0).worthSaving(backend("here", 0.01), PROMPT, PROMPT, idle), "link not known");
+        store(link, 0).sparesTime(backend("here", 0.01), PROMPT, PROMPT, idle), "link not known");
   }
 
   @Test
--- a/data-plane/src/test/java/gladelug/data/relay/StreamPausesTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/StreamPausesTest.java
@@ -11,19 +11,22 @@
 final class StreamPausesTest {
   private static final int RELAYS = 12;
   private static final int REPLICAS = 12;
+
+  /** The longest pause that callers of these routes bear. */
   private static final int GAP_MS = 400;
+
   private static final long WARM_UP_MS = 5_000;
   private static final long PLAYED_MS = 40_000;
 
-  /** The stated target: 95 in 100 in time. */
-  private static final double IN_TIME = 0.95;
+  /** The stated target: 95 in 100 callers get their stream without a longer pause. */
+  private static final double WITHOUT_A_PAUSE = 0.95;
 
   private static final SimulatedFleet.Kind LONG_PROMPTS =
-      new SimulatedFleet.Kind("check", 1.8 * REPLICAS, 7500, 0.6, 18_300, 10, 800, GAP_MS);
+      new SimulatedFleet.Kind("check", 1.8 * REPLICAS, 7500, 0.6, 18_300, 10, GAP_MS);
   private static final SimulatedFleet.Kind SHORT_PROMPTS =
-      new SimulatedFleet.Kind("tag", 1.5 * REPLICAS, 1800, 0.8, 6870, 5, 600, GAP_MS);
+      new SimulatedFleet.Kind("tag", 1.5 * REPLICAS, 1800, 0.8, 6870, 5, GAP_MS);
   private static final SimulatedFleet.Kind STREAMS =
-      new SimulatedFleet.Kind("draft", 2.1 * REPLICAS, 600, 0.6, 2310, 56, 500, GAP_MS);
+      new SimulatedFleet.Kind("draft", 2.1 * REPLICAS, 600, 0.6, 2310, 56, GAP_MS);
 
   /** Guards against streams that pause as long prompts are handed to the replicas they run on. */
   @ParameterizedTest
@@ -39,7 +42,7 @@
     List<Request> judged = streams.subList(before, streams.size() - REPLICAS);
     long paused = judged.stream().filter(Request::pausedTooLong).count();
     Assertions.assertTrue(
-        judged.size() - paused >= IN_TIME * judged.size(),
+        judged.size() - paused >= WITHOUT_A_PAUSE * judged.size(),
         paused + " of " + judged.size() + " streams paused for more than " + GAP_MS + " ms");
   }
 }
--- a/emulator/src/main/java/gladelug/emulator/CommandLine.java
+++ b/emulator/src/main/java/gladelug/emulator/CommandLine.java
@@ -226,7 +226,8 @@
 
   private void ablation() {
     Subparser command =
-        command("ablation", "what each mechanism of the data plane is worth, by a bench's days");
+        command(
+            "ablation", "what callers get by each mechanism of the data plane, by a bench's days");
     command.addArgument("--bench").required(true).help("the bench's program");
     command.addArgument("--site").required(true).help("the site file");
     command.addArgument("--days").nargs("+").required(true);
--- a/emulator/src/main/java/gladelug/emulator/experiment/Ablation.java
+++ b/emulator/src/main/java/gladelug/emulator/experiment/Ablation.java
@@ -20,8 +20,8 @@
   /** How the relay's command ends in the deploy file. */
   private static final String RELAY_COMMAND_END = "program.jar relay\"";
 
-  /** The figure of a report that holds the day's worth, as the bench names it. */
-  private static final String WORTH = "G";
+  /** The figure of a report that says which share of its requests was served. */
+  private static final String SERVED = "served";
 
   private final AblationPlan plan;
   private final Path repository;
@@ -41,8 +41,8 @@
     String complete = Files.readString(deployFile);
     for (String variant : plan.variants()) {
       switchOff(deployFile, complete, variant);
-      for (AblationPlan.Play play : plan.plays(variant)) table.add(variant, worth(play, checkout));
-      table.write(plan.out(), plan.site().getFileName() + ", what each mechanism is worth");
+      for (AblationPlan.Play play : plan.plays(variant)) table.add(variant, served(play, checkout));
+      table.write(plan.out(), plan.site().getFileName() + ", what callers get by each mechanism");
       System.out.println(table.markdown());
     }
   }
@@ -65,26 +65,26 @@
     Files.writeString(deployFile, all ? complete : complete.replace(RELAY_COMMAND_END, off));
   }
 
-  private double worth(AblationPlan.Play play, Path checkout)
+  private double served(AblationPlan.Play play, Path checkout)
       throws IOException, InterruptedException {
     Path report = plan.out().resolve(play.label() + ".json").toAbsolutePath();
     Path log = plan.out().resolve(play.label() + ".txt");
     String why = "ablation, " + play.variant() + (isComplete(play) ? "" : " off");
     int ended = start(plan.command(play, report, why), checkout, log);
-    double worth = ended == 0 || Files.exists(report) ? worth(report) : Double.NaN;
+    double served = ended == 0 || Files.exists(report) ? served(report) : Double.NaN;
     System.out.println(
-        play.label() + " " + (Double.isNaN(worth) ? "no figure, see " + log : worth));
-    return worth;
+        play.label() + " " + (Double.isNaN(served) ? "no figure, see " + log : served));
+    return served;
   }
 
   private static boolean isComplete(AblationPlan.Play play) {
     return play.variant().equals(AblationPlan.ALL_ON);
   }
 
-  private static double worth(Path report) throws IOException {
+  private static double served(Path report) throws IOException {
     try {
-      JsonValue worth = Json.parse(Files.readString(report)).asObject().get(WORTH);
-      return worth == null || !worth.isNumber() ? Double.NaN : worth.asDouble();
+      JsonValue served = Json.parse(Files.readString(report)).asObject().get(SERVED);
+      return served == null || !served.isNumber() ? Double.NaN : served.asDouble();
     } catch (ParseException e) {
       return Double.NaN;
     }
--- a/emulator/src/main/java/gladelug/emulator/experiment/AblationTable.java
+++ b/emulator/src/main/java/gladelug/emulator/experiment/AblationTable.java
@@ -14,29 +14,34 @@
 import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
 
 /**
- * The worth of each variant against all mechanisms on, play by play: the mean of the differences,
- * with the least and the most, so that a difference within the spread is seen as one.
+ * What callers are served with each variant against all mechanisms on, play by play: the mean of
+ * the differences, with the least and the most, so that a difference within the spread is seen as
+ * one.
  */
 final class AblationTable {
   private static final int WIDTH = 900;
   private static final int HEIGHT = 480;
 
-  /** Worth by variant, in the order of the plays; NaN where a play gave no figure. */
-  private final Map<String, List<Double>> worth = new LinkedHashMap<>();
+  /**
+   * The share of requests that was served, by variant, in the order of the plays; NaN where a play
+   * gave no figure.
+   */
+  private final Map<String, List<Double>> served = new LinkedHashMap<>();
 
   void add(String variant, double value) {
-    worth.computeIfAbsent(variant, name -> new ArrayList<>()).add(value);
+    served.computeIfAbsent(variant, name -> new ArrayList<>()).add(value);
   }
 
   /**
-   * One row of the table; differences are all-on less this variant: what the mechanism is worth.
+   * One row of the table; differences are all-on less this variant: what is served thanks to it.
    */
-  record Row(String variant, int plays, double mean, double worthOf, double least, double most) {}
+  record Row(
+      String variant, int plays, double mean, double servedByIt, double least, double most) {}
 
   List<Row> rows() {
     List<Row> rows = new ArrayList<>();
-    List<Double> base = worth.getOrDefault(AblationPlan.ALL_ON, List.of());
-    for (Map.Entry<String, List<Double>> entry : worth.entrySet())
+    List<Double> base = served.getOrDefault(AblationPlan.ALL_ON, List.of());
+    for (Map.Entry<String, List<Double>> entry : served.entrySet())
       rows.add(row(entry.getKey(), base, entry.getValue()));
     return rows;
   }
@@ -62,7 +67,7 @@
 
   String markdown() {
     StringBuilder text =
-        new StringBuilder("| off | plays | worth | worth of it | least | most |\n");
+        new StringBuilder("| off | plays | served | thanks to it | least | most |\n");
     text.append("|---|---|---|---|---|---|\n");
     for (Row row : rows())
       text.append(
@@ -72,13 +77,13 @@
               row.variant,
               row.plays,
               row.mean,
-              row.worthOf,
+              row.servedByIt,
               row.least,
               row.most));
     return text.toString();
   }
 
-  /** Writes the table as text and the worth of each mechanism as a chart. */
+  /** Writes the table as text and what is served thanks to each mechanism as a chart. */
   void write(Path folder, String title) throws IOException {
     Files.writeString(folder.resolve("ablation.md"), markdown());
     List<String> names = new ArrayList<>();
@@ -86,13 +91,13 @@
     for (Row row : rows())
       if (!row.variant.equals(AblationPlan.ALL_ON) && row.plays > 0) {
         names.add(row.variant);
-        values.add(row.worthOf);
+        values.add(row.servedByIt);
       }
     if (names.isEmpty()) return;
     CategoryChart chart =
         new CategoryChartBuilder().width(WIDTH).height(HEIGHT).title(title).build();
     chart.getStyler().setXAxisLabelRotation(45).setLegendVisible(false);
-    chart.addSeries("worth of it", names, values);
+    chart.addSeries("served thanks to it", names, values);
     VectorGraphicsEncoder.saveVectorGraphic(
         chart, folder.resolve("ablation.svg").toString(), VectorGraphicsFormat.SVG);
   }
--- a/emulator/src/test/java/gladelug/emulator/experiment/AblationTest.java
+++ b/emulator/src/test/java/gladelug/emulator/experiment/AblationTest.java
@@ -36,14 +36,14 @@
   }
 
   @Test
-  void theWorthOfAMechanismIsComparedPlayByPlayAndAMissingFigureCountsInNoMean()
+  void whatIsServedThanksToAMechanismIsComparedPlayByPlayAndAMissingFigureCountsInNoMean()
       throws IOException {
     AblationTable table = new AblationTable();
-    for (double worth : new double[] {0.8, 0.7, 0.9}) table.add("all-on", worth);
-    for (double worth : new double[] {0.7, 0.65, Double.NaN}) table.add("retries", worth);
+    for (double served : new double[] {0.8, 0.7, 0.9}) table.add("all-on", served);
+    for (double served : new double[] {0.7, 0.65, Double.NaN}) table.add("retries", served);
     AblationTable.Row row = table.rows().get(1);
     Assertions.assertEquals(2, row.plays());
-    Assertions.assertEquals(0.075, row.worthOf(), 1e-9);
+    Assertions.assertEquals(0.075, row.servedByIt(), 1e-9);
     Assertions.assertEquals(0.05, row.least(), 1e-9);
     Assertions.assertEquals(0.1, row.most(), 1e-9);
     table.write(folder, "a title");
