--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -48,11 +48,11 @@
 
   private static final long ASLEEP = 500;
 
-  /**
-   * How long a replica's taking of new weights is reckoned to last, and how long before it is left
-   * alone.
-   */
-  private static final long LOADS = 1200, BEFORE = 400;
+  /** After its turn to take new weights, from when on a replica may be asked for those, in ms. */
+  private static final long LOADS = 1200;
+
+  /** How long before its turn to take new weights a replica is left alone, in ms. */
+  private static final long BEFORE = 400;
 
   public final Clock clock;
   public final StateSubscription news;
@@ -186,15 +186,16 @@
   }
 
   /**
-   * Whether a replica is just about to take newer weights, as its turn has come: better left alone.
+   * Whether a replica's turn to take newer weights has come, or is about to, and neither it nor the
+   * list has told yet that it runs them. What runs there ends first, and until it has loaded it
+   * turns away what is new: better left alone.
    */
   public boolean loads(Backend backend, String model) {
     Weights.Named n = backend.reports ? null : tables().weights().of(model);
     if (n == null
         || backend.weights(model).isEmpty()
         || !Backend.newer(n.now(), backend.weights(model))) return false;
-    long now = clock.now();
-    return now >= turn(backend) - BEFORE && !n.now().equals(weightsOf(backend, model));
+    return clock.now() >= turn(backend) - BEFORE;
   }
 
   /**
--- a/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
@@ -5,6 +5,7 @@
 import gladelug.common.configuration.AllowedEndpoint;
 import gladelug.common.configuration.Configuration;
 import gladelug.common.configuration.Replicas;
+import gladelug.common.configuration.Weights;
 import gladelug.common.message.Lookup;
 import gladelug.common.message.Shuffle;
 import gladelug.common.message.StateKeys;
@@ -41,6 +42,7 @@
   static final class World {
     final long now = 1_000_000;
     final Relay relay;
+    final StateSubscription state;
     private final Decisions decisions = new Decisions(64, "r", 1);
 
     World(double linkMbps, double storeMbps, int relays, Set<Mechanism> without) {
@@ -62,6 +64,7 @@
               RelaySettings.builder().anyWeights(true).without(without).build(),
               () -> relays);
       made[0] = relay;
+      state = news;
       List<Replicas.Replica> replicas = new ArrayList<>();
       for (String name : List.of("a", "b"))
         replicas.add(
@@ -217,6 +220,24 @@
         "nothing goes on after the first event");
   }
 
+  /** Guards against requests sent to replicas that load as soon as their turn is a while ago. */
+  @Test
+  void aReplicaWhoseTurnToLoadHasComeIsDearUntilItTellsOfTheNewWeights() {
+    World world = alone();
+    World.tell(world.state, StateKeys.WEIGHTS, Weights.NONE.naming("m", "2", 1).json());
+    Request request = world.request();
+    request.weights = "2";
+    for (Backend backend : world.relay.backends.of("m"))
+      Assertions.assertEquals(
+          "2", world.relay.weightsOf(backend, "m"), "it may be asked for those");
+    Assertions.assertEquals(
+        world.option(request, "a").totalMs(), world.option(request, "b").totalMs());
+    world.relay.backends.of("m").stream()
+        .filter(backend -> backend.replica.instance().equals("b"))
+        .forEach(backend -> backend.weights.put("m", "2"));
+    Assertions.assertEquals("b", world.cheapest(request));
+  }
+
   @Test
   void aFastStoreIsPulledFromAndASlowOneIsNot() {
     World fast = new World(FAST_MBPS, FAST_MBPS, 1, Set.of());
