WorkEstimates: what is left to do for a request, out of Relay; no change of behaviour

Relay held the learned speeds of prefill and replies, the durations of requests and what is reckoned from them beside queues, leases and streams. The tests of data plane and platform pass unchanged but for where they find the speeds.

--- a/data-plane/src/main/java/gladelug/data/relay/AdmissionFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/AdmissionFilter.java
@@ -23,7 +23,7 @@
   public Uni<FilterResult> pass(Request request) {
     FilterResult unservable = unservable(request);
     if (unservable != null) return Uni.createFrom().item(unservable);
-    relay.estimateWork(request);
+    relay.estimates.estimate(request);
     double waitMs = relay.waitMs(request);
     if (waitMs > 0 && endsTooLate(request, waitMs) && relay.settings.has(Mechanism.EARLY_REFUSAL))
       return Uni.createFrom().item(tooLate(request));
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -64,15 +64,13 @@
   private final Map<String, WaitQueue> queues = new HashMap<>();
   private final Map<String, Integer> admitted = new HashMap<>();
   private final Map<Long, Request> live = new LinkedHashMap<>();
-  private final Map<String, RequestDurations> durations = new HashMap<>();
   private ControlStateSnapshot shaped = ControlStateSnapshot.NONE;
   private UrgencyLevels urgencyLevels = new UrgencyLevels(Configuration.EMPTY);
   public final IntSupplier relays;
   public final RecentPlacements placements = new RecentPlacements();
   final PrefixStores stores;
   final ReuseShare reuse = new ReuseShare();
-  private final Map<String, PrefillSpeed> speeds = new HashMap<>();
-  private final Map<String, ReplySpeed> replySpeeds = new HashMap<>();
+  final WorkEstimates estimates;
   private double evictedShare;
   private long ticked;
   private long awake;
@@ -105,6 +103,7 @@
     this.news = news;
     this.zone = zone;
     this.backends = backends.apply(this);
+    this.estimates = new WorkEstimates(this.backends, reuse);
   }
 
   public ControlStateSnapshot tables() {
@@ -233,28 +232,7 @@
       else store.link().slow(clock.now());
     }
     if (request.fetchBlocks > 0 || !settings.has(Mechanism.LEARNED_SPEED)) return;
-    PrefillSpeed speed = speed(request.service.name());
-    speed.measured(ms, request.computeUnits);
-    for (Backend other : backends.of(request.service.name())) other.unitMs = speed.unitMs();
-  }
-
-  private PrefillSpeed speed(String service) {
-    return speeds.computeIfAbsent(service, name -> new PrefillSpeed());
-  }
-
-  ReplySpeed replySpeed(String service) {
-    return replySpeeds.computeIfAbsent(service, name -> new ReplySpeed());
-  }
-
-  /** What a request that was just placed asks of its replica. */
-  Lookup.Work work(Request request) {
-    return new Lookup.Work(
-        (int) Math.round(request.workMs), expectedReplyMs(request), request.units());
-  }
-
-  /** How long its reply is likely to take after its first event, in ms. */
-  int expectedReplyMs(Request request) {
-    return replySpeed(request.service.name()).expectedMs(request.mostTokensOut());
+    estimates.firstPieceCame(request, ms);
   }
 
   /** What an index told of the replicas of a service; one it doesn't name is free. */
@@ -306,7 +284,7 @@
       request.admitted = false;
       queue(request.service.name()).release(request);
       if (request.backend == null) admitted.merge(request.service.name(), -1, Integer::sum);
-      if (request.decision.outcome().equals("complete")) learnDurations(request);
+      if (request.decision.outcome().equals("complete")) estimates.completed(request, clock.now());
     }
     drop(request);
     if (request.pausedTooLong())
@@ -370,14 +348,6 @@
         request.why);
   }
 
-  private void learnDurations(Request request) {
-    String service = request.service.name();
-    if (request.firstPieceMs >= 0)
-      replySpeed(service)
-          .measured(clock.now() - request.came - request.firstPieceMs, request.mostTokensOut());
-    durations(service).measured(clock.now() - request.handedAt, request.ownWorkMs);
-  }
-
   /** The request holds no replica any more. */
   public void drop(Request request) {
     if (request.backend == null) return;
@@ -396,37 +366,6 @@
     admitted.merge(request.service.name(), -1, Integer::sum);
   }
 
-  private RequestDurations durations(String service) {
-    return durations.computeIfAbsent(service, name -> new RequestDurations());
-  }
-
-  /** What a request of the service usually takes from its hand-over. */
-  double requestMs(String service) {
-    return durations(service).meanMs();
-  }
-
-  /**
-   * Reckons what is left to do for a request before it is given a place: computing what is usually
-   * not kept of its prompt, its reply, and what it waits for at a replica.
-   */
-  void estimateWork(Request request) {
-    request.ownWorkMs = computeMs(request) + expectedReplyMs(request);
-    request.expectedMs = durations(request.service.name()).expectedMs(request.ownWorkMs);
-  }
-
-  /** Computing the share of its prompt that is usually kept nowhere, in ms. */
-  private double computeMs(Request request) {
-    if (request.service.kind() != Configuration.Kind.MODEL) return 0;
-    double unitMs = 0;
-    int blockBytes = PrefixLookupFilter.USUAL_BLOCK_BYTES;
-    List<Backend> all = backends.of(request.service.name());
-    for (Backend backend : all) {
-      unitMs += backend.unitMs / all.size();
-      blockBytes = backend.blockBytes;
-    }
-    return request.prompt.totalUnits(blockBytes) * (1 - reuse.share()) * unitMs;
-  }
-
   private int places(String service) {
     int n = 0;
     for (Backend backend : backends.of(service))
@@ -450,7 +389,7 @@
       StateSubscription.Allotment a = news.allotment(text);
       if (settings.alone() || a == null || now - a.at() > STALE || !a.full())
         e.getValue().unbound();
-      else e.getValue().bound(a.milli(), passed, requestMs(text));
+      else e.getValue().bound(a.milli(), passed, estimates.requestMs(text));
     }
     news.demand(List.copyOf(ds), List.copyOf(ps));
   }
@@ -510,7 +449,7 @@
     String service = request.service.name();
     WaitQueue queue = queue(service);
     if (queue.size() == 0 && free(service) > 0) return 0;
-    return queue.waitMs(request, requestMs(service));
+    return queue.waitMs(request, estimates.requestMs(service));
   }
 
   /** Gives free places to those that wait, as the share tree says. */
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
@@ -124,7 +124,7 @@
     if (backend.reports) return;
     if (!relay.settings.has(Mechanism.RECENT_PLACEMENTS)) return;
     relay.placements.sent(request.blocks, backend.replica.instance(), now);
-    lookups.placed(backend.replica.instance(), request.blocks, relay.work(request));
+    lookups.placed(backend.replica.instance(), request.blocks, relay.estimates.placed(request));
   }
 
   private void pull(Request request, ReplicaOption chosen, long now) {
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaCosts.java
@@ -102,7 +102,7 @@
     if (!relay.settings.has(Mechanism.STREAM_INTERFERENCE)) return 0;
     return StreamInterference.causedMs(prefill.computeUnits * backend.unitMs, backend.running(now))
         + StreamInterference.sufferedMs(
-            backend.usualPrefillShare(), relay.expectedReplyMs(request));
+            backend.usualPrefillShare(), relay.estimates.expectedReplyMs(request));
   }
 
   /** By the index's matches, and by what this relay sent there a moment ago. */
--- a/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/ReplicaCostsTest.java
@@ -204,7 +204,7 @@
   @Test
   void aStreamGoesWherePromptsSeldomCome() {
     World world = streamsAtAAndPrefillAtB(300);
-    world.relay.replySpeed("m").measured(2000, 100);
+    world.relay.estimates.replySpeed("m").measured(2000, 100);
     // both are free just now, and b is known to read prompts much of the time
     world.relay.fleet("m", new Lookup.Fleet(List.of(), 0.001));
     for (Backend backend : world.relay.backends.of("m"))
