--- a/common/src/main/java/gladelug/common/MemoryBudget.java
+++ b/common/src/main/java/gladelug/common/MemoryBudget.java
@@ -24,6 +24,9 @@
   /** Of the heap, what whole answers to this process's calls may take, and the largest of them. */
   private static final int ANSWERS_SHARE = 8, ANSWER_SHARE = 20;
 
+  private static final MemoryBudget ANSWERS =
+      new MemoryBudget(Runtime.getRuntime().maxMemory() / ANSWERS_SHARE);
+
   private final long bytes;
   private long reserved;
   private long peak;
@@ -39,9 +42,12 @@
     return new MemoryBudget(Runtime.getRuntime().maxMemory() / BODIES_SHARE);
   }
 
-  /** The budget of whole answers to this process's calls: pages of events, lists, reports. */
+  /**
+   * The one budget of whole answers to this process's calls, whoever makes them: pages of events,
+   * lists, reports.
+   */
   public static MemoryBudget ofAnswers() {
-    return new MemoryBudget(Runtime.getRuntime().maxMemory() / ANSWERS_SHARE);
+    return ANSWERS;
   }
 
   /** The largest page of events or list that is taken in, in bytes: 8 MB with 160 MB of heap. */
--- a/common/src/test/java/gladelug/common/MemoryBudgetTest.java
+++ b/common/src/test/java/gladelug/common/MemoryBudgetTest.java
@@ -24,4 +24,17 @@
     Assertions.assertEquals((160 << 20) / 44, MemoryBudget.largestValueBytes(160 << 20));
     Assertions.assertEquals(6 << 20, MemoryBudget.largestValueBytes(4L << 30));
   }
+
+  /** Guards against a process whose clients each hold as much as all of them may. */
+  @Test
+  void allClientsOfAProcessTakeTheirAnswersFromOneBudget() {
+    MemoryBudget lists = MemoryBudget.ofAnswers();
+    MemoryBudget reports = MemoryBudget.ofAnswers();
+    long all = Runtime.getRuntime().maxMemory() / 8;
+    Assertions.assertTrue(lists.reserve(all));
+    Assertions.assertFalse(reports.reserve(1));
+    lists.release(all);
+    Assertions.assertTrue(reports.reserve(1));
+    reports.release(1);
+  }
 }
