--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -449,7 +449,14 @@
     String service = request.service.name();
     WaitQueue queue = queue(service);
     if (queue.size() == 0 && free(service) > 0) return 0;
-    return queue.waitMs(request, estimates.requestMs(service));
+    return queue.waitMs(request, estimates.requestMs(service), equalPartOfListed(service));
+  }
+
+  /** As much of the places of all replicas, usable now or not, as if all relays asked alike. */
+  private int equalPartOfListed(String service) {
+    int listed = 0;
+    for (Backend backend : backends.of(service)) listed += backend.places();
+    return listed / Math.max(1, relays.getAsInt());
   }
 
   /** Gives free places to those that wait, as the share tree says. */
--- a/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
+++ b/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
@@ -237,10 +237,12 @@
    * and for all that goes before it.
    *
    * @param requestMs what a request usually takes
+   * @param placesWhenIdle how many places are likely to come where none is in use now
    */
-  double waitMs(Request request, double requestMs) {
+  double waitMs(Request request, double requestMs, int placesWhenIdle) {
     Node leaf = leaf(request.leaf);
-    double places = leaf.part >= 0 ? Math.max(LEAST_PART, leaf.part) : Math.max(1, root.used);
+    double places = root.used > 0 ? root.used : Math.max(1, placesWhenIdle);
+    if (leaf.part >= 0) places = Math.max(LEAST_PART, leaf.part);
     return (requestMs + workAheadMs(request, leaf)) / places;
   }
 
--- a/data-plane/src/test/java/gladelug/data/relay/CallersTimeTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/CallersTimeTest.java
@@ -84,6 +84,19 @@
         FilterResult.RETRY_AT_ONCE_MS, refused.refusal.retryMs(), "another relay has the time");
   }
 
+  /** Guards against one place reckoned with where all replicas are just about to be usable. */
+  @Test
+  void callersAreLetInWhileAllReplicasAreLeftAloneForAMoment() {
+    long requestMs = 100;
+    SimulatedBurst world =
+        new SimulatedBurst(1, request -> requestMs, SimulatedBurst.configuration(0));
+    for (Backend backend : world.relay().backends.of("m")) backend.bad(world.nowMs(), 300);
+    List<SimulatedBurst.Outcome> outcomes =
+        world.burst(8, SimulatedBurst.Call.waiting(15 * requestMs), 80);
+    world.run(15 * requestMs);
+    Assertions.assertEquals(8, served(outcomes));
+  }
+
   /** Guards against a time left that is compared with the mean of requests of all lengths. */
   @Test
   void whoAsksForLittleIsLetInWhereWhoAsksForMuchCouldNotEndInTime() {
