--- a/data-plane/src/test/java/gladelug/data/relay/SimulatedBurst.java
+++ b/data-plane/src/test/java/gladelug/data/relay/SimulatedBurst.java
@@ -1,29 +1,21 @@
 package gladelug.data.relay;
 
 import gladelug.common.Address;
-import gladelug.common.Result;
 import gladelug.common.configuration.AllowedEndpoint;
 import gladelug.common.configuration.Configuration;
 import gladelug.common.configuration.QuotaShare;
 import gladelug.common.configuration.Replicas;
-import gladelug.common.message.Shuffle;
-import gladelug.common.message.StateKeys;
-import gladelug.common.message.StateUpdate;
 import gladelug.data.request.Decisions;
 import gladelug.data.request.FilterResult;
 import gladelug.data.request.Prompt;
 import gladelug.data.request.Request;
-import gladelug.data.state.StateSubscription;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 
 /**
  * Callers in a burst at one of several relays before one replica, on simulated time and without a
@@ -33,7 +25,6 @@
 final class SimulatedBurst {
   static final int SLOTS = 2;
 
-  private static final int LEASE_MS = 3_600_000;
   private static final int ROUTE_TIMEOUT_MS = 60_000;
   private static final long TICK_MS = 100;
 
@@ -69,7 +60,7 @@
     Outcome(SimulatedBurst burst, Call call) {
       this.burst = burst;
       this.call = call;
-      this.askedAtMs = burst.nowMs;
+      this.askedAtMs = burst.nowMs();
     }
 
     boolean served() {
@@ -82,38 +73,33 @@
 
     @Override
     public void refuse(Request request, FilterResult.Refuse told) {
-      refusedAtMs = burst.nowMs;
+      refusedAtMs = burst.nowMs();
       refusal = told;
     }
 
     @Override
     public boolean piece(Request request, Buffer piece, Runnable ready) {
-      if (firstPieceAtMs < 0) firstPieceAtMs = burst.nowMs;
+      if (firstPieceAtMs < 0) firstPieceAtMs = burst.nowMs();
       return true;
     }
 
     @Override
     public void complete(Request request, int pieces) {
-      completeAtMs = burst.nowMs;
+      completeAtMs = burst.nowMs();
     }
 
     @Override
     public void cutOff(Request request, String why) {}
   }
 
-  private record Event(long atMs, long number, Runnable what) {}
-
   private record AtReplica(Request request, Exchange.Reply to) {}
 
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparing(Event::number));
+  private final SimulatedTime time = new SimulatedTime();
   private final Deque<AtReplica> waiting = new ArrayDeque<>();
   private final Decisions decisions = new Decisions(64, "r", 1);
-  private final Configuration configuration;
   private final List<Relay> relays = new ArrayList<>();
   private int running;
-  private long number;
-  private long nowMs = 1_000_000;
+  private int asked;
 
   /** How long the replica works at a request, in ms. */
   interface Work {
@@ -124,8 +110,13 @@
 
   SimulatedBurst(int relayCount, Work work, Configuration configuration) {
     this.work = work;
-    this.configuration = configuration;
-    for (int i = 0; i < relayCount; i++) relays.add(relay(relayCount));
+    Replicas.Replica replica =
+        new Replicas.Replica(
+            "m", "replica", Address.of("1.1.1.1:100"), "z", true, SLOTS, Map.of("m", "1"));
+    RelaySettings settings = RelaySettings.builder().anyWeights(true).alone(true).build();
+    for (int i = 0; i < relayCount; i++)
+      relays.add(
+          SimulatedRelay.started(time, configuration, List.of(replica), settings, relayCount));
     tick();
   }
 
@@ -171,26 +162,16 @@
 
   private void tick() {
     for (Relay relay : relays) relay.tick();
-    after(TICK_MS, this::tick);
-  }
-
-  private void after(long ms, Runnable what) {
-    events.add(new Event(nowMs + ms, number++, what));
+    time.after(TICK_MS, this::tick);
   }
 
   /** Plays so many ms. */
   void run(long ms) {
-    long untilMs = nowMs + ms;
-    while (events.peek().atMs <= untilMs) {
-      Event event = events.poll();
-      nowMs = event.atMs;
-      event.what.run();
-    }
-    nowMs = untilMs;
+    time.run(ms);
   }
 
   long nowMs() {
-    return nowMs;
+    return time.nowMs();
   }
 
   /** The relay that is asked. */
@@ -214,8 +195,8 @@
     Relay relay = relays.get(0);
     Request request =
         new Request(
-            decisions.begin(nowMs),
-            nowMs,
+            decisions.begin(nowMs()),
+            nowMs(),
             Configuration.hashOf("key-of-" + call.tenant),
             call.path,
             outcome);
@@ -223,7 +204,7 @@
     request.patienceMs = call.patienceMs;
     request.tokensOut = call.replyTokens;
     request.prompt =
-        new Prompt.Parts(List.of(new Prompt.Part("part-" + number, call.promptTokens)));
+        new Prompt.Parts(List.of(new Prompt.Part("part-" + asked++, call.promptTokens)));
     relay.begin(request);
     relay
         .way(
@@ -235,7 +216,7 @@
   }
 
   private void send(Request request, Backend backend, Exchange.Reply to) {
-    if (!to.leave(new Unheld())) return;
+    if (!to.leave(new SimulatedRelay.Unheld())) return;
     waiting.add(new AtReplica(request, to));
     serveNext();
   }
@@ -245,7 +226,7 @@
       AtReplica next = waiting.poll();
       running++;
       next.to.piece(Buffer.buffer("x"), "");
-      after(work.ms(next.request), () -> served(next));
+      time.after(work.ms(next.request), () -> served(next));
     }
   }
 
@@ -254,51 +235,4 @@
     done.to.end();
     serveNext();
   }
-
-  private Relay relay(int relayCount) {
-    Relay[] made = new Relay[1];
-    StateSubscription state =
-        new StateSubscription(
-            () -> nowMs,
-            new Shuffle.Descriptor("r", "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
-            1,
-            snapshot -> made[0].tables(snapshot),
-            text -> Result.good(configuration));
-    made[0] =
-        new Relay(
-            () -> nowMs,
-            state,
-            relay -> new Backends(() -> nowMs, null, relay::pump),
-            "z",
-            RelaySettings.builder().anyWeights(true).alone(true).build(),
-            () -> relayCount);
-    Replicas.Replica replica =
-        new Replicas.Replica(
-            "m", "replica", Address.of("1.1.1.1:100"), "z", true, SLOTS, Map.of("m", "1"));
-    tell(state, StateKeys.CONFIGURATION, "{}");
-    tell(state, StateKeys.WEIGHTS, "{}");
-    tell(state, StateKeys.REPLICAS, new Replicas(List.of(replica)).json());
-    List<StateUpdate.LeaseGrant> grants = new ArrayList<>();
-    for (String key : StateKeys.LEASED)
-      grants.add(new StateUpdate.LeaseGrant(key, 1, state.number(key), LEASE_MS, LEASE_MS));
-    state.told(new StateUpdate.LeaseGrants(nowMs, grants, 1));
-    return made[0];
-  }
-
-  private static void tell(StateSubscription state, String key, String value) {
-    byte[] body = value.getBytes(StandardCharsets.UTF_8);
-    state.told(new StateUpdate.ValuePush(key, 1, 1, -1, "", body));
-  }
-
-  /** A replica that nobody lets go of. */
-  private static final class Unheld implements Exchange.Handle {
-    @Override
-    public void reset() {}
-
-    @Override
-    public void pause() {}
-
-    @Override
-    public void resume() {}
-  }
 }
--- a/data-plane/src/test/java/gladelug/data/relay/SimulatedFleet.java
+++ b/data-plane/src/test/java/gladelug/data/relay/SimulatedFleet.java
@@ -1,30 +1,22 @@
 package gladelug.data.relay;
 
 import gladelug.common.Address;
-import gladelug.common.Result;
 import gladelug.common.configuration.AllowedEndpoint;
 import gladelug.common.configuration.Configuration;
 import gladelug.common.configuration.Replicas;
 import gladelug.common.message.Lookup;
-import gladelug.common.message.Shuffle;
-import gladelug.common.message.StateKeys;
-import gladelug.common.message.StateUpdate;
 import gladelug.data.index.FleetLoad;
 import gladelug.data.request.Decisions;
 import gladelug.data.request.FilterResult;
 import gladelug.data.request.Head;
 import gladelug.data.request.Prompt;
 import gladelug.data.request.Request;
-import gladelug.data.state.StateSubscription;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.buffer.Buffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 
@@ -34,7 +26,6 @@
  * Nothing is kept of prompts: all that a kind computes is computed.
  */
 final class SimulatedFleet {
-  private static final int LEASE_MS = 3_600_000;
   private static final long DEADLINE_MS = 20_000;
   private static final long TICK_MS = 100;
   private static final double TOLD_AFTER_MS = 3;
@@ -64,10 +55,7 @@
       int replyTokens,
       int gapMs) {}
 
-  private record Event(double at, long number, Runnable what) {}
-
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparingDouble(Event::at).thenComparing(Event::number));
+  private final SimulatedTime time = new SimulatedTime();
   private final Random random;
   private final List<Kind> kinds;
   private final List<Relay> relays = new ArrayList<>();
@@ -75,8 +63,6 @@
   private final FleetLoad load = new FleetLoad();
   private final Decisions decisions = new Decisions(64, "r", 1);
   private final List<Request> requests = new ArrayList<>();
-  private double now = 1_000_000;
-  private long number;
 
   SimulatedFleet(
       long seed, int relayCount, int replicaCount, List<Kind> kinds, Set<Mechanism> without) {
@@ -94,7 +80,9 @@
           new Replicas.Replica(
               "m", name, Address.of("1.1.1.1:" + (100 + i)), "z", true, SLOTS, Map.of("m", "1")));
     }
-    for (int i = 0; i < relayCount; i++) relays.add(relay(replicas, relayCount, without));
+    RelaySettings settings = RelaySettings.builder().anyWeights(true).without(without).build();
+    for (int i = 0; i < relayCount; i++)
+      relays.add(SimulatedRelay.started(time, configuration(), replicas, settings, relayCount));
     for (Kind kind : kinds) nextOf(kind);
     after(TICK_MS, this::tick);
   }
@@ -105,18 +93,12 @@
   }
 
   private void after(double ms, Runnable what) {
-    events.add(new Event(now + ms, number++, what));
+    time.after(ms, what);
   }
 
   /** Plays so many ms. */
   void run(long ms) {
-    double until = now + ms;
-    while (!events.isEmpty() && events.peek().at <= until) {
-      Event event = events.poll();
-      now = event.at;
-      event.what.run();
-    }
-    now = until;
+    time.run(ms);
   }
 
   /** All requests of a kind that came so far. */
@@ -124,38 +106,6 @@
     return requests.stream().filter(x -> x.path.equals("/" + kind.name)).toList();
   }
 
-  private Relay relay(List<Replicas.Replica> replicas, int relayCount, Set<Mechanism> without) {
-    Relay[] made = new Relay[1];
-    StateSubscription state =
-        new StateSubscription(
-            () -> (long) now,
-            new Shuffle.Descriptor("r", "relay", "1.1.1.1:1", "1.1.1.1:2", "z", 0, 0),
-            1,
-            snapshot -> made[0].tables(snapshot),
-            text -> Result.good(configuration()));
-    made[0] =
-        new Relay(
-            () -> (long) now,
-            state,
-            relay -> new Backends(() -> (long) now, null, relay::pump),
-            "z",
-            RelaySettings.builder().anyWeights(true).without(without).build(),
-            () -> relayCount);
-    tell(state, StateKeys.CONFIGURATION, "{}");
-    tell(state, StateKeys.WEIGHTS, "{}");
-    tell(state, StateKeys.REPLICAS, new Replicas(replicas).json());
-    List<StateUpdate.LeaseGrant> grants = new ArrayList<>();
-    for (String key : StateKeys.LEASED)
-      grants.add(new StateUpdate.LeaseGrant(key, 1, state.number(key), LEASE_MS, LEASE_MS));
-    state.told(new StateUpdate.LeaseGrants((long) now, grants, 1));
-    return made[0];
-  }
-
-  private static void tell(StateSubscription state, String key, String value) {
-    byte[] body = value.getBytes(StandardCharsets.UTF_8);
-    state.told(new StateUpdate.ValuePush(key, 1, 1, -1, "", body));
-  }
-
   private Configuration configuration() {
     Configuration.Engine engine =
         new Configuration.Engine(SLOTS, KEPT_TOKENS, TOKEN_BYTES, LINK_MBPS, SLOTS, List.of("m"));
@@ -198,7 +148,7 @@
   private void ask(Kind kind) {
     Relay relay = relays.get(random.nextInt(relays.size()));
     Request request =
-        new Request(decisions.begin((long) now), (long) now, "", "/" + kind.name, new Taker());
+        new Request(decisions.begin(time.nowMs()), time.nowMs(), "", "/" + kind.name, new Taker());
     request.model = "m";
     request.tokensOut = Math.max(1, (int) (kind.replyTokens * (0.5 + random.nextDouble())));
     request.prompt =
@@ -212,18 +162,18 @@
     return new Lookups() {
       @Override
       public Uni<Found> ask(long[] blocks) {
-        return Uni.createFrom().item(new Found(ANSWERED, List.of(), load.told((long) now)));
+        return Uni.createFrom().item(new Found(ANSWERED, List.of(), load.told(time.nowMs())));
       }
 
       @Override
       public void placed(String holder, long[] blocks, Lookup.Work work) {
-        after(TOLD_AFTER_MS, () -> load.placed(holder, work, (long) now));
+        after(TOLD_AFTER_MS, () -> load.placed(holder, work, time.nowMs()));
       }
     };
   }
 
   private void send(Request request, Backend backend, Exchange.Reply to) {
-    if (!to.leave(new Unheld())) return;
+    if (!to.leave(new SimulatedRelay.Unheld())) return;
     engines
         .get(backend.replica.instance())
         .take(
@@ -261,16 +211,4 @@
     @Override
     public void cutOff(Request request, String why) {}
   }
-
-  /** A replica that nobody lets go of. */
-  private static final class Unheld implements Exchange.Handle {
-    @Override
-    public void reset() {}
-
-    @Override
-    public void pause() {}
-
-    @Override
-    public void resume() {}
-  }
 }
