An empty queue is not looked through at each tick; one refusal for want of weights

A relay of thousands of tenants would look through all their leaves twenty times a second for requests that wait in vain. No change of behaviour; the tests of the data plane pass.

--- a/data-plane/src/main/java/gladelug/data/relay/AdmissionFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/AdmissionFilter.java
@@ -34,7 +34,7 @@
   private FilterResult unservable(Request request) {
     String service = request.service.name();
     if (request.service.kind() == Configuration.Kind.MODEL && relay.weights(request.model) == null)
-      return noWeights(request);
+      return relay.refusalForWantOfWeights(request);
     if (relay.backends.of(service).isEmpty())
       return FilterResult.notRun(
           503,
@@ -43,11 +43,6 @@
     return null;
   }
 
-  FilterResult noWeights(Request request) {
-    return FilterResult.notRun(
-        503, "no weights are named for " + request.model, relay.retryAdvice.untilStateMs());
-  }
-
   /** Whether it would end after its deadline, the only time that its caller is known to have. */
   private boolean endsTooLate(Request request, double waitMs) {
     return relay.clock.now() + waitMs > request.latestStartMs();
--- a/data-plane/src/main/java/gladelug/data/relay/PrefixLookupFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/PrefixLookupFilter.java
@@ -26,7 +26,7 @@
     if (request.service.kind() != Configuration.Kind.MODEL)
       return Uni.createFrom().item(FilterResult.GO);
     String[] mayRun = relay.weights(request.model);
-    if (mayRun == null) return Uni.createFrom().item(new AdmissionFilter(relay).noWeights(request));
+    if (mayRun == null) return Uni.createFrom().item(relay.refusalForWantOfWeights(request));
     chooseWeights(request, mayRun);
     boolean hints = relay.settings.has(Mechanism.INDEX_HINTS);
     long askedAt = relay.clock.now();
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -135,6 +135,12 @@
         : null;
   }
 
+  /** What a request is told for whose model nobody named weights. */
+  FilterResult refusalForWantOfWeights(Request request) {
+    return FilterResult.notRun(
+        503, "no weights are named for " + request.model, retryAdvice.untilStateMs());
+  }
+
   /**
    * The weights of a model that a request may run on now: the newest, and until the cutoff those
    * before; null where there are none. Where nobody has to name weights first, those that replicas
--- a/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
+++ b/data-plane/src/main/java/gladelug/data/relay/ReplicaChoice.java
@@ -49,7 +49,7 @@
           503, "expired before a replica was chosen", relay.retryAdvice.untilRoomMs(request));
     boolean model = request.service.kind() == Configuration.Kind.MODEL;
     String[] may = model ? relay.weights(request.model) : NO_WEIGHTS;
-    if (may == null) return new AdmissionFilter(relay).noWeights(request);
+    if (may == null) return relay.refusalForWantOfWeights(request);
     List<ReplicaOption> options = options(request, model, may, now);
     if (options.isEmpty()) return none(request, now);
     ReplicaOption chosen = best(request, options);
--- a/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
+++ b/data-plane/src/main/java/gladelug/data/relay/WaitQueue.java
@@ -207,6 +207,7 @@
 
   /** Takes out those that match; they had no place. */
   public List<Request> leave(Predicate<Request> which) {
+    if (root.waiting == 0) return List.of();
     List<Request> out = new ArrayList<>();
     for (Node l : nodes.values())
       l.queue.removeIf(
