--- a/review/stand-ins-2/UnframedAnswers.java
+++ b/review/stand-ins-2/UnframedAnswers.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -12,7 +14,7 @@
  * whole and ends with a FIN, never a reset.
  */
 public final class UnframedAnswers {
-  private static final int REQUESTS = 40;
+  private static final int REQUESTS = 40, AT_STOP = 5;
   private static final int LOST_ALLOWED = 3;
   private static final String BODY = "{\"lot\":\"" + "x".repeat(780) + "\"}";
 
@@ -55,8 +57,9 @@
           String id = Fleet.header(head, "X-Gladelug-Request-Id");
           ran.incrementAndGet();
           fleet.log("replica " + instance + " runs " + id);
-          Thread.sleep(20);
-          boolean plain = unframed && head.startsWith("POST /c/plain ");
+          boolean late = head.startsWith("POST /c/late ");
+          Thread.sleep(late ? 800 : 20);
+          boolean plain = unframed && (late || head.startsWith("POST /c/plain "));
           String answer =
               "HTTP/1.1 200 OK\r\nX-Gladelug-Request-Id: "
                   + id
@@ -133,9 +136,12 @@
               + ","
               + Platform.entry("cards", "i-b", fleet.net + "12:8080", "z2"));
       for (int i = 1; i <= Fleet.MACHINES; i++) fleet.start(i, "second", true);
-      for (int i = 1; i <= Fleet.MACHINES; i++) fleet.start(i, "relay", true);
+      fleet.start(1, "relay", true);
+      Process stopping = fleet.start(2, "relay", true);
+      fleet.start(3, "relay", true);
       if (!fleet.untilAcknowledged("PUT", "/-/config", "0", Fleet.CARDS_CONFIGURATION, 30_000)
-          || !fleet.ready(1, 20_000)) {
+          || !fleet.ready(1, 20_000)
+          || !fleet.ready(2, 20_000)) {
         fleet.log("the fleet did not come up");
         return 2;
       }
@@ -165,24 +171,54 @@
         else other++;
         Thread.sleep(150);
       }
+      int lostAtStop = cutDuringStop(fleet, stopping);
       String result =
           String.format(
               "%d requests sent on kept connections after a first one; replicas ran %d of all %d and"
                   + " answered %d whole; of the %d the client has %d whole answers, %d connections"
-                  + " closed within the answer, %d other answers",
+                  + " closed within the answer, %d other answers; at the relay that was stopped in"
+                  + " order %d of %d ended without a complete answer",
               first,
               a.ran.get() + b.ran.get(),
-              first + REQUESTS,
+              first + REQUESTS + 2 * AT_STOP,
               a.answeredWhole.get() + b.answeredWhole.get(),
               first,
               whole,
               lost,
-              other);
+              other,
+              lostAtStop,
+              AT_STOP);
       fleet.log(result);
       System.out.println(result);
       if (first == 0) return 2;
+      return lost > LOST_ALLOWED || lostAtStop > 0 ? 1 : 0;
     }
-    return lost > LOST_ALLOWED ? 1 : 0;
+  }
+
+  /**
+   * Sends requests on kept connections to the relay of machine 2, stops that relay with SIGTERM while
+   * the replicas are at work, and returns how many connections end without a complete answer.
+   */
+  private static int cutDuringStop(Fleet fleet, Process relay) throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    for (int i = 0; i < AT_STOP; i++) {
+      Socket socket = fleet.connect(2);
+      send(fleet, socket, "/c/framed", "stop-first-" + i);
+      fleet.log("client sees of stop-first-" + i + ": " + readAnswer(socket));
+      sockets.add(socket);
+    }
+    for (int i = 0; i < AT_STOP; i++) send(fleet, sockets.get(i), "/c/late", "stop-" + i);
+    Thread.sleep(300);
+    relay.destroy();
+    fleet.log("SIGTERM to the relay of machine 2");
+    int lost = 0;
+    for (int i = 0; i < AT_STOP; i++) {
+      String seen = readAnswer(sockets.get(i));
+      fleet.log("client sees of stop-" + i + ": " + seen);
+      if (seen.startsWith("closed")) lost++;
+      sockets.get(i).close();
+    }
+    return lost;
   }
 
   private static void send(Fleet fleet, Socket socket, String path, String id) throws IOException {
