--- a/review/stand-ins-2/FrozenRelayIsolation.java
+++ b/review/stand-ins-2/FrozenRelayIsolation.java
@@ -14,12 +14,16 @@
 
 /**
  * Case: a relay is frozen while a configuration makes a tenant isolated, and wakes after that was
- * acknowledged. Every request that is judged was sent after the acknowledgement.
+ * acknowledged. Every request that is judged was sent more than
+ * ConfigApplyMs after the acknowledgement.
  */
 public final class FrozenRelayIsolation {
-  private static final String ISOLATED = "tenant-t", OTHER = "tenant-u", PARTS = "5c1e07a2:800,91bd3f06:410";
+  private static final String ISOLATED = "tenant-t", OTHER = "tenant-u";
   private static final int ROUNDS = 10, CLIENTS = 6, ROUTES = 1400;
-  private static final long FREEZE_MS = 2500, SETTLE_MS = 4500;
+  private static final long FREEZE_MS = 3300, SETTLE_MS = 4500;
+
+  /** After the acknowledgement, more than ConfigApplyMs, as requests before that might be excused. */
+  private static final long AFTER_MS = 2050;
 
   private FrozenRelayIsolation() {}
 
@@ -147,7 +151,13 @@
         .formatted(revision, routes, isolated);
   }
 
-  private static void send(Fleet fleet, Socket socket, String tenant, String id) throws IOException {
+  /** All prompts of one phase of a round share their parts, and no others have these. */
+  private static String parts(int phase) {
+    return String.format("5c1e%04x:800,91bd%04x:410", phase, phase);
+  }
+
+  private static void send(Fleet fleet, Socket socket, String tenant, String id, int phase)
+      throws IOException {
     socket
         .getOutputStream()
         .write(
@@ -155,7 +165,7 @@
                 "POST /s1/x HTTP/1.1\r\nHost: a.example\r\nX-Gladelug-Request-Id: "
                     + id
                     + "\r\nX-Gladelug-Model: m\r\nX-Gladelug-Token-Usage: 1460,80\r\nX-Gladelug-Prompt-Prefix: "
-                    + PARTS
+                    + parts(phase)
                     + "\r\nX-Gladelug-Deadline-Ms: 6000\r\nX-Gladelug-Credential: "
                     + (tenant.equals(ISOLATED) ? "key-t" : "key-u")
                     + "\r\nContent-Length: 4\r\n\r\nbody"));
@@ -211,7 +221,7 @@
         Thread.sleep(SETTLE_MS);
         for (int i = 0; i < sockets.size(); i++) {
           String tenant = i % 2 == 0 ? ISOLATED : OTHER;
-          send(fleet, sockets.get(i), tenant, "before-" + round + "-" + i);
+          send(fleet, sockets.get(i), tenant, "before-" + round + "-" + i, 2 * round);
         }
         for (int i = 0; i < sockets.size(); i++)
           fleet.log("client sees of before-" + round + "-" + i + ": " + answer(sockets.get(i)));
@@ -220,11 +230,11 @@
         if (!fleet.untilAcknowledged("PUT", "/-/config", "" + revision, configuration(++revision, true), 4000))
           return 2;
         fleet.log("acknowledged: " + ISOLATED + " is isolated");
-        Thread.sleep(100);
+        Thread.sleep(AFTER_MS);
         for (int i = 0; i < sockets.size(); i++) {
           String id = "after-" + round + "-" + i;
           afterIsolation.add(id);
-          send(fleet, sockets.get(i), i % 2 == 0 ? ISOLATED : OTHER, id);
+          send(fleet, sockets.get(i), i % 2 == 0 ? ISOLATED : OTHER, id, 2 * round + 1);
         }
         if (trouble) {
           Thread.sleep(Math.max(0, FREEZE_MS - (System.nanoTime() - frozenAt) / 1_000_000));
@@ -241,7 +251,7 @@
       String result =
           String.format(
               "%d requests run; %d times a request used a part made by the other tenant's request, both sent"
-                  + " after the acknowledgement that %s is isolated",
+                  + " more than ConfigApplyMs after the acknowledgement that %s is isolated",
               replica.ran, broken, ISOLATED);
       fleet.log(result);
       System.out.println(result);
