--- a/review/stand-ins-2/Fleet.java
+++ b/review/stand-ins-2/Fleet.java
@@ -215,7 +215,8 @@
     Path file = folder.resolve(role + "-" + machine + ".log");
     if (!Files.exists(file)) return "";
     List<String> lines = Files.readAllLines(file);
-    return String.join(" | ", lines.subList(Math.max(0, lines.size() - 8), lines.size()));
+    return String.join(" | ", lines.subList(Math.max(0, lines.size() - 8), lines.size()))
+        .replace(folder.toString(), "FOLDER");
   }
 
   /** A configuration with one public route to an application service. */
