Answers that only an orderly close delimits are complete

Cause: the HTTP decoder reports the end of such a body after a FIN, a reset, a failed write and a close by this process alike, so all of them counted as broken off.

Change: OrderlyCloseDetector tells a FIN from all other ends of a connection; BodyFraming names how a body is delimited and decides whether it is complete.

--- a/common/src/main/java/gladelug/common/connection/BoundedHttpClient.java
+++ b/common/src/main/java/gladelug/common/connection/BoundedHttpClient.java
@@ -17,8 +17,8 @@
 /**
  * HTTP client that buffers complete responses within bounds. Each response has a maximum size and a
  * time-out for its end, and its bytes are reserved in a memory budget before they are kept. A call
- * whose response is too large, late or out of budget fails, and its connection is closed. All calls
- * run on one event loop.
+ * whose response is too large, late, out of budget or incomplete fails, and its connection is
+ * closed. All calls run on one event loop.
  */
 public final class BoundedHttpClient implements AutoCloseable {
   private final Vertx vertx;
@@ -35,6 +35,7 @@
     this.vertx = vertx;
     this.context = vertx.getOrCreateContext();
     this.client = vertx.createHttpClient(options);
+    client.connectionHandler(OrderlyCloseDetector::install);
     this.budget = budget;
   }
 
@@ -100,9 +101,10 @@
         return;
       }
       HttpClientResponse response = received.result();
+      BodyFraming framing = BodyFraming.of(response);
       response.handler(this::onChunk);
       response.exceptionHandler(failure -> fail(Reason.BROKEN, failure.toString()));
-      response.endHandler(ignored -> onEnd(response));
+      response.endHandler(ignored -> onEnd(response, framing.incompleteReason(response)));
     }
 
     private void onChunk(Buffer bytes) {
@@ -114,7 +116,8 @@
       else body.appendBuffer(bytes);
     }
 
-    private void onEnd(HttpClientResponse response) {
+    private void onEnd(HttpClientResponse response, String incompleteReason) {
+      if (!incompleteReason.isEmpty()) fail(Reason.BROKEN, incompleteReason);
       if (!finish()) return;
       int length = body.length();
       promise.complete(
--- a/common/src/test/java/gladelug/common/connection/BoundedHttpClientTest.java
+++ b/common/src/test/java/gladelug/common/connection/BoundedHttpClientTest.java
@@ -9,7 +9,13 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -23,7 +29,7 @@
 @Timeout(60)
 final class BoundedHttpClientTest {
   private static final String HOST = "127.9.3.1";
-  private static final int MAX_BYTES = 1000, TIMEOUT_MS = 20_000;
+  private static final int MAX_BYTES = 1000, TIMEOUT_MS = 20_000, RESET_DELAY_MS = 200;
 
   private final Vertx vertx = Vertx.vertx();
   private final MemoryBudget budget = new MemoryBudget(3 * MAX_BYTES);
@@ -120,4 +126,55 @@
         };
     assertCallFails(Reason.BROKEN, TIMEOUT_MS);
   }
+
+  /** Answers one call by these bytes, and ends the connection with a FIN or a reset. */
+  private BufferedHttpResponse callRawServer(String answer, boolean reset) throws Exception {
+    try (ServerSocket rawServer = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+      CompletableFuture<Void> answered =
+          CompletableFuture.runAsync(
+              () -> {
+                try (Socket socket = rawServer.accept()) {
+                  socket.getInputStream().read();
+                  socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                  if (reset) socket.setSoLinger(true, 0);
+                  else socket.shutdownOutput();
+                  // the client has to have read the answer before the connection is reset
+                  Thread.sleep(reset ? RESET_DELAY_MS : 0);
+                  if (!reset) socket.getInputStream().readAllBytes();
+                } catch (IOException | InterruptedException e) {
+                  throw new IllegalStateException(e);
+                }
+              });
+      RequestOptions target =
+          new RequestOptions().setHost(HOST).setPort(rawServer.getLocalPort()).setURI("/x");
+      try {
+        return client.send(target, MAX_BYTES, TIMEOUT_MS).await().atMost(Duration.ofSeconds(30));
+      } finally {
+        answered.handle((done, failure) -> null).get(10, TimeUnit.SECONDS);
+      }
+    }
+  }
+
+  @Test
+  void aResponseWithoutALengthIsCompleteOnlyIfItsConnectionEndsInOrder() throws Exception {
+    String undelimited = "HTTP/1.1 200 OK\r\n\r\n{}";
+    Assertions.assertEquals("{}", callRawServer(undelimited, false).body().toString());
+    HttpCallException failure =
+        Assertions.assertThrows(HttpCallException.class, () -> callRawServer(undelimited, true));
+    Assertions.assertEquals(Reason.BROKEN, failure.reason());
+  }
+
+  @Test
+  void aResponseThatEndsShortFailsHoweverItsEndIsMarked() {
+    for (String head :
+        List.of("Content-Length: 9\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}"))
+      for (boolean reset : new boolean[] {false, true})
+        Assertions.assertEquals(
+            Reason.BROKEN,
+            Assertions.assertThrows(
+                    HttpCallException.class,
+                    () -> callRawServer("HTTP/1.1 200 OK\r\n" + head, reset))
+                .reason(),
+            head);
+  }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/HttpConnections.java
+++ b/data-plane/src/main/java/gladelug/data/relay/HttpConnections.java
@@ -2,6 +2,8 @@
 
 import gladelug.common.configuration.Replicas.Replica;
 import gladelug.common.connection.BindAddress;
+import gladelug.common.connection.BodyFraming;
+import gladelug.common.connection.OrderlyCloseDetector;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -42,6 +44,7 @@
                         .setMaxWaitQueueSize(64)
                         .setDecompressionSupported(false)
                         .setMaxRedirects(0)));
+    http.connectionHandler(OrderlyCloseDetector::install);
   }
 
   @Override
@@ -84,7 +87,7 @@
           .compose(
               reply ->
                   reply.statusCode() == 200
-                      ? reply.body()
+                      ? BodyFraming.readBody(reply)
                       : Future.failedFuture("status " + reply.statusCode()))
           .onComplete(
               result -> {
@@ -118,8 +121,7 @@
                   readLines(answer);
                   return;
                 }
-                response
-                    .body()
+                BodyFraming.readBody(response)
                     .onComplete(
                         body ->
                             answer.refused(
