Nothing is decided on what a relay knew before it stood still

Cause: mode CONTACT acknowledged a configuration while a relay still held a lease on the one before, and nothing in a relay knew that its process had stood still.

Change: the first part of a lease on the configuration counts as fresh (freshMs). The core acknowledges no configuration while that part of a lease on an older one lasts; relays share prefixes in it alone, and later give each request a cache scope of its own.

--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -126,7 +126,7 @@
   KeyOwner(OwnershipContext context, String key) {
     this.context = context;
     this.key = key;
-    this.leases = new SubscriberLeases(context.config());
+    this.leases = new SubscriberLeases(context.config(), key);
     this.pendingConfirmations = new PendingConfirmations(context.config().maxPendingChanges());
   }
 
@@ -311,7 +311,7 @@
 
   private void startServing(long nowMs) {
     failedElections = 0;
-    acknowledgeNotBeforeMs = preparedAtMs + (isStrict() ? context.config().leaseMs() + 1 : 0);
+    acknowledgeNotBeforeMs = preparedAtMs + formerLeasesMs();
     commandNotBeforeMs = preparedAtMs + context.config().commandHandoverGapMs() + 1;
     servingSinceMs = nowMs;
     confirmedAtMs = CoreHost.NEVER;
@@ -527,8 +527,12 @@
     startNextChange(nowMs);
   }
 
-  private boolean isStrict() {
-    return context.config().acknowledgementMode() == QuorumConfig.AcknowledgementMode.STRICT;
+  /** Returns how long after the promises an acknowledgement waits for leases of former owners. */
+  private long formerLeasesMs() {
+    QuorumConfig config = context.config();
+    boolean strict = config.acknowledgementMode() == QuorumConfig.AcknowledgementMode.STRICT;
+    long awaitedMs = strict ? config.leaseMs() : config.freshMs(key);
+    return awaitedMs == 0 ? 0 : awaitedMs + 1;
   }
 
   private boolean isLeaseless() {
--- a/control-plane/src/main/java/gladelug/control/core/QuorumConfig.java
+++ b/control-plane/src/main/java/gladelug/control/core/QuorumConfig.java
@@ -1,5 +1,6 @@
 package gladelug.control.core;
 
+import gladelug.common.message.StateKeys;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -23,6 +24,9 @@
  *
  * @param leaseMs how long a grant lasts, counted from the round that confirmed its owner; longer
  *     than `confirmIntervalMs`
+ * @param freshMs how long after the start of the confirmed round the holder of a lease on the
+ *     configuration may act as if the value were the newest acknowledged one; above 0; beyond
+ *     {@code leaseMs} the whole lease counts; used in mode CONTACT
  * @param heartbeatMs interval between two heartbeats to each member; above 0
  * @param peerTimeoutMs time without contact after which a member is considered dead; more than
  *     twice {@code heartbeatMs}
@@ -55,6 +59,7 @@
  */
 public record QuorumConfig(
     int leaseMs,
+    int freshMs,
     int heartbeatMs,
     int peerTimeoutMs,
     int confirmIntervalMs,
@@ -81,14 +86,17 @@
    * <p>CONTACT: once every relay with a lease that sent a request within the last {@code
    * subscriberContactMs} has the change, or {@code acknowledgementTimeoutMs} after the commit. The
    * owner waits neither for the leases of relays that are dead or partitioned nor for those of an
-   * earlier owner. The use of an old value is still bounded: An owner grants leases only for the
-   * number it has committed, so it grants none for an older number after the commit. A lease lasts
-   * {@code leaseMs} from the start of a round in which a majority confirmed the owner's epoch, and
-   * such a round of an earlier owner began before the later owner's majority of promises, hence
-   * before its commit. The relay counts its lease from the time of its request, which was earlier
-   * still. So a relay can act on an older number for at most one lease duration after the
-   * acknowledgement, and {@code leaseMs} must be below the bound that a deployment promises for a
-   * revoked API key.
+   * earlier owner, except that a configuration is not acknowledged while the first {@code freshMs}
+   * of any lease on an older one last: a relay shares cached prefixes between tenants only in that
+   * time, so no prefix is shared after the acknowledgement of a configuration that forbids it,
+   * however long the relay or its connection stood still. The use of an old value is still bounded:
+   * An owner grants leases only for the number it has committed, so it grants none for an older
+   * number after the commit. A lease lasts {@code leaseMs} from the start of a round in which a
+   * majority confirmed the owner's epoch, and such a round of an earlier owner began before the
+   * later owner's majority of promises, hence before its commit. The relay counts its lease from
+   * the time of its request, which was earlier still. So a relay can act on an older number for at
+   * most one lease duration after the acknowledgement, and {@code leaseMs} must be below the bound
+   * that a deployment promises for a revoked API key.
    */
   public enum AcknowledgementMode {
     STRICT,
@@ -98,6 +106,7 @@
   /** The default values. */
   public static final QuorumConfig DEFAULT =
       new QuorumConfig(
+          2000,
           2000,
           100,
           500,
@@ -122,6 +131,7 @@
     for (int value :
         new int[] {
           leaseMs,
+          freshMs,
           heartbeatMs,
           peerTimeoutMs,
           confirmIntervalMs,
@@ -158,6 +168,14 @@
       throw new IllegalArgumentException(String.join("; ", findings.stream().distinct().toList()));
   }
 
+  /**
+   * Returns the part of a lease on a key, in ms, that mode CONTACT awaits whether or not the holder
+   * is in contact; 0 for keys on which no relay has to stop at once.
+   */
+  int freshMs(String key) {
+    return key.equals(StateKeys.CONFIGURATION) ? Math.min(freshMs, leaseMs) : 0;
+  }
+
   /**
    * Returns the time-out in ms for the response to a change that was forwarded to another member.
    */
@@ -180,6 +198,7 @@
    */
   public static final class Builder {
     private int leaseMs;
+    private int freshMs;
     private int heartbeatMs;
     private int peerTimeoutMs;
     private int confirmIntervalMs;
@@ -200,6 +219,7 @@
 
     private Builder(QuorumConfig config) {
       leaseMs = config.leaseMs;
+      freshMs = config.freshMs;
       heartbeatMs = config.heartbeatMs;
       peerTimeoutMs = config.peerTimeoutMs;
       confirmIntervalMs = config.confirmIntervalMs;
@@ -224,6 +244,11 @@
       return this;
     }
 
+    public Builder freshMs(int value) {
+      freshMs = value;
+      return this;
+    }
+
     public Builder heartbeatMs(int value) {
       heartbeatMs = value;
       return this;
@@ -317,6 +342,7 @@
     public QuorumConfig build() {
       return new QuorumConfig(
           leaseMs,
+          freshMs,
           heartbeatMs,
           peerTimeoutMs,
           confirmIntervalMs,
--- a/control-plane/src/main/java/gladelug/control/core/SubscriberLeases.java
+++ b/control-plane/src/main/java/gladelug/control/core/SubscriberLeases.java
@@ -29,10 +29,15 @@
   record Acknowledgements(boolean complete, int acknowledged, int lapsed, int notAwaited) {}
 
   private final QuorumConfig config;
+
+  /** How long before its expiry a lease no longer counts as fresh, ms. */
+  private final long staleMs;
+
   private final Map<String, SubscriberLease> leases = new HashMap<>();
 
-  SubscriberLeases(QuorumConfig config) {
+  SubscriberLeases(QuorumConfig config, String key) {
     this.config = config;
+    this.staleMs = (long) config.leaseMs() - config.freshMs(key);
   }
 
   /** Returns how many leases have not expired. */
@@ -91,6 +96,7 @@
 
   private boolean isAwaited(SubscriberLease lease, long committedAtMs, long nowMs) {
     return config.acknowledgementMode() == QuorumConfig.AcknowledgementMode.STRICT
+        || nowMs <= lease.expiresAtMs - staleMs
         || nowMs - lease.lastRequestAtMs < config.subscriberContactMs()
             && nowMs - committedAtMs < config.acknowledgementTimeoutMs();
   }
--- a/data-plane/src/main/java/gladelug/data/relay/Forwarding.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Forwarding.java
@@ -3,7 +3,6 @@
 import com.eclipsesource.json.Json;
 import gladelug.common.configuration.Configuration;
 import gladelug.common.configuration.Replicas;
-import gladelug.data.request.CacheScope;
 import gladelug.data.request.FilterResult;
 import gladelug.data.request.Request;
 import gladelug.data.request.RequestFilter;
@@ -67,7 +66,7 @@
     long nowMs = relay.clock.now();
     FilterResult refusal = request.piecesOut == 0 ? relay.refusalIfOutlivesRelay(request) : null;
     if (refusal != null) return refusal;
-    if (!relay.subscription.leases.isValid(nowMs))
+    if (!relay.freshness.mayStartRequests(relay.settings, nowMs))
       return FilterResult.notRun(503, "no licence", relay.retryAdvice.msUntilState());
     if (nowMs >= request.deadlineMs)
       return FilterResult.notRun(
@@ -93,7 +92,7 @@
           ? FilterResult.notRun(
               503, "the key belongs to another tenant now", FilterResult.RETRY_AT_ONCE_MS)
           : FilterResult.notRun(401, "the API key was revoked", 0);
-    String scope = CacheScope.of(tenant, snapshot.prefixSharingSince());
+    String scope = relay.cacheScope(request, tenant, snapshot);
     boolean model = request.service.kind() == Configuration.Kind.MODEL;
     if (!model || scope.equals(request.cacheScope)) return null;
     request.changeCacheScope(scope, backend.blockBytes);
--- a/data-plane/src/main/java/gladelug/data/relay/KeyFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/KeyFilter.java
@@ -2,7 +2,6 @@
 
 import com.eclipsesource.json.Json;
 import gladelug.common.configuration.Configuration;
-import gladelug.data.request.CacheScope;
 import gladelug.data.request.FilterResult;
 import gladelug.data.request.Request;
 import gladelug.data.request.RequestFilter;
@@ -30,7 +29,7 @@
       return route == null && relay.settings.hidesMissingRoutes()
           ? FilterResult.notRun(404, RouteFilter.NO_ROUTE, 0)
           : FilterResult.notRun(401, "unknown API key", 0);
-    request.cacheScope = CacheScope.of(request.tenant, snapshot.prefixSharingSince());
+    request.cacheScope = relay.cacheScope(request, request.tenant, snapshot);
     request.decision.add(
         "key",
         relay.clock.now(),
--- a/data-plane/src/main/java/gladelug/data/relay/Relay.java
+++ b/data-plane/src/main/java/gladelug/data/relay/Relay.java
@@ -66,6 +66,7 @@
   public final RetryBudget retryBudget;
   public final String zone;
   public final RetryAdvice retryAdvice = new RetryAdvice(this);
+  public final StateFreshness freshness;
   public RelaySettings settings;
   private final Map<String, WaitQueue> queues = new HashMap<>();
 
@@ -113,6 +114,7 @@
     this.awakeSinceMs = lastTickMs;
     this.clock = clock;
     this.subscription = subscription;
+    this.freshness = new StateFreshness(subscription.leases, lastTickMs);
     this.zone = zone;
     this.backends = backends.apply(this);
     this.estimates = new WorkEstimates(this.backends, reuseShare);
@@ -127,10 +129,16 @@
     ControlStateSnapshot snapshot = snapshot();
     if (snapshot.configurationNumber() == 0) return "no configuration received yet";
     if (snapshot.replicasNumber() == 0) return "no replica list received yet";
-    if (!subscription.leases.isValid(clock.now())) return "no licence";
+    if (!freshness.mayStartRequests(settings, clock.now())) return "no licence";
     return "";
   }
 
+  /** Returns the scope in which a request of this tenant may use cached prefixes now. */
+  String cacheScope(Request request, Configuration.Tenant tenant, ControlStateSnapshot snapshot) {
+    return freshness.cacheScope(
+        request, tenant, snapshot.prefixSharingSince(), settings, clock.now());
+  }
+
   /**
    * Marks the relay as shutting down. Requests still running at the deadline (on this relay's
    * clock) are cut off.
@@ -694,6 +702,7 @@
     // after a stall of this process, replicas are given time to report again
     if (nowMs - lastTickMs > STALL_THRESHOLD_MS) awakeSinceMs = nowMs;
     lastTickMs = nowMs;
+    freshness.onTick(settings, nowMs);
     refuseOverdue(nowMs);
     for (Request request : liveRequests()) {
       if (request.deadlineMs > 0 && nowMs >= request.deadlineMs) {
--- a/data-plane/src/main/java/gladelug/data/relay/RelayService.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelayService.java
@@ -133,6 +133,7 @@
                   ownIndex,
                   settings.lookupTimeoutMs(),
                   settings.oneIndexPerZone());
+          newRelay.freshness.setLeaseRequester(subscriptions::requestNow);
           scheduleTicks(newRelay);
           List<Decision> ended = new ArrayList<>();
           newRelay.decisionSink = ended::add;
--- a/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
+++ b/data-plane/src/main/java/gladelug/data/relay/RelaySettings.java
@@ -16,6 +16,9 @@
   /** Default extra cost of a replica in another zone, in ms. */
   private static final double DEFAULT_OTHER_ZONE_MS = 2;
 
+  /** Duration of the leases of a core that awaits them whole before it acknowledges, in ms. */
+  private static final long DEFAULT_LEASE_MS = 2000;
+
   private final int maxQueuedRequests;
   private final boolean localSharesOnly;
   private final boolean allowsUnnamedWeights;
@@ -23,6 +26,8 @@
   private final double retryRatio;
   private final double retrySlack;
   private final long stateRenewalIntervalMs;
+  private final long leaseMs;
+  private final long freshMs;
   private final double otherZoneMs;
   private final boolean prefersNewestWeights;
   private final boolean hidesMissingRoutes;
@@ -40,6 +45,8 @@
     retryRatio = builder.retryRatio;
     retrySlack = builder.retrySlack;
     stateRenewalIntervalMs = builder.stateRenewalIntervalMs;
+    leaseMs = builder.leaseMs;
+    freshMs = builder.freshMs;
     otherZoneMs = builder.otherZoneMs;
     prefersNewestWeights = builder.prefersNewestWeights;
     weightsCutoffMs = builder.weightsCutoffMs;
@@ -104,6 +111,19 @@
     return stateRenewalIntervalMs;
   }
 
+  /** Returns how long the core's leases last, in ms. */
+  public long leaseMs() {
+    return leaseMs;
+  }
+
+  /**
+   * Returns in how much of a lease on the configuration the core acknowledges no change that this
+   * relay lacks, in ms.
+   */
+  public long freshMs() {
+    return freshMs;
+  }
+
   /** Returns the extra cost of a replica in another zone, in ms. */
   public double otherZoneMs() {
     return otherZoneMs;
@@ -153,6 +173,8 @@
     private double retryRatio = RetryBudget.DEFAULT_EARN_RATIO;
     private double retrySlack = -1;
     private long stateRenewalIntervalMs = StateSubscriptionService.REQUEST_INTERVAL_MS;
+    private long leaseMs = DEFAULT_LEASE_MS;
+    private long freshMs = DEFAULT_LEASE_MS;
     private double otherZoneMs = DEFAULT_OTHER_ZONE_MS;
     private boolean prefersNewestWeights = true;
     private boolean hidesMissingRoutes;
@@ -205,6 +227,13 @@
       return this;
     }
 
+    /** Sets the duration of the core's leases and the part of it that counts as fresh. */
+    public Builder leases(long durationMs, long freshDurationMs) {
+      leaseMs = durationMs;
+      freshMs = freshDurationMs;
+      return this;
+    }
+
     public Builder prefersNewestWeights(boolean enabled) {
       prefersNewestWeights = enabled;
       return this;
--- a/data-plane/src/main/java/gladelug/data/state/Leases.java
+++ b/data-plane/src/main/java/gladelug/data/state/Leases.java
@@ -14,10 +14,14 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
   private final AtomicLongArray deadlinesMs = new AtomicLongArray(StateKeys.LEASED.size());
   private final AtomicLongArray epochs = new AtomicLongArray(StateKeys.LEASED.size());
+  private final AtomicLongArray requestedAtMs = new AtomicLongArray(StateKeys.LEASED.size());
   private volatile long cutoffAtMs = NEVER;
 
   public Leases() {
-    for (int i = 0; i < deadlinesMs.length(); i++) deadlinesMs.set(i, NEVER);
+    for (int i = 0; i < deadlinesMs.length(); i++) {
+      deadlinesMs.set(i, NEVER);
+      requestedAtMs.set(i, NEVER);
+    }
   }
 
   /** Returns the earliest expiry of all leases: the time until which requests may start. */
@@ -38,6 +42,14 @@
     return nowMs < validUntilMs();
   }
 
+  /**
+   * Returns whether the newest grant of each lease answers a request sent at this time or later.
+   */
+  public boolean requestedSince(long ms) {
+    for (int i = 0; i < requestedAtMs.length(); i++) if (requestedAtMs.get(i) < ms) return false;
+    return true;
+  }
+
   /** Returns the time from which no request may start on weights older than the newest. */
   public long cutoffAtMs() {
     return cutoffAtMs;
@@ -55,17 +67,16 @@
     return keyIndex < 0 ? 0 : epochs.get(keyIndex);
   }
 
-  /** Applies a grant to the request sent at requestedAtMs, if it is for the version number held. */
-  public void applyGrant(StateUpdate.LeaseGrant grant, long requestedAtMs, long heldNumber) {
+  /** Applies a grant to the request sent at sentAtMs, if it is for the version number held. */
+  public void applyGrant(StateUpdate.LeaseGrant grant, long sentAtMs, long heldNumber) {
     int keyIndex = StateKeys.LEASED.indexOf(grant.key());
     if (keyIndex < 0 || grant.epoch() < epochs.get(keyIndex) || grant.number() != heldNumber)
       return;
     epochs.set(keyIndex, grant.epoch());
     long marginMs = 10L + grant.remainingMs() / 50;
     deadlinesMs.set(
-        keyIndex,
-        Math.max(deadlinesMs.get(keyIndex), requestedAtMs + grant.remainingMs() - marginMs));
-    if (grant.key().equals(StateKeys.WEIGHTS))
-      cutoffAtMs = requestedAtMs + grant.cutoffRemainingMs();
+        keyIndex, Math.max(deadlinesMs.get(keyIndex), sentAtMs + grant.remainingMs() - marginMs));
+    requestedAtMs.set(keyIndex, Math.max(requestedAtMs.get(keyIndex), sentAtMs));
+    if (grant.key().equals(StateKeys.WEIGHTS)) cutoffAtMs = sentAtMs + grant.cutoffRemainingMs();
   }
 }
--- a/data-plane/src/main/java/gladelug/data/state/StateSubscriptionService.java
+++ b/data-plane/src/main/java/gladelug/data/state/StateSubscriptionService.java
@@ -151,6 +151,11 @@
     return connection != null && connection.isOpen();
   }
 
+  /** Requests leases and newer state at once, without waiting for the next interval. */
+  public void requestNow() {
+    worker.offer(this::sendRequests);
+  }
+
   private void sendRequests() {
     StateUpdate.SubscriptionRequest request = subscription.subscriptionRequest();
     for (PersistentConnection connection : connections.values()) connection.send(request);
