MembersSimTest starts machines that end after the faults

A platform starts a process again when it ends. The test now waits for the drain time-out and starts what has ended; the bounds count from then on, as before.

--- a/emulator/src/test/java/gladelug/emulator/sim/MembersSimTest.java
+++ b/emulator/src/test/java/gladelug/emulator/sim/MembersSimTest.java
@@ -56,6 +56,9 @@
     for (int i = 0; i < steps; i++) injectRandomFault(world, random, "d" + seed + "-" + i);
     repairAll(world);
     world.lossRate = 0;
+    // a machine that was told to stop before ends by itself meanwhile, and is started again
+    world.run(config.drainTimeoutMs());
+    repairAll(world);
     // changes are taken again well before all has settled
     world.run(SETTLE_MS / 2);
     boolean taken = false;
