What clients make a process hold is bounded before it is kept

Cause: a refused chunked body stayed referenced while its bytes were given back; growing buffers were counted without their copies; heads were bounded by bytes and not by what the decoder makes of them; operators' bodies were not counted together; a chunk of a byte cost as much as a large one.

Change: InboundLimits owns the budgets of every listener (clients and operators of both protocols, readiness, status, redirects, peers). RequestHeadLimiter counts heads and what precedes them; ChunkMerger and ReadPacer bound what tiny chunks cost; BodyReader, BodyCollector and InboundBodies, which was CallerBodies, read every body. ClientListener, CallerListener and OperatorListener lose their own reading of bodies.

--- a/common/src/main/java/gladelug/common/MemoryBudget.java
+++ b/common/src/main/java/gladelug/common/MemoryBudget.java
@@ -18,9 +18,6 @@
 
   private static final long MAX_VALUE_LIMIT_BYTES = 6 << 20;
 
-  /** Request bodies may use this fraction of the heap: one fourth. */
-  private static final int REQUEST_BODIES_HEAP_DIVISOR = 4;
-
   /** Buffered responses may use one eighth of the heap, and each of them one twentieth. */
   private static final int RESPONSES_HEAP_DIVISOR = 8, PAGE_HEAP_DIVISOR = 20;
 
@@ -37,11 +34,6 @@
     this.capacityBytes = capacityBytes;
   }
 
-  /** Returns a new budget for the request bodies of this process. */
-  public static MemoryBudget forRequestBodies() {
-    return new MemoryBudget(Runtime.getRuntime().maxMemory() / REQUEST_BODIES_HEAP_DIVISOR);
-  }
-
   /**
    * Returns the process-wide budget for buffered responses to outgoing calls: event pages, lists
    * and reports.
--- a/common/src/main/java/gladelug/common/connection/Connection.java
+++ b/common/src/main/java/gladelug/common/connection/Connection.java
@@ -2,6 +2,7 @@
 
 import gladelug.common.Clock;
 import gladelug.common.Log;
+import gladelug.common.MemoryBudget;
 import gladelug.common.message.WireRecord;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
@@ -48,6 +49,13 @@
   private final AtomicBoolean suspected = new AtomicBoolean();
   private Receiver receiver;
   private Buffer unread = Buffer.buffer();
+
+  /**
+   * The budget for bytes of an incomplete record; null for a connection that this process opened.
+   */
+  private MemoryBudget recordBudget;
+
+  private long reservedBytes;
   private volatile Future<?> pendingReset;
   private volatile long lastReceivedAtMs;
   private volatile boolean closed;
@@ -72,6 +80,15 @@
     receiver = newReceiver;
   }
 
+  /**
+   * Applies the limits to a connection that a peer opened. Returns false, and closes it, if there
+   * are too many.
+   */
+  boolean limit(InboundLimits limits) {
+    recordBudget = limits.records();
+    return limits.accept(channel());
+  }
+
   /** Sends a record; returns false if the connection is closed or its queue is full. */
   public boolean send(WireRecord message) {
     return send(WireRecord.encode(message));
@@ -169,6 +186,7 @@
       if (offset > 0)
         unread =
             unread.length() == offset ? Buffer.buffer() : unread.getBuffer(offset, unread.length());
+      reserveUnread();
     } catch (IOException e) {
       Log.warn("malformed-record", "peer", peer, "what", e.getMessage());
       unread = Buffer.buffer();
@@ -176,9 +194,22 @@
     }
   }
 
+  /** Counts the bytes of an incomplete record, or fails if the budget for them is spent. */
+  private void reserveUnread() throws IOException {
+    if (recordBudget == null) return;
+    long change = unread.length() - reservedBytes;
+    if (change > 0 && !recordBudget.reserve(change))
+      throw new IOException("no memory for " + unread.length() + " bytes of a record");
+    if (change < 0) recordBudget.release(-change);
+    reservedBytes = unread.length();
+  }
+
   private void onClosed() {
     if (closed) return;
     closed = true;
+    if (recordBudget != null) recordBudget.release(reservedBytes);
+    reservedBytes = 0;
+    unread = Buffer.buffer();
     if (pendingReset != null) pendingReset.cancel(false);
     if (receiver != null) receiver.closed();
   }
--- a/common/src/main/java/gladelug/common/connection/ConnectionAcceptor.java
+++ b/common/src/main/java/gladelug/common/connection/ConnectionAcceptor.java
@@ -117,6 +117,7 @@
   }
 
   private void accept(Connection connection) {
+    if (!connection.limit(InboundLimits.ofProcess())) return;
     openConnections.add(connection);
     probedAtMs.put(connection, 0L);
     connection.setReceiver(
--- a/control-plane/src/main/java/gladelug/control/operator/OperatorEndpoint.java
+++ b/control-plane/src/main/java/gladelug/control/operator/OperatorEndpoint.java
@@ -6,6 +6,7 @@
 import gladelug.common.ServiceRegistry;
 import gladelug.common.connection.BindAddress;
 import gladelug.common.connection.ConnectionAcceptor;
+import gladelug.common.connection.InboundLimits;
 import gladelug.common.message.StateKeys;
 import gladelug.control.core.CoreService;
 import io.vertx.core.http.HttpMethod;
@@ -16,7 +17,6 @@
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
 import io.vertx.mutiny.ext.web.client.WebClient;
-import io.vertx.mutiny.ext.web.handler.BodyHandler;
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
@@ -66,7 +66,7 @@
                     .setFollowRedirects(false)));
     statusHandler = new StatusHandler(core);
     Router router = Router.router(vertx);
-    router.route().handler(BodyHandler.create(false).setBodyLimit(JsonResponses.MAX_BODY_BYTES));
+    router.getDelegate().route().handler(new OperatorBodyHandler());
     OwnerForwarding forwarding = new OwnerForwarding(core, client);
     ConfigurationHandler configuration = new ConfigurationHandler(core);
     ChangeHistoryHandler history = new ChangeHistoryHandler(core);
@@ -163,7 +163,12 @@
   private void listen(Router router, BindAddress local) {
     server =
         vertx
-            .createHttpServer(new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES))
+            .createHttpServer(
+                InboundLimits.configure(new HttpServerOptions())
+                    .setMaxHeaderSize(MAX_HEADER_BYTES)
+                    .setHandle100ContinueAutomatically(true))
+            .connectionHandler(
+                connection -> InboundLimits.ofProcess().protect(connection.getDelegate()))
             .requestHandler(router::handle);
     try {
       server.listen(address.port(), local.ip()).await().atMost(LISTEN_TIMEOUT);
--- a/data-plane/src/main/java/gladelug/data/StatusEndpoint.java
+++ b/data-plane/src/main/java/gladelug/data/StatusEndpoint.java
@@ -6,6 +6,7 @@
 import gladelug.common.Log;
 import gladelug.common.ServiceRegistry;
 import gladelug.common.connection.ConnectionAcceptor;
+import gladelug.common.connection.InboundLimits;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.mutiny.core.Vertx;
@@ -80,7 +81,12 @@
         });
     router.errorHandler(
         404, context -> sendJson(context, 404, Json.object().add("reason", "no such resource")));
-    server = vertx.createHttpServer(new HttpServerOptions()).requestHandler(router::handle);
+    server =
+        vertx
+            .createHttpServer(InboundLimits.configure(new HttpServerOptions()))
+            .connectionHandler(
+                connection -> InboundLimits.ofProcess().protect(connection.getDelegate()))
+            .requestHandler(router::handle);
     try {
       server
           .listen(address.port(), registry.find("doors", ConnectionAcceptor.class).bindAddress.ip())
--- a/data-plane/src/main/java/gladelug/data/relay/CallerListener.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerListener.java
@@ -8,6 +8,9 @@
 import gladelug.common.LocatedJson;
 import gladelug.common.Result;
 import gladelug.common.configuration.Configuration;
+import gladelug.common.connection.BodyReader;
+import gladelug.common.connection.InboundBodies;
+import gladelug.common.connection.InboundLimits;
 import gladelug.data.request.Decision;
 import gladelug.data.request.FilterChain;
 import gladelug.data.request.FilterResult;
@@ -19,9 +22,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
-import io.vertx.ext.web.handler.BodyHandler;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,13 +38,14 @@
   private final Relay relay;
   private final RecentDecisions decisions;
   private final FilterChain filterChain;
-  private final Map<Integer, BodyHandler> bodyHandlersByLimit = new HashMap<>();
+  private final InboundBodies bodies;
   private final Map<Request, RoutingContext> contexts = new IdentityHashMap<>();
 
   public CallerListener(Relay relay, RecentDecisions decisions, FilterChain filterChain) {
     this.relay = relay;
     this.decisions = decisions;
     this.filterChain = filterChain;
+    this.bodies = new InboundBodies(InboundLimits.ofProcess().clientBodies(), relay.clock);
   }
 
   /**
@@ -51,13 +53,7 @@
    * so that they are refused early.
    */
   public void registerRoutes(Router router) {
-    router
-        .route()
-        .handler(this::checkHead)
-        .handler(this::readBody)
-        .handler(context -> acceptBody(context, context.get("hash"), context.get("came")));
-    router.errorHandler(
-        413, context -> refuse(context, 413, "the body is larger than the route allows", null, 0));
+    router.route().handler(this::checkHead).handler(this::readBody);
     router.errorHandler(400, context -> refuse(context, 400, "the request is malformed", null, 0));
     router.errorHandler(
         500,
@@ -103,10 +99,39 @@
   }
 
   private void readBody(RoutingContext context) {
-    bodyHandlersByLimit
-        .computeIfAbsent(
-            context.get("most"), limit -> BodyHandler.create(false).setBodyLimit(limit))
-        .handle(context);
+    int maxBytes = context.get("most");
+    context.addEndHandler(ended -> bodies.release(context.request()));
+    BodyReader.read(context.request(), bodies, maxBytes, new BodyReceiver(context));
+  }
+
+  /** Receives the body of one request. */
+  private final class BodyReceiver implements BodyReader.Receiver {
+    private final RoutingContext context;
+
+    BodyReceiver(RoutingContext context) {
+      this.context = context;
+    }
+
+    @Override
+    public void onBody(HttpServerRequest request, Buffer body) {
+      acceptBody(context, body, context.get("hash"), context.get("came"));
+    }
+
+    @Override
+    public void onTooLarge(HttpServerRequest request) {
+      refuse(context, 413, "the body is larger than the route allows", null, 0);
+    }
+
+    @Override
+    public void onNoMemory(HttpServerRequest request) {
+      refuse(
+          context,
+          503,
+          "the memory for request bodies is full",
+          null,
+          Math.max(FilterResult.RETRY_AT_ONCE_MS, bodies.estimatedReleaseMs()));
+      bodies.release(request);
+    }
   }
 
   private record RequestBody(String prompt, int maxPieces, Boolean repeatable) {}
@@ -127,10 +152,8 @@
             });
   }
 
-  private void acceptBody(RoutingContext context, String hash, long arrivedAtMs) {
-    byte[] bytes =
-        context.body().buffer() == null ? new byte[0] : context.body().buffer().getBytes();
-    Result<RequestBody> parsed = parseBody(new String(bytes, StandardCharsets.UTF_8));
+  private void acceptBody(RoutingContext context, Buffer received, String hash, long arrivedAtMs) {
+    Result<RequestBody> parsed = parseBody(received.toString(StandardCharsets.UTF_8));
     if (parsed instanceof Result.Bad<RequestBody> bad) {
       refuse(context, 400, "the body is not a valid request", bad.findings(), 0);
       return;
--- a/data-plane/src/main/java/gladelug/data/relay/NativeProtocol.java
+++ b/data-plane/src/main/java/gladelug/data/relay/NativeProtocol.java
@@ -1,6 +1,7 @@
 package gladelug.data.relay;
 
 import gladelug.common.Address;
+import gladelug.common.connection.InboundLimits;
 import gladelug.data.request.FilterChain;
 import gladelug.data.request.RecentDecisions;
 import io.smallrye.mutiny.Uni;
@@ -35,10 +36,12 @@
             .vertx()
             .getDelegate()
             .createHttpServer(
-                new HttpServerOptions()
+                InboundLimits.configure(new HttpServerOptions())
                     .setMaxHeaderSize(16384)
                     .setIdleTimeout(120)
-                    .setTcpNoDelay(true));
+                    .setHandle100ContinueAutomatically(true)
+                    .setTcpNoDelay(true))
+            .connectionHandler(InboundLimits.ofProcess()::protect);
     return Uni.createFrom()
         .completionStage(
             () ->
