--- a/emulator/src/test/java/gladelug/emulator/sim/MembersTimelineTest.java
+++ b/emulator/src/test/java/gladelug/emulator/sim/MembersTimelineTest.java
@@ -136,6 +136,40 @@
             6400  | .    | last acknowledged, well""");
   }
 
+  /**
+   * Guards against a configuration that is acknowledged while a relay that stands still shares what
+   * it forbids: its lease counts as fresh until about 6.9 s.
+   */
+  @Test
+  void aConfigurationWaitsForTheFreshPartOfAStoppedRelaysLease() {
+    QuorumConfig fresh = HEALING.with().targetMembers(3).leaseMs(4000).freshMs(2500).build();
+    play(
+        3,
+        3,
+        fresh,
+        """
+        t     | r1    | op
+        4000  | .     | send c1
+        5000  | .     | last acknowledged, serve
+        5100  | pause | .
+        5200  | .     | send c1
+        6500  | .     | last none
+        8000  | .     | last acknowledged, well""");
+    // a new owner does not know which leases the former one granted
+    play(
+        3,
+        3,
+        fresh,
+        """
+        t     | c3   | op
+        4000  | .    | owner c3, send c1
+        5000  | .    | last acknowledged
+        5100  | kill | .
+        6900  | .    | send c1
+        7600  | .    | last none
+        10500 | .    | last acknowledged, well""");
+  }
+
   @Test
   void aChangeWhoseOwnerDiesIsKnownWithinFourSeconds() {
     for (int ms : new int[] {1, 5, 10, 20})
