What every receiver of a body did, BodyReader does; one rule for awaited leases

The connections of a member and of a witness receive messages by one piece of code (NodeConnections). No change of behaviour.

--- a/common/src/main/java/gladelug/common/connection/BodyReader.java
+++ b/common/src/main/java/gladelug/common/connection/BodyReader.java
@@ -9,7 +9,10 @@
  * still sends is discarded, up to as much as a body may have.
  */
 public final class BodyReader {
-  /** What becomes of a body. The bytes stay reserved until the receiver releases them. */
+  /**
+   * What becomes of a body. The bytes of a complete one stay reserved until the receiver releases
+   * them; those of any other are released after the receiver was told.
+   */
   public interface Receiver {
     /** The body arrived completely. */
     void onBody(HttpServerRequest request, Buffer body);
@@ -19,9 +22,6 @@
 
     /** There is no memory for the body. */
     void onNoMemory(HttpServerRequest request);
-
-    /** The connection ended within the body. */
-    default void onBroken(HttpServerRequest request) {}
   }
 
   private final HttpServerRequest request;
@@ -56,16 +56,12 @@
       return;
     }
     declared = declaredLength >= 0;
-    if (!bodies.reserve(request, Math.max(0, declaredLength))) {
-      request.handler(this::discard);
-      request.exceptionHandler(failure -> {});
-      refuse();
-      return;
-    }
-    collector = new BodyCollector(declaredLength);
     request.handler(this::onPart);
     request.endHandler(end -> onEnd());
     request.exceptionHandler(failure -> onBroken());
+    if (bodies.reserve(request, Math.max(0, declaredLength)))
+      collector = new BodyCollector(declaredLength);
+    else refuse();
   }
 
   /** Returns the length in the head, or a negative number if it is missing or malformed. */
@@ -87,6 +83,7 @@
       collector = null;
       discardableBytes = maxBytes;
       receiver.onTooLarge(request);
+      bodies.release(request);
     } else if (!declared && !bodies.reserve(request, part.length())) refuse();
     else collector.add(part);
   }
@@ -95,6 +92,7 @@
     discardableBytes = maxBytes - (collector == null ? 0 : collector.length());
     collector = null;
     receiver.onNoMemory(request);
+    bodies.release(request);
   }
 
   /** Drops a part of a refused body, so that the client can read the answer. */
@@ -114,6 +112,5 @@
   private void onBroken() {
     collector = null;
     bodies.release(request);
-    receiver.onBroken(request);
   }
 }
--- a/control-plane/src/main/java/gladelug/control/core/BootstrapWitnessService.java
+++ b/control-plane/src/main/java/gladelug/control/core/BootstrapWitnessService.java
@@ -6,9 +6,7 @@
 import gladelug.common.ServiceRegistry;
 import gladelug.common.SingleThreadWorker;
 import gladelug.common.connection.ConnectionAcceptor;
-import gladelug.common.message.Hello;
 import gladelug.common.message.StateUpdate;
-import gladelug.common.message.WireRecord;
 import gladelug.control.core.config.MemberSet;
 import gladelug.control.core.message.CoreMessage.Envelope;
 import io.vertx.mutiny.core.Vertx;
@@ -68,13 +66,7 @@
     ConnectionAcceptor acceptor = registry.find("doors", ConnectionAcceptor.class);
     connections = new NodeConnections(vertx, acceptor, config);
     member = new CoreMember(this, config, self, 0, Map.of(), voters, new OwnerTasks() {});
-    acceptor.register(
-        Hello.CORE,
-        (hello, connection) ->
-            bytes -> {
-              Envelope message = WireRecord.decode(bytes, Envelope::read);
-              worker.offer(() -> member.onMessage(message));
-            });
+    connections.receive(message -> worker.offer(() -> member.onMessage(message)));
     worker.offer(this::tick);
     worker.scheduleEvery(IDLE_CHECK_INTERVAL_MS, () -> connections.closeIdle(nowMs()));
   }
--- a/control-plane/src/main/java/gladelug/control/core/CoreService.java
+++ b/control-plane/src/main/java/gladelug/control/core/CoreService.java
@@ -136,13 +136,7 @@
     member =
         new CoreMember(
             this, config, self, weightsAgeCutoffMs, ring.live(), bootstrapMembers, ownerTasks);
-    acceptor.register(
-        Hello.CORE,
-        (hello, connection) ->
-            bytes -> {
-              Envelope message = WireRecord.decode(bytes, Envelope::read);
-              worker.offer(() -> member.onMessage(message));
-            });
+    connections.receive(message -> worker.offer(() -> member.onMessage(message)));
     acceptor.register(
         Hello.STATE_UPDATES, (hello, connection) -> new SubscriberReceiver(connection));
     worker.scheduleEvery(config.heartbeatMs() / 4, this::tick);
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -529,9 +529,7 @@
 
   /** Returns how long after the promises an acknowledgement waits for leases of former owners. */
   private long formerLeasesMs() {
-    QuorumConfig config = context.config();
-    boolean strict = config.acknowledgementMode() == QuorumConfig.AcknowledgementMode.STRICT;
-    long awaitedMs = strict ? config.leaseMs() : config.freshMs(key);
+    int awaitedMs = context.config().awaitedLeaseMs(key);
     return awaitedMs == 0 ? 0 : awaitedMs + 1;
   }
 
--- a/control-plane/src/main/java/gladelug/control/core/NodeConnections.java
+++ b/control-plane/src/main/java/gladelug/control/core/NodeConnections.java
@@ -5,6 +5,7 @@
 import gladelug.common.connection.Liveness;
 import gladelug.common.connection.PersistentConnection;
 import gladelug.common.message.Hello;
+import gladelug.common.message.WireRecord;
 import gladelug.control.core.message.CoreMessage.Envelope;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
@@ -13,8 +14,9 @@
 import java.util.function.Consumer;
 
 /**
- * Opens connections to other nodes of the core, and keeps those to nodes that are no members of
- * this generation, by address. Used on the core's thread only.
+ * The connections between this process and other nodes of the core: receives what nodes send that
+ * connect to it, opens connections, and keeps those to nodes that are no members of this
+ * generation, by address. Used on the core's thread only once it is set up.
  */
 final class NodeConnections {
   private final Vertx vertx;
@@ -28,6 +30,13 @@
     this.config = config;
   }
 
+  /** Passes on what nodes send that connect to this process, on their connections' event loops. */
+  void receive(Consumer<Envelope> receiver) {
+    acceptor.register(
+        Hello.CORE,
+        (hello, connection) -> bytes -> receiver.accept(WireRecord.decode(bytes, Envelope::read)));
+  }
+
   /** Opens a connection and keeps it open. */
   PersistentConnection connect(Address remote, Consumer<PersistentConnection> onOpened) {
     return new PersistentConnection(
--- a/control-plane/src/main/java/gladelug/control/core/QuorumConfig.java
+++ b/control-plane/src/main/java/gladelug/control/core/QuorumConfig.java
@@ -171,10 +171,11 @@
   }
 
   /**
-   * Returns the part of a lease on a key, in ms, that mode CONTACT awaits whether or not the holder
-   * is in contact; 0 for keys on which no relay has to stop at once.
+   * Returns the first part of a lease on a key, in ms, that an acknowledgement awaits whether or
+   * not the holder is in contact: the whole lease in mode STRICT.
    */
-  int freshMs(String key) {
+  int awaitedLeaseMs(String key) {
+    if (acknowledgementMode == AcknowledgementMode.STRICT) return leaseMs;
     return key.equals(StateKeys.CONFIGURATION) ? freshMs : 0;
   }
 
--- a/control-plane/src/main/java/gladelug/control/core/SubscriberLeases.java
+++ b/control-plane/src/main/java/gladelug/control/core/SubscriberLeases.java
@@ -30,14 +30,14 @@
 
   private final QuorumConfig config;
 
-  /** How long before its expiry a lease no longer counts as fresh, ms. */
-  private final long staleMs;
+  /** The first part of each lease that is awaited whether or not its holder is in contact, ms. */
+  private final int awaitedMs;
 
   private final Map<String, SubscriberLease> leases = new HashMap<>();
 
   SubscriberLeases(QuorumConfig config, String key) {
     this.config = config;
-    this.staleMs = (long) config.leaseMs() - config.freshMs(key);
+    this.awaitedMs = config.awaitedLeaseMs(key);
   }
 
   /** Returns how many leases have not expired. */
@@ -94,13 +94,9 @@
     return new Acknowledgements(true, acknowledged, lapsed, notAwaited);
   }
 
-  private boolean isFresh(SubscriberLease lease, long nowMs) {
-    return staleMs < config.leaseMs() && nowMs <= lease.expiresAtMs - staleMs;
-  }
-
   private boolean isAwaited(SubscriberLease lease, long committedAtMs, long nowMs) {
-    return config.acknowledgementMode() == QuorumConfig.AcknowledgementMode.STRICT
-        || isFresh(lease, nowMs)
+    long unawaitedMs = (long) config.leaseMs() - awaitedMs;
+    return awaitedMs > 0 && nowMs <= lease.expiresAtMs - unawaitedMs
         || nowMs - lease.lastRequestAtMs < config.subscriberContactMs()
             && nowMs - committedAtMs < config.acknowledgementTimeoutMs();
   }
--- a/control-plane/src/main/java/gladelug/control/operator/OperatorBodyHandler.java
+++ b/control-plane/src/main/java/gladelug/control/operator/OperatorBodyHandler.java
@@ -26,13 +26,7 @@
         context.request(), bodies, JsonResponses.MAX_BODY_BYTES, new BodyReceiver(context));
   }
 
-  private final class BodyReceiver implements BodyReader.Receiver {
-    private final RoutingContext context;
-
-    BodyReceiver(RoutingContext context) {
-      this.context = context;
-    }
-
+  private record BodyReceiver(RoutingContext context) implements BodyReader.Receiver {
     @Override
     public void onBody(HttpServerRequest request, Buffer body) {
       ((RoutingContextInternal) context).setBody(body);
@@ -41,13 +35,11 @@
 
     @Override
     public void onTooLarge(HttpServerRequest request) {
-      bodies.release(request);
       context.fail(413);
     }
 
     @Override
     public void onNoMemory(HttpServerRequest request) {
-      bodies.release(request);
       if (context.response().ended() || context.response().closed()) return;
       context
           .response()
--- a/data-plane/src/main/java/gladelug/data/relay/CallerListener.java
+++ b/data-plane/src/main/java/gladelug/data/relay/CallerListener.java
@@ -130,7 +130,6 @@
           "the memory for request bodies is full",
           null,
           Math.max(FilterResult.RETRY_AT_ONCE_MS, bodies.estimatedReleaseMs()));
-      bodies.release(request);
     }
   }
 
