Whoever holds most of a process, or longest without a request, gives way

Cause: Vert.x keeps every request that comes behind one in progress; trailers were counted by nobody; a spent budget refused whoever came last; answers in the queue of a connection and bodies on their way to replicas were not counted; the receive buffer's size was set after the kernel had offered 64 KiB.

YieldingBudget and InboundConnections end whoever holds most or waits longest, also at the port of peers. InboundTransport sets the receive buffer at the listening socket. Heap of the deploy file's commands 160 to 144 MB.

Relays: after a standstill requests wait up to 500 ms for leases that are on their way, where they were refused with 503. Tests that changed: a head counts until its answer; a jump of time in one step is a standstill (RelayTest).

--- a/common/src/main/java/gladelug/common/MemoryBudget.java
+++ b/common/src/main/java/gladelug/common/MemoryBudget.java
@@ -42,7 +42,7 @@
     return RESPONSES;
   }
 
-  /** Returns the maximum size of an event page or list in bytes: 8 MB with a heap of 160 MB. */
+  /** Returns the maximum size of an event page or list in bytes: 7 MB with a heap of 144 MB. */
   public static long maxPageBytes() {
     return Runtime.getRuntime().maxMemory() / PAGE_HEAP_DIVISOR;
   }
--- a/common/src/main/java/gladelug/common/connection/ChunkMerger.java
+++ b/common/src/main/java/gladelug/common/connection/ChunkMerger.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResultProvider;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -27,7 +28,9 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (message instanceof HttpRequest) phase.onHead();
+    if (message instanceof DecoderResultProvider decoded && decoded.decoderResult().isFailure())
+      phase.onFailure();
+    if (message instanceof HttpRequest request) phase.onHead(request);
     if (message instanceof HttpContent) phase.onContent();
     if (message instanceof HttpContent content
         && !(message instanceof LastHttpContent)
@@ -39,7 +42,7 @@
       return;
     }
     passOn(context);
-    if (message instanceof LastHttpContent) phase.onEnd();
+    if (message instanceof LastHttpContent) phase.onRequestEnd();
     context.fireChannelRead(message);
   }
 
--- a/common/src/main/java/gladelug/common/connection/Connection.java
+++ b/common/src/main/java/gladelug/common/connection/Connection.java
@@ -2,7 +2,6 @@
 
 import gladelug.common.Clock;
 import gladelug.common.Log;
-import gladelug.common.MemoryBudget;
 import gladelug.common.message.WireRecord;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
@@ -24,7 +23,7 @@
  * <p>The highest bit of the length requests an answer: a record of length 0, which isn't passed to
  * the receiver. Either end detects a dead peer by a missing answer; see {@link Liveness}.
  */
-public final class Connection {
+public final class Connection implements YieldingBudget.Holder {
   /** Receives each record in order, then the end; called on the connection's event loop. */
   public interface Receiver {
     void record(byte[] record) throws IOException;
@@ -53,9 +52,11 @@
   /**
    * The budget for bytes of an incomplete record; null for a connection that this process opened.
    */
-  private MemoryBudget recordBudget;
+  private YieldingBudget recordBudget;
+
+  /** Null for a connection that this process opened. */
+  private InboundConnection inbound;
 
-  private long reservedBytes;
   private volatile Future<?> pendingReset;
   private volatile long lastReceivedAtMs;
   private volatile boolean closed;
@@ -86,7 +87,8 @@
    */
   boolean limit(InboundLimits limits) {
     recordBudget = limits.records();
-    return limits.accept(channel());
+    inbound = limits.accept(channel());
+    return inbound != null;
   }
 
   /** Sends a record; returns false if the connection is closed or its queue is full. */
@@ -179,6 +181,7 @@
           throw new IOException("invalid record length " + length);
         if (unread.length() - offset - HEADER_BYTES < length) break;
         if ((header & ANSWER_REQUESTED) != 0) write(new byte[0], false);
+        if (inbound != null) inbound.onRecord(ConnectionAcceptor.IDLE_TIMEOUT_MS);
         if (length > 0)
           receiver.record(unread.getBytes(offset + HEADER_BYTES, offset + HEADER_BYTES + length));
         offset += HEADER_BYTES + length;
@@ -194,21 +197,23 @@
     }
   }
 
-  /** Counts the bytes of an incomplete record, or fails if the budget for them is spent. */
+  /** Counts the bytes of an incomplete record, or fails if there is no memory for them. */
   private void reserveUnread() throws IOException {
-    if (recordBudget == null) return;
-    long change = unread.length() - reservedBytes;
-    if (change > 0 && !recordBudget.reserve(change))
+    if (recordBudget != null && !recordBudget.hold(this, unread.length()))
       throw new IOException("no memory for " + unread.length() + " bytes of a record");
-    if (change < 0) recordBudget.release(-change);
-    reservedBytes = unread.length();
+  }
+
+  /** Ends the connection because its incomplete record is the largest. */
+  @Override
+  public void giveWay() {
+    Log.fine("record-gives-way", "peer", peer);
+    channel().close();
   }
 
   private void onClosed() {
     if (closed) return;
     closed = true;
-    if (recordBudget != null) recordBudget.release(reservedBytes);
-    reservedBytes = 0;
+    if (recordBudget != null) recordBudget.hold(this, 0);
     unread = Buffer.buffer();
     if (pendingReset != null) pendingReset.cancel(false);
     if (receiver != null) receiver.closed();
--- a/common/src/main/java/gladelug/common/connection/ConnectionAcceptor.java
+++ b/common/src/main/java/gladelug/common/connection/ConnectionAcceptor.java
@@ -33,7 +33,7 @@
   private static final long SWEEP_INTERVAL_MS = 10_000;
 
   /** Silence after which a peer is probed; it must answer before the next check. */
-  private static final long IDLE_TIMEOUT_MS = 15_000;
+  static final long IDLE_TIMEOUT_MS = 15_000;
 
   private final Clock clock = Clock.monotonic();
   private final Vertx vertx;
@@ -66,7 +66,11 @@
   @Override
   public void start(ServiceRegistry registry) {
     server =
-        vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true));
+        vertx.createNetServer(
+            new NetServerOptions()
+                .setTcpNoDelay(true)
+                .setReuseAddress(true)
+                .setReceiveBufferSize(ReceiveBuffers.LARGE_BYTES));
     server
         .getDelegate()
         .connectHandler(
--- /dev/null
+++ b/common/src/main/java/gladelug/common/connection/ReceiveBuffers.java
@@ -0,0 +1,44 @@
+package gladelug.common.connection;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOption;
+import java.util.concurrent.Semaphore;
+
+/**
+ * Bounds the bytes that the kernel holds for connections that are not read yet: each has a small
+ * receive buffer, and a limited number of those that send a long body have a large one.
+ * Thread-safe.
+ */
+final class ReceiveBuffers {
+  /** The size of a connection's buffer at first, and while it sends a long body. */
+  static final int SMALL_BYTES = 8 << 10, LARGE_BYTES = 64 << 10;
+
+  private final Semaphore large;
+
+  ReceiveBuffers(int maxLarge) {
+    large = new Semaphore(maxLarge);
+  }
+
+  /** Gives a connection a large buffer; returns false if too many have one. */
+  boolean tryEnlarge(Channel channel) {
+    if (!large.tryAcquire()) return false;
+    if (resize(channel, LARGE_BYTES)) return true;
+    large.release();
+    return false;
+  }
+
+  /** Takes the large buffer from a connection that has one. */
+  void reduce(Channel channel) {
+    large.release();
+    if (channel.isOpen()) resize(channel, SMALL_BYTES);
+  }
+
+  private static boolean resize(Channel channel, int bytes) {
+    try {
+      return channel.config().setOption(ChannelOption.SO_RCVBUF, bytes);
+    } catch (ChannelException closed) {
+      return false;
+    }
+  }
+}
--- a/common/src/test/java/gladelug/common/message/PublishedNamesTest.java
+++ b/common/src/test/java/gladelug/common/message/PublishedNamesTest.java
@@ -1,6 +1,7 @@
 package gladelug.common.message;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -155,4 +156,17 @@
     Assertions.assertEquals(List.of("policy", "weights", "replicas"), StateKeys.LEASED);
     Assertions.assertEquals(List.of("policy", "weights", "replicas", "core"), StateKeys.PUSHED);
   }
+
+  @Test
+  void theKeysOfReplicasAreDividedAsInEarlierProcesses() {
+    Assertions.assertEquals("commander/group-8", StateKeys.replicaControllerKey("i-7f3a91c2"));
+  }
+
+  /** Guards against a core that keeps a key for every start of a replica, for good. */
+  @Test
+  void howeverManyReplicasComeAndGoTheirKeysAreFew() {
+    Set<String> keys = new HashSet<>();
+    for (int i = 0; i < 20_000; i++) keys.add(StateKeys.replicaControllerKey("i-" + i));
+    Assertions.assertEquals(32, keys.size());
+  }
 }
--- a/control-plane/src/main/java/gladelug/control/ControlPlane.java
+++ b/control-plane/src/main/java/gladelug/control/ControlPlane.java
@@ -8,6 +8,7 @@
 import gladelug.common.Settings;
 import gladelug.common.configuration.Configuration;
 import gladelug.common.connection.ConnectionAcceptor;
+import gladelug.common.connection.InboundTransport;
 import gladelug.common.disk.DataFolder;
 import gladelug.common.message.Shuffle;
 import gladelug.common.view.PartialViewService;
@@ -21,6 +22,7 @@
 import gladelug.control.rollout.HttpReplicaCommands;
 import gladelug.control.rollout.ReplicaController;
 import gladelug.control.rollout.WeightRollout;
+import io.vertx.core.VertxOptions;
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -153,7 +155,7 @@
     CoreDataFolder disk =
         CoreDataFolder.open(
             settings.name(), settings.dataFolder(), settings.ringFileMb(), List.of());
-    Vertx vertx = Vertx.vertx();
+    Vertx vertx = InboundTransport.createVertx(new VertxOptions());
     vertx.getDelegate().exceptionHandler(FatalFailure::onUncaught);
     Program.run(PROGRAM, createServices(vertx, settings, disk), STOP_TIMEOUT_MS);
   }
--- a/control-plane/src/main/java/gladelug/control/rollout/ReplicaController.java
+++ b/control-plane/src/main/java/gladelug/control/rollout/ReplicaController.java
@@ -17,11 +17,11 @@
 
 /**
  * Brings each replica to the weights that operators named for it. A process commands a replica only
- * while it owns the key commander/&lt;replica&gt; and after every earlier owner's lease has
- * expired. It commands under the key's epoch, and the replica refuses lower epochs (rule ONE: at
- * most one process commands a replica at any time). The weights that a replica runs are read from
- * the replica itself. Weights named during a rollout become its new target. All state is confined
- * to one Vert.x context.
+ * while it owns the replica's key, which it shares with others, and after every earlier owner's
+ * lease has expired. It commands under the key's epoch, and the replica refuses lower epochs (rule
+ * ONE: at most one process commands a replica at any time). The weights that a replica runs are
+ * read from the replica itself. Weights named during a rollout become its new target. All state is
+ * confined to one Vert.x context.
  */
 public final class ReplicaController implements ServiceRegistry.Service {
   private static final long POLL_INTERVAL_MS = 250;
@@ -69,7 +69,7 @@
   }
 
   private static String controllerKey(Replica replica) {
-    return StateKeys.REPLICA_CONTROLLER_PREFIX + replica.instance();
+    return StateKeys.replicaControllerKey(replica.instance());
   }
 
   private void poll() {
--- a/data-plane/src/main/java/gladelug/data/DataPlane.java
+++ b/data-plane/src/main/java/gladelug/data/DataPlane.java
@@ -10,6 +10,7 @@
 import gladelug.common.Settings;
 import gladelug.common.connection.BindAddress;
 import gladelug.common.connection.ConnectionAcceptor;
+import gladelug.common.connection.InboundTransport;
 import gladelug.common.message.Shuffle;
 import gladelug.common.view.PartialViewService;
 import gladelug.data.decisions.DecisionLogService;
@@ -23,6 +24,7 @@
 import gladelug.data.relay.RelayService;
 import gladelug.data.relay.RelaySettings;
 import gladelug.data.state.StateSubscriptionService;
+import io.vertx.core.VertxOptions;
 import io.vertx.mutiny.core.Vertx;
 import java.util.HashMap;
 import java.util.List;
@@ -202,7 +204,7 @@
 
   static void run(boolean relay, DataPlaneSettings settings) {
     Log.setUp(settings.name, Program.parseLogLevel(settings.logLevel), System.out);
-    Vertx vertx = Vertx.vertx();
+    Vertx vertx = InboundTransport.createVertx(new VertxOptions());
     vertx.getDelegate().exceptionHandler(FatalFailure::onUncaught);
     Clock clock = Clock.monotonic();
     Shuffle.Descriptor self =
--- a/data-plane/src/main/java/gladelug/data/relay/KeyFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/KeyFilter.java
@@ -6,19 +6,36 @@
 import gladelug.data.request.Request;
 import gladelug.data.request.RequestFilter;
 import gladelug.data.state.ControlStateSnapshot;
+import io.smallrye.mutiny.Uni;
 
 /**
  * Determines the tenant of a request by the hash of its key; the key itself does not go beyond the
  * listener.
  */
-record KeyFilter(Relay relay) implements RequestFilter.Synchronous {
+record KeyFilter(Relay relay) implements RequestFilter {
   @Override
   public String name() {
     return "key";
   }
 
   @Override
-  public FilterResult decide(Request request) {
+  public Uni<FilterResult> apply(Request request) {
+    if (!relay.freshness.isRenewing(relay.settings, relay.clock.now()))
+      return Uni.createFrom().item(decide(request));
+    return Uni.createFrom()
+        .emitter(
+            decided ->
+                relay.freshness.onRenewalEnded(() -> decided.complete(decideIfWaiting(request))));
+  }
+
+  /** Decides on a request whose client may have left while it waited. */
+  private FilterResult decideIfWaiting(Request request) {
+    return request.callerGone
+        ? FilterResult.notRun(503, "the client left", FilterResult.RETRY_AT_ONCE_MS)
+        : decide(request);
+  }
+
+  private FilterResult decide(Request request) {
     String unready = relay.unreadyReason();
     if (!unready.isEmpty())
       return FilterResult.notRun(503, unready, relay.retryAdvice.msUntilReady());
--- a/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
+++ b/data-plane/src/test/java/gladelug/data/relay/RelayTest.java
@@ -296,7 +296,7 @@
       world.relay.tick();
       Assertions.assertEquals(List.of(), world.takeCallerEvents());
       world.sent.get(0).request.deadlineMs = Long.MAX_VALUE;
-      world.nowMs += LEASE_MS;
+      world.run(LEASE_MS - EXPIRY_MS / 2 + TICK_MS);
       world.ask("t");
       Assertions.assertEquals(List.of("refused 503"), world.takeCallerEvents());
       Assertions.assertEquals(1, world.sent.size());
@@ -548,15 +548,38 @@
     world.run(TICK_MS);
     world.ask("t");
     Assertions.assertEquals(0, world.sent.size());
-    Assertions.assertEquals(Collections.nCopies(3, "refused 503"), world.takeCallerEvents());
+    Assertions.assertEquals(List.of("refused 503"), world.takeCallerEvents(), "was being sent");
     Assertions.assertEquals(List.of(stoppedAtMs + 3300), leaseRequests);
     Assertions.assertFalse(world.relay.unreadyReason().isEmpty());
+    world.run(StateFreshness.RENEWAL_TIMEOUT_MS);
+    world.ask("t");
+    Assertions.assertEquals(0, world.sent.size());
+    Assertions.assertEquals(Collections.nCopies(3, "refused 503"), world.takeCallerEvents());
     world.grantLeases(world.nowMs);
     world.ask("t");
     Assertions.assertEquals(1, world.sent.size());
     Assertions.assertEquals("", world.relay.unreadyReason());
   }
 
+  /** Guards against callers that are refused although the relay hears from the core at once. */
+  @Test
+  void afterAStandstillRequestsWaitForTheLeasesThatAreOnTheirWay() {
+    World world = relay(false);
+    world.nowMs += 3300;
+    Request first = world.ask("t"), second = world.ask("t");
+    world.run(TICK_MS);
+    world.relay.callerGone(second);
+    world.takeCallerEvents();
+    Assertions.assertEquals(0, world.sent.size());
+    world.grantLeases(world.nowMs);
+    world.run(TICK_MS);
+    Assertions.assertEquals(1, world.sent.size());
+    Assertions.assertSame(first, world.sent.get(0).request);
+    Assertions.assertEquals(List.of(), world.takeCallerEvents(), "none is refused");
+    world.ask("t");
+    Assertions.assertEquals(2, world.sent.size());
+  }
+
   @Test
   void aPauseBetweenTwoTicksIsNoStandstill() {
     World world = relay(false);
--- a/emulator/src/main/java/gladelug/emulator/day/OperatorEpisodes.java
+++ b/emulator/src/main/java/gladelug/emulator/day/OperatorEpisodes.java
@@ -1,6 +1,7 @@
 package gladelug.emulator.day;
 
 import com.eclipsesource.json.JsonObject;
+import gladelug.common.message.StateKeys;
 import gladelug.emulator.Fleet;
 import gladelug.emulator.StandInReplica;
 import java.util.ArrayList;
@@ -12,6 +13,9 @@
  * the configuration, and swap members of the core.
  */
 final class OperatorEpisodes {
+  /** The key whose owner commands the first replica. */
+  private static final String REPLICA_KEY = StateKeys.replicaControllerKey("replica-1");
+
   private static final long BETWEEN_WEIGHT_CHANGES_MS = 1500;
   private static final long LOAD_TIMEOUT_MS = 30_000;
   private static final long SWAP_START_TIMEOUT_MS = 20_000;
@@ -66,7 +70,7 @@
     operator.setNextWeights();
     Fleet.pause(BETWEEN_WEIGHT_CHANGES_MS);
     if (machines.random.nextBoolean()) operator.setNextWeights();
-    killedCommander = machines.random.nextBoolean() ? machines.ownerOf("commander/replica-1") : "";
+    killedCommander = machines.random.nextBoolean() ? machines.ownerOf(REPLICA_KEY) : "";
     if (!killedCommander.isEmpty()) machines.kill(killedCommander);
   }
 
--- a/emulator/src/main/java/gladelug/emulator/sim/RequestSimulation.java
+++ b/emulator/src/main/java/gladelug/emulator/sim/RequestSimulation.java
@@ -204,7 +204,7 @@
             control.node.storedValue(StateKeys.CONFIGURATION).getValue(),
             control.node.knownAgeMs(StateKeys.WEIGHTS)));
     for (Replicas.Replica target : rollout.rolloutTargets()) {
-      String key = StateKeys.REPLICA_CONTROLLER_PREFIX + target.instance();
+      String key = StateKeys.replicaControllerKey(target.instance());
       control.node.ensureKey(key);
       SimReplica replica = replicaAt(target.address().toString());
       if (replica == null || !replica.isAnswering() || !replica.instance.equals(target.instance()))
