--- a/common/src/main/java/gladelug/common/connection/ReceiveBuffers.java
+++ b/common/src/main/java/gladelug/common/connection/ReceiveBuffers.java
@@ -12,7 +12,7 @@
  */
 final class ReceiveBuffers {
   /** The size of a connection's buffer at first, and while it sends a long body. */
-  static final int SMALL_BYTES = 8 << 10, LARGE_BYTES = 64 << 10;
+  static final int SMALL_BYTES = 4 << 10, LARGE_BYTES = 64 << 10;
 
   private final Semaphore large;
 
--- a/common/src/main/java/gladelug/common/connection/RequestGate.java
+++ b/common/src/main/java/gladelug/common/connection/RequestGate.java
@@ -31,7 +31,7 @@
   private static final int MAX_WAITING_BYTES = 16 << 10;
 
   /** A body of which so much has come is a long one. */
-  private static final int LONG_BODY_BYTES = 16 << 10;
+  private static final int LONG_BODY_BYTES = 8 << 10;
 
   /** With more contents in one read, their number decides what the read costs. */
   private static final int TINY_CONTENTS = 256;
