A receive buffer is never made smaller than the window that was offered

Cause: at a server whose Vert.x lacks InboundTransport the 4 KiB were set at the accepted connection, after its peer had been offered 64 KiB; the kernel dropped what was in flight and the peer waited for its retransmission timer, longer each time. The same could meet a client of the product whose large buffer was taken back after a long body.

Change: the size is set at the listening socket alone, and a connection keeps a large buffer until it is closed; 128 of them at a time instead of 64.

OperatorListenerTest, InboundLimitsTest, InboundBodiesTest and ClientListenerTest pass.

--- a/common/src/main/java/gladelug/common/connection/InboundLimits.java
+++ b/common/src/main/java/gladelug/common/connection/InboundLimits.java
@@ -39,7 +39,7 @@
   private static final int CLIENT_BODIES_HEAP_DIVISOR = 4, OPERATOR_BODIES_HEAP_DIVISOR = 10;
 
   /** How many connections may have a large receive buffer at a time. */
-  private static final int LARGE_RECEIVE_BUFFERS = 64;
+  private static final int LARGE_RECEIVE_BUFFERS = 128;
 
   /** How many bytes are read from a connection before the others have their turn. */
   private static final int READ_BYTES = 16 << 10;
@@ -77,7 +77,7 @@
   /** Sets the options of a server whose connections are handed to these limits. */
   public static HttpServerOptions configure(HttpServerOptions options) {
     // with HTTP/2 enabled a connection would be handed over only with its first complete head
-    return options.setReceiveBufferSize(ReceiveBuffers.SMALL_BYTES).setHttp2ClearTextEnabled(false);
+    return options.setHttp2ClearTextEnabled(false);
   }
 
   /**
--- a/common/src/main/java/gladelug/common/connection/InboundTransport.java
+++ b/common/src/main/java/gladelug/common/connection/InboundTransport.java
@@ -9,8 +9,9 @@
 import io.vertx.mutiny.core.Vertx;
 
 /**
- * Sets a server's receive buffer size at its listening socket, from which connections inherit it.
- * Set at a connection only, it would come after the kernel has offered the peer a larger window.
+ * Sets a server's receive buffer size at its listening socket, from which connections inherit it: a
+ * small one unless the server's options name a size. Set at a connection, it would come after the
+ * kernel has offered the peer a larger window, and bytes beyond the buffer would be dropped.
  */
 public final class InboundTransport extends JDKTransport {
   private InboundTransport() {}
@@ -25,6 +26,6 @@
   public void configure(NetServerOptions options, boolean domainSocket, ServerBootstrap bootstrap) {
     super.configure(options, domainSocket, bootstrap);
     int bytes = options.getReceiveBufferSize();
-    if (bytes > 0) bootstrap.option(ChannelOption.SO_RCVBUF, bytes);
+    bootstrap.option(ChannelOption.SO_RCVBUF, bytes > 0 ? bytes : ReceiveBuffers.SMALL_BYTES);
   }
 }
--- a/common/src/main/java/gladelug/common/connection/ReceiveBuffers.java
+++ b/common/src/main/java/gladelug/common/connection/ReceiveBuffers.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.Semaphore;
 
 /**
- * Bounds the bytes that the kernel holds for connections that are not read yet: each has a small
- * receive buffer, and a limited number of those that send a long body have a large one.
+ * Bounds the bytes that the kernel holds for connections that are not read yet: each begins with a
+ * small receive buffer, and a limited number of those that send a long body get a large one.
  * Thread-safe.
  */
 final class ReceiveBuffers {
@@ -28,10 +28,12 @@
     return false;
   }
 
-  /** Takes the large buffer from a connection that has one. */
-  void reduce(Channel channel) {
+  /**
+   * Records that a connection with a large buffer was closed. Until then it keeps the buffer, as
+   * bytes in a window that its peer was offered would be dropped by a smaller one.
+   */
+  void onClosed() {
     large.release();
-    if (channel.isOpen()) resize(channel, SMALL_BYTES);
   }
 
   private static boolean resize(Channel channel, int bytes) {
--- a/common/src/main/java/gladelug/common/connection/RequestGate.java
+++ b/common/src/main/java/gladelug/common/connection/RequestGate.java
@@ -163,18 +163,12 @@
   private void onExchangeEnd() {
     exchangeEnded = true;
     framing.reset();
-    endLongBody();
+    requestBytes = 0;
     heads.hold(this, waiting == null ? 0 : waiting.readableBytes());
     // the listener first ends its own work with the answer
     if (waiting != null) channel.eventLoop().execute(this::continueWithWaiting);
   }
 
-  private void endLongBody() {
-    requestBytes = 0;
-    if (hasLargeBuffer) receiveBuffers.reduce(channel);
-    hasLargeBuffer = false;
-  }
-
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     context.fireChannelWritabilityChanged();
@@ -200,7 +194,8 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     heads.hold(this, 0);
-    endLongBody();
+    if (hasLargeBuffer) receiveBuffers.onClosed();
+    hasLargeBuffer = false;
     ReferenceCountUtil.release(waiting);
     ReferenceCountUtil.release(incompleteHead);
     waiting = null;
