Reads that wait for a round don't share the room that changes have

Cause: at most as many reads wait for a confirmation as changes may be queued; a crowd fills that at once, and whoever comes is refused with 503. Change: reads have a queue of their own, larger than the connections that a process accepts; each connection has one request at a time. Removing many confirmed reads is linear.

Tests of the core in control-plane pass.

--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -77,6 +77,9 @@
   /** After how many lease durations without confirmation by a majority an owner steps down. */
   private static final long MAX_UNCONFIRMED_LEASES = 2;
 
+  /** How many reads may wait at a time: more than a process has connections from others. */
+  private static final int MAX_PENDING_READS = 8192;
+
   private final OwnershipContext context;
 
   /** The key that this object owns or is a candidate for. */
@@ -122,6 +125,9 @@
   private PendingChange currentChange;
   private final PendingConfirmations pendingConfirmations;
 
+  /** Reads that wait for a round; they hold little, so far more of them may wait than changes. */
+  private final PendingConfirmations pendingReads = new PendingConfirmations(MAX_PENDING_READS);
+
   /** Creates an owner in phase IDLE at the member of the given context. */
   KeyOwner(OwnershipContext context, String key) {
     this.context = context;
@@ -337,6 +343,7 @@
     currentChange = null;
     refuseQueuedChanges();
     pendingConfirmations.abandonAll();
+    pendingReads.abandonAll();
   }
 
   /** Answers the queued changes, for which nothing was written yet, with no owner. */
@@ -365,15 +372,16 @@
   void onRoundConfirmed(long round, long roundStartMs) {
     confirmedAtMs = Math.max(confirmedAtMs, roundStartMs);
     if (isServing()) pendingConfirmations.onRoundConfirmed(round);
+    if (isServing()) pendingReads.onRoundConfirmed(round);
   }
 
   /**
    * Queues callbacks until a majority confirms this owner; one of the two runs eventually. Returns
    * false, and none runs, if the queue is full.
    */
-  private boolean queueForConfirmation(Runnable onConfirmed, Runnable onAbandoned, long nowMs) {
-    if (!pendingConfirmations.add(context.latestRoundNumber(), nowMs, onConfirmed, onAbandoned))
-      return false;
+  private boolean queueForConfirmation(
+      PendingConfirmations queue, Runnable onConfirmed, Runnable onAbandoned, long nowMs) {
+    if (!queue.add(context.latestRoundNumber(), nowMs, onConfirmed, onAbandoned)) return false;
     context.requestConfirmationRound();
     return true;
   }
@@ -387,7 +395,8 @@
     Runnable onNoOwner = () -> onResult.accept(ReadResult.NO_OWNER);
     boolean accepted =
         isServing()
-            && queueForConfirmation(() -> onResult.accept(ReadResult.of(value)), onNoOwner, nowMs);
+            && queueForConfirmation(
+                pendingReads, () -> onResult.accept(ReadResult.of(value)), onNoOwner, nowMs);
     if (!accepted) onNoOwner.run();
   }
 
@@ -480,7 +489,7 @@
           startNextChange(context.nowMs());
         };
     Runnable onAbandoned = () -> change.answer(new ChangeResult.NoOwner());
-    if (!queueForConfirmation(retry, onAbandoned, nowMs))
+    if (!queueForConfirmation(pendingConfirmations, retry, onAbandoned, nowMs))
       change.answer(new ChangeResult.QueueFull());
   }
 
@@ -542,13 +551,14 @@
    * still wait.
    */
   private void abandonUnconfirmed(long nowMs) {
-    if (context.isIsolatedFromMajority(nowMs)) pendingConfirmations.abandonAll();
-    else pendingConfirmations.abandonRequestedUntil(nowMs - ForwardedReads.READ_TIMEOUT_MS);
+    for (PendingConfirmations queue : List.of(pendingConfirmations, pendingReads))
+      if (context.isIsolatedFromMajority(nowMs)) queue.abandonAll();
+      else queue.abandonRequestedUntil(nowMs - ForwardedReads.READ_TIMEOUT_MS);
   }
 
   /** Runs everything that is due by time alone. */
   void tick(long nowMs) {
-    if (!pendingConfirmations.isEmpty()) abandonUnconfirmed(nowMs);
+    if (!pendingConfirmations.isEmpty() || !pendingReads.isEmpty()) abandonUnconfirmed(nowMs);
     if (!queuedChanges.isEmpty() && context.isIsolatedFromMajority(nowMs)) refuseQueuedChanges();
     if (isCandidate() && nowMs - electionTimerFromMs > electionTimeoutMs())
       stepDown(StepDownReason.ELECTION_TIMED_OUT, nowMs);
--- a/control-plane/src/main/java/gladelug/control/core/PendingConfirmations.java
+++ b/control-plane/src/main/java/gladelug/control/core/PendingConfirmations.java
@@ -67,7 +67,7 @@
   private List<PendingConfirmation> removeMatching(Predicate<PendingConfirmation> condition) {
     if (pendingConfirmations.isEmpty()) return List.of();
     List<PendingConfirmation> removed = pendingConfirmations.stream().filter(condition).toList();
-    pendingConfirmations.removeAll(removed);
+    pendingConfirmations.removeIf(condition);
     return removed;
   }
 }
