--- a/control-plane/src/test/java/gladelug/control/core/CoreMemberTest.java
+++ b/control-plane/src/test/java/gladelug/control/core/CoreMemberTest.java
@@ -522,6 +522,22 @@
     Assertions.assertEquals(new ChangeResult.Acknowledged(2, true, 0, 0, 0), answers.get(2));
   }
 
+  /** Guards against a crowd of reads that shuts out whoever reads next. */
+  @Test
+  void moreReadsMayWaitThanChangesMayBeQueued() {
+    RecordingHost host = new RecordingHost();
+    CoreMember member = newMember(host);
+    String key = StateKeys.REPLICAS;
+    makeOwner(member, host, key, VersionedValue.NONE.next("d", new byte[1]));
+    int readers = 20 * QuorumConfig.DEFAULT.maxPendingChanges();
+    List<ReadResult> reads = new ArrayList<>();
+    for (int i = 0; i < readers; i++) member.readNewest(key, reads::add);
+    Assertions.assertEquals(0, reads.size(), "none is refused");
+    confirmByMajority(member, host);
+    Assertions.assertEquals(readers, reads.size());
+    Assertions.assertTrue(reads.stream().allMatch(read -> read.number() == 1));
+  }
+
   @Test
   void withoutAMajorityAConflictIsNotReportedAndTheSenderIsAnsweredWithinTheTimeout() {
     RecordingHost host = new RecordingHost();
