One check for whole stored records, one list of what waits for a round

StoredRecord serves BootstrapVote, MemberSet, EpochRecord and Register, which each checked the end of a record with the same lines. KeyFilter asks for the lease once for a request that may start, not twice. KeyOwner treats its two queues in one place.

--- a/common/src/main/java/gladelug/common/connection/InboundConnections.java
+++ b/common/src/main/java/gladelug/common/connection/InboundConnections.java
@@ -30,10 +30,6 @@
     maxOpen = Math.min(maxOpen, limit);
   }
 
-  int maxOpen() {
-    return maxOpen;
-  }
-
   /**
    * Adds a connection until it is closed. Returns null, and closes it, if there are too many and
    * all of them have a request in progress.
--- a/common/src/main/java/gladelug/common/connection/ReceiveBuffers.java
+++ b/common/src/main/java/gladelug/common/connection/ReceiveBuffers.java
@@ -23,7 +23,11 @@
   /** Gives a connection a large buffer; returns false if too many have one. */
   boolean tryEnlarge(Channel channel) {
     if (!large.tryAcquire()) return false;
-    if (resize(channel, LARGE_BYTES)) return true;
+    try {
+      if (channel.config().setOption(ChannelOption.SO_RCVBUF, LARGE_BYTES)) return true;
+    } catch (ChannelException closed) {
+      // a connection that is closed already has no use for it
+    }
     large.release();
     return false;
   }
@@ -35,12 +39,4 @@
   void onClosed() {
     large.release();
   }
-
-  private static boolean resize(Channel channel, int bytes) {
-    try {
-      return channel.config().setOption(ChannelOption.SO_RCVBUF, bytes);
-    } catch (ChannelException closed) {
-      return false;
-    }
-  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
+++ b/control-plane/src/main/java/gladelug/control/core/KeyOwner.java
@@ -128,12 +128,16 @@
   /** Reads that wait for a round; they hold little, so far more of them may wait than changes. */
   private final PendingConfirmations pendingReads = new PendingConfirmations(MAX_PENDING_READS);
 
+  /** All that waits for a round. */
+  private final List<PendingConfirmations> confirmationQueues;
+
   /** Creates an owner in phase IDLE at the member of the given context. */
   KeyOwner(OwnershipContext context, String key) {
     this.context = context;
     this.key = key;
     this.leases = new SubscriberLeases(context.config(), key);
     this.pendingConfirmations = new PendingConfirmations(context.config().maxPendingChanges());
+    this.confirmationQueues = List.of(pendingConfirmations, pendingReads);
   }
 
   /** Records an epoch seen for this key. */
@@ -342,8 +346,7 @@
       currentChange.answer(new ChangeResult.Unknown(currentChange.number()));
     currentChange = null;
     refuseQueuedChanges();
-    pendingConfirmations.abandonAll();
-    pendingReads.abandonAll();
+    confirmationQueues.forEach(PendingConfirmations::abandonAll);
   }
 
   /** Answers the queued changes, for which nothing was written yet, with no owner. */
@@ -371,8 +374,8 @@
   /** Records that a majority confirmed the epoch in a round, given by its number and start time. */
   void onRoundConfirmed(long round, long roundStartMs) {
     confirmedAtMs = Math.max(confirmedAtMs, roundStartMs);
-    if (isServing()) pendingConfirmations.onRoundConfirmed(round);
-    if (isServing()) pendingReads.onRoundConfirmed(round);
+    for (PendingConfirmations queue : confirmationQueues)
+      if (isServing()) queue.onRoundConfirmed(round);
   }
 
   /**
@@ -551,14 +554,16 @@
    * still wait.
    */
   private void abandonUnconfirmed(long nowMs) {
-    for (PendingConfirmations queue : List.of(pendingConfirmations, pendingReads))
+    for (PendingConfirmations queue : confirmationQueues) {
+      if (queue.isEmpty()) continue;
       if (context.isIsolatedFromMajority(nowMs)) queue.abandonAll();
       else queue.abandonRequestedUntil(nowMs - ForwardedReads.READ_TIMEOUT_MS);
+    }
   }
 
   /** Runs everything that is due by time alone. */
   void tick(long nowMs) {
-    if (!pendingConfirmations.isEmpty() || !pendingReads.isEmpty()) abandonUnconfirmed(nowMs);
+    abandonUnconfirmed(nowMs);
     if (!queuedChanges.isEmpty() && context.isIsolatedFromMajority(nowMs)) refuseQueuedChanges();
     if (isCandidate() && nowMs - electionTimerFromMs > electionTimeoutMs())
       stepDown(StepDownReason.ELECTION_TIMED_OUT, nowMs);
--- a/control-plane/src/main/java/gladelug/control/core/config/BootstrapVote.java
+++ b/control-plane/src/main/java/gladelug/control/core/config/BootstrapVote.java
@@ -1,6 +1,5 @@
 package gladelug.control.core.config;
 
-import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -88,16 +87,7 @@
    * @throws IOException if the bytes are not exactly one valid vote
    */
   public static BootstrapVote parse(byte[] bytes) throws IOException {
-    DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
-    try {
-      BootstrapVote vote = read(in);
-      if (in.available() > 0)
-        throw new IOException(
-            in.available() + " bytes after its end, perhaps written by a newer release");
-      return vote;
-    } catch (IllegalArgumentException e) {
-      throw new IOException(e.getMessage(), e);
-    }
+    return StoredRecord.parse(bytes, BootstrapVote::read);
   }
 
   /**
--- a/control-plane/src/main/java/gladelug/control/core/config/MemberSet.java
+++ b/control-plane/src/main/java/gladelug/control/core/config/MemberSet.java
@@ -3,7 +3,6 @@
 import gladelug.common.Address;
 import gladelug.common.configuration.CoreMemberList;
 import gladelug.common.message.WireRecord;
-import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -167,15 +166,6 @@
    * @throws IOException if the bytes are not exactly one valid set
    */
   public static MemberSet parse(byte[] bytes) throws IOException {
-    DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
-    try {
-      MemberSet members = read(in);
-      if (in.available() > 0)
-        throw new IOException(
-            in.available() + " bytes after its end, perhaps written by a newer release");
-      return members;
-    } catch (IllegalArgumentException e) {
-      throw new IOException(e.getMessage(), e);
-    }
+    return StoredRecord.parse(bytes, MemberSet::read);
   }
 }
--- a/control-plane/src/main/java/gladelug/control/core/register/EpochRecord.java
+++ b/control-plane/src/main/java/gladelug/control/core/register/EpochRecord.java
@@ -1,5 +1,6 @@
 package gladelug.control.core.register;
 
+import gladelug.control.core.config.StoredRecord;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -61,9 +62,7 @@
   public static EpochRecord parse(byte[] bytes) throws IOException {
     DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
     EpochRecord epochs = new EpochRecord(in.readLong(), in.readLong(), in.readLong(), in.readUTF());
-    if (in.available() > 0)
-      throw new IOException(
-          in.available() + " bytes after its end, perhaps written by a newer release");
+    StoredRecord.requireEnd(in);
     return epochs;
   }
 
--- a/control-plane/src/main/java/gladelug/control/core/register/Register.java
+++ b/control-plane/src/main/java/gladelug/control/core/register/Register.java
@@ -1,5 +1,6 @@
 package gladelug.control.core.register;
 
+import gladelug.control.core.config.StoredRecord;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -64,9 +65,7 @@
   public static Register parse(byte[] bytes) throws IOException {
     DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
     Register register = new Register(in.readLong(), in.readLong(), VersionedValue.read(in));
-    if (in.available() > 0)
-      throw new IOException(
-          in.available() + " bytes after its end, perhaps written by a newer release");
+    StoredRecord.requireEnd(in);
     return register;
   }
 }
--- a/data-plane/src/main/java/gladelug/data/relay/KeyFilter.java
+++ b/data-plane/src/main/java/gladelug/data/relay/KeyFilter.java
@@ -20,8 +20,9 @@
 
   @Override
   public Uni<FilterResult> apply(Request request) {
-    if (!relay.freshness.isRenewing(relay.settings, relay.clock.now()))
-      return Uni.createFrom().item(decide(request));
+    String unready = relay.unreadyReason();
+    if (unready.isEmpty() || !relay.freshness.isRenewing(relay.settings, relay.clock.now()))
+      return Uni.createFrom().item(decide(request, unready));
     return Uni.createFrom()
         .emitter(
             decided ->
@@ -32,11 +33,10 @@
   private FilterResult decideIfWaiting(Request request) {
     return request.callerGone
         ? FilterResult.notRun(503, "the client left", FilterResult.RETRY_AT_ONCE_MS)
-        : decide(request);
+        : decide(request, relay.unreadyReason());
   }
 
-  private FilterResult decide(Request request) {
-    String unready = relay.unreadyReason();
+  private FilterResult decide(Request request, String unready) {
     if (!unready.isEmpty())
       return FilterResult.notRun(503, unready, relay.retryAdvice.msUntilReady());
     ControlStateSnapshot snapshot = relay.snapshot();
