--- a/emulator/src/main/java/gladelug/emulator/Fleet.java
+++ b/emulator/src/main/java/gladelug/emulator/Fleet.java
@@ -4,6 +4,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import gladelug.emulator.ports.FreePorts;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
--- a/emulator/src/main/java/gladelug/emulator/soak/SoakMachines.java
+++ b/emulator/src/main/java/gladelug/emulator/soak/SoakMachines.java
@@ -1,6 +1,6 @@
 package gladelug.emulator.soak;
 
-import gladelug.emulator.FreePorts;
+import gladelug.emulator.ports.FreePorts;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetAddress;
--- a/emulator/src/test/java/gladelug/emulator/FreePortsTest.java
+++ b/emulator/src/test/java/gladelug/emulator/ports/FreePortsTest.java
@@ -1,4 +1,4 @@
-package gladelug.emulator;
+package gladelug.emulator.ports;
 
 import java.io.IOException;
 import java.util.HashSet;
