StoredRecord has one way in; a doc comment back at its field

Read again: Register and EpochRecord repeated the opening of the stream and called a second method of StoredRecord for the end. All four stored records go through StoredRecord.parse now; nothing that these two read throws an IllegalArgumentException, which it would turn into an IOException, so nothing changes for callers. In OneMemberCore a field had come between the operator address and its comment.

--- a/control-plane/src/main/java/gladelug/control/core/config/StoredRecord.java
+++ b/control-plane/src/main/java/gladelug/control/core/config/StoredRecord.java
@@ -14,25 +14,16 @@
    *
    * @throws IOException if the bytes are not exactly one valid record
    */
-  static <T> T parse(byte[] bytes, WireRecord.ItemReader<T> reader) throws IOException {
+  public static <T> T parse(byte[] bytes, WireRecord.ItemReader<T> reader) throws IOException {
     DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
     try {
       T record = reader.read(in);
-      requireEnd(in);
+      if (in.available() > 0)
+        throw new IOException(
+            in.available() + " bytes after its end, perhaps written by a newer release");
       return record;
     } catch (IllegalArgumentException e) {
       throw new IOException(e.getMessage(), e);
     }
   }
-
-  /**
-   * Checks that nothing follows a record that was read.
-   *
-   * @throws IOException if anything does
-   */
-  public static void requireEnd(DataInputStream in) throws IOException {
-    if (in.available() > 0)
-      throw new IOException(
-          in.available() + " bytes after its end, perhaps written by a newer release");
-  }
 }
--- a/control-plane/src/main/java/gladelug/control/core/register/EpochRecord.java
+++ b/control-plane/src/main/java/gladelug/control/core/register/EpochRecord.java
@@ -1,7 +1,6 @@
 package gladelug.control.core.register;
 
 import gladelug.control.core.config.StoredRecord;
-import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -60,10 +59,11 @@
    * @throws IOException if the bytes are not exactly one entry
    */
   public static EpochRecord parse(byte[] bytes) throws IOException {
-    DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
-    EpochRecord epochs = new EpochRecord(in.readLong(), in.readLong(), in.readLong(), in.readUTF());
-    StoredRecord.requireEnd(in);
-    return epochs;
+    return StoredRecord.parse(bytes, EpochRecord::read);
+  }
+
+  private static EpochRecord read(DataInputStream in) throws IOException {
+    return new EpochRecord(in.readLong(), in.readLong(), in.readLong(), in.readUTF());
   }
 
   /**
--- a/control-plane/src/main/java/gladelug/control/core/register/Register.java
+++ b/control-plane/src/main/java/gladelug/control/core/register/Register.java
@@ -1,7 +1,6 @@
 package gladelug.control.core.register;
 
 import gladelug.control.core.config.StoredRecord;
-import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -63,9 +62,10 @@
    * @throws IOException if the bytes are not exactly one register
    */
   public static Register parse(byte[] bytes) throws IOException {
-    DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
-    Register register = new Register(in.readLong(), in.readLong(), VersionedValue.read(in));
-    StoredRecord.requireEnd(in);
-    return register;
+    return StoredRecord.parse(bytes, Register::read);
+  }
+
+  private static Register read(DataInputStream in) throws IOException {
+    return new Register(in.readLong(), in.readLong(), VersionedValue.read(in));
   }
 }
--- a/control-plane/src/test/java/gladelug/control/operator/OneMemberCore.java
+++ b/control-plane/src/test/java/gladelug/control/operator/OneMemberCore.java
@@ -28,9 +28,9 @@
   private static final String IP = "127.0.0.1", NAME = "a";
   private static final int CUTOFF_MS = 15_000, RING_FILE_MB = 8;
 
-  /** The address of the operator endpoint. */
   private final Set<Integer> ports = new HashSet<>();
 
+  /** The address of the operator endpoint. */
   final Address operatorAddress = new Address(IP, freePort());
 
   final CoreService core;
